--- /dev/null
+++ b/core/board/src/index.ts
@@ -0,0 +1,6 @@
+export * from './board.js';
+export * from './boardErrors.js';
+export * from './controller.js';
+export * from './controlLoop.js';
+export * from './section.js';
+export * from './write.js';
--- /dev/null
+++ b/core/clock/src/index.ts
@@ -0,0 +1,2 @@
+export * from './clock.js';
+export * from './manualClock.js';
--- /dev/null
+++ b/core/errors/src/index.ts
@@ -0,0 +1,1 @@
+export * from './schedulerError.js';
--- /dev/null
+++ b/core/identifiers/src/identifiers.ts
@@ -0,0 +1,38 @@
+declare const brand: unique symbol;
+
+/** A string that cannot be mistaken for an identifier of another kind. */
+export type Identifier<Name extends string> = string & {
+  readonly [brand]: Name;
+};
+
+/** Identifies one process of the system for the life of its VM. */
+export type NodeId = Identifier<'node'>;
+/** Identifies one start of a process. */
+export type IncarnationId = Identifier<'incarnation'>;
+export type OrganisationId = Identifier<'organisation'>;
+export type TierId = Identifier<'tier'>;
+export type EndpointSetId = Identifier<'endpointSet'>;
+export type EndpointId = Identifier<'endpoint'>;
+export type RequestKindId = Identifier<'requestKind'>;
+export type RequestId = Identifier<'request'>;
+/** Identifies one dispatch of one request to one endpoint. */
+export type DispatchId = Identifier<'dispatch'>;
+export type GrantId = Identifier<'grant'>;
+export type FailureDomainId = Identifier<'failureDomain'>;
+export type RegionId = Identifier<'region'>;
+export type OperatorId = Identifier<'operator'>;
+
+/** Marks a string as an identifier; the caller has checked its form. */
+export function toIdentifier<Id extends Identifier<string>>(value: string): Id {
+  return value as Id;
+}
+
+/** The longest identifier accepted from outside, in characters. */
+export const MAX_IDENTIFIER_LENGTH = 64;
+
+const IDENTIFIER_FORM = /^[A-Za-z0-9][A-Za-z0-9._-]*$/;
+
+/** Tells whether text from outside has the form of an identifier. */
+export function isIdentifier(value: string): boolean {
+  return value.length <= MAX_IDENTIFIER_LENGTH && IDENTIFIER_FORM.test(value);
+}
--- /dev/null
+++ b/core/identifiers/src/index.ts
@@ -0,0 +1,1 @@
+export * from './identifiers.js';
--- /dev/null
+++ b/eslint.config.mjs
@@ -0,0 +1,79 @@
+import importX from 'eslint-plugin-import-x';
+import tseslint from 'typescript-eslint';
+
+const IO_MODULES = [
+  'node:fs',
+  'node:fs/promises',
+  'node:net',
+  'node:http',
+  'node:dgram',
+  'node:child_process',
+  'node:timers',
+  'node:timers/promises',
+  'node:worker_threads',
+  'fastify',
+  'undici',
+  'cbor-x',
+  'prom-client',
+  'debug',
+  'citty',
+  'smol-toml',
+];
+
+export default tseslint.config(
+  {ignores: ['**/dist/**', '**/node_modules/**', '**/generated/**', '.tap']},
+  ...tseslint.configs.strict,
+  {
+    plugins: {'import-x': importX},
+    rules: {
+      eqeqeq: ['error', 'always'],
+      curly: ['error', 'all'],
+      'prefer-const': 'error',
+      'no-var': 'error',
+      'max-lines': ['error', {max: 400, skipBlankLines: true}],
+      'max-lines-per-function': [
+        'error',
+        {max: 70, skipBlankLines: true, skipComments: true},
+      ],
+      'no-restricted-syntax': [
+        'error',
+        {
+          selector: 'ExportDefaultDeclaration',
+          message: 'Use a named export.',
+        },
+      ],
+      '@typescript-eslint/no-non-null-assertion': 'off',
+      '@typescript-eslint/no-unused-vars': ['error', {argsIgnorePattern: '^_'}],
+      '@typescript-eslint/consistent-type-imports': 'error',
+      'import-x/no-mutable-exports': 'error',
+    },
+  },
+  {
+    files: ['**/test/**/*.ts'],
+    rules: {'max-lines-per-function': 'off'},
+  },
+  {
+    files: ['**/*.config.mjs', 'scripts/**'],
+    rules: {'no-restricted-syntax': 'off'},
+  },
+  {
+    // Decisions are kept apart from I/O, encoding and the machine's clock.
+    files: ['{core,scheduling,control,language}/*/src/**/*.ts'],
+    rules: {
+      'no-restricted-imports': ['error', {paths: IO_MODULES}],
+      'no-restricted-globals': [
+        'error',
+        'setTimeout',
+        'setInterval',
+        'setImmediate',
+        'performance',
+        'process',
+      ],
+      'no-restricted-properties': [
+        'error',
+        {object: 'Date', property: 'now'},
+        {object: 'Math', property: 'random'},
+      ],
+    },
+  },
+);
