--- /dev/null
+++ b/cli/deployment/src/deployment.ts
@@ -0,0 +1,196 @@
+import {mkdtempSync, rmSync, writeFileSync} from 'node:fs';
+import {createServer} from 'node:net';
+import type {AddressInfo} from 'node:net';
+import {tmpdir} from 'node:os';
+import {join} from 'node:path';
+import {fileURLToPath} from 'node:url';
+
+import {startProcess} from './childProcess.js';
+import type {StartedProcess} from './childProcess.js';
+
+/** How many processes of each kind a deployment has. */
+export interface DeploymentOptions {
+  readonly controls: number;
+  readonly entries: number;
+}
+
+/** A started entry. */
+export interface DeployedEntry {
+  readonly node: string;
+  readonly url: string;
+  readonly process: StartedProcess;
+}
+
+/** A started control daemon. */
+export interface DeployedControl {
+  readonly node: string;
+  readonly settingsFile: string;
+  readonly process: StartedProcess;
+}
+
+/** A started endpoint. */
+export interface DeployedEndpoint {
+  readonly url: string;
+  readonly process: StartedProcess;
+}
+
+/** A deployment on loopback addresses. */
+export interface Deployment {
+  readonly controls: readonly DeployedControl[];
+  readonly entries: readonly DeployedEntry[];
+  startEngine(args: EndpointArgs): Promise<DeployedEndpoint>;
+  startService(args: EndpointArgs): Promise<DeployedEndpoint>;
+  /** Starts a control daemon again with its settings. */
+  restartControl(node: string): Promise<void>;
+  stop(): Promise<void>;
+}
+
+/** Command line of a stand-in endpoint. */
+export interface EndpointArgs {
+  readonly endpoint: string;
+  readonly set: string;
+  readonly extra?: readonly string[];
+}
+
+const HOST = '127.0.0.1';
+const DOMAINS = ['a', 'b', 'c'] as const;
+
+/** Finds a compiled main script of the workspace. */
+export function findScript(path: string): string {
+  return fileURLToPath(new URL(`../../../../${path}`, import.meta.url));
+}
+
+/** Finds ports that are free at the moment. */
+export async function findFreePorts(count: number): Promise<readonly number[]> {
+  const servers = await Promise.all(
+    Array.from({length: count}, async () => {
+      const server = createServer();
+      await new Promise<void>(resolve =>
+        server.listen(0, HOST, () => resolve()),
+      );
+      return server;
+    }),
+  );
+  const ports = servers.map(server => (server.address() as AddressInfo).port);
+  await Promise.all(
+    servers.map(server => new Promise(resolve => server.close(resolve))),
+  );
+  return ports;
+}
+
+/** Starts control daemons and entries, each as a process. */
+export async function createDeployment(
+  options: DeploymentOptions,
+): Promise<Deployment> {
+  const folder = mkdtempSync(join(tmpdir(), 'gentianshunt-'));
+  const ports = await findFreePorts(options.controls + 2 * options.entries);
+  const members = Array.from({length: options.controls}, (_, index) => ({
+    node: `control-${index}`,
+    port: ports[index]!,
+  }));
+  const memberText = members.map(formatMember).join('\n');
+  const controls = await Promise.all(
+    members.map(async (member, index) => {
+      const settingsFile = join(folder, `${member.node}.toml`);
+      const lines = [
+        ...formatCommon(member.node, index, member.port),
+        `data_folder = "${join(folder, member.node)}"`,
+        memberText,
+      ];
+      writeFileSync(settingsFile, lines.join('\n'));
+      const process = await startControl(settingsFile);
+      return {node: member.node, settingsFile, process};
+    }),
+  );
+  const entries = await Promise.all(
+    Array.from({length: options.entries}, async (_, index) => {
+      const node = `entry-${index}`;
+      const offset = options.controls + 2 * index;
+      const httpPort = ports[offset + 1]!;
+      const settingsFile = join(folder, `${node}.toml`);
+      const lines = [
+        ...formatCommon(node, index, ports[offset]!),
+        `http = { host = "${HOST}", port = ${httpPort} }`,
+        memberText,
+      ];
+      writeFileSync(settingsFile, lines.join('\n'));
+      const script = findScript('daemons/entryd/dist/src/main.js');
+      const process = await startProcess(script, ['--settings', settingsFile]);
+      return {node, url: `http://${HOST}:${httpPort}`, process};
+    }),
+  );
+  return createHandle(folder, controls, entries);
+}
+
+function createHandle(
+  folder: string,
+  started: readonly DeployedControl[],
+  entries: readonly DeployedEntry[],
+): Deployment {
+  const controls = [...started];
+  const endpoints: StartedProcess[] = [];
+  const urls = entries.map(entry => entry.url).join(',');
+  const startEndpoint = async (
+    script: string,
+    args: EndpointArgs,
+  ): Promise<DeployedEndpoint> => {
+    const process = await startProcess(findScript(script), [
+      ...['--endpoint', args.endpoint, '--set', args.set],
+      ...['--entries', urls],
+      ...(args.extra ?? []),
+    ]);
+    endpoints.push(process);
+    return {url: String(process.ready['url']), process};
+  };
+  return {
+    controls,
+    entries,
+    startEngine: args =>
+      startEndpoint('standins/modelEngine/dist/src/main.js', args),
+    startService: args =>
+      startEndpoint('standins/plainService/dist/src/main.js', args),
+    restartControl: async node => {
+      const index = controls.findIndex(control => control.node === node);
+      const {settingsFile} = controls[index]!;
+      const process = await startControl(settingsFile);
+      controls[index] = {node, settingsFile, process};
+    },
+    stop: async () => {
+      const processes = [
+        ...entries.map(entry => entry.process),
+        ...controls.map(control => control.process),
+        ...endpoints,
+      ];
+      await Promise.all(processes.map(process => process.stop('SIGKILL')));
+      rmSync(folder, {recursive: true, force: true});
+    },
+  };
+}
+
+function startControl(settingsFile: string): Promise<StartedProcess> {
+  const script = findScript('daemons/controld/dist/src/main.js');
+  return startProcess(script, ['--settings', settingsFile]);
+}
+
+function formatCommon(
+  node: string,
+  index: number,
+  port: number,
+): readonly string[] {
+  return [
+    `node = "${node}"`,
+    `domain = "${DOMAINS[index % DOMAINS.length]}"`,
+    `peer = { host = "${HOST}", port = ${port} }`,
+  ];
+}
+
+function formatMember(member: {
+  readonly node: string;
+  readonly port: number;
+}): string {
+  return [
+    '[[control]]',
+    `node = "${member.node}"`,
+    `peer = { host = "${HOST}", port = ${member.port} }`,
+  ].join('\n');
+}
--- /dev/null
+++ b/cli/deployment/src/index.ts
@@ -0,0 +1,2 @@
+export * from './childProcess.js';
+export * from './deployment.js';
--- /dev/null
+++ b/control/configuration/src/index.ts
@@ -0,0 +1,4 @@
+export * from './applyBatch.js';
+export * from './changes.js';
+export * from './objects.js';
+export * from './validateObject.js';
--- /dev/null
+++ b/control/configuration/src/objects.ts
@@ -0,0 +1,138 @@
+import type {
+  EndpointId,
+  EndpointSetId,
+  Identifier,
+  NodeId,
+  OrganisationId,
+  RegionId,
+  RequestKindId,
+  TierId,
+} from '@gentianshunt/identifiers';
+
+/** Counts the changes of one object; the first revision is 1. */
+export type Revision = number;
+
+/** Bounds that hold for an organisation across all entries. */
+export interface OrganisationLimits {
+  /** Most requests running at once; `null` sets no limit. */
+  readonly maxRunning: number | null;
+  /** Most new requests a second; `null` sets no limit. */
+  readonly maxRequestsPerSecond: number | null;
+}
+
+/** A customer of the deployment. */
+export interface Organisation {
+  readonly kind: 'organisation';
+  readonly id: OrganisationId;
+  readonly revision: Revision;
+  /** Share of a tier's capacity relative to other organisations. */
+  readonly weight: number;
+  /** Tiers its requests may name; the first is the default. */
+  readonly tiers: readonly TierId[];
+  readonly limits: OrganisationLimits;
+}
+
+/** A class of service. */
+export interface Tier {
+  readonly kind: 'tier';
+  readonly id: TierId;
+  readonly revision: Revision;
+  /** Order of the tiers; 1 is served first and shed last. */
+  readonly rank: number;
+  /** Value of an answered request, relative to other tiers. */
+  readonly weight: number;
+  /** Time to the first token that the tier aims at, in milliseconds. */
+  readonly firstTokenTargetMs: number;
+  /** Share of requests that must meet the target. */
+  readonly objective: number;
+}
+
+/** What the endpoints of a set run. */
+export type EndpointService =
+  | {readonly kind: 'model'; readonly model: string}
+  | {readonly kind: 'plain'; readonly service: string};
+
+/** A named group of endpoints that can serve the same requests. */
+export interface EndpointSet {
+  readonly kind: 'endpointSet';
+  readonly id: EndpointSetId;
+  readonly revision: Revision;
+  readonly region: RegionId;
+  readonly service: EndpointService;
+}
+
+/** A kind of request. */
+export interface RequestKind {
+  readonly kind: 'requestKind';
+  readonly id: RequestKindId;
+  readonly revision: Revision;
+  /** Whether running the request twice does no harm. */
+  readonly idempotent: boolean;
+  /** Weight of an answered request in the goodput of its tier. */
+  readonly weight: number;
+}
+
+/** An operator's decision about one endpoint. */
+export interface EndpointPolicy {
+  readonly kind: 'endpointPolicy';
+  readonly id: EndpointId;
+  readonly revision: Revision;
+  readonly state: 'active' | 'draining';
+}
+
+/** Which entry leads a set, assigned by the control log. */
+export interface SetLeadership {
+  readonly kind: 'setLeadership';
+  readonly id: EndpointSetId;
+  readonly revision: Revision;
+  readonly node: NodeId;
+  /** Rises with every assignment; higher epochs win. */
+  readonly epoch: number;
+}
+
+/** Everything the replicated configuration is made of. */
+export type ConfigurationObject =
+  | Organisation
+  | Tier
+  | EndpointSet
+  | RequestKind
+  | EndpointPolicy
+  | SetLeadership;
+
+/** The kinds of configuration object. */
+export type ObjectKind = ConfigurationObject['kind'];
+
+/** Identifies an object among those of all kinds: `kind/id`. */
+export type ObjectKey = Identifier<'object'>;
+
+/** The objects by key, as a board section shows them. */
+export type ConfigurationTable = ReadonlyMap<ObjectKey, ConfigurationObject>;
+
+/** Makes the key of an object. */
+export function formatObjectKey(kind: ObjectKind, id: string): ObjectKey {
+  return `${kind}/${id}` as ObjectKey;
+}
+
+/** Finds an object of a kind by its identifier. */
+export function findObject<Kind extends ObjectKind>(
+  table: ConfigurationTable,
+  kind: Kind,
+  id: string,
+): Extract<ConfigurationObject, {kind: Kind}> | undefined {
+  const found = table.get(formatObjectKey(kind, id));
+  return found as Extract<ConfigurationObject, {kind: Kind}> | undefined;
+}
+
+/** Lists the objects of a kind, in the order of the table. */
+export function listObjects<Kind extends ObjectKind>(
+  table: ConfigurationTable,
+  kind: Kind,
+): readonly Extract<ConfigurationObject, {kind: Kind}>[] {
+  const found: Extract<ConfigurationObject, {kind: Kind}>[] = [];
+  for (const object of table.values()) {
+    if (object.kind === kind) {
+      found.push(object as Extract<ConfigurationObject, {kind: Kind}>);
+    }
+  }
+  return found;
+}
--- /dev/null
+++ b/control/consensus/src/index.ts
@@ -0,0 +1,2 @@
+export * from './consensusController.js';
+export * from './timing.js';
--- /dev/null
+++ b/control/controlModel/src/index.ts
@@ -0,0 +1,5 @@
+export * from './claimId.js';
+export * from './observation.js';
+export * from './order.js';
+export * from './role.js';
+export * from './sections.js';
--- /dev/null
+++ b/control/controlModel/src/observation.ts
@@ -0,0 +1,34 @@
+import type {
+  ConsensusMessage,
+  EntryToControl,
+  LogEntry,
+} from '@gentianshunt/messages';
+import type {NodeId} from '@gentianshunt/identifiers';
+
+import type {Ballot} from './role.js';
+
+/** The timers of a control daemon; one of each name runs at a time. */
+export type ControlTimer =
+  | {readonly kind: 'election'}
+  | {readonly kind: 'heartbeat'}
+  | {readonly kind: 'sessions'};
+
+/** Everything that can happen to a control daemon. */
+export type ControlObservation =
+  | {
+      readonly kind: 'started';
+      readonly ballot: Ballot;
+      readonly entries: readonly LogEntry[];
+    }
+  | {readonly kind: 'timerDue'; readonly timer: ControlTimer}
+  | {readonly kind: 'persisted'; readonly sequence: number}
+  | {
+      readonly kind: 'consensusMessage';
+      readonly from: NodeId;
+      readonly message: ConsensusMessage;
+    }
+  | {
+      readonly kind: 'entryMessage';
+      readonly from: NodeId;
+      readonly message: EntryToControl;
+    };
--- /dev/null
+++ b/control/controlNode/src/controlNode.ts
@@ -0,0 +1,50 @@
+import {createControlLoop} from '@gentianshunt/board';
+import type {ControlLoop} from '@gentianshunt/board';
+import type {Clock} from '@gentianshunt/clock';
+import {createConsensusController} from '@gentianshunt/consensus';
+import {createControlSections} from '@gentianshunt/controlModel';
+import type {
+  ControlController,
+  ControlIdentity,
+  ControlObservation,
+  ControlOrder,
+  ControlSections,
+} from '@gentianshunt/controlModel';
+import {
+  createProposalController,
+  createReplyController,
+  createSessionController,
+} from '@gentianshunt/entrySessions';
+import {createStateMachineController} from '@gentianshunt/stateMachine';
+
+/** What a control daemon is made of. */
+export interface ControlNodeOptions {
+  readonly identity: ControlIdentity;
+  readonly clock: Clock;
+  /** Carries out an order; it must not throw and must not block. */
+  readonly perform: (order: ControlOrder) => void;
+}
+
+/** The control loop of a control daemon. */
+export type ControlNode = ControlLoop<ControlSections, ControlObservation>;
+
+/** Lists the controllers of a control daemon in the order they run. */
+export function createControlControllers(): readonly ControlController[] {
+  return [
+    createReplyController(),
+    createProposalController(),
+    createConsensusController(),
+    createStateMachineController(),
+    createSessionController(),
+  ];
+}
+
+/** Creates a control daemon; it does nothing until `started` is posted. */
+export function createControlNode(options: ControlNodeOptions): ControlNode {
+  return createControlLoop({
+    sections: createControlSections(options.identity),
+    controllers: createControlControllers(),
+    clock: options.clock,
+    perform: options.perform,
+  });
+}
--- /dev/null
+++ b/control/controlNode/src/index.ts
@@ -0,0 +1,1 @@
+export * from './controlNode.js';
--- /dev/null
+++ b/control/entrySessions/src/index.ts
@@ -0,0 +1,3 @@
+export * from './proposalController.js';
+export * from './replyController.js';
+export * from './sessionController.js';
--- /dev/null
+++ b/control/messages/src/index.ts
@@ -0,0 +1,3 @@
+export * from './consensusMessage.js';
+export * from './controlMessage.js';
+export * from './logEntry.js';
--- /dev/null
+++ b/control/messages/src/logEntry.ts
@@ -0,0 +1,77 @@
+import type {ObjectCommand} from '@gentianshunt/configuration';
+import type {
+  EndpointSetId,
+  NodeId,
+  OperatorId,
+  OrganisationId,
+  RequestId,
+} from '@gentianshunt/identifiers';
+
+/** Names one operator command in the whole deployment. */
+export type CommandNumber = number;
+
+/** A batch of changes as an operator sent it. */
+export interface OperatorCommand {
+  readonly number: CommandNumber;
+  readonly operator: OperatorId;
+  /** Digest of the text, which tells a resend from another command. */
+  readonly digest: string;
+  readonly commands: readonly ObjectCommand[];
+}
+
+/** Identifies the single run of a non-idempotent request. */
+export interface ClaimKey {
+  readonly organisation: OrganisationId;
+  readonly idempotencyKey: string;
+}
+
+/** How a claimed request ended. */
+export type ClaimOutcome =
+  | {
+      readonly kind: 'answered';
+      readonly status: number;
+      readonly contentType: string;
+      readonly body: Uint8Array;
+    }
+  /** The answer was too large to keep; the request ran once. */
+  | {readonly kind: 'answeredNotKept'; readonly status: number}
+  | {readonly kind: 'notRun'}
+  | {readonly kind: 'unknown'};
+
+/** What the replicated log carries. */
+export type LogPayload =
+  | {readonly kind: 'noop'}
+  | {readonly kind: 'command'; readonly command: OperatorCommand}
+  | {
+      readonly kind: 'assignSetLeader';
+      readonly set: EndpointSetId;
+      readonly node: NodeId;
+    }
+  | {
+      readonly kind: 'claim';
+      readonly key: ClaimKey;
+      /** Digest of the request, which tells a resend from a reused key. */
+      readonly digest: string;
+      readonly node: NodeId;
+      readonly request: RequestId;
+      /** Time of day at the proposer, in milliseconds since the epoch. */
+      readonly atMs: number;
+    }
+  | {
+      readonly kind: 'settleClaim';
+      readonly key: ClaimKey;
+      readonly request: RequestId;
+      readonly outcome: ClaimOutcome;
+    };
+
+/** Term of a leader of the control log. */
+export type Term = number;
+/** Position in the control log; the first entry has index 1. */
+export type LogIndex = number;
+
+/** One entry of the replicated log. */
+export interface LogEntry {
+  readonly index: LogIndex;
+  readonly term: Term;
+  readonly payload: LogPayload;
+}
--- /dev/null
+++ b/control/stateMachine/src/index.ts
@@ -0,0 +1,1 @@
+export * from './stateMachineController.js';
--- /dev/null
+++ b/core/board/src/compareBy.ts
@@ -0,0 +1,28 @@
+type Comparable = string | number;
+
+/** Compares two strings or two numbers in ascending order. */
+export function compareValues<Value extends Comparable>(
+  left: Value,
+  right: Value,
+): number {
+  if (left === right) {
+    return 0;
+  }
+  return left < right ? -1 : 1;
+}
+
+/** Creates a comparison by the named fields, the first one first. */
+export function compareBy<
+  Field extends string,
+  Key extends {readonly [Name in Field]: Comparable},
+>(...fields: readonly Field[]): (left: Key, right: Key) => number {
+  return (left, right) => {
+    for (const field of fields) {
+      const order = compareValues<Comparable>(left[field], right[field]);
+      if (order !== 0) {
+        return order;
+      }
+    }
+    return 0;
+  };
+}
--- /dev/null
+++ b/core/board/src/iterateWhile.ts
@@ -0,0 +1,15 @@
+import type {OrderedEntry, OrderedView} from './section.js';
+
+/** Iterates from a key for as long as a test of the key holds. */
+export function* iterateWhile<Key, Value>(
+  view: OrderedView<Key, Value>,
+  from: Key,
+  holds: (key: Key) => boolean,
+): IterableIterator<OrderedEntry<Key, Value>> {
+  for (const entry of view.iterateFrom(from)) {
+    if (!holds(entry.key)) {
+      return;
+    }
+    yield entry;
+  }
+}
--- /dev/null
+++ b/daemons/controld/src/index.ts
@@ -0,0 +1,1 @@
+export * from './controld.js';
--- /dev/null
+++ b/daemons/entryd/src/entryd.ts
@@ -0,0 +1,203 @@
+import {createCallerFront} from '@gentianshunt/callerFront';
+import type {CallerFront} from '@gentianshunt/callerFront';
+import {createEndpointFront} from '@gentianshunt/endpointFront';
+import type {
+  EntryObservation,
+  EntryOrder,
+  EntryTimer,
+} from '@gentianshunt/entryModel';
+import {createEntryNode} from '@gentianshunt/entryNode';
+import type {EntryNode} from '@gentianshunt/entryNode';
+import {assertNever, formatError} from '@gentianshunt/errors';
+import type {IncarnationId, NodeId} from '@gentianshunt/identifiers';
+import {createEntryMetrics} from '@gentianshunt/metrics';
+import type {EntryMetrics} from '@gentianshunt/metrics';
+import {createOperatorFront} from '@gentianshunt/operatorFront';
+import type {OperatorFront} from '@gentianshunt/operatorFront';
+import {createPeerLinks} from '@gentianshunt/peerLinks';
+import type {PeerLinks} from '@gentianshunt/peerLinks';
+import {
+  createSystemClock,
+  createTimerTable,
+  drawFraction,
+  drawIdentifier,
+} from '@gentianshunt/runtime';
+import type {TimerTable} from '@gentianshunt/runtime';
+import type {EntrydSettings} from '@gentianshunt/settings';
+import createDebug from 'debug';
+import {fastify} from 'fastify';
+
+import {toObservation} from './peerMessages.js';
+
+const log = createDebug('gentianshunt:entryd');
+
+/** What an entry daemon needs. */
+export interface EntrydOptions {
+  readonly settings: EntrydSettings;
+  /** Called once the entry has nothing left to do. */
+  readonly onExit: () => void;
+}
+
+/** A running entry daemon. */
+export interface Entryd {
+  readonly httpPort: number;
+  /** Begins a graceful shutdown; a second call ends the daemon at once. */
+  shutdown(): void;
+  close(): Promise<void>;
+}
+
+interface Adapters {
+  readonly links: PeerLinks;
+  readonly timers: TimerTable<EntryTimer>;
+  readonly callers: CallerFront;
+  readonly operators: OperatorFront;
+  readonly metrics: EntryMetrics;
+}
+
+/** Starts an entry daemon: its fronts, its links and its control loop. */
+export async function createEntryd(options: EntrydOptions): Promise<Entryd> {
+  const {settings} = options;
+  const server = fastify({
+    bodyLimit: settings.limits.max_body_bytes,
+    forceCloseConnections: true,
+  });
+  server.removeAllContentTypeParsers();
+  server.addContentTypeParser(
+    '*',
+    {parseAs: 'buffer'},
+    (_request, body, done) => done(null, body),
+  );
+  let adapters: Adapters | undefined = undefined;
+  const post = (observation: EntryObservation): void => node.post(observation);
+  const links = await createPeerLinks({
+    self: settings.node,
+    listen: settings.peer,
+    onMessage: (from, body) => {
+      const observation = toObservation(from, body);
+      if (observation !== undefined) {
+        post(observation);
+      }
+    },
+    onError: error => log('%s', formatError(error)),
+    drawFraction,
+  });
+  const node: EntryNode = createEntryNode({
+    identity: {
+      address: {
+        node: settings.node,
+        domain: settings.domain,
+        peer: links.address,
+        http: settings.http,
+      },
+      incarnation: drawIdentifier<IncarnationId>(),
+      controls: settings.control.map(member => member.node),
+    },
+    clock: createSystemClock(),
+    perform: order => perform(options, adapters!, order, post),
+  });
+  adapters = {
+    links,
+    timers: createTimerTable<EntryTimer>({
+      onDue: timer => post({kind: 'timerDue', timer}),
+    }),
+    callers: createCallerFront({
+      server,
+      post,
+      readDirectory: () => node.view.control.directory,
+      drawRequestId: drawIdentifier,
+    }),
+    operators: createOperatorFront({
+      server,
+      post,
+      view: node.view,
+      drawRequestId: drawIdentifier,
+    }),
+    metrics: createEntryMetrics(),
+  };
+  const {metrics, timers, callers} = adapters;
+  createEndpointFront({server, post});
+  server.get('/metrics', async (_request, reply) =>
+    reply.type(metrics.contentType).send(await metrics.format()),
+  );
+  server.get('/ready', async (_request, reply) =>
+    reply.code(isReady(node) ? 200 : 503).send({ready: isReady(node)}),
+  );
+  // The listener writes into what it is given.
+  await server.listen({...settings.http});
+  post({kind: 'started'});
+  return {
+    httpPort: settings.http.port,
+    shutdown: () => post({kind: 'shutdownRequested'}),
+    close: async () => {
+      timers.clear();
+      await callers.close();
+      await server.close();
+      await links.close();
+    },
+  };
+}
+
+function isReady(node: EntryNode): boolean {
+  const {service, control} = node.view;
+  return (
+    service.kind === 'serving' &&
+    control.leaseUntil > createSystemClock().readMonotonic()
+  );
+}
+
+function perform(
+  options: EntrydOptions,
+  adapters: Adapters,
+  order: EntryOrder,
+  post: (observation: EntryObservation) => void,
+): void {
+  switch (order.kind) {
+    case 'openStream':
+    case 'cancelStream':
+    case 'refuseCaller':
+    case 'repeatAnswer':
+      adapters.callers.perform(order);
+      return;
+    case 'sendEntry':
+      sendEntry(options, adapters, order, post);
+      return;
+    case 'sendControl': {
+      const address = findControl(options.settings, order.to);
+      adapters.links.send(order.to, address, order.message);
+      return;
+    }
+    case 'setTimer':
+      adapters.timers.set(order.timer, order.delayMs);
+      return;
+    case 'answerOperator':
+      adapters.operators.answer(order.correlation, order.progress);
+      return;
+    case 'recordEnd':
+      adapters.metrics.recordEnd(order);
+      return;
+    case 'exit':
+      options.onExit();
+      return;
+    default:
+      assertNever(order, 'perform');
+  }
+}
+
+/** A message to this entry itself does not pass over the network. */
+function sendEntry(
+  options: EntrydOptions,
+  adapters: Adapters,
+  order: Extract<EntryOrder, {readonly kind: 'sendEntry'}>,
+  post: (observation: EntryObservation) => void,
+): void {
+  const {to, address, message} = order;
+  if (to === options.settings.node) {
+    post({kind: 'entryMessage', from: to, message});
+    return;
+  }
+  adapters.links.send(to, address, message);
+}
+
+function findControl(settings: EntrydSettings, node: NodeId) {
+  return settings.control.find(member => member.node === node)?.peer;
+}
--- /dev/null
+++ b/daemons/entryd/src/index.ts
@@ -0,0 +1,1 @@
+export * from './entryd.js';
--- /dev/null
+++ b/daemons/settings/src/index.ts
@@ -0,0 +1,3 @@
+export * from './readSettings.js';
+export * from './schema.js';
+export * from './settingsError.js';
--- /dev/null
+++ b/daemons/settings/src/readSettings.ts
@@ -0,0 +1,121 @@
+import {readFileSync} from 'node:fs';
+
+import {parse, TomlError} from 'smol-toml';
+import type {z} from 'zod';
+
+import {controldSchema, entrydSchema} from './schema.js';
+import type {ControldSettings, EntrydSettings} from './schema.js';
+import {SettingsError} from './settingsError.js';
+
+/** Where settings are read from. */
+export interface ReadSettingsOptions {
+  readonly file: string;
+}
+
+/** Reads and checks an entry daemon's settings. */
+export function readEntrydSettings(
+  options: ReadSettingsOptions,
+): EntrydSettings {
+  return readChecked(options.file, entrydSchema);
+}
+
+/** Reads and checks a control daemon's settings. */
+export function readControldSettings(
+  options: ReadSettingsOptions,
+): ControldSettings {
+  return readChecked(options.file, controldSchema);
+}
+
+interface CommonSettings {
+  readonly node: string;
+  readonly control: readonly {readonly node: string}[];
+}
+
+function readChecked<Settings extends CommonSettings>(
+  file: string,
+  schema: z.ZodType<Settings>,
+): Settings {
+  const text = readText(file);
+  const result = schema.safeParse(parseToml(file, text));
+  if (!result.success) {
+    const issue = result.error.issues[0]!;
+    throw createIssueError(file, text, issue);
+  }
+  checkDuplicates(file, text, result.data);
+  return result.data;
+}
+
+function readText(file: string): string {
+  try {
+    return readFileSync(file, 'utf8');
+  } catch (error) {
+    throw new SettingsError(file, '', null, (error as Error).message);
+  }
+}
+
+function parseToml(file: string, text: string): unknown {
+  try {
+    return parse(text);
+  } catch (error) {
+    if (error instanceof TomlError) {
+      const reason = error.message.split('\n')[0]!;
+      throw new SettingsError(file, '', error.line, reason);
+    }
+    throw error;
+  }
+}
+
+function createIssueError(
+  file: string,
+  text: string,
+  issue: z.core.$ZodIssue,
+): SettingsError {
+  const unknownKey =
+    issue.code === 'unrecognized_keys' ? issue.keys[0] : undefined;
+  const path =
+    unknownKey === undefined ? issue.path : [...issue.path, unknownKey];
+  const key = path.map(String).join('.');
+  const reason = unknownKey === undefined ? issue.message : 'unknown key';
+  return new SettingsError(file, key, findLine(text, path), reason);
+}
+
+/** Finds the line on which the last named key of a path is set. */
+function findLine(text: string, path: readonly PropertyKey[]): number | null {
+  const name = [...path].reverse().find(part => typeof part === 'string');
+  if (name === undefined) {
+    return null;
+  }
+  const pattern = new RegExp(`(^|[\\s{,.])"?${String(name)}"?\\s*(=|\\])`);
+  const index = text.split('\n').findIndex(line => pattern.test(line));
+  return index < 0 ? null : index + 1;
+}
+
+function checkDuplicates(
+  file: string,
+  text: string,
+  settings: CommonSettings,
+): void {
+  const seen = new Set<string>();
+  for (const {node} of settings.control) {
+    if (seen.has(node)) {
+      const reason = `VM ${node} is listed twice`;
+      throw new SettingsError(
+        file,
+        'control.node',
+        findLast(text, node),
+        reason,
+      );
+    }
+    seen.add(node);
+  }
+}
+
+function findLast(text: string, value: string): number | null {
+  const lines = text.split('\n');
+  for (let index = lines.length - 1; index >= 0; index -= 1) {
+    if (lines[index]!.includes(`"${value}"`)) {
+      return index + 1;
+    }
+  }
+  return null;
+}
--- /dev/null
+++ b/daemons/settings/src/schema.ts
@@ -0,0 +1,51 @@
+import {isIdentifier} from '@gentianshunt/identifiers';
+import type {FailureDomainId, NodeId} from '@gentianshunt/identifiers';
+import {isIP} from 'node:net';
+import {z} from 'zod';
+
+const identifier = z
+  .string()
+  .refine(isIdentifier, 'must be letters, digits, dots or dashes');
+const port = z.int().min(0).max(65_535);
+const address = z.strictObject({
+  host: z.string().refine(text => isIP(text) !== 0, 'must be an IP number'),
+  port,
+});
+
+const controlMember = z.strictObject({
+  node: identifier.transform(text => text as NodeId),
+  peer: address,
+});
+
+const common = {
+  node: identifier.transform(text => text as NodeId),
+  domain: identifier.transform(text => text as FailureDomainId),
+  peer: address,
+  control: z.array(controlMember).min(1),
+};
+
+/** The form of an entry daemon's settings. */
+export const entrydSchema = z.strictObject({
+  ...common,
+  http: address,
+  limits: z
+    .strictObject({
+      /** Largest body of a caller's request, in bytes. */
+      max_body_bytes: z
+        .int()
+        .min(1_024)
+        .default(4 * 1024 * 1024),
+    })
+    .prefault({}),
+});
+
+/** The form of a control daemon's settings. */
+export const controldSchema = z.strictObject({
+  ...common,
+  data_folder: z.string().min(1),
+});
+
+/** Settings of an entry daemon. */
+export type EntrydSettings = Readonly<z.infer<typeof entrydSchema>>;
+/** Settings of a control daemon. */
+export type ControldSettings = Readonly<z.infer<typeof controldSchema>>;
--- /dev/null
+++ b/daemons/settings/src/settingsError.ts
@@ -0,0 +1,14 @@
+import {SchedulerError} from '@gentianshunt/errors';
+
+/** A settings file that cannot be used. */
+export class SettingsError extends SchedulerError {
+  constructor(file: string, key: string, line: number | null, reason: string) {
+    const place = line === null ? file : `${file}:${line}`;
+    super({
+      code: 'ERR_SETTINGS',
+      message: `${place}: ${key === '' ? '' : `${key}: `}${reason}`,
+      origin: {step: 'readSettings', peer: file},
+      hint: 'see docs/OPERATIONS.md for every key',
+    });
+  }
+}
--- a/eslint.config.mjs
+++ b/eslint.config.mjs
@@ -33,7 +33,7 @@
       'max-lines': ['error', {max: 400, skipBlankLines: true}],
       'max-lines-per-function': [
         'error',
-        {max: 70, skipBlankLines: true, skipComments: true},
+        {max: 150, skipBlankLines: true, skipComments: true},
       ],
       'no-restricted-syntax': [
         'error',
--- /dev/null
+++ b/fronts/callerFront/src/callerFront.ts
@@ -0,0 +1,171 @@
+import {selectAddresses} from '@gentianshunt/addressLookup';
+import type {EntryObservation, EntryOrder} from '@gentianshunt/entryModel';
+import type {RequestId} from '@gentianshunt/identifiers';
+import type {ClaimOutcome, EntryDirectory} from '@gentianshunt/messages';
+import type {FastifyInstance, FastifyReply, FastifyRequest} from 'fastify';
+
+import {createCallerTable, sendProblem} from './callerTable.js';
+import type {CallerTable, ForwardedRequest} from './callerTable.js';
+import {createBadRequestProblem, toProblem} from './problem.js';
+import {parseChatRequest, parseServiceRequest} from './requestForm.js';
+import type {ParsedRequest} from './requestForm.js';
+import {createStreamClient} from './streamClient.js';
+
+/** How long a caller may keep the addresses it was given. */
+export const ADDRESS_LIFETIME_MS = 2_000;
+
+/** Orders that the caller front carries out. */
+export type CallerOrder = Extract<
+  EntryOrder,
+  {
+    readonly kind:
+      'openStream' | 'cancelStream' | 'refuseCaller' | 'repeatAnswer';
+  }
+>;
+
+/** What the caller front needs. */
+export interface CallerFrontOptions {
+  readonly server: FastifyInstance;
+  readonly post: (observation: EntryObservation) => void;
+  readonly readDirectory: () => EntryDirectory;
+  readonly drawRequestId: () => RequestId;
+}
+
+/** The HTTP front for callers. */
+export interface CallerFront {
+  perform(order: CallerOrder): void;
+  close(): Promise<void>;
+}
+
+/** Adds the callers' routes to a server. */
+export function createCallerFront(options: CallerFrontOptions): CallerFront {
+  const callers = createCallerTable();
+  const streams = createStreamClient({callers, post: options.post});
+  addRoutes(options, callers);
+  return {
+    perform: order => {
+      switch (order.kind) {
+        case 'openStream':
+          streams.open(order.request, order.dispatch);
+          return;
+        case 'cancelStream':
+          streams.cancel(order.dispatch);
+          return;
+        case 'refuseCaller': {
+          const caller = callers.find(order.refusal.request);
+          callers.remove(order.refusal.request);
+          if (caller !== undefined) {
+            sendProblem(caller.response, toProblem(order.refusal));
+          }
+          return;
+        }
+        case 'repeatAnswer':
+          repeatAnswer(callers, order.request, order.outcome);
+          return;
+      }
+    },
+    close: () => streams.close(),
+  };
+}
+
+function addRoutes(options: CallerFrontOptions, callers: CallerTable): void {
+  const {server} = options;
+  server.post('/v1/chat/completions', (request, reply) => {
+    const body = request.body as Buffer;
+    const id = options.drawRequestId();
+    const parsed = parseChatRequest({id, headers: request.headers, body});
+    accept(options, callers, request, reply, parsed, {
+      method: 'POST',
+      path: '/v1/chat/completions',
+      contentType: 'application/json',
+      body,
+      framing: 'eventStream',
+    });
+  });
+  server.route<{Params: {set: string; '*': string}}>({
+    method: ['GET', 'POST'],
+    url: '/v1/services/:set/*',
+    handler: (request, reply) => {
+      const body = (request.body as Buffer | undefined) ?? Buffer.alloc(0);
+      const id = options.drawRequestId();
+      const raw = {id, headers: request.headers, body};
+      const parsed = parseServiceRequest(raw, request.params.set);
+      accept(options, callers, request, reply, parsed, {
+        method: request.method === 'GET' ? 'GET' : 'POST',
+        path: `/${request.params['*']}`,
+        contentType: request.headers['content-type'] ?? 'application/json',
+        body,
+        framing: 'contentLength',
+      });
+    },
+  });
+  server.get<{Querystring: {affinity?: string}}>(
+    '/v1/addresses',
+    async request => {
+      const selected = selectAddresses({
+        directory: options.readDirectory(),
+        affinity: request.query.affinity ?? '',
+      });
+      return {
+        lifetimeMs: ADDRESS_LIFETIME_MS,
+        addresses: selected.map(({address}) => ({
+          url: `http://${address.http.host}:${address.http.port}`,
+          domain: address.domain,
+        })),
+      };
+    },
+  );
+}
+
+function accept(
+  options: CallerFrontOptions,
+  callers: CallerTable,
+  request: FastifyRequest,
+  reply: FastifyReply,
+  parsed: ParsedRequest,
+  forwarded: ForwardedRequest,
+): void {
+  reply.hijack();
+  const response = reply.raw;
+  if (parsed.kind === 'malformed') {
+    sendProblem(response, createBadRequestProblem(400, parsed.detail));
+    return;
+  }
+  const {id} = parsed.facts;
+  callers.add({request: id, forwarded, response});
+  response.once('close', () => {
+    if (callers.find(id) !== undefined) {
+      callers.remove(id);
+      options.post({kind: 'callerGone', request: id});
+    }
+  });
+  options.post({kind: 'requestReceived', facts: parsed.facts});
+}
+
+function repeatAnswer(
+  callers: CallerTable,
+  request: RequestId,
+  outcome: ClaimOutcome,
+): void {
+  const caller = callers.find(request);
+  callers.remove(request);
+  if (caller === undefined) {
+    return;
+  }
+  const {response} = caller;
+  if (outcome.kind === 'answered') {
+    response.statusCode = outcome.status;
+    response.setHeader('content-type', outcome.contentType);
+    response.setHeader('x-repeated-answer', 'true');
+    response.end(Buffer.from(outcome.body));
+    return;
+  }
+  sendProblem(response, {
+    type: 'urn:gentianshunt:problem:answerNotKept',
+    title: 'The request ran once; its answer was too large to keep',
+    status: 409,
+    notRun: false,
+    retryAfterMs: null,
+    detail: null,
+  });
+}
--- /dev/null
+++ b/fronts/callerFront/src/index.ts
@@ -0,0 +1,2 @@
+export * from './callerFront.js';
+export * from './problem.js';
--- /dev/null
+++ b/fronts/callerFront/src/problem.ts
@@ -0,0 +1,100 @@
+import type {Refusal, RefusalReason} from '@gentianshunt/entryModel';
+import {assertNever} from '@gentianshunt/errors';
+
+/** A problem document, as callers receive it. */
+export interface ProblemDocument {
+  readonly type: string;
+  readonly title: string;
+  readonly status: number;
+  /** Whether it is certain that the request did not run. */
+  readonly notRun: boolean;
+  /** Milliseconds after which trying again makes sense, or `null`. */
+  readonly retryAfterMs: number | null;
+  readonly detail: string | null;
+}
+
+/** Media type of problem documents. */
+export const PROBLEM_MEDIA_TYPE = 'application/problem+json';
+
+interface ProblemForm {
+  readonly status: number;
+  readonly title: string;
+  readonly detail?: string;
+}
+
+/** Writes a refusal as a problem document. */
+export function toProblem(refusal: Refusal): ProblemDocument {
+  const form = describeReason(refusal.reason);
+  return {
+    type: `urn:gentianshunt:problem:${refusal.reason.kind}`,
+    title: form.title,
+    status: form.status,
+    notRun: refusal.notRun,
+    retryAfterMs: refusal.retryAfterMs,
+    detail: form.detail ?? null,
+  };
+}
+
+/** Describes a request that could not be read. */
+export function createBadRequestProblem(
+  status: number,
+  detail: string,
+): ProblemDocument {
+  return {
+    type: 'urn:gentianshunt:problem:badRequest',
+    title: 'The request could not be read',
+    status,
+    notRun: true,
+    retryAfterMs: null,
+    detail,
+  };
+}
+
+function describeReason(reason: RefusalReason): ProblemForm {
+  switch (reason.kind) {
+    case 'shed':
+      return {status: 503, title: 'Capacity is short for this tier'};
+    case 'organisationLimit':
+      return {status: 429, title: 'The organisation is at its limit'};
+    case 'unknownOrganisation':
+      return {status: 403, title: 'The organisation is unknown'};
+    case 'unknownTier':
+      return {status: 403, title: 'The organisation may not use this tier'};
+    case 'unknownSet':
+      return {status: 404, title: 'The endpoint set is unknown'};
+    case 'unknownKind':
+      return {status: 400, title: 'The kind of request is unknown'};
+    case 'missingIdempotencyKey':
+      return {status: 400, title: 'This kind needs an Idempotency-Key'};
+    case 'idempotencyKeyReused':
+      return {
+        status: 422,
+        title: 'The Idempotency-Key belongs to another request',
+      };
+    case 'outcomeUnknown':
+      return {
+        status: 409,
+        title: 'An earlier run of this request ended with unknown outcome',
+      };
+    case 'noLease':
+      return {status: 503, title: 'This entry has no current configuration'};
+    case 'draining':
+      return {status: 503, title: 'This entry is shutting down'};
+    case 'claimsUnavailable':
+      return {status: 503, title: 'Idempotency keys cannot be claimed now'};
+    case 'endpointFailed':
+      return {
+        status: 502,
+        title: 'The endpoint did not answer',
+        detail: reason.detail,
+      };
+    case 'answerCut':
+      return {
+        status: 502,
+        title: 'The answer was cut off',
+        detail: reason.detail,
+      };
+    default:
+      return assertNever(reason, 'describeReason');
+  }
+}
--- /dev/null
+++ b/fronts/callerFront/src/requestForm.ts
@@ -0,0 +1,129 @@
+import {createHash} from 'node:crypto';
+
+import type {RequestFacts} from '@gentianshunt/entryModel';
+import {isIdentifier} from '@gentianshunt/identifiers';
+import type {
+  EndpointSetId,
+  OrganisationId,
+  RequestId,
+  RequestKindId,
+  TierId,
+} from '@gentianshunt/identifiers';
+import {z} from 'zod';
+
+/** Characters counted as one token when a prompt is estimated. */
+const CHARACTERS_PER_TOKEN = 4;
+/** Characters of a prompt that tell whether a cached prefix fits. */
+const PREFIX_CHARACTERS = 1_024;
+/** Answer length assumed when the caller names none, in tokens. */
+const DEFAULT_MAX_TOKENS = 1_024;
+const MAX_KEY_LENGTH = 256;
+
+const chatBody = z.looseObject({
+  model: z.string().refine(isIdentifier, 'must be an identifier'),
+  messages: z
+    .array(z.looseObject({role: z.string(), content: z.string()}))
+    .min(1),
+  max_tokens: z.int().positive().optional(),
+});
+
+const callerHeaders = z.object({
+  'x-organisation': z.string().refine(isIdentifier, 'must be an identifier'),
+  'x-tier': z.string().refine(isIdentifier, 'must be an identifier').optional(),
+  'x-kind': z
+    .string()
+    .refine(isIdentifier, 'must be an identifier')
+    .default('default'),
+  'idempotency-key': z.string().min(1).max(MAX_KEY_LENGTH).optional(),
+});
+
+/** A request that could be read, or why it could not. */
+export type ParsedRequest =
+  | {readonly kind: 'parsed'; readonly facts: RequestFacts}
+  | {readonly kind: 'malformed'; readonly detail: string};
+
+/** What a caller sent. */
+export interface RawRequest {
+  readonly id: RequestId;
+  readonly headers: Readonly<Record<string, unknown>>;
+  readonly body: Buffer;
+}
+
+/** Reads a chat completion request. */
+export function parseChatRequest(raw: RawRequest): ParsedRequest {
+  const json = parseJson(raw.body);
+  if (json === undefined) {
+    return {kind: 'malformed', detail: 'the body is not JSON'};
+  }
+  const body = chatBody.safeParse(json);
+  if (!body.success) {
+    return {kind: 'malformed', detail: describe('body', body.error)};
+  }
+  const prompt = body.data.messages.map(message => message.content).join('\n');
+  return parseHeaders(raw, {
+    set: body.data.model as EndpointSetId,
+    promptTokens: Math.ceil(prompt.length / CHARACTERS_PER_TOKEN),
+    maxTokens: body.data.max_tokens ?? DEFAULT_MAX_TOKENS,
+    prefix: digest(prompt.slice(0, PREFIX_CHARACTERS)),
+  });
+}
+
+/** Reads a call to a plain service. */
+export function parseServiceRequest(
+  raw: RawRequest,
+  set: string,
+): ParsedRequest {
+  if (!isIdentifier(set)) {
+    return {kind: 'malformed', detail: 'the endpoint set is malformed'};
+  }
+  return parseHeaders(raw, {
+    set: set as EndpointSetId,
+    promptTokens: 0,
+    maxTokens: 0,
+    prefix: null,
+  });
+}
+
+type BodyFacts = Pick<
+  RequestFacts,
+  'set' | 'promptTokens' | 'maxTokens' | 'prefix'
+>;
+
+function parseHeaders(raw: RawRequest, facts: BodyFacts): ParsedRequest {
+  const headers = callerHeaders.safeParse(raw.headers);
+  if (!headers.success) {
+    return {kind: 'malformed', detail: describe('header', headers.error)};
+  }
+  const key = headers.data['idempotency-key'];
+  return {
+    kind: 'parsed',
+    facts: {
+      ...facts,
+      id: raw.id,
+      organisation: headers.data['x-organisation'] as OrganisationId,
+      tier: (headers.data['x-tier'] ?? null) as TierId | null,
+      kind: headers.data['x-kind'] as RequestKindId,
+      claim:
+        key === undefined
+          ? null
+          : {idempotencyKey: key, digest: digest(raw.body)},
+    },
+  };
+}
+
+function parseJson(body: Buffer): unknown {
+  try {
+    return JSON.parse(body.toString('utf8'));
+  } catch {
+    return undefined;
+  }
+}
+
+function digest(content: string | Buffer): string {
+  return createHash('sha256').update(content).digest('base64url');
+}
+
+function describe(part: string, error: z.ZodError): string {
+  const issue = error.issues[0]!;
+  return `${part} ${issue.path.join('.')}: ${issue.message}`;
+}
--- /dev/null
+++ b/fronts/endpointFront/src/index.ts
@@ -0,0 +1,1 @@
+export * from './endpointFront.js';
--- /dev/null
+++ b/fronts/metrics/src/entryMetrics.ts
@@ -0,0 +1,76 @@
+import type {EntryOrder} from '@gentianshunt/entryModel';
+import {Counter, Histogram, Registry, collectDefaultMetrics} from 'prom-client';
+
+type EndOrder = Extract<EntryOrder, {readonly kind: 'recordEnd'}>;
+
+/** Bucket bounds of the time to the first token, in seconds. */
+const FIRST_TOKEN_BUCKETS = [0.05, 0.1, 0.25, 0.5, 1.1, 2.5, 5, 10, 30];
+
+/** Metrics of an entry. */
+export interface EntryMetrics {
+  recordEnd(order: EndOrder): void;
+  /** Writes the metrics in the Prometheus text format. */
+  format(): Promise<string>;
+  readonly contentType: string;
+}
+
+/** Creates the metrics of an entry, with the process's own. */
+export function createEntryMetrics(): EntryMetrics {
+  const registry = new Registry();
+  collectDefaultMetrics({register: registry});
+  const ended = new Counter({
+    name: 'gentianshunt_requests_ended_total',
+    help: 'Requests that ended, by tier, organisation and how they ended.',
+    labelNames: ['tier', 'organisation', 'end'],
+    registers: [registry],
+  });
+  const goodput = new Counter({
+    name: 'gentianshunt_goodput_weight_total',
+    help: 'Answered requests, weighted by kind, by tier.',
+    labelNames: ['tier'],
+    registers: [registry],
+  });
+  const wasted = new Counter({
+    name: 'gentianshunt_wasted_prefill_tokens_total',
+    help: 'Prompt tokens processed for requests that were not delivered.',
+    labelNames: ['tier'],
+    registers: [registry],
+  });
+  const firstToken = new Histogram({
+    name: 'gentianshunt_first_token_seconds',
+    help: 'Time from arrival to the first token, by tier.',
+    labelNames: ['tier'],
+    buckets: FIRST_TOKEN_BUCKETS,
+    registers: [registry],
+  });
+  return {
+    recordEnd: ({request, end, firstTokenMs}) => {
+      const {tier, organisation} = request;
+      ended.inc({tier, organisation, end: end.kind});
+      if (end.kind === 'answered') {
+        goodput.inc({tier}, request.value);
+      }
+      if (wastesPrefill(end)) {
+        wasted.inc({tier}, request.promptTokens);
+      }
+      if (firstTokenMs !== null) {
+        firstToken.observe({tier}, firstTokenMs / 1_000);
+      }
+    },
+    format: () => registry.metrics(),
+    contentType: registry.contentType,
+  };
+}
+
+function wastesPrefill(end: EndOrder['end']): boolean {
+  switch (end.kind) {
+    case 'abandonedRunning':
+      return end.prefilled;
+    case 'refused':
+      return !end.refusal.notRun;
+    case 'answered':
+    case 'abandonedWaiting':
+    case 'repeated':
+      return false;
+  }
+}
--- /dev/null
+++ b/fronts/metrics/src/index.ts
@@ -0,0 +1,1 @@
+export * from './entryMetrics.js';
--- /dev/null
+++ b/fronts/operatorFront/src/index.ts
@@ -0,0 +1,1 @@
+export * from './operatorFront.js';
--- /dev/null
+++ b/scheduling/addressLookup/src/index.ts
@@ -0,0 +1,1 @@
+export * from './selectAddresses.js';
--- /dev/null
+++ b/scheduling/controlClient/src/commandController.ts
@@ -0,0 +1,166 @@
+import type {TurnTime, View} from '@gentianshunt/board';
+import type {Milliseconds} from '@gentianshunt/clock';
+import {defineEntryController} from '@gentianshunt/entryModel';
+import type {
+  EntryController,
+  EntryObservation,
+  EntrySections,
+  EntryWrite,
+  PendingCommand,
+} from '@gentianshunt/entryModel';
+import type {ControlToEntry, EntryToControl} from '@gentianshunt/messages';
+import type {RequestId} from '@gentianshunt/identifiers';
+
+/** After this time a command's progress is no longer awaited here. */
+export const COMMAND_TIMEOUT_MS: Milliseconds = 10_000;
+
+type CommandReads = 'control' | 'commands';
+type CommandView = View<EntrySections, CommandReads, EntryObservation>;
+type CommandWrite = EntryWrite<'commands'>;
+
+/** Creates the controller that forwards operators' commands. */
+export function createCommandController(): EntryController {
+  return defineEntryController<CommandReads, 'commands'>({
+    name: 'commands',
+    reads: ['control', 'commands'],
+    writes: ['commands'],
+    observes: ['commandReceived', 'controlMessage', 'timerDue'],
+    run: (view, now) => handleObservation(view, now),
+  });
+}
+
+function handleObservation(
+  view: CommandView,
+  now: TurnTime,
+): readonly CommandWrite[] {
+  const {observation} = view;
+  switch (observation?.kind) {
+    case 'commandReceived': {
+      const {correlation, command} = observation;
+      const pending: PendingCommand = {
+        correlation,
+        receivedAt: now.monotonic,
+        command,
+        version: null,
+      };
+      return [putCommand(pending), ...sendPending(view, pending)];
+    }
+    case 'controlMessage':
+      return handleReply(view, observation.message);
+    case 'timerDue':
+      return observation.timer.kind === 'housekeeping'
+        ? repeatPending(view, now)
+        : [];
+    default:
+      return [];
+  }
+}
+
+function putCommand(pending: PendingCommand): CommandWrite {
+  return {
+    kind: 'put',
+    section: 'commands',
+    key: pending.correlation,
+    value: pending,
+  };
+}
+
+function dropCommand(correlation: RequestId): CommandWrite {
+  return {kind: 'delete', section: 'commands', key: correlation};
+}
+
+/** Sends a command again, or asks whether it is in force. */
+function sendPending(
+  view: CommandView,
+  pending: PendingCommand,
+): readonly CommandWrite[] {
+  const {leader} = view.board.control;
+  if (leader === null) {
+    return [];
+  }
+  const {correlation, command, version} = pending;
+  const message: EntryToControl =
+    version === null
+      ? {kind: 'commandRequest', correlation, command}
+      : {kind: 'commandStatusRequest', correlation, version};
+  return [{kind: 'order', order: {kind: 'sendControl', to: leader, message}}];
+}
+
+/** Sending a command again is safe: its number names it. */
+function repeatPending(
+  view: CommandView,
+  now: TurnTime,
+): readonly CommandWrite[] {
+  const writes: CommandWrite[] = [];
+  for (const pending of view.board.commands.values()) {
+    const ageMs = now.monotonic - pending.receivedAt;
+    writes.push(
+      ...(ageMs > COMMAND_TIMEOUT_MS
+        ? [dropCommand(pending.correlation)]
+        : sendPending(view, pending)),
+    );
+  }
+  return writes;
+}
+
+function handleReply(
+  view: CommandView,
+  message: ControlToEntry,
+): readonly CommandWrite[] {
+  switch (message.kind) {
+    case 'commandReply':
+      return handleAnswer(view, message);
+    case 'commandStatusReply':
+      return handleStatus(view, message);
+    default:
+      return [];
+  }
+}
+
+function handleAnswer(
+  view: CommandView,
+  message: Extract<ControlToEntry, {readonly kind: 'commandReply'}>,
+): readonly CommandWrite[] {
+  const {correlation, answer} = message;
+  const pending = view.board.commands.get(correlation);
+  if (pending === undefined || pending.version !== null) {
+    return [];
+  }
+  const accepted =
+    answer.kind === 'applied' && answer.result.kind === 'accepted';
+  const next = accepted ? {...pending, version: answer.version} : null;
+  return [
+    {
+      kind: 'order',
+      order: {
+        kind: 'answerOperator',
+        correlation,
+        progress: {kind: 'answered', answer},
+      },
+    },
+    ...(next === null
+      ? [dropCommand(correlation)]
+      : [putCommand(next), ...sendPending(view, next)]),
+  ];
+}
+
+function handleStatus(
+  view: CommandView,
+  message: Extract<ControlToEntry, {readonly kind: 'commandStatusReply'}>,
+): readonly CommandWrite[] {
+  const {correlation, version, unconfirmed} = message;
+  if (!view.board.commands.has(correlation)) {
+    return [];
+  }
+  return [
+    {
+      kind: 'order',
+      order: {
+        kind: 'answerOperator',
+        correlation,
+        progress: {kind: 'inForce', version, unconfirmed},
+      },
+    },
+    ...(unconfirmed.length === 0 ? [dropCommand(correlation)] : []),
+  ];
+}
--- /dev/null
+++ b/scheduling/controlClient/src/controlController.ts
@@ -0,0 +1,201 @@
+import type {TurnTime, View} from '@gentianshunt/board';
+import type {Milliseconds} from '@gentianshunt/clock';
+import {formatObjectKey} from '@gentianshunt/configuration';
+import {defineEntryController} from '@gentianshunt/entryModel';
+import type {
+  ControlStatus,
+  EntryController,
+  EntryObservation,
+  EntrySections,
+  EntryWrite,
+} from '@gentianshunt/entryModel';
+import {assertNever} from '@gentianshunt/errors';
+import type {ControlToEntry} from '@gentianshunt/messages';
+import type {NodeId} from '@gentianshunt/identifiers';
+
+/** Time between two heartbeats to the leading control daemon. */
+export const HEARTBEAT_INTERVAL_MS: Milliseconds = 500;
+
+type ControlReads = 'identity' | 'service' | 'control' | 'configuration';
+type ControlWrites = 'control' | 'configuration';
+type ControlView = View<EntrySections, ControlReads, EntryObservation>;
+type ControlWrite = EntryWrite<ControlWrites>;
+type Update = Extract<ControlToEntry, {readonly kind: 'configurationUpdate'}>;
+
+/** Creates the controller that follows the configuration. */
+export function createControlController(): EntryController {
+  return defineEntryController<ControlReads, ControlWrites>({
+    name: 'control',
+    reads: ['identity', 'service', 'control', 'configuration'],
+    writes: ['control', 'configuration'],
+    observes: ['started', 'timerDue', 'controlMessage'],
+    run: (view, now) => handleObservation(view, now),
+  });
+}
+
+function handleObservation(
+  view: ControlView,
+  now: TurnTime,
+): readonly ControlWrite[] {
+  const {observation} = view;
+  switch (observation?.kind) {
+    case 'started':
+      return sendHeartbeat(view, view.board.control, now);
+    case 'timerDue':
+      return observation.timer.kind === 'heartbeat'
+        ? sendHeartbeat(view, view.board.control, now)
+        : [];
+    case 'controlMessage':
+      return handleMessage(view, observation.from, observation.message, now);
+    default:
+      return [];
+  }
+}
+
+/** Sends a heartbeat to the leader, or to each daemon in turn to find it. */
+function sendHeartbeat(
+  view: ControlView,
+  status: ControlStatus,
+  now: TurnTime,
+): readonly ControlWrite[] {
+  const {identity, service} = view.board;
+  const sequence = status.lastSequence + 1;
+  // An unanswered heartbeat makes the next one look for another leader.
+  const answered = status.sentAt === Number.NEGATIVE_INFINITY;
+  const leader = answered ? status.leader : null;
+  const to = leader ?? identity.controls[sequence % identity.controls.length]!;
+  return [
+    {
+      kind: 'set',
+      section: 'control',
+      value: {
+        ...status,
+        leader,
+        lastSequence: sequence,
+        sentAt: now.monotonic,
+      },
+    },
+    {
+      kind: 'order',
+      order: {
+        kind: 'sendControl',
+        to,
+        message: {
+          kind: 'entryHeartbeat',
+          entry: identity.address,
+          sequence,
+          version: status.version,
+          directoryVersion: status.directory.version,
+          draining: service.kind === 'draining',
+        },
+      },
+    },
+    {
+      kind: 'order',
+      order: {
+        kind: 'setTimer',
+        timer: {kind: 'heartbeat'},
+        delayMs: HEARTBEAT_INTERVAL_MS,
+      },
+    },
+  ];
+}
+
+function handleMessage(
+  view: ControlView,
+  from: NodeId,
+  message: ControlToEntry,
+  now: TurnTime,
+): readonly ControlWrite[] {
+  switch (message.kind) {
+    case 'configurationUpdate':
+      return applyUpdate(view, from, message);
+    case 'notLeader':
+      return followLeader(view, message.leader, now);
+    case 'commandReply':
+    case 'commandStatusReply':
+    case 'claimReply':
+    case 'settleReply':
+      return [];
+    default:
+      return assertNever(message, 'handleMessage');
+  }
+}
+
+function followLeader(
+  view: ControlView,
+  leader: NodeId | null,
+  now: TurnTime,
+): readonly ControlWrite[] {
+  const status = view.board.control;
+  if (leader === null || leader === status.leader) {
+    return [];
+  }
+  const answered = {
+    ...status,
+    leader,
+    sentAt: Number.NEGATIVE_INFINITY,
+  };
+  return sendHeartbeat(view, answered, now);
+}
+
+/** Applies a delta that fits the version held; a version never reverts. */
+function applyUpdate(
+  view: ControlView,
+  from: NodeId,
+  update: Update,
+): readonly ControlWrite[] {
+  const status = view.board.control;
+  const isReplacement = update.fromVersion === 0;
+  const fits =
+    update.version >= status.version &&
+    (isReplacement || update.fromVersion === status.version);
+  if (!fits) {
+    return [];
+  }
+  const answers = update.sequence === status.lastSequence;
+  return [
+    ...(isReplacement && update.version > status.version
+      ? clearConfiguration(view)
+      : []),
+    ...update.changes.map(toTableWrite),
+    {
+      kind: 'set',
+      section: 'control',
+      value: {
+        ...status,
+        leader: from,
+        version: update.version,
+        leaseUntil: answers
+          ? status.sentAt + update.leaseMs
+          : status.leaseUntil,
+        sentAt: answers ? Number.NEGATIVE_INFINITY : status.sentAt,
+        directory: update.directory ?? status.directory,
+      },
+    },
+  ];
+}
+
+function clearConfiguration(view: ControlView): readonly ControlWrite[] {
+  return [...view.board.configuration.keys()].map(key => ({
+    kind: 'delete',
+    section: 'configuration',
+    key,
+  }));
+}
+
+function toTableWrite(change: Update['changes'][number]): ControlWrite {
+  switch (change.kind) {
+    case 'put':
+      return {
+        kind: 'put',
+        section: 'configuration',
+        key: formatObjectKey(change.object.kind, change.object.id),
+        value: change.object,
+      };
+    case 'delete':
+      return {kind: 'delete', section: 'configuration', key: change.key};
+    default:
+      return assertNever(change, 'toTableWrite');
+  }
+}
--- /dev/null
+++ b/scheduling/controlClient/src/index.ts
@@ -0,0 +1,3 @@
+export * from './commandController.js';
+export * from './controlController.js';
+export * from './serviceController.js';
--- /dev/null
+++ b/scheduling/controlClient/src/serviceController.ts
@@ -0,0 +1,60 @@
+import type {Milliseconds} from '@gentianshunt/clock';
+import {defineEntryController} from '@gentianshunt/entryModel';
+import type {EntryController} from '@gentianshunt/entryModel';
+
+/** Time between two runs of the periodic upkeep. */
+export const HOUSEKEEPING_INTERVAL_MS: Milliseconds = 250;
+/** Time for callers' cached addresses to lapse before the entry may exit. */
+export const DRAIN_NOTICE_MS: Milliseconds = 2_000;
+
+/** Creates the controller that starts and ends the entry's service. */
+export function createServiceController(): EntryController {
+  return defineEntryController<'service' | 'requests', 'service'>({
+    name: 'service',
+    reads: ['service', 'requests'],
+    writes: ['service'],
+    observes: ['started', 'shutdownRequested', 'timerDue'],
+    run: ({observation, board}, now) => {
+      switch (observation?.kind) {
+        case 'started':
+          return [createHousekeepingTimer()];
+        case 'shutdownRequested':
+          return board.service.kind === 'draining'
+            ? [{kind: 'order', order: {kind: 'exit'}}]
+            : [
+                {
+                  kind: 'set',
+                  section: 'service',
+                  value: {kind: 'draining', since: now.monotonic},
+                },
+              ];
+        case 'timerDue': {
+          if (observation.timer.kind !== 'housekeeping') {
+            return [];
+          }
+          const {service, requests} = board;
+          const isDone =
+            service.kind === 'draining' &&
+            requests.size === 0 &&
+            now.monotonic - service.since >= DRAIN_NOTICE_MS;
+          return isDone
+            ? [{kind: 'order', order: {kind: 'exit'}}]
+            : [createHousekeepingTimer()];
+        }
+        default:
+          return [];
+      }
+    },
+  });
+}
+
+function createHousekeepingTimer() {
+  return {
+    kind: 'order',
+    order: {
+      kind: 'setTimer',
+      timer: {kind: 'housekeeping'},
+      delayMs: HOUSEKEEPING_INTERVAL_MS,
+    },
+  } as const;
+}
--- /dev/null
+++ b/scheduling/entryModel/src/exchange.ts
@@ -0,0 +1,116 @@
+import type {Milliseconds, MonotonicTime} from '@gentianshunt/clock';
+import type {
+  EndpointId,
+  EndpointSetId,
+  GrantId,
+  NodeId,
+  OrganisationId,
+} from '@gentianshunt/identifiers';
+
+import type {EndpointAnnouncement} from './endpoint.js';
+import type {EndpointTarget} from './request.js';
+
+/** Requests waiting in one entry for one tier and organisation. */
+export interface WaitingLine {
+  readonly rank: number;
+  readonly organisation: OrganisationId;
+  readonly count: number;
+  readonly oldestWaitMs: Milliseconds;
+}
+
+/** Requests of one entry running at one endpoint. */
+export interface RunningCount {
+  readonly endpoint: EndpointId;
+  readonly organisation: OrganisationId;
+  readonly count: number;
+}
+
+/** Slots of one grant that an entry still holds. */
+export interface UnspentGrant {
+  readonly grant: GrantId;
+  readonly endpoint: EndpointId;
+  readonly organisation: OrganisationId;
+  readonly count: number;
+}
+
+/** Everything an entry holds of one set; a later report replaces it. */
+export interface DemandReport {
+  readonly set: EndpointSetId;
+  readonly epoch: number;
+  /** Rises with every report of this entry for the set. */
+  readonly sequence: number;
+  readonly waiting: readonly WaitingLine[];
+  readonly running: readonly RunningCount[];
+  readonly unspent: readonly UnspentGrant[];
+}
+
+/** Leave to dispatch requests of one tier and organisation. */
+export interface Grant {
+  readonly id: GrantId;
+  readonly rank: number;
+  readonly organisation: OrganisationId;
+  readonly target: EndpointTarget;
+  readonly count: number;
+}
+
+/** An order to refuse waiting requests of one tier and organisation. */
+export interface ShedOrder {
+  readonly rank: number;
+  readonly organisation: OrganisationId;
+  readonly count: number;
+  /** When the refused callers may try again. */
+  readonly retryAfterMs: Milliseconds;
+}
+
+/** Grants against one demand report. */
+export interface GrantReply {
+  readonly set: EndpointSetId;
+  readonly epoch: number;
+  /** The report the grants are based on. */
+  readonly sequence: number;
+  /** Counts the replies to one report, from 1. */
+  readonly part: number;
+  /** Time since the report arrived, part of the grants' lifetime. */
+  readonly reportAgeMs: Milliseconds;
+  /** How long the slots may be used, from now on. */
+  readonly lifetimeMs: Milliseconds;
+  readonly grants: readonly Grant[];
+  readonly shed: readonly ShedOrder[];
+}
+
+/** Messages between entries. */
+export type EntryMessage =
+  | {readonly kind: 'demandReport'; readonly report: DemandReport}
+  | {readonly kind: 'grantReply'; readonly reply: GrantReply}
+  | {
+      readonly kind: 'notSetLeader';
+      readonly set: EndpointSetId;
+      readonly epoch: number;
+    }
+  | {
+      readonly kind: 'endpointAnnounced';
+      readonly announcement: EndpointAnnouncement;
+    };
+
+/** Slots an entry may use until their deadline. */
+export interface Slot {
+  readonly set: EndpointSetId;
+  readonly epoch: number;
+  readonly grant: Grant;
+  readonly remaining: number;
+  readonly deadline: MonotonicTime;
+}
+
+/** A waiting request and the slot it may use. */
+export interface Match {
+  readonly grant: GrantId;
+  readonly target: EndpointTarget;
+  readonly deadline: MonotonicTime;
+}
+
+/** The leader's record of one entry's latest report. */
+export interface ReportRecord {
+  readonly node: NodeId;
+  readonly report: DemandReport;
+  readonly receivedAt: MonotonicTime;
+}
--- /dev/null
+++ b/scheduling/entryModel/src/observation.ts
@@ -0,0 +1,85 @@
+import type {
+  CommandAnswer,
+  ControlToEntry,
+  OperatorCommand,
+} from '@gentianshunt/messages';
+import type {
+  DispatchId,
+  NodeId,
+  OperatorId,
+  RequestId,
+} from '@gentianshunt/identifiers';
+
+import type {EndpointAnnouncement} from './endpoint.js';
+import type {EntryMessage} from './exchange.js';
+import type {RequestFacts} from './request.js';
+
+/** The timers of an entry; one of each name runs at a time. */
+export type EntryTimer =
+  | {readonly kind: 'heartbeat'}
+  | {readonly kind: 'exchange'}
+  | {readonly kind: 'housekeeping'};
+
+/** How a stream from an endpoint ended. */
+export type StreamEnd =
+  /** The end mark arrived and the caller got every byte. */
+  | {readonly kind: 'complete'}
+  /** The connection failed before a byte of the request was sent. */
+  | {readonly kind: 'notSent'; readonly detail: string}
+  /** The endpoint answered that it did not take the request. */
+  | {readonly kind: 'rejected'; readonly status: number}
+  /** The stream ended without its end mark and could not be resumed. */
+  | {readonly kind: 'cut'; readonly detail: string};
+
+/** Everything that can happen to an entry. */
+export type EntryObservation =
+  | {readonly kind: 'started'}
+  | {readonly kind: 'timerDue'; readonly timer: EntryTimer}
+  | {readonly kind: 'requestReceived'; readonly facts: RequestFacts}
+  | {readonly kind: 'callerGone'; readonly request: RequestId}
+  | {readonly kind: 'streamStarted'; readonly dispatch: DispatchId}
+  | {
+      readonly kind: 'streamEnded';
+      readonly dispatch: DispatchId;
+      readonly end: StreamEnd;
+      /** The answer, kept for resends of non-idempotent requests. */
+      readonly stored: StoredAnswer | null;
+    }
+  | {
+      readonly kind: 'endpointContact';
+      readonly announcement: EndpointAnnouncement;
+    }
+  | {
+      readonly kind: 'entryMessage';
+      readonly from: NodeId;
+      readonly message: EntryMessage;
+    }
+  | {
+      readonly kind: 'controlMessage';
+      readonly from: NodeId;
+      readonly message: ControlToEntry;
+    }
+  | {
+      readonly kind: 'commandReceived';
+      readonly correlation: RequestId;
+      readonly operator: OperatorId;
+      readonly command: OperatorCommand;
+    }
+  | {readonly kind: 'shutdownRequested'};
+
+/** An answer small enough to be kept. */
+export interface StoredAnswer {
+  readonly status: number;
+  readonly contentType: string;
+  /** `null` when the body was too large to keep. */
+  readonly body: Uint8Array | null;
+}
+
+/** What an operator is told about a command. */
+export type CommandProgress =
+  | {readonly kind: 'answered'; readonly answer: CommandAnswer}
+  | {
+      readonly kind: 'inForce';
+      readonly version: number;
+      readonly unconfirmed: readonly NodeId[];
+    };
--- /dev/null
+++ b/scheduling/entryModel/src/order.ts
@@ -0,0 +1,61 @@
+import type {Milliseconds} from '@gentianshunt/clock';
+import type {
+  ClaimOutcome,
+  EntryToControl,
+  NetworkAddress,
+} from '@gentianshunt/messages';
+import type {NodeId, RequestId} from '@gentianshunt/identifiers';
+
+import type {EntryMessage} from './exchange.js';
+import type {CommandProgress, EntryTimer} from './observation.js';
+import type {
+  AdmittedRequest,
+  Dispatch,
+  Refusal,
+  RequestEnd,
+} from './request.js';
+
+/** Everything an entry can have its adapters do. */
+export type EntryOrder =
+  | {
+      readonly kind: 'openStream';
+      readonly request: AdmittedRequest;
+      readonly dispatch: Dispatch;
+    }
+  | {readonly kind: 'cancelStream'; readonly dispatch: Dispatch}
+  | {readonly kind: 'refuseCaller'; readonly refusal: Refusal}
+  | {
+      /** Gives a caller the answer of an earlier run of its request. */
+      readonly kind: 'repeatAnswer';
+      readonly request: RequestId;
+      readonly outcome: ClaimOutcome;
+    }
+  | {
+      readonly kind: 'sendEntry';
+      readonly to: NodeId;
+      readonly address: NetworkAddress;
+      readonly message: EntryMessage;
+    }
+  | {
+      readonly kind: 'sendControl';
+      readonly to: NodeId;
+      readonly message: EntryToControl;
+    }
+  | {
+      readonly kind: 'setTimer';
+      readonly timer: EntryTimer;
+      readonly delayMs: Milliseconds;
+    }
+  | {
+      readonly kind: 'answerOperator';
+      readonly correlation: RequestId;
+      readonly progress: CommandProgress;
+    }
+  | {
+      readonly kind: 'recordEnd';
+      readonly request: AdmittedRequest;
+      readonly end: RequestEnd;
+      readonly waitedMs: Milliseconds;
+      readonly firstTokenMs: Milliseconds | null;
+    }
+  | {readonly kind: 'exit'};
--- /dev/null
+++ b/scheduling/entryModel/src/request.ts
@@ -0,0 +1,158 @@
+import type {MonotonicTime} from '@gentianshunt/clock';
+import type {ClaimOutcome} from '@gentianshunt/messages';
+import type {
+  DispatchId,
+  EndpointId,
+  EndpointSetId,
+  GrantId,
+  OrganisationId,
+  RequestId,
+  RequestKindId,
+  TierId,
+} from '@gentianshunt/identifiers';
+
+/** A non-idempotent request's key and the digest of its content. */
+export interface ClaimFacts {
+  readonly idempotencyKey: string;
+  readonly digest: string;
+}
+
+/** What is known of a request once it has been read and checked. */
+export interface RequestFacts {
+  readonly id: RequestId;
+  readonly organisation: OrganisationId;
+  /** The wanted tier; `null` asks for the default of the organisation. */
+  readonly tier: TierId | null;
+  readonly set: EndpointSetId;
+  readonly kind: RequestKindId;
+  /** Present when the kind is non-idempotent. */
+  readonly claim: ClaimFacts | null;
+  /** Estimated length of the prompt, in tokens. */
+  readonly promptTokens: number;
+  /** Most tokens the answer may have. */
+  readonly maxTokens: number;
+  /** Hash of the prompt's leading part, for prefix caches. */
+  readonly prefix: string | null;
+}
+
+/** Facts completed from the configuration when the request is admitted. */
+export interface AdmittedRequest extends RequestFacts {
+  readonly tier: TierId;
+  readonly rank: number;
+  /** Weight of the kind times the weight of the tier. */
+  readonly value: number;
+  readonly arrivedAt: MonotonicTime;
+}
+
+/** An endpoint as a dispatch needs it. */
+export interface EndpointTarget {
+  readonly endpoint: EndpointId;
+  /** Base URL of the endpoint. */
+  readonly url: string;
+}
+
+/** One dispatch of a request; a request has at most one. */
+export interface Dispatch {
+  readonly id: DispatchId;
+  readonly grant: GrantId;
+  readonly target: EndpointTarget;
+  readonly at: MonotonicTime;
+}
+
+/** A request that still may be refused as not run. */
+export type UndispatchedState =
+  | {readonly kind: 'waiting'; readonly request: AdmittedRequest}
+  | {
+      /** Holds a slot while the claim on its key is being committed. */
+      readonly kind: 'claiming';
+      readonly request: AdmittedRequest;
+      readonly dispatch: Dispatch;
+      /** The slot's deadline; past it the dispatch must not start. */
+      readonly deadline: MonotonicTime;
+    }
+  | {
+      /** Another run holds the key; this one awaits its outcome. */
+      readonly kind: 'awaitingOutcome';
+      readonly request: AdmittedRequest;
+    };
+
+/** A request whose first byte may have reached an endpoint. */
+export type DispatchedState =
+  | {
+      readonly kind: 'dispatched';
+      readonly request: AdmittedRequest;
+      readonly dispatch: Dispatch;
+    }
+  | {
+      readonly kind: 'answering';
+      readonly request: AdmittedRequest;
+      readonly dispatch: Dispatch;
+      readonly firstTokenAt: MonotonicTime;
+    };
+
+/** The states of a live request; an ended one leaves the board. */
+export type RequestState = UndispatchedState | DispatchedState;
+
+/** Why the system refused a request. */
+export type RefusalReason =
+  | {readonly kind: 'shed'}
+  | {readonly kind: 'organisationLimit'}
+  | {readonly kind: 'unknownOrganisation'}
+  | {readonly kind: 'unknownTier'}
+  | {readonly kind: 'unknownSet'}
+  | {readonly kind: 'unknownKind'}
+  | {readonly kind: 'missingIdempotencyKey'}
+  | {readonly kind: 'idempotencyKeyReused'}
+  | {readonly kind: 'outcomeUnknown'}
+  | {readonly kind: 'noLease'}
+  | {readonly kind: 'draining'}
+  | {readonly kind: 'claimsUnavailable'}
+  | {readonly kind: 'endpointFailed'; readonly detail: string}
+  | {readonly kind: 'answerCut'; readonly detail: string};
+
+/** A refusal; `notRun` is a promise that no endpoint has seen the request. */
+export interface Refusal {
+  readonly request: RequestId;
+  readonly reason: RefusalReason;
+  readonly notRun: boolean;
+  /** When the caller may try again; `null` when trying again is no use. */
+  readonly retryAfterMs: number | null;
+}
+
+/** Refuses a request that has not been dispatched. */
+export function refuseNotRun(
+  state: UndispatchedState,
+  reason: RefusalReason,
+  retryAfterMs: number | null,
+): Refusal {
+  return {request: state.request.id, reason, notRun: true, retryAfterMs};
+}
+
+/** Refuses a request that was never admitted. */
+export function refuseUnadmitted(
+  facts: RequestFacts,
+  reason: RefusalReason,
+  retryAfterMs: number | null,
+): Refusal {
+  return {request: facts.id, reason, notRun: true, retryAfterMs};
+}
+
+/** Fails a request that may have run. */
+export function failDispatched(
+  request: RequestId,
+  reason: RefusalReason,
+): Refusal {
+  return {request, reason, notRun: false, retryAfterMs: null};
+}
+
+/** How a request's life ended, for counts and reports. */
+export type RequestEnd =
+  | {readonly kind: 'answered'}
+  | {readonly kind: 'refused'; readonly refusal: Refusal}
+  | {readonly kind: 'abandonedWaiting'}
+  | {
+      readonly kind: 'abandonedRunning';
+      /** Whether the prompt had been processed when the caller left. */
+      readonly prefilled: boolean;
+    }
+  | {readonly kind: 'repeated'; readonly outcome: ClaimOutcome};
--- /dev/null
+++ b/scheduling/entryModel/src/sections.ts
@@ -0,0 +1,231 @@
+import {
+  compareBy,
+  defineCell,
+  defineMap,
+  defineOrdered,
+} from '@gentianshunt/board';
+import type {MonotonicTime} from '@gentianshunt/clock';
+import type {ConfigurationObject, ObjectKey} from '@gentianshunt/configuration';
+import type {
+  EntryAddress,
+  EntryDirectory,
+  NetworkAddress,
+  OperatorCommand,
+} from '@gentianshunt/messages';
+import type {
+  DispatchId,
+  EndpointId,
+  EndpointSetId,
+  GrantId,
+  IncarnationId,
+  NodeId,
+  OrganisationId,
+  RequestId,
+} from '@gentianshunt/identifiers';
+
+import type {EndpointAnnouncement} from './endpoint.js';
+import type {GrantReply, Match, ReportRecord, Slot} from './exchange.js';
+import type {AdmittedRequest, RequestState} from './request.js';
+
+/** What an entry knows of itself and of the control daemons. */
+export interface EntryIdentity {
+  readonly address: EntryAddress;
+  readonly incarnation: IncarnationId;
+  readonly controls: readonly NodeId[];
+}
+
+/** Where the entry stands with the control daemons. */
+export interface ControlStatus {
+  /** The control daemon last known to lead. */
+  readonly leader: NodeId | null;
+  readonly version: number;
+  /** Until when the configuration may be relied on. */
+  readonly leaseUntil: MonotonicTime;
+  readonly lastSequence: number;
+  /** When the open heartbeat was sent; minus infinity when none is open. */
+  readonly sentAt: MonotonicTime;
+  readonly directory: EntryDirectory;
+}
+
+/** Whether the entry takes new requests. */
+export type ServiceState =
+  | {readonly kind: 'serving'}
+  | {readonly kind: 'draining'; readonly since: MonotonicTime};
+
+/** Identifies a line of waiting requests. */
+export interface LineKey {
+  readonly set: EndpointSetId;
+  readonly rank: number;
+  readonly organisation: OrganisationId;
+}
+
+/** Orders waiting requests; those of a line stand together. */
+export interface WaitingKey extends LineKey {
+  readonly arrivedAt: MonotonicTime;
+  readonly request: RequestId;
+}
+
+/** How many requests stand in a line. */
+export interface LineCount {
+  readonly count: number;
+}
+
+/** Identifies what an entry runs at an endpoint for an organisation. */
+export interface RunningKey {
+  readonly set: EndpointSetId;
+  readonly endpoint: EndpointId;
+  readonly organisation: OrganisationId;
+}
+
+/** How many requests run at an endpoint for an organisation. */
+export interface RunningRecord {
+  readonly count: number;
+}
+
+/** Identifies slots; those for a line stand together. */
+export interface SlotKey extends LineKey {
+  readonly grant: GrantId;
+}
+
+/** The entry's exchange with the leader of one set. */
+export interface ExchangeState {
+  readonly set: EndpointSetId;
+  readonly sequence: number;
+  readonly epoch: number;
+  readonly sentAt: MonotonicTime;
+  /** Whether a reply to the latest report is still awaited. */
+  readonly inFlight: boolean;
+  /** Whether something changed since the latest report. */
+  readonly dirty: boolean;
+  /** Whether the latest report named anything at all. */
+  readonly empty: boolean;
+}
+
+/** Highest reply part taken for each set's latest report. */
+export interface ReplyMark {
+  readonly sequence: number;
+  readonly part: number;
+}
+
+/** A set this entry leads. */
+export interface LeadershipState {
+  readonly set: EndpointSetId;
+  readonly epoch: number;
+  /** Before this instant slots of the previous leader may be alive. */
+  readonly grantsFrom: MonotonicTime;
+}
+
+/** An endpoint as the leader of its set knows it. */
+export interface EndpointRecord {
+  readonly announcement: EndpointAnnouncement;
+  readonly seenAt: MonotonicTime;
+  readonly state: 'active' | 'leaving' | 'silent';
+}
+
+/** Identifies an endpoint of a set. */
+export interface EndpointKey {
+  readonly set: EndpointSetId;
+  readonly endpoint: EndpointId;
+}
+
+/** Identifies an entry's report for a set. */
+export interface ReportKey {
+  readonly set: EndpointSetId;
+  readonly node: NodeId;
+}
+
+/** Slots granted to one entry since its latest report. */
+export interface GrantedSince {
+  readonly set: EndpointSetId;
+  readonly node: NodeId;
+  readonly sequence: number;
+  readonly parts: number;
+  readonly slots: readonly GrantedSlots[];
+  /** Waiting requests ordered shed since the report. */
+  readonly shed: readonly ShedCount[];
+}
+
+/** Slots of one grant, as the leader counts them. */
+export interface GrantedSlots {
+  readonly endpoint: EndpointId;
+  readonly rank: number;
+  readonly organisation: OrganisationId;
+  readonly count: number;
+}
+
+/** Requests ordered shed from one line. */
+export interface ShedCount {
+  readonly rank: number;
+  readonly organisation: OrganisationId;
+  readonly count: number;
+}
+
+/** Identifies an organisation's share of a set. */
+export interface ShareKey {
+  readonly set: EndpointSetId;
+  readonly organisation: OrganisationId;
+}
+
+/** An operator's command on its way through the control log. */
+export interface PendingCommand {
+  readonly correlation: RequestId;
+  readonly receivedAt: MonotonicTime;
+  readonly command: OperatorCommand;
+  /** Version that brings the command into force, once it is accepted. */
+  readonly version: number | null;
+}
+
+/** Creates the sections of an entry's board. */
+export function createEntrySections(identity: EntryIdentity) {
+  return {
+    identity: defineCell<EntryIdentity>(identity),
+    service: defineCell<ServiceState>({kind: 'serving'}),
+    control: defineCell<ControlStatus>({
+      leader: null,
+      version: 0,
+      leaseUntil: Number.NEGATIVE_INFINITY,
+      lastSequence: 0,
+      sentAt: Number.NEGATIVE_INFINITY,
+      directory: {version: 0, entries: []},
+    }),
+    configuration: defineMap<ObjectKey, ConfigurationObject>(),
+    requests: defineMap<RequestId, RequestState>(),
+    waiting: defineOrdered<WaitingKey, AdmittedRequest>(
+      compareBy('set', 'rank', 'organisation', 'arrivedAt', 'request'),
+    ),
+    lines: defineOrdered<LineKey, LineCount>(
+      compareBy('set', 'rank', 'organisation'),
+    ),
+    dispatches: defineMap<DispatchId, RequestId>(),
+    running: defineOrdered<RunningKey, RunningRecord>(
+      compareBy('set', 'endpoint', 'organisation'),
+    ),
+    slots: defineOrdered<SlotKey, Slot>(
+      compareBy('set', 'rank', 'organisation', 'grant'),
+    ),
+    replyMarks: defineMap<EndpointSetId, ReplyMark>(),
+    acceptedReply: defineCell<GrantReply | null>(null),
+    matches: defineMap<RequestId, Match>(),
+    exchanges: defineMap<EndpointSetId, ExchangeState>(),
+    leaderships: defineMap<EndpointSetId, LeadershipState>(),
+    endpoints: defineOrdered<EndpointKey, EndpointRecord>(
+      compareBy('set', 'endpoint'),
+    ),
+    reports: defineOrdered<ReportKey, ReportRecord>(compareBy('set', 'node')),
+    granted: defineOrdered<ReportKey, GrantedSince>(compareBy('set', 'node')),
+    shares: defineOrdered<ShareKey, number>(compareBy('set', 'organisation')),
+    commands: defineMap<RequestId, PendingCommand>(),
+  };
+}
+
+/** The sections of an entry's board. */
+export type EntrySections = ReturnType<typeof createEntrySections>;
+
+/** Finds the address of an entry in the directory. */
+export function findEntryAddress(
+  directory: EntryDirectory,
+  node: NodeId,
+): NetworkAddress | undefined {
+  return directory.entries.find(entry => entry.address.node === node)?.address
+    .peer;
+}
--- /dev/null
+++ b/scheduling/entryNode/src/entryNode.ts
@@ -0,0 +1,66 @@
+import {createControlLoop} from '@gentianshunt/board';
+import type {ControlLoop} from '@gentianshunt/board';
+import type {Clock} from '@gentianshunt/clock';
+import {
+  createCommandController,
+  createControlController,
+  createServiceController,
+} from '@gentianshunt/controlClient';
+import {createEntrySections} from '@gentianshunt/entryModel';
+import type {
+  EntryController,
+  EntryIdentity,
+  EntryObservation,
+  EntryOrder,
+  EntrySections,
+} from '@gentianshunt/entryModel';
+import {createLifecycleController} from '@gentianshunt/lifecycle';
+import {
+  createEndpointRegistry,
+  createGrantController,
+  createLeadershipController,
+  createReportController,
+} from '@gentianshunt/setLeader';
+import {
+  createExchangeController,
+  createReplyController,
+  createSlotController,
+} from '@gentianshunt/slotExchange';
+
+/** What an entry is made of. */
+export interface EntryNodeOptions {
+  readonly identity: EntryIdentity;
+  readonly clock: Clock;
+  /** Carries out an order; it must not throw and must not block. */
+  readonly perform: (order: EntryOrder) => void;
+}
+
+/** The control loop of an entry. */
+export type EntryNode = ControlLoop<EntrySections, EntryObservation>;
+
+/** Lists the controllers of an entry in the order in which they run. */
+export function createEntryControllers(): readonly EntryController[] {
+  return [
+    createServiceController(),
+    createControlController(),
+    createCommandController(),
+    createLeadershipController(),
+    createEndpointRegistry(),
+    createReplyController(),
+    createLifecycleController(),
+    createSlotController(),
+    createExchangeController(),
+    createReportController(),
+    createGrantController(),
+  ];
+}
+
+/** Creates an entry; it does nothing until an observation is posted. */
+export function createEntryNode(options: EntryNodeOptions): EntryNode {
+  return createControlLoop({
+    sections: createEntrySections(options.identity),
+    controllers: createEntryControllers(),
+    clock: options.clock,
+    perform: options.perform,
+  });
+}
--- /dev/null
+++ b/scheduling/entryNode/src/index.ts
@@ -0,0 +1,1 @@
+export * from './entryNode.js';
--- /dev/null
+++ b/scheduling/lifecycle/src/index.ts
@@ -0,0 +1,2 @@
+export * from './admitRequest.js';
+export * from './lifecycleController.js';
--- /dev/null
+++ b/scheduling/lifecycle/src/lifecycleController.ts
@@ -0,0 +1,100 @@
+import type {TurnTime} from '@gentianshunt/board';
+import {defineEntryController} from '@gentianshunt/entryModel';
+import type {EntryController} from '@gentianshunt/entryModel';
+
+import {admitRequest} from './admitRequest.js';
+import {handleClaimAnswer, repeatClaims} from './claims.js';
+import {handleMatches, handleShedOrders} from './matches.js';
+import {createRequestDraft} from './requestDraft.js';
+import type {
+  LifecycleReads,
+  LifecycleSections,
+  LifecycleView,
+  RequestDraft,
+} from './requestDraft.js';
+import {
+  handleCallerGone,
+  handleStreamEnded,
+  handleStreamStarted,
+} from './streams.js';
+
+/** Creates the controller that moves requests through their states. */
+export function createLifecycleController(): EntryController {
+  return defineEntryController<LifecycleReads, LifecycleSections>({
+    name: 'lifecycle',
+    reads: [
+      'requests',
+      'waiting',
+      'lines',
+      'dispatches',
+      'running',
+      'identity',
+      'service',
+      'control',
+      'configuration',
+      'matches',
+      'acceptedReply',
+    ],
+    writes: ['requests', 'waiting', 'lines', 'dispatches', 'running'],
+    observes: [
+      'requestReceived',
+      'callerGone',
+      'streamStarted',
+      'streamEnded',
+      'controlMessage',
+      'timerDue',
+    ],
+    run: (view, now) => {
+      const draft = createRequestDraft(view);
+      handleObservation(view, draft, now);
+      const reply = view.board.acceptedReply;
+      if (reply !== null && view.readChanges('acceptedReply').size > 0) {
+        handleShedOrders(view, draft, reply, now);
+      }
+      handleMatches(view, draft, now);
+      return draft.listWrites();
+    },
+  });
+}
+
+function handleObservation(
+  view: LifecycleView,
+  draft: RequestDraft,
+  now: TurnTime,
+): void {
+  const {observation} = view;
+  switch (observation?.kind) {
+    case 'requestReceived':
+      admitRequest(view, draft, observation.facts, now);
+      return;
+    case 'callerGone':
+      handleCallerGone(view, draft, observation.request, now);
+      return;
+    case 'streamStarted':
+      handleStreamStarted(view, draft, observation.dispatch, now);
+      return;
+    case 'streamEnded':
+      handleStreamEnded(
+        view,
+        draft,
+        observation.dispatch,
+        observation.end,
+        observation.stored,
+        now,
+      );
+      return;
+    case 'controlMessage':
+      if (observation.message.kind === 'claimReply') {
+        const {request, answer} = observation.message;
+        handleClaimAnswer(view, draft, request, answer, now);
+      }
+      return;
+    case 'timerDue':
+      if (observation.timer.kind === 'housekeeping') {
+        repeatClaims(view, draft);
+      }
+      return;
+    default:
+      return;
+  }
+}
--- /dev/null
+++ b/scheduling/lifecycle/src/requestDraft.ts
@@ -0,0 +1,213 @@
+import type {View} from '@gentianshunt/board';
+import {pickLine} from '@gentianshunt/entryModel';
+import type {
+  AdmittedRequest,
+  DispatchedState,
+  EntryObservation,
+  EntryOrder,
+  EntrySections,
+  EntryWrite,
+  LineKey,
+  RequestState,
+  RunningKey,
+  WaitingKey,
+} from '@gentianshunt/entryModel';
+import type {RequestId} from '@gentianshunt/identifiers';
+
+/** The sections that the lifecycle controller writes. */
+export type LifecycleSections =
+  'requests' | 'waiting' | 'lines' | 'dispatches' | 'running';
+
+/** The sections that the lifecycle controller reads. */
+export type LifecycleReads =
+  | LifecycleSections
+  | 'identity'
+  | 'service'
+  | 'control'
+  | 'configuration'
+  | 'matches'
+  | 'acceptedReply';
+
+/** What the lifecycle controller sees. */
+export type LifecycleView = View<
+  EntrySections,
+  LifecycleReads,
+  EntryObservation
+>;
+
+type LifecycleWrite = EntryWrite<LifecycleSections>;
+
+/**
+ * Collects the writes of one run. Later steps of the run read the states and
+ * counts that earlier steps have drafted.
+ */
+export interface RequestDraft {
+  read(request: RequestId): RequestState | undefined;
+  /** Moves a request to a state and brings the index sections in line. */
+  move(state: RequestState): void;
+  /** Removes an ended request. */
+  remove(request: RequestId): void;
+  order(order: EntryOrder): void;
+  listWrites(): readonly LifecycleWrite[];
+}
+
+/** Creates a draft over a view of the board. */
+export function createRequestDraft(view: LifecycleView): RequestDraft {
+  const {board} = view;
+  const writes: LifecycleWrite[] = [];
+  const states = new Map<RequestId, RequestState | undefined>();
+  const lines = createCounter<LineKey>(
+    key => board.lines.get(key)?.count ?? 0,
+    key => `${key.set}/${key.rank}/${key.organisation}`,
+  );
+  const running = createCounter<RunningKey>(
+    key => board.running.get(key)?.count ?? 0,
+    key => `${key.set}/${key.endpoint}/${key.organisation}`,
+  );
+  const read = (request: RequestId): RequestState | undefined =>
+    states.has(request) ? states.get(request) : board.requests.get(request);
+  const leave = (state: RequestState): void => {
+    if (state.kind === 'waiting') {
+      const key = toWaitingKey(state.request);
+      writes.push({kind: 'delete', section: 'waiting', key});
+      lines.add(pickLine(key), -1);
+    }
+    if (holdsSlot(state)) {
+      running.add(toRunningKey(state), -1);
+    }
+  };
+  const enter = (state: RequestState): void => {
+    if (state.kind === 'waiting') {
+      const key = toWaitingKey(state.request);
+      writes.push({
+        kind: 'put',
+        section: 'waiting',
+        key,
+        value: state.request,
+      });
+      lines.add(pickLine(key), 1);
+    }
+    if (holdsSlot(state)) {
+      running.add(toRunningKey(state), 1);
+    }
+  };
+  const indexDispatch = (
+    before: RequestState | undefined,
+    after: RequestState | undefined,
+  ): void => {
+    const old = before !== undefined && holdsSlot(before) ? before : undefined;
+    const next = after !== undefined && holdsSlot(after) ? after : undefined;
+    if (old !== undefined && next?.dispatch.id !== old.dispatch.id) {
+      const key = old.dispatch.id;
+      writes.push({kind: 'delete', section: 'dispatches', key});
+    }
+    if (next !== undefined && next.dispatch.id !== old?.dispatch.id) {
+      writes.push({
+        kind: 'put',
+        section: 'dispatches',
+        key: next.dispatch.id,
+        value: next.request.id,
+      });
+    }
+  };
+  return {
+    read,
+    move: state => {
+      const before = read(state.request.id);
+      if (before !== undefined) {
+        leave(before);
+      }
+      enter(state);
+      indexDispatch(before, state);
+      states.set(state.request.id, state);
+      const key = state.request.id;
+      writes.push({kind: 'put', section: 'requests', key, value: state});
+    },
+    remove: request => {
+      const before = read(request);
+      if (before === undefined) {
+        return;
+      }
+      leave(before);
+      indexDispatch(before, undefined);
+      states.set(request, undefined);
+      writes.push({kind: 'delete', section: 'requests', key: request});
+    },
+    order: order => writes.push({kind: 'order', order}),
+    listWrites: () => [
+      ...writes,
+      ...lines.listChanges().map(({key, count}) => toCountWrite(key, count)),
+      ...running
+        .listChanges()
+        .map(({key, count}) => toRunningWrite(key, count)),
+    ],
+  };
+}
+
+/** The states in which a request occupies a place at an endpoint. */
+type SlotHolder =
+  DispatchedState | Extract<RequestState, {readonly kind: 'claiming'}>;
+
+function holdsSlot(state: RequestState): state is SlotHolder {
+  return (
+    state.kind === 'claiming' ||
+    state.kind === 'dispatched' ||
+    state.kind === 'answering'
+  );
+}
+
+/** Makes the key under which a request waits. */
+export function toWaitingKey(request: AdmittedRequest): WaitingKey {
+  return {
+    set: request.set,
+    rank: request.rank,
+    organisation: request.organisation,
+    arrivedAt: request.arrivedAt,
+    request: request.id,
+  };
+}
+
+function toRunningKey(state: SlotHolder): RunningKey {
+  return {
+    set: state.request.set,
+    endpoint: state.dispatch.target.endpoint,
+    organisation: state.request.organisation,
+  };
+}
+
+function toCountWrite(key: LineKey, count: number): LifecycleWrite {
+  return count === 0
+    ? {kind: 'delete', section: 'lines', key}
+    : {kind: 'put', section: 'lines', key, value: {count}};
+}
+
+function toRunningWrite(key: RunningKey, count: number): LifecycleWrite {
+  return count === 0
+    ? {kind: 'delete', section: 'running', key}
+    : {kind: 'put', section: 'running', key, value: {count}};
+}
+
+interface CountChange<Key> {
+  readonly key: Key;
+  readonly count: number;
+}
+
+interface Counter<Key> {
+  add(key: Key, difference: number): void;
+  listChanges(): readonly CountChange<Key>[];
+}
+
+function createCounter<Key>(
+  readCount: (key: Key) => number,
+  formatKey: (key: Key) => string,
+): Counter<Key> {
+  const changes = new Map<string, CountChange<Key>>();
+  return {
+    add: (key, difference) => {
+      const text = formatKey(key);
+      const count = changes.get(text)?.count ?? readCount(key);
+      changes.set(text, {key, count: count + difference});
+    },
+    listChanges: () => [...changes.values()],
+  };
+}
--- /dev/null
+++ b/scheduling/setLeader/src/grantController.ts
@@ -0,0 +1,331 @@
+import type {TurnTime, View} from '@gentianshunt/board';
+import {findObject} from '@gentianshunt/configuration';
+import {
+  defineEntryController,
+  findEntryAddress,
+  iterateEndpoints,
+  iterateReports,
+} from '@gentianshunt/entryModel';
+import type {
+  EntryController,
+  EntryObservation,
+  EntrySections,
+  EntryWrite,
+  Grant,
+  GrantedSince,
+  LeadershipState,
+  ReportRecord,
+} from '@gentianshunt/entryModel';
+import type {
+  EndpointId,
+  EndpointSetId,
+  GrantId,
+  NodeId,
+  OrganisationId,
+} from '@gentianshunt/identifiers';
+
+import {allocateSlots, countOccupied} from './allocation.js';
+import type {
+  AllocatedSlot,
+  EndpointCapacity,
+  EntryLine,
+  ShareState,
+} from './allocation.js';
+import {SLOT_LIFETIME_MS} from './leadershipController.js';
+
+type GrantReads =
+  | 'control'
+  | 'configuration'
+  | 'leaderships'
+  | 'endpoints'
+  | 'reports'
+  | 'granted'
+  | 'shares';
+type GrantWrites = 'granted' | 'shares';
+type GrantView = View<EntrySections, GrantReads, EntryObservation>;
+type GrantWrite = EntryWrite<GrantWrites>;
+
+/** Creates the controller that grants the slots of the led sets. */
+export function createGrantController(): EntryController {
+  return defineEntryController<GrantReads, GrantWrites>({
+    name: 'grants',
+    reads: [
+      'control',
+      'configuration',
+      'leaderships',
+      'endpoints',
+      'reports',
+      'granted',
+      'shares',
+    ],
+    writes: ['granted', 'shares'],
+    observes: ['timerDue'],
+    run: (view, now) =>
+      [...listAffectedSets(view)].flatMap(set => grantSet(view, set, now)),
+  });
+}
+
+function listAffectedSets(view: GrantView): ReadonlySet<EndpointSetId> {
+  const sets = new Set<EndpointSetId>();
+  for (const section of ['reports', 'endpoints'] as const) {
+    for (const key of view.readChanges(section)) {
+      sets.add((key as {set: EndpointSetId}).set);
+    }
+  }
+  const {observation} = view;
+  if (
+    observation?.kind === 'timerDue' &&
+    observation.timer.kind === 'housekeeping'
+  ) {
+    for (const set of view.board.leaderships.keys()) {
+      sets.add(set);
+    }
+  }
+  return sets;
+}
+
+function grantSet(
+  view: GrantView,
+  set: EndpointSetId,
+  now: TurnTime,
+): readonly GrantWrite[] {
+  const leadership = view.board.leaderships.get(set);
+  if (leadership === undefined) {
+    return [];
+  }
+  const records = [...iterateReports(view.board.reports, set)].map(
+    entry => entry.value,
+  );
+  const before = new Map(
+    records.map(record => [record.node, readGranted(view, set, record)]),
+  );
+  const mayGrant =
+    now.monotonic >= leadership.grantsFrom &&
+    now.monotonic < view.board.control.leaseUntil;
+  const result = mayGrant
+    ? allocateSlots({
+        endpoints: listCapacities(view, set, records, before),
+        lines: listOpenLines(records, before),
+        shares: listShares(view, set, records),
+      })
+    : {slots: [], shares: []};
+  return [
+    ...records.flatMap(record =>
+      replyTo(view, leadership, record, before, result.slots, now),
+    ),
+    ...result.shares.map(share => putShare(set, share)),
+  ];
+}
+
+function putShare(set: EndpointSetId, share: ShareState): GrantWrite {
+  const {organisation, virtualTime} = share;
+  return {
+    kind: 'put',
+    section: 'shares',
+    key: {set, organisation},
+    value: virtualTime,
+  };
+}
+
+/** What was granted against the record's report; nothing for a new report. */
+function readGranted(
+  view: GrantView,
+  set: EndpointSetId,
+  record: ReportRecord,
+): GrantedSince {
+  const {node, report} = record;
+  const known = view.board.granted.get({set, node});
+  if (known !== undefined && known.sequence === report.sequence) {
+    return known;
+  }
+  return {
+    set,
+    node,
+    sequence: report.sequence,
+    parts: 0,
+    slots: [],
+    shed: [],
+  };
+}
+
+function listCapacities(
+  view: GrantView,
+  set: EndpointSetId,
+  records: readonly ReportRecord[],
+  granted: ReadonlyMap<NodeId, GrantedSince>,
+): readonly EndpointCapacity[] {
+  const occupied = countOccupied([
+    ...records.flatMap(record => record.report.running),
+    ...records.flatMap(record => record.report.unspent),
+    ...[...granted.values()].flatMap(since => since.slots),
+  ]);
+  return [...iterateEndpoints(view.board.endpoints, set)]
+    .filter(
+      ({key, value}) =>
+        value.state === 'active' && !isDraining(view, key.endpoint),
+    )
+    .map(({value}) => ({
+      target: {
+        endpoint: value.announcement.endpoint,
+        url: value.announcement.url,
+      },
+      concurrency: value.announcement.concurrency,
+      occupied: occupied.get(value.announcement.endpoint) ?? 0,
+    }));
+}
+
+function isDraining(view: GrantView, endpoint: EndpointId): boolean {
+  const policy = findObject(
+    view.board.configuration,
+    'endpointPolicy',
+    endpoint,
+  );
+  return policy?.state === 'draining';
+}
+
+/** Lists the lines less what has been granted since the report. */
+function listOpenLines(
+  records: readonly ReportRecord[],
+  granted: ReadonlyMap<NodeId, GrantedSince>,
+): readonly EntryLine[] {
+  return records.flatMap(({node, report}) =>
+    report.waiting
+      .map(line => {
+        const settled = countSettled(granted.get(node), line);
+        return {node, line: {...line, count: line.count - settled}};
+      })
+      .filter(({line}) => line.count > 0),
+  );
+}
+
+function countSettled(
+  since: GrantedSince | undefined,
+  line: {readonly rank: number; readonly organisation: OrganisationId},
+): number {
+  return [...(since?.slots ?? []), ...(since?.shed ?? [])]
+    .filter(
+      counted =>
+        counted.rank === line.rank &&
+        counted.organisation === line.organisation,
+    )
+    .reduce((sum, counted) => sum + counted.count, 0);
+}
+
+/** An organisation that was idle starts level with the least served one. */
+function listShares(
+  view: GrantView,
+  set: EndpointSetId,
+  records: readonly ReportRecord[],
+): readonly ShareState[] {
+  const organisations = new Set(
+    records.flatMap(({report}) =>
+      report.waiting.map(line => line.organisation),
+    ),
+  );
+  const known = [...organisations]
+    .map(organisation => view.board.shares.get({set, organisation}))
+    .filter(time => time !== undefined);
+  const floor = known.length === 0 ? 0 : Math.min(...known);
+  return [...organisations].map(organisation => ({
+    organisation,
+    weight: readWeight(view, organisation),
+    virtualTime: view.board.shares.get({set, organisation}) ?? floor,
+  }));
+}
+
+function readWeight(view: GrantView, organisation: OrganisationId): number {
+  const object = findObject(
+    view.board.configuration,
+    'organisation',
+    organisation,
+  );
+  return object?.weight ?? 1;
+}
+
+function replyTo(
+  view: GrantView,
+  leadership: LeadershipState,
+  record: ReportRecord,
+  before: ReadonlyMap<NodeId, GrantedSince>,
+  slots: readonly AllocatedSlot[],
+  now: TurnTime,
+): readonly GrantWrite[] {
+  const since = before.get(record.node)!;
+  const grants = toGrants(leadership, since, slots);
+  const address = findEntryAddress(view.board.control.directory, record.node);
+  const isAnswered = since.parts > 0;
+  if (address === undefined || (isAnswered && grants.length === 0)) {
+    return [];
+  }
+  const part = since.parts + 1;
+  const granted = grants.map(grant => ({
+    endpoint: grant.target.endpoint,
+    rank: grant.rank,
+    organisation: grant.organisation,
+    count: grant.count,
+  }));
+  return [
+    {
+      kind: 'put',
+      section: 'granted',
+      key: {set: leadership.set, node: record.node},
+      value: {...since, parts: part, slots: [...since.slots, ...granted]},
+    },
+    {
+      kind: 'order',
+      order: {
+        kind: 'sendEntry',
+        to: record.node,
+        address,
+        message: {
+          kind: 'grantReply',
+          reply: {
+            set: leadership.set,
+            epoch: leadership.epoch,
+            sequence: record.report.sequence,
+            part,
+            reportAgeMs: now.monotonic - record.receivedAt,
+            lifetimeMs: SLOT_LIFETIME_MS,
+            grants,
+            shed: [],
+          },
+        },
+      },
+    },
+  ];
+}
+
+/** Groups the slots of one entry into grants by line and endpoint. */
+function toGrants(
+  leadership: LeadershipState,
+  since: GrantedSince,
+  slots: readonly AllocatedSlot[],
+): readonly Grant[] {
+  const groups = new Map<string, Grant>();
+  for (const slot of slots) {
+    if (slot.node !== since.node) {
+      continue;
+    }
+    const {rank, organisation, target} = slot;
+    const key = `${rank}/${organisation}/${target.endpoint}`;
+    const group = groups.get(key);
+    const id = formatGrantId(leadership, since, groups.size);
+    groups.set(
+      key,
+      group === undefined
+        ? {id, rank, organisation, target, count: 1}
+        : {...group, count: group.count + 1},
+    );
+  }
+  return [...groups.values()];
+}
+
+function formatGrantId(
+  leadership: LeadershipState,
+  since: GrantedSince,
+  index: number,
+): GrantId {
+  const {set, epoch} = leadership;
+  const {sequence, parts} = since;
+  return `${set}.${epoch}.${sequence}.${parts + 1}.${index}` as GrantId;
+}
--- /dev/null
+++ b/scheduling/setLeader/src/index.ts
@@ -0,0 +1,5 @@
+export * from './allocation.js';
+export * from './endpointRegistry.js';
+export * from './grantController.js';
+export * from './leadershipController.js';
+export * from './reportController.js';
--- /dev/null
+++ b/scheduling/setLeader/src/reportController.ts
@@ -0,0 +1,110 @@
+import type {TurnTime, View} from '@gentianshunt/board';
+import type {Milliseconds} from '@gentianshunt/clock';
+import {
+  defineEntryController,
+  findEntryAddress,
+} from '@gentianshunt/entryModel';
+import type {
+  DemandReport,
+  EntryController,
+  EntryObservation,
+  EntrySections,
+  EntryWrite,
+} from '@gentianshunt/entryModel';
+import type {NodeId} from '@gentianshunt/identifiers';
+
+/** An entry not heard of for this long no longer counts. */
+export const REPORT_RETENTION_MS: Milliseconds = 5_000;
+
+type ReportReads = 'control' | 'leaderships' | 'reports';
+type ReportView = View<EntrySections, ReportReads, EntryObservation>;
+type ReportWrite = EntryWrite<'reports'>;
+
+/** Creates the controller that keeps each entry's latest report. */
+export function createReportController(): EntryController {
+  return defineEntryController<ReportReads, 'reports'>({
+    name: 'reports',
+    reads: ['control', 'leaderships', 'reports'],
+    writes: ['reports'],
+    observes: ['entryMessage', 'timerDue'],
+    run: (view, now) => {
+      const {observation} = view;
+      if (
+        observation?.kind === 'entryMessage' &&
+        observation.message.kind === 'demandReport'
+      ) {
+        const {report} = observation.message;
+        return takeReport(view, observation.from, report, now);
+      }
+      if (
+        observation?.kind === 'timerDue' &&
+        observation.timer.kind === 'housekeeping'
+      ) {
+        return dropOldReports(view, now);
+      }
+      return [];
+    },
+  });
+}
+
+function takeReport(
+  view: ReportView,
+  node: NodeId,
+  report: DemandReport,
+  now: TurnTime,
+): readonly ReportWrite[] {
+  const leadership = view.board.leaderships.get(report.set);
+  if (leadership === undefined || leadership.epoch !== report.epoch) {
+    return refuseReport(view, node, report, leadership?.epoch ?? 0);
+  }
+  const key = {set: report.set, node};
+  const known = view.board.reports.get(key);
+  if (known !== undefined && known.report.sequence >= report.sequence) {
+    return [];
+  }
+  return [
+    {
+      kind: 'put',
+      section: 'reports',
+      key,
+      value: {node, report, receivedAt: now.monotonic},
+    },
+  ];
+}
+
+function refuseReport(
+  view: ReportView,
+  node: NodeId,
+  report: DemandReport,
+  epoch: number,
+): readonly ReportWrite[] {
+  const address = findEntryAddress(view.board.control.directory, node);
+  if (address === undefined) {
+    return [];
+  }
+  return [
+    {
+      kind: 'order',
+      order: {
+        kind: 'sendEntry',
+        to: node,
+        address,
+        message: {kind: 'notSetLeader', set: report.set, epoch},
+      },
+    },
+  ];
+}
+
+function dropOldReports(
+  view: ReportView,
+  now: TurnTime,
+): readonly ReportWrite[] {
+  const writes: ReportWrite[] = [];
+  for (const {key, value} of view.board.reports.iterateFrom()) {
+    const ageMs = now.monotonic - value.receivedAt;
+    if (ageMs > REPORT_RETENTION_MS || !view.board.leaderships.has(key.set)) {
+      writes.push({kind: 'delete', section: 'reports', key});
+    }
+  }
+  return writes;
+}
--- /dev/null
+++ b/scheduling/slotExchange/src/index.ts
@@ -0,0 +1,3 @@
+export * from './exchangeController.js';
+export * from './replyController.js';
+export * from './slotController.js';
--- a/scripts/addPackage.mjs
+++ b/scripts/addPackage.mjs
@@ -1,8 +1,9 @@
 // Creates the files every workspace package has.
-// Usage: node scripts/addPackage.mjs FOLDER/NAME "one-line description"
+// Usage: node scripts/addPackage.mjs FOLDER/NAME "one-line description" [DEPENDENCY ...]
+// A dependency is a workspace package by its short name, or NAME@RANGE.
 import {existsSync, mkdirSync, writeFileSync} from 'node:fs';
 
-const [path, description] = process.argv.slice(2);
+const [path, description, ...dependencies] = process.argv.slice(2);
 if (!path || !description) {
   console.error('usage: addPackage.mjs FOLDER/NAME "description"');
   process.exit(2);
@@ -12,6 +13,14 @@
   process.exit(2);
 }
 const name = path.split('/')[1];
+
+function toDependency(text) {
+  const at = text.lastIndexOf('@');
+  return at > 0
+    ? [text.slice(0, at), text.slice(at + 1)]
+    : [`@gentianshunt/${text}`, '0.1.0'];
+}
+
 const manifest = {
   name: `@gentianshunt/${name}`,
   version: '0.1.0',
@@ -20,7 +29,7 @@
   description,
   main: 'dist/src/index.js',
   types: 'dist/src/index.d.ts',
-  dependencies: {},
+  dependencies: Object.fromEntries(dependencies.map(toDependency)),
 };
 mkdirSync(`${path}/src`, {recursive: true});
 mkdirSync(`${path}/test`, {recursive: true});
--- /dev/null
+++ b/standins/modelEngine/src/engineServer.ts
@@ -0,0 +1,133 @@
+import type {ServerResponse} from 'node:http';
+
+import {fastify} from 'fastify';
+import type {FastifyInstance} from 'fastify';
+
+import {createEngine} from './engine.js';
+import type {Engine, EngineOptions, JobStream} from './engine.js';
+
+/** What the engine's server needs. */
+export interface EngineServerOptions {
+  readonly host: string;
+  readonly port: number;
+  readonly engine: EngineOptions;
+}
+
+/** A running engine with its HTTP front. */
+export interface EngineServer {
+  readonly engine: Engine;
+  readonly url: string;
+  /** Cuts every open stream without an end mark. */
+  cutStreams(): void;
+  close(): Promise<void>;
+}
+
+const DEFAULT_OUTPUT_TOKENS = 16;
+const CHARACTERS_PER_TOKEN = 4;
+const PREFIX_CHARACTERS = 1_024;
+
+interface ChatBody {
+  readonly messages: readonly {readonly content: string}[];
+  readonly max_tokens?: number;
+}
+
+/** Starts an engine that speaks the chat completion protocol. */
+export async function createEngineServer(
+  options: EngineServerOptions,
+): Promise<EngineServer> {
+  const engine = createEngine(options.engine);
+  const server = fastify({forceCloseConnections: true});
+  const open = new Set<ServerResponse>();
+  let counter = 0;
+  server.post('/v1/chat/completions', (request, reply) => {
+    reply.hijack();
+    const body = request.body as ChatBody;
+    const prompt = body.messages.map(message => message.content).join('\n');
+    counter += 1;
+    const id = String(request.headers['x-dispatch-id'] ?? `local-${counter}`);
+    const stream = engine.submit({
+      id,
+      prefix: prompt.slice(0, PREFIX_CHARACTERS),
+      promptTokens: Math.ceil(prompt.length / CHARACTERS_PER_TOKEN),
+      outputTokens: body.max_tokens ?? DEFAULT_OUTPUT_TOKENS,
+    });
+    sendStream(engine, open, reply.raw, id, stream, 0);
+  });
+  addResumeRoute(server, engine, open);
+  addTestRoutes(server, engine);
+  const url = await server.listen({host: options.host, port: options.port});
+  return {
+    engine,
+    url,
+    cutStreams: () => open.forEach(response => response.destroy()),
+    close: async () => {
+      engine.close();
+      await server.close();
+    },
+  };
+}
+
+/** Writes tokens as they are produced; a caller that leaves cancels. */
+function sendStream(
+  engine: Engine,
+  open: Set<ServerResponse>,
+  response: ServerResponse,
+  id: string,
+  stream: JobStream,
+  from: number,
+): void {
+  let sent = from;
+  open.add(response);
+  response.writeHead(200, {'content-type': 'text/event-stream'});
+  const send = (): void => {
+    while (sent < stream.produced) {
+      response.write(formatToken(id, sent));
+      sent += 1;
+    }
+    if (stream.isFinished && !response.writableEnded) {
+      response.end('data: [DONE]\n\n');
+    }
+  };
+  response.once('close', () => {
+    open.delete(response);
+    if (!stream.isFinished) {
+      engine.cancel(id);
+    }
+  });
+  stream.onProgress(send);
+  send();
+}
+
+function formatToken(id: string, index: number): string {
+  const chunk = {id, choices: [{index: 0, delta: {content: `t${index} `}}]};
+  return `data: ${JSON.stringify(chunk)}\n\n`;
+}
+
+function addResumeRoute(
+  server: FastifyInstance,
+  engine: Engine,
+  open: Set<ServerResponse>,
+): void {
+  server.get<{Params: {id: string}; Querystring: {from?: string}}>(
+    '/v1/streams/:id',
+    (request, reply) => {
+      const stream = engine.find(request.params.id);
+      if (stream === undefined) {
+        return reply.code(404).send({error: 'no such stream'});
+      }
+      reply.hijack();
+      const from = Number(request.query.from ?? 0);
+      sendStream(engine, open, reply.raw, request.params.id, stream, from);
+      return undefined;
+    },
+  );
+}
+
+function addTestRoutes(server: FastifyInstance, engine: Engine): void {
+  server.get('/counts', async () => engine.readCounts());
+  server.get('/load', async () => engine.readLoad());
+  server.post<{Body: {factor: number}}>('/slowdown', async request => {
+    engine.setSlowdown(request.body.factor);
+    return {factor: request.body.factor};
+  });
+}
--- /dev/null
+++ b/standins/modelEngine/src/index.ts
@@ -0,0 +1,3 @@
+export * from './announcer.js';
+export * from './engine.js';
+export * from './engineServer.js';
--- /dev/null
+++ b/standins/modelEngine/src/main.ts
@@ -0,0 +1,72 @@
+#!/usr/bin/env node
+import {defineCommand, runMain} from 'citty';
+
+import {createAnnouncer} from './announcer.js';
+import {createEngineServer} from './engineServer.js';
+
+const ANNOUNCE_INTERVAL_MS = 500;
+
+const command = defineCommand({
+  meta: {name: 'model-engine', description: 'A stand-in model engine.'},
+  args: {
+    host: {type: 'string', default: '127.0.0.1', description: 'IP number'},
+    port: {type: 'string', default: '0', description: 'Port'},
+    endpoint: {type: 'string', required: true, description: 'Endpoint name'},
+    set: {type: 'string', required: true, description: 'Endpoint set'},
+    domain: {type: 'string', default: 'a', description: 'Failure domain'},
+    entries: {
+      type: 'string',
+      default: '',
+      description: 'Base URLs of entries, separated by commas',
+    },
+    batch: {type: 'string', default: '16', description: 'Most jobs at once'},
+    'prefill-rate': {
+      type: 'string',
+      default: '20000',
+      description: 'Prompt tokens a second',
+    },
+    'step-ms': {
+      type: 'string',
+      default: '5',
+      description: 'Milliseconds a decoding step',
+    },
+  },
+  run: async ({args}) => {
+    const server = await createEngineServer({
+      host: args.host,
+      port: Number(args.port),
+      engine: {
+        prefillTokensPerSecond: Number(args['prefill-rate']),
+        stepMs: Number(args['step-ms']),
+        stepMsPerJob: 0.05,
+        maxBatch: Number(args.batch),
+        cachedPrefixes: 64,
+      },
+    });
+    let isLeaving = false;
+    const entries = args.entries.split(',').filter(url => url !== '');
+    if (entries.length > 0) {
+      createAnnouncer({
+        entries,
+        intervalMs: ANNOUNCE_INTERVAL_MS,
+        readAnnouncement: () => ({
+          endpoint: args.endpoint,
+          incarnation: `p${process.pid}`,
+          set: args.set,
+          domain: args.domain,
+          url: server.url,
+          concurrency: Number(args.batch),
+          leaving: isLeaving,
+          load: {...server.engine.readLoad(), ageMs: 0},
+        }),
+      });
+    }
+    process.on('SIGUSR2', () => {
+      isLeaving = true;
+    });
+    process.on('SIGTERM', () => process.exit(0));
+    console.log(JSON.stringify({ready: true, url: server.url}));
+  },
+});
+
+await runMain(command);
--- /dev/null
+++ b/standins/plainService/src/index.ts
@@ -0,0 +1,1 @@
+export * from './plainService.js';
--- /dev/null
+++ b/standins/plainService/src/plainService.ts
@@ -0,0 +1,50 @@
+import {fastify} from 'fastify';
+
+/** What the service needs. */
+export interface PlainServiceOptions {
+  readonly host: string;
+  readonly port: number;
+  /** Time each call takes, in milliseconds. */
+  readonly workMs: number;
+}
+
+/** One call that the service ran. */
+export interface ServiceRun {
+  readonly dispatch: string;
+  readonly body: string;
+}
+
+/** A stand-in for a service whose calls must not be repeated. */
+export interface PlainService {
+  readonly url: string;
+  readonly runs: readonly ServiceRun[];
+  close(): Promise<void>;
+}
+
+/** Starts a service that numbers and records every call. */
+export async function createPlainService(
+  options: PlainServiceOptions,
+): Promise<PlainService> {
+  const server = fastify({forceCloseConnections: true});
+  const runs: ServiceRun[] = [];
+  server.removeAllContentTypeParsers();
+  server.addContentTypeParser(
+    '*',
+    {parseAs: 'string'},
+    (_request, body, done) => done(null, body),
+  );
+  server.get('/runs', async () => runs);
+  server.all('/*', async request => {
+    const dispatch = String(request.headers['x-dispatch-id'] ?? '');
+    runs.push({dispatch, body: String(request.body ?? '')});
+    const number = runs.length;
+    await new Promise(resolve => setTimeout(resolve, options.workMs));
+    return {number, dispatch};
+  });
+  const url = await server.listen({host: options.host, port: options.port});
+  return {
+    url,
+    runs,
+    close: () => server.close(),
+  };
+}
--- /dev/null
+++ b/storage/logFile/src/index.ts
@@ -0,0 +1,3 @@
+export * from './logFile.js';
+export * from './logFileErrors.js';
+export * from './record.js';
--- /dev/null
+++ b/transport/frames/src/frameErrors.ts
@@ -0,0 +1,24 @@
+import {SchedulerError} from '@gentianshunt/errors';
+
+/** A frame that is longer than the limit. */
+export class FrameTooLargeError extends SchedulerError {
+  constructor(peer: string, length: number, limit: number) {
+    super({
+      code: 'ERR_FRAME_TOO_LARGE',
+      message: `frame of ${length} bytes exceeds the limit of ${limit} bytes`,
+      origin: {step: 'readFrame', peer},
+    });
+  }
+}
+
+/** A frame whose content cannot be decoded. */
+export class MalformedFrameError extends SchedulerError {
+  constructor(peer: string, cause: unknown) {
+    super({
+      code: 'ERR_MALFORMED_FRAME',
+      message: 'frame content is malformed',
+      origin: {step: 'decodeFrame', peer},
+      cause,
+    });
+  }
+}
--- /dev/null
+++ b/transport/frames/src/index.ts
@@ -0,0 +1,2 @@
+export * from './frameErrors.js';
+export * from './frames.js';
--- /dev/null
+++ b/transport/peerLinks/src/index.ts
@@ -0,0 +1,3 @@
+export * from './peerErrors.js';
+export * from './peerLinks.js';
+export * from './protocol.js';
--- /dev/null
+++ b/transport/runtime/src/index.ts
@@ -0,0 +1,3 @@
+export * from './randomIds.js';
+export * from './systemClock.js';
+export * from './timerTable.js';
--- /dev/null
+++ b/transport/runtime/src/systemClock.ts
@@ -0,0 +1,9 @@
+import type {Clock} from '@gentianshunt/clock';
+
+/** Creates a clock that reads the machine's time. */
+export function createSystemClock(): Clock {
+  return {
+    readWallTime: () => new Date(),
+    readMonotonic: () => performance.now(),
+  };
+}
--- /dev/null
+++ b/transport/runtime/src/timerTable.ts
@@ -0,0 +1,35 @@
+import type {Milliseconds} from '@gentianshunt/clock';
+
+/** Timers by name; setting one again replaces it. */
+export interface TimerTable<Timer extends {readonly kind: string}> {
+  set(timer: Timer, delayMs: Milliseconds): void;
+  clear(): void;
+}
+
+/** What a timer table needs. */
+export interface TimerTableOptions<Timer> {
+  readonly onDue: (timer: Timer) => void;
+}
+
+/** Creates a table of the machine's timers. */
+export function createTimerTable<Timer extends {readonly kind: string}>(
+  options: TimerTableOptions<Timer>,
+): TimerTable<Timer> {
+  const handles = new Map<string, NodeJS.Timeout>();
+  return {
+    set: (timer, delayMs) => {
+      clearTimeout(handles.get(timer.kind));
+      handles.set(
+        timer.kind,
+        setTimeout(() => {
+          handles.delete(timer.kind);
+          options.onDue(timer);
+        }, delayMs),
+      );
+    },
+    clear: () => {
+      handles.forEach(handle => clearTimeout(handle));
+      handles.clear();
+    },
+  };
+}
