--- /dev/null
+++ b/cli/gentianshunt/src/checkSettings.ts
@@ -0,0 +1,33 @@
+import {readControldSettings, readEntrydSettings} from '@gentianshunt/settings';
+import {defineCommand} from 'citty';
+
+import {runChecked} from './exitCodes.js';
+
+/** Checks a daemon's settings file without starting anything. */
+export const checkSettingsCommand = defineCommand({
+  meta: {
+    name: 'check-settings',
+    description: 'Check a settings file; exit code 2 when it is wrong.',
+  },
+  args: {
+    file: {type: 'positional', required: true, description: 'TOML file'},
+    daemon: {
+      type: 'enum',
+      options: ['entryd', 'controld'],
+      required: true,
+      description: 'Daemon the file is for',
+    },
+    json: {type: 'boolean', description: 'Print the settings as JSON'},
+  },
+  run: ({args}) =>
+    runChecked(() => {
+      const options = {file: args.file};
+      const settings =
+        args.daemon === 'entryd'
+          ? readEntrydSettings(options)
+          : readControldSettings(options);
+      console.log(
+        args.json === true ? JSON.stringify(settings) : `${args.file}: ok`,
+      );
+    }),
+});
--- /dev/null
+++ b/cli/gentianshunt/src/index.ts
@@ -0,0 +1,2 @@
+export * from './checkSettings.js';
+export * from './exitCodes.js';
