--- a/cli/demo/src/operator.ts
+++ b/cli/demo/src/operator.ts
@@ -19,7 +19,7 @@
       body: JSON.stringify({number, operator: 'demo', commands}),
     });
     const progress = (await reply.body.json()) as {readonly kind: string};
-    if (progress.kind === 'inForce') {
+    if (progress.kind === 'force') {
       return;
     }
     if (progress.kind === 'answered') {
--- a/control/configuration/src/applyBatch.ts
+++ b/control/configuration/src/applyBatch.ts
@@ -1,4 +1,5 @@
 import {assertNever} from '@gentianshunt/errors';
+import type {EndpointSetId} from '@gentianshunt/identifiers';
 
 import type {
   BatchResult,
@@ -6,35 +7,47 @@
   ConfigurationChange,
   ObjectCommand,
 } from './changes.js';
+import {createDraftLookup} from './draftLookup.js';
+import type {DraftLookup} from './draftLookup.js';
+import type {ConfigurationLookup} from './lookup.js';
 import {formatObjectKey} from './objects.js';
-import type {
-  ConfigurationObject,
-  ConfigurationTable,
-  ObjectKey,
-} from './objects.js';
+import type {ConfigurationObject, ObjectKey} from './objects.js';
 import {listReferences, validateObject} from './validateObject.js';
 
-/** Applies a batch to a table without changing the table. */
-export function applyBatch(
-  table: ConfigurationTable,
-  commands: readonly ObjectCommand[],
-): BatchResult {
-  const draft = new Map<ObjectKey, ConfigurationObject | null>();
+/** Most steps that one batch may have. */
+export const MAX_BATCH_LENGTH = 1_000;
+
+/** What a batch is applied to. */
+export interface ApplyBatchOptions {
+  readonly lookup: ConfigurationLookup;
+  readonly commands: readonly ObjectCommand[];
+  /** Sets that have endpoints and so cannot be deleted. */
+  readonly setsInUse: readonly EndpointSetId[];
+}
+
+/** Applies a batch; what it is applied to stays as it is. */
+export function applyBatch(options: ApplyBatchOptions): BatchResult {
+  const {lookup, commands, setsInUse} = options;
+  if (commands.length > MAX_BATCH_LENGTH) {
+    return {
+      kind: 'refused',
+      refusal: {kind: 'batchTooLong', limit: MAX_BATCH_LENGTH},
+    };
+  }
+  const draft = createDraftLookup(lookup);
   for (const command of commands) {
-    const refusal = applyCommand(table, draft, command);
+    const refusal = applyCommand(draft, command);
     if (refusal !== undefined) {
       return {kind: 'refused', refusal};
     }
   }
-  const refusal = checkReferences(table, draft);
-  if (refusal !== undefined) {
-    return {kind: 'refused', refusal};
-  }
-  return {kind: 'accepted', changes: [...draft].map(toChange)};
+  deleteLeaderships(draft);
+  const refusal = checkDraft(draft, new Set(setsInUse));
+  return refusal === undefined
+    ? {kind: 'accepted', changes: [...draft.changed].map(toChange)}
+    : {kind: 'refused', refusal};
 }
 
-type Draft = Map<ObjectKey, ConfigurationObject | null>;
-
 function toChange([key, object]: [
   ObjectKey,
   ConfigurationObject | null,
@@ -42,47 +55,27 @@
   return object === null ? {kind: 'delete', key} : {kind: 'put', object};
 }
 
-function readDraft(
-  table: ConfigurationTable,
-  draft: Draft,
-  key: ObjectKey,
-): ConfigurationObject | undefined {
-  const drafted = draft.get(key);
-  return drafted === undefined ? table.get(key) : (drafted ?? undefined);
-}
-
 function applyCommand(
-  table: ConfigurationTable,
-  draft: Draft,
+  draft: DraftLookup,
   command: ObjectCommand,
 ): CommandRefusal | undefined {
   const key = readKey(command);
-  const current = readDraft(table, draft, key);
+  const current = draft.get(key);
   const revision = current?.revision ?? 0;
-  if (
-    command.expectedRevision !== null &&
-    command.expectedRevision !== revision
-  ) {
-    return {
-      kind: 'revisionMismatch',
-      key,
-      expected: command.expectedRevision,
-      current: revision,
-    };
+  const expected = command.expectedRevision;
+  if (expected !== null && expected !== revision) {
+    return {kind: 'revisionMismatch', key, expected, current: revision};
   }
   switch (command.kind) {
-    case 'put': {
-      const reason = validateObject(command.object);
-      if (reason !== undefined) {
-        return {kind: 'invalidValue', key, reason};
-      }
-      draft.set(key, {...command.object, revision: revision + 1});
-      return undefined;
-    }
+    case 'put':
+      return putObject(draft, key, command.object, revision);
     case 'delete':
       if (current === undefined) {
         return {kind: 'notFound', key};
       }
+      if (current.kind === 'setLeadership') {
+        return {kind: 'invalidValue', key, reason: SYSTEM_OBJECT};
+      }
       draft.set(key, null);
       return undefined;
     default:
@@ -90,6 +83,23 @@
   }
 }
 
+const SYSTEM_OBJECT = 'leaders of sets are assigned by the system';
+
+function putObject(
+  draft: DraftLookup,
+  key: ObjectKey,
+  object: ConfigurationObject,
+  revision: number,
+): CommandRefusal | undefined {
+  const reason =
+    object.kind === 'setLeadership' ? SYSTEM_OBJECT : validateObject(object);
+  if (reason !== undefined) {
+    return {kind: 'invalidValue', key, reason};
+  }
+  draft.set(key, {...object, revision: revision + 1});
+  return undefined;
+}
+
 function readKey(command: ObjectCommand): ObjectKey {
   switch (command.kind) {
     case 'put':
@@ -101,29 +111,42 @@
   }
 }
 
-function checkReferences(
-  table: ConfigurationTable,
-  draft: Draft,
+/** A set's leader goes with the set. */
+function deleteLeaderships(draft: DraftLookup): void {
+  for (const [key, object] of [...draft.changed]) {
+    if (object !== null) {
+      continue;
+    }
+    for (const referrer of draft.listReferrers(key)) {
+      if (draft.get(referrer)?.kind === 'setLeadership') {
+        draft.set(referrer, null);
+      }
+    }
+  }
+}
+
+function checkDraft(
+  draft: DraftLookup,
+  setsInUse: ReadonlySet<EndpointSetId>,
 ): CommandRefusal | undefined {
-  for (const [key, object] of draft) {
+  for (const [key, object] of draft.changed) {
     const refusal =
       object === null
-        ? checkUnreferenced(table, draft, key)
-        : checkReferencesFound(table, draft, object);
+        ? checkDeleted(draft, key, setsInUse)
+        : checkReferencesFound(draft, object);
     if (refusal !== undefined) {
       return refusal;
     }
   }
-  return undefined;
+  return checkTiers(draft);
 }
 
 function checkReferencesFound(
-  table: ConfigurationTable,
-  draft: Draft,
+  draft: DraftLookup,
   object: ConfigurationObject,
 ): CommandRefusal | undefined {
   const missing = listReferences(object).find(
-    reference => readDraft(table, draft, reference) === undefined,
+    reference => draft.get(reference) === undefined,
   );
   if (missing === undefined) {
     return undefined;
@@ -132,17 +155,43 @@
   return {kind: 'brokenReference', key, missing};
 }
 
-function checkUnreferenced(
-  table: ConfigurationTable,
-  draft: Draft,
+function checkDeleted(
+  draft: DraftLookup,
   key: ObjectKey,
+  setsInUse: ReadonlySet<EndpointSetId>,
 ): CommandRefusal | undefined {
-  const candidates = new Set([...table.keys(), ...draft.keys()]);
-  for (const candidate of candidates) {
-    const object = readDraft(table, draft, candidate);
-    if (object !== undefined && listReferences(object).includes(key)) {
-      return {kind: 'stillReferenced', key, by: candidate};
+  for (const by of draft.listReferrers(key)) {
+    return {kind: 'stillReferenced', key, by};
+  }
+  const inUse = [...setsInUse].some(
+    set => formatObjectKey('endpointSet', set) === key,
+  );
+  return inUse ? {kind: 'setInUse', key} : undefined;
+}
+
+/** Tiers have distinct ranks, and one of them always remains. */
+function checkTiers(draft: DraftLookup): CommandRefusal | undefined {
+  const isTouched = [...draft.changed.keys()].some(key =>
+    key.startsWith('tier/'),
+  );
+  if (!isTouched) {
+    return undefined;
+  }
+  const byRank = new Map<number, ObjectKey>();
+  for (const key of draft.listKind('tier')) {
+    const tier = draft.get(key);
+    if (tier?.kind !== 'tier') {
+      continue;
+    }
+    const taken = byRank.get(tier.rank);
+    if (taken !== undefined) {
+      return {kind: 'rankTaken', key, rank: tier.rank, by: taken};
     }
+    byRank.set(tier.rank, key);
   }
-  return undefined;
+  if (byRank.size > 0) {
+    return undefined;
+  }
+  const [key] = draft.changed.keys();
+  return {kind: 'lastTier', key: key!};
 }
--- a/control/configuration/src/changes.ts
+++ b/control/configuration/src/changes.ts
@@ -39,6 +39,23 @@
       readonly key: ObjectKey;
       readonly by: ObjectKey;
     }
+  | {
+      /** The set has endpoints. */
+      readonly kind: 'setInUse';
+      readonly key: ObjectKey;
+    }
+  | {
+      readonly kind: 'rankTaken';
+      readonly key: ObjectKey;
+      readonly rank: number;
+      readonly by: ObjectKey;
+    }
+  | {
+      /** Without a tier no request could be served. */
+      readonly kind: 'lastTier';
+      readonly key: ObjectKey;
+    }
+  | {readonly kind: 'batchTooLong'; readonly limit: number}
   | {
       readonly kind: 'invalidValue';
       readonly key: ObjectKey;
--- /dev/null
+++ b/control/configuration/src/draftLookup.ts
@@ -0,0 +1,41 @@
+import type {ConfigurationLookup} from './lookup.js';
+import type {ConfigurationObject, ObjectKey} from './objects.js';
+import {listReferences} from './validateObject.js';
+
+/** Changes on top of a lookup that are not yet part of it. */
+export interface DraftLookup extends ConfigurationLookup {
+  /** The changed objects; `null` stands for a deleted one. */
+  readonly changed: ReadonlyMap<ObjectKey, ConfigurationObject | null>;
+  set(key: ObjectKey, object: ConfigurationObject | null): void;
+}
+
+/** Creates an empty draft; it costs what it changes, not what it covers. */
+export function createDraftLookup(base: ConfigurationLookup): DraftLookup {
+  const changed = new Map<ObjectKey, ConfigurationObject | null>();
+  const listMerged = (
+    keys: Iterable<ObjectKey>,
+    matches: (object: ConfigurationObject) => boolean,
+  ): readonly ObjectKey[] => {
+    const found = [...keys].filter(key => !changed.has(key));
+    for (const [key, object] of changed) {
+      if (object !== null && matches(object)) {
+        found.push(key);
+      }
+    }
+    return found;
+  };
+  return {
+    changed,
+    set: (key, object) => changed.set(key, object),
+    get: key => {
+      const drafted = changed.get(key);
+      return drafted === undefined ? base.get(key) : (drafted ?? undefined);
+    },
+    listReferrers: key =>
+      listMerged(base.listReferrers(key), object =>
+        listReferences(object).includes(key),
+      ),
+    listKind: kind =>
+      listMerged(base.listKind(kind), object => object.kind === kind),
+  };
+}
--- a/control/configuration/src/index.ts
+++ b/control/configuration/src/index.ts
@@ -1,4 +1,6 @@
 export * from './applyBatch.js';
 export * from './changes.js';
+export * from './draftLookup.js';
+export * from './lookup.js';
 export * from './objects.js';
 export * from './validateObject.js';
--- a/control/controlModel/src/sections.ts
+++ b/control/controlModel/src/sections.ts
@@ -1,4 +1,5 @@
 import {
+  compareBy,
   compareValues,
   defineCell,
   defineController,
@@ -6,32 +7,25 @@
   defineOrdered,
 } from '@gentianshunt/board';
 import type {AnyController, Controller, Write} from '@gentianshunt/board';
-import type {MonotonicTime} from '@gentianshunt/clock';
 import type {
   ConfigurationChange,
   ConfigurationObject,
   ObjectKey,
 } from '@gentianshunt/configuration';
+import {NO_DIRECTORY_VERSION} from '@gentianshunt/messages';
 import type {
-  ClaimOutcome,
-  CommandAnswer,
   CommandNumber,
   ConfigurationVersion,
   ConsensusMessage,
-  EntryAddress,
-  EntryDirectory,
-  EntryToControl,
+  DirectoryChange,
+  DirectoryVersion,
   LogEntry,
   LogIndex,
   LogPayload,
-  OperatorCommand,
+  ServiceCountKey,
+  ServiceTotals,
 } from '@gentianshunt/messages';
-import type {
-  Identifier,
-  NodeId,
-  OperatorId,
-  RequestId,
-} from '@gentianshunt/identifiers';
+import type {EndpointSetId, NodeId} from '@gentianshunt/identifiers';
 
 import type {ControlObservation} from './observation.js';
 import type {ControlOrder} from './order.js';
@@ -42,6 +36,40 @@
   LogStatus,
   Role,
 } from './role.js';
+import type {
+  AssignmentPhase,
+  EntrySession,
+  LeaderCandidate,
+  LeaderLoadKey,
+  LedSetKey,
+  PendingKey,
+  PendingReply,
+  SessionLeaseKey,
+  SessionVersionKey,
+  Vacancy,
+  WantedAssignment,
+} from './sessionRecords.js';
+import {
+  compareClaimExpiry,
+  compareCountMarks,
+  compareKinds,
+  compareReferences,
+  compareRunningClaims,
+  compareServiceCounts,
+} from './stateRecords.js';
+import type {
+  AppliedStatus,
+  ClaimExpiryKey,
+  ClaimId,
+  ClaimRecord,
+  ClaimUsage,
+  CommandRecord,
+  CountMark,
+  CountMarkKey,
+  KindKey,
+  ReferenceKey,
+  RunningClaimKey,
+} from './stateRecords.js';
 
 /** What a control daemon knows of itself and its peers. */
 export interface ControlIdentity {
@@ -65,64 +93,6 @@
   readonly lastIndex: LogIndex;
 }
 
-/** How far the committed log has been applied. */
-export interface AppliedStatus {
-  readonly index: LogIndex;
-  readonly version: ConfigurationVersion;
-}
-
-/** A command number that has been used. */
-export interface CommandRecord {
-  readonly operator: OperatorId;
-  readonly digest: string;
-  readonly answer: CommandAnswer;
-}
-
-/** Key of a command number in its section. */
-export type CommandKey = Identifier<'command'>;
-/** Key of a claim in its section. */
-export type ClaimId = Identifier<'claim'>;
-
-/** A claim on an idempotency key. */
-export interface ClaimRecord {
-  readonly digest: string;
-  readonly node: NodeId;
-  readonly request: RequestId;
-  readonly atMs: number;
-  /** `null` while the request may be running. */
-  readonly outcome: ClaimOutcome | null;
-}
-
-/** The leading daemon's record of an entry. */
-export interface EntrySession {
-  readonly entry: EntryAddress;
-  readonly draining: boolean;
-  readonly version: ConfigurationVersion;
-  readonly directoryVersion: number;
-  readonly leaseUntil: MonotonicTime;
-}
-
-/** A request of an entry that is answered once the log has applied it. */
-export type PendingReply =
-  | {
-      readonly kind: 'command';
-      readonly to: NodeId;
-      readonly correlation: RequestId;
-      readonly command: OperatorCommand;
-    }
-  | {
-      readonly kind: 'claim';
-      readonly to: NodeId;
-      readonly claim: ClaimId;
-      readonly request: Extract<
-        EntryToControl,
-        {readonly kind: 'claimRequest'}
-      >;
-    };
-
-/** Key of a pending reply. */
-export type PendingKey = Identifier<'pendingReply'>;
-
 /** Creates the sections of a control daemon's board. */
 export function createControlSections(identity: ControlIdentity) {
   return {
@@ -147,11 +117,37 @@
       ConfigurationVersion,
       readonly ConfigurationChange[]
     >(compareValues),
-    commands: defineMap<CommandKey, CommandRecord>(),
+    objectKinds: defineOrdered<KindKey, true>(compareKinds),
+    references: defineOrdered<ReferenceKey, true>(compareReferences),
+    commands: defineOrdered<CommandNumber, CommandRecord>(compareValues),
+    commandFloor: defineCell<CommandNumber>(1),
     nextCommand: defineCell<CommandNumber>(1),
     claims: defineMap<ClaimId, ClaimRecord>(),
+    claimExpiry: defineOrdered<ClaimExpiryKey, true>(compareClaimExpiry),
+    runningClaims: defineOrdered<RunningClaimKey, true>(compareRunningClaims),
+    claimUsage: defineCell<ClaimUsage>({claims: 0, answerBytes: 0}),
+    serviceCounts: defineOrdered<ServiceCountKey, ServiceTotals>(
+      compareServiceCounts,
+    ),
+    countMarks: defineOrdered<CountMarkKey, CountMark>(compareCountMarks),
     sessions: defineMap<NodeId, EntrySession>(),
-    directory: defineCell<EntryDirectory>({version: 0, entries: []}),
+    sessionVersions: defineOrdered<SessionVersionKey, true>(
+      compareBy('version', 'node'),
+    ),
+    sessionLeases: defineOrdered<SessionLeaseKey, true>(
+      compareBy('leaseUntil', 'node'),
+    ),
+    directory: defineCell<DirectoryVersion>(NO_DIRECTORY_VERSION),
+    directoryHistory: defineOrdered<number, DirectoryChange>(compareValues),
+    leaderCandidates: defineMap<NodeId, LeaderCandidate>(),
+    leaderLoads: defineOrdered<LeaderLoadKey, true>(
+      compareBy('region', 'count', 'node'),
+    ),
+    ledSets: defineOrdered<LedSetKey, true>(compareBy('node', 'set')),
+    setLeaders: defineMap<EndpointSetId, NodeId>(),
+    assignmentPhase: defineCell<AssignmentPhase>({kind: 'idle'}),
+    vacancies: defineMap<EndpointSetId, Vacancy>(),
+    wantedAssignments: defineCell<readonly WantedAssignment[]>([]),
     pending: defineMap<PendingKey, PendingReply>(),
   };
 }
@@ -194,8 +190,3 @@
     Writes
   >(controller);
 }
-
-/** Makes the key of a command number. */
-export function formatCommandKey(number: CommandNumber): CommandKey {
-  return String(number) as CommandKey;
-}
--- a/control/controlNode/src/controlNode.ts
+++ b/control/controlNode/src/controlNode.ts
@@ -11,6 +11,7 @@
   ControlSections,
 } from '@gentianshunt/controlModel';
 import {
+  createAssignmentController,
   createProposalController,
   createReplyController,
   createSessionController,
@@ -31,11 +32,13 @@
 /** Lists the controllers of a control daemon in the order they run. */
 export function createControlControllers(): readonly ControlController[] {
   return [
-    createReplyController(),
+    // Proposals come first: replies then record what is under way.
     createProposalController(),
+    createReplyController(),
     createConsensusController(),
     createStateMachineController(),
     createSessionController(),
+    createAssignmentController(),
   ];
 }
 
--- /dev/null
+++ b/control/entrySessions/src/assignmentDraft.ts
@@ -0,0 +1,159 @@
+import {
+  compareBy,
+  createMapDraft,
+  createOrderedDraft,
+  iterateWhile,
+} from '@gentianshunt/board';
+import type {MapDraft, OrderedDraft, View} from '@gentianshunt/board';
+import type {
+  AssignmentPhase,
+  ControlObservation,
+  ControlSections,
+  ControlWrite,
+  LeaderCandidate,
+  LeaderLoadKey,
+  LedSetKey,
+  Vacancy,
+} from '@gentianshunt/controlModel';
+import type {EndpointSetId, NodeId, RegionId} from '@gentianshunt/identifiers';
+
+/** The sections that the assignment of set leaders keeps. */
+export const ASSIGNMENT_SECTIONS = [
+  'leaderCandidates',
+  'leaderLoads',
+  'ledSets',
+  'setLeaders',
+  'assignmentPhase',
+  'vacancies',
+  'wantedAssignments',
+] as const;
+
+/** The sections that the assignment of set leaders writes. */
+export type AssignmentWrites = (typeof ASSIGNMENT_SECTIONS)[number];
+/** The sections that the assignment of set leaders reads. */
+export type AssignmentReads =
+  AssignmentWrites | 'role' | 'configuration' | 'objectKinds' | 'sessions';
+/** What the assignment of set leaders reads of the board. */
+export type AssignmentView = View<
+  ControlSections,
+  AssignmentReads,
+  ControlObservation
+>;
+/** A write of the assignment of set leaders. */
+export type AssignmentWrite = ControlWrite<AssignmentWrites>;
+
+/** Who leads which set, as one run changes it. */
+export interface AssignmentDraft {
+  phase: AssignmentPhase;
+  readonly vacancies: MapDraft<EndpointSetId, Vacancy>;
+  /** Lets an entry lead sets, or lead none any more with `null`. */
+  setCandidate(node: NodeId, region: RegionId | null): void;
+  /** Records who leads a set; `null` when nobody does. */
+  setLeader(set: EndpointSetId, node: NodeId | null): void;
+  readLeader(set: EndpointSetId): NodeId | undefined;
+  isCandidate(node: NodeId): boolean;
+  listSets(node: NodeId): readonly EndpointSetId[];
+  listWrites(): readonly AssignmentWrite[];
+}
+
+interface Drafts {
+  readonly candidates: MapDraft<NodeId, LeaderCandidate>;
+  readonly loads: OrderedDraft<LeaderLoadKey, true>;
+  readonly ledSets: OrderedDraft<LedSetKey, true>;
+  readonly leaders: MapDraft<EndpointSetId, NodeId>;
+}
+
+const compareLoads = compareBy<keyof LeaderLoadKey, LeaderLoadKey>(
+  'region',
+  'count',
+  'node',
+);
+const compareLedSets = compareBy<keyof LedSetKey, LedSetKey>('node', 'set');
+
+/** Creates a draft without changes. */
+export function createAssignmentDraft(
+  board: AssignmentView['board'],
+): AssignmentDraft {
+  const drafts: Drafts = {
+    candidates: createMapDraft(board.leaderCandidates),
+    loads: createOrderedDraft({view: board.leaderLoads, compare: compareLoads}),
+    ledSets: createOrderedDraft({view: board.ledSets, compare: compareLedSets}),
+    leaders: createMapDraft(board.setLeaders),
+  };
+  const vacancies = createMapDraft(board.vacancies);
+  const draft: AssignmentDraft = {
+    phase: board.assignmentPhase,
+    vacancies,
+    setCandidate: (node, region) => setCandidate(drafts, node, region),
+    setLeader: (set, node) => setLeader(drafts, set, node),
+    readLeader: set => drafts.leaders.get(set),
+    isCandidate: node => drafts.candidates.get(node) !== undefined,
+    listSets: node => listSets(drafts, node),
+    listWrites: () => [
+      ...drafts.candidates.listWrites('leaderCandidates' as const),
+      ...drafts.loads.listWrites('leaderLoads' as const),
+      ...drafts.ledSets.listWrites('ledSets' as const),
+      ...drafts.leaders.listWrites('setLeaders' as const),
+      ...vacancies.listWrites('vacancies' as const),
+      ...(draft.phase === board.assignmentPhase
+        ? []
+        : [
+            {
+              kind: 'set',
+              section: 'assignmentPhase',
+              value: draft.phase,
+            } as const,
+          ]),
+    ],
+  };
+  return draft;
+}
+
+function listSets(drafts: Drafts, node: NodeId): readonly EndpointSetId[] {
+  const from = {node, set: '' as EndpointSetId};
+  const found = iterateWhile(drafts.ledSets, from, key => key.node === node);
+  return Array.from(found, ({key}) => key.set);
+}
+
+function setCandidate(
+  drafts: Drafts,
+  node: NodeId,
+  region: RegionId | null,
+): void {
+  const known = drafts.candidates.get(node);
+  if (known !== undefined) {
+    drafts.loads.delete({...known, node});
+    drafts.candidates.delete(node);
+  }
+  if (region === null) {
+    return;
+  }
+  const candidate = {region, count: listSets(drafts, node).length};
+  drafts.candidates.put(node, candidate);
+  drafts.loads.put({...candidate, node}, true);
+}
+
+function setLeader(
+  drafts: Drafts,
+  set: EndpointSetId,
+  node: NodeId | null,
+): void {
+  const previous = drafts.leaders.get(set);
+  if (previous !== undefined) {
+    drafts.ledSets.delete({node: previous, set});
+    drafts.leaders.delete(set);
+    refreshLoad(drafts, previous);
+  }
+  if (node !== null) {
+    drafts.ledSets.put({node, set}, true);
+    drafts.leaders.put(set, node);
+    refreshLoad(drafts, node);
+  }
+}
+
+function refreshLoad(drafts: Drafts, node: NodeId): void {
+  const known = drafts.candidates.get(node);
+  if (known !== undefined) {
+    setCandidate(drafts, node, known.region);
+  }
+}
--- /dev/null
+++ b/control/entrySessions/src/claimAnswers.ts
@@ -0,0 +1,70 @@
+import type {BoardView, TurnTime} from '@gentianshunt/board';
+import {formatClaimId} from '@gentianshunt/controlModel';
+import type {ClaimRecord, ControlSections} from '@gentianshunt/controlModel';
+import type {ClaimAnswer, EntryToControl} from '@gentianshunt/messages';
+
+/** Claims beyond this number are refused as `full`. */
+export const CLAIM_LIMIT = 100_000;
+/** Shortest wait before a refused claim is tried again, in milliseconds. */
+export const MIN_CLAIM_RETRY_MS = 1_000;
+
+type ClaimRequest = Extract<EntryToControl, {readonly kind: 'claimRequest'}>;
+type SettleRequest = Extract<EntryToControl, {readonly kind: 'settleRequest'}>;
+
+/** The sections that hold the claims. */
+export type ClaimBoard = Pick<
+  BoardView<ControlSections>,
+  'claims' | 'claimExpiry' | 'claimUsage'
+>;
+
+/** Finds the answer to a claim that needs no new log entry. */
+export function findClaimAnswer(
+  board: ClaimBoard,
+  request: ClaimRequest,
+  now: TurnTime,
+): ClaimAnswer | undefined {
+  const record = board.claims.get(formatClaimId(request.key));
+  if (record !== undefined) {
+    return toClaimAnswer(request, record);
+  }
+  if (board.claimUsage.claims < CLAIM_LIMIT) {
+    return undefined;
+  }
+  const expiresAtMs = board.claimExpiry.readFirst()?.key.expiresAtMs ?? 0;
+  const retryAfterMs = Math.max(
+    MIN_CLAIM_RETRY_MS,
+    expiresAtMs - now.wall.getTime(),
+  );
+  return {kind: 'full', retryAfterMs};
+}
+
+function toClaimAnswer(
+  request: ClaimRequest,
+  record: ClaimRecord,
+): ClaimAnswer {
+  if (record.digest !== request.digest) {
+    return {kind: 'digestMismatch'};
+  }
+  if (record.outcome !== null) {
+    return {kind: 'settled', outcome: record.outcome};
+  }
+  return record.request === request.request
+    ? {kind: 'granted'}
+    : {kind: 'running', node: record.node};
+}
+
+/** Tells whether the log already holds what a settlement reports. */
+export function isSettlementApplied(
+  board: Pick<ClaimBoard, 'claims'>,
+  request: SettleRequest,
+): boolean {
+  const record = board.claims.get(formatClaimId(request.key));
+  if (record === undefined || record.request !== request.request) {
+    return true;
+  }
+  const {outcome} = record;
+  return (
+    outcome !== null &&
+    (outcome.kind !== 'unknown' || request.outcome.kind === 'unknown')
+  );
+}
--- /dev/null
+++ b/control/entrySessions/src/controlQuery.ts
@@ -0,0 +1,97 @@
+import {iterateWhile} from '@gentianshunt/board';
+import type {BoardView} from '@gentianshunt/board';
+import type {CommandRecord, ControlSections} from '@gentianshunt/controlModel';
+import {assertNever} from '@gentianshunt/errors';
+import type {
+  CalendarMonth,
+  CommandNumber,
+  CommandSummary,
+  ControlQuery,
+  ControlQueryResult,
+  ServiceCount,
+} from '@gentianshunt/messages';
+import type {
+  OrganisationId,
+  RequestKindId,
+  TierId,
+} from '@gentianshunt/identifiers';
+
+/** Most commands or counts in one answer. */
+export const MAX_QUERY_ROWS = 10_000;
+
+/** The sections that queries read. */
+export type QueryBoard = Pick<
+  BoardView<ControlSections>,
+  'commands' | 'commandFloor' | 'nextCommand' | 'serviceCounts'
+>;
+
+/** Answers a query from the applied log. */
+export function answerControlQuery(
+  board: QueryBoard,
+  query: ControlQuery,
+): ControlQueryResult {
+  switch (query.kind) {
+    case 'counts':
+      return {kind: 'counts', counts: listCounts(board, query.month)};
+    case 'commands':
+      return {
+        kind: 'commands',
+        nextFree: board.nextCommand,
+        floor: board.commandFloor,
+        commands: listCommands(board, query.limit),
+      };
+    default:
+      return assertNever(query, 'answerControlQuery');
+  }
+}
+
+function listCounts(
+  board: QueryBoard,
+  month: CalendarMonth | null,
+): readonly ServiceCount[] {
+  const from = {
+    month: month ?? ('' as CalendarMonth),
+    tier: '' as TierId,
+    organisation: '' as OrganisationId,
+    kind: '' as RequestKindId,
+  };
+  const counts: ServiceCount[] = [];
+  const found = iterateWhile(
+    board.serviceCounts,
+    from,
+    key => month === null || key.month === month,
+  );
+  for (const {key, value} of found) {
+    if (counts.length === MAX_QUERY_ROWS) {
+      break;
+    }
+    counts.push({key, totals: value});
+  }
+  return counts;
+}
+
+/** Lists the latest commands; numbers may have gaps. */
+function listCommands(
+  board: QueryBoard,
+  limit: number,
+): readonly CommandSummary[] {
+  const size = Math.min(limit, MAX_QUERY_ROWS);
+  const all = Array.from(board.commands.iterateFrom(), ({key, value}) =>
+    toSummary(key, value),
+  );
+  return all.slice(Math.max(0, all.length - size)).reverse();
+}
+
+function toSummary(
+  number: CommandNumber,
+  record: CommandRecord,
+): CommandSummary {
+  const {operator, digest, answer} = record;
+  return {
+    number,
+    operator,
+    digest,
+    version: answer.kind === 'applied' ? answer.version : 0,
+    result: answer.kind === 'applied' ? answer.result.kind : 'refused',
+  };
+}
--- /dev/null
+++ b/control/entrySessions/src/pendingReplies.ts
@@ -0,0 +1,145 @@
+import type {BoardView, TurnTime} from '@gentianshunt/board';
+import type {Milliseconds} from '@gentianshunt/clock';
+import {findCommandAnswer, formatClaimId} from '@gentianshunt/controlModel';
+import type {
+  ControlSections,
+  PendingKey,
+  PendingReply,
+  PendingRequest,
+} from '@gentianshunt/controlModel';
+import {assertNever} from '@gentianshunt/errors';
+import type {ControlToEntry, EntryToControl} from '@gentianshunt/messages';
+import type {NodeId} from '@gentianshunt/identifiers';
+
+import {findClaimAnswer, isSettlementApplied} from './claimAnswers.js';
+import {readForceStatus} from './inForce.js';
+
+/** Time after which a payload that was not applied is proposed again. */
+export const REPROPOSE_MS: Milliseconds = 2_000;
+/** Time after which nobody waits for a reply any more. */
+export const PENDING_TIMEOUT_MS: Milliseconds = 15_000;
+
+/** The sections from which entries are answered. */
+export type ReplyBoard = Pick<
+  BoardView<ControlSections>,
+  | 'role'
+  | 'ballot'
+  | 'log'
+  | 'applied'
+  | 'commands'
+  | 'commandFloor'
+  | 'nextCommand'
+  | 'claims'
+  | 'claimExpiry'
+  | 'claimUsage'
+  | 'countMarks'
+  | 'sessions'
+  | 'sessionVersions'
+  | 'pending'
+>;
+
+/** Turns a message into what awaits a reply; others give `undefined`. */
+export function readPendingRequest(
+  from: NodeId,
+  message: EntryToControl,
+): PendingReply['request'] | undefined {
+  switch (message.kind) {
+    case 'commandRequest': {
+      const {correlation, command} = message;
+      return {kind: 'command', correlation, command};
+    }
+    case 'claimRequest':
+      return {kind: 'claim', claim: formatClaimId(message.key), message};
+    case 'settleRequest':
+      return {kind: 'settle', claim: formatClaimId(message.key), message};
+    case 'countReportRequest': {
+      const {incarnation, sequence} = message.report;
+      return {kind: 'counts', node: from, incarnation, sequence};
+    }
+    case 'commandStatusRequest': {
+      const {correlation, version} = message;
+      return {kind: 'force', correlation, version};
+    }
+    case 'entryHeartbeat':
+    case 'versionConfirmed':
+    case 'controlQueryRequest':
+      return undefined;
+    default:
+      return assertNever(message, 'readPendingRequest');
+  }
+}
+
+/** Makes the key under which a request awaits its reply. */
+export function formatPendingKey(request: PendingRequest): PendingKey {
+  switch (request.kind) {
+    case 'command':
+      return `command/${request.correlation}` as PendingKey;
+    case 'claim':
+      return `claim/${request.claim}/${request.message.request}` as PendingKey;
+    case 'settle':
+      return `settle/${request.claim}/${request.message.request}` as PendingKey;
+    case 'counts':
+      return `counts/${request.incarnation}` as PendingKey;
+    case 'force':
+      return `force/${request.correlation}` as PendingKey;
+    default:
+      return assertNever(request, 'formatPendingKey');
+  }
+}
+
+/** Tells whether a request was proposed too lately to propose it again. */
+export function isUnderWay(
+  board: Pick<ReplyBoard, 'pending'>,
+  request: PendingRequest,
+  now: TurnTime,
+): boolean {
+  const pending = board.pending.get(formatPendingKey(request));
+  return pending !== undefined && now.monotonic - pending.at < REPROPOSE_MS;
+}
+
+/** Finds the reply to a request as the applied log stands. */
+export function findReply(
+  board: ReplyBoard,
+  request: PendingRequest,
+  now: TurnTime,
+): ControlToEntry | undefined {
+  switch (request.kind) {
+    case 'command': {
+      const answer = findCommandAnswer(board, request.command);
+      const {correlation} = request;
+      return answer && {kind: 'commandReply', correlation, answer};
+    }
+    case 'claim': {
+      const answer = findClaimAnswer(board, request.message, now);
+      const {key, request: id} = request.message;
+      return answer && {kind: 'claimReply', key, request: id, answer};
+    }
+    case 'settle': {
+      const {key, request: id} = request.message;
+      return isCurrent(board) && isSettlementApplied(board, request.message)
+        ? {kind: 'settleReply', key, request: id}
+        : undefined;
+    }
+    case 'counts': {
+      const {node, incarnation, sequence} = request;
+      const mark = board.countMarks.get({node, incarnation});
+      return mark !== undefined && mark.sequence >= sequence
+        ? {kind: 'countReportReply', incarnation, sequence}
+        : undefined;
+    }
+    case 'force': {
+      const {correlation, version} = request;
+      const status = readForceStatus(board, version, now);
+      return status.isInForce
+        ? {kind: 'commandStatusReply', correlation, status}
+        : undefined;
+    }
+    default:
+      return assertNever(request, 'findReply');
+  }
+}
+
+/** A new leader may rely on what is absent once its own entry is applied. */
+function isCurrent(board: ReplyBoard): boolean {
+  return board.log.get(board.applied.index)?.term === board.ballot.term;
+}
--- a/control/entrySessions/src/proposalController.ts
+++ b/control/entrySessions/src/proposalController.ts
@@ -1,130 +1,224 @@
 import type {TurnTime, View} from '@gentianshunt/board';
-import {formatObjectKey, listObjects} from '@gentianshunt/configuration';
 import {defineControlController} from '@gentianshunt/controlModel';
 import type {
+  ClaimId,
   ControlController,
   ControlObservation,
   ControlSections,
-  ControlWrite,
 } from '@gentianshunt/controlModel';
 import type {EntryToControl, LogPayload} from '@gentianshunt/messages';
-import type {EndpointSetId, NodeId} from '@gentianshunt/identifiers';
+import type {
+  EndpointSetId,
+  IncarnationId,
+  NodeId,
+} from '@gentianshunt/identifiers';
+
+import {isSettled} from './leaderStatus.js';
+import {findReply, isUnderWay, readPendingRequest} from './pendingReplies.js';
+import type {ReplyBoard} from './pendingReplies.js';
 
 type ProposalReads =
-  'role' | 'configuration' | 'sessions' | 'pending' | 'proposals';
+  keyof ReplyBoard | 'runningClaims' | 'wantedAssignments' | 'proposals';
 type ProposalView = View<ControlSections, ProposalReads, ControlObservation>;
 
 /** Creates the controller that proposes payloads to the leader's log. */
 export function createProposalController(): ControlController {
   return defineControlController<ProposalReads, 'proposals'>({
     name: 'proposals',
-    reads: ['role', 'configuration', 'sessions', 'pending', 'proposals'],
+    reads: [
+      'role',
+      'ballot',
+      'log',
+      'applied',
+      'commands',
+      'commandFloor',
+      'nextCommand',
+      'claims',
+      'claimExpiry',
+      'claimUsage',
+      'countMarks',
+      'runningClaims',
+      'sessions',
+      'sessionVersions',
+      'pending',
+      'wantedAssignments',
+      'proposals',
+    ],
     writes: ['proposals'],
     observes: ['entryMessage', 'timerDue'],
     run: (view, now) => {
       if (view.board.role.kind !== 'leader') {
         return [];
       }
-      const proposals = listProposals(view, now);
-      return proposals.length === 0 ? [] : [setProposals(proposals)];
+      const value = [
+        ...proposeObserved(view, now),
+        ...proposeAssignments(view),
+      ];
+      return value.length === 0
+        ? []
+        : [{kind: 'set', section: 'proposals', value}];
     },
   });
 }
 
-function setProposals(value: readonly LogPayload[]): ControlWrite<'proposals'> {
-  return {kind: 'set', section: 'proposals', value};
+function proposeAssignments(view: ProposalView): readonly LogPayload[] {
+  return view.readChanges('wantedAssignments').size === 0
+    ? []
+    : view.board.wantedAssignments.map(({set, node}) => ({
+        kind: 'assignSetLeader',
+        set,
+        node,
+      }));
 }
 
-function listProposals(
+function proposeObserved(
   view: ProposalView,
   now: TurnTime,
 ): readonly LogPayload[] {
   const {observation} = view;
   switch (observation?.kind) {
     case 'entryMessage':
-      return proposeMessage(observation.from, observation.message, now);
+      return proposeMessage(view, observation.from, observation.message, now);
     case 'timerDue':
       return observation.timer.kind === 'sessions'
-        ? proposeSetLeaders(view, now)
+        ? [...proposeExpiry(view, now), ...proposeLosses(view, now)]
         : [];
     default:
       return [];
   }
 }
 
-/** Proposing twice is harmless: the state machine takes the first only. */
+/** Proposes what is neither in the log nor on its way there. */
 function proposeMessage(
+  view: ProposalView,
+  from: NodeId,
+  message: EntryToControl,
+  now: TurnTime,
+): readonly LogPayload[] {
+  if (message.kind === 'entryHeartbeat') {
+    return proposeLoss(view, message.entry.node, message.incarnation, now);
+  }
+  const request = readPendingRequest(from, message);
+  const isKnown =
+    request === undefined ||
+    isUnderWay(view.board, request, now) ||
+    findReply(view.board, request, now) !== undefined;
+  return isKnown ? [] : toPayloads(view, from, message, now);
+}
+
+function toPayloads(
+  view: ProposalView,
   from: NodeId,
   message: EntryToControl,
   now: TurnTime,
 ): readonly LogPayload[] {
+  const atMs = now.wall.getTime();
   switch (message.kind) {
-    case 'commandRequest':
-      return [{kind: 'command', command: message.command}];
-    case 'claimRequest':
-      return [
-        {
-          kind: 'claim',
-          key: message.key,
-          digest: message.digest,
-          node: from,
-          request: message.request,
-          atMs: now.wall.getTime(),
-        },
-      ];
-    case 'settleRequest':
+    case 'commandRequest': {
+      const setsInUse = listSetsInUse(view);
+      return [{kind: 'command', command: message.command, setsInUse}];
+    }
+    case 'claimRequest': {
+      const session = view.board.sessions.get(from);
+      if (session === undefined) {
+        return [];
+      }
+      const {key, digest, request} = message;
+      const {incarnation} = session;
       return [
-        {
-          kind: 'settleClaim',
-          key: message.key,
-          request: message.request,
-          outcome: message.outcome,
-        },
+        {kind: 'claim', key, digest, node: from, incarnation, request, atMs},
       ];
+    }
+    case 'settleRequest': {
+      const {key, request, outcome} = message;
+      return [{kind: 'settleClaim', key, request, outcome, atMs}];
+    }
+    case 'countReportRequest':
+      return [{kind: 'countReport', node: from, report: message.report, atMs}];
     default:
       return [];
   }
 }
 
-/** Gives each set without a live leader to the entry that leads fewest. */
-function proposeSetLeaders(
+function listSetsInUse(view: ProposalView): readonly EndpointSetId[] {
+  const sets = new Set<EndpointSetId>();
+  for (const session of view.board.sessions.values()) {
+    session.setsInUse.forEach(set => sets.add(set));
+  }
+  return [...sets];
+}
+
+function proposeExpiry(
   view: ProposalView,
   now: TurnTime,
 ): readonly LogPayload[] {
-  const {configuration, sessions} = view.board;
-  const led = new Map<NodeId, number>();
-  for (const session of sessions.values()) {
-    if (session.leaseUntil > now.monotonic && !session.draining) {
-      led.set(session.entry.node, 0);
-    }
+  const atMs = now.wall.getTime();
+  const first = view.board.claimExpiry.readFirst();
+  return first === undefined || first.key.expiresAtMs > atMs
+    ? []
+    : [{kind: 'expireClaims', atMs}];
+}
+
+/** Ends what an earlier incarnation of an entry left running. */
+function proposeLoss(
+  view: ProposalView,
+  node: NodeId,
+  keep: IncarnationId,
+  now: TurnTime,
+): readonly LogPayload[] {
+  const first = findRunning(view, node, '' as IncarnationId);
+  if (first === undefined) {
+    return [];
   }
-  const orphans: EndpointSetId[] = [];
-  for (const {id} of listObjects(configuration, 'endpointSet')) {
-    const leadership = configuration.get(formatObjectKey('setLeadership', id));
-    const node =
-      leadership?.kind === 'setLeadership' ? leadership.node : undefined;
-    if (node !== undefined && led.has(node)) {
-      led.set(node, led.get(node)! + 1);
-    } else {
-      orphans.push(id);
-    }
+  const afterKept = `${keep}\u0000` as IncarnationId;
+  const other = first === keep ? findRunning(view, node, afterKept) : first;
+  return other === undefined
+    ? []
+    : [{kind: 'loseClaims', node, keep, atMs: now.wall.getTime()}];
+}
+
+function findRunning(
+  view: ProposalView,
+  node: NodeId,
+  from: IncarnationId,
+): IncarnationId | undefined {
+  const key = {node, incarnation: from, claim: '' as ClaimId};
+  const [found] = view.board.runningClaims.iterateFrom(key);
+  return found?.key.node === node ? found.key.incarnation : undefined;
+}
+
+/** Ends the claims of entries that are gone; they may still report later. */
+function proposeLosses(
+  view: ProposalView,
+  now: TurnTime,
+): readonly LogPayload[] {
+  if (!isSettled(view.board.role, now)) {
+    return [];
   }
-  return orphans.flatMap(set => {
-    const node = pickLeastLoaded(led);
-    if (node === undefined) {
-      return [];
-    }
-    led.set(node, led.get(node)! + 1);
-    return [{kind: 'assignSetLeader', set, node} as const];
-  });
+  return listClaimingNodes(view)
+    .filter(node => !view.board.sessions.has(node))
+    .map(node => ({
+      kind: 'loseClaims',
+      node,
+      keep: null,
+      atMs: now.wall.getTime(),
+    }));
 }
 
-function pickLeastLoaded(led: ReadonlyMap<NodeId, number>): NodeId | undefined {
-  let best: NodeId | undefined;
-  for (const [node, count] of led) {
-    if (best === undefined || count < led.get(best)!) {
-      best = node;
+function listClaimingNodes(view: ProposalView): readonly NodeId[] {
+  const nodes: NodeId[] = [];
+  let from = '' as NodeId;
+  for (;;) {
+    const key = {
+      node: from,
+      incarnation: '' as IncarnationId,
+      claim: '' as ClaimId,
+    };
+    const [found] = view.board.runningClaims.iterateFrom(key);
+    if (found === undefined) {
+      return nodes;
     }
+    nodes.push(found.key.node);
+    from = `${found.key.node}\u0000` as NodeId;
   }
-  return best;
 }
--- a/control/entrySessions/src/replyController.ts
+++ b/control/entrySessions/src/replyController.ts
@@ -1,37 +1,27 @@
 import type {TurnTime, View} from '@gentianshunt/board';
-import {
-  defineControlController,
-  formatClaimId,
-  formatCommandKey,
-} from '@gentianshunt/controlModel';
+import {defineControlController} from '@gentianshunt/controlModel';
 import type {
-  ClaimId,
-  ClaimRecord,
   ControlController,
   ControlObservation,
   ControlSections,
   ControlWrite,
-  PendingKey,
   PendingReply,
 } from '@gentianshunt/controlModel';
-import {assertNever} from '@gentianshunt/errors';
-import type {
-  ClaimAnswer,
-  CommandAnswer,
-  ControlToEntry,
-  EntryToControl,
-  OperatorCommand,
-} from '@gentianshunt/messages';
-import type {NodeId, RequestId} from '@gentianshunt/identifiers';
+import type {ControlToEntry, EntryToControl} from '@gentianshunt/messages';
+import type {NodeId} from '@gentianshunt/identifiers';
 
-type ReplyReads =
-  | 'role'
-  | 'applied'
-  | 'commands'
-  | 'nextCommand'
-  | 'claims'
-  | 'sessions'
-  | 'pending';
+import {answerControlQuery} from './controlQuery.js';
+import {readForceStatus} from './inForce.js';
+import {
+  findReply,
+  formatPendingKey,
+  isUnderWay,
+  PENDING_TIMEOUT_MS,
+  readPendingRequest,
+} from './pendingReplies.js';
+import type {ReplyBoard} from './pendingReplies.js';
+
+type ReplyReads = keyof ReplyBoard | 'serviceCounts';
 type ReplyView = View<ControlSections, ReplyReads, ControlObservation>;
 type ReplyWrite = ControlWrite<'pending'>;
 
@@ -41,19 +31,27 @@
     name: 'replies',
     reads: [
       'role',
+      'ballot',
+      'log',
       'applied',
       'commands',
+      'commandFloor',
       'nextCommand',
       'claims',
+      'claimExpiry',
+      'claimUsage',
+      'countMarks',
+      'serviceCounts',
       'sessions',
+      'sessionVersions',
       'pending',
     ],
     writes: ['pending'],
-    observes: ['entryMessage'],
-    run: (view, now) => [
-      ...handleObservation(view, now),
-      ...answerPending(view),
-    ],
+    observes: ['entryMessage', 'timerDue'],
+    run: (view, now) =>
+      view.board.role.kind === 'leader'
+        ? [...handleObservation(view, now), ...answerPending(view, now)]
+        : dropAll(view),
   });
 }
 
@@ -61,18 +59,30 @@
   return {kind: 'order', order: {kind: 'sendEntry', to, message}};
 }
 
+/** Entries send their requests again to the next leader. */
+function dropAll(view: ReplyView): readonly ReplyWrite[] {
+  return Array.from(view.board.pending.keys(), key => ({
+    kind: 'delete',
+    section: 'pending',
+    key,
+  }));
+}
+
 function handleObservation(
   view: ReplyView,
   now: TurnTime,
 ): readonly ReplyWrite[] {
   const {observation} = view;
-  if (
-    observation?.kind !== 'entryMessage' ||
-    view.board.role.kind !== 'leader'
-  ) {
-    return [];
+  switch (observation?.kind) {
+    case 'entryMessage':
+      return handleMessage(view, observation.from, observation.message, now);
+    case 'timerDue':
+      return observation.timer.kind === 'sessions'
+        ? dropTimedOut(view, now)
+        : [];
+    default:
+      return [];
   }
-  return handleMessage(view, observation.from, observation.message, now);
 }
 
 function handleMessage(
@@ -81,165 +91,75 @@
   message: EntryToControl,
   now: TurnTime,
 ): readonly ReplyWrite[] {
-  switch (message.kind) {
-    case 'commandRequest':
-      return handleCommand(view, from, message.correlation, message.command);
-    case 'claimRequest':
-      return handleClaim(view, from, message);
-    case 'commandStatusRequest':
-      return answerStatus(view, from, message, now);
-    case 'entryHeartbeat':
-    case 'settleRequest':
-      return [];
-    default:
-      return assertNever(message, 'handleMessage');
+  if (message.kind === 'controlQueryRequest') {
+    const {correlation, query} = message;
+    const result = answerControlQuery(view.board, query);
+    return [send(from, {kind: 'controlQueryReply', correlation, result})];
   }
-}
-
-function handleCommand(
-  view: ReplyView,
-  from: NodeId,
-  correlation: RequestId,
-  command: OperatorCommand,
-): readonly ReplyWrite[] {
-  const answer = findCommandAnswer(view, command);
-  if (answer !== undefined) {
-    return [send(from, {kind: 'commandReply', correlation, answer})];
+  const request = readPendingRequest(from, message);
+  if (request === undefined) {
+    return [];
+  }
+  const reply = findReply(view.board, request, now);
+  if (reply !== undefined) {
+    return [send(from, reply)];
   }
+  const pending: PendingReply = {to: from, at: now.monotonic, request};
   return [
-    putPending(correlation as string as PendingKey, {
-      kind: 'command',
-      to: from,
-      correlation,
-      command,
-    }),
+    ...(isUnderWay(view.board, request, now) ? [] : [putPending(pending)]),
+    ...sendProgress(view, pending, now),
   ];
 }
 
-function putPending(key: PendingKey, value: PendingReply): ReplyWrite {
+function putPending(value: PendingReply): ReplyWrite {
+  const key = formatPendingKey(value.request);
   return {kind: 'put', section: 'pending', key, value};
 }
 
-function findCommandAnswer(
+/** Tells an operator at once which entries are awaited. */
+function sendProgress(
   view: ReplyView,
-  command: OperatorCommand,
-): CommandAnswer | undefined {
-  const {number, operator, digest} = command;
-  const record = view.board.commands.get(formatCommandKey(number));
-  if (record === undefined) {
-    return undefined;
-  }
-  if (record.operator === operator && record.digest === digest) {
-    return record.answer;
-  }
-  return {
-    kind: 'numberTaken',
-    number,
-    winner: record.operator,
-    winnerDigest: record.digest,
-    nextFree: view.board.nextCommand,
-  };
-}
-
-function handleClaim(
-  view: ReplyView,
-  from: NodeId,
-  message: Extract<EntryToControl, {readonly kind: 'claimRequest'}>,
+  pending: PendingReply,
+  now: TurnTime,
 ): readonly ReplyWrite[] {
-  const claim = formatClaimId(message.key);
-  const record = view.board.claims.get(claim);
-  if (record !== undefined) {
-    return [sendClaimReply(from, message, record)];
+  const {to, request} = pending;
+  if (request.kind !== 'force') {
+    return [];
   }
-  const key = `${claim}/${message.request}` as PendingKey;
-  return [putPending(key, {kind: 'claim', to: from, claim, request: message})];
+  const {correlation, version} = request;
+  const status = readForceStatus(view.board, version, now);
+  return [send(to, {kind: 'commandStatusReply', correlation, status})];
 }
 
-function sendClaimReply(
-  to: NodeId,
-  request: Extract<EntryToControl, {readonly kind: 'claimRequest'}>,
-  record: ClaimRecord,
-): ReplyWrite {
-  return send(to, {
-    kind: 'claimReply',
-    key: request.key,
-    request: request.request,
-    answer: toClaimAnswer(request, record),
-  });
-}
-
-function toClaimAnswer(
-  request: Extract<EntryToControl, {readonly kind: 'claimRequest'}>,
-  record: ClaimRecord,
-): ClaimAnswer {
-  if (record.digest !== request.digest) {
-    return {kind: 'digestMismatch'};
-  }
-  if (record.outcome !== null) {
-    return {kind: 'settled', outcome: record.outcome};
+function dropTimedOut(view: ReplyView, now: TurnTime): readonly ReplyWrite[] {
+  const writes: ReplyWrite[] = [];
+  for (const [key, pending] of view.board.pending) {
+    if (now.monotonic - pending.at > PENDING_TIMEOUT_MS) {
+      writes.push({kind: 'delete', section: 'pending', key});
+    }
   }
-  return record.request === request.request
-    ? {kind: 'granted'}
-    : {kind: 'running', node: record.node};
+  return writes;
 }
 
-/** Answers the requests that the log has applied by now. */
-function answerPending(view: ReplyView): readonly ReplyWrite[] {
-  if (view.readChanges('applied').size === 0) {
+/** Answers what the log has applied or the entries confirmed by now. */
+function answerPending(view: ReplyView, now: TurnTime): readonly ReplyWrite[] {
+  const isDue =
+    view.readChanges('applied').size > 0 ||
+    view.readChanges('sessionVersions').size > 0 ||
+    view.observation?.kind === 'timerDue';
+  if (!isDue) {
     return [];
   }
   const writes: ReplyWrite[] = [];
   for (const [key, pending] of view.board.pending) {
-    const answer = findAnswer(view, pending);
-    if (answer !== undefined) {
-      writes.push(answer, {kind: 'delete', section: 'pending', key});
+    const reply = findReply(view.board, pending.request, now);
+    if (reply !== undefined) {
+      writes.push(send(pending.to, reply), {
+        kind: 'delete',
+        section: 'pending',
+        key,
+      });
     }
   }
   return writes;
 }
-
-function findAnswer(
-  view: ReplyView,
-  pending: PendingReply,
-): ReplyWrite | undefined {
-  switch (pending.kind) {
-    case 'command': {
-      const answer = findCommandAnswer(view, pending.command);
-      const {correlation} = pending;
-      return answer === undefined
-        ? undefined
-        : send(pending.to, {kind: 'commandReply', correlation, answer});
-    }
-    case 'claim': {
-      const record = view.board.claims.get(pending.claim as ClaimId);
-      return record === undefined
-        ? undefined
-        : sendClaimReply(pending.to, pending.request, record);
-    }
-    default:
-      return assertNever(pending, 'findAnswer');
-  }
-}
-
-/** Lists the entries that may still act on an older version. */
-function answerStatus(
-  view: ReplyView,
-  from: NodeId,
-  message: Extract<EntryToControl, {readonly kind: 'commandStatusRequest'}>,
-  now: TurnTime,
-): readonly ReplyWrite[] {
-  const unconfirmed = [...view.board.sessions.values()]
-    .filter(
-      session =>
-        session.version < message.version && session.leaseUntil > now.monotonic,
-    )
-    .map(session => session.entry.node);
-  return [
-    send(from, {
-      kind: 'commandStatusReply',
-      correlation: message.correlation,
-      version: message.version,
-      unconfirmed,
-    }),
-  ];
-}
--- a/control/entrySessions/src/sessionController.ts
+++ b/control/entrySessions/src/sessionController.ts
@@ -1,54 +1,64 @@
-import type {TurnTime, View} from '@gentianshunt/board';
+import {iterateWhile} from '@gentianshunt/board';
+import type {TurnTime} from '@gentianshunt/board';
 import type {Milliseconds} from '@gentianshunt/clock';
-import type {ConfigurationChange} from '@gentianshunt/configuration';
 import {defineControlController} from '@gentianshunt/controlModel';
-import type {
-  ControlController,
-  ControlObservation,
-  ControlSections,
-  ControlWrite,
-  EntrySession,
-} from '@gentianshunt/controlModel';
+import type {ControlController, EntrySession} from '@gentianshunt/controlModel';
 import type {
   ConfigurationVersion,
   ControlToEntry,
-  EntryDirectory,
+  DirectoryUpdate,
+  DirectoryVersion,
   EntryToControl,
 } from '@gentianshunt/messages';
 import type {NodeId} from '@gentianshunt/identifiers';
 
-/** Lifetime of an entry's configuration lease. */
-export const ENTRY_LEASE_MS: Milliseconds = 3_000;
+import {createDelta} from './configurationDelta.js';
+import type {ConfigurationDelta} from './configurationDelta.js';
+import {
+  createDirectoryUpdate,
+  MAX_DIRECTORY_HISTORY,
+  toDirectoryEntry,
+} from './directoryDelta.js';
+import type {DirectoryStep} from './directoryDelta.js';
+import {ENTRY_LEASE_MS, isSettled} from './leaderStatus.js';
+import {removeSession, replaceSession, send} from './sessionWrites.js';
+import type {
+  SessionReads,
+  SessionView,
+  SessionWrite,
+  SessionWrites,
+} from './sessionWrites.js';
+
 /** Time between two looks at the entries' leases. */
 export const SESSION_INTERVAL_MS: Milliseconds = 250;
 
-type SessionReads =
-  | 'identity'
-  | 'role'
-  | 'applied'
-  | 'configuration'
-  | 'history'
-  | 'sessions'
-  | 'directory';
-type SessionWrites = 'sessions' | 'directory';
-type SessionView = View<ControlSections, SessionReads, ControlObservation>;
-type SessionWrite = ControlWrite<SessionWrites>;
 type Heartbeat = Extract<EntryToControl, {readonly kind: 'entryHeartbeat'}>;
+type Confirmation = Extract<
+  EntryToControl,
+  {readonly kind: 'versionConfirmed'}
+>;
+
+const SESSION_SECTIONS = [
+  'sessions',
+  'sessionVersions',
+  'sessionLeases',
+  'directory',
+  'directoryHistory',
+] as const satisfies readonly SessionWrites[];
 
 /** Creates the controller that holds the entries' leases. */
 export function createSessionController(): ControlController {
   return defineControlController<SessionReads, SessionWrites>({
     name: 'sessions',
     reads: [
-      'identity',
       'role',
+      'ballot',
       'applied',
       'configuration',
       'history',
-      'sessions',
-      'directory',
+      ...SESSION_SECTIONS,
     ],
-    writes: ['sessions', 'directory'],
+    writes: SESSION_SECTIONS,
     observes: ['started', 'entryMessage', 'timerDue'],
     run: (view, now) => [
       ...handleObservation(view, now),
@@ -71,7 +81,7 @@
         : [];
     case 'entryMessage':
       return view.board.role.kind === 'leader'
-        ? handleLeaderMessage(view, observation.message, now)
+        ? handleLeaderMessage(view, observation.from, observation.message, now)
         : redirect(view, observation.from, observation.message);
     default:
       return [];
@@ -89,10 +99,6 @@
   };
 }
 
-function send(to: NodeId, message: ControlToEntry): SessionWrite {
-  return {kind: 'order', order: {kind: 'sendEntry', to, message}};
-}
-
 /** Tells an entry which daemon leads. */
 function redirect(
   view: SessionView,
@@ -107,12 +113,18 @@
 
 function handleLeaderMessage(
   view: SessionView,
+  from: NodeId,
   message: EntryToControl,
   now: TurnTime,
 ): readonly SessionWrite[] {
-  return message.kind === 'entryHeartbeat'
-    ? renewSession(view, message, now)
-    : [];
+  switch (message.kind) {
+    case 'entryHeartbeat':
+      return renewSession(view, message, now);
+    case 'versionConfirmed':
+      return confirmVersion(view, from, message);
+    default:
+      return [];
+  }
 }
 
 function renewSession(
@@ -120,139 +132,192 @@
   heartbeat: Heartbeat,
   now: TurnTime,
 ): readonly SessionWrite[] {
-  const {node} = heartbeat.entry;
-  const known = view.board.sessions.get(node);
+  const {entry, incarnation, draining, version, setsInUse} = heartbeat;
+  const known = view.board.sessions.get(entry.node);
   const session: EntrySession = {
-    entry: heartbeat.entry,
-    draining: heartbeat.draining,
-    version: heartbeat.version,
+    entry,
+    incarnation,
+    draining,
+    version,
+    pushed: Math.max(version, view.board.applied.version),
     directoryVersion: heartbeat.directoryVersion,
     leaseUntil: now.monotonic + ENTRY_LEASE_MS,
+    setsInUse,
   };
-  const isListed = known !== undefined && known.draining === heartbeat.draining;
-  const directory = isListed
-    ? view.board.directory
-    : createDirectory(view, [...listOthers(view, node), session]);
+  const step = isListed(known, session)
+    ? null
+    : createStep(view, view.board.directory, {
+        kind: 'put',
+        entry: toDirectoryEntry(session),
+      });
+  const directory = createDirectoryUpdate({
+    board: view.board,
+    held: heartbeat.directoryVersion,
+    latest: step,
+    isSettled: isSettled(view.board.role, now),
+  });
+  const update = createUpdate(
+    view,
+    createDelta(view.board, version),
+    heartbeat.sequence,
+    directory,
+  );
   return [
-    {kind: 'put', section: 'sessions', key: node, value: session},
-    ...(isListed ? [] : [setDirectory(directory)]),
-    send(node, createUpdate(view, session, directory, heartbeat.sequence)),
+    ...replaceSession(known, session),
+    ...(step === null ? [] : writeStep(view, view.board.directory, step)),
+    send(entry.node, update),
   ];
 }
 
-function listOthers(view: SessionView, node: NodeId): readonly EntrySession[] {
-  return [...view.board.sessions.values()].filter(
-    session => session.entry.node !== node,
+function isListed(
+  known: EntrySession | undefined,
+  session: EntrySession,
+): boolean {
+  return (
+    known !== undefined &&
+    known.draining === session.draining &&
+    known.incarnation === session.incarnation
   );
 }
 
-function createDirectory(
+/** Counts a change of the directory; each term of a leader counts anew. */
+function createStep(
   view: SessionView,
-  sessions: readonly EntrySession[],
-): EntryDirectory {
-  return {
-    version: view.board.directory.version + 1,
-    entries: sessions.map(({entry, draining}) => ({address: entry, draining})),
-  };
+  previous: DirectoryVersion,
+  change: DirectoryStep['change'],
+): DirectoryStep {
+  const {term} = view.board.ballot;
+  const number = previous.term === term ? previous.number + 1 : 1;
+  return {version: {term, number}, change};
 }
 
-function setDirectory(value: EntryDirectory): SessionWrite {
-  return {kind: 'set', section: 'directory', value};
+function writeStep(
+  view: SessionView,
+  previous: DirectoryVersion,
+  step: DirectoryStep,
+): readonly SessionWrite[] {
+  const {version, change} = step;
+  const stale =
+    previous.term === version.term
+      ? [version.number - MAX_DIRECTORY_HISTORY].filter(number => number > 0)
+      : Array.from(view.board.directoryHistory.iterateFrom(), ({key}) => key);
+  return [
+    ...stale.map((key): SessionWrite => ({
+      kind: 'delete',
+      section: 'directoryHistory',
+      key,
+    })),
+    {kind: 'set', section: 'directory', value: version},
+    {
+      kind: 'put',
+      section: 'directoryHistory',
+      key: version.number,
+      value: change,
+    },
+  ];
 }
 
 function createUpdate(
   view: SessionView,
-  session: EntrySession,
-  directory: EntryDirectory,
+  delta: ConfigurationDelta,
   sequence: number | null,
+  directory: DirectoryUpdate | null,
 ): ControlToEntry {
-  const {version} = view.board.applied;
-  const delta = listDelta(view, session.version);
   return {
     kind: 'configurationUpdate',
     sequence,
-    fromVersion: delta === undefined ? 0 : session.version,
-    version,
-    changes: delta ?? listAll(view),
-    directory:
-      session.directoryVersion === directory.version ? null : directory,
+    fromVersion: delta.fromVersion,
+    version: view.board.applied.version,
+    changes: delta.changes,
+    directory,
     leaseMs: ENTRY_LEASE_MS,
   };
 }
 
-/** Lists the changes since a version, if all of them are still kept. */
-function listDelta(
+/** Takes a confirmation and sends what was committed meanwhile. */
+function confirmVersion(
   view: SessionView,
-  version: ConfigurationVersion,
-): readonly ConfigurationChange[] | undefined {
-  const {history, applied} = view.board;
-  if (version === applied.version) {
+  from: NodeId,
+  message: Confirmation,
+): readonly SessionWrite[] {
+  const known = view.board.sessions.get(from);
+  if (known === undefined || message.version <= known.version) {
     return [];
   }
-  if (version === 0 || !history.has(version)) {
-    return undefined;
+  const {version, directoryVersion} = message;
+  const latest = view.board.applied.version;
+  const confirmed = {...known, version, directoryVersion};
+  if (version >= latest) {
+    return replaceSession(known, confirmed);
   }
-  const changes: ConfigurationChange[] = [];
-  for (const {value} of history.iterateFrom(version + 1)) {
-    changes.push(...value);
-  }
-  return changes;
-}
-
-function listAll(view: SessionView): readonly ConfigurationChange[] {
-  return [...view.board.configuration.values()].map(object => ({
-    kind: 'put',
-    object,
-  }));
+  const delta = createDelta(view.board, version);
+  return [
+    ...replaceSession(known, {...confirmed, pushed: latest}),
+    send(from, createUpdate(view, delta, null, null)),
+  ];
 }
 
-/** Sends new changes to every entry without waiting for its heartbeat. */
+/**
+ * Sends new changes without waiting for heartbeats. An entry that has not
+ * confirmed the previous push gets the rest when it does.
+ */
 function pushChanges(
   view: SessionView,
   now: TurnTime,
 ): readonly SessionWrite[] {
-  const {role, applied, sessions, directory} = view.board;
+  const {role, applied, sessions, sessionVersions} = view.board;
   const isChanged = view.readChanges('applied').size > 0;
   if (!isChanged || role.kind !== 'leader') {
     return [];
   }
-  return [...sessions.values()]
-    .filter(
-      session =>
-        session.version < applied.version && session.leaseUntil > now.monotonic,
-    )
-    .map(session =>
-      send(session.entry.node, createUpdate(view, session, directory, null)),
+  const deltas = new Map<ConfigurationVersion, ConfigurationDelta>();
+  const writes: SessionWrite[] = [];
+  const from = {version: 0, node: '' as NodeId};
+  const behind = iterateWhile(
+    sessionVersions,
+    from,
+    key => key.version < applied.version,
+  );
+  for (const {key} of behind) {
+    const session = sessions.get(key.node)!;
+    const isAwaited = session.pushed > session.version;
+    if (isAwaited || session.leaseUntil <= now.monotonic) {
+      continue;
+    }
+    const delta =
+      deltas.get(key.version) ?? createDelta(view.board, key.version);
+    deltas.set(key.version, delta);
+    writes.push(
+      ...replaceSession(session, {...session, pushed: applied.version}),
+      send(key.node, createUpdate(view, delta, null, null)),
     );
+  }
+  return writes;
 }
 
+/** Ends the sessions whose lease ran out, or all when another daemon leads. */
 function expireSessions(
   view: SessionView,
   now: TurnTime,
 ): readonly SessionWrite[] {
-  const {role, sessions} = view.board;
+  const {role, sessions, sessionLeases} = view.board;
   if (role.kind !== 'leader') {
-    return [...sessions.keys()].map(key => ({
-      kind: 'delete',
-      section: 'sessions',
-      key,
-    }));
+    return [...sessions.values()].flatMap(removeSession);
   }
-  const live = [...sessions.values()].filter(
-    session => session.leaseUntil > now.monotonic,
+  const ended = iterateWhile(
+    sessionLeases,
+    {leaseUntil: Number.NEGATIVE_INFINITY, node: '' as NodeId},
+    key => key.leaseUntil <= now.monotonic,
   );
-  if (live.length === sessions.size) {
-    return [];
+  const writes: SessionWrite[] = [];
+  let previous = view.board.directory;
+  for (const {key} of ended) {
+    const step = createStep(view, previous, {kind: 'remove', node: key.node});
+    writes.push(
+      ...removeSession(sessions.get(key.node)!),
+      ...writeStep(view, previous, step),
+    );
+    previous = step.version;
   }
-  const gone = [...sessions.values()].filter(
-    session => session.leaseUntil <= now.monotonic,
-  );
-  return [
-    ...gone.map((session): SessionWrite => ({
-      kind: 'delete',
-      section: 'sessions',
-      key: session.entry.node,
-    })),
-    setDirectory(createDirectory(view, live)),
-  ];
+  return writes;
 }
--- /dev/null
+++ b/control/entrySessions/src/sessionWrites.ts
@@ -0,0 +1,87 @@
+import type {
+  ControlSections,
+  ControlObservation,
+  ControlWrite,
+  EntrySession,
+} from '@gentianshunt/controlModel';
+import type {View} from '@gentianshunt/board';
+import type {ControlToEntry} from '@gentianshunt/messages';
+import type {NodeId} from '@gentianshunt/identifiers';
+
+/** The sections that the session controller reads. */
+export type SessionReads =
+  'role' | 'ballot' | 'applied' | 'configuration' | 'history' | SessionWrites;
+/** The sections that the session controller writes. */
+export type SessionWrites =
+  | 'sessions'
+  | 'sessionVersions'
+  | 'sessionLeases'
+  | 'directory'
+  | 'directoryHistory';
+/** What the session controller reads of the board. */
+export type SessionView = View<
+  ControlSections,
+  SessionReads,
+  ControlObservation
+>;
+/** A write of the session controller. */
+export type SessionWrite = ControlWrite<SessionWrites>;
+
+/** Sends a message to an entry. */
+export function send(to: NodeId, message: ControlToEntry): SessionWrite {
+  return {kind: 'order', order: {kind: 'sendEntry', to, message}};
+}
+
+/** Replaces a session and its places in the indexes. */
+export function replaceSession(
+  known: EntrySession | undefined,
+  next: EntrySession,
+): readonly SessionWrite[] {
+  const {node} = next.entry;
+  return [
+    {kind: 'put', section: 'sessions', key: node, value: next},
+    ...(known?.version === next.version
+      ? []
+      : [...dropVersion(known), putVersion(next)]),
+    ...(known?.leaseUntil === next.leaseUntil
+      ? []
+      : [...dropLease(known), putLease(next)]),
+  ];
+}
+
+/** Removes a session and its places in the indexes. */
+export function removeSession(known: EntrySession): readonly SessionWrite[] {
+  return [
+    ...dropVersion(known),
+    ...dropLease(known),
+    {kind: 'delete', section: 'sessions', key: known.entry.node},
+  ];
+}
+
+function putVersion({entry, version}: EntrySession): SessionWrite {
+  const key = {version, node: entry.node};
+  return {kind: 'put', section: 'sessionVersions', key, value: true};
+}
+
+function putLease({entry, leaseUntil}: EntrySession): SessionWrite {
+  const key = {leaseUntil, node: entry.node};
+  return {kind: 'put', section: 'sessionLeases', key, value: true};
+}
+
+function dropVersion(
+  session: EntrySession | undefined,
+): readonly SessionWrite[] {
+  if (session === undefined) {
+    return [];
+  }
+  const key = {version: session.version, node: session.entry.node};
+  return [{kind: 'delete', section: 'sessionVersions', key}];
+}
+
+function dropLease(session: EntrySession | undefined): readonly SessionWrite[] {
+  if (session === undefined) {
+    return [];
+  }
+  const key = {leaseUntil: session.leaseUntil, node: session.entry.node};
+  return [{kind: 'delete', section: 'sessionLeases', key}];
+}
--- a/control/messages/src/controlMessage.ts
+++ b/control/messages/src/controlMessage.ts
@@ -3,9 +3,12 @@
   ConfigurationChange,
 } from '@gentianshunt/configuration';
 import type {
+  EndpointSetId,
   FailureDomainId,
+  IncarnationId,
   NodeId,
   OperatorId,
+  RegionId,
   RequestId,
 } from '@gentianshunt/identifiers';
 
@@ -15,7 +18,9 @@
   CommandNumber,
   LogIndex,
   OperatorCommand,
+  Term,
 } from './logEntry.js';
+import type {CalendarMonth, CountReport, ServiceCount} from './serviceCount.js';
 
 /** An address of a daemon: IP number and port. */
 export interface NetworkAddress {
@@ -26,6 +31,7 @@
 /** How callers and other daemons reach an entry. */
 export interface EntryAddress {
   readonly node: NodeId;
+  readonly region: RegionId;
   readonly domain: FailureDomainId;
   readonly peer: NetworkAddress;
   readonly http: NetworkAddress;
@@ -55,8 +61,50 @@
       readonly kind: 'numberForgotten';
       readonly number: CommandNumber;
       readonly nextFree: CommandNumber;
+    }
+  | {
+      /** The number lies too far above those in use; nothing was run. */
+      readonly kind: 'numberTooHigh';
+      readonly number: CommandNumber;
+      readonly nextFree: CommandNumber;
     };
 
+/** A remembered command, as a query shows it. */
+export interface CommandSummary {
+  readonly number: CommandNumber;
+  readonly operator: OperatorId;
+  readonly digest: string;
+  readonly version: ConfigurationVersion;
+  readonly result: BatchResult['kind'];
+}
+
+/** A question that only the leading control daemon can answer. */
+export type ControlQuery =
+  | {readonly kind: 'counts'; readonly month: CalendarMonth | null}
+  | {readonly kind: 'commands'; readonly limit: number};
+
+/** What the leading control daemon answers to a query. */
+export type ControlQueryResult =
+  | {readonly kind: 'counts'; readonly counts: readonly ServiceCount[]}
+  | {
+      readonly kind: 'commands';
+      readonly nextFree: CommandNumber;
+      /** Numbers below it are refused. */
+      readonly floor: CommandNumber;
+      /** The latest commands, highest number first. */
+      readonly commands: readonly CommandSummary[];
+    };
+
+/** Whether an accepted version is in force on every entry. */
+export interface ForceStatus {
+  readonly version: ConfigurationVersion;
+  readonly isInForce: boolean;
+  /** Entries with a live lease that have not confirmed the version. */
+  readonly unconfirmed: readonly NodeId[];
+  /** Time for leases of an earlier leader to run out, if any may live. */
+  readonly settlingMs: number;
+}
+
 /** The answer to a claim on an idempotency key. */
 export type ClaimAnswer =
   | {readonly kind: 'granted'}
@@ -70,12 +118,27 @@
   | {
       readonly kind: 'entryHeartbeat';
       readonly entry: EntryAddress;
+      readonly incarnation: IncarnationId;
       /** Tells apart the heartbeats of one entry; the reply repeats it. */
       readonly sequence: number;
       readonly version: ConfigurationVersion;
       /** Version of the directory the entry holds. */
-      readonly directoryVersion: number;
+      readonly directoryVersion: DirectoryVersion;
       readonly draining: boolean;
+      /** Sets led by the entry that have endpoints. */
+      readonly setsInUse: readonly EndpointSetId[];
+    }
+  | {
+      /** Sent at once when a pushed update was applied. */
+      readonly kind: 'versionConfirmed';
+      readonly version: ConfigurationVersion;
+      readonly directoryVersion: DirectoryVersion;
+    }
+  | {readonly kind: 'countReportRequest'; readonly report: CountReport}
+  | {
+      readonly kind: 'controlQueryRequest';
+      readonly correlation: RequestId;
+      readonly query: ControlQuery;
     }
   | {
       readonly kind: 'commandRequest';
@@ -110,7 +173,7 @@
       readonly fromVersion: ConfigurationVersion;
       readonly version: ConfigurationVersion;
       readonly changes: readonly ConfigurationChange[];
-      readonly directory: EntryDirectory | null;
+      readonly directory: DirectoryUpdate | null;
       /** Lifetime of the lease from the sending of the heartbeat. */
       readonly leaseMs: number;
     }
@@ -127,9 +190,17 @@
   | {
       readonly kind: 'commandStatusReply';
       readonly correlation: RequestId;
-      readonly version: ConfigurationVersion;
-      /** Entries whose live lease has not confirmed the version. */
-      readonly unconfirmed: readonly NodeId[];
+      readonly status: ForceStatus;
+    }
+  | {
+      readonly kind: 'countReportReply';
+      readonly incarnation: IncarnationId;
+      readonly sequence: number;
+    }
+  | {
+      readonly kind: 'controlQueryReply';
+      readonly correlation: RequestId;
+      readonly result: ControlQueryResult;
     }
   | {
       readonly kind: 'claimReply';
@@ -149,8 +220,32 @@
   readonly draining: boolean;
 }
 
+/** Orders directories: those of a later leader replace earlier ones. */
+export interface DirectoryVersion {
+  readonly term: Term;
+  readonly number: number;
+}
+
 /** The entries that hold a lease, with a version that rises. */
 export interface EntryDirectory {
-  readonly version: number;
+  readonly version: DirectoryVersion;
   readonly entries: readonly DirectoryEntry[];
 }
+
+/** One step between two versions of the directory. */
+export type DirectoryChange =
+  | {readonly kind: 'put'; readonly entry: DirectoryEntry}
+  | {readonly kind: 'remove'; readonly node: NodeId};
+
+/** Brings an entry's directory to a version. */
+export type DirectoryUpdate =
+  | {readonly kind: 'replace'; readonly directory: EntryDirectory}
+  | {
+      readonly kind: 'delta';
+      readonly from: DirectoryVersion;
+      readonly version: DirectoryVersion;
+      readonly changes: readonly DirectoryChange[];
+    };
+
+/** Version of a directory that was never received. */
+export const NO_DIRECTORY_VERSION: DirectoryVersion = {term: 0, number: 0};
--- a/control/messages/src/logEntry.ts
+++ b/control/messages/src/logEntry.ts
@@ -1,12 +1,15 @@
 import type {ObjectCommand} from '@gentianshunt/configuration';
 import type {
   EndpointSetId,
+  IncarnationId,
   NodeId,
   OperatorId,
   OrganisationId,
   RequestId,
 } from '@gentianshunt/identifiers';
 
+import type {CountReport} from './serviceCount.js';
+
 /** Names one operator command in the whole deployment. */
 export type CommandNumber = number;
 
@@ -41,7 +44,12 @@
 /** What the replicated log carries. */
 export type LogPayload =
   | {readonly kind: 'noop'}
-  | {readonly kind: 'command'; readonly command: OperatorCommand}
+  | {
+      readonly kind: 'command';
+      readonly command: OperatorCommand;
+      /** Sets that have endpoints, as the proposer's sessions report them. */
+      readonly setsInUse: readonly EndpointSetId[];
+    }
   | {
       readonly kind: 'assignSetLeader';
       readonly set: EndpointSetId;
@@ -53,6 +61,7 @@
       /** Digest of the request, which tells a resend from a reused key. */
       readonly digest: string;
       readonly node: NodeId;
+      readonly incarnation: IncarnationId;
       readonly request: RequestId;
       /** Time of day at the proposer, in milliseconds since the epoch. */
       readonly atMs: number;
@@ -62,6 +71,22 @@
       readonly key: ClaimKey;
       readonly request: RequestId;
       readonly outcome: ClaimOutcome;
+      readonly atMs: number;
+    }
+  | {
+      /** Ends the running claims of an entry's earlier incarnations. */
+      readonly kind: 'loseClaims';
+      readonly node: NodeId;
+      /** The incarnation whose claims stay; `null` ends them all. */
+      readonly keep: IncarnationId | null;
+      readonly atMs: number;
+    }
+  | {readonly kind: 'expireClaims'; readonly atMs: number}
+  | {
+      readonly kind: 'countReport';
+      readonly node: NodeId;
+      readonly report: CountReport;
+      readonly atMs: number;
     };
 
 /** Term of a leader of the control log. */
--- /dev/null
+++ b/control/stateMachine/src/configurationDraft.ts
@@ -0,0 +1,102 @@
+import {
+  createMapDraft,
+  createOrderedDraft,
+  iterateWhile,
+} from '@gentianshunt/board';
+import type {MapDraft, OrderedDraft} from '@gentianshunt/board';
+import {formatObjectKey, listReferences} from '@gentianshunt/configuration';
+import type {
+  ConfigurationChange,
+  ConfigurationLookup,
+  ConfigurationObject,
+  ObjectKey,
+} from '@gentianshunt/configuration';
+import {compareKinds, compareReferences} from '@gentianshunt/controlModel';
+import type {KindKey, ReferenceKey} from '@gentianshunt/controlModel';
+import {assertNever} from '@gentianshunt/errors';
+
+import type {StateView, StateWrite} from './stateDraft.js';
+
+/** The configuration and its indexes as one run changes them. */
+export interface ConfigurationDraft extends ConfigurationLookup {
+  change(change: ConfigurationChange): void;
+  listWrites(): readonly StateWrite[];
+}
+
+interface Drafts {
+  readonly objects: MapDraft<ObjectKey, ConfigurationObject>;
+  readonly kinds: OrderedDraft<KindKey, true>;
+  readonly references: OrderedDraft<ReferenceKey, true>;
+}
+
+/** Creates a draft without changes. */
+export function createConfigurationDraft(
+  board: StateView['board'],
+): ConfigurationDraft {
+  const drafts: Drafts = {
+    objects: createMapDraft(board.configuration),
+    kinds: createOrderedDraft({
+      view: board.objectKinds,
+      compare: compareKinds,
+    }),
+    references: createOrderedDraft({
+      view: board.references,
+      compare: compareReferences,
+    }),
+  };
+  return {
+    get: drafts.objects.get,
+    listKind: kind => {
+      const from = {kind, object: '' as ObjectKey};
+      const found = iterateWhile(drafts.kinds, from, key => key.kind === kind);
+      return Array.from(found, ({key}) => key.object);
+    },
+    listReferrers: to => {
+      const from = {to, from: '' as ObjectKey};
+      const found = iterateWhile(drafts.references, from, key => key.to === to);
+      return Array.from(found, ({key}) => key.from);
+    },
+    change: change => applyChange(drafts, change),
+    listWrites: () => [
+      ...drafts.objects.listWrites('configuration' as const),
+      ...drafts.kinds.listWrites('objectKinds' as const),
+      ...drafts.references.listWrites('references' as const),
+    ],
+  };
+}
+
+function applyChange(drafts: Drafts, change: ConfigurationChange): void {
+  switch (change.kind) {
+    case 'put':
+      putObject(drafts, change.object);
+      return;
+    case 'delete':
+      removeObject(drafts, change.key);
+      drafts.objects.delete(change.key);
+      return;
+    default:
+      assertNever(change, 'applyChange');
+  }
+}
+
+function putObject(drafts: Drafts, object: ConfigurationObject): void {
+  const key = formatObjectKey(object.kind, object.id);
+  removeObject(drafts, key);
+  drafts.objects.put(key, object);
+  drafts.kinds.put({kind: object.kind, object: key}, true);
+  for (const to of listReferences(object)) {
+    drafts.references.put({to, from: key}, true);
+  }
+}
+
+/** Takes an object out of the indexes. */
+function removeObject(drafts: Drafts, key: ObjectKey): void {
+  const object = drafts.objects.get(key);
+  if (object === undefined) {
+    return;
+  }
+  drafts.kinds.delete({kind: object.kind, object: key});
+  for (const to of listReferences(object)) {
+    drafts.references.delete({to, from: key});
+  }
+}
--- a/control/stateMachine/src/index.ts
+++ b/control/stateMachine/src/index.ts
@@ -1,1 +1,5 @@
+export * from './applyClaim.js';
+export * from './applyCommand.js';
+export * from './applyCounts.js';
+export * from './stateDraft.js';
 export * from './stateMachineController.js';
--- /dev/null
+++ b/control/stateMachine/src/stateDraft.ts
@@ -0,0 +1,152 @@
+import {
+  compareValues,
+  createMapDraft,
+  createOrderedDraft,
+} from '@gentianshunt/board';
+import type {MapDraft, OrderedDraft, View} from '@gentianshunt/board';
+import type {ConfigurationChange} from '@gentianshunt/configuration';
+import {
+  compareClaimExpiry,
+  compareCountMarks,
+  compareRunningClaims,
+  compareServiceCounts,
+} from '@gentianshunt/controlModel';
+import type {
+  AppliedStatus,
+  ClaimExpiryKey,
+  ClaimId,
+  ClaimRecord,
+  ClaimUsage,
+  CommandRecord,
+  ControlObservation,
+  ControlSections,
+  ControlWrite,
+  CountMark,
+  CountMarkKey,
+  RunningClaimKey,
+} from '@gentianshunt/controlModel';
+import type {
+  CommandNumber,
+  ConfigurationVersion,
+  ServiceCountKey,
+  ServiceTotals,
+} from '@gentianshunt/messages';
+
+import {createConfigurationDraft} from './configurationDraft.js';
+import type {ConfigurationDraft} from './configurationDraft.js';
+
+/** The sections that the committed log determines. */
+export const STATE_SECTIONS = [
+  'applied',
+  'configuration',
+  'objectKinds',
+  'references',
+  'history',
+  'commands',
+  'commandFloor',
+  'nextCommand',
+  'claims',
+  'claimExpiry',
+  'runningClaims',
+  'claimUsage',
+  'serviceCounts',
+  'countMarks',
+] as const;
+
+/** The sections that the state machine writes. */
+export type StateWrites = (typeof STATE_SECTIONS)[number];
+/** The sections that the state machine reads. */
+export type StateReads = StateWrites | 'log' | 'logStatus';
+/** What the state machine reads of the board. */
+export type StateView = View<ControlSections, StateReads, ControlObservation>;
+/** A write of the state machine. */
+export type StateWrite = ControlWrite<StateWrites>;
+
+/** The state as one run changes it; later log entries see earlier ones. */
+export interface StateDraft {
+  applied: AppliedStatus;
+  nextCommand: CommandNumber;
+  commandFloor: CommandNumber;
+  claimUsage: ClaimUsage;
+  readonly configuration: ConfigurationDraft;
+  readonly history: OrderedDraft<
+    ConfigurationVersion,
+    readonly ConfigurationChange[]
+  >;
+  readonly commands: OrderedDraft<CommandNumber, CommandRecord>;
+  readonly claims: MapDraft<ClaimId, ClaimRecord>;
+  readonly claimExpiry: OrderedDraft<ClaimExpiryKey, true>;
+  readonly runningClaims: OrderedDraft<RunningClaimKey, true>;
+  readonly serviceCounts: OrderedDraft<ServiceCountKey, ServiceTotals>;
+  readonly countMarks: OrderedDraft<CountMarkKey, CountMark>;
+}
+
+/** Creates a draft without changes. */
+export function createStateDraft(board: StateView['board']): StateDraft {
+  return {
+    applied: board.applied,
+    nextCommand: board.nextCommand,
+    commandFloor: board.commandFloor,
+    claimUsage: board.claimUsage,
+    configuration: createConfigurationDraft(board),
+    history: createOrderedDraft({view: board.history, compare: compareValues}),
+    commands: createOrderedDraft({
+      view: board.commands,
+      compare: compareValues,
+    }),
+    claims: createMapDraft(board.claims),
+    claimExpiry: createOrderedDraft({
+      view: board.claimExpiry,
+      compare: compareClaimExpiry,
+    }),
+    runningClaims: createOrderedDraft({
+      view: board.runningClaims,
+      compare: compareRunningClaims,
+    }),
+    serviceCounts: createOrderedDraft({
+      view: board.serviceCounts,
+      compare: compareServiceCounts,
+    }),
+    countMarks: createOrderedDraft({
+      view: board.countMarks,
+      compare: compareCountMarks,
+    }),
+  };
+}
+
+/** Lists the writes that bring the board to the state of a draft. */
+export function listStateWrites(
+  draft: StateDraft,
+  board: StateView['board'],
+): readonly StateWrite[] {
+  return [
+    ...draft.configuration.listWrites(),
+    ...draft.history.listWrites('history' as const),
+    ...draft.commands.listWrites('commands' as const),
+    ...draft.claims.listWrites('claims' as const),
+    ...draft.claimExpiry.listWrites('claimExpiry' as const),
+    ...draft.runningClaims.listWrites('runningClaims' as const),
+    ...draft.serviceCounts.listWrites('serviceCounts' as const),
+    ...draft.countMarks.listWrites('countMarks' as const),
+    ...listCellWrites(draft, board),
+  ];
+}
+
+function listCellWrites(
+  draft: StateDraft,
+  board: StateView['board'],
+): readonly StateWrite[] {
+  const {nextCommand, commandFloor, claimUsage, applied} = draft;
+  const writes: StateWrite[] = [];
+  if (nextCommand !== board.nextCommand) {
+    writes.push({kind: 'set', section: 'nextCommand', value: nextCommand});
+  }
+  if (commandFloor !== board.commandFloor) {
+    writes.push({kind: 'set', section: 'commandFloor', value: commandFloor});
+  }
+  if (claimUsage !== board.claimUsage) {
+    writes.push({kind: 'set', section: 'claimUsage', value: claimUsage});
+  }
+  writes.push({kind: 'set', section: 'applied', value: applied});
+  return writes;
+}
--- a/core/board/src/index.ts
+++ b/core/board/src/index.ts
@@ -3,6 +3,7 @@
 export * from './compareBy.js';
 export * from './controller.js';
 export * from './controlLoop.js';
+export * from './draft.js';
 export * from './iterateWhile.js';
 export * from './section.js';
 export * from './write.js';
--- a/core/board/src/iterateWhile.ts
+++ b/core/board/src/iterateWhile.ts
@@ -2,7 +2,7 @@
 
 /** Iterates from a key for as long as a test of the key holds. */
 export function* iterateWhile<Key, Value>(
-  view: OrderedView<Key, Value>,
+  view: Pick<OrderedView<Key, Value>, 'iterateFrom'>,
   from: Key,
   holds: (key: Key) => boolean,
 ): IterableIterator<OrderedEntry<Key, Value>> {
--- a/core/board/src/section.ts
+++ b/core/board/src/section.ts
@@ -37,6 +37,8 @@
   has(key: Key): boolean;
   /** Returns the entry with the lowest key. */
   readFirst(): OrderedEntry<Key, Value> | undefined;
+  /** Returns the entry with the highest key. */
+  readLast(): OrderedEntry<Key, Value> | undefined;
   /** Iterates from the given key, or from the lowest, in ascending order. */
   iterateFrom(key?: Key): IterableIterator<OrderedEntry<Key, Value>>;
 }
--- a/core/board/src/store.ts
+++ b/core/board/src/store.ts
@@ -72,7 +72,8 @@
     },
     get: key => tree.get(key),
     has: key => tree.has(key),
-    readFirst: () => readFirst(tree),
+    readFirst: () => readAt(tree, tree.minKey()),
+    readLast: () => readAt(tree, tree.maxKey()),
     iterateFrom: key => iterateFrom(tree, key),
   };
   return {
@@ -83,8 +84,10 @@
   };
 }
 
-function readFirst(tree: Tree): OrderedEntry<unknown, unknown> | undefined {
-  const key = tree.minKey();
+function readAt(
+  tree: Tree,
+  key: unknown,
+): OrderedEntry<unknown, unknown> | undefined {
   return tree.size === 0 ? undefined : {key, value: tree.get(key)};
 }
 
--- a/daemons/controld/src/peerMessages.ts
+++ b/daemons/controld/src/peerMessages.ts
@@ -12,6 +12,9 @@
 
 const ENTRY_KINDS: ReadonlySet<string> = new Set<EntryToControl['kind']>([
   'entryHeartbeat',
+  'versionConfirmed',
+  'countReportRequest',
+  'controlQueryRequest',
   'commandRequest',
   'commandStatusRequest',
   'claimRequest',
--- a/daemons/entryd/src/entryd.ts
+++ b/daemons/entryd/src/entryd.ts
@@ -85,6 +85,7 @@
     identity: {
       address: {
         node: settings.node,
+        region: settings.region,
         domain: settings.domain,
         peer: links.address,
         http: settings.http,
@@ -152,9 +153,12 @@
   post: (observation: EntryObservation) => void,
 ): void {
   switch (order.kind) {
+    case 'refuseCaller':
+      adapters.callers.perform(order);
+      post({kind: 'callerRefused', refusal: order.refusal});
+      return;
     case 'openStream':
     case 'cancelStream':
-    case 'refuseCaller':
     case 'repeatAnswer':
       adapters.callers.perform(order);
       return;
@@ -174,6 +178,12 @@
       return;
     case 'recordEnd':
       adapters.metrics.recordEnd(order);
+      post({
+        kind: 'requestEnded',
+        request: order.request,
+        end: order.end,
+        firstTokenMs: order.firstTokenMs,
+      });
       return;
     case 'exit':
       options.onExit();
--- a/daemons/entryd/src/peerMessages.ts
+++ b/daemons/entryd/src/peerMessages.ts
@@ -15,6 +15,8 @@
   'notLeader',
   'commandReply',
   'commandStatusReply',
+  'countReportReply',
+  'controlQueryReply',
   'claimReply',
   'settleReply',
 ]);
--- a/daemons/settings/src/schema.ts
+++ b/daemons/settings/src/schema.ts
@@ -1,5 +1,9 @@
 import {isIdentifier} from '@gentianshunt/identifiers';
-import type {FailureDomainId, NodeId} from '@gentianshunt/identifiers';
+import type {
+  FailureDomainId,
+  NodeId,
+  RegionId,
+} from '@gentianshunt/identifiers';
 import {isIP} from 'node:net';
 import {z} from 'zod';
 
@@ -19,6 +23,10 @@
 
 const common = {
   node: identifier.transform(text => text as NodeId),
+  /** Sets of the same region are led here by preference. */
+  region: identifier
+    .transform(text => text as RegionId)
+    .default('local' as RegionId),
   domain: identifier.transform(text => text as FailureDomainId),
   peer: address,
   control: z.array(controlMember).min(1),
--- a/fronts/operatorFront/src/operatorFront.ts
+++ b/fronts/operatorFront/src/operatorFront.ts
@@ -107,8 +107,10 @@
 
 function isFinal(progress: CommandProgress): boolean {
   switch (progress.kind) {
-    case 'inForce':
-      return progress.unconfirmed.length === 0;
+    case 'force':
+      return progress.status.isInForce;
+    case 'queried':
+      return true;
     case 'answered':
       return (
         progress.answer.kind !== 'applied' ||
--- a/scheduling/controlClient/src/commandController.ts
+++ b/scheduling/controlClient/src/commandController.ts
@@ -2,6 +2,7 @@
 import type {Milliseconds} from '@gentianshunt/clock';
 import {defineEntryController} from '@gentianshunt/entryModel';
 import type {
+  CommandProgress,
   EntryController,
   EntryObservation,
   EntrySections,
@@ -69,6 +70,16 @@
   return {kind: 'delete', section: 'commands', key: correlation};
 }
 
+function answerOperator(
+  correlation: RequestId,
+  progress: CommandProgress,
+): CommandWrite {
+  return {
+    kind: 'order',
+    order: {kind: 'answerOperator', correlation, progress},
+  };
+}
+
 /** Sends a command again, or asks whether it is in force. */
 function sendPending(
   view: CommandView,
@@ -130,14 +141,7 @@
     answer.kind === 'applied' && answer.result.kind === 'accepted';
   const next = accepted ? {...pending, version: answer.version} : null;
   return [
-    {
-      kind: 'order',
-      order: {
-        kind: 'answerOperator',
-        correlation,
-        progress: {kind: 'answered', answer},
-      },
-    },
+    answerOperator(correlation, {kind: 'answered', answer}),
     ...(next === null
       ? [dropCommand(correlation)]
       : [putCommand(next), ...sendPending(view, next)]),
@@ -148,19 +152,12 @@
   view: CommandView,
   message: Extract<ControlToEntry, {readonly kind: 'commandStatusReply'}>,
 ): readonly CommandWrite[] {
-  const {correlation, version, unconfirmed} = message;
+  const {correlation, status} = message;
   if (!view.board.commands.has(correlation)) {
     return [];
   }
   return [
-    {
-      kind: 'order',
-      order: {
-        kind: 'answerOperator',
-        correlation,
-        progress: {kind: 'inForce', version, unconfirmed},
-      },
-    },
-    ...(unconfirmed.length === 0 ? [dropCommand(correlation)] : []),
+    answerOperator(correlation, {kind: 'force', status}),
+    ...(status.isInForce ? [dropCommand(correlation)] : []),
   ];
 }
--- a/scheduling/controlClient/src/controlController.ts
+++ b/scheduling/controlClient/src/controlController.ts
@@ -1,7 +1,10 @@
 import type {TurnTime, View} from '@gentianshunt/board';
 import type {Milliseconds} from '@gentianshunt/clock';
 import {formatObjectKey} from '@gentianshunt/configuration';
-import {defineEntryController} from '@gentianshunt/entryModel';
+import {
+  defineEntryController,
+  iterateEndpoints,
+} from '@gentianshunt/entryModel';
 import type {
   ControlStatus,
   EntryController,
@@ -11,12 +14,20 @@
 } from '@gentianshunt/entryModel';
 import {assertNever} from '@gentianshunt/errors';
 import type {ControlToEntry} from '@gentianshunt/messages';
-import type {NodeId} from '@gentianshunt/identifiers';
+import type {EndpointSetId, NodeId} from '@gentianshunt/identifiers';
+
+import {applyDirectoryUpdate} from './applyDirectoryUpdate.js';
 
 /** Time between two heartbeats to the leading control daemon. */
 export const HEARTBEAT_INTERVAL_MS: Milliseconds = 500;
 
-type ControlReads = 'identity' | 'service' | 'control' | 'configuration';
+type ControlReads =
+  | 'identity'
+  | 'service'
+  | 'control'
+  | 'configuration'
+  | 'leaderships'
+  | 'endpoints';
 type ControlWrites = 'control' | 'configuration';
 type ControlView = View<EntrySections, ControlReads, EntryObservation>;
 type ControlWrite = EntryWrite<ControlWrites>;
@@ -26,7 +37,14 @@
 export function createControlController(): EntryController {
   return defineEntryController<ControlReads, ControlWrites>({
     name: 'control',
-    reads: ['identity', 'service', 'control', 'configuration'],
+    reads: [
+      'identity',
+      'service',
+      'control',
+      'configuration',
+      'leaderships',
+      'endpoints',
+    ],
     writes: ['control', 'configuration'],
     observes: ['started', 'timerDue', 'controlMessage'],
     run: (view, now) => handleObservation(view, now),
@@ -83,10 +101,12 @@
         message: {
           kind: 'entryHeartbeat',
           entry: identity.address,
+          incarnation: identity.incarnation,
           sequence,
           version: status.version,
           directoryVersion: status.directory.version,
           draining: service.kind === 'draining',
+          setsInUse: listSetsInUse(view),
         },
       },
     },
@@ -116,6 +136,8 @@
     case 'commandStatusReply':
     case 'claimReply':
     case 'settleReply':
+    case 'countReportReply':
+    case 'controlQueryReply':
       return [];
     default:
       return assertNever(message, 'handleMessage');
@@ -139,41 +161,73 @@
   return sendHeartbeat(view, answered, now);
 }
 
-/** Applies a delta that fits the version held; a version never reverts. */
+/** Lists the led sets that have endpoints. */
+function listSetsInUse(view: ControlView): readonly EndpointSetId[] {
+  const {leaderships, endpoints} = view.board;
+  return [...leaderships.keys()].filter(set => {
+    const [first] = iterateEndpoints(endpoints, set);
+    return first !== undefined;
+  });
+}
+
+/**
+ * Applies an update that begins at or before the version held and does not
+ * end before it, so a version never reverts. A delta may repeat changes that
+ * are applied already: in order they lead to the same state.
+ */
 function applyUpdate(
   view: ControlView,
   from: NodeId,
   update: Update,
 ): readonly ControlWrite[] {
   const status = view.board.control;
-  const isReplacement = update.fromVersion === 0;
+  const isNewer = update.version > status.version;
   const fits =
-    update.version >= status.version &&
-    (isReplacement || update.fromVersion === status.version);
+    update.version >= status.version && update.fromVersion <= status.version;
   if (!fits) {
     return [];
   }
   const answers = update.sequence === status.lastSequence;
+  const next: ControlStatus = {
+    ...status,
+    leader: from,
+    version: update.version,
+    leaseUntil: answers ? status.sentAt + update.leaseMs : status.leaseUntil,
+    sentAt: answers ? Number.NEGATIVE_INFINITY : status.sentAt,
+    directory: applyDirectoryUpdate(status.directory, update.directory),
+  };
+  return [
+    ...(isNewer ? applyChanges(view, update) : []),
+    {kind: 'set', section: 'control', value: next},
+    ...(isNewer ? [confirmVersion(next, from)] : []),
+  ];
+}
+
+function applyChanges(
+  view: ControlView,
+  update: Update,
+): readonly ControlWrite[] {
   return [
-    ...(isReplacement && update.version > status.version
-      ? clearConfiguration(view)
-      : []),
+    ...(update.fromVersion === 0 ? clearConfiguration(view) : []),
     ...update.changes.map(toTableWrite),
-    {
-      kind: 'set',
-      section: 'control',
-      value: {
-        ...status,
-        leader: from,
-        version: update.version,
-        leaseUntil: answers
-          ? status.sentAt + update.leaseMs
-          : status.leaseUntil,
-        sentAt: answers ? Number.NEGATIVE_INFINITY : status.sentAt,
-        directory: update.directory ?? status.directory,
+  ];
+}
+
+/** Tells the leader at once, so that it need not await a heartbeat. */
+function confirmVersion(status: ControlStatus, to: NodeId): ControlWrite {
+  const {version, directory} = status;
+  return {
+    kind: 'order',
+    order: {
+      kind: 'sendControl',
+      to,
+      message: {
+        kind: 'versionConfirmed',
+        version,
+        directoryVersion: directory.version,
       },
     },
-  ];
+  };
 }
 
 function clearConfiguration(view: ControlView): readonly ControlWrite[] {
--- /dev/null
+++ b/scheduling/controlClient/src/countController.ts
@@ -0,0 +1,225 @@
+import type {TurnTime, View} from '@gentianshunt/board';
+import type {Milliseconds} from '@gentianshunt/clock';
+import {findObject} from '@gentianshunt/configuration';
+import {defineEntryController} from '@gentianshunt/entryModel';
+import type {
+  CountKey,
+  CountState,
+  EntryController,
+  EntryObservation,
+  EntrySections,
+  EntryWrite,
+} from '@gentianshunt/entryModel';
+import {assertNever} from '@gentianshunt/errors';
+import {addTotals, EMPTY_TOTALS, readMonth} from '@gentianshunt/messages';
+import type {
+  ControlToEntry,
+  CountReport,
+  ServiceCount,
+  ServiceCountKey,
+  ServiceTotals,
+} from '@gentianshunt/messages';
+
+/** Time between two reports. */
+export const COUNT_INTERVAL_MS: Milliseconds = 5_000;
+/** Time after which an unanswered report is repeated. */
+export const COUNT_RETRY_MS: Milliseconds = 2_000;
+/** Most keys in one report. */
+export const MAX_COUNTS_PER_REPORT = 1_000;
+
+type CountReads =
+  | 'identity'
+  | 'service'
+  | 'control'
+  | 'configuration'
+  | 'counts'
+  | 'countState';
+type CountWrites = 'counts' | 'countState';
+type CountView = View<EntrySections, CountReads, EntryObservation>;
+type CountWrite = EntryWrite<CountWrites>;
+type Ended = Extract<EntryObservation, {readonly kind: 'requestEnded'}>;
+
+/** Creates the controller that counts how requests ended. */
+export function createCountController(): EntryController {
+  return defineEntryController<CountReads, CountWrites>({
+    name: 'counts',
+    reads: [
+      'identity',
+      'service',
+      'control',
+      'configuration',
+      'counts',
+      'countState',
+    ],
+    writes: ['counts', 'countState'],
+    observes: ['requestEnded', 'controlMessage', 'timerDue'],
+    run: (view, now) => handleObservation(view, now),
+  });
+}
+
+function handleObservation(
+  view: CountView,
+  now: TurnTime,
+): readonly CountWrite[] {
+  const {observation} = view;
+  switch (observation?.kind) {
+    case 'requestEnded':
+      return countEnd(view, observation, now);
+    case 'controlMessage':
+      return closeReport(view, observation.message);
+    case 'timerDue':
+      return observation.timer.kind === 'housekeeping'
+        ? sendReport(view, now)
+        : [];
+    default:
+      return [];
+  }
+}
+
+function countEnd(
+  view: CountView,
+  ended: Ended,
+  now: TurnTime,
+): readonly CountWrite[] {
+  const totals = readTotals(view, ended);
+  if (totals === undefined) {
+    return [];
+  }
+  const {tier, organisation, kind} = ended.request;
+  const key = {month: readMonth(now.wall), tier, organisation, kind};
+  return [putCount(view, {key, totals})];
+}
+
+function putCount(view: CountView, count: ServiceCount): CountWrite {
+  const key = formatCountKey(count.key);
+  const known = view.board.counts.get(key)?.totals ?? EMPTY_TOTALS;
+  const value = {key: count.key, totals: addTotals(known, count.totals)};
+  return {kind: 'put', section: 'counts', key, value};
+}
+
+function formatCountKey(key: ServiceCountKey): CountKey {
+  const {month, tier, organisation, kind} = key;
+  return [month, tier, organisation, kind].join('/') as CountKey;
+}
+
+/** Tells what a request adds; a repeated answer was counted before. */
+function readTotals(view: CountView, ended: Ended): ServiceTotals | undefined {
+  const {end} = ended;
+  switch (end.kind) {
+    case 'answered':
+      return readAnswered(view, ended);
+    case 'refused':
+      return readRefused(end.refusal.reason.kind);
+    case 'abandonedWaiting':
+    case 'abandonedRunning':
+      return {...EMPTY_TOTALS, abandoned: 1};
+    case 'repeated':
+      return undefined;
+    default:
+      return assertNever(end, 'readTotals');
+  }
+}
+
+function readAnswered(view: CountView, ended: Ended): ServiceTotals {
+  const {configuration} = view.board;
+  const {tier, kind} = ended.request;
+  const targetMs = findObject(configuration, 'tier', tier)?.firstTokenTargetMs;
+  const weight = findObject(configuration, 'requestKind', kind)?.weight ?? 1;
+  const isOnTime =
+    ended.firstTokenMs !== null && ended.firstTokenMs <= (targetMs ?? Infinity);
+  return {
+    ...EMPTY_TOTALS,
+    answered: 1,
+    onTime: isOnTime ? 1 : 0,
+    answeredWeight: weight,
+  };
+}
+
+function readRefused(
+  reason: Extract<
+    Ended['end'],
+    {readonly kind: 'refused'}
+  >['refusal']['reason']['kind'],
+): ServiceTotals | undefined {
+  switch (reason) {
+    case 'shed':
+      return {...EMPTY_TOTALS, shed: 1};
+    case 'endpointFailed':
+    case 'answerCut':
+    case 'outcomeUnknown':
+    case 'claimsUnavailable':
+      return {...EMPTY_TOTALS, failed: 1};
+    default:
+      return undefined;
+  }
+}
+
+/** Sends the open report again, or opens one over what was counted. */
+function sendReport(view: CountView, now: TurnTime): readonly CountWrite[] {
+  const {control, countState, service} = view.board;
+  if (control.leader === null) {
+    return [];
+  }
+  const isOpen = countState.open !== null;
+  const intervalMs = service.kind === 'draining' ? 0 : COUNT_INTERVAL_MS;
+  const waitMs = isOpen ? COUNT_RETRY_MS : intervalMs;
+  if (now.monotonic - countState.sentAt < waitMs) {
+    return [];
+  }
+  const report = countState.open ?? createReport(view);
+  if (report === null) {
+    return [];
+  }
+  const next: CountState = {
+    lastSequence: report.sequence,
+    open: report,
+    sentAt: now.monotonic,
+  };
+  return [
+    ...(isOpen ? [] : takeCounts(report)),
+    {kind: 'set', section: 'countState', value: next},
+    {
+      kind: 'order',
+      order: {
+        kind: 'sendControl',
+        to: control.leader,
+        message: {kind: 'countReportRequest', report},
+      },
+    },
+  ];
+}
+
+function createReport(view: CountView): CountReport | null {
+  const {counts, countState, identity} = view.board;
+  const taken = [...counts.values()].slice(0, MAX_COUNTS_PER_REPORT);
+  return taken.length === 0
+    ? null
+    : {
+        incarnation: identity.incarnation,
+        sequence: countState.lastSequence + 1,
+        counts: taken,
+      };
+}
+
+/** What an open report holds is no longer counted beside it. */
+function takeCounts(report: CountReport): readonly CountWrite[] {
+  return report.counts.map(({key}) => ({
+    kind: 'delete',
+    section: 'counts',
+    key: formatCountKey(key),
+  }));
+}
+
+function closeReport(
+  view: CountView,
+  message: ControlToEntry,
+): readonly CountWrite[] {
+  const {countState, identity} = view.board;
+  const isClosed =
+    message.kind === 'countReportReply' &&
+    message.incarnation === identity.incarnation &&
+    message.sequence === countState.open?.sequence;
+  return isClosed
+    ? [{kind: 'set', section: 'countState', value: {...countState, open: null}}]
+    : [];
+}
--- a/scheduling/controlClient/src/serviceController.ts
+++ b/scheduling/controlClient/src/serviceController.ts
@@ -7,11 +7,17 @@
 /** Time for callers' cached addresses to lapse before the entry may exit. */
 export const DRAIN_NOTICE_MS: Milliseconds = 2_000;
 
+/** Longest stay of a drained entry for the sake of its counts. */
+export const COUNT_NOTICE_MS: Milliseconds = 10_000;
+
 /** Creates the controller that starts and ends the entry's service. */
 export function createServiceController(): EntryController {
-  return defineEntryController<'service' | 'requests', 'service'>({
+  return defineEntryController<
+    'service' | 'requests' | 'counts' | 'countState',
+    'service'
+  >({
     name: 'service',
-    reads: ['service', 'requests'],
+    reads: ['service', 'requests', 'counts', 'countState'],
     writes: ['service'],
     observes: ['started', 'shutdownRequested', 'timerDue'],
     run: ({observation, board}, now) => {
@@ -32,11 +38,14 @@
           if (observation.timer.kind !== 'housekeeping') {
             return [];
           }
-          const {service, requests} = board;
+          const {service, requests, counts, countState} = board;
+          const drainedMs =
+            service.kind === 'draining' ? now.monotonic - service.since : 0;
+          const isReported = counts.size === 0 && countState.open === null;
           const isDone =
-            service.kind === 'draining' &&
             requests.size === 0 &&
-            now.monotonic - service.since >= DRAIN_NOTICE_MS;
+            drainedMs >= DRAIN_NOTICE_MS &&
+            (isReported || drainedMs >= COUNT_NOTICE_MS);
           return isDone
             ? [{kind: 'order', order: {kind: 'exit'}}]
             : [createHousekeepingTimer()];
--- a/scheduling/entryModel/src/observation.ts
+++ b/scheduling/entryModel/src/observation.ts
@@ -1,6 +1,10 @@
+import type {Milliseconds} from '@gentianshunt/clock';
 import type {
   CommandAnswer,
+  ControlQuery,
+  ControlQueryResult,
   ControlToEntry,
+  ForceStatus,
   OperatorCommand,
 } from '@gentianshunt/messages';
 import type {
@@ -12,7 +16,12 @@
 
 import type {EndpointAnnouncement} from './endpoint.js';
 import type {EntryMessage} from './exchange.js';
-import type {RequestFacts} from './request.js';
+import type {
+  AdmittedRequest,
+  Refusal,
+  RequestEnd,
+  RequestFacts,
+} from './request.js';
 
 /** The timers of an entry; one of each name runs at a time. */
 export type EntryTimer =
@@ -65,6 +74,24 @@
       readonly operator: OperatorId;
       readonly command: OperatorCommand;
     }
+  | {
+      /** An operator asks what only the leading control daemon knows. */
+      readonly kind: 'queryReceived';
+      readonly correlation: RequestId;
+      readonly query: ControlQuery;
+    }
+  | {
+      /** A caller was told of a refusal. */
+      readonly kind: 'callerRefused';
+      readonly refusal: Refusal;
+    }
+  | {
+      /** An admitted request has left the board. */
+      readonly kind: 'requestEnded';
+      readonly request: AdmittedRequest;
+      readonly end: RequestEnd;
+      readonly firstTokenMs: Milliseconds | null;
+    }
   | {readonly kind: 'shutdownRequested'};
 
 /** An answer small enough to be kept. */
@@ -78,8 +105,5 @@
 /** What an operator is told about a command. */
 export type CommandProgress =
   | {readonly kind: 'answered'; readonly answer: CommandAnswer}
-  | {
-      readonly kind: 'inForce';
-      readonly version: number;
-      readonly unconfirmed: readonly NodeId[];
-    };
+  | {readonly kind: 'force'; readonly status: ForceStatus}
+  | {readonly kind: 'queried'; readonly result: ControlQueryResult};
--- a/scheduling/entryModel/src/sections.ts
+++ b/scheduling/entryModel/src/sections.ts
@@ -1,22 +1,28 @@
 import {
   compareBy,
+  compareValues,
   defineCell,
   defineMap,
   defineOrdered,
 } from '@gentianshunt/board';
 import type {MonotonicTime} from '@gentianshunt/clock';
 import type {ConfigurationObject, ObjectKey} from '@gentianshunt/configuration';
+import {NO_DIRECTORY_VERSION} from '@gentianshunt/messages';
 import type {
+  ControlQuery,
+  CountReport,
   EntryAddress,
   EntryDirectory,
   NetworkAddress,
   OperatorCommand,
+  ServiceCount,
 } from '@gentianshunt/messages';
 import type {
   DispatchId,
   EndpointId,
   EndpointSetId,
   GrantId,
+  Identifier,
   IncarnationId,
   NodeId,
   OrganisationId,
@@ -25,7 +31,7 @@
 
 import type {EndpointAnnouncement} from './endpoint.js';
 import type {GrantReply, Match, ReportRecord, Slot} from './exchange.js';
-import type {AdmittedRequest, RequestState} from './request.js';
+import type {AdmittedRequest, Refusal, RequestState} from './request.js';
 
 /** What an entry knows of itself and of the control daemons. */
 export interface EntryIdentity {
@@ -175,6 +181,33 @@
   readonly version: number | null;
 }
 
+/** An operator's query on its way to the leading control daemon. */
+export interface PendingQuery {
+  readonly correlation: RequestId;
+  readonly receivedAt: MonotonicTime;
+  readonly query: ControlQuery;
+}
+
+/** A recent refusal, as operators see it. */
+export interface RefusalRecord {
+  readonly number: number;
+  readonly at: Date;
+  readonly refusal: Refusal;
+  /** `null` when the request was never admitted. */
+  readonly request: AdmittedRequest | null;
+}
+
+/** What this incarnation has counted and not yet seen acknowledged. */
+export interface CountState {
+  readonly lastSequence: number;
+  /** Repeated unchanged until it is acknowledged. */
+  readonly open: CountReport | null;
+  readonly sentAt: MonotonicTime;
+}
+
+/** Key of the counts of one month, tier, organisation and kind. */
+export type CountKey = Identifier<'count'>;
+
 /** Creates the sections of an entry's board. */
 export function createEntrySections(identity: EntryIdentity) {
   return {
@@ -186,7 +219,7 @@
       leaseUntil: Number.NEGATIVE_INFINITY,
       lastSequence: 0,
       sentAt: Number.NEGATIVE_INFINITY,
-      directory: {version: 0, entries: []},
+      directory: {version: NO_DIRECTORY_VERSION, entries: []},
     }),
     configuration: defineMap<ObjectKey, ConfigurationObject>(),
     requests: defineMap<RequestId, RequestState>(),
@@ -215,6 +248,14 @@
     granted: defineOrdered<ReportKey, GrantedSince>(compareBy('set', 'node')),
     shares: defineOrdered<ShareKey, number>(compareBy('set', 'organisation')),
     commands: defineMap<RequestId, PendingCommand>(),
+    queries: defineMap<RequestId, PendingQuery>(),
+    refusals: defineOrdered<number, RefusalRecord>(compareValues),
+    countState: defineCell<CountState>({
+      lastSequence: 0,
+      open: null,
+      sentAt: Number.NEGATIVE_INFINITY,
+    }),
+    counts: defineMap<CountKey, ServiceCount>(),
   };
 }
 
--- a/scheduling/entryNode/src/entryNode.ts
+++ b/scheduling/entryNode/src/entryNode.ts
@@ -4,6 +4,9 @@
 import {
   createCommandController,
   createControlController,
+  createCountController,
+  createQueryController,
+  createRefusalController,
   createServiceController,
 } from '@gentianshunt/controlClient';
 import {createEntrySections} from '@gentianshunt/entryModel';
@@ -44,6 +47,9 @@
     createServiceController(),
     createControlController(),
     createCommandController(),
+    createQueryController(),
+    createRefusalController(),
+    createCountController(),
     createLeadershipController(),
     createEndpointRegistry(),
     createReplyController(),
