Write structured logs through debug and check declared imports

Cause: daemons logged free text, and nothing held a package to the dependencies it declares. Change: a logging package with typed events; the linter refuses an import that the package does not declare.

--- a/daemons/controld/src/controld.ts
+++ b/daemons/controld/src/controld.ts
@@ -5,9 +5,10 @@
 } from '@gentianshunt/controlModel';
 import {createControlNode} from '@gentianshunt/controlNode';
 import type {ControlNode} from '@gentianshunt/controlNode';
-import {assertNever, formatError} from '@gentianshunt/errors';
+import {assertNever} from '@gentianshunt/errors';
 import {openLogFile} from '@gentianshunt/logFile';
 import type {LogFile} from '@gentianshunt/logFile';
+import {createLogger} from '@gentianshunt/logging';
 import {createPeerLinks} from '@gentianshunt/peerLinks';
 import type {PeerLinks} from '@gentianshunt/peerLinks';
 import {
@@ -18,11 +19,10 @@
 } from '@gentianshunt/runtime';
 import type {TimerTable} from '@gentianshunt/runtime';
 import type {ControldSettings} from '@gentianshunt/settings';
-import createDebug from 'debug';
 
 import {toObservation} from './peerMessages.js';
 
-const log = createDebug('gentianshunt:controld');
+const logger = createLogger({namespace: 'controld'});
 
 /** What a control daemon needs. */
 export interface ControldOptions {
@@ -63,7 +63,7 @@
         post(observation);
       }
     },
-    onError: error => log('%s', formatError(error)),
+    onError: error => logger.write({kind: 'peerLinkFailed', error}),
     drawFraction,
   });
   const timers = createTimerTable<ControlTimer>({
--- a/daemons/entryd/src/entryd.ts
+++ b/daemons/entryd/src/entryd.ts
@@ -8,8 +8,9 @@
 } from '@gentianshunt/entryModel';
 import {createEntryNode} from '@gentianshunt/entryNode';
 import type {EntryNode} from '@gentianshunt/entryNode';
-import {assertNever, formatError} from '@gentianshunt/errors';
+import {assertNever} from '@gentianshunt/errors';
 import type {IncarnationId, NodeId} from '@gentianshunt/identifiers';
+import {createLogger} from '@gentianshunt/logging';
 import {createEntryMetrics} from '@gentianshunt/metrics';
 import type {EntryMetrics} from '@gentianshunt/metrics';
 import {createOperatorFront} from '@gentianshunt/operatorFront';
@@ -24,12 +25,11 @@
 } from '@gentianshunt/runtime';
 import type {TimerTable} from '@gentianshunt/runtime';
 import type {EntrydSettings} from '@gentianshunt/settings';
-import createDebug from 'debug';
 import {fastify} from 'fastify';
 
 import {toObservation} from './peerMessages.js';
 
-const log = createDebug('gentianshunt:entryd');
+const logger = createLogger({namespace: 'entryd'});
 
 /** What an entry daemon needs. */
 export interface EntrydOptions {
@@ -78,7 +78,7 @@
         post(observation);
       }
     },
-    onError: error => log('%s', formatError(error)),
+    onError: error => logger.write({kind: 'peerLinkFailed', error}),
     drawFraction,
   });
   const node: EntryNode = createEntryNode({
@@ -125,6 +125,7 @@
   // The listener writes into what it is given.
   await server.listen({...settings.http});
   post({kind: 'started'});
+  logger.write({kind: 'daemonReady', node: settings.node});
   return {
     httpPort: settings.http.port,
     shutdown: () => post({kind: 'shutdownRequested'}),
@@ -174,6 +175,7 @@
       return;
     case 'recordEnd':
       adapters.metrics.recordEnd(order);
+      logger.write({kind: 'requestEnded', end: order});
       return;
     case 'exit':
       options.onExit();
--- a/eslint.config.mjs
+++ b/eslint.config.mjs
@@ -48,6 +48,16 @@
       'import-x/no-mutable-exports': 'error',
     },
   },
+  {
+    // An import must be declared by the package that makes it.
+    files: ['*/*/src/**/*.ts'],
+    rules: {
+      'import-x/no-extraneous-dependencies': [
+        'error',
+        {devDependencies: false},
+      ],
+    },
+  },
   {
     files: ['**/test/**/*.ts'],
     rules: {'max-lines-per-function': 'off'},
--- /dev/null
+++ b/fronts/logging/src/index.ts
@@ -0,0 +1,2 @@
+export * from './logEvent.js';
+export * from './logger.js';
