--- a/daemons/controld/src/controld.ts
+++ b/daemons/controld/src/controld.ts
@@ -9,6 +9,7 @@
 import {openLogFile} from '@gentianshunt/logFile';
 import type {LogFile} from '@gentianshunt/logFile';
 import {createLogger} from '@gentianshunt/logging';
+import {addHealthRoutes, createControlMetrics} from '@gentianshunt/metrics';
 import {createPeerLinks} from '@gentianshunt/peerLinks';
 import type {PeerLinks} from '@gentianshunt/peerLinks';
 import {
@@ -19,6 +20,8 @@
 } from '@gentianshunt/runtime';
 import type {TimerTable} from '@gentianshunt/runtime';
 import type {ControldSettings} from '@gentianshunt/settings';
+import {fastify} from 'fastify';
+import type {FastifyInstance} from 'fastify';
 
 import {toObservation} from './peerMessages.js';
 
@@ -80,9 +83,11 @@
     perform: order => perform(settings, adapters, order),
   });
   post({kind: 'started', ...logFile.stored});
+  const server = await listenForHealth(settings, node);
   return {
     close: async () => {
       timers.clear();
+      await server?.close();
       await links.close();
       await logFile.close();
     },
@@ -116,3 +121,29 @@
       assertNever(order, 'perform');
   }
 }
+
+/** Serves metrics and health where the settings ask for it. */
+async function listenForHealth(
+  settings: ControldSettings,
+  node: ControlNode,
+): Promise<FastifyInstance | undefined> {
+  if (settings.http === undefined) {
+    return undefined;
+  }
+  const server = fastify({forceCloseConnections: true});
+  addHealthRoutes({
+    server,
+    metrics: createControlMetrics({view: node.view}),
+    readReady: () => hasLeader(node),
+  });
+  await server.listen({...settings.http});
+  return server;
+}
+
+/** Tells whether the member leads or follows a leader. */
+function hasLeader(node: ControlNode): boolean {
+  const {role} = node.view;
+  return (
+    role.kind === 'leader' || (role.kind === 'follower' && role.leader !== null)
+  );
+}
--- a/daemons/entryd/src/entryd.ts
+++ b/daemons/entryd/src/entryd.ts
@@ -11,7 +11,7 @@
 import {assertNever} from '@gentianshunt/errors';
 import type {IncarnationId, NodeId} from '@gentianshunt/identifiers';
 import {createLogger} from '@gentianshunt/logging';
-import {createEntryMetrics} from '@gentianshunt/metrics';
+import {addHealthRoutes, createEntryMetrics} from '@gentianshunt/metrics';
 import type {EntryMetrics} from '@gentianshunt/metrics';
 import {createOperatorFront} from '@gentianshunt/operatorFront';
 import type {OperatorFront} from '@gentianshunt/operatorFront';
@@ -116,12 +116,7 @@
   };
   const {metrics, timers, callers} = adapters;
   createEndpointFront({server, post});
-  server.get('/metrics', async (_request, reply) =>
-    reply.type(metrics.contentType).send(await metrics.format()),
-  );
-  server.get('/ready', async (_request, reply) =>
-    reply.code(isReady(node) ? 200 : 503).send({ready: isReady(node)}),
-  );
+  addHealthRoutes({server, metrics, readReady: () => isReady(node)});
   // The listener writes into what it is given.
   await server.listen({...settings.http});
   post({kind: 'started'});
--- a/daemons/settings/src/schema.ts
+++ b/daemons/settings/src/schema.ts
@@ -43,6 +43,8 @@
 export const controldSchema = z.strictObject({
   ...common,
   data_folder: z.string().min(1),
+  /** Where metrics and health are served; left out, they are not. */
+  http: address.optional(),
 });
 
 /** Settings of an entry daemon. */
--- /dev/null
+++ b/fronts/metrics/src/controlMetrics.ts
@@ -0,0 +1,56 @@
+import type {BoardView} from '@gentianshunt/board';
+import type {ControlSections} from '@gentianshunt/controlModel';
+import {Gauge, Registry, collectDefaultMetrics} from 'prom-client';
+
+import type {MetricsFormatter} from './metricsFormatter.js';
+
+/** What the metrics of a control daemon read. */
+export interface ControlMetricsOptions {
+  readonly view: BoardView<ControlSections>;
+}
+
+/** Creates the metrics of a control daemon, read from its board on demand. */
+export function createControlMetrics(
+  options: ControlMetricsOptions,
+): MetricsFormatter {
+  const {view} = options;
+  const registry = new Registry();
+  collectDefaultMetrics({register: registry});
+  const addGauge = (name: string, help: string, read: () => number): void => {
+    const gauge = new Gauge({
+      name: `gentianshunt_control_${name}`,
+      help,
+      registers: [registry],
+      collect: () => gauge.set(read()),
+    });
+  };
+  addGauge('term', 'Current term.', () => view.ballot.term);
+  addGauge('leader', 'Whether this member leads: 1 or 0.', () =>
+    view.role.kind === 'leader' ? 1 : 0,
+  );
+  addGauge(
+    'commit_index',
+    'Last committed index of the log.',
+    () => view.logStatus.commitIndex,
+  );
+  addGauge(
+    'synced_index',
+    'Last index of the log that is on disk.',
+    () => view.logStatus.syncedIndex,
+  );
+  addGauge(
+    'configuration_version',
+    'Version of the configuration applied here.',
+    () => view.applied.version,
+  );
+  addGauge(
+    'entry_sessions',
+    'Entries that hold a lease from this member.',
+    () => view.sessions.size,
+  );
+  addGauge('claims', 'Idempotency keys remembered.', () => view.claims.size);
+  return {
+    format: () => registry.metrics(),
+    contentType: registry.contentType,
+  };
+}
--- a/fronts/metrics/src/entryMetrics.ts
+++ b/fronts/metrics/src/entryMetrics.ts
@@ -1,17 +1,16 @@
 import type {EntryOrder} from '@gentianshunt/entryModel';
 import {Counter, Histogram, Registry, collectDefaultMetrics} from 'prom-client';
 
+import type {MetricsFormatter} from './metricsFormatter.js';
+
 type EndOrder = Extract<EntryOrder, {readonly kind: 'recordEnd'}>;
 
 /** Bucket bounds of the time to the first token, in seconds. */
 const FIRST_TOKEN_BUCKETS = [0.05, 0.1, 0.25, 0.5, 1.1, 2.5, 5, 10, 30];
 
 /** Metrics of an entry. */
-export interface EntryMetrics {
+export interface EntryMetrics extends MetricsFormatter {
   recordEnd(order: EndOrder): void;
-  /** Writes the metrics in the Prometheus text format. */
-  format(): Promise<string>;
-  readonly contentType: string;
 }
 
 /** Creates the metrics of an entry, with the process's own. */
--- a/fronts/metrics/src/index.ts
+++ b/fronts/metrics/src/index.ts
@@ -1,1 +1,4 @@
+export * from './controlMetrics.js';
 export * from './entryMetrics.js';
+export * from './healthRoutes.js';
+export * from './metricsFormatter.js';
--- /dev/null
+++ b/fronts/metrics/src/metricsFormatter.ts
@@ -0,0 +1,5 @@
+/** Writes metrics in the Prometheus text format. */
+export interface MetricsFormatter {
+  format(): Promise<string>;
+  readonly contentType: string;
+}
