--- a/fronts/metrics/src/controlMetrics.ts
+++ b/fronts/metrics/src/controlMetrics.ts
@@ -17,11 +17,13 @@
   const registry = new Registry();
   collectDefaultMetrics({register: registry});
   const addGauge = (name: string, help: string, read: () => number): void => {
-    const gauge = new Gauge({
+    const gauge: Gauge = new Gauge({
       name: `gentianshunt_control_${name}`,
       help,
       registers: [registry],
-      collect: () => gauge.set(read()),
+      collect: () => {
+        gauge.set(read());
+      },
     });
   };
   addGauge('term', 'Current term.', () => view.ballot.term);
