Give the load its own package and command

Cause: the demonstration's load could not be used by operators or by measures on real processes, and clients had no worked example of the address lookup. Change: cli/load with an address client that keeps addresses for their lifetime, plans drawn from a seed, summaries with first-byte quantiles; gentianshunt load with a progress display; the demonstration uses both.

--- a/cli/demo/src/main.ts
+++ b/cli/demo/src/main.ts
@@ -1,16 +1,16 @@
 import {createDeployment} from '@gentianshunt/deployment';
 
 import {createObjects} from './objects.js';
-import {runLoad} from './load.js';
-import {printTable} from './table.js';
-import {awaitService, sendCommand} from './operator.js';
+import {createSummaries, formatSummaries, runLoad} from '@gentianshunt/load';
+
+import {createDemoPlan, DEMO_TIERS} from './demoPlan.js';
+import {printWastedPrefill} from './engineCounts.js';
+import {awaitService, printLiveRequests, sendCommand} from './operator.js';
 
 const CONTROLS = 3;
 const ENTRIES = 4;
 const ENGINES = 3;
 const SERVICES = 2;
-const REQUESTS = 400;
-const SEED = 7;
 
 /** Starts a deployment, runs the load over it and prints what came of it. */
 async function runDemo(): Promise<void> {
@@ -39,16 +39,10 @@
       ),
     );
     await awaitService(urls);
-    const results = await runLoad({
-      entry: urls[0]!,
-      requests: REQUESTS,
-      seed: SEED,
-    });
-    await printTable(
-      results,
-      engines.map(engine => engine.url),
-      urls,
-    );
+    const results = await runLoad({entries: urls, plan: createDemoPlan()});
+    console.log(formatSummaries(createSummaries(DEMO_TIERS, results)));
+    await printWastedPrefill(engines.map(engine => engine.url));
+    await printLiveRequests(urls);
   } finally {
     await deployment.stop();
   }
--- a/cli/demo/src/operator.ts
+++ b/cli/demo/src/operator.ts
@@ -50,3 +50,16 @@
   }[];
   return endpoints.map(endpoint => endpoint.set);
 }
+
+/** Prints how many requests the entries still hold. */
+export async function printLiveRequests(
+  entries: readonly string[],
+): Promise<void> {
+  const lists = await Promise.all(
+    entries.map(async entry => {
+      const reply = await request(`${entry}/v1/operator/requests`);
+      return (await reply.body.json()) as readonly unknown[];
+    }),
+  );
+  console.log(`requests left in the entries: ${lists.flat().length}`);
+}
--- a/cli/gentianshunt/src/main.ts
+++ b/cli/gentianshunt/src/main.ts
@@ -2,6 +2,7 @@
 import {defineCommand, runMain} from 'citty';
 
 import {checkSettingsCommand} from './checkSettings.js';
+import {loadCommand} from './load.js';
 
 const command = defineCommand({
   meta: {
@@ -10,6 +11,7 @@
   },
   subCommands: {
     'check-settings': checkSettingsCommand,
+    load: loadCommand,
   },
 });
 
--- /dev/null
+++ b/cli/load/src/addressClient.ts
@@ -0,0 +1,94 @@
+import {SchedulerError} from '@gentianshunt/errors';
+import {request} from 'undici';
+
+/** No entry answered an address lookup. */
+export class NoAddressError extends SchedulerError {
+  constructor(entries: readonly string[], cause: unknown) {
+    super({
+      code: 'ERR_NO_ADDRESS',
+      message: 'no entry answered the address lookup',
+      origin: {step: 'lookUpAddresses', peer: entries.join(',')},
+      hint: 'check that an entry is ready',
+      cause,
+    });
+  }
+}
+
+/** What an address client needs. */
+export interface AddressClientOptions {
+  /** Base URLs of entries that may be asked. */
+  readonly entries: readonly string[];
+  readonly organisation: string;
+  readonly set: string;
+  /** Reads a monotonic clock, in milliseconds. */
+  readonly readTime: () => number;
+}
+
+/** Keeps the addresses of an organisation's calls to one endpoint set. */
+export interface AddressClient {
+  /** Returns the addresses to try in turn, asking when they are out of date. */
+  readAddresses(): Promise<readonly string[]>;
+  /** Forgets the addresses, because one of them did not answer. */
+  forgetAddresses(): void;
+}
+
+interface AddressReply {
+  readonly lifetimeMs: number;
+  readonly addresses: readonly {readonly url: string}[];
+}
+
+const LOOKUP_TIMEOUT_MS = 2_000;
+
+/** Creates a client that asks the entries in turn. */
+export function createAddressClient(
+  options: AddressClientOptions,
+): AddressClient {
+  let known: Promise<AddressReply> | undefined;
+  let validUntil = Number.NEGATIVE_INFINITY;
+  return {
+    readAddresses: async () => {
+      if (known === undefined || options.readTime() >= validUntil) {
+        validUntil = Number.POSITIVE_INFINITY;
+        known = lookUpAddresses(options);
+        known.then(
+          reply => {
+            validUntil = options.readTime() + reply.lifetimeMs;
+          },
+          () => {
+            known = undefined;
+          },
+        );
+      }
+      return (await known).addresses.map(address => address.url);
+    },
+    forgetAddresses: () => {
+      known = undefined;
+    },
+  };
+}
+
+async function lookUpAddresses(
+  options: AddressClientOptions,
+): Promise<AddressReply> {
+  const {entries, organisation, set} = options;
+  const query = new URLSearchParams({
+    organisation,
+    set,
+    affinity: `${organisation}/${set}`,
+  });
+  let failure: unknown;
+  for (const entry of entries) {
+    try {
+      const reply = await request(`${entry}/v1/addresses?${query}`, {
+        headersTimeout: LOOKUP_TIMEOUT_MS,
+      });
+      const body = (await reply.body.json()) as AddressReply;
+      if (body.addresses.length > 0) {
+        return body;
+      }
+    } catch (error) {
+      failure = error;
+    }
+  }
+  throw new NoAddressError(entries, failure);
+}
