--- a/daemons/entryd/src/entryd.ts
+++ b/daemons/entryd/src/entryd.ts
@@ -8,9 +8,10 @@
 } from '@gentianshunt/entryModel';
 import {createEntryNode} from '@gentianshunt/entryNode';
 import type {EntryNode} from '@gentianshunt/entryNode';
-import {assertNever, formatError} from '@gentianshunt/errors';
+import {assertNever} from '@gentianshunt/errors';
 import type {IncarnationId, NodeId} from '@gentianshunt/identifiers';
-import {createEntryMetrics} from '@gentianshunt/metrics';
+import {createLogger} from '@gentianshunt/logging';
+import {addHealthRoutes, createEntryMetrics} from '@gentianshunt/metrics';
 import type {EntryMetrics} from '@gentianshunt/metrics';
 import {createOperatorFront} from '@gentianshunt/operatorFront';
 import type {OperatorFront} from '@gentianshunt/operatorFront';
@@ -24,12 +25,11 @@
 } from '@gentianshunt/runtime';
 import type {TimerTable} from '@gentianshunt/runtime';
 import type {EntrydSettings} from '@gentianshunt/settings';
-import createDebug from 'debug';
 import {fastify} from 'fastify';
 
 import {toObservation} from './peerMessages.js';
 
-const log = createDebug('gentianshunt:entryd');
+const logger = createLogger({namespace: 'entryd'});
 
 /** What an entry daemon needs. */
 export interface EntrydOptions {
@@ -78,7 +78,7 @@
         post(observation);
       }
     },
-    onError: error => log('%s', formatError(error)),
+    onError: error => logger.write({kind: 'peerLinkFailed', error}),
     drawFraction,
   });
   const node: EntryNode = createEntryNode({
@@ -117,15 +117,11 @@
   };
   const {metrics, timers, callers} = adapters;
   createEndpointFront({server, post});
-  server.get('/metrics', async (_request, reply) =>
-    reply.type(metrics.contentType).send(await metrics.format()),
-  );
-  server.get('/ready', async (_request, reply) =>
-    reply.code(isReady(node) ? 200 : 503).send({ready: isReady(node)}),
-  );
+  addHealthRoutes({server, metrics, readReady: () => isReady(node)});
   // The listener writes into what it is given.
   await server.listen({...settings.http});
   post({kind: 'started'});
+  logger.write({kind: 'daemonReady', node: settings.node});
   return {
     httpPort: settings.http.port,
     shutdown: () => post({kind: 'shutdownRequested'}),
@@ -184,6 +180,7 @@
         end: order.end,
         firstTokenMs: order.firstTokenMs,
       });
+      logger.write({kind: 'requestEnded', end: order});
       return;
     case 'exit':
       options.onExit();
