Give operators a language for queries and commands

Cause: operators sent JSON objects that nobody checked, without keys, and saw only raw lists; a malformed object could have reached the state machine. Ruled out: sending whole objects for a change, since two operators would undo each other's fields; set sends only the named fields to the log. Change: language/grammar with a generated parser, language/queries over the board, language/commands, keys of operators, routes that take text, a client that resends under one number, gentianshunt query, command and create-key; the demonstration uses the language and the JSON form is gone. Conclusion: malformed text ends in a position and what was expected.

--- a/cli/demo/src/main.ts
+++ b/cli/demo/src/main.ts
@@ -1,11 +1,11 @@
 import {createDeployment} from '@gentianshunt/deployment';
 
-import {createObjects} from './objects.js';
 import {createSummaries, formatSummaries, runLoad} from '@gentianshunt/load';
 
+import {DEMO_COMMANDS} from './configuration.js';
 import {createDemoPlan, DEMO_TIERS} from './demoPlan.js';
 import {printWastedPrefill} from './engineCounts.js';
-import {awaitService, printLiveRequests, sendCommand} from './operator.js';
+import {awaitService, printLiveRequests, sendCommands} from './operator.js';
 
 const CONTROLS = 3;
 const ENTRIES = 4;
@@ -20,7 +20,8 @@
   });
   try {
     const urls = deployment.entries.map(entry => entry.url);
-    await sendCommand(urls[0]!, 1, createObjects());
+    const access = {entries: urls, key: null, operator: 'demo'};
+    await sendCommands(access, DEMO_COMMANDS);
     const engines = await Promise.all(
       Array.from({length: ENGINES}, (_, index) =>
         deployment.startEngine({
@@ -38,11 +39,11 @@
         }),
       ),
     );
-    await awaitService(urls);
+    await awaitService(access);
     const results = await runLoad({entries: urls, plan: createDemoPlan()});
     console.log(formatSummaries(createSummaries(DEMO_TIERS, results)));
     await printWastedPrefill(engines.map(engine => engine.url));
-    await printLiveRequests(urls);
+    await printLiveRequests(access);
   } finally {
     await deployment.stop();
   }
--- a/cli/demo/src/operator.ts
+++ b/cli/demo/src/operator.ts
@@ -1,40 +1,33 @@
 import {setTimeout as delay} from 'node:timers/promises';
 
-import type {ObjectCommand} from '@gentianshunt/configuration';
-import {request} from 'undici';
+import {runCommandText, runQueryText} from '@gentianshunt/operatorClient';
+import type {EntryAccess, QueryTextOutcome} from '@gentianshunt/operatorClient';
 
 const RETRY_MS = 100;
 const MAX_TRIES = 100;
 
-/** Sends an operator's command until it is in force. */
-export async function sendCommand(
-  entry: string,
-  number: number,
-  commands: readonly ObjectCommand[],
+/** Sends a text of commands until they are in force. */
+export async function sendCommands(
+  access: EntryAccess,
+  text: string,
 ): Promise<void> {
   for (let attempt = 0; attempt < MAX_TRIES; attempt += 1) {
-    const reply = await request(`${entry}/v1/operator/commands`, {
-      method: 'POST',
-      headers: {'content-type': 'application/json'},
-      body: JSON.stringify({number, operator: 'demo', commands}),
-    });
-    const progress = (await reply.body.json()) as {readonly kind: string};
-    if (progress.kind === 'force') {
+    const outcome = await runCommandText({access, text, number: 1});
+    if (outcome.kind === 'inForce') {
       return;
     }
-    if (progress.kind === 'answered') {
-      throw new Error(JSON.stringify(progress));
+    if (outcome.kind !== 'accepted' && outcome.kind !== 'undecided') {
+      throw new Error(JSON.stringify(outcome));
     }
     await delay(RETRY_MS);
   }
-  throw new Error('the command did not come into force');
+  throw new Error('the commands did not come into force');
 }
 
 /** Waits until the entries list the endpoints of both sets. */
-export async function awaitService(entries: readonly string[]): Promise<void> {
+export async function awaitService(access: EntryAccess): Promise<void> {
   for (let attempt = 0; attempt < MAX_TRIES; attempt += 1) {
-    const lists = await Promise.all(entries.map(readEndpointSets));
-    const sets = new Set(lists.flat());
+    const sets = new Set(await listColumn(access, 'show endpoints', 'set'));
     if (sets.has('drafts') && sets.has('registry')) {
       return;
     }
@@ -43,23 +36,25 @@
   throw new Error('the endpoints did not appear');
 }
 
-async function readEndpointSets(entry: string): Promise<readonly string[]> {
-  const reply = await request(`${entry}/v1/operator/endpoints`);
-  const endpoints = (await reply.body.json()) as readonly {
-    readonly set: string;
-  }[];
-  return endpoints.map(endpoint => endpoint.set);
+/** Prints how many requests the entries still hold. */
+export async function printLiveRequests(access: EntryAccess): Promise<void> {
+  const requests = await listColumn(access, 'show requests', 'request');
+  console.log(`requests left in the entries: ${requests.length}`);
 }
 
-/** Prints how many requests the entries still hold. */
-export async function printLiveRequests(
-  entries: readonly string[],
-): Promise<void> {
-  const lists = await Promise.all(
-    entries.map(async entry => {
-      const reply = await request(`${entry}/v1/operator/requests`);
-      return (await reply.body.json()) as readonly unknown[];
-    }),
-  );
-  console.log(`requests left in the entries: ${lists.flat().length}`);
+async function listColumn(
+  access: EntryAccess,
+  text: string,
+  name: string,
+): Promise<readonly string[]> {
+  const outcome = await runQueryText(access, text);
+  return outcome.kind === 'rows' ? readColumn(outcome, name) : [];
+}
+
+function readColumn(
+  {result}: Extract<QueryTextOutcome, {readonly kind: 'rows'}>,
+  name: string,
+): readonly string[] {
+  const index = result.columns.findIndex(column => column.name === name);
+  return result.rows.map(row => String(row[index]));
 }
--- a/cli/deployment/src/deployment.ts
+++ b/cli/deployment/src/deployment.ts
@@ -111,6 +111,7 @@
       const lines = [
         ...formatCommon(node, index, ports[offset]!),
         `http = { host = "${HOST}", port = ${httpPort} }`,
+        'insecure_operators = true',
         memberText,
       ];
       writeFileSync(settingsFile, lines.join('\n'));
--- /dev/null
+++ b/cli/gentianshunt/src/createKey.ts
@@ -0,0 +1,29 @@
+import {createHash, randomBytes} from 'node:crypto';
+
+import {defineCommand} from 'citty';
+
+const KEY_BYTES = 32;
+
+/** Draws a key for an operator and prints the entry for the keys file. */
+export const createKeyCommand = defineCommand({
+  meta: {
+    name: 'create-key',
+    description:
+      'Draw a key for an operator: the key goes to standard output, the entry for the keys file to standard error.',
+  },
+  args: {
+    operator: {
+      type: 'positional',
+      required: true,
+      description: 'Name of the operator',
+    },
+  },
+  run: ({args}) => {
+    const key = randomBytes(KEY_BYTES).toString('base64url');
+    const digest = createHash('sha256').update(key).digest('hex');
+    console.log(key);
+    console.error(
+      `[[operator]]\nname = "${args.operator}"\nkey_sha256 = "${digest}"`,
+    );
+  },
+});
--- a/cli/gentianshunt/src/main.ts
+++ b/cli/gentianshunt/src/main.ts
@@ -2,7 +2,10 @@
 import {defineCommand, runMain} from 'citty';
 
 import {checkSettingsCommand} from './checkSettings.js';
+import {commandCommand} from './command.js';
+import {createKeyCommand} from './createKey.js';
 import {loadCommand} from './load.js';
+import {queryCommand} from './query.js';
 
 const command = defineCommand({
   meta: {
@@ -11,7 +14,10 @@
   },
   subCommands: {
     'check-settings': checkSettingsCommand,
+    command: commandCommand,
+    'create-key': createKeyCommand,
     load: loadCommand,
+    query: queryCommand,
   },
 });
 
--- /dev/null
+++ b/cli/operatorClient/src/index.ts
@@ -0,0 +1,4 @@
+export * from './operatorClientErrors.js';
+export * from './runCommandText.js';
+export * from './runQueryText.js';
+export * from './sendToEntry.js';
--- a/control/configuration/src/applyBatch.ts
+++ b/control/configuration/src/applyBatch.ts
@@ -6,6 +6,7 @@
   CommandRefusal,
   ConfigurationChange,
   ObjectCommand,
+  ObjectPatch,
 } from './changes.js';
 import {createDraftLookup} from './draftLookup.js';
 import type {DraftLookup} from './draftLookup.js';
@@ -69,6 +70,10 @@
   switch (command.kind) {
     case 'put':
       return putObject(draft, key, command.object, revision);
+    case 'update':
+      return current === undefined
+        ? {kind: 'notFound', key}
+        : putObject(draft, key, applyPatch(current, command.patch), revision);
     case 'delete':
       if (current === undefined) {
         return {kind: 'notFound', key};
@@ -104,6 +109,8 @@
   switch (command.kind) {
     case 'put':
       return formatObjectKey(command.object.kind, command.object.id);
+    case 'update':
+      return formatObjectKey(command.patch.kind, command.patch.id);
     case 'delete':
       return command.key;
     default:
@@ -111,6 +118,17 @@
   }
 }
 
+/** The key of the current object names the kind of the patch. */
+function applyPatch(
+  current: ConfigurationObject,
+  patch: ObjectPatch,
+): ConfigurationObject {
+  const next = {...current, ...patch.fields} as ConfigurationObject;
+  return current.kind === 'organisation' && next.kind === 'organisation'
+    ? {...next, limits: {...current.limits, ...next.limits}}
+    : next;
+}
+
 /** A set's leader goes with the set. */
 function deleteLeaderships(draft: DraftLookup): void {
   for (const [key, object] of [...draft.changed]) {
--- a/control/configuration/src/changes.ts
+++ b/control/configuration/src/changes.ts
@@ -1,10 +1,33 @@
-import type {ConfigurationObject, ObjectKey, Revision} from './objects.js';
+import type {
+  ConfigurationObject,
+  ObjectKey,
+  OrganisationLimits,
+  Revision,
+} from './objects.js';
 
 /** One effect on the table, as entries receive it. */
 export type ConfigurationChange =
   | {readonly kind: 'put'; readonly object: ConfigurationObject}
   | {readonly kind: 'delete'; readonly key: ObjectKey};
 
+type FieldsOf<Object extends ConfigurationObject> = Omit<
+  Object,
+  'kind' | 'id' | 'revision' | 'limits'
+>;
+
+/** New values for some fields of an object. */
+export type ObjectPatch = {
+  [Object in ConfigurationObject as Object['kind']]: Pick<
+    Object,
+    'kind' | 'id'
+  > & {
+    readonly fields: Partial<FieldsOf<Object>> &
+      (Object extends {readonly limits: OrganisationLimits}
+        ? {readonly limits?: Partial<OrganisationLimits>}
+        : unknown);
+  };
+}[ConfigurationObject['kind']];
+
 /** One step of an operator's command. */
 export type ObjectCommand =
   | {
@@ -14,6 +37,12 @@
       /** Revision the operator saw: 0 for none, `null` for any. */
       readonly expectedRevision: Revision | null;
     }
+  | {
+      /** Changes the named fields and leaves the others as they are. */
+      readonly kind: 'update';
+      readonly patch: ObjectPatch;
+      readonly expectedRevision: Revision | null;
+    }
   | {
       readonly kind: 'delete';
       readonly key: ObjectKey;
--- a/daemons/entryd/src/entryd.ts
+++ b/daemons/entryd/src/entryd.ts
@@ -14,7 +14,7 @@
 import {addHealthRoutes, createEntryMetrics} from '@gentianshunt/metrics';
 import type {EntryMetrics} from '@gentianshunt/metrics';
 import {createOperatorFront} from '@gentianshunt/operatorFront';
-import type {OperatorFront} from '@gentianshunt/operatorFront';
+import type {OperatorAccess, OperatorFront} from '@gentianshunt/operatorFront';
 import {createPeerLinks} from '@gentianshunt/peerLinks';
 import type {PeerLinks} from '@gentianshunt/peerLinks';
 import {
@@ -24,6 +24,7 @@
   drawIdentifier,
 } from '@gentianshunt/runtime';
 import type {TimerTable} from '@gentianshunt/runtime';
+import {readOperatorKeys} from '@gentianshunt/settings';
 import type {EntrydSettings} from '@gentianshunt/settings';
 import {fastify} from 'fastify';
 
@@ -111,6 +112,8 @@
       server,
       post,
       view: node.view,
+      clock: createSystemClock(),
+      access: readAccess(settings),
       drawRequestId: drawIdentifier,
     }),
     metrics: createEntryMetrics(),
@@ -134,6 +137,13 @@
   };
 }
 
+function readAccess(settings: EntrydSettings): OperatorAccess {
+  const file = settings.operator_keys_file;
+  return file === undefined
+    ? {kind: 'insecure'}
+    : {kind: 'keys', keys: readOperatorKeys({file})};
+}
+
 function isReady(node: EntryNode): boolean {
   const {service, control} = node.view;
   return (
--- a/daemons/settings/src/readSettings.ts
+++ b/daemons/settings/src/readSettings.ts
@@ -1,10 +1,8 @@
-import {readFileSync} from 'node:fs';
-
-import {parse, TomlError} from 'smol-toml';
 import type {z} from 'zod';
 
 import {controldSchema, entrydSchema} from './schema.js';
 import type {ControldSettings, EntrydSettings} from './schema.js';
+import {parseToml, readText} from './settingsFile.js';
 import {SettingsError} from './settingsError.js';
 
 /** Where settings are read from. */
@@ -45,26 +43,6 @@
   return result.data;
 }
 
-function readText(file: string): string {
-  try {
-    return readFileSync(file, 'utf8');
-  } catch (error) {
-    throw new SettingsError(file, '', null, (error as Error).message);
-  }
-}
-
-function parseToml(file: string, text: string): unknown {
-  try {
-    return parse(text);
-  } catch (error) {
-    if (error instanceof TomlError) {
-      const reason = error.message.split('\n')[0]!;
-      throw new SettingsError(file, '', error.line, reason);
-    }
-    throw error;
-  }
-}
-
 function createIssueError(
   file: string,
   text: string,
--- a/daemons/settings/src/schema.ts
+++ b/daemons/settings/src/schema.ts
@@ -33,19 +33,32 @@
 };
 
 /** The form of an entry daemon's settings. */
-export const entrydSchema = z.strictObject({
-  ...common,
-  http: address,
-  limits: z
-    .strictObject({
-      /** Largest body of a caller's request, in bytes. */
-      max_body_bytes: z
-        .int()
-        .min(1_024)
-        .default(4 * 1024 * 1024),
-    })
-    .prefault({}),
-});
+export const entrydSchema = z
+  .strictObject({
+    ...common,
+    http: address,
+    /** Lists the operators and the digests of their keys. */
+    operator_keys_file: z.string().min(1).optional(),
+    /** Lets everybody send commands; for tests on loopback. */
+    insecure_operators: z.boolean().default(false),
+    limits: z
+      .strictObject({
+        /** Largest body of a caller's request, in bytes. */
+        max_body_bytes: z
+          .int()
+          .min(1_024)
+          .default(4 * 1024 * 1024),
+      })
+      .prefault({}),
+  })
+  .refine(
+    settings =>
+      settings.insecure_operators || settings.operator_keys_file !== undefined,
+    {
+      path: ['operator_keys_file'],
+      message: 'is missing; or set insecure_operators = true for tests',
+    },
+  );
 
 /** The form of a control daemon's settings. */
 export const controldSchema = z.strictObject({
--- /dev/null
+++ b/language/commands/src/compileCommands.ts
@@ -0,0 +1,260 @@
+import {formatObjectKey} from '@gentianshunt/configuration';
+import type {
+  ConfigurationObject,
+  EndpointPolicy,
+  ObjectCommand,
+  ObjectPatch,
+} from '@gentianshunt/configuration';
+import {assertNever} from '@gentianshunt/errors';
+import {createMeaningIssue} from '@gentianshunt/grammar';
+import type {
+  ChangeStatement,
+  LanguageIssue,
+  Statement,
+} from '@gentianshunt/grammar';
+import {isIdentifier, toIdentifier} from '@gentianshunt/identifiers';
+
+import {findType, TYPE_SPECS} from './objectFields.js';
+import type {TypeSpec} from './objectFields.js';
+import {readFields} from './readFields.js';
+import type {FieldAssignment, FieldValue, Outcome} from './readFields.js';
+
+/** Turns statements into one batch, or tells what is wrong with them. */
+export function compileCommands(
+  statements: readonly Statement[],
+): Outcome<readonly ObjectCommand[]> {
+  const commands: ObjectCommand[] = [];
+  for (const statement of statements) {
+    const compiled = compileStatement(statement);
+    if (compiled.kind === 'failed') {
+      return compiled;
+    }
+    commands.push(compiled.result);
+  }
+  return {kind: 'read', result: commands};
+}
+
+function compileStatement(statement: Statement): Outcome<ObjectCommand> {
+  switch (statement.kind) {
+    case 'show':
+    case 'help':
+      return fail(
+        createMeaningIssue(
+          `${statement.kind} cannot stand among commands`,
+          statement.position,
+          ['create', 'set', 'delete', 'drain', 'undrain'],
+        ),
+      );
+    case 'load':
+    case 'changeRole':
+      return fail(
+        createMeaningIssue(
+          'orders to endpoints are not carried out yet',
+          statement.position,
+        ),
+      );
+    case 'create':
+    case 'set':
+    case 'delete':
+    case 'drain':
+    case 'undrain':
+      return compileChange(statement);
+    default:
+      return assertNever(statement, 'compileStatement');
+  }
+}
+
+function fail(issue: LanguageIssue): Outcome<never> {
+  return {kind: 'failed', issue};
+}
+
+function read<Result>(result: Result): Outcome<Result> {
+  return {kind: 'read', result};
+}
+
+function compileChange(statement: ChangeStatement): Outcome<ObjectCommand> {
+  if (!isIdentifier(statement.id)) {
+    const message = `${statement.id} is too long for a name`;
+    return fail(createMeaningIssue(message, statement.position));
+  }
+  if (statement.kind === 'drain' || statement.kind === 'undrain') {
+    return read(createPolicyCommand(statement, statement.kind));
+  }
+  const type = findType(statement.type);
+  if (type === undefined) {
+    return fail(
+      createMeaningIssue(
+        `there is no type ${statement.type}`,
+        statement.position,
+        TYPE_SPECS.map(({name}) => name),
+      ),
+    );
+  }
+  const fields = readFields(type, statement.settings);
+  return fields.kind === 'failed'
+    ? fields
+    : createCommand(statement, type, fields.result);
+}
+
+function createPolicyCommand(
+  statement: ChangeStatement,
+  kind: 'drain' | 'undrain',
+): ObjectCommand {
+  const object: EndpointPolicy = {
+    kind: 'endpointPolicy',
+    id: toIdentifier(statement.id),
+    revision: 0,
+    state: kind === 'drain' ? 'draining' : 'active',
+  };
+  return {kind: 'put', object, expectedRevision: statement.revision};
+}
+
+function createCommand(
+  statement: ChangeStatement,
+  type: TypeSpec,
+  fields: readonly FieldAssignment[],
+): Outcome<ObjectCommand> {
+  const {id, revision} = statement;
+  switch (statement.kind) {
+    case 'create': {
+      const issue = findMissing(statement, type, fields);
+      return issue === undefined
+        ? read({
+            kind: 'put',
+            object: createObject(type, id, fields),
+            // Creating must not overwrite what is there.
+            expectedRevision: revision ?? 0,
+          })
+        : fail(issue);
+    }
+    case 'set': {
+      const issue = findUnusable(statement, type, fields);
+      return issue === undefined
+        ? read({
+            kind: 'update',
+            patch: createPatch(type, id, fields),
+            expectedRevision: revision,
+          })
+        : fail(issue);
+    }
+    case 'delete':
+      return read({
+        kind: 'delete',
+        key: formatObjectKey(type.kind, id),
+        expectedRevision: revision,
+      });
+    case 'drain':
+    case 'undrain':
+      return read(createPolicyCommand(statement, statement.kind));
+    default:
+      return assertNever(statement.kind, 'createCommand');
+  }
+}
+
+function findUnusable(
+  statement: ChangeStatement,
+  type: TypeSpec,
+  fields: readonly FieldAssignment[],
+): LanguageIssue | undefined {
+  const {position} = statement;
+  if (fields.length === 0) {
+    const expected = type.fields.map(({name}) => name);
+    return createMeaningIssue('no field is set', position, expected);
+  }
+  const group = type.alternatives.find(
+    names => fields.filter(({field}) => names.includes(field.name)).length > 1,
+  );
+  return group === undefined
+    ? undefined
+    : createMeaningIssue(
+        `a ${type.name} has only one of ${group.join(', ')}`,
+        position,
+      );
+}
+
+function findMissing(
+  statement: ChangeStatement,
+  type: TypeSpec,
+  fields: readonly FieldAssignment[],
+): LanguageIssue | undefined {
+  const isGiven = (name: string): boolean =>
+    fields.some(({field}) => field.name === name);
+  for (const group of type.alternatives) {
+    if (group.filter(isGiven).length !== 1) {
+      const message = `a ${type.name} needs exactly one of ${group.join(', ')}`;
+      return createMeaningIssue(message, statement.position, group);
+    }
+  }
+  const optional = new Set(type.alternatives.flat());
+  const missing = type.fields.find(
+    ({name, initial}) =>
+      initial === undefined && !optional.has(name) && !isGiven(name),
+  );
+  return missing === undefined
+    ? undefined
+    : createMeaningIssue(
+        `a ${type.name} needs ${missing.name}`,
+        statement.position,
+        [missing.name],
+      );
+}
+
+/** Places values by their paths; the field specs match the object types. */
+function placeFields(
+  fields: readonly (readonly [readonly string[], FieldValue])[],
+): Readonly<Record<string, unknown>> {
+  const placed: Record<string, unknown> = {};
+  for (const [[name, inner], value] of fields) {
+    placed[name!] =
+      inner === undefined
+        ? value
+        : {...(placed[name!] as object | undefined), [inner]: value};
+  }
+  return placed;
+}
+
+function createObject(
+  type: TypeSpec,
+  id: string,
+  fields: readonly FieldAssignment[],
+): ConfigurationObject {
+  const initial = type.fields
+    .filter(field => field.initial !== undefined)
+    .map(({path, initial}) => [path, initial as FieldValue] as const);
+  const given = fields.map(({field, value}) => [field.path, value] as const);
+  const placed = placeFields([...initial, ...given]);
+  return {
+    kind: type.kind,
+    id,
+    revision: 0,
+    ...tagService(placed),
+  } as unknown as ConfigurationObject;
+}
+
+function createPatch(
+  type: TypeSpec,
+  id: string,
+  fields: readonly FieldAssignment[],
+): ObjectPatch {
+  const placed = placeFields(
+    fields.map(({field, value}) => [field.path, value] as const),
+  );
+  return {
+    kind: type.kind,
+    id,
+    fields: tagService(placed),
+  } as unknown as ObjectPatch;
+}
+
+/** What a set runs is a union, told apart by the field that was given. */
+function tagService(
+  placed: Readonly<Record<string, unknown>>,
+): Readonly<Record<string, unknown>> {
+  const service = placed['service'] as
+    {readonly model?: string; readonly service?: string} | undefined;
+  if (service === undefined) {
+    return placed;
+  }
+  const kind = service.model === undefined ? 'plain' : 'model';
+  return {...placed, service: {kind, ...service}};
+}
--- /dev/null
+++ b/language/grammar/src/index.ts
@@ -0,0 +1,4 @@
+export * from './languageIssue.js';
+export * from './parseText.js';
+export * from './printStatement.js';
+export * from './syntaxTree.js';
--- /dev/null
+++ b/language/queries/src/tables.ts
@@ -0,0 +1,56 @@
+import {
+  ENDPOINTS_TABLE,
+  ENTRIES_TABLE,
+  KINDS_TABLE,
+  ORGANISATIONS_TABLE,
+  SETS_TABLE,
+  TIERS_TABLE,
+} from './configurationTables.js';
+import {COMMANDS_TABLE, COUNTS_TABLE} from './controlTables.js';
+import {
+  REFUSED_TABLE,
+  REQUESTS_TABLE,
+  RUNNING_TABLE,
+  WAITING_TABLE,
+} from './requestTables.js';
+import type {Table} from './table.js';
+
+/** Every table that can be queried. */
+export const TABLES: readonly Table[] = [
+  WAITING_TABLE,
+  RUNNING_TABLE,
+  REFUSED_TABLE,
+  REQUESTS_TABLE,
+  ENDPOINTS_TABLE,
+  ENTRIES_TABLE,
+  ORGANISATIONS_TABLE,
+  TIERS_TABLE,
+  SETS_TABLE,
+  KINDS_TABLE,
+  COMMANDS_TABLE,
+  COUNTS_TABLE,
+];
+
+/** Finds a table by its name. */
+export function findTable(name: string): Table | undefined {
+  return TABLES.find(table => table.name === name);
+}
+
+/** Formats the list of tables. */
+export function formatTables(): string {
+  return [
+    'Tables:',
+    ...TABLES.map(({name, help}) => `  ${name}: ${help}`),
+  ].join('\n');
+}
+
+/** Formats the help on a table, if there is one of the name. */
+export function formatTableHelp(name: string): string | undefined {
+  const table = findTable(name);
+  return table === undefined
+    ? undefined
+    : [
+        `${table.name}: ${table.help}`,
+        ...table.columns.map(column => `  ${column.name}: ${column.form}`),
+      ].join('\n');
+}
