--- a/daemons/entryd/src/entryd.ts
+++ b/daemons/entryd/src/entryd.ts
@@ -31,6 +31,9 @@
 
 const log = createDebug('gentianshunt:entryd');
 
+/** Bytes of request bodies held before new ones are left unread. */
+const MAX_HELD_BODY_BYTES = 256 * 1024 * 1024;
+
 /** What an entry daemon needs. */
 export interface EntrydOptions {
   readonly settings: EntrydSettings;
@@ -105,6 +108,8 @@
       post,
       readDirectory: () => node.view.control.directory,
       drawRequestId: drawIdentifier,
+      self: settings.node,
+      maxHeldBytes: MAX_HELD_BODY_BYTES,
     }),
     operators: createOperatorFront({
       server,
@@ -153,6 +158,7 @@
 ): void {
   switch (order.kind) {
     case 'openStream':
+    case 'resumeStream':
     case 'cancelStream':
     case 'refuseCaller':
     case 'repeatAnswer':
--- a/fronts/callerFront/src/callerFront.ts
+++ b/fronts/callerFront/src/callerFront.ts
@@ -1,12 +1,23 @@
 import {selectAddresses} from '@gentianshunt/addressLookup';
-import type {EntryObservation, EntryOrder} from '@gentianshunt/entryModel';
-import type {RequestId} from '@gentianshunt/identifiers';
-import type {ClaimOutcome, EntryDirectory} from '@gentianshunt/messages';
+import type {
+  EntryObservation,
+  EntryOrder,
+  Refusal,
+} from '@gentianshunt/entryModel';
+import type {NodeId, RequestId} from '@gentianshunt/identifiers';
+import type {
+  ClaimOutcome,
+  DirectoryEntry,
+  EntryDirectory,
+} from '@gentianshunt/messages';
 import type {FastifyInstance, FastifyReply, FastifyRequest} from 'fastify';
 
 import {createCallerTable, sendProblem} from './callerTable.js';
 import type {CallerTable, ForwardedRequest} from './callerTable.js';
+import {createIntakeGate} from './intakeGate.js';
 import {createBadRequestProblem, toProblem} from './problem.js';
+import type {CallerAddress} from './problem.js';
+import {addProblemHandlers} from './problemHandlers.js';
 import {parseChatRequest, parseServiceRequest} from './requestForm.js';
 import type {ParsedRequest} from './requestForm.js';
 import {createStreamClient} from './streamClient.js';
@@ -19,7 +30,11 @@
   EntryOrder,
   {
     readonly kind:
-      'openStream' | 'cancelStream' | 'refuseCaller' | 'repeatAnswer';
+      | 'openStream'
+      | 'resumeStream'
+      | 'cancelStream'
+      | 'refuseCaller'
+      | 'repeatAnswer';
   }
 >;
 
@@ -29,6 +44,10 @@
   readonly post: (observation: EntryObservation) => void;
   readonly readDirectory: () => EntryDirectory;
   readonly drawRequestId: () => RequestId;
+  /** This entry, which is no fallback for itself. */
+  readonly self: NodeId;
+  /** Bytes of request bodies held at which reading stops. */
+  readonly maxHeldBytes: number;
 }
 
 /** The HTTP front for callers. */
@@ -41,6 +60,9 @@
 export function createCallerFront(options: CallerFrontOptions): CallerFront {
   const callers = createCallerTable();
   const streams = createStreamClient({callers, post: options.post});
+  const {server, maxHeldBytes} = options;
+  addProblemHandlers(server);
+  createIntakeGate({server, callers, maxHeldBytes});
   addRoutes(options, callers);
   return {
     perform: order => {
@@ -48,6 +70,9 @@
         case 'openStream':
           streams.open(order.request, order.dispatch);
           return;
+        case 'resumeStream':
+          streams.resume(order.dispatch, order.fromEvent);
+          return;
         case 'cancelStream':
           streams.cancel(order.dispatch);
           return;
@@ -55,7 +80,8 @@
           const caller = callers.find(order.refusal.request);
           callers.remove(order.refusal.request);
           if (caller !== undefined) {
-            sendProblem(caller.response, toProblem(order.refusal));
+            const addresses = listFallbacks(options, order.refusal);
+            sendProblem(caller.response, toProblem(order.refusal, addresses));
           }
           return;
         }
@@ -108,15 +134,34 @@
       });
       return {
         lifetimeMs: ADDRESS_LIFETIME_MS,
-        addresses: selected.map(({address}) => ({
-          url: `http://${address.http.host}:${address.http.port}`,
-          domain: address.domain,
-        })),
+        addresses: selected.map(toCallerAddress),
       };
     },
   );
 }
 
+function toCallerAddress({address}: DirectoryEntry): CallerAddress {
+  const {host, port} = address.http;
+  return {url: `http://${host}:${port}`, domain: address.domain};
+}
+
+/** Lists other entries for a caller that this one cannot serve now. */
+function listFallbacks(
+  options: CallerFrontOptions,
+  refusal: Refusal,
+): readonly CallerAddress[] {
+  const {kind} = refusal.reason;
+  if (kind !== 'draining' && kind !== 'noLease') {
+    return [];
+  }
+  const {version, entries} = options.readDirectory();
+  const others = entries.filter(entry => entry.address.node !== options.self);
+  const directory = {version, entries: others};
+  return selectAddresses({directory, affinity: refusal.request}).map(
+    toCallerAddress,
+  );
+}
+
 function accept(
   options: CallerFrontOptions,
   callers: CallerTable,
@@ -167,5 +212,6 @@
     notRun: false,
     retryAfterMs: null,
     detail: null,
+    addresses: [],
   });
 }
--- a/fronts/callerFront/src/callerTable.ts
+++ b/fronts/callerFront/src/callerTable.ts
@@ -29,19 +29,41 @@
   add(caller: Caller): void;
   find(request: RequestId): Caller | undefined;
   remove(request: RequestId): void;
+  /** Calls back after every removal. */
+  onRemoved(listener: () => void): void;
   readonly size: number;
+  /** Bytes of the bodies of all callers. */
+  readonly heldBytes: number;
 }
 
 /** Creates an empty table. */
 export function createCallerTable(): CallerTable {
   const callers = new Map<RequestId, Caller>();
+  const listeners: (() => void)[] = [];
+  let heldBytes = 0;
   return {
-    add: caller => callers.set(caller.request, caller),
+    add: caller => {
+      callers.set(caller.request, caller);
+      heldBytes += caller.forwarded.body.length;
+    },
     find: request => callers.get(request),
-    remove: request => callers.delete(request),
+    remove: request => {
+      const caller = callers.get(request);
+      if (caller !== undefined) {
+        callers.delete(request);
+        heldBytes -= caller.forwarded.body.length;
+        listeners.forEach(listener => listener());
+      }
+    },
+    onRemoved: listener => {
+      listeners.push(listener);
+    },
     get size() {
       return callers.size;
     },
+    get heldBytes() {
+      return heldBytes;
+    },
   };
 }
 
@@ -55,10 +77,10 @@
   }
   const body = JSON.stringify(problem);
   if (response.headersSent) {
-    // The answer has begun: an error event and no end mark tell the caller.
-    response.write(`event: error\ndata: ${body}\n\n`, () => response.destroy());
+    endStartedAnswer(response, body);
     return;
   }
+  response.removeHeader('content-length');
   response.statusCode = problem.status;
   response.setHeader('content-type', PROBLEM_MEDIA_TYPE);
   if (problem.retryAfterMs !== null) {
@@ -67,3 +89,15 @@
   }
   response.end(body);
 }
+
+/** An error event, or a missing end of the body, tells the caller. */
+function endStartedAnswer(response: ServerResponse, problem: string): void {
+  const contentType = String(response.getHeader('content-type'));
+  if (contentType.startsWith('text/event-stream')) {
+    response.write(`event: error\ndata: ${problem}\n\n`, () =>
+      response.destroy(),
+    );
+    return;
+  }
+  response.destroy();
+}
--- a/fronts/callerFront/src/problem.ts
+++ b/fronts/callerFront/src/problem.ts
@@ -11,6 +11,14 @@
   /** Milliseconds after which trying again makes sense, or `null`. */
   readonly retryAfterMs: number | null;
   readonly detail: string | null;
+  /** Other entries that may take the request. */
+  readonly addresses: readonly CallerAddress[];
+}
+
+/** An entry as callers reach it. */
+export interface CallerAddress {
+  readonly url: string;
+  readonly domain: string;
 }
 
 /** Media type of problem documents. */
@@ -23,7 +31,10 @@
 }
 
 /** Writes a refusal as a problem document. */
-export function toProblem(refusal: Refusal): ProblemDocument {
+export function toProblem(
+  refusal: Refusal,
+  addresses: readonly CallerAddress[] = [],
+): ProblemDocument {
   const form = describeReason(refusal.reason);
   return {
     type: `urn:gentianshunt:problem:${refusal.reason.kind}`,
@@ -32,6 +43,7 @@
     notRun: refusal.notRun,
     retryAfterMs: refusal.retryAfterMs,
     detail: form.detail ?? null,
+    addresses,
   };
 }
 
@@ -47,6 +59,7 @@
     notRun: true,
     retryAfterMs: null,
     detail,
+    addresses: [],
   };
 }
 
--- a/fronts/callerFront/src/streamClient.ts
+++ b/fronts/callerFront/src/streamClient.ts
@@ -1,27 +1,24 @@
-import type {ServerResponse} from 'node:http';
-import {once} from 'node:events';
-
 import type {
   AdmittedRequest,
   Dispatch,
   EntryObservation,
-  StoredAnswer,
   StreamEnd,
 } from '@gentianshunt/entryModel';
 import type {DispatchId} from '@gentianshunt/identifiers';
 import {Agent, request as sendRequest} from 'undici';
 import type {Dispatcher} from 'undici';
 
-import type {CallerTable, ForwardedRequest} from './callerTable.js';
+import type {CallerTable} from './callerTable.js';
+import {carryAnswer, DISPATCH_HEADER} from './carryAnswer.js';
+import type {AnswerStream} from './carryAnswer.js';
+import {createKeptBody} from './keptBody.js';
 
-/** Marks the end of an event stream. */
-export const END_MARK = 'data: [DONE]\n\n';
-/** Largest answer kept for resends, in bytes. */
-export const MAX_STORED_ANSWER_BYTES = 64 * 1024;
 /** Longest wait for an endpoint to accept a connection. */
 export const CONNECT_TIMEOUT_MS = 1_000;
-/** Longest silence of an endpoint in the middle of an answer. */
-export const BODY_TIMEOUT_MS = 60_000;
+/** Least time between two reports that a stream still delivers. */
+export const PROGRESS_INTERVAL_MS = 5_000;
+/** Longest wait for an endpoint to confirm a cancellation. */
+const CANCEL_TIMEOUT_MS = 1_000;
 
 /** What the stream client needs. */
 export interface StreamClientOptions {
@@ -29,205 +26,242 @@
   readonly post: (observation: EntryObservation) => void;
 }
 
-/** Opens and cancels the streams that carry answers. */
+/** Opens, resumes and cancels the streams that carry answers. */
 export interface StreamClient {
   open(request: AdmittedRequest, dispatch: Dispatch): void;
+  resume(dispatch: Dispatch, fromEvent: number): void;
   cancel(dispatch: Dispatch): void;
   close(): Promise<void>;
 }
 
+interface OpenStream {
+  readonly request: AdmittedRequest;
+  readonly answer: AnswerStream;
+  abort: AbortController;
+  isRunning: boolean;
+}
+
 /** Creates a client with its own connections to the endpoints. */
 export function createStreamClient(options: StreamClientOptions): StreamClient {
   const agent = new Agent({
     connections: null,
     pipelining: 1,
     connect: {timeout: CONNECT_TIMEOUT_MS},
+    // How long an endpoint may be silent is decided on the board.
     headersTimeout: 0,
-    bodyTimeout: BODY_TIMEOUT_MS,
+    bodyTimeout: 0,
   });
-  const streams = new Map<DispatchId, AbortController>();
+  const streams = new Map<DispatchId, OpenStream>();
+  const run = (stream: OpenStream, opening: Opening): void => {
+    stream.abort = new AbortController();
+    stream.isRunning = true;
+    void runStream(options, agent, stream, opening).then(end => {
+      stream.isRunning = false;
+      postEnd(options, stream, end);
+      // The decision may have been to resume.
+      if (!stream.isRunning) {
+        streams.delete(stream.answer.dispatch);
+      }
+    });
+  };
   return {
     open: (request, dispatch) => {
-      const controller = new AbortController();
-      streams.set(dispatch.id, controller);
-      void runStream(options, agent, request, dispatch, controller).finally(
-        () => streams.delete(dispatch.id),
-      );
+      const stream = createOpenStream(options, request, dispatch);
+      if (stream === undefined) {
+        const end = {kind: 'notSent', detail: 'caller gone'} as const;
+        options.post({
+          kind: 'streamEnded',
+          dispatch: dispatch.id,
+          end,
+          stored: null,
+        });
+        return;
+      }
+      streams.set(dispatch.id, stream);
+      run(stream, createOpening(stream.answer, dispatch));
+    },
+    resume: (dispatch, fromEvent) => {
+      const stream = streams.get(dispatch.id);
+      if (stream !== undefined) {
+        run(stream, createResumption(dispatch, fromEvent));
+      }
+    },
+    cancel: dispatch => {
+      streams.get(dispatch.id)?.abort.abort();
+      void cancelAtEndpoint(agent, dispatch);
     },
-    cancel: dispatch => streams.get(dispatch.id)?.abort(),
     close: () => agent.destroy(),
   };
 }
 
-/** How a stream ended, and the answer if it is to be kept. */
-interface StreamResult {
-  readonly end: StreamEnd;
-  readonly stored: StoredAnswer | null;
-}
-
-async function runStream(
-  options: StreamClientOptions,
-  agent: Agent,
+function createOpenStream(
+  {callers}: StreamClientOptions,
   request: AdmittedRequest,
   dispatch: Dispatch,
-  controller: AbortController,
-): Promise<void> {
-  const caller = options.callers.find(request.id);
+): OpenStream | undefined {
+  const caller = callers.find(request.id);
   if (caller === undefined) {
-    return;
+    return undefined;
   }
-  const {forwarded, response} = caller;
-  const result = await openResponse(
-    agent,
-    forwarded,
-    dispatch,
-    controller,
-  ).then(opened =>
-    opened.kind === 'opened'
-      ? carryAnswer(options, request, dispatch, opened.data, {
-          forwarded,
-          response,
-        })
-      : {end: opened.end, stored: null},
-  );
-  options.post({kind: 'streamEnded', dispatch: dispatch.id, ...result});
-  if (result.end.kind === 'complete') {
+  return {
+    request,
+    answer: {
+      dispatch: dispatch.id,
+      forwarded: caller.forwarded,
+      response: caller.response,
+      kept: createKeptBody(request.claim !== null),
+      events: 0,
+      status: 0,
+      contentType: '',
+    },
+    abort: new AbortController(),
+    isRunning: false,
+  };
+}
+
+/** Tells the board how a stream ended, then the caller. */
+function postEnd(
+  options: StreamClientOptions,
+  {request, answer}: OpenStream,
+  end: StreamEnd,
+): void {
+  const {status, contentType, kept, response} = answer;
+  const isWhole = end.kind === 'complete';
+  options.post({
+    kind: 'streamEnded',
+    dispatch: answer.dispatch,
+    end,
+    stored: isWhole ? {status, contentType, body: kept.read()} : null,
+  });
+  if (isWhole) {
     options.callers.remove(request.id);
     response.end();
   }
 }
 
-type OpenResult =
-  | {readonly kind: 'opened'; readonly data: Dispatcher.ResponseData}
-  | {readonly kind: 'failed'; readonly end: StreamEnd};
-
-async function openResponse(
-  agent: Agent,
-  forwarded: ForwardedRequest,
-  dispatch: Dispatch,
-  controller: AbortController,
-): Promise<OpenResult> {
-  try {
-    const data = await sendRequest(`${dispatch.target.url}${forwarded.path}`, {
-      dispatcher: agent,
-      method: forwarded.method,
-      headers: {
-        'content-type': forwarded.contentType,
-        'x-dispatch-id': dispatch.id,
-      },
-      body: forwarded.method === 'GET' ? null : forwarded.body,
-      signal: controller.signal,
-    });
-    if (data.statusCode >= 500 && forwarded.framing === 'eventStream') {
-      await data.body.dump();
-      const end = {kind: 'rejected', status: data.statusCode} as const;
-      return {kind: 'failed', end};
-    }
-    return {kind: 'opened', data};
-  } catch (error) {
-    return {kind: 'failed', end: toStreamEnd(error)};
-  }
+/** A request that starts a stream or goes on reading one. */
+interface Opening {
+  readonly url: string;
+  readonly method: 'GET' | 'POST';
+  readonly headers: Readonly<Record<string, string>>;
+  readonly body: Buffer | null;
+  /** Whether the endpoint may answer with a status that is no success. */
+  readonly takesAnyStatus: boolean;
 }
 
-const NOT_SENT_CODES = new Set(['UND_ERR_CONNECT_TIMEOUT', 'ECONNREFUSED']);
+function createOpening(answer: AnswerStream, dispatch: Dispatch): Opening {
+  const {forwarded} = answer;
+  return {
+    url: `${dispatch.target.url}${forwarded.path}`,
+    method: forwarded.method,
+    headers: {
+      'content-type': forwarded.contentType,
+      [DISPATCH_HEADER]: dispatch.id,
+    },
+    body: forwarded.method === 'GET' ? null : forwarded.body,
+    // Whatever a plain service answers is its answer.
+    takesAnyStatus: forwarded.framing === 'contentLength',
+  };
+}
 
-function toStreamEnd(error: unknown): StreamEnd {
-  const {code, message} = error as NodeJS.ErrnoException;
-  return code !== undefined && NOT_SENT_CODES.has(code)
-    ? {kind: 'notSent', detail: code}
-    : {kind: 'cut', detail: message};
+function createResumption(dispatch: Dispatch, fromEvent: number): Opening {
+  return {
+    url: `${formatStreamUrl(dispatch)}?from=${fromEvent}`,
+    method: 'GET',
+    headers: {[DISPATCH_HEADER]: dispatch.id},
+    body: null,
+    takesAnyStatus: false,
+  };
 }
 
-interface CallerSide {
-  readonly forwarded: ForwardedRequest;
-  readonly response: ServerResponse;
+function formatStreamUrl(dispatch: Dispatch): string {
+  return `${dispatch.target.url}/v1/streams/${dispatch.id}`;
 }
 
-/** Copies an answer to its caller no faster than the caller takes it. */
-async function carryAnswer(
+async function runStream(
   options: StreamClientOptions,
-  request: AdmittedRequest,
-  dispatch: Dispatch,
-  data: Dispatcher.ResponseData,
-  side: CallerSide,
-): Promise<StreamResult> {
-  const {response, forwarded} = side;
-  const contentType = String(data.headers['content-type'] ?? '');
-  response.statusCode = data.statusCode;
-  response.setHeader('content-type', contentType);
-  response.setHeader('x-request-id', request.id);
-  const tail = createTail(END_MARK.length);
-  const kept = createKeptBody(request.claim !== null);
-  let isStarted = false;
+  agent: Agent,
+  stream: OpenStream,
+  opening: Opening,
+): Promise<StreamEnd> {
+  const {answer, abort} = stream;
+  let data: Dispatcher.ResponseData;
   try {
-    for await (const chunk of data.body as AsyncIterable<Buffer>) {
-      if (!isStarted) {
-        isStarted = true;
-        options.post({kind: 'streamStarted', dispatch: dispatch.id});
-      }
-      tail.push(chunk);
-      kept.push(chunk);
-      if (!response.write(chunk) && !response.destroyed) {
-        await Promise.race([once(response, 'drain'), once(response, 'close')]);
-      }
+    const {url, method, headers, body} = opening;
+    const {signal} = abort;
+    const dispatcher = agent;
+    const sent = {dispatcher, method, headers, body, signal};
+    data = await sendRequest(url, sent);
+    if (!opening.takesAnyStatus && !isSuccess(data.statusCode)) {
+      await data.body.dump();
+      return {kind: 'rejected', status: data.statusCode};
     }
   } catch (error) {
-    const detail = (error as Error).message;
-    return {end: {kind: 'cut', detail}, stored: null};
+    return toStreamEnd(error, answer.events);
   }
-  const isWhole =
-    forwarded.framing === 'contentLength' || tail.read() === END_MARK;
-  return isWhole
-    ? {
-        end: {kind: 'complete'},
-        stored: {
-          status: data.statusCode,
-          contentType,
-          body: kept.read(),
-        },
-      }
-    : {end: {kind: 'cut', detail: 'no end mark'}, stored: null};
+  const progress = createProgress(options, answer.dispatch);
+  const end = await carryAnswer(answer, data, progress);
+  if (end.kind === 'cut') {
+    data.body.destroy();
+  }
+  return end;
 }
 
-interface Tail {
-  push(chunk: Buffer): void;
-  read(): string;
-}
+const SUCCESS_CLASS = 2;
+const STATUS_CLASS_SIZE = 100;
 
-/** Keeps the last bytes of a stream. */
-function createTail(length: number): Tail {
-  let bytes: Buffer = Buffer.alloc(0);
-  return {
-    push: chunk => {
-      bytes =
-        chunk.length >= length
-          ? chunk.subarray(chunk.length - length)
-          : Buffer.concat([bytes, chunk]).subarray(-length);
-    },
-    read: () => bytes.toString('latin1'),
-  };
+function isSuccess(status: number): boolean {
+  return Math.floor(status / STATUS_CLASS_SIZE) === SUCCESS_CLASS;
 }
 
-interface KeptBody {
-  push(chunk: Buffer): void;
-  read(): Uint8Array | null;
+/** Errors of the connection attempt: no byte has been sent before them. */
+const NOT_SENT_CODES: ReadonlySet<string> = new Set([
+  'UND_ERR_CONNECT_TIMEOUT',
+  'ECONNREFUSED',
+  'EHOSTUNREACH',
+  'ENETUNREACH',
+]);
+
+function toStreamEnd(error: unknown, events: number): StreamEnd {
+  const {code, message} = error as NodeJS.ErrnoException;
+  return code !== undefined && NOT_SENT_CODES.has(code)
+    ? {kind: 'notSent', detail: code}
+    : {kind: 'cut', detail: message, events};
 }
 
-/** Keeps a body while it is small enough. */
-function createKeptBody(isWanted: boolean): KeptBody {
-  let chunks: Buffer[] = [];
-  let length = 0;
-  let isKept = isWanted;
-  return {
-    push: chunk => {
-      length += chunk.length;
-      if (!isKept || length > MAX_STORED_ANSWER_BYTES) {
-        isKept = false;
-        chunks = [];
-        return;
-      }
-      chunks.push(chunk);
-    },
-    read: () => (isKept ? Buffer.concat(chunks) : null),
+/** Reports the first byte, and later bytes now and then. */
+function createProgress(
+  options: StreamClientOptions,
+  dispatch: DispatchId,
+): () => void {
+  let reportedAt: number | undefined;
+  return () => {
+    const now = performance.now();
+    if (reportedAt === undefined) {
+      options.post({kind: 'streamStarted', dispatch});
+    } else if (now - reportedAt < PROGRESS_INTERVAL_MS) {
+      return;
+    } else {
+      options.post({kind: 'streamProgress', dispatch});
+    }
+    reportedAt = now;
   };
 }
+
+/** Closing the connection alone would let the endpoint wait for a resume. */
+async function cancelAtEndpoint(
+  agent: Agent,
+  dispatch: Dispatch,
+): Promise<void> {
+  try {
+    const reply = await sendRequest(formatStreamUrl(dispatch), {
+      dispatcher: agent,
+      method: 'DELETE',
+      headers: {[DISPATCH_HEADER]: dispatch.id},
+      headersTimeout: CANCEL_TIMEOUT_MS,
+    });
+    await reply.body.dump();
+  } catch {
+    // An endpoint that cannot be reached ends the stream by itself.
+  }
+}
--- a/scheduling/controlClient/src/serviceController.ts
+++ b/scheduling/controlClient/src/serviceController.ts
@@ -1,17 +1,23 @@
+import type {TurnTime} from '@gentianshunt/board';
 import type {Milliseconds} from '@gentianshunt/clock';
 import {defineEntryController} from '@gentianshunt/entryModel';
-import type {EntryController} from '@gentianshunt/entryModel';
+import type {EntryController, Settlement} from '@gentianshunt/entryModel';
 
 /** Time between two runs of the periodic upkeep. */
 export const HOUSEKEEPING_INTERVAL_MS: Milliseconds = 250;
 /** Time for callers' cached addresses to lapse before the entry may exit. */
 export const DRAIN_NOTICE_MS: Milliseconds = 2_000;
 
+/** Longest wait of a draining entry for a confirmed outcome. */
+export const SETTLE_EXIT_MS: Milliseconds = 5_000;
+
+type ServiceReads = 'service' | 'requests' | 'settlements';
+
 /** Creates the controller that starts and ends the entry's service. */
 export function createServiceController(): EntryController {
-  return defineEntryController<'service' | 'requests', 'service'>({
+  return defineEntryController<ServiceReads, 'service'>({
     name: 'service',
-    reads: ['service', 'requests'],
+    reads: ['service', 'requests', 'settlements'],
     writes: ['service'],
     observes: ['started', 'shutdownRequested', 'timerDue'],
     run: ({observation, board}, now) => {
@@ -32,10 +38,11 @@
           if (observation.timer.kind !== 'housekeeping') {
             return [];
           }
-          const {service, requests} = board;
+          const {service, requests, settlements} = board;
           const isDone =
             service.kind === 'draining' &&
             requests.size === 0 &&
+            areSettled(settlements, now) &&
             now.monotonic - service.since >= DRAIN_NOTICE_MS;
           return isDone
             ? [{kind: 'order', order: {kind: 'exit'}}]
@@ -58,3 +65,17 @@
     },
   } as const;
 }
+
+/** An outcome that the control log never gets counts there as unknown. */
+function areSettled(
+  settlements: ReadonlyMap<string, Settlement>,
+  now: TurnTime,
+): boolean {
+  for (const {confirmedAt, endedAt} of settlements.values()) {
+    const openMs = now.monotonic - endedAt;
+    if (confirmedAt === null && openMs < SETTLE_EXIT_MS) {
+      return false;
+    }
+  }
+  return true;
+}
--- a/scheduling/entryModel/src/observation.ts
+++ b/scheduling/entryModel/src/observation.ts
@@ -28,8 +28,13 @@
   | {readonly kind: 'notSent'; readonly detail: string}
   /** The endpoint answered that it did not take the request. */
   | {readonly kind: 'rejected'; readonly status: number}
-  /** The stream ended without its end mark and could not be resumed. */
-  | {readonly kind: 'cut'; readonly detail: string};
+  /** The stream ended without its end mark. */
+  | {
+      readonly kind: 'cut';
+      readonly detail: string;
+      /** Complete events that the caller has been sent. */
+      readonly events: number;
+    };
 
 /** Everything that can happen to an entry. */
 export type EntryObservation =
@@ -38,6 +43,8 @@
   | {readonly kind: 'requestReceived'; readonly facts: RequestFacts}
   | {readonly kind: 'callerGone'; readonly request: RequestId}
   | {readonly kind: 'streamStarted'; readonly dispatch: DispatchId}
+  /** Tells now and then that a stream still delivers. */
+  | {readonly kind: 'streamProgress'; readonly dispatch: DispatchId}
   | {
       readonly kind: 'streamEnded';
       readonly dispatch: DispatchId;
--- a/scheduling/entryModel/src/order.ts
+++ b/scheduling/entryModel/src/order.ts
@@ -22,6 +22,14 @@
       readonly request: AdmittedRequest;
       readonly dispatch: Dispatch;
     }
+  | {
+      /** Reads on at the same endpoint; it starts no new work there. */
+      readonly kind: 'resumeStream';
+      readonly request: AdmittedRequest;
+      readonly dispatch: Dispatch;
+      /** Complete events that the caller has already. */
+      readonly fromEvent: number;
+    }
   | {readonly kind: 'cancelStream'; readonly dispatch: Dispatch}
   | {readonly kind: 'refuseCaller'; readonly refusal: Refusal}
   | {
--- a/scheduling/entryModel/src/request.ts
+++ b/scheduling/entryModel/src/request.ts
@@ -11,6 +11,8 @@
   TierId,
 } from '@gentianshunt/identifiers';
 
+import type {StreamEnd} from './observation.js';
+
 /** A non-idempotent request's key and the digest of its content. */
 export interface ClaimFacts {
   readonly idempotencyKey: string;
@@ -61,7 +63,12 @@
 
 /** A request that still may be refused as not run. */
 export type UndispatchedState =
-  | {readonly kind: 'waiting'; readonly request: AdmittedRequest}
+  | {
+      readonly kind: 'waiting';
+      readonly request: AdmittedRequest;
+      /** Present when the claim on its key is already held. */
+      readonly holdsClaim?: true;
+    }
   | {
       /** Holds a slot while the claim on its key is being committed. */
       readonly kind: 'claiming';
@@ -76,19 +83,23 @@
       readonly request: AdmittedRequest;
     };
 
+/** What both states after the dispatch know. */
+interface DispatchedFacts {
+  readonly request: AdmittedRequest;
+  readonly dispatch: Dispatch;
+  /** When the endpoint counts as silent unless it delivers before. */
+  readonly silentAt: MonotonicTime;
+  /** How often the stream has been resumed. */
+  readonly resumes: number;
+}
+
 /** A request whose first byte may have reached an endpoint. */
 export type DispatchedState =
-  | {
-      readonly kind: 'dispatched';
-      readonly request: AdmittedRequest;
-      readonly dispatch: Dispatch;
-    }
-  | {
+  | (DispatchedFacts & {readonly kind: 'dispatched'})
+  | (DispatchedFacts & {
       readonly kind: 'answering';
-      readonly request: AdmittedRequest;
-      readonly dispatch: Dispatch;
       readonly firstTokenAt: MonotonicTime;
-    };
+    });
 
 /** The states of a live request; an ended one leaves the board. */
 export type RequestState = UndispatchedState | DispatchedState;
@@ -110,22 +121,39 @@
   | {readonly kind: 'endpointFailed'; readonly detail: string}
   | {readonly kind: 'answerCut'; readonly detail: string};
 
-/** A refusal; `notRun` is a promise that no endpoint has seen the request. */
-export interface Refusal {
+interface RefusalFacts {
   readonly request: RequestId;
   readonly reason: RefusalReason;
-  readonly notRun: boolean;
   /** When the caller may try again; `null` when trying again is no use. */
   readonly retryAfterMs: number | null;
 }
 
+declare const notRunProof: unique symbol;
+
+/**
+ * Promises that no endpoint has seen the request. Only the functions of this
+ * module build one, and they ask for a state or an event that shows it.
+ */
+export interface NotRunRefusal extends RefusalFacts {
+  readonly notRun: true;
+  readonly [notRunProof]: true;
+}
+
+/** Tells of a request that may have run. */
+export interface DispatchedRefusal extends RefusalFacts {
+  readonly notRun: false;
+}
+
+/** A refusal, which says whether the request may have run. */
+export type Refusal = NotRunRefusal | DispatchedRefusal;
+
 /** Refuses a request that has not been dispatched. */
 export function refuseNotRun(
   state: UndispatchedState,
   reason: RefusalReason,
   retryAfterMs: number | null,
-): Refusal {
-  return {request: state.request.id, reason, notRun: true, retryAfterMs};
+): NotRunRefusal {
+  return createNotRun(state.request.id, reason, retryAfterMs);
 }
 
 /** Refuses a request that was never admitted. */
@@ -133,16 +161,36 @@
   facts: RequestFacts,
   reason: RefusalReason,
   retryAfterMs: number | null,
-): Refusal {
-  return {request: facts.id, reason, notRun: true, retryAfterMs};
+): NotRunRefusal {
+  return createNotRun(facts.id, reason, retryAfterMs);
+}
+
+/** Refuses a dispatched request of which no byte left this process. */
+export function refuseUnsent(
+  state: Extract<DispatchedState, {readonly kind: 'dispatched'}>,
+  end: Extract<StreamEnd, {readonly kind: 'notSent'}>,
+  retryAfterMs: number | null,
+): NotRunRefusal {
+  const reason = {kind: 'endpointFailed', detail: end.detail} as const;
+  return createNotRun(state.request.id, reason, retryAfterMs);
+}
+
+function createNotRun(
+  request: RequestId,
+  reason: RefusalReason,
+  retryAfterMs: number | null,
+): NotRunRefusal {
+  const refusal = {request, reason, notRun: true, retryAfterMs} as const;
+  return refusal as NotRunRefusal;
 }
 
 /** Fails a request that may have run. */
 export function failDispatched(
   request: RequestId,
   reason: RefusalReason,
-): Refusal {
-  return {request, reason, notRun: false, retryAfterMs: null};
+  retryAfterMs: number | null = null,
+): DispatchedRefusal {
+  return {request, reason, notRun: false, retryAfterMs};
 }
 
 /** How a request's life ended, for counts and reports. */
--- a/scheduling/entryModel/src/sections.ts
+++ b/scheduling/entryModel/src/sections.ts
@@ -7,6 +7,8 @@
 import type {MonotonicTime} from '@gentianshunt/clock';
 import type {ConfigurationObject, ObjectKey} from '@gentianshunt/configuration';
 import type {
+  ClaimKey,
+  ClaimOutcome,
   EntryAddress,
   EntryDirectory,
   NetworkAddress,
@@ -166,6 +168,31 @@
   readonly organisation: OrganisationId;
 }
 
+/** A claim that the control log has not answered yet. */
+export interface OpenClaim {
+  readonly startedAt: MonotonicTime;
+  readonly askedAt: MonotonicTime;
+  /** How often the control log has been asked. */
+  readonly asks: number;
+}
+
+/** The outcome of a claimed request on its way to the control log. */
+export interface Settlement {
+  readonly key: ClaimKey;
+  readonly request: RequestId;
+  readonly outcome: ClaimOutcome;
+  readonly endedAt: MonotonicTime;
+  readonly sentAt: MonotonicTime;
+  /** When the control log confirmed it; `null` before. */
+  readonly confirmedAt: MonotonicTime | null;
+}
+
+/** Orders dispatched requests by the time their endpoint counts as silent. */
+export interface SilenceKey {
+  readonly silentAt: MonotonicTime;
+  readonly request: RequestId;
+}
+
 /** An operator's command on its way through the control log. */
 export interface PendingCommand {
   readonly correlation: RequestId;
@@ -197,6 +224,11 @@
       compareBy('set', 'rank', 'organisation'),
     ),
     dispatches: defineMap<DispatchId, RequestId>(),
+    openClaims: defineMap<RequestId, OpenClaim>(),
+    settlements: defineMap<RequestId, Settlement>(),
+    silences: defineOrdered<SilenceKey, RequestId>(
+      compareBy('silentAt', 'request'),
+    ),
     running: defineOrdered<RunningKey, RunningRecord>(
       compareBy('set', 'endpoint', 'organisation'),
     ),
--- a/scheduling/lifecycle/src/endRequest.ts
+++ b/scheduling/lifecycle/src/endRequest.ts
@@ -1,4 +1,5 @@
 import type {TurnTime} from '@gentianshunt/board';
+import type {Milliseconds} from '@gentianshunt/clock';
 import type {
   AdmittedRequest,
   Dispatch,
@@ -8,6 +9,9 @@
 
 import type {RequestDraft} from './requestDraft.js';
 
+/** Longest wait for the first byte of an answer. */
+export const FIRST_BYTE_TIMEOUT_MS: Milliseconds = 120_000;
+
 /** Removes a request and reports how it ended. */
 export function endRequest(
   draft: RequestDraft,
@@ -33,7 +37,9 @@
   draft: RequestDraft,
   request: AdmittedRequest,
   dispatch: Dispatch,
+  now: TurnTime,
 ): void {
-  draft.move({kind: 'dispatched', request, dispatch});
+  const silentAt = now.monotonic + FIRST_BYTE_TIMEOUT_MS;
+  draft.move({kind: 'dispatched', request, dispatch, silentAt, resumes: 0});
   draft.order({kind: 'openStream', request, dispatch});
 }
--- a/scheduling/lifecycle/src/index.ts
+++ b/scheduling/lifecycle/src/index.ts
@@ -1,2 +1,6 @@
 export * from './admitRequest.js';
+export * from './claims.js';
+export * from './endRequest.js';
 export * from './lifecycleController.js';
+export * from './settlements.js';
+export * from './streams.js';
--- a/scheduling/lifecycle/src/lifecycleController.ts
+++ b/scheduling/lifecycle/src/lifecycleController.ts
@@ -1,6 +1,7 @@
 import type {TurnTime} from '@gentianshunt/board';
 import {defineEntryController} from '@gentianshunt/entryModel';
 import type {EntryController} from '@gentianshunt/entryModel';
+import type {ControlToEntry} from '@gentianshunt/messages';
 
 import {admitRequest} from './admitRequest.js';
 import {handleClaimAnswer, repeatClaims} from './claims.js';
@@ -12,10 +13,12 @@
   LifecycleView,
   RequestDraft,
 } from './requestDraft.js';
+import {confirmSettlement, repeatSettlements} from './settlements.js';
 import {
+  endSilentStreams,
   handleCallerGone,
   handleStreamEnded,
-  handleStreamStarted,
+  handleStreamProgress,
 } from './streams.js';
 
 /** Creates the controller that moves requests through their states. */
@@ -34,12 +37,25 @@
       'configuration',
       'matches',
       'acceptedReply',
+      'openClaims',
+      'settlements',
+      'silences',
+    ],
+    writes: [
+      'requests',
+      'waiting',
+      'lines',
+      'dispatches',
+      'running',
+      'openClaims',
+      'settlements',
+      'silences',
     ],
-    writes: ['requests', 'waiting', 'lines', 'dispatches', 'running'],
     observes: [
       'requestReceived',
       'callerGone',
       'streamStarted',
+      'streamProgress',
       'streamEnded',
       'controlMessage',
       'timerDue',
@@ -71,7 +87,8 @@
       handleCallerGone(view, draft, observation.request, now);
       return;
     case 'streamStarted':
-      handleStreamStarted(view, draft, observation.dispatch, now);
+    case 'streamProgress':
+      handleStreamProgress(view, draft, observation.dispatch, now);
       return;
     case 'streamEnded':
       handleStreamEnded(
@@ -84,17 +101,31 @@
       );
       return;
     case 'controlMessage':
-      if (observation.message.kind === 'claimReply') {
-        const {request, answer} = observation.message;
-        handleClaimAnswer(view, draft, request, answer, now);
-      }
+      handleControlMessage(view, draft, observation.message, now);
       return;
     case 'timerDue':
       if (observation.timer.kind === 'housekeeping') {
-        repeatClaims(view, draft);
+        repeatClaims(view, draft, now);
+        repeatSettlements(view, draft, now);
+        endSilentStreams(view, draft, now);
       }
       return;
     default:
       return;
   }
 }
+
+function handleControlMessage(
+  view: LifecycleView,
+  draft: RequestDraft,
+  message: ControlToEntry,
+  now: TurnTime,
+): void {
+  if (message.kind === 'claimReply') {
+    const {request, answer} = message;
+    handleClaimAnswer(view, draft, request, answer, now);
+  }
+  if (message.kind === 'settleReply') {
+    confirmSettlement(view, draft, message.request, now);
+  }
+}
--- a/scheduling/lifecycle/src/matches.ts
+++ b/scheduling/lifecycle/src/matches.ts
@@ -6,12 +6,16 @@
   GrantReply,
   Match,
   ShedOrder,
+  UndispatchedState,
 } from '@gentianshunt/entryModel';
 import type {DispatchId, RequestId} from '@gentianshunt/identifiers';
 
 import {requestClaim} from './claims.js';
 import {endRequest, startDispatch} from './endRequest.js';
 import type {LifecycleView, RequestDraft} from './requestDraft.js';
+import {settleClaim} from './settlements.js';
+
+type WaitingState = Extract<UndispatchedState, {readonly kind: 'waiting'}>;
 
 /** Dispatches the requests that have been matched to slots. */
 export function handleMatches(
@@ -24,7 +28,7 @@
     const match = view.board.matches.get(request);
     const state = draft.read(request);
     if (match !== undefined && state?.kind === 'waiting') {
-      useMatch(view, draft, state.request, match, now);
+      useMatch(view, draft, state, match, now);
     }
   }
 }
@@ -32,10 +36,11 @@
 function useMatch(
   view: LifecycleView,
   draft: RequestDraft,
-  request: AdmittedRequest,
+  state: WaitingState,
   match: Match,
   now: TurnTime,
 ): void {
+  const {request} = state;
   const dispatch: Dispatch = {
     // A request is dispatched at most once, so its name serves for both.
     id: `${request.id}.d` as DispatchId,
@@ -43,13 +48,13 @@
     target: match.target,
     at: now.monotonic,
   };
-  if (request.claim === null) {
-    startDispatch(draft, request, dispatch);
+  if (request.claim === null || state.holdsClaim === true) {
+    startDispatch(draft, request, dispatch, now);
     return;
   }
   const {deadline} = match;
   draft.move({kind: 'claiming', request, dispatch, deadline});
-  requestClaim(view, draft, request);
+  requestClaim(view, draft, request, now);
 }
 
 /** Refuses the requests that the set leader ordered shed. */
@@ -63,6 +68,9 @@
     for (const request of pickShed(view, reply, order)) {
       const state = draft.read(request.id);
       if (state?.kind === 'waiting') {
+        if (state.holdsClaim === true) {
+          settleClaim(view, draft, request, {kind: 'notRun'}, now);
+        }
         const {retryAfterMs} = order;
         const refusal = refuseNotRun(state, {kind: 'shed'}, retryAfterMs);
         draft.order({kind: 'refuseCaller', refusal});
--- a/scheduling/lifecycle/src/requestDraft.ts
+++ b/scheduling/lifecycle/src/requestDraft.ts
@@ -8,15 +8,25 @@
   EntrySections,
   EntryWrite,
   LineKey,
+  OpenClaim,
   RequestState,
   RunningKey,
+  Settlement,
+  SilenceKey,
   WaitingKey,
 } from '@gentianshunt/entryModel';
 import type {RequestId} from '@gentianshunt/identifiers';
 
 /** The sections that the lifecycle controller writes. */
 export type LifecycleSections =
-  'requests' | 'waiting' | 'lines' | 'dispatches' | 'running';
+  | 'requests'
+  | 'waiting'
+  | 'lines'
+  | 'dispatches'
+  | 'running'
+  | 'openClaims'
+  | 'settlements'
+  | 'silences';
 
 /** The sections that the lifecycle controller reads. */
 export type LifecycleReads =
@@ -48,6 +58,9 @@
   /** Removes an ended request. */
   remove(request: RequestId): void;
   order(order: EntryOrder): void;
+  putOpenClaim(request: RequestId, claim: OpenClaim): void;
+  putSettlement(settlement: Settlement): void;
+  dropSettlement(request: RequestId): void;
   listWrites(): readonly LifecycleWrite[];
 }
 
@@ -110,6 +123,31 @@
       });
     }
   };
+  const indexSilence = (
+    before: RequestState | undefined,
+    after: RequestState | undefined,
+  ): void => {
+    const old = before === undefined ? undefined : toSilenceKey(before);
+    const next = after === undefined ? undefined : toSilenceKey(after);
+    if (old !== undefined && old.silentAt !== next?.silentAt) {
+      writes.push({kind: 'delete', section: 'silences', key: old});
+    }
+    if (next !== undefined && next.silentAt !== old?.silentAt) {
+      const value = next.request;
+      writes.push({kind: 'put', section: 'silences', key: next, value});
+    }
+  };
+  const closeClaim = (
+    before: RequestState | undefined,
+    after: RequestState | undefined,
+  ): void => {
+    const wasOpen = before !== undefined && awaitsClaim(before);
+    const isOpen = after !== undefined && awaitsClaim(after);
+    if (wasOpen && !isOpen) {
+      const key = before.request.id;
+      writes.push({kind: 'delete', section: 'openClaims', key});
+    }
+  };
   return {
     read,
     move: state => {
@@ -119,6 +157,8 @@
       }
       enter(state);
       indexDispatch(before, state);
+      indexSilence(before, state);
+      closeClaim(before, state);
       states.set(state.request.id, state);
       const key = state.request.id;
       writes.push({kind: 'put', section: 'requests', key, value: state});
@@ -130,10 +170,20 @@
       }
       leave(before);
       indexDispatch(before, undefined);
+      indexSilence(before, undefined);
+      closeClaim(before, undefined);
       states.set(request, undefined);
       writes.push({kind: 'delete', section: 'requests', key: request});
     },
     order: order => writes.push({kind: 'order', order}),
+    putOpenClaim: (key, value) =>
+      writes.push({kind: 'put', section: 'openClaims', key, value}),
+    putSettlement: value => {
+      const key = value.request;
+      writes.push({kind: 'put', section: 'settlements', key, value});
+    },
+    dropSettlement: key =>
+      writes.push({kind: 'delete', section: 'settlements', key}),
     listWrites: () => [
       ...writes,
       ...lines.listChanges().map(({key, count}) => toCountWrite(key, count)),
@@ -156,6 +206,16 @@
   );
 }
 
+function awaitsClaim(state: RequestState): boolean {
+  return state.kind === 'claiming' || state.kind === 'awaitingOutcome';
+}
+
+function toSilenceKey(state: RequestState): SilenceKey | undefined {
+  return state.kind === 'dispatched' || state.kind === 'answering'
+    ? {silentAt: state.silentAt, request: state.request.id}
+    : undefined;
+}
+
 /** Makes the key under which a request waits. */
 export function toWaitingKey(request: AdmittedRequest): WaitingKey {
   return {
@@ -208,6 +268,8 @@
       const count = changes.get(text)?.count ?? readCount(key);
       changes.set(text, {key, count: count + difference});
     },
-    listChanges: () => [...changes.values()],
+    // A count that came back to its value is no change.
+    listChanges: () =>
+      [...changes.values()].filter(({key, count}) => count !== readCount(key)),
   };
 }
--- a/scheduling/lifecycle/src/streams.ts
+++ b/scheduling/lifecycle/src/streams.ts
@@ -1,8 +1,10 @@
 import type {TurnTime} from '@gentianshunt/board';
-import {failDispatched} from '@gentianshunt/entryModel';
+import type {Milliseconds} from '@gentianshunt/clock';
+import {findObject} from '@gentianshunt/configuration';
+import {failDispatched, refuseUnsent} from '@gentianshunt/entryModel';
 import type {
   DispatchedState,
-  RefusalReason,
+  Refusal,
   StoredAnswer,
   StreamEnd,
 } from '@gentianshunt/entryModel';
@@ -10,9 +12,18 @@
 import type {ClaimOutcome} from '@gentianshunt/messages';
 import type {DispatchId, RequestId} from '@gentianshunt/identifiers';
 
-import {settleClaim} from './claims.js';
+import {TRANSIENT_RETRY_AFTER_MS} from './admitRequest.js';
 import {endRequest} from './endRequest.js';
 import type {LifecycleView, RequestDraft} from './requestDraft.js';
+import {settleClaim} from './settlements.js';
+
+/** Longest silence of an endpoint in the middle of an answer. */
+export const ANSWER_SILENCE_MS: Milliseconds = 30_000;
+/** How often a cut stream is resumed before its caller is told. */
+export const MAX_RESUMES = 2;
+
+/** Statuses by which an endpoint says that it is busy. */
+const BUSY_STATUSES: ReadonlySet<number> = new Set([429, 503]);
 
 /** Finds the dispatched request that a stream belongs to. */
 function findDispatched(
@@ -27,25 +38,26 @@
     : undefined;
 }
 
-/** Notes the first byte of an answer. */
-export function handleStreamStarted(
+/** Notes the first byte of an answer, or that a stream still delivers. */
+export function handleStreamProgress(
   view: LifecycleView,
   draft: RequestDraft,
   dispatch: DispatchId,
   now: TurnTime,
 ): void {
   const state = findDispatched(view, draft, dispatch);
-  if (state?.kind === 'dispatched') {
+  if (state !== undefined) {
     draft.move({
+      ...state,
       kind: 'answering',
-      request: state.request,
-      dispatch: state.dispatch,
-      firstTokenAt: now.monotonic,
+      silentAt: now.monotonic + ANSWER_SILENCE_MS,
+      firstTokenAt:
+        state.kind === 'answering' ? state.firstTokenAt : now.monotonic,
     });
   }
 }
 
-/** Ends a request as its stream ended. */
+/** Ends a request as its stream ended, or resumes the stream. */
 export function handleStreamEnded(
   view: LifecycleView,
   draft: RequestDraft,
@@ -60,46 +72,96 @@
   }
   switch (end.kind) {
     case 'complete':
-      settleClaim(view, draft, state.request, toAnsweredOutcome(stored));
+      settleClaim(view, draft, state.request, toAnsweredOutcome(stored), now);
       endRequest(draft, state, {kind: 'answered'}, now);
       return;
     case 'notSent':
-      fail(view, draft, state, now, {
-        reason: {kind: 'endpointFailed', detail: end.detail},
-        outcome: {kind: 'notRun'},
-      });
+      handleNotSent(view, draft, state, end, now);
       return;
     case 'rejected':
-      fail(view, draft, state, now, {
-        reason: {kind: 'endpointFailed', detail: `status ${end.status}`},
-        outcome: {kind: 'unknown'},
-      });
+      handleRejected(view, draft, state, end.status, now);
       return;
     case 'cut':
-      fail(view, draft, state, now, {
-        reason: {kind: 'answerCut', detail: end.detail},
-        outcome: {kind: 'unknown'},
-      });
+      handleCut(view, draft, state, end, now);
       return;
     default:
       assertNever(end, 'handleStreamEnded');
   }
 }
 
-interface StreamFailure {
-  readonly reason: RefusalReason;
-  readonly outcome: ClaimOutcome;
+/** A resumed stream's dispatch had been sent, whatever the last attempt. */
+function handleNotSent(
+  view: LifecycleView,
+  draft: RequestDraft,
+  state: DispatchedState,
+  end: Extract<StreamEnd, {readonly kind: 'notSent'}>,
+  now: TurnTime,
+): void {
+  if (state.kind === 'answering' || state.resumes > 0) {
+    const reason = {kind: 'answerCut', detail: end.detail} as const;
+    const refusal = failDispatched(state.request.id, reason);
+    fail(view, draft, state, refusal, {kind: 'unknown'}, now);
+    return;
+  }
+  const refusal = refuseUnsent(state, end, TRANSIENT_RETRY_AFTER_MS);
+  fail(view, draft, state, refusal, {kind: 'notRun'}, now);
+}
+
+/** The endpoint has seen the request, so it may not count as not run. */
+function handleRejected(
+  view: LifecycleView,
+  draft: RequestDraft,
+  state: DispatchedState,
+  status: number,
+  now: TurnTime,
+): void {
+  const reason = {kind: 'endpointFailed', detail: `status ${status}`} as const;
+  const retryAfterMs = BUSY_STATUSES.has(status)
+    ? TRANSIENT_RETRY_AFTER_MS
+    : null;
+  const refusal = failDispatched(state.request.id, reason, retryAfterMs);
+  fail(view, draft, state, refusal, {kind: 'unknown'}, now);
+}
+
+function handleCut(
+  view: LifecycleView,
+  draft: RequestDraft,
+  state: DispatchedState,
+  end: Extract<StreamEnd, {readonly kind: 'cut'}>,
+  now: TurnTime,
+): void {
+  const {request, dispatch, resumes} = state;
+  if (resumes < MAX_RESUMES && canResume(view, state)) {
+    draft.move({
+      ...state,
+      resumes: resumes + 1,
+      silentAt: now.monotonic + ANSWER_SILENCE_MS,
+    });
+    const fromEvent = end.events;
+    draft.order({kind: 'resumeStream', request, dispatch, fromEvent});
+    return;
+  }
+  const reason = {kind: 'answerCut', detail: end.detail} as const;
+  const refusal = failDispatched(request.id, reason);
+  fail(view, draft, state, refusal, {kind: 'unknown'}, now);
+}
+
+/** Model engines keep a stream for a while; plain services do not. */
+function canResume(view: LifecycleView, state: DispatchedState): boolean {
+  const {configuration} = view.board;
+  const set = findObject(configuration, 'endpointSet', state.request.set);
+  return set?.service.kind === 'model';
 }
 
 function fail(
   view: LifecycleView,
   draft: RequestDraft,
   state: DispatchedState,
+  refusal: Refusal,
+  outcome: ClaimOutcome,
   now: TurnTime,
-  failure: StreamFailure,
 ): void {
-  const refusal = failDispatched(state.request.id, failure.reason);
-  settleClaim(view, draft, state.request, failure.outcome);
+  settleClaim(view, draft, state.request, outcome, now);
   draft.order({kind: 'refuseCaller', refusal});
   endRequest(draft, state, {kind: 'refused', refusal}, now);
 }
@@ -119,6 +181,26 @@
   };
 }
 
+/** Ends the requests whose endpoint has delivered nothing for too long. */
+export function endSilentStreams(
+  view: LifecycleView,
+  draft: RequestDraft,
+  now: TurnTime,
+): void {
+  for (const {key, value} of view.board.silences.iterateFrom()) {
+    if (key.silentAt > now.monotonic) {
+      return;
+    }
+    const state = draft.read(value);
+    if (state?.kind === 'dispatched' || state?.kind === 'answering') {
+      draft.order({kind: 'cancelStream', dispatch: state.dispatch});
+      const reason = {kind: 'answerCut', detail: 'endpoint silent'} as const;
+      const refusal = failDispatched(state.request.id, reason);
+      fail(view, draft, state, refusal, {kind: 'unknown'}, now);
+    }
+  }
+}
+
 /** Stops the work of a caller that has left. */
 export function handleCallerGone(
   view: LifecycleView,
@@ -132,11 +214,15 @@
   }
   switch (state.kind) {
     case 'waiting':
-    case 'awaitingOutcome':
+      if (state.holdsClaim === true) {
+        settleClaim(view, draft, state.request, {kind: 'notRun'}, now);
+      }
       endRequest(draft, state, {kind: 'abandonedWaiting'}, now);
       return;
+    case 'awaitingOutcome':
     case 'claiming':
-      settleClaim(view, draft, state.request, {kind: 'notRun'});
+      // An open question may still be answered by a grant of the claim.
+      settleClaim(view, draft, state.request, {kind: 'notRun'}, now);
       endRequest(draft, state, {kind: 'abandonedWaiting'}, now);
       return;
     case 'dispatched':
--- a/standins/modelEngine/src/engine.ts
+++ b/standins/modelEngine/src/engine.ts
@@ -18,6 +18,8 @@
   readonly maxBatch: number;
   /** Prompt prefixes kept. */
   readonly cachedPrefixes: number;
+  /** How long a job without a reader goes on, in milliseconds. */
+  readonly graceMs: number;
 }
 
 /** What the engine has done so far. */
@@ -38,6 +40,7 @@
   readonly isFinished: boolean;
   /** Calls back whenever tokens were produced or the job ended. */
   onProgress(listener: () => void): void;
+  offProgress(listener: () => void): void;
 }
 
 /** A stand-in for a model engine that batches continuously. */
@@ -45,6 +48,8 @@
   submit(job: EngineJob): JobStream;
   find(id: string): JobStream | undefined;
   cancel(id: string): void;
+  /** Cancels a job after a grace time unless a reader attaches before. */
+  release(id: string): void;
   /** Multiplies the time of every step; 1 is full speed. */
   setSlowdown(factor: number): void;
   readCounts(): EngineCounts;
@@ -56,6 +61,8 @@
   readonly job: EngineJob;
   readonly listeners: Set<() => void>;
   prefillLeft: number;
+  /** Prompt tokens processed for this job; cached ones are not. */
+  prefillDone: number;
   produced: number;
   isFinished: boolean;
 }
@@ -123,6 +130,7 @@
         const done = Math.min(running.prefillLeft, prefillBudget);
         prefillBudget -= done;
         running.prefillLeft -= done;
+        running.prefillDone += done;
         counts.prefillTokens += done;
         continue;
       }
@@ -152,8 +160,24 @@
       return running.isFinished;
     },
     onProgress: listener => running.listeners.add(listener),
+    offProgress: listener => running.listeners.delete(listener),
   });
 
+  const cancelJob = (id: string): void => {
+    const running = jobs.get(id);
+    if (running === undefined || running.isFinished) {
+      return;
+    }
+    jobs.delete(id);
+    batch.delete(running);
+    const position = queue.indexOf(running);
+    if (position >= 0) {
+      queue.splice(position, 1);
+    }
+    counts.cancelled += 1;
+    counts.wastedPrefillTokens += running.prefillDone;
+  };
+
   return {
     submit: job => {
       const known = jobs.get(job.id);
@@ -165,6 +189,7 @@
         job,
         listeners: new Set(),
         prefillLeft: job.promptTokens,
+        prefillDone: 0,
         produced: 0,
         isFinished: false,
       };
@@ -177,20 +202,18 @@
       const running = jobs.get(id);
       return running === undefined ? undefined : toStream(running);
     },
-    cancel: id => {
+    cancel: cancelJob,
+    release: id => {
       const running = jobs.get(id);
-      if (running === undefined || running.isFinished) {
+      const isUnread = (): boolean => running?.listeners.size === 0;
+      if (running === undefined || running.isFinished || !isUnread()) {
         return;
       }
-      jobs.delete(id);
-      batch.delete(running);
-      const position = queue.indexOf(running);
-      if (position >= 0) {
-        queue.splice(position, 1);
-      }
-      counts.cancelled += 1;
-      counts.wastedPrefillTokens +=
-        running.job.promptTokens - Math.max(0, running.prefillLeft);
+      setTimeout(() => {
+        if (isUnread()) {
+          cancelJob(id);
+        }
+      }, options.graceMs).unref();
     },
     setSlowdown: factor => {
       slowdown = factor;
--- a/standins/modelEngine/src/engineServer.ts
+++ b/standins/modelEngine/src/engineServer.ts
@@ -54,7 +54,8 @@
     sendStream(engine, open, reply.raw, id, stream, 0);
   });
   addResumeRoute(server, engine, open);
-  addTestRoutes(server, engine);
+  addCancelRoute(server, engine);
+  addTestRoutes(server, engine, open);
   const url = await server.listen({host: options.host, port: options.port});
   return {
     engine,
@@ -67,7 +68,7 @@
   };
 }
 
-/** Writes tokens as they are produced; a caller that leaves cancels. */
+/** Writes tokens as they are produced; a job nobody reads ends after a time. */
 function sendStream(
   engine: Engine,
   open: Set<ServerResponse>,
@@ -78,7 +79,10 @@
 ): void {
   let sent = from;
   open.add(response);
-  response.writeHead(200, {'content-type': 'text/event-stream'});
+  response.writeHead(200, {
+    'content-type': 'text/event-stream',
+    'x-dispatch-id': id,
+  });
   const send = (): void => {
     while (sent < stream.produced) {
       response.write(formatToken(id, sent));
@@ -90,9 +94,8 @@
   };
   response.once('close', () => {
     open.delete(response);
-    if (!stream.isFinished) {
-      engine.cancel(id);
-    }
+    stream.offProgress(send);
+    engine.release(id);
   });
   stream.onProgress(send);
   send();
@@ -123,8 +126,26 @@
   );
 }
 
-function addTestRoutes(server: FastifyInstance, engine: Engine): void {
+function addCancelRoute(server: FastifyInstance, engine: Engine): void {
+  server.delete<{Params: {id: string}}>(
+    '/v1/streams/:id',
+    async (request, reply) => {
+      engine.cancel(request.params.id);
+      return reply.code(204).send();
+    },
+  );
+}
+
+function addTestRoutes(
+  server: FastifyInstance,
+  engine: Engine,
+  open: ReadonlySet<ServerResponse>,
+): void {
   server.get('/counts', async () => engine.readCounts());
+  server.post('/cut', async () => {
+    open.forEach(response => response.destroy());
+    return {};
+  });
   server.get('/load', async () => engine.readLoad());
   server.post<{Body: {factor: number}}>('/slowdown', async request => {
     engine.setSlowdown(request.body.factor);
--- a/standins/modelEngine/src/main.ts
+++ b/standins/modelEngine/src/main.ts
@@ -41,6 +41,7 @@
         stepMsPerJob: 0.05,
         maxBatch: Number(args.batch),
         cachedPrefixes: 64,
+        graceMs: 2_000,
       },
     });
     let isLeaving = false;
--- a/standins/plainService/src/plainService.ts
+++ b/standins/plainService/src/plainService.ts
@@ -34,11 +34,12 @@
     (_request, body, done) => done(null, body),
   );
   server.get('/runs', async () => runs);
-  server.all('/*', async request => {
+  server.all('/*', async (request, reply) => {
     const dispatch = String(request.headers['x-dispatch-id'] ?? '');
     runs.push({dispatch, body: String(request.body ?? '')});
     const number = runs.length;
     await new Promise(resolve => setTimeout(resolve, options.workMs));
+    void reply.header('x-dispatch-id', dispatch);
     return {number, dispatch};
   });
   const url = await server.listen({host: options.host, port: options.port});
