--- a/daemons/entryd/src/entryd.ts
+++ b/daemons/entryd/src/entryd.ts
@@ -32,6 +32,9 @@
 
 const logger = createLogger({namespace: 'entryd'});
 
+/** Bytes of request bodies held before new ones are left unread. */
+const MAX_HELD_BODY_BYTES = 256 * 1024 * 1024;
+
 /** What an entry daemon needs. */
 export interface EntrydOptions {
   readonly settings: EntrydSettings;
@@ -107,6 +110,8 @@
       post,
       readDirectory: () => node.view.control.directory,
       drawRequestId: drawIdentifier,
+      self: settings.node,
+      maxHeldBytes: MAX_HELD_BODY_BYTES,
     }),
     operators: createOperatorFront({
       server,
@@ -164,6 +169,7 @@
       post({kind: 'callerRefused', refusal: order.refusal});
       return;
     case 'openStream':
+    case 'resumeStream':
     case 'cancelStream':
     case 'repeatAnswer':
       adapters.callers.perform(order);
