--- /dev/null
+++ b/control/controlNode/test/claims.test.ts
@@ -0,0 +1,158 @@
+import t from 'tap';
+
+import {ENTRY_LEASE_MS} from '@gentianshunt/entrySessions';
+import type {
+  ClaimKey,
+  ClaimOutcome,
+  ControlToEntry,
+  EntryToControl,
+} from '@gentianshunt/messages';
+import {CLAIM_RETENTION_MS, MAX_ANSWER_BYTES} from '@gentianshunt/stateMachine';
+import {toIdentifier} from '@gentianshunt/identifiers';
+
+import {createControlFixture, createHeartbeat} from './fixture.js';
+import type {ControlFixture} from './fixture.js';
+
+const KEY: ClaimKey = {
+  organisation: toIdentifier('north'),
+  idempotencyKey: 'k1',
+};
+const ANSWERED: ClaimOutcome = {
+  kind: 'answered',
+  status: 200,
+  contentType: 'text/plain',
+  body: new Uint8Array([1, 2]),
+};
+
+function createClaim(request: string, digest = 'd'): EntryToControl {
+  return {
+    kind: 'claimRequest',
+    key: KEY,
+    digest,
+    request: toIdentifier(request),
+  };
+}
+
+function createSettle(request: string, outcome: ClaimOutcome): EntryToControl {
+  return {
+    kind: 'settleRequest',
+    key: KEY,
+    request: toIdentifier(request),
+    outcome,
+  };
+}
+
+function readAnswer(replies: readonly ControlToEntry[]) {
+  const [reply] = replies;
+  return reply?.kind === 'claimReply' ? reply.answer : reply;
+}
+
+function createFixture(): ControlFixture {
+  const fixture = createControlFixture();
+  for (const node of ['e0', 'e1']) {
+    fixture.receive(node, createHeartbeat(node));
+  }
+  return fixture;
+}
+
+t.test('one claim on a key is granted', async t => {
+  const cases = [
+    {name: 'the same request again', ask: createClaim('r1'), kind: 'granted'},
+    {name: 'a resend elsewhere', ask: createClaim('r2'), kind: 'running'},
+    {
+      name: 'another content',
+      ask: createClaim('r2', 'other'),
+      kind: 'digestMismatch',
+    },
+  ];
+  for (const {name, ask, kind} of cases) {
+    const fixture = createFixture();
+    t.match(readAnswer(fixture.ask('e0', createClaim('r1'))), {
+      kind: 'granted',
+    });
+    t.match(readAnswer(fixture.ask('e1', ask)), {kind}, name);
+  }
+});
+
+t.test('an outcome is confirmed, kept and given to resends', async t => {
+  const cases = [
+    {outcome: ANSWERED, answer: {kind: 'settled', outcome: ANSWERED}},
+    {
+      outcome: {...ANSWERED, body: new Uint8Array(MAX_ANSWER_BYTES + 1)},
+      answer: {kind: 'settled', outcome: {kind: 'answeredNotKept'}},
+    },
+    {
+      outcome: {kind: 'unknown'},
+      answer: {kind: 'settled', outcome: {kind: 'unknown'}},
+    },
+    {outcome: {kind: 'notRun'}, answer: {kind: 'granted'}},
+  ] as const;
+  for (const {outcome, answer} of cases) {
+    const fixture = createFixture();
+    fixture.ask('e0', createClaim('r1'));
+    const [reply] = fixture.ask('e0', createSettle('r1', outcome));
+    t.equal(reply?.kind, 'settleReply', outcome.kind);
+    const [again] = fixture.ask('e0', createSettle('r1', outcome));
+    t.equal(again?.kind, 'settleReply', `${outcome.kind}, repeated`);
+    t.match(readAnswer(fixture.ask('e1', createClaim('r2'))), answer);
+  }
+});
+
+t.test('claims outlive a restart', async t => {
+  const before = createFixture();
+  before.ask('e0', createClaim('r1'));
+  before.ask('e0', createSettle('r1', ANSWERED));
+  const after = createControlFixture(before.readStored());
+  t.match(readAnswer(after.ask('e1', createClaim('r2'))), {kind: 'settled'});
+});
+
+t.test('a restarted entry ends what it left running', async t => {
+  const fixture = createFixture();
+  fixture.ask('e0', createClaim('r1'));
+  fixture.receive(
+    'e0',
+    createHeartbeat('e0', {incarnation: toIdentifier('e0-2')}),
+  );
+  t.match(readAnswer(fixture.ask('e1', createClaim('r2'))), {
+    kind: 'settled',
+    outcome: {kind: 'unknown'},
+  });
+});
+
+t.test('a vanished entry may still report its outcome', async t => {
+  const fixture = createFixture();
+  fixture.ask('e0', createClaim('r1'));
+  fixture.advance(ENTRY_LEASE_MS);
+  fixture.advance(1);
+  fixture.receive('e1', createHeartbeat('e1'));
+  t.match(readAnswer(fixture.ask('e1', createClaim('r2'))), {
+    outcome: {kind: 'unknown'},
+  });
+  fixture.ask('e0', createSettle('r1', ANSWERED));
+  t.match(readAnswer(fixture.ask('e1', createClaim('r2'))), {
+    outcome: {kind: 'answered'},
+  });
+});
+
+t.test(
+  'a settled claim is forgotten after its time, a running one never',
+  async t => {
+    const cases = [
+      {name: 'settled', isSettled: true, size: 0},
+      {name: 'running', isSettled: false, size: 1},
+    ];
+    for (const {name, isSettled, size} of cases) {
+      const fixture = createFixture();
+      fixture.ask('e0', createClaim('r1'));
+      if (isSettled) {
+        fixture.ask('e0', createSettle('r1', ANSWERED));
+      }
+      fixture.clock.advance(CLAIM_RETENTION_MS);
+      fixture.receive('e0', createHeartbeat('e0'));
+      fixture.advance(1);
+      t.equal(fixture.node.view.claims.size, size, name);
+      t.equal(fixture.node.view.claimUsage.claims, size, name);
+      t.equal(fixture.node.view.claimUsage.answerBytes, 0, name);
+    }
+  },
+);
--- /dev/null
+++ b/control/controlNode/test/fixture.ts
@@ -0,0 +1,178 @@
+import {createManualClock} from '@gentianshunt/clock';
+import type {ManualClock} from '@gentianshunt/clock';
+import type {ObjectCommand} from '@gentianshunt/configuration';
+import type {ControlOrder, Ballot} from '@gentianshunt/controlModel';
+import type {
+  ControlToEntry,
+  EntryToControl,
+  LogEntry,
+  OperatorCommand,
+} from '@gentianshunt/messages';
+import {toIdentifier} from '@gentianshunt/identifiers';
+import type {NodeId} from '@gentianshunt/identifiers';
+
+import {createControlNode} from '../src/index.js';
+import type {ControlNode} from '../src/index.js';
+
+const SELF = toIdentifier<NodeId>('control-0');
+const ELECTION_WAIT_MS = 10_000;
+
+/** What was stored before a control daemon starts. */
+export interface Stored {
+  readonly ballot: Ballot;
+  readonly entries: readonly LogEntry[];
+}
+
+/** A single control daemon whose disk syncs at once. */
+export interface ControlFixture {
+  readonly node: ControlNode;
+  readonly clock: ManualClock;
+  /** Messages sent to entries and not yet taken. */
+  takeSent(): readonly {
+    readonly to: NodeId;
+    readonly message: ControlToEntry;
+  }[];
+  receive(from: string, message: EntryToControl): void;
+  /** Sends a message and returns what the entry was sent in reply. */
+  ask(from: string, message: EntryToControl): readonly ControlToEntry[];
+  advance(ms: number): void;
+  /** What a restart would find on the disk. */
+  readStored(): Stored;
+}
+
+/** Starts a control daemon and lets it become the leader. */
+export function createControlFixture(
+  stored: Stored = {ballot: {term: 0, votedFor: null}, entries: []},
+): ControlFixture {
+  const clock = createManualClock();
+  const sent: {to: NodeId; message: ControlToEntry}[] = [];
+  const node = createControlNode({
+    identity: {node: SELF, members: [SELF], seed: 1},
+    clock,
+    perform: order => perform(order),
+  });
+  const perform = (order: ControlOrder): void => {
+    if (order.kind === 'persist') {
+      node.post({kind: 'persisted', sequence: order.batch.sequence});
+    }
+    if (order.kind === 'sendEntry') {
+      sent.push({to: order.to, message: order.message});
+    }
+  };
+  const takeSent: ControlFixture['takeSent'] = () => sent.splice(0);
+  const receive: ControlFixture['receive'] = (from, message) =>
+    node.post({kind: 'entryMessage', from: toIdentifier(from), message});
+  node.post({kind: 'started', ...stored});
+  clock.advance(ELECTION_WAIT_MS);
+  node.post({kind: 'timerDue', timer: {kind: 'election'}});
+  return {
+    node,
+    clock,
+    takeSent,
+    receive,
+    ask: (from, message) => {
+      takeSent();
+      receive(from, message);
+      return takeSent()
+        .filter(({to}) => to === from)
+        .map(reply => reply.message);
+    },
+    advance: ms => {
+      clock.advance(ms);
+      node.post({kind: 'timerDue', timer: {kind: 'sessions'}});
+    },
+    readStored: () => ({
+      ballot: node.view.ballot,
+      entries: Array.from(node.view.log.iterateFrom(), ({value}) => value),
+    }),
+  };
+}
+
+/** The heartbeat of an entry. */
+export type Heartbeat = Extract<
+  EntryToControl,
+  {readonly kind: 'entryHeartbeat'}
+>;
+
+/** Makes the heartbeat of an entry. */
+export function createHeartbeat(
+  node: string,
+  changes: Partial<Heartbeat> = {},
+): Heartbeat {
+  return {
+    kind: 'entryHeartbeat',
+    entry: {
+      node: toIdentifier(node),
+      region: toIdentifier('local'),
+      domain: toIdentifier('a'),
+      peer: {host: '127.0.0.1', port: 1},
+      http: {host: '127.0.0.1', port: 2},
+    },
+    incarnation: toIdentifier(`${node}-1`),
+    sequence: 1,
+    version: 0,
+    directoryVersion: {term: 0, number: 0},
+    draining: false,
+    setsInUse: [],
+    ...changes,
+  };
+}
+
+/** Makes a command that creates or replaces a tier. */
+export function createTierCommand(
+  id: string,
+  rank: number,
+  expectedRevision: number | null = null,
+): ObjectCommand {
+  return {
+    kind: 'put',
+    object: {
+      kind: 'tier',
+      id: toIdentifier(id),
+      revision: 0,
+      rank,
+      weight: 1,
+      firstTokenTargetMs: 1_000,
+      objective: 0.95,
+    },
+    expectedRevision,
+  };
+}
+
+/** Makes a command that creates a set. */
+export function createSetCommand(id: string, region = 'local'): ObjectCommand {
+  return {
+    kind: 'put',
+    object: {
+      kind: 'endpointSet',
+      id: toIdentifier(id),
+      revision: 0,
+      region: toIdentifier(region),
+      service: {kind: 'plain', service: id},
+    },
+    expectedRevision: null,
+  };
+}
+
+/** Makes an operator's numbered batch. */
+export function createCommand(
+  number: number,
+  commands: readonly ObjectCommand[] = [createTierCommand('gold', 1)],
+  operator = 'anna',
+): OperatorCommand {
+  return {
+    number,
+    operator: toIdentifier(operator),
+    digest: JSON.stringify(commands),
+    commands,
+  };
+}
+
+/** Makes an entry's request to carry out a command. */
+export function createCommandRequest(command: OperatorCommand): EntryToControl {
+  return {
+    kind: 'commandRequest',
+    correlation: toIdentifier(`c${command.number}-${command.operator}`),
+    command,
+  };
+}
--- /dev/null
+++ b/control/controlNode/test/serviceCounts.test.ts
@@ -0,0 +1,86 @@
+import t from 'tap';
+
+import {EMPTY_TOTALS, readMonth} from '@gentianshunt/messages';
+import type {CountReport, EntryToControl} from '@gentianshunt/messages';
+import {toIdentifier} from '@gentianshunt/identifiers';
+
+import {createControlFixture} from './fixture.js';
+import type {ControlFixture} from './fixture.js';
+
+function createReport(
+  sequence: number,
+  answered: number,
+  incarnation = 'i1',
+  month = '2026-12',
+): EntryToControl {
+  const report: CountReport = {
+    incarnation: toIdentifier(incarnation),
+    sequence,
+    counts: [
+      {
+        key: {
+          month: toIdentifier(month),
+          tier: toIdentifier('gold'),
+          organisation: toIdentifier('north'),
+          kind: toIdentifier('draft'),
+        },
+        totals: {...EMPTY_TOTALS, answered, answeredWeight: 2 * answered},
+      },
+    ],
+  };
+  return {kind: 'countReportRequest', report};
+}
+
+function readCounts(fixture: ControlFixture) {
+  const [reply] = fixture.ask('e0', {
+    kind: 'controlQueryRequest',
+    correlation: toIdentifier('q'),
+    query: {kind: 'counts', month: null},
+  });
+  return reply?.kind === 'controlQueryReply' && reply.result.kind === 'counts'
+    ? reply.result.counts.map(({key, totals}) => [key.month, totals.answered])
+    : undefined;
+}
+
+t.test('a report is counted once', async t => {
+  const cases = [
+    {name: 'one report', reports: [createReport(1, 3)], answered: 3},
+    {
+      name: 'repeated',
+      reports: [createReport(1, 3), createReport(1, 3)],
+      answered: 3,
+    },
+    {
+      name: 'late repeat',
+      reports: [createReport(1, 3), createReport(2, 4), createReport(1, 3)],
+      answered: 7,
+    },
+    {
+      name: 'another incarnation',
+      reports: [
+        createReport(1, 3),
+        createReport(1, 4, 'i2'),
+        createReport(1, 3),
+      ],
+      answered: 7,
+    },
+  ];
+  for (const {name, reports, answered} of cases) {
+    const fixture = createControlFixture();
+    for (const report of reports) {
+      const [reply] = fixture.ask('e0', report);
+      t.equal(reply?.kind, 'countReportReply', name);
+    }
+    t.strictSame(readCounts(fixture), [['2026-12', answered]], name);
+    const restarted = createControlFixture(fixture.readStored());
+    t.strictSame(readCounts(restarted), [['2026-12', answered]], name);
+  }
+});
+
+t.test('counts are kept by calendar month, old months go', async t => {
+  const fixture = createControlFixture();
+  const now = readMonth(fixture.clock.readWallTime());
+  fixture.ask('e0', createReport(1, 1, 'i1', '0001-01'));
+  fixture.ask('e0', createReport(2, 2, 'i1', now));
+  t.strictSame(readCounts(fixture), [[now, 2]]);
+});
--- /dev/null
+++ b/control/controlNode/test/setLeaders.test.ts
@@ -0,0 +1,112 @@
+import t from 'tap';
+
+import {findObject} from '@gentianshunt/configuration';
+import {ENTRY_LEASE_MS} from '@gentianshunt/entrySessions';
+import {toIdentifier} from '@gentianshunt/identifiers';
+import type {RegionId} from '@gentianshunt/identifiers';
+
+import {
+  createCommand,
+  createCommandRequest,
+  createControlFixture,
+  createHeartbeat,
+  createSetCommand,
+} from './fixture.js';
+import type {ControlFixture} from './fixture.js';
+
+function createRegionHeartbeat(node: string, region: string, draining = false) {
+  const heartbeat = createHeartbeat(node, {draining});
+  const entry = {...heartbeat.entry, region: toIdentifier<RegionId>(region)};
+  return {...heartbeat, entry};
+}
+
+function readLeader(fixture: ControlFixture, set: string) {
+  const {configuration} = fixture.node.view;
+  return findObject(configuration, 'setLeadership', set);
+}
+
+function createFixture(sets: readonly (readonly [string, string])[]) {
+  const fixture = createControlFixture();
+  const commands = sets.map(([id, region]) => createSetCommand(id, region));
+  fixture.receive('entry-0', createCommandRequest(createCommand(1, commands)));
+  return fixture;
+}
+
+t.test('sets are spread over the entries of their region', async t => {
+  const fixture = createFixture([
+    ['a', 'north'],
+    ['b', 'north'],
+    ['c', 'south'],
+    ['d', 'east'],
+  ]);
+  fixture.receive('n1', createRegionHeartbeat('n1', 'north'));
+  fixture.receive('n2', createRegionHeartbeat('n2', 'north'));
+  fixture.receive('s1', createRegionHeartbeat('s1', 'south'));
+  fixture.advance(1);
+  const north = ['a', 'b'].map(set => readLeader(fixture, set)?.node).sort();
+  t.strictSame(north, ['n1', 'n2']);
+  t.equal(readLeader(fixture, 'c')?.node, 's1');
+  t.ok(readLeader(fixture, 'd'), 'another region leads when its own has none');
+  const entries = fixture.node.view.log.size;
+  fixture.advance(1);
+  t.equal(fixture.node.view.log.size, entries, 'nothing is proposed twice');
+});
+
+t.test('a draining entry hands its sets over with a higher epoch', async t => {
+  const fixture = createFixture([['a', 'north']]);
+  fixture.receive('n1', createRegionHeartbeat('n1', 'north'));
+  fixture.advance(1);
+  const first = readLeader(fixture, 'a')!;
+  fixture.receive('n2', createRegionHeartbeat('n2', 'north'));
+  fixture.receive('n1', createRegionHeartbeat('n1', 'north', true));
+  fixture.advance(1);
+  const second = readLeader(fixture, 'a')!;
+  t.strictSame([first.node, second.node], ['n1', 'n2']);
+  t.ok(second.epoch > first.epoch);
+});
+
+t.test('a new leader keeps the leases of entries it awaits', async t => {
+  const before = createFixture([['a', 'north']]);
+  before.receive('n1', createRegionHeartbeat('n1', 'north'));
+  before.advance(1);
+  const after = createControlFixture(before.readStored());
+  after.receive('n2', createRegionHeartbeat('n2', 'north'));
+  after.advance(1);
+  t.equal(readLeader(after, 'a')?.node, 'n1', 'n1 may still hold its lease');
+  after.advance(ENTRY_LEASE_MS - 2);
+  after.receive('n2', createRegionHeartbeat('n2', 'north'));
+  after.advance(1);
+  // One look at the sessions finds the vacancy, the next one fills it.
+  after.advance(1);
+  t.equal(readLeader(after, 'a')?.node, 'n2');
+});
+
+t.test('a set goes with its leader, but not with its endpoints', async t => {
+  const cases = [
+    {name: 'no endpoints', setsInUse: [], kind: 'accepted'},
+    {name: 'endpoints', setsInUse: ['a'], kind: 'refused'},
+  ];
+  for (const {name, setsInUse, kind} of cases) {
+    const fixture = createFixture([['a', 'north']]);
+    fixture.receive(
+      'n1',
+      createHeartbeat('n1', {setsInUse: setsInUse.map(id => toIdentifier(id))}),
+    );
+    fixture.advance(1);
+    t.ok(readLeader(fixture, 'a'), name);
+    const [reply] = fixture.ask(
+      'n1',
+      createCommandRequest(
+        createCommand(2, [
+          {
+            kind: 'delete',
+            key: toIdentifier('endpointSet/a'),
+            expectedRevision: null,
+          },
+        ]),
+      ),
+    );
+    t.match(reply, {answer: {kind: 'applied', result: {kind}}}, name);
+    t.equal(fixture.node.view.configuration.size === 0, kind === 'accepted');
+  }
+});
