Issue orders to endpoints with fencing numbers from the log

Cause: operators could not order an endpoint to load or to change its role, and two issuers could have spoken to one endpoint. Ruled out: a lock at the endpoint, since some ignore the number; for them the next issuer waits out the lease and the flight of the previous one. Change: control/orders, orders in the configuration, token bucket of the weight store in the log, scheduling/endpointOrders, HTTP client, stand-in engine that checks or ignores the number, load and change role in the language. Conclusion: a lease is looked at before and after each step.

--- a/control/configuration/src/applyBatch.ts
+++ b/control/configuration/src/applyBatch.ts
@@ -74,10 +74,15 @@
       return current === undefined
         ? {kind: 'notFound', key}
         : putObject(draft, key, applyPatch(current, command.patch), revision);
+    case 'order':
+      return putOrder(draft, key, command, revision);
     case 'delete':
       if (current === undefined) {
         return {kind: 'notFound', key};
       }
+      if (isIssued(current)) {
+        return {kind: 'orderUnderWay', key};
+      }
       if (current.kind === 'setLeadership') {
         return {kind: 'invalidValue', key, reason: SYSTEM_OBJECT};
       }
@@ -88,7 +93,7 @@
   }
 }
 
-const SYSTEM_OBJECT = 'leaders of sets are assigned by the system';
+const SYSTEM_OBJECT = 'the system keeps this object itself';
 
 function putObject(
   draft: DraftLookup,
@@ -96,8 +101,9 @@
   object: ConfigurationObject,
   revision: number,
 ): CommandRefusal | undefined {
-  const reason =
-    object.kind === 'setLeadership' ? SYSTEM_OBJECT : validateObject(object);
+  const isOfSystem =
+    object.kind === 'setLeadership' || object.kind === 'endpointOrder';
+  const reason = isOfSystem ? SYSTEM_OBJECT : validateObject(object);
   if (reason !== undefined) {
     return {kind: 'invalidValue', key, reason};
   }
@@ -105,12 +111,38 @@
   return undefined;
 }
 
+/** A new order replaces one that is queued or ended. */
+function putOrder(
+  draft: DraftLookup,
+  key: ObjectKey,
+  command: Extract<ObjectCommand, {readonly kind: 'order'}>,
+  revision: number,
+): CommandRefusal | undefined {
+  if (isIssued(draft.get(key))) {
+    return {kind: 'orderUnderWay', key};
+  }
+  draft.set(key, {
+    kind: 'endpointOrder',
+    id: command.endpoint,
+    revision: revision + 1,
+    directive: command.directive,
+    state: {kind: 'queued'},
+  });
+  return undefined;
+}
+
+function isIssued(object: ConfigurationObject | undefined): boolean {
+  return object?.kind === 'endpointOrder' && object.state.kind === 'issued';
+}
+
 function readKey(command: ObjectCommand): ObjectKey {
   switch (command.kind) {
     case 'put':
       return formatObjectKey(command.object.kind, command.object.id);
     case 'update':
       return formatObjectKey(command.patch.kind, command.patch.id);
+    case 'order':
+      return formatObjectKey('endpointOrder', command.endpoint);
     case 'delete':
       return command.key;
     default:
--- a/control/configuration/src/changes.ts
+++ b/control/configuration/src/changes.ts
@@ -1,3 +1,6 @@
+import type {EndpointDirective} from '@gentianshunt/orders';
+import type {EndpointId} from '@gentianshunt/identifiers';
+
 import type {
   ConfigurationObject,
   ObjectKey,
@@ -43,6 +46,13 @@
       readonly patch: ObjectPatch;
       readonly expectedRevision: Revision | null;
     }
+  | {
+      /** Orders an endpoint to do something. */
+      readonly kind: 'order';
+      readonly endpoint: EndpointId;
+      readonly directive: EndpointDirective;
+      readonly expectedRevision: Revision | null;
+    }
   | {
       readonly kind: 'delete';
       readonly key: ObjectKey;
@@ -84,6 +94,11 @@
       readonly kind: 'lastTier';
       readonly key: ObjectKey;
     }
+  | {
+      /** An order to the endpoint is being carried out. */
+      readonly kind: 'orderUnderWay';
+      readonly key: ObjectKey;
+    }
   | {readonly kind: 'batchTooLong'; readonly limit: number}
   | {
       readonly kind: 'invalidValue';
--- /dev/null
+++ b/control/configuration/src/isOrderOpen.ts
@@ -0,0 +1,34 @@
+import {assertNever} from '@gentianshunt/errors';
+
+import {formatObjectKey} from './objects.js';
+import type {ConfigurationObject, EndpointOrder, ObjectKey} from './objects.js';
+
+/** Reads objects by key. */
+interface ObjectReader {
+  get(key: ObjectKey): ConfigurationObject | undefined;
+}
+
+/** Tells whether an order may be issued: nobody who still leads carries it. */
+export function isOrderOpen(
+  reader: ObjectReader,
+  order: EndpointOrder,
+): boolean {
+  const {state} = order;
+  switch (state.kind) {
+    case 'queued':
+      return true;
+    case 'issued': {
+      const key = formatObjectKey('setLeadership', state.set);
+      const leadership = reader.get(key);
+      return !(
+        leadership?.kind === 'setLeadership' &&
+        leadership.node === state.node &&
+        leadership.epoch === state.epoch
+      );
+    }
+    case 'ended':
+      return false;
+    default:
+      return assertNever(state, 'isOrderOpen');
+  }
+}
--- a/control/configuration/src/objects.ts
+++ b/control/configuration/src/objects.ts
@@ -1,3 +1,9 @@
+import type {
+  EndpointDirective,
+  OrderState,
+  WeightStoreRate,
+} from '@gentianshunt/orders';
+import {DEFAULT_WEIGHT_STORE_RATE} from '@gentianshunt/orders';
 import type {
   EndpointId,
   EndpointSetId,
@@ -90,6 +96,26 @@
   readonly epoch: number;
 }
 
+/** The latest order to one endpoint. */
+export interface EndpointOrder {
+  readonly kind: 'endpointOrder';
+  readonly id: EndpointId;
+  /** Rises with every order of an operator. */
+  readonly revision: Revision;
+  readonly directive: EndpointDirective;
+  readonly state: OrderState;
+}
+
+/** The rate at which endpoints may load from the weight store. */
+export interface WeightStore extends WeightStoreRate {
+  readonly kind: 'weightStore';
+  readonly id: typeof WEIGHT_STORE_ID;
+  readonly revision: Revision;
+}
+
+/** There is one weight store. */
+export const WEIGHT_STORE_ID = 'default';
+
 /** Everything the replicated configuration is made of. */
 export type ConfigurationObject =
   | Organisation
@@ -97,7 +123,9 @@
   | EndpointSet
   | RequestKind
   | EndpointPolicy
-  | SetLeadership;
+  | SetLeadership
+  | EndpointOrder
+  | WeightStore;
 
 /** The kinds of configuration object. */
 export type ObjectKind = ConfigurationObject['kind'];
@@ -136,3 +164,11 @@
   }
   return found;
 }
+
+/** Reads the rate of the weight store. */
+export function findWeightStoreRate(lookup: {
+  get(key: ObjectKey): ConfigurationObject | undefined;
+}): WeightStoreRate {
+  const store = lookup.get(formatObjectKey('weightStore', WEIGHT_STORE_ID));
+  return store?.kind === 'weightStore' ? store : DEFAULT_WEIGHT_STORE_RATE;
+}
--- a/control/configuration/src/validateObject.ts
+++ b/control/configuration/src/validateObject.ts
@@ -1,7 +1,7 @@
 import {assertNever} from '@gentianshunt/errors';
 import {isIdentifier} from '@gentianshunt/identifiers';
 
-import {formatObjectKey} from './objects.js';
+import {formatObjectKey, WEIGHT_STORE_ID} from './objects.js';
 import type {ConfigurationObject, ObjectKey} from './objects.js';
 
 /** Tells what is wrong with an object's values, if anything. */
@@ -34,8 +34,16 @@
       );
     case 'requestKind':
       return checkPositive('weight', object.weight);
+    case 'weightStore':
+      if (object.id !== WEIGHT_STORE_ID) {
+        return `the weight store is called ${WEIGHT_STORE_ID}`;
+      }
+      return object.burst >= 1
+        ? checkPositive('loadsPerMinute', object.loadsPerMinute)
+        : 'burst must be 1 or more';
     case 'endpointSet':
     case 'endpointPolicy':
+    case 'endpointOrder':
     case 'setLeadership':
       return undefined;
     default:
@@ -66,6 +74,8 @@
     case 'endpointSet':
     case 'requestKind':
     case 'endpointPolicy':
+    case 'endpointOrder':
+    case 'weightStore':
       return [];
     default:
       return assertNever(object, 'listReferences');
--- a/control/controlModel/src/sections.ts
+++ b/control/controlModel/src/sections.ts
@@ -25,6 +25,8 @@
   ServiceCountKey,
   ServiceTotals,
 } from '@gentianshunt/messages';
+import {INITIAL_BUCKET} from '@gentianshunt/orders';
+import type {TokenBucket} from '@gentianshunt/orders';
 import type {EndpointSetId, NodeId} from '@gentianshunt/identifiers';
 
 import type {ControlObservation} from './observation.js';
@@ -121,6 +123,7 @@
     references: defineOrdered<ReferenceKey, true>(compareReferences),
     commands: defineOrdered<CommandNumber, CommandRecord>(compareValues),
     commandFloor: defineCell<CommandNumber>(1),
+    weightStore: defineCell<TokenBucket>(INITIAL_BUCKET),
     nextCommand: defineCell<CommandNumber>(1),
     claims: defineMap<ClaimId, ClaimRecord>(),
     claimExpiry: defineOrdered<ClaimExpiryKey, true>(compareClaimExpiry),
--- /dev/null
+++ b/control/entrySessions/src/orderProposals.ts
@@ -0,0 +1,79 @@
+import type {BoardView, TurnTime} from '@gentianshunt/board';
+import {
+  findObject,
+  findWeightStoreRate,
+  isOrderOpen,
+} from '@gentianshunt/configuration';
+import type {ControlSections} from '@gentianshunt/controlModel';
+import {assertNever} from '@gentianshunt/errors';
+import type {EntryToControl, LogPayload} from '@gentianshunt/messages';
+import {readsWeightStore, takeToken} from '@gentianshunt/orders';
+import type {NodeId} from '@gentianshunt/identifiers';
+
+type OrderMessage = Extract<
+  EntryToControl,
+  {readonly kind: 'orderOffer' | 'orderReport'}
+>;
+type OrderBoard = Pick<
+  BoardView<ControlSections>,
+  'configuration' | 'weightStore'
+>;
+
+/** Proposes to issue or to end an order; the log decides for good. */
+export function proposeOrder(
+  board: OrderBoard,
+  from: NodeId,
+  message: OrderMessage,
+  now: TurnTime,
+): readonly LogPayload[] {
+  switch (message.kind) {
+    case 'orderOffer': {
+      const {endpoint, revision, set, epoch} = message;
+      const atMs = now.wall.getTime();
+      return canIssue(board, message, atMs)
+        ? [
+            {
+              kind: 'issueOrder',
+              endpoint,
+              revision,
+              set,
+              node: from,
+              epoch,
+              atMs,
+            },
+          ]
+        : [];
+    }
+    case 'orderReport': {
+      const {endpoint, fencing, result} = message;
+      const order = findObject(board.configuration, 'endpointOrder', endpoint);
+      return order?.state.kind === 'issued' && order.state.fencing === fencing
+        ? [{kind: 'endOrder', endpoint, fencing, result}]
+        : [];
+    }
+    default:
+      return assertNever(message, 'proposeOrder');
+  }
+}
+
+/** An order that must wait for the weight store stays out of the log. */
+function canIssue(
+  board: OrderBoard,
+  offer: Extract<OrderMessage, {readonly kind: 'orderOffer'}>,
+  atMs: number,
+): boolean {
+  const {configuration, weightStore} = board;
+  const order = findObject(configuration, 'endpointOrder', offer.endpoint);
+  const isOpen =
+    order !== undefined &&
+    order.revision === offer.revision &&
+    isOrderOpen(configuration, order);
+  if (!isOpen) {
+    return false;
+  }
+  const rate = findWeightStoreRate(configuration);
+  return (
+    !readsWeightStore(order.directive) ||
+    takeToken(weightStore, rate, atMs) !== undefined
+  );
+}
--- a/control/entrySessions/src/pendingReplies.ts
+++ b/control/entrySessions/src/pendingReplies.ts
@@ -62,6 +62,8 @@
     }
     case 'entryHeartbeat':
     case 'versionConfirmed':
+    case 'orderOffer':
+    case 'orderReport':
     case 'controlQueryRequest':
       return undefined;
     default:
--- a/control/entrySessions/src/proposalController.ts
+++ b/control/entrySessions/src/proposalController.ts
@@ -14,11 +14,17 @@
 } from '@gentianshunt/identifiers';
 
 import {isSettled} from './leaderStatus.js';
+import {proposeOrder} from './orderProposals.js';
 import {findReply, isUnderWay, readPendingRequest} from './pendingReplies.js';
 import type {ReplyBoard} from './pendingReplies.js';
 
 type ProposalReads =
-  keyof ReplyBoard | 'runningClaims' | 'wantedAssignments' | 'proposals';
+  | keyof ReplyBoard
+  | 'runningClaims'
+  | 'configuration'
+  | 'weightStore'
+  | 'wantedAssignments'
+  | 'proposals';
 type ProposalView = View<ControlSections, ProposalReads, ControlObservation>;
 
 /** Creates the controller that proposes payloads to the leader's log. */
@@ -38,6 +44,8 @@
       'claimUsage',
       'countMarks',
       'runningClaims',
+      'configuration',
+      'weightStore',
       'sessions',
       'sessionVersions',
       'pending',
@@ -98,6 +106,9 @@
   if (message.kind === 'entryHeartbeat') {
     return proposeLoss(view, message.entry.node, message.incarnation, now);
   }
+  if (message.kind === 'orderOffer' || message.kind === 'orderReport') {
+    return proposeOrder(view.board, from, message, now);
+  }
   const request = readPendingRequest(from, message);
   const isKnown =
     request === undefined ||
--- a/control/messages/src/controlMessage.ts
+++ b/control/messages/src/controlMessage.ts
@@ -2,7 +2,9 @@
   BatchResult,
   ConfigurationChange,
 } from '@gentianshunt/configuration';
+import type {FencingNumber, OrderResult} from '@gentianshunt/orders';
 import type {
+  EndpointId,
   EndpointSetId,
   FailureDomainId,
   IncarnationId,
@@ -135,6 +137,20 @@
       readonly directoryVersion: DirectoryVersion;
     }
   | {readonly kind: 'countReportRequest'; readonly report: CountReport}
+  | {
+      /** The leader of a set asks to carry an order to an endpoint of it. */
+      readonly kind: 'orderOffer';
+      readonly endpoint: EndpointId;
+      readonly revision: number;
+      readonly set: EndpointSetId;
+      readonly epoch: number;
+    }
+  | {
+      readonly kind: 'orderReport';
+      readonly endpoint: EndpointId;
+      readonly fencing: FencingNumber;
+      readonly result: OrderResult;
+    }
   | {
       readonly kind: 'controlQueryRequest';
       readonly correlation: RequestId;
--- a/control/messages/src/logEntry.ts
+++ b/control/messages/src/logEntry.ts
@@ -1,5 +1,7 @@
 import type {ObjectCommand} from '@gentianshunt/configuration';
+import type {FencingNumber, OrderResult} from '@gentianshunt/orders';
 import type {
+  EndpointId,
   EndpointSetId,
   IncarnationId,
   NodeId,
@@ -82,6 +84,22 @@
       readonly atMs: number;
     }
   | {readonly kind: 'expireClaims'; readonly atMs: number}
+  | {
+      /** Issues an order to the leader of the endpoint's set. */
+      readonly kind: 'issueOrder';
+      readonly endpoint: EndpointId;
+      readonly revision: number;
+      readonly set: EndpointSetId;
+      readonly node: NodeId;
+      readonly epoch: number;
+      readonly atMs: number;
+    }
+  | {
+      readonly kind: 'endOrder';
+      readonly endpoint: EndpointId;
+      readonly fencing: FencingNumber;
+      readonly result: OrderResult;
+    }
   | {
       readonly kind: 'countReport';
       readonly node: NodeId;
--- /dev/null
+++ b/control/orders/src/endpointDirective.ts
@@ -0,0 +1,46 @@
+import {assertNever} from '@gentianshunt/errors';
+
+/** What an endpoint is told to do. */
+export type EndpointDirective =
+  | {
+      /** Loads a model, with an adapter if one is named. */
+      readonly kind: 'load';
+      readonly model: string;
+      readonly adapter: string | null;
+      readonly version: string | null;
+    }
+  | {
+      /** Changes the part the endpoint plays, such as prefill or decode. */
+      readonly kind: 'changeRole';
+      readonly role: string;
+    };
+
+/** Tells whether carrying out a directive reads from the weight store. */
+export function readsWeightStore(directive: EndpointDirective): boolean {
+  switch (directive.kind) {
+    case 'load':
+      return true;
+    case 'changeRole':
+      return false;
+    default:
+      return assertNever(directive, 'readsWeightStore');
+  }
+}
+
+/** Formats a directive as operators write it. */
+export function formatDirective(directive: EndpointDirective): string {
+  switch (directive.kind) {
+    case 'load': {
+      const {model, adapter, version} = directive;
+      return [
+        `load model ${model}`,
+        adapter === null ? '' : ` adapter ${adapter}`,
+        version === null ? '' : ` version ${version}`,
+      ].join('');
+    }
+    case 'changeRole':
+      return `change role to ${directive.role}`;
+    default:
+      return assertNever(directive, 'formatDirective');
+  }
+}
--- a/control/stateMachine/src/applyCommand.ts
+++ b/control/stateMachine/src/applyCommand.ts
@@ -1,12 +1,10 @@
 import {applyBatch, formatObjectKey} from '@gentianshunt/configuration';
-import type {ConfigurationChange} from '@gentianshunt/configuration';
 import {MAX_COMMAND_GAP} from '@gentianshunt/controlModel';
 import type {LogEntry, LogPayload} from '@gentianshunt/messages';
 
+import {changeConfiguration} from './changeConfiguration.js';
 import type {StateDraft} from './stateDraft.js';
 
-/** Most configuration versions kept for entries that lag behind. */
-export const MAX_HISTORY_LENGTH = 10_000;
 /** Most command numbers remembered; lower ones are refused. */
 export const MAX_COMMANDS = 10_000;
 
@@ -53,22 +51,6 @@
   }
 }
 
-function changeConfiguration(
-  draft: StateDraft,
-  entry: LogEntry,
-  changes: readonly ConfigurationChange[],
-): void {
-  draft.applied = {index: entry.index, version: entry.index};
-  draft.history.put(entry.index, changes);
-  for (const change of changes) {
-    draft.configuration.change(change);
-  }
-  while (draft.history.size > MAX_HISTORY_LENGTH) {
-    const [oldest] = draft.history.iterateFrom();
-    draft.history.delete(oldest!.key);
-  }
-}
-
 /** Gives a set a leader with a new epoch. */
 export function assignSetLeader(
   draft: StateDraft,
--- a/control/stateMachine/src/stateDraft.ts
+++ b/control/stateMachine/src/stateDraft.ts
@@ -32,6 +32,8 @@
   ServiceTotals,
 } from '@gentianshunt/messages';
 
+import type {TokenBucket} from '@gentianshunt/orders';
+
 import {createConfigurationDraft} from './configurationDraft.js';
 import type {ConfigurationDraft} from './configurationDraft.js';
 
@@ -45,6 +47,7 @@
   'commands',
   'commandFloor',
   'nextCommand',
+  'weightStore',
   'claims',
   'claimExpiry',
   'runningClaims',
@@ -68,6 +71,7 @@
   nextCommand: CommandNumber;
   commandFloor: CommandNumber;
   claimUsage: ClaimUsage;
+  weightStore: TokenBucket;
   readonly configuration: ConfigurationDraft;
   readonly history: OrderedDraft<
     ConfigurationVersion,
@@ -88,6 +92,7 @@
     nextCommand: board.nextCommand,
     commandFloor: board.commandFloor,
     claimUsage: board.claimUsage,
+    weightStore: board.weightStore,
     configuration: createConfigurationDraft(board),
     history: createOrderedDraft({view: board.history, compare: compareValues}),
     commands: createOrderedDraft({
@@ -136,7 +141,7 @@
   draft: StateDraft,
   board: StateView['board'],
 ): readonly StateWrite[] {
-  const {nextCommand, commandFloor, claimUsage, applied} = draft;
+  const {nextCommand, commandFloor, claimUsage, weightStore, applied} = draft;
   const writes: StateWrite[] = [];
   if (nextCommand !== board.nextCommand) {
     writes.push({kind: 'set', section: 'nextCommand', value: nextCommand});
@@ -147,6 +152,9 @@
   if (claimUsage !== board.claimUsage) {
     writes.push({kind: 'set', section: 'claimUsage', value: claimUsage});
   }
+  if (weightStore !== board.weightStore) {
+    writes.push({kind: 'set', section: 'weightStore', value: weightStore});
+  }
   writes.push({kind: 'set', section: 'applied', value: applied});
   return writes;
 }
--- a/control/stateMachine/src/stateMachineController.ts
+++ b/control/stateMachine/src/stateMachineController.ts
@@ -11,6 +11,7 @@
 } from './applyClaim.js';
 import {applyCommand, assignSetLeader} from './applyCommand.js';
 import {applyCountReport} from './applyCounts.js';
+import {applyEnd, applyIssue} from './applyOrder.js';
 import {
   createStateDraft,
   listStateWrites,
@@ -72,6 +73,12 @@
     case 'expireClaims':
       applyExpiry(draft, payload.atMs);
       return;
+    case 'issueOrder':
+      applyIssue(draft, entry, payload);
+      return;
+    case 'endOrder':
+      applyEnd(draft, entry, payload);
+      return;
     case 'countReport':
       applyCountReport(draft, payload);
       return;
--- a/daemons/controld/src/peerMessages.ts
+++ b/daemons/controld/src/peerMessages.ts
@@ -13,6 +13,8 @@
 const ENTRY_KINDS: ReadonlySet<string> = new Set<EntryToControl['kind']>([
   'entryHeartbeat',
   'versionConfirmed',
+  'orderOffer',
+  'orderReport',
   'countReportRequest',
   'controlQueryRequest',
   'commandRequest',
--- a/daemons/entryd/src/entryd.ts
+++ b/daemons/entryd/src/entryd.ts
@@ -1,6 +1,10 @@
 import {createCallerFront} from '@gentianshunt/callerFront';
 import type {CallerFront} from '@gentianshunt/callerFront';
-import {createEndpointFront} from '@gentianshunt/endpointFront';
+import {
+  createEndpointFront,
+  createEndpointOrderClient,
+} from '@gentianshunt/endpointFront';
+import type {EndpointOrderClient} from '@gentianshunt/endpointFront';
 import type {
   EntryObservation,
   EntryOrder,
@@ -55,6 +59,7 @@
   readonly timers: TimerTable<EntryTimer>;
   readonly callers: CallerFront;
   readonly operators: OperatorFront;
+  readonly endpoints: EndpointOrderClient;
   readonly metrics: EntryMetrics;
 }
 
@@ -113,6 +118,7 @@
       self: settings.node,
       maxHeldBytes: MAX_HELD_BODY_BYTES,
     }),
+    endpoints: createEndpointOrderClient({clock: createSystemClock(), post}),
     operators: createOperatorFront({
       server,
       post,
@@ -198,6 +204,9 @@
       });
       logger.write({kind: 'requestEnded', end: order});
       return;
+    case 'sendEndpointOrder':
+      adapters.endpoints.send(order.run);
+      return;
     case 'exit':
       options.onExit();
       return;
--- /dev/null
+++ b/fronts/endpointFront/src/endpointOrderClient.ts
@@ -0,0 +1,59 @@
+import type {Clock} from '@gentianshunt/clock';
+import type {EntryObservation, OrderRun} from '@gentianshunt/entryModel';
+import {ORDER_FLIGHT_MS} from '@gentianshunt/orders';
+import type {OrderResult} from '@gentianshunt/orders';
+import {request} from 'undici';
+
+/** What the client of endpoint orders needs. */
+export interface EndpointOrderClientOptions {
+  readonly clock: Clock;
+  readonly post: (observation: EntryObservation) => void;
+}
+
+/** Carries orders to endpoints over HTTP. */
+export interface EndpointOrderClient {
+  send(run: OrderRun): void;
+}
+
+const CONFLICT = 409;
+
+/** Creates a client; every order ends in one observation. */
+export function createEndpointOrderClient(
+  options: EndpointOrderClientOptions,
+): EndpointOrderClient {
+  return {
+    send: run => {
+      void sendRun(options.clock, run).then(result =>
+        options.post({kind: 'endpointOrderEnded', run, result}),
+      );
+    },
+  };
+}
+
+async function sendRun(clock: Clock, run: OrderRun): Promise<OrderResult> {
+  // The process may have stood still since the order was decided.
+  if (clock.readMonotonic() >= run.sendBefore) {
+    return {kind: 'unknown', detail: 'the lease ended before sending'};
+  }
+  try {
+    const reply = await request(`${run.url}/v1/orders`, {
+      method: 'POST',
+      headers: {'content-type': 'application/json'},
+      body: JSON.stringify({fencing: run.fencing, directive: run.directive}),
+      signal: AbortSignal.timeout(ORDER_FLIGHT_MS),
+    });
+    const text = await reply.body.text();
+    return readResult(reply.statusCode, text);
+  } catch (error) {
+    return {kind: 'unknown', detail: (error as Error).message};
+  }
+}
+
+function readResult(status: number, text: string): OrderResult {
+  if (status === CONFLICT) {
+    return {kind: 'outdated'};
+  }
+  return status < 300
+    ? {kind: 'done'}
+    : {kind: 'refused', detail: `HTTP ${status}: ${text}`};
+}
--- a/fronts/endpointFront/src/index.ts
+++ b/fronts/endpointFront/src/index.ts
@@ -1,1 +1,2 @@
 export * from './endpointFront.js';
+export * from './endpointOrderClient.js';
--- a/language/commands/src/compileCommands.ts
+++ b/language/commands/src/compileCommands.ts
@@ -14,6 +14,7 @@
 } from '@gentianshunt/grammar';
 import {isIdentifier, toIdentifier} from '@gentianshunt/identifiers';
 
+import {compileOrder} from './compileOrder.js';
 import {findType, TYPE_SPECS} from './objectFields.js';
 import type {TypeSpec} from './objectFields.js';
 import {readFields} from './readFields.js';
@@ -42,17 +43,12 @@
         createMeaningIssue(
           `${statement.kind} cannot stand among commands`,
           statement.position,
-          ['create', 'set', 'delete', 'drain', 'undrain'],
+          ['create', 'set', 'delete', 'drain', 'undrain', 'load', 'change'],
         ),
       );
     case 'load':
     case 'changeRole':
-      return fail(
-        createMeaningIssue(
-          'orders to endpoints are not carried out yet',
-          statement.position,
-        ),
-      );
+      return compileOrder(statement);
     case 'create':
     case 'set':
     case 'delete':
--- a/language/commands/src/help.ts
+++ b/language/commands/src/help.ts
@@ -55,6 +55,18 @@
     text: 'Gives an endpoint new work again.',
     examples: ['undrain endpoint e7'],
   },
+  {
+    name: 'load',
+    form: 'load model MODEL [adapter ADAPTER] [version VERSION] on endpoint NAME',
+    text: 'Orders an endpoint to load. Orders wait for the rate of the weight store and carry a fencing number.',
+    examples: ['load model draft-model version 7 on endpoint e7'],
+  },
+  {
+    name: 'change',
+    form: 'change role of endpoint NAME to ROLE',
+    text: 'Orders an endpoint to change its role.',
+    examples: ['change role of endpoint e7 to prefill'],
+  },
   {
     name: 'help',
     form: 'help [TOPIC]',
--- a/language/commands/src/objectFields.ts
+++ b/language/commands/src/objectFields.ts
@@ -1,4 +1,5 @@
 import type {ObjectKind} from '@gentianshunt/configuration';
+import {DEFAULT_WEIGHT_STORE_RATE} from '@gentianshunt/orders';
 
 /** What the values of a field are. */
 export type FieldForm =
@@ -154,8 +155,37 @@
   ],
 };
 
+const WEIGHT_STORE: TypeSpec = {
+  name: 'weight-store',
+  kind: 'weightStore',
+  help: 'The rate of loads from the weight store; its name is default.',
+  alternatives: [],
+  fields: [
+    {
+      name: 'burst',
+      path: ['burst'],
+      form: {kind: 'number'},
+      initial: DEFAULT_WEIGHT_STORE_RATE.burst,
+      help: 'loads that may begin at once',
+    },
+    {
+      name: 'loads-per-minute',
+      path: ['loadsPerMinute'],
+      form: {kind: 'number'},
+      initial: DEFAULT_WEIGHT_STORE_RATE.loadsPerMinute,
+      help: 'loads that may begin in a minute',
+    },
+  ],
+};
+
 /** The types of object that operators create, set and delete. */
-export const TYPE_SPECS: readonly TypeSpec[] = [ORGANISATION, TIER, SET, KIND];
+export const TYPE_SPECS: readonly TypeSpec[] = [
+  ORGANISATION,
+  TIER,
+  SET,
+  KIND,
+  WEIGHT_STORE,
+];
 
 /** Finds a type by its word. */
 export function findType(name: string): TypeSpec | undefined {
--- a/language/commands/src/outcome.ts
+++ b/language/commands/src/outcome.ts
@@ -117,6 +117,8 @@
       return `${refusal.key} has the rank ${refusal.rank} of ${refusal.by}`;
     case 'lastTier':
       return `${refusal.key} is the last tier`;
+    case 'orderUnderWay':
+      return `${refusal.key} is being carried out`;
     case 'batchTooLong':
       return `a batch has at most ${refusal.limit} commands`;
     case 'invalidValue':
--- a/language/commands/src/readFields.ts
+++ b/language/commands/src/readFields.ts
@@ -21,7 +21,7 @@
 
 /** Reads the settings of a command by the fields of its type. */
 export function readFields(
-  type: TypeSpec,
+  type: Pick<TypeSpec, 'name' | 'fields'>,
   settings: readonly Setting[],
 ): Outcome<readonly FieldAssignment[]> {
   const assignments: FieldAssignment[] = [];
--- a/language/queries/src/configurationTables.ts
+++ b/language/queries/src/configurationTables.ts
@@ -1,5 +1,6 @@
 import {findObject, listObjects} from '@gentianshunt/configuration';
 import type {
+  EndpointOrder,
   EndpointSet,
   Organisation,
   RequestKind,
@@ -8,6 +9,7 @@
 import type {EndpointRecord} from '@gentianshunt/entryModel';
 import {assertNever} from '@gentianshunt/errors';
 import type {DirectoryEntry} from '@gentianshunt/messages';
+import {formatDirective} from '@gentianshunt/orders';
 
 import {defineBoolean, defineNumber, defineTable, defineText} from './table.js';
 
@@ -156,3 +158,26 @@
   ],
   list: ({board}) => board.control.directory.entries,
 });
+
+/** The latest order to each endpoint. */
+export const ORDERS_TABLE = defineTable<EndpointOrder>({
+  name: 'orders',
+  help: 'Latest order to each endpoint and how far it has come.',
+  scope: 'deployment',
+  columns: [
+    defineText('endpoint', order => order.id),
+    defineNumber('revision', order => order.revision),
+    defineText('order', order => formatDirective(order.directive)),
+    defineText('state', order => order.state.kind),
+    defineText('result', ({state}) =>
+      state.kind === 'ended' ? state.result.kind : null,
+    ),
+    defineNumber('fencing', ({state}) =>
+      state.kind === 'queued' ? null : state.fencing,
+    ),
+    defineText('carried-by', ({state}) =>
+      state.kind === 'issued' ? state.node : null,
+    ),
+  ],
+  list: ({board}) => listObjects(board.configuration, 'endpointOrder'),
+});
--- /dev/null
+++ b/scheduling/endpointOrders/src/index.ts
@@ -0,0 +1,1 @@
+export * from './endpointOrderController.js';
--- a/scheduling/entryModel/src/index.ts
+++ b/scheduling/entryModel/src/index.ts
@@ -1,4 +1,5 @@
 export * from './endpoint.js';
+export * from './endpointOrder.js';
 export * from './entryController.js';
 export * from './exchange.js';
 export * from './iterateSet.js';
--- a/scheduling/entryModel/src/observation.ts
+++ b/scheduling/entryModel/src/observation.ts
@@ -7,6 +7,7 @@
   ForceStatus,
   OperatorCommand,
 } from '@gentianshunt/messages';
+import type {OrderResult} from '@gentianshunt/orders';
 import type {
   DispatchId,
   NodeId,
@@ -15,6 +16,7 @@
 } from '@gentianshunt/identifiers';
 
 import type {EndpointAnnouncement} from './endpoint.js';
+import type {OrderRun} from './endpointOrder.js';
 import type {EntryMessage} from './exchange.js';
 import type {
   AdmittedRequest,
@@ -99,6 +101,12 @@
       readonly end: RequestEnd;
       readonly firstTokenMs: Milliseconds | null;
     }
+  | {
+      /** An endpoint answered an order, or could not be asked. */
+      readonly kind: 'endpointOrderEnded';
+      readonly run: OrderRun;
+      readonly result: OrderResult;
+    }
   | {readonly kind: 'shutdownRequested'};
 
 /** An answer small enough to be kept. */
--- a/scheduling/entryModel/src/order.ts
+++ b/scheduling/entryModel/src/order.ts
@@ -6,6 +6,7 @@
 } from '@gentianshunt/messages';
 import type {NodeId, RequestId} from '@gentianshunt/identifiers';
 
+import type {OrderRun} from './endpointOrder.js';
 import type {EntryMessage} from './exchange.js';
 import type {CommandProgress, EntryTimer} from './observation.js';
 import type {
@@ -66,4 +67,9 @@
       readonly waitedMs: Milliseconds;
       readonly firstTokenMs: Milliseconds | null;
     }
+  | {
+      /** Carries an order to an endpoint, unless its time has passed. */
+      readonly kind: 'sendEndpointOrder';
+      readonly run: OrderRun;
+    }
   | {readonly kind: 'exit'};
--- a/scheduling/entryModel/src/sections.ts
+++ b/scheduling/entryModel/src/sections.ts
@@ -6,7 +6,11 @@
   defineOrdered,
 } from '@gentianshunt/board';
 import type {MonotonicTime} from '@gentianshunt/clock';
-import type {ConfigurationObject, ObjectKey} from '@gentianshunt/configuration';
+import type {
+  ConfigurationObject,
+  EndpointOrder,
+  ObjectKey,
+} from '@gentianshunt/configuration';
 import {NO_DIRECTORY_VERSION} from '@gentianshunt/messages';
 import type {
   ClaimKey,
@@ -32,6 +36,7 @@
 } from '@gentianshunt/identifiers';
 
 import type {EndpointAnnouncement} from './endpoint.js';
+import type {OrderEpoch, OrderRunState} from './endpointOrder.js';
 import type {GrantReply, Match, ReportRecord, Slot} from './exchange.js';
 import type {AdmittedRequest, Refusal, RequestState} from './request.js';
 
@@ -288,6 +293,9 @@
       sentAt: Number.NEGATIVE_INFINITY,
     }),
     counts: defineMap<CountKey, ServiceCount>(),
+    openOrders: defineMap<EndpointId, EndpointOrder>(),
+    orderRuns: defineMap<EndpointId, OrderRunState>(),
+    orderEpochs: defineMap<EndpointSetId, OrderEpoch>(),
   };
 }
 
--- a/scheduling/entryNode/src/entryNode.ts
+++ b/scheduling/entryNode/src/entryNode.ts
@@ -9,6 +9,7 @@
   createRefusalController,
   createServiceController,
 } from '@gentianshunt/controlClient';
+import {createEndpointOrderController} from '@gentianshunt/endpointOrders';
 import {createEntrySections} from '@gentianshunt/entryModel';
 import type {
   EntryController,
@@ -52,6 +53,7 @@
     createCountController(),
     createLeadershipController(),
     createEndpointRegistry(),
+    createEndpointOrderController(),
     createReplyController(),
     createLifecycleController(),
     createSlotController(),
--- a/standins/modelEngine/src/announcer.ts
+++ b/standins/modelEngine/src/announcer.ts
@@ -11,6 +11,7 @@
   readonly domain: string;
   readonly url: string;
   readonly concurrency: number;
+  readonly checksFencing?: boolean;
   readonly leaving: boolean;
   readonly load: {
     readonly running: number;
--- a/standins/modelEngine/src/engineServer.ts
+++ b/standins/modelEngine/src/engineServer.ts
@@ -5,12 +5,16 @@
 
 import {createEngine} from './engine.js';
 import type {Engine, EngineOptions, JobStream} from './engine.js';
+import {addOrderRoute} from './orderRoute.js';
+import type {FencingMode} from './orderRoute.js';
 
 /** What the engine's server needs. */
 export interface EngineServerOptions {
   readonly host: string;
   readonly port: number;
   readonly engine: EngineOptions;
+  /** Left out, the engine checks fencing numbers. */
+  readonly fencing?: FencingMode;
 }
 
 /** A running engine with its HTTP front. */
@@ -54,6 +58,7 @@
     sendStream(engine, open, reply.raw, id, stream, 0);
   });
   addResumeRoute(server, engine, open);
+  addOrderRoute(server, options.fencing ?? 'checks');
   addCancelRoute(server, engine);
   addTestRoutes(server, engine, open);
   const url = await server.listen({host: options.host, port: options.port});
--- a/standins/modelEngine/src/index.ts
+++ b/standins/modelEngine/src/index.ts
@@ -1,3 +1,4 @@
 export * from './announcer.js';
 export * from './engine.js';
 export * from './engineServer.js';
+export * from './orderRoute.js';
--- a/standins/modelEngine/src/main.ts
+++ b/standins/modelEngine/src/main.ts
@@ -25,6 +25,11 @@
       default: '20000',
       description: 'Prompt tokens a second',
     },
+    'ignore-fencing': {
+      type: 'boolean',
+      default: false,
+      description: 'Take orders with old fencing numbers',
+    },
     'step-ms': {
       type: 'string',
       default: '5',
@@ -35,6 +40,7 @@
     const server = await createEngineServer({
       host: args.host,
       port: Number(args.port),
+      fencing: args['ignore-fencing'] ? 'ignores' : 'checks',
       engine: {
         prefillTokensPerSecond: Number(args['prefill-rate']),
         stepMs: Number(args['step-ms']),
@@ -57,6 +63,7 @@
           domain: args.domain,
           url: server.url,
           concurrency: Number(args.batch),
+          checksFencing: !args['ignore-fencing'],
           leaving: isLeaving,
           load: {...server.engine.readLoad(), ageMs: 0},
         }),
