--- a/cli/gentianshunt/src/exitCodes.ts
+++ b/cli/gentianshunt/src/exitCodes.ts
@@ -1,4 +1,5 @@
 import {formatError} from '@gentianshunt/errors';
+import {EntriesUnreachableError} from '@gentianshunt/operatorClient';
 
 /** Exit code of a command that was refused or failed. */
 export const FAILURE_EXIT_CODE = 1;
@@ -18,6 +19,9 @@
     await step();
   } catch (error) {
     console.error(formatError(error));
-    process.exitCode = USAGE_EXIT_CODE;
+    process.exitCode =
+      error instanceof EntriesUnreachableError
+        ? FAILURE_EXIT_CODE
+        : USAGE_EXIT_CODE;
   }
 }
--- a/cli/operatorClient/src/runCommandText.ts
+++ b/cli/operatorClient/src/runCommandText.ts
@@ -1,4 +1,6 @@
+import {compileCommands} from '@gentianshunt/commands';
 import type {CommandOutcome} from '@gentianshunt/commands';
+import {parseText} from '@gentianshunt/grammar';
 import type {LanguageIssue} from '@gentianshunt/grammar';
 import type {CommandNumber} from '@gentianshunt/messages';
 
@@ -34,6 +36,10 @@
 export async function runCommandText(
   options: CommandTextOptions,
 ): Promise<CommandTextOutcome> {
+  const issue = findIssue(options.text);
+  if (issue !== undefined) {
+    return {kind: 'issue', issue};
+  }
   let number = options.number ?? (await readNextNumber(options.access));
   for (let tries = 1; ; tries += 1) {
     options.onNumber?.(number);
@@ -46,6 +52,14 @@
   }
 }
 
+/** Finds what is wrong with a text before a number is spent on it. */
+function findIssue(text: string): LanguageIssue | undefined {
+  const parsed = parseText(text);
+  const read =
+    parsed.kind === 'failed' ? parsed : compileCommands(parsed.statements);
+  return read.kind === 'failed' ? read.issue : undefined;
+}
+
 async function readNextNumber(access: EntryAccess): Promise<CommandNumber> {
   const answer = await sendToAny(
     access,
--- /dev/null
+++ b/language/commands/test/compileCommands.test.ts
@@ -0,0 +1,162 @@
+import {assert, constantFrom, integer, property, record} from 'fast-check';
+import t from 'tap';
+
+import {parseText, printStatement} from '@gentianshunt/grammar';
+
+import {
+  compileCommands,
+  formatOverview,
+  formatTopic,
+  HELP_TOPICS,
+} from '../src/index.js';
+
+const SEED = 20261204;
+const RUNS = 200;
+
+function compile(text: string) {
+  const parsed = parseText(text);
+  return parsed.kind === 'failed' ? parsed : compileCommands(parsed.statements);
+}
+
+t.test('commands become steps of one batch', async t => {
+  const cases = [
+    {
+      text: 'create tier gold rank 1 weight 4',
+      steps: [
+        {
+          kind: 'put',
+          expectedRevision: 0,
+          object: {
+            kind: 'tier',
+            id: 'gold',
+            rank: 1,
+            weight: 4,
+            firstTokenTargetMs: 1_000,
+            objective: 0.95,
+          },
+        },
+      ],
+    },
+    {
+      text: 'create organisation north tiers gold, 1 max-running none',
+      steps: [
+        {
+          object: {
+            tiers: ['gold', '1'],
+            weight: 1,
+            limits: {maxRunning: null, maxRequestsPerSecond: null},
+          },
+        },
+      ],
+    },
+    {
+      text: 'create set drafts region nl-west model "draft model"',
+      steps: [
+        {
+          object: {
+            kind: 'endpointSet',
+            region: 'nl-west',
+            service: {kind: 'model', model: 'draft model'},
+          },
+        },
+      ],
+    },
+    {
+      text: 'set organisation north max-running 5 if revision = 3; delete kind old',
+      steps: [
+        {
+          kind: 'update',
+          expectedRevision: 3,
+          patch: {id: 'north', fields: {limits: {maxRunning: 5}}},
+        },
+        {kind: 'delete', key: 'requestKind/old', expectedRevision: null},
+      ],
+    },
+    {
+      text: 'drain endpoint e7; undrain endpoint e8',
+      steps: [
+        {object: {kind: 'endpointPolicy', id: 'e7', state: 'draining'}},
+        {object: {kind: 'endpointPolicy', id: 'e8', state: 'active'}},
+      ],
+    },
+    {
+      text: 'load model m version 7 on endpoint e1; change role of endpoint e1 to prefill',
+      steps: [
+        {
+          kind: 'order',
+          directive: {kind: 'load', model: 'm', adapter: null, version: '7'},
+        },
+        {kind: 'order', directive: {kind: 'changeRole', role: 'prefill'}},
+      ],
+    },
+  ];
+  for (const {text, steps} of cases) {
+    const compiled = compile(text);
+    t.equal(compiled.kind, 'read', text);
+    t.match(compiled.kind === 'read' ? compiled.result : [], steps, text);
+  }
+});
+
+t.test('what has no meaning is told with its place', async t => {
+  const cases = [
+    {text: 'create tier gold', column: 1, message: /needs rank/},
+    {text: 'create tier gold rank high', column: 18, message: /wrong value/},
+    {text: 'set tier gold rank 1 rank 2', column: 22, message: /twice/},
+    {text: 'set tier gold size 1', column: 15, message: /no field size/},
+    {text: 'set tier gold', column: 1, message: /no field is set/},
+    {text: 'create queue q', column: 1, message: /no type queue/},
+    {text: 'create set s model a service b', column: 1, message: /exactly one/},
+    {text: 'set set s model a service b', column: 1, message: /only one/},
+    {
+      text: 'drain endpoint a; show tiers',
+      column: 19,
+      message: /among commands/,
+    },
+    {text: 'load version 3 on endpoint e', column: 1, message: /needs a model/},
+  ];
+  for (const {text, column, message} of cases) {
+    const compiled = compile(text);
+    if (compiled.kind !== 'failed') {
+      t.fail(text);
+      continue;
+    }
+    t.match(compiled.issue.message, message, text);
+    t.equal(compiled.issue.position.column, column, text);
+  }
+});
+
+t.test('a printed command means the same', async t => {
+  const commands = record({
+    verb: constantFrom('create', 'set'),
+    id: constantFrom('gold', '1', 'a.b-c'),
+    rank: integer({min: 1, max: 9}),
+    weight: integer({min: 1, max: 9_999}).map(value => value / 100),
+    revision: constantFrom('', ' if revision = 4'),
+  });
+  assert(
+    property(commands, ({verb, id, rank, weight, revision}) => {
+      const text = `${verb} tier ${id} rank ${rank} weight ${weight}${revision}`;
+      const parsed = parseText(text);
+      t.equal(parsed.kind, 'parsed');
+      const printed =
+        parsed.kind === 'parsed'
+          ? parsed.statements.map(printStatement).join(';')
+          : '';
+      t.strictSame(compile(printed), compile(text));
+    }),
+    {seed: SEED, numRuns: RUNS},
+  );
+});
+
+t.test('every example of the help can be read', async t => {
+  for (const {name, examples} of HELP_TOPICS) {
+    t.match(formatOverview(), name);
+    t.ok(formatTopic(name));
+    for (const example of examples) {
+      const parsed = parseText(example);
+      t.equal(parsed.kind, 'parsed', example);
+      const isCommand = !/^(show|help)/.test(example);
+      t.equal(!isCommand || compile(example).kind === 'read', true, example);
+    }
+  }
+});
--- /dev/null
+++ b/scheduling/controlClient/test/fixture.ts
@@ -0,0 +1,117 @@
+import {createControlLoop} from '@gentianshunt/board';
+import {createManualClock} from '@gentianshunt/clock';
+import type {Tier} from '@gentianshunt/configuration';
+import {createEntrySections, refuseUnadmitted} from '@gentianshunt/entryModel';
+import type {
+  AdmittedRequest,
+  EntryController,
+  EntryObservation,
+  EntryOrder,
+  EntrySections,
+  Refusal,
+  RefusalReason,
+} from '@gentianshunt/entryModel';
+import type {ControlToEntry, EntryToControl} from '@gentianshunt/messages';
+import {toIdentifier} from '@gentianshunt/identifiers';
+
+/** Creates an entry's loop over some of its controllers. */
+export function createEntryFixture(controllers: readonly EntryController[]) {
+  const clock = createManualClock();
+  const orders: EntryOrder[] = [];
+  const loop = createControlLoop<EntrySections, EntryObservation, EntryOrder>({
+    sections: createEntrySections({
+      address: {
+        node: toIdentifier('n1'),
+        region: toIdentifier('local'),
+        domain: toIdentifier('d'),
+        peer: {host: '127.0.0.1', port: 1},
+        http: {host: '127.0.0.1', port: 2},
+      },
+      incarnation: toIdentifier('i1'),
+      controls: [toIdentifier('c0'), toIdentifier('c1')],
+    }),
+    controllers,
+    clock,
+    perform: order => orders.push(order),
+  });
+  return {
+    loop,
+    clock,
+    /** Messages sent to control daemons and not yet taken. */
+    takeSent: (): readonly EntryToControl[] =>
+      orders
+        .splice(0)
+        .flatMap(order =>
+          order.kind === 'sendControl' ? [order.message] : [],
+        ),
+    receive: (message: ControlToEntry) =>
+      loop.post({kind: 'controlMessage', from: toIdentifier('c0'), message}),
+    tick: (ms: number) => {
+      clock.advance(ms);
+      loop.post({kind: 'timerDue', timer: {kind: 'housekeeping'}});
+    },
+  };
+}
+
+/** An entry's loop with its parts. */
+export type EntryFixture = ReturnType<typeof createEntryFixture>;
+
+/** Makes an update that puts tiers. */
+export function createUpdate(
+  fromVersion: number,
+  version: number,
+  tiers: readonly Tier[],
+  changes: Partial<
+    Extract<ControlToEntry, {readonly kind: 'configurationUpdate'}>
+  > = {},
+): ControlToEntry {
+  return {
+    kind: 'configurationUpdate',
+    sequence: null,
+    fromVersion,
+    version,
+    changes: tiers.map(object => ({kind: 'put', object})),
+    directory: null,
+    leaseMs: 3_000,
+    ...changes,
+  };
+}
+
+/** Makes a tier. */
+export function createTier(id: string, rank = 1): Tier {
+  return {
+    kind: 'tier',
+    id: toIdentifier(id),
+    revision: 1,
+    rank,
+    weight: 1,
+    firstTokenTargetMs: 100,
+    objective: 0.95,
+  };
+}
+
+/** Makes an admitted request. */
+export function createRequest(id: string): AdmittedRequest {
+  return {
+    id: toIdentifier(id),
+    organisation: toIdentifier('north'),
+    tier: toIdentifier('gold'),
+    set: toIdentifier('drafts'),
+    kind: toIdentifier('draft'),
+    claim: null,
+    promptTokens: 1,
+    maxTokens: 1,
+    prefix: null,
+    rank: 1,
+    value: 1,
+    arrivedAt: 0,
+  };
+}
+
+/** Makes a refusal. */
+export function createRefusal(
+  id: string,
+  reason: RefusalReason = {kind: 'shed'},
+): Refusal {
+  return refuseUnadmitted(createRequest(id), reason, null);
+}
