Test that equal logs give equal states and the bounds of claims and counts

Cause: expiry or drafts that depend on how entries are grouped into runs would let members drift apart unseen. Ruled out: comparing only applied versions; every state section is compared. Change: property test over random logs in three groupings; tables full of claims and counts; a delta holds only the last change of each object. Conclusion: grouping makes no difference.

--- a/control/controlNode/test/claims.test.ts
+++ b/control/controlNode/test/claims.test.ts
@@ -1,11 +1,16 @@
 import t from 'tap';
 
-import {ENTRY_LEASE_MS} from '@gentianshunt/entrySessions';
+import {
+  CLAIM_LIMIT,
+  ENTRY_LEASE_MS,
+  MIN_CLAIM_RETRY_MS,
+} from '@gentianshunt/entrySessions';
 import type {
   ClaimKey,
   ClaimOutcome,
   ControlToEntry,
   EntryToControl,
+  LogEntry,
 } from '@gentianshunt/messages';
 import {CLAIM_RETENTION_MS, MAX_ANSWER_BYTES} from '@gentianshunt/stateMachine';
 import {toIdentifier} from '@gentianshunt/identifiers';
@@ -98,6 +103,50 @@
   }
 });
 
+t.test('a full table refuses new claims and keeps the old ones', async t => {
+  const entries: readonly LogEntry[] = Array.from(
+    {length: CLAIM_LIMIT},
+    (_, position) => ({
+      index: position + 1,
+      term: 1,
+      payload: {
+        kind: 'claim',
+        key: {...KEY, idempotencyKey: `old-${position}`},
+        digest: 'd',
+        node: toIdentifier('e0'),
+        incarnation: toIdentifier('e0-1'),
+        request: toIdentifier(`old-${position}`),
+        atMs: 0,
+      },
+    }),
+  );
+  const fixture = createControlFixture({
+    ballot: {term: 1, votedFor: null},
+    entries,
+  });
+  fixture.receive('e0', createHeartbeat('e0'));
+  t.strictSame(readAnswer(fixture.ask('e0', createClaim('r1'))), {
+    kind: 'full',
+    retryAfterMs: MIN_CLAIM_RETRY_MS,
+  });
+  t.equal(fixture.node.view.claims.size, CLAIM_LIMIT);
+  const settled: EntryToControl = {
+    kind: 'settleRequest',
+    key: {...KEY, idempotencyKey: 'old-7'},
+    request: toIdentifier('old-7'),
+    outcome: ANSWERED,
+  };
+  fixture.ask('e0', settled);
+  t.match(readAnswer(fixture.ask('e0', createClaim('r1'))), {
+    kind: 'full',
+    retryAfterMs: CLAIM_RETENTION_MS,
+  });
+  fixture.clock.advance(CLAIM_RETENTION_MS);
+  fixture.receive('e0', createHeartbeat('e0'));
+  fixture.advance(1);
+  t.match(readAnswer(fixture.ask('e0', createClaim('r1'))), {kind: 'granted'});
+});
+
 t.test('claims outlive a restart', async t => {
   const before = createFixture();
   before.ask('e0', createClaim('r1'));
--- a/control/controlNode/test/serviceCounts.test.ts
+++ b/control/controlNode/test/serviceCounts.test.ts
@@ -2,7 +2,12 @@
 
 import {EMPTY_TOTALS, readMonth} from '@gentianshunt/messages';
 import type {CountReport, EntryToControl} from '@gentianshunt/messages';
+import {
+  MAX_SERVICE_COUNTS,
+  OTHER_ORGANISATIONS,
+} from '@gentianshunt/stateMachine';
 import {toIdentifier} from '@gentianshunt/identifiers';
+import type {OrganisationId} from '@gentianshunt/identifiers';
 
 import {createControlFixture} from './fixture.js';
 import type {ControlFixture} from './fixture.js';
@@ -84,3 +89,24 @@
   fixture.ask('e0', createReport(2, 2, 'i1', now));
   t.strictSame(readCounts(fixture), [[now, 2]]);
 });
+
+t.test('keys beyond the bound are counted together', async t => {
+  const fixture = createControlFixture();
+  const report = createReport(1, 1);
+  if (report.kind !== 'countReportRequest') {
+    throw new Error('not a report');
+  }
+  const [count] = report.report.counts;
+  const counts = Array.from({length: MAX_SERVICE_COUNTS + 3}, (_, index) => ({
+    ...count!,
+    key: {
+      ...count!.key,
+      organisation: toIdentifier<OrganisationId>(`o${index}`),
+    },
+  }));
+  fixture.receive('e0', {...report, report: {...report.report, counts}});
+  const {serviceCounts} = fixture.node.view;
+  t.equal(serviceCounts.size, MAX_SERVICE_COUNTS + 1);
+  const key = {...count!.key, organisation: OTHER_ORGANISATIONS};
+  t.equal(serviceCounts.get(key)?.answered, 3);
+});
--- a/control/entrySessions/src/configurationDelta.ts
+++ b/control/entrySessions/src/configurationDelta.ts
@@ -1,6 +1,8 @@
-import type {ConfigurationChange} from '@gentianshunt/configuration';
+import {formatObjectKey} from '@gentianshunt/configuration';
+import type {ConfigurationChange, ObjectKey} from '@gentianshunt/configuration';
 import type {ControlSections} from '@gentianshunt/controlModel';
 import type {BoardView} from '@gentianshunt/board';
+import {assertNever} from '@gentianshunt/errors';
 import type {ConfigurationVersion} from '@gentianshunt/messages';
 
 /** The sections from which updates are made. */
@@ -28,11 +30,32 @@
   if (version === 0 || !history.has(version)) {
     return {fromVersion: 0, changes: listAll(board)};
   }
-  const changes: ConfigurationChange[] = [];
+  return {fromVersion: version, changes: listLatest(board, version)};
+}
+
+/** Lists the last change of each object; earlier ones make no difference. */
+function listLatest(
+  {history}: ConfigurationBoard,
+  version: ConfigurationVersion,
+): readonly ConfigurationChange[] {
+  const latest = new Map<ObjectKey, ConfigurationChange>();
   for (const {value} of history.iterateFrom(version + 1)) {
-    changes.push(...value);
+    for (const change of value) {
+      latest.set(readKey(change), change);
+    }
+  }
+  return [...latest.values()];
+}
+
+function readKey(change: ConfigurationChange): ObjectKey {
+  switch (change.kind) {
+    case 'put':
+      return formatObjectKey(change.object.kind, change.object.id);
+    case 'delete':
+      return change.key;
+    default:
+      return assertNever(change, 'readKey');
   }
-  return {fromVersion: version, changes};
 }
 
 function listAll(board: ConfigurationBoard): readonly ConfigurationChange[] {
--- /dev/null
+++ b/control/stateMachine/test/stateMachine.test.ts
@@ -0,0 +1,227 @@
+import {
+  array,
+  assert,
+  constant,
+  constantFrom,
+  integer,
+  oneof,
+  property,
+  record,
+} from 'fast-check';
+import type {Arbitrary} from 'fast-check';
+import t from 'tap';
+
+import {createControlLoop, defineController} from '@gentianshunt/board';
+import {createManualClock} from '@gentianshunt/clock';
+import {createControlSections} from '@gentianshunt/controlModel';
+import type {
+  ControlObservation,
+  ControlOrder,
+  ControlSections,
+} from '@gentianshunt/controlModel';
+import {EMPTY_TOTALS} from '@gentianshunt/messages';
+import type {LogPayload} from '@gentianshunt/messages';
+import {toIdentifier} from '@gentianshunt/identifiers';
+
+import {
+  CLAIM_RETENTION_MS,
+  createStateMachineController,
+  STATE_SECTIONS,
+} from '../src/index.js';
+
+const SEED = 20261204;
+const RUNS = 150;
+
+/** Takes the place of the log: commits the given payloads run by run. */
+function createLog(runs: readonly (readonly LogPayload[])[]) {
+  let index = 0;
+  const remaining = [...runs];
+  return defineController<
+    ControlSections,
+    ControlObservation,
+    ControlOrder,
+    never,
+    'log' | 'logStatus'
+  >({
+    name: 'log',
+    reads: [],
+    writes: ['log', 'logStatus'],
+    observes: ['timerDue'],
+    run: () => {
+      const payloads = remaining.shift() ?? [];
+      const entries = payloads.map(payload => {
+        index += 1;
+        const value = {index, term: 1, payload};
+        return {kind: 'put', section: 'log', key: index, value} as const;
+      });
+      const status = {
+        lastIndex: index,
+        lastTerm: 1,
+        syncedIndex: index,
+        commitIndex: index,
+      };
+      return [...entries, {kind: 'set', section: 'logStatus', value: status}];
+    },
+  });
+}
+
+/** Applies payloads in the given runs and lists the resulting state. */
+function applyRuns(runs: readonly (readonly LogPayload[])[]): unknown {
+  const loop = createControlLoop<
+    ControlSections,
+    ControlObservation,
+    ControlOrder
+  >({
+    sections: createControlSections({
+      node: toIdentifier('c0'),
+      members: [toIdentifier('c0')],
+      seed: 1,
+    }),
+    controllers: [createLog(runs), createStateMachineController()],
+    clock: createManualClock(),
+    perform: () => undefined,
+  });
+  for (let run = 0; run < runs.length; run += 1) {
+    loop.post({kind: 'timerDue', timer: {kind: 'sessions'}});
+  }
+  return STATE_SECTIONS.map(name => listSection(loop.view[name]));
+}
+
+function listSection(view: unknown): unknown {
+  if (view instanceof Map) {
+    return [...view].sort(([left], [right]) => (left < right ? -1 : 1));
+  }
+  const ordered = view as {iterateFrom?: () => Iterable<unknown>};
+  return ordered.iterateFrom === undefined ? view : [...ordered.iterateFrom()];
+}
+
+function createIds(...names: readonly string[]) {
+  return constantFrom(...names.map(name => toIdentifier<never>(name)));
+}
+
+function createPayloads(): Arbitrary<LogPayload> {
+  const atMs = integer({min: 0, max: 3}).map(day => day * CLAIM_RETENTION_MS);
+  const request = createIds('a', 'b', 'c');
+  const key = record({
+    organisation: createIds('o'),
+    idempotencyKey: constantFrom('a', 'b', 'c'),
+  });
+  const node = createIds('n1', 'n2');
+  const incarnation = createIds('i1', 'i2');
+  return oneof(
+    record({
+      kind: constant('command' as const),
+      setsInUse: constant([]),
+      command: createOperatorCommands(),
+    }),
+    record({
+      kind: constant('claim' as const),
+      key,
+      digest: constant('d'),
+      node,
+      incarnation,
+      request,
+      atMs,
+    }),
+    record({
+      kind: constant('settleClaim' as const),
+      key,
+      request,
+      outcome: constantFrom(
+        {kind: 'notRun' as const},
+        {kind: 'unknown' as const},
+        {kind: 'answeredNotKept' as const, status: 200},
+      ),
+      atMs,
+    }),
+    record({
+      kind: constant('loseClaims' as const),
+      node,
+      keep: oneof(constant(null), incarnation),
+      atMs,
+    }),
+    record({kind: constant('expireClaims' as const), atMs}),
+    record({kind: constant('assignSetLeader' as const), set: request, node}),
+    record({
+      kind: constant('countReport' as const),
+      node,
+      atMs,
+      report: record({
+        incarnation,
+        sequence: integer({min: 1, max: 4}),
+        counts: constant([createCount()]),
+      }),
+    }),
+  );
+}
+
+function createCount() {
+  return {
+    key: {
+      month: toIdentifier<never>('2026-12'),
+      tier: toIdentifier<never>('gold'),
+      organisation: toIdentifier<never>('o'),
+      kind: toIdentifier<never>('k'),
+    },
+    totals: {...EMPTY_TOTALS, answered: 1},
+  };
+}
+
+function createOperatorCommands() {
+  return record({
+    number: integer({min: 1, max: 6}),
+    operator: createIds('anna'),
+    digest: constantFrom('a', 'b'),
+    commands: array(createCommands(), {minLength: 1, maxLength: 3}),
+  });
+}
+
+function createCommands() {
+  const id = createIds('a', 'b', 'c');
+  const expectedRevision = constantFrom(null, null, 0, 1);
+  return oneof(
+    record({
+      kind: constant('put' as const),
+      expectedRevision,
+      object: record({
+        kind: constant('endpointSet' as const),
+        id,
+        revision: constant(0),
+        region: createIds('r'),
+        service: constant({kind: 'plain' as const, service: 's'}),
+      }),
+    }),
+    record({
+      kind: constant('put' as const),
+      expectedRevision,
+      object: record({
+        kind: constant('tier' as const),
+        id,
+        revision: constant(0),
+        rank: integer({min: 1, max: 3}),
+        weight: constant(1),
+        firstTokenTargetMs: constant(1),
+        objective: constant(0.9),
+      }),
+    }),
+    record({
+      kind: constant('delete' as const),
+      expectedRevision,
+      key: createIds('tier/a', 'endpointSet/a', 'endpointSet/b'),
+    }),
+  );
+}
+
+t.test('equal logs give equal states, however they are grouped', async t => {
+  const logs = array(array(createPayloads(), {maxLength: 6}), {maxLength: 8});
+  assert(
+    property(logs, runs => {
+      const payloads = runs.flat();
+      const state = applyRuns(runs.filter(run => run.length > 0));
+      t.strictSame(state, applyRuns(payloads.map(payload => [payload])));
+      const whole = payloads.length === 0 ? [] : [payloads];
+      t.strictSame(state, applyRuns(whole));
+    }),
+    {seed: SEED, numRuns: RUNS},
+  );
+});
