Keep directories over a change of leader and bound history by its changes

Cause: after a change of leader every entry got the whole directory, 980 times 980 entries at the size to design for; 10,000 versions of 1,000 changes each could have been kept. Ruled out: keeping the number of the earlier leader, which the new one does not know; a digest needs no agreement. Change: a digest of the directory that does not depend on the order of entries; the changes that history and answers hold are counted and bounded. Conclusion: an entry with an equal directory gets an empty delta.

--- a/control/controlModel/src/sections.ts
+++ b/control/controlModel/src/sections.ts
@@ -61,6 +61,7 @@
 } from './stateRecords.js';
 import type {
   AppliedStatus,
+  ChangeUsage,
   ClaimExpiryKey,
   ClaimId,
   ClaimRecord,
@@ -122,6 +123,7 @@
     objectKinds: defineOrdered<KindKey, true>(compareKinds),
     references: defineOrdered<ReferenceKey, true>(compareReferences),
     commands: defineOrdered<CommandNumber, CommandRecord>(compareValues),
+    changeUsage: defineCell<ChangeUsage>({history: 0, commands: 0}),
     commandFloor: defineCell<CommandNumber>(1),
     weightStore: defineCell<TokenBucket>(INITIAL_BUCKET),
     nextCommand: defineCell<CommandNumber>(1),
--- a/control/controlModel/src/stateRecords.ts
+++ b/control/controlModel/src/stateRecords.ts
@@ -63,6 +63,12 @@
   readonly answerBytes: number;
 }
 
+/** Changes that the history and the answers to commands hold. */
+export interface ChangeUsage {
+  readonly history: number;
+  readonly commands: number;
+}
+
 /** Finds the objects that refer to an object. */
 export interface ReferenceKey {
   readonly to: ObjectKey;
--- a/control/entrySessions/src/directoryDelta.ts
+++ b/control/entrySessions/src/directoryDelta.ts
@@ -54,6 +54,9 @@
   if (!isSettled && held.number > 0) {
     return null;
   }
+  if (held.number > 0 && held.digest === version.digest) {
+    return {kind: 'delta', from: held, version, changes: []};
+  }
   return {kind: 'replace', directory: {version, entries: listEntries(options)}};
 }
 
--- a/control/entrySessions/src/sessionController.ts
+++ b/control/entrySessions/src/sessionController.ts
@@ -6,6 +6,7 @@
 import type {
   ConfigurationVersion,
   ControlToEntry,
+  DirectoryChange,
   DirectoryUpdate,
   DirectoryVersion,
   EntryToControl,
@@ -20,6 +21,7 @@
   toDirectoryEntry,
 } from './directoryDelta.js';
 import type {DirectoryStep} from './directoryDelta.js';
+import {EMPTY_DIRECTORY_DIGEST, toggleEntry} from './directoryDigest.js';
 import {ENTRY_LEASE_MS, isSettled} from './leaderStatus.js';
 import {removeSession, replaceSession, send} from './sessionWrites.js';
 import type {
@@ -184,11 +186,39 @@
 function createStep(
   view: SessionView,
   previous: DirectoryVersion,
-  change: DirectoryStep['change'],
+  change: DirectoryChange,
 ): DirectoryStep {
   const {term} = view.board.ballot;
-  const number = previous.term === term ? previous.number + 1 : 1;
-  return {version: {term, number}, change};
+  const isContinued = previous.term === term;
+  const digest = isContinued
+    ? previous.digest
+    : digestSessions(view.board.sessions);
+  return {
+    version: {
+      term,
+      number: isContinued ? previous.number + 1 : 1,
+      digest: applyToDigest(view, digest, change),
+    },
+    change,
+  };
+}
+
+function digestSessions(sessions: ReadonlyMap<NodeId, EntrySession>): number {
+  return [...sessions.values()]
+    .map(toDirectoryEntry)
+    .reduce(toggleEntry, EMPTY_DIRECTORY_DIGEST);
+}
+
+function applyToDigest(
+  view: SessionView,
+  digest: number,
+  change: DirectoryChange,
+): number {
+  const node = change.kind === 'put' ? change.entry.address.node : change.node;
+  const known = view.board.sessions.get(node);
+  const without =
+    known === undefined ? digest : toggleEntry(digest, toDirectoryEntry(known));
+  return change.kind === 'put' ? toggleEntry(without, change.entry) : without;
 }
 
 function writeStep(
--- a/control/messages/src/controlMessage.ts
+++ b/control/messages/src/controlMessage.ts
@@ -240,6 +240,8 @@
 export interface DirectoryVersion {
   readonly term: Term;
   readonly number: number;
+  /** Equal for equal directories, whichever leader made them. */
+  readonly digest: number;
 }
 
 /** The entries that hold a lease, with a version that rises. */
@@ -264,4 +266,8 @@
     };
 
 /** Version of a directory that was never received. */
-export const NO_DIRECTORY_VERSION: DirectoryVersion = {term: 0, number: 0};
+export const NO_DIRECTORY_VERSION: DirectoryVersion = {
+  term: 0,
+  number: 0,
+  digest: 0,
+};
--- a/control/stateMachine/src/applyCommand.ts
+++ b/control/stateMachine/src/applyCommand.ts
@@ -1,5 +1,6 @@
 import {applyBatch, formatObjectKey} from '@gentianshunt/configuration';
 import {MAX_COMMAND_GAP} from '@gentianshunt/controlModel';
+import type {CommandRecord} from '@gentianshunt/controlModel';
 import type {LogEntry, LogPayload} from '@gentianshunt/messages';
 
 import {changeConfiguration} from './changeConfiguration.js';
@@ -7,6 +8,8 @@
 
 /** Most command numbers remembered; lower ones are refused. */
 export const MAX_COMMANDS = 10_000;
+/** Most changes that the remembered answers hold together. */
+export const MAX_COMMAND_CHANGES = 100_000;
 
 type CommandPayload = Extract<LogPayload, {readonly kind: 'command'}>;
 type AssignPayload = Extract<LogPayload, {readonly kind: 'assignSetLeader'}>;
@@ -33,24 +36,41 @@
   if (result.kind === 'accepted') {
     changeConfiguration(draft, entry, result.changes);
   }
-  draft.commands.put(number, {
+  const record: CommandRecord = {
     operator,
     digest,
     answer: {kind: 'applied', number, version: entry.index, result},
-  });
+  };
+  draft.commands.put(number, record);
+  countChanges(draft, readChangeCount(record));
   draft.nextCommand = Math.max(draft.nextCommand, number + 1);
   forgetCommands(draft);
 }
 
 /** Raises the floor past what is forgotten, so that nothing runs again. */
 function forgetCommands(draft: StateDraft): void {
-  while (draft.commands.size > MAX_COMMANDS) {
+  while (
+    draft.commands.size > MAX_COMMANDS ||
+    draft.changeUsage.commands > MAX_COMMAND_CHANGES
+  ) {
     const [lowest] = draft.commands.iterateFrom();
     draft.commands.delete(lowest!.key);
+    countChanges(draft, -readChangeCount(lowest!.value));
     draft.commandFloor = lowest!.key + 1;
   }
 }
 
+function countChanges(draft: StateDraft, added: number): void {
+  const {commands} = draft.changeUsage;
+  draft.changeUsage = {...draft.changeUsage, commands: commands + added};
+}
+
+function readChangeCount({answer}: CommandRecord): number {
+  return answer.kind === 'applied' && answer.result.kind === 'accepted'
+    ? answer.result.changes.length
+    : 0;
+}
+
 /** Gives a set a leader with a new epoch. */
 export function assignSetLeader(
   draft: StateDraft,
--- a/control/stateMachine/src/changeConfiguration.ts
+++ b/control/stateMachine/src/changeConfiguration.ts
@@ -5,6 +5,8 @@
 
 /** Most configuration versions kept for entries that lag behind. */
 export const MAX_HISTORY_LENGTH = 10_000;
+/** Most changes that the kept versions hold together. */
+export const MAX_HISTORY_CHANGES = 100_000;
 
 /** Changes the configuration; the entry's index becomes the version. */
 export function changeConfiguration(
@@ -14,11 +16,21 @@
 ): void {
   draft.applied = {index: entry.index, version: entry.index};
   draft.history.put(entry.index, changes);
+  countHistory(draft, changes.length);
   for (const change of changes) {
     draft.configuration.change(change);
   }
-  while (draft.history.size > MAX_HISTORY_LENGTH) {
+  while (
+    draft.history.size > MAX_HISTORY_LENGTH ||
+    draft.changeUsage.history > MAX_HISTORY_CHANGES
+  ) {
     const [oldest] = draft.history.iterateFrom();
     draft.history.delete(oldest!.key);
+    countHistory(draft, -oldest!.value.length);
   }
 }
+
+function countHistory(draft: StateDraft, added: number): void {
+  const {history} = draft.changeUsage;
+  draft.changeUsage = {...draft.changeUsage, history: history + added};
+}
--- a/control/stateMachine/src/stateDraft.ts
+++ b/control/stateMachine/src/stateDraft.ts
@@ -13,6 +13,7 @@
 } from '@gentianshunt/controlModel';
 import type {
   AppliedStatus,
+  ChangeUsage,
   ClaimExpiryKey,
   ClaimId,
   ClaimRecord,
@@ -46,6 +47,7 @@
   'history',
   'commands',
   'commandFloor',
+  'changeUsage',
   'nextCommand',
   'weightStore',
   'claims',
@@ -70,6 +72,7 @@
   applied: AppliedStatus;
   nextCommand: CommandNumber;
   commandFloor: CommandNumber;
+  changeUsage: ChangeUsage;
   claimUsage: ClaimUsage;
   weightStore: TokenBucket;
   readonly configuration: ConfigurationDraft;
@@ -91,6 +94,7 @@
     applied: board.applied,
     nextCommand: board.nextCommand,
     commandFloor: board.commandFloor,
+    changeUsage: board.changeUsage,
     claimUsage: board.claimUsage,
     weightStore: board.weightStore,
     configuration: createConfigurationDraft(board),
@@ -149,6 +153,10 @@
   if (commandFloor !== board.commandFloor) {
     writes.push({kind: 'set', section: 'commandFloor', value: commandFloor});
   }
+  if (draft.changeUsage !== board.changeUsage) {
+    const value = draft.changeUsage;
+    writes.push({kind: 'set', section: 'changeUsage', value});
+  }
   if (claimUsage !== board.claimUsage) {
     writes.push({kind: 'set', section: 'claimUsage', value: claimUsage});
   }
