--- a/control/entrySessions/src/configurationDelta.ts
+++ b/control/entrySessions/src/configurationDelta.ts
@@ -24,7 +24,8 @@
   version: ConfigurationVersion,
 ): ConfigurationDelta {
   const {history, applied} = board;
-  if (version === applied.version) {
+  // A new leader may not have applied yet what the entry holds.
+  if (version >= applied.version) {
     return {fromVersion: version, changes: []};
   }
   if (version === 0 || !history.has(version)) {
