--- a/control/entrySessions/src/pendingReplies.ts
+++ b/control/entrySessions/src/pendingReplies.ts
@@ -62,6 +62,8 @@
     }
     case 'entryHeartbeat':
     case 'versionConfirmed':
+    case 'orderOffer':
+    case 'orderReport':
     case 'controlQueryRequest':
       return undefined;
     default:
@@ -116,7 +118,9 @@
     }
     case 'settle': {
       const {key, request: id} = request.message;
-      return isCurrent(board) && isSettlementApplied(board, request.message)
+      return isCurrent(board) &&
+        !isClaimUnderWay(board, request) &&
+        isSettlementApplied(board, request.message)
         ? {kind: 'settleReply', key, request: id}
         : undefined;
     }
@@ -139,6 +143,15 @@
   }
 }
 
+/** A settlement must follow its claim, which may not be applied yet. */
+function isClaimUnderWay(
+  board: ReplyBoard,
+  request: Extract<PendingRequest, {readonly kind: 'settle'}>,
+): boolean {
+  const key = `claim/${request.claim}/${request.message.request}`;
+  return board.pending.has(key as PendingKey);
+}
+
 /** A new leader may rely on what is absent once its own entry is applied. */
 function isCurrent(board: ReplyBoard): boolean {
   return board.log.get(board.applied.index)?.term === board.ballot.term;
--- a/daemons/entryd/src/entryd.ts
+++ b/daemons/entryd/src/entryd.ts
@@ -1,6 +1,10 @@
 import {createCallerFront} from '@gentianshunt/callerFront';
 import type {CallerFront} from '@gentianshunt/callerFront';
-import {createEndpointFront} from '@gentianshunt/endpointFront';
+import {
+  createEndpointFront,
+  createEndpointOrderClient,
+} from '@gentianshunt/endpointFront';
+import type {EndpointOrderClient} from '@gentianshunt/endpointFront';
 import type {
   EntryObservation,
   EntryOrder,
@@ -14,7 +18,7 @@
 import {addHealthRoutes, createEntryMetrics} from '@gentianshunt/metrics';
 import type {EntryMetrics} from '@gentianshunt/metrics';
 import {createOperatorFront} from '@gentianshunt/operatorFront';
-import type {OperatorFront} from '@gentianshunt/operatorFront';
+import type {OperatorAccess, OperatorFront} from '@gentianshunt/operatorFront';
 import {createPeerLinks} from '@gentianshunt/peerLinks';
 import type {PeerLinks} from '@gentianshunt/peerLinks';
 import {
@@ -24,6 +28,7 @@
   drawIdentifier,
 } from '@gentianshunt/runtime';
 import type {TimerTable} from '@gentianshunt/runtime';
+import {readOperatorKeys} from '@gentianshunt/settings';
 import type {EntrydSettings} from '@gentianshunt/settings';
 import {fastify} from 'fastify';
 
@@ -54,6 +59,7 @@
   readonly timers: TimerTable<EntryTimer>;
   readonly callers: CallerFront;
   readonly operators: OperatorFront;
+  readonly endpoints: EndpointOrderClient;
   readonly metrics: EntryMetrics;
 }
 
@@ -112,10 +118,13 @@
       self: settings.node,
       maxHeldBytes: MAX_HELD_BODY_BYTES,
     }),
+    endpoints: createEndpointOrderClient({clock: createSystemClock(), post}),
     operators: createOperatorFront({
       server,
       post,
       view: node.view,
+      clock: createSystemClock(),
+      access: readAccess(settings),
       drawRequestId: drawIdentifier,
     }),
     metrics: createEntryMetrics(),
@@ -139,6 +148,13 @@
   };
 }
 
+function readAccess(settings: EntrydSettings): OperatorAccess {
+  const file = settings.operator_keys_file;
+  return file === undefined
+    ? {kind: 'insecure'}
+    : {kind: 'keys', keys: readOperatorKeys({file})};
+}
+
 function isReady(node: EntryNode): boolean {
   const {service, control} = node.view;
   return (
@@ -188,6 +204,9 @@
       });
       logger.write({kind: 'requestEnded', end: order});
       return;
+    case 'sendEndpointOrder':
+      adapters.endpoints.send(order.run);
+      return;
     case 'exit':
       options.onExit();
       return;
