Bound texts of fields and check operators' names

Cause: a field could hold a quarter of a megabyte, an organisation could name a tier twice, and a name from a header went unchecked into the log. Change: texts of at most 256 characters, distinct tiers, names checked. Conclusion: what reaches the log is bounded.

--- a/control/configuration/src/validateObject.ts
+++ b/control/configuration/src/validateObject.ts
@@ -16,6 +16,9 @@
       if (object.tiers.length === 0) {
         return 'an organisation needs at least one tier';
       }
+      if (new Set(object.tiers).size < object.tiers.length) {
+        return 'a tier is named twice';
+      }
       return (
         checkPositive('weight', object.weight) ??
         checkLimit('maxRunning', object.limits.maxRunning) ??
--- a/fronts/operatorFront/src/operatorAccess.ts
+++ b/fronts/operatorFront/src/operatorAccess.ts
@@ -1,5 +1,6 @@
 import {createHash, timingSafeEqual} from 'node:crypto';
 
+import {isIdentifier} from '@gentianshunt/identifiers';
 import type {OperatorId} from '@gentianshunt/identifiers';
 
 /** An operator and the digest of the operator's key. */
@@ -31,7 +32,8 @@
   credentials: OperatorCredentials,
 ): OperatorId | undefined {
   if (access.kind === 'insecure') {
-    return (credentials.name as OperatorId | undefined) ?? ANONYMOUS;
+    const name = credentials.name ?? ANONYMOUS;
+    return isIdentifier(name) ? (name as OperatorId) : ANONYMOUS;
   }
   const key = BEARER.exec(credentials.authorization ?? '')?.[1];
   if (key === undefined) {
--- a/fronts/operatorFront/test/operatorAccess.test.ts
+++ b/fronts/operatorFront/test/operatorAccess.test.ts
@@ -27,6 +27,7 @@
     {access: keys, name: 'anna', operator: undefined},
     {access: insecure, name: 'anna', operator: 'anna'},
     {access: insecure, operator: 'anonymous'},
+    {access: insecure, name: 'a b', operator: 'anonymous'},
   ];
   for (const {access, authorization, name, operator} of cases) {
     t.equal(findOperator(access, {authorization, name}), operator);
--- a/language/commands/src/readFields.ts
+++ b/language/commands/src/readFields.ts
@@ -5,6 +5,9 @@
 
 import type {FieldForm, FieldSpec, TypeSpec} from './objectFields.js';
 
+/** Longest text of a field, in characters. */
+export const MAX_VALUE_LENGTH = 256;
+
 /** A value of a field. */
 export type FieldValue = number | boolean | string | readonly string[] | null;
 
@@ -103,8 +106,10 @@
       return value.kind === 'word' ? readBoolean(value.word) : undefined;
     case 'identifier':
       return readWord(value);
-    case 'text':
-      return readText(value);
+    case 'text': {
+      const text = readText(value);
+      return text.length <= MAX_VALUE_LENGTH ? text : undefined;
+    }
     default:
       return assertNever(form, 'readSingle');
   }
--- a/language/commands/test/compileCommands.test.ts
+++ b/language/commands/test/compileCommands.test.ts
@@ -112,6 +112,11 @@
       column: 19,
       message: /among commands/,
     },
+    {
+      text: `create set s model ${'m'.repeat(300)}`,
+      column: 14,
+      message: /wrong value/,
+    },
     {text: 'load version 3 on endpoint e', column: 1, message: /needs a model/},
   ];
   for (const {text, column, message} of cases) {
