--- /dev/null
+++ b/bench/entry/src/index.ts
@@ -0,0 +1,3 @@
+export * from './entryHarness.js';
+export * from './idleMemory.js';
+export * from './objects.js';
--- /dev/null
+++ b/bench/entry/src/main.ts
@@ -0,0 +1,92 @@
+#!/usr/bin/env node
+import {createDeployment} from '@gentianshunt/deployment';
+import type {Deployment} from '@gentianshunt/deployment';
+import {createMetric, printBenchOutput} from '@gentianshunt/output';
+
+import {measureAddedLatency} from './addedLatency.js';
+import {formatCost, measureEventCost} from './eventCost.js';
+import {measureIdleMemory} from './idleMemory.js';
+import {createBenchObjects, SET} from './objects.js';
+import {awaitEndpoint, createObjects} from './operator.js';
+
+const CONTROLS = 3;
+const REQUESTS_PER_SECOND = 500;
+const WARM_UP_MS = 5_000;
+const DURATION_MS = 20_000;
+const ENGINE_ARGS = [
+  ...['--batch', '512'],
+  ...['--step-ms', '2'],
+  ...['--prefill-rate', '10000000'],
+];
+const FEW_LIVE = 100;
+const MANY_LIVE = 10_000;
+
+async function measureProcesses(deployment: Deployment) {
+  const entry = deployment.entries[0]!;
+  await createObjects(
+    entry.url,
+    createBenchObjects({organisations: 2, leader: null}),
+  );
+  const [entrydIdleRss, controldIdleRss] = await measureIdleMemory([
+    entry.process.child.pid!,
+    deployment.controls[0]!.process.child.pid!,
+  ]);
+  await deployment.startEngine({
+    endpoint: 'engine-0',
+    set: SET,
+    extra: ENGINE_ARGS,
+  });
+  // An engine of the same make in a set of its own: the entry sends it nothing.
+  const direct = await deployment.startEngine({
+    endpoint: 'engine-1',
+    set: 'direct',
+    extra: ENGINE_ARGS,
+  });
+  await awaitEndpoint(entry.url);
+  const latency = await measureAddedLatency({
+    entry: entry.url,
+    engine: direct.url,
+    requestsPerSecond: REQUESTS_PER_SECOND,
+    warmUpMs: WARM_UP_MS,
+    durationMs: DURATION_MS,
+  });
+  return {
+    latency,
+    entrydIdleRss: entrydIdleRss!,
+    controldIdleRss: controldIdleRss!,
+  };
+}
+
+async function runBench(): Promise<void> {
+  const few = measureEventCost(FEW_LIVE);
+  const many = measureEventCost(MANY_LIVE);
+  console.log(`event at ${FEW_LIVE} live requests: ${formatCost(few)}`);
+  console.log(`event at ${MANY_LIVE} live requests: ${formatCost(many)}`);
+  const deployment = await createDeployment({controls: CONTROLS, entries: 1});
+  try {
+    const {latency, entrydIdleRss, controldIdleRss} =
+      await measureProcesses(deployment);
+    console.log(JSON.stringify(latency));
+    const added = latency.through.p99 - latency.direct.p99;
+    printBenchOutput({
+      bench: 'entry',
+      seed: null,
+      metrics: {
+        addedLatencyP99: createMetric(added, 'ms', '<= 3'),
+        addedLatencyP50: createMetric(
+          latency.through.p50 - latency.direct.p50,
+          'ms',
+        ),
+        eventCostRatio: createMetric(many / few, 'ratio', '<= 2'),
+        eventCostFewLive: createMetric(few, 'us'),
+        eventCostManyLive: createMetric(many, 'us'),
+        entrydIdleRss: createMetric(entrydIdleRss, 'MB'),
+        controldIdleRss: createMetric(controldIdleRss, 'MB'),
+      },
+    });
+  } finally {
+    await deployment.stop();
+  }
+}
+
+await runBench();
--- /dev/null
+++ b/bench/entry/src/objects.ts
@@ -0,0 +1,83 @@
+import type {ConfigurationObject} from '@gentianshunt/configuration';
+import {toIdentifier} from '@gentianshunt/identifiers';
+
+/** The tiers of the benches, highest first. */
+export const TIERS = ['gold', 'silver', 'bronze'] as const;
+/** The endpoint set of the benches. */
+export const SET = 'drafts';
+/** The kind of request of the benches. */
+export const KIND = 'draft';
+
+/** What the configuration of a bench holds. */
+export interface ObjectOptions {
+  readonly organisations: number;
+  /** The entry that leads the set; `null` leaves that to the control log. */
+  readonly leader: string | null;
+}
+
+/** Creates tiers, organisations, a set, a kind and a set leadership. */
+export function createBenchObjects(
+  options: ObjectOptions,
+): readonly ConfigurationObject[] {
+  const organisations = Array.from(
+    {length: options.organisations},
+    (_, index) => createOrganisation(index),
+  );
+  return [
+    ...TIERS.map(createTier),
+    ...organisations,
+    {
+      kind: 'endpointSet',
+      id: toIdentifier(SET),
+      revision: 0,
+      region: toIdentifier('local'),
+      service: {kind: 'model', model: SET},
+    },
+    {
+      kind: 'requestKind',
+      id: toIdentifier(KIND),
+      revision: 0,
+      idempotent: true,
+      weight: 1,
+    },
+    ...(options.leader === null ? [] : [createLeadership(options.leader)]),
+  ];
+}
+
+function createTier(id: string, index: number): ConfigurationObject {
+  return {
+    kind: 'tier',
+    id: toIdentifier(id),
+    revision: 0,
+    rank: index + 1,
+    weight: TIERS.length - index,
+    firstTokenTargetMs: 1_100,
+    objective: 0.95,
+  };
+}
+
+/** Names an organisation of the benches. */
+export function formatOrganisation(index: number): string {
+  return `organisation-${index}`;
+}
+
+function createOrganisation(index: number): ConfigurationObject {
+  return {
+    kind: 'organisation',
+    id: toIdentifier(formatOrganisation(index)),
+    revision: 0,
+    weight: 1,
+    tiers: TIERS.map(tier => toIdentifier(tier)),
+    limits: {maxRunning: null, maxRequestsPerSecond: null},
+  };
+}
+
+function createLeadership(node: string): ConfigurationObject {
+  return {
+    kind: 'setLeadership',
+    id: toIdentifier(SET),
+    revision: 0,
+    node: toIdentifier(node),
+    epoch: 1,
+  };
+}
--- /dev/null
+++ b/bench/output/src/index.ts
@@ -0,0 +1,1 @@
+export * from './benchOutput.js';
--- a/core/board/src/compareBy.ts
+++ b/core/board/src/compareBy.ts
@@ -16,13 +16,15 @@
   Field extends string,
   Key extends {readonly [Name in Field]: Comparable},
 >(...fields: readonly Field[]): (left: Key, right: Key) => number {
-  return (left, right) => {
-    for (const field of fields) {
-      const order = compareValues<Comparable>(left[field], right[field]);
-      if (order !== 0) {
-        return order;
+  return fields.reduceRight<(left: Key, right: Key) => number>(
+    (compareRest, field) => (left, right) => {
+      const leftValue = left[field];
+      const rightValue = right[field];
+      if (leftValue === rightValue) {
+        return compareRest(left, right);
       }
-    }
-    return 0;
-  };
+      return leftValue < rightValue ? -1 : 1;
+    },
+    () => 0,
+  );
 }
--- a/core/board/src/controlLoop.ts
+++ b/core/board/src/controlLoop.ts
@@ -32,13 +32,22 @@
 
 const NO_CHANGES: ChangedKeys = new Set();
 
+/** A controller with what it has not yet seen. */
 interface Runner<S extends Sections, Observation, Order> {
   readonly controller: AnyController<S, Observation, Order>;
-  readonly reads: ReadonlySet<keyof S>;
   readonly owns: ReadonlySet<keyof S>;
   readonly observes: ReadonlySet<string>;
-  /** Position in the turn's journal up to which changes were seen. */
-  seen: number;
+  /** Keys changed since the controller last ran, by section. */
+  changed: Map<keyof S, Set<unknown>>;
+}
+
+/** The controllers in their order, and who reads each section. */
+interface Schedule<S extends Sections, Observation, Order> {
+  readonly runners: readonly Runner<S, Observation, Order>[];
+  readonly readers: ReadonlyMap<
+    keyof S,
+    readonly Runner<S, Observation, Order>[]
+  >;
 }
 
 /** Creates a loop; it runs only while an observation is being handled. */
@@ -51,7 +60,7 @@
 ): ControlLoop<S, Observation> {
   checkWriters(options.controllers);
   const board = createBoard({sections: options.sections});
-  const runners = options.controllers.map(createRunner);
+  const schedule = createSchedule(options.controllers);
   const pending: Observation[] = [];
   let running = false;
   const post = (observation: Observation): void => {
@@ -61,7 +70,7 @@
     }
     running = true;
     try {
-      drainPending(pending, board, runners, options);
+      drainPending(pending, board, schedule, options);
     } finally {
       running = false;
     }
@@ -76,7 +85,7 @@
 >(
   pending: Observation[],
   board: Board<S>,
-  runners: readonly Runner<S, Observation, Order>[],
+  schedule: Schedule<S, Observation, Order>,
   options: ControlLoopOptions<S, Observation, Order>,
 ): void {
   for (;;) {
@@ -88,7 +97,7 @@
       monotonic: options.clock.readMonotonic(),
       wall: options.clock.readWallTime(),
     };
-    for (const order of runTurn(board, runners, observation, now)) {
+    for (const order of runTurn(board, schedule, observation, now)) {
       options.perform(order);
     }
   }
@@ -100,64 +109,58 @@
   Order,
 >(
   board: Board<S>,
-  runners: readonly Runner<S, Observation, Order>[],
+  schedule: Schedule<S, Observation, Order>,
   observation: Observation,
   now: TurnTime,
 ): readonly Order[] {
-  const journal: Change<S>[] = [];
   const outbox: Order[] = [];
-  for (const runner of runners) {
-    runner.seen = 0;
-  }
   for (let round = 0; round < MAX_ROUNDS_PER_TURN; round += 1) {
     let ran = false;
-    for (const runner of runners) {
+    for (const runner of schedule.runners) {
       const observed =
         round === 0 && runner.observes.has(observation.kind)
           ? observation
           : undefined;
-      const changed = readChanged(journal, runner);
-      runner.seen = journal.length;
-      if (observed === undefined && changed.size === 0) {
+      if (observed === undefined && runner.changed.size === 0) {
         continue;
       }
       ran = true;
-      const view = createView(board, observed, changed);
-      commitWrites(board, runner, runner.controller.run(view, now), {
-        journal,
-        outbox,
-      });
+      const view = createView(board, observed, takeChanged(runner));
+      const writes = runner.controller.run(view, now);
+      commitWrites(board, schedule, runner, writes, outbox);
     }
     if (!ran) {
       return outbox;
     }
   }
   throw new UnsettledTurnError(
-    runners.map(runner => runner.controller.name),
+    schedule.runners.map(runner => runner.controller.name),
     MAX_ROUNDS_PER_TURN,
   );
 }
 
-function readChanged<S extends Sections, Observation, Order>(
-  journal: readonly Change<S>[],
+function takeChanged<S extends Sections, Observation, Order>(
   runner: Runner<S, Observation, Order>,
 ): ReadonlyMap<keyof S, ChangedKeys> {
-  const changed = new Map<keyof S, Set<unknown>>();
-  for (let index = runner.seen; index < journal.length; index += 1) {
-    const change = journal[index]!;
-    if (!runner.reads.has(change.section)) {
-      continue;
-    }
-    const keys = changed.get(change.section);
-    if (keys === undefined) {
-      changed.set(change.section, new Set([change.key]));
-    } else {
-      keys.add(change.key);
-    }
+  const {changed} = runner;
+  if (changed.size > 0) {
+    runner.changed = new Map();
   }
   return changed;
 }
 
+function noteChange<S extends Sections, Observation, Order>(
+  runner: Runner<S, Observation, Order>,
+  change: Change<S>,
+): void {
+  const keys = runner.changed.get(change.section);
+  if (keys === undefined) {
+    runner.changed.set(change.section, new Set([change.key]));
+  } else {
+    keys.add(change.key);
+  }
+}
+
 function createView<S extends Sections, Observation>(
   board: Board<S>,
   observation: Observation | undefined,
@@ -170,20 +173,16 @@
   };
 }
 
-interface TurnLog<S extends Sections, Order> {
-  readonly journal: Change<S>[];
-  readonly outbox: Order[];
-}
-
 function commitWrites<S extends Sections, Observation, Order>(
   board: Board<S>,
+  schedule: Schedule<S, Observation, Order>,
   runner: Runner<S, Observation, Order>,
   writes: readonly Write<S, keyof S, Order>[],
-  log: TurnLog<S, Order>,
+  outbox: Order[],
 ): void {
   for (const write of writes) {
     if (write.kind === 'order') {
-      log.outbox.push(write.order);
+      outbox.push(write.order);
       continue;
     }
     const sectionWrite = write as SectionWrite<S, keyof S> & {
@@ -195,8 +194,27 @@
         String(sectionWrite.section),
       );
     }
-    log.journal.push(board.commit(sectionWrite));
+    const change = board.commit(sectionWrite);
+    for (const reader of schedule.readers.get(change.section) ?? []) {
+      noteChange(reader, change);
+    }
+  }
+}
+
+function createSchedule<S extends Sections, Observation, Order>(
+  controllers: readonly AnyController<S, Observation, Order>[],
+): Schedule<S, Observation, Order> {
+  const runners = controllers.map(createRunner);
+  const readers = new Map<keyof S, Runner<S, Observation, Order>[]>();
+  for (const runner of runners) {
+    for (const section of runner.controller.reads) {
+      // A controller need not hear of the changes it made itself.
+      if (!runner.owns.has(section)) {
+        readers.set(section, [...(readers.get(section) ?? []), runner]);
+      }
+    }
   }
+  return {runners, readers};
 }
 
 function createRunner<S extends Sections, Observation, Order>(
@@ -204,13 +222,9 @@
 ): Runner<S, Observation, Order> {
   return {
     controller,
-    // A controller need not hear of the changes it made itself.
-    reads: new Set(
-      controller.reads.filter(name => !controller.writes.includes(name)),
-    ),
     owns: new Set(controller.writes),
     observes: new Set(controller.observes),
-    seen: 0,
+    changed: new Map(),
   };
 }
 
--- /dev/null
+++ b/core/hashing/src/index.ts
@@ -0,0 +1,1 @@
+export * from './hashText.js';
