Grant slots ahead of demand and send compact exchange messages

Cause: every request cost a report and a reply, whatever the load. Change: an entry learns how fast each tier's requests arrive and reports what it expects; while no request waits the set leader grants slots ahead for it, from at most half of the free places, to any organisation of the tier and at a few endpoints for each entry. Reports that only correct counts are sent twice a second once a credit is spent; urgent ones keep 0.1 ms for each item they name. Messages between entries travel as checked lists with name tables (fronts/entryWire); a malformed one ends its link with ERR_MALFORMED_MESSAGE.

--- a/bench/entry/src/addedLatency.ts
+++ b/bench/entry/src/addedLatency.ts
@@ -18,9 +18,10 @@
   readonly durationMs: number;
 }
 
-/** Latencies at the 50th and 99th percentile, in milliseconds. */
+/** Latencies at the 50th, 90th and 99th percentile, in milliseconds. */
 export interface Latency {
   readonly p50: number;
+  readonly p90: number;
   readonly p99: number;
   readonly count: number;
   readonly failed: number;
@@ -128,6 +129,7 @@
     histogram.getValueAtPercentile(percentile) / MICROSECONDS_PER_MILLISECOND;
   return {
     p50: read(50),
+    p90: read(90),
     p99: read(99),
     count: histogram.totalCount,
     failed,
--- /dev/null
+++ b/bench/slopes/src/exchangeCost.ts
@@ -0,0 +1,164 @@
+import type {EntryOrder} from '@gentianshunt/entryModel';
+import {encodeEntryMessage} from '@gentianshunt/entryWire';
+import {encodeFrame} from '@gentianshunt/frames';
+import {
+  createArrival,
+  createBenchObjects,
+  createContact,
+  createVirtualEntries,
+  TIERS,
+} from '@gentianshunt/virtualEntry';
+import type {SentMessage, VirtualEntries} from '@gentianshunt/virtualEntry';
+
+const LEADER = 'entry-0';
+const START_UP_MS = 2_500;
+const ANNOUNCE_MS = 1_000;
+const MILLISECONDS_PER_SECOND = 1_000;
+
+/** The load whose exchange is measured. */
+export interface ExchangeLoad {
+  /** Entries besides the leader. */
+  readonly entries: number;
+  readonly endpoints: number;
+  readonly concurrency: number;
+  readonly organisations: number;
+  /** Requests a second at each entry. */
+  readonly requestsPerSecond: number;
+  readonly serviceMs: number;
+  readonly durationMs: number;
+}
+
+/** What the exchange of one entry costs, and what it costs its leader. */
+export interface ExchangeCost {
+  readonly reportsPerSecond: number;
+  readonly repliesPerSecond: number;
+  /** Bytes a second of one entry, both ways. */
+  readonly bytesPerSecond: number;
+  /** Mean time from arrival to dispatch, in milliseconds. */
+  readonly meanWaitMs: number;
+  readonly dispatched: number;
+  /** Processor time of all the entries, as a share of the virtual time. */
+  readonly processorShare: number;
+}
+
+interface Counts {
+  reports: number;
+  replies: number;
+  bytes: number;
+  dispatched: number;
+  waitedMs: number;
+}
+
+/** Runs a load in virtual time and counts what the exchange sends. */
+export function measureExchange(load: ExchangeLoad): ExchangeCost {
+  const nodes = Array.from(
+    {length: load.entries + 1},
+    (_, index) => `entry-${index}`,
+  );
+  const counts = createCounts();
+  const entries = createVirtualEntries({
+    nodes,
+    objects: createBenchObjects({
+      organisations: load.organisations,
+      leader: LEADER,
+    }),
+    deliver: sent => {
+      countMessage(counts, sent);
+      return [1];
+    },
+    onOrder: (node, order) => follow(entries, load, counts, node, order),
+  });
+  announceEvery(entries, load);
+  entries.time.advance(START_UP_MS);
+  runLoad(entries, load, nodes.slice(1), START_UP_MS);
+  Object.assign(counts, createCounts());
+  const before = process.cpuUsage();
+  runLoad(entries, load, nodes.slice(1), load.durationMs);
+  return toCost(load, counts, process.cpuUsage(before));
+}
+
+function createCounts(): Counts {
+  return {reports: 0, replies: 0, bytes: 0, dispatched: 0, waitedMs: 0};
+}
+
+function countMessage(counts: Counts, sent: SentMessage): void {
+  const body = encodeEntryMessage(sent.message);
+  counts.bytes += encodeFrame({kind: 'message', body}).length;
+  counts.reports += sent.message.kind === 'demandReport' ? 1 : 0;
+  counts.replies += sent.message.kind === 'grantReply' ? 1 : 0;
+}
+
+function follow(
+  entries: VirtualEntries,
+  load: ExchangeLoad,
+  counts: Counts,
+  node: string,
+  order: EntryOrder,
+): void {
+  if (order.kind !== 'openStream') {
+    return;
+  }
+  const {clock} = entries.time;
+  counts.dispatched += 1;
+  counts.waitedMs += clock.readMonotonic() - order.request.arrivedAt;
+  const dispatch = order.dispatch.id;
+  entries.time.schedule(load.serviceMs, () =>
+    entries.find(node).post({
+      kind: 'streamEnded',
+      dispatch,
+      end: {kind: 'complete'},
+      stored: null,
+    }),
+  );
+}
+
+function announceEvery(entries: VirtualEntries, load: ExchangeLoad): void {
+  const {concurrency} = load;
+  for (let index = 0; index < load.endpoints; index += 1) {
+    entries.find(LEADER).post(createContact({index, concurrency}));
+  }
+  entries.time.schedule(ANNOUNCE_MS, () => announceEvery(entries, load));
+}
+
+let arrivals = 0;
+
+/** Spreads the arrivals evenly over time, entries and organisations. */
+function runLoad(
+  entries: VirtualEntries,
+  load: ExchangeLoad,
+  nodes: readonly string[],
+  durationMs: number,
+): void {
+  const intervalMs =
+    MILLISECONDS_PER_SECOND / (load.requestsPerSecond * nodes.length);
+  const total = Math.floor(durationMs / intervalMs);
+  for (let sent = 0; sent < total; sent += 1) {
+    const index = arrivals;
+    arrivals += 1;
+    entries.find(nodes[index % nodes.length]!).post(
+      createArrival({
+        index,
+        organisation: Math.floor(index / nodes.length) % load.organisations,
+        tier: Math.floor(index / 7) % TIERS.length,
+      }),
+    );
+    entries.time.advance(intervalMs);
+  }
+}
+
+function toCost(
+  load: ExchangeLoad,
+  counts: Counts,
+  used: NodeJS.CpuUsage,
+): ExchangeCost {
+  const seconds = load.durationMs / MILLISECONDS_PER_SECOND;
+  const perEntry = (count: number): number => count / seconds / load.entries;
+  return {
+    reportsPerSecond: perEntry(counts.reports),
+    repliesPerSecond: perEntry(counts.replies),
+    bytesPerSecond: perEntry(counts.bytes),
+    meanWaitMs: counts.waitedMs / Math.max(1, counts.dispatched),
+    dispatched: counts.dispatched,
+    processorShare: (used.user + used.system) / 1_000 / load.durationMs,
+  };
+}
--- a/daemons/entryd/src/entryd.ts
+++ b/daemons/entryd/src/entryd.ts
@@ -7,6 +7,7 @@
   EntryTimer,
 } from '@gentianshunt/entryModel';
 import {createEntryNode} from '@gentianshunt/entryNode';
+import {encodeEntryMessage} from '@gentianshunt/entryWire';
 import type {EntryNode} from '@gentianshunt/entryNode';
 import {assertNever} from '@gentianshunt/errors';
 import type {IncarnationId, NodeId} from '@gentianshunt/identifiers';
@@ -198,7 +199,7 @@
     post({kind: 'entryMessage', from: to, message});
     return;
   }
-  adapters.links.send(to, address, message);
+  adapters.links.send(to, address, encodeEntryMessage(message));
 }
 
 function findControl(settings: EntrydSettings, node: NodeId) {
--- a/daemons/entryd/src/peerMessages.ts
+++ b/daemons/entryd/src/peerMessages.ts
@@ -1,15 +1,9 @@
+import {decodeEntryMessage, isEntryMessage} from '@gentianshunt/entryWire';
 import {readMessageKind} from '@gentianshunt/peerLinks';
-import type {EntryMessage, EntryObservation} from '@gentianshunt/entryModel';
+import type {EntryObservation} from '@gentianshunt/entryModel';
 import type {NodeId} from '@gentianshunt/identifiers';
 import type {ControlToEntry} from '@gentianshunt/messages';
 
-const ENTRY_KINDS: ReadonlySet<string> = new Set<EntryMessage['kind']>([
-  'demandReport',
-  'grantReply',
-  'notSetLeader',
-  'endpointAnnounced',
-]);
-
 const CONTROL_KINDS: ReadonlySet<string> = new Set<ControlToEntry['kind']>([
   'configurationUpdate',
   'notLeader',
@@ -19,16 +13,19 @@
   'settleReply',
 ]);
 
-/** Turns a peer's message into an observation; unknown ones are dropped. */
+/**
+ * Turns a peer's message into an observation; unknown ones are dropped. A
+ * malformed message between entries makes it throw, which ends the link.
+ */
 export function toObservation(
   from: NodeId,
   body: unknown,
 ): EntryObservation | undefined {
-  const kind = readMessageKind(body);
-  if (ENTRY_KINDS.has(kind)) {
-    return {kind: 'entryMessage', from, message: body as EntryMessage};
+  if (isEntryMessage(body)) {
+    const message = decodeEntryMessage(body, from);
+    return {kind: 'entryMessage', from, message};
   }
-  if (CONTROL_KINDS.has(kind)) {
+  if (CONTROL_KINDS.has(readMessageKind(body))) {
     return {kind: 'controlMessage', from, message: body as ControlToEntry};
   }
   return undefined;
--- /dev/null
+++ b/fronts/entryWire/src/demandReportWire.ts
@@ -0,0 +1,76 @@
+import type {DemandReport} from '@gentianshunt/entryModel';
+import type {
+  EndpointId,
+  EndpointSetId,
+  OrganisationId,
+} from '@gentianshunt/identifiers';
+
+import {readAll} from './wireReader.js';
+import type {WireReader} from './wireReader.js';
+import {createWireTable} from './wireTable.js';
+
+/** Encodes a report as lists; names stand once and are then numbered. */
+export function encodeDemandReport(report: DemandReport): readonly unknown[] {
+  const organisations = createWireTable<OrganisationId>(id => id);
+  const endpoints = createWireTable<EndpointId>(id => id);
+  const waiting = report.waiting.flatMap(line => [
+    line.rank,
+    organisations.indexOf(line.organisation),
+    line.count,
+    line.expected,
+    Math.round(line.oldestWaitMs),
+  ]);
+  const running = report.running.flatMap(count => [
+    endpoints.indexOf(count.endpoint),
+    organisations.indexOf(count.organisation),
+    count.count,
+  ]);
+  const unspent = report.unspent.flatMap(slots => [
+    endpoints.indexOf(slots.endpoint),
+    slots.rank,
+    organisations.indexOf(slots.organisation),
+    slots.count,
+  ]);
+  return [
+    report.set,
+    report.epoch,
+    report.sequence,
+    organisations.items,
+    endpoints.items,
+    waiting,
+    running,
+    unspent,
+  ];
+}
+
+/** Decodes a report and checks its form. */
+export function decodeDemandReport(reader: WireReader): DemandReport {
+  const set = reader.readIdentifier<EndpointSetId>();
+  const epoch = reader.readCount();
+  const sequence = reader.readCount();
+  const organisations = readAll(reader.readList(), list =>
+    list.readOrganisation(),
+  );
+  const endpoints = readAll(reader.readList(), list =>
+    list.readIdentifier<EndpointId>(),
+  );
+  const waiting = readAll(reader.readList(), list => ({
+    rank: list.readCount(),
+    organisation: list.readFrom(organisations),
+    count: list.readCount(),
+    expected: list.readCount(),
+    oldestWaitMs: list.readCount(),
+  }));
+  const running = readAll(reader.readList(), list => ({
+    endpoint: list.readFrom(endpoints),
+    organisation: list.readFrom(organisations),
+    count: list.readCount(),
+  }));
+  const unspent = readAll(reader.readList(), list => ({
+    endpoint: list.readFrom(endpoints),
+    rank: list.readCount(),
+    organisation: list.readFrom(organisations),
+    count: list.readCount(),
+  }));
+  return {set, epoch, sequence, waiting, running, unspent};
+}
--- /dev/null
+++ b/fronts/entryWire/src/entryWire.ts
@@ -0,0 +1,121 @@
+import type {
+  EndpointAnnouncement,
+  EntryMessage,
+} from '@gentianshunt/entryModel';
+import {assertNever} from '@gentianshunt/errors';
+import type {
+  EndpointId,
+  EndpointSetId,
+  FailureDomainId,
+  IncarnationId,
+} from '@gentianshunt/identifiers';
+
+import {decodeDemandReport, encodeDemandReport} from './demandReportWire.js';
+import {decodeGrantReply, encodeGrantReply} from './grantReplyWire.js';
+import {MalformedMessageError} from './wireErrors.js';
+import {createWireReader} from './wireReader.js';
+import type {WireReader} from './wireReader.js';
+
+/** Numbers of the messages on the wire. */
+const WIRE_KINDS = {
+  demandReport: 1,
+  grantReply: 2,
+  notSetLeader: 3,
+  endpointAnnounced: 4,
+} as const satisfies Readonly<Record<EntryMessage['kind'], number>>;
+
+/** Encodes a message between entries as nested lists. */
+export function encodeEntryMessage(message: EntryMessage): readonly unknown[] {
+  const kind = WIRE_KINDS[message.kind];
+  switch (message.kind) {
+    case 'demandReport':
+      return [kind, ...encodeDemandReport(message.report)];
+    case 'grantReply':
+      return [kind, ...encodeGrantReply(message.reply)];
+    case 'notSetLeader':
+      return [kind, message.set, message.epoch, message.sequence];
+    case 'endpointAnnounced':
+      return [kind, ...encodeAnnouncement(message.announcement)];
+    default:
+      return assertNever(message, 'encodeEntryMessage');
+  }
+}
+
+/** Tells whether a body has the outer form of a message between entries. */
+export function isEntryMessage(body: unknown): boolean {
+  return Array.isArray(body);
+}
+
+/** Decodes a message; a malformed one makes it throw. */
+export function decodeEntryMessage(body: unknown, peer: string): EntryMessage {
+  const reader = createWireReader(body, peer);
+  const message = decodeKind(reader, peer);
+  if (reader.left > 0) {
+    throw new MalformedMessageError(peer, 'end');
+  }
+  return message;
+}
+
+function decodeKind(reader: WireReader, peer: string): EntryMessage {
+  switch (reader.readCount()) {
+    case WIRE_KINDS.demandReport:
+      return {kind: 'demandReport', report: decodeDemandReport(reader)};
+    case WIRE_KINDS.grantReply:
+      return {kind: 'grantReply', reply: decodeGrantReply(reader)};
+    case WIRE_KINDS.notSetLeader:
+      return {
+        kind: 'notSetLeader',
+        set: reader.readIdentifier<EndpointSetId>(),
+        epoch: reader.readCount(),
+        sequence: reader.readCount(),
+      };
+    case WIRE_KINDS.endpointAnnounced:
+      return {
+        kind: 'endpointAnnounced',
+        announcement: decodeAnnouncement(reader),
+      };
+    default:
+      throw new MalformedMessageError(peer, 'kind');
+  }
+}
+
+function encodeAnnouncement(
+  announcement: EndpointAnnouncement,
+): readonly unknown[] {
+  const {load} = announcement;
+  return [
+    announcement.endpoint,
+    announcement.incarnation,
+    announcement.set,
+    announcement.domain,
+    announcement.url,
+    announcement.concurrency,
+    announcement.checksFencing ? 1 : 0,
+    announcement.leaving ? 1 : 0,
+    load === null ? [] : [load.running, load.waiting, Math.round(load.ageMs)],
+  ];
+}
+
+function decodeAnnouncement(reader: WireReader): EndpointAnnouncement {
+  return {
+    endpoint: reader.readIdentifier<EndpointId>(),
+    incarnation: reader.readIdentifier<IncarnationId>(),
+    set: reader.readIdentifier<EndpointSetId>(),
+    domain: reader.readIdentifier<FailureDomainId>(),
+    url: reader.readText(),
+    concurrency: reader.readCount(),
+    checksFencing: reader.readCount() === 1,
+    leaving: reader.readCount() === 1,
+    load: decodeLoad(reader.readList()),
+  };
+}
+
+function decodeLoad(reader: WireReader): EndpointAnnouncement['load'] {
+  return reader.left === 0
+    ? null
+    : {
+        running: reader.readCount(),
+        waiting: reader.readCount(),
+        ageMs: reader.readCount(),
+      };
+}
--- /dev/null
+++ b/fronts/entryWire/src/grantReplyWire.ts
@@ -0,0 +1,89 @@
+import type {EndpointTarget, Grant, GrantReply} from '@gentianshunt/entryModel';
+import type {
+  EndpointId,
+  EndpointSetId,
+  GrantId,
+  OrganisationId,
+} from '@gentianshunt/identifiers';
+
+import {readAll} from './wireReader.js';
+import type {WireReader} from './wireReader.js';
+import {createWireTable} from './wireTable.js';
+
+/** Encodes a reply as lists; names stand once and are then numbered. */
+export function encodeGrantReply(reply: GrantReply): readonly unknown[] {
+  const organisations = createWireTable<OrganisationId>(id => id);
+  const targets = createWireTable<EndpointTarget>(target => target.endpoint);
+  const prefix = findCommonPrefix(reply.grants.map(grant => grant.id));
+  const grants = reply.grants.flatMap(grant => [
+    grant.id.slice(prefix.length),
+    grant.rank,
+    organisations.indexOf(grant.organisation),
+    targets.indexOf(grant.target),
+    grant.count,
+  ]);
+  const shed = reply.shed.flatMap(order => [
+    order.rank,
+    organisations.indexOf(order.organisation),
+    order.count,
+    order.retryAfterMs,
+  ]);
+  return [
+    reply.set,
+    reply.epoch,
+    reply.sequence,
+    reply.part,
+    Math.ceil(reply.reportAgeMs),
+    reply.lifetimeMs,
+    organisations.items,
+    targets.items.flatMap(target => [target.endpoint, target.url]),
+    prefix,
+    grants,
+    shed,
+  ];
+}
+
+/** Decodes a reply and checks its form. */
+export function decodeGrantReply(reader: WireReader): GrantReply {
+  const head = {
+    set: reader.readIdentifier<EndpointSetId>(),
+    epoch: reader.readCount(),
+    sequence: reader.readCount(),
+    part: reader.readCount(),
+    reportAgeMs: reader.readCount(),
+    lifetimeMs: reader.readCount(),
+  };
+  const organisations = readAll(reader.readList(), list =>
+    list.readOrganisation(),
+  );
+  const targets = readAll(reader.readList(), list => ({
+    endpoint: list.readIdentifier<EndpointId>(),
+    url: list.readText(),
+  }));
+  const prefix = reader.readText();
+  const grants = readAll(reader.readList(), (list): Grant => ({
+    id: `${prefix}${list.readText()}` as GrantId,
+    rank: list.readCount(),
+    organisation: list.readFrom(organisations),
+    target: list.readFrom(targets),
+    count: list.readCount(),
+  }));
+  const shed = readAll(reader.readList(), list => ({
+    rank: list.readCount(),
+    organisation: list.readFrom(organisations),
+    count: list.readCount(),
+    retryAfterMs: list.readNumber(),
+  }));
+  return {...head, grants, shed};
+}
+
+function findCommonPrefix(texts: readonly string[]): string {
+  const [first = '', ...others] = texts;
+  let length = first.length;
+  for (const text of others) {
+    while (!text.startsWith(first.slice(0, length))) {
+      length -= 1;
+    }
+  }
+  return first.slice(0, length);
+}
--- /dev/null
+++ b/fronts/entryWire/src/index.ts
@@ -0,0 +1,2 @@
+export * from './entryWire.js';
+export * from './wireErrors.js';
--- /dev/null
+++ b/fronts/entryWire/test/entryWire.test.ts
@@ -0,0 +1,111 @@
+import type {EntryMessage} from '@gentianshunt/entryModel';
+import {toIdentifier} from '@gentianshunt/identifiers';
+import type {
+  EndpointId,
+  EndpointSetId,
+  OrganisationId,
+} from '@gentianshunt/identifiers';
+import fc from 'fast-check';
+import t from 'tap';
+
+import {
+  decodeEntryMessage,
+  encodeEntryMessage,
+  MalformedMessageError,
+} from '../src/index.js';
+
+const SEED = 11;
+const PEER = 'entry-1';
+
+function createMessages(): readonly EntryMessage[] {
+  const target = {
+    endpoint: toIdentifier<EndpointId>('e1'),
+    url: 'http://10.0.0.1:80',
+  };
+  const organisation = toIdentifier<OrganisationId>('o1');
+  const place = {endpoint: target.endpoint, organisation, count: 3};
+  const set = toIdentifier<EndpointSetId>('drafts');
+  return [
+    {
+      kind: 'demandReport',
+      report: {
+        set,
+        epoch: 3,
+        sequence: 1_700_000_000_000,
+        waiting: [
+          {rank: 1, organisation, count: 2, expected: 4, oldestWaitMs: 17},
+        ],
+        running: [place],
+        unspent: [{...place, rank: 2}],
+      },
+    },
+    {
+      kind: 'grantReply',
+      reply: {
+        set,
+        epoch: 3,
+        sequence: 9,
+        part: 1,
+        reportAgeMs: 4,
+        lifetimeMs: 2_000,
+        grants: ['drafts.3.9.1.0', 'drafts.3.9.1.12'].map(id => ({
+          id: toIdentifier(id),
+          rank: 1,
+          organisation,
+          target,
+          count: 2,
+        })),
+        shed: [{rank: 3, organisation, count: 1, retryAfterMs: 900}],
+      },
+    },
+    {kind: 'notSetLeader', set, epoch: 0, sequence: 9},
+    {
+      kind: 'endpointAnnounced',
+      announcement: {
+        ...target,
+        incarnation: toIdentifier('p1'),
+        set,
+        domain: toIdentifier('a'),
+        concurrency: 8,
+        checksFencing: true,
+        load: {running: 1, waiting: 0, ageMs: 20},
+        leaving: false,
+      },
+    },
+  ];
+}
+
+for (const message of createMessages()) {
+  t.test(`${message.kind} comes back as it was sent`, async t => {
+    t.same(decodeEntryMessage(encodeEntryMessage(message), PEER), message);
+  });
+
+  t.test(`${message.kind} with a damaged item is refused`, async t => {
+    const items = encodeEntryMessage(message);
+    for (let index = 0; index < items.length; index += 1) {
+      const damaged = items.map((item, at) => (at === index ? null : item));
+      t.throws(() => decodeEntryMessage(damaged, PEER), MalformedMessageError);
+      t.throws(
+        () => decodeEntryMessage(items.slice(0, index), PEER),
+        MalformedMessageError,
+      );
+    }
+  });
+}
+
+t.test('any other body is refused by a typed error', async t => {
+  fc.assert(
+    fc.property(fc.anything(), body => {
+      try {
+        decodeEntryMessage(body, PEER);
+        return false;
+      } catch (error) {
+        return (
+          error instanceof MalformedMessageError && error.origin.peer === PEER
+        );
+      }
+    }),
+    {seed: SEED},
+  );
+  t.pass();
+});
--- a/scheduling/entryModel/src/exchange.ts
+++ b/scheduling/entryModel/src/exchange.ts
@@ -10,11 +10,19 @@
 import type {EndpointAnnouncement} from './endpoint.js';
 import type {EndpointTarget} from './request.js';
 
+/**
+ * Stands for any organisation in lines and grants ahead of demand. It does not
+ * have the form of an identifier, so no organisation can bear it.
+ */
+export const ANY_ORGANISATION = '*' as OrganisationId;
+
 /** Requests waiting in one entry for one tier and organisation. */
 export interface WaitingLine {
   readonly rank: number;
   readonly organisation: OrganisationId;
   readonly count: number;
+  /** Further requests expected before the next report. */
+  readonly expected: number;
   readonly oldestWaitMs: Milliseconds;
 }
 
@@ -25,10 +33,10 @@
   readonly count: number;
 }
 
-/** Slots of one grant that an entry still holds. */
-export interface UnspentGrant {
-  readonly grant: GrantId;
+/** Slots of one line at one endpoint that an entry still holds. */
+export interface UnspentSlots {
   readonly endpoint: EndpointId;
+  readonly rank: number;
   readonly organisation: OrganisationId;
   readonly count: number;
 }
@@ -41,7 +49,7 @@
   readonly sequence: number;
   readonly waiting: readonly WaitingLine[];
   readonly running: readonly RunningCount[];
-  readonly unspent: readonly UnspentGrant[];
+  readonly unspent: readonly UnspentSlots[];
 }
 
 /** Leave to dispatch requests of one tier and organisation. */
--- a/scheduling/entryModel/src/sections.ts
+++ b/scheduling/entryModel/src/sections.ts
@@ -72,6 +72,12 @@
   readonly count: number;
 }
 
+/** How fast requests of a line arrive, as a decaying average. */
+export interface ArrivalRate {
+  readonly perSecond: number;
+  readonly at: MonotonicTime;
+}
+
 /** Identifies what an entry runs at an endpoint for an organisation. */
 export interface RunningKey {
   readonly set: EndpointSetId;
@@ -107,8 +113,10 @@
   readonly urgency: ReportUrgency;
   /** Reports in a row that were lost or refused. */
   readonly failures: number;
-  /** Whether the latest report named anything at all. */
-  readonly empty: boolean;
+  /** Lazy reports that may be sent early. */
+  readonly credit: number;
+  /** Lines, counts and slot groups in the latest report. */
+  readonly items: number;
 }
 
 /** Highest reply part taken for each set's latest report. */
@@ -233,6 +241,9 @@
     lines: defineOrdered<LineKey, LineCount>(
       compareBy('set', 'rank', 'organisation'),
     ),
+    arrivalRates: defineOrdered<LineKey, ArrivalRate>(
+      compareBy('set', 'rank', 'organisation'),
+    ),
     dispatches: defineMap<DispatchId, RequestId>(),
     openClaims: defineMap<RequestId, OpenClaim>(),
     settlements: defineMap<RequestId, Settlement>(),
--- a/scheduling/entryNode/src/entryNode.ts
+++ b/scheduling/entryNode/src/entryNode.ts
@@ -22,6 +22,7 @@
   createReportController,
 } from '@gentianshunt/setLeader';
 import {
+  createArrivalController,
   createExchangeController,
   createReplyController,
   createSlotController,
@@ -48,6 +49,7 @@
     createEndpointRegistry(),
     createReplyController(),
     createLifecycleController(),
+    createArrivalController(),
     createSlotController(),
     createExchangeController(),
     createReportController(),
--- /dev/null
+++ b/scheduling/exchangeContract/test/standingSlots.test.ts
@@ -0,0 +1,70 @@
+import {ANY_ORGANISATION} from '@gentianshunt/entryModel';
+import type {EntryOrder, GrantReply} from '@gentianshunt/entryModel';
+import {
+  createArrival,
+  createBenchObjects,
+  createContact,
+  createVirtualEntries,
+} from '@gentianshunt/virtualEntry';
+import t from 'tap';
+
+const START_UP_MS = 2_500;
+const STEADY_MS = 5_000;
+const ARRIVAL_MS = 10;
+
+interface StandingRun {
+  readonly replies: GrantReply[];
+  readonly waits: number[];
+}
+
+/** Runs steady arrivals at a follower; its requests do not end. */
+function runSteady(concurrency: number): StandingRun {
+  const replies: GrantReply[] = [];
+  const waits: number[] = [];
+  const entries = createVirtualEntries({
+    nodes: ['entry-0', 'entry-1'],
+    objects: createBenchObjects({organisations: 3, leader: 'entry-0'}),
+    deliver: ({message}) => {
+      if (message.kind === 'grantReply') {
+        replies.push(message.reply);
+      }
+      return [1];
+    },
+    onOrder: (_node, order: EntryOrder) => {
+      if (order.kind === 'openStream') {
+        const now = entries.time.clock.readMonotonic();
+        waits.push(now - order.request.arrivedAt);
+      }
+    },
+  });
+  entries.time.advance(START_UP_MS);
+  for (let index = 0; index < STEADY_MS / ARRIVAL_MS; index += 1) {
+    if ((index * ARRIVAL_MS) % 500 === 0) {
+      entries.find('entry-0').post(createContact({concurrency}));
+    }
+    const arrival = createArrival({index, organisation: index % 3});
+    entries.find('entry-1').post(arrival);
+    entries.time.advance(ARRIVAL_MS);
+  }
+  return {replies, waits};
+}
+
+t.test('steady arrivals are dispatched without an exchange each', async t => {
+  const {replies, waits} = runSteady(5_000);
+  const arrivals = STEADY_MS / ARRIVAL_MS;
+  t.equal(waits.length, arrivals);
+  t.ok(replies.length < arrivals / 10, `${replies.length} replies`);
+  const waited = waits.filter(waitMs => waitMs > 0).length;
+  t.ok(waited < arrivals / 10, `${waited} requests waited`);
+});
+
+t.test('no slot is granted ahead while requests wait', async t => {
+  const concurrency = 40;
+  const {replies, waits} = runSteady(concurrency);
+  t.equal(waits.length, concurrency, 'every place is used');
+  const afterFull = replies.slice(-5).flatMap(reply => reply.grants);
+  t.same(
+    afterFull.filter(grant => grant.organisation === ANY_ORGANISATION),
+    [],
+  );
+});
--- a/scheduling/setLeader/src/grantController.ts
+++ b/scheduling/setLeader/src/grantController.ts
@@ -27,10 +27,13 @@
 import {allocateSlots, countOccupied} from './allocation.js';
 import type {
   AllocatedSlot,
+  AllocationInput,
+  AllocationResult,
   EndpointCapacity,
   EntryLine,
   ShareState,
 } from './allocation.js';
+import {allocateStanding} from './standingSlots.js';
 import {SLOT_LIFETIME_MS} from './leadershipController.js';
 
 type GrantReads =
@@ -102,12 +105,13 @@
   const mayGrant =
     now.monotonic >= leadership.grantsFrom &&
     now.monotonic < view.board.control.leaseUntil;
+  const input = {
+    endpoints: listCapacities(view, set, records, before),
+    lines: listOpenLines(records, before),
+    shares: listShares(view, set, records),
+  };
   const result = mayGrant
-    ? allocateSlots({
-        endpoints: listCapacities(view, set, records, before),
-        lines: listOpenLines(records, before),
-        shares: listShares(view, set, records),
-      })
+    ? allocateWithStanding(input, records, before)
     : {slots: [], shares: []};
   return [
     ...records.flatMap(record =>
@@ -117,6 +121,26 @@
   ];
 }
 
+/** Slots ahead of demand go to entries whose report was not yet answered. */
+function allocateWithStanding(
+  input: AllocationInput,
+  records: readonly ReportRecord[],
+  before: ReadonlyMap<NodeId, GrantedSince>,
+): AllocationResult {
+  const result = allocateSlots(input);
+  const waiting = input.lines.reduce((sum, {line}) => sum + line.count, 0);
+  if (result.slots.length < waiting) {
+    return result;
+  }
+  const standing = allocateStanding({
+    endpoints: input.endpoints,
+    records,
+    canTake: node => before.get(node)!.parts === 0,
+    allocated: result.slots,
+  });
+  return {...result, slots: [...result.slots, ...standing]};
+}
+
 function putShare(set: EndpointSetId, share: ShareState): GrantWrite {
   const {organisation, virtualTime} = share;
   return {
@@ -219,7 +243,9 @@
 ): readonly ShareState[] {
   const organisations = new Set(
     records.flatMap(({report}) =>
-      report.waiting.map(line => line.organisation),
+      report.waiting
+        .filter(line => line.count > 0)
+        .map(line => line.organisation),
     ),
   );
   const known = [...organisations]
--- a/scheduling/setLeader/src/index.ts
+++ b/scheduling/setLeader/src/index.ts
@@ -3,3 +3,4 @@
 export * from './grantController.js';
 export * from './leadershipController.js';
 export * from './reportController.js';
+export * from './standingSlots.js';
--- a/scheduling/slotExchange/src/exchangeController.ts
+++ b/scheduling/slotExchange/src/exchangeController.ts
@@ -18,15 +18,23 @@
   EntryWrite,
   ExchangeState,
   ReportUrgency,
+  UnspentSlots,
+  WaitingLine,
 } from '@gentianshunt/entryModel';
 import {assertNever} from '@gentianshunt/errors';
 import {hashToFraction} from '@gentianshunt/hashing';
 import type {EndpointSetId} from '@gentianshunt/identifiers';
 
+import {estimateExpected} from './arrivalController.js';
+
 /** Least time between two reports for one set while slots are wanted. */
 export const MIN_REPORT_INTERVAL_MS: Milliseconds = 2;
+/** Time that each line, count and slot group adds between urgent reports. */
+export const INTERVAL_PER_ITEM_MS: Milliseconds = 0.1;
 /** Least time between two reports that only correct the leader's counts. */
 export const LAZY_REPORT_INTERVAL_MS: Milliseconds = 25;
+/** Lazy reports that may follow one another at the least interval. */
+export const MAX_REPORT_CREDIT = 8;
 /** Longest time without a report while the entry holds anything of a set. */
 export const MAX_REPORT_INTERVAL_MS: Milliseconds = 500;
 /** After this time a report counts as lost and is sent again. */
@@ -39,6 +47,7 @@
   | 'control'
   | 'configuration'
   | 'lines'
+  | 'arrivalRates'
   | 'waiting'
   | 'running'
   | 'slots'
@@ -57,6 +66,7 @@
       'control',
       'configuration',
       'lines',
+      'arrivalRates',
       'waiting',
       'running',
       'slots',
@@ -114,13 +124,17 @@
 
 type NoteCause = (set: EndpointSetId, cause: Partial<ExchangeCause>) => void;
 
-/** A place that became free is urgent only while requests wait for it. */
+/**
+ * A place that became free is urgent only while requests wait for it. Matched
+ * requests wait for nothing: they are noted again when they have left.
+ */
 function noteDemand(view: ExchangeView, note: NoteCause): void {
+  const isSettled = view.board.matches.size === 0;
   for (const section of ['running', 'lines'] as const) {
     for (const key of view.readChanges(section)) {
       const {set} = key as {readonly set: EndpointSetId};
       const waits = iterateLines(view.board.lines, set).next().done !== true;
-      note(set, {urgency: waits ? 'urgent' : 'lazy'});
+      note(set, {urgency: isSettled && waits ? 'urgent' : 'lazy'});
     }
   }
 }
@@ -199,7 +213,8 @@
       inFlight: true,
       urgency: 'none',
       failures: state.inFlight ? state.failures + 1 : state.failures,
-      empty: isEmptyReport(report),
+      credit: spendCredit(state, now),
+      items: countItems(report),
     }),
     {
       kind: 'order',
@@ -213,6 +228,12 @@
   ];
 }
 
+/** Credit comes back as fast as reports are due without any change. */
+function spendCredit(state: ExchangeState, now: TurnTime): number {
+  const earned = (now.monotonic - state.sentAt) / MAX_REPORT_INTERVAL_MS;
+  return Math.max(0, Math.min(MAX_REPORT_CREDIT, state.credit + earned) - 1);
+}
+
 function applyCause(
   before: ExchangeState,
   cause: ExchangeCause,
@@ -266,11 +287,16 @@
   }
   switch (state.urgency) {
     case 'urgent':
-      return MIN_REPORT_INTERVAL_MS;
+      return Math.max(
+        MIN_REPORT_INTERVAL_MS,
+        state.items * INTERVAL_PER_ITEM_MS,
+      );
     case 'lazy':
-      return LAZY_REPORT_INTERVAL_MS;
+      return state.credit >= 1
+        ? LAZY_REPORT_INTERVAL_MS
+        : MAX_REPORT_INTERVAL_MS;
     case 'none':
-      return state.empty ? undefined : MAX_REPORT_INTERVAL_MS;
+      return state.items === 0 ? undefined : MAX_REPORT_INTERVAL_MS;
     default:
       return assertNever(state.urgency, 'readInterval');
   }
@@ -300,7 +326,8 @@
     inFlight: false,
     urgency: 'none',
     failures: 0,
-    empty: true,
+    credit: MAX_REPORT_CREDIT,
+    items: 0,
   };
 }
 
@@ -320,28 +347,61 @@
     set,
     epoch,
     sequence,
-    waiting: [...iterateLines(board.lines, set)].map(({key, value}) => ({
-      rank: key.rank,
-      organisation: key.organisation,
-      count: value.count,
-      oldestWaitMs: readOldestWait(view, key, now),
-    })),
+    waiting: listWaitingLines(view, set, now),
     running: [...iterateRunning(board.running, set)].map(({key, value}) => ({
       endpoint: key.endpoint,
       organisation: key.organisation,
       count: value.count,
     })),
-    unspent: [...iterateSlots(board.slots, set)]
-      .filter(({value}) => value.deadline > now.monotonic)
-      .map(({key, value}) => ({
-        grant: key.grant,
-        endpoint: value.grant.target.endpoint,
-        organisation: key.organisation,
-        count: value.remaining,
-      })),
+    unspent: listUnspent(view, set, now),
   };
 }
 
+function listUnspent(
+  view: ExchangeView,
+  set: EndpointSetId,
+  now: TurnTime,
+): readonly UnspentSlots[] {
+  const unspent = new Map<string, UnspentSlots>();
+  for (const {key, value} of iterateSlots(view.board.slots, set)) {
+    if (value.deadline <= now.monotonic) {
+      continue;
+    }
+    const {rank, organisation} = key;
+    const {endpoint} = value.grant.target;
+    const group = `${rank}/${organisation}/${endpoint}`;
+    const count = (unspent.get(group)?.count ?? 0) + value.remaining;
+    unspent.set(group, {endpoint, rank, organisation, count});
+  }
+  return [...unspent.values()];
+}
+
+/** Lists the lines that have requests, then what each tier expects. */
+function listWaitingLines(
+  view: ExchangeView,
+  set: EndpointSetId,
+  now: TurnTime,
+): readonly WaitingLine[] {
+  const {lines, arrivalRates} = view.board;
+  const waiting = [...iterateLines(lines, set)].map(({key, value}) => ({
+    rank: key.rank,
+    organisation: key.organisation,
+    count: value.count,
+    expected: 0,
+    oldestWaitMs: readOldestWait(view, key, now),
+  }));
+  const expecting = [...iterateLines(arrivalRates, set)]
+    .map(({key, value}) => ({
+      rank: key.rank,
+      organisation: key.organisation,
+      count: 0,
+      expected: estimateExpected(value, now),
+      oldestWaitMs: 0,
+    }))
+    .filter(line => line.expected > 0);
+  return [...waiting, ...expecting];
+}
+
 function readOldestWait(
   view: ExchangeView,
   line: Parameters<typeof iterateWaiting>[1],
@@ -351,10 +411,6 @@
   return oldest.done === true ? 0 : now.monotonic - oldest.value.key.arrivedAt;
 }
 
-function isEmptyReport(report: DemandReport): boolean {
-  return (
-    report.waiting.length === 0 &&
-    report.running.length === 0 &&
-    report.unspent.length === 0
-  );
+function countItems(report: DemandReport): number {
+  return report.waiting.length + report.running.length + report.unspent.length;
 }
--- a/scheduling/slotExchange/src/index.ts
+++ b/scheduling/slotExchange/src/index.ts
@@ -1,3 +1,4 @@
+export * from './arrivalController.js';
 export * from './exchangeController.js';
 export * from './replyController.js';
 export * from './slotController.js';
--- a/scheduling/slotExchange/src/slotController.ts
+++ b/scheduling/slotExchange/src/slotController.ts
@@ -1,6 +1,9 @@
 import type {TurnTime, View} from '@gentianshunt/board';
 import {
+  ANY_ORGANISATION,
   defineEntryController,
+  isSameLine,
+  iterateLines,
   iterateLineSlots,
   iterateWaiting,
   pickLine,
@@ -15,7 +18,7 @@
   Slot,
   SlotKey,
 } from '@gentianshunt/entryModel';
-import type {RequestId} from '@gentianshunt/identifiers';
+import type {GrantId, RequestId} from '@gentianshunt/identifiers';
 
 type SlotReads =
   | 'requests'
@@ -84,24 +87,41 @@
 
 /** Matches the lines that gained requests or slots. */
 function takeGrants(view: SlotView, now: TurnTime): readonly SlotWrite[] {
-  const writes: SlotWrite[] = [];
   const reply =
     view.readChanges('acceptedReply').size > 0
       ? view.board.acceptedReply
       : null;
   const fresh = reply === null ? [] : toSlots(view, reply);
+  const draft = createSlotDraft(view, fresh);
+  const matches = listChangedLines(view, fresh).flatMap(line =>
+    matchLine(view, line, draft, now),
+  );
+  return [...matches, ...draft.listWrites()];
+}
+
+function listChangedLines(
+  view: SlotView,
+  fresh: readonly HeldSlot[],
+): readonly LineKey[] {
   const lines = new Map<string, LineKey>();
   const addLine = (line: LineKey): void => {
     lines.set(`${line.set}/${line.rank}/${line.organisation}`, line);
   };
-  fresh.forEach(({key}) => addLine(pickLine(key)));
   for (const key of view.readChanges('waiting')) {
     addLine(pickLine(key as LineKey));
   }
-  for (const line of lines.values()) {
-    writes.push(...matchLine(view, line, fresh, now));
+  for (const {key} of fresh) {
+    if (key.organisation !== ANY_ORGANISATION) {
+      addLine(pickLine(key));
+      continue;
+    }
+    for (const line of iterateLines(view.board.lines, key.set)) {
+      if (line.key.rank === key.rank) {
+        addLine(line.key);
+      }
+    }
   }
-  return writes;
+  return [...lines.values()];
 }
 
 interface HeldSlot {
@@ -134,55 +154,67 @@
 function matchLine(
   view: SlotView,
   line: LineKey,
-  fresh: readonly HeldSlot[],
+  draft: SlotDraft,
   now: TurnTime,
 ): readonly SlotWrite[] {
   const writes: SlotWrite[] = [];
   const waiting = listUnmatched(view, line);
-  for (const {key, slot} of listSlots(view, line, fresh)) {
-    let {remaining} = slot;
-    while (remaining > 0 && slot.deadline > now.monotonic) {
+  for (const {key, slot} of draft.listFitting(line)) {
+    while (draft.readRemaining(key) > 0 && slot.deadline > now.monotonic) {
       const next = waiting.next();
       if (next.done === true) {
-        break;
+        return writes;
       }
-      remaining -= 1;
-      writes.push({
-        kind: 'put',
-        section: 'matches',
-        key: next.value,
-        value: {
-          grant: slot.grant.id,
-          target: slot.grant.target,
-          deadline: slot.deadline,
-        },
-      });
+      draft.spend(key);
+      const {id: grant, target} = slot.grant;
+      const value = {grant, target, deadline: slot.deadline};
+      writes.push({kind: 'put', section: 'matches', key: next.value, value});
     }
-    writes.push(
-      remaining === 0
-        ? {kind: 'delete', section: 'slots', key}
-        : {kind: 'put', section: 'slots', key, value: {...slot, remaining}},
-    );
   }
   return writes;
 }
 
-function listSlots(
+/** The slots of one run; lines of a tier share those for any organisation. */
+interface SlotDraft {
+  /** Lists slots of the line, then those for any organisation. */
+  listFitting(line: LineKey): readonly HeldSlot[];
+  readRemaining(key: SlotKey): number;
+  spend(key: SlotKey): void;
+  listWrites(): readonly SlotWrite[];
+}
+
+function createSlotDraft(
   view: SlotView,
-  line: LineKey,
   fresh: readonly HeldSlot[],
-): readonly HeldSlot[] {
-  const held = [...iterateLineSlots(view.board.slots, line)].map(entry => ({
-    key: entry.key,
-    slot: entry.value,
-  }));
-  const added = fresh.filter(
-    ({key}) =>
-      key.rank === line.rank &&
-      key.organisation === line.organisation &&
-      key.set === line.set,
-  );
-  return [...held, ...added];
+): SlotDraft {
+  const changed = new Map<GrantId, HeldSlot>();
+  fresh.forEach(held => changed.set(held.key.grant, held));
+  const read = (key: SlotKey): Slot | undefined =>
+    changed.get(key.grant)?.slot ?? view.board.slots.get(key);
+  const listOne = (line: LineKey): readonly HeldSlot[] => [
+    ...[...iterateLineSlots(view.board.slots, line)].map(
+      ({key, value}): HeldSlot => ({key, slot: value}),
+    ),
+    ...fresh.filter(({key}) => isSameLine(key, line)),
+  ];
+  return {
+    listFitting: line => [
+      ...listOne(line),
+      ...listOne({...line, organisation: ANY_ORGANISATION}),
+    ],
+    readRemaining: key => read(key)?.remaining ?? 0,
+    spend: key => {
+      const slot = read(key)!;
+      const remaining = slot.remaining - 1;
+      changed.set(key.grant, {key, slot: {...slot, remaining}});
+    },
+    listWrites: () =>
+      [...changed.values()].map(({key, slot}) =>
+        slot.remaining === 0
+          ? {kind: 'delete', section: 'slots', key}
+          : {kind: 'put', section: 'slots', key, value: slot},
+      ),
+  };
 }
 
 function* listUnmatched(
--- a/transport/peerLinks/src/protocol.ts
+++ b/transport/peerLinks/src/protocol.ts
@@ -2,7 +2,7 @@
 import type {NodeId} from '@gentianshunt/identifiers';
 
 /** Version of the protocol between daemons. */
-export const PROTOCOL_VERSION = 1;
+export const PROTOCOL_VERSION = 2;
 
 /** What passes over a link. */
 export type PeerFrame =
