--- a/daemons/entryd/src/peerMessages.ts
+++ b/daemons/entryd/src/peerMessages.ts
@@ -9,6 +9,8 @@
   'notLeader',
   'commandReply',
   'commandStatusReply',
+  'countReportReply',
+  'controlQueryReply',
   'claimReply',
   'settleReply',
 ]);
