Answer address lookups on the board, with bounded load and domains

Cause: the front chose addresses itself, by a key of the caller's choice, with no bound on how many callers one entry gets and no regard to failure domains. Change: `GET /v1/addresses?organisation=&set=` becomes an observation that a controller answers: callers of a set go to at most 16 entries, those of an organisation to the same one until it has had 1.25 times the mean of what this entry gave out in the last 2 s, the next addresses lie in other domains, draining entries are left out. The virtual entries follow the new control messages. Figures: table test, 3,000 lookups over 100 entries, no entry above the bound for 1, 5 and 1,000 organisations; losing one of 12 entries moves no caller of another. Conclusion: any entry gives the same addresses while loads allow it.

--- /dev/null
+++ b/bench/slopes/src/configurationCost.ts
@@ -0,0 +1,61 @@
+import {encodeFrame} from '@gentianshunt/frames';
+import {toIdentifier} from '@gentianshunt/identifiers';
+import {
+  createBenchObjects,
+  createVirtualEntries,
+} from '@gentianshunt/virtualEntry';
+
+const NODE = 'entry-0';
+const BYTES_PER_MEGABYTE = 1_048_576;
+const CHANGES = 500;
+
+/** What holding and changing a configuration costs an entry. */
+export interface ConfigurationCost {
+  /** Size of the whole configuration as one message. */
+  readonly bytes: number;
+  readonly memoryMb: number;
+  readonly loadMs: number;
+  readonly changeMicroseconds: number;
+}
+
+/** Loads a configuration into an entry and changes single objects of it. */
+export function measureConfiguration(organisations: number): ConfigurationCost {
+  const objects = createBenchObjects({organisations, leader: NODE});
+  const frame = encodeFrame(objects);
+  const heapBefore = readHeap();
+  const startedAt = performance.now();
+  const entries = createVirtualEntries({nodes: [NODE], objects});
+  entries.time.advance(1);
+  const loadMs = performance.now() - startedAt;
+  const memoryMb = (readHeap() - heapBefore) / BYTES_PER_MEGABYTE;
+  const entry = entries.find(NODE);
+  const before = process.cpuUsage();
+  for (let change = 0; change < CHANGES; change += 1) {
+    const object = objects[change % objects.length]!;
+    entry.post({
+      kind: 'controlMessage',
+      from: toIdentifier('control-0'),
+      message: {
+        kind: 'configurationUpdate',
+        sequence: null,
+        fromVersion: change + 1,
+        version: change + 2,
+        changes: [{kind: 'put', object}],
+        directory: null,
+        leaseMs: 0,
+      },
+    });
+  }
+  const used = process.cpuUsage(before);
+  return {
+    bytes: frame.length,
+    memoryMb,
+    loadMs,
+    changeMicroseconds: (used.user + used.system) / CHANGES,
+  };
+}
+
+function readHeap(): number {
+  globalThis.gc?.();
+  return process.memoryUsage().heapUsed;
+}
--- a/bench/slopes/src/main.ts
+++ b/bench/slopes/src/main.ts
@@ -0,0 +1,122 @@
+#!/usr/bin/env node
+import {createMetric, printBenchOutput} from '@gentianshunt/output';
+import type {BenchMetric} from '@gentianshunt/output';
+
+import {measureConfiguration} from './configurationCost.js';
+import {measureControl} from './controlCost.js';
+import {measureExchange} from './exchangeCost.js';
+import type {ExchangeLoad} from './exchangeCost.js';
+
+const SERVICE_MS = 9_000;
+const DURATION_MS = 10_000;
+/** Places for each request that runs on average. */
+const SPARE_PLACES = 1.7;
+
+type Metrics = Record<string, BenchMetric>;
+
+function createLoad(
+  requestsPerSecond: number,
+  entries: number,
+  endpoints: number,
+  organisations: number,
+): ExchangeLoad {
+  const running = (entries * requestsPerSecond * SERVICE_MS) / 1_000;
+  return {
+    entries,
+    endpoints,
+    concurrency: Math.ceil((SPARE_PLACES * running) / endpoints),
+    organisations,
+    requestsPerSecond,
+    serviceMs: SERVICE_MS,
+    durationMs: DURATION_MS,
+  };
+}
+
+const EXCHANGE_LOADS: readonly {
+  readonly name: string;
+  readonly load: ExchangeLoad;
+}[] = [
+  ...[1, 10, 50, 133, 500].map(rate => ({
+    name: `rate${rate}`,
+    load: createLoad(rate, 1, 8, 5),
+  })),
+  ...[2, 8, 16].map(entries => ({
+    name: `entries${entries}`,
+    load: createLoad(67, entries, 80, 5),
+  })),
+  ...[20, 80, 160].map(endpoints => ({
+    name: `endpoints${endpoints}`,
+    load: createLoad(133, 4, endpoints, 5),
+  })),
+  ...[3, 10, 30].map(organisations => ({
+    name: `organisations${organisations}`,
+    load: createLoad(133, 4, 80, organisations),
+  })),
+];
+
+function measureExchanges(): Metrics {
+  const metrics: Metrics = {};
+  for (const {name, load} of EXCHANGE_LOADS) {
+    const cost = measureExchange(load);
+    console.log(`exchange ${name}: ${JSON.stringify({load, cost})}`);
+    metrics[`${name}BytesPerSecond`] = createMetric(
+      cost.bytesPerSecond,
+      'B/s',
+      name === 'rate133' ? '<= 2048' : null,
+    );
+    metrics[`${name}ReportsPerSecond`] = createMetric(
+      cost.reportsPerSecond,
+      '1/s',
+    );
+    metrics[`${name}MeanWait`] = createMetric(cost.meanWaitMs, 'ms');
+    metrics[`${name}Processor`] = createMetric(cost.processorShare, 'cores');
+  }
+  return metrics;
+}
+
+function measureConfigurations(): Metrics {
+  const metrics: Metrics = {};
+  for (const organisations of [1_000, 10_000, 30_000]) {
+    const cost = measureConfiguration(organisations);
+    console.log(`configuration ${organisations}: ${JSON.stringify(cost)}`);
+    const name = `configuration${organisations}`;
+    metrics[`${name}Memory`] = createMetric(cost.memoryMb, 'MB');
+    metrics[`${name}Bytes`] = createMetric(cost.bytes, 'B');
+    metrics[`${name}Load`] = createMetric(cost.loadMs, 'ms');
+    metrics[`${name}Change`] = createMetric(cost.changeMicroseconds, 'us');
+  }
+  return metrics;
+}
+
+async function measureControls(): Promise<Metrics> {
+  const metrics: Metrics = {};
+  for (const entries of [12, 50, 100, 200]) {
+    const cost = await measureControl(entries);
+    console.log(`control ${entries} entries: ${JSON.stringify(cost)}`);
+    const name = `control${entries}`;
+    metrics[`${name}LeaderProcessor`] = createMetric(cost.leaderCores, 'cores');
+    metrics[`${name}FollowerProcessor`] = createMetric(
+      cost.followerCores,
+      'cores',
+    );
+    metrics[`${name}LeaderRss`] = createMetric(cost.leaderMb, 'MB');
+    metrics[`${name}FollowerRss`] = createMetric(cost.followerMb, 'MB');
+    metrics[`${name}EntryBytesPerSecond`] = createMetric(
+      cost.entryBytesPerSecond,
+      'B/s',
+      '<= 2048',
+    );
+  }
+  return metrics;
+}
+
+async function runBench(): Promise<void> {
+  const metrics: Metrics = {
+    ...measureExchanges(),
+    ...measureConfigurations(),
+    ...(await measureControls()),
+  };
+  printBenchOutput({bench: 'slopes', seed: null, metrics});
+}
+
+await runBench();
--- a/bench/virtualEntry/src/fakeControl.ts
+++ b/bench/virtualEntry/src/fakeControl.ts
@@ -48,7 +48,12 @@
           changes: isCurrent
             ? []
             : objects.map(object => ({kind: 'put', object})),
-          directory: isCurrent ? null : {version, entries},
+          directory: isCurrent
+            ? null
+            : {
+                kind: 'replace',
+                directory: {version: {term: 1, number: version}, entries},
+              },
           leaseMs: LEASE_MS,
         },
       };
@@ -66,6 +71,7 @@
   return {
     address: {
       node: toIdentifier(node),
+      region: toIdentifier('local'),
       domain: toIdentifier(domain),
       peer: address,
       http: address,
--- a/bench/virtualEntry/src/virtualEntries.ts
+++ b/bench/virtualEntry/src/virtualEntries.ts
@@ -133,6 +133,7 @@
       case 'cancelStream':
       case 'refuseCaller':
       case 'repeatAnswer':
+      case 'answerAddresses':
       case 'answerOperator':
       case 'recordEnd':
       case 'exit':
--- a/daemons/entryd/src/entryd.ts
+++ b/daemons/entryd/src/entryd.ts
@@ -163,6 +163,7 @@
     case 'resumeStream':
     case 'cancelStream':
     case 'repeatAnswer':
+    case 'answerAddresses':
       adapters.callers.perform(order);
       return;
     case 'sendEntry':
--- a/fronts/callerFront/src/callerFront.ts
+++ b/fronts/callerFront/src/callerFront.ts
@@ -1,4 +1,4 @@
-import {selectAddresses} from '@gentianshunt/addressLookup';
+import {selectFallbacks} from '@gentianshunt/addressLookup';
 import type {
   EntryObservation,
   EntryOrder,
@@ -15,6 +15,7 @@
 import {createCallerTable, sendProblem} from './callerTable.js';
 import type {CallerTable, ForwardedRequest} from './callerTable.js';
 import {createIntakeGate} from './intakeGate.js';
+import {createLookupRoute} from './lookupRoute.js';
 import {createBadRequestProblem, toProblem} from './problem.js';
 import type {CallerAddress} from './problem.js';
 import {addProblemHandlers} from './problemHandlers.js';
@@ -22,9 +23,6 @@
 import type {ParsedRequest} from './requestForm.js';
 import {createStreamClient} from './streamClient.js';
 
-/** How long a caller may keep the addresses it was given. */
-export const ADDRESS_LIFETIME_MS = 2_000;
-
 /** Orders that the caller front carries out. */
 export type CallerOrder = Extract<
   EntryOrder,
@@ -34,7 +32,8 @@
       | 'resumeStream'
       | 'cancelStream'
       | 'refuseCaller'
-      | 'repeatAnswer';
+      | 'repeatAnswer'
+      | 'answerAddresses';
   }
 >;
 
@@ -64,6 +63,7 @@
   addProblemHandlers(server);
   createIntakeGate({server, callers, maxHeldBytes});
   addRoutes(options, callers);
+  const lookups = createLookupRoute(options);
   return {
     perform: order => {
       switch (order.kind) {
@@ -88,6 +88,9 @@
         case 'repeatAnswer':
           repeatAnswer(callers, order.request, order.outcome);
           return;
+        case 'answerAddresses':
+          lookups.answer(order);
+          return;
       }
     },
     close: () => streams.close(),
@@ -125,19 +128,6 @@
       });
     },
   });
-  server.get<{Querystring: {affinity?: string}}>(
-    '/v1/addresses',
-    async request => {
-      const selected = selectAddresses({
-        directory: options.readDirectory(),
-        affinity: request.query.affinity ?? '',
-      });
-      return {
-        lifetimeMs: ADDRESS_LIFETIME_MS,
-        addresses: selected.map(toCallerAddress),
-      };
-    },
-  );
 }
 
 function toCallerAddress({address}: DirectoryEntry): CallerAddress {
@@ -154,12 +144,9 @@
   if (kind !== 'draining' && kind !== 'noLease') {
     return [];
   }
-  const {version, entries} = options.readDirectory();
+  const {entries} = options.readDirectory();
   const others = entries.filter(entry => entry.address.node !== options.self);
-  const directory = {version, entries: others};
-  return selectAddresses({directory, affinity: refusal.request}).map(
-    toCallerAddress,
-  );
+  return selectFallbacks(others, refusal.request).map(toCallerAddress);
 }
 
 function accept(
--- a/scheduling/addressLookup/src/selectAddresses.ts
+++ b/scheduling/addressLookup/src/selectAddresses.ts
@@ -1,37 +1,91 @@
-import type {DirectoryEntry, EntryDirectory} from '@gentianshunt/messages';
-import type {NodeId} from '@gentianshunt/identifiers';
+import {hashText} from '@gentianshunt/hashing';
+import type {
+  EndpointSetId,
+  NodeId,
+  OrganisationId,
+} from '@gentianshunt/identifiers';
+import type {DirectoryEntry} from '@gentianshunt/messages';
 
 /** Most addresses given to a caller at once. */
 export const MAX_ADDRESSES = 3;
+/** Most entries that share the callers of one set. */
+export const MAX_ENTRIES_PER_SET = 16;
+/** How far an entry may be above the mean of the addresses given out. */
+export const LOAD_BOUND = 1.25;
 
-/** What a caller asks for. */
+/** What a caller asks for, and what has been given out lately. */
 export interface AddressQuery {
-  readonly directory: EntryDirectory;
-  /** Calls with the same affinity go to the same entries. */
-  readonly affinity: string;
+  readonly entries: readonly DirectoryEntry[];
+  readonly organisation: OrganisationId;
+  readonly set: EndpointSetId;
+  /** How often each entry was given as the first address. */
+  readonly given: ReadonlyMap<NodeId, number>;
 }
 
-/** Selects entries for a caller, in the order in which to try them. */
+/**
+ * Selects entries for a caller, in the order in which to try them. Callers of
+ * a set go to few entries, those of an organisation to the same one for as
+ * long as it is not above the bound (consistent hashing with bounded loads);
+ * the addresses after the first lie in other failure domains where they can.
+ */
 export function selectAddresses(
   query: AddressQuery,
 ): readonly DirectoryEntry[] {
-  return query.directory.entries
-    .filter(entry => !entry.draining)
-    .map(entry => ({
-      entry,
-      score: scoreEntry(query.affinity, entry.address.node),
-    }))
+  const {set, organisation, given} = query;
+  const serving = query.entries.filter(entry => !entry.draining);
+  const near = rankEntries(serving, set).slice(0, MAX_ENTRIES_PER_SET);
+  const ranked = rankEntries(near, `${set}/${organisation}`);
+  const limit = readLimit(ranked, given);
+  const first = ranked.find(
+    ({address}) => (given.get(address.node) ?? 0) < limit,
+  );
+  return first === undefined ? [] : spreadDomains(first, ranked);
+}
+
+/** Selects entries for a caller that another entry could not serve. */
+export function selectFallbacks(
+  entries: readonly DirectoryEntry[],
+  key: string,
+): readonly DirectoryEntry[] {
+  const serving = entries.filter(entry => !entry.draining);
+  return rankEntries(serving, key).slice(0, MAX_ADDRESSES);
+}
+
+/** Orders entries by rendezvous hashing. */
+function rankEntries(
+  entries: readonly DirectoryEntry[],
+  key: string,
+): readonly DirectoryEntry[] {
+  return entries
+    .map(entry => ({entry, score: hashText(`${key}/${entry.address.node}`)}))
     .sort((left, right) => right.score - left.score)
-    .slice(0, MAX_ADDRESSES)
     .map(scored => scored.entry);
 }
 
-/** Scores an entry for an affinity (rendezvous hashing, FNV-1a). */
-function scoreEntry(affinity: string, node: NodeId): number {
-  let hash = 0x811c9dc5;
-  for (const character of `${affinity}\u0000${node}`) {
-    hash ^= character.codePointAt(0)!;
-    hash = Math.imul(hash, 0x01000193) >>> 0;
+function readLimit(
+  entries: readonly DirectoryEntry[],
+  given: ReadonlyMap<NodeId, number>,
+): number {
+  const total = entries.reduce(
+    (sum, {address}) => sum + (given.get(address.node) ?? 0),
+    0,
+  );
+  return Math.ceil((LOAD_BOUND * (total + 1)) / Math.max(1, entries.length));
+}
+
+function spreadDomains(
+  first: DirectoryEntry,
+  ranked: readonly DirectoryEntry[],
+): readonly DirectoryEntry[] {
+  const selected = [first];
+  const others = ranked.filter(entry => entry !== first);
+  const domains = new Set([first.address.domain]);
+  for (const entry of others) {
+    if (!domains.has(entry.address.domain)) {
+      domains.add(entry.address.domain);
+      selected.push(entry);
+    }
   }
-  return hash;
+  const rest = others.filter(entry => !selected.includes(entry));
+  return [...selected, ...rest].slice(0, MAX_ADDRESSES);
 }
--- /dev/null
+++ b/scheduling/addressLookup/test/selectAddresses.test.ts
@@ -0,0 +1,95 @@
+import {toIdentifier} from '@gentianshunt/identifiers';
+import type {NodeId} from '@gentianshunt/identifiers';
+import type {DirectoryEntry} from '@gentianshunt/messages';
+import t from 'tap';
+
+import {
+  LOAD_BOUND,
+  MAX_ENTRIES_PER_SET,
+  selectAddresses,
+} from '../src/index.js';
+
+const DOMAINS = ['a', 'b', 'c'];
+const LOOKUPS = 3_000;
+
+function createEntries(count: number): readonly DirectoryEntry[] {
+  return Array.from({length: count}, (_, index) => ({
+    address: {
+      node: toIdentifier<NodeId>(`entry-${index}`),
+      region: toIdentifier('r'),
+      domain: toIdentifier(DOMAINS[index % DOMAINS.length]!),
+      peer: {host: '10.0.0.1', port: 1},
+      http: {host: '10.0.0.1', port: 2},
+    },
+    draining: false,
+  }));
+}
+
+function select(
+  entries: readonly DirectoryEntry[],
+  organisation: string,
+  given: ReadonlyMap<NodeId, number> = new Map(),
+): readonly DirectoryEntry[] {
+  return selectAddresses({
+    entries,
+    organisation: toIdentifier(organisation),
+    set: toIdentifier('drafts'),
+    given,
+  });
+}
+
+t.test('addresses lie in different failure domains', async t => {
+  const selected = select(createEntries(12), 'o1');
+  t.equal(selected.length, 3);
+  t.equal(new Set(selected.map(entry => entry.address.domain)).size, 3);
+});
+
+t.test('any entry gives the same addresses', async t => {
+  const entries = createEntries(12);
+  t.same(select(entries, 'o1'), select([...entries].reverse(), 'o1'));
+});
+
+t.test('draining entries are left out', async t => {
+  const entries = createEntries(12);
+  const first = select(entries, 'o1')[0]!;
+  const changed = entries.map(entry =>
+    entry === first ? {...entry, draining: true} : entry,
+  );
+  const nodes = select(changed, 'o1').map(entry => entry.address.node);
+  t.notOk(nodes.includes(first.address.node));
+});
+
+t.test('no entry leaves no addresses', async t => {
+  t.same(select([], 'o1'), []);
+});
+
+t.test('a lost entry moves only its own callers', async t => {
+  const entries = createEntries(12);
+  const lost = entries[3]!;
+  const left = entries.filter(entry => entry !== lost);
+  const organisations = Array.from({length: 500}, (_, index) => `o${index}`);
+  const moved = organisations.filter(organisation => {
+    const before = select(entries, organisation)[0]!;
+    return before !== lost && select(left, organisation)[0] !== before;
+  });
+  t.same(moved, []);
+});
+
+for (const {name, organisations} of [
+  {name: 'one large organisation', organisations: 1},
+  {name: 'a few large organisations', organisations: 5},
+  {name: 'many small ones', organisations: 1_000},
+]) {
+  t.test(`load is bounded: ${name}`, async t => {
+    const entries = createEntries(100);
+    const given = new Map<NodeId, number>();
+    for (let index = 0; index < LOOKUPS; index += 1) {
+      const organisation = `o${index % organisations}`;
+      const {node} = select(entries, organisation, given)[0]!.address;
+      given.set(node, (given.get(node) ?? 0) + 1);
+    }
+    const bound = Math.ceil((LOAD_BOUND * LOOKUPS) / MAX_ENTRIES_PER_SET);
+    t.ok(Math.max(...given.values()) <= bound);
+    t.ok(given.size <= MAX_ENTRIES_PER_SET);
+  });
+}
--- a/scheduling/entryModel/src/observation.ts
+++ b/scheduling/entryModel/src/observation.ts
@@ -9,8 +9,10 @@
 } from '@gentianshunt/messages';
 import type {
   DispatchId,
+  EndpointSetId,
   NodeId,
   OperatorId,
+  OrganisationId,
   RequestId,
 } from '@gentianshunt/identifiers';
 
@@ -99,6 +101,12 @@
       readonly end: RequestEnd;
       readonly firstTokenMs: Milliseconds | null;
     }
+  | {
+      readonly kind: 'addressesRequested';
+      readonly correlation: RequestId;
+      readonly organisation: OrganisationId;
+      readonly set: EndpointSetId;
+    }
   | {readonly kind: 'shutdownRequested'};
 
 /** An answer small enough to be kept. */
--- a/scheduling/entryModel/src/order.ts
+++ b/scheduling/entryModel/src/order.ts
@@ -1,6 +1,7 @@
 import type {Milliseconds} from '@gentianshunt/clock';
 import type {
   ClaimOutcome,
+  EntryAddress,
   EntryToControl,
   NetworkAddress,
 } from '@gentianshunt/messages';
@@ -66,4 +67,11 @@
       readonly waitedMs: Milliseconds;
       readonly firstTokenMs: Milliseconds | null;
     }
+  | {
+      readonly kind: 'answerAddresses';
+      readonly correlation: RequestId;
+      readonly lifetimeMs: Milliseconds;
+      /** Entries in the order in which to try them. */
+      readonly addresses: readonly EntryAddress[];
+    }
   | {readonly kind: 'exit'};
--- a/scheduling/entryModel/src/sections.ts
+++ b/scheduling/entryModel/src/sections.ts
@@ -78,6 +78,12 @@
   readonly count: number;
 }
 
+/** How often each entry was given to callers as their first address. */
+export interface GivenAddresses {
+  readonly since: MonotonicTime;
+  readonly counts: ReadonlyMap<NodeId, number>;
+}
+
 /** How fast requests of a line arrive, as a decaying average. */
 export interface ArrivalRate {
   readonly perSecond: number;
@@ -274,6 +280,10 @@
     lines: defineOrdered<LineKey, LineCount>(
       compareBy('set', 'rank', 'organisation'),
     ),
+    givenAddresses: defineCell<GivenAddresses>({
+      since: Number.NEGATIVE_INFINITY,
+      counts: new Map(),
+    }),
     arrivalRates: defineOrdered<LineKey, ArrivalRate>(
       compareBy('set', 'rank', 'organisation'),
     ),
--- a/scheduling/entryNode/src/entryNode.ts
+++ b/scheduling/entryNode/src/entryNode.ts
@@ -1,3 +1,4 @@
+import {createLookupController} from '@gentianshunt/addressLookup';
 import {createControlLoop} from '@gentianshunt/board';
 import type {ControlLoop} from '@gentianshunt/board';
 import type {Clock} from '@gentianshunt/clock';
@@ -58,6 +59,7 @@
     createArrivalController(),
     createSlotController(),
     createExchangeController(),
+    createLookupController(),
     createReportController(),
     createGrantController(),
   ];
