--- a/scheduling/endpointOrders/test/endpointOrderController.test.ts
+++ b/scheduling/endpointOrders/test/endpointOrderController.test.ts
@@ -87,6 +87,7 @@
         key: {set: toIdentifier('a'), endpoint: toIdentifier('e1')},
         value: {
           seenAt: 0,
+          replaced: [],
           state: 'active',
           announcement: {
             endpoint: toIdentifier('e1'),
--- a/scheduling/entryModel/src/observation.ts
+++ b/scheduling/entryModel/src/observation.ts
@@ -10,8 +10,10 @@
 import type {OrderResult} from '@gentianshunt/orders';
 import type {
   DispatchId,
+  EndpointSetId,
   NodeId,
   OperatorId,
+  OrganisationId,
   RequestId,
 } from '@gentianshunt/identifiers';
 
@@ -107,6 +109,12 @@
       readonly run: OrderRun;
       readonly result: OrderResult;
     }
+  | {
+      readonly kind: 'addressesRequested';
+      readonly correlation: RequestId;
+      readonly organisation: OrganisationId;
+      readonly set: EndpointSetId;
+    }
   | {readonly kind: 'shutdownRequested'};
 
 /** An answer small enough to be kept. */
--- a/scheduling/entryModel/src/sections.ts
+++ b/scheduling/entryModel/src/sections.ts
@@ -83,6 +83,18 @@
   readonly count: number;
 }
 
+/** How often each entry was given to callers as their first address. */
+export interface GivenAddresses {
+  readonly since: MonotonicTime;
+  readonly counts: ReadonlyMap<NodeId, number>;
+}
+
+/** How fast requests of a line arrive, as a decaying average. */
+export interface ArrivalRate {
+  readonly perSecond: number;
+  readonly at: MonotonicTime;
+}
+
 /** Identifies what an entry runs at an endpoint for an organisation. */
 export interface RunningKey {
   readonly set: EndpointSetId;
@@ -100,6 +112,12 @@
   readonly grant: GrantId;
 }
 
+/**
+ * How soon a change must be reported: `urgent` when a slot is wanted,
+ * `lazy` when only the leader's counts are out of date.
+ */
+export type ReportUrgency = 'none' | 'lazy' | 'urgent';
+
 /** The entry's exchange with the leader of one set. */
 export interface ExchangeState {
   readonly set: EndpointSetId;
@@ -108,10 +126,14 @@
   readonly sentAt: MonotonicTime;
   /** Whether a reply to the latest report is still awaited. */
   readonly inFlight: boolean;
-  /** Whether something changed since the latest report. */
-  readonly dirty: boolean;
-  /** Whether the latest report named anything at all. */
-  readonly empty: boolean;
+  /** What changed since the latest report. */
+  readonly urgency: ReportUrgency;
+  /** Reports in a row that were lost or refused. */
+  readonly failures: number;
+  /** Lazy reports that may be sent early. */
+  readonly credit: number;
+  /** Lines, counts and slot groups in the latest report. */
+  readonly items: number;
 }
 
 /** Highest reply part taken for each set's latest report. */
@@ -133,6 +155,8 @@
   readonly announcement: EndpointAnnouncement;
   readonly seenAt: MonotonicTime;
   readonly state: 'active' | 'leaving' | 'silent';
+  /** Earlier incarnations, the latest first; their announcements are late. */
+  readonly replaced: readonly IncarnationId[];
 }
 
 /** Identifies an endpoint of a set. */
@@ -261,6 +285,13 @@
     lines: defineOrdered<LineKey, LineCount>(
       compareBy('set', 'rank', 'organisation'),
     ),
+    givenAddresses: defineCell<GivenAddresses>({
+      since: Number.NEGATIVE_INFINITY,
+      counts: new Map(),
+    }),
+    arrivalRates: defineOrdered<LineKey, ArrivalRate>(
+      compareBy('set', 'rank', 'organisation'),
+    ),
     dispatches: defineMap<DispatchId, RequestId>(),
     openClaims: defineMap<RequestId, OpenClaim>(),
     settlements: defineMap<RequestId, Settlement>(),
@@ -277,6 +308,8 @@
     acceptedReply: defineCell<GrantReply | null>(null),
     matches: defineMap<RequestId, Match>(),
     exchanges: defineMap<EndpointSetId, ExchangeState>(),
+    /** When the process started to lead sets. */
+    startedAt: defineCell<MonotonicTime>(Number.POSITIVE_INFINITY),
     leaderships: defineMap<EndpointSetId, LeadershipState>(),
     endpoints: defineOrdered<EndpointKey, EndpointRecord>(
       compareBy('set', 'endpoint'),
--- a/scheduling/entryNode/src/entryNode.ts
+++ b/scheduling/entryNode/src/entryNode.ts
@@ -1,3 +1,4 @@
+import {createLookupController} from '@gentianshunt/addressLookup';
 import {createControlLoop} from '@gentianshunt/board';
 import type {ControlLoop} from '@gentianshunt/board';
 import type {Clock} from '@gentianshunt/clock';
@@ -26,6 +27,7 @@
   createReportController,
 } from '@gentianshunt/setLeader';
 import {
+  createArrivalController,
   createExchangeController,
   createReplyController,
   createSlotController,
@@ -56,8 +58,10 @@
     createEndpointOrderController(),
     createReplyController(),
     createLifecycleController(),
+    createArrivalController(),
     createSlotController(),
     createExchangeController(),
+    createLookupController(),
     createReportController(),
     createGrantController(),
   ];
