--- a/scheduling/entryModel/src/order.ts
+++ b/scheduling/entryModel/src/order.ts
@@ -1,6 +1,7 @@
 import type {Milliseconds} from '@gentianshunt/clock';
 import type {
   ClaimOutcome,
+  EntryAddress,
   EntryToControl,
   NetworkAddress,
 } from '@gentianshunt/messages';
@@ -72,4 +73,11 @@
       readonly kind: 'sendEndpointOrder';
       readonly run: OrderRun;
     }
+  | {
+      readonly kind: 'answerAddresses';
+      readonly correlation: RequestId;
+      readonly lifetimeMs: Milliseconds;
+      /** Entries in the order in which to try them. */
+      readonly addresses: readonly EntryAddress[];
+    }
   | {readonly kind: 'exit'};
