--- a/bench/slopes/src/controlCost.ts
+++ b/bench/slopes/src/controlCost.ts
@@ -3,7 +3,8 @@
 
 import {createDeployment} from '@gentianshunt/deployment';
 import {readResidentMemory} from '@gentianshunt/entry';
-import type {EntryToControl} from '@gentianshunt/messages';
+import {NO_DIRECTORY_VERSION} from '@gentianshunt/messages';
+import type {DirectoryVersion, EntryToControl} from '@gentianshunt/messages';
 import {toIdentifier} from '@gentianshunt/identifiers';
 import type {NodeId} from '@gentianshunt/identifiers';
 import {createPeerLinks} from '@gentianshunt/peerLinks';
@@ -30,7 +31,7 @@
 interface Traffic {
   bytes: number;
   version: number;
-  directoryVersion: {readonly term: number; readonly number: number};
+  directoryVersion: DirectoryVersion;
   leader: NodeId | undefined;
 }
 
@@ -48,7 +49,7 @@
       const own: Traffic = {
         bytes: 0,
         version: 0,
-        directoryVersion: {term: 0, number: 0},
+        directoryVersion: NO_DIRECTORY_VERSION,
         leader: undefined,
       };
       traffic.push(own);
--- a/bench/virtualEntry/src/fakeControl.ts
+++ b/bench/virtualEntry/src/fakeControl.ts
@@ -52,7 +52,10 @@
             ? null
             : {
                 kind: 'replace',
-                directory: {version: {term: 1, number: version}, entries},
+                directory: {
+                  version: {term: 1, number: version, digest: version},
+                  entries,
+                },
               },
           leaseMs: LEASE_MS,
         },
