Report service-level burn by tier and organisation

Cause: operators could not see how fast a tier uses up its objective. Change: recent counts in the control log in periods of five minutes for six hours, bounded; a pure report over 5 minutes, 1 hour, 6 hours and the month; gentianshunt report burn as text, JSON and page. Checked: tests of the report; build and lint.

--- a/cli/gentianshunt/src/main.ts
+++ b/cli/gentianshunt/src/main.ts
@@ -6,6 +6,7 @@
 import {createKeyCommand} from './createKey.js';
 import {loadCommand} from './load.js';
 import {queryCommand} from './query.js';
+import {reportCommand} from './report.js';
 
 const command = defineCommand({
   meta: {
@@ -18,6 +19,7 @@
     'create-key': createKeyCommand,
     load: loadCommand,
     query: queryCommand,
+    report: reportCommand,
   },
 });
 
--- a/cli/gentianshunt/src/operatorArgs.ts
+++ b/cli/gentianshunt/src/operatorArgs.ts
@@ -2,13 +2,8 @@
 
 import type {EntryAccess} from '@gentianshunt/operatorClient';
 
-/** Arguments of every subcommand that talks to entries. */
-export const OPERATOR_ARGS = {
-  text: {
-    type: 'positional',
-    required: true,
-    description: 'Text in the operators’ language',
-  },
+/** Arguments that tell how entries are reached. */
+export const ACCESS_ARGS = {
   entry: {
     type: 'string',
     required: true,
@@ -23,9 +18,18 @@
   json: {type: 'boolean', description: 'Print JSON'},
 } as const;
 
-/** Values of those arguments. */
-export interface OperatorArgs {
-  readonly text: string;
+/** Arguments of a subcommand that sends text in the operators' language. */
+export const OPERATOR_ARGS = {
+  text: {
+    type: 'positional',
+    required: true,
+    description: 'Text in the operators’ language',
+  },
+  ...ACCESS_ARGS,
+} as const;
+
+/** Values of the arguments that tell how entries are reached. */
+export interface AccessArgs {
   readonly entry: string;
   readonly 'key-file'?: string | undefined;
   readonly operator: string;
@@ -33,7 +37,7 @@
 }
 
 /** Reads how the entries are reached. */
-export function readEntryAccess(args: OperatorArgs): EntryAccess {
+export function readEntryAccess(args: AccessArgs): EntryAccess {
   const file = args['key-file'];
   return {
     entries: args.entry.split(',').map(url => url.replace(/\/$/, '')),
--- /dev/null
+++ b/cli/gentianshunt/src/report.ts
@@ -0,0 +1,41 @@
+import {writeFileSync} from 'node:fs';
+
+import {
+  createBurnReport,
+  formatBurnHtml,
+  formatBurnText,
+} from '@gentianshunt/burn';
+import {readBurnInput} from '@gentianshunt/operatorClient';
+import {defineCommand} from 'citty';
+
+import {runChecked} from './exitCodes.js';
+import {ACCESS_ARGS, readEntryAccess} from './operatorArgs.js';
+
+const burnCommand = defineCommand({
+  meta: {
+    name: 'burn',
+    description:
+      'Report how fast tiers and organisations use up their service level.',
+  },
+  args: {
+    ...ACCESS_ARGS,
+    html: {type: 'string', description: 'Write a page to this file as well'},
+  },
+  run: ({args}) =>
+    runChecked(async () => {
+      const input = await readBurnInput(readEntryAccess(args));
+      const report = createBurnReport({...input, now: new Date()});
+      if (args.html !== undefined) {
+        writeFileSync(args.html, formatBurnHtml(report));
+      }
+      console.log(
+        args.json === true ? JSON.stringify(report) : formatBurnText(report),
+      );
+    }),
+});
+
+/** Reports on a deployment. */
+export const reportCommand = defineCommand({
+  meta: {name: 'report', description: 'Report on a deployment.'},
+  subCommands: {burn: burnCommand},
+});
--- a/cli/operatorClient/src/index.ts
+++ b/cli/operatorClient/src/index.ts
@@ -1,4 +1,5 @@
 export * from './operatorClientErrors.js';
+export * from './readBurnInput.js';
 export * from './runCommandText.js';
 export * from './runQueryText.js';
 export * from './sendToEntry.js';
--- a/cli/operatorClient/src/operatorClientErrors.ts
+++ b/cli/operatorClient/src/operatorClientErrors.ts
@@ -24,3 +24,15 @@
     });
   }
 }
+
+/** A table could not be read. */
+export class QueryFailedError extends SchedulerError {
+  constructor(entry: string, table: string, outcome: string) {
+    super({
+      code: 'ERR_QUERY_FAILED',
+      message: `table ${table} could not be read: ${outcome}`,
+      origin: {step: 'readBurnInput', peer: entry},
+      hint: 'check that a control daemon leads',
+    });
+  }
+}
--- a/control/controlModel/src/sections.ts
+++ b/control/controlModel/src/sections.ts
@@ -22,6 +22,7 @@
   LogEntry,
   LogIndex,
   LogPayload,
+  RecentCountKey,
   ServiceCountKey,
   ServiceTotals,
 } from '@gentianshunt/messages';
@@ -55,6 +56,7 @@
   compareClaimExpiry,
   compareCountMarks,
   compareKinds,
+  compareRecentCounts,
   compareReferences,
   compareRunningClaims,
   compareServiceCounts,
@@ -134,6 +136,9 @@
     serviceCounts: defineOrdered<ServiceCountKey, ServiceTotals>(
       compareServiceCounts,
     ),
+    recentCounts: defineOrdered<RecentCountKey, ServiceTotals>(
+      compareRecentCounts,
+    ),
     countMarks: defineOrdered<CountMarkKey, CountMark>(compareCountMarks),
     sessions: defineMap<NodeId, EntrySession>(),
     sessionVersions: defineOrdered<SessionVersionKey, true>(
--- a/control/controlModel/src/stateRecords.ts
+++ b/control/controlModel/src/stateRecords.ts
@@ -5,6 +5,7 @@
   CommandAnswer,
   ConfigurationVersion,
   LogIndex,
+  RecentCountKey,
   ServiceCountKey,
 } from '@gentianshunt/messages';
 import type {
@@ -115,6 +116,11 @@
   keyof ServiceCountKey,
   ServiceCountKey
 >('month', 'tier', 'organisation', 'kind');
+/** Orders recent counts by period first. */
+export const compareRecentCounts = compareBy<
+  keyof RecentCountKey,
+  RecentCountKey
+>('startMs', 'tier', 'organisation', 'kind');
 /** Orders count marks by entry. */
 export const compareCountMarks = compareBy<keyof CountMarkKey, CountMarkKey>(
   'node',
--- a/control/entrySessions/src/controlQuery.ts
+++ b/control/entrySessions/src/controlQuery.ts
@@ -8,6 +8,7 @@
   CommandSummary,
   ControlQuery,
   ControlQueryResult,
+  RecentCount,
   ServiceCount,
 } from '@gentianshunt/messages';
 import type {
@@ -22,7 +23,7 @@
 /** The sections that queries read. */
 export type QueryBoard = Pick<
   BoardView<ControlSections>,
-  'commands' | 'commandFloor' | 'nextCommand' | 'serviceCounts'
+  'commands' | 'commandFloor' | 'nextCommand' | 'serviceCounts' | 'recentCounts'
 >;
 
 /** Answers a query from the applied log. */
@@ -33,6 +34,8 @@
   switch (query.kind) {
     case 'counts':
       return {kind: 'counts', counts: listCounts(board, query.month)};
+    case 'recentCounts':
+      return {kind: 'recentCounts', counts: listRecentCounts(board)};
     case 'commands':
       return {
         kind: 'commands',
@@ -70,6 +73,17 @@
   return counts;
 }
 
+function listRecentCounts(board: QueryBoard): readonly RecentCount[] {
+  const counts: RecentCount[] = [];
+  for (const {key, value} of board.recentCounts.iterateFrom()) {
+    if (counts.length === MAX_QUERY_ROWS) {
+      break;
+    }
+    counts.push({key, totals: value});
+  }
+  return counts;
+}
+
 /** Lists the latest commands; numbers may have gaps. */
 function listCommands(
   board: QueryBoard,
--- a/control/entrySessions/src/replyController.ts
+++ b/control/entrySessions/src/replyController.ts
@@ -21,7 +21,7 @@
 } from './pendingReplies.js';
 import type {ReplyBoard} from './pendingReplies.js';
 
-type ReplyReads = keyof ReplyBoard | 'serviceCounts';
+type ReplyReads = keyof ReplyBoard | 'serviceCounts' | 'recentCounts';
 type ReplyView = View<ControlSections, ReplyReads, ControlObservation>;
 type ReplyWrite = ControlWrite<'pending'>;
 
@@ -42,6 +42,7 @@
       'claimUsage',
       'countMarks',
       'serviceCounts',
+      'recentCounts',
       'sessions',
       'sessionVersions',
       'pending',
--- a/control/messages/src/controlMessage.ts
+++ b/control/messages/src/controlMessage.ts
@@ -23,6 +23,7 @@
   Term,
 } from './logEntry.js';
 import type {CalendarMonth, CountReport, ServiceCount} from './serviceCount.js';
+import type {RecentCount} from './recentCount.js';
 
 /** An address of a daemon: IP number and port. */
 export interface NetworkAddress {
@@ -83,11 +84,13 @@
 /** A question that only the leading control daemon can answer. */
 export type ControlQuery =
   | {readonly kind: 'counts'; readonly month: CalendarMonth | null}
+  | {readonly kind: 'recentCounts'}
   | {readonly kind: 'commands'; readonly limit: number};
 
 /** What the leading control daemon answers to a query. */
 export type ControlQueryResult =
   | {readonly kind: 'counts'; readonly counts: readonly ServiceCount[]}
+  | {readonly kind: 'recentCounts'; readonly counts: readonly RecentCount[]}
   | {
       readonly kind: 'commands';
       readonly nextFree: CommandNumber;
--- a/control/messages/src/index.ts
+++ b/control/messages/src/index.ts
@@ -1,4 +1,5 @@
 export * from './consensusMessage.js';
 export * from './controlMessage.js';
 export * from './logEntry.js';
+export * from './recentCount.js';
 export * from './serviceCount.js';
--- a/control/stateMachine/src/applyCounts.ts
+++ b/control/stateMachine/src/applyCounts.ts
@@ -1,9 +1,16 @@
 import {iterateWhile} from '@gentianshunt/board';
 import type {CountMarkKey} from '@gentianshunt/controlModel';
-import {addTotals, EMPTY_TOTALS, readMonth} from '@gentianshunt/messages';
+import {
+  addTotals,
+  EMPTY_TOTALS,
+  readMonth,
+  readPeriodStart,
+  RECENT_RETENTION_MS,
+} from '@gentianshunt/messages';
 import type {
   CalendarMonth,
   LogPayload,
+  RecentCountKey,
   ServiceCount,
   ServiceCountKey,
 } from '@gentianshunt/messages';
@@ -19,6 +26,8 @@
 
 /** Calendar months kept besides the current one. */
 export const MAX_PAST_MONTHS = 13;
+/** Most keys for which recent counts are kept. */
+export const MAX_RECENT_COUNTS = 50_000;
 /** Most keys for which counts are kept. */
 export const MAX_SERVICE_COUNTS = 100_000;
 /** Incarnations of one entry whose latest report is remembered. */
@@ -50,8 +59,10 @@
   forgetMarks(draft, node);
   for (const count of report.counts) {
     addCount(draft, count);
+    addRecent(draft, count, atMs);
   }
   forgetMonths(draft, atMs);
+  forgetPeriods(draft, atMs);
 }
 
 function addCount(draft: StateDraft, count: ServiceCount): void {
@@ -67,6 +78,25 @@
   return fits ? key : {...key, organisation: OTHER_ORGANISATIONS};
 }
 
+/** A report's counts belong to the period in which it was proposed. */
+function addRecent(draft: StateDraft, count: ServiceCount, atMs: number): void {
+  const {tier, organisation, kind} = count.key;
+  const startMs = readPeriodStart(atMs);
+  const key = boundRecentKey(draft, {startMs, tier, organisation, kind});
+  const totals = draft.recentCounts.get(key) ?? EMPTY_TOTALS;
+  draft.recentCounts.put(key, addTotals(totals, count.totals));
+}
+
+function boundRecentKey(
+  draft: StateDraft,
+  key: RecentCountKey,
+): RecentCountKey {
+  const fits =
+    draft.recentCounts.size < MAX_RECENT_COUNTS ||
+    draft.recentCounts.get(key) !== undefined;
+  return fits ? key : {...key, organisation: OTHER_ORGANISATIONS};
+}
+
 /** Forgets the incarnation of an entry that reported longest ago. */
 function forgetMarks(draft: StateDraft, node: NodeId): void {
   const from = {node, incarnation: '' as IncarnationId};
@@ -98,3 +128,21 @@
     draft.serviceCounts.delete(key);
   }
 }
+
+function forgetPeriods(draft: StateDraft, atMs: number): void {
+  const from: RecentCountKey = {
+    startMs: Number.NEGATIVE_INFINITY,
+    tier: '' as TierId,
+    organisation: '' as OrganisationId,
+    kind: '' as RequestKindId,
+  };
+  const firstMs = readPeriodStart(atMs - RECENT_RETENTION_MS);
+  const old = iterateWhile(
+    draft.recentCounts,
+    from,
+    key => key.startMs < firstMs,
+  );
+  for (const {key} of [...old]) {
+    draft.recentCounts.delete(key);
+  }
+}
--- a/control/stateMachine/src/stateDraft.ts
+++ b/control/stateMachine/src/stateDraft.ts
@@ -8,6 +8,7 @@
 import {
   compareClaimExpiry,
   compareCountMarks,
+  compareRecentCounts,
   compareRunningClaims,
   compareServiceCounts,
 } from '@gentianshunt/controlModel';
@@ -29,6 +30,7 @@
 import type {
   CommandNumber,
   ConfigurationVersion,
+  RecentCountKey,
   ServiceCountKey,
   ServiceTotals,
 } from '@gentianshunt/messages';
@@ -55,6 +57,7 @@
   'runningClaims',
   'claimUsage',
   'serviceCounts',
+  'recentCounts',
   'countMarks',
 ] as const;
 
@@ -85,6 +88,7 @@
   readonly claimExpiry: OrderedDraft<ClaimExpiryKey, true>;
   readonly runningClaims: OrderedDraft<RunningClaimKey, true>;
   readonly serviceCounts: OrderedDraft<ServiceCountKey, ServiceTotals>;
+  readonly recentCounts: OrderedDraft<RecentCountKey, ServiceTotals>;
   readonly countMarks: OrderedDraft<CountMarkKey, CountMark>;
 }
 
@@ -116,6 +120,10 @@
       view: board.serviceCounts,
       compare: compareServiceCounts,
     }),
+    recentCounts: createOrderedDraft({
+      view: board.recentCounts,
+      compare: compareRecentCounts,
+    }),
     countMarks: createOrderedDraft({
       view: board.countMarks,
       compare: compareCountMarks,
@@ -136,6 +144,7 @@
     ...draft.claimExpiry.listWrites('claimExpiry' as const),
     ...draft.runningClaims.listWrites('runningClaims' as const),
     ...draft.serviceCounts.listWrites('serviceCounts' as const),
+    ...draft.recentCounts.listWrites('recentCounts' as const),
     ...draft.countMarks.listWrites('countMarks' as const),
     ...listCellWrites(draft, board),
   ];
--- a/language/queries/src/controlTables.ts
+++ b/language/queries/src/controlTables.ts
@@ -1,10 +1,20 @@
-import type {CommandSummary, ServiceCount} from '@gentianshunt/messages';
+import type {
+  CommandSummary,
+  RecentCount,
+  ServiceCount,
+  ServiceTotals,
+} from '@gentianshunt/messages';
 
 import {defineNumber, defineTable, defineText} from './table.js';
 
 /** Commands that are asked for at one time. */
 export const COMMAND_QUERY_LIMIT = 1_000;
 
+/** A row that carries totals. */
+interface Counted {
+  readonly totals: ServiceTotals;
+}
+
 /** The remembered command numbers, the latest first. */
 export const COMMANDS_TABLE = defineTable<CommandSummary>({
   name: 'commands',
@@ -21,6 +31,15 @@
   list: ({control}) => (control?.kind === 'commands' ? control.commands : []),
 });
 
+const TOTALS_COLUMNS = [
+  defineNumber('answered', ({totals}: Counted) => totals.answered),
+  defineNumber('on-time', ({totals}: Counted) => totals.onTime),
+  defineNumber('answered-weight', ({totals}: Counted) => totals.answeredWeight),
+  defineNumber('shed', ({totals}: Counted) => totals.shed),
+  defineNumber('failed', ({totals}: Counted) => totals.failed),
+  defineNumber('abandoned', ({totals}: Counted) => totals.abandoned),
+];
+
 /** The monthly service counts. */
 export const COUNTS_TABLE = defineTable<ServiceCount>({
   name: 'counts',
@@ -32,12 +51,23 @@
     defineText('tier', ({key}) => key.tier),
     defineText('organisation', ({key}) => key.organisation),
     defineText('kind', ({key}) => key.kind),
-    defineNumber('answered', ({totals}) => totals.answered),
-    defineNumber('on-time', ({totals}) => totals.onTime),
-    defineNumber('answered-weight', ({totals}) => totals.answeredWeight),
-    defineNumber('shed', ({totals}) => totals.shed),
-    defineNumber('failed', ({totals}) => totals.failed),
-    defineNumber('abandoned', ({totals}) => totals.abandoned),
+    ...TOTALS_COLUMNS,
   ],
   list: ({control}) => (control?.kind === 'counts' ? control.counts : []),
 });
+
+/** The counts of the last hours. */
+export const RECENT_TABLE = defineTable<RecentCount>({
+  name: 'recent',
+  help: 'Service counts of the last 6 hours in periods of 5 minutes.',
+  scope: 'deployment',
+  control: {kind: 'recentCounts'},
+  columns: [
+    defineNumber('start-ms', ({key}) => key.startMs),
+    defineText('tier', ({key}) => key.tier),
+    defineText('organisation', ({key}) => key.organisation),
+    defineText('kind', ({key}) => key.kind),
+    ...TOTALS_COLUMNS,
+  ],
+  list: ({control}) => (control?.kind === 'recentCounts' ? control.counts : []),
+});
--- a/language/queries/src/tables.ts
+++ b/language/queries/src/tables.ts
@@ -7,7 +7,7 @@
   SETS_TABLE,
   TIERS_TABLE,
 } from './configurationTables.js';
-import {COMMANDS_TABLE, COUNTS_TABLE} from './controlTables.js';
+import {COMMANDS_TABLE, COUNTS_TABLE, RECENT_TABLE} from './controlTables.js';
 import {
   REFUSED_TABLE,
   REQUESTS_TABLE,
@@ -31,6 +31,7 @@
   ORDERS_TABLE,
   COMMANDS_TABLE,
   COUNTS_TABLE,
+  RECENT_TABLE,
 ];
 
 /** Finds a table by its name. */
--- /dev/null
+++ b/reports/burn/src/index.ts
@@ -0,0 +1,4 @@
+export * from './burnReport.js';
+export * from './burnWindow.js';
+export * from './formatBurnHtml.js';
+export * from './formatBurnText.js';
