--- a/bench/entry/src/index.ts
+++ b/bench/entry/src/index.ts
@@ -1,1 +1,2 @@
 export * from './idleMemory.js';
+export * from './operator.js';
--- a/bench/entry/src/operator.ts
+++ b/bench/entry/src/operator.ts
@@ -6,6 +6,11 @@
 const RETRY_MS = 100;
 const MAX_TRIES = 100;
 
+interface ForceReply {
+  readonly kind: string;
+  readonly status?: {readonly isInForce: boolean};
+}
+
 /** Creates objects in a deployment and waits until they are in force. */
 export async function createObjects(
   entry: string,
@@ -23,8 +28,8 @@
       headers: {'content-type': 'application/json'},
       body,
     });
-    const progress = (await reply.body.json()) as {readonly kind: string};
-    return progress.kind === 'inForce';
+    const progress = (await reply.body.json()) as ForceReply;
+    return progress.kind === 'force' && progress.status?.isInForce === true;
   });
 }
 
@@ -37,6 +42,18 @@
   });
 }
 
+/** Waits until the set has a leader and returns its node. */
+export async function awaitLeader(entry: string): Promise<string> {
+  let node: string | undefined;
+  await retry(async () => {
+    const reply = await request(`${entry}/v1/operator/configuration`);
+    const text = await reply.body.text();
+    node = /"kind":"setLeadership"[^}]*"node":"([^"]+)"/.exec(text)?.[1];
+    return node !== undefined;
+  });
+  return node!;
+}
+
 async function retry(attempt: () => Promise<boolean>): Promise<void> {
   for (let tries = 0; tries < MAX_TRIES; tries += 1) {
     if (await attempt()) {
--- a/bench/slopes/src/configurationCost.ts
+++ b/bench/slopes/src/configurationCost.ts
@@ -20,14 +20,14 @@
 
 /** Loads a configuration into an entry and changes single objects of it. */
 export function measureConfiguration(organisations: number): ConfigurationCost {
-  const objects = createBenchObjects({organisations, leader: NODE});
-  const frame = encodeFrame(objects);
   const heapBefore = readHeap();
+  const objects = createBenchObjects({organisations, leader: NODE});
   const startedAt = performance.now();
   const entries = createVirtualEntries({nodes: [NODE], objects});
   entries.time.advance(1);
   const loadMs = performance.now() - startedAt;
   const memoryMb = (readHeap() - heapBefore) / BYTES_PER_MEGABYTE;
+  const frame = encodeFrame(objects);
   const entry = entries.find(NODE);
   const before = process.cpuUsage();
   for (let change = 0; change < CHANGES; change += 1) {
--- /dev/null
+++ b/bench/slopes/src/failoverGap.ts
@@ -0,0 +1,96 @@
+import {setTimeout as delay} from 'node:timers/promises';
+
+import {createDeployment} from '@gentianshunt/deployment';
+import type {Deployment} from '@gentianshunt/deployment';
+import {awaitEndpoint, awaitLeader, createObjects} from '@gentianshunt/entry';
+import {
+  createBenchObjects,
+  formatOrganisation,
+  KIND,
+  SET,
+} from '@gentianshunt/virtualEntry';
+import {request} from 'undici';
+
+const CALL_INTERVAL_MS = 10;
+const BEFORE_LOSS_MS = 3_000;
+const AFTER_LOSS_MS = 12_000;
+
+/** What callers saw when the leader of their set was lost. */
+export interface FailoverGap {
+  /** Longest time in which no call was answered, in milliseconds. */
+  readonly gapMs: number;
+  readonly answered: number;
+  readonly failed: number;
+}
+
+/** Kills the set leader under calls through another entry. */
+export async function measureFailover(): Promise<FailoverGap> {
+  const deployment = await createDeployment({controls: 3, entries: 3});
+  try {
+    const leader = await startService(deployment);
+    const other = deployment.entries.find(entry => entry !== leader)!;
+    const answeredAt: number[] = [];
+    const calls: Promise<void>[] = [];
+    let failed = 0;
+    const startedAt = performance.now();
+    let isLost = false;
+    while (performance.now() - startedAt < BEFORE_LOSS_MS + AFTER_LOSS_MS) {
+      calls.push(
+        call(other.url).then(isAnswered => {
+          if (isAnswered) {
+            answeredAt.push(performance.now());
+          } else {
+            failed += 1;
+          }
+        }),
+      );
+      if (!isLost && performance.now() - startedAt > BEFORE_LOSS_MS) {
+        isLost = true;
+        await leader.process.stop('SIGKILL');
+      }
+      await delay(CALL_INTERVAL_MS);
+    }
+    await Promise.all(calls);
+    const gaps = answeredAt
+      .slice(1)
+      .map((at, index) => at - answeredAt[index]!);
+    return {gapMs: Math.max(...gaps), answered: answeredAt.length, failed};
+  } finally {
+    await deployment.stop();
+  }
+}
+
+async function startService(deployment: Deployment) {
+  const {url} = deployment.entries[0]!;
+  await createObjects(
+    url,
+    createBenchObjects({organisations: 1, leader: null}),
+  );
+  await deployment.startEngine({
+    endpoint: 'engine-0',
+    set: SET,
+    extra: ['--batch', '64', '--step-ms', '2'],
+  });
+  const node = await awaitLeader(url);
+  const leader = deployment.entries.find(entry => entry.node === node)!;
+  await awaitEndpoint(leader.url);
+  return leader;
+}
+
+async function call(url: string): Promise<boolean> {
+  const reply = await request(`${url}/v1/chat/completions`, {
+    method: 'POST',
+    headers: {
+      'content-type': 'application/json',
+      'x-organisation': formatOrganisation(0),
+      'x-kind': KIND,
+    },
+    body: JSON.stringify({
+      model: SET,
+      messages: [{role: 'user', content: 'question'}],
+      max_tokens: 2,
+    }),
+  }).catch(() => undefined);
+  const text = await reply?.body.text().catch(() => '');
+  return reply?.statusCode === 200 && text!.endsWith('data: [DONE]\n\n');
+}
--- a/bench/slopes/src/main.ts
+++ b/bench/slopes/src/main.ts
@@ -6,6 +6,7 @@
 import {measureControl} from './controlCost.js';
 import {measureExchange} from './exchangeCost.js';
 import type {ExchangeLoad} from './exchangeCost.js';
+import {measureFailover} from './failoverGap.js';
 
 const SERVICE_MS = 9_000;
 const DURATION_MS = 10_000;
@@ -110,11 +111,21 @@
   return metrics;
 }
 
+async function measureLeaderLoss(): Promise<Metrics> {
+  const gap = await measureFailover();
+  console.log(`set leader lost: ${JSON.stringify(gap)}`);
+  return {
+    leaderLossGap: createMetric(gap.gapMs, 'ms'),
+    leaderLossFailed: createMetric(gap.failed, 'calls'),
+  };
+}
+
 async function runBench(): Promise<void> {
   const metrics: Metrics = {
     ...measureExchanges(),
     ...measureConfigurations(),
     ...(await measureControls()),
+    ...(await measureLeaderLoss()),
   };
   printBenchOutput({bench: 'slopes', seed: null, metrics});
 }
--- a/daemons/entryd/src/entryd.ts
+++ b/daemons/entryd/src/entryd.ts
@@ -25,6 +25,7 @@
   drawIdentifier,
 } from '@gentianshunt/runtime';
 import type {TimerTable} from '@gentianshunt/runtime';
+import {findLeaderAddress} from '@gentianshunt/setLeader';
 import type {EntrydSettings} from '@gentianshunt/settings';
 import {fastify} from 'fastify';
 
@@ -122,7 +123,16 @@
     metrics: createEntryMetrics(),
   };
   const {metrics, timers, callers} = adapters;
-  createEndpointFront({server, post});
+  createEndpointFront({
+    server,
+    post,
+    findLeader: set =>
+      findLeaderAddress({
+        configuration: node.view.configuration,
+        directory: node.view.control.directory,
+        set,
+      }),
+  });
   addHealthRoutes({server, metrics, readReady: () => isReady(node)});
   // The listener writes into what it is given.
   await server.listen({...settings.http});
--- a/fronts/endpointFront/src/endpointFront.ts
+++ b/fronts/endpointFront/src/endpointFront.ts
@@ -9,6 +9,7 @@
   FailureDomainId,
   IncarnationId,
 } from '@gentianshunt/identifiers';
+import type {EntryAddress} from '@gentianshunt/messages';
 import type {FastifyInstance} from 'fastify';
 import {z} from 'zod';
 
@@ -41,6 +42,8 @@
 export interface EndpointFrontOptions {
   readonly server: FastifyInstance;
   readonly post: (observation: EntryObservation) => void;
+  /** Finds the entry that leads a set. */
+  readonly findLeader: (set: EndpointSetId) => EntryAddress | undefined;
 }
 
 /** Adds the route on which endpoints announce themselves. */
@@ -54,10 +57,19 @@
       kind: 'endpointContact',
       announcement: parsed.announcement,
     });
-    return {announceAgainInMs: ANNOUNCE_INTERVAL_MS};
+    const leader = options.findLeader(parsed.announcement.set);
+    return {
+      announceAgainInMs: ANNOUNCE_INTERVAL_MS,
+      // Announcing there spares the entries the forwarding.
+      announceTo: leader === undefined ? null : formatUrl(leader),
+    };
   });
 }
 
+function formatUrl({http}: EntryAddress): string {
+  return `http://${http.host}:${http.port}`;
+}
+
 type ParsedAnnouncement =
   | {readonly kind: 'parsed'; readonly announcement: EndpointAnnouncement}
   | {readonly kind: 'malformed'; readonly detail: string};
--- a/scheduling/exchangeContract/test/exchangeRun.ts
+++ b/scheduling/exchangeContract/test/exchangeRun.ts
@@ -21,12 +21,20 @@
   draw: () => number,
 ) => readonly number[];
 
+/** Where and when a request was dispatched. */
+export interface Placement {
+  readonly request: string;
+  readonly endpoint: string;
+  readonly at: number;
+}
+
 /** A run and what it has shown so far. */
 export interface ExchangeRun {
   readonly entries: VirtualEntries;
   readonly sent: SentMessage[];
   /** When each request was dispatched, in milliseconds. */
   readonly dispatchedAt: Map<string, number>;
+  readonly placed: Placement[];
   readonly repeated: string[];
   /** Most requests that ran at one endpoint at once. */
   peak: number;
@@ -55,6 +63,7 @@
     entries,
     sent: [],
     dispatchedAt: new Map(),
+    placed: [],
     repeated: [],
     peak: 0,
     fault: () => [1],
@@ -98,6 +107,8 @@
   const {clock} = run.entries.time;
   run.dispatchedAt.set(request.id, clock.readMonotonic());
   const {endpoint} = dispatch.target;
+  const at = clock.readMonotonic();
+  run.placed.push({request: request.id, endpoint, at});
   const running = (runningAt.get(endpoint) ?? 0) + 1;
   runningAt.set(endpoint, running);
   run.peak = Math.max(run.peak, running);
--- a/scheduling/setLeader/src/index.ts
+++ b/scheduling/setLeader/src/index.ts
@@ -1,5 +1,6 @@
 export * from './allocation.js';
 export * from './endpointRegistry.js';
+export * from './findLeaderAddress.js';
 export * from './grantController.js';
 export * from './leadershipController.js';
 export * from './reportController.js';
--- a/standins/modelEngine/src/announcer.ts
+++ b/standins/modelEngine/src/announcer.ts
@@ -32,16 +32,22 @@
   close(): void;
 }
 
+interface AnnounceReply {
+  readonly announceTo?: string | null;
+}
+
 /** Starts announcing at once. */
 export function createAnnouncer(options: AnnouncerOptions): Announcer {
   let turn = 0;
+  let told: string | null = null;
   let timer: NodeJS.Timeout | undefined;
   let isClosed = false;
   const announce = async (): Promise<void> => {
-    const entry = options.entries[turn % options.entries.length]!;
+    const entry = told ?? options.entries[turn % options.entries.length]!;
     try {
-      await sendAnnouncement(entry, options.readAnnouncement());
+      told = await sendAnnouncement(entry, options.readAnnouncement());
     } catch {
+      told = null;
       turn += 1;
     }
     if (!isClosed) {
@@ -57,15 +63,17 @@
   };
 }
 
+/** Returns the entry at which to announce next, if one was named. */
 async function sendAnnouncement(
   entry: string,
   announcement: Announcement,
-): Promise<void> {
+): Promise<string | null> {
   const reply = await request(`${entry}/v1/endpoints/announce`, {
     method: 'POST',
     headers: {'content-type': 'application/json'},
     body: JSON.stringify(announcement),
     headersTimeout: ANNOUNCE_TIMEOUT_MS,
   });
-  await reply.body.dump();
+  const body = (await reply.body.json()) as AnnounceReply;
+  return body.announceTo ?? null;
 }
