--- a/bench/virtualEntry/src/virtualEntries.ts
+++ b/bench/virtualEntry/src/virtualEntries.ts
@@ -134,6 +134,7 @@
       case 'refuseCaller':
       case 'repeatAnswer':
       case 'answerAddresses':
+      case 'sendEndpointOrder':
       case 'answerOperator':
       case 'recordEnd':
       case 'exit':
--- a/scheduling/entryModel/src/observation.ts
+++ b/scheduling/entryModel/src/observation.ts
@@ -7,6 +7,7 @@
   ForceStatus,
   OperatorCommand,
 } from '@gentianshunt/messages';
+import type {OrderResult} from '@gentianshunt/orders';
 import type {
   DispatchId,
   EndpointSetId,
@@ -17,6 +18,7 @@
 } from '@gentianshunt/identifiers';
 
 import type {EndpointAnnouncement} from './endpoint.js';
+import type {OrderRun} from './endpointOrder.js';
 import type {EntryMessage} from './exchange.js';
 import type {
   AdmittedRequest,
@@ -107,6 +109,12 @@
       readonly organisation: OrganisationId;
       readonly set: EndpointSetId;
     }
+  | {
+      /** An endpoint answered an order, or could not be asked. */
+      readonly kind: 'endpointOrderEnded';
+      readonly run: OrderRun;
+      readonly result: OrderResult;
+    }
   | {readonly kind: 'shutdownRequested'};
 
 /** An answer small enough to be kept. */
--- a/scheduling/entryModel/src/order.ts
+++ b/scheduling/entryModel/src/order.ts
@@ -7,6 +7,7 @@
 } from '@gentianshunt/messages';
 import type {NodeId, RequestId} from '@gentianshunt/identifiers';
 
+import type {OrderRun} from './endpointOrder.js';
 import type {EntryMessage} from './exchange.js';
 import type {CommandProgress, EntryTimer} from './observation.js';
 import type {
@@ -74,4 +75,9 @@
       /** Entries in the order in which to try them. */
       readonly addresses: readonly EntryAddress[];
     }
+  | {
+      /** Carries an order to an endpoint, unless its time has passed. */
+      readonly kind: 'sendEndpointOrder';
+      readonly run: OrderRun;
+    }
   | {readonly kind: 'exit'};
--- a/scheduling/entryNode/src/entryNode.ts
+++ b/scheduling/entryNode/src/entryNode.ts
@@ -10,6 +10,7 @@
   createRefusalController,
   createServiceController,
 } from '@gentianshunt/controlClient';
+import {createEndpointOrderController} from '@gentianshunt/endpointOrders';
 import {createEntrySections} from '@gentianshunt/entryModel';
 import type {
   EntryController,
@@ -54,6 +55,7 @@
     createCountController(),
     createLeadershipController(),
     createEndpointRegistry(),
+    createEndpointOrderController(),
     createReplyController(),
     createLifecycleController(),
     createArrivalController(),
