Write down the capacity of each role and the exchange, from slopes

Cause: the size to design for had no figures. Change: `npm run bench:slopes` (exchange by rate, entries, endpoints and organisations; configuration by size; control daemons by entries; loss of a set leader under calls), docs/CAPACITY.md, docs/design/exchange.md; the benches speak the operators' language; leaving, silent and replaced endpoints tested in virtual time; endpoints are told where to announce.

--- a/bench/entry/src/main.ts
+++ b/bench/entry/src/main.ts
@@ -2,14 +2,15 @@
 import {createDeployment} from '@gentianshunt/deployment';
 import type {Deployment} from '@gentianshunt/deployment';
 import {createMetric, printBenchOutput} from '@gentianshunt/output';
-import {createBenchObjects, SET} from '@gentianshunt/virtualEntry';
+import {SET} from '@gentianshunt/virtualEntry';
 
 import {measureAddedLatency} from './addedLatency.js';
 import {measureEventCost} from './eventCost.js';
 import {measureIdleMemory} from './idleMemory.js';
-import {awaitEndpoint, createObjects} from './operator.js';
+import {awaitEndpoint, formatCommands, sendCommands} from './operator.js';
 
 const CONTROLS = 3;
+const ORGANISATIONS = 2;
 const REQUESTS_PER_SECOND = 500;
 const WARM_UP_MS = 5_000;
 const DURATION_MS = 20_000;
@@ -23,10 +24,7 @@
 
 async function measureProcesses(deployment: Deployment) {
   const entry = deployment.entries[0]!;
-  await createObjects(
-    entry.url,
-    createBenchObjects({organisations: 2, leader: null}),
-  );
+  await sendCommands(entry.url, formatCommands(ORGANISATIONS));
   const [entrydIdleRss, controldIdleRss] = await measureIdleMemory([
     entry.process.child.pid!,
     deployment.controls[0]!.process.child.pid!,
--- a/bench/entry/src/operator.ts
+++ b/bench/entry/src/operator.ts
@@ -1,57 +1,53 @@
 import {setTimeout as delay} from 'node:timers/promises';
 
-import type {ConfigurationObject} from '@gentianshunt/configuration';
-import {request} from 'undici';
+import {runCommandText, runQueryText} from '@gentianshunt/operatorClient';
+import type {EntryAccess} from '@gentianshunt/operatorClient';
+import {formatOrganisation, KIND, SET, TIERS} from '@gentianshunt/virtualEntry';
 
 const RETRY_MS = 100;
 const MAX_TRIES = 100;
 
-interface ForceReply {
-  readonly kind: string;
-  readonly status?: {readonly isInForce: boolean};
+/** Creates access to the operators' front of an entry. */
+export function createAccess(entry: string): EntryAccess {
+  return {entries: [entry], key: null, operator: 'bench'};
 }
 
-/** Creates objects in a deployment and waits until they are in force. */
-export async function createObjects(
-  entry: string,
-  objects: readonly ConfigurationObject[],
-): Promise<void> {
-  const commands = objects.map(object => ({
-    kind: 'put',
-    object,
-    expectedRevision: 0,
-  }));
-  const body = JSON.stringify({number: 1, operator: 'bench', commands});
-  await retry(async () => {
-    const reply = await request(`${entry}/v1/operator/commands`, {
-      method: 'POST',
-      headers: {'content-type': 'application/json'},
-      body,
-    });
-    const progress = (await reply.body.json()) as ForceReply;
-    return progress.kind === 'force' && progress.status?.isInForce === true;
-  });
+/** Writes the commands that create what a bench needs. */
+export function formatCommands(organisations: number): string {
+  const tiers = TIERS.map(
+    (tier, index) =>
+      `create tier ${tier} rank ${index + 1} weight 1 first-token-target-ms 1100`,
+  );
+  const owners = Array.from(
+    {length: organisations},
+    (_, index) =>
+      `create organisation ${formatOrganisation(index)} weight 1 tiers ${TIERS.join(', ')}`,
+  );
+  return [
+    ...tiers,
+    ...owners,
+    `create set ${SET} model ${SET}`,
+    `create kind ${KIND} idempotent true weight 1`,
+  ]
+    .map(command => `${command};`)
+    .join('\n');
 }
 
-/** Waits until an entry lists an endpoint. */
-export async function awaitEndpoint(entry: string): Promise<void> {
+/** Sends a text of commands and waits until they are in force. */
+export async function sendCommands(entry: string, text: string): Promise<void> {
+  const access = createAccess(entry);
   await retry(async () => {
-    const reply = await request(`${entry}/v1/operator/endpoints`);
-    const endpoints = (await reply.body.json()) as readonly unknown[];
-    return endpoints.length > 0;
+    const outcome = await runCommandText({access, text, number: 1});
+    return outcome.kind === 'inForce';
   });
 }
 
-/** Waits until the set has a leader and returns its node. */
-export async function awaitLeader(entry: string): Promise<string> {
-  let node: string | undefined;
+/** Waits until an entry lists an endpoint. */
+export async function awaitEndpoint(entry: string): Promise<void> {
   await retry(async () => {
-    const reply = await request(`${entry}/v1/operator/configuration`);
-    const text = await reply.body.text();
-    node = /"kind":"setLeadership"[^}]*"node":"([^"]+)"/.exec(text)?.[1];
-    return node !== undefined;
+    const outcome = await runQueryText(createAccess(entry), 'show endpoints');
+    return outcome.kind === 'rows' && outcome.result.rows.length > 0;
   });
-  return node!;
 }
 
 async function retry(attempt: () => Promise<boolean>): Promise<void> {
--- a/bench/slopes/src/failoverGap.ts
+++ b/bench/slopes/src/failoverGap.ts
@@ -2,13 +2,8 @@
 
 import {createDeployment} from '@gentianshunt/deployment';
 import type {Deployment} from '@gentianshunt/deployment';
-import {awaitEndpoint, awaitLeader, createObjects} from '@gentianshunt/entry';
-import {
-  createBenchObjects,
-  formatOrganisation,
-  KIND,
-  SET,
-} from '@gentianshunt/virtualEntry';
+import {awaitEndpoint, formatCommands, sendCommands} from '@gentianshunt/entry';
+import {formatOrganisation, KIND, SET} from '@gentianshunt/virtualEntry';
 import {request} from 'undici';
 
 const CALL_INTERVAL_MS = 10;
@@ -62,21 +57,37 @@
 
 async function startService(deployment: Deployment) {
   const {url} = deployment.entries[0]!;
-  await createObjects(
-    url,
-    createBenchObjects({organisations: 1, leader: null}),
-  );
+  await sendCommands(url, formatCommands(1));
   await deployment.startEngine({
     endpoint: 'engine-0',
     set: SET,
     extra: ['--batch', '64', '--step-ms', '2'],
   });
-  const node = await awaitLeader(url);
-  const leader = deployment.entries.find(entry => entry.node === node)!;
-  await awaitEndpoint(leader.url);
+  const leader = await findLeader(deployment);
   return leader;
 }
 
+/** Endpoints are told to announce at the leader of their set. */
+async function findLeader(deployment: Deployment) {
+  const {url} = deployment.entries[0]!;
+  await awaitEndpoint(url);
+  const reply = await request(`${url}/v1/endpoints/announce`, {
+    method: 'POST',
+    headers: {'content-type': 'application/json'},
+    body: JSON.stringify({
+      endpoint: 'probe',
+      incarnation: 'start-1',
+      set: SET,
+      domain: 'a',
+      url: 'http://127.0.0.1:9',
+      concurrency: 1,
+      leaving: true,
+    }),
+  });
+  const body = (await reply.body.json()) as {readonly announceTo: string};
+  return deployment.entries.find(entry => entry.url === body.announceTo)!;
+}
+
 async function call(url: string): Promise<boolean> {
   const reply = await request(`${url}/v1/chat/completions`, {
     method: 'POST',
--- a/scheduling/endpointOrders/test/endpointOrderController.test.ts
+++ b/scheduling/endpointOrders/test/endpointOrderController.test.ts
@@ -88,6 +88,7 @@
         value: {
           seenAt: 0,
           state: 'active',
+          replaced: [],
           announcement: {
             endpoint: toIdentifier('e1'),
             incarnation: toIdentifier('i1'),
