--- a/scheduling/entryModel/src/observation.ts
+++ b/scheduling/entryModel/src/observation.ts
@@ -103,18 +103,18 @@
       readonly end: RequestEnd;
       readonly firstTokenMs: Milliseconds | null;
     }
-  | {
-      readonly kind: 'addressesRequested';
-      readonly correlation: RequestId;
-      readonly organisation: OrganisationId;
-      readonly set: EndpointSetId;
-    }
   | {
       /** An endpoint answered an order, or could not be asked. */
       readonly kind: 'endpointOrderEnded';
       readonly run: OrderRun;
       readonly result: OrderResult;
     }
+  | {
+      readonly kind: 'addressesRequested';
+      readonly correlation: RequestId;
+      readonly organisation: OrganisationId;
+      readonly set: EndpointSetId;
+    }
   | {readonly kind: 'shutdownRequested'};
 
 /** An answer small enough to be kept. */
--- a/scheduling/entryModel/src/order.ts
+++ b/scheduling/entryModel/src/order.ts
@@ -68,6 +68,11 @@
       readonly waitedMs: Milliseconds;
       readonly firstTokenMs: Milliseconds | null;
     }
+  | {
+      /** Carries an order to an endpoint, unless its time has passed. */
+      readonly kind: 'sendEndpointOrder';
+      readonly run: OrderRun;
+    }
   | {
       readonly kind: 'answerAddresses';
       readonly correlation: RequestId;
@@ -75,9 +80,4 @@
       /** Entries in the order in which to try them. */
       readonly addresses: readonly EntryAddress[];
     }
-  | {
-      /** Carries an order to an endpoint, unless its time has passed. */
-      readonly kind: 'sendEndpointOrder';
-      readonly run: OrderRun;
-    }
   | {readonly kind: 'exit'};
