--- a/scheduling/endpointOrders/test/endpointOrderController.test.ts
+++ b/scheduling/endpointOrders/test/endpointOrderController.test.ts
@@ -89,7 +89,6 @@
           seenAt: 0,
           replaced: [],
           state: 'active',
-          replaced: [],
           announcement: {
             endpoint: toIdentifier('e1'),
             incarnation: toIdentifier('i1'),
