--- a/daemons/entryd/src/entryd.ts
+++ b/daemons/entryd/src/entryd.ts
@@ -29,6 +29,7 @@
   drawIdentifier,
 } from '@gentianshunt/runtime';
 import type {TimerTable} from '@gentianshunt/runtime';
+import {findLeaderAddress} from '@gentianshunt/setLeader';
 import {readOperatorKeys} from '@gentianshunt/settings';
 import type {EntrydSettings} from '@gentianshunt/settings';
 import {fastify} from 'fastify';
@@ -131,7 +132,16 @@
     metrics: createEntryMetrics(),
   };
   const {metrics, timers, callers} = adapters;
-  createEndpointFront({server, post});
+  createEndpointFront({
+    server,
+    post,
+    findLeader: set =>
+      findLeaderAddress({
+        configuration: node.view.configuration,
+        directory: node.view.control.directory,
+        set,
+      }),
+  });
   addHealthRoutes({server, metrics, readReady: () => isReady(node)});
   // The listener writes into what it is given.
   await server.listen({...settings.http});
