--- /dev/null
+++ b/control/consensus/src/appending.ts
@@ -0,0 +1,130 @@
+import type {TurnTime} from '@gentianshunt/board';
+import type {LogEntry, LogIndex} from '@gentianshunt/messages';
+
+import type {ConsensusDraft} from './consensusDraft.js';
+import {noteMemberships, revertMemberships} from './members.js';
+import type {AppendRequest, Sender} from './messageTypes.js';
+import {followTerm} from './terms.js';
+import {resetElection} from './timing.js';
+
+/** Follows the sender of a request, unless its term is over. */
+export function followLeader(
+  draft: ConsensusDraft,
+  from: Sender,
+  request: {readonly term: number},
+  now: TurnTime,
+): boolean {
+  if (request.term < draft.ballot.term) {
+    return false;
+  }
+  const isFollowing =
+    request.term === draft.ballot.term &&
+    draft.role.kind === 'follower' &&
+    draft.role.leader === from.node;
+  if (!isFollowing) {
+    followTerm(draft, request.term, from.node, now);
+  }
+  resetElection(draft, now);
+  return true;
+}
+
+/** Takes entries from the leader. */
+export function handleAppendRequest(
+  draft: ConsensusDraft,
+  from: Sender,
+  request: AppendRequest,
+  now: TurnTime,
+): void {
+  const isCurrent = followLeader(draft, from, request, now);
+  if (!isCurrent || !matchesPrevious(draft, request)) {
+    refuseAppend(draft, from, request);
+    return;
+  }
+  takeEntries(draft, request.entries);
+  const matchIndex = request.previousIndex + request.entries.length;
+  const commitIndex = Math.min(request.commitIndex, matchIndex);
+  if (commitIndex > draft.status.commitIndex) {
+    draft.set('logStatus', {...draft.status, commitIndex});
+  }
+  const reply = {
+    kind: 'appendReply',
+    term: draft.ballot.term,
+    success: true,
+    sentAt: request.sentAt,
+  } as const;
+  const to = {node: from.node, storage: null};
+  if (request.entries.length > 0) {
+    draft.sendAfterSync(to, {...reply, matchIndex});
+    return;
+  }
+  // Nothing is acknowledged beyond what was synced already.
+  const syncedIndex = Math.min(matchIndex, draft.status.syncedIndex);
+  draft.sendAfterSync(to, {...reply, matchIndex: syncedIndex});
+}
+
+function refuseAppend(
+  draft: ConsensusDraft,
+  from: Sender,
+  request: AppendRequest,
+): void {
+  draft.sendAfterSync(
+    {node: from.node, storage: null},
+    {
+      kind: 'appendReply',
+      term: draft.ballot.term,
+      success: false,
+      matchIndex: findHint(draft, request),
+      sentAt: request.sentAt,
+    },
+  );
+}
+
+/** Skips back over the whole term that conflicts. */
+function findHint(draft: ConsensusDraft, request: AppendRequest): LogIndex {
+  const {lastIndex, commitIndex} = draft.status;
+  if (request.previousIndex > lastIndex) {
+    return lastIndex;
+  }
+  const conflicting = draft.log.readTerm(request.previousIndex);
+  let index = request.previousIndex - 1;
+  while (index > commitIndex && draft.log.readTerm(index) === conflicting) {
+    index -= 1;
+  }
+  return Math.max(index, 0);
+}
+
+/** What is committed agrees with every later leader. */
+function matchesPrevious(
+  draft: ConsensusDraft,
+  request: AppendRequest,
+): boolean {
+  const {previousIndex, previousTerm} = request;
+  return (
+    previousIndex <= draft.status.commitIndex ||
+    draft.log.readTerm(previousIndex) === previousTerm
+  );
+}
+
+/** Appends what is new and removes what conflicts. */
+function takeEntries(
+  draft: ConsensusDraft,
+  entries: readonly LogEntry[],
+): void {
+  const {base} = draft.status;
+  const start = entries.findIndex(
+    entry =>
+      entry.index > base.index &&
+      draft.log.readEntry(entry.index)?.term !== entry.term,
+  );
+  if (start < 0) {
+    return;
+  }
+  const added = entries.slice(start);
+  const from = added[0]!.index;
+  if (from <= draft.status.lastIndex) {
+    draft.log.truncate(from);
+    revertMemberships(draft, from);
+  }
+  draft.log.append(added);
+  noteMemberships(draft, added);
+}
--- /dev/null
+++ b/control/consensus/src/cellDraft.ts
@@ -0,0 +1,48 @@
+import type {SectionView} from '@gentianshunt/board';
+import type {ControlSections, ControlWrite} from '@gentianshunt/controlModel';
+
+import type {ConsensusView} from './consensusView.js';
+
+/** The cells that the consensus controller writes. */
+export type ConsensusCells =
+  | 'ballot'
+  | 'role'
+  | 'logStatus'
+  | 'election'
+  | 'persistSequence'
+  | 'memberships'
+  | 'leadership'
+  | 'startCheck'
+  | 'snapshot'
+  | 'incoming';
+
+/** The cells as one run has changed them so far. */
+export interface CellDraft {
+  read<Name extends ConsensusCells>(
+    name: Name,
+  ): SectionView<ControlSections[Name]>;
+  set<Name extends ConsensusCells>(
+    name: Name,
+    value: SectionView<ControlSections[Name]>,
+  ): void;
+  listWrites(): readonly ControlWrite<ConsensusCells>[];
+}
+
+/** Creates a draft of the cells; only the last value of each is written. */
+export function createCellDraft(view: ConsensusView): CellDraft {
+  const changed = new Map<ConsensusCells, unknown>();
+  return {
+    read: name =>
+      changed.has(name)
+        ? (changed.get(name) as SectionView<ControlSections[typeof name]>)
+        : view.board[name],
+    set: (name, value) => {
+      changed.set(name, value);
+    },
+    listWrites: () =>
+      [...changed].map(
+        ([section, value]) =>
+          ({kind: 'set', section, value}) as ControlWrite<ConsensusCells>,
+      ),
+  };
+}
--- a/control/consensus/src/consensusController.ts
+++ b/control/consensus/src/consensusController.ts
@@ -3,73 +3,106 @@
 import type {
   ControlController,
   ControlObservation,
+  ControlTimer,
 } from '@gentianshunt/controlModel';
 import {assertNever} from '@gentianshunt/errors';
 import type {ConsensusMessage} from '@gentianshunt/messages';
-import type {NodeId} from '@gentianshunt/identifiers';
 
+import {handleAppendRequest} from './appending.js';
+import {compactLog} from './compaction.js';
 import {createConsensusDraft} from './consensusDraft.js';
+import type {ConsensusDraft} from './consensusDraft.js';
 import type {
-  ConsensusDraft,
   ConsensusReads,
   ConsensusSections,
-} from './consensusDraft.js';
+  ConsensusView,
+} from './consensusView.js';
 import {
   handleElectionTimer,
   handleVoteReply,
   handleVoteRequest,
 } from './election.js';
+import {handleFollowerReply} from './followerReply.js';
 import {
   advanceCommit,
   appendPayloads,
-  handleAppendReply,
-  handleAppendRequest,
   handleHeartbeatTimer,
-} from './replication.js';
-import {armElection, resetElection} from './timing.js';
+  stepDownIfRemoved,
+} from './leadership.js';
+import {isFormed} from './members.js';
+import type {Sender} from './messageTypes.js';
+import {handleSnapshotChunk} from './snapshotReceiver.js';
+import {
+  handleHello,
+  handleHelloReply,
+  handleHelloTimer,
+  handleStarted,
+} from './startup.js';
+import {noteWitness} from './witness.js';
+
+const WRITES: readonly ConsensusSections[] = [
+  'ballot',
+  'role',
+  'log',
+  'logStatus',
+  'progress',
+  'election',
+  'persistSequence',
+  'held',
+  'memberships',
+  'leadership',
+  'startCheck',
+  'snapshot',
+  'incoming',
+  'witnesses',
+  'applicants',
+];
 
 /** Creates the controller that keeps the replicated log. */
 export function createConsensusController(): ControlController {
   return defineControlController<ConsensusReads, ConsensusSections>({
     name: 'consensus',
-    reads: [
-      'identity',
-      'ballot',
-      'role',
-      'log',
-      'logStatus',
-      'progress',
-      'election',
-      'persistSequence',
-      'held',
-      'proposals',
-    ],
-    writes: [
-      'ballot',
-      'role',
-      'log',
-      'logStatus',
-      'progress',
-      'election',
-      'persistSequence',
-      'held',
-    ],
+    reads: ['identity', 'proposals', 'memberProposals', 'captured', ...WRITES],
+    writes: WRITES,
     observes: ['started', 'timerDue', 'persisted', 'consensusMessage'],
     run: (view, now) => {
       const draft = createConsensusDraft(view);
+      if (view.board.startCheck.kind === 'halted') {
+        return [];
+      }
       if (view.observation !== undefined) {
         handleObservation(draft, view.observation, now);
       }
-      const {proposals} = view.board;
-      const isProposed = view.readChanges('proposals').size > 0;
-      if (isProposed && proposals.length > 0 && draft.role.kind === 'leader') {
-        appendPayloads(draft, proposals, now);
-      }
+      takeCaptured(draft, view);
+      takeProposals(draft, view, now);
       return draft.listWrites();
     },
   });
 }
 
+function takeCaptured(draft: ConsensusDraft, view: ConsensusView): void {
+  const {captured} = view.board;
+  if (captured !== null && view.readChanges('captured').size > 0) {
+    compactLog(draft, captured);
+  }
+}
+
+function takeProposals(
+  draft: ConsensusDraft,
+  view: ConsensusView,
+  now: TurnTime,
+): void {
+  if (draft.role.kind !== 'leader') {
+    return;
+  }
+  for (const section of ['memberProposals', 'proposals'] as const) {
+    const payloads = view.board[section];
+    if (view.readChanges(section).size > 0 && payloads.length > 0) {
+      appendPayloads(draft, payloads, now);
+    }
+  }
+}
+
 function handleObservation(
   draft: ConsensusDraft,
   observation: ControlObservation,
@@ -80,19 +113,16 @@
       handleStarted(draft, observation, now);
       return;
     case 'timerDue':
-      if (observation.timer.kind === 'election') {
-        handleElectionTimer(draft, now);
-      }
-      if (observation.timer.kind === 'heartbeat') {
-        handleHeartbeatTimer(draft, now);
-      }
+      handleTimer(draft, observation.timer, now);
       return;
     case 'persisted':
-      handlePersisted(draft, observation.sequence);
+      handlePersisted(draft, observation.sequence, now);
       return;
-    case 'consensusMessage':
-      handleMessage(draft, observation.from, observation.message, now);
+    case 'consensusMessage': {
+      const {from: node, storage, message} = observation;
+      handleMessage(draft, {node, storage}, message, now);
       return;
+    }
     case 'entryMessage':
       return;
     default:
@@ -100,35 +130,61 @@
   }
 }
 
-/** Takes up what the disk held at the start. */
-function handleStarted(
+function handleTimer(
   draft: ConsensusDraft,
-  started: Extract<ControlObservation, {readonly kind: 'started'}>,
+  timer: ControlTimer,
   now: TurnTime,
 ): void {
-  draft.restore(started.ballot, started.entries);
-  resetElection(draft, now);
-  armElection(draft, now);
+  switch (timer.kind) {
+    case 'election':
+      handleElectionTimer(draft, now);
+      return;
+    case 'heartbeat':
+      handleHeartbeatTimer(draft, now);
+      return;
+    case 'hello':
+      handleHelloTimer(draft, now);
+      return;
+    case 'sessions':
+      return;
+    default:
+      assertNever(timer, 'handleTimer');
+  }
 }
 
 /** A batch is on disk, and with it every batch before it. */
-function handlePersisted(draft: ConsensusDraft, sequence: number): void {
-  const released = draft.release(sequence);
+function handlePersisted(
+  draft: ConsensusDraft,
+  sequence: number,
+  now: TurnTime,
+): void {
+  const released = draft.disk.release(sequence);
   const syncedIndex = Math.max(
     draft.status.syncedIndex,
     ...released.map(batch => batch.lastIndex),
   );
-  draft.setStatus({...draft.status, syncedIndex});
+  draft.set('logStatus', {...draft.status, syncedIndex});
   advanceCommit(draft);
+  stepDownIfRemoved(draft, now);
 }
 
 function handleMessage(
   draft: ConsensusDraft,
-  from: NodeId,
+  from: Sender,
   message: ConsensusMessage,
   now: TurnTime,
 ): void {
+  if (!isAccepted(draft, from, message)) {
+    return;
+  }
+  noteWitness(draft, from, message);
   switch (message.kind) {
+    case 'memberHello':
+      handleHello(draft, from, message);
+      return;
+    case 'memberHelloReply':
+      handleHelloReply(draft, from, message, now);
+      return;
     case 'voteRequest':
       handleVoteRequest(draft, from, message, now);
       return;
@@ -138,10 +194,41 @@
     case 'appendRequest':
       handleAppendRequest(draft, from, message, now);
       return;
+    case 'snapshotChunk':
+      handleSnapshotChunk(draft, from, message, now);
+      return;
     case 'appendReply':
-      handleAppendReply(draft, from, message, now);
+    case 'snapshotChunkReply':
+      handleFollowerReply(draft, from, message, now);
       return;
     default:
       assertNever(message, 'handleMessage');
   }
 }
+
+/**
+ * A member whose folder is not known to be sound neither votes nor
+ * acknowledges. An empty folder takes the log of a leader that knows it.
+ */
+function isAccepted(
+  draft: ConsensusDraft,
+  from: Sender,
+  message: ConsensusMessage,
+): boolean {
+  const check = draft.read('startCheck');
+  switch (message.kind) {
+    case 'memberHello':
+    case 'memberHelloReply':
+      return check.kind !== 'halted';
+    case 'appendRequest':
+    case 'snapshotChunk':
+      return (
+        check.kind === 'ready' ||
+        (check.kind === 'checking' &&
+          !isFormed(draft) &&
+          check.answers.has(from.node))
+      );
+    default:
+      return check.kind === 'ready';
+  }
+}
--- /dev/null
+++ b/control/consensus/src/consensusView.ts
@@ -0,0 +1,24 @@
+import type {View} from '@gentianshunt/board';
+import type {
+  ControlObservation,
+  ControlSections,
+} from '@gentianshunt/controlModel';
+
+import type {ConsensusCells} from './cellDraft.js';
+
+/** The maps by node that the consensus controller writes. */
+export type ConsensusMaps = 'progress' | 'witnesses' | 'applicants';
+
+/** The sections that the consensus controller writes. */
+export type ConsensusSections = ConsensusCells | ConsensusMaps | 'log' | 'held';
+
+/** The sections that the consensus controller reads. */
+export type ConsensusReads =
+  ConsensusSections | 'identity' | 'proposals' | 'memberProposals' | 'captured';
+
+/** What the consensus controller sees. */
+export type ConsensusView = View<
+  ControlSections,
+  ConsensusReads,
+  ControlObservation
+>;
--- a/control/consensus/src/election.ts
+++ b/control/consensus/src/election.ts
@@ -1,39 +1,17 @@
 import type {TurnTime} from '@gentianshunt/board';
-import type {ConsensusMessage, Term} from '@gentianshunt/messages';
-import type {NodeId} from '@gentianshunt/identifiers';
+import type {Term} from '@gentianshunt/messages';
 
 import type {ConsensusDraft} from './consensusDraft.js';
-import {becomeLeader} from './replication.js';
-import {armElection, MIN_ELECTION_TIMEOUT_MS, resetElection} from './timing.js';
-
-type VoteRequest = Extract<ConsensusMessage, {readonly kind: 'voteRequest'}>;
-type VoteReply = Extract<ConsensusMessage, {readonly kind: 'voteReply'}>;
-
-/** Lists the other voting members. */
-export function listPeers(draft: ConsensusDraft): readonly NodeId[] {
-  const {members, node} = draft.view.board.identity;
-  return members.filter(member => member !== node);
-}
-
-/** Counts the votes that decide. */
-export function readQuorum(draft: ConsensusDraft): number {
-  return Math.floor(draft.view.board.identity.members.length / 2) + 1;
-}
-
-/** Follows the given term; a higher term ends any other role. */
-export function followTerm(
-  draft: ConsensusDraft,
-  term: Term,
-  leader: NodeId | null,
-  now: TurnTime,
-): void {
-  if (term > draft.ballot.term) {
-    draft.setBallot({term, votedFor: null});
-  }
-  draft.setRole({kind: 'follower', leader});
-  resetElection(draft, now);
-  armElection(draft, now);
-}
+import {becomeLeader} from './leadership.js';
+import {isFormed, isVoter, listVoters, readQuorum} from './members.js';
+import type {Sender, VoteReply, VoteRequest} from './messageTypes.js';
+import {followTerm} from './terms.js';
+import {
+  armElection,
+  LEADER_TRUST_MS,
+  waitForLeader,
+  waitForVotes,
+} from './timing.js';
 
 /** Acts on an election deadline that may have passed. */
 export function handleElectionTimer(
@@ -43,70 +21,82 @@
   if (draft.role.kind === 'leader') {
     return;
   }
-  if (now.monotonic >= draft.election.deadline) {
+  if (now.monotonic < draft.election.deadline) {
+    armElection(draft, now);
+    return;
+  }
+  if (canStand(draft)) {
     startPreVote(draft, now);
     return;
   }
+  waitForLeader(draft, now);
   armElection(draft, now);
 }
 
+function canStand(draft: ConsensusDraft): boolean {
+  const {storage} = draft.view.board.identity;
+  return draft.read('startCheck').kind === 'ready' && isVoter(draft, storage);
+}
+
 /** Asks whether an election could be won, without raising the term. */
 function startPreVote(draft: ConsensusDraft, now: TurnTime): void {
   const self = draft.view.board.identity.node;
-  draft.setRole({kind: 'preCandidate', votes: new Set([self])});
-  resetElection(draft, now);
-  armElection(draft, now);
+  draft.set('role', {kind: 'preCandidate', votes: new Set([self])});
+  waitForVotes(draft, now);
   if (readQuorum(draft) === 1) {
     startElection(draft, now);
     return;
   }
-  for (const peer of listPeers(draft)) {
-    draft.send(peer, createVoteRequest(draft, true, draft.ballot.term + 1));
-  }
+  requestVotes(draft, true, draft.ballot.term + 1);
 }
 
 function startElection(draft: ConsensusDraft, now: TurnTime): void {
   const self = draft.view.board.identity.node;
   const term = draft.ballot.term + 1;
-  draft.setBallot({term, votedFor: self});
-  draft.setRole({kind: 'candidate', votes: new Set([self])});
-  resetElection(draft, now);
-  armElection(draft, now);
-  for (const peer of listPeers(draft)) {
-    draft.sendAfterSync(peer, createVoteRequest(draft, false, term));
-  }
+  draft.set('ballot', {term, votedFor: self});
+  draft.set('role', {kind: 'candidate', votes: new Set([self])});
+  waitForVotes(draft, now);
   if (readQuorum(draft) === 1) {
     becomeLeader(draft, now);
+    return;
   }
+  requestVotes(draft, false, term);
 }
 
-function createVoteRequest(
+function requestVotes(
   draft: ConsensusDraft,
   preVote: boolean,
   term: Term,
-): VoteRequest {
+): void {
   const {lastIndex, lastTerm} = draft.status;
-  return {kind: 'voteRequest', preVote, term, lastIndex, lastTerm};
+  const request: VoteRequest = {
+    kind: 'voteRequest',
+    preVote,
+    term,
+    lastIndex,
+    lastTerm,
+  };
+  const {storage: self} = draft.view.board.identity;
+  for (const {node, storage} of listVoters(draft)) {
+    if (storage !== self) {
+      // The candidate's own vote must be on disk before others add to it.
+      draft.sendAfterSync({node, storage}, request);
+    }
+  }
 }
 
 /** Answers a request for a vote or a pre-vote. */
 export function handleVoteRequest(
   draft: ConsensusDraft,
-  from: NodeId,
+  from: Sender,
   request: VoteRequest,
   now: TurnTime,
 ): void {
-  if (request.preVote) {
-    const granted =
-      request.term > draft.ballot.term &&
-      isUpToDate(draft, request) &&
-      !hearsLeader(draft, now);
-    draft.send(from, {
-      kind: 'voteReply',
-      preVote: true,
-      term: granted ? request.term : draft.ballot.term,
-      granted,
-    });
+  if (!isFormed(draft)) {
+    return;
+  }
+  if (request.preVote || hearsLeader(draft, now)) {
+    answerPreVote(draft, from, request, now);
     return;
   }
   if (request.term > draft.ballot.term) {
@@ -115,18 +105,39 @@
   const {term, votedFor} = draft.ballot;
   const granted =
     request.term === term &&
-    (votedFor === null || votedFor === from) &&
+    (votedFor === null || votedFor === from.node) &&
     isUpToDate(draft, request);
   if (granted && votedFor === null) {
-    draft.setBallot({term, votedFor: from});
-    resetElection(draft, now);
+    draft.set('ballot', {term, votedFor: from.node});
+    waitForLeader(draft, now);
   }
-  draft.sendAfterSync(from, {
-    kind: 'voteReply',
-    preVote: false,
-    term,
-    granted,
-  });
+  draft.sendAfterSync(
+    {node: from.node, storage: null},
+    {kind: 'voteReply', preVote: false, term, granted},
+  );
+}
+
+/** Nothing is promised, and nothing stored. */
+function answerPreVote(
+  draft: ConsensusDraft,
+  from: Sender,
+  request: VoteRequest,
+  now: TurnTime,
+): void {
+  const granted =
+    request.preVote &&
+    request.term > draft.ballot.term &&
+    isUpToDate(draft, request) &&
+    !hearsLeader(draft, now);
+  draft.send(
+    {node: from.node, storage: null},
+    {
+      kind: 'voteReply',
+      preVote: request.preVote,
+      term: granted ? request.term : draft.ballot.term,
+      granted,
+    },
+  );
 }
 
 function isUpToDate(draft: ConsensusDraft, request: VoteRequest): boolean {
@@ -137,25 +148,22 @@
   );
 }
 
-/** A member that hears its leader supports no election. */
+/**
+ * A member that heard its leader within the shortest election timeout
+ * supports no election; the leader lease rests on it. A member that has just
+ * started may have heard one before.
+ */
 function hearsLeader(draft: ConsensusDraft, now: TurnTime): boolean {
-  const {role, election} = draft;
-  if (role.kind === 'leader') {
+  if (draft.role.kind === 'leader') {
     return true;
   }
-  const heardWithin = election.deadline - now.monotonic;
-  return (
-    role.kind === 'follower' &&
-    role.leader !== null &&
-    heardWithin > 0 &&
-    heardWithin <= 2 * MIN_ELECTION_TIMEOUT_MS
-  );
+  return now.monotonic - draft.election.heardAt < LEADER_TRUST_MS;
 }
 
-/** Counts a vote. */
+/** Counts a vote of a voter. */
 export function handleVoteReply(
   draft: ConsensusDraft,
-  from: NodeId,
+  from: Sender,
   reply: VoteReply,
   now: TurnTime,
 ): void {
@@ -165,11 +173,14 @@
     }
     return;
   }
+  if (!isVoter(draft, from.storage)) {
+    return;
+  }
   const {role} = draft;
   if (reply.preVote) {
     if (role.kind === 'preCandidate' && reply.term === draft.ballot.term + 1) {
-      const votes = new Set([...role.votes, from]);
-      draft.setRole({kind: 'preCandidate', votes});
+      const votes = new Set([...role.votes, from.node]);
+      draft.set('role', {kind: 'preCandidate', votes});
       if (votes.size >= readQuorum(draft)) {
         startElection(draft, now);
       }
@@ -177,8 +188,8 @@
     return;
   }
   if (role.kind === 'candidate' && reply.term === draft.ballot.term) {
-    const votes = new Set([...role.votes, from]);
-    draft.setRole({kind: 'candidate', votes});
+    const votes = new Set([...role.votes, from.node]);
+    draft.set('role', {kind: 'candidate', votes});
     if (votes.size >= readQuorum(draft)) {
       becomeLeader(draft, now);
     }
--- a/control/consensus/src/index.ts
+++ b/control/consensus/src/index.ts
@@ -1,2 +1,3 @@
 export * from './consensusController.js';
+export * from './memberChangeController.js';
 export * from './timing.js';
--- a/control/consensus/src/replication.ts
+++ b/control/consensus/src/replication.ts
@@ -1,285 +1,155 @@
 import type {TurnTime} from '@gentianshunt/board';
-import type {MonotonicTime} from '@gentianshunt/clock';
-import type {
-  ConsensusMessage,
-  LogEntry,
-  LogIndex,
-  LogPayload,
-} from '@gentianshunt/messages';
-import type {NodeId} from '@gentianshunt/identifiers';
+import type {FollowerProgress} from '@gentianshunt/controlModel';
+import type {LogIndex, Member} from '@gentianshunt/messages';
 
 import type {ConsensusDraft} from './consensusDraft.js';
-import {followTerm, listPeers, readQuorum} from './election.js';
-import {armHeartbeat, QUORUM_TIMEOUT_MS, resetElection} from './timing.js';
-
-type AppendRequest = Extract<
-  ConsensusMessage,
-  {readonly kind: 'appendRequest'}
->;
-type AppendReply = Extract<ConsensusMessage, {readonly kind: 'appendReply'}>;
+import type {AppendReply} from './messageTypes.js';
+import {RETRANSMIT_MS} from './timing.js';
+import {resendChunk, startTransfer} from './snapshotSender.js';
 
 /** Most entries in one append request. */
 export const MAX_ENTRIES_PER_APPEND = 256;
+/** Most append requests with entries that await an answer. */
+export const MAX_APPENDS_IN_FLIGHT = 2;
 
-/** Takes the lead and commits the term with an empty entry. */
-export function becomeLeader(draft: ConsensusDraft, now: TurnTime): void {
-  draft.setRole({kind: 'leader', since: now.monotonic});
-  for (const peer of listPeers(draft)) {
-    draft.setProgress(peer, {
-      nextIndex: draft.status.lastIndex + 1,
-      matchIndex: 0,
-      confirmedAt: now.monotonic,
-      inFlight: false,
-      sentAt: now.monotonic,
-      round: 0,
-    });
-  }
-  armHeartbeat(draft);
-  appendPayloads(draft, [{kind: 'noop'}], now);
-}
-
-/** Appends payloads as the leader and sends them on. */
-export function appendPayloads(
-  draft: ConsensusDraft,
-  payloads: readonly LogPayload[],
-  now: TurnTime,
-): void {
-  const {term} = draft.ballot;
-  const first = draft.status.lastIndex + 1;
-  const entries = payloads.map((payload, offset): LogEntry => ({
-    index: first + offset,
-    term,
-    payload,
-  }));
-  draft.append(entries, null);
-  draft.setStatus({
-    ...draft.status,
-    lastIndex: draft.status.lastIndex + entries.length,
-    lastTerm: term,
-  });
-  for (const peer of listPeers(draft)) {
-    if (draft.readProgress(peer)?.inFlight === false) {
-      sendAppend(draft, peer, now);
-    }
-  }
-}
-
-/** Sends a follower what it lacks, or a heartbeat. */
-function sendAppend(draft: ConsensusDraft, peer: NodeId, now: TurnTime): void {
-  const progress = draft.readProgress(peer)!;
-  const previousIndex = progress.nextIndex - 1;
-  const entries = listEntries(draft, progress.nextIndex);
-  const round = progress.round + 1;
-  draft.setProgress(peer, {
-    ...progress,
-    inFlight: entries.length > 0,
-    sentAt: now.monotonic,
-    round,
-  });
-  draft.send(peer, {
-    kind: 'appendRequest',
-    term: draft.ballot.term,
-    previousIndex,
-    previousTerm: draft.readEntry(previousIndex)?.term ?? 0,
-    entries,
-    commitIndex: draft.status.commitIndex,
-    round,
-  });
-}
-
-function listEntries(
-  draft: ConsensusDraft,
-  from: LogIndex,
-): readonly LogEntry[] {
-  const last = Math.min(
-    draft.status.lastIndex,
-    from + MAX_ENTRIES_PER_APPEND - 1,
-  );
-  const entries: LogEntry[] = [];
-  for (let index = from; index <= last; index += 1) {
-    entries.push(draft.readEntry(index)!);
-  }
-  return entries;
-}
-
-/** Sends heartbeats, and steps down when no quorum answers. */
-export function handleHeartbeatTimer(
+/** Sends a follower what it lacks, unless enough is on its way. */
+export function sendAppend(
   draft: ConsensusDraft,
+  peer: Member,
   now: TurnTime,
 ): void {
-  if (draft.role.kind !== 'leader') {
+  const progress = draft.progress.get(peer.node)!;
+  const isDue =
+    progress.nextIndex <= draft.status.lastIndex &&
+    progress.inFlight.length < MAX_APPENDS_IN_FLIGHT &&
+    progress.transfer === null;
+  if (!isDue) {
     return;
   }
-  if (now.monotonic - readQuorumContact(draft, now) > QUORUM_TIMEOUT_MS) {
-    followTerm(draft, draft.ballot.term, null, now);
+  if (progress.nextIndex <= draft.status.base.index) {
+    startTransfer(draft, peer, now);
     return;
   }
-  for (const peer of listPeers(draft)) {
-    sendAppend(draft, peer, now);
-  }
-  armHeartbeat(draft);
+  const entries = draft.log.listEntries(
+    progress.nextIndex,
+    MAX_ENTRIES_PER_APPEND,
+  );
+  const lastIndex = entries[entries.length - 1]!.index;
+  draft.progress.put(peer.node, {
+    ...progress,
+    nextIndex: lastIndex + 1,
+    inFlight: [...progress.inFlight, lastIndex],
+    progressedAt:
+      progress.inFlight.length === 0 ? now.monotonic : progress.progressedAt,
+  });
+  sendRequest(draft, peer, progress.nextIndex - 1, entries.length, now);
 }
 
-/** Finds the latest instant at which a quorum followed this leader. */
-export function readQuorumContact(
+function sendRequest(
   draft: ConsensusDraft,
+  peer: Member,
+  previousIndex: LogIndex,
+  count: number,
   now: TurnTime,
-): MonotonicTime {
-  const contacts = listPeers(draft)
-    .map(peer => draft.readProgress(peer)?.confirmedAt ?? 0)
-    .concat(now.monotonic)
-    .sort((left, right) => right - left);
-  return contacts[readQuorum(draft) - 1]!;
+): void {
+  const {node, storage} = peer;
+  draft.send(
+    {node, storage},
+    {
+      kind: 'appendRequest',
+      term: draft.ballot.term,
+      previousIndex,
+      previousTerm: draft.log.readTerm(previousIndex) ?? 0,
+      entries: draft.log.listEntries(previousIndex + 1, count),
+      commitIndex: draft.status.commitIndex,
+      syncedIndex: draft.status.syncedIndex,
+      // Rounded down, so that a lease never starts after the sending.
+      sentAt: Math.floor(now.monotonic),
+    },
+  );
 }
 
-/** Takes entries from the leader. */
-export function handleAppendRequest(
+/** Shows a follower its leader, and sends anew what seems lost. */
+export function sendHeartbeat(
   draft: ConsensusDraft,
-  from: NodeId,
-  request: AppendRequest,
+  peer: Member,
   now: TurnTime,
 ): void {
-  if (request.term < draft.ballot.term) {
-    refuseAppend(draft, from, request, draft.status.lastIndex);
+  const progress = draft.progress.get(peer.node)!;
+  const isWaiting = progress.inFlight.length > 0 || progress.transfer !== null;
+  const isOverdue = now.monotonic - progress.progressedAt >= RETRANSMIT_MS;
+  if (isWaiting && isOverdue) {
+    resend(draft, peer, progress, now);
     return;
   }
-  const isFollowing =
-    request.term === draft.ballot.term &&
-    draft.role.kind === 'follower' &&
-    draft.role.leader === from;
-  if (isFollowing) {
-    resetElection(draft, now);
-  } else {
-    followTerm(draft, request.term, from, now);
-  }
-  if (!matchesPrevious(draft, request)) {
-    const hint = Math.min(draft.status.lastIndex, request.previousIndex - 1);
-    refuseAppend(draft, from, request, hint);
-    return;
-  }
-  takeEntries(draft, request);
-  const matchIndex = request.previousIndex + request.entries.length;
-  const commitIndex = Math.min(request.commitIndex, matchIndex);
-  if (commitIndex > draft.status.commitIndex) {
-    draft.setStatus({...draft.status, commitIndex});
-  }
-  const reply: AppendReply = {
-    kind: 'appendReply',
-    term: draft.ballot.term,
-    success: true,
-    matchIndex,
-    round: request.round,
-  };
-  if (request.entries.length === 0 && isFollowing) {
-    // Nothing new is acknowledged beyond what was synced already.
-    draft.send(from, {
-      ...reply,
-      matchIndex: Math.min(matchIndex, draft.status.syncedIndex),
-    });
-    return;
-  }
-  draft.sendAfterSync(from, reply);
+  const previousIndex = progress.nextIndex - 1;
+  const isKnown = previousIndex >= draft.status.base.index;
+  sendRequest(draft, peer, isKnown ? previousIndex : 0, 0, now);
 }
 
-function refuseAppend(
+function resend(
   draft: ConsensusDraft,
-  to: NodeId,
-  request: AppendRequest,
-  matchIndex: LogIndex,
+  peer: Member,
+  progress: FollowerProgress,
+  now: TurnTime,
 ): void {
-  draft.sendAfterSync(to, {
-    kind: 'appendReply',
-    term: draft.ballot.term,
-    success: false,
-    matchIndex,
-    round: request.round,
-  });
-}
-
-function matchesPrevious(
-  draft: ConsensusDraft,
-  request: AppendRequest,
-): boolean {
-  if (request.previousIndex === 0) {
-    return true;
-  }
-  const previous = draft.readEntry(request.previousIndex);
-  return previous?.term === request.previousTerm;
-}
-
-/** Appends what is new and removes what conflicts. */
-function takeEntries(draft: ConsensusDraft, request: AppendRequest): void {
-  const start = request.entries.findIndex(
-    entry => draft.readEntry(entry.index)?.term !== entry.term,
-  );
-  if (start < 0) {
+  if (progress.transfer !== null) {
+    resendChunk(draft, peer, progress, now);
     return;
   }
-  const added = request.entries.slice(start);
-  const from = added[0]!.index;
-  const conflicts = from <= draft.status.lastIndex;
-  draft.append(added, conflicts ? from : null);
-  const last = added[added.length - 1]!;
-  draft.setStatus({
-    ...draft.status,
-    lastIndex: last.index,
-    lastTerm: last.term,
-    syncedIndex: Math.min(draft.status.syncedIndex, from - 1),
+  draft.progress.put(peer.node, {
+    ...progress,
+    nextIndex: progress.matchIndex + 1,
+    inFlight: [],
+    progressedAt: now.monotonic,
   });
+  sendAppend(draft, peer, now);
 }
 
 /** Notes how far a follower has come. */
-export function handleAppendReply(
+export function noteAppendReply(
   draft: ConsensusDraft,
-  from: NodeId,
+  peer: Member,
   reply: AppendReply,
   now: TurnTime,
 ): void {
-  if (reply.term > draft.ballot.term) {
-    followTerm(draft, reply.term, null, now);
-    return;
-  }
-  const progress = draft.readProgress(from);
-  if (
-    draft.role.kind !== 'leader' ||
-    reply.term !== draft.ballot.term ||
-    progress === undefined
-  ) {
-    return;
-  }
-  const isLatest = reply.round === progress.round;
-  const confirmedAt = isLatest ? progress.sentAt : progress.confirmedAt;
-  const matchIndex = reply.success
-    ? Math.max(progress.matchIndex, reply.matchIndex)
-    : progress.matchIndex;
-  const nextIndex = reply.success
-    ? Math.max(progress.nextIndex, matchIndex + 1)
-    : Math.max(progress.matchIndex + 1, reply.matchIndex + 1);
-  draft.setProgress(from, {
+  const progress = draft.progress.get(peer.node)!;
+  const confirmedAt = Math.max(progress.confirmedAt, reply.sentAt);
+  const noted = reply.success
+    ? noteMatch(progress, reply.matchIndex, now)
+    : noteMismatch(progress, reply.matchIndex);
+  draft.progress.put(peer.node, {...noted, confirmedAt});
+  sendAppend(draft, peer, now);
+}
+
+/** Moves a follower on to an index that it has on its disk. */
+export function noteMatch(
+  progress: FollowerProgress,
+  index: LogIndex,
+  now: TurnTime,
+): FollowerProgress {
+  const matchIndex = Math.max(progress.matchIndex, index);
+  const {transfer} = progress;
+  const isTransferred = transfer !== null && matchIndex >= transfer.index;
+  return {
     ...progress,
+    transfer: isTransferred ? null : transfer,
     matchIndex,
-    nextIndex,
-    confirmedAt,
-    inFlight: progress.inFlight && !isLatest,
-  });
-  advanceCommit(draft);
-  if (nextIndex <= draft.status.lastIndex && isLatest) {
-    sendAppend(draft, from, now);
-  }
+    nextIndex: Math.max(progress.nextIndex, matchIndex + 1),
+    inFlight: progress.inFlight.filter(last => last > matchIndex),
+    progressedAt:
+      matchIndex > progress.matchIndex ? now.monotonic : progress.progressedAt,
+  };
 }
 
-/** Commits what a quorum holds, if it is of the leader's own term. */
-export function advanceCommit(draft: ConsensusDraft): void {
-  if (draft.role.kind !== 'leader') {
-    return;
-  }
-  const matches = listPeers(draft)
-    .map(peer => draft.readProgress(peer)?.matchIndex ?? 0)
-    .concat(draft.status.syncedIndex)
-    .sort((left, right) => right - left);
-  const candidate = matches[readQuorum(draft) - 1]!;
-  const isOwnTerm = draft.readEntry(candidate)?.term === draft.ballot.term;
-  if (candidate > draft.status.commitIndex && isOwnTerm) {
-    draft.setStatus({...draft.status, commitIndex: candidate});
-  }
+/** Goes back to where the follower's log may agree. */
+function noteMismatch(
+  progress: FollowerProgress,
+  hint: LogIndex,
+): FollowerProgress {
+  return {
+    ...progress,
+    nextIndex: Math.max(progress.matchIndex, hint) + 1,
+    inFlight: [],
+  };
 }
--- a/control/controlModel/src/observation.ts
+++ b/control/controlModel/src/observation.ts
@@ -2,6 +2,9 @@
   ConsensusMessage,
   EntryToControl,
   LogEntry,
+  LogPosition,
+  StateSnapshot,
+  StorageId,
 } from '@gentianshunt/messages';
 import type {NodeId} from '@gentianshunt/identifiers';
 
@@ -11,6 +14,7 @@
 export type ControlTimer =
   | {readonly kind: 'election'}
   | {readonly kind: 'heartbeat'}
+  | {readonly kind: 'hello'}
   | {readonly kind: 'sessions'};
 
 /** Everything that can happen to a control daemon. */
@@ -18,6 +22,10 @@
   | {
       readonly kind: 'started';
       readonly ballot: Ballot;
+      /** The latest snapshot on disk, if there is one. */
+      readonly snapshot: StateSnapshot | null;
+      /** The position just before the first entry. */
+      readonly base: LogPosition;
       readonly entries: readonly LogEntry[];
     }
   | {readonly kind: 'timerDue'; readonly timer: ControlTimer}
@@ -25,6 +33,8 @@
   | {
       readonly kind: 'consensusMessage';
       readonly from: NodeId;
+      /** The data folder of the sender. */
+      readonly storage: StorageId;
       readonly message: ConsensusMessage;
     }
   | {
--- a/control/controlModel/src/order.ts
+++ b/control/controlModel/src/order.ts
@@ -4,6 +4,10 @@
   ControlToEntry,
   LogEntry,
   LogIndex,
+  LogPosition,
+  StateSnapshot,
+  StorageId,
+  Witness,
 } from '@gentianshunt/messages';
 import type {NodeId} from '@gentianshunt/identifiers';
 
@@ -11,15 +15,41 @@
 import type {Ballot} from './role.js';
 
 /** What one write to the disk contains. */
-export interface PersistBatch {
-  /** Rises with every batch; the observation repeats it. */
-  readonly sequence: number;
-  /** `null` leaves the stored ballot as it is. */
-  readonly ballot: Ballot | null;
-  /** Entries from this index on are replaced; `null` removes none. */
-  readonly truncateFrom: LogIndex | null;
-  readonly entries: readonly LogEntry[];
-}
+export type PersistBatch =
+  | {
+      readonly kind: 'append';
+      /** Rises with every batch; the observation repeats it. */
+      readonly sequence: number;
+      /** `null` leaves the stored ballot as it is. */
+      readonly ballot: Ballot | null;
+      /** Entries from this index on are replaced; `null` removes none. */
+      readonly truncateFrom: LogIndex | null;
+      readonly entries: readonly LogEntry[];
+    }
+  | {
+      /** Replaces all that is stored. */
+      readonly kind: 'compact';
+      readonly sequence: number;
+      readonly ballot: Ballot;
+      readonly snapshot: StateSnapshot;
+      /** The position just before the first entry. */
+      readonly base: LogPosition;
+      readonly entries: readonly LogEntry[];
+    };
+
+/** Why a control daemon must not go on with its data folder. */
+export type HaltReason =
+  | {
+      /** A peer saw the folder write more than it holds now. */
+      readonly kind: 'oldFolder';
+      readonly peer: NodeId;
+      readonly witness: Witness;
+    }
+  | {
+      /** The members have replaced the folder by another. */
+      readonly kind: 'folderReplaced';
+      readonly peer: NodeId;
+    };
 
 /** Everything a control daemon can have its adapters do. */
 export type ControlOrder =
@@ -27,6 +57,8 @@
   | {
       readonly kind: 'sendConsensus';
       readonly to: NodeId;
+      /** The only folder that may take the message; `null` lets any. */
+      readonly storage: StorageId | null;
       readonly message: ConsensusMessage;
     }
   | {
@@ -38,4 +70,5 @@
       readonly kind: 'setTimer';
       readonly timer: ControlTimer;
       readonly delayMs: Milliseconds;
-    };
+    }
+  | {readonly kind: 'halt'; readonly reason: HaltReason};
--- a/control/controlModel/src/sections.ts
+++ b/control/controlModel/src/sections.ts
@@ -22,6 +22,8 @@
   LogEntry,
   LogIndex,
   LogPayload,
+  StateSnapshot,
+  StorageId,
   ServiceCountKey,
   ServiceTotals,
 } from '@gentianshunt/messages';
@@ -33,10 +35,16 @@
 import type {ControlOrder} from './order.js';
 import type {
   Ballot,
+  CapturedState,
   ElectionTimer,
+  FolderWitness,
   FollowerProgress,
+  IncomingSnapshot,
+  Leadership,
   LogStatus,
+  Membership,
   Role,
+  StartCheck,
 } from './role.js';
 import type {
   AssignmentPhase,
@@ -77,8 +85,10 @@
 /** What a control daemon knows of itself and its peers. */
 export interface ControlIdentity {
   readonly node: NodeId;
-  /** All voting members, this one included. */
+  /** The nodes that may be members, this one included. */
   readonly members: readonly NodeId[];
+  /** The data folder of this member. */
+  readonly storage: StorageId;
   /** Seed of the election jitter. */
   readonly seed: number;
 }
@@ -86,6 +96,7 @@
 /** A message held back until the disk has synced a batch. */
 export interface HeldMessage {
   readonly to: NodeId;
+  readonly storage: StorageId | null;
   readonly message: ConsensusMessage;
 }
 
@@ -104,13 +115,31 @@
     role: defineCell<Role>({kind: 'follower', leader: null}),
     log: defineOrdered<LogIndex, LogEntry>(compareValues),
     logStatus: defineCell<LogStatus>({
+      base: {index: 0, term: 0},
       lastIndex: 0,
       lastTerm: 0,
       syncedIndex: 0,
       commitIndex: 0,
     }),
     progress: defineMap<NodeId, FollowerProgress>(),
-    election: defineCell<ElectionTimer>({deadline: 0, attempts: 0}),
+    election: defineCell<ElectionTimer>({
+      deadline: 0,
+      attempts: 0,
+      heardAt: 0,
+    }),
+    memberships: defineCell<readonly Membership[]>([]),
+    leadership: defineCell<Leadership>({kind: 'following'}),
+    startCheck: defineCell<StartCheck>({
+      kind: 'checking',
+      since: 0,
+      answers: new Map(),
+    }),
+    snapshot: defineCell<StateSnapshot | null>(null),
+    captured: defineCell<CapturedState | null>(null),
+    incoming: defineCell<IncomingSnapshot | null>(null),
+    witnesses: defineMap<NodeId, FolderWitness>(),
+    applicants: defineMap<NodeId, StorageId>(),
+    memberProposals: defineCell<readonly LogPayload[]>([]),
     persistSequence: defineCell<number>(0),
     held: defineOrdered<number, HeldBatch>(compareValues),
     proposals: defineCell<readonly LogPayload[]>([]),
--- a/control/controlNode/src/controlNode.ts
+++ b/control/controlNode/src/controlNode.ts
@@ -1,7 +1,10 @@
 import {createControlLoop} from '@gentianshunt/board';
 import type {ControlLoop} from '@gentianshunt/board';
 import type {Clock} from '@gentianshunt/clock';
-import {createConsensusController} from '@gentianshunt/consensus';
+import {
+  createConsensusController,
+  createMemberChangeController,
+} from '@gentianshunt/consensus';
 import {createControlSections} from '@gentianshunt/controlModel';
 import type {
   ControlController,
@@ -16,12 +19,17 @@
   createReplyController,
   createSessionController,
 } from '@gentianshunt/entrySessions';
-import {createStateMachineController} from '@gentianshunt/stateMachine';
+import {
+  createCaptureController,
+  createStateMachineController,
+} from '@gentianshunt/stateMachine';
+import type {CaptureOptions} from '@gentianshunt/stateMachine';
 
 /** What a control daemon is made of. */
 export interface ControlNodeOptions {
   readonly identity: ControlIdentity;
   readonly clock: Clock;
+  readonly capture?: CaptureOptions;
   /** Carries out an order; it must not throw and must not block. */
   readonly perform: (order: ControlOrder) => void;
 }
@@ -30,13 +38,17 @@
 export type ControlNode = ControlLoop<ControlSections, ControlObservation>;
 
 /** Lists the controllers of a control daemon in the order they run. */
-export function createControlControllers(): readonly ControlController[] {
+export function createControlControllers(
+  capture: CaptureOptions = {},
+): readonly ControlController[] {
   return [
     // Proposals come first: replies then record what is under way.
     createProposalController(),
     createReplyController(),
     createConsensusController(),
+    createMemberChangeController(),
     createStateMachineController(),
+    createCaptureController(capture),
     createSessionController(),
     createAssignmentController(),
   ];
@@ -46,7 +58,7 @@
 export function createControlNode(options: ControlNodeOptions): ControlNode {
   return createControlLoop({
     sections: createControlSections(options.identity),
-    controllers: createControlControllers(),
+    controllers: createControlControllers(options.capture),
     clock: options.clock,
     perform: options.perform,
   });
--- a/control/controlNode/test/fixture.ts
+++ b/control/controlNode/test/fixture.ts
@@ -47,7 +47,12 @@
   const clock = createManualClock();
   const sent: {to: NodeId; message: ControlToEntry}[] = [];
   const node = createControlNode({
-    identity: {node: SELF, members: [SELF], seed: 1},
+    identity: {
+      node: SELF,
+      members: [SELF],
+      storage: toIdentifier('folder'),
+      seed: 1,
+    },
     clock,
     perform: order => perform(order),
   });
@@ -62,7 +67,12 @@
   const takeSent: ControlFixture['takeSent'] = () => sent.splice(0);
   const receive: ControlFixture['receive'] = (from, message) =>
     node.post({kind: 'entryMessage', from: toIdentifier(from), message});
-  node.post({kind: 'started', ...stored});
+  node.post({
+    kind: 'started',
+    snapshot: null,
+    base: {index: 0, term: 0},
+    ...stored,
+  });
   clock.advance(ELECTION_WAIT_MS);
   node.post({kind: 'timerDue', timer: {kind: 'election'}});
   return {
--- /dev/null
+++ b/control/controlNode/test/leadership.test.ts
@@ -0,0 +1,127 @@
+import t from 'tap';
+
+import {createTestDeployment} from './deploymentFixture.js';
+import type {TestDeployment} from './deploymentFixture.js';
+
+const ONE_SECOND_STEPS = 100;
+const LEASE_MS = 640;
+const HEARTBEAT_MS = 350;
+const ELECTION_LIMIT_STEPS = 2 * ONE_SECOND_STEPS;
+
+function createLedDeployment(): TestDeployment {
+  const deployment = createTestDeployment(3);
+  deployment.settle(5 * ONE_SECOND_STEPS);
+  return deployment;
+}
+
+/** Runs the others while one member can neither send nor receive. */
+function settleWithout(
+  deployment: TestDeployment,
+  isolated: string,
+  steps: number,
+): void {
+  for (let step = 0; step < steps; step += 1) {
+    const cut = deployment.bag.filter(
+      ({from, to}) => from === isolated || to === isolated,
+    );
+    cut.forEach(message =>
+      deployment.bag.splice(deployment.bag.indexOf(message), 1),
+    );
+    deployment.settle(1);
+  }
+}
+
+t.test('a leader is confirmed while a quorum answers', t => {
+  const deployment = createLedDeployment();
+  const {leadership} = deployment.findLeader()!.loop!.view;
+  t.equal(leadership.kind, 'leading');
+  if (leadership.kind === 'leading') {
+    t.equal(
+      leadership.confirmedUntil,
+      leadership.confirmedSince + LEASE_MS,
+      'the lease counts from the sending',
+    );
+  }
+  t.end();
+});
+
+t.test('an isolated leader loses its lease before another is elected', t => {
+  const deployment = createLedDeployment();
+  const former = deployment.findLeader()!;
+  const others = deployment.members.filter(member => member !== former);
+  let elapsedMs = 0;
+  let electedAtMs: number | undefined;
+  const {leadership} = former.loop!.view;
+  const until =
+    leadership.kind === 'leading'
+      ? leadership.confirmedUntil - leadership.confirmedSince
+      : 0;
+  for (let step = 0; step < ELECTION_LIMIT_STEPS; step += 1) {
+    settleWithout(deployment, former.node, 1);
+    elapsedMs += 10;
+    const isElected = others.some(
+      member => member.loop!.view.role.kind === 'leader',
+    );
+    electedAtMs ??= isElected ? elapsedMs : undefined;
+  }
+  t.ok(electedAtMs !== undefined && electedAtMs > until - HEARTBEAT_MS);
+  t.equal(former.loop!.view.leadership.kind, 'following', 'quorum check');
+  const {term} = former.loop!.view.ballot;
+  settleWithout(deployment, former.node, 5 * ONE_SECOND_STEPS);
+  t.equal(former.loop!.view.ballot.term, term, 'pre-vote keeps the term');
+  t.end();
+});
+
+t.test('a member that hears its leader grants no vote', t => {
+  const deployment = createLedDeployment();
+  const leader = deployment.findLeader()!;
+  const [voter, candidate] = deployment.members.filter(
+    member => member !== leader,
+  );
+  const {term} = voter!.loop!.view.ballot;
+  deployment.deliver({
+    from: candidate!.node,
+    to: voter!.node,
+    sender: candidate!.folder.storage,
+    receiver: null,
+    message: {
+      kind: 'voteRequest',
+      preVote: false,
+      term: term + 1,
+      lastIndex: 1_000,
+      lastTerm: term,
+    },
+  });
+  t.equal(voter!.loop!.view.ballot.term, term);
+  t.end();
+});
+
+t.test('a lost append is sent again', t => {
+  const deployment = createLedDeployment();
+  const leader = deployment.findLeader()!;
+  deployment.command(leader, 1);
+  deployment.bag.splice(0);
+  deployment.settle(ONE_SECOND_STEPS);
+  const last = leader.loop!.view.logStatus.lastIndex;
+  for (const member of deployment.members) {
+    t.equal(member.loop!.view.logStatus.commitIndex, last);
+  }
+  t.end();
+});
+
+t.test('nothing is acknowledged before it is synced', t => {
+  const deployment = createLedDeployment();
+  const leader = deployment.findLeader()!;
+  deployment.command(leader, 1);
+  deployment.bag.splice(0).forEach(deployment.deliver);
+  const replies = deployment.bag.filter(
+    ({message}) => message.kind === 'appendReply',
+  );
+  t.same(replies, [], 'followers have not synced');
+  deployment.members.forEach(member => member.sync());
+  t.equal(
+    deployment.bag.filter(({message}) => message.kind === 'appendReply').length,
+    2,
+  );
+  t.end();
+});
--- a/control/messages/src/consensusMessage.ts
+++ b/control/messages/src/consensusMessage.ts
@@ -1,7 +1,30 @@
 import type {LogEntry, LogIndex, Term} from './logEntry.js';
+import type {Member} from './membership.js';
+import type {SnapshotHeader, SnapshotItem} from './snapshot.js';
+
+/** How far a member is known to have written its log in a term. */
+export interface Witness {
+  readonly term: Term;
+  readonly index: LogIndex;
+}
 
 /** Messages among the control daemons that keep the log. */
 export type ConsensusMessage =
+  | {
+      /** Sent at the start: asks what the others know of this folder. */
+      readonly kind: 'memberHello';
+      /** Whether the folder belongs to a deployment already. */
+      readonly formed: boolean;
+    }
+  | {
+      readonly kind: 'memberHelloReply';
+      /** The members as the sender knows them, or `null` if it knows none. */
+      readonly members: readonly Member[] | null;
+      /** Whether the sender leads and its members are committed. */
+      readonly leading: boolean;
+      /** What the sender saw the receiver's folder write, if anything. */
+      readonly witness: Witness | null;
+    }
   | {
       /** Asks for a vote; a pre-vote changes no term. */
       readonly kind: 'voteRequest';
@@ -23,8 +46,10 @@
       readonly previousTerm: Term;
       readonly entries: readonly LogEntry[];
       readonly commitIndex: LogIndex;
-      /** Rises with every request; replies carry it back. */
-      readonly round: number;
+      /** Last index on the leader's own disk. */
+      readonly syncedIndex: LogIndex;
+      /** Sending time by the leader's clock; the reply repeats it. */
+      readonly sentAt: number;
     }
   | {
       readonly kind: 'appendReply';
@@ -32,5 +57,23 @@
       readonly success: boolean;
       /** Last index known to match, or a hint where to try next. */
       readonly matchIndex: LogIndex;
-      readonly round: number;
+      readonly sentAt: number;
+    }
+  | {
+      readonly kind: 'snapshotChunk';
+      readonly term: Term;
+      readonly header: SnapshotHeader;
+      /** Position of the first item of the chunk. */
+      readonly offset: number;
+      readonly items: readonly SnapshotItem[];
+      readonly isLast: boolean;
+      readonly sentAt: number;
+    }
+  | {
+      readonly kind: 'snapshotChunkReply';
+      readonly term: Term;
+      readonly index: LogIndex;
+      /** Items received without a gap. */
+      readonly received: number;
+      readonly sentAt: number;
     };
--- a/control/messages/src/index.ts
+++ b/control/messages/src/index.ts
@@ -1,4 +1,6 @@
 export * from './consensusMessage.js';
 export * from './controlMessage.js';
 export * from './logEntry.js';
+export * from './membership.js';
+export * from './snapshot.js';
 export * from './serviceCount.js';
--- a/control/messages/src/logEntry.ts
+++ b/control/messages/src/logEntry.ts
@@ -10,6 +10,7 @@
   RequestId,
 } from '@gentianshunt/identifiers';
 
+import type {Member} from './membership.js';
 import type {CountReport} from './serviceCount.js';
 
 /** Names one operator command in the whole deployment. */
@@ -46,6 +47,11 @@
 /** What the replicated log carries. */
 export type LogPayload =
   | {readonly kind: 'noop'}
+  | {
+      /** Takes effect as soon as it is in the log. */
+      readonly kind: 'membership';
+      readonly members: readonly Member[];
+    }
   | {
       readonly kind: 'command';
       readonly command: OperatorCommand;
@@ -112,6 +118,12 @@
 /** Position in the control log; the first entry has index 1. */
 export type LogIndex = number;
 
+/** A position in the log and the term of the entry there. */
+export interface LogPosition {
+  readonly index: LogIndex;
+  readonly term: Term;
+}
+
 /** One entry of the replicated log. */
 export interface LogEntry {
   readonly index: LogIndex;
--- a/control/stateMachine/src/stateMachineController.ts
+++ b/control/stateMachine/src/stateMachineController.ts
@@ -18,16 +18,20 @@
   STATE_SECTIONS,
 } from './stateDraft.js';
 import type {StateDraft, StateReads, StateWrites} from './stateDraft.js';
+import {listRestoreWrites} from './stateSnapshot.js';
 
 /** Creates the controller that applies the committed log. */
 export function createStateMachineController(): ControlController {
-  return defineControlController<StateReads, StateWrites>({
+  return defineControlController<StateReads | 'snapshot', StateWrites>({
     name: 'stateMachine',
-    reads: ['log', 'logStatus', ...STATE_SECTIONS],
+    reads: ['snapshot', 'log', 'logStatus', ...STATE_SECTIONS],
     writes: STATE_SECTIONS,
     observes: [],
     run: ({board}) => {
-      const {logStatus, applied, log} = board;
+      const {logStatus, applied, log, snapshot} = board;
+      if (snapshot !== null && snapshot.index > applied.index) {
+        return listRestoreWrites(board, snapshot);
+      }
       if (applied.index >= logStatus.commitIndex) {
         return [];
       }
@@ -54,6 +58,7 @@
   const {payload} = entry;
   switch (payload.kind) {
     case 'noop':
+    case 'membership':
       return;
     case 'command':
       applyCommand(draft, entry, payload);
--- a/control/stateMachine/test/stateMachine.test.ts
+++ b/control/stateMachine/test/stateMachine.test.ts
@@ -55,6 +55,7 @@
         return {kind: 'put', section: 'log', key: index, value} as const;
       });
       const status = {
+        base: {index: 0, term: 0},
         lastIndex: index,
         lastTerm: 1,
         syncedIndex: index,
@@ -75,6 +76,7 @@
     sections: createControlSections({
       node: toIdentifier('c0'),
       members: [toIdentifier('c0')],
+      storage: toIdentifier('folder'),
       seed: 1,
     }),
     controllers: [createLog(runs), createStateMachineController()],
--- a/daemons/controld/src/controld.ts
+++ b/daemons/controld/src/controld.ts
@@ -6,7 +6,8 @@
 import {createControlNode} from '@gentianshunt/controlNode';
 import type {ControlNode} from '@gentianshunt/controlNode';
 import {assertNever} from '@gentianshunt/errors';
-import {openLogFile} from '@gentianshunt/logFile';
+import {openLogFile, openStorageFolder} from '@gentianshunt/logFile';
+import {toIdentifier} from '@gentianshunt/identifiers';
 import type {LogFile} from '@gentianshunt/logFile';
 import {createLogger} from '@gentianshunt/logging';
 import {addHealthRoutes, createControlMetrics} from '@gentianshunt/metrics';
@@ -16,14 +17,21 @@
   createSystemClock,
   createTimerTable,
   drawFraction,
+  drawIdentifier,
   drawSeed,
 } from '@gentianshunt/runtime';
 import type {TimerTable} from '@gentianshunt/runtime';
 import type {ControldSettings} from '@gentianshunt/settings';
+import type {StorageId} from '@gentianshunt/messages';
 import {fastify} from 'fastify';
 import type {FastifyInstance} from 'fastify';
 
+import {DataFolderRefusedError} from './dataFolderRefusedError.js';
 import {toObservation} from './peerMessages.js';
+import type {ConsensusEnvelope} from './peerMessages.js';
+
+/** Characters of a storage id; unique among a handful of members. */
+const STORAGE_ID_LENGTH = 10;
 
 const logger = createLogger({namespace: 'controld'});
 
@@ -53,7 +61,8 @@
   const post = (observation: ControlObservation): void =>
     node.post(observation);
   const logFile = await openLogFile({
-    dataFolder: settings.data_folder,
+    folder: await openStorageFolder(settings.data_folder),
+    drawStorageId,
     onPersisted: sequence => post({kind: 'persisted', sequence}),
     onFailed: options.onFailed,
   });
@@ -61,7 +70,7 @@
     self: settings.node,
     listen: settings.peer,
     onMessage: (from, body) => {
-      const observation = toObservation(from, body);
+      const observation = toObservation(from, body, logFile.storage);
       if (observation !== undefined) {
         post(observation);
       }
@@ -77,10 +86,11 @@
     identity: {
       node: settings.node,
       members: settings.control.map(member => member.node),
+      storage: logFile.storage,
       seed: drawSeed(),
     },
     clock: createSystemClock(),
-    perform: order => perform(settings, adapters, order),
+    perform: order => perform(options, adapters, order),
   });
   post({kind: 'started', ...logFile.stored});
   const server = await listenForHealth(settings, node);
@@ -94,8 +104,14 @@
   };
 }
 
+/** Draws a short id, as each message of the log carries it. */
+function drawStorageId(): StorageId {
+  const id = drawIdentifier<StorageId>();
+  return toIdentifier(id.slice(0, STORAGE_ID_LENGTH));
+}
+
 function perform(
-  settings: ControldSettings,
+  {settings, onFailed}: ControldOptions,
   adapters: Adapters,
   order: ControlOrder,
 ): void {
@@ -107,7 +123,13 @@
       const address = settings.control.find(
         member => member.node === order.to,
       )?.peer;
-      adapters.links.send(order.to, address, order.message);
+      const envelope: ConsensusEnvelope = {
+        kind: 'consensus',
+        sender: adapters.logFile.storage,
+        receiver: order.storage,
+        message: order.message,
+      };
+      adapters.links.send(order.to, address, envelope);
       return;
     }
     case 'sendEntry':
@@ -117,6 +139,9 @@
     case 'setTimer':
       adapters.timers.set(order.timer, order.delayMs);
       return;
+    case 'halt':
+      onFailed(new DataFolderRefusedError(settings.data_folder, order.reason));
+      return;
     default:
       assertNever(order, 'perform');
   }
--- a/daemons/controld/src/peerMessages.ts
+++ b/daemons/controld/src/peerMessages.ts
@@ -1,14 +1,20 @@
 import {readMessageKind} from '@gentianshunt/peerLinks';
 import type {ControlObservation} from '@gentianshunt/controlModel';
 import type {NodeId} from '@gentianshunt/identifiers';
-import type {ConsensusMessage, EntryToControl} from '@gentianshunt/messages';
+import type {
+  ConsensusMessage,
+  EntryToControl,
+  StorageId,
+} from '@gentianshunt/messages';
 
-const CONSENSUS_KINDS: ReadonlySet<string> = new Set<ConsensusMessage['kind']>([
-  'voteRequest',
-  'voteReply',
-  'appendRequest',
-  'appendReply',
-]);
+/** A message of the log with the data folders it goes between. */
+export interface ConsensusEnvelope {
+  readonly kind: 'consensus';
+  readonly sender: StorageId;
+  /** The only folder that may take the message; `null` lets any. */
+  readonly receiver: StorageId | null;
+  readonly message: ConsensusMessage;
+}
 
 const ENTRY_KINDS: ReadonlySet<string> = new Set<EntryToControl['kind']>([
   'entryHeartbeat',
@@ -27,10 +33,14 @@
 export function toObservation(
   from: NodeId,
   body: unknown,
+  self: StorageId,
 ): ControlObservation | undefined {
   const kind = readMessageKind(body);
-  if (CONSENSUS_KINDS.has(kind)) {
-    return {kind: 'consensusMessage', from, message: body as ConsensusMessage};
+  if (kind === 'consensus') {
+    const {sender, receiver, message} = body as ConsensusEnvelope;
+    return receiver === null || receiver === self
+      ? {kind: 'consensusMessage', from, storage: sender, message}
+      : undefined;
   }
   if (ENTRY_KINDS.has(kind)) {
     return {kind: 'entryMessage', from, message: body as EntryToControl};
--- a/storage/logFile/src/index.ts
+++ b/storage/logFile/src/index.ts
@@ -1,3 +1,4 @@
 export * from './logFile.js';
 export * from './logFileErrors.js';
-export * from './record.js';
+export * from './readFolder.js';
+export * from './storageFolder.js';
--- a/storage/logFile/src/logFile.ts
+++ b/storage/logFile/src/logFile.ts
@@ -1,25 +1,27 @@
-import {mkdir, open} from 'node:fs/promises';
-import type {FileHandle} from 'node:fs/promises';
-import {join} from 'node:path';
-
-import type {Ballot, PersistBatch} from '@gentianshunt/controlModel';
+import type {PersistBatch} from '@gentianshunt/controlModel';
 import {assertNever} from '@gentianshunt/errors';
-import type {LogEntry} from '@gentianshunt/messages';
-
-import {CorruptLogError, LogWriteError} from './logFileErrors.js';
-import {decodeRecord, encodeRecord} from './record.js';
-import type {LogRecord} from './record.js';
+import type {StorageId} from '@gentianshunt/messages';
 
-const LOG_FILE_NAME = 'control.log';
+import {LogWriteError} from './logFileErrors.js';
+import {
+  listLogRecords,
+  LOG_FILE_NAME,
+  readFolder,
+  SNAPSHOT_FILE_NAME,
+} from './readFolder.js';
+import type {StoredLog} from './readFolder.js';
+import {encodeRecords} from './record.js';
+import type {StoredRecord} from './record.js';
+import type {StorageFile, StorageFolder} from './storageFolder.js';
+import {appendAll, writeWholeFile} from './wholeFile.js';
 
-/** What the log file held when it was opened. */
-export interface StoredLog {
-  readonly ballot: Ballot;
-  readonly entries: readonly LogEntry[];
-}
+type AppendBatch = Extract<PersistBatch, {readonly kind: 'append'}>;
+type CompactBatch = Extract<PersistBatch, {readonly kind: 'compact'}>;
 
 /** The replicated log on disk. */
 export interface LogFile {
+  /** Identifies the data folder. */
+  readonly storage: StorageId;
   readonly stored: StoredLog;
   /** Queues a batch; batches queued meanwhile share one sync. */
   persist(batch: PersistBatch): void;
@@ -28,7 +30,9 @@
 
 /** What a log file needs. */
 export interface LogFileOptions {
-  readonly dataFolder: string;
+  readonly folder: StorageFolder;
+  /** Draws the identifier of an empty folder. */
+  readonly drawStorageId: () => StorageId;
   /** Called once a batch and all before it are synced. */
   readonly onPersisted: (sequence: number) => void;
   /** Called when a write or sync failed; nothing further is written. */
@@ -37,68 +41,52 @@
 
 /** Opens the log in a data folder, cutting off a torn tail. */
 export async function openLogFile(options: LogFileOptions): Promise<LogFile> {
-  await mkdir(options.dataFolder, {recursive: true});
-  const path = join(options.dataFolder, LOG_FILE_NAME);
-  const file = await open(path, 'a+');
-  const bytes = await file.readFile();
-  const {stored, length} = readRecords(bytes, path);
-  if (length < bytes.length) {
-    await file.truncate(length);
-  }
-  await file.sync();
-  await syncFolder(options.dataFolder);
-  const queue = createWriteQueue(file, path, options);
+  const {folder} = options;
+  const {storage, stored} = await readFolder(folder, options.drawStorageId);
+  const writer = createLogWriter(folder, await folder.openFile(LOG_FILE_NAME));
+  const queue = createWriteQueue(writer, options);
   return {
+    storage,
     stored,
     persist: queue.push,
     close: async () => {
       await queue.drain();
-      await file.close();
+      await writer.close();
     },
   };
 }
 
-async function syncFolder(folder: string): Promise<void> {
-  const handle = await open(folder, 'r');
-  await handle.sync();
-  await handle.close();
-}
-
-interface ReadResult {
-  readonly stored: StoredLog;
-  /** Bytes that hold whole records. */
-  readonly length: number;
+interface LogWriter {
+  append(batches: readonly AppendBatch[]): Promise<void>;
+  compact(batch: CompactBatch): Promise<void>;
+  close(): Promise<void>;
 }
 
-function readRecords(bytes: Buffer, path: string): ReadResult {
-  let ballot: Ballot = {term: 0, votedFor: null};
-  const entries: LogEntry[] = [];
-  let offset = 0;
-  while (offset < bytes.length) {
-    const decoded = decodeRecord(bytes, offset);
-    if (decoded.kind === 'torn') {
-      break;
-    }
-    if (decoded.kind === 'corrupt') {
-      throw new CorruptLogError(path, offset);
-    }
-    offset = decoded.nextOffset;
-    const {record} = decoded;
-    switch (record.kind) {
-      case 'ballot':
-        ballot = record.ballot;
-        break;
-      case 'truncate':
-        entries.length = Math.min(entries.length, record.from - 1);
-        break;
-      case 'entry':
-        entries.push(record.entry);
-        break;
-      default:
-        assertNever(record, 'readRecords');
-    }
-  }
-  return {stored: {ballot, entries}, length: offset};
+function createLogWriter(
+  folder: StorageFolder,
+  opened: StorageFile,
+): LogWriter {
+  let file = opened;
+  return {
+    append: async batches => {
+      const records = batches.flatMap(listAppendRecords);
+      if (records.length > 0) {
+        await appendAll(file, encodeRecords(records));
+        await file.sync();
+      }
+    },
+    compact: async batch => {
+      await writeWholeFile(
+        folder,
+        SNAPSHOT_FILE_NAME,
+        listSnapshotRecords(batch),
+      );
+      await writeWholeFile(folder, LOG_FILE_NAME, listLogRecords(batch));
+      await file.close();
+      file = await folder.openFile(LOG_FILE_NAME);
+    },
+    close: () => file.close(),
+  };
 }
 
 interface WriteQueue {
@@ -107,8 +95,7 @@
 }
 
 function createWriteQueue(
-  file: FileHandle,
-  path: string,
+  writer: LogWriter,
   options: LogFileOptions,
 ): WriteQueue {
   let queued: PersistBatch[] = [];
@@ -117,24 +104,20 @@
     while (queued.length > 0) {
       const batches = queued;
       queued = [];
-      await writeBatches(file, path, batches);
+      await writeBatches(writer, batches);
       options.onPersisted(batches[batches.length - 1]!.sequence);
     }
+    writing = undefined;
   };
-  const start = (): void => {
-    writing = writeQueued().then(
-      () => {
-        writing = undefined;
-      },
-      (error: unknown) => options.onFailed(error as LogWriteError),
-    );
+  const fail = (error: unknown): void => {
+    const step = 'persist';
+    options.onFailed(new LogWriteError(options.folder.path, step, error));
   };
   return {
     push: batch => {
       queued.push(batch);
-      if (writing === undefined) {
-        start();
-      }
+      // After a failure `writing` stays set, and nothing more is written.
+      writing ??= Promise.resolve().then(writeQueued).catch(fail);
     },
     drain: async () => {
       await writing;
@@ -142,29 +125,31 @@
   };
 }
 
+/** Writes batches in order; neighbouring appends share one sync. */
 async function writeBatches(
-  file: FileHandle,
-  path: string,
+  writer: LogWriter,
   batches: readonly PersistBatch[],
 ): Promise<void> {
-  const records = batches.flatMap(toRecords).map(encodeRecord);
-  if (records.length === 0) {
-    return;
-  }
-  try {
-    await file.appendFile(Buffer.concat(records));
-  } catch (error) {
-    throw new LogWriteError(path, 'append', error);
-  }
-  try {
-    await file.datasync();
-  } catch (error) {
-    throw new LogWriteError(path, 'sync', error);
+  let appends: AppendBatch[] = [];
+  for (const batch of batches) {
+    switch (batch.kind) {
+      case 'append':
+        appends.push(batch);
+        break;
+      case 'compact':
+        // It holds all that the appends before it hold.
+        appends = [];
+        await writer.compact(batch);
+        break;
+      default:
+        assertNever(batch, 'writeBatches');
+    }
   }
+  await writer.append(appends);
 }
 
-function toRecords(batch: PersistBatch): readonly LogRecord[] {
-  const records: LogRecord[] = [];
+function listAppendRecords(batch: AppendBatch): readonly StoredRecord[] {
+  const records: StoredRecord[] = [];
   if (batch.ballot !== null) {
     records.push({kind: 'ballot', ballot: batch.ballot});
   }
@@ -174,3 +159,11 @@
   batch.entries.forEach(entry => records.push({kind: 'entry', entry}));
   return records;
 }
+
+function listSnapshotRecords(batch: CompactBatch): readonly StoredRecord[] {
+  const {items, ...header} = batch.snapshot;
+  return [
+    {kind: 'snapshot', header},
+    ...items.map(item => ({kind: 'item', item}) as const),
+  ];
+}
--- a/storage/logFile/src/logFileErrors.ts
+++ b/storage/logFile/src/logFileErrors.ts
@@ -1,13 +1,28 @@
 import {SchedulerError} from '@gentianshunt/errors';
 
-/** A record in the middle of the log that fails its checksum. */
+const READMIT_HINT =
+  'empty the data folder; the member is then admitted again as a learner';
+
+/** A file that is damaged in a place that had been synced. */
 export class CorruptLogError extends SchedulerError {
   constructor(file: string, offset: number) {
     super({
       code: 'ERR_CORRUPT_LOG',
       message: `record at byte ${offset} fails its checksum`,
       origin: {step: 'readLogFile', peer: file},
-      hint: 'restore the member as a learner with an empty data folder',
+      hint: READMIT_HINT,
+    });
+  }
+}
+
+/** A data folder in which a file is missing or fits no other. */
+export class IncompleteFolderError extends SchedulerError {
+  constructor(folder: string, detail: string) {
+    super({
+      code: 'ERR_INCOMPLETE_FOLDER',
+      message: `the data folder is incomplete: ${detail}`,
+      origin: {step: 'openLogFile', peer: folder},
+      hint: READMIT_HINT,
     });
   }
 }
--- a/storage/logFile/src/record.ts
+++ b/storage/logFile/src/record.ts
@@ -1,52 +1,101 @@
 import {decodeValue, encodeValue} from '@gentianshunt/frames';
 import type {Ballot} from '@gentianshunt/controlModel';
-import type {LogEntry, LogIndex} from '@gentianshunt/messages';
+import type {
+  LogEntry,
+  LogIndex,
+  LogPosition,
+  SnapshotHeader,
+  SnapshotItem,
+  StorageId,
+} from '@gentianshunt/messages';
 import crc32 from 'crc-32';
 
-/** What one record of the log file carries. */
-export type LogRecord =
+/** What one record of a file in the data folder carries. */
+export type StoredRecord =
+  | {readonly kind: 'storage'; readonly id: StorageId}
+  | {readonly kind: 'base'; readonly base: LogPosition}
   | {readonly kind: 'ballot'; readonly ballot: Ballot}
   | {readonly kind: 'truncate'; readonly from: LogIndex}
-  | {readonly kind: 'entry'; readonly entry: LogEntry};
+  | {readonly kind: 'entry'; readonly entry: LogEntry}
+  | {readonly kind: 'snapshot'; readonly header: SnapshotHeader}
+  | {readonly kind: 'item'; readonly item: SnapshotItem}
+  /** Closes what is written at once, so that damage before it shows. */
+  | {readonly kind: 'end'};
 
-/** Bytes of length and checksum before each record. */
-export const RECORD_HEADER_BYTES = 8;
+/** Bytes that begin each record. */
+const RECORD_MAGIC = Buffer.from('gsr1', 'latin1');
+const LENGTH_OFFSET = RECORD_MAGIC.length;
+const CHECKSUM_OFFSET = LENGTH_OFFSET + 4;
+/** Bytes of magic, length and checksum before each record. */
+export const RECORD_HEADER_BYTES = CHECKSUM_OFFSET + 4;
 
 /** Encodes a record with its length and checksum. */
-export function encodeRecord(record: LogRecord): Buffer {
+export function encodeRecord(record: StoredRecord): Buffer {
   const content = encodeValue(record);
   const bytes = Buffer.allocUnsafe(RECORD_HEADER_BYTES + content.length);
-  bytes.writeUInt32BE(content.length, 0);
-  bytes.writeInt32BE(crc32.buf(content), 4);
+  RECORD_MAGIC.copy(bytes);
+  bytes.writeUInt32BE(content.length, LENGTH_OFFSET);
   content.copy(bytes, RECORD_HEADER_BYTES);
+  bytes.writeInt32BE(computeChecksum(bytes), CHECKSUM_OFFSET);
   return bytes;
 }
 
-/** A record read from a file, or why none could be read. */
-export type DecodedRecord =
-  | {
-      readonly kind: 'record';
-      readonly record: LogRecord;
-      readonly nextOffset: number;
+/** Encodes records that are written at once. */
+export function encodeRecords(records: readonly StoredRecord[]): Buffer {
+  return Buffer.concat([...records, {kind: 'end'} as const].map(encodeRecord));
+}
+
+/** The checksum covers the length as well as the content. */
+function computeChecksum(record: Buffer): number {
+  const length = record.subarray(LENGTH_OFFSET, CHECKSUM_OFFSET);
+  return crc32.buf(record.subarray(RECORD_HEADER_BYTES), crc32.buf(length));
+}
+
+/** The records of a file, as far as they are whole. */
+export interface DecodedRecords {
+  readonly records: readonly StoredRecord[];
+  /** Bytes that hold whole records. */
+  readonly length: number;
+}
+
+/** Decodes records up to the first one that is not whole. */
+export function decodeRecords(bytes: Buffer): DecodedRecords {
+  const records: StoredRecord[] = [];
+  let offset = 0;
+  for (;;) {
+    const end = findRecordEnd(bytes, offset);
+    if (end === undefined) {
+      return {records, length: offset};
     }
-  /** The file ends within the record. */
-  | {readonly kind: 'torn'}
-  | {readonly kind: 'corrupt'};
-
-/** Decodes the record at an offset. */
-export function decodeRecord(bytes: Buffer, offset: number): DecodedRecord {
-  if (offset + RECORD_HEADER_BYTES > bytes.length) {
-    return {kind: 'torn'};
+    const content = bytes.subarray(offset + RECORD_HEADER_BYTES, end);
+    records.push(decodeValue(content) as StoredRecord);
+    offset = end;
   }
+}
+
+/** Tells whether a whole record stands anywhere from an offset on. */
+export function hasRecordAfter(bytes: Buffer, offset: number): boolean {
+  let start = bytes.indexOf(RECORD_MAGIC, offset);
+  while (start >= 0) {
+    if (findRecordEnd(bytes, start) !== undefined) {
+      return true;
+    }
+    start = bytes.indexOf(RECORD_MAGIC, start + 1);
+  }
+  return false;
+}
+
+function findRecordEnd(bytes: Buffer, offset: number): number | undefined {
   const start = offset + RECORD_HEADER_BYTES;
-  const end = start + bytes.readUInt32BE(offset);
-  if (end > bytes.length) {
-    return {kind: 'torn'};
+  if (start > bytes.length) {
+    return undefined;
   }
-  const content = bytes.subarray(start, end);
-  if (crc32.buf(content) !== bytes.readInt32BE(offset + 4)) {
-    return {kind: 'corrupt'};
+  const magic = bytes.subarray(offset, offset + LENGTH_OFFSET);
+  const end = start + bytes.readUInt32BE(offset + LENGTH_OFFSET);
+  if (end > bytes.length || !magic.equals(RECORD_MAGIC)) {
+    return undefined;
   }
-  const record = decodeValue(content) as LogRecord;
-  return {kind: 'record', record, nextOffset: end};
+  const checksum = bytes.readInt32BE(offset + CHECKSUM_OFFSET);
+  const isSound = computeChecksum(bytes.subarray(offset, end)) === checksum;
+  return isSound ? end : undefined;
 }
--- /dev/null
+++ b/storage/logFile/test/logFixture.ts
@@ -0,0 +1,86 @@
+import type {PersistBatch} from '@gentianshunt/controlModel';
+import {toIdentifier} from '@gentianshunt/identifiers';
+import type {NodeId} from '@gentianshunt/identifiers';
+import type {LogEntry, Member, StorageId} from '@gentianshunt/messages';
+
+import {openLogFile} from '../src/index.js';
+import type {LogFile, LogWriteError, StorageFolder} from '../src/index.js';
+
+/** An opened log and what it reported. */
+export interface TestLog {
+  readonly file: LogFile;
+  readonly persisted: readonly number[];
+  readonly failures: readonly LogWriteError[];
+  /** Persists batches and waits until the disk has dealt with them. */
+  persist(...batches: readonly PersistBatch[]): Promise<void>;
+}
+
+let drawn = 0;
+
+/** Opens the log on a disk. */
+export async function openTestLog(folder: StorageFolder): Promise<TestLog> {
+  const persisted: number[] = [];
+  const failures: LogWriteError[] = [];
+  const file = await openLogFile({
+    folder,
+    drawStorageId: () => {
+      drawn += 1;
+      return toIdentifier<StorageId>(`storage-${drawn}`);
+    },
+    onPersisted: sequence => persisted.push(sequence),
+    onFailed: error => failures.push(error),
+  });
+  return {
+    file,
+    persisted,
+    failures,
+    persist: async (...batches) => {
+      batches.forEach(file.persist);
+      await file.close();
+    },
+  };
+}
+
+/** Creates an entry with a payload of its own. */
+export function createEntry(index: number, term = 1): LogEntry {
+  return {index, term, payload: {kind: 'noop'}};
+}
+
+/** Creates a batch that appends entries. */
+export function createAppendBatch(
+  sequence: number,
+  entries: readonly LogEntry[],
+  truncateFrom: number | null = null,
+): PersistBatch {
+  const ballot = {term: sequence, votedFor: toIdentifier<NodeId>('control-0')};
+  return {kind: 'append', sequence, ballot, truncateFrom, entries};
+}
+
+/** Creates a batch that replaces the log up to an index by a snapshot. */
+export function createCompactBatch(
+  sequence: number,
+  index: number,
+  entries: readonly LogEntry[] = [],
+): PersistBatch {
+  return {
+    kind: 'compact',
+    sequence,
+    ballot: {term: sequence, votedFor: null},
+    snapshot: {
+      index,
+      term: 1,
+      members: [createMember()],
+      items: [{kind: 'set', section: 'applied', value: {index, version: 0}}],
+    },
+    base: {index, term: 1},
+    entries,
+  };
+}
+
+function createMember(): Member {
+  return {
+    node: toIdentifier<NodeId>('control-0'),
+    storage: toIdentifier<StorageId>('storage-0'),
+    role: 'voter',
+  };
+}
