Measure the control daemons and test them as processes

Cause: commits, changes of leader, restarts, idle cost and time in force had no figures, and no test killed or froze a real leader.

Change: a stand-in entry over real links, a bench of seven measurements, and two tests that kill and freeze the leader while commands run and then resend every command and compare the answers.

--- /dev/null
+++ b/bench/control/src/index.ts
@@ -0,0 +1,1 @@
+export * from './metric.js';
--- a/cli/deployment/src/deployment.ts
+++ b/cli/deployment/src/deployment.ts
@@ -24,6 +24,8 @@
 /** A started control daemon. */
 export interface DeployedControl {
   readonly node: string;
+  readonly peer: {readonly host: string; readonly port: number};
+  readonly dataFolder: string;
   readonly settingsFile: string;
   readonly process: StartedProcess;
 }
@@ -92,14 +94,16 @@
   const controls = await Promise.all(
     members.map(async (member, index) => {
       const settingsFile = join(folder, `${member.node}.toml`);
+      const dataFolder = join(folder, member.node);
       const lines = [
         ...formatCommon(member.node, index, member.port),
-        `data_folder = "${join(folder, member.node)}"`,
+        `data_folder = "${dataFolder}"`,
         memberText,
       ];
       writeFileSync(settingsFile, lines.join('\n'));
       const process = await startControl(settingsFile);
-      return {node: member.node, settingsFile, process};
+      const peer = {host: HOST, port: member.port};
+      return {node: member.node, peer, dataFolder, settingsFile, process};
     }),
   );
   const entries = await Promise.all(
@@ -152,9 +156,9 @@
       startEndpoint('standins/plainService/dist/src/main.js', args),
     restartControl: async node => {
       const index = controls.findIndex(control => control.node === node);
-      const {settingsFile} = controls[index]!;
-      const process = await startControl(settingsFile);
-      controls[index] = {node, settingsFile, process};
+      const control = controls[index]!;
+      const process = await startControl(control.settingsFile);
+      controls[index] = {...control, process};
     },
     stop: async () => {
       const processes = [
--- /dev/null
+++ b/cli/entrySubscriber/src/index.ts
@@ -0,0 +1,1 @@
+export * from './entrySubscriber.js';
