--- /dev/null
+++ b/bench/policyBench/src/fleet.ts
@@ -0,0 +1,112 @@
+import {assertNever} from '@gentianshunt/errors';
+
+import type {Arrival} from './arrivals.js';
+import {createEngine} from './engine.js';
+import type {Engine, EngineListener, EngineLoad} from './engine.js';
+import {
+  FAULT_AT_MS,
+  FAULT_LENGTH_MS,
+  readReportLag,
+  SLOWDOWN_FACTOR,
+} from './fault.js';
+import type {FaultName} from './fault.js';
+import type {Profile} from './profile.js';
+import type {RunRecorder} from './runRecorder.js';
+import type {Timeline} from './timeline.js';
+
+/** An engine's report, taken some time ago. */
+export interface StaleLoad extends EngineLoad {
+  readonly ageMs: number;
+}
+
+/** The engines of a run and the reports they send. */
+export interface Fleet {
+  readonly engines: readonly Engine[];
+  readStaleLoad(engine: Engine): StaleLoad;
+}
+
+/** What a fleet is made of. */
+export interface FleetOptions {
+  readonly profile: Profile;
+  readonly fault: FaultName;
+  readonly timeline: Timeline;
+  readonly recorder: RunRecorder;
+  readonly listener: EngineListener;
+}
+
+const REPORT_INTERVAL_MS = 250;
+
+interface LoadSample {
+  readonly at: number;
+  readonly load: EngineLoad;
+}
+
+/** Creates the engines and plans the fault that strikes them. */
+export function createFleet(options: FleetOptions): Fleet {
+  const {profile, timeline, recorder, fault} = options;
+  const engines = profile.engines.map(spec =>
+    createEngine({
+      spec,
+      timeline,
+      listener: options.listener,
+      countPrefill: (arrival: Arrival, tokens) =>
+        recorder.countPrefill(arrival, tokens),
+    }),
+  );
+  const samples = new Map<Engine, LoadSample[]>();
+  const lagMs = readReportLag(fault);
+  const takeSamples = (): void => {
+    const at = timeline.clock.readMonotonic();
+    for (const engine of engines) {
+      const history = samples.get(engine) ?? [];
+      history.push({at, load: engine.readLoad()});
+      while (history.length > 1 && history[1]!.at <= at - lagMs) {
+        history.shift();
+      }
+      samples.set(engine, history);
+    }
+    timeline.schedule(REPORT_INTERVAL_MS, takeSamples);
+  };
+  takeSamples();
+  planEngineFault(engines, timeline, fault);
+  return {
+    engines,
+    readStaleLoad: engine => {
+      const oldest = samples.get(engine)![0]!;
+      const ageMs = timeline.clock.readMonotonic() - oldest.at;
+      return {...oldest.load, ageMs};
+    },
+  };
+}
+
+function planEngineFault(
+  engines: readonly Engine[],
+  timeline: Timeline,
+  fault: FaultName,
+): void {
+  switch (fault) {
+    case 'engineSlow': {
+      // The fastest engine of the first set carries most of the work.
+      const engine = engines[0]!;
+      timeline.schedule(FAULT_AT_MS, () => engine.slowDown(SLOWDOWN_FACTOR));
+      timeline.schedule(FAULT_AT_MS + FAULT_LENGTH_MS, () =>
+        engine.slowDown(1),
+      );
+      return;
+    }
+    case 'halfEngines':
+      timeline.schedule(FAULT_AT_MS, () =>
+        engines
+          .filter((_, index) => index % 2 === 1)
+          .forEach(engine => engine.stop()),
+      );
+      return;
+    case 'none':
+    case 'burst':
+    case 'leaderLost':
+    case 'lateReports':
+      return;
+    default:
+      assertNever(fault, 'planEngineFault');
+  }
+}
--- /dev/null
+++ b/bench/policyBench/src/metrics.ts
@@ -0,0 +1,169 @@
+import type {Profile} from './profile.js';
+import type {RequestRecord} from './runRecorder.js';
+
+/** Figures of one tier. */
+export interface TierSummary {
+  readonly rank: number;
+  /** Requests answered whole to callers still there, weighted by kind. */
+  readonly goodput: number;
+  /** Weighted requests whose callers would have waited for the work alone. */
+  readonly wanted: number;
+  readonly refused: number;
+  readonly firstTokenMs: Percentiles;
+}
+
+/** Percentiles of a time in milliseconds; `null` without a sample. */
+export interface Percentiles {
+  readonly p50: number | null;
+  readonly p95: number | null;
+  readonly p99: number | null;
+}
+
+/** Figures of one run. */
+export interface RunSummary {
+  readonly requests: number;
+  readonly answered: number;
+  readonly abandoned: number;
+  readonly cut: number;
+  readonly weightedGoodput: number;
+  readonly wastedPrefillTokens: number;
+  readonly wastedPrefillShare: number;
+  readonly tierOrderViolations: number;
+  readonly topTierGoodput: number;
+  /** Least share of a small organisation over its fair share. */
+  readonly smallOrgShare: number;
+  readonly firstTokenMs: Percentiles;
+  readonly tiers: readonly TierSummary[];
+}
+
+/** What a summary is made from. */
+export interface SummaryInput {
+  readonly profile: Profile;
+  readonly records: readonly RequestRecord[];
+  readonly violations: number;
+}
+
+/** Organisations below this part of the arrivals count as small. */
+const SMALL_SHARE = 0.1;
+
+/** Sums up a run. */
+export function summarizeRun(input: SummaryInput): RunSummary {
+  const {records, profile} = input;
+  const tiers = Array.from({length: profile.tierCount}, (_, index) =>
+    summarizeTier(
+      records.filter(({arrival}) => arrival.rank === index + 1),
+      index + 1,
+    ),
+  );
+  const prefill = sumPrefill(records);
+  const wasted = sumPrefill(records.filter(record => !isAnswered(record)));
+  return {
+    requests: records.length,
+    answered: countOutcomes(records, 'answered'),
+    abandoned: countOutcomes(records, 'abandoned'),
+    cut: countOutcomes(records, 'cut'),
+    weightedGoodput: tiers.reduce((sum, tier) => sum + tier.goodput, 0),
+    wastedPrefillTokens: Math.round(wasted),
+    wastedPrefillShare: prefill === 0 ? 0 : wasted / prefill,
+    tierOrderViolations: input.violations,
+    topTierGoodput: readTopShare(records),
+    smallOrgShare: measureSmallShare(profile, records),
+    firstTokenMs: readFirstTokens(records),
+    tiers,
+  };
+}
+
+function summarizeTier(
+  records: readonly RequestRecord[],
+  rank: number,
+): TierSummary {
+  return {
+    rank,
+    goodput: sumValue(records.filter(isAnswered)),
+    wanted: sumValue(records.filter(({arrival}) => arrival.wouldWait)),
+    refused: countOutcomes(records, 'shed'),
+    firstTokenMs: readFirstTokens(records),
+  };
+}
+
+/** Part answered of the top tier's requests whose callers would wait. */
+function readTopShare(records: readonly RequestRecord[]): number {
+  const wanted = records.filter(
+    ({arrival}) => arrival.rank === 1 && arrival.wouldWait,
+  );
+  return sumValue(wanted.filter(isAnswered)) / sumValue(wanted);
+}
+
+function isAnswered({outcome}: RequestRecord): boolean {
+  return outcome?.kind === 'answered';
+}
+
+function sumValue(records: readonly RequestRecord[]): number {
+  return records.reduce((sum, {arrival}) => sum + arrival.kind.value, 0);
+}
+
+function sumPrefill(records: readonly RequestRecord[]): number {
+  return records.reduce((sum, {prefillTokens}) => sum + prefillTokens, 0);
+}
+
+function countOutcomes(
+  records: readonly RequestRecord[],
+  kind: string,
+): number {
+  return records.filter(({outcome}) => outcome?.kind === kind).length;
+}
+
+/**
+ * A small organisation asks for less than an equal share of a tier, so its
+ * fair share is all that its callers would have waited for, or an equal share
+ * of what the tier answered when that is less.
+ */
+function measureSmallShare(
+  profile: Profile,
+  records: readonly RequestRecord[],
+): number {
+  const total = profile.organisations.reduce((sum, org) => sum + org.weight, 0);
+  const small = profile.organisations.filter(
+    ({weight}) => weight / total < SMALL_SHARE,
+  );
+  const {set} = profile.kinds[0]!;
+  const contended = records.filter(({arrival}) => arrival.kind.set === set);
+  const shares = small.map(({id}) => {
+    let fair = 0;
+    let received = 0;
+    for (let rank = 1; rank <= profile.tierCount; rank += 1) {
+      const tier = contended.filter(({arrival}) => arrival.rank === rank);
+      const own = tier.filter(({arrival}) => arrival.organisation === id);
+      const served = sumValue(tier.filter(isAnswered));
+      const wanted = sumValue(own.filter(({arrival}) => arrival.wouldWait));
+      const equal = served / profile.organisations.length;
+      fair += Math.min(wanted, equal);
+      received += Math.min(
+        sumValue(own.filter(isAnswered)),
+        Math.min(wanted, equal),
+      );
+    }
+    return fair === 0 ? 1 : received / fair;
+  });
+  return Math.min(...shares);
+}
+
+function readFirstTokens(records: readonly RequestRecord[]): Percentiles {
+  const times = records
+    .filter(({firstTokenAt}) => firstTokenAt !== null)
+    .map(({arrival, firstTokenAt}) => firstTokenAt! - arrival.at)
+    .sort((left, right) => left - right);
+  return {
+    p50: readPercentile(times, 0.5),
+    p95: readPercentile(times, 0.95),
+    p99: readPercentile(times, 0.99),
+  };
+}
+
+function readPercentile(
+  sorted: readonly number[],
+  part: number,
+): number | null {
+  const index = Math.ceil(sorted.length * part) - 1;
+  return sorted[Math.max(0, index)] ?? null;
+}
--- /dev/null
+++ b/bench/policyBench/src/random.ts
@@ -0,0 +1,60 @@
+import {uniformFloat64} from 'pure-rand/distribution/uniformFloat64';
+import {xoroshiro128plus} from 'pure-rand/generator/xoroshiro128plus';
+
+/** Draws numbers that depend on a seed only. */
+export interface Random {
+  /** Draws from [0, 1). */
+  drawUniform(): number;
+  /** Draws from an exponential distribution. */
+  drawExponential(mean: number): number;
+  /** Draws from a log-normal distribution given its median. */
+  drawLogNormal(median: number, sigma: number): number;
+  /** Draws a whole number log-uniformly from a range. */
+  drawLength(range: LengthRange): number;
+  /** Draws an item in proportion to its weight. */
+  drawWeighted<Item extends {readonly weight: number}>(
+    items: readonly Item[],
+  ): Item;
+}
+
+/** The least and greatest length, in tokens. */
+export interface LengthRange {
+  readonly least: number;
+  readonly greatest: number;
+}
+
+const GOLDEN_RATIO = 0x9e3779b9;
+
+/** Creates a source of random numbers; streams of one seed are unrelated. */
+export function createRandom(seed: number, stream: number): Random {
+  const mixed = Math.imul(seed + 1, GOLDEN_RATIO) ^ Math.imul(stream + 7, 31);
+  const generator = xoroshiro128plus(mixed);
+  const drawUniform = (): number => uniformFloat64(generator);
+  const drawNormal = (): number => {
+    const radius = Math.sqrt(-2 * Math.log(1 - drawUniform()));
+    return radius * Math.cos(2 * Math.PI * drawUniform());
+  };
+  return {
+    drawUniform,
+    drawExponential: mean => -mean * Math.log(1 - drawUniform()),
+    drawLogNormal: (median, sigma) => median * Math.exp(sigma * drawNormal()),
+    drawLength: ({least, greatest}) =>
+      Math.round(least * (greatest / least) ** drawUniform()),
+    drawWeighted: items => drawWeighted(items, drawUniform()),
+  };
+}
+
+function drawWeighted<Item extends {readonly weight: number}>(
+  items: readonly Item[],
+  uniform: number,
+): Item {
+  const total = items.reduce((sum, item) => sum + item.weight, 0);
+  let left = uniform * total;
+  for (const item of items) {
+    left -= item.weight;
+    if (left < 0) {
+      return item;
+    }
+  }
+  return items[items.length - 1]!;
+}
--- /dev/null
+++ b/bench/policyBench/src/runPolicy.ts
@@ -0,0 +1,94 @@
+import type {Arrival} from './arrivals.js';
+import {createArrivals} from './arrivals.js';
+import {createBaseline} from './baseline.js';
+import {createEntryCluster} from './entryCluster.js';
+import type {FaultName} from './fault.js';
+import {createFleet} from './fleet.js';
+import {summarizeRun} from './metrics.js';
+import type {RunSummary} from './metrics.js';
+import type {PolicyName} from './policyName.js';
+import type {Profile} from './profile.js';
+import {createRunRecorder} from './runRecorder.js';
+import type {Scheduler, SchedulerOptions} from './scheduler.js';
+import {createTimeline} from './timeline.js';
+
+/** Length of the arrivals of a run. */
+export const RUN_MS = 120_000;
+/** Arrivals before this are left out of the figures. */
+export const WARM_UP_MS = 20_000;
+/** Arrivals begin once the entries know their configuration. */
+export const START_MS = 2_000;
+/** Time given to the last arrivals to end. */
+const DRAIN_MS = 300_000;
+
+/** What one run is made of. */
+export interface RunOptions {
+  readonly policy: PolicyName;
+  readonly profile: Profile;
+  readonly load: number;
+  readonly seed: number;
+  readonly fault: FaultName;
+}
+
+/** Runs one policy over the arrivals of a seed. */
+export function runPolicy(options: RunOptions): RunSummary {
+  const {profile, fault, seed} = options;
+  const timeline = createTimeline();
+  const recorder = createRunRecorder(timeline.clock);
+  const scheduler = createScheduler(options.policy, {
+    profile,
+    fault,
+    seed,
+    timeline,
+    recorder,
+  });
+  const answered = new Set<string>();
+  const fleet = createFleet({
+    profile,
+    fault,
+    timeline,
+    recorder,
+    listener: {
+      ...scheduler,
+      endAnswer: arrival => {
+        answered.add(arrival.id);
+        scheduler.endAnswer(arrival);
+      },
+    },
+  });
+  scheduler.begin(fleet);
+  const receive = (arrival: Arrival): void => {
+    recorder.noteArrival(arrival);
+    timeline.schedule(arrival.patienceMs, () => {
+      if (!answered.has(arrival.id)) {
+        scheduler.loseCaller(arrival);
+      }
+    });
+    scheduler.receive(arrival);
+  };
+  const arrivals = createArrivals({
+    ...options,
+    startMs: START_MS,
+    durationMs: RUN_MS,
+  });
+  for (const arrival of arrivals) {
+    timeline.schedule(arrival.at, () => receive(arrival));
+  }
+  timeline.runUntil(START_MS + RUN_MS + DRAIN_MS);
+  return summarizeRun({
+    profile,
+    records: recorder
+      .listRecords()
+      .filter(({arrival}) => arrival.at >= WARM_UP_MS),
+    violations: recorder.readViolations(),
+  });
+}
+
+function createScheduler(
+  policy: PolicyName,
+  options: SchedulerOptions,
+): Scheduler {
+  return policy === 'gentianshunt'
+    ? createEntryCluster(options)
+    : createBaseline(policy, options);
+}
--- /dev/null
+++ b/bench/policyBench/src/runRecorder.ts
@@ -0,0 +1,94 @@
+import type {Clock} from '@gentianshunt/clock';
+
+import type {Arrival} from './arrivals.js';
+
+/** How a request came out. */
+export type Outcome =
+  | {readonly kind: 'answered'; readonly at: number}
+  | {readonly kind: 'abandoned'; readonly at: number}
+  | {readonly kind: 'shed'; readonly at: number}
+  | {readonly kind: 'cut'; readonly at: number};
+
+/** What became of one request. */
+export interface RequestRecord {
+  readonly arrival: Arrival;
+  readonly outcome: Outcome | null;
+  readonly dispatchedAt: number | null;
+  readonly firstTokenAt: number | null;
+  /** Prompt tokens processed for the request. */
+  readonly prefillTokens: number;
+}
+
+/** Takes note of what happens to the requests of a run. */
+export interface RunRecorder {
+  noteArrival(arrival: Arrival): void;
+  noteDispatch(arrival: Arrival): void;
+  noteFirstToken(arrival: Arrival): void;
+  noteOutcome(arrival: Arrival, kind: Outcome['kind']): void;
+  countPrefill(arrival: Arrival, tokens: number): void;
+  /** Requests shed while one of a lower tier waited. */
+  readViolations(): number;
+  listRecords(): readonly RequestRecord[];
+}
+
+interface OpenRecord {
+  readonly arrival: Arrival;
+  outcome: Outcome | null;
+  dispatchedAt: number | null;
+  firstTokenAt: number | null;
+  prefillTokens: number;
+}
+
+/** Creates a recorder with nothing in it. */
+export function createRunRecorder(clock: Clock): RunRecorder {
+  const records = new Map<string, OpenRecord>();
+  // Requests that wait undispatched, by set and rank.
+  const waiting = new Map<string, number>();
+  let violations = 0;
+  const countWaiting = (arrival: Arrival, difference: number): void => {
+    const key = `${arrival.kind.set}/${arrival.rank}`;
+    waiting.set(key, (waiting.get(key) ?? 0) + difference);
+  };
+  const isLowerWaiting = ({kind, rank}: Arrival): boolean =>
+    [...waiting].some(([key, count]) => {
+      const [set, lower] = key.split('/');
+      return count > 0 && set === kind.set && Number(lower) > rank;
+    });
+  return {
+    noteArrival: arrival => {
+      records.set(arrival.id, {
+        arrival,
+        outcome: null,
+        dispatchedAt: null,
+        firstTokenAt: null,
+        prefillTokens: 0,
+      });
+      countWaiting(arrival, 1);
+    },
+    noteDispatch: arrival => {
+      records.get(arrival.id)!.dispatchedAt = clock.readMonotonic();
+      countWaiting(arrival, -1);
+    },
+    noteFirstToken: arrival => {
+      records.get(arrival.id)!.firstTokenAt = clock.readMonotonic();
+    },
+    noteOutcome: (arrival, kind) => {
+      const record = records.get(arrival.id)!;
+      if (record.outcome !== null) {
+        return;
+      }
+      record.outcome = {kind, at: clock.readMonotonic()};
+      if (record.dispatchedAt === null) {
+        countWaiting(arrival, -1);
+      }
+      if (kind === 'shed' && isLowerWaiting(arrival)) {
+        violations += 1;
+      }
+    },
+    countPrefill: (arrival, tokens) => {
+      records.get(arrival.id)!.prefillTokens += tokens;
+    },
+    readViolations: () => violations,
+    listRecords: () => [...records.values()],
+  };
+}
--- /dev/null
+++ b/bench/policyBench/test/policyBench.test.ts
@@ -0,0 +1,51 @@
+import t from 'tap';
+
+import {createArrivals, runPolicy, TIMAVORDUR} from '../src/index.js';
+import type {RunOptions} from '../src/index.js';
+
+function createRunOptions(changes: Partial<RunOptions> = {}): RunOptions {
+  return {
+    policy: 'tierFifo',
+    profile: TIMAVORDUR,
+    load: 1,
+    seed: 1,
+    fault: 'none',
+    ...changes,
+  };
+}
+
+t.test('the same seed gives the same result', async t => {
+  for (const policy of ['gentianshunt', 'leastLoadStale'] as const) {
+    const options = createRunOptions({policy});
+    t.same(runPolicy(options), runPolicy(options), policy);
+  }
+});
+
+t.test('another seed gives other arrivals', async t => {
+  const base = {
+    profile: TIMAVORDUR,
+    load: 1,
+    startMs: 0,
+    durationMs: 10_000,
+    fault: 'none',
+  } as const;
+  const first = createArrivals({...base, seed: 1});
+  const second = createArrivals({...base, seed: 2});
+  t.notSame(first[0], second[0]);
+});
+
+t.test('most requests of a profile are abandoned in overload', async t => {
+  const summary = runPolicy(createRunOptions({load: 2}));
+  t.ok(summary.abandoned > summary.requests / 2);
+});
+
+t.test(
+  'a baseline that cancels wastes less than one that does not',
+  async t => {
+    const cancels = runPolicy(createRunOptions({policy: 'leastLoadStale'}));
+    const keeps = runPolicy(
+      createRunOptions({policy: 'leastLoadStaleNoCancel', load: 2}),
+    );
+    t.ok(cancels.wastedPrefillTokens < keeps.wastedPrefillTokens);
+  },
+);
