--- /dev/null
+++ b/bench/policyBench/src/entryFacts.ts
@@ -0,0 +1,65 @@
+import type {
+  EndpointAnnouncement,
+  RequestFacts,
+} from '@gentianshunt/entryModel';
+import type {
+  DispatchId,
+  EndpointId,
+  EndpointSetId,
+  FailureDomainId,
+  IncarnationId,
+  OrganisationId,
+  RequestId,
+  RequestKindId,
+  TierId,
+} from '@gentianshunt/identifiers';
+
+import type {Arrival} from './arrivals.js';
+import type {Engine} from './engine.js';
+import type {Fleet} from './fleet.js';
+import {TIER_IDS} from './profile.js';
+
+/** Takes the request's name from the name of its dispatch. */
+export function toRequestId(dispatch: DispatchId): string {
+  return dispatch.slice(0, dispatch.lastIndexOf('.'));
+}
+
+/** Finds the engine behind an endpoint. */
+export function findEngine(fleet: Fleet, endpoint: EndpointId): Engine {
+  return fleet.engines.find(engine => engine.spec.id === endpoint)!;
+}
+
+/** Makes what an engine announces of itself. */
+export function createAnnouncement(
+  engine: Engine,
+  fleet: Fleet,
+): EndpointAnnouncement {
+  const {id, set, batch} = engine.spec;
+  const {running, waiting, ageMs} = fleet.readStaleLoad(engine);
+  return {
+    endpoint: id as EndpointId,
+    incarnation: '1' as IncarnationId,
+    set: set as EndpointSetId,
+    domain: 'domain1' as FailureDomainId,
+    url: `http://${id}`,
+    concurrency: batch,
+    checksFencing: false,
+    load: {running, waiting, ageMs},
+    leaving: false,
+  };
+}
+
+/** Makes what an entry reads from a request. */
+export function toFacts(arrival: Arrival): RequestFacts {
+  return {
+    id: arrival.id as RequestId,
+    organisation: arrival.organisation as OrganisationId,
+    tier: TIER_IDS[arrival.rank - 1]! as string as TierId,
+    set: arrival.kind.set as EndpointSetId,
+    kind: arrival.kind.id as RequestKindId,
+    claim: null,
+    promptTokens: arrival.promptTokens,
+    maxTokens: arrival.kind.answer.greatest,
+    prefix: arrival.prefix,
+  };
+}
--- /dev/null
+++ b/bench/policyBench/src/entryProcess.ts
@@ -0,0 +1,64 @@
+import {createEntryNode} from '@gentianshunt/entryNode';
+import type {EntryObservation, EntryOrder} from '@gentianshunt/entryModel';
+import type {IncarnationId, NodeId} from '@gentianshunt/identifiers';
+
+import {CONTROL_NODE, createEntryAddress} from './fakeControl.js';
+import type {Timeline} from './timeline.js';
+
+/** An order to start a timer. */
+export type TimerOrder = Extract<EntryOrder, {readonly kind: 'setTimer'}>;
+
+/** A real entry with timers in virtual time. */
+export interface EntryProcess {
+  readonly id: NodeId;
+  isAlive(): boolean;
+  /** Hands over an observation; a stopped entry drops it. */
+  post(observation: EntryObservation): void;
+  setTimer(order: TimerOrder): void;
+  stop(): void;
+}
+
+/** What an entry process is made of. */
+export interface EntryProcessOptions {
+  readonly id: string;
+  readonly timeline: Timeline;
+  readonly perform: (process: EntryProcess, order: EntryOrder) => void;
+}
+
+/** Creates an entry that has not started yet. */
+export function createEntryProcess(options: EntryProcessOptions): EntryProcess {
+  const {timeline} = options;
+  const generations = new Map<string, number>();
+  let alive = true;
+  const node = createEntryNode({
+    identity: {
+      address: createEntryAddress(options.id),
+      incarnation: '1' as IncarnationId,
+      controls: [CONTROL_NODE],
+    },
+    clock: timeline.clock,
+    perform: order => options.perform(process, order),
+  });
+  const process: EntryProcess = {
+    id: options.id as NodeId,
+    isAlive: () => alive,
+    post: observation => {
+      if (alive) {
+        node.post(observation);
+      }
+    },
+    setTimer: ({timer, delayMs}) => {
+      const generation = (generations.get(timer.kind) ?? 0) + 1;
+      generations.set(timer.kind, generation);
+      timeline.schedule(delayMs, () => {
+        if (generations.get(timer.kind) === generation) {
+          process.post({kind: 'timerDue', timer});
+        }
+      });
+    },
+    stop: () => {
+      alive = false;
+    },
+  };
+  return process;
+}
--- a/bench/policyBench/src/runPolicy.ts
+++ b/bench/policyBench/src/runPolicy.ts
@@ -28,6 +28,8 @@
   readonly load: number;
   readonly seed: number;
   readonly fault: FaultName;
+  /** Length of the arrivals; the whole run by default. */
+  readonly durationMs?: number;
 }
 
 /** Runs one policy over the arrivals of a seed. */
@@ -69,7 +71,7 @@
   const arrivals = createArrivals({
     ...options,
     startMs: START_MS,
-    durationMs: RUN_MS,
+    durationMs: options.durationMs ?? RUN_MS,
   });
   for (const arrival of arrivals) {
     timeline.schedule(arrival.at, () => receive(arrival));
