Give the bench's timers the granularity of a machine's

Cause: a delay of a rounding error did not move virtual time, so a run at load 1 never ended and the package's test ran into its limit. Change: delays are rounded up to whole milliseconds.

--- a/bench/policyBench/src/entryProcess.ts
+++ b/bench/policyBench/src/entryProcess.ts
@@ -5,6 +5,8 @@
 import {CONTROL_NODE, createEntryAddress} from './fakeControl.js';
 import type {Timeline} from './timeline.js';
 
+const TIMER_GRANULARITY_MS = 1;
+
 /** An order to start a timer. */
 export type TimerOrder = Extract<EntryOrder, {readonly kind: 'setTimer'}>;
 
@@ -50,7 +52,9 @@
     setTimer: ({timer, delayMs}) => {
       const generation = (generations.get(timer.kind) ?? 0) + 1;
       generations.set(timer.kind, generation);
-      timeline.schedule(delayMs, () => {
+      // A machine's timers have a granularity; a shorter one may not advance.
+      const wholeMs = Math.max(TIMER_GRANULARITY_MS, Math.ceil(delayMs));
+      timeline.schedule(wholeMs, () => {
         if (generations.get(timer.kind) === generation) {
           process.post({kind: 'timerDue', timer});
         }
