Weigh waiting requests by the chance that their callers stay

Cause: first come, first served spends prompt processing on callers who leave early, gives slow endpoints to the highest tier and counts requests, not cost. Change: the entries learn by organisation, kind and length how long callers wait, hold poor bets of the lower tiers and dispatch by value for cost; streams tell their progress, from which each endpoint's decode rate is learned and a slowed endpoint is cut down to one probing place; the set leader shares each tier by cost, allocates with queues and sheds the lowest tier.

--- a/bench/plot/src/index.ts
+++ b/bench/plot/src/index.ts
@@ -0,0 +1,1 @@
+export * from './comparisonChart.js';
--- a/bench/policyBench/src/entryCluster.ts
+++ b/bench/policyBench/src/entryCluster.ts
@@ -4,8 +4,8 @@
 
 import type {Arrival} from './arrivals.js';
 import {
-  createAnnouncement,
   findEngine,
+  listAnnouncements,
   toFacts,
   toRequestId,
 } from './entryFacts.js';
@@ -93,14 +93,12 @@
 
   const announce = (): void => {
     const alive = listAlive();
-    fleet.engines
-      .filter(engine => !engine.isStopped())
-      .forEach((engine, index) =>
-        deliver(alive[index % alive.length], {
-          kind: 'endpointContact',
-          announcement: createAnnouncement(engine, fleet),
-        }),
-      );
+    listAnnouncements(fleet).forEach((announcement, index) =>
+      deliver(alive[index % alive.length], {
+        kind: 'endpointContact',
+        announcement,
+      }),
+    );
     timeline.schedule(ANNOUNCE_INTERVAL_MS, announce);
   };
 
@@ -154,7 +152,12 @@
       recorder.noteFirstToken(arrival);
       tellStream(arrival, dispatch => ({kind: 'streamStarted', dispatch}));
     },
-    reportProgress: () => undefined,
+    reportProgress: (arrival, answerTokens) =>
+      tellStream(arrival, dispatch => ({
+        kind: 'streamProgress',
+        dispatch,
+        answerTokens,
+      })),
     endAnswer: arrival => {
       recorder.noteOutcome(arrival, 'answered');
       tellStream(arrival, dispatch => ({
--- a/bench/policyBench/src/entryFacts.ts
+++ b/bench/policyBench/src/entryFacts.ts
@@ -29,8 +29,16 @@
   return fleet.engines.find(engine => engine.spec.id === endpoint)!;
 }
 
-/** Makes what an engine announces of itself. */
-export function createAnnouncement(
+/** Lists what the running engines announce of themselves. */
+export function listAnnouncements(
+  fleet: Fleet,
+): readonly EndpointAnnouncement[] {
+  return fleet.engines
+    .filter(engine => !engine.isStopped())
+    .map(engine => createAnnouncement(engine, fleet));
+}
+
+function createAnnouncement(
   engine: Engine,
   fleet: Fleet,
 ): EndpointAnnouncement {
--- a/scheduling/entryModel/src/exchange.ts
+++ b/scheduling/entryModel/src/exchange.ts
@@ -15,6 +15,14 @@
   readonly rank: number;
   readonly organisation: OrganisationId;
   readonly count: number;
+  /** How many of them are worth dispatching now. */
+  readonly ready: number;
+  /** How many are if the organisation has had less than its share. */
+  readonly readyEarly: number;
+  /** Endpoint time that the next one to be dispatched uses up. */
+  readonly costMs: Milliseconds;
+  /** Value expected of the next one for each millisecond of its cost. */
+  readonly score: number;
   readonly oldestWaitMs: Milliseconds;
 }
 
@@ -33,6 +41,14 @@
   readonly count: number;
 }
 
+/** How fast an endpoint decodes, as an entry's streams saw it. */
+export interface ReportedRate {
+  readonly endpoint: EndpointId;
+  readonly decodeMsPerToken: Milliseconds;
+  /** How old the latest observation was when the report was sent. */
+  readonly ageMs: Milliseconds;
+}
+
 /** Everything an entry holds of one set; a later report replaces it. */
 export interface DemandReport {
   readonly set: EndpointSetId;
@@ -42,6 +58,7 @@
   readonly waiting: readonly WaitingLine[];
   readonly running: readonly RunningCount[];
   readonly unspent: readonly UnspentGrant[];
+  readonly rates: readonly ReportedRate[];
 }
 
 /** Leave to dispatch requests of one tier and organisation. */
--- a/scheduling/entryModel/src/iterateSet.ts
+++ b/scheduling/entryModel/src/iterateSet.ts
@@ -14,6 +14,7 @@
   LineKey,
   ReportKey,
   RunningKey,
+  ShareKey,
   SlotKey,
   WaitingKey,
 } from './sections.js';
@@ -96,6 +97,15 @@
   return iterateWhile(view, from, key => key.set === set);
 }
 
+/** Iterates what the organisations have received of a set. */
+export function iterateShares<Value>(
+  view: OrderedView<ShareKey, Value>,
+  set: EndpointSetId,
+): IterableIterator<OrderedEntry<ShareKey, Value>> {
+  const from = {set, organisation: LOWEST as OrganisationId};
+  return iterateWhile(view, from, key => key.set === set);
+}
+
 /** Takes the fields of a line from a longer key. */
 export function pickLine(key: LineKey): LineKey {
   return {set: key.set, rank: key.rank, organisation: key.organisation};
--- a/scheduling/entryModel/src/observation.ts
+++ b/scheduling/entryModel/src/observation.ts
@@ -38,6 +38,12 @@
   | {readonly kind: 'requestReceived'; readonly facts: RequestFacts}
   | {readonly kind: 'callerGone'; readonly request: RequestId}
   | {readonly kind: 'streamStarted'; readonly dispatch: DispatchId}
+  | {
+      /** Tells, about twice a second, how far a stream has come. */
+      readonly kind: 'streamProgress';
+      readonly dispatch: DispatchId;
+      readonly answerTokens: number;
+    }
   | {
       readonly kind: 'streamEnded';
       readonly dispatch: DispatchId;
--- a/scheduling/entryModel/src/sections.ts
+++ b/scheduling/entryModel/src/sections.ts
@@ -4,7 +4,7 @@
   defineMap,
   defineOrdered,
 } from '@gentianshunt/board';
-import type {MonotonicTime} from '@gentianshunt/clock';
+import type {Milliseconds, MonotonicTime} from '@gentianshunt/clock';
 import type {ConfigurationObject, ObjectKey} from '@gentianshunt/configuration';
 import type {
   EntryAddress,
@@ -12,6 +12,7 @@
   NetworkAddress,
   OperatorCommand,
 } from '@gentianshunt/messages';
+import type {PatienceRecord, RequestClass} from '@gentianshunt/policy';
 import type {
   DispatchId,
   EndpointId,
@@ -166,6 +167,20 @@
   readonly organisation: OrganisationId;
 }
 
+/** How far a stream had come when it last told. */
+export interface StreamProgress {
+  readonly answerTokens: number;
+  readonly at: MonotonicTime;
+}
+
+/** How fast an endpoint decodes, as this entry's streams saw it. */
+export interface LearnedRate {
+  readonly set: EndpointSetId;
+  readonly endpoint: EndpointId;
+  readonly decodeMsPerToken: Milliseconds;
+  readonly observedAt: MonotonicTime;
+}
+
 /** An operator's command on its way through the control log. */
 export interface PendingCommand {
   readonly correlation: RequestId;
@@ -214,6 +229,10 @@
     reports: defineOrdered<ReportKey, ReportRecord>(compareBy('set', 'node')),
     granted: defineOrdered<ReportKey, GrantedSince>(compareBy('set', 'node')),
     shares: defineOrdered<ShareKey, number>(compareBy('set', 'organisation')),
+    progress: defineMap<DispatchId, StreamProgress>(),
+    endpointRates: defineMap<EndpointId, LearnedRate>(),
+    patience: defineMap<RequestClass, PatienceRecord>(),
+    shedding: defineMap<EndpointSetId, boolean>(),
     commands: defineMap<RequestId, PendingCommand>(),
   };
 }
--- a/scheduling/entryNode/src/entryNode.ts
+++ b/scheduling/entryNode/src/entryNode.ts
@@ -14,6 +14,10 @@
   EntryOrder,
   EntrySections,
 } from '@gentianshunt/entryModel';
+import {
+  createPatienceController,
+  createRateController,
+} from '@gentianshunt/learning';
 import {createLifecycleController} from '@gentianshunt/lifecycle';
 import {
   createEndpointRegistry,
@@ -47,6 +51,8 @@
     createLeadershipController(),
     createEndpointRegistry(),
     createReplyController(),
+    createPatienceController(),
+    createRateController(),
     createLifecycleController(),
     createSlotController(),
     createExchangeController(),
--- /dev/null
+++ b/scheduling/learning/src/index.ts
@@ -0,0 +1,2 @@
+export * from './patienceController.js';
+export * from './rateController.js';
--- /dev/null
+++ b/scheduling/learning/src/rateController.ts
@@ -0,0 +1,102 @@
+import type {TurnTime, View} from '@gentianshunt/board';
+import {defineEntryController} from '@gentianshunt/entryModel';
+import type {
+  Dispatch,
+  EntryController,
+  EntryObservation,
+  EntrySections,
+  EntryWrite,
+} from '@gentianshunt/entryModel';
+import type {DispatchId} from '@gentianshunt/identifiers';
+import {learnRate} from '@gentianshunt/policy';
+
+type RateReads = 'requests' | 'dispatches' | 'progress' | 'endpointRates';
+type RateWrites = 'progress' | 'endpointRates';
+type RateView = View<EntrySections, RateReads, EntryObservation>;
+type RateWrite = EntryWrite<RateWrites>;
+
+/**
+ * Creates the controller that learns how fast endpoints decode. A stream that
+ * slows down tells of it long before it ends.
+ */
+export function createRateController(): EntryController {
+  return defineEntryController<RateReads, RateWrites>({
+    name: 'rates',
+    reads: ['requests', 'dispatches', 'progress', 'endpointRates'],
+    writes: ['progress', 'endpointRates'],
+    observes: ['streamProgress'],
+    run: (view, now) => {
+      const {observation, board} = view;
+      if (observation?.kind === 'streamProgress') {
+        return learnProgress(
+          view,
+          observation.dispatch,
+          observation.answerTokens,
+          now,
+        );
+      }
+      return [...view.readChanges('dispatches')]
+        .map(key => key as DispatchId)
+        .filter(key => !board.dispatches.has(key) && board.progress.has(key))
+        .map(key => ({kind: 'delete', section: 'progress', key}));
+    },
+  });
+}
+
+function learnProgress(
+  view: RateView,
+  key: DispatchId,
+  answerTokens: number,
+  now: TurnTime,
+): readonly RateWrite[] {
+  const dispatch = findDispatch(view, key);
+  if (dispatch === undefined) {
+    return [];
+  }
+  const at = now.monotonic;
+  const before = view.board.progress.get(key);
+  const mark: RateWrite = {
+    kind: 'put',
+    section: 'progress',
+    key,
+    value: {answerTokens, at},
+  };
+  if (before === undefined || at <= before.at) {
+    return [mark];
+  }
+  // A stream that stands still counts as one token in the time it stood.
+  const tokens = Math.max(1, answerTokens - before.answerTokens);
+  const {endpoint} = dispatch.target;
+  const known = view.board.endpointRates.get(endpoint);
+  return [
+    mark,
+    {
+      kind: 'put',
+      section: 'endpointRates',
+      key: endpoint,
+      value: {
+        set: findSet(view, key)!,
+        endpoint,
+        decodeMsPerToken: learnRate(
+          known?.decodeMsPerToken,
+          (at - before.at) / tokens,
+        ),
+        observedAt: at,
+      },
+    },
+  ];
+}
+
+function findDispatch(view: RateView, key: DispatchId): Dispatch | undefined {
+  const request = view.board.dispatches.get(key);
+  const state =
+    request === undefined ? undefined : view.board.requests.get(request);
+  return state?.kind === 'answering' ? state.dispatch : undefined;
+}
+
+function findSet(view: RateView, key: DispatchId) {
+  const request = view.board.dispatches.get(key);
+  return request === undefined
+    ? undefined
+    : view.board.requests.get(request)?.request.set;
+}
--- a/scheduling/setLeader/src/grantController.ts
+++ b/scheduling/setLeader/src/grantController.ts
@@ -1,10 +1,11 @@
 import type {TurnTime, View} from '@gentianshunt/board';
-import {findObject} from '@gentianshunt/configuration';
+import {findObject, listObjects} from '@gentianshunt/configuration';
 import {
   defineEntryController,
   findEntryAddress,
   iterateEndpoints,
   iterateReports,
+  iterateShares,
 } from '@gentianshunt/entryModel';
 import type {
   EntryController,
@@ -15,6 +16,7 @@
   GrantedSince,
   LeadershipState,
   ReportRecord,
+  ShedOrder,
 } from '@gentianshunt/entryModel';
 import type {
   EndpointId,
@@ -24,13 +26,22 @@
   OrganisationId,
 } from '@gentianshunt/identifiers';
 
+import {
+  decideShedding,
+  limitConcurrency,
+  limitCredit,
+  readMiddleRate,
+  SHED_RETRY_AFTER_MS,
+} from '@gentianshunt/policy';
+import type {WaitingCount} from '@gentianshunt/policy';
+
 import {allocateSlots, countOccupied} from './allocation.js';
 import type {
   AllocatedSlot,
   EndpointCapacity,
-  EntryLine,
   ShareState,
 } from './allocation.js';
+import {countLeft, listOpenLines, mergeRates} from './openLines.js';
 import {SLOT_LIFETIME_MS} from './leadershipController.js';
 
 type GrantReads =
@@ -40,8 +51,9 @@
   | 'endpoints'
   | 'reports'
   | 'granted'
-  | 'shares';
-type GrantWrites = 'granted' | 'shares';
+  | 'shares'
+  | 'shedding';
+type GrantWrites = 'granted' | 'shares' | 'shedding';
 type GrantView = View<EntrySections, GrantReads, EntryObservation>;
 type GrantWrite = EntryWrite<GrantWrites>;
 
@@ -57,8 +69,9 @@
       'reports',
       'granted',
       'shares',
+      'shedding',
     ],
-    writes: ['granted', 'shares'],
+    writes: ['granted', 'shares', 'shedding'],
     observes: ['timerDue'],
     run: (view, now) =>
       [...listAffectedSets(view)].flatMap(set => grantSet(view, set, now)),
@@ -102,21 +115,44 @@
   const mayGrant =
     now.monotonic >= leadership.grantsFrom &&
     now.monotonic < view.board.control.leaseUntil;
-  const result = mayGrant
-    ? allocateSlots({
-        endpoints: listCapacities(view, set, records, before),
-        lines: listOpenLines(records, before),
-        shares: listShares(view, set, records),
-      })
-    : {slots: [], shares: []};
+  if (!mayGrant) {
+    return records.flatMap(record =>
+      replyTo(view, leadership, record, before, NOTHING_DECIDED, now),
+    );
+  }
+  const endpoints = listCapacities(view, set, records, before);
+  const lines = listOpenLines(records, before);
+  const shares = listShares(view, set, records);
+  const allocation = allocateSlots({endpoints, lines, shares});
+  const shedding = decideShedding({
+    waiting: countLeft(lines, allocation.slots),
+    slots: endpoints.reduce((sum, {concurrency}) => sum + concurrency, 0),
+    shedding: view.board.shedding.get(set) ?? false,
+    lowestRank: readLowestRank(view),
+  });
+  const decided = {slots: allocation.slots, shed: shedding.shed};
   return [
     ...records.flatMap(record =>
-      replyTo(view, leadership, record, before, result.slots, now),
+      replyTo(view, leadership, record, before, decided, now),
     ),
-    ...result.shares.map(share => putShare(set, share)),
+    ...allocation.shares.map(share => putShare(set, share)),
+    {kind: 'put', section: 'shedding', key: set, value: shedding.shedding},
   ];
 }
 
+/** What the leader has decided for all entries. */
+interface Decided {
+  readonly slots: readonly AllocatedSlot[];
+  readonly shed: readonly WaitingCount[];
+}
+
+const NOTHING_DECIDED: Decided = {slots: [], shed: []};
+
+function readLowestRank(view: GrantView): number {
+  const tiers = listObjects(view.board.configuration, 'tier');
+  return Math.max(0, ...tiers.map(tier => tier.rank));
+}
+
 function putShare(set: EndpointSetId, share: ShareState): GrantWrite {
   const {organisation, virtualTime} = share;
   return {
@@ -159,6 +195,8 @@
     ...records.flatMap(record => record.report.unspent),
     ...[...granted.values()].flatMap(since => since.slots),
   ]);
+  const rates = mergeRates(records);
+  const middle = readMiddleRate([...rates.values()]);
   return [...iterateEndpoints(view.board.endpoints, set)]
     .filter(
       ({key, value}) =>
@@ -169,7 +207,12 @@
         endpoint: value.announcement.endpoint,
         url: value.announcement.url,
       },
-      concurrency: value.announcement.concurrency,
+      concurrency: limitConcurrency(
+        value.announcement.concurrency,
+        rates.get(value.announcement.endpoint) ?? middle,
+        middle,
+      ),
+      rate: rates.get(value.announcement.endpoint) ?? middle,
       occupied: occupied.get(value.announcement.endpoint) ?? 0,
     }));
 }
@@ -183,53 +226,24 @@
   return policy?.state === 'draining';
 }
 
-/** Lists the lines less what has been granted since the report. */
-function listOpenLines(
-  records: readonly ReportRecord[],
-  granted: ReadonlyMap<NodeId, GrantedSince>,
-): readonly EntryLine[] {
-  return records.flatMap(({node, report}) =>
-    report.waiting
-      .map(line => {
-        const settled = countSettled(granted.get(node), line);
-        return {node, line: {...line, count: line.count - settled}};
-      })
-      .filter(({line}) => line.count > 0),
-  );
-}
-
-function countSettled(
-  since: GrantedSince | undefined,
-  line: {readonly rank: number; readonly organisation: OrganisationId},
-): number {
-  return [...(since?.slots ?? []), ...(since?.shed ?? [])]
-    .filter(
-      counted =>
-        counted.rank === line.rank &&
-        counted.organisation === line.organisation,
-    )
-    .reduce((sum, counted) => sum + counted.count, 0);
-}
-
-/** An organisation that was idle starts level with the least served one. */
+/** An organisation that was idle has a limited credit. */
 function listShares(
   view: GrantView,
   set: EndpointSetId,
   records: readonly ReportRecord[],
 ): readonly ShareState[] {
-  const organisations = new Set(
-    records.flatMap(({report}) =>
-      report.waiting.map(line => line.organisation),
-    ),
+  const waiting = records.flatMap(({report}) =>
+    report.waiting.map(line => line.organisation),
   );
-  const known = [...organisations]
-    .map(organisation => view.board.shares.get({set, organisation}))
-    .filter(time => time !== undefined);
-  const floor = known.length === 0 ? 0 : Math.min(...known);
-  return [...organisations].map(organisation => ({
+  const known = [...iterateShares(view.board.shares, set)];
+  const furthest = Math.max(0, ...known.map(({value}) => value));
+  return [...new Set(waiting)].map(organisation => ({
     organisation,
     weight: readWeight(view, organisation),
-    virtualTime: view.board.shares.get({set, organisation}) ?? floor,
+    virtualTime: limitCredit(
+      view.board.shares.get({set, organisation}) ?? furthest,
+      furthest,
+    ),
   }));
 }
 
@@ -247,14 +261,16 @@
   leadership: LeadershipState,
   record: ReportRecord,
   before: ReadonlyMap<NodeId, GrantedSince>,
-  slots: readonly AllocatedSlot[],
+  decided: Decided,
   now: TurnTime,
 ): readonly GrantWrite[] {
   const since = before.get(record.node)!;
-  const grants = toGrants(leadership, since, slots);
+  const grants = toGrants(leadership, since, decided.slots);
+  const shed = toShedOrders(record.node, decided.shed);
   const address = findEntryAddress(view.board.control.directory, record.node);
   const isAnswered = since.parts > 0;
-  if (address === undefined || (isAnswered && grants.length === 0)) {
+  const isEmpty = grants.length === 0 && shed.length === 0;
+  if (address === undefined || (isAnswered && isEmpty)) {
     return [];
   }
   const part = since.parts + 1;
@@ -269,7 +285,12 @@
       kind: 'put',
       section: 'granted',
       key: {set: leadership.set, node: record.node},
-      value: {...since, parts: part, slots: [...since.slots, ...granted]},
+      value: {
+        ...since,
+        parts: part,
+        slots: [...since.slots, ...granted],
+        shed: [...since.shed, ...shed],
+      },
     },
     {
       kind: 'order',
@@ -287,7 +308,7 @@
             reportAgeMs: now.monotonic - record.receivedAt,
             lifetimeMs: SLOT_LIFETIME_MS,
             grants,
-            shed: [],
+            shed,
           },
         },
       },
@@ -295,6 +316,27 @@
   ];
 }
 
+/** Makes the orders for one entry; callers are told to return spread out. */
+function toShedOrders(
+  node: NodeId,
+  counts: readonly WaitingCount[],
+): readonly ShedOrder[] {
+  return counts
+    .map(({rank, organisation, count, node: owner}, index) => ({
+      owner,
+      order: {
+        rank,
+        organisation,
+        count,
+        retryAfterMs: Math.round(
+          SHED_RETRY_AFTER_MS * (1 + index / counts.length),
+        ),
+      },
+    }))
+    .filter(({owner}) => owner === node)
+    .map(({order}) => order);
+}
+
 /** Groups the slots of one entry into grants by line and endpoint. */
 function toGrants(
   leadership: LeadershipState,
--- a/scheduling/slotExchange/src/exchangeController.ts
+++ b/scheduling/slotExchange/src/exchangeController.ts
@@ -16,9 +16,13 @@
   EntrySections,
   EntryWrite,
   ExchangeState,
+  LineKey,
+  WaitingLine,
 } from '@gentianshunt/entryModel';
 import type {EndpointSetId} from '@gentianshunt/identifiers';
 
+import {listCandidates} from './lineOrder.js';
+
 /** Least time between two reports for one set. */
 export const MIN_REPORT_INTERVAL_MS: Milliseconds = 2;
 /** Longest time without a report while the entry holds anything of a set. */
@@ -34,6 +38,9 @@
   | 'waiting'
   | 'running'
   | 'slots'
+  | 'matches'
+  | 'patience'
+  | 'endpointRates'
   | 'exchanges'
   | 'acceptedReply';
 type ExchangeView = View<EntrySections, ExchangeReads, EntryObservation>;
@@ -51,6 +58,9 @@
       'waiting',
       'running',
       'slots',
+      'matches',
+      'patience',
+      'endpointRates',
       'exchanges',
       'acceptedReply',
     ],
@@ -211,12 +221,9 @@
     set,
     epoch,
     sequence,
-    waiting: [...iterateLines(board.lines, set)].map(({key, value}) => ({
-      rank: key.rank,
-      organisation: key.organisation,
-      count: value.count,
-      oldestWaitMs: readOldestWait(view, key, now),
-    })),
+    waiting: [...iterateLines(board.lines, set)].map(({key, value}) =>
+      describeLine(view, key, value.count, now),
+    ),
     running: [...iterateRunning(board.running, set)].map(({key, value}) => ({
       endpoint: key.endpoint,
       organisation: key.organisation,
@@ -230,6 +237,36 @@
         organisation: key.organisation,
         count: value.remaining,
       })),
+    rates: [...board.endpointRates.values()]
+      .filter(rate => rate.set === set)
+      .map(({endpoint, decodeMsPerToken, observedAt}) => ({
+        endpoint,
+        decodeMsPerToken,
+        ageMs: now.monotonic - observedAt,
+      })),
+  };
+}
+
+function describeLine(
+  view: ExchangeView,
+  key: LineKey,
+  count: number,
+  now: TurnTime,
+): WaitingLine {
+  const candidates = listCandidates(view.board, key, now);
+  const next = candidates[0];
+  const ready = candidates.filter(candidate => candidate.ready).length;
+  const early = candidates.filter(candidate => candidate.readyEarly).length;
+  return {
+    rank: key.rank,
+    organisation: key.organisation,
+    count,
+    // Requests beyond those weighed are taken to be like them.
+    ready: ready < candidates.length ? ready : Math.max(ready, count),
+    readyEarly: early < candidates.length ? early : Math.max(early, count),
+    costMs: next?.costMs ?? 0,
+    score: next?.score ?? 0,
+    oldestWaitMs: readOldestWait(view, key, now),
   };
 }
 
--- a/scheduling/slotExchange/src/index.ts
+++ b/scheduling/slotExchange/src/index.ts
@@ -1,3 +1,4 @@
 export * from './exchangeController.js';
+export * from './lineOrder.js';
 export * from './replyController.js';
 export * from './slotController.js';
--- a/scheduling/slotExchange/src/slotController.ts
+++ b/scheduling/slotExchange/src/slotController.ts
@@ -2,7 +2,6 @@
 import {
   defineEntryController,
   iterateLineSlots,
-  iterateWaiting,
   pickLine,
 } from '@gentianshunt/entryModel';
 import type {
@@ -17,12 +16,16 @@
 } from '@gentianshunt/entryModel';
 import type {RequestId} from '@gentianshunt/identifiers';
 
+import {listCandidates} from './lineOrder.js';
+
 type SlotReads =
   | 'requests'
   | 'waiting'
   | 'lines'
   | 'slots'
   | 'matches'
+  | 'patience'
+  | 'endpointRates'
   | 'acceptedReply'
   | 'exchanges';
 type SlotWrites = 'slots' | 'matches';
@@ -39,6 +42,8 @@
       'lines',
       'slots',
       'matches',
+      'patience',
+      'endpointRates',
       'acceptedReply',
       'exchanges',
     ],
@@ -138,8 +143,12 @@
   now: TurnTime,
 ): readonly SlotWrite[] {
   const writes: SlotWrite[] = [];
-  const waiting = listUnmatched(view, line);
-  for (const {key, slot} of listSlots(view, line, fresh)) {
+  const held = listSlots(view, line, fresh);
+  if (held.length === 0) {
+    return writes;
+  }
+  const waiting = listCandidates(view.board, line, now).values();
+  for (const {key, slot} of held) {
     let {remaining} = slot;
     while (remaining > 0 && slot.deadline > now.monotonic) {
       const next = waiting.next();
@@ -150,7 +159,7 @@
       writes.push({
         kind: 'put',
         section: 'matches',
-        key: next.value,
+        key: next.value.request.id,
         value: {
           grant: slot.grant.id,
           target: slot.grant.target,
@@ -184,14 +193,3 @@
   );
   return [...held, ...added];
 }
-
-function* listUnmatched(
-  view: SlotView,
-  line: LineKey,
-): Generator<RequestId, void> {
-  for (const {key} of iterateWaiting(view.board.waiting, line)) {
-    if (!view.board.matches.has(key.request)) {
-      yield key.request;
-    }
-  }
-}
