Order the earliest-deadline baseline across tiers

Cause: with tiers first it gave the same order as tier then FIFO. Change: it orders by arrival plus the tier's time to the first token alone, and no longer counts as a baseline that keeps tier order.

--- a/bench/policyBench/src/baseline.ts
+++ b/bench/policyBench/src/baseline.ts
@@ -30,6 +30,7 @@
       return createHolding(
         options,
         arrival => arrival.at + FIRST_TOKEN_TARGETS_MS[arrival.rank - 1]!,
+        false,
       );
     case 'newestFirst':
       return createHolding(options, arrival => -arrival.at);
@@ -136,17 +137,18 @@
     .reduce((sum, engine) => sum + engine.batch, 0);
 }
 
-/** Holds requests until a slot is free, higher tiers first. */
+/** Holds requests until a slot is free, as a rule higher tiers first. */
 function createHolding(
   {recorder, profile}: SchedulerOptions,
   rankWithin: (arrival: Arrival) => number,
+  keepsTiers = true,
 ): Scheduler {
   const held = new Map<string, Arrival>();
   const running = new Map<string, Engine>();
   const occupied = new Map<Engine, number>();
   let fleet: Fleet;
   const goesBefore = (left: Arrival, right: Arrival): boolean =>
-    left.rank === right.rank
+    left.rank === right.rank || !keepsTiers
       ? rankWithin(left) < rankWithin(right)
       : left.rank < right.rank;
   const dispatch = (set: string): void => {
--- a/bench/policyBench/src/policyName.ts
+++ b/bench/policyBench/src/policyName.ts
@@ -26,7 +26,6 @@
 /** The baselines that hold requests and put higher tiers first. */
 export const TIER_KEEPING_BASELINES: readonly BaselineName[] = [
   'tierFifo',
-  'earliestDeadline',
   'newestFirst',
   'shortestFirst',
 ];
