--- a/bench/decision/src/main.ts
+++ b/bench/decision/src/main.ts
@@ -69,6 +69,7 @@
         readyEarly: perLine,
         costMs: 100,
         score: 1 / (1 + index),
+        expected: 0,
         oldestWaitMs: index,
       },
     })),
--- a/bench/policyBench/src/fakeControl.ts
+++ b/bench/policyBench/src/fakeControl.ts
@@ -2,6 +2,7 @@
 import type {
   ControlToEntry,
   EntryAddress,
+  EntryDirectory,
   EntryToControl,
 } from '@gentianshunt/messages';
 import type {
@@ -38,8 +39,8 @@
 export function createFakeControl(profile: Profile): FakeControl {
   const sets = [...new Set(profile.engines.map(engine => engine.set))];
   const base = listObjects(profile, sets);
-  const directory = {
-    version: 1,
+  const directory: EntryDirectory = {
+    version: {term: 1, number: 1, digest: 1},
     entries: profile.entries.map(node => ({
       address: createEntryAddress(node),
       draining: false,
@@ -63,7 +64,10 @@
       fromVersion: message.version,
       version,
       changes: objects.map(object => ({kind: 'put', object})),
-      directory: message.directoryVersion === 0 ? directory : null,
+      directory:
+        message.directoryVersion.number === 0
+          ? {kind: 'replace', directory}
+          : null,
       leaseMs: LEASE_MS,
     };
   };
@@ -80,6 +84,7 @@
 export function createEntryAddress(node: string): EntryAddress {
   return {
     node: node as NodeId,
+    region: 'region1' as RegionId,
     domain: 'domain1' as FailureDomainId,
     peer: ADDRESS,
     http: ADDRESS,
--- a/cli/demo/src/main.ts
+++ b/cli/demo/src/main.ts
@@ -1,16 +1,16 @@
 import {createDeployment} from '@gentianshunt/deployment';
 
-import {createObjects} from './objects.js';
-import {runLoad} from './load.js';
-import {printTable} from './table.js';
-import {awaitService, sendCommand} from './operator.js';
+import {createSummaries, formatSummaries, runLoad} from '@gentianshunt/load';
+
+import {DEMO_COMMANDS} from './configuration.js';
+import {createDemoPlan, DEMO_TIERS} from './demoPlan.js';
+import {printWastedPrefill} from './engineCounts.js';
+import {awaitService, printLiveRequests, sendCommands} from './operator.js';
 
 const CONTROLS = 3;
 const ENTRIES = 4;
 const ENGINES = 3;
 const SERVICES = 2;
-const REQUESTS = 400;
-const SEED = 7;
 
 /** Starts a deployment, runs the load over it and prints what came of it. */
 async function runDemo(): Promise<void> {
@@ -20,7 +20,8 @@
   });
   try {
     const urls = deployment.entries.map(entry => entry.url);
-    await sendCommand(urls[0]!, 1, createObjects());
+    const access = {entries: urls, key: null, operator: 'demo'};
+    await sendCommands(access, DEMO_COMMANDS);
     const engines = await Promise.all(
       Array.from({length: ENGINES}, (_, index) =>
         deployment.startEngine({
@@ -38,17 +39,11 @@
         }),
       ),
     );
-    await awaitService(urls);
-    const results = await runLoad({
-      entry: urls[0]!,
-      requests: REQUESTS,
-      seed: SEED,
-    });
-    await printTable(
-      results,
-      engines.map(engine => engine.url),
-      urls,
-    );
+    await awaitService(access);
+    const results = await runLoad({entries: urls, plan: createDemoPlan()});
+    console.log(formatSummaries(createSummaries(DEMO_TIERS, results)));
+    await printWastedPrefill(engines.map(engine => engine.url));
+    await printLiveRequests(access);
   } finally {
     await deployment.stop();
   }
--- a/control/configuration/src/validateObject.ts
+++ b/control/configuration/src/validateObject.ts
@@ -1,7 +1,7 @@
 import {assertNever} from '@gentianshunt/errors';
 import {isIdentifier} from '@gentianshunt/identifiers';
 
-import {formatObjectKey} from './objects.js';
+import {formatObjectKey, WEIGHT_STORE_ID} from './objects.js';
 import type {ConfigurationObject, ObjectKey} from './objects.js';
 
 /** Tells what is wrong with an object's values, if anything. */
@@ -16,6 +16,9 @@
       if (object.tiers.length === 0) {
         return 'an organisation needs at least one tier';
       }
+      if (new Set(object.tiers).size < object.tiers.length) {
+        return 'a tier is named twice';
+      }
       return (
         checkPositive('weight', object.weight) ??
         checkLimit('maxRunning', object.limits.maxRunning) ??
@@ -34,8 +37,16 @@
       );
     case 'requestKind':
       return checkPositive('weight', object.weight);
+    case 'weightStore':
+      if (object.id !== WEIGHT_STORE_ID) {
+        return `the weight store is called ${WEIGHT_STORE_ID}`;
+      }
+      return object.burst >= 1
+        ? checkPositive('loadsPerMinute', object.loadsPerMinute)
+        : 'burst must be 1 or more';
     case 'endpointSet':
     case 'endpointPolicy':
+    case 'endpointOrder':
     case 'setLeadership':
       return undefined;
     default:
@@ -66,6 +77,8 @@
     case 'endpointSet':
     case 'requestKind':
     case 'endpointPolicy':
+    case 'endpointOrder':
+    case 'weightStore':
       return [];
     default:
       return assertNever(object, 'listReferences');
--- a/daemons/controld/src/peerMessages.ts
+++ b/daemons/controld/src/peerMessages.ts
@@ -12,6 +12,11 @@
 
 const ENTRY_KINDS: ReadonlySet<string> = new Set<EntryToControl['kind']>([
   'entryHeartbeat',
+  'versionConfirmed',
+  'orderOffer',
+  'orderReport',
+  'countReportRequest',
+  'controlQueryRequest',
   'commandRequest',
   'commandStatusRequest',
   'claimRequest',
--- a/daemons/entryd/src/entryd.ts
+++ b/daemons/entryd/src/entryd.ts
@@ -1,19 +1,25 @@
 import {createCallerFront} from '@gentianshunt/callerFront';
 import type {CallerFront} from '@gentianshunt/callerFront';
-import {createEndpointFront} from '@gentianshunt/endpointFront';
+import {
+  createEndpointFront,
+  createEndpointOrderClient,
+} from '@gentianshunt/endpointFront';
+import type {EndpointOrderClient} from '@gentianshunt/endpointFront';
 import type {
   EntryObservation,
   EntryOrder,
   EntryTimer,
 } from '@gentianshunt/entryModel';
 import {createEntryNode} from '@gentianshunt/entryNode';
+import {encodeEntryMessage} from '@gentianshunt/entryWire';
 import type {EntryNode} from '@gentianshunt/entryNode';
-import {assertNever, formatError} from '@gentianshunt/errors';
+import {assertNever} from '@gentianshunt/errors';
 import type {IncarnationId, NodeId} from '@gentianshunt/identifiers';
-import {createEntryMetrics} from '@gentianshunt/metrics';
+import {createLogger} from '@gentianshunt/logging';
+import {addHealthRoutes, createEntryMetrics} from '@gentianshunt/metrics';
 import type {EntryMetrics} from '@gentianshunt/metrics';
 import {createOperatorFront} from '@gentianshunt/operatorFront';
-import type {OperatorFront} from '@gentianshunt/operatorFront';
+import type {OperatorAccess, OperatorFront} from '@gentianshunt/operatorFront';
 import {createPeerLinks} from '@gentianshunt/peerLinks';
 import type {PeerLinks} from '@gentianshunt/peerLinks';
 import {
@@ -23,13 +29,16 @@
   drawIdentifier,
 } from '@gentianshunt/runtime';
 import type {TimerTable} from '@gentianshunt/runtime';
+import {readOperatorKeys} from '@gentianshunt/settings';
 import type {EntrydSettings} from '@gentianshunt/settings';
-import createDebug from 'debug';
 import {fastify} from 'fastify';
 
 import {toObservation} from './peerMessages.js';
 
-const log = createDebug('gentianshunt:entryd');
+const logger = createLogger({namespace: 'entryd'});
+
+/** Bytes of request bodies held before new ones are left unread. */
+const MAX_HELD_BODY_BYTES = 256 * 1024 * 1024;
 
 /** What an entry daemon needs. */
 export interface EntrydOptions {
@@ -51,6 +60,7 @@
   readonly timers: TimerTable<EntryTimer>;
   readonly callers: CallerFront;
   readonly operators: OperatorFront;
+  readonly endpoints: EndpointOrderClient;
   readonly metrics: EntryMetrics;
 }
 
@@ -78,13 +88,14 @@
         post(observation);
       }
     },
-    onError: error => log('%s', formatError(error)),
+    onError: error => logger.write({kind: 'peerLinkFailed', error}),
     drawFraction,
   });
   const node: EntryNode = createEntryNode({
     identity: {
       address: {
         node: settings.node,
+        region: settings.region,
         domain: settings.domain,
         peer: links.address,
         http: settings.http,
@@ -105,26 +116,27 @@
       post,
       readDirectory: () => node.view.control.directory,
       drawRequestId: drawIdentifier,
+      self: settings.node,
+      maxHeldBytes: MAX_HELD_BODY_BYTES,
     }),
+    endpoints: createEndpointOrderClient({clock: createSystemClock(), post}),
     operators: createOperatorFront({
       server,
       post,
       view: node.view,
+      clock: createSystemClock(),
+      access: readAccess(settings),
       drawRequestId: drawIdentifier,
     }),
     metrics: createEntryMetrics(),
   };
   const {metrics, timers, callers} = adapters;
   createEndpointFront({server, post});
-  server.get('/metrics', async (_request, reply) =>
-    reply.type(metrics.contentType).send(await metrics.format()),
-  );
-  server.get('/ready', async (_request, reply) =>
-    reply.code(isReady(node) ? 200 : 503).send({ready: isReady(node)}),
-  );
+  addHealthRoutes({server, metrics, readReady: () => isReady(node)});
   // The listener writes into what it is given.
   await server.listen({...settings.http});
   post({kind: 'started'});
+  logger.write({kind: 'daemonReady', node: settings.node});
   return {
     httpPort: settings.http.port,
     shutdown: () => post({kind: 'shutdownRequested'}),
@@ -137,6 +149,13 @@
   };
 }
 
+function readAccess(settings: EntrydSettings): OperatorAccess {
+  const file = settings.operator_keys_file;
+  return file === undefined
+    ? {kind: 'insecure'}
+    : {kind: 'keys', keys: readOperatorKeys({file})};
+}
+
 function isReady(node: EntryNode): boolean {
   const {service, control} = node.view;
   return (
@@ -152,10 +171,15 @@
   post: (observation: EntryObservation) => void,
 ): void {
   switch (order.kind) {
+    case 'refuseCaller':
+      adapters.callers.perform(order);
+      post({kind: 'callerRefused', refusal: order.refusal});
+      return;
     case 'openStream':
+    case 'resumeStream':
     case 'cancelStream':
-    case 'refuseCaller':
     case 'repeatAnswer':
+    case 'answerAddresses':
       adapters.callers.perform(order);
       return;
     case 'sendEntry':
@@ -174,6 +198,16 @@
       return;
     case 'recordEnd':
       adapters.metrics.recordEnd(order);
+      post({
+        kind: 'requestEnded',
+        request: order.request,
+        end: order.end,
+        firstTokenMs: order.firstTokenMs,
+      });
+      logger.write({kind: 'requestEnded', end: order});
+      return;
+    case 'sendEndpointOrder':
+      adapters.endpoints.send(order.run);
       return;
     case 'exit':
       options.onExit();
@@ -195,7 +229,7 @@
     post({kind: 'entryMessage', from: to, message});
     return;
   }
-  adapters.links.send(to, address, message);
+  adapters.links.send(to, address, encodeEntryMessage(message));
 }
 
 function findControl(settings: EntrydSettings, node: NodeId) {
--- a/fronts/callerFront/src/callerFront.ts
+++ b/fronts/callerFront/src/callerFront.ts
@@ -1,25 +1,39 @@
-import {selectAddresses} from '@gentianshunt/addressLookup';
-import type {EntryObservation, EntryOrder} from '@gentianshunt/entryModel';
-import type {RequestId} from '@gentianshunt/identifiers';
-import type {ClaimOutcome, EntryDirectory} from '@gentianshunt/messages';
+import {selectFallbacks} from '@gentianshunt/addressLookup';
+import type {
+  EntryObservation,
+  EntryOrder,
+  Refusal,
+} from '@gentianshunt/entryModel';
+import type {NodeId, RequestId} from '@gentianshunt/identifiers';
+import type {
+  ClaimOutcome,
+  DirectoryEntry,
+  EntryDirectory,
+} from '@gentianshunt/messages';
 import type {FastifyInstance, FastifyReply, FastifyRequest} from 'fastify';
 
 import {createCallerTable, sendProblem} from './callerTable.js';
 import type {CallerTable, ForwardedRequest} from './callerTable.js';
+import {createIntakeGate} from './intakeGate.js';
+import {createLookupRoute} from './lookupRoute.js';
 import {createBadRequestProblem, toProblem} from './problem.js';
+import type {CallerAddress} from './problem.js';
+import {addProblemHandlers} from './problemHandlers.js';
 import {parseChatRequest, parseServiceRequest} from './requestForm.js';
 import type {ParsedRequest} from './requestForm.js';
 import {createStreamClient} from './streamClient.js';
 
-/** How long a caller may keep the addresses it was given. */
-export const ADDRESS_LIFETIME_MS = 2_000;
-
 /** Orders that the caller front carries out. */
 export type CallerOrder = Extract<
   EntryOrder,
   {
     readonly kind:
-      'openStream' | 'cancelStream' | 'refuseCaller' | 'repeatAnswer';
+      | 'openStream'
+      | 'resumeStream'
+      | 'cancelStream'
+      | 'refuseCaller'
+      | 'repeatAnswer'
+      | 'answerAddresses';
   }
 >;
 
@@ -29,6 +43,10 @@
   readonly post: (observation: EntryObservation) => void;
   readonly readDirectory: () => EntryDirectory;
   readonly drawRequestId: () => RequestId;
+  /** This entry, which is no fallback for itself. */
+  readonly self: NodeId;
+  /** Bytes of request bodies held at which reading stops. */
+  readonly maxHeldBytes: number;
 }
 
 /** The HTTP front for callers. */
@@ -41,13 +59,20 @@
 export function createCallerFront(options: CallerFrontOptions): CallerFront {
   const callers = createCallerTable();
   const streams = createStreamClient({callers, post: options.post});
+  const {server, maxHeldBytes} = options;
+  addProblemHandlers(server);
+  createIntakeGate({server, callers, maxHeldBytes});
   addRoutes(options, callers);
+  const lookups = createLookupRoute(options);
   return {
     perform: order => {
       switch (order.kind) {
         case 'openStream':
           streams.open(order.request, order.dispatch);
           return;
+        case 'resumeStream':
+          streams.resume(order.dispatch, order.fromEvent);
+          return;
         case 'cancelStream':
           streams.cancel(order.dispatch);
           return;
@@ -55,13 +80,17 @@
           const caller = callers.find(order.refusal.request);
           callers.remove(order.refusal.request);
           if (caller !== undefined) {
-            sendProblem(caller.response, toProblem(order.refusal));
+            const addresses = listFallbacks(options, order.refusal);
+            sendProblem(caller.response, toProblem(order.refusal, addresses));
           }
           return;
         }
         case 'repeatAnswer':
           repeatAnswer(callers, order.request, order.outcome);
           return;
+        case 'answerAddresses':
+          lookups.answer(order);
+          return;
       }
     },
     close: () => streams.close(),
@@ -99,22 +128,25 @@
       });
     },
   });
-  server.get<{Querystring: {affinity?: string}}>(
-    '/v1/addresses',
-    async request => {
-      const selected = selectAddresses({
-        directory: options.readDirectory(),
-        affinity: request.query.affinity ?? '',
-      });
-      return {
-        lifetimeMs: ADDRESS_LIFETIME_MS,
-        addresses: selected.map(({address}) => ({
-          url: `http://${address.http.host}:${address.http.port}`,
-          domain: address.domain,
-        })),
-      };
-    },
-  );
+}
+
+function toCallerAddress({address}: DirectoryEntry): CallerAddress {
+  const {host, port} = address.http;
+  return {url: `http://${host}:${port}`, domain: address.domain};
+}
+
+/** Lists other entries for a caller that this one cannot serve now. */
+function listFallbacks(
+  options: CallerFrontOptions,
+  refusal: Refusal,
+): readonly CallerAddress[] {
+  const {kind} = refusal.reason;
+  if (kind !== 'draining' && kind !== 'noLease') {
+    return [];
+  }
+  const {entries} = options.readDirectory();
+  const others = entries.filter(entry => entry.address.node !== options.self);
+  return selectFallbacks(others, refusal.request).map(toCallerAddress);
 }
 
 function accept(
@@ -167,5 +199,6 @@
     notRun: false,
     retryAfterMs: null,
     detail: null,
+    addresses: [],
   });
 }
--- a/scheduling/entryModel/src/exchange.ts
+++ b/scheduling/entryModel/src/exchange.ts
@@ -10,6 +10,12 @@
 import type {EndpointAnnouncement} from './endpoint.js';
 import type {EndpointTarget} from './request.js';
 
+/**
+ * Stands for any organisation in lines and grants ahead of demand. It does not
+ * have the form of an identifier, so no organisation can bear it.
+ */
+export const ANY_ORGANISATION = '*' as OrganisationId;
+
 /** Requests waiting in one entry for one tier and organisation. */
 export interface WaitingLine {
   readonly rank: number;
@@ -23,6 +29,8 @@
   readonly costMs: Milliseconds;
   /** Value expected of the next one for each millisecond of its cost. */
   readonly score: number;
+  /** Further requests expected before the next report. */
+  readonly expected: number;
   readonly oldestWaitMs: Milliseconds;
 }
 
@@ -33,10 +41,10 @@
   readonly count: number;
 }
 
-/** Slots of one grant that an entry still holds. */
-export interface UnspentGrant {
-  readonly grant: GrantId;
+/** Slots of one line at one endpoint that an entry still holds. */
+export interface UnspentSlots {
   readonly endpoint: EndpointId;
+  readonly rank: number;
   readonly organisation: OrganisationId;
   readonly count: number;
 }
@@ -57,7 +65,7 @@
   readonly sequence: number;
   readonly waiting: readonly WaitingLine[];
   readonly running: readonly RunningCount[];
-  readonly unspent: readonly UnspentGrant[];
+  readonly unspent: readonly UnspentSlots[];
   readonly rates: readonly ReportedRate[];
 }
 
@@ -102,7 +110,10 @@
   | {
       readonly kind: 'notSetLeader';
       readonly set: EndpointSetId;
+      /** The epoch in which the sender leads the set; 0 when it does not. */
       readonly epoch: number;
+      /** The report that is refused. */
+      readonly sequence: number;
     }
   | {
       readonly kind: 'endpointAnnounced';
--- a/scheduling/entryModel/src/observation.ts
+++ b/scheduling/entryModel/src/observation.ts
@@ -1,18 +1,31 @@
+import type {Milliseconds} from '@gentianshunt/clock';
 import type {
   CommandAnswer,
+  ControlQuery,
+  ControlQueryResult,
   ControlToEntry,
+  ForceStatus,
   OperatorCommand,
 } from '@gentianshunt/messages';
+import type {OrderResult} from '@gentianshunt/orders';
 import type {
   DispatchId,
+  EndpointSetId,
   NodeId,
   OperatorId,
+  OrganisationId,
   RequestId,
 } from '@gentianshunt/identifiers';
 
 import type {EndpointAnnouncement} from './endpoint.js';
+import type {OrderRun} from './endpointOrder.js';
 import type {EntryMessage} from './exchange.js';
-import type {RequestFacts} from './request.js';
+import type {
+  AdmittedRequest,
+  Refusal,
+  RequestEnd,
+  RequestFacts,
+} from './request.js';
 
 /** The timers of an entry; one of each name runs at a time. */
 export type EntryTimer =
@@ -28,8 +41,13 @@
   | {readonly kind: 'notSent'; readonly detail: string}
   /** The endpoint answered that it did not take the request. */
   | {readonly kind: 'rejected'; readonly status: number}
-  /** The stream ended without its end mark and could not be resumed. */
-  | {readonly kind: 'cut'; readonly detail: string};
+  /** The stream ended without its end mark. */
+  | {
+      readonly kind: 'cut';
+      readonly detail: string;
+      /** Complete events that the caller has been sent. */
+      readonly events: number;
+    };
 
 /** Everything that can happen to an entry. */
 export type EntryObservation =
@@ -38,9 +56,11 @@
   | {readonly kind: 'requestReceived'; readonly facts: RequestFacts}
   | {readonly kind: 'callerGone'; readonly request: RequestId}
   | {readonly kind: 'streamStarted'; readonly dispatch: DispatchId}
+  /** Tells now and then that a stream still delivers. */
+  | {readonly kind: 'streamProgress'; readonly dispatch: DispatchId}
   | {
       /** Tells, about twice a second, how far a stream has come. */
-      readonly kind: 'streamProgress';
+      readonly kind: 'tokensStreamed';
       readonly dispatch: DispatchId;
       readonly answerTokens: number;
     }
@@ -71,6 +91,36 @@
       readonly operator: OperatorId;
       readonly command: OperatorCommand;
     }
+  | {
+      /** An operator asks what only the leading control daemon knows. */
+      readonly kind: 'queryReceived';
+      readonly correlation: RequestId;
+      readonly query: ControlQuery;
+    }
+  | {
+      /** A caller was told of a refusal. */
+      readonly kind: 'callerRefused';
+      readonly refusal: Refusal;
+    }
+  | {
+      /** An admitted request has left the board. */
+      readonly kind: 'requestEnded';
+      readonly request: AdmittedRequest;
+      readonly end: RequestEnd;
+      readonly firstTokenMs: Milliseconds | null;
+    }
+  | {
+      /** An endpoint answered an order, or could not be asked. */
+      readonly kind: 'endpointOrderEnded';
+      readonly run: OrderRun;
+      readonly result: OrderResult;
+    }
+  | {
+      readonly kind: 'addressesRequested';
+      readonly correlation: RequestId;
+      readonly organisation: OrganisationId;
+      readonly set: EndpointSetId;
+    }
   | {readonly kind: 'shutdownRequested'};
 
 /** An answer small enough to be kept. */
@@ -84,8 +134,5 @@
 /** What an operator is told about a command. */
 export type CommandProgress =
   | {readonly kind: 'answered'; readonly answer: CommandAnswer}
-  | {
-      readonly kind: 'inForce';
-      readonly version: number;
-      readonly unconfirmed: readonly NodeId[];
-    };
+  | {readonly kind: 'force'; readonly status: ForceStatus}
+  | {readonly kind: 'queried'; readonly result: ControlQueryResult};
--- a/scheduling/entryModel/src/order.ts
+++ b/scheduling/entryModel/src/order.ts
@@ -1,11 +1,13 @@
 import type {Milliseconds} from '@gentianshunt/clock';
 import type {
   ClaimOutcome,
+  EntryAddress,
   EntryToControl,
   NetworkAddress,
 } from '@gentianshunt/messages';
 import type {NodeId, RequestId} from '@gentianshunt/identifiers';
 
+import type {OrderRun} from './endpointOrder.js';
 import type {EntryMessage} from './exchange.js';
 import type {CommandProgress, EntryTimer} from './observation.js';
 import type {
@@ -22,6 +24,14 @@
       readonly request: AdmittedRequest;
       readonly dispatch: Dispatch;
     }
+  | {
+      /** Reads on at the same endpoint; it starts no new work there. */
+      readonly kind: 'resumeStream';
+      readonly request: AdmittedRequest;
+      readonly dispatch: Dispatch;
+      /** Complete events that the caller has already. */
+      readonly fromEvent: number;
+    }
   | {readonly kind: 'cancelStream'; readonly dispatch: Dispatch}
   | {readonly kind: 'refuseCaller'; readonly refusal: Refusal}
   | {
@@ -58,4 +68,16 @@
       readonly waitedMs: Milliseconds;
       readonly firstTokenMs: Milliseconds | null;
     }
+  | {
+      /** Carries an order to an endpoint, unless its time has passed. */
+      readonly kind: 'sendEndpointOrder';
+      readonly run: OrderRun;
+    }
+  | {
+      readonly kind: 'answerAddresses';
+      readonly correlation: RequestId;
+      readonly lifetimeMs: Milliseconds;
+      /** Entries in the order in which to try them. */
+      readonly addresses: readonly EntryAddress[];
+    }
   | {readonly kind: 'exit'};
--- a/scheduling/entryModel/src/sections.ts
+++ b/scheduling/entryModel/src/sections.ts
@@ -1,16 +1,27 @@
 import {
   compareBy,
+  compareValues,
   defineCell,
   defineMap,
   defineOrdered,
 } from '@gentianshunt/board';
 import type {Milliseconds, MonotonicTime} from '@gentianshunt/clock';
-import type {ConfigurationObject, ObjectKey} from '@gentianshunt/configuration';
 import type {
+  ConfigurationObject,
+  EndpointOrder,
+  ObjectKey,
+} from '@gentianshunt/configuration';
+import {NO_DIRECTORY_VERSION} from '@gentianshunt/messages';
+import type {
+  ClaimKey,
+  ClaimOutcome,
+  ControlQuery,
+  CountReport,
   EntryAddress,
   EntryDirectory,
   NetworkAddress,
   OperatorCommand,
+  ServiceCount,
 } from '@gentianshunt/messages';
 import type {PatienceRecord, RequestClass} from '@gentianshunt/policy';
 import type {
@@ -18,6 +29,7 @@
   EndpointId,
   EndpointSetId,
   GrantId,
+  Identifier,
   IncarnationId,
   NodeId,
   OrganisationId,
@@ -25,8 +37,9 @@
 } from '@gentianshunt/identifiers';
 
 import type {EndpointAnnouncement} from './endpoint.js';
+import type {OrderEpoch, OrderRunState} from './endpointOrder.js';
 import type {GrantReply, Match, ReportRecord, Slot} from './exchange.js';
-import type {AdmittedRequest, RequestState} from './request.js';
+import type {AdmittedRequest, Refusal, RequestState} from './request.js';
 
 /** What an entry knows of itself and of the control daemons. */
 export interface EntryIdentity {
@@ -71,6 +84,18 @@
   readonly count: number;
 }
 
+/** How often each entry was given to callers as their first address. */
+export interface GivenAddresses {
+  readonly since: MonotonicTime;
+  readonly counts: ReadonlyMap<NodeId, number>;
+}
+
+/** How fast requests of a line arrive, as a decaying average. */
+export interface ArrivalRate {
+  readonly perSecond: number;
+  readonly at: MonotonicTime;
+}
+
 /** Identifies what an entry runs at an endpoint for an organisation. */
 export interface RunningKey {
   readonly set: EndpointSetId;
@@ -88,6 +113,12 @@
   readonly grant: GrantId;
 }
 
+/**
+ * How soon a change must be reported: `urgent` when a slot is wanted,
+ * `lazy` when only the leader's counts are out of date.
+ */
+export type ReportUrgency = 'none' | 'lazy' | 'urgent';
+
 /** The entry's exchange with the leader of one set. */
 export interface ExchangeState {
   readonly set: EndpointSetId;
@@ -96,10 +127,14 @@
   readonly sentAt: MonotonicTime;
   /** Whether a reply to the latest report is still awaited. */
   readonly inFlight: boolean;
-  /** Whether something changed since the latest report. */
-  readonly dirty: boolean;
-  /** Whether the latest report named anything at all. */
-  readonly empty: boolean;
+  /** What changed since the latest report. */
+  readonly urgency: ReportUrgency;
+  /** Reports in a row that were lost or refused. */
+  readonly failures: number;
+  /** Lazy reports that may be sent early. */
+  readonly credit: number;
+  /** Lines, counts and slot groups in the latest report. */
+  readonly items: number;
 }
 
 /** Highest reply part taken for each set's latest report. */
@@ -121,6 +156,8 @@
   readonly announcement: EndpointAnnouncement;
   readonly seenAt: MonotonicTime;
   readonly state: 'active' | 'leaving' | 'silent';
+  /** Earlier incarnations, the latest first; their announcements are late. */
+  readonly replaced: readonly IncarnationId[];
 }
 
 /** Identifies an endpoint of a set. */
@@ -181,6 +218,31 @@
   readonly observedAt: MonotonicTime;
 }
 
+/** A claim that the control log has not answered yet. */
+export interface OpenClaim {
+  readonly startedAt: MonotonicTime;
+  readonly askedAt: MonotonicTime;
+  /** How often the control log has been asked. */
+  readonly asks: number;
+}
+
+/** The outcome of a claimed request on its way to the control log. */
+export interface Settlement {
+  readonly key: ClaimKey;
+  readonly request: RequestId;
+  readonly outcome: ClaimOutcome;
+  readonly endedAt: MonotonicTime;
+  readonly sentAt: MonotonicTime;
+  /** When the control log confirmed it; `null` before. */
+  readonly confirmedAt: MonotonicTime | null;
+}
+
+/** Orders dispatched requests by the time their endpoint counts as silent. */
+export interface SilenceKey {
+  readonly silentAt: MonotonicTime;
+  readonly request: RequestId;
+}
+
 /** An operator's command on its way through the control log. */
 export interface PendingCommand {
   readonly correlation: RequestId;
@@ -190,6 +252,33 @@
   readonly version: number | null;
 }
 
+/** An operator's query on its way to the leading control daemon. */
+export interface PendingQuery {
+  readonly correlation: RequestId;
+  readonly receivedAt: MonotonicTime;
+  readonly query: ControlQuery;
+}
+
+/** A recent refusal, as operators see it. */
+export interface RefusalRecord {
+  readonly number: number;
+  readonly at: Date;
+  readonly refusal: Refusal;
+  /** `null` when the request was never admitted. */
+  readonly request: AdmittedRequest | null;
+}
+
+/** What this incarnation has counted and not yet seen acknowledged. */
+export interface CountState {
+  readonly lastSequence: number;
+  /** Repeated unchanged until it is acknowledged. */
+  readonly open: CountReport | null;
+  readonly sentAt: MonotonicTime;
+}
+
+/** Key of the counts of one month, tier, organisation and kind. */
+export type CountKey = Identifier<'count'>;
+
 /** Creates the sections of an entry's board. */
 export function createEntrySections(identity: EntryIdentity) {
   return {
@@ -201,7 +290,7 @@
       leaseUntil: Number.NEGATIVE_INFINITY,
       lastSequence: 0,
       sentAt: Number.NEGATIVE_INFINITY,
-      directory: {version: 0, entries: []},
+      directory: {version: NO_DIRECTORY_VERSION, entries: []},
     }),
     configuration: defineMap<ObjectKey, ConfigurationObject>(),
     requests: defineMap<RequestId, RequestState>(),
@@ -211,7 +300,19 @@
     lines: defineOrdered<LineKey, LineCount>(
       compareBy('set', 'rank', 'organisation'),
     ),
+    givenAddresses: defineCell<GivenAddresses>({
+      since: Number.NEGATIVE_INFINITY,
+      counts: new Map(),
+    }),
+    arrivalRates: defineOrdered<LineKey, ArrivalRate>(
+      compareBy('set', 'rank', 'organisation'),
+    ),
     dispatches: defineMap<DispatchId, RequestId>(),
+    openClaims: defineMap<RequestId, OpenClaim>(),
+    settlements: defineMap<RequestId, Settlement>(),
+    silences: defineOrdered<SilenceKey, RequestId>(
+      compareBy('silentAt', 'request'),
+    ),
     running: defineOrdered<RunningKey, RunningRecord>(
       compareBy('set', 'endpoint', 'organisation'),
     ),
@@ -222,6 +323,8 @@
     acceptedReply: defineCell<GrantReply | null>(null),
     matches: defineMap<RequestId, Match>(),
     exchanges: defineMap<EndpointSetId, ExchangeState>(),
+    /** When the process started to lead sets. */
+    startedAt: defineCell<MonotonicTime>(Number.POSITIVE_INFINITY),
     leaderships: defineMap<EndpointSetId, LeadershipState>(),
     endpoints: defineOrdered<EndpointKey, EndpointRecord>(
       compareBy('set', 'endpoint'),
@@ -234,6 +337,17 @@
     patience: defineMap<RequestClass, PatienceRecord>(),
     shedding: defineMap<EndpointSetId, boolean>(),
     commands: defineMap<RequestId, PendingCommand>(),
+    queries: defineMap<RequestId, PendingQuery>(),
+    refusals: defineOrdered<number, RefusalRecord>(compareValues),
+    countState: defineCell<CountState>({
+      lastSequence: 0,
+      open: null,
+      sentAt: Number.NEGATIVE_INFINITY,
+    }),
+    counts: defineMap<CountKey, ServiceCount>(),
+    openOrders: defineMap<EndpointId, EndpointOrder>(),
+    orderRuns: defineMap<EndpointId, OrderRunState>(),
+    orderEpochs: defineMap<EndpointSetId, OrderEpoch>(),
   };
 }
 
--- a/scheduling/entryNode/src/entryNode.ts
+++ b/scheduling/entryNode/src/entryNode.ts
@@ -1,11 +1,16 @@
+import {createLookupController} from '@gentianshunt/addressLookup';
 import {createControlLoop} from '@gentianshunt/board';
 import type {ControlLoop} from '@gentianshunt/board';
 import type {Clock} from '@gentianshunt/clock';
 import {
   createCommandController,
   createControlController,
+  createCountController,
+  createQueryController,
+  createRefusalController,
   createServiceController,
 } from '@gentianshunt/controlClient';
+import {createEndpointOrderController} from '@gentianshunt/endpointOrders';
 import {createEntrySections} from '@gentianshunt/entryModel';
 import type {
   EntryController,
@@ -26,6 +31,7 @@
   createReportController,
 } from '@gentianshunt/setLeader';
 import {
+  createArrivalController,
   createExchangeController,
   createReplyController,
   createSlotController,
@@ -48,14 +54,20 @@
     createServiceController(),
     createControlController(),
     createCommandController(),
+    createQueryController(),
+    createRefusalController(),
+    createCountController(),
     createLeadershipController(),
     createEndpointRegistry(),
+    createEndpointOrderController(),
     createReplyController(),
     createPatienceController(),
     createRateController(),
     createLifecycleController(),
+    createArrivalController(),
     createSlotController(),
     createExchangeController(),
+    createLookupController(),
     createReportController(),
     createGrantController(),
   ];
--- a/scheduling/learning/src/rateController.ts
+++ b/scheduling/learning/src/rateController.ts
@@ -24,10 +24,10 @@
     name: 'rates',
     reads: ['requests', 'dispatches', 'progress', 'endpointRates'],
     writes: ['progress', 'endpointRates'],
-    observes: ['streamProgress'],
+    observes: ['tokensStreamed'],
     run: (view, now) => {
       const {observation, board} = view;
-      if (observation?.kind === 'streamProgress') {
+      if (observation?.kind === 'tokensStreamed') {
         return learnProgress(
           view,
           observation.dispatch,
--- a/scheduling/setLeader/src/grantController.ts
+++ b/scheduling/setLeader/src/grantController.ts
@@ -38,10 +38,13 @@
 import {allocateSlots, countOccupied} from './allocation.js';
 import type {
   AllocatedSlot,
+  AllocationInput,
+  AllocationResult,
   EndpointCapacity,
   ShareState,
 } from './allocation.js';
 import {countLeft, listOpenLines, mergeRates} from './openLines.js';
+import {allocateStanding} from './standingSlots.js';
 import {SLOT_LIFETIME_MS} from './leadershipController.js';
 
 type GrantReads =
@@ -123,7 +126,8 @@
   const endpoints = listCapacities(view, set, records, before);
   const lines = listOpenLines(records, before);
   const shares = listShares(view, set, records);
-  const allocation = allocateSlots({endpoints, lines, shares});
+  const input = {endpoints, lines, shares};
+  const allocation = allocateWithStanding(input, records, before);
   const shedding = decideShedding({
     waiting: countLeft(lines, allocation.slots),
     slots: endpoints.reduce((sum, {concurrency}) => sum + concurrency, 0),
@@ -153,6 +157,26 @@
   return Math.max(0, ...tiers.map(tier => tier.rank));
 }
 
+/** Slots ahead of demand go to entries whose report was not yet answered. */
+function allocateWithStanding(
+  input: AllocationInput,
+  records: readonly ReportRecord[],
+  before: ReadonlyMap<NodeId, GrantedSince>,
+): AllocationResult {
+  const result = allocateSlots(input);
+  const waiting = input.lines.reduce((sum, {line}) => sum + line.count, 0);
+  if (result.slots.length < waiting) {
+    return result;
+  }
+  const standing = allocateStanding({
+    endpoints: input.endpoints,
+    records,
+    canTake: node => before.get(node)!.parts === 0,
+    allocated: result.slots,
+  });
+  return {...result, slots: [...result.slots, ...standing]};
+}
+
 function putShare(set: EndpointSetId, share: ShareState): GrantWrite {
   const {organisation, virtualTime} = share;
   return {
@@ -233,7 +257,9 @@
   records: readonly ReportRecord[],
 ): readonly ShareState[] {
   const waiting = records.flatMap(({report}) =>
-    report.waiting.map(line => line.organisation),
+    report.waiting
+      .filter(line => line.count > 0)
+      .map(line => line.organisation),
   );
   const known = [...iterateShares(view.board.shares, set)];
   const furthest = Math.max(0, ...known.map(({value}) => value));
--- a/scheduling/setLeader/test/allocation.test.ts
+++ b/scheduling/setLeader/test/allocation.test.ts
@@ -35,6 +35,7 @@
     readyEarly: 20,
     costMs: 100,
     score: 1,
+    expected: 0,
     oldestWaitMs: 10,
     ...changes,
   };
