--- a/fronts/entryWire/src/demandReportWire.ts
+++ b/fronts/entryWire/src/demandReportWire.ts
@@ -9,6 +9,10 @@
 import type {WireReader} from './wireReader.js';
 import {createWireTable} from './wireTable.js';
 
+/** Scores travel as whole numbers of this part of one. */
+const SCORE_SCALE = 1_000_000;
+const MICROSECONDS_PER_MILLISECOND = 1_000;
+
 /** Encodes a report as lists; names stand once and are then numbered. */
 export function encodeDemandReport(report: DemandReport): readonly unknown[] {
   const organisations = createWireTable<OrganisationId>(id => id);
@@ -17,6 +21,10 @@
     line.rank,
     organisations.indexOf(line.organisation),
     line.count,
+    line.ready,
+    line.readyEarly,
+    Math.round(line.costMs),
+    Math.round(line.score * SCORE_SCALE),
     line.expected,
     Math.round(line.oldestWaitMs),
   ]);
@@ -31,6 +39,11 @@
     organisations.indexOf(slots.organisation),
     slots.count,
   ]);
+  const rates = report.rates.flatMap(rate => [
+    endpoints.indexOf(rate.endpoint),
+    Math.round(rate.decodeMsPerToken * MICROSECONDS_PER_MILLISECOND),
+    Math.round(rate.ageMs),
+  ]);
   return [
     report.set,
     report.epoch,
@@ -40,6 +53,7 @@
     waiting,
     running,
     unspent,
+    rates,
   ];
 }
 
@@ -58,6 +72,10 @@
     rank: list.readCount(),
     organisation: list.readFrom(organisations),
     count: list.readCount(),
+    ready: list.readCount(),
+    readyEarly: list.readCount(),
+    costMs: list.readCount(),
+    score: list.readCount() / SCORE_SCALE,
     expected: list.readCount(),
     oldestWaitMs: list.readCount(),
   }));
@@ -72,5 +90,10 @@
     organisation: list.readFrom(organisations),
     count: list.readCount(),
   }));
-  return {set, epoch, sequence, waiting, running, unspent};
+  const rates = readAll(reader.readList(), list => ({
+    endpoint: list.readFrom(endpoints),
+    decodeMsPerToken: list.readCount() / MICROSECONDS_PER_MILLISECOND,
+    ageMs: list.readCount(),
+  }));
+  return {set, epoch, sequence, waiting, running, unspent, rates};
 }
--- a/fronts/entryWire/test/entryWire.test.ts
+++ b/fronts/entryWire/test/entryWire.test.ts
@@ -33,10 +33,21 @@
         epoch: 3,
         sequence: 1_700_000_000_000,
         waiting: [
-          {rank: 1, organisation, count: 2, expected: 4, oldestWaitMs: 17},
+          {
+            rank: 1,
+            organisation,
+            count: 2,
+            ready: 1,
+            readyEarly: 2,
+            costMs: 80,
+            score: 0.25,
+            expected: 4,
+            oldestWaitMs: 17,
+          },
         ],
         running: [place],
         unspent: [{...place, rank: 2}],
+        rates: [{endpoint: target.endpoint, decodeMsPerToken: 31.5, ageMs: 40}],
       },
     },
     {
--- a/scheduling/entryModel/src/observation.ts
+++ b/scheduling/entryModel/src/observation.ts
@@ -58,6 +58,12 @@
   | {readonly kind: 'streamStarted'; readonly dispatch: DispatchId}
   /** Tells now and then that a stream still delivers. */
   | {readonly kind: 'streamProgress'; readonly dispatch: DispatchId}
+  | {
+      /** Tells, about twice a second, how far a stream has come. */
+      readonly kind: 'tokensStreamed';
+      readonly dispatch: DispatchId;
+      readonly answerTokens: number;
+    }
   | {
       readonly kind: 'streamEnded';
       readonly dispatch: DispatchId;
--- a/scheduling/entryModel/src/sections.ts
+++ b/scheduling/entryModel/src/sections.ts
@@ -5,7 +5,7 @@
   defineMap,
   defineOrdered,
 } from '@gentianshunt/board';
-import type {MonotonicTime} from '@gentianshunt/clock';
+import type {Milliseconds, MonotonicTime} from '@gentianshunt/clock';
 import type {
   ConfigurationObject,
   EndpointOrder,
@@ -23,6 +23,7 @@
   OperatorCommand,
   ServiceCount,
 } from '@gentianshunt/messages';
+import type {PatienceRecord, RequestClass} from '@gentianshunt/policy';
 import type {
   DispatchId,
   EndpointId,
@@ -203,6 +204,20 @@
   readonly organisation: OrganisationId;
 }
 
+/** How far a stream had come when it last told. */
+export interface StreamProgress {
+  readonly answerTokens: number;
+  readonly at: MonotonicTime;
+}
+
+/** How fast an endpoint decodes, as this entry's streams saw it. */
+export interface LearnedRate {
+  readonly set: EndpointSetId;
+  readonly endpoint: EndpointId;
+  readonly decodeMsPerToken: Milliseconds;
+  readonly observedAt: MonotonicTime;
+}
+
 /** A claim that the control log has not answered yet. */
 export interface OpenClaim {
   readonly startedAt: MonotonicTime;
@@ -317,6 +332,10 @@
     reports: defineOrdered<ReportKey, ReportRecord>(compareBy('set', 'node')),
     granted: defineOrdered<ReportKey, GrantedSince>(compareBy('set', 'node')),
     shares: defineOrdered<ShareKey, number>(compareBy('set', 'organisation')),
+    progress: defineMap<DispatchId, StreamProgress>(),
+    endpointRates: defineMap<EndpointId, LearnedRate>(),
+    patience: defineMap<RequestClass, PatienceRecord>(),
+    shedding: defineMap<EndpointSetId, boolean>(),
     commands: defineMap<RequestId, PendingCommand>(),
     queries: defineMap<RequestId, PendingQuery>(),
     refusals: defineOrdered<number, RefusalRecord>(compareValues),
--- a/scheduling/entryNode/src/entryNode.ts
+++ b/scheduling/entryNode/src/entryNode.ts
@@ -19,6 +19,10 @@
   EntryOrder,
   EntrySections,
 } from '@gentianshunt/entryModel';
+import {
+  createPatienceController,
+  createRateController,
+} from '@gentianshunt/learning';
 import {createLifecycleController} from '@gentianshunt/lifecycle';
 import {
   createEndpointRegistry,
@@ -57,6 +61,8 @@
     createEndpointRegistry(),
     createEndpointOrderController(),
     createReplyController(),
+    createPatienceController(),
+    createRateController(),
     createLifecycleController(),
     createArrivalController(),
     createSlotController(),
--- a/scheduling/setLeader/src/standingSlots.ts
+++ b/scheduling/setLeader/src/standingSlots.ts
@@ -91,11 +91,16 @@
   return record.report.waiting
     .map(line => ({
       node: record.node,
-      line: {...line, count: line.expected - countHeld(record, line)},
+      line: expectRequests(line, line.expected - countHeld(record, line)),
     }))
     .filter(({line}) => line.count > 0);
 }
 
+/** Requests that have not come yet are taken to be ready. */
+function expectRequests(line: WaitingLine, count: number): WaitingLine {
+  return {...line, count, ready: count, readyEarly: count};
+}
+
 function countHeld(record: ReportRecord, line: WaitingLine): number {
   return record.report.unspent
     .filter(
--- a/scheduling/slotExchange/src/exchangeController.ts
+++ b/scheduling/slotExchange/src/exchangeController.ts
@@ -8,7 +8,6 @@
   iterateLines,
   iterateRunning,
   iterateSlots,
-  iterateWaiting,
 } from '@gentianshunt/entryModel';
 import type {
   DemandReport,
@@ -26,6 +25,7 @@
 import type {EndpointSetId} from '@gentianshunt/identifiers';
 
 import {estimateExpected} from './arrivalController.js';
+import {describeLine, listRates} from './lineReport.js';
 
 /** Least time between two reports for one set while slots are wanted. */
 export const MIN_REPORT_INTERVAL_MS: Milliseconds = 2;
@@ -52,6 +52,8 @@
   | 'running'
   | 'slots'
   | 'matches'
+  | 'patience'
+  | 'endpointRates'
   | 'exchanges'
   | 'acceptedReply';
 type ExchangeView = View<EntrySections, ExchangeReads, EntryObservation>;
@@ -71,6 +73,8 @@
       'running',
       'slots',
       'matches',
+      'patience',
+      'endpointRates',
       'exchanges',
       'acceptedReply',
     ],
@@ -354,6 +358,7 @@
       count: value.count,
     })),
     unspent: listUnspent(view, set, now),
+    rates: listRates(view.board, set, now),
   };
 }
 
@@ -383,18 +388,18 @@
   now: TurnTime,
 ): readonly WaitingLine[] {
   const {lines, arrivalRates} = view.board;
-  const waiting = [...iterateLines(lines, set)].map(({key, value}) => ({
-    rank: key.rank,
-    organisation: key.organisation,
-    count: value.count,
-    expected: 0,
-    oldestWaitMs: readOldestWait(view, key, now),
-  }));
+  const waiting = [...iterateLines(lines, set)].map(({key, value}) =>
+    describeLine(view.board, key, value.count, now),
+  );
   const expecting = [...iterateLines(arrivalRates, set)]
     .map(({key, value}) => ({
       rank: key.rank,
       organisation: key.organisation,
       count: 0,
+      ready: 0,
+      readyEarly: 0,
+      costMs: 0,
+      score: 0,
       expected: estimateExpected(value, now),
       oldestWaitMs: 0,
     }))
@@ -402,15 +407,6 @@
   return [...waiting, ...expecting];
 }
 
-function readOldestWait(
-  view: ExchangeView,
-  line: Parameters<typeof iterateWaiting>[1],
-  now: TurnTime,
-): Milliseconds {
-  const oldest = iterateWaiting(view.board.waiting, line).next();
-  return oldest.done === true ? 0 : now.monotonic - oldest.value.key.arrivedAt;
-}
-
 function countItems(report: DemandReport): number {
   return report.waiting.length + report.running.length + report.unspent.length;
 }
--- a/scheduling/slotExchange/src/index.ts
+++ b/scheduling/slotExchange/src/index.ts
@@ -1,4 +1,5 @@
 export * from './arrivalController.js';
 export * from './exchangeController.js';
+export * from './lineOrder.js';
 export * from './replyController.js';
 export * from './slotController.js';
--- a/scheduling/slotExchange/src/slotController.ts
+++ b/scheduling/slotExchange/src/slotController.ts
@@ -5,7 +5,6 @@
   isSameLine,
   iterateLines,
   iterateLineSlots,
-  iterateWaiting,
   pickLine,
 } from '@gentianshunt/entryModel';
 import type {
@@ -20,12 +19,16 @@
 } from '@gentianshunt/entryModel';
 import type {GrantId, RequestId} from '@gentianshunt/identifiers';
 
+import {listCandidates} from './lineOrder.js';
+
 type SlotReads =
   | 'requests'
   | 'waiting'
   | 'lines'
   | 'slots'
   | 'matches'
+  | 'patience'
+  | 'endpointRates'
   | 'acceptedReply'
   | 'exchanges';
 type SlotWrites = 'slots' | 'matches';
@@ -42,6 +45,8 @@
       'lines',
       'slots',
       'matches',
+      'patience',
+      'endpointRates',
       'acceptedReply',
       'exchanges',
     ],
@@ -158,8 +163,12 @@
   now: TurnTime,
 ): readonly SlotWrite[] {
   const writes: SlotWrite[] = [];
-  const waiting = listUnmatched(view, line);
-  for (const {key, slot} of draft.listFitting(line)) {
+  const fitting = draft.listFitting(line);
+  if (fitting.length === 0) {
+    return writes;
+  }
+  const waiting = listCandidates(view.board, line, now).values();
+  for (const {key, slot} of fitting) {
     while (draft.readRemaining(key) > 0 && slot.deadline > now.monotonic) {
       const next = waiting.next();
       if (next.done === true) {
@@ -168,7 +177,8 @@
       draft.spend(key);
       const {id: grant, target} = slot.grant;
       const value = {grant, target, deadline: slot.deadline};
-      writes.push({kind: 'put', section: 'matches', key: next.value, value});
+      const request = next.value.request.id;
+      writes.push({kind: 'put', section: 'matches', key: request, value});
     }
   }
   return writes;
@@ -216,14 +226,3 @@
       ),
   };
 }
-
-function* listUnmatched(
-  view: SlotView,
-  line: LineKey,
-): Generator<RequestId, void> {
-  for (const {key} of iterateWaiting(view.board.waiting, line)) {
-    if (!view.board.matches.has(key.request)) {
-      yield key.request;
-    }
-  }
-}
