Add the fault matrix over the real controllers

Cause: the invariants were only read off the code; nothing struck faults at each step and checked all of them.

Ruled out: a simulator of the cluster (the real nodes run with fakes for links, disk, endpoints, callers and clock); checkers that only see hand-made traces (each is also broken by a faulty controller in a real run).

Change: bench/matrix with the table of steps, faults and targets, eight checkers over one trace type, `npm run matrix`, `--list`, `--only`, and the same cells in the tests. createEntryNode takes other controllers, for the tests of the checkers.

--- /dev/null
+++ b/bench/matrix/src/deploymentForm.ts
@@ -0,0 +1,36 @@
+import type {ControlIdentity} from '@gentianshunt/controlModel';
+import type {EntryIdentity} from '@gentianshunt/entryModel';
+import {toIdentifier} from '@gentianshunt/identifiers';
+
+import type {FakeProcess} from './fakeProcess.js';
+
+/** Names of the control daemons of every cell. */
+export const CONTROL_IDS = ['control-0', 'control-1', 'control-2'] as const;
+/** Names of the entries of every cell. */
+export const ENTRY_IDS = ['entry-0', 'entry-1', 'entry-2'] as const;
+
+const HOST = '127.0.0.1';
+
+/** Creates what an entry knows of itself. */
+export function createEntryIdentity(process: FakeProcess): EntryIdentity {
+  const port = Number(process.id.split('-')[1]);
+  return {
+    address: {
+      node: toIdentifier(process.id),
+      domain: toIdentifier('a'),
+      peer: {host: HOST, port},
+      http: {host: HOST, port},
+    },
+    incarnation: toIdentifier(`${process.id}.${process.incarnation}`),
+    controls: CONTROL_IDS.map(id => toIdentifier(id)),
+  };
+}
+
+/** Creates what a control daemon knows of itself. */
+export function createControlIdentity(process: FakeProcess): ControlIdentity {
+  return {
+    node: toIdentifier(process.id),
+    members: CONTROL_IDS.map(id => toIdentifier(id)),
+    seed: Number(process.id.split('-')[1]) * 1_000 + process.incarnation,
+  };
+}
--- /dev/null
+++ b/bench/matrix/src/entryHost.ts
@@ -0,0 +1,373 @@
+import type {Clock} from '@gentianshunt/clock';
+import {createEntryNode} from '@gentianshunt/entryNode';
+import type {EntryNode} from '@gentianshunt/entryNode';
+import type {
+  Dispatch,
+  EntryController,
+  EntryMessage,
+  EntryObservation,
+  EntryOrder,
+  StreamEnd,
+} from '@gentianshunt/entryModel';
+import {assertNever} from '@gentianshunt/errors';
+import {toIdentifier} from '@gentianshunt/identifiers';
+import type {EntryToControl} from '@gentianshunt/messages';
+
+import type {Attempt} from './caller.js';
+import {formatTokens} from './caller.js';
+import {createEntryIdentity} from './deploymentForm.js';
+import type {FakeEndpoint, Reader} from './fakeEndpoint.js';
+import type {FakeProcess} from './fakeProcess.js';
+import type {Carriage, Network} from './network.js';
+import {createRequestFacts, readWeight} from './objects.js';
+import type {StepListener} from './steps.js';
+import type {TraceEvent} from './trace.js';
+
+/** What the adapters of an entry reach. */
+export interface EntryPeers {
+  sendToEntry(to: string, message: EntryMessage): void;
+  sendToControl(to: string, message: EntryToControl): void;
+  findEndpoint(id: string): FakeEndpoint;
+  answerOperator(
+    order: Extract<EntryOrder, {readonly kind: 'answerOperator'}>,
+  ): void;
+}
+
+/** What a hosted entry needs. */
+export interface EntryHostOptions {
+  readonly process: FakeProcess;
+  readonly clock: Clock;
+  readonly network: Network;
+  readonly peers: EntryPeers;
+  readonly record: (event: TraceEvent) => void;
+  readonly onStep: StepListener;
+  /** The controllers, when they are not the usual ones. */
+  readonly createControllers?: () => readonly EntryController[];
+}
+
+/** An entry with fakes in place of its adapters. */
+export interface EntryHost {
+  readonly process: FakeProcess;
+  readonly node: EntryNode;
+  post(observation: EntryObservation): void;
+  connect(attempt: Attempt): boolean;
+  hangUp(attempt: Attempt): void;
+  /** Records the configuration the entry acts on. */
+  sample(): void;
+  start(): void;
+  kill(): void;
+}
+
+interface HostState {
+  node: EntryNode;
+  readonly attempts: Map<string, Attempt>;
+  readonly streams: Map<string, OpenStream>;
+}
+
+interface OpenStream {
+  readonly attempt: Attempt;
+  readonly received: string[];
+}
+
+/** Creates an entry that has not been started. */
+export function createEntryHost(options: EntryHostOptions): EntryHost {
+  const {process, clock, record} = options;
+  const state: HostState = {
+    node: createNode(options, order => perform(options, state, order)),
+    attempts: new Map(),
+    streams: new Map(),
+  };
+  const post = (observation: EntryObservation): void =>
+    process.run(() => state.node.post(observation));
+  return {
+    process,
+    get node() {
+      return state.node;
+    },
+    post,
+    connect: attempt => acceptCall(options, state, attempt),
+    hangUp: attempt => {
+      state.attempts.delete(attempt.request);
+      const request = toIdentifier<never>(attempt.request);
+      post({kind: 'callerGone', request});
+    },
+    sample: () => {
+      const {control, configuration} = state.node.view;
+      record({
+        at: clock.readMonotonic(),
+        kind: 'configuration',
+        entry: process.id,
+        incarnation: `${process.id}/${process.incarnation}`,
+        version: control.version,
+        weight: readWeight(configuration),
+        isServing:
+          process.isAlive && control.leaseUntil > clock.readMonotonic(),
+      });
+    },
+    start: () => {
+      state.node = createNode(options, order => perform(options, state, order));
+      post({kind: 'started'});
+    },
+    kill: () => {
+      const attempts = [...state.attempts.values()];
+      state.attempts.clear();
+      state.streams.clear();
+      process.kill();
+      attempts.forEach(attempt => attempt.fail());
+    },
+  };
+}
+
+function createNode(
+  options: EntryHostOptions,
+  handle: (order: EntryOrder) => void,
+): EntryNode {
+  const {process, clock, createControllers} = options;
+  const {incarnation} = process;
+  return createEntryNode({
+    ...(createControllers === undefined
+      ? {}
+      : {controllers: createControllers()}),
+    identity: createEntryIdentity(process),
+    clock,
+    perform: order => {
+      // Orders of a process that has just died are not carried out.
+      if (process.isAlive && process.incarnation === incarnation) {
+        handle(order);
+      }
+    },
+  });
+}
+
+function acceptCall(
+  options: EntryHostOptions,
+  state: HostState,
+  attempt: Attempt,
+): boolean {
+  const {process, clock, record, onStep} = options;
+  if (!process.isAlive) {
+    return false;
+  }
+  const {request} = attempt;
+  state.attempts.set(request, attempt);
+  process.run(() => {
+    const facts = createRequestFacts(attempt.plan, request);
+    const rank = attempt.plan.tier === 'gold' ? 1 : 2;
+    const at = clock.readMonotonic();
+    const entry = process.id;
+    record({at, kind: 'accepted', entry, request, set: facts.set, rank});
+    state.node.post({kind: 'requestReceived', facts});
+    onStep('accepted', {entry: process, request});
+  });
+  return true;
+}
+
+function perform(
+  options: EntryHostOptions,
+  state: HostState,
+  order: EntryOrder,
+): void {
+  const {process, peers, onStep} = options;
+  switch (order.kind) {
+    case 'openStream':
+      openStream(options, state, order);
+      return;
+    case 'resumeStream':
+      resumeStream(options, state, order.dispatch, order.fromEvent);
+      return;
+    case 'cancelStream':
+      cancelStream(options, order.dispatch);
+      return;
+    case 'refuseCaller':
+      refuseCaller(options, state, order);
+      return;
+    case 'repeatAnswer':
+      repeatAnswer(state, order);
+      return;
+    case 'sendEntry':
+      peers.sendToEntry(order.to, order.message);
+      return;
+    case 'sendControl':
+      if (order.message.kind === 'claimRequest') {
+        const {request} = order.message;
+        onStep('claimed', {entry: process, request});
+      }
+      peers.sendToControl(order.to, order.message);
+      return;
+    case 'setTimer': {
+      const {timer, delayMs} = order;
+      process.setTimer(timer.kind, delayMs, () =>
+        state.node.post({kind: 'timerDue', timer}),
+      );
+      return;
+    }
+    case 'answerOperator':
+      peers.answerOperator(order);
+      return;
+    case 'recordEnd':
+      onStep('counted', {entry: process, request: order.request.id});
+      return;
+    case 'exit':
+      exit(options, state);
+      return;
+    default:
+      assertNever(order, 'perform');
+  }
+}
+
+function exit(options: EntryHostOptions, state: HostState): void {
+  const {process, clock, record} = options;
+  record({
+    at: clock.readMonotonic(),
+    kind: 'exited',
+    entry: process.id,
+    openCallers: state.attempts.size,
+  });
+  process.kill();
+}
+
+function openStream(
+  options: EntryHostOptions,
+  state: HostState,
+  order: Extract<EntryOrder, {readonly kind: 'openStream'}>,
+): void {
+  const {process, clock, network, peers, record, onStep} = options;
+  const {request, dispatch} = order;
+  const attempt = state.attempts.get(request.id);
+  const endpoint = peers.findEndpoint(dispatch.target.endpoint);
+  const at = clock.readMonotonic();
+  record({at, kind: 'opened', entry: process.id, request: request.id});
+  onStep('dispatched', {entry: process, request: request.id});
+  if (!process.isAlive || attempt === undefined) {
+    return;
+  }
+  if (!endpoint.process.isAlive) {
+    const end = {kind: 'notSent', detail: 'ECONNREFUSED'} as const;
+    process.plan(1, () => endStream(state, dispatch, end));
+    return;
+  }
+  state.streams.set(dispatch.id, {attempt, received: []});
+  const reader = createReader(options, state, dispatch);
+  const {plan} = attempt;
+  const key = plan.key === null ? null : plan.key;
+  const tokens = formatTokens(plan);
+  const job = {dispatch: dispatch.id, request: request.id, key, tokens};
+  sendStream(network, process, endpoint.process, {
+    deliver: () => endpoint.open(job, reader),
+    onBroken: reader.onBroken,
+  });
+}
+
+function sendStream(
+  network: Network,
+  from: FakeProcess,
+  to: FakeProcess,
+  rest: Pick<Carriage, 'deliver' | 'onBroken'>,
+): void {
+  network.send({kind: 'stream', from, to, ...rest});
+}
+
+function createReader(
+  {process, onStep}: EntryHostOptions,
+  state: HostState,
+  dispatch: Dispatch,
+): Reader {
+  return {
+    process,
+    onToken: (token, isLast) => {
+      const stream = state.streams.get(dispatch.id);
+      if (stream === undefined) {
+        return;
+      }
+      stream.received.push(token);
+      state.node.post({kind: 'streamStarted', dispatch: dispatch.id});
+      if (isLast) {
+        onStep('endMark', {entry: process, request: stream.attempt.request});
+        endStream(state, dispatch, {kind: 'complete'});
+      }
+    },
+    onBroken: () => {
+      const events = state.streams.get(dispatch.id)?.received.length ?? 0;
+      const detail = 'connection lost';
+      process.run(() =>
+        endStream(state, dispatch, {kind: 'cut', detail, events}),
+      );
+    },
+  };
+}
+
+function endStream(state: HostState, dispatch: Dispatch, end: StreamEnd): void {
+  const stream = state.streams.get(dispatch.id);
+  const answer = stream?.received.join(' ') ?? '';
+  const isWhole = end.kind === 'complete';
+  const stored = isWhole
+    ? {status: 200, contentType: 'text/plain', body: Buffer.from(answer)}
+    : null;
+  state.node.post({kind: 'streamEnded', dispatch: dispatch.id, end, stored});
+  if (isWhole && stream !== undefined) {
+    state.streams.delete(dispatch.id);
+    state.attempts.delete(stream.attempt.request);
+    stream.attempt.finish(answer);
+  }
+}
+
+function resumeStream(
+  options: EntryHostOptions,
+  state: HostState,
+  dispatch: Dispatch,
+  fromEvent: number,
+): void {
+  const {process, network, peers} = options;
+  const endpoint = peers.findEndpoint(dispatch.target.endpoint);
+  const reader = createReader(options, state, dispatch);
+  sendStream(network, process, endpoint.process, {
+    deliver: () => {
+      if (!endpoint.resume(dispatch.id, fromEvent, reader)) {
+        const end = {kind: 'rejected', status: 404} as const;
+        process.plan(1, () => endStream(state, dispatch, end));
+      }
+    },
+    onBroken: reader.onBroken,
+  });
+}
+
+function cancelStream(options: EntryHostOptions, dispatch: Dispatch): void {
+  const {process, network, peers, onStep} = options;
+  const endpoint = peers.findEndpoint(dispatch.target.endpoint);
+  onStep('cancelSent', {entry: process, endpoint: endpoint.process});
+  sendStream(network, process, endpoint.process, {
+    deliver: () => endpoint.cancel(dispatch.id),
+  });
+}
+
+function refuseCaller(
+  {process, clock, record}: EntryHostOptions,
+  state: HostState,
+  {refusal}: Extract<EntryOrder, {readonly kind: 'refuseCaller'}>,
+): void {
+  const {request, notRun} = refusal;
+  record({
+    at: clock.readMonotonic(),
+    kind: 'refused',
+    entry: process.id,
+    request,
+    reason: refusal.reason.kind,
+    notRun,
+  });
+  const attempt = state.attempts.get(request);
+  state.attempts.delete(request);
+  attempt?.refuse(refusal);
+}
+
+function repeatAnswer(
+  state: HostState,
+  order: Extract<EntryOrder, {readonly kind: 'repeatAnswer'}>,
+): void {
+  const attempt = state.attempts.get(order.request);
+  state.attempts.delete(order.request);
+  if (order.outcome.kind === 'answered') {
+    attempt?.finish(Buffer.from(order.outcome.body).toString());
+  } else {
+    attempt?.fail();
+  }
+}
--- /dev/null
+++ b/bench/matrix/test/cellsOfCommand.test.ts
@@ -0,0 +1,12 @@
+import t from 'tap';
+
+import {checkCells} from './checkCells.js';
+
+checkCells(t, [
+  'received',
+  'appended',
+  'committed',
+  'applied',
+  'answered',
+  'inForce',
+]);
--- a/scheduling/entryNode/src/entryNode.ts
+++ b/scheduling/entryNode/src/entryNode.ts
@@ -33,6 +33,8 @@
   readonly clock: Clock;
   /** Carries out an order; it must not throw and must not block. */
   readonly perform: (order: EntryOrder) => void;
+  /** Controllers in place of the usual ones, for tests of the checkers. */
+  readonly controllers?: readonly EntryController[];
 }
 
 /** The control loop of an entry. */
@@ -59,7 +61,7 @@
 export function createEntryNode(options: EntryNodeOptions): EntryNode {
   return createControlLoop({
     sections: createEntrySections(options.identity),
-    controllers: createEntryControllers(),
+    controllers: options.controllers ?? createEntryControllers(),
     clock: options.clock,
     perform: options.perform,
   });
