Prove shutdown and leaving endpoints with processes and signals

Cause: the exit of an entry could cut an answer that was still on its way to a slow caller, and a second signal waited like the first; nothing ran the daemons under signals.

Ruled out: closing the server with its connections forced shut (cuts answers); fixed waits in the tests (they poll conditions).

Change: an entry exits once every response has been handed over; a second signal ends it at once. bench/processes holds tests with real processes: graceful shutdown under load, second signal, leaving and silent endpoints, cut streams, callers that leave, resends through another entry, reused keys, a frozen entry, a lost control daemon, killed engines.

--- /dev/null
+++ b/bench/processes/src/callers.ts
@@ -0,0 +1,119 @@
+import {request} from 'undici';
+import type {Dispatcher} from 'undici';
+
+/** What a caller asks for. */
+export interface CallOptions {
+  /** Base URL of the entry. */
+  readonly url: string;
+  readonly signal?: AbortSignal;
+}
+
+/** What a caller saw of an answer. */
+export type CallOutcome =
+  | {readonly kind: 'whole'; readonly text: string}
+  | {
+      readonly kind: 'refused';
+      readonly status: number;
+      readonly problem: Problem;
+    }
+  /** The answer ended without its end mark. */
+  | {readonly kind: 'cut'; readonly text: string}
+  | {readonly kind: 'unreachable'};
+
+/** The part of a problem document that callers act on. */
+export interface Problem {
+  readonly type: string;
+  readonly notRun: boolean;
+  readonly addresses: readonly {readonly url: string}[];
+}
+
+const END_MARK = 'data: [DONE]\n\n';
+
+/** Asks for an answer of a number of tokens. */
+export function callChat(
+  options: CallOptions & {readonly tokens: number},
+): Promise<CallOutcome> {
+  const body = {
+    model: 'drafts',
+    messages: [{role: 'user', content: 'a short question'}],
+    max_tokens: options.tokens,
+    stream: true,
+  };
+  return send(options, '/v1/chat/completions', body, {'x-kind': 'draft'});
+}
+
+/** Calls the plain service with a key. */
+export function callService(
+  options: CallOptions & {readonly key: string; readonly content?: string},
+): Promise<CallOutcome> {
+  const body = {certificate: options.content ?? options.key};
+  const headers = {'x-kind': 'issue-number', 'idempotency-key': options.key};
+  return send(options, '/v1/services/registry/numbers', body, headers);
+}
+
+async function send(
+  {url, signal}: CallOptions,
+  path: string,
+  body: unknown,
+  headers: Readonly<Record<string, string>>,
+): Promise<CallOutcome> {
+  let reply: Dispatcher.ResponseData;
+  try {
+    reply = await request(`${url}${path}`, {
+      method: 'POST',
+      headers: {
+        'content-type': 'application/json',
+        'x-organisation': 'north-lab',
+        ...headers,
+      },
+      body: JSON.stringify(body),
+      ...(signal === undefined ? {} : {signal}),
+    });
+  } catch {
+    return {kind: 'unreachable'};
+  }
+  return readOutcome(reply);
+}
+
+async function readOutcome(
+  reply: Dispatcher.ResponseData,
+): Promise<CallOutcome> {
+  const contentType = String(reply.headers['content-type']);
+  const isStream = contentType.startsWith('text/event-stream');
+  let text = '';
+  try {
+    for await (const chunk of reply.body) {
+      text += String(chunk);
+    }
+  } catch {
+    return {kind: 'cut', text};
+  }
+  if (contentType.startsWith('application/problem+json')) {
+    const problem = JSON.parse(text) as Problem;
+    return {kind: 'refused', status: reply.statusCode, problem};
+  }
+  return isStream && !text.endsWith(END_MARK)
+    ? {kind: 'cut', text}
+    : {kind: 'whole', text};
+}
+
+/** Counts the tokens of a streamed answer, if none is missing or repeated. */
+export function countTokens(text: string): number {
+  const tokens = [...text.matchAll(/"content":"t(\d+) "/g)].map(match =>
+    Number(match[1]),
+  );
+  return tokens.every((token, index) => token === index) ? tokens.length : -1;
+}
+
+/** Reads JSON from a URL. */
+export async function readJson<Value>(url: string): Promise<Value> {
+  const reply = await request(url);
+  return (await reply.body.json()) as Value;
+}
+
+/** Posts to a stand-in's control route. */
+export async function postTo(url: string): Promise<void> {
+  const headers = {'content-type': 'application/json'};
+  const reply = await request(url, {method: 'POST', headers, body: '{}'});
+  await reply.body.dump();
+}
--- /dev/null
+++ b/bench/processes/src/index.ts
@@ -0,0 +1,2 @@
+export * from './callers.js';
+export * from './startDeployment.js';
--- /dev/null
+++ b/bench/processes/test/processFaults.test.ts
@@ -0,0 +1,147 @@
+import t from 'tap';
+
+import {
+  callChat,
+  callService,
+  countTokens,
+  postTo,
+  readJson,
+  startDeployment,
+  waitUntil,
+} from '../src/index.js';
+
+const TOKENS = 150;
+
+interface Counts {
+  readonly started: number;
+  readonly cancelled: number;
+}
+
+interface ServiceRun {
+  readonly body: string;
+}
+
+async function sumCounts(
+  urls: readonly string[],
+  read: (counts: Counts) => number,
+): Promise<number> {
+  const all = await Promise.all(
+    urls.map(url => readJson<Counts>(`${url}/counts`)),
+  );
+  return all.map(read).reduce((sum, count) => sum + count, 0);
+}
+
+t.test('faults of processes on a running deployment', async t => {
+  const {deployment, engines, service, urls} = await startDeployment();
+  t.teardown(() => deployment.stop());
+  const engineUrls = engines.map(engine => engine.url);
+  const awaitStarted = async (count: number): Promise<boolean> =>
+    waitUntil(
+      5_000,
+      async () =>
+        (await sumCounts(engineUrls, counts => counts.started)) >= count,
+    );
+  const countRuns = async (key: string): Promise<number> => {
+    const runs = await readJson<readonly ServiceRun[]>(`${service.url}/runs`);
+    return runs.filter(({body}) => body.includes(key)).length;
+  };
+
+  await t.test('a cut stream is resumed and whole', async t => {
+    const started = await sumCounts(engineUrls, counts => counts.started);
+    const call = callChat({url: urls[0]!, tokens: TOKENS});
+    t.ok(await awaitStarted(started + 1));
+    await Promise.all(engineUrls.map(url => postTo(`${url}/cut`)));
+    const outcome = await call;
+    t.equal(outcome.kind, 'whole');
+    t.equal(outcome.kind === 'whole' && countTokens(outcome.text), TOKENS);
+    const after = await sumCounts(engineUrls, counts => counts.started);
+    t.equal(after, started + 1, 'it was started once');
+  });
+
+  await t.test('a caller that leaves ends the work', async t => {
+    const cancelled = await sumCounts(engineUrls, counts => counts.cancelled);
+    const started = await sumCounts(engineUrls, counts => counts.started);
+    const leaving = new AbortController();
+    const {signal} = leaving;
+    const call = callChat({url: urls[0]!, tokens: TOKENS, signal});
+    t.ok(await awaitStarted(started + 1));
+    leaving.abort();
+    await call;
+    t.ok(
+      await waitUntil(
+        500,
+        async () =>
+          (await sumCounts(engineUrls, counts => counts.cancelled)) > cancelled,
+      ),
+    );
+  });
+
+  await t.test('a call whose caller left is kept for a resend', async t => {
+    const leaving = new AbortController();
+    const {signal} = leaving;
+    const call = callService({url: urls[0]!, key: 'kept-1', signal});
+    t.ok(await waitUntil(5_000, async () => (await countRuns('kept-1')) === 1));
+    leaving.abort();
+    await call;
+    const again = await callService({url: urls[1]!, key: 'kept-1'});
+    t.equal(again.kind, 'whole');
+    t.equal(await countRuns('kept-1'), 1);
+  });
+
+  await t.test('a resend meets a running call and waits for it', async t => {
+    const [first, second] = await Promise.all([
+      callService({url: urls[0]!, key: 'twice-1'}),
+      callService({url: urls[1]!, key: 'twice-1'}),
+    ]);
+    t.equal(first.kind, 'whole');
+    t.strictSame(second, first);
+    t.equal(await countRuns('twice-1'), 1);
+  });
+
+  await t.test('a key with another content is refused', async t => {
+    const {kind} = await callService({url: urls[0]!, key: 'reused-1'});
+    t.equal(kind, 'whole');
+    const content = 'reused-1 changed';
+    const key = 'reused-1';
+    const other = await callService({url: urls[1]!, key, content});
+    t.equal(other.kind === 'refused' && other.status, 422);
+    t.equal(other.kind === 'refused' && other.problem.notRun, true);
+    t.equal(await countRuns('reused-1'), 1);
+  });
+
+  await t.test('a frozen entry goes on and repeats nothing', async t => {
+    const entry = deployment.entries[2]!;
+    const call = callService({url: entry.url, key: 'frozen-1'});
+    t.ok(
+      await waitUntil(5_000, async () => (await countRuns('frozen-1')) === 1),
+    );
+    entry.process.child.kill('SIGSTOP');
+    const until = performance.now() + 4_000;
+    await waitUntil(5_000, () => performance.now() > until);
+    entry.process.child.kill('SIGCONT');
+    t.equal((await call).kind, 'whole');
+    t.equal(await countRuns('frozen-1'), 1);
+  });
+
+  await t.test('the system goes on without one control daemon', async t => {
+    await deployment.controls[0]!.process.stop('SIGKILL');
+    const outcomes = await Promise.all(
+      urls.map((url, index) => callService({url, key: `less-${index}`})),
+    );
+    t.ok(outcomes.every(({kind}) => kind === 'whole'));
+    await deployment.restartControl(deployment.controls[0]!.node);
+  });
+
+  await t.test(
+    'a killed engine gives an error and no short answer',
+    async t => {
+      const started = await sumCounts(engineUrls, counts => counts.started);
+      const call = callChat({url: urls[0]!, tokens: TOKENS});
+      t.ok(await awaitStarted(started + 1));
+      await Promise.all(engines.map(engine => engine.process.stop('SIGKILL')));
+      const outcome = await call;
+      t.not(outcome.kind, 'whole');
+      t.not(outcome.kind === 'refused' && outcome.problem.notRun, true);
+    },
+  );
+});
--- a/cli/demo/src/index.ts
+++ b/cli/demo/src/index.ts
@@ -0,0 +1,2 @@
+export * from './objects.js';
+export * from './operator.js';
--- a/daemons/entryd/src/entryd.ts
+++ b/daemons/entryd/src/entryd.ts
@@ -27,6 +27,7 @@
 import type {EntrydSettings} from '@gentianshunt/settings';
 import {fastify} from 'fastify';
 
+import {createOpenResponses} from './openResponses.js';
 import {toObservation} from './peerMessages.js';
 
 const logger = createLogger({namespace: 'entryd'});
@@ -55,6 +56,8 @@
   readonly callers: CallerFront;
   readonly operators: OperatorFront;
   readonly metrics: EntryMetrics;
+  /** Ends the daemon once nothing is on its way to a caller. */
+  readonly exit: () => void;
 }
 
 /** Starts an entry daemon: its fronts, its links and its control loop. */
@@ -64,6 +67,7 @@
     bodyLimit: settings.limits.max_body_bytes,
     forceCloseConnections: true,
   });
+  const responses = createOpenResponses(server.server);
   server.removeAllContentTypeParsers();
   server.addContentTypeParser(
     '*',
@@ -118,6 +122,7 @@
       drawRequestId: drawIdentifier,
     }),
     metrics: createEntryMetrics(),
+    exit: () => void responses.drain().then(options.onExit),
   };
   const {metrics, timers, callers} = adapters;
   createEndpointFront({server, post});
@@ -128,7 +133,13 @@
   logger.write({kind: 'daemonReady', node: settings.node});
   return {
     httpPort: settings.http.port,
-    shutdown: () => post({kind: 'shutdownRequested'}),
+    shutdown: () => {
+      if (node.view.service.kind === 'draining') {
+        options.onExit();
+        return;
+      }
+      post({kind: 'shutdownRequested'});
+    },
     close: async () => {
       timers.clear();
       await callers.close();
@@ -179,7 +190,7 @@
       logger.write({kind: 'requestEnded', end: order});
       return;
     case 'exit':
-      options.onExit();
+      adapters.exit();
       return;
     default:
       assertNever(order, 'perform');
