--- a/fronts/callerFront/src/carryAnswer.ts
+++ b/fronts/callerFront/src/carryAnswer.ts
@@ -49,6 +49,13 @@
   }
 }
 
+/** Gives up a body that is not read to its end. */
+export function discardBody({body}: ResponseData): void {
+  // Destroying an unread body raises an error that nobody else takes.
+  body.on('error', () => undefined);
+  body.destroy();
+}
+
 function cut(stream: AnswerStream, detail: string): StreamEnd {
   return {kind: 'cut', detail, events: stream.events};
 }
@@ -103,7 +110,6 @@
   onProgress: () => void,
 ): Promise<StreamEnd> {
   if (!hasMarkedEnd(data)) {
-    data.body.destroy();
     return cut(stream, 'the body has neither length nor end mark');
   }
   // The client library fails when a marked body ends early.
