--- a/scheduling/controlClient/src/serviceController.ts
+++ b/scheduling/controlClient/src/serviceController.ts
@@ -10,14 +10,17 @@
 
 /** Longest wait of a draining entry for a confirmed outcome. */
 export const SETTLE_EXIT_MS: Milliseconds = 5_000;
+/** Longest stay of a drained entry for the sake of its counts. */
+export const COUNT_NOTICE_MS: Milliseconds = 10_000;
 
-type ServiceReads = 'service' | 'requests' | 'settlements';
+type ServiceReads =
+  'service' | 'requests' | 'settlements' | 'counts' | 'countState';
 
 /** Creates the controller that starts and ends the entry's service. */
 export function createServiceController(): EntryController {
   return defineEntryController<ServiceReads, 'service'>({
     name: 'service',
-    reads: ['service', 'requests', 'settlements'],
+    reads: ['service', 'requests', 'settlements', 'counts', 'countState'],
     writes: ['service'],
     observes: ['started', 'shutdownRequested', 'timerDue'],
     run: ({observation, board}, now) => {
@@ -38,12 +41,15 @@
           if (observation.timer.kind !== 'housekeeping') {
             return [];
           }
-          const {service, requests, settlements} = board;
+          const {service, requests, settlements, counts, countState} = board;
+          const drainedMs =
+            service.kind === 'draining' ? now.monotonic - service.since : 0;
+          const isReported = counts.size === 0 && countState.open === null;
           const isDone =
-            service.kind === 'draining' &&
             requests.size === 0 &&
+            drainedMs >= DRAIN_NOTICE_MS &&
             areSettled(settlements, now) &&
-            now.monotonic - service.since >= DRAIN_NOTICE_MS;
+            (isReported || drainedMs >= COUNT_NOTICE_MS);
           return isDone
             ? [{kind: 'order', order: {kind: 'exit'}}]
             : [createHousekeepingTimer()];
