Tell callers of unknown outcomes that the call may have run

Cause: a resend whose key ended as unknown was refused with notRun true; the resend had not run, but an earlier run of the same call may have.

Ruled out: leaving it to the reason alone (callers act on notRun).

Change: that refusal is built like those after a dispatch.

--- a/bench/matrix/src/deploymentForm.ts
+++ b/bench/matrix/src/deploymentForm.ts
@@ -18,6 +18,7 @@
     address: {
       node: toIdentifier(process.id),
       domain: toIdentifier('a'),
+      region: toIdentifier('local'),
       peer: {host: HOST, port},
       http: {host: HOST, port},
     },
--- a/bench/matrix/test/checkCells.ts
+++ b/bench/matrix/test/checkCells.ts
@@ -13,6 +13,7 @@
     const name = formatCell(cell);
     if (result.kind === 'run') {
       t.strictSame(result.violations, [], name);
+      t.strictSame(result.open, [], `${name} leaves no caller waiting`);
       t.ok(result.answered > 0, `${name} answers callers`);
     }
   }
--- a/scheduling/entryModel/src/request.ts
+++ b/scheduling/entryModel/src/request.ts
@@ -139,7 +139,7 @@
   readonly [notRunProof]: true;
 }
 
-/** Tells of a request that may have run. */
+/** Tells of a request that, or an earlier run of which, may have run. */
 export interface DispatchedRefusal extends RefusalFacts {
   readonly notRun: false;
 }
--- a/scheduling/lifecycle/src/claims.ts
+++ b/scheduling/lifecycle/src/claims.ts
@@ -1,6 +1,6 @@
 import type {TurnTime} from '@gentianshunt/board';
 import type {Milliseconds} from '@gentianshunt/clock';
-import {refuseNotRun} from '@gentianshunt/entryModel';
+import {failDispatched, refuseNotRun} from '@gentianshunt/entryModel';
 import type {
   AdmittedRequest,
   OpenClaim,
@@ -153,13 +153,24 @@
       draft.move({kind: 'waiting', request: state.request});
       return;
     case 'unknown':
-      refuse(draft, state, {kind: 'outcomeUnknown'}, null, now);
+      refuseUnknown(draft, state, now);
       return;
     default:
       assertNever(outcome, 'handleSettled');
   }
 }
 
+/** An earlier run of the same call may have been completed. */
+function refuseUnknown(
+  draft: RequestDraft,
+  state: ClaimingState,
+  now: TurnTime,
+): void {
+  const refusal = failDispatched(state.request.id, {kind: 'outcomeUnknown'});
+  draft.order({kind: 'refuseCaller', refusal});
+  endRequest(draft, state, {kind: 'refused', refusal}, now);
+}
+
 function refuse(
   draft: RequestDraft,
   state: UndispatchedState,
