--- /dev/null
+++ b/bench/entry/src/index.ts
@@ -0,0 +1,1 @@
+export * from './idleMemory.js';
--- a/bench/matrix/src/deployment.ts
+++ b/bench/matrix/src/deployment.ts
@@ -1,4 +1,3 @@
-import {selectAddresses} from '@gentianshunt/addressLookup';
 import type {Milliseconds} from '@gentianshunt/clock';
 import type {EntryController} from '@gentianshunt/entryModel';
 
@@ -212,20 +211,20 @@
 ): Parameters<typeof createCallers>[0]['entrance'] {
   const chosen = new Map<string, EntryHost>();
   const entries = hosts.entries;
-  const lookUp = (name: string): readonly EntryHost[] => {
+  const lookUp = (name: string, set: string): readonly EntryHost[] => {
     const asked = [...entries.values()].find(host => host.process.isAlive);
     if (asked === undefined) {
       return [];
     }
     onStep('lookedUp', {entry: asked.process, request: `${name}.0`});
-    const {directory} = asked.node.view.control;
-    return selectAddresses({directory, affinity: name}).map(({address}) =>
-      entries.get(address.node)!,
-    );
+    return asked.lookUp(set).map(id => entries.get(id)!);
   };
   return {
     connect: (choice, attempt: Attempt) => {
-      const found = lookUp(attempt.plan.name);
+      const found = lookUp(
+        attempt.plan.name,
+        attempt.plan.key === null ? 'drafts' : 'registry',
+      );
       const host = found[choice % Math.max(1, found.length)];
       if (host === undefined) {
         return false;
--- a/bench/matrix/src/entryHost.ts
+++ b/bench/matrix/src/entryHost.ts
@@ -52,6 +52,8 @@
   post(observation: EntryObservation): void;
   connect(attempt: Attempt): boolean;
   hangUp(attempt: Attempt): void;
+  /** Lists the entries that callers of a set are told to use. */
+  lookUp(set: string): readonly string[];
   /** Records the configuration the entry acts on. */
   sample(): void;
   start(): void;
@@ -60,6 +62,8 @@
 
 interface HostState {
   node: EntryNode;
+  /** The latest answer to a lookup. */
+  addresses: readonly string[];
   readonly attempts: Map<string, Attempt>;
   readonly streams: Map<string, OpenStream>;
 }
@@ -74,6 +78,7 @@
   const {process, clock, record} = options;
   const state: HostState = {
     node: createNode(options, order => perform(options, state, order)),
+    addresses: [],
     attempts: new Map(),
     streams: new Map(),
   };
@@ -91,6 +96,15 @@
       const request = toIdentifier<never>(attempt.request);
       post({kind: 'callerGone', request});
     },
+    lookUp: set => {
+      post({
+        kind: 'addressesRequested',
+        correlation: toIdentifier('lookup'),
+        organisation: toIdentifier('lab'),
+        set: toIdentifier(set),
+      });
+      return state.addresses;
+    },
     sample: () => {
       const {control, configuration} = state.node.view;
       record({
@@ -207,6 +221,12 @@
     case 'recordEnd':
       onStep('counted', {entry: process, request: order.request.id});
       return;
+    case 'answerAddresses':
+      state.addresses = order.addresses.map(address => address.node);
+      return;
+    case 'sendEndpointOrder':
+      // No cell gives orders to endpoints.
+      return;
     case 'exit':
       exit(options, state);
       return;
--- a/bench/processes/src/startDeployment.ts
+++ b/bench/processes/src/startDeployment.ts
@@ -1,6 +1,6 @@
 import {setTimeout as delay} from 'node:timers/promises';
 
-import {awaitService, createObjects, sendCommand} from '@gentianshunt/demo';
+import {awaitService, DEMO_COMMANDS, sendCommands} from '@gentianshunt/demo';
 import {createDeployment} from '@gentianshunt/deployment';
 import type {DeployedEndpoint, Deployment} from '@gentianshunt/deployment';
 
@@ -20,7 +20,8 @@
 export async function startDeployment(): Promise<ServingDeployment> {
   const deployment = await createDeployment({controls: 3, entries: ENTRIES});
   const urls = deployment.entries.map(entry => entry.url);
-  await sendCommand(urls[0]!, 1, createObjects());
+  const access = {entries: urls, key: null, operator: 'test'};
+  await sendCommands(access, DEMO_COMMANDS);
   const engines = await Promise.all(
     Array.from({length: ENGINES}, (_, index) =>
       deployment.startEngine({
@@ -35,7 +36,7 @@
     set: 'registry',
     extra: ['--work-ms', '300'],
   });
-  await awaitService(urls);
+  await awaitService(access);
   return {deployment, engines, service, urls};
 }
 
--- a/bench/processes/test/gracefulShutdown.test.ts
+++ b/bench/processes/test/gracefulShutdown.test.ts
@@ -33,6 +33,17 @@
   return outcomes;
 }
 
+async function isAnyStarted(
+  engines: readonly {readonly url: string}[],
+): Promise<boolean> {
+  const counts = await Promise.all(
+    engines.map(({url}) =>
+      readJson<{readonly started: number}>(`${url}/counts`),
+    ),
+  );
+  return counts.some(({started}) => started > 0);
+}
+
 function listProblems(outcomes: readonly CallOutcome[]): readonly Problem[] {
   return outcomes.flatMap(outcome =>
     outcome.kind === 'refused' ? [outcome.problem] : [],
@@ -40,26 +51,23 @@
 }
 
 t.test('a graceful shutdown under load cuts no request', async t => {
-  const {deployment, urls} = await startDeployment();
+  const {deployment, urls, engines} = await startDeployment();
   t.teardown(() => deployment.stop());
   const leaver = deployment.entries[1]!;
   const {child} = leaver.process;
   let isOver = false;
+  const long = callChat({url: leaver.url, tokens: LONG_TOKENS});
+  t.ok(await waitUntil(5_000, () => isAnyStarted(engines)));
   const load = Array.from({length: 12}, (_, index) =>
     callInTurn(urls[index % urls.length]!, () => isOver),
   );
-  const long = callChat({url: leaver.url, tokens: LONG_TOKENS});
-  await waitUntil(5_000, async () => {
-    const requests = await readJson<readonly {readonly state: string}[]>(
-      `${leaver.url}/v1/operator/requests`,
-    );
-    return requests.some(({state}) => state === 'answering');
-  });
 
   const exited = new Promise(resolve => child.once('exit', resolve));
   child.kill('SIGTERM');
   const isOutOfLookup = await waitUntil(2_000, async () => {
-    const {addresses} = await readJson<Lookup>(`${urls[0]}/v1/addresses`);
+    const {addresses} = await readJson<Lookup>(
+      `${urls[0]}/v1/addresses?organisation=north-lab&set=drafts`,
+    );
     return addresses.every(({url}) => url !== leaver.url);
   });
   t.ok(isOutOfLookup, 'the lookup lists it no more');
@@ -84,17 +92,12 @@
 });
 
 t.test('a second signal ends an entry at once', async t => {
-  const {deployment} = await startDeployment();
+  const {deployment, engines} = await startDeployment();
   t.teardown(() => deployment.stop());
   const leaver = deployment.entries[1]!;
   const {child} = leaver.process;
   const long = callChat({url: leaver.url, tokens: LONG_TOKENS});
-  await waitUntil(5_000, async () => {
-    const requests = await readJson<readonly unknown[]>(
-      `${leaver.url}/v1/operator/requests`,
-    );
-    return requests.length > 0;
-  });
+  t.ok(await waitUntil(5_000, () => isAnyStarted(engines)));
   child.kill('SIGTERM');
   await waitUntil(2_000, async () => {
     const late = await callChat({url: leaver.url, tokens: SHORT_TOKENS});
--- a/cli/demo/src/index.ts
+++ b/cli/demo/src/index.ts
@@ -1,2 +1,2 @@
-export * from './objects.js';
+export * from './configuration.js';
 export * from './operator.js';
--- a/daemons/entryd/src/entryd.ts
+++ b/daemons/entryd/src/entryd.ts
@@ -1,12 +1,17 @@
 import {createCallerFront} from '@gentianshunt/callerFront';
 import type {CallerFront} from '@gentianshunt/callerFront';
-import {createEndpointFront} from '@gentianshunt/endpointFront';
+import {
+  createEndpointFront,
+  createEndpointOrderClient,
+} from '@gentianshunt/endpointFront';
+import type {EndpointOrderClient} from '@gentianshunt/endpointFront';
 import type {
   EntryObservation,
   EntryOrder,
   EntryTimer,
 } from '@gentianshunt/entryModel';
 import {createEntryNode} from '@gentianshunt/entryNode';
+import {encodeEntryMessage} from '@gentianshunt/entryWire';
 import type {EntryNode} from '@gentianshunt/entryNode';
 import {assertNever} from '@gentianshunt/errors';
 import type {IncarnationId, NodeId} from '@gentianshunt/identifiers';
@@ -14,7 +19,7 @@
 import {addHealthRoutes, createEntryMetrics} from '@gentianshunt/metrics';
 import type {EntryMetrics} from '@gentianshunt/metrics';
 import {createOperatorFront} from '@gentianshunt/operatorFront';
-import type {OperatorFront} from '@gentianshunt/operatorFront';
+import type {OperatorAccess, OperatorFront} from '@gentianshunt/operatorFront';
 import {createPeerLinks} from '@gentianshunt/peerLinks';
 import type {PeerLinks} from '@gentianshunt/peerLinks';
 import {
@@ -24,6 +29,7 @@
   drawIdentifier,
 } from '@gentianshunt/runtime';
 import type {TimerTable} from '@gentianshunt/runtime';
+import {readOperatorKeys} from '@gentianshunt/settings';
 import type {EntrydSettings} from '@gentianshunt/settings';
 import {fastify} from 'fastify';
 
@@ -55,6 +61,7 @@
   readonly timers: TimerTable<EntryTimer>;
   readonly callers: CallerFront;
   readonly operators: OperatorFront;
+  readonly endpoints: EndpointOrderClient;
   readonly metrics: EntryMetrics;
   /** Ends the daemon once nothing is on its way to a caller. */
   readonly exit: () => void;
@@ -116,10 +123,13 @@
       self: settings.node,
       maxHeldBytes: MAX_HELD_BODY_BYTES,
     }),
+    endpoints: createEndpointOrderClient({clock: createSystemClock(), post}),
     operators: createOperatorFront({
       server,
       post,
       view: node.view,
+      clock: createSystemClock(),
+      access: readAccess(settings),
       drawRequestId: drawIdentifier,
     }),
     metrics: createEntryMetrics(),
@@ -150,6 +160,13 @@
   };
 }
 
+function readAccess(settings: EntrydSettings): OperatorAccess {
+  const file = settings.operator_keys_file;
+  return file === undefined
+    ? {kind: 'insecure'}
+    : {kind: 'keys', keys: readOperatorKeys({file})};
+}
+
 function isReady(node: EntryNode): boolean {
   const {service, control} = node.view;
   return (
@@ -173,6 +190,7 @@
     case 'resumeStream':
     case 'cancelStream':
     case 'repeatAnswer':
+    case 'answerAddresses':
       adapters.callers.perform(order);
       return;
     case 'sendEntry':
@@ -199,6 +217,9 @@
       });
       logger.write({kind: 'requestEnded', end: order});
       return;
+    case 'sendEndpointOrder':
+      adapters.endpoints.send(order.run);
+      return;
     case 'exit':
       adapters.exit();
       return;
@@ -219,7 +240,7 @@
     post({kind: 'entryMessage', from: to, message});
     return;
   }
-  adapters.links.send(to, address, message);
+  adapters.links.send(to, address, encodeEntryMessage(message));
 }
 
 function findControl(settings: EntrydSettings, node: NodeId) {
--- a/fronts/callerFront/test/callerContract.test.ts
+++ b/fronts/callerFront/test/callerContract.test.ts
@@ -126,7 +126,10 @@
   const {statusCode, headers, body} = await reply;
   const problem = (await body.json()) as ProblemDocument;
   t.equal(statusCode, 503);
-  t.equal(headers['retry-after'], '1');
+  // The time to try again is spread by request when a refusal is built.
+  const seconds = Math.ceil(refusal.retryAfterMs! / 1_000);
+  t.ok(seconds >= 1);
+  t.equal(headers['retry-after'], String(seconds));
   t.equal(problem.notRun, true);
   t.strictSame(problem.addresses, [{url: 'http://127.0.0.1:81', domain: 'a'}]);
 });
--- a/scheduling/controlClient/src/serviceController.ts
+++ b/scheduling/controlClient/src/serviceController.ts
@@ -10,8 +10,8 @@
 
 /** Longest wait of a draining entry for a confirmed outcome. */
 export const SETTLE_EXIT_MS: Milliseconds = 5_000;
-/** Longest stay of a drained entry for the sake of its counts. */
-export const COUNT_NOTICE_MS: Milliseconds = 10_000;
+/** Longest wait of a drained entry for its counts to be taken. */
+export const COUNT_EXIT_MS: Milliseconds = 10_000;
 
 type ServiceReads =
   'service' | 'requests' | 'settlements' | 'counts' | 'countState';
@@ -44,12 +44,12 @@
           const {service, requests, settlements, counts, countState} = board;
           const drainedMs =
             service.kind === 'draining' ? now.monotonic - service.since : 0;
-          const isReported = counts.size === 0 && countState.open === null;
+          const isCounted = counts.size === 0 && countState.open === null;
           const isDone =
             requests.size === 0 &&
             drainedMs >= DRAIN_NOTICE_MS &&
             areSettled(settlements, now) &&
-            (isReported || drainedMs >= COUNT_NOTICE_MS);
+            (isCounted || drainedMs >= COUNT_EXIT_MS);
           return isDone
             ? [{kind: 'order', order: {kind: 'exit'}}]
             : [createHousekeepingTimer()];
--- a/scheduling/entryModel/src/observation.ts
+++ b/scheduling/entryModel/src/observation.ts
@@ -7,14 +7,18 @@
   ForceStatus,
   OperatorCommand,
 } from '@gentianshunt/messages';
+import type {OrderResult} from '@gentianshunt/orders';
 import type {
   DispatchId,
+  EndpointSetId,
   NodeId,
   OperatorId,
+  OrganisationId,
   RequestId,
 } from '@gentianshunt/identifiers';
 
 import type {EndpointAnnouncement} from './endpoint.js';
+import type {OrderRun} from './endpointOrder.js';
 import type {EntryMessage} from './exchange.js';
 import type {
   AdmittedRequest,
@@ -99,6 +103,18 @@
       readonly end: RequestEnd;
       readonly firstTokenMs: Milliseconds | null;
     }
+  | {
+      /** An endpoint answered an order, or could not be asked. */
+      readonly kind: 'endpointOrderEnded';
+      readonly run: OrderRun;
+      readonly result: OrderResult;
+    }
+  | {
+      readonly kind: 'addressesRequested';
+      readonly correlation: RequestId;
+      readonly organisation: OrganisationId;
+      readonly set: EndpointSetId;
+    }
   | {readonly kind: 'shutdownRequested'};
 
 /** An answer small enough to be kept. */
--- a/scheduling/entryModel/src/order.ts
+++ b/scheduling/entryModel/src/order.ts
@@ -1,11 +1,13 @@
 import type {Milliseconds} from '@gentianshunt/clock';
 import type {
   ClaimOutcome,
+  EntryAddress,
   EntryToControl,
   NetworkAddress,
 } from '@gentianshunt/messages';
 import type {NodeId, RequestId} from '@gentianshunt/identifiers';
 
+import type {OrderRun} from './endpointOrder.js';
 import type {EntryMessage} from './exchange.js';
 import type {CommandProgress, EntryTimer} from './observation.js';
 import type {
@@ -66,4 +68,16 @@
       readonly waitedMs: Milliseconds;
       readonly firstTokenMs: Milliseconds | null;
     }
+  | {
+      /** Carries an order to an endpoint, unless its time has passed. */
+      readonly kind: 'sendEndpointOrder';
+      readonly run: OrderRun;
+    }
+  | {
+      readonly kind: 'answerAddresses';
+      readonly correlation: RequestId;
+      readonly lifetimeMs: Milliseconds;
+      /** Entries in the order in which to try them. */
+      readonly addresses: readonly EntryAddress[];
+    }
   | {readonly kind: 'exit'};
--- a/scheduling/entryModel/src/sections.ts
+++ b/scheduling/entryModel/src/sections.ts
@@ -6,7 +6,11 @@
   defineOrdered,
 } from '@gentianshunt/board';
 import type {MonotonicTime} from '@gentianshunt/clock';
-import type {ConfigurationObject, ObjectKey} from '@gentianshunt/configuration';
+import type {
+  ConfigurationObject,
+  EndpointOrder,
+  ObjectKey,
+} from '@gentianshunt/configuration';
 import {NO_DIRECTORY_VERSION} from '@gentianshunt/messages';
 import type {
   ClaimKey,
@@ -32,6 +36,7 @@
 } from '@gentianshunt/identifiers';
 
 import type {EndpointAnnouncement} from './endpoint.js';
+import type {OrderEpoch, OrderRunState} from './endpointOrder.js';
 import type {GrantReply, Match, ReportRecord, Slot} from './exchange.js';
 import type {AdmittedRequest, Refusal, RequestState} from './request.js';
 
@@ -78,6 +83,18 @@
   readonly count: number;
 }
 
+/** How often each entry was given to callers as their first address. */
+export interface GivenAddresses {
+  readonly since: MonotonicTime;
+  readonly counts: ReadonlyMap<NodeId, number>;
+}
+
+/** How fast requests of a line arrive, as a decaying average. */
+export interface ArrivalRate {
+  readonly perSecond: number;
+  readonly at: MonotonicTime;
+}
+
 /** Identifies what an entry runs at an endpoint for an organisation. */
 export interface RunningKey {
   readonly set: EndpointSetId;
@@ -95,6 +112,12 @@
   readonly grant: GrantId;
 }
 
+/**
+ * How soon a change must be reported: `urgent` when a slot is wanted,
+ * `lazy` when only the leader's counts are out of date.
+ */
+export type ReportUrgency = 'none' | 'lazy' | 'urgent';
+
 /** The entry's exchange with the leader of one set. */
 export interface ExchangeState {
   readonly set: EndpointSetId;
@@ -103,10 +126,14 @@
   readonly sentAt: MonotonicTime;
   /** Whether a reply to the latest report is still awaited. */
   readonly inFlight: boolean;
-  /** Whether something changed since the latest report. */
-  readonly dirty: boolean;
-  /** Whether the latest report named anything at all. */
-  readonly empty: boolean;
+  /** What changed since the latest report. */
+  readonly urgency: ReportUrgency;
+  /** Reports in a row that were lost or refused. */
+  readonly failures: number;
+  /** Lazy reports that may be sent early. */
+  readonly credit: number;
+  /** Lines, counts and slot groups in the latest report. */
+  readonly items: number;
 }
 
 /** Highest reply part taken for each set's latest report. */
@@ -128,6 +155,8 @@
   readonly announcement: EndpointAnnouncement;
   readonly seenAt: MonotonicTime;
   readonly state: 'active' | 'leaving' | 'silent';
+  /** Earlier incarnations, the latest first; their announcements are late. */
+  readonly replaced: readonly IncarnationId[];
 }
 
 /** Identifies an endpoint of a set. */
@@ -256,6 +285,13 @@
     lines: defineOrdered<LineKey, LineCount>(
       compareBy('set', 'rank', 'organisation'),
     ),
+    givenAddresses: defineCell<GivenAddresses>({
+      since: Number.NEGATIVE_INFINITY,
+      counts: new Map(),
+    }),
+    arrivalRates: defineOrdered<LineKey, ArrivalRate>(
+      compareBy('set', 'rank', 'organisation'),
+    ),
     dispatches: defineMap<DispatchId, RequestId>(),
     openClaims: defineMap<RequestId, OpenClaim>(),
     settlements: defineMap<RequestId, Settlement>(),
@@ -272,6 +308,8 @@
     acceptedReply: defineCell<GrantReply | null>(null),
     matches: defineMap<RequestId, Match>(),
     exchanges: defineMap<EndpointSetId, ExchangeState>(),
+    /** When the process started to lead sets. */
+    startedAt: defineCell<MonotonicTime>(Number.POSITIVE_INFINITY),
     leaderships: defineMap<EndpointSetId, LeadershipState>(),
     endpoints: defineOrdered<EndpointKey, EndpointRecord>(
       compareBy('set', 'endpoint'),
@@ -288,6 +326,9 @@
       sentAt: Number.NEGATIVE_INFINITY,
     }),
     counts: defineMap<CountKey, ServiceCount>(),
+    openOrders: defineMap<EndpointId, EndpointOrder>(),
+    orderRuns: defineMap<EndpointId, OrderRunState>(),
+    orderEpochs: defineMap<EndpointSetId, OrderEpoch>(),
   };
 }
 
--- a/scheduling/entryNode/src/entryNode.ts
+++ b/scheduling/entryNode/src/entryNode.ts
@@ -1,3 +1,4 @@
+import {createLookupController} from '@gentianshunt/addressLookup';
 import {createControlLoop} from '@gentianshunt/board';
 import type {ControlLoop} from '@gentianshunt/board';
 import type {Clock} from '@gentianshunt/clock';
@@ -9,6 +10,7 @@
   createRefusalController,
   createServiceController,
 } from '@gentianshunt/controlClient';
+import {createEndpointOrderController} from '@gentianshunt/endpointOrders';
 import {createEntrySections} from '@gentianshunt/entryModel';
 import type {
   EntryController,
@@ -25,6 +27,7 @@
   createReportController,
 } from '@gentianshunt/setLeader';
 import {
+  createArrivalController,
   createExchangeController,
   createReplyController,
   createSlotController,
@@ -54,10 +57,13 @@
     createCountController(),
     createLeadershipController(),
     createEndpointRegistry(),
+    createEndpointOrderController(),
     createReplyController(),
     createLifecycleController(),
+    createArrivalController(),
     createSlotController(),
     createExchangeController(),
+    createLookupController(),
     createReportController(),
     createGrantController(),
   ];
--- a/scheduling/entryNode/test/entryFixture.ts
+++ b/scheduling/entryNode/test/entryFixture.ts
@@ -20,6 +20,7 @@
 const CONTROL = 'control-0';
 const LEASE_MS = 3_000;
 const HOUSEKEEPING_MS = 250;
+const SETTLING_MS = 8_000;
 
 /** An entry alone, which leads both sets and has one endpoint in each. */
 export interface EntryFixture {
@@ -70,8 +71,16 @@
     node.post({kind: 'timerDue', timer: {kind: 'housekeeping'}});
     node.post({kind: 'timerDue', timer: {kind: 'exchange'}});
   };
+  const pass = (durationMs: number): void => {
+    for (let passed = 0; passed < durationMs; passed += HOUSEKEEPING_MS) {
+      clock.advance(HOUSEKEEPING_MS);
+      beat();
+    }
+  };
   node.post({kind: 'started'});
   beat();
+  // A new set leader waits before it grants.
+  pass(SETTLING_MS);
   return {
     node,
     clock,
@@ -86,12 +95,7 @@
         request: toIdentifier(request),
         answer,
       }),
-    pass: durationMs => {
-      for (let passed = 0; passed < durationMs; passed += HOUSEKEEPING_MS) {
-        clock.advance(HOUSEKEEPING_MS);
-        beat();
-      }
-    },
+    pass,
   };
 }
 
