--- a/cli/demo/src/index.ts
+++ b/cli/demo/src/index.ts
@@ -0,0 +1,2 @@
+export * from './configuration.js';
+export * from './operator.js';
--- a/daemons/entryd/src/entryd.ts
+++ b/daemons/entryd/src/entryd.ts
@@ -34,6 +34,7 @@
 import type {EntrydSettings} from '@gentianshunt/settings';
 import {fastify} from 'fastify';
 
+import {createOpenResponses} from './openResponses.js';
 import {toObservation} from './peerMessages.js';
 
 const logger = createLogger({namespace: 'entryd'});
@@ -63,6 +64,8 @@
   readonly operators: OperatorFront;
   readonly endpoints: EndpointOrderClient;
   readonly metrics: EntryMetrics;
+  /** Ends the daemon once nothing is on its way to a caller. */
+  readonly exit: () => void;
 }
 
 /** Starts an entry daemon: its fronts, its links and its control loop. */
@@ -72,6 +75,7 @@
     bodyLimit: settings.limits.max_body_bytes,
     forceCloseConnections: true,
   });
+  const responses = createOpenResponses(server.server);
   server.removeAllContentTypeParsers();
   server.addContentTypeParser(
     '*',
@@ -130,6 +134,7 @@
       drawRequestId: drawIdentifier,
     }),
     metrics: createEntryMetrics(),
+    exit: () => void responses.drain().then(options.onExit),
   };
   const {metrics, timers, callers} = adapters;
   createEndpointFront({
@@ -149,7 +154,13 @@
   logger.write({kind: 'daemonReady', node: settings.node});
   return {
     httpPort: settings.http.port,
-    shutdown: () => post({kind: 'shutdownRequested'}),
+    shutdown: () => {
+      if (node.view.service.kind === 'draining') {
+        options.onExit();
+        return;
+      }
+      post({kind: 'shutdownRequested'});
+    },
     close: async () => {
       timers.clear();
       await callers.close();
@@ -220,7 +231,7 @@
       adapters.endpoints.send(order.run);
       return;
     case 'exit':
-      options.onExit();
+      adapters.exit();
       return;
     default:
       assertNever(order, 'perform');
