Let only a confirmed leader renew leases and answer queries

Ruled out: waiting for a read round for each heartbeat, since the leader lease gives the same safety without a message. Change: heartbeats, force status and queries are answered only while the leadership cell is confirmed and its first entry applied. A test that moved the clock past every heartbeat of the leader now lets the leader beat.

--- a/control/controlNode/test/fixture.ts
+++ b/control/controlNode/test/fixture.ts
@@ -89,6 +89,7 @@
     },
     advance: ms => {
       clock.advance(ms);
+      node.post({kind: 'timerDue', timer: {kind: 'heartbeat'}});
       node.post({kind: 'timerDue', timer: {kind: 'sessions'}});
     },
     readStored: () => ({
--- a/control/entrySessions/src/inForce.ts
+++ b/control/entrySessions/src/inForce.ts
@@ -4,12 +4,12 @@
 import type {ConfigurationVersion, ForceStatus} from '@gentianshunt/messages';
 import type {NodeId} from '@gentianshunt/identifiers';
 
-import {readSettlingMs} from './leaderStatus.js';
+import {isConfirmedLeader, readSettlingMs} from './leaderStatus.js';
 
 /** The sections that tell what the entries have confirmed. */
 export type ForceBoard = Pick<
   BoardView<ControlSections>,
-  'role' | 'sessions' | 'sessionVersions'
+  'role' | 'leadership' | 'applied' | 'sessions' | 'sessionVersions'
 >;
 
 /** Tells whether every entry that takes requests has confirmed a version. */
@@ -22,7 +22,10 @@
   const settlingMs = readSettlingMs(board.role, now);
   return {
     version,
-    isInForce: unconfirmed.length === 0 && settlingMs === 0,
+    isInForce:
+      unconfirmed.length === 0 &&
+      settlingMs === 0 &&
+      isConfirmedLeader(board, now),
     unconfirmed,
     settlingMs,
   };
--- a/control/entrySessions/src/pendingReplies.ts
+++ b/control/entrySessions/src/pendingReplies.ts
@@ -13,6 +13,7 @@
 
 import {findClaimAnswer, isSettlementApplied} from './claimAnswers.js';
 import {readForceStatus} from './inForce.js';
+import {hasOwnEntryApplied} from './leaderStatus.js';
 
 /** Time after which a payload that was not applied is proposed again. */
 export const REPROPOSE_MS: Milliseconds = 2_000;
@@ -23,8 +24,7 @@
 export type ReplyBoard = Pick<
   BoardView<ControlSections>,
   | 'role'
-  | 'ballot'
-  | 'log'
+  | 'leadership'
   | 'applied'
   | 'commands'
   | 'commandFloor'
@@ -118,7 +118,7 @@
     }
     case 'settle': {
       const {key, request: id} = request.message;
-      return isCurrent(board) &&
+      return hasOwnEntryApplied(board) &&
         !isClaimUnderWay(board, request) &&
         isSettlementApplied(board, request.message)
         ? {kind: 'settleReply', key, request: id}
@@ -151,8 +151,3 @@
   const key = `claim/${request.claim}/${request.message.request}`;
   return board.pending.has(key as PendingKey);
 }
-
-/** A new leader may rely on what is absent once its own entry is applied. */
-function isCurrent(board: ReplyBoard): boolean {
-  return board.log.get(board.applied.index)?.term === board.ballot.term;
-}
--- a/control/entrySessions/src/proposalController.ts
+++ b/control/entrySessions/src/proposalController.ts
@@ -33,8 +33,7 @@
     name: 'proposals',
     reads: [
       'role',
-      'ballot',
-      'log',
+      'leadership',
       'applied',
       'commands',
       'commandFloor',
--- a/control/entrySessions/src/replyController.ts
+++ b/control/entrySessions/src/replyController.ts
@@ -12,6 +12,7 @@
 
 import {answerControlQuery} from './controlQuery.js';
 import {readForceStatus} from './inForce.js';
+import {isConfirmedLeader} from './leaderStatus.js';
 import {
   findReply,
   formatPendingKey,
@@ -31,8 +32,7 @@
     name: 'replies',
     reads: [
       'role',
-      'ballot',
-      'log',
+      'leadership',
       'applied',
       'commands',
       'commandFloor',
@@ -93,6 +93,9 @@
   now: TurnTime,
 ): readonly ReplyWrite[] {
   if (message.kind === 'controlQueryRequest') {
+    if (!isConfirmedLeader(view.board, now)) {
+      return [];
+    }
     const {correlation, query} = message;
     const result = answerControlQuery(view.board, query);
     return [send(from, {kind: 'controlQueryReply', correlation, result})];
--- a/control/entrySessions/src/sessionController.ts
+++ b/control/entrySessions/src/sessionController.ts
@@ -22,7 +22,7 @@
 } from './directoryDelta.js';
 import type {DirectoryStep} from './directoryDelta.js';
 import {EMPTY_DIRECTORY_DIGEST, toggleEntry} from './directoryDigest.js';
-import {ENTRY_LEASE_MS, isSettled} from './leaderStatus.js';
+import {ENTRY_LEASE_MS, isConfirmedLeader, isSettled} from './leaderStatus.js';
 import {removeSession, replaceSession, send} from './sessionWrites.js';
 import type {
   SessionReads,
@@ -54,6 +54,7 @@
     name: 'sessions',
     reads: [
       'role',
+      'leadership',
       'ballot',
       'applied',
       'configuration',
@@ -121,7 +122,10 @@
 ): readonly SessionWrite[] {
   switch (message.kind) {
     case 'entryHeartbeat':
-      return renewSession(view, message, now);
+      // Left without an answer, the entry asks another daemon.
+      return isConfirmedLeader(view.board, now)
+        ? renewSession(view, message, now)
+        : [];
     case 'versionConfirmed':
       return confirmVersion(view, from, message);
     default:
--- a/control/entrySessions/src/sessionWrites.ts
+++ b/control/entrySessions/src/sessionWrites.ts
@@ -10,7 +10,13 @@
 
 /** The sections that the session controller reads. */
 export type SessionReads =
-  'role' | 'ballot' | 'applied' | 'configuration' | 'history' | SessionWrites;
+  | 'role'
+  | 'leadership'
+  | 'ballot'
+  | 'applied'
+  | 'configuration'
+  | 'history'
+  | SessionWrites;
 /** The sections that the session controller writes. */
 export type SessionWrites =
   | 'sessions'
