Hold organisations to their limits over all entries

Cause: limits on work in flight and on rate were accepted by commands and then ignored; and the callers' front never told how far streams had come, so live endpoints all counted as equally fast. Ruled out: dividing a limit over the entries, which is too strict where the lookup sends an organisation to a few of them. Change: the leader of a set cuts a limited organisation's lines down to what it may be granted; such organisations use no slots granted for any organisation; an entry refuses what could not start within seconds. Streams report their tokens twice a second. The bounds hold for each endpoint set.

--- a/fronts/callerFront/src/streamClient.ts
+++ b/fronts/callerFront/src/streamClient.ts
@@ -17,6 +17,8 @@
 export const CONNECT_TIMEOUT_MS = 1_000;
 /** Least time between two reports that a stream still delivers. */
 export const PROGRESS_INTERVAL_MS = 5_000;
+/** Least time between two reports of the tokens of a stream. */
+export const TOKEN_REPORT_INTERVAL_MS = 500;
 /** Longest wait for an endpoint to confirm a cancellation. */
 const CANCEL_TIMEOUT_MS = 1_000;
 
@@ -199,7 +201,7 @@
   } catch (error) {
     return toStreamEnd(error, answer.events);
   }
-  const progress = createProgress(options, answer.dispatch);
+  const progress = createProgress(options, answer);
   const end = await carryAnswer(answer, data, progress);
   if (end.kind === 'cut') {
     discardBody(data);
@@ -229,21 +231,31 @@
     : {kind: 'cut', detail: message, events};
 }
 
-/** Reports the first byte, and later bytes now and then. */
+/** Reports the first byte, and later how far the stream has come. */
 function createProgress(
   options: StreamClientOptions,
-  dispatch: DispatchId,
+  answer: AnswerStream,
 ): () => void {
+  const {dispatch, forwarded} = answer;
+  const countsTokens = forwarded.framing === 'eventStream';
+  const intervalMs = countsTokens
+    ? TOKEN_REPORT_INTERVAL_MS
+    : PROGRESS_INTERVAL_MS;
   let reportedAt: number | undefined;
   return () => {
     const now = performance.now();
     if (reportedAt === undefined) {
       options.post({kind: 'streamStarted', dispatch});
-    } else if (now - reportedAt < PROGRESS_INTERVAL_MS) {
+    } else if (now - reportedAt < intervalMs) {
       return;
-    } else {
+    }
+    if (reportedAt !== undefined) {
       options.post({kind: 'streamProgress', dispatch});
     }
+    if (countsTokens) {
+      const answerTokens = answer.events;
+      options.post({kind: 'tokensStreamed', dispatch, answerTokens});
+    }
     reportedAt = now;
   };
 }
--- a/scheduling/entryModel/src/sections.ts
+++ b/scheduling/entryModel/src/sections.ts
@@ -11,6 +11,7 @@
   EndpointOrder,
   ObjectKey,
 } from '@gentianshunt/configuration';
+import type {RateBucket} from '@gentianshunt/limits';
 import {NO_DIRECTORY_VERSION} from '@gentianshunt/messages';
 import type {
   ClaimKey,
@@ -331,6 +332,9 @@
     ),
     reports: defineOrdered<ReportKey, ReportRecord>(compareBy('set', 'node')),
     granted: defineOrdered<ReportKey, GrantedSince>(compareBy('set', 'node')),
+    limitBuckets: defineOrdered<ShareKey, RateBucket>(
+      compareBy('set', 'organisation'),
+    ),
     shares: defineOrdered<ShareKey, number>(compareBy('set', 'organisation')),
     progress: defineMap<DispatchId, StreamProgress>(),
     endpointRates: defineMap<EndpointId, LearnedRate>(),
--- a/scheduling/lifecycle/src/admitRequest.ts
+++ b/scheduling/lifecycle/src/admitRequest.ts
@@ -11,6 +11,7 @@
   RefusalReason,
   RequestFacts,
 } from '@gentianshunt/entryModel';
+import {readWaitingLimit} from '@gentianshunt/limits';
 
 import type {LifecycleView, RequestDraft} from './requestDraft.js';
 
@@ -35,9 +36,23 @@
     return;
   }
   const request = toAdmitted(facts, checked, now);
+  if (isOverLimit(view, request, checked.organisation)) {
+    refuse(draft, facts, {kind: 'organisationLimit'}, TRANSIENT_RETRY_AFTER_MS);
+    return;
+  }
   draft.move({kind: 'waiting', request});
 }
 
+function isOverLimit(
+  view: LifecycleView,
+  {set, rank}: AdmittedRequest,
+  {id, limits}: Organisation,
+): boolean {
+  const line = {set, rank, organisation: id};
+  const waiting = view.board.lines.get(line)?.count ?? 0;
+  return waiting >= readWaitingLimit(limits);
+}
+
 function refuse(
   draft: RequestDraft,
   facts: RequestFacts,
--- /dev/null
+++ b/scheduling/limits/src/index.ts
@@ -0,0 +1,3 @@
+export * from './allowance.js';
+export * from './limitLines.js';
+export * from './rateBucket.js';
--- /dev/null
+++ b/scheduling/limits/src/rateBucket.ts
@@ -0,0 +1,32 @@
+import type {MonotonicTime} from '@gentianshunt/clock';
+
+/** Requests an organisation may start at once after a pause, in seconds. */
+export const BURST_SECONDS = 1;
+
+const MS_PER_SECOND = 1_000;
+
+/** Requests that an organisation may start, as of an instant. */
+export interface RateBucket {
+  readonly tokens: number;
+  readonly at: MonotonicTime;
+}
+
+/** Fills a bucket for the time since it was last looked at. */
+export function refillBucket(
+  bucket: RateBucket | undefined,
+  requestsPerSecond: number,
+  now: MonotonicTime,
+): RateBucket {
+  const capacity = Math.max(1, requestsPerSecond * BURST_SECONDS);
+  if (bucket === undefined) {
+    return {tokens: capacity, at: now};
+  }
+  const elapsedSeconds = (now - bucket.at) / MS_PER_SECOND;
+  const tokens = bucket.tokens + elapsedSeconds * requestsPerSecond;
+  return {tokens: Math.min(capacity, tokens), at: now};
+}
+
+/** Takes what was granted out of a bucket. */
+export function spendBucket(bucket: RateBucket, count: number): RateBucket {
+  return {...bucket, tokens: bucket.tokens - count};
+}
--- a/scheduling/setLeader/src/grantController.ts
+++ b/scheduling/setLeader/src/grantController.ts
@@ -34,6 +34,7 @@
   SHED_RETRY_AFTER_MS,
 } from '@gentianshunt/policy';
 import type {WaitingCount} from '@gentianshunt/policy';
+import {limitLines} from '@gentianshunt/limits';
 
 import {allocateSlots, countOccupied} from './allocation.js';
 import type {
@@ -44,6 +45,7 @@
   ShareState,
 } from './allocation.js';
 import {countLeft, listOpenLines, mergeRates} from './openLines.js';
+import {limitOrganisations} from './organisationLimits.js';
 import {allocateStanding} from './standingSlots.js';
 import {SLOT_LIFETIME_MS} from './leadershipController.js';
 
@@ -55,8 +57,9 @@
   | 'reports'
   | 'granted'
   | 'shares'
+  | 'limitBuckets'
   | 'shedding';
-type GrantWrites = 'granted' | 'shares' | 'shedding';
+type GrantWrites = 'granted' | 'shares' | 'limitBuckets' | 'shedding';
 type GrantView = View<EntrySections, GrantReads, EntryObservation>;
 type GrantWrite = EntryWrite<GrantWrites>;
 
@@ -72,9 +75,10 @@
       'reports',
       'granted',
       'shares',
+      'limitBuckets',
       'shedding',
     ],
-    writes: ['granted', 'shares', 'shedding'],
+    writes: ['granted', 'shares', 'limitBuckets', 'shedding'],
     observes: ['timerDue'],
     run: (view, now) =>
       [...listAffectedSets(view)].flatMap(set => grantSet(view, set, now)),
@@ -124,7 +128,12 @@
     );
   }
   const endpoints = listCapacities(view, set, records, before);
-  const lines = listOpenLines(records, before);
+  const limited = limitOrganisations(view, {set, records, before, now});
+  // Within an organisation's limits, too, higher tiers come first.
+  const open = [...listOpenLines(records, before)].sort(
+    (left, right) => left.line.rank - right.line.rank,
+  );
+  const lines = limitLines(open, limited.allowances);
   const shares = listShares(view, set, records);
   const input = {endpoints, lines, shares};
   const allocation = allocateWithStanding(input, records, before);
@@ -140,6 +149,7 @@
       replyTo(view, leadership, record, before, decided, now),
     ),
     ...allocation.shares.map(share => putShare(set, share)),
+    ...limited.listBucketWrites(allocation.slots),
     {kind: 'put', section: 'shedding', key: set, value: shedding.shedding},
   ];
 }
--- a/scheduling/slotExchange/src/slotController.ts
+++ b/scheduling/slotExchange/src/slotController.ts
@@ -1,4 +1,5 @@
 import type {TurnTime, View} from '@gentianshunt/board';
+import {findObject} from '@gentianshunt/configuration';
 import {
   ANY_ORGANISATION,
   defineEntryController,
@@ -18,10 +19,12 @@
   SlotKey,
 } from '@gentianshunt/entryModel';
 import type {GrantId, RequestId} from '@gentianshunt/identifiers';
+import {isLimited} from '@gentianshunt/limits';
 
 import {listCandidates} from './lineOrder.js';
 
 type SlotReads =
+  | 'configuration'
   | 'requests'
   | 'waiting'
   | 'lines'
@@ -40,6 +43,7 @@
   return defineEntryController<SlotReads, SlotWrites>({
     name: 'slots',
     reads: [
+      'configuration',
       'requests',
       'waiting',
       'lines',
@@ -208,10 +212,13 @@
     ...fresh.filter(({key}) => isSameLine(key, line)),
   ];
   return {
-    listFitting: line => [
-      ...listOne(line),
-      ...listOne({...line, organisation: ANY_ORGANISATION}),
-    ],
+    listFitting: line =>
+      hasLimits(view, line)
+        ? listOne(line)
+        : [
+            ...listOne(line),
+            ...listOne({...line, organisation: ANY_ORGANISATION}),
+          ],
     readRemaining: key => read(key)?.remaining ?? 0,
     spend: key => {
       const slot = read(key)!;
@@ -226,3 +233,14 @@
       ),
   };
 }
+
+/** The leader counts a limited organisation by grants of its own. */
+function hasLimits(view: SlotView, line: LineKey): boolean {
+  const {configuration} = view.board;
+  const organisation = findObject(
+    configuration,
+    'organisation',
+    line.organisation,
+  );
+  return organisation !== undefined && isLimited(organisation.limits);
+}
