--- a/bench/policyBench/src/metrics.ts
+++ b/bench/policyBench/src/metrics.ts
@@ -47,10 +47,10 @@
 const SMALL_SHARE = 0.1;
 
 /** Sums up a run. */
-export function summarizeRun(input: SummaryInput): RunSummary {
+export function createRunSummary(input: SummaryInput): RunSummary {
   const {records, profile} = input;
   const tiers = Array.from({length: profile.tierCount}, (_, index) =>
-    summarizeTier(
+    createTierSummary(
       records.filter(({arrival}) => arrival.rank === index + 1),
       index + 1,
     ),
@@ -73,7 +73,7 @@
   };
 }
 
-function summarizeTier(
+function createTierSummary(
   records: readonly RequestRecord[],
   rank: number,
 ): TierSummary {
--- a/bench/policyBench/src/runPolicy.ts
+++ b/bench/policyBench/src/runPolicy.ts
@@ -4,7 +4,7 @@
 import {createEntryCluster} from './entryCluster.js';
 import type {FaultName} from './fault.js';
 import {createFleet} from './fleet.js';
-import {summarizeRun} from './metrics.js';
+import {createRunSummary} from './metrics.js';
 import type {RunSummary} from './metrics.js';
 import type {PolicyName} from './policyName.js';
 import type {Profile} from './profile.js';
@@ -77,7 +77,7 @@
     timeline.schedule(arrival.at, () => receive(arrival));
   }
   timeline.runUntil(START_MS + RUN_MS + DRAIN_MS);
-  return summarizeRun({
+  return createRunSummary({
     profile,
     records: recorder
       .listRecords()
--- a/cli/load/src/addressClient.ts
+++ b/cli/load/src/addressClient.ts
@@ -7,7 +7,7 @@
     super({
       code: 'ERR_NO_ADDRESS',
       message: 'no entry answered the address lookup',
-      origin: {step: 'lookUpAddresses', peer: entries.join(',')},
+      origin: {step: 'requestAddresses', peer: entries.join(',')},
       hint: 'check that an entry is ready',
       cause,
     });
@@ -49,7 +49,7 @@
     readAddresses: async () => {
       if (known === undefined || options.readTime() >= validUntil) {
         validUntil = Number.POSITIVE_INFINITY;
-        known = lookUpAddresses(options);
+        known = requestAddresses(options);
         known.then(
           reply => {
             validUntil = options.readTime() + reply.lifetimeMs;
@@ -67,7 +67,7 @@
   };
 }
 
-async function lookUpAddresses(
+async function requestAddresses(
   options: AddressClientOptions,
 ): Promise<AddressReply> {
   const {entries, organisation, set} = options;
--- a/cli/load/src/runLoad.ts
+++ b/cli/load/src/runLoad.ts
@@ -31,7 +31,7 @@
       options.plan.map(async call => {
         await delay(call.startMs);
         const client = findClient(clients, options.entries, call);
-        const result = await makeCall(agent, client, call);
+        const result = await sendOneCall(agent, client, call);
         options.onEnded?.(result);
         return result;
       }),
@@ -63,7 +63,7 @@
   return created;
 }
 
-async function makeCall(
+async function sendOneCall(
   agent: Dispatcher,
   client: AddressClient,
   call: PlannedCall,
--- a/control/configuration/src/applyBatch.ts
+++ b/control/configuration/src/applyBatch.ts
@@ -13,7 +13,7 @@
 import type {ConfigurationLookup} from './lookup.js';
 import {formatObjectKey} from './objects.js';
 import type {ConfigurationObject, ObjectKey} from './objects.js';
-import {listReferences, validateObject} from './validateObject.js';
+import {listReferences, checkObject} from './checkObject.js';
 
 /** Most steps that one batch may have. */
 export const MAX_BATCH_LENGTH = 1_000;
@@ -42,7 +42,7 @@
       return {kind: 'refused', refusal};
     }
   }
-  deleteLeaderships(draft);
+  dropLeaderships(draft);
   const refusal = checkDraft(draft, new Set(setsInUse));
   return refusal === undefined
     ? {kind: 'accepted', changes: [...draft.changed].map(toChange)}
@@ -103,7 +103,7 @@
 ): CommandRefusal | undefined {
   const isOfSystem =
     object.kind === 'setLeadership' || object.kind === 'endpointOrder';
-  const reason = isOfSystem ? SYSTEM_OBJECT : validateObject(object);
+  const reason = isOfSystem ? SYSTEM_OBJECT : checkObject(object);
   if (reason !== undefined) {
     return {kind: 'invalidValue', key, reason};
   }
@@ -162,7 +162,7 @@
 }
 
 /** A set's leader goes with the set. */
-function deleteLeaderships(draft: DraftLookup): void {
+function dropLeaderships(draft: DraftLookup): void {
   for (const [key, object] of [...draft.changed]) {
     if (object !== null) {
       continue;
--- a/control/configuration/src/validateObject.ts
+++ b/control/configuration/src/checkObject.ts
@@ -5,7 +5,7 @@
 import type {ConfigurationObject, ObjectKey} from './objects.js';
 
 /** Tells what is wrong with an object's values, if anything. */
-export function validateObject(
+export function checkObject(
   object: ConfigurationObject,
 ): string | undefined {
   if (!isIdentifier(object.id)) {
@@ -50,7 +50,7 @@
     case 'setLeadership':
       return undefined;
     default:
-      return assertNever(object, 'validateObject');
+      return assertNever(object, 'checkObject');
   }
 }
 
--- a/control/configuration/src/draftLookup.ts
+++ b/control/configuration/src/draftLookup.ts
@@ -1,6 +1,6 @@
 import type {ConfigurationLookup} from './lookup.js';
 import type {ConfigurationObject, ObjectKey} from './objects.js';
-import {listReferences} from './validateObject.js';
+import {listReferences} from './checkObject.js';
 
 /** Changes on top of a lookup that are not yet part of it. */
 export interface DraftLookup extends ConfigurationLookup {
--- a/control/configuration/src/index.ts
+++ b/control/configuration/src/index.ts
@@ -4,4 +4,4 @@
 export * from './isOrderOpen.js';
 export * from './lookup.js';
 export * from './objects.js';
-export * from './validateObject.js';
+export * from './checkObject.js';
--- a/control/configuration/src/lookup.ts
+++ b/control/configuration/src/lookup.ts
@@ -4,7 +4,7 @@
   ObjectKey,
   ObjectKind,
 } from './objects.js';
-import {listReferences} from './validateObject.js';
+import {listReferences} from './checkObject.js';
 
 /** Reads a configuration by key, by kind and by reference. */
 export interface ConfigurationLookup {
--- a/control/consensus/src/appending.ts
+++ b/control/consensus/src/appending.ts
@@ -36,7 +36,7 @@
   now: TurnTime,
 ): void {
   const isCurrent = followLeader(draft, from, request, now);
-  if (!isCurrent || !matchesPrevious(draft, request)) {
+  if (!isCurrent || !isPreviousMatched(draft, request)) {
     refuseAppend(draft, from, request);
     return;
   }
@@ -94,7 +94,7 @@
 }
 
 /** What is committed agrees with every later leader. */
-function matchesPrevious(
+function isPreviousMatched(
   draft: ConsensusDraft,
   request: AppendRequest,
 ): boolean {
--- a/control/consensus/src/election.ts
+++ b/control/consensus/src/election.ts
@@ -95,7 +95,7 @@
   if (!isFormed(draft)) {
     return;
   }
-  if (request.preVote || hearsLeader(draft, now)) {
+  if (request.preVote || isLeaderHeard(draft, now)) {
     answerPreVote(draft, from, request, now);
     return;
   }
@@ -128,7 +128,7 @@
     request.preVote &&
     request.term > draft.ballot.term &&
     isUpToDate(draft, request) &&
-    !hearsLeader(draft, now);
+    !isLeaderHeard(draft, now);
   draft.send(
     {node: from.node, storage: null},
     {
@@ -153,7 +153,7 @@
  * supports no election; the leader lease rests on it. A member that has just
  * started may have heard one before.
  */
-function hearsLeader(draft: ConsensusDraft, now: TurnTime): boolean {
+function isLeaderHeard(draft: ConsensusDraft, now: TurnTime): boolean {
   if (draft.role.kind === 'leader') {
     return true;
   }
--- a/control/consensus/src/startup.ts
+++ b/control/consensus/src/startup.ts
@@ -87,7 +87,7 @@
   hello: MemberHello,
 ): void {
   const {node, storage} = from;
-  const leading = leadsCommittedMembers(draft);
+  const leading = isLeadingMembers(draft);
   const witness = draft.witnesses.get(node);
   draft.sendAfterSync(
     {node, storage},
@@ -108,7 +108,7 @@
 }
 
 /** Whether this member leads and its members cannot be taken back. */
-function leadsCommittedMembers(draft: ConsensusDraft): boolean {
+function isLeadingMembers(draft: ConsensusDraft): boolean {
   const leadership = draft.read('leadership');
   const memberships = draft.read('memberships');
   const {commitIndex} = draft.status;
--- a/control/entrySessions/src/assignmentController.ts
+++ b/control/entrySessions/src/assignmentController.ts
@@ -64,7 +64,7 @@
     return draft.listWrites();
   }
   settle(view, draft, now);
-  const wanted = chooseLeaders(view, draft, now);
+  const wanted = pickLeaders(view, draft, now);
   return [
     ...draft.listWrites(),
     ...(wanted.length === 0
@@ -199,7 +199,7 @@
   'node',
 );
 
-function chooseLeaders(
+function pickLeaders(
   view: AssignmentView,
   draft: AssignmentDraft,
   now: TurnTime,
@@ -214,7 +214,7 @@
     const isDue =
       draft.vacancies.get(set) !== undefined &&
       now.monotonic - vacancy.proposedAt >= REASSIGN_MS;
-    const chosen = isDue ? chooseLeader(view, loads, set) : undefined;
+    const chosen = isDue ? pickLeader(view, loads, set) : undefined;
     if (chosen !== undefined) {
       loads.delete(chosen);
       loads.put({...chosen, count: chosen.count + 1}, true);
@@ -229,7 +229,7 @@
 }
 
 /** Prefers the least loaded entry of the set's region, then of any. */
-function chooseLeader(
+function pickLeader(
   view: AssignmentView,
   loads: OrderedDraft<LeaderLoadKey, true>,
   set: EndpointSetId,
--- a/control/entrySessions/src/assignmentDraft.ts
+++ b/control/entrySessions/src/assignmentDraft.ts
@@ -142,16 +142,16 @@
   if (previous !== undefined) {
     drafts.ledSets.delete({node: previous, set});
     drafts.leaders.delete(set);
-    refreshLoad(drafts, previous);
+    updateLoad(drafts, previous);
   }
   if (node !== null) {
     drafts.ledSets.put({node, set}, true);
     drafts.leaders.put(set, node);
-    refreshLoad(drafts, node);
+    updateLoad(drafts, node);
   }
 }
 
-function refreshLoad(drafts: Drafts, node: NodeId): void {
+function updateLoad(drafts: Drafts, node: NodeId): void {
   const known = drafts.candidates.get(node);
   if (known !== undefined) {
     setCandidate(drafts, node, known.region);
--- a/control/entrySessions/src/orderProposals.ts
+++ b/control/entrySessions/src/orderProposals.ts
@@ -7,7 +7,7 @@
 import type {ControlSections} from '@gentianshunt/controlModel';
 import {assertNever} from '@gentianshunt/errors';
 import type {EntryToControl, LogPayload} from '@gentianshunt/messages';
-import {readsWeightStore, takeToken} from '@gentianshunt/orders';
+import {isWeightStoreRead, takeToken} from '@gentianshunt/orders';
 import type {NodeId} from '@gentianshunt/identifiers';
 
 type OrderMessage = Extract<
@@ -73,7 +73,7 @@
   }
   const rate = findWeightStoreRate(configuration);
   return (
-    !readsWeightStore(order.directive) ||
+    !isWeightStoreRead(order.directive) ||
     takeToken(weightStore, rate, atMs) !== undefined
   );
 }
--- a/control/entrySessions/src/pendingReplies.ts
+++ b/control/entrySessions/src/pendingReplies.ts
@@ -21,21 +21,26 @@
 export const PENDING_TIMEOUT_MS: Milliseconds = 15_000;
 
 /** The sections from which entries are answered. */
+export const REPLY_SECTIONS = [
+  'role',
+  'leadership',
+  'applied',
+  'commands',
+  'commandFloor',
+  'nextCommand',
+  'claims',
+  'claimExpiry',
+  'claimUsage',
+  'countMarks',
+  'sessions',
+  'sessionVersions',
+  'pending',
+] as const satisfies readonly (keyof ControlSections)[];
+
+/** What entries are answered from. */
 export type ReplyBoard = Pick<
   BoardView<ControlSections>,
-  | 'role'
-  | 'leadership'
-  | 'applied'
-  | 'commands'
-  | 'commandFloor'
-  | 'nextCommand'
-  | 'claims'
-  | 'claimExpiry'
-  | 'claimUsage'
-  | 'countMarks'
-  | 'sessions'
-  | 'sessionVersions'
-  | 'pending'
+  (typeof REPLY_SECTIONS)[number]
 >;
 
 /** Turns a message into what awaits a reply; others give `undefined`. */
--- a/control/entrySessions/src/proposalController.ts
+++ b/control/entrySessions/src/proposalController.ts
@@ -15,7 +15,12 @@
 
 import {isSettled} from './leaderStatus.js';
 import {proposeOrder} from './orderProposals.js';
-import {findReply, isUnderWay, readPendingRequest} from './pendingReplies.js';
+import {
+  findReply,
+  isUnderWay,
+  readPendingRequest,
+  REPLY_SECTIONS,
+} from './pendingReplies.js';
 import type {ReplyBoard} from './pendingReplies.js';
 
 type ProposalReads =
@@ -32,22 +37,10 @@
   return defineControlController<ProposalReads, 'proposals'>({
     name: 'proposals',
     reads: [
-      'role',
-      'leadership',
-      'applied',
-      'commands',
-      'commandFloor',
-      'nextCommand',
-      'claims',
-      'claimExpiry',
-      'claimUsage',
-      'countMarks',
+      ...REPLY_SECTIONS,
       'runningClaims',
       'configuration',
       'weightStore',
-      'sessions',
-      'sessionVersions',
-      'pending',
       'wantedAssignments',
       'proposals',
     ],
--- a/control/entrySessions/src/replyController.ts
+++ b/control/entrySessions/src/replyController.ts
@@ -19,6 +19,7 @@
   isUnderWay,
   PENDING_TIMEOUT_MS,
   readPendingRequest,
+  REPLY_SECTIONS,
 } from './pendingReplies.js';
 import type {ReplyBoard} from './pendingReplies.js';
 
@@ -30,23 +31,7 @@
 export function createReplyController(): ControlController {
   return defineControlController<ReplyReads, 'pending'>({
     name: 'replies',
-    reads: [
-      'role',
-      'leadership',
-      'applied',
-      'commands',
-      'commandFloor',
-      'nextCommand',
-      'claims',
-      'claimExpiry',
-      'claimUsage',
-      'countMarks',
-      'serviceCounts',
-      'recentCounts',
-      'sessions',
-      'sessionVersions',
-      'pending',
-    ],
+    reads: [...REPLY_SECTIONS, 'serviceCounts', 'recentCounts'],
     writes: ['pending'],
     observes: ['entryMessage', 'timerDue'],
     run: (view, now) =>
--- a/control/entrySessions/src/sessionController.ts
+++ b/control/entrySessions/src/sessionController.ts
@@ -21,9 +21,9 @@
   toDirectoryEntry,
 } from './directoryDelta.js';
 import type {DirectoryStep} from './directoryDelta.js';
-import {EMPTY_DIRECTORY_DIGEST, toggleEntry} from './directoryDigest.js';
+import {EMPTY_DIRECTORY_DIGEST, flipEntry} from './directoryDigest.js';
 import {ENTRY_LEASE_MS, isConfirmedLeader, isSettled} from './leaderStatus.js';
-import {removeSession, replaceSession, send} from './sessionWrites.js';
+import {dropSession, replaceSession, send} from './sessionWrites.js';
 import type {
   SessionReads,
   SessionView,
@@ -210,7 +210,7 @@
 function digestSessions(sessions: ReadonlyMap<NodeId, EntrySession>): number {
   return [...sessions.values()]
     .map(toDirectoryEntry)
-    .reduce(toggleEntry, EMPTY_DIRECTORY_DIGEST);
+    .reduce(flipEntry, EMPTY_DIRECTORY_DIGEST);
 }
 
 function applyToDigest(
@@ -221,8 +221,8 @@
   const node = change.kind === 'put' ? change.entry.address.node : change.node;
   const known = view.board.sessions.get(node);
   const without =
-    known === undefined ? digest : toggleEntry(digest, toDirectoryEntry(known));
-  return change.kind === 'put' ? toggleEntry(without, change.entry) : without;
+    known === undefined ? digest : flipEntry(digest, toDirectoryEntry(known));
+  return change.kind === 'put' ? flipEntry(without, change.entry) : without;
 }
 
 function writeStep(
@@ -336,7 +336,7 @@
 ): readonly SessionWrite[] {
   const {role, sessions, sessionLeases} = view.board;
   if (role.kind !== 'leader') {
-    return [...sessions.values()].flatMap(removeSession);
+    return [...sessions.values()].flatMap(dropSession);
   }
   const ended = iterateWhile(
     sessionLeases,
@@ -348,7 +348,7 @@
   for (const {key} of ended) {
     const step = createStep(view, previous, {kind: 'remove', node: key.node});
     writes.push(
-      ...removeSession(sessions.get(key.node)!),
+      ...dropSession(sessions.get(key.node)!),
       ...writeStep(view, previous, step),
     );
     previous = step.version;
--- a/control/entrySessions/src/sessionWrites.ts
+++ b/control/entrySessions/src/sessionWrites.ts
@@ -56,7 +56,7 @@
 }
 
 /** Removes a session and its places in the indexes. */
-export function removeSession(known: EntrySession): readonly SessionWrite[] {
+export function dropSession(known: EntrySession): readonly SessionWrite[] {
   return [
     ...dropVersion(known),
     ...dropLease(known),
--- a/control/orders/src/endpointDirective.ts
+++ b/control/orders/src/endpointDirective.ts
@@ -16,14 +16,14 @@
     };
 
 /** Tells whether carrying out a directive reads from the weight store. */
-export function readsWeightStore(directive: EndpointDirective): boolean {
+export function isWeightStoreRead(directive: EndpointDirective): boolean {
   switch (directive.kind) {
     case 'load':
       return true;
     case 'changeRole':
       return false;
     default:
-      return assertNever(directive, 'readsWeightStore');
+      return assertNever(directive, 'isWeightStoreRead');
   }
 }
 
--- a/control/stateMachine/src/applyClaim.ts
+++ b/control/stateMachine/src/applyClaim.ts
@@ -62,7 +62,7 @@
   }
   // What was not run may be claimed again.
   if (payload.outcome.kind === 'notRun') {
-    removeClaim(draft, id);
+    dropClaim(draft, id);
     return;
   }
   settle(draft, id, claim, payload.outcome, payload.atMs);
@@ -95,7 +95,7 @@
     if (first === undefined || first.key.expiresAtMs > atMs) {
       return;
     }
-    removeClaim(draft, first.key.claim);
+    dropClaim(draft, first.key.claim);
   }
 }
 
@@ -106,7 +106,7 @@
   outcome: ClaimOutcome,
   atMs: number,
 ): void {
-  removeClaim(draft, id);
+  dropClaim(draft, id);
   const retention =
     outcome.kind === 'unknown'
       ? UNKNOWN_CLAIM_RETENTION_MS
@@ -149,7 +149,7 @@
   };
 }
 
-function removeClaim(draft: StateDraft, id: ClaimId): void {
+function dropClaim(draft: StateDraft, id: ClaimId): void {
   const claim = draft.claims.get(id)!;
   draft.claims.delete(id);
   if (claim.outcome === null) {
--- a/control/stateMachine/src/applyOrder.ts
+++ b/control/stateMachine/src/applyOrder.ts
@@ -5,7 +5,7 @@
 } from '@gentianshunt/configuration';
 import type {EndpointOrder} from '@gentianshunt/configuration';
 import type {LogEntry, LogPayload} from '@gentianshunt/messages';
-import {readsWeightStore, takeToken} from '@gentianshunt/orders';
+import {isWeightStoreRead, takeToken} from '@gentianshunt/orders';
 import type {OrderState} from '@gentianshunt/orders';
 
 import {changeConfiguration} from './changeConfiguration.js';
@@ -36,7 +36,7 @@
   if (!isLeader || !isOpen) {
     return;
   }
-  if (readsWeightStore(order.directive)) {
+  if (isWeightStoreRead(order.directive)) {
     const rate = findWeightStoreRate(draft.configuration);
     const bucket = takeToken(draft.weightStore, rate, atMs);
     if (bucket === undefined) {
--- a/control/stateMachine/src/configurationDraft.ts
+++ b/control/stateMachine/src/configurationDraft.ts
@@ -71,7 +71,7 @@
       putObject(drafts, change.object);
       return;
     case 'delete':
-      removeObject(drafts, change.key);
+      dropObject(drafts, change.key);
       drafts.objects.delete(change.key);
       return;
     default:
@@ -81,7 +81,7 @@
 
 function putObject(drafts: Drafts, object: ConfigurationObject): void {
   const key = formatObjectKey(object.kind, object.id);
-  removeObject(drafts, key);
+  dropObject(drafts, key);
   drafts.objects.put(key, object);
   drafts.kinds.put({kind: object.kind, object: key}, true);
   for (const to of listReferences(object)) {
@@ -90,7 +90,7 @@
 }
 
 /** Takes an object out of the indexes. */
-function removeObject(drafts: Drafts, key: ObjectKey): void {
+function dropObject(drafts: Drafts, key: ObjectKey): void {
   const object = drafts.objects.get(key);
   if (object === undefined) {
     return;
--- a/eslint.config.mjs
+++ b/eslint.config.mjs
@@ -1,6 +1,8 @@
 import importX from 'eslint-plugin-import-x';
 import tseslint from 'typescript-eslint';
 
+import {verbRule} from './scripts/verbRule.mjs';
+
 const IO_MODULES = [
   'node:fs',
   'node:fs/promises',
@@ -48,6 +50,11 @@
       'import-x/no-mutable-exports': 'error',
     },
   },
+  {
+    files: ['*/*/src/**/*.ts'],
+    plugins: {workspace: {rules: {'function-verb': verbRule}}},
+    rules: {'workspace/function-verb': 'error'},
+  },
   {
     // An import must be declared by the package that makes it.
     files: ['*/*/src/**/*.ts'],
--- a/fronts/callerFront/src/callerFront.ts
+++ b/fronts/callerFront/src/callerFront.ts
@@ -1,4 +1,4 @@
-import {selectFallbacks} from '@gentianshunt/addressLookup';
+import {pickFallbacks} from '@gentianshunt/addressLookup';
 import type {
   EntryObservation,
   EntryOrder,
@@ -146,7 +146,7 @@
   }
   const {entries} = options.readDirectory();
   const others = entries.filter(entry => entry.address.node !== options.self);
-  return selectFallbacks(others, refusal.request).map(toCallerAddress);
+  return pickFallbacks(others, refusal.request).map(toCallerAddress);
 }
 
 function accept(
--- a/fronts/callerFront/src/carryAnswer.ts
+++ b/fronts/callerFront/src/carryAnswer.ts
@@ -50,7 +50,7 @@
 }
 
 /** Gives up a body that is not read to its end. */
-export function discardBody({body}: ResponseData): void {
+export function dropBody({body}: ResponseData): void {
   // Destroying an unread body raises an error that nobody else takes.
   body.on('error', () => undefined);
   body.destroy();
--- a/fronts/callerFront/src/streamClient.ts
+++ b/fronts/callerFront/src/streamClient.ts
@@ -9,7 +9,7 @@
 import type {Dispatcher} from 'undici';
 
 import type {CallerTable} from './callerTable.js';
-import {carryAnswer, discardBody, DISPATCH_HEADER} from './carryAnswer.js';
+import {carryAnswer, dropBody, DISPATCH_HEADER} from './carryAnswer.js';
 import type {AnswerStream} from './carryAnswer.js';
 import {createKeptBody} from './keptBody.js';
 
@@ -204,7 +204,7 @@
   const progress = createProgress(options, answer);
   const end = await carryAnswer(answer, data, progress);
   if (end.kind === 'cut') {
-    discardBody(data);
+    dropBody(data);
   }
   return end;
 }
--- a/fronts/metrics/src/entryMetrics.ts
+++ b/fronts/metrics/src/entryMetrics.ts
@@ -49,7 +49,7 @@
       if (end.kind === 'answered') {
         goodput.inc({tier}, request.value);
       }
-      if (wastesPrefill(end)) {
+      if (isPrefillWasted(end)) {
         wasted.inc({tier}, request.promptTokens);
       }
       if (firstTokenMs !== null) {
@@ -61,7 +61,7 @@
   };
 }
 
-function wastesPrefill(end: EndOrder['end']): boolean {
+function isPrefillWasted(end: EndOrder['end']): boolean {
   switch (end.kind) {
     case 'abandonedRunning':
       return end.prefilled;
--- a/language/commands/src/compileCommands.ts
+++ b/language/commands/src/compileCommands.ts
@@ -196,7 +196,7 @@
 }
 
 /** Places values by their paths; the field specs match the object types. */
-function placeFields(
+function setFields(
   fields: readonly (readonly [readonly string[], FieldValue])[],
 ): Readonly<Record<string, unknown>> {
   const placed: Record<string, unknown> = {};
@@ -218,12 +218,12 @@
     .filter(field => field.initial !== undefined)
     .map(({path, initial}) => [path, initial as FieldValue] as const);
   const given = fields.map(({field, value}) => [field.path, value] as const);
-  const placed = placeFields([...initial, ...given]);
+  const placed = setFields([...initial, ...given]);
   return {
     kind: type.kind,
     id,
     revision: 0,
-    ...tagService(placed),
+    ...toService(placed),
   } as unknown as ConfigurationObject;
 }
 
@@ -232,18 +232,18 @@
   id: string,
   fields: readonly FieldAssignment[],
 ): ObjectPatch {
-  const placed = placeFields(
+  const placed = setFields(
     fields.map(({field, value}) => [field.path, value] as const),
   );
   return {
     kind: type.kind,
     id,
-    fields: tagService(placed),
+    fields: toService(placed),
   } as unknown as ObjectPatch;
 }
 
 /** What a set runs is a union, told apart by the field that was given. */
-function tagService(
+function toService(
   placed: Readonly<Record<string, unknown>>,
 ): Readonly<Record<string, unknown>> {
   const service = placed['service'] as
--- a/language/queries/src/runQuery.ts
+++ b/language/queries/src/runQuery.ts
@@ -227,11 +227,11 @@
   const {column, direction, position} = ordering;
   const index = findColumn(columns, column, position, issues);
   const sign = direction === 'asc' ? 1 : -1;
-  return (left, right) => sign * orderCells(left[index]!, right[index]!);
+  return (left, right) => sign * sortCells(left[index]!, right[index]!);
 }
 
 /** Rows without a value come first in ascending order. */
-function orderCells(left: Cell, right: Cell): number {
+function sortCells(left: Cell, right: Cell): number {
   if (left === right) {
     return 0;
   }
--- a/scheduling/addressLookup/src/index.ts
+++ b/scheduling/addressLookup/src/index.ts
@@ -1,2 +1,2 @@
 export * from './lookupController.js';
-export * from './selectAddresses.js';
+export * from './pickAddresses.js';
--- a/scheduling/addressLookup/src/lookupController.ts
+++ b/scheduling/addressLookup/src/lookupController.ts
@@ -4,7 +4,7 @@
 import type {EntryController, GivenAddresses} from '@gentianshunt/entryModel';
 import type {NodeId} from '@gentianshunt/identifiers';
 
-import {selectAddresses} from './selectAddresses.js';
+import {pickAddresses} from './pickAddresses.js';
 
 /** How long a caller may keep the addresses it was given. */
 export const ADDRESS_LIFETIME_MS: Milliseconds = 2_000;
@@ -22,7 +22,7 @@
       }
       const {correlation, organisation, set} = observation;
       const given = readGiven(board.givenAddresses, now);
-      const selected = selectAddresses({
+      const selected = pickAddresses({
         entries: board.control.directory.entries,
         organisation,
         set,
--- a/scheduling/addressLookup/src/selectAddresses.ts
+++ b/scheduling/addressLookup/src/pickAddresses.ts
@@ -28,7 +28,7 @@
  * long as it is not above the bound (consistent hashing with bounded loads);
  * the addresses after the first lie in other failure domains where they can.
  */
-export function selectAddresses(
+export function pickAddresses(
   query: AddressQuery,
 ): readonly DirectoryEntry[] {
   const {set, organisation, given} = query;
@@ -43,7 +43,7 @@
 }
 
 /** Selects entries for a caller that another entry could not serve. */
-export function selectFallbacks(
+export function pickFallbacks(
   entries: readonly DirectoryEntry[],
   key: string,
 ): readonly DirectoryEntry[] {
--- a/scheduling/addressLookup/test/selectAddresses.test.ts
+++ b/scheduling/addressLookup/test/pickAddresses.test.ts
@@ -6,7 +6,7 @@
 import {
   LOAD_BOUND,
   MAX_ENTRIES_PER_SET,
-  selectAddresses,
+  pickAddresses,
 } from '../src/index.js';
 
 const DOMAINS = ['a', 'b', 'c'];
@@ -30,7 +30,7 @@
   organisation: string,
   given: ReadonlyMap<NodeId, number> = new Map(),
 ): readonly DirectoryEntry[] {
-  return selectAddresses({
+  return pickAddresses({
     entries,
     organisation: toIdentifier(organisation),
     set: toIdentifier('drafts'),
--- a/scheduling/controlClient/src/serviceController.ts
+++ b/scheduling/controlClient/src/serviceController.ts
@@ -48,7 +48,7 @@
           const isDone =
             requests.size === 0 &&
             drainedMs >= DRAIN_NOTICE_MS &&
-            areSettled(settlements, now) &&
+            isAllSettled(settlements, now) &&
             (isCounted || drainedMs >= COUNT_EXIT_MS);
           return isDone
             ? [{kind: 'order', order: {kind: 'exit'}}]
@@ -73,7 +73,7 @@
 }
 
 /** An outcome that the control log never gets counts there as unknown. */
-function areSettled(
+function isAllSettled(
   settlements: ReadonlyMap<string, Settlement>,
   now: TurnTime,
 ): boolean {
--- a/scheduling/lifecycle/src/claims.ts
+++ b/scheduling/lifecycle/src/claims.ts
@@ -197,7 +197,7 @@
     }
     const openMs = now.monotonic - open.startedAt;
     if (state.kind === 'claiming' && openMs >= CLAIM_TIMEOUT_MS) {
-      giveUpClaim(view, draft, state, now);
+      abandonClaim(view, draft, state, now);
     } else if (
       now.monotonic - open.askedAt >= readRepeatDelay(state, open) &&
       repeats < MAX_REPEATS_PER_TURN
@@ -215,7 +215,7 @@
     : Math.min(CLAIM_REPEAT_MS * 2 ** open.asks, MAX_OUTCOME_REPEAT_MS);
 }
 
-function giveUpClaim(
+function abandonClaim(
   view: LifecycleView,
   draft: RequestDraft,
   state: ClaimingState,
--- a/scheduling/lifecycle/src/matches.ts
+++ b/scheduling/lifecycle/src/matches.ts
@@ -28,12 +28,12 @@
     const match = view.board.matches.get(request);
     const state = draft.read(request);
     if (match !== undefined && state?.kind === 'waiting') {
-      useMatch(view, draft, state, match, now);
+      applyMatch(view, draft, state, match, now);
     }
   }
 }
 
-function useMatch(
+function applyMatch(
   view: LifecycleView,
   draft: RequestDraft,
   state: WaitingState,
--- a/scheduling/lifecycle/src/requestDraft.ts
+++ b/scheduling/lifecycle/src/requestDraft.ts
@@ -85,7 +85,7 @@
       writes.push({kind: 'delete', section: 'waiting', key});
       lines.add(pickLine(key), -1);
     }
-    if (holdsSlot(state)) {
+    if (hasSlot(state)) {
       running.add(toRunningKey(state), -1);
     }
   };
@@ -100,7 +100,7 @@
       });
       lines.add(pickLine(key), 1);
     }
-    if (holdsSlot(state)) {
+    if (hasSlot(state)) {
       running.add(toRunningKey(state), 1);
     }
   };
@@ -108,8 +108,8 @@
     before: RequestState | undefined,
     after: RequestState | undefined,
   ): void => {
-    const old = before !== undefined && holdsSlot(before) ? before : undefined;
-    const next = after !== undefined && holdsSlot(after) ? after : undefined;
+    const old = before !== undefined && hasSlot(before) ? before : undefined;
+    const next = after !== undefined && hasSlot(after) ? after : undefined;
     if (old !== undefined && next?.dispatch.id !== old.dispatch.id) {
       const key = old.dispatch.id;
       writes.push({kind: 'delete', section: 'dispatches', key});
@@ -141,8 +141,8 @@
     before: RequestState | undefined,
     after: RequestState | undefined,
   ): void => {
-    const wasOpen = before !== undefined && awaitsClaim(before);
-    const isOpen = after !== undefined && awaitsClaim(after);
+    const wasOpen = before !== undefined && isAwaitingClaim(before);
+    const isOpen = after !== undefined && isAwaitingClaim(after);
     if (wasOpen && !isOpen) {
       const key = before.request.id;
       writes.push({kind: 'delete', section: 'openClaims', key});
@@ -198,7 +198,7 @@
 type SlotHolder =
   DispatchedState | Extract<RequestState, {readonly kind: 'claiming'}>;
 
-function holdsSlot(state: RequestState): state is SlotHolder {
+function hasSlot(state: RequestState): state is SlotHolder {
   return (
     state.kind === 'claiming' ||
     state.kind === 'dispatched' ||
@@ -206,7 +206,7 @@
   );
 }
 
-function awaitsClaim(state: RequestState): boolean {
+function isAwaitingClaim(state: RequestState): boolean {
   return state.kind === 'claiming' || state.kind === 'awaitingOutcome';
 }
 
--- a/scheduling/policy/src/endpointRate.ts
+++ b/scheduling/policy/src/endpointRate.ts
@@ -41,7 +41,7 @@
 }
 
 /** Whether a request of a tier takes a place at an endpoint. */
-export function acceptsRate(input: {
+export function isRateAccepted(input: {
   readonly rank: number;
   readonly waitedMs: Milliseconds;
   readonly rate: Milliseconds;
--- a/scheduling/policy/test/policy.test.ts
+++ b/scheduling/policy/test/policy.test.ts
@@ -2,7 +2,7 @@
 import t from 'tap';
 
 import {
-  acceptsRate,
+  isRateAccepted,
   createPatienceRecord,
   decideShedding,
   estimateSurvival,
@@ -132,10 +132,10 @@
 
 t.test('the top tier waits a while for a fast endpoint', async t => {
   const slow = {rank: 1, waitedMs: 0, rate: 60, middle: 30, fastest: 20};
-  t.equal(acceptsRate(slow), false);
-  t.equal(acceptsRate({...slow, waitedMs: 2_000}), true);
-  t.equal(acceptsRate({...slow, rank: 2}), true);
-  t.equal(acceptsRate({...slow, rate: 20, middle: 20}), true);
+  t.equal(isRateAccepted(slow), false);
+  t.equal(isRateAccepted({...slow, waitedMs: 2_000}), true);
+  t.equal(isRateAccepted({...slow, rank: 2}), true);
+  t.equal(isRateAccepted({...slow, rate: 20, middle: 20}), true);
 });
 
 t.test('an idle organisation does not save up service', async t => {
--- a/scheduling/setLeader/src/allocation.ts
+++ b/scheduling/setLeader/src/allocation.ts
@@ -4,7 +4,7 @@
   NodeId,
   OrganisationId,
 } from '@gentianshunt/identifiers';
-import {acceptsRate, isBehind, readMiddleRate} from '@gentianshunt/policy';
+import {isRateAccepted, isBehind, readMiddleRate} from '@gentianshunt/policy';
 import TinyQueue from 'tinyqueue';
 
 /** Load above which an endpoint takes no request that is being held. */
@@ -94,7 +94,7 @@
     input.endpoints
       .filter(({concurrency, occupied}) => occupied < concurrency)
       .map(endpoint => ({...endpoint})),
-    (left, right) => predictDelay(left) - predictDelay(right),
+    (left, right) => estimateDelay(left) - estimateDelay(right),
   );
   const rates = input.endpoints.map(({rate}) => rate);
   const middleRate = readMiddleRate(rates);
@@ -163,7 +163,7 @@
     if (
       share === undefined ||
       endpoint === undefined ||
-      !fitsEndpoint(share, endpoint, pass)
+      !canFitEndpoint(share, endpoint, pass)
     ) {
       return slots;
     }
@@ -179,7 +179,7 @@
   }
 }
 
-function fitsEndpoint(
+function canFitEndpoint(
   share: OpenShare,
   endpoint: OpenEndpoint,
   pass: AllocationPass,
@@ -187,7 +187,7 @@
   const waitedMs = share.lines.peek()?.line.oldestWaitMs ?? 0;
   return (
     readLoad(endpoint) < pass.loadLimit &&
-    acceptsRate({
+    isRateAccepted({
       rank: share.rank,
       waitedMs,
       rate: endpoint.rate,
@@ -256,7 +256,7 @@
 }
 
 /** Rises with an endpoint's rate and with its load. */
-function predictDelay(endpoint: OpenEndpoint): number {
+function estimateDelay(endpoint: OpenEndpoint): number {
   const rate = Math.max(endpoint.rate, Number.MIN_VALUE);
   return rate * (BASE_DELAY + readLoad(endpoint));
 }
--- a/scheduling/slotExchange/src/exchangeController.ts
+++ b/scheduling/slotExchange/src/exchangeController.ts
@@ -243,7 +243,7 @@
   cause: ExchangeCause,
   epoch: number,
 ): ExchangeState {
-  const urgency = maxUrgency(before.urgency, cause.urgency);
+  const urgency = pickUrgency(before.urgency, cause.urgency);
   if (epoch !== before.epoch) {
     // Another leader knows nothing of what this entry holds.
     return {
@@ -266,7 +266,7 @@
 
 const URGENCIES: readonly ReportUrgency[] = ['none', 'lazy', 'urgent'];
 
-function maxUrgency(left: ReportUrgency, right: ReportUrgency): ReportUrgency {
+function pickUrgency(left: ReportUrgency, right: ReportUrgency): ReportUrgency {
   return URGENCIES.indexOf(left) > URGENCIES.indexOf(right) ? left : right;
 }
 
--- a/standins/modelEngine/src/main.ts
+++ b/standins/modelEngine/src/main.ts
@@ -1,24 +1,13 @@
 #!/usr/bin/env node
 import {defineCommand, runMain} from 'citty';
 
-import {createAnnouncer} from './announcer.js';
+import {ENDPOINT_ARGS, startAnnouncing} from './endpointArgs.js';
 import {createEngineServer} from './engineServer.js';
 
-const ANNOUNCE_INTERVAL_MS = 500;
-
 const command = defineCommand({
   meta: {name: 'model-engine', description: 'A stand-in model engine.'},
   args: {
-    host: {type: 'string', default: '127.0.0.1', description: 'IP number'},
-    port: {type: 'string', default: '0', description: 'Port'},
-    endpoint: {type: 'string', required: true, description: 'Endpoint name'},
-    set: {type: 'string', required: true, description: 'Endpoint set'},
-    domain: {type: 'string', default: 'a', description: 'Failure domain'},
-    entries: {
-      type: 'string',
-      default: '',
-      description: 'Base URLs of entries, separated by commas',
-    },
+    ...ENDPOINT_ARGS,
     batch: {type: 'string', default: '16', description: 'Most jobs at once'},
     'prefill-rate': {
       type: 'string',
@@ -51,24 +40,17 @@
       },
     });
     let isLeaving = false;
-    const entries = args.entries.split(',').filter(url => url !== '');
-    if (entries.length > 0) {
-      createAnnouncer({
-        entries,
-        intervalMs: ANNOUNCE_INTERVAL_MS,
-        readAnnouncement: () => ({
-          endpoint: args.endpoint,
-          incarnation: `p${process.pid}`,
-          set: args.set,
-          domain: args.domain,
-          url: server.url,
-          concurrency: Number(args.batch),
-          checksFencing: !args['ignore-fencing'],
-          leaving: isLeaving,
-          load: {...server.engine.readLoad(), ageMs: 0},
-        }),
-      });
-    }
+    startAnnouncing(args.entries, () => ({
+      endpoint: args.endpoint,
+      incarnation: `p${process.pid}`,
+      set: args.set,
+      domain: args.domain,
+      url: server.url,
+      concurrency: Number(args.batch),
+      checksFencing: !args['ignore-fencing'],
+      leaving: isLeaving,
+      load: {...server.engine.readLoad(), ageMs: 0},
+    }));
     process.on('SIGUSR2', () => {
       isLeaving = true;
     });
--- a/storage/logFile/src/record.ts
+++ b/storage/logFile/src/record.ts
@@ -36,7 +36,7 @@
   RECORD_MAGIC.copy(bytes);
   bytes.writeUInt32BE(content.length, LENGTH_OFFSET);
   content.copy(bytes, RECORD_HEADER_BYTES);
-  bytes.writeInt32BE(computeChecksum(bytes), CHECKSUM_OFFSET);
+  bytes.writeInt32BE(readChecksum(bytes), CHECKSUM_OFFSET);
   return bytes;
 }
 
@@ -46,7 +46,7 @@
 }
 
 /** The checksum covers the length as well as the content. */
-function computeChecksum(record: Buffer): number {
+function readChecksum(record: Buffer): number {
   const length = record.subarray(LENGTH_OFFSET, CHECKSUM_OFFSET);
   return crc32.buf(record.subarray(RECORD_HEADER_BYTES), crc32.buf(length));
 }
@@ -96,6 +96,6 @@
     return undefined;
   }
   const checksum = bytes.readInt32BE(offset + CHECKSUM_OFFSET);
-  const isSound = computeChecksum(bytes.subarray(offset, end)) === checksum;
+  const isSound = readChecksum(bytes.subarray(offset, end)) === checksum;
   return isSound ? end : undefined;
 }
