--- a/control/configuration/src/checkObject.ts
+++ b/control/configuration/src/checkObject.ts
@@ -5,9 +5,7 @@
 import type {ConfigurationObject, ObjectKey} from './objects.js';
 
 /** Tells what is wrong with an object's values, if anything. */
-export function checkObject(
-  object: ConfigurationObject,
-): string | undefined {
+export function checkObject(object: ConfigurationObject): string | undefined {
   if (!isIdentifier(object.id)) {
     return `identifier ${JSON.stringify(object.id)} is malformed`;
   }
--- a/control/controlNode/test/serviceCounts.test.ts
+++ b/control/controlNode/test/serviceCounts.test.ts
@@ -1,6 +1,11 @@
 import t from 'tap';
 
-import {EMPTY_TOTALS, readMonth} from '@gentianshunt/messages';
+import {
+  EMPTY_TOTALS,
+  readMonth,
+  RECENT_PERIOD_MS,
+  RECENT_RETENTION_MS,
+} from '@gentianshunt/messages';
 import type {CountReport, EntryToControl} from '@gentianshunt/messages';
 import {
   MAX_SERVICE_COUNTS,
@@ -110,3 +115,25 @@
   const key = {...count!.key, organisation: OTHER_ORGANISATIONS};
   t.equal(serviceCounts.get(key)?.answered, 3);
 });
+
+function readRecent(fixture: ControlFixture) {
+  return [...fixture.node.view.recentCounts.iterateFrom()].map(
+    ({value}) => value.answered,
+  );
+}
+
+t.test(
+  'recent counts are kept by period, once, and then forgotten',
+  async t => {
+    const fixture = createControlFixture();
+    fixture.ask('e0', createReport(1, 3));
+    fixture.ask('e0', createReport(1, 3));
+    t.same(readRecent(fixture), [3]);
+    fixture.advance(RECENT_PERIOD_MS);
+    fixture.ask('e0', createReport(2, 4));
+    t.same(readRecent(fixture), [3, 4]);
+    fixture.advance(RECENT_RETENTION_MS);
+    fixture.ask('e0', createReport(3, 5));
+    t.same(readRecent(fixture), [4, 5]);
+  },
+);
--- a/scheduling/addressLookup/src/pickAddresses.ts
+++ b/scheduling/addressLookup/src/pickAddresses.ts
@@ -28,9 +28,7 @@
  * long as it is not above the bound (consistent hashing with bounded loads);
  * the addresses after the first lie in other failure domains where they can.
  */
-export function pickAddresses(
-  query: AddressQuery,
-): readonly DirectoryEntry[] {
+export function pickAddresses(query: AddressQuery): readonly DirectoryEntry[] {
   const {set, organisation, given} = query;
   const serving = query.entries.filter(entry => !entry.draining);
   const near = rankEntries(serving, set).slice(0, MAX_ENTRIES_PER_SET);
--- a/scheduling/addressLookup/test/pickAddresses.test.ts
+++ b/scheduling/addressLookup/test/pickAddresses.test.ts
@@ -3,11 +3,7 @@
 import type {DirectoryEntry} from '@gentianshunt/messages';
 import t from 'tap';
 
-import {
-  LOAD_BOUND,
-  MAX_ENTRIES_PER_SET,
-  pickAddresses,
-} from '../src/index.js';
+import {LOAD_BOUND, MAX_ENTRIES_PER_SET, pickAddresses} from '../src/index.js';
 
 const DOMAINS = ['a', 'b', 'c'];
 const LOOKUPS = 3_000;
