Split the replies of a set leader from its decisions

Cause: one file of over 400 lines decided grants and wrote the replies. Change: grantReply.ts writes replies; no behaviour changes.

--- a/scheduling/setLeader/src/grantController.ts
+++ b/scheduling/setLeader/src/grantController.ts
@@ -2,7 +2,6 @@
 import {findObject, listObjects} from '@gentianshunt/configuration';
 import {
   defineEntryController,
-  findEntryAddress,
   iterateEndpoints,
   iterateReports,
   iterateShares,
@@ -12,16 +11,12 @@
   EntryObservation,
   EntrySections,
   EntryWrite,
-  Grant,
   GrantedSince,
-  LeadershipState,
   ReportRecord,
-  ShedOrder,
 } from '@gentianshunt/entryModel';
 import type {
   EndpointId,
   EndpointSetId,
-  GrantId,
   NodeId,
   OrganisationId,
 } from '@gentianshunt/identifiers';
@@ -31,23 +26,21 @@
   limitConcurrency,
   limitCredit,
   readMiddleRate,
-  SHED_RETRY_AFTER_MS,
 } from '@gentianshunt/policy';
-import type {WaitingCount} from '@gentianshunt/policy';
 import {limitLines} from '@gentianshunt/limits';
 
 import {allocateSlots, countOccupied} from './allocation.js';
 import type {
-  AllocatedSlot,
   AllocationInput,
   AllocationResult,
   EndpointCapacity,
   ShareState,
 } from './allocation.js';
 import {countLeft, listOpenLines, mergeRates} from './openLines.js';
+import {NOTHING_DECIDED, replyTo} from './grantReply.js';
+import type {Decided} from './grantReply.js';
 import {limitOrganisations} from './organisationLimits.js';
 import {allocateStanding} from './standingSlots.js';
-import {SLOT_LIFETIME_MS} from './leadershipController.js';
 
 type GrantReads =
   | 'control'
@@ -143,7 +136,7 @@
     shedding: view.board.shedding.get(set) ?? false,
     lowestRank: readLowestRank(view),
   });
-  const decided = {slots: allocation.slots, shed: shedding.shed};
+  const decided: Decided = {slots: allocation.slots, shed: shedding.shed};
   return [
     ...records.flatMap(record =>
       replyTo(view, leadership, record, before, decided, now),
@@ -154,14 +147,6 @@
   ];
 }
 
-/** What the leader has decided for all entries. */
-interface Decided {
-  readonly slots: readonly AllocatedSlot[];
-  readonly shed: readonly WaitingCount[];
-}
-
-const NOTHING_DECIDED: Decided = {slots: [], shed: []};
-
 function readLowestRank(view: GrantView): number {
   const tiers = listObjects(view.board.configuration, 'tier');
   return Math.max(0, ...tiers.map(tier => tier.rank));
@@ -291,119 +276,3 @@
   );
   return object?.weight ?? 1;
 }
-
-function replyTo(
-  view: GrantView,
-  leadership: LeadershipState,
-  record: ReportRecord,
-  before: ReadonlyMap<NodeId, GrantedSince>,
-  decided: Decided,
-  now: TurnTime,
-): readonly GrantWrite[] {
-  const since = before.get(record.node)!;
-  const grants = toGrants(leadership, since, decided.slots);
-  const shed = toShedOrders(record.node, decided.shed);
-  const address = findEntryAddress(view.board.control.directory, record.node);
-  const isAnswered = since.parts > 0;
-  const isEmpty = grants.length === 0 && shed.length === 0;
-  if (address === undefined || (isAnswered && isEmpty)) {
-    return [];
-  }
-  const part = since.parts + 1;
-  const granted = grants.map(grant => ({
-    endpoint: grant.target.endpoint,
-    rank: grant.rank,
-    organisation: grant.organisation,
-    count: grant.count,
-  }));
-  return [
-    {
-      kind: 'put',
-      section: 'granted',
-      key: {set: leadership.set, node: record.node},
-      value: {
-        ...since,
-        parts: part,
-        slots: [...since.slots, ...granted],
-        shed: [...since.shed, ...shed],
-      },
-    },
-    {
-      kind: 'order',
-      order: {
-        kind: 'sendEntry',
-        to: record.node,
-        address,
-        message: {
-          kind: 'grantReply',
-          reply: {
-            set: leadership.set,
-            epoch: leadership.epoch,
-            sequence: record.report.sequence,
-            part,
-            reportAgeMs: now.monotonic - record.receivedAt,
-            lifetimeMs: SLOT_LIFETIME_MS,
-            grants,
-            shed,
-          },
-        },
-      },
-    },
-  ];
-}
-
-/** Makes the orders for one entry; callers are told to return spread out. */
-function toShedOrders(
-  node: NodeId,
-  counts: readonly WaitingCount[],
-): readonly ShedOrder[] {
-  return counts
-    .map(({rank, organisation, count, node: owner}, index) => ({
-      owner,
-      order: {
-        rank,
-        organisation,
-        count,
-        retryAfterMs: Math.round(
-          SHED_RETRY_AFTER_MS * (1 + index / counts.length),
-        ),
-      },
-    }))
-    .filter(({owner}) => owner === node)
-    .map(({order}) => order);
-}
-
-/** Groups the slots of one entry into grants by line and endpoint. */
-function toGrants(
-  leadership: LeadershipState,
-  since: GrantedSince,
-  slots: readonly AllocatedSlot[],
-): readonly Grant[] {
-  const groups = new Map<string, Grant>();
-  for (const slot of slots) {
-    if (slot.node !== since.node) {
-      continue;
-    }
-    const {rank, organisation, target} = slot;
-    const key = `${rank}/${organisation}/${target.endpoint}`;
-    const group = groups.get(key);
-    const id = formatGrantId(leadership, since, groups.size);
-    groups.set(
-      key,
-      group === undefined
-        ? {id, rank, organisation, target, count: 1}
-        : {...group, count: group.count + 1},
-    );
-  }
-  return [...groups.values()];
-}
-
-function formatGrantId(
-  leadership: LeadershipState,
-  since: GrantedSince,
-  index: number,
-): GrantId {
-  const {set, epoch} = leadership;
-  const {sequence, parts} = since;
-  return `${set}.${epoch}.${sequence}.${parts + 1}.${index}` as GrantId;
-}
