Count an organisation's places once and report streams' life as before

Cause: read again, the limits walked all reports once for each limited organisation and looked its limits up twice; the list of organisations that wait stood in two files; and reporting tokens twice a second had also made the reports that a stream still delivers ten times as frequent, for which nothing asked. Change: one count by organisation, one listWaitingOrganisations in openLines; tokens are reported by a function of their own, so streamProgress is back at its interval of 5 s. Checked: runTests scheduling/setLeader scheduling/exchangeContract fronts/callerFront scheduling/limits, 541 passed, 0 failed; build and lint of the whole tree.

--- a/fronts/callerFront/src/streamClient.ts
+++ b/fronts/callerFront/src/streamClient.ts
@@ -201,8 +201,12 @@
   } catch (error) {
     return toStreamEnd(error, answer.events);
   }
-  const progress = createProgress(options, answer);
-  const end = await carryAnswer(answer, data, progress);
+  const reportProgress = createProgress(options, answer);
+  const reportTokens = createTokenReport(options, answer);
+  const end = await carryAnswer(answer, data, () => {
+    reportProgress();
+    reportTokens();
+  });
   if (end.kind === 'cut') {
     dropBody(data);
   }
@@ -231,32 +235,40 @@
     : {kind: 'cut', detail: message, events};
 }
 
-/** Reports the first byte, and later how far the stream has come. */
+/** Reports the first byte, and later that the stream still delivers. */
 function createProgress(
   options: StreamClientOptions,
-  answer: AnswerStream,
+  {dispatch}: AnswerStream,
 ): () => void {
-  const {dispatch, forwarded} = answer;
-  const countsTokens = forwarded.framing === 'eventStream';
-  const intervalMs = countsTokens
-    ? TOKEN_REPORT_INTERVAL_MS
-    : PROGRESS_INTERVAL_MS;
   let reportedAt: number | undefined;
   return () => {
     const now = performance.now();
     if (reportedAt === undefined) {
       options.post({kind: 'streamStarted', dispatch});
-    } else if (now - reportedAt < intervalMs) {
+    } else if (now - reportedAt < PROGRESS_INTERVAL_MS) {
       return;
-    }
-    if (reportedAt !== undefined) {
+    } else {
       options.post({kind: 'streamProgress', dispatch});
     }
-    if (countsTokens) {
+    reportedAt = now;
+  };
+}
+
+/** Reports how many tokens a stream of events has delivered. */
+function createTokenReport(
+  options: StreamClientOptions,
+  answer: AnswerStream,
+): () => void {
+  const {dispatch, forwarded} = answer;
+  let reportedAt = Number.NEGATIVE_INFINITY;
+  return () => {
+    const now = performance.now();
+    const isDue = now - reportedAt >= TOKEN_REPORT_INTERVAL_MS;
+    if (forwarded.framing === 'eventStream' && isDue) {
+      reportedAt = now;
       const answerTokens = answer.events;
       options.post({kind: 'tokensStreamed', dispatch, answerTokens});
     }
-    reportedAt = now;
   };
 }
 
--- a/scheduling/setLeader/src/grantController.ts
+++ b/scheduling/setLeader/src/grantController.ts
@@ -36,7 +36,12 @@
   EndpointCapacity,
   ShareState,
 } from './allocation.js';
-import {countLeft, listOpenLines, mergeRates} from './openLines.js';
+import {
+  countLeft,
+  listOpenLines,
+  listWaitingOrganisations,
+  mergeRates,
+} from './openLines.js';
 import {NOTHING_DECIDED, replyTo} from './grantReply.js';
 import type {Decided} from './grantReply.js';
 import {limitOrganisations} from './organisationLimits.js';
@@ -251,14 +256,9 @@
   set: EndpointSetId,
   records: readonly ReportRecord[],
 ): readonly ShareState[] {
-  const waiting = records.flatMap(({report}) =>
-    report.waiting
-      .filter(line => line.count > 0)
-      .map(line => line.organisation),
-  );
   const known = [...iterateShares(view.board.shares, set)];
   const furthest = Math.max(0, ...known.map(({value}) => value));
-  return [...new Set(waiting)].map(organisation => ({
+  return [...listWaitingOrganisations(records)].map(organisation => ({
     organisation,
     weight: readWeight(view, organisation),
     virtualTime: limitCredit(
--- a/scheduling/setLeader/src/openLines.ts
+++ b/scheduling/setLeader/src/openLines.ts
@@ -81,3 +81,16 @@
     [...latest.values()].map(rate => [rate.endpoint, rate.decodeMsPerToken]),
   );
 }
+
+/** Lists the organisations that have requests waiting, each once. */
+export function listWaitingOrganisations(
+  records: readonly ReportRecord[],
+): ReadonlySet<OrganisationId> {
+  return new Set(
+    records.flatMap(({report}) =>
+      report.waiting
+        .filter(line => line.count > 0)
+        .map(line => line.organisation),
+    ),
+  );
+}
--- a/scheduling/setLeader/src/organisationLimits.ts
+++ b/scheduling/setLeader/src/organisationLimits.ts
@@ -1,5 +1,6 @@
 import type {TurnTime, View} from '@gentianshunt/board';
 import {findObject} from '@gentianshunt/configuration';
+import type {OrganisationLimits} from '@gentianshunt/configuration';
 import type {
   EntryObservation,
   EntrySections,
@@ -21,6 +22,7 @@
 import type {Allowances, RateBucket} from '@gentianshunt/limits';
 
 import type {AllocatedSlot} from './allocation.js';
+import {listWaitingOrganisations} from './openLines.js';
 
 type LimitView = View<
   EntrySections,
@@ -52,17 +54,19 @@
 ): OrganisationLimiter {
   const allowances = new Map<OrganisationId, number>();
   const buckets = new Map<OrganisationId, RateBucket>();
-  for (const organisation of listWaiting(input.records)) {
+  const occupied = countOccupied(input);
+  for (const organisation of listWaitingOrganisations(input.records)) {
     const limits = findLimits(view, organisation);
     if (limits === undefined || !isLimited(limits)) {
       continue;
     }
-    const bucket = readBucket(view, input, organisation);
+    const bucket = readBucket(view, input, organisation, limits);
     if (bucket !== null) {
       buckets.set(organisation, bucket);
     }
-    const occupied = countOccupiedBy(organisation, input);
-    allowances.set(organisation, readAllowance({limits, occupied, bucket}));
+    const held = occupied.get(organisation) ?? 0;
+    const allowance = readAllowance({limits, occupied: held, bucket});
+    allowances.set(organisation, allowance);
   }
   return {
     allowances,
@@ -81,40 +85,33 @@
     ?.limits;
 }
 
-function listWaiting(
-  records: readonly ReportRecord[],
-): ReadonlySet<OrganisationId> {
-  return new Set(
-    records.flatMap(({report}) =>
-      report.waiting
-        .filter(line => line.count > 0)
-        .map(line => line.organisation),
-    ),
-  );
-}
-
 function readBucket(
   view: LimitView,
   {set, now}: LimitInput,
   organisation: OrganisationId,
+  {maxRequestsPerSecond}: OrganisationLimits,
 ): RateBucket | null {
-  const rate = findLimits(view, organisation)?.maxRequestsPerSecond ?? null;
+  if (maxRequestsPerSecond === null) {
+    return null;
+  }
   const known = view.board.limitBuckets.get({set, organisation});
-  return rate === null ? null : refillBucket(known, rate, now.monotonic);
+  return refillBucket(known, maxRequestsPerSecond, now.monotonic);
 }
 
 /** Counts running requests, unspent slots and slots granted since. */
-function countOccupiedBy(
-  organisation: OrganisationId,
-  {records, before}: LimitInput,
-): number {
+function countOccupied({
+  records,
+  before,
+}: LimitInput): ReadonlyMap<OrganisationId, number> {
+  const occupied = new Map<OrganisationId, number>();
   const counted = [
     ...records.flatMap(({report}) => [...report.running, ...report.unspent]),
     ...[...before.values()].flatMap(since => since.slots),
   ];
-  return counted
-    .filter(item => item.organisation === organisation)
-    .reduce((sum, item) => sum + item.count, 0);
+  for (const {organisation, count} of counted) {
+    occupied.set(organisation, (occupied.get(organisation) ?? 0) + count);
+  }
+  return occupied;
 }
 
 function countSlots(
