--- a/bench/matrix/src/entryHost.ts
+++ b/bench/matrix/src/entryHost.ts
@@ -225,7 +225,8 @@
       state.addresses = order.addresses.map(address => address.node);
       return;
     case 'sendEndpointOrder':
-      // No cell gives orders to endpoints.
+    case 'redirectEntry':
+      // No cell gives orders to endpoints or asks an entry for the members.
       return;
     case 'exit':
       exit(options, state);
--- a/bench/policyBench/src/entryCluster.ts
+++ b/bench/policyBench/src/entryCluster.ts
@@ -193,6 +193,7 @@
 ): void {
   switch (order.kind) {
     case 'resumeStream':
+    case 'redirectEntry':
     case 'sendEndpointOrder':
     case 'answerAddresses':
     case 'repeatAnswer':
--- a/bench/virtualEntry/src/virtualEntries.ts
+++ b/bench/virtualEntry/src/virtualEntries.ts
@@ -135,6 +135,7 @@
       case 'repeatAnswer':
       case 'answerAddresses':
       case 'sendEndpointOrder':
+      case 'redirectEntry':
       case 'answerOperator':
       case 'recordEnd':
       case 'exit':
--- a/control/configuration/src/checkObject.ts
+++ b/control/configuration/src/checkObject.ts
@@ -1,8 +1,13 @@
 import {assertNever} from '@gentianshunt/errors';
 import {isIdentifier} from '@gentianshunt/identifiers';
 
-import {formatObjectKey, WEIGHT_STORE_ID} from './objects.js';
-import type {ConfigurationObject, ObjectKey} from './objects.js';
+import {formatObjectKey, RELEASE_ID, WEIGHT_STORE_ID} from './objects.js';
+import type {
+  ConfigurationObject,
+  ObjectKey,
+  Route,
+  TokenAllotment,
+} from './objects.js';
 
 /** Tells what is wrong with an object's values, if anything. */
 export function checkObject(object: ConfigurationObject): string | undefined {
@@ -20,7 +25,11 @@
       return (
         checkPositive('weight', object.weight) ??
         checkLimit('maxRunning', object.limits.maxRunning) ??
-        checkLimit('maxRequestsPerSecond', object.limits.maxRequestsPerSecond)
+        checkLimit(
+          'maxRequestsPerSecond',
+          object.limits.maxRequestsPerSecond,
+        ) ??
+        checkAllotment(object.limits.tokens ?? null)
       );
     case 'tier':
       if (!Number.isInteger(object.rank) || object.rank < 1) {
@@ -42,6 +51,12 @@
       return object.burst >= 1
         ? checkPositive('loadsPerMinute', object.loadsPerMinute)
         : 'burst must be 1 or more';
+    case 'route':
+      return checkRoute(object);
+    case 'release':
+      return object.id === RELEASE_ID
+        ? undefined
+        : `the release is called ${RELEASE_ID}`;
     case 'endpointSet':
     case 'endpointPolicy':
     case 'endpointOrder':
@@ -52,6 +67,38 @@
   }
 }
 
+function checkRoute(route: Route): string | undefined {
+  const {host, pathPrefix, shares} = route;
+  if (host === '') {
+    return 'host must not be empty';
+  }
+  if (!pathPrefix.startsWith('/') || !pathPrefix.endsWith('/')) {
+    return 'pathPrefix must begin and end with a slash';
+  }
+  if (!Number.isInteger(route.maxAttempts) || route.maxAttempts < 1) {
+    return 'maxAttempts must be a whole number from 1';
+  }
+  if (shares.some(({weight}) => !(Number.isFinite(weight) && weight >= 0))) {
+    return 'a share must have a weight of 0 or more';
+  }
+  return (
+    checkPositive(
+      'the sum of the weights of the shares',
+      shares.reduce((sum, {weight}) => sum + weight, 0),
+    ) ??
+    checkPositive('timeoutMs', route.timeoutMs) ??
+    checkPositive('objectiveMs', route.objectiveMs)
+  );
+}
+
+function checkAllotment(tokens: TokenAllotment | null): string | undefined {
+  return tokens === null
+    ? undefined
+    : (checkPositive('tokensPerSecond', tokens.tokensPerSecond) ??
+        checkPositive('burstTokens', tokens.burstTokens) ??
+        checkPositive('defaultTokens', tokens.defaultTokens));
+}
+
 function checkPositive(name: string, value: number): string | undefined {
   return Number.isFinite(value) && value > 0
     ? undefined
@@ -71,12 +118,19 @@
       return object.tiers.map(tier => formatObjectKey('tier', tier));
     case 'setLeadership':
       return [formatObjectKey('endpointSet', object.id)];
+    case 'route':
+      return [
+        formatObjectKey('requestKind', object.requestKind),
+        formatObjectKey('tier', object.tier),
+        ...object.shares.map(({set}) => formatObjectKey('endpointSet', set)),
+      ];
     case 'tier':
     case 'endpointSet':
     case 'requestKind':
     case 'endpointPolicy':
     case 'endpointOrder':
     case 'weightStore':
+    case 'release':
       return [];
     default:
       return assertNever(object, 'listReferences');
--- a/control/configuration/src/index.ts
+++ b/control/configuration/src/index.ts
@@ -4,4 +4,5 @@
 export * from './isOrderOpen.js';
 export * from './lookup.js';
 export * from './objects.js';
+export * from './replaceObjects.js';
 export * from './checkObject.js';
--- a/control/configuration/src/objects.ts
+++ b/control/configuration/src/objects.ts
@@ -12,18 +12,30 @@
   OrganisationId,
   RegionId,
   RequestKindId,
+  RouteId,
   TierId,
 } from '@gentianshunt/identifiers';
 
 /** Counts the changes of one object; the first revision is 1. */
 export type Revision = number;
 
+/** Tokens that an organisation may use, over all sets and entries. */
+export interface TokenAllotment {
+  readonly tokensPerSecond: number;
+  /** Tokens that may be used at once after a pause. */
+  readonly burstTokens: number;
+  /** Tokens that a request of unknown size counts as. */
+  readonly defaultTokens: number;
+}
+
 /** Bounds that hold for an organisation across all entries. */
 export interface OrganisationLimits {
   /** Most requests running at once; `null` sets no limit. */
   readonly maxRunning: number | null;
   /** Most new requests a second; `null` sets no limit. */
   readonly maxRequestsPerSecond: number | null;
+  /** Left out or `null`, tokens have no limit. */
+  readonly tokens?: TokenAllotment | null;
 }
 
 /** A customer of the deployment. */
@@ -36,6 +48,8 @@
   /** Tiers its requests may name; the first is the default. */
   readonly tiers: readonly TierId[];
   readonly limits: OrganisationLimits;
+  /** Keys by which callers of routes show that they belong to it. */
+  readonly keys?: readonly string[];
 }
 
 /** A class of service. */
@@ -65,6 +79,10 @@
   readonly revision: Revision;
   readonly region: RegionId;
   readonly service: EndpointService;
+  /** Path that tells whether an endpoint of the set is healthy. */
+  readonly healthPath?: string;
+  /** Connections that one endpoint takes from all entries together. */
+  readonly maxConnections?: number;
 }
 
 /** A kind of request. */
@@ -76,8 +94,64 @@
   readonly idempotent: boolean;
   /** Weight of an answered request in the goodput of its tier. */
   readonly weight: number;
+  /**
+   * Whether each call is a request of its own, so that a non-idempotent one
+   * needs neither an idempotency key nor a claim.
+   */
+  readonly isUnclaimed?: boolean;
+}
+
+/** A set that takes part of a route's requests. */
+export interface RouteShare {
+  readonly set: EndpointSetId;
+  readonly weight: number;
+}
+
+/** Where the calls to a host and path go, and how they are handled. */
+export interface Route {
+  readonly kind: 'route';
+  readonly id: RouteId;
+  readonly revision: Revision;
+  readonly host: string;
+  /** Begins and ends with a slash; the longest that fits a path wins. */
+  readonly pathPrefix: string;
+  readonly requestKind: RequestKindId;
+  readonly tier: TierId;
+  readonly shares: readonly RouteShare[];
+  /** Most endpoints to which one call is dispatched. */
+  readonly maxAttempts: number;
+  /** Time after which a call gets its final answer, in milliseconds. */
+  readonly timeoutMs: number;
+  /** Time to the first byte that callers expect, in milliseconds. */
+  readonly objectiveMs: number;
+  /** Whether calls without a key are taken. */
+  readonly isAnonymous: boolean;
+  /** Whether a broken stream may go on at another endpoint. */
+  readonly isResumable: boolean;
+  readonly isStream: boolean;
+}
+
+/** Bounds on what a caller may send. */
+export interface CallerLimits {
+  readonly maxHeaderBytes: number;
+  readonly maxBodyBytes: number;
+  readonly headerTimeoutMs: number;
+  readonly idleTimeoutMs: number;
 }
 
+/** Names the whole configuration that an operator put in place last. */
+export interface Release {
+  readonly kind: 'release';
+  readonly id: typeof RELEASE_ID;
+  readonly revision: Revision;
+  /** The operator's version; the highest one holds. */
+  readonly version: number;
+  readonly callerLimits: CallerLimits | null;
+}
+
+/** There is one release in force. */
+export const RELEASE_ID = 'default';
+
 /** An operator's decision about one endpoint. */
 export interface EndpointPolicy {
   readonly kind: 'endpointPolicy';
@@ -125,7 +199,9 @@
   | EndpointPolicy
   | SetLeadership
   | EndpointOrder
-  | WeightStore;
+  | WeightStore
+  | Route
+  | Release;
 
 /** The kinds of configuration object. */
 export type ObjectKind = ConfigurationObject['kind'];
--- a/control/consensus/src/cellDraft.ts
+++ b/control/consensus/src/cellDraft.ts
@@ -14,7 +14,8 @@
   | 'leadership'
   | 'startCheck'
   | 'snapshot'
-  | 'incoming';
+  | 'incoming'
+  | 'contacts';
 
 /** The cells as one run has changed them so far. */
 export interface CellDraft {
--- a/control/consensus/src/consensusController.ts
+++ b/control/consensus/src/consensusController.ts
@@ -37,6 +37,7 @@
   handleHelloReply,
   handleHelloTimer,
   handleStarted,
+  noteContacts,
 } from './startup.js';
 import {noteWitness} from './witness.js';
 
@@ -56,6 +57,7 @@
   'incoming',
   'witnesses',
   'applicants',
+  'contacts',
 ];
 
 /** Creates the controller that keeps the replicated log. */
@@ -64,7 +66,13 @@
     name: 'consensus',
     reads: ['identity', 'proposals', 'memberProposals', 'captured', ...WRITES],
     writes: WRITES,
-    observes: ['started', 'timerDue', 'persisted', 'consensusMessage'],
+    observes: [
+      'started',
+      'timerDue',
+      'persisted',
+      'membersLearnt',
+      'consensusMessage',
+    ],
     run: (view, now) => {
       const draft = createConsensusDraft(view);
       if (view.board.startCheck.kind === 'halted') {
@@ -123,6 +131,9 @@
       handleMessage(draft, {node, storage}, message, now);
       return;
     }
+    case 'membersLearnt':
+      noteContacts(draft, observation.members);
+      return;
     case 'entryMessage':
       return;
     default:
@@ -180,7 +191,7 @@
   noteWitness(draft, from, message);
   switch (message.kind) {
     case 'memberHello':
-      handleHello(draft, from, message);
+      handleHello(draft, from, message, now);
       return;
     case 'memberHelloReply':
       handleHelloReply(draft, from, message, now);
--- a/control/consensus/src/election.ts
+++ b/control/consensus/src/election.ts
@@ -5,6 +5,7 @@
 import {becomeLeader} from './leadership.js';
 import {isFormed, isVoter, listVoters, readQuorum} from './members.js';
 import type {Sender, VoteReply, VoteRequest} from './messageTypes.js';
+import {replyHello} from './startup.js';
 import {followTerm} from './terms.js';
 import {
   armElection,
@@ -95,6 +96,10 @@
   if (!isFormed(draft)) {
     return;
   }
+  if (draft.role.kind === 'leader' && !isVoter(draft, from.storage)) {
+    // A member that was cut off while it lost its place learns of it here.
+    replyHello(draft, from, now);
+  }
   if (request.preVote || isLeaderHeard(draft, now)) {
     answerPreVote(draft, from, request, now);
     return;
--- a/control/consensus/src/memberChangeController.ts
+++ b/control/consensus/src/memberChangeController.ts
@@ -1,4 +1,5 @@
-import type {View} from '@gentianshunt/board';
+import type {TurnTime, View} from '@gentianshunt/board';
+import type {Milliseconds, MonotonicTime} from '@gentianshunt/clock';
 import {defineControlController} from '@gentianshunt/controlModel';
 import type {
   ControlController,
@@ -6,10 +7,13 @@
   ControlSections,
   Membership,
 } from '@gentianshunt/controlModel';
+import {assertNever} from '@gentianshunt/errors';
+import type {NodeId} from '@gentianshunt/identifiers';
 import type {Member} from '@gentianshunt/messages';
 
 type MemberChangeReads =
   | 'identity'
+  | 'role'
   | 'leadership'
   | 'logStatus'
   | 'memberships'
@@ -23,16 +27,24 @@
 
 /** Entries that a learner may lack when it is promoted. */
 export const PROMOTION_LAG = 64;
+/** A voter that has not answered for this long may lose its place. */
+export const VOTER_SILENCE_MS: Milliseconds = 4_000;
+/** With more voters than these, one that stays away is of no use. */
+export const MIN_KEPT_VOTERS = 3;
+/** Learners beyond these voters stay learners. */
+export const MAX_VOTERS = 7;
 
 /**
- * Creates the controller that admits new data folders and promotes learners.
- * Only one change is under way at a time, and each touches one voter.
+ * Creates the controller that admits new data folders, promotes learners and,
+ * in an open group, drops voters that stay away. Only one change is under way
+ * at a time, and each touches one voter.
  */
 export function createMemberChangeController(): ControlController {
   return defineControlController<MemberChangeReads, 'memberProposals'>({
     name: 'memberChanges',
     reads: [
       'identity',
+      'role',
       'leadership',
       'logStatus',
       'memberships',
@@ -40,9 +52,9 @@
       'applicants',
     ],
     writes: ['memberProposals'],
-    observes: [],
-    run: view => {
-      const members = proposeMembers(view);
+    observes: ['timerDue'],
+    run: (view, now) => {
+      const members = proposeMembers(view, now);
       return members === undefined
         ? []
         : [
@@ -56,7 +68,10 @@
   });
 }
 
-function proposeMembers(view: MemberChangeView): readonly Member[] | undefined {
+function proposeMembers(
+  view: MemberChangeView,
+  now: TurnTime,
+): readonly Member[] | undefined {
   const {leadership, logStatus, memberships} = view.board;
   const current = memberships[memberships.length - 1];
   if (
@@ -67,7 +82,11 @@
   ) {
     return undefined;
   }
-  return admitApplicant(view, current) ?? promoteLearner(view, current);
+  return (
+    admitApplicant(view, current) ??
+    dropSilentVoter(view, current, now) ??
+    promoteLearner(view, current)
+  );
 }
 
 /**
@@ -79,8 +98,8 @@
   view: MemberChangeView,
   {members}: Membership,
 ): readonly Member[] | undefined {
-  const {identity, applicants} = view.board;
-  const majority = Math.floor(identity.members.length / 2) + 1;
+  const {applicants} = view.board;
+  const majority = Math.floor(countPlaces(view, members) / 2) + 1;
   for (const [node, storage] of applicants) {
     const others = members.filter(member => member.node !== node);
     const voters = others.filter(member => member.role === 'voter').length;
@@ -92,18 +111,84 @@
   return undefined;
 }
 
-function promoteLearner(
+/** Counts the nodes that voters may stand on. */
+function countPlaces(
+  {board}: MemberChangeView,
+  members: readonly Member[],
+): number {
+  const {admission, members: listed} = board.identity;
+  switch (admission.kind) {
+    case 'listed':
+      return listed.length;
+    case 'open':
+      return members.length;
+    default:
+      return assertNever(admission, 'countPlaces');
+  }
+}
+
+/**
+ * Takes the place of a voter that stays away, if enough voters are left or a
+ * learner can take it: a voter that is gone for good counts in every quorum.
+ */
+function dropSilentVoter(
   view: MemberChangeView,
-  {members}: Membership,
+  membership: Membership,
+  now: TurnTime,
 ): readonly Member[] | undefined {
+  const {identity} = view.board;
+  if (identity.admission.kind !== 'open') {
+    return undefined;
+  }
+  const {members} = membership;
+  const voters = members.filter(member => member.role === 'voter');
+  const isReplaceable =
+    voters.length > MIN_KEPT_VOTERS ||
+    findReadyLearner(view, membership) !== undefined;
+  const silent = isReplaceable
+    ? voters.find(({node}) => isSilent(view, node, now))
+    : undefined;
+  return silent && members.filter(member => member !== silent);
+}
+
+function isSilent(
+  {board}: MemberChangeView,
+  node: NodeId,
+  now: TurnTime,
+): boolean {
+  const {identity, role, progress} = board;
+  if (node === identity.node || role.kind !== 'leader') {
+    return false;
+  }
+  const heardAt: MonotonicTime = Math.max(
+    role.since,
+    progress.get(node)?.confirmedAt ?? Number.NEGATIVE_INFINITY,
+  );
+  return now.monotonic - heardAt >= VOTER_SILENCE_MS;
+}
+
+/** Finds a learner that lacks little; one of a group that is full stays. */
+function findReadyLearner(
+  view: MemberChangeView,
+  {members}: Membership,
+): Member | undefined {
   const {logStatus, progress} = view.board;
-  const ready = members.find(
+  return members.find(
     ({node, role}) =>
       role === 'learner' &&
       (progress.get(node)?.matchIndex ?? 0) >=
         Math.max(1, logStatus.commitIndex - PROMOTION_LAG),
   );
-  if (ready === undefined) {
+}
+
+function promoteLearner(
+  view: MemberChangeView,
+  membership: Membership,
+): readonly Member[] | undefined {
+  const {members} = membership;
+  const voters = members.filter(member => member.role === 'voter').length;
+  const ready = findReadyLearner(view, membership);
+  if (ready === undefined || voters >= MAX_VOTERS) {
     return undefined;
   }
   return members.map(member =>
--- a/control/consensus/src/startup.ts
+++ b/control/consensus/src/startup.ts
@@ -72,12 +72,24 @@
   armTimer(draft, 'hello', HELLO_INTERVAL_MS);
 }
 
-/** Lists the nodes whose answers count. */
+/** Lists the nodes that are asked about this folder. */
 function listOthers(draft: ConsensusDraft): readonly NodeId[] {
-  const {node: self, members} = draft.view.board.identity;
+  const {node: self} = draft.view.board.identity;
   return isFormed(draft)
     ? listPeers(draft).map(member => member.node)
-    : members.filter(node => node !== self);
+    : draft.read('contacts').filter(node => node !== self);
+}
+
+/** Notes nodes that may know a group; founders are asked in any case. */
+export function noteContacts(
+  draft: ConsensusDraft,
+  nodes: readonly NodeId[],
+): void {
+  const known = draft.read('contacts');
+  const added = nodes.filter(node => !known.includes(node));
+  if (added.length > 0) {
+    draft.set('contacts', [...known, ...added]);
+  }
 }
 
 /** Tells a starting member what is known here; may note it for admission. */
@@ -85,35 +97,50 @@
   draft: ConsensusDraft,
   from: Sender,
   hello: MemberHello,
+  now: TurnTime,
 ): void {
   const {node, storage} = from;
-  const leading = isLeadingMembers(draft);
+  const leading = isLeadingMembers(draft, now);
+  replyHello(draft, from, now);
+  const {admission, members} = draft.view.board.identity;
+  const isAdmissible = admission.kind === 'open' || members.includes(node);
+  const isNew = !hello.formed && !isMember(draft, node, storage);
+  if (leading && isAdmissible && isNew) {
+    draft.applicants.put(node, storage);
+  }
+}
+
+/** Tells another member what is known here of it and of the group. */
+export function replyHello(
+  draft: ConsensusDraft,
+  to: Sender,
+  now: TurnTime,
+): void {
+  const {node, storage} = to;
   const witness = draft.witnesses.get(node);
   draft.sendAfterSync(
     {node, storage},
     {
       kind: 'memberHelloReply',
+      term: draft.ballot.term,
       members: isFormed(draft) ? listMembers(draft) : null,
-      leading,
+      leading: isLeadingMembers(draft, now),
       witness:
         witness?.storage === storage
           ? {term: witness.term, index: witness.index}
           : null,
     },
   );
-  const isKnown = draft.view.board.identity.members.includes(node);
-  if (leading && isKnown && !hello.formed && !isMember(draft, node, storage)) {
-    draft.applicants.put(node, storage);
-  }
 }
 
-/** Whether this member leads and its members cannot be taken back. */
-function isLeadingMembers(draft: ConsensusDraft): boolean {
+/** Whether this member leads beyond doubt and its members are committed. */
+function isLeadingMembers(draft: ConsensusDraft, now: TurnTime): boolean {
   const leadership = draft.read('leadership');
   const memberships = draft.read('memberships');
   const {commitIndex} = draft.status;
   return (
     leadership.kind === 'leading' &&
+    now.monotonic < leadership.confirmedUntil &&
     commitIndex >= leadership.readIndex &&
     memberships.every(membership => membership.index <= commitIndex)
   );
@@ -141,6 +168,7 @@
   if (!isFormed(draft) && reply.members !== null && isListed === true) {
     form(draft, reply.members);
   }
+  noteContacts(draft, reply.members?.map(({node}) => node) ?? []);
   const answer = {storage: from.storage, formed: reply.members !== null};
   draft.set('startCheck', {
     ...check,
@@ -165,9 +193,11 @@
     return {kind: 'oldFolder', peer: from.node, witness};
   }
   const {storage} = draft.view.board.identity;
+  // A late word of an earlier leader must not cost a folder its place.
   const isReplaced =
     isFormed(draft) &&
     reply.leading &&
+    reply.term >= term &&
     members?.every(member => member.storage !== storage) === true;
   return isReplaced ? {kind: 'folderReplaced', peer: from.node} : undefined;
 }
@@ -183,7 +213,7 @@
   const isComplete = others.every(node => answers.has(node));
   if (!isFormed(draft)) {
     const isNew = [...answers.values()].every(answer => !answer.formed);
-    if (isComplete && isNew) {
+    if (isComplete && isNew && isFounder(draft)) {
       form(draft, listFirstMembers(draft, answers));
       draft.set('startCheck', {kind: 'ready'});
     }
@@ -197,6 +227,12 @@
   }
 }
 
+function isFounder(draft: ConsensusDraft): boolean {
+  const {node, members, admission} = draft.view.board.identity;
+  const mayFound = admission.kind === 'listed' || admission.mayFound;
+  return mayFound && members.includes(node);
+}
+
 function setAnswers(
   draft: ConsensusDraft,
   answers: Answers,
--- a/control/controlModel/src/observation.ts
+++ b/control/controlModel/src/observation.ts
@@ -30,6 +30,11 @@
     }
   | {readonly kind: 'timerDue'; readonly timer: ControlTimer}
   | {readonly kind: 'persisted'; readonly sequence: number}
+  | {
+      /** Others know these nodes as members. */
+      readonly kind: 'membersLearnt';
+      readonly members: readonly NodeId[];
+    }
   | {
       readonly kind: 'consensusMessage';
       readonly from: NodeId;
--- a/control/controlModel/src/sections.ts
+++ b/control/controlModel/src/sections.ts
@@ -15,6 +15,7 @@
 import {NO_DIRECTORY_VERSION} from '@gentianshunt/messages';
 import type {
   CommandNumber,
+  ConfigurationSource,
   ConfigurationVersion,
   ConsensusMessage,
   DirectoryChange,
@@ -84,11 +85,23 @@
   RunningClaimKey,
 } from './stateRecords.js';
 
+/** Which nodes may belong to the group that keeps the log. */
+export type Admission =
+  /** Those that the settings list, and no others. */
+  | {readonly kind: 'listed'}
+  | {
+      /** Any node that applies; those that stay away lose their place. */
+      readonly kind: 'open';
+      /** Whether this node may found the group with the listed ones. */
+      readonly mayFound: boolean;
+    };
+
 /** What a control daemon knows of itself and its peers. */
 export interface ControlIdentity {
   readonly node: NodeId;
-  /** The nodes that may be members, this one included. */
+  /** The nodes that found the group, this one included if it is one. */
   readonly members: readonly NodeId[];
+  readonly admission: Admission;
   /** The data folder of this member. */
   readonly storage: StorageId;
   /** Seed of the election jitter. */
@@ -141,12 +154,15 @@
     incoming: defineCell<IncomingSnapshot | null>(null),
     witnesses: defineMap<NodeId, FolderWitness>(),
     applicants: defineMap<NodeId, StorageId>(),
+    /** Nodes of which a member without a group may ask for one. */
+    contacts: defineCell<readonly NodeId[]>(identity.members),
     memberProposals: defineCell<readonly LogPayload[]>([]),
     persistSequence: defineCell<number>(0),
     held: defineOrdered<number, HeldBatch>(compareValues),
     proposals: defineCell<readonly LogPayload[]>([]),
     applied: defineCell<AppliedStatus>({index: 0, version: 0}),
     configuration: defineMap<ObjectKey, ConfigurationObject>(),
+    source: defineCell<ConfigurationSource | null>(null),
     history: defineOrdered<
       ConfigurationVersion,
       readonly ConfigurationChange[]
--- a/control/controlModel/src/sessionRecords.ts
+++ b/control/controlModel/src/sessionRecords.ts
@@ -97,6 +97,11 @@
       readonly correlation: RequestId;
       readonly command: OperatorCommand;
     }
+  | {
+      readonly kind: 'replacement';
+      readonly correlation: RequestId;
+      readonly version: number;
+    }
   | {
       readonly kind: 'claim';
       readonly claim: ClaimId;
--- a/control/controlNode/test/fixture.ts
+++ b/control/controlNode/test/fixture.ts
@@ -50,6 +50,7 @@
     identity: {
       node: SELF,
       members: [SELF],
+      admission: {kind: 'listed'},
       storage: toIdentifier('folder'),
       seed: 1,
     },
--- a/control/controlNode/test/memberFixture.ts
+++ b/control/controlNode/test/memberFixture.ts
@@ -127,6 +127,7 @@
         identity: {
           node,
           members,
+          admission: {kind: 'listed'},
           storage: folder.storage,
           seed: members.indexOf(node) + 1,
         },
--- a/control/entrySessions/src/controlQuery.ts
+++ b/control/entrySessions/src/controlQuery.ts
@@ -23,7 +23,12 @@
 /** The sections that queries read. */
 export type QueryBoard = Pick<
   BoardView<ControlSections>,
-  'commands' | 'commandFloor' | 'nextCommand' | 'serviceCounts' | 'recentCounts'
+  | 'commands'
+  | 'commandFloor'
+  | 'nextCommand'
+  | 'serviceCounts'
+  | 'recentCounts'
+  | 'source'
 >;
 
 /** Answers a query from the applied log. */
@@ -36,6 +41,8 @@
       return {kind: 'counts', counts: listCounts(board, query.month)};
     case 'recentCounts':
       return {kind: 'recentCounts', counts: listRecentCounts(board)};
+    case 'source':
+      return {kind: 'source', source: board.source};
     case 'commands':
       return {
         kind: 'commands',
--- a/control/entrySessions/src/pendingReplies.ts
+++ b/control/entrySessions/src/pendingReplies.ts
@@ -32,6 +32,7 @@
   'claimExpiry',
   'claimUsage',
   'countMarks',
+  'source',
   'sessions',
   'sessionVersions',
   'pending',
@@ -53,6 +54,11 @@
       const {correlation, command} = message;
       return {kind: 'command', correlation, command};
     }
+    case 'replacementRequest': {
+      const {correlation, replacement} = message;
+      const {version} = replacement;
+      return {kind: 'replacement', correlation, version};
+    }
     case 'claimRequest':
       return {kind: 'claim', claim: formatClaimId(message.key), message};
     case 'settleRequest':
@@ -81,6 +87,8 @@
   switch (request.kind) {
     case 'command':
       return `command/${request.correlation}` as PendingKey;
+    case 'replacement':
+      return `replacement/${request.correlation}` as PendingKey;
     case 'claim':
       return `claim/${request.claim}/${request.message.request}` as PendingKey;
     case 'settle':
@@ -116,6 +124,13 @@
       const {correlation} = request;
       return answer && {kind: 'commandReply', correlation, answer};
     }
+    case 'replacement': {
+      const {correlation} = request;
+      const version = board.source?.version ?? 0;
+      return hasOwnEntryApplied(board) && version >= request.version
+        ? {kind: 'replacementReply', correlation, version}
+        : undefined;
+    }
     case 'claim': {
       const answer = findClaimAnswer(board, request.message, now);
       const {key, request: id} = request.message;
--- a/control/entrySessions/src/proposalController.ts
+++ b/control/entrySessions/src/proposalController.ts
@@ -121,6 +121,10 @@
       const setsInUse = listSetsInUse(view);
       return [{kind: 'command', command: message.command, setsInUse}];
     }
+    case 'replacementRequest':
+      return [
+        {kind: 'replaceConfiguration', replacement: message.replacement},
+      ];
     case 'claimRequest': {
       const session = view.board.sessions.get(from);
       if (session === undefined) {
--- a/control/entrySessions/src/sessionController.ts
+++ b/control/entrySessions/src/sessionController.ts
@@ -56,6 +56,7 @@
       'role',
       'leadership',
       'ballot',
+      'memberships',
       'applied',
       'configuration',
       'history',
@@ -66,6 +67,7 @@
     run: (view, now) => [
       ...handleObservation(view, now),
       ...pushChanges(view, now),
+      ...announceMembers(view),
     ],
   });
 }
@@ -111,7 +113,29 @@
   const {role} = view.board;
   const leader = role.kind === 'follower' ? role.leader : null;
   const sequence = message.kind === 'entryHeartbeat' ? message.sequence : null;
-  return [send(from, {kind: 'notLeader', sequence, leader})];
+  return [
+    send(from, {kind: 'notLeader', sequence, leader}),
+    ...sendMembers(view, from),
+  ];
+}
+
+/** Tells an entry where else it may turn to. */
+function sendMembers(view: SessionView, to: NodeId): readonly SessionWrite[] {
+  const {memberships} = view.board;
+  const members = memberships[memberships.length - 1]?.members ?? [];
+  const nodes = members.map(({node}) => node);
+  return nodes.length === 0
+    ? []
+    : [send(to, {kind: 'membersUpdate', members: nodes})];
+}
+
+/** Tells every entry of a change among the members. */
+function announceMembers(view: SessionView): readonly SessionWrite[] {
+  const {role, sessions} = view.board;
+  const isChanged = view.readChanges('memberships').size > 0;
+  return isChanged && role.kind === 'leader'
+    ? [...sessions.keys()].flatMap(node => sendMembers(view, node))
+    : [];
 }
 
 function handleLeaderMessage(
@@ -171,6 +195,7 @@
   return [
     ...replaceSession(known, session),
     ...(step === null ? [] : writeStep(view, view.board.directory, step)),
+    ...(known === undefined ? sendMembers(view, entry.node) : []),
     send(entry.node, update),
   ];
 }
--- a/control/entrySessions/src/sessionWrites.ts
+++ b/control/entrySessions/src/sessionWrites.ts
@@ -13,6 +13,7 @@
   | 'role'
   | 'leadership'
   | 'ballot'
+  | 'memberships'
   | 'applied'
   | 'configuration'
   | 'history'
--- a/control/messages/src/consensusMessage.ts
+++ b/control/messages/src/consensusMessage.ts
@@ -18,9 +18,10 @@
     }
   | {
       readonly kind: 'memberHelloReply';
+      readonly term: Term;
       /** The members as the sender knows them, or `null` if it knows none. */
       readonly members: readonly Member[] | null;
-      /** Whether the sender leads and its members are committed. */
+      /** Whether the sender leads beyond doubt with committed members. */
       readonly leading: boolean;
       /** What the sender saw the receiver's folder write, if anything. */
       readonly witness: Witness | null;
--- a/control/messages/src/controlMessage.ts
+++ b/control/messages/src/controlMessage.ts
@@ -20,6 +20,7 @@
   CommandNumber,
   LogIndex,
   OperatorCommand,
+  Replacement,
   Term,
 } from './logEntry.js';
 import type {CalendarMonth, CountReport, ServiceCount} from './serviceCount.js';
@@ -85,12 +86,18 @@
 export type ControlQuery =
   | {readonly kind: 'counts'; readonly month: CalendarMonth | null}
   | {readonly kind: 'recentCounts'}
+  | {readonly kind: 'source'}
   | {readonly kind: 'commands'; readonly limit: number};
 
 /** What the leading control daemon answers to a query. */
 export type ControlQueryResult =
   | {readonly kind: 'counts'; readonly counts: readonly ServiceCount[]}
   | {readonly kind: 'recentCounts'; readonly counts: readonly RecentCount[]}
+  | {
+      readonly kind: 'source';
+      /** `null` before the first replacement. */
+      readonly source: ConfigurationSource | null;
+    }
   | {
       readonly kind: 'commands';
       readonly nextFree: CommandNumber;
@@ -100,6 +107,12 @@
       readonly commands: readonly CommandSummary[];
     };
 
+/** The document that the configuration was last replaced by. */
+export interface ConfigurationSource {
+  readonly version: number;
+  readonly document: Uint8Array;
+}
+
 /** Whether an accepted version is in force on every entry. */
 export interface ForceStatus {
   readonly version: ConfigurationVersion;
@@ -164,6 +177,11 @@
       readonly correlation: RequestId;
       readonly command: OperatorCommand;
     }
+  | {
+      readonly kind: 'replacementRequest';
+      readonly correlation: RequestId;
+      readonly replacement: Replacement;
+    }
   | {
       readonly kind: 'commandStatusRequest';
       readonly correlation: RequestId;
@@ -206,6 +224,17 @@
       readonly correlation: RequestId;
       readonly answer: CommandAnswer;
     }
+  | {
+      /** The stored version is the one asked for or a higher one. */
+      readonly kind: 'replacementReply';
+      readonly correlation: RequestId;
+      readonly version: number;
+    }
+  | {
+      /** The nodes that keep the log, for an entry to turn to. */
+      readonly kind: 'membersUpdate';
+      readonly members: readonly NodeId[];
+    }
   | {
       readonly kind: 'commandStatusReply';
       readonly correlation: RequestId;
--- a/control/messages/src/logEntry.ts
+++ b/control/messages/src/logEntry.ts
@@ -1,4 +1,7 @@
-import type {ObjectCommand} from '@gentianshunt/configuration';
+import type {
+  ConfigurationObject,
+  ObjectCommand,
+} from '@gentianshunt/configuration';
 import type {FencingNumber, OrderResult} from '@gentianshunt/orders';
 import type {
   EndpointId,
@@ -25,6 +28,15 @@
   readonly commands: readonly ObjectCommand[];
 }
 
+/** A whole configuration that takes the place of an older one. */
+export interface Replacement {
+  /** The operator's version; one that is not above the stored one is void. */
+  readonly version: number;
+  readonly objects: readonly ConfigurationObject[];
+  /** The document as the operator sent it. */
+  readonly source: Uint8Array;
+}
+
 /** Identifies the single run of a non-idempotent request. */
 export interface ClaimKey {
   readonly organisation: OrganisationId;
@@ -58,6 +70,10 @@
       /** Sets that have endpoints, as the proposer's sessions report them. */
       readonly setsInUse: readonly EndpointSetId[];
     }
+  | {
+      readonly kind: 'replaceConfiguration';
+      readonly replacement: Replacement;
+    }
   | {
       readonly kind: 'assignSetLeader';
       readonly set: EndpointSetId;
--- a/control/stateMachine/src/stateDraft.ts
+++ b/control/stateMachine/src/stateDraft.ts
@@ -29,6 +29,7 @@
 } from '@gentianshunt/controlModel';
 import type {
   CommandNumber,
+  ConfigurationSource,
   ConfigurationVersion,
   RecentCountKey,
   ServiceCountKey,
@@ -44,6 +45,7 @@
 export const STATE_SECTIONS = [
   'applied',
   'configuration',
+  'source',
   'objectKinds',
   'references',
   'history',
@@ -78,6 +80,7 @@
   changeUsage: ChangeUsage;
   claimUsage: ClaimUsage;
   weightStore: TokenBucket;
+  source: ConfigurationSource | null;
   readonly configuration: ConfigurationDraft;
   readonly history: OrderedDraft<
     ConfigurationVersion,
@@ -101,6 +104,7 @@
     changeUsage: board.changeUsage,
     claimUsage: board.claimUsage,
     weightStore: board.weightStore,
+    source: board.source,
     configuration: createConfigurationDraft(board),
     history: createOrderedDraft({view: board.history, compare: compareValues}),
     commands: createOrderedDraft({
@@ -169,6 +173,9 @@
   if (claimUsage !== board.claimUsage) {
     writes.push({kind: 'set', section: 'claimUsage', value: claimUsage});
   }
+  if (draft.source !== board.source) {
+    writes.push({kind: 'set', section: 'source', value: draft.source});
+  }
   if (weightStore !== board.weightStore) {
     writes.push({kind: 'set', section: 'weightStore', value: weightStore});
   }
--- a/control/stateMachine/src/stateMachineController.ts
+++ b/control/stateMachine/src/stateMachineController.ts
@@ -12,6 +12,7 @@
 import {applyCommand, assignSetLeader} from './applyCommand.js';
 import {applyCountReport} from './applyCounts.js';
 import {applyEnd, applyIssue} from './applyOrder.js';
+import {applyReplacement} from './applyReplacement.js';
 import {
   createStateDraft,
   listStateWrites,
@@ -63,6 +64,9 @@
     case 'command':
       applyCommand(draft, entry, payload);
       return;
+    case 'replaceConfiguration':
+      applyReplacement(draft, entry, payload);
+      return;
     case 'assignSetLeader':
       assignSetLeader(draft, entry, payload);
       return;
--- a/control/stateMachine/test/stateMachine.test.ts
+++ b/control/stateMachine/test/stateMachine.test.ts
@@ -76,6 +76,7 @@
     sections: createControlSections({
       node: toIdentifier('c0'),
       members: [toIdentifier('c0')],
+      admission: {kind: 'listed'},
       storage: toIdentifier('folder'),
       seed: 1,
     }),
--- a/core/identifiers/src/identifiers.ts
+++ b/core/identifiers/src/identifiers.ts
@@ -14,6 +14,7 @@
 export type EndpointSetId = Identifier<'endpointSet'>;
 export type EndpointId = Identifier<'endpoint'>;
 export type RequestKindId = Identifier<'requestKind'>;
+export type RouteId = Identifier<'route'>;
 export type RequestId = Identifier<'request'>;
 /** Identifies one dispatch of one request to one endpoint. */
 export type DispatchId = Identifier<'dispatch'>;
--- a/daemons/controld/src/controld.ts
+++ b/daemons/controld/src/controld.ts
@@ -1,38 +1,14 @@
-import type {
-  ControlObservation,
-  ControlOrder,
-  ControlTimer,
-} from '@gentianshunt/controlModel';
-import {createControlNode} from '@gentianshunt/controlNode';
 import type {ControlNode} from '@gentianshunt/controlNode';
-import {assertNever} from '@gentianshunt/errors';
-import {openLogFile, openStorageFolder} from '@gentianshunt/logFile';
-import {toIdentifier} from '@gentianshunt/identifiers';
-import type {LogFile} from '@gentianshunt/logFile';
+import {createControlHost, DataFolderRefusedError} from '@gentianshunt/hosts';
+import type {ControlHost} from '@gentianshunt/hosts';
 import {createLogger} from '@gentianshunt/logging';
 import {addHealthRoutes, createControlMetrics} from '@gentianshunt/metrics';
 import {createPeerLinks} from '@gentianshunt/peerLinks';
-import type {PeerLinks} from '@gentianshunt/peerLinks';
-import {
-  createSystemClock,
-  createTimerTable,
-  drawFraction,
-  drawIdentifier,
-  drawSeed,
-} from '@gentianshunt/runtime';
-import type {TimerTable} from '@gentianshunt/runtime';
+import {createSystemClock, drawFraction} from '@gentianshunt/runtime';
 import type {ControldSettings} from '@gentianshunt/settings';
-import type {StorageId} from '@gentianshunt/messages';
 import {fastify} from 'fastify';
 import type {FastifyInstance} from 'fastify';
 
-import {DataFolderRefusedError} from './dataFolderRefusedError.js';
-import {toObservation} from './peerMessages.js';
-import type {ConsensusEnvelope} from './peerMessages.js';
-
-/** Characters of a storage id; unique among a handful of members. */
-const STORAGE_ID_LENGTH = 10;
-
 const logger = createLogger({namespace: 'controld'});
 
 /** What a control daemon needs. */
@@ -47,106 +23,48 @@
   close(): Promise<void>;
 }
 
-interface Adapters {
-  readonly links: PeerLinks;
-  readonly timers: TimerTable<ControlTimer>;
-  readonly logFile: LogFile;
-}
-
 /** Starts a control daemon: its log, its links and its control loop. */
 export async function createControld(
   options: ControldOptions,
 ): Promise<Controld> {
-  const {settings} = options;
-  const post = (observation: ControlObservation): void =>
-    node.post(observation);
-  const logFile = await openLogFile({
-    folder: await openStorageFolder(settings.data_folder),
-    drawStorageId,
-    onPersisted: sequence => post({kind: 'persisted', sequence}),
-    onFailed: options.onFailed,
-  });
+  const {settings, onFailed} = options;
+  let host: ControlHost | undefined = undefined;
   const links = await createPeerLinks({
     self: settings.node,
     listen: settings.peer,
     onMessage: (from, body) => {
-      const observation = toObservation(from, body, logFile.storage);
-      if (observation !== undefined) {
-        post(observation);
-      }
+      host?.receive(from, body);
     },
     onError: error => logger.write({kind: 'peerLinkFailed', error}),
     drawFraction,
   });
-  const timers = createTimerTable<ControlTimer>({
-    onDue: timer => post({kind: 'timerDue', timer}),
-  });
-  const adapters: Adapters = {links, timers, logFile};
-  const node: ControlNode = createControlNode({
-    identity: {
-      node: settings.node,
-      members: settings.control.map(member => member.node),
-      storage: logFile.storage,
-      seed: drawSeed(),
-    },
+  host = await createControlHost({
+    node: settings.node,
+    members: settings.control.map(member => member.node),
+    admission: {kind: 'listed'},
+    dataFolder: settings.data_folder,
     clock: createSystemClock(),
-    perform: order => perform(options, adapters, order),
+    sendMember: (to, envelope) => {
+      const member = settings.control.find(({node}) => node === to);
+      links.send(to, member?.peer, envelope);
+    },
+    // Entries connect to the control daemons, never the other way round.
+    sendEntry: (to, message) => links.send(to, undefined, message),
+    onHalted: reason =>
+      onFailed(new DataFolderRefusedError(settings.data_folder, reason)),
+    onFailed,
   });
-  post({kind: 'started', ...logFile.stored});
+  const {node, close} = host;
   const server = await listenForHealth(settings, node);
   return {
     close: async () => {
-      timers.clear();
       await server?.close();
       await links.close();
-      await logFile.close();
+      await close();
     },
   };
 }
 
-/** Draws a short id, as each message of the log carries it. */
-function drawStorageId(): StorageId {
-  const id = drawIdentifier<StorageId>();
-  return toIdentifier(id.slice(0, STORAGE_ID_LENGTH));
-}
-
-function perform(
-  {settings, onFailed}: ControldOptions,
-  adapters: Adapters,
-  order: ControlOrder,
-): void {
-  switch (order.kind) {
-    case 'persist':
-      adapters.logFile.persist(order.batch);
-      return;
-    case 'sendConsensus': {
-      const address = settings.control.find(
-        member => member.node === order.to,
-      )?.peer;
-      const envelope: ConsensusEnvelope = {
-        kind: 'consensus',
-        sender: adapters.logFile.storage,
-        receiver: order.storage,
-        message: order.message,
-      };
-      adapters.links.send(order.to, address, envelope);
-      return;
-    }
-    case 'sendEntry':
-      // Entries connect to the control daemons, never the other way round.
-      adapters.links.send(order.to, undefined, order.message);
-      return;
-    case 'setTimer':
-      adapters.timers.set(order.timer, order.delayMs);
-      return;
-    case 'halt':
-      onFailed(new DataFolderRefusedError(settings.data_folder, order.reason));
-      return;
-    default:
-      assertNever(order, 'perform');
-  }
-}
-
 /** Serves metrics and health where the settings ask for it. */
 async function listenForHealth(
   settings: ControldSettings,
--- a/daemons/entryd/src/entryd.ts
+++ b/daemons/entryd/src/entryd.ts
@@ -1,41 +1,31 @@
 import {createCallerFront} from '@gentianshunt/callerFront';
-import type {CallerFront} from '@gentianshunt/callerFront';
 import {
   createEndpointFront,
   createEndpointOrderClient,
 } from '@gentianshunt/endpointFront';
-import type {EndpointOrderClient} from '@gentianshunt/endpointFront';
-import type {
-  EntryObservation,
-  EntryOrder,
-  EntryTimer,
-} from '@gentianshunt/entryModel';
-import {createEntryNode} from '@gentianshunt/entryNode';
+import type {EntryObservation, EntryTimer} from '@gentianshunt/entryModel';
 import {encodeEntryMessage} from '@gentianshunt/entryWire';
 import type {EntryNode} from '@gentianshunt/entryNode';
-import {assertNever} from '@gentianshunt/errors';
+import {createEntryHost, toEntryObservation} from '@gentianshunt/hosts';
+import type {EntryAdapters} from '@gentianshunt/hosts';
 import type {IncarnationId, NodeId} from '@gentianshunt/identifiers';
 import {createLogger} from '@gentianshunt/logging';
 import {addHealthRoutes, createEntryMetrics} from '@gentianshunt/metrics';
-import type {EntryMetrics} from '@gentianshunt/metrics';
 import {createOperatorFront} from '@gentianshunt/operatorFront';
-import type {OperatorAccess, OperatorFront} from '@gentianshunt/operatorFront';
+import type {OperatorAccess} from '@gentianshunt/operatorFront';
 import {createPeerLinks} from '@gentianshunt/peerLinks';
-import type {PeerLinks} from '@gentianshunt/peerLinks';
 import {
   createSystemClock,
   createTimerTable,
   drawFraction,
   drawIdentifier,
 } from '@gentianshunt/runtime';
-import type {TimerTable} from '@gentianshunt/runtime';
 import {findLeaderAddress} from '@gentianshunt/setLeader';
 import {readOperatorKeys} from '@gentianshunt/settings';
 import type {EntrydSettings} from '@gentianshunt/settings';
 import {fastify} from 'fastify';
 
 import {createOpenResponses} from './openResponses.js';
-import {toObservation} from './peerMessages.js';
 
 const logger = createLogger({namespace: 'entryd'});
 
@@ -57,20 +47,10 @@
   close(): Promise<void>;
 }
 
-interface Adapters {
-  readonly links: PeerLinks;
-  readonly timers: TimerTable<EntryTimer>;
-  readonly callers: CallerFront;
-  readonly operators: OperatorFront;
-  readonly endpoints: EndpointOrderClient;
-  readonly metrics: EntryMetrics;
-  /** Ends the daemon once nothing is on its way to a caller. */
-  readonly exit: () => void;
-}
-
 /** Starts an entry daemon: its fronts, its links and its control loop. */
 export async function createEntryd(options: EntrydOptions): Promise<Entryd> {
   const {settings} = options;
+  const clock = createSystemClock();
   const server = fastify({
     bodyLimit: settings.limits.max_body_bytes,
     forceCloseConnections: true,
@@ -82,13 +62,13 @@
     {parseAs: 'buffer'},
     (_request, body, done) => done(null, body),
   );
-  let adapters: Adapters | undefined = undefined;
+  let adapters: EntryAdapters | undefined = undefined;
   const post = (observation: EntryObservation): void => node.post(observation);
   const links = await createPeerLinks({
     self: settings.node,
     listen: settings.peer,
     onMessage: (from, body) => {
-      const observation = toObservation(from, body);
+      const observation = toEntryObservation(from, body);
       if (observation !== undefined) {
         post(observation);
       }
@@ -96,7 +76,7 @@
     onError: error => logger.write({kind: 'peerLinkFailed', error}),
     drawFraction,
   });
-  const node: EntryNode = createEntryNode({
+  const node: EntryNode = createEntryHost({
     identity: {
       address: {
         node: settings.node,
@@ -108,35 +88,46 @@
       incarnation: drawIdentifier<IncarnationId>(),
       controls: settings.control.map(member => member.node),
     },
-    clock: createSystemClock(),
-    perform: order => perform(options, adapters!, order, post),
+    clock,
+    readAdapters: () => adapters!,
+  });
+  const timers = createTimerTable<EntryTimer>({
+    onDue: timer => post({kind: 'timerDue', timer}),
   });
+  const callers = createCallerFront({
+    server,
+    post,
+    readDirectory: () => node.view.control.directory,
+    drawRequestId: drawIdentifier,
+    self: settings.node,
+    maxHeldBytes: MAX_HELD_BODY_BYTES,
+  });
+  const endpoints = createEndpointOrderClient({clock, post});
+  const operators = createOperatorFront({
+    server,
+    post,
+    view: node.view,
+    clock,
+    access: readAccess(settings),
+    drawRequestId: drawIdentifier,
+  });
+  const metrics = createEntryMetrics();
   adapters = {
-    links,
-    timers: createTimerTable<EntryTimer>({
-      onDue: timer => post({kind: 'timerDue', timer}),
-    }),
-    callers: createCallerFront({
-      server,
-      post,
-      readDirectory: () => node.view.control.directory,
-      drawRequestId: drawIdentifier,
-      self: settings.node,
-      maxHeldBytes: MAX_HELD_BODY_BYTES,
-    }),
-    endpoints: createEndpointOrderClient({clock: createSystemClock(), post}),
-    operators: createOperatorFront({
-      server,
-      post,
-      view: node.view,
-      clock: createSystemClock(),
-      access: readAccess(settings),
-      drawRequestId: drawIdentifier,
-    }),
-    metrics: createEntryMetrics(),
+    performFront: callers.perform,
+    answerOperator: operators.answer,
+    sendEntry: (to, address, message) =>
+      links.send(to, address, encodeEntryMessage(message)),
+    sendControl: (to, message) =>
+      links.send(to, findControl(settings, to), message),
+    redirectEntry: (to, message) => links.send(to, undefined, message),
+    sendEndpointOrder: endpoints.send,
+    setTimer: timers.set,
+    recordEnd: order => {
+      metrics.recordEnd(order);
+      logger.write({kind: 'requestEnded', end: order});
+    },
     exit: () => void responses.drain().then(options.onExit),
   };
-  const {metrics, timers, callers} = adapters;
   createEndpointFront({
     server,
     post,
@@ -185,74 +176,6 @@
   );
 }
 
-function perform(
-  options: EntrydOptions,
-  adapters: Adapters,
-  order: EntryOrder,
-  post: (observation: EntryObservation) => void,
-): void {
-  switch (order.kind) {
-    case 'refuseCaller':
-      adapters.callers.perform(order);
-      post({kind: 'callerRefused', refusal: order.refusal});
-      return;
-    case 'openStream':
-    case 'resumeStream':
-    case 'cancelStream':
-    case 'repeatAnswer':
-    case 'answerAddresses':
-      adapters.callers.perform(order);
-      return;
-    case 'sendEntry':
-      sendEntry(options, adapters, order, post);
-      return;
-    case 'sendControl': {
-      const address = findControl(options.settings, order.to);
-      adapters.links.send(order.to, address, order.message);
-      return;
-    }
-    case 'setTimer':
-      adapters.timers.set(order.timer, order.delayMs);
-      return;
-    case 'answerOperator':
-      adapters.operators.answer(order.correlation, order.progress);
-      return;
-    case 'recordEnd':
-      adapters.metrics.recordEnd(order);
-      post({
-        kind: 'requestEnded',
-        request: order.request,
-        end: order.end,
-        firstTokenMs: order.firstTokenMs,
-      });
-      logger.write({kind: 'requestEnded', end: order});
-      return;
-    case 'sendEndpointOrder':
-      adapters.endpoints.send(order.run);
-      return;
-    case 'exit':
-      adapters.exit();
-      return;
-    default:
-      assertNever(order, 'perform');
-  }
-}
-
-/** A message to this entry itself does not pass over the network. */
-function sendEntry(
-  options: EntrydOptions,
-  adapters: Adapters,
-  order: Extract<EntryOrder, {readonly kind: 'sendEntry'}>,
-  post: (observation: EntryObservation) => void,
-): void {
-  const {to, address, message} = order;
-  if (to === options.settings.node) {
-    post({kind: 'entryMessage', from: to, message});
-    return;
-  }
-  adapters.links.send(to, address, encodeEntryMessage(message));
-}
-
 function findControl(settings: EntrydSettings, node: NodeId) {
   return settings.control.find(member => member.node === node)?.peer;
 }
--- a/daemons/controld/src/peerMessages.ts
+++ b/daemons/hosts/src/controlMessages.ts
@@ -24,13 +24,14 @@
   'countReportRequest',
   'controlQueryRequest',
   'commandRequest',
+  'replacementRequest',
   'commandStatusRequest',
   'claimRequest',
   'settleRequest',
 ]);
 
 /** Turns a peer's message into an observation; unknown ones are dropped. */
-export function toObservation(
+export function toControlObservation(
   from: NodeId,
   body: unknown,
   self: StorageId,
--- a/daemons/entryd/src/peerMessages.ts
+++ b/daemons/hosts/src/entryMessages.ts
@@ -8,6 +8,8 @@
   'configurationUpdate',
   'notLeader',
   'commandReply',
+  'replacementReply',
+  'membersUpdate',
   'commandStatusReply',
   'countReportReply',
   'controlQueryReply',
@@ -19,7 +21,7 @@
  * Turns a peer's message into an observation; unknown ones are dropped. A
  * malformed message between entries makes it throw, which ends the link.
  */
-export function toObservation(
+export function toEntryObservation(
   from: NodeId,
   body: unknown,
 ): EntryObservation | undefined {
--- /dev/null
+++ b/daemons/hosts/src/index.ts
@@ -0,0 +1,5 @@
+export * from './controlHost.js';
+export * from './controlMessages.js';
+export * from './dataFolderRefusedError.js';
+export * from './entryHost.js';
+export * from './entryMessages.js';
--- /dev/null
+++ b/fronts/callRelay/src/index.ts
@@ -0,0 +1,3 @@
+export * from './callProtocol.js';
+export * from './callRelay.js';
+export {dropHeaders, findHeader} from './headers.js';
--- a/fronts/callerFront/src/index.ts
+++ b/fronts/callerFront/src/index.ts
@@ -1,2 +1,3 @@
 export * from './callerFront.js';
+export {createEventSplitter, MAX_EVENT_BYTES} from './eventSplitter.js';
 export * from './problem.js';
--- a/fronts/callerFront/src/problem.ts
+++ b/fronts/callerFront/src/problem.ts
@@ -93,6 +93,16 @@
       return {status: 503, title: 'This entry has no current configuration'};
     case 'draining':
       return {status: 503, title: 'This entry is shutting down'};
+    case 'noConfiguration':
+      return {status: 503, title: 'This entry has no configuration yet'};
+    case 'unknownRoute':
+      return {status: 404, title: 'No route leads there'};
+    case 'unknownKey':
+      return {status: 401, title: 'The key is unknown'};
+    case 'allotmentUsed':
+      return {status: 429, title: 'The token allotment is used up'};
+    case 'timeLimit':
+      return {status: 504, title: 'The time limit has passed'};
     case 'claimsUnavailable':
       return {status: 503, title: 'Idempotency keys cannot be claimed now'};
     case 'endpointFailed':
--- a/fronts/entryWire/src/entryWire.ts
+++ b/fronts/entryWire/src/entryWire.ts
@@ -22,6 +22,7 @@
   grantReply: 2,
   notSetLeader: 3,
   endpointAnnounced: 4,
+  endpointLeft: 5,
 } as const satisfies Readonly<Record<EntryMessage['kind'], number>>;
 
 /** Encodes a message between entries as nested lists. */
@@ -36,6 +37,8 @@
       return [kind, message.set, message.epoch, message.sequence];
     case 'endpointAnnounced':
       return [kind, ...encodeAnnouncement(message.announcement)];
+    case 'endpointLeft':
+      return [kind, message.endpoint];
     default:
       return assertNever(message, 'encodeEntryMessage');
   }
@@ -74,6 +77,11 @@
         kind: 'endpointAnnounced',
         announcement: decodeAnnouncement(reader),
       };
+    case WIRE_KINDS.endpointLeft:
+      return {
+        kind: 'endpointLeft',
+        endpoint: reader.readIdentifier<EndpointId>(),
+      };
     default:
       throw new MalformedMessageError(peer, 'kind');
   }
@@ -82,7 +90,7 @@
 function encodeAnnouncement(
   announcement: EndpointAnnouncement,
 ): readonly unknown[] {
-  const {load} = announcement;
+  const {load, order} = announcement;
   return [
     announcement.endpoint,
     announcement.incarnation,
@@ -93,11 +101,12 @@
     announcement.checksFencing ? 1 : 0,
     announcement.leaving ? 1 : 0,
     load === null ? [] : [load.running, load.waiting, Math.round(load.ageMs)],
+    order === undefined ? [] : [order.startedAtMs, order.sequence],
   ];
 }
 
 function decodeAnnouncement(reader: WireReader): EndpointAnnouncement {
-  return {
+  const announcement = {
     endpoint: reader.readIdentifier<EndpointId>(),
     incarnation: reader.readIdentifier<IncarnationId>(),
     set: reader.readIdentifier<EndpointSetId>(),
@@ -108,6 +117,13 @@
     leaving: reader.readCount() === 1,
     load: decodeLoad(reader.readList()),
   };
+  const order = reader.readList();
+  return order.left === 0
+    ? announcement
+    : {
+        ...announcement,
+        order: {startedAtMs: order.readCount(), sequence: order.readCount()},
+      };
 }
 
 function decodeLoad(reader: WireReader): EndpointAnnouncement['load'] {
--- a/fronts/logging/src/logEvent.ts
+++ b/fronts/logging/src/logEvent.ts
@@ -6,6 +6,7 @@
   | {readonly kind: 'daemonReady'; readonly node: string}
   | {readonly kind: 'peerLinkFailed'; readonly error: Error}
   | {readonly kind: 'diskFailed'; readonly error: Error}
+  | {readonly kind: 'folderDiscarded'; readonly error: Error}
   | {
       readonly kind: 'requestEnded';
       readonly end: Extract<EntryOrder, {readonly kind: 'recordEnd'}>;
@@ -30,6 +31,7 @@
       return [name, {name: 'node', value: event.node}];
     case 'peerLinkFailed':
     case 'diskFailed':
+    case 'folderDiscarded':
       return [name, ...listErrorFields(event.error)];
     case 'requestEnded':
       return [name, ...listEndFields(event.end)];
--- a/fronts/operatorFront/src/commandRoute.ts
+++ b/fronts/operatorFront/src/commandRoute.ts
@@ -122,7 +122,10 @@
     case 'force':
       return wait === 'accepted' || progress.status.isInForce;
     case 'queried':
+    case 'replaced':
       return false;
+    case 'unanswered':
+      return true;
     default:
       return assertNever(progress, 'isFinal');
   }
--- a/fronts/operatorFront/src/index.ts
+++ b/fronts/operatorFront/src/index.ts
@@ -1,5 +1,7 @@
+export * from './askControl.js';
 export * from './commandRoute.js';
 export * from './operatorAccess.js';
 export * from './operatorFront.js';
 export * from './operatorScope.js';
+export * from './progressWaiters.js';
 export * from './queryRoute.js';
--- a/fronts/operatorFront/src/queryRoute.ts
+++ b/fronts/operatorFront/src/queryRoute.ts
@@ -17,6 +17,7 @@
 import type {FastifyInstance} from 'fastify';
 import {z} from 'zod';
 
+import {askControl} from './askControl.js';
 import type {OperatorFrontOptions} from './operatorFront.js';
 import type {ProgressWaiters} from './progressWaiters.js';
 import {readBody} from './readBody.js';
@@ -66,7 +67,7 @@
   });
   scope.get('/v1/operator/next-number', async (_request, reply) => {
     const query: ControlQuery = {kind: 'commands', limit: 0};
-    const result = await askControl(options, waiters, query);
+    const result = await ask(options, waiters, query);
     if (result?.kind !== 'commands') {
       return reply.code(503).send({kind: 'unavailable'});
     }
@@ -134,7 +135,7 @@
   const control =
     table.control === null
       ? null
-      : await askControl(options, waiters, table.control);
+      : await ask(options, waiters, table.control);
   if (table.control !== null && control === null) {
     return {kind: 'unavailable'};
   }
@@ -146,22 +147,12 @@
     : {kind: 'rows', result: outcome.result};
 }
 
-async function askControl(
+function ask(
   options: OperatorFrontOptions,
   waiters: ProgressWaiters,
   query: ControlQuery,
 ): Promise<ControlQueryResult | null> {
-  const correlation = options.drawRequestId();
-  let result: ControlQueryResult | null = null;
-  const done = waiters.await({
-    correlation,
-    timeoutMs: QUERY_WAIT_MS,
-    onProgress: progress => {
-      result = progress.kind === 'queried' ? progress.result : result;
-      return progress.kind === 'queried';
-    },
-  });
-  options.post({kind: 'queryReceived', correlation, query});
-  await done;
-  return result;
+  const {post, drawRequestId} = options;
+  const timeoutMs = QUERY_WAIT_MS;
+  return askControl({query, timeoutMs, post, waiters, drawRequestId});
 }
--- a/scheduling/addressLookup/src/pickAddresses.ts
+++ b/scheduling/addressLookup/src/pickAddresses.ts
@@ -1,8 +1,10 @@
 import {hashText} from '@gentianshunt/hashing';
 import type {
   EndpointSetId,
+  FailureDomainId,
   NodeId,
   OrganisationId,
+  RegionId,
 } from '@gentianshunt/identifiers';
 import type {DirectoryEntry} from '@gentianshunt/messages';
 
@@ -40,6 +42,29 @@
   return first === undefined ? [] : spreadDomains(first, ranked);
 }
 
+/** Where a caller that wants the nearest entries stands. */
+export interface NearQuery {
+  readonly entries: readonly DirectoryEntry[];
+  readonly region: RegionId;
+  readonly domain: FailureDomainId;
+}
+
+/** Most entries that a caller picks from by itself. */
+export const MAX_NEAR_ENTRIES = 64;
+/** Fewest entries that a failure domain must have to serve its callers. */
+export const MIN_NEAR_ENTRIES = 2;
+
+/** Selects the entries of a caller's failure domain, or of a wider place. */
+export function pickNearEntries(query: NearQuery): readonly DirectoryEntry[] {
+  const {entries, region, domain} = query;
+  const serving = entries.filter(entry => !entry.draining);
+  const inRegion = serving.filter(({address}) => address.region === region);
+  const inDomain = inRegion.filter(({address}) => address.domain === domain);
+  const widths = [inDomain, inRegion, serving];
+  const near = widths.find(({length}) => length >= MIN_NEAR_ENTRIES);
+  return (near ?? serving).slice(0, MAX_NEAR_ENTRIES);
+}
+
 /** Selects entries for a caller that another entry could not serve. */
 export function pickFallbacks(
   entries: readonly DirectoryEntry[],
--- a/scheduling/controlClient/src/controlController.ts
+++ b/scheduling/controlClient/src/controlController.ts
@@ -25,10 +25,11 @@
   | 'identity'
   | 'service'
   | 'control'
+  | 'controls'
   | 'configuration'
   | 'leaderships'
   | 'endpoints';
-type ControlWrites = 'control' | 'configuration';
+type ControlWrites = 'control' | 'controls' | 'configuration';
 type ControlView = View<EntrySections, ControlReads, EntryObservation>;
 type ControlWrite = EntryWrite<ControlWrites>;
 type Update = Extract<ControlToEntry, {readonly kind: 'configurationUpdate'}>;
@@ -41,12 +42,13 @@
       'identity',
       'service',
       'control',
+      'controls',
       'configuration',
       'leaderships',
       'endpoints',
     ],
-    writes: ['control', 'configuration'],
-    observes: ['started', 'timerDue', 'controlMessage'],
+    writes: ['control', 'controls', 'configuration'],
+    observes: ['started', 'timerDue', 'controlMessage', 'controlInquiry'],
     run: (view, now) => handleObservation(view, now),
   });
 }
@@ -65,23 +67,46 @@
         : [];
     case 'controlMessage':
       return handleMessage(view, observation.from, observation.message, now);
+    case 'controlInquiry':
+      return [redirectEntry(view, observation.from)];
     default:
       return [];
   }
 }
 
+/** Tells an entry that asked here where the control log is. */
+function redirectEntry(view: ControlView, to: NodeId): ControlWrite {
+  const {control, controls} = view.board;
+  const {leader} = control;
+  const order = {kind: 'redirectEntry', to, leader, members: controls} as const;
+  return {kind: 'order', order};
+}
+
+/** The members come first; where the log was to be found before, last. */
+function followMembers(
+  view: ControlView,
+  members: readonly NodeId[],
+): readonly ControlWrite[] {
+  const {controls, identity} = view.board;
+  const value = [...new Set([...members, ...identity.controls])];
+  const isSame =
+    value.length === controls.length &&
+    value.every((node, index) => node === controls[index]);
+  return isSame ? [] : [{kind: 'set', section: 'controls', value}];
+}
+
 /** Sends a heartbeat to the leader, or to each daemon in turn to find it. */
 function sendHeartbeat(
   view: ControlView,
   status: ControlStatus,
   now: TurnTime,
 ): readonly ControlWrite[] {
-  const {identity, service} = view.board;
+  const {identity, service, controls} = view.board;
   const sequence = status.lastSequence + 1;
   // An unanswered heartbeat makes the next one look for another leader.
   const answered = status.sentAt === Number.NEGATIVE_INFINITY;
   const leader = answered ? status.leader : null;
-  const to = leader ?? identity.controls[sequence % identity.controls.length]!;
+  const to = leader ?? controls[sequence % controls.length]!;
   return [
     {
       kind: 'set',
@@ -132,8 +157,11 @@
       return applyUpdate(view, from, message);
     case 'notLeader':
       return followLeader(view, message.leader, now);
+    case 'membersUpdate':
+      return followMembers(view, message.members);
     case 'commandReply':
     case 'commandStatusReply':
+    case 'replacementReply':
     case 'claimReply':
     case 'settleReply':
     case 'countReportReply':
--- a/scheduling/controlClient/src/index.ts
+++ b/scheduling/controlClient/src/index.ts
@@ -4,4 +4,5 @@
 export * from './countController.js';
 export * from './queryController.js';
 export * from './refusalController.js';
+export * from './replacementController.js';
 export * from './serviceController.js';
--- a/scheduling/controlClient/src/queryController.ts
+++ b/scheduling/controlClient/src/queryController.ts
@@ -91,7 +91,17 @@
 function repeatQueries(view: QueryView, now: TurnTime): readonly QueryWrite[] {
   return [...view.board.queries.values()].flatMap(pending =>
     now.monotonic - pending.receivedAt > COMMAND_TIMEOUT_MS
-      ? [dropQuery(pending.correlation)]
+      ? [
+          {
+            kind: 'order',
+            order: {
+              kind: 'answerOperator',
+              correlation: pending.correlation,
+              progress: {kind: 'unanswered'},
+            },
+          },
+          dropQuery(pending.correlation),
+        ]
       : sendQuery(view, pending),
   );
 }
--- /dev/null
+++ b/scheduling/controlClient/src/replacementController.ts
@@ -0,0 +1,99 @@
+import type {TurnTime, View} from '@gentianshunt/board';
+import type {Milliseconds} from '@gentianshunt/clock';
+import {defineEntryController} from '@gentianshunt/entryModel';
+import type {
+  CommandProgress,
+  EntryController,
+  EntryObservation,
+  EntrySections,
+  EntryWrite,
+  PendingReplacement,
+} from '@gentianshunt/entryModel';
+import type {RequestId} from '@gentianshunt/identifiers';
+
+/** After this time an operator is told that nothing was heard. */
+export const REPLACEMENT_TIMEOUT_MS: Milliseconds = 3_000;
+
+type ReplacementReads = 'control' | 'replacements';
+type ReplacementView = View<EntrySections, ReplacementReads, EntryObservation>;
+type ReplacementWrite = EntryWrite<'replacements'>;
+
+/** Creates the controller that passes whole configurations on. */
+export function createReplacementController(): EntryController {
+  return defineEntryController<ReplacementReads, 'replacements'>({
+    name: 'replacements',
+    reads: ['control', 'replacements'],
+    writes: ['replacements'],
+    observes: ['replacementReceived', 'controlMessage', 'timerDue'],
+    run: (view, now) => handleObservation(view, now),
+  });
+}
+
+function handleObservation(
+  view: ReplacementView,
+  now: TurnTime,
+): readonly ReplacementWrite[] {
+  const {observation} = view;
+  switch (observation?.kind) {
+    case 'replacementReceived': {
+      const {correlation, replacement} = observation;
+      const value = {correlation, replacement, receivedAt: now.monotonic};
+      return [
+        {kind: 'put', section: 'replacements', key: correlation, value},
+        ...sendPending(view, value),
+      ];
+    }
+    case 'controlMessage': {
+      const {message} = observation;
+      return message.kind === 'replacementReply' &&
+        view.board.replacements.has(message.correlation)
+        ? end(message.correlation, {kind: 'replaced', version: message.version})
+        : [];
+    }
+    case 'timerDue':
+      return observation.timer.kind === 'housekeeping'
+        ? repeatPending(view, now)
+        : [];
+    default:
+      return [];
+  }
+}
+
+/** Sending it again is safe: a version that is stored changes nothing. */
+function sendPending(
+  view: ReplacementView,
+  pending: PendingReplacement,
+): readonly ReplacementWrite[] {
+  const {leader} = view.board.control;
+  if (leader === null) {
+    return [];
+  }
+  const {correlation, replacement} = pending;
+  const message = {
+    kind: 'replacementRequest',
+    correlation,
+    replacement,
+  } as const;
+  return [{kind: 'order', order: {kind: 'sendControl', to: leader, message}}];
+}
+
+function repeatPending(
+  view: ReplacementView,
+  now: TurnTime,
+): readonly ReplacementWrite[] {
+  return [...view.board.replacements.values()].flatMap(pending =>
+    now.monotonic - pending.receivedAt >= REPLACEMENT_TIMEOUT_MS
+      ? end(pending.correlation, {kind: 'unanswered'})
+      : sendPending(view, pending),
+  );
+}
+
+function end(
+  correlation: RequestId,
+  progress: CommandProgress,
+): readonly ReplacementWrite[] {
+  return [
+    {kind: 'order', order: {kind: 'answerOperator', correlation, progress}},
+    {kind: 'delete', section: 'replacements', key: correlation},
+  ];
+}
--- a/scheduling/entryModel/src/endpoint.ts
+++ b/scheduling/entryModel/src/endpoint.ts
@@ -14,6 +14,14 @@
   readonly ageMs: Milliseconds;
 }
 
+/** Orders what an endpoint says; messages may overtake each other. */
+export interface AnnouncementOrder {
+  /** When the incarnation started, in milliseconds since the epoch. */
+  readonly startedAtMs: number;
+  /** Rises with every announcement of an incarnation. */
+  readonly sequence: number;
+}
+
 /** What an endpoint says of itself at regular intervals. */
 export interface EndpointAnnouncement {
   readonly endpoint: EndpointId;
@@ -28,4 +36,6 @@
   readonly load: LoadReport | null;
   /** Whether it asks for no further work. */
   readonly leaving: boolean;
+  /** Left out by endpoints that do not number what they say. */
+  readonly order?: AnnouncementOrder;
 }
--- a/scheduling/entryModel/src/exchange.ts
+++ b/scheduling/entryModel/src/exchange.ts
@@ -118,7 +118,8 @@
   | {
       readonly kind: 'endpointAnnounced';
       readonly announcement: EndpointAnnouncement;
-    };
+    }
+  | {readonly kind: 'endpointLeft'; readonly endpoint: EndpointId};
 
 /** Slots an entry may use until their deadline. */
 export interface Slot {
--- a/scheduling/entryModel/src/observation.ts
+++ b/scheduling/entryModel/src/observation.ts
@@ -6,10 +6,12 @@
   ControlToEntry,
   ForceStatus,
   OperatorCommand,
+  Replacement,
 } from '@gentianshunt/messages';
 import type {OrderResult} from '@gentianshunt/orders';
 import type {
   DispatchId,
+  EndpointId,
   EndpointSetId,
   NodeId,
   OperatorId,
@@ -41,6 +43,10 @@
   | {readonly kind: 'notSent'; readonly detail: string}
   /** The endpoint answered that it did not take the request. */
   | {readonly kind: 'rejected'; readonly status: number}
+  /** The endpoint promised that the request has not run and will not. */
+  | {readonly kind: 'notExecuted'; readonly detail: string}
+  /** The endpoint ran the request and failed; the caller saw nothing. */
+  | {readonly kind: 'failed'; readonly status: number}
   /** The stream ended without its end mark. */
   | {
       readonly kind: 'cut';
@@ -55,6 +61,8 @@
   | {readonly kind: 'timerDue'; readonly timer: EntryTimer}
   | {readonly kind: 'requestReceived'; readonly facts: RequestFacts}
   | {readonly kind: 'callerGone'; readonly request: RequestId}
+  /** The time limit of a request has passed. */
+  | {readonly kind: 'timeLimitReached'; readonly request: RequestId}
   | {readonly kind: 'streamStarted'; readonly dispatch: DispatchId}
   /** Tells now and then that a stream still delivers. */
   | {readonly kind: 'streamProgress'; readonly dispatch: DispatchId}
@@ -75,6 +83,11 @@
       readonly kind: 'endpointContact';
       readonly announcement: EndpointAnnouncement;
     }
+  | {
+      /** An endpoint says that it is gone, or will be shortly. */
+      readonly kind: 'endpointLeft';
+      readonly endpoint: EndpointId;
+    }
   | {
       readonly kind: 'entryMessage';
       readonly from: NodeId;
@@ -91,6 +104,16 @@
       readonly operator: OperatorId;
       readonly command: OperatorCommand;
     }
+  | {
+      readonly kind: 'replacementReceived';
+      readonly correlation: RequestId;
+      readonly replacement: Replacement;
+    }
+  | {
+      /** Another entry takes this one for a control daemon. */
+      readonly kind: 'controlInquiry';
+      readonly from: NodeId;
+    }
   | {
       /** An operator asks what only the leading control daemon knows. */
       readonly kind: 'queryReceived';
@@ -135,4 +158,8 @@
 export type CommandProgress =
   | {readonly kind: 'answered'; readonly answer: CommandAnswer}
   | {readonly kind: 'force'; readonly status: ForceStatus}
+  /** The stored configuration has this version of the operator's. */
+  | {readonly kind: 'replaced'; readonly version: number}
+  /** Nothing was heard of the control log in time. */
+  | {readonly kind: 'unanswered'}
   | {readonly kind: 'queried'; readonly result: ControlQueryResult};
--- a/scheduling/entryModel/src/order.ts
+++ b/scheduling/entryModel/src/order.ts
@@ -51,6 +51,13 @@
       readonly to: NodeId;
       readonly message: EntryToControl;
     }
+  | {
+      /** Tells an entry who leads the control log, and who keeps it. */
+      readonly kind: 'redirectEntry';
+      readonly to: NodeId;
+      readonly leader: NodeId | null;
+      readonly members: readonly NodeId[];
+    }
   | {
       readonly kind: 'setTimer';
       readonly timer: EntryTimer;
--- a/scheduling/entryModel/src/request.ts
+++ b/scheduling/entryModel/src/request.ts
@@ -1,4 +1,4 @@
-import type {MonotonicTime} from '@gentianshunt/clock';
+import type {Milliseconds, MonotonicTime} from '@gentianshunt/clock';
 import {spreadDelay} from '@gentianshunt/hashing';
 import type {ClaimOutcome} from '@gentianshunt/messages';
 import type {
@@ -9,6 +9,7 @@
   OrganisationId,
   RequestId,
   RequestKindId,
+  RouteId,
   TierId,
 } from '@gentianshunt/identifiers';
 
@@ -20,6 +21,22 @@
   readonly digest: string;
 }
 
+/** How a call to a route is handled. */
+export interface RouteTerms {
+  readonly route: RouteId;
+  /** Most endpoints to which the call is dispatched. */
+  readonly maxAttempts: number;
+  /** Time from its arrival after which it gets its final answer. */
+  readonly timeLimitMs: Milliseconds;
+  /** Time to the first byte that the caller expects. */
+  readonly objectiveMs: Milliseconds;
+  /** Whether a broken stream may go on at another endpoint. */
+  readonly isResumable: boolean;
+  readonly isStream: boolean;
+  /** Tokens that count against the allotment of the organisation. */
+  readonly allotmentTokens: number;
+}
+
 /** What is known of a request once it has been read and checked. */
 export interface RequestFacts {
   readonly id: RequestId;
@@ -36,6 +53,8 @@
   readonly maxTokens: number;
   /** Hash of the prompt's leading part, for prefix caches. */
   readonly prefix: string | null;
+  /** Left out for a request that names its set itself. */
+  readonly terms?: RouteTerms;
 }
 
 /** Facts completed from the configuration when the request is admitted. */
@@ -45,6 +64,12 @@
   /** Weight of the kind times the weight of the tier. */
   readonly value: number;
   readonly arrivedAt: MonotonicTime;
+  /** Whether a call to a route may run more than once. */
+  readonly isIdempotent?: boolean;
+  /** Endpoints to which it was dispatched before, the latest last. */
+  readonly tried?: readonly EndpointId[];
+  /** Dispatches among them of which no byte left this process. */
+  readonly unsent?: number;
 }
 
 /** An endpoint as a dispatch needs it. */
@@ -54,12 +79,14 @@
   readonly url: string;
 }
 
-/** One dispatch of a request; a request has at most one. */
+/** One dispatch of a request; there is at most one at a time. */
 export interface Dispatch {
   readonly id: DispatchId;
   readonly grant: GrantId;
   readonly target: EndpointTarget;
   readonly at: MonotonicTime;
+  /** Whether another dispatch may follow if the endpoint fails. */
+  readonly isRepeatable?: boolean;
 }
 
 /** A request that still may be refused as not run. */
@@ -84,6 +111,12 @@
       readonly request: AdmittedRequest;
     };
 
+/** Waits for another endpoint after a dispatch that may have run. */
+export interface RepeatingState {
+  readonly kind: 'repeating';
+  readonly request: AdmittedRequest;
+}
+
 /** What both states after the dispatch know. */
 interface DispatchedFacts {
   readonly request: AdmittedRequest;
@@ -92,6 +125,8 @@
   readonly silentAt: MonotonicTime;
   /** How often the stream has been resumed. */
   readonly resumes: number;
+  /** Whether an earlier dispatch of the request may have run. */
+  readonly mayHaveRun?: boolean;
 }
 
 /** A request whose first byte may have reached an endpoint. */
@@ -102,8 +137,19 @@
       readonly firstTokenAt: MonotonicTime;
     });
 
+/** The states in which a request stands in its line. */
+export type QueuedState =
+  | Extract<UndispatchedState, {readonly kind: 'waiting'}>
+  | RepeatingState;
+
+/** Tells whether a request stands in its line. */
+export function isQueued(state: RequestState): state is QueuedState {
+  return state.kind === 'waiting' || state.kind === 'repeating';
+}
+
 /** The states of a live request; an ended one leaves the board. */
-export type RequestState = UndispatchedState | DispatchedState;
+export type RequestState =
+  UndispatchedState | RepeatingState | DispatchedState;
 
 /** Why the system refused a request. */
 export type RefusalReason =
@@ -119,6 +165,11 @@
   | {readonly kind: 'noLease'}
   | {readonly kind: 'draining'}
   | {readonly kind: 'claimsUnavailable'}
+  | {readonly kind: 'noConfiguration'}
+  | {readonly kind: 'unknownRoute'}
+  | {readonly kind: 'unknownKey'}
+  | {readonly kind: 'allotmentUsed'}
+  | {readonly kind: 'timeLimit'}
   | {readonly kind: 'endpointFailed'; readonly detail: string}
   | {readonly kind: 'answerCut'; readonly detail: string};
 
@@ -159,13 +210,23 @@
 
 /** Refuses a request that was never admitted. */
 export function refuseUnadmitted(
-  facts: RequestFacts,
+  facts: Pick<RequestFacts, 'id'>,
   reason: RefusalReason,
   retryAfterMs: number | null,
 ): NotRunRefusal {
   return createNotRun(facts.id, reason, retryAfterMs);
 }
 
+/** Refuses a request that the endpoint says it has not run. */
+export function refuseNotExecuted(
+  state: Extract<DispatchedState, {readonly kind: 'dispatched'}>,
+  end: Extract<StreamEnd, {readonly kind: 'notExecuted'}>,
+  retryAfterMs: number | null,
+): NotRunRefusal {
+  const reason = {kind: 'endpointFailed', detail: end.detail} as const;
+  return createNotRun(state.request.id, reason, retryAfterMs);
+}
+
 /** Refuses a dispatched request of which no byte left this process. */
 export function refuseUnsent(
   state: Extract<DispatchedState, {readonly kind: 'dispatched'}>,
--- a/scheduling/entryModel/src/sections.ts
+++ b/scheduling/entryModel/src/sections.ts
@@ -22,6 +22,7 @@
   EntryDirectory,
   NetworkAddress,
   OperatorCommand,
+  Replacement,
   ServiceCount,
 } from '@gentianshunt/messages';
 import type {PatienceRecord, RequestClass} from '@gentianshunt/policy';
@@ -42,11 +43,30 @@
 import type {GrantReply, Match, ReportRecord, Slot} from './exchange.js';
 import type {AdmittedRequest, Refusal, RequestState} from './request.js';
 
+/** Bounds that all entries keep together; each keeps its part of them. */
+export interface SharedBounds {
+  /** Repeated dispatches of a set for each request to it. */
+  readonly repeatRatio: number;
+  /** Repeated dispatches of a set beyond the ratio. */
+  readonly repeatBurst: number;
+  /** Tokens by which an organisation may exceed its allotment for a while. */
+  readonly allotmentSlackTokens: number;
+}
+
+/** Bounds of a deployment that sets none. */
+export const DEFAULT_SHARED_BOUNDS: SharedBounds = {
+  repeatRatio: 0.1,
+  repeatBurst: 16,
+  allotmentSlackTokens: 0,
+};
+
 /** What an entry knows of itself and of the control daemons. */
 export interface EntryIdentity {
   readonly address: EntryAddress;
   readonly incarnation: IncarnationId;
+  /** Where the control log may be found at first. */
   readonly controls: readonly NodeId[];
+  readonly bounds?: SharedBounds;
 }
 
 /** Where the entry stands with the control daemons. */
@@ -260,6 +280,13 @@
   readonly query: ControlQuery;
 }
 
+/** A configuration on its way to the control log. */
+export interface PendingReplacement {
+  readonly correlation: RequestId;
+  readonly receivedAt: MonotonicTime;
+  readonly replacement: Replacement;
+}
+
 /** A recent refusal, as operators see it. */
 export interface RefusalRecord {
   readonly number: number;
@@ -293,6 +320,8 @@
       sentAt: Number.NEGATIVE_INFINITY,
       directory: {version: NO_DIRECTORY_VERSION, entries: []},
     }),
+    /** Where the control log may be found, the most likely nodes first. */
+    controls: defineCell<readonly NodeId[]>(identity.controls),
     configuration: defineMap<ObjectKey, ConfigurationObject>(),
     requests: defineMap<RequestId, RequestState>(),
     waiting: defineOrdered<WaitingKey, AdmittedRequest>(
@@ -342,6 +371,9 @@
     shedding: defineMap<EndpointSetId, boolean>(),
     commands: defineMap<RequestId, PendingCommand>(),
     queries: defineMap<RequestId, PendingQuery>(),
+    replacements: defineMap<RequestId, PendingReplacement>(),
+    allotments: defineMap<OrganisationId, RateBucket>(),
+    retryBudgets: defineMap<EndpointSetId, RateBucket>(),
     refusals: defineOrdered<number, RefusalRecord>(compareValues),
     countState: defineCell<CountState>({
       lastSequence: 0,
--- a/scheduling/entryNode/src/entryNode.ts
+++ b/scheduling/entryNode/src/entryNode.ts
@@ -8,6 +8,7 @@
   createCountController,
   createQueryController,
   createRefusalController,
+  createReplacementController,
   createServiceController,
 } from '@gentianshunt/controlClient';
 import {createEndpointOrderController} from '@gentianshunt/endpointOrders';
@@ -57,6 +58,7 @@
     createControlController(),
     createCommandController(),
     createQueryController(),
+    createReplacementController(),
     createRefusalController(),
     createCountController(),
     createLeadershipController(),
--- a/scheduling/lifecycle/src/admitRequest.ts
+++ b/scheduling/lifecycle/src/admitRequest.ts
@@ -13,7 +13,9 @@
 } from '@gentianshunt/entryModel';
 import {readWaitingLimit} from '@gentianshunt/limits';
 
+import {spendAllotment} from './allotments.js';
 import type {LifecycleView, RequestDraft} from './requestDraft.js';
+import {earnRepeats} from './repeats.js';
 
 /** When a caller refused for a passing reason may try again. */
 export const TRANSIENT_RETRY_AFTER_MS = 1_000;
@@ -40,6 +42,12 @@
     refuse(draft, facts, {kind: 'organisationLimit'}, TRANSIENT_RETRY_AFTER_MS);
     return;
   }
+  const overdrawnMs = spendAllotment(view, draft, request, now);
+  if (overdrawnMs > 0) {
+    refuse(draft, facts, {kind: 'allotmentUsed'}, overdrawnMs);
+    return;
+  }
+  earnRepeats(view, draft, request, now);
   draft.move({kind: 'waiting', request});
 }
 
@@ -111,7 +119,9 @@
   if (requestKind === undefined) {
     return {kind: 'refused', reason: {kind: 'unknownKind'}};
   }
-  if (!requestKind.idempotent && facts.claim === null) {
+  const needsClaim =
+    !requestKind.idempotent && requestKind.isUnclaimed !== true;
+  if (needsClaim && facts.claim === null) {
     return {kind: 'refused', reason: {kind: 'missingIdempotencyKey'}};
   }
   return {kind: 'admitted', organisation, tier, requestKind};
@@ -126,6 +136,7 @@
     ...facts,
     tier: checked.tier.id,
     claim: checked.requestKind.idempotent ? null : facts.claim,
+    isIdempotent: checked.requestKind.idempotent,
     rank: checked.tier.rank,
     value: checked.requestKind.weight * checked.tier.weight,
     arrivedAt: now.monotonic,
--- a/scheduling/lifecycle/src/endRequest.ts
+++ b/scheduling/lifecycle/src/endRequest.ts
@@ -32,14 +32,25 @@
   });
 }
 
-/** Sends a request to its endpoint; it happens once in a request's life. */
+/**
+ * Sends a request to an endpoint. Only a call to a route that may be repeated
+ * comes here more than once, and never before its last dispatch has ended.
+ */
 export function startDispatch(
   draft: RequestDraft,
   request: AdmittedRequest,
   dispatch: Dispatch,
   now: TurnTime,
+  mayHaveRun = false,
 ): void {
   const silentAt = now.monotonic + FIRST_BYTE_TIMEOUT_MS;
-  draft.move({kind: 'dispatched', request, dispatch, silentAt, resumes: 0});
+  draft.move({
+    kind: 'dispatched',
+    request,
+    dispatch,
+    silentAt,
+    resumes: 0,
+    ...(mayHaveRun ? {mayHaveRun} : {}),
+  });
   draft.order({kind: 'openStream', request, dispatch});
 }
--- a/scheduling/lifecycle/src/lifecycleController.ts
+++ b/scheduling/lifecycle/src/lifecycleController.ts
@@ -14,6 +14,7 @@
   RequestDraft,
 } from './requestDraft.js';
 import {confirmSettlement, repeatSettlements} from './settlements.js';
+import {handleTimeLimit} from './timeLimit.js';
 import {
   endSilentStreams,
   handleCallerGone,
@@ -40,6 +41,8 @@
       'openClaims',
       'settlements',
       'silences',
+      'allotments',
+      'retryBudgets',
     ],
     writes: [
       'requests',
@@ -50,10 +53,13 @@
       'openClaims',
       'settlements',
       'silences',
+      'allotments',
+      'retryBudgets',
     ],
     observes: [
       'requestReceived',
       'callerGone',
+      'timeLimitReached',
       'streamStarted',
       'streamProgress',
       'streamEnded',
@@ -86,6 +92,9 @@
     case 'callerGone':
       handleCallerGone(view, draft, observation.request, now);
       return;
+    case 'timeLimitReached':
+      handleTimeLimit(view, draft, observation.request, now);
+      return;
     case 'streamStarted':
     case 'streamProgress':
       handleStreamProgress(view, draft, observation.dispatch, now);
--- a/scheduling/lifecycle/src/matches.ts
+++ b/scheduling/lifecycle/src/matches.ts
@@ -1,22 +1,25 @@
 import type {TurnTime} from '@gentianshunt/board';
-import {iterateWaiting, refuseNotRun} from '@gentianshunt/entryModel';
+import {
+  isQueued,
+  iterateWaiting,
+  refuseNotRun,
+} from '@gentianshunt/entryModel';
 import type {
   AdmittedRequest,
   Dispatch,
   GrantReply,
   Match,
+  QueuedState,
   ShedOrder,
-  UndispatchedState,
 } from '@gentianshunt/entryModel';
 import type {DispatchId, RequestId} from '@gentianshunt/identifiers';
 
 import {requestClaim} from './claims.js';
 import {endRequest, startDispatch} from './endRequest.js';
+import {canRepeat} from './repeats.js';
 import type {LifecycleView, RequestDraft} from './requestDraft.js';
 import {settleClaim} from './settlements.js';
 
-type WaitingState = Extract<UndispatchedState, {readonly kind: 'waiting'}>;
-
 /** Dispatches the requests that have been matched to slots. */
 export function handleMatches(
   view: LifecycleView,
@@ -27,7 +30,7 @@
     const request = key as RequestId;
     const match = view.board.matches.get(request);
     const state = draft.read(request);
-    if (match !== undefined && state?.kind === 'waiting') {
+    if (match !== undefined && state !== undefined && isQueued(state)) {
       applyMatch(view, draft, state, match, now);
     }
   }
@@ -36,18 +39,24 @@
 function applyMatch(
   view: LifecycleView,
   draft: RequestDraft,
-  state: WaitingState,
+  state: QueuedState,
   match: Match,
   now: TurnTime,
 ): void {
   const {request} = state;
+  const isRepeatable =
+    request.isIdempotent === true && canRepeat(view, draft, request, now);
   const dispatch: Dispatch = {
-    // A request is dispatched at most once, so its name serves for both.
-    id: `${request.id}.d` as DispatchId,
+    id: formatDispatchId(request),
     grant: match.grant,
     target: match.target,
     at: now.monotonic,
+    ...(isRepeatable ? {isRepeatable} : {}),
   };
+  if (state.kind === 'repeating') {
+    startDispatch(draft, request, dispatch, now, true);
+    return;
+  }
   if (request.claim === null || state.holdsClaim === true) {
     startDispatch(draft, request, dispatch, now);
     return;
@@ -57,6 +66,11 @@
   requestClaim(view, draft, request, now);
 }
 
+function formatDispatchId({id, tried}: AdmittedRequest): DispatchId {
+  const repeats = tried?.length ?? 0;
+  return `${id}.d${repeats === 0 ? '' : repeats + 1}` as DispatchId;
+}
+
 /** Refuses the requests that the set leader ordered shed. */
 export function handleShedOrders(
   view: LifecycleView,
--- a/scheduling/lifecycle/src/requestDraft.ts
+++ b/scheduling/lifecycle/src/requestDraft.ts
@@ -1,5 +1,6 @@
+import {createMapDraft} from '@gentianshunt/board';
 import type {View} from '@gentianshunt/board';
-import {pickLine} from '@gentianshunt/entryModel';
+import {isQueued, pickLine} from '@gentianshunt/entryModel';
 import type {
   AdmittedRequest,
   DispatchedState,
@@ -15,7 +16,12 @@
   SilenceKey,
   WaitingKey,
 } from '@gentianshunt/entryModel';
-import type {RequestId} from '@gentianshunt/identifiers';
+import type {
+  EndpointSetId,
+  OrganisationId,
+  RequestId,
+} from '@gentianshunt/identifiers';
+import type {RateBucket} from '@gentianshunt/limits';
 
 /** The sections that the lifecycle controller writes. */
 export type LifecycleSections =
@@ -26,7 +32,9 @@
   | 'running'
   | 'openClaims'
   | 'settlements'
-  | 'silences';
+  | 'silences'
+  | 'allotments'
+  | 'retryBudgets';
 
 /** The sections that the lifecycle controller reads. */
 export type LifecycleReads =
@@ -60,6 +68,10 @@
   order(order: EntryOrder): void;
   putOpenClaim(request: RequestId, claim: OpenClaim): void;
   putSettlement(settlement: Settlement): void;
+  readAllotment(organisation: OrganisationId): RateBucket | undefined;
+  putAllotment(organisation: OrganisationId, bucket: RateBucket): void;
+  readRetryBudget(set: EndpointSetId): RateBucket | undefined;
+  putRetryBudget(set: EndpointSetId, bucket: RateBucket): void;
   dropSettlement(request: RequestId): void;
   listWrites(): readonly LifecycleWrite[];
 }
@@ -69,6 +81,8 @@
   const {board} = view;
   const writes: LifecycleWrite[] = [];
   const states = new Map<RequestId, RequestState | undefined>();
+  const allotments = createMapDraft(board.allotments);
+  const retryBudgets = createMapDraft(board.retryBudgets);
   const lines = createCounter<LineKey>(
     key => board.lines.get(key)?.count ?? 0,
     key => `${key.set}/${key.rank}/${key.organisation}`,
@@ -80,7 +94,7 @@
   const read = (request: RequestId): RequestState | undefined =>
     states.has(request) ? states.get(request) : board.requests.get(request);
   const leave = (state: RequestState): void => {
-    if (state.kind === 'waiting') {
+    if (isQueued(state)) {
       const key = toWaitingKey(state.request);
       writes.push({kind: 'delete', section: 'waiting', key});
       lines.add(pickLine(key), -1);
@@ -90,7 +104,7 @@
     }
   };
   const enter = (state: RequestState): void => {
-    if (state.kind === 'waiting') {
+    if (isQueued(state)) {
       const key = toWaitingKey(state.request);
       writes.push({
         kind: 'put',
@@ -184,8 +198,14 @@
     },
     dropSettlement: key =>
       writes.push({kind: 'delete', section: 'settlements', key}),
+    readAllotment: allotments.get,
+    putAllotment: allotments.put,
+    readRetryBudget: retryBudgets.get,
+    putRetryBudget: retryBudgets.put,
     listWrites: () => [
       ...writes,
+      ...allotments.listWrites('allotments' as const),
+      ...retryBudgets.listWrites('retryBudgets' as const),
       ...lines.listChanges().map(({key, count}) => toCountWrite(key, count)),
       ...running
         .listChanges()
--- a/scheduling/lifecycle/src/streams.ts
+++ b/scheduling/lifecycle/src/streams.ts
@@ -1,7 +1,11 @@
 import type {TurnTime} from '@gentianshunt/board';
 import type {Milliseconds} from '@gentianshunt/clock';
 import {findObject} from '@gentianshunt/configuration';
-import {failDispatched, refuseUnsent} from '@gentianshunt/entryModel';
+import {
+  failDispatched,
+  refuseNotExecuted,
+  refuseUnsent,
+} from '@gentianshunt/entryModel';
 import type {
   DispatchedState,
   Refusal,
@@ -14,6 +18,7 @@
 
 import {TRANSIENT_RETRY_AFTER_MS} from './admitRequest.js';
 import {endRequest} from './endRequest.js';
+import {canRepeat, canResend, requeue, requeueUnsent} from './repeats.js';
 import type {LifecycleView, RequestDraft} from './requestDraft.js';
 import {settleClaim} from './settlements.js';
 
@@ -81,6 +86,12 @@
     case 'rejected':
       handleRejected(view, draft, state, end.status, now);
       return;
+    case 'notExecuted':
+      handleNotExecuted(view, draft, state, end, now);
+      return;
+    case 'failed':
+      handleFailed(view, draft, state, end.status, now);
+      return;
     case 'cut':
       handleCut(view, draft, state, end, now);
       return;
@@ -97,7 +108,11 @@
   end: Extract<StreamEnd, {readonly kind: 'notSent'}>,
   now: TurnTime,
 ): void {
-  if (state.kind === 'answering' || state.resumes > 0) {
+  if (canResend(state.request)) {
+    requeueUnsent(draft, state);
+    return;
+  }
+  if (state.kind === 'answering' || state.resumes > 0 || state.mayHaveRun) {
     const reason = {kind: 'answerCut', detail: end.detail} as const;
     const refusal = failDispatched(state.request.id, reason);
     fail(view, draft, state, refusal, {kind: 'unknown'}, now);
@@ -107,6 +122,47 @@
   fail(view, draft, state, refusal, {kind: 'notRun'}, now);
 }
 
+/** The endpoint vouches that the request has not run and will not. */
+function handleNotExecuted(
+  view: LifecycleView,
+  draft: RequestDraft,
+  state: DispatchedState,
+  end: Extract<StreamEnd, {readonly kind: 'notExecuted'}>,
+  now: TurnTime,
+): void {
+  if (canRepeat(view, draft, state.request, now)) {
+    requeue(view, draft, state, false, now);
+    return;
+  }
+  const hasRun = state.kind === 'answering' || state.mayHaveRun === true;
+  const refusal = hasRun
+    ? failDispatched(state.request.id, {
+        kind: 'endpointFailed',
+        detail: end.detail,
+      })
+    : refuseNotExecuted(state, end, TRANSIENT_RETRY_AFTER_MS);
+  const outcome = {kind: hasRun ? 'unknown' : 'notRun'} as const;
+  fail(view, draft, state, refusal, outcome, now);
+}
+
+/** The endpoint ran the request and failed; another may do better. */
+function handleFailed(
+  view: LifecycleView,
+  draft: RequestDraft,
+  state: DispatchedState,
+  status: number,
+  now: TurnTime,
+): void {
+  const {request} = state;
+  if (request.isIdempotent && canRepeat(view, draft, request, now)) {
+    requeue(view, draft, state, true, now);
+    return;
+  }
+  const reason = {kind: 'endpointFailed', detail: `status ${status}`} as const;
+  const refusal = failDispatched(request.id, reason);
+  fail(view, draft, state, refusal, {kind: 'unknown'}, now);
+}
+
 /** The endpoint has seen the request, so it may not count as not run. */
 function handleRejected(
   view: LifecycleView,
@@ -131,6 +187,11 @@
   now: TurnTime,
 ): void {
   const {request, dispatch, resumes} = state;
+  const {terms} = request;
+  if (terms !== undefined) {
+    handleCutCall(view, draft, state, end, now);
+    return;
+  }
   if (resumes < MAX_RESUMES && canResume(view, state)) {
     draft.move({
       ...state,
@@ -146,6 +207,26 @@
   fail(view, draft, state, refusal, {kind: 'unknown'}, now);
 }
 
+/** A call whose caller has seen nothing, or can be resumed, goes on. */
+function handleCutCall(
+  view: LifecycleView,
+  draft: RequestDraft,
+  state: DispatchedState,
+  end: Extract<StreamEnd, {readonly kind: 'cut'}>,
+  now: TurnTime,
+): void {
+  const {request} = state;
+  const isOpen =
+    state.kind === 'dispatched' || request.terms?.isResumable === true;
+  if (isOpen && request.isIdempotent && canRepeat(view, draft, request, now)) {
+    requeue(view, draft, state, true, now);
+    return;
+  }
+  const reason = {kind: 'answerCut', detail: end.detail} as const;
+  const refusal = failDispatched(request.id, reason);
+  fail(view, draft, state, refusal, {kind: 'unknown'}, now);
+}
+
 /** Model engines keep a stream for a while; plain services do not. */
 function canResume(view: LifecycleView, state: DispatchedState): boolean {
   const {configuration} = view.board;
@@ -219,6 +300,9 @@
       }
       endRequest(draft, state, {kind: 'abandonedWaiting'}, now);
       return;
+    case 'repeating':
+      endRequest(draft, state, {kind: 'abandonedWaiting'}, now);
+      return;
     case 'awaitingOutcome':
     case 'claiming':
       // An open question may still be answered by a grant of the claim.
--- a/scheduling/limits/src/rateBucket.ts
+++ b/scheduling/limits/src/rateBucket.ts
@@ -26,6 +26,26 @@
   return {tokens: Math.min(capacity, tokens), at: now};
 }
 
+/** How a bucket fills up. */
+export interface BucketRate {
+  readonly perSecond: number;
+  readonly capacity: number;
+}
+
+/** Fills a bucket of any rate; one that was never used is full. */
+export function fillBucket(
+  bucket: RateBucket | undefined,
+  rate: BucketRate,
+  now: MonotonicTime,
+): RateBucket {
+  if (bucket === undefined) {
+    return {tokens: rate.capacity, at: now};
+  }
+  const elapsedSeconds = Math.max(0, now - bucket.at) / MS_PER_SECOND;
+  const tokens = bucket.tokens + elapsedSeconds * rate.perSecond;
+  return {tokens: Math.min(rate.capacity, tokens), at: now};
+}
+
 /** Takes what was granted out of a bucket. */
 export function spendBucket(bucket: RateBucket, count: number): RateBucket {
   return {...bucket, tokens: bucket.tokens - count};
--- /dev/null
+++ b/scheduling/routing/src/index.ts
@@ -0,0 +1,2 @@
+export * from './resolveCall.js';
+export * from './routingTable.js';
--- /dev/null
+++ b/scheduling/routing/src/resolveCall.ts
@@ -0,0 +1,119 @@
+import type {Milliseconds} from '@gentianshunt/clock';
+import {findObject} from '@gentianshunt/configuration';
+import type {
+  ConfigurationTable,
+  Organisation,
+  Route,
+} from '@gentianshunt/configuration';
+import type {RefusalReason, RequestFacts} from '@gentianshunt/entryModel';
+import {hashToFraction} from '@gentianshunt/hashing';
+import type {
+  EndpointSetId,
+  OrganisationId,
+  RequestId,
+} from '@gentianshunt/identifiers';
+
+import type {RoutingTable} from './routingTable.js';
+
+/** Organisation of calls to a route that takes them without a key. */
+export const ANONYMOUS = 'anonymous' as OrganisationId;
+
+/** What is known of a call once its head has been read. */
+export interface CallFacts {
+  readonly id: RequestId;
+  readonly host: string;
+  readonly path: string;
+  /** The key the caller showed; `null` when it showed none. */
+  readonly key: string | null;
+  /** How much longer the caller waits; `null` when it did not say. */
+  readonly timeLeftMs: Milliseconds | null;
+  /** Sizes that the caller declared; `null` when it declared none. */
+  readonly size: CallSize | null;
+  /** Names the parts of the prompt, for prefix caches. */
+  readonly prefix: string | null;
+}
+
+/** The size of a call to a model, in tokens. */
+export interface CallSize {
+  readonly promptTokens: number;
+  readonly maxAnswerTokens: number;
+}
+
+/** Why a call cannot become a request. */
+export type UnresolvedReason = Extract<
+  RefusalReason,
+  {readonly kind: 'noConfiguration' | 'unknownRoute' | 'unknownKey'}
+>;
+
+/** A call with its route, or the reason why it has none. */
+export type ResolvedCall =
+  | {
+      readonly kind: 'resolved';
+      readonly route: Route;
+      readonly facts: RequestFacts;
+    }
+  | {readonly kind: 'refused'; readonly reason: UnresolvedReason};
+
+/** Finds what a call asks for. */
+export function resolveCall(
+  table: RoutingTable,
+  configuration: ConfigurationTable,
+  call: CallFacts,
+): ResolvedCall {
+  if (table.release === undefined) {
+    return {kind: 'refused', reason: {kind: 'noConfiguration'}};
+  }
+  const route = table.findRoute(call.host, call.path);
+  if (route === undefined) {
+    return {kind: 'refused', reason: {kind: 'unknownRoute'}};
+  }
+  const organisation =
+    call.key === null ? undefined : table.findOrganisation(call.key);
+  const id = organisation?.id ?? (route.isAnonymous ? ANONYMOUS : undefined);
+  const owner = id && findObject(configuration, 'organisation', id);
+  if (owner === undefined) {
+    return {kind: 'refused', reason: {kind: 'unknownKey'}};
+  }
+  return {kind: 'resolved', route, facts: toFacts(route, owner, call)};
+}
+
+function toFacts(
+  route: Route,
+  organisation: Organisation,
+  call: CallFacts,
+): RequestFacts {
+  const {size} = call;
+  const tokens = size && size.promptTokens + size.maxAnswerTokens;
+  const {timeoutMs} = route;
+  return {
+    id: call.id,
+    organisation: organisation.id,
+    tier: route.tier,
+    set: pickSet(route, call.id),
+    kind: route.requestKind,
+    claim: null,
+    promptTokens: size?.promptTokens ?? 0,
+    maxTokens: size?.maxAnswerTokens ?? 0,
+    prefix: call.prefix,
+    terms: {
+      route: route.id,
+      maxAttempts: route.maxAttempts,
+      timeLimitMs: Math.min(timeoutMs, call.timeLeftMs ?? timeoutMs),
+      objectiveMs: route.objectiveMs,
+      isResumable: route.isResumable,
+      isStream: route.isStream,
+      allotmentTokens: tokens ?? organisation.limits.tokens?.defaultTokens ?? 0,
+    },
+  };
+}
+
+/** Spreads the calls of a route over its sets by their weights. */
+function pickSet({shares}: Route, id: RequestId): EndpointSetId {
+  const total = shares.reduce((sum, {weight}) => sum + weight, 0);
+  let left = hashToFraction(id) * total;
+  const picked = shares.find(({weight}) => {
+    left -= weight;
+    return left < 0;
+  });
+  return (picked ?? shares[shares.length - 1]!).set;
+}
--- a/scheduling/setLeader/src/endpointRegistry.ts
+++ b/scheduling/setLeader/src/endpointRegistry.ts
@@ -1,14 +1,16 @@
 import type {TurnTime, View} from '@gentianshunt/board';
 import type {Milliseconds} from '@gentianshunt/clock';
-import {findObject} from '@gentianshunt/configuration';
+import {findObject, listObjects} from '@gentianshunt/configuration';
 import {
   defineEntryController,
   findEntryAddress,
 } from '@gentianshunt/entryModel';
+import type {EndpointId} from '@gentianshunt/identifiers';
 import type {
   EndpointAnnouncement,
   EndpointRecord,
   EntryController,
+  EntryMessage,
   EntryObservation,
   EntrySections,
   EntryWrite,
@@ -33,7 +35,7 @@
     name: 'endpoints',
     reads: ['identity', 'control', 'configuration', 'leaderships', 'endpoints'],
     writes: ['endpoints'],
-    observes: ['endpointContact', 'entryMessage', 'timerDue'],
+    observes: ['endpointContact', 'endpointLeft', 'entryMessage', 'timerDue'],
     run: (view, now) => handleObservation(view, now),
   });
 }
@@ -46,10 +48,13 @@
   switch (observation?.kind) {
     case 'endpointContact':
       return routeAnnouncement(view, observation.announcement, now);
+    case 'endpointLeft':
+      return [
+        ...recordLeave(view, observation.endpoint),
+        ...spreadLeave(view, observation.endpoint),
+      ];
     case 'entryMessage':
-      return observation.message.kind === 'endpointAnnounced'
-        ? recordAnnouncement(view, observation.message.announcement, now)
-        : [];
+      return handleMessage(view, observation.message, now);
     case 'timerDue':
       return observation.timer.kind === 'housekeeping'
         ? ageEndpoints(view, now)
@@ -59,6 +64,56 @@
   }
 }
 
+function handleMessage(
+  view: RegistryView,
+  message: EntryMessage,
+  now: TurnTime,
+): readonly RegistryWrite[] {
+  switch (message.kind) {
+    case 'endpointAnnounced':
+      return recordAnnouncement(view, message.announcement, now);
+    case 'endpointLeft':
+      return recordLeave(view, message.endpoint);
+    default:
+      return [];
+  }
+}
+
+/** Marks an endpoint as leaving wherever it is known. */
+function recordLeave(
+  view: RegistryView,
+  endpoint: EndpointId,
+): readonly RegistryWrite[] {
+  const writes: RegistryWrite[] = [];
+  for (const {key, value} of view.board.endpoints.iterateFrom()) {
+    if (key.endpoint === endpoint) {
+      const announcement = {...value.announcement, leaving: true};
+      const left = {...value, announcement, state: 'leaving'} as const;
+      writes.push({kind: 'put', section: 'endpoints', key, value: left});
+    }
+  }
+  return writes;
+}
+
+/** The leaver does not name its set, so the leaders of all sets are told. */
+function spreadLeave(
+  view: RegistryView,
+  endpoint: EndpointId,
+): readonly RegistryWrite[] {
+  const {configuration, identity, control} = view.board;
+  const leaders = new Set(
+    listObjects(configuration, 'setLeadership').map(({node}) => node),
+  );
+  leaders.delete(identity.address.node);
+  return [...leaders].flatMap(to => {
+    const address = findEntryAddress(control.directory, to);
+    const message = {kind: 'endpointLeft', endpoint} as const;
+    return address === undefined
+      ? []
+      : [{kind: 'order', order: {kind: 'sendEntry', to, address, message}}];
+  });
+}
+
 /** Hands an announcement to the leader of the endpoint's set. */
 function routeAnnouncement(
   view: RegistryView,
@@ -128,7 +183,10 @@
   now: TurnTime,
 ): EndpointRecord | undefined {
   const {incarnation} = announcement;
-  if (known?.replaced.includes(incarnation) === true) {
+  if (
+    known?.replaced.includes(incarnation) === true ||
+    (known !== undefined && isOvertaken(announcement, known.announcement))
+  ) {
     return undefined;
   }
   const isSame = known?.announcement.incarnation === incarnation;
@@ -147,6 +205,19 @@
   };
 }
 
+/** Tells whether something later has been heard of the endpoint. */
+function isOvertaken(
+  {order}: EndpointAnnouncement,
+  {order: known}: EndpointAnnouncement,
+): boolean {
+  if (order === undefined || known === undefined) {
+    return false;
+  }
+  return order.startedAtMs === known.startedAtMs
+    ? order.sequence < known.sequence
+    : order.startedAtMs < known.startedAtMs;
+}
+
 function ageEndpoints(
   view: RegistryView,
   now: TurnTime,
--- a/scheduling/slotExchange/src/slotController.ts
+++ b/scheduling/slotExchange/src/slotController.ts
@@ -3,6 +3,7 @@
 import {
   ANY_ORGANISATION,
   defineEntryController,
+  isQueued,
   isSameLine,
   iterateLines,
   iterateLineSlots,
@@ -69,8 +70,9 @@
   const writes: SlotWrite[] = [];
   for (const key of view.readChanges('requests')) {
     const request = key as RequestId;
-    const waits = view.board.requests.get(request)?.kind === 'waiting';
-    if (!waits && view.board.matches.has(request)) {
+    const state = view.board.requests.get(request);
+    const isWaiting = state !== undefined && isQueued(state);
+    if (!isWaiting && view.board.matches.has(request)) {
       writes.push({kind: 'delete', section: 'matches', key: request});
     }
   }
