--- a/control/controlModel/src/sections.ts
+++ b/control/controlModel/src/sections.ts
@@ -12,7 +12,7 @@
   ConfigurationObject,
   ObjectKey,
 } from '@gentianshunt/configuration';
-import {NO_DIRECTORY_VERSION} from '@gentianshunt/messages';
+import {NO_DIRECTORY_VERSION, NO_SOURCE} from '@gentianshunt/messages';
 import type {
   CommandNumber,
   ConfigurationSource,
@@ -31,7 +31,11 @@
 } from '@gentianshunt/messages';
 import {INITIAL_BUCKET} from '@gentianshunt/orders';
 import type {TokenBucket} from '@gentianshunt/orders';
-import type {EndpointSetId, NodeId} from '@gentianshunt/identifiers';
+import type {
+  EndpointSetId,
+  NodeId,
+  OrganisationId,
+} from '@gentianshunt/identifiers';
 
 import type {ControlObservation} from './observation.js';
 import type {ControlOrder} from './order.js';
@@ -162,7 +166,7 @@
     proposals: defineCell<readonly LogPayload[]>([]),
     applied: defineCell<AppliedStatus>({index: 0, version: 0}),
     configuration: defineMap<ObjectKey, ConfigurationObject>(),
-    source: defineCell<ConfigurationSource | null>(null),
+    source: defineCell<ConfigurationSource>(NO_SOURCE),
     history: defineOrdered<
       ConfigurationVersion,
       readonly ConfigurationChange[]
@@ -192,6 +196,8 @@
     sessionLeases: defineOrdered<SessionLeaseKey, true>(
       compareBy('leaseUntil', 'node'),
     ),
+    /** Tokens a second that all entries ask for, as last added up. */
+    tokenDemands: defineCell<ReadonlyMap<OrganisationId, number>>(new Map()),
     directory: defineCell<DirectoryVersion>(NO_DIRECTORY_VERSION),
     directoryHistory: defineOrdered<number, DirectoryChange>(compareValues),
     leaderCandidates: defineMap<NodeId, LeaderCandidate>(),
--- a/control/controlModel/src/sessionRecords.ts
+++ b/control/controlModel/src/sessionRecords.ts
@@ -5,6 +5,7 @@
   EntryAddress,
   EntryToControl,
   OperatorCommand,
+  TokenDemand,
 } from '@gentianshunt/messages';
 import type {
   EndpointSetId,
@@ -29,6 +30,7 @@
   readonly directoryVersion: DirectoryVersion;
   readonly leaseUntil: MonotonicTime;
   readonly setsInUse: readonly EndpointSetId[];
+  readonly demands: readonly TokenDemand[];
 }
 
 /** Orders the sessions by the version they have confirmed. */
--- a/control/entrySessions/src/controlQuery.ts
+++ b/control/entrySessions/src/controlQuery.ts
@@ -42,7 +42,10 @@
     case 'recentCounts':
       return {kind: 'recentCounts', counts: listRecentCounts(board)};
     case 'source':
-      return {kind: 'source', source: board.source};
+      return {
+        kind: 'source',
+        source: board.source.version < 0 ? null : board.source,
+      };
     case 'commands':
       return {
         kind: 'commands',
--- a/control/entrySessions/src/pendingReplies.ts
+++ b/control/entrySessions/src/pendingReplies.ts
@@ -126,7 +126,7 @@
     }
     case 'replacement': {
       const {correlation} = request;
-      const version = board.source?.version ?? 0;
+      const {version} = board.source;
       return hasOwnEntryApplied(board) && version >= request.version
         ? {kind: 'replacementReply', correlation, version}
         : undefined;
--- a/control/entrySessions/src/sessionController.ts
+++ b/control/entrySessions/src/sessionController.ts
@@ -13,6 +13,7 @@
 } from '@gentianshunt/messages';
 import type {NodeId} from '@gentianshunt/identifiers';
 
+import {divideAllotments, sumDemands} from './allotmentShares.js';
 import {createDelta} from './configurationDelta.js';
 import type {ConfigurationDelta} from './configurationDelta.js';
 import {
@@ -44,6 +45,7 @@
   'sessions',
   'sessionVersions',
   'sessionLeases',
+  'tokenDemands',
   'directory',
   'directoryHistory',
 ] as const satisfies readonly SessionWrites[];
@@ -53,6 +55,7 @@
   return defineControlController<SessionReads, SessionWrites>({
     name: 'sessions',
     reads: [
+      'identity',
       'role',
       'leadership',
       'ballot',
@@ -82,7 +85,11 @@
       return [createSessionTimer()];
     case 'timerDue':
       return observation.timer.kind === 'sessions'
-        ? [...expireSessions(view, now), createSessionTimer()]
+        ? [
+            ...expireSessions(view, now),
+            addDemands(view),
+            createSessionTimer(),
+          ]
         : [];
     case 'entryMessage':
       return view.board.role.kind === 'leader'
@@ -93,6 +100,11 @@
   }
 }
 
+function addDemands({board}: SessionView): SessionWrite {
+  const value = sumDemands(board.sessions);
+  return {kind: 'set', section: 'tokenDemands', value};
+}
+
 function createSessionTimer(): SessionWrite {
   return {
     kind: 'order',
@@ -119,9 +131,12 @@
   ];
 }
 
-/** Tells an entry where else it may turn to. */
+/** Tells an entry where else it may turn to, if its settings cannot. */
 function sendMembers(view: SessionView, to: NodeId): readonly SessionWrite[] {
-  const {memberships} = view.board;
+  const {identity, memberships} = view.board;
+  if (identity.admission.kind === 'listed') {
+    return [];
+  }
   const members = memberships[memberships.length - 1]?.members ?? [];
   const nodes = members.map(({node}) => node);
   return nodes.length === 0
@@ -163,6 +178,7 @@
   now: TurnTime,
 ): readonly SessionWrite[] {
   const {entry, incarnation, draining, version, setsInUse} = heartbeat;
+  const demands = heartbeat.demands ?? [];
   const known = view.board.sessions.get(entry.node);
   const session: EntrySession = {
     entry,
@@ -173,6 +189,7 @@
     directoryVersion: heartbeat.directoryVersion,
     leaseUntil: now.monotonic + ENTRY_LEASE_MS,
     setsInUse,
+    demands,
   };
   const step = isListed(known, session)
     ? null
@@ -196,7 +213,14 @@
     ...replaceSession(known, session),
     ...(step === null ? [] : writeStep(view, view.board.directory, step)),
     ...(known === undefined ? sendMembers(view, entry.node) : []),
-    send(entry.node, update),
+    send(entry.node, {
+      ...update,
+      shares: divideAllotments(
+        demands,
+        view.board.tokenDemands,
+        view.board.sessions.size,
+      ),
+    }),
   ];
 }
 
@@ -281,7 +305,7 @@
   delta: ConfigurationDelta,
   sequence: number | null,
   directory: DirectoryUpdate | null,
-): ControlToEntry {
+): Extract<ControlToEntry, {readonly kind: 'configurationUpdate'}> {
   return {
     kind: 'configurationUpdate',
     sequence,
--- a/control/entrySessions/src/sessionWrites.ts
+++ b/control/entrySessions/src/sessionWrites.ts
@@ -10,6 +10,7 @@
 
 /** The sections that the session controller reads. */
 export type SessionReads =
+  | 'identity'
   | 'role'
   | 'leadership'
   | 'ballot'
@@ -23,6 +24,7 @@
   | 'sessions'
   | 'sessionVersions'
   | 'sessionLeases'
+  | 'tokenDemands'
   | 'directory'
   | 'directoryHistory';
 /** What the session controller reads of the board. */
--- a/control/messages/src/controlMessage.ts
+++ b/control/messages/src/controlMessage.ts
@@ -10,6 +10,7 @@
   IncarnationId,
   NodeId,
   OperatorId,
+  OrganisationId,
   RegionId,
   RequestId,
 } from '@gentianshunt/identifiers';
@@ -113,6 +114,12 @@
   readonly document: Uint8Array;
 }
 
+/** Stands for the document before the first replacement. */
+export const NO_SOURCE: ConfigurationSource = {
+  version: -1,
+  document: new Uint8Array(),
+};
+
 /** Whether an accepted version is in force on every entry. */
 export interface ForceStatus {
   readonly version: ConfigurationVersion;
@@ -131,6 +138,19 @@
   | {readonly kind: 'digestMismatch'}
   | {readonly kind: 'full'; readonly retryAfterMs: number};
 
+/** How fast an entry's callers use up an organisation's tokens. */
+export interface TokenDemand {
+  readonly organisation: OrganisationId;
+  readonly tokensPerSecond: number;
+}
+
+/** The part of an organisation's allotment that an entry may use. */
+export interface AllotmentShare {
+  readonly organisation: OrganisationId;
+  /** From 0 to 1; the shares of all entries add up to 1. */
+  readonly share: number;
+}
+
 /** Messages from an entry to the control daemons. */
 export type EntryToControl =
   | {
@@ -145,6 +165,8 @@
       readonly draining: boolean;
       /** Sets led by the entry that have endpoints. */
       readonly setsInUse: readonly EndpointSetId[];
+      /** Of organisations whose tokens are limited. */
+      readonly demands?: readonly TokenDemand[];
     }
   | {
       /** Sent at once when a pushed update was applied. */
@@ -213,6 +235,8 @@
       readonly directory: DirectoryUpdate | null;
       /** Lifetime of the lease from the sending of the heartbeat. */
       readonly leaseMs: number;
+      /** The entry's shares of what its heartbeat asked for. */
+      readonly shares?: readonly AllotmentShare[];
     }
   | {
       readonly kind: 'notLeader';
--- a/control/stateMachine/src/applyReplacement.ts
+++ b/control/stateMachine/src/applyReplacement.ts
@@ -16,7 +16,7 @@
   payload: ReplacePayload,
 ): void {
   const {version, objects, source} = payload.replacement;
-  const isNewer = draft.source === null || version > draft.source.version;
+  const isNewer = version > draft.source.version;
   // It was checked before it was proposed, by whichever release proposed it.
   if (!isNewer || checkReplacement(objects) !== undefined) {
     return;
--- a/control/stateMachine/src/stateDraft.ts
+++ b/control/stateMachine/src/stateDraft.ts
@@ -80,7 +80,7 @@
   changeUsage: ChangeUsage;
   claimUsage: ClaimUsage;
   weightStore: TokenBucket;
-  source: ConfigurationSource | null;
+  source: ConfigurationSource;
   readonly configuration: ConfigurationDraft;
   readonly history: OrderedDraft<
     ConfigurationVersion,
--- a/fronts/entryWire/src/demandReportWire.ts
+++ b/fronts/entryWire/src/demandReportWire.ts
@@ -54,6 +54,7 @@
     running,
     unspent,
     rates,
+    report.endpointsDigest ?? 0,
   ];
 }
 
@@ -95,5 +96,7 @@
     decodeMsPerToken: list.readCount() / MICROSECONDS_PER_MILLISECOND,
     ageMs: list.readCount(),
   }));
-  return {set, epoch, sequence, waiting, running, unspent, rates};
+  const report = {set, epoch, sequence, waiting, running, unspent, rates};
+  const endpointsDigest = reader.readCount();
+  return endpointsDigest === 0 ? report : {...report, endpointsDigest};
 }
--- /dev/null
+++ b/fronts/entryWire/src/endpointListWire.ts
@@ -0,0 +1,35 @@
+import type {EndpointList} from '@gentianshunt/entryModel';
+import type {EndpointId, EndpointSetId} from '@gentianshunt/identifiers';
+
+import {readAll} from './wireReader.js';
+import type {WireReader} from './wireReader.js';
+
+/** Encodes the endpoints of a set as lists. */
+export function encodeEndpointList(list: EndpointList): readonly unknown[] {
+  return [
+    list.set,
+    list.epoch,
+    list.digest,
+    list.endpoints.flatMap(({target, concurrency}) => [
+      target.endpoint,
+      target.url,
+      concurrency,
+    ]),
+  ];
+}
+
+/** Decodes the endpoints of a set and checks their form. */
+export function decodeEndpointList(reader: WireReader): EndpointList {
+  return {
+    set: reader.readIdentifier<EndpointSetId>(),
+    epoch: reader.readCount(),
+    digest: reader.readCount(),
+    endpoints: readAll(reader.readList(), list => ({
+      target: {
+        endpoint: list.readIdentifier<EndpointId>(),
+        url: list.readText(),
+      },
+      concurrency: list.readCount(),
+    })),
+  };
+}
--- a/fronts/entryWire/src/entryWire.ts
+++ b/fronts/entryWire/src/entryWire.ts
@@ -11,6 +11,7 @@
 } from '@gentianshunt/identifiers';
 
 import {decodeDemandReport, encodeDemandReport} from './demandReportWire.js';
+import {decodeEndpointList, encodeEndpointList} from './endpointListWire.js';
 import {decodeGrantReply, encodeGrantReply} from './grantReplyWire.js';
 import {MalformedMessageError} from './wireErrors.js';
 import {createWireReader} from './wireReader.js';
@@ -23,6 +24,7 @@
   notSetLeader: 3,
   endpointAnnounced: 4,
   endpointLeft: 5,
+  endpointsListed: 6,
 } as const satisfies Readonly<Record<EntryMessage['kind'], number>>;
 
 /** Encodes a message between entries as nested lists. */
@@ -39,6 +41,8 @@
       return [kind, ...encodeAnnouncement(message.announcement)];
     case 'endpointLeft':
       return [kind, message.endpoint];
+    case 'endpointsListed':
+      return [kind, ...encodeEndpointList(message.list)];
     default:
       return assertNever(message, 'encodeEntryMessage');
   }
@@ -82,6 +86,8 @@
         kind: 'endpointLeft',
         endpoint: reader.readIdentifier<EndpointId>(),
       };
+    case WIRE_KINDS.endpointsListed:
+      return {kind: 'endpointsListed', list: decodeEndpointList(reader)};
     default:
       throw new MalformedMessageError(peer, 'kind');
   }
--- a/fronts/logging/src/logEvent.ts
+++ b/fronts/logging/src/logEvent.ts
@@ -7,6 +7,14 @@
   | {readonly kind: 'peerLinkFailed'; readonly error: Error}
   | {readonly kind: 'diskFailed'; readonly error: Error}
   | {readonly kind: 'folderDiscarded'; readonly error: Error}
+  | {
+      readonly kind: 'settingsRead';
+      readonly file: string;
+      readonly isChanged: boolean;
+      /** Whether a signal asked for it. */
+      readonly isAsked: boolean;
+    }
+  | {readonly kind: 'settingsRefused'; readonly error: Error}
   | {
       readonly kind: 'requestEnded';
       readonly end: Extract<EntryOrder, {readonly kind: 'recordEnd'}>;
@@ -33,6 +41,15 @@
     case 'diskFailed':
     case 'folderDiscarded':
       return [name, ...listErrorFields(event.error)];
+    case 'settingsRefused':
+      return [name, ...listErrorFields(event.error)];
+    case 'settingsRead':
+      return [
+        name,
+        {name: 'file', value: event.file},
+        {name: 'changed', value: String(event.isChanged)},
+        {name: 'asked', value: String(event.isAsked)},
+      ];
     case 'requestEnded':
       return [name, ...listEndFields(event.end)];
     case 'roleChanged':
--- a/scheduling/controlClient/src/controlController.ts
+++ b/scheduling/controlClient/src/controlController.ts
@@ -13,11 +13,14 @@
   EntryWrite,
 } from '@gentianshunt/entryModel';
 import {assertNever} from '@gentianshunt/errors';
-import type {ControlToEntry} from '@gentianshunt/messages';
+import {decayRate} from '@gentianshunt/limits';
+import type {ControlToEntry, TokenDemand} from '@gentianshunt/messages';
 import type {EndpointSetId, NodeId} from '@gentianshunt/identifiers';
 
 import {applyDirectoryUpdate} from './applyDirectoryUpdate.js';
 
+/** Slower use of an allotment is not worth a share of its own. */
+export const MIN_DEMAND_PER_SECOND = 1;
 /** Time between two heartbeats to the leading control daemon. */
 export const HEARTBEAT_INTERVAL_MS: Milliseconds = 500;
 
@@ -28,8 +31,11 @@
   | 'controls'
   | 'configuration'
   | 'leaderships'
-  | 'endpoints';
-type ControlWrites = 'control' | 'controls' | 'configuration';
+  | 'endpoints'
+  | 'allotments'
+  | 'allotmentShares';
+type ControlWrites =
+  'control' | 'controls' | 'configuration' | 'allotmentShares';
 type ControlView = View<EntrySections, ControlReads, EntryObservation>;
 type ControlWrite = EntryWrite<ControlWrites>;
 type Update = Extract<ControlToEntry, {readonly kind: 'configurationUpdate'}>;
@@ -46,9 +52,17 @@
       'configuration',
       'leaderships',
       'endpoints',
+      'allotments',
+      'allotmentShares',
+    ],
+    writes: ['control', 'controls', 'configuration', 'allotmentShares'],
+    observes: [
+      'started',
+      'timerDue',
+      'controlMessage',
+      'controlInquiry',
+      'controlsLearnt',
     ],
-    writes: ['control', 'controls', 'configuration'],
-    observes: ['started', 'timerDue', 'controlMessage', 'controlInquiry'],
     run: (view, now) => handleObservation(view, now),
   });
 }
@@ -69,6 +83,11 @@
       return handleMessage(view, observation.from, observation.message, now);
     case 'controlInquiry':
       return [redirectEntry(view, observation.from)];
+    case 'controlsLearnt': {
+      const {controls} = view.board;
+      const value = [...new Set([...controls, ...observation.nodes])];
+      return [{kind: 'set', section: 'controls', value}];
+    }
     default:
       return [];
   }
@@ -132,6 +151,7 @@
           directoryVersion: status.directory.version,
           draining: service.kind === 'draining',
           setsInUse: listSetsInUse(view),
+          demands: listDemands(view, now),
         },
       },
     },
@@ -189,6 +209,22 @@
   return sendHeartbeat(view, answered, now);
 }
 
+/** Lists what is asked of limited allotments; what has ceased is left out. */
+function listDemands(
+  {board}: ControlView,
+  now: TurnTime,
+): readonly TokenDemand[] {
+  const demands: TokenDemand[] = [];
+  for (const [organisation, {demandPerSecond, at}] of board.allotments) {
+    const elapsedMs = now.monotonic - at;
+    const rate = decayRate(demandPerSecond, {elapsedMs, amount: 0});
+    if (rate >= MIN_DEMAND_PER_SECOND) {
+      demands.push({organisation, tokensPerSecond: Math.round(rate)});
+    }
+  }
+  return demands;
+}
+
 /** Lists the led sets that have endpoints. */
 function listSetsInUse(view: ControlView): readonly EndpointSetId[] {
   const {leaderships, endpoints} = view.board;
@@ -227,6 +263,14 @@
   return [
     ...(isNewer ? applyChanges(view, update) : []),
     {kind: 'set', section: 'control', value: next},
+    ...(update.shares ?? []).map(
+      ({organisation, share}): ControlWrite => ({
+        kind: 'put',
+        section: 'allotmentShares',
+        key: organisation,
+        value: share,
+      }),
+    ),
     ...(isNewer ? [confirmVersion(next, from)] : []),
   ];
 }
--- a/scheduling/entryModel/src/exchange.ts
+++ b/scheduling/entryModel/src/exchange.ts
@@ -67,6 +67,23 @@
   readonly running: readonly RunningCount[];
   readonly unspent: readonly UnspentSlots[];
   readonly rates: readonly ReportedRate[];
+  /** Digest of the endpoints that the entry knows of; 0 for none. */
+  readonly endpointsDigest?: number;
+}
+
+/** The endpoints of a set that take work, as its leader knows them. */
+export interface EndpointList {
+  readonly set: EndpointSetId;
+  readonly epoch: number;
+  /** Tells lists apart. */
+  readonly digest: number;
+  readonly endpoints: readonly ListedEndpoint[];
+}
+
+/** An endpoint that takes work. */
+export interface ListedEndpoint {
+  readonly target: EndpointTarget;
+  readonly concurrency: number;
 }
 
 /** Leave to dispatch requests of one tier and organisation. */
@@ -119,7 +136,8 @@
       readonly kind: 'endpointAnnounced';
       readonly announcement: EndpointAnnouncement;
     }
-  | {readonly kind: 'endpointLeft'; readonly endpoint: EndpointId};
+  | {readonly kind: 'endpointLeft'; readonly endpoint: EndpointId}
+  | {readonly kind: 'endpointsListed'; readonly list: EndpointList};
 
 /** Slots an entry may use until their deadline. */
 export interface Slot {
--- a/scheduling/entryModel/src/observation.ts
+++ b/scheduling/entryModel/src/observation.ts
@@ -109,6 +109,11 @@
       readonly correlation: RequestId;
       readonly replacement: Replacement;
     }
+  | {
+      /** The settings name other nodes at which to look for control. */
+      readonly kind: 'controlsLearnt';
+      readonly nodes: readonly NodeId[];
+    }
   | {
       /** Another entry takes this one for a control daemon. */
       readonly kind: 'controlInquiry';
--- a/scheduling/entryModel/src/sections.ts
+++ b/scheduling/entryModel/src/sections.ts
@@ -40,7 +40,13 @@
 
 import type {EndpointAnnouncement} from './endpoint.js';
 import type {OrderEpoch, OrderRunState} from './endpointOrder.js';
-import type {GrantReply, Match, ReportRecord, Slot} from './exchange.js';
+import type {
+  EndpointList,
+  GrantReply,
+  Match,
+  ReportRecord,
+  Slot,
+} from './exchange.js';
 import type {AdmittedRequest, Refusal, RequestState} from './request.js';
 
 /** Bounds that all entries keep together; each keeps its part of them. */
@@ -60,6 +66,13 @@
   allotmentSlackTokens: 0,
 };
 
+/** What an entry does while the leader of a set does not answer. */
+export type LeaderSilence =
+  /** Nothing, so that no endpoint ever runs more than it can hold. */
+  | {readonly kind: 'wait'}
+  /** It takes its equal part; for endpoints that queue what is too much. */
+  | {readonly kind: 'takeShare'};
+
 /** What an entry knows of itself and of the control daemons. */
 export interface EntryIdentity {
   readonly address: EntryAddress;
@@ -67,6 +80,8 @@
   /** Where the control log may be found at first. */
   readonly controls: readonly NodeId[];
   readonly bounds?: SharedBounds;
+  /** Left out, it waits. */
+  readonly leaderSilence?: LeaderSilence;
 }
 
 /** Where the entry stands with the control daemons. */
@@ -287,6 +302,12 @@
   readonly replacement: Replacement;
 }
 
+/** What an entry has left of an allotment, and what it is asked for. */
+export interface AllotmentState extends RateBucket {
+  /** Tokens a second that callers ask for, as a decaying average. */
+  readonly demandPerSecond: number;
+}
+
 /** A recent refusal, as operators see it. */
 export interface RefusalRecord {
   readonly number: number;
@@ -359,6 +380,10 @@
     endpoints: defineOrdered<EndpointKey, EndpointRecord>(
       compareBy('set', 'endpoint'),
     ),
+    /** Endpoints of led sets, as they are told to the other entries. */
+    endpointLists: defineMap<EndpointSetId, EndpointList>(),
+    /** Endpoints of any set, as its leader told them last. */
+    knownEndpoints: defineMap<EndpointSetId, EndpointList>(),
     reports: defineOrdered<ReportKey, ReportRecord>(compareBy('set', 'node')),
     granted: defineOrdered<ReportKey, GrantedSince>(compareBy('set', 'node')),
     limitBuckets: defineOrdered<ShareKey, RateBucket>(
@@ -372,7 +397,9 @@
     commands: defineMap<RequestId, PendingCommand>(),
     queries: defineMap<RequestId, PendingQuery>(),
     replacements: defineMap<RequestId, PendingReplacement>(),
-    allotments: defineMap<OrganisationId, RateBucket>(),
+    allotments: defineMap<OrganisationId, AllotmentState>(),
+    /** Parts of allotments that the control leader has given this entry. */
+    allotmentShares: defineMap<OrganisationId, number>(),
     retryBudgets: defineMap<EndpointSetId, RateBucket>(),
     refusals: defineOrdered<number, RefusalRecord>(compareValues),
     countState: defineCell<CountState>({
--- a/scheduling/entryNode/src/entryNode.ts
+++ b/scheduling/entryNode/src/entryNode.ts
@@ -26,6 +26,7 @@
 } from '@gentianshunt/learning';
 import {createLifecycleController} from '@gentianshunt/lifecycle';
 import {
+  createEndpointListController,
   createEndpointRegistry,
   createGrantController,
   createLeadershipController,
@@ -73,6 +74,7 @@
     createExchangeController(),
     createLookupController(),
     createReportController(),
+    createEndpointListController(),
     createGrantController(),
   ];
 }
--- a/scheduling/lifecycle/src/allotments.ts
+++ b/scheduling/lifecycle/src/allotments.ts
@@ -3,8 +3,8 @@
 import {findObject} from '@gentianshunt/configuration';
 import type {TokenAllotment} from '@gentianshunt/configuration';
 import {DEFAULT_SHARED_BOUNDS} from '@gentianshunt/entryModel';
-import type {AdmittedRequest} from '@gentianshunt/entryModel';
-import {fillBucket, spendBucket} from '@gentianshunt/limits';
+import type {AdmittedRequest, AllotmentState} from '@gentianshunt/entryModel';
+import {decayRate, fillBucket} from '@gentianshunt/limits';
 import type {BucketRate} from '@gentianshunt/limits';
 
 import type {LifecycleView, RequestDraft} from './requestDraft.js';
@@ -29,34 +29,42 @@
     'organisation',
     organisation,
   )?.limits;
-  const tokens = limits?.tokens ?? null;
-  if (tokens === null || terms === undefined) {
+  const allotment = limits?.tokens ?? null;
+  if (allotment === null || terms === undefined) {
     return 0;
   }
-  const rate = readShare(view, tokens);
-  const bucket = fillBucket(
-    draft.readAllotment(organisation),
-    rate,
-    now.monotonic,
-  );
-  const missing = terms.allotmentTokens - bucket.tokens;
+  const {allotmentTokens} = terms;
+  const known = draft.readAllotment(organisation);
+  const rate = readShare(view, request, allotment);
+  const filled = fillBucket(known, rate, now.monotonic);
+  const missing = allotmentTokens - filled.tokens;
   // A request larger than the bucket goes ahead when the bucket is full.
-  if (missing > 0 && bucket.tokens < rate.capacity) {
-    return (missing / rate.perSecond) * MS_PER_SECOND;
-  }
-  draft.putAllotment(organisation, spendBucket(bucket, terms.allotmentTokens));
-  return 0;
+  const isCovered = missing <= 0 || filled.tokens >= rate.capacity;
+  const next: AllotmentState = {
+    ...filled,
+    tokens: isCovered ? filled.tokens - allotmentTokens : filled.tokens,
+    demandPerSecond: decayRate(known?.demandPerSecond ?? 0, {
+      elapsedMs: now.monotonic - (known?.at ?? now.monotonic),
+      amount: allotmentTokens,
+    }),
+  };
+  draft.putAllotment(organisation, next);
+  return isCovered ? 0 : (missing / rate.perSecond) * MS_PER_SECOND;
 }
 
 /** The part of an allotment that falls to this entry. */
 function readShare(
   {board}: LifecycleView,
+  {organisation}: AdmittedRequest,
   {tokensPerSecond, burstTokens}: TokenAllotment,
 ): BucketRate {
   const entries = Math.max(1, board.control.directory.entries.length);
+  const share = board.allotmentShares.get(organisation) ?? 1 / entries;
   const {allotmentSlackTokens} = board.identity.bounds ?? DEFAULT_SHARED_BOUNDS;
+  // The slack is spread evenly: it is for demand that nobody has seen yet.
   return {
-    perSecond: tokensPerSecond / entries,
-    capacity: (burstTokens + SLACK_USED * allotmentSlackTokens) / entries,
+    perSecond: tokensPerSecond * share,
+    capacity:
+      burstTokens * share + (SLACK_USED * allotmentSlackTokens) / entries,
   };
 }
--- a/scheduling/lifecycle/src/lifecycleController.ts
+++ b/scheduling/lifecycle/src/lifecycleController.ts
@@ -32,6 +32,7 @@
       'lines',
       'dispatches',
       'running',
+      'allotmentShares',
       'identity',
       'service',
       'control',
--- a/scheduling/lifecycle/src/requestDraft.ts
+++ b/scheduling/lifecycle/src/requestDraft.ts
@@ -3,6 +3,7 @@
 import {isQueued, pickLine} from '@gentianshunt/entryModel';
 import type {
   AdmittedRequest,
+  AllotmentState,
   DispatchedState,
   EntryObservation,
   EntryOrder,
@@ -39,6 +40,7 @@
 /** The sections that the lifecycle controller reads. */
 export type LifecycleReads =
   | LifecycleSections
+  | 'allotmentShares'
   | 'identity'
   | 'service'
   | 'control'
@@ -68,8 +70,8 @@
   order(order: EntryOrder): void;
   putOpenClaim(request: RequestId, claim: OpenClaim): void;
   putSettlement(settlement: Settlement): void;
-  readAllotment(organisation: OrganisationId): RateBucket | undefined;
-  putAllotment(organisation: OrganisationId, bucket: RateBucket): void;
+  readAllotment(organisation: OrganisationId): AllotmentState | undefined;
+  putAllotment(organisation: OrganisationId, state: AllotmentState): void;
   readRetryBudget(set: EndpointSetId): RateBucket | undefined;
   putRetryBudget(set: EndpointSetId, bucket: RateBucket): void;
   dropSettlement(request: RequestId): void;
--- /dev/null
+++ b/scheduling/setLeader/src/endpointListController.ts
@@ -0,0 +1,121 @@
+import type {View} from '@gentianshunt/board';
+import {
+  defineEntryController,
+  findEntryAddress,
+  iterateEndpoints,
+} from '@gentianshunt/entryModel';
+import type {
+  EndpointList,
+  EntryController,
+  EntryObservation,
+  EntrySections,
+  EntryWrite,
+  LeadershipState,
+  ListedEndpoint,
+  ReportKey,
+} from '@gentianshunt/entryModel';
+import {hashText} from '@gentianshunt/hashing';
+import type {EndpointSetId, NodeId} from '@gentianshunt/identifiers';
+
+type ListReads =
+  'control' | 'leaderships' | 'endpoints' | 'reports' | 'endpointLists';
+type ListView = View<EntrySections, ListReads, EntryObservation>;
+type ListWrite = EntryWrite<'endpointLists'>;
+
+/**
+ * Creates the controller that tells the entries which endpoints the led sets
+ * have. An entry whose report shows that it knows another list gets this one.
+ */
+export function createEndpointListController(): EntryController {
+  return defineEntryController<ListReads, 'endpointLists'>({
+    name: 'endpointLists',
+    reads: ['control', 'leaderships', 'endpoints', 'reports', 'endpointLists'],
+    writes: ['endpointLists'],
+    observes: [],
+    run: view => {
+      const lists = listChangedLists(view);
+      return [
+        ...dropLists(view),
+        ...lists.map((list): ListWrite => ({
+          kind: 'put',
+          section: 'endpointLists',
+          key: list.set,
+          value: list,
+        })),
+        ...answerReports(view, lists),
+      ];
+    },
+  });
+}
+
+function listChangedLists(view: ListView): readonly EndpointList[] {
+  const sets = new Set<EndpointSetId>();
+  for (const key of view.readChanges('endpoints')) {
+    sets.add((key as {set: EndpointSetId}).set);
+  }
+  for (const key of view.readChanges('leaderships')) {
+    sets.add(key as EndpointSetId);
+  }
+  return [...sets].flatMap(set => {
+    const leadership = view.board.leaderships.get(set);
+    if (leadership === undefined) {
+      return [];
+    }
+    const list = createList(view, leadership);
+    const known = view.board.endpointLists.get(set);
+    const isSame = known?.digest === list.digest && known.epoch === list.epoch;
+    return isSame ? [] : [list];
+  });
+}
+
+function createList(
+  {board}: ListView,
+  {set, epoch}: LeadershipState,
+): EndpointList {
+  const endpoints: ListedEndpoint[] = [];
+  let digest = 0;
+  for (const {value} of iterateEndpoints(board.endpoints, set)) {
+    const {endpoint, url, concurrency, incarnation} = value.announcement;
+    if (value.state === 'active') {
+      endpoints.push({target: {endpoint, url}, concurrency});
+      digest ^= hashText(`${endpoint}/${incarnation}/${url}/${concurrency}`);
+    }
+  }
+  return {set, epoch, digest: digest >>> 0, endpoints};
+}
+
+function dropLists({board}: ListView): readonly ListWrite[] {
+  return [...board.endpointLists.keys()]
+    .filter(set => !board.leaderships.has(set))
+    .map(key => ({kind: 'delete', section: 'endpointLists', key}));
+}
+
+function answerReports(
+  view: ListView,
+  changed: readonly EndpointList[],
+): readonly ListWrite[] {
+  return [...view.readChanges('reports')].flatMap(changedKey => {
+    const key = changedKey as ReportKey;
+    const record = view.board.reports.get(key);
+    const list =
+      changed.find(({set}) => set === key.set) ??
+      view.board.endpointLists.get(key.set);
+    if (record === undefined || list === undefined) {
+      return [];
+    }
+    const held = record.report.endpointsDigest ?? 0;
+    return held === list.digest ? [] : sendList(view, key.node, list);
+  });
+}
+
+function sendList(
+  view: ListView,
+  to: NodeId,
+  list: EndpointList,
+): readonly ListWrite[] {
+  const address = findEntryAddress(view.board.control.directory, to);
+  const message = {kind: 'endpointsListed', list} as const;
+  return address === undefined
+    ? []
+    : [{kind: 'order', order: {kind: 'sendEntry', to, address, message}}];
+}
--- a/scheduling/setLeader/src/index.ts
+++ b/scheduling/setLeader/src/index.ts
@@ -1,4 +1,5 @@
 export * from './allocation.js';
+export * from './endpointListController.js';
 export * from './endpointRegistry.js';
 export * from './findLeaderAddress.js';
 export * from './grantController.js';
--- a/scheduling/slotExchange/src/exchangeController.ts
+++ b/scheduling/slotExchange/src/exchangeController.ts
@@ -54,6 +54,7 @@
   | 'matches'
   | 'patience'
   | 'endpointRates'
+  | 'knownEndpoints'
   | 'exchanges'
   | 'acceptedReply';
 type ExchangeView = View<EntrySections, ExchangeReads, EntryObservation>;
@@ -75,6 +76,7 @@
       'matches',
       'patience',
       'endpointRates',
+      'knownEndpoints',
       'exchanges',
       'acceptedReply',
     ],
@@ -359,6 +361,7 @@
     })),
     unspent: listUnspent(view, set, now),
     rates: listRates(view.board, set, now),
+    endpointsDigest: board.knownEndpoints.get(set)?.digest ?? 0,
   };
 }
 
--- a/scheduling/slotExchange/src/replyController.ts
+++ b/scheduling/slotExchange/src/replyController.ts
@@ -1,6 +1,8 @@
 import {defineEntryController} from '@gentianshunt/entryModel';
 import type {
+  EndpointList,
   EntryController,
+  EntryWrite,
   ExchangeState,
   GrantReply,
   ReplyMark,
@@ -9,21 +11,26 @@
 /** Creates the controller that accepts replies to the latest report only. */
 export function createReplyController(): EntryController {
   return defineEntryController<
-    'exchanges' | 'replyMarks',
-    'replyMarks' | 'acceptedReply'
+    'exchanges' | 'replyMarks' | 'knownEndpoints',
+    'replyMarks' | 'acceptedReply' | 'knownEndpoints'
   >({
     name: 'replies',
-    reads: ['exchanges', 'replyMarks'],
-    writes: ['replyMarks', 'acceptedReply'],
+    reads: ['exchanges', 'replyMarks', 'knownEndpoints'],
+    writes: ['replyMarks', 'acceptedReply', 'knownEndpoints'],
     observes: ['entryMessage'],
     run: ({observation, board}) => {
-      if (
-        observation?.kind !== 'entryMessage' ||
-        observation.message.kind !== 'grantReply'
-      ) {
+      if (observation?.kind !== 'entryMessage') {
         return [];
       }
-      const {reply} = observation.message;
+      const {message} = observation;
+      if (message.kind === 'endpointsListed') {
+        const known = board.knownEndpoints.get(message.list.set);
+        return keepList(known, message.list);
+      }
+      if (message.kind !== 'grantReply') {
+        return [];
+      }
+      const {reply} = message;
       const exchange = board.exchanges.get(reply.set);
       const mark = board.replyMarks.get(reply.set);
       if (!isCurrent(reply, exchange, mark)) {
@@ -42,6 +49,16 @@
   });
 }
 
+/** What an earlier leader said is out of date. */
+function keepList(
+  known: EndpointList | undefined,
+  list: EndpointList,
+): readonly EntryWrite<'knownEndpoints'>[] {
+  return known !== undefined && known.epoch > list.epoch
+    ? []
+    : [{kind: 'put', section: 'knownEndpoints', key: list.set, value: list}];
+}
+
 /** Late, repeated and superseded replies are dropped. */
 function isCurrent(
   reply: GrantReply,
--- a/scheduling/slotExchange/src/slotController.ts
+++ b/scheduling/slotExchange/src/slotController.ts
@@ -1,4 +1,5 @@
 import type {TurnTime, View} from '@gentianshunt/board';
+import type {Milliseconds} from '@gentianshunt/clock';
 import {findObject} from '@gentianshunt/configuration';
 import {
   ANY_ORGANISATION,
@@ -19,10 +20,18 @@
   Slot,
   SlotKey,
 } from '@gentianshunt/entryModel';
-import type {GrantId, RequestId} from '@gentianshunt/identifiers';
+import type {
+  EndpointSetId,
+  GrantId,
+  RequestId,
+} from '@gentianshunt/identifiers';
 import {isLimited} from '@gentianshunt/limits';
 
 import {listCandidates} from './lineOrder.js';
+import {isLeaderSilent, listLocalPlaces} from './localShare.js';
+
+/** How long a place that the entry took by itself may be used. */
+const LOCAL_SLOT_MS: Milliseconds = 500;
 
 type SlotReads =
   | 'configuration'
@@ -34,6 +43,10 @@
   | 'patience'
   | 'endpointRates'
   | 'acceptedReply'
+  | 'identity'
+  | 'control'
+  | 'knownEndpoints'
+  | 'running'
   | 'exchanges';
 type SlotWrites = 'slots' | 'matches';
 type SlotView = View<EntrySections, SlotReads, EntryObservation>;
@@ -53,6 +66,10 @@
       'patience',
       'endpointRates',
       'acceptedReply',
+      'identity',
+      'control',
+      'knownEndpoints',
+      'running',
       'exchanges',
     ],
     writes: ['slots', 'matches'],
@@ -61,6 +78,7 @@
       ...dropUsedMatches(view),
       ...dropExpiredSlots(view, now),
       ...takeGrants(view, now),
+      ...matchLocally(view, now),
     ],
   });
 }
@@ -135,6 +153,43 @@
   return [...lines.values()];
 }
 
+/** While the leader of a set is silent, the entry goes on with its part. */
+function matchLocally(view: SlotView, now: TurnTime): readonly SlotWrite[] {
+  const {leaderSilence} = view.board.identity;
+  const takesShare = leaderSilence?.kind === 'takeShare';
+  if (view.observation?.kind !== 'timerDue' || !takesShare) {
+    return [];
+  }
+  const sets = new Set<EndpointSetId>();
+  for (const {key} of view.board.lines.iterateFrom()) {
+    sets.add(key.set);
+  }
+  return [...sets]
+    .filter(set => isLeaderSilent(view.board, set, now))
+    .flatMap(set => matchSetLocally(view, set, now));
+}
+
+function matchSetLocally(
+  view: SlotView,
+  set: EndpointSetId,
+  now: TurnTime,
+): readonly SlotWrite[] {
+  const places = listLocalPlaces(view.board, set);
+  const waiting = Array.from(iterateLines(view.board.lines, set), ({key}) =>
+    listCandidates(view.board, key, now),
+  ).flat();
+  return waiting.slice(0, places.length).map(({request}, index) => ({
+    kind: 'put',
+    section: 'matches',
+    key: request.id,
+    value: {
+      grant: `${set}.local` as GrantId,
+      target: places[index]!.target,
+      deadline: now.monotonic + LOCAL_SLOT_MS,
+    },
+  }));
+}
+
 interface HeldSlot {
   readonly key: SlotKey;
   readonly slot: Slot;
