--- a/control/configuration/src/checkObject.ts
+++ b/control/configuration/src/checkObject.ts
@@ -87,7 +87,8 @@
       shares.reduce((sum, {weight}) => sum + weight, 0),
     ) ??
     checkPositive('timeoutMs', route.timeoutMs) ??
-    checkPositive('objectiveMs', route.objectiveMs)
+    checkPositive('objectiveMs', route.objectiveMs) ??
+    checkPositive('patienceMs', route.patienceMs)
   );
 }
 
--- a/control/configuration/src/objects.ts
+++ b/control/configuration/src/objects.ts
@@ -124,6 +124,8 @@
   readonly timeoutMs: number;
   /** Time to the first byte that callers expect, in milliseconds. */
   readonly objectiveMs: number;
+  /** Time without a byte after which callers leave, in milliseconds. */
+  readonly patienceMs: number;
   /** Whether calls without a key are taken. */
   readonly isAnonymous: boolean;
   /** Whether a broken stream may go on at another endpoint. */
--- a/fronts/entryWire/src/demandReportWire.ts
+++ b/fronts/entryWire/src/demandReportWire.ts
@@ -11,6 +11,8 @@
 
 /** Scores travel as whole numbers of this part of one. */
 const SCORE_SCALE = 1_000_000;
+/** Shares of one travel as whole numbers of this part. */
+const SHARE_SCALE = 1_000;
 const MICROSECONDS_PER_MILLISECOND = 1_000;
 
 /** Encodes a report as lists; names stand once and are then numbered. */
@@ -44,6 +46,11 @@
     Math.round(rate.decodeMsPerToken * MICROSECONDS_PER_MILLISECOND),
     Math.round(rate.ageMs),
   ]);
+  const troubles = (report.troubles ?? []).flatMap(trouble => [
+    endpoints.indexOf(trouble.endpoint),
+    Math.round(trouble.failureShare * SHARE_SCALE),
+    trouble.isUnreachable ? 1 : 0,
+  ]);
   return [
     report.set,
     report.epoch,
@@ -55,6 +62,7 @@
     unspent,
     rates,
     report.endpointsDigest ?? 0,
+    troubles,
   ];
 }
 
@@ -98,5 +106,14 @@
   }));
   const report = {set, epoch, sequence, waiting, running, unspent, rates};
   const endpointsDigest = reader.readCount();
-  return endpointsDigest === 0 ? report : {...report, endpointsDigest};
+  const troubles = readAll(reader.readList(), list => ({
+    endpoint: list.readFrom(endpoints),
+    failureShare: list.readCount() / SHARE_SCALE,
+    isUnreachable: list.readCount() === 1,
+  }));
+  return {
+    ...report,
+    ...(endpointsDigest === 0 ? {} : {endpointsDigest}),
+    ...(troubles.length === 0 ? {} : {troubles}),
+  };
 }
--- a/scheduling/entryModel/src/exchange.ts
+++ b/scheduling/entryModel/src/exchange.ts
@@ -57,6 +57,15 @@
   readonly ageMs: Milliseconds;
 }
 
+/** What an entry suffered at an endpoint lately. */
+export interface ReportedTrouble {
+  readonly endpoint: EndpointId;
+  /** Part of its dispatches that failed, with older ones fading. */
+  readonly failureShare: number;
+  /** Whether it could not be connected to within the last second. */
+  readonly isUnreachable: boolean;
+}
+
 /** Everything an entry holds of one set; a later report replaces it. */
 export interface DemandReport {
   readonly set: EndpointSetId;
@@ -67,6 +76,7 @@
   readonly running: readonly RunningCount[];
   readonly unspent: readonly UnspentSlots[];
   readonly rates: readonly ReportedRate[];
+  readonly troubles?: readonly ReportedTrouble[];
   /** Digest of the endpoints that the entry knows of; 0 for none. */
   readonly endpointsDigest?: number;
 }
--- a/scheduling/entryModel/src/request.ts
+++ b/scheduling/entryModel/src/request.ts
@@ -30,6 +30,8 @@
   readonly timeLimitMs: Milliseconds;
   /** Time to the first byte that the caller expects. */
   readonly objectiveMs: Milliseconds;
+  /** Time without a byte after which the caller leaves. */
+  readonly patienceMs: Milliseconds;
   /** Whether a broken stream may go on at another endpoint. */
   readonly isResumable: boolean;
   readonly isStream: boolean;
@@ -66,6 +68,8 @@
   readonly arrivedAt: MonotonicTime;
   /** Whether a call to a route may run more than once. */
   readonly isIdempotent?: boolean;
+  /** Whether it waited past its objective and stands behind its tier. */
+  readonly isLate?: boolean;
   /** Endpoints to which it was dispatched before, the latest last. */
   readonly tried?: readonly EndpointId[];
   /** Dispatches among them of which no byte left this process. */
--- a/scheduling/entryModel/src/sections.ts
+++ b/scheduling/entryModel/src/sections.ts
@@ -254,6 +254,17 @@
   readonly observedAt: MonotonicTime;
 }
 
+/** How an endpoint has treated this entry's dispatches. */
+export interface EndpointHealth {
+  readonly set: EndpointSetId;
+  readonly endpoint: EndpointId;
+  /** Part of the dispatches that failed, as a decaying average. */
+  readonly failureShare: number;
+  readonly observedAt: MonotonicTime;
+  /** When it could last not be connected to. */
+  readonly unreachableAt: MonotonicTime;
+}
+
 /** A claim that the control log has not answered yet. */
 export interface OpenClaim {
   readonly startedAt: MonotonicTime;
@@ -392,6 +403,7 @@
     shares: defineOrdered<ShareKey, number>(compareBy('set', 'organisation')),
     progress: defineMap<DispatchId, StreamProgress>(),
     endpointRates: defineMap<EndpointId, LearnedRate>(),
+    endpointHealth: defineMap<EndpointId, EndpointHealth>(),
     patience: defineMap<RequestClass, PatienceRecord>(),
     shedding: defineMap<EndpointSetId, boolean>(),
     commands: defineMap<RequestId, PendingCommand>(),
--- a/scheduling/entryNode/src/entryNode.ts
+++ b/scheduling/entryNode/src/entryNode.ts
@@ -21,6 +21,7 @@
   EntrySections,
 } from '@gentianshunt/entryModel';
 import {
+  createHealthController,
   createPatienceController,
   createRateController,
 } from '@gentianshunt/learning';
@@ -68,6 +69,7 @@
     createReplyController(),
     createPatienceController(),
     createRateController(),
+    createHealthController(),
     createLifecycleController(),
     createArrivalController(),
     createSlotController(),
--- a/scheduling/learning/src/index.ts
+++ b/scheduling/learning/src/index.ts
@@ -1,2 +1,3 @@
+export * from './healthController.js';
 export * from './patienceController.js';
 export * from './rateController.js';
--- a/scheduling/lifecycle/src/endRequest.ts
+++ b/scheduling/lifecycle/src/endRequest.ts
@@ -12,6 +12,19 @@
 /** Longest wait for the first byte of an answer. */
 export const FIRST_BYTE_TIMEOUT_MS: Milliseconds = 120_000;
 
+/** Objectives after which a call that may be repeated goes elsewhere. */
+export const SILENT_OBJECTIVES = 2;
+
+/** A call that cannot be repeated is left to its endpoint. */
+function readSilenceLimit(
+  {terms}: AdmittedRequest,
+  {isRepeatable}: Dispatch,
+): Milliseconds {
+  return terms !== undefined && isRepeatable === true
+    ? SILENT_OBJECTIVES * terms.objectiveMs
+    : FIRST_BYTE_TIMEOUT_MS;
+}
+
 /** Removes a request and reports how it ended. */
 export function endRequest(
   draft: RequestDraft,
@@ -43,7 +56,7 @@
   now: TurnTime,
   mayHaveRun = false,
 ): void {
-  const silentAt = now.monotonic + FIRST_BYTE_TIMEOUT_MS;
+  const silentAt = now.monotonic + readSilenceLimit(request, dispatch);
   draft.move({
     kind: 'dispatched',
     request,
--- a/scheduling/lifecycle/src/lifecycleController.ts
+++ b/scheduling/lifecycle/src/lifecycleController.ts
@@ -6,6 +6,7 @@
 import {admitRequest} from './admitRequest.js';
 import {handleClaimAnswer, repeatClaims} from './claims.js';
 import {handleMatches, handleShedOrders} from './matches.js';
+import {handleOverdue} from './overdue.js';
 import {createRequestDraft} from './requestDraft.js';
 import type {
   LifecycleReads,
@@ -118,6 +119,7 @@
         repeatClaims(view, draft, now);
         repeatSettlements(view, draft, now);
         endSilentStreams(view, draft, now);
+        handleOverdue(view, draft, now);
       }
       return;
     default:
--- a/scheduling/lifecycle/src/streams.ts
+++ b/scheduling/lifecycle/src/streams.ts
@@ -275,6 +275,11 @@
     const state = draft.read(value);
     if (state?.kind === 'dispatched' || state?.kind === 'answering') {
       draft.order({kind: 'cancelStream', dispatch: state.dispatch});
+      const {request} = state;
+      if (request.isIdempotent && canRepeat(view, draft, request, now)) {
+        requeue(view, draft, state, true, now);
+        continue;
+      }
       const reason = {kind: 'answerCut', detail: 'endpoint silent'} as const;
       const refusal = failDispatched(state.request.id, reason);
       fail(view, draft, state, refusal, {kind: 'unknown'}, now);
--- a/scheduling/policy/src/dispatchOrder.ts
+++ b/scheduling/policy/src/dispatchOrder.ts
@@ -26,6 +26,18 @@
   return (value * survival) / Math.max(1, costMs);
 }
 
+/** What the place of a call to a route depends on. */
+export interface CallBet {
+  readonly waitedMs: Milliseconds;
+  /** Time to the first byte that the caller expects. */
+  readonly objectiveMs: Milliseconds;
+}
+
+/** Calls go in the order in which they use up their objective. */
+export function scoreCall({waitedMs, objectiveMs}: CallBet): number {
+  return waitedMs / Math.max(1, objectiveMs);
+}
+
 /**
  * Tells whether a request goes ahead. The callers who leave early do so while
  * the request waits, at no cost; those who stay longer are the better bet.
--- a/scheduling/policy/src/shedding.ts
+++ b/scheduling/policy/src/shedding.ts
@@ -44,7 +44,7 @@
   if (input.slots === 0 || total <= perSlot * input.slots) {
     return {shedding: false, shed: []};
   }
-  const lowest = input.waiting.filter(({rank}) => rank === input.lowestRank);
+  const lowest = input.waiting.filter(({rank}) => rank >= input.lowestRank);
   const excess = total - SHED_UNTIL_PER_SLOT * input.slots;
   return {shedding: true, shed: takeLargest(lowest, excess)};
 }
--- a/scheduling/routing/src/resolveCall.ts
+++ b/scheduling/routing/src/resolveCall.ts
@@ -85,6 +85,7 @@
   const {size} = call;
   const tokens = size && size.promptTokens + size.maxAnswerTokens;
   const {timeoutMs} = route;
+  const timeLimitMs = Math.min(timeoutMs, call.timeLeftMs ?? timeoutMs);
   return {
     id: call.id,
     organisation: organisation.id,
@@ -98,8 +99,9 @@
     terms: {
       route: route.id,
       maxAttempts: route.maxAttempts,
-      timeLimitMs: Math.min(timeoutMs, call.timeLeftMs ?? timeoutMs),
+      timeLimitMs,
       objectiveMs: route.objectiveMs,
+      patienceMs: Math.min(route.patienceMs, timeLimitMs),
       isResumable: route.isResumable,
       isStream: route.isStream,
       allotmentTokens: tokens ?? organisation.limits.tokens?.defaultTokens ?? 0,
--- a/scheduling/setLeader/src/grantController.ts
+++ b/scheduling/setLeader/src/grantController.ts
@@ -23,10 +23,15 @@
 
 import {
   decideShedding,
+  decideTrust,
   limitConcurrency,
   limitCredit,
+  PROBE_CONCURRENCY,
   readMiddleRate,
+  TROUBLED_RATE_FACTOR,
 } from '@gentianshunt/policy';
+import type {EndpointTrust} from '@gentianshunt/policy';
+import {assertNever} from '@gentianshunt/errors';
 import {limitLines} from '@gentianshunt/limits';
 
 import {allocateSlots, countOccupied} from './allocation.js';
@@ -41,6 +46,7 @@
   listOpenLines,
   listWaitingOrganisations,
   mergeRates,
+  mergeTroubles,
 } from './openLines.js';
 import {NOTHING_DECIDED, replyTo} from './grantReply.js';
 import type {Decided} from './grantReply.js';
@@ -221,24 +227,38 @@
   ]);
   const rates = mergeRates(records);
   const middle = readMiddleRate([...rates.values()]);
+  const troubles = mergeTroubles(records);
   return [...iterateEndpoints(view.board.endpoints, set)]
     .filter(
       ({key, value}) =>
         value.state === 'active' && !isDraining(view, key.endpoint),
     )
-    .map(({value}) => ({
-      target: {
-        endpoint: value.announcement.endpoint,
-        url: value.announcement.url,
-      },
-      concurrency: limitConcurrency(
-        value.announcement.concurrency,
-        rates.get(value.announcement.endpoint) ?? middle,
-        middle,
-      ),
-      rate: rates.get(value.announcement.endpoint) ?? middle,
-      occupied: occupied.get(value.announcement.endpoint) ?? 0,
-    }));
+    .map(({value: {announcement}}) => {
+      const {endpoint, url, concurrency} = announcement;
+      const rate = rates.get(endpoint) ?? middle;
+      const trust = decideTrust(troubles.get(endpoint));
+      const useful = limitConcurrency(concurrency, rate, middle);
+      return {
+        target: {endpoint, url},
+        concurrency: limitByTrust(useful, trust),
+        rate: trust === 'full' ? rate : rate * TROUBLED_RATE_FACTOR,
+        occupied: occupied.get(endpoint) ?? 0,
+      };
+    });
+}
+
+/** Places of an endpoint that may be used, as far as it is trusted. */
+function limitByTrust(concurrency: number, trust: EndpointTrust): number {
+  switch (trust) {
+    case 'full':
+      return concurrency;
+    case 'probe':
+      return Math.min(PROBE_CONCURRENCY, concurrency);
+    case 'none':
+      return 0;
+    default:
+      return assertNever(trust, 'limitByTrust');
+  }
 }
 
 function isDraining(view: GrantView, endpoint: EndpointId): boolean {
--- a/scheduling/setLeader/src/openLines.ts
+++ b/scheduling/setLeader/src/openLines.ts
@@ -9,7 +9,7 @@
   NodeId,
   OrganisationId,
 } from '@gentianshunt/identifiers';
-import type {WaitingCount} from '@gentianshunt/policy';
+import type {TroubleVerdict, WaitingCount} from '@gentianshunt/policy';
 
 import type {AllocatedSlot, EntryLine} from './allocation.js';
 
@@ -82,6 +82,24 @@
   );
 }
 
+/** Joins what the entries say went wrong at the endpoints. */
+export function mergeTroubles(
+  records: readonly ReportRecord[],
+): ReadonlyMap<EndpointId, TroubleVerdict> {
+  const verdicts = new Map<EndpointId, TroubleVerdict>();
+  for (const {report} of records) {
+    for (const trouble of report.troubles ?? []) {
+      const known = verdicts.get(trouble.endpoint);
+      const unreachableBy = known?.unreachableBy ?? 0;
+      verdicts.set(trouble.endpoint, {
+        failureShare: Math.max(known?.failureShare ?? 0, trouble.failureShare),
+        unreachableBy: unreachableBy + (trouble.isUnreachable ? 1 : 0),
+      });
+    }
+  }
+  return verdicts;
+}
+
 /** Lists the organisations that have requests waiting, each once. */
 export function listWaitingOrganisations(
   records: readonly ReportRecord[],
--- a/scheduling/slotExchange/src/exchangeController.ts
+++ b/scheduling/slotExchange/src/exchangeController.ts
@@ -25,7 +25,7 @@
 import type {EndpointSetId} from '@gentianshunt/identifiers';
 
 import {estimateExpected} from './arrivalController.js';
-import {describeLine, listRates} from './lineReport.js';
+import {describeLine, listRates, listTroubles} from './lineReport.js';
 
 /** Least time between two reports for one set while slots are wanted. */
 export const MIN_REPORT_INTERVAL_MS: Milliseconds = 2;
@@ -54,6 +54,7 @@
   | 'matches'
   | 'patience'
   | 'endpointRates'
+  | 'endpointHealth'
   | 'knownEndpoints'
   | 'exchanges'
   | 'acceptedReply';
@@ -76,6 +77,7 @@
       'matches',
       'patience',
       'endpointRates',
+      'endpointHealth',
       'knownEndpoints',
       'exchanges',
       'acceptedReply',
@@ -361,6 +363,7 @@
     })),
     unspent: listUnspent(view, set, now),
     rates: listRates(view.board, set, now),
+    troubles: listTroubles(view.board, set, now),
     endpointsDigest: board.knownEndpoints.get(set)?.digest ?? 0,
   };
 }
--- a/scheduling/slotExchange/src/lineOrder.ts
+++ b/scheduling/slotExchange/src/lineOrder.ts
@@ -14,6 +14,7 @@
   isReady,
   isReadyEarly,
   scoreBet,
+  scoreCall,
   toGeneralClass,
   toRequestClass,
 } from '@gentianshunt/policy';
@@ -90,6 +91,13 @@
 ): Candidate {
   const work = estimateWork(request, rates);
   const waitedMs = now.monotonic - request.arrivedAt;
+  const {terms} = request;
+  if (terms !== undefined) {
+    const {objectiveMs} = terms;
+    const score = scoreCall({waitedMs, objectiveMs});
+    const {costMs} = work;
+    return {request, ready: true, readyEarly: true, score, costMs};
+  }
   const survival = estimateSurvival({
     own: board.patience.get(toRequestClass(request)),
     general: board.patience.get(toGeneralClass(request)),
--- a/scheduling/slotExchange/src/lineReport.ts
+++ b/scheduling/slotExchange/src/lineReport.ts
@@ -1,12 +1,15 @@
-import type {TurnTime} from '@gentianshunt/board';
+import type {BoardView, TurnTime} from '@gentianshunt/board';
 import type {Milliseconds} from '@gentianshunt/clock';
 import {iterateWaiting} from '@gentianshunt/entryModel';
 import type {
+  EntrySections,
   LineKey,
   ReportedRate,
+  ReportedTrouble,
   WaitingLine,
 } from '@gentianshunt/entryModel';
 import type {EndpointSetId} from '@gentianshunt/identifiers';
+import {fadeTrouble, UNREACHABLE_MS} from '@gentianshunt/policy';
 
 import {listCandidates} from './lineOrder.js';
 import type {LineSections} from './lineOrder.js';
@@ -26,6 +29,28 @@
     }));
 }
 
+/** Troubles below this share are not worth telling. */
+const MIN_TOLD_SHARE = 0.1;
+
+/** Lists what went wrong at the endpoints of a set lately. */
+export function listTroubles(
+  board: Pick<BoardView<EntrySections>, 'endpointHealth'>,
+  set: EndpointSetId,
+  now: TurnTime,
+): readonly ReportedTrouble[] {
+  const troubles: ReportedTrouble[] = [];
+  for (const health of board.endpointHealth.values()) {
+    const {endpoint, observedAt, unreachableAt} = health;
+    const ageMs = now.monotonic - observedAt;
+    const failureShare = fadeTrouble(health.failureShare, ageMs);
+    const isUnreachable = now.monotonic - unreachableAt < UNREACHABLE_MS;
+    if (health.set === set && (isUnreachable || failureShare >= MIN_TOLD_SHARE)) {
+      troubles.push({endpoint, failureShare, isUnreachable});
+    }
+  }
+  return troubles;
+}
+
 /** Describes the requests of a line to the set leader. */
 export function describeLine(
   board: LineSections,
