--- a/bench/matrix/src/controlHost.ts
+++ b/bench/matrix/src/controlHost.ts
@@ -175,6 +175,8 @@
       );
       return;
     }
+    case 'tell':
+      return;
     case 'halt':
       process.kill();
       return;
--- a/bench/matrix/src/entryHost.ts
+++ b/bench/matrix/src/entryHost.ts
@@ -226,7 +226,8 @@
       return;
     case 'sendEndpointOrder':
     case 'redirectEntry':
-      // No cell gives orders to endpoints or asks an entry for the members.
+    case 'tell':
+      // No cell gives orders to endpoints, asks for members or reads logs.
       return;
     case 'exit':
       exit(options, state);
--- a/bench/policyBench/src/entryCluster.ts
+++ b/bench/policyBench/src/entryCluster.ts
@@ -194,6 +194,7 @@
   switch (order.kind) {
     case 'resumeStream':
     case 'redirectEntry':
+    case 'tell':
     case 'sendEndpointOrder':
     case 'answerAddresses':
     case 'repeatAnswer':
--- a/bench/virtualEntry/src/virtualEntries.ts
+++ b/bench/virtualEntry/src/virtualEntries.ts
@@ -136,6 +136,7 @@
       case 'answerAddresses':
       case 'sendEndpointOrder':
       case 'redirectEntry':
+      case 'tell':
       case 'answerOperator':
       case 'recordEnd':
       case 'exit':
--- a/cli/deployment/src/childProcess.ts
+++ b/cli/deployment/src/childProcess.ts
@@ -60,10 +60,14 @@
     };
     const timer = setTimeout(() => fail('timed out'), READY_TIMEOUT_MS);
     child.once('exit', code => fail(`exit code ${code}`));
-    createInterface({input: child.stdout!}).once('line', line => {
-      clearTimeout(timer);
-      child.removeAllListeners('exit');
-      resolve(JSON.parse(line) as Readonly<Record<string, unknown>>);
+    // The lines of the log stand around the one that is awaited.
+    createInterface({input: child.stdout!}).on('line', line => {
+      const record = JSON.parse(line) as Readonly<Record<string, unknown>>;
+      if (record['ready'] === true) {
+        clearTimeout(timer);
+        child.removeAllListeners('exit');
+        resolve(record);
+      }
     });
   });
 }
--- /dev/null
+++ b/control/controlLog/src/index.ts
@@ -0,0 +1,1 @@
+export * from './controlLog.js';
--- a/control/controlModel/src/index.ts
+++ b/control/controlModel/src/index.ts
@@ -1,5 +1,6 @@
 export * from './claimId.js';
 export * from './commandNumbers.js';
+export * from './decision.js';
 export * from './observation.js';
 export * from './order.js';
 export * from './role.js';
--- a/control/controlModel/src/order.ts
+++ b/control/controlModel/src/order.ts
@@ -11,6 +11,7 @@
 } from '@gentianshunt/messages';
 import type {NodeId} from '@gentianshunt/identifiers';
 
+import type {ControlDecision} from './decision.js';
 import type {ControlTimer} from './observation.js';
 import type {Ballot} from './role.js';
 
@@ -71,4 +72,6 @@
       readonly timer: ControlTimer;
       readonly delayMs: Milliseconds;
     }
+  /** Tells of a decision; losing it changes nothing. */
+  | {readonly kind: 'tell'; readonly decision: ControlDecision}
   | {readonly kind: 'halt'; readonly reason: HaltReason};
--- a/control/controlModel/src/sections.ts
+++ b/control/controlModel/src/sections.ts
@@ -126,6 +126,25 @@
   readonly lastIndex: LogIndex;
 }
 
+/** What the decision log has told of the member's standing. */
+export interface ToldState {
+  readonly role: Role['kind'] | null;
+  readonly term: number;
+  readonly leader: NodeId | null;
+  readonly membersIndex: LogIndex;
+  readonly release: number;
+  readonly sessions: ReadonlySet<NodeId>;
+}
+
+const NOTHING_TOLD: ToldState = {
+  role: null,
+  term: 0,
+  leader: null,
+  membersIndex: -1,
+  release: -1,
+  sessions: new Set(),
+};
+
 /** Creates the sections of a control daemon's board. */
 export function createControlSections(identity: ControlIdentity) {
   return {
@@ -210,6 +229,8 @@
     vacancies: defineMap<EndpointSetId, Vacancy>(),
     wantedAssignments: defineCell<readonly WantedAssignment[]>([]),
     pending: defineMap<PendingKey, PendingReply>(),
+    /** What the decision log has told last. */
+    told: defineCell<ToldState>(NOTHING_TOLD),
   };
 }
 
--- a/control/controlNode/src/controlNode.ts
+++ b/control/controlNode/src/controlNode.ts
@@ -5,6 +5,7 @@
   createConsensusController,
   createMemberChangeController,
 } from '@gentianshunt/consensus';
+import {createControlLog} from '@gentianshunt/controlLog';
 import {createControlSections} from '@gentianshunt/controlModel';
 import type {
   ControlController,
@@ -51,6 +52,7 @@
     createCaptureController(capture),
     createSessionController(),
     createAssignmentController(),
+    createControlLog(),
   ];
 }
 
--- a/control/controlNode/test/memberFixture.ts
+++ b/control/controlNode/test/memberFixture.ts
@@ -101,6 +101,8 @@
         });
         return;
       }
+      case 'tell':
+        return;
       case 'halt':
         haltReason = order.reason;
         return;
--- a/daemons/controld/src/controld.ts
+++ b/daemons/controld/src/controld.ts
@@ -9,7 +9,6 @@
 import {fastify} from 'fastify';
 import type {FastifyInstance} from 'fastify';
 
-const logger = createLogger({namespace: 'controld'});
 
 /** What a control daemon needs. */
 export interface ControldOptions {
@@ -28,6 +27,7 @@
   options: ControldOptions,
 ): Promise<Controld> {
   const {settings, onFailed} = options;
+  const logger = createLogger({node: settings.node});
   let host: ControlHost | undefined = undefined;
   const links = await createPeerLinks({
     self: settings.node,
@@ -50,17 +50,25 @@
     },
     // Entries connect to the control daemons, never the other way round.
     sendEntry: (to, message) => links.send(to, undefined, message),
+    tell: decision => logger.write({kind: 'controlDecided', decision}),
     onHalted: reason =>
       onFailed(new DataFolderRefusedError(settings.data_folder, reason)),
-    onFailed,
+    onFailed: error => {
+      logger.write({kind: 'diskFailed', error});
+      logger.flush();
+      onFailed(error);
+    },
   });
   const {node, close} = host;
   const server = await listenForHealth(settings, node);
+  logger.write({kind: 'daemonReady', node: settings.node});
   return {
     close: async () => {
       await server?.close();
       await links.close();
       await close();
+      logger.write({kind: 'daemonStopped', exitCode: 0});
+      logger.flush();
     },
   };
 }
--- a/daemons/entryd/src/entryd.ts
+++ b/daemons/entryd/src/entryd.ts
@@ -27,7 +27,6 @@
 
 import {createOpenResponses} from './openResponses.js';
 
-const logger = createLogger({namespace: 'entryd'});
 
 /** Bytes of request bodies held before new ones are left unread. */
 const MAX_HELD_BODY_BYTES = 256 * 1024 * 1024;
@@ -50,6 +49,7 @@
 /** Starts an entry daemon: its fronts, its links and its control loop. */
 export async function createEntryd(options: EntrydOptions): Promise<Entryd> {
   const {settings} = options;
+  const logger = createLogger({node: settings.node});
   const clock = createSystemClock();
   const server = fastify({
     bodyLimit: settings.limits.max_body_bytes,
@@ -112,8 +112,19 @@
     drawRequestId: drawIdentifier,
   });
   const metrics = createEntryMetrics();
+  const exit = (): void => {
+    logger.write({kind: 'daemonStopped', exitCode: 0});
+    logger.flush();
+    options.onExit();
+  };
   adapters = {
-    performFront: callers.perform,
+    performFront: order => {
+      callers.perform(order);
+      if (order.kind === 'refuseCaller') {
+        logger.write({kind: 'requestRefused', refusal: order.refusal});
+      }
+    },
+    tell: decision => logger.write({kind: 'entryDecided', decision}),
     answerOperator: operators.answer,
     sendEntry: (to, address, message) =>
       links.send(to, address, encodeEntryMessage(message)),
@@ -126,7 +137,7 @@
       metrics.recordEnd(order);
       logger.write({kind: 'requestEnded', end: order});
     },
-    exit: () => void responses.drain().then(options.onExit),
+    exit: () => void responses.drain().then(exit),
   };
   createEndpointFront({
     server,
@@ -147,9 +158,10 @@
     httpPort: settings.http.port,
     shutdown: () => {
       if (node.view.service.kind === 'draining') {
-        options.onExit();
+        exit();
         return;
       }
+      logger.write({kind: 'daemonStopping', cause: 'shutdown'});
       post({kind: 'shutdownRequested'});
     },
     close: async () => {
--- a/daemons/hosts/src/controlHost.ts
+++ b/daemons/hosts/src/controlHost.ts
@@ -1,6 +1,7 @@
 import type {Clock} from '@gentianshunt/clock';
 import type {
   Admission,
+  ControlDecision,
   ControlObservation,
   ControlOrder,
   ControlTimer,
@@ -35,6 +36,8 @@
   readonly clock: Clock;
   readonly sendMember: (to: NodeId, envelope: ConsensusEnvelope) => void;
   readonly sendEntry: (to: NodeId, message: ControlToEntry) => void;
+  /** Writes a decision to the log. */
+  readonly tell: (decision: ControlDecision) => void;
   /** Called when the member must not go on with its folder. */
   readonly onHalted: (reason: HaltReason) => void;
   /** Called when the disk failed; nothing further is written. */
@@ -134,6 +137,9 @@
     case 'setTimer':
       setTimer(order.timer, order.delayMs);
       return;
+    case 'tell':
+      options.tell(order.decision);
+      return;
     case 'halt':
       options.onHalted(order.reason);
       return;
--- a/daemons/hosts/src/entryHost.ts
+++ b/daemons/hosts/src/entryHost.ts
@@ -2,6 +2,7 @@
 import {createEntryNode} from '@gentianshunt/entryNode';
 import type {EntryNode} from '@gentianshunt/entryNode';
 import type {
+  EntryDecision,
   EntryIdentity,
   EntryMessage,
   EntryObservation,
@@ -46,6 +47,8 @@
     run: Extract<EntryOrder, {kind: 'sendEndpointOrder'}>['run'],
   ): void;
   setTimer(timer: EntryTimer, delayMs: Milliseconds): void;
+  /** Writes a decision to the log. */
+  tell(decision: EntryDecision): void;
   recordEnd(order: Extract<EntryOrder, {kind: 'recordEnd'}>): void;
   /** Ends the daemon once nothing is on its way to a caller. */
   exit(): void;
@@ -126,6 +129,9 @@
     case 'sendEndpointOrder':
       adapters.sendEndpointOrder(order.run);
       return;
+    case 'tell':
+      adapters.tell(order.decision);
+      return;
     case 'exit':
       adapters.exit();
       return;
--- /dev/null
+++ b/scheduling/decisionLog/src/decisionLog.ts
@@ -0,0 +1,267 @@
+import type {TurnTime, View} from '@gentianshunt/board';
+import {findObject, RELEASE_ID} from '@gentianshunt/configuration';
+import type {ObjectKey} from '@gentianshunt/configuration';
+import {defineEntryController} from '@gentianshunt/entryModel';
+import type {
+  EndpointKey,
+  EntryController,
+  EntryDecision,
+  EntryObservation,
+  EntrySections,
+  EntryWrite,
+  RequestState,
+  ToldState,
+} from '@gentianshunt/entryModel';
+import type {EndpointSetId, RequestId} from '@gentianshunt/identifiers';
+
+type LogReads =
+  | 'requests'
+  | 'control'
+  | 'configuration'
+  | 'endpoints'
+  | 'knownEndpoints'
+  | 'service'
+  | 'told';
+type LogView = View<EntrySections, LogReads, EntryObservation>;
+type LogWrite = EntryWrite<'told'>;
+
+/** Creates the controller that tells of the decisions of the others. */
+export function createDecisionLog(): EntryController {
+  return defineEntryController<LogReads, 'told'>({
+    name: 'decisionLog',
+    reads: [
+      'requests',
+      'control',
+      'configuration',
+      'endpoints',
+      'knownEndpoints',
+      'service',
+      'told',
+    ],
+    writes: ['told'],
+    observes: ['timerDue'],
+    run: (view, now) => {
+      const before = view.board.told;
+      const after = readStanding(view, now);
+      const decisions = [
+        ...listRequestDecisions(view, now),
+        ...listStandingDecisions(view, before, after, now),
+        ...listEndpointDecisions(view, before, now),
+        ...listKnowledge(view),
+      ];
+      const told = {...after, endpoints: readEndpoints(view, before)};
+      return [
+        ...decisions.map((decision): LogWrite => ({
+          kind: 'order',
+          order: {kind: 'tell', decision},
+        })),
+        ...(isSame(before, told)
+          ? []
+          : [{kind: 'set', section: 'told', value: told} as const]),
+      ];
+    },
+  });
+}
+
+function isSame(left: ToldState, right: ToldState): boolean {
+  return (
+    left.leader === right.leader &&
+    left.version === right.version &&
+    left.hasLease === right.hasLease &&
+    left.endpoints === right.endpoints
+  );
+}
+
+type Standing = Omit<ToldState, 'endpoints'>;
+
+function readStanding({board}: LogView, now: TurnTime): Standing {
+  const {leader, version, leaseUntil} = board.control;
+  return {leader, version, hasLease: leaseUntil > now.monotonic};
+}
+
+function listRequestDecisions(
+  view: LogView,
+  now: TurnTime,
+): readonly EntryDecision[] {
+  return [...view.readChanges('requests')].flatMap(key => {
+    const state = view.board.requests.get(key as RequestId);
+    return state === undefined ? [] : listStateDecisions(view, state, now);
+  });
+}
+
+function listStateDecisions(
+  {board}: LogView,
+  state: RequestState,
+  now: TurnTime,
+): readonly EntryDecision[] {
+  const {request} = state;
+  const {id, set, organisation, rank, tried = []} = request;
+  const waitedMs = now.monotonic - request.arrivedAt;
+  switch (state.kind) {
+    case 'dispatched': {
+      const {dispatch} = state;
+      // A state that moved on in place was told when it began.
+      return dispatch.at < now.monotonic
+        ? []
+        : [
+            {
+              kind: 'requestDispatched',
+              request: id,
+              set,
+              organisation,
+              rank,
+              endpoint: dispatch.target.endpoint,
+              grant: dispatch.grant,
+              attempt: tried.length + 1,
+              waitedMs,
+              isRepeatable: dispatch.isRepeatable === true,
+              configurationVersion: board.control.version,
+            },
+          ];
+    }
+    case 'waiting':
+    case 'repeating': {
+      const endpoint = tried[tried.length - 1];
+      const mayHaveRun = state.kind === 'repeating';
+      return endpoint === undefined || request.isLate === true
+        ? []
+        : [
+            {
+              kind: 'requestRequeued',
+              request: id,
+              set,
+              endpoint,
+              attempts: tried.length,
+              mayHaveRun,
+              waitedMs,
+            },
+          ];
+    }
+    case 'claiming':
+    case 'awaitingOutcome':
+    case 'answering':
+      return [];
+  }
+}
+
+function listStandingDecisions(
+  view: LogView,
+  before: Standing,
+  after: Standing,
+  now: TurnTime,
+): readonly EntryDecision[] {
+  const decisions: EntryDecision[] = [];
+  const {leader, version: configurationVersion} = after;
+  if (before.leader !== leader) {
+    const from = before.leader;
+    decisions.push({kind: 'controlLeaderChanged', from, to: leader});
+  }
+  if (before.version !== configurationVersion) {
+    const {configuration} = view.board;
+    const release = findObject(configuration, 'release', RELEASE_ID);
+    decisions.push({
+      kind: 'configurationApplied',
+      configurationVersion,
+      release: release?.version ?? null,
+    });
+  }
+  if (before.hasLease && !after.hasLease) {
+    const expiredMs = now.monotonic - view.board.control.leaseUntil;
+    decisions.push({
+      kind: 'leaseLost',
+      leader,
+      expiredMs,
+      configurationVersion,
+    });
+  }
+  if (!before.hasLease && after.hasLease) {
+    decisions.push({kind: 'leaseRegained', leader, configurationVersion});
+  }
+  if (view.readChanges('service').size > 0) {
+    const {kind: state} = view.board.service;
+    decisions.push({kind: 'serviceChanged', state});
+  }
+  return decisions;
+}
+
+function readEndpoints(
+  view: LogView,
+  before: ToldState,
+): ToldState['endpoints'] {
+  const changed = view.readChanges('endpoints');
+  if (changed.size === 0) {
+    return before.endpoints;
+  }
+  const states = new Map(before.endpoints);
+  for (const each of changed) {
+    const key = each as EndpointKey;
+    const record = view.board.endpoints.get(key);
+    if (record === undefined) {
+      states.delete(key.endpoint);
+    } else {
+      states.set(key.endpoint, record.state);
+    }
+  }
+  return states;
+}
+
+/** A heartbeat that changes nothing is not told. */
+function listEndpointDecisions(
+  view: LogView,
+  before: ToldState,
+  now: TurnTime,
+): readonly EntryDecision[] {
+  return [...view.readChanges('endpoints')].flatMap(each => {
+    const {set, endpoint} = each as EndpointKey;
+    const record = view.board.endpoints.get({set, endpoint});
+    const state = record?.state ?? 'forgotten';
+    const known = before.endpoints.get(endpoint) ?? 'forgotten';
+    return known === state
+      ? []
+      : [
+          {
+            kind: 'endpointChanged',
+            set,
+            endpoint,
+            state,
+            sequence: record?.announcement.order?.sequence ?? null,
+            silentMs: record ? now.monotonic - record.seenAt : 0,
+          },
+        ];
+  });
+}
+
+function listKnowledge(view: LogView): readonly EntryDecision[] {
+  const leaders = [...view.readChanges('configuration')].flatMap(
+    (key): readonly EntryDecision[] => {
+      const object = view.board.configuration.get(key as ObjectKey);
+      return object?.kind === 'setLeadership'
+        ? [
+            {
+              kind: 'setLeaderChanged',
+              set: object.id,
+              node: object.node,
+              epoch: object.epoch,
+            },
+          ]
+        : [];
+    },
+  );
+  const lists = [...view.readChanges('knownEndpoints')].flatMap(
+    (key): readonly EntryDecision[] => {
+      const list = view.board.knownEndpoints.get(key as EndpointSetId);
+      return list === undefined
+        ? []
+        : [
+            {
+              kind: 'endpointsLearnt',
+              set: list.set,
+              epoch: list.epoch,
+              digest: list.digest,
+              count: list.endpoints.length,
+            },
+          ];
+    },
+  );
+  return [...leaders, ...lists];
+}
--- /dev/null
+++ b/scheduling/decisionLog/src/index.ts
@@ -0,0 +1,1 @@
+export * from './decisionLog.js';
--- /dev/null
+++ b/scheduling/entryModel/src/decision.ts
@@ -0,0 +1,82 @@
+import type {Milliseconds} from '@gentianshunt/clock';
+import type {
+  EndpointId,
+  EndpointSetId,
+  GrantId,
+  NodeId,
+  OrganisationId,
+  RequestId,
+} from '@gentianshunt/identifiers';
+
+import type {EndpointRecord} from './endpointRecord.js';
+
+/** What an entry decided, or came to believe, with what decided it. */
+export type EntryDecision =
+  | {
+      readonly kind: 'requestDispatched';
+      readonly request: RequestId;
+      readonly set: EndpointSetId;
+      readonly organisation: OrganisationId;
+      readonly rank: number;
+      readonly endpoint: EndpointId;
+      /** Names the leader's epoch and the report that it answered. */
+      readonly grant: GrantId;
+      readonly attempt: number;
+      readonly waitedMs: Milliseconds;
+      readonly isRepeatable: boolean;
+      readonly configurationVersion: number;
+    }
+  | {
+      readonly kind: 'requestRequeued';
+      readonly request: RequestId;
+      readonly set: EndpointSetId;
+      /** The endpoint that did not answer it. */
+      readonly endpoint: EndpointId;
+      readonly attempts: number;
+      readonly mayHaveRun: boolean;
+      readonly waitedMs: Milliseconds;
+    }
+  | {
+      readonly kind: 'leaseLost';
+      readonly leader: NodeId | null;
+      readonly expiredMs: Milliseconds;
+      readonly configurationVersion: number;
+    }
+  | {
+      readonly kind: 'leaseRegained';
+      readonly leader: NodeId | null;
+      readonly configurationVersion: number;
+    }
+  | {
+      readonly kind: 'controlLeaderChanged';
+      readonly from: NodeId | null;
+      readonly to: NodeId | null;
+    }
+  | {
+      readonly kind: 'configurationApplied';
+      readonly configurationVersion: number;
+      /** The operator's version. */
+      readonly release: number | null;
+    }
+  | {
+      readonly kind: 'setLeaderChanged';
+      readonly set: EndpointSetId;
+      readonly node: NodeId;
+      readonly epoch: number;
+    }
+  | {
+      readonly kind: 'endpointChanged';
+      readonly set: EndpointSetId;
+      readonly endpoint: EndpointId;
+      readonly state: EndpointRecord['state'] | 'forgotten';
+      readonly sequence: number | null;
+      readonly silentMs: Milliseconds;
+    }
+  | {
+      readonly kind: 'endpointsLearnt';
+      readonly set: EndpointSetId;
+      readonly epoch: number;
+      readonly digest: number;
+      readonly count: number;
+    }
+  | {readonly kind: 'serviceChanged'; readonly state: 'serving' | 'draining'};
--- a/scheduling/entryModel/src/index.ts
+++ b/scheduling/entryModel/src/index.ts
@@ -1,5 +1,7 @@
+export * from './decision.js';
 export * from './endpoint.js';
 export * from './endpointOrder.js';
+export * from './endpointRecord.js';
 export * from './entryController.js';
 export * from './exchange.js';
 export * from './iterateSet.js';
--- a/scheduling/entryModel/src/order.ts
+++ b/scheduling/entryModel/src/order.ts
@@ -7,6 +7,7 @@
 } from '@gentianshunt/messages';
 import type {NodeId, RequestId} from '@gentianshunt/identifiers';
 
+import type {EntryDecision} from './decision.js';
 import type {OrderRun} from './endpointOrder.js';
 import type {EntryMessage} from './exchange.js';
 import type {CommandProgress, EntryTimer} from './observation.js';
@@ -87,4 +88,6 @@
       /** Entries in the order in which to try them. */
       readonly addresses: readonly EntryAddress[];
     }
+  /** Tells of a decision; losing it changes nothing. */
+  | {readonly kind: 'tell'; readonly decision: EntryDecision}
   | {readonly kind: 'exit'};
--- a/scheduling/entryModel/src/sections.ts
+++ b/scheduling/entryModel/src/sections.ts
@@ -38,7 +38,7 @@
   RequestId,
 } from '@gentianshunt/identifiers';
 
-import type {EndpointAnnouncement} from './endpoint.js';
+import type {EndpointRecord} from './endpointRecord.js';
 import type {OrderEpoch, OrderRunState} from './endpointOrder.js';
 import type {
   EndpointList,
@@ -187,15 +187,6 @@
   readonly grantsFrom: MonotonicTime;
 }
 
-/** An endpoint as the leader of its set knows it. */
-export interface EndpointRecord {
-  readonly announcement: EndpointAnnouncement;
-  readonly seenAt: MonotonicTime;
-  readonly state: 'active' | 'leaving' | 'silent';
-  /** Earlier incarnations, the latest first; their announcements are late. */
-  readonly replaced: readonly IncarnationId[];
-}
-
 /** Identifies an endpoint of a set. */
 export interface EndpointKey {
   readonly set: EndpointSetId;
@@ -336,6 +327,22 @@
   readonly sentAt: MonotonicTime;
 }
 
+/** What the decision log has told of the entry's standing. */
+export interface ToldState {
+  readonly leader: NodeId | null;
+  readonly version: number;
+  readonly hasLease: boolean;
+  /** States of the endpoints of led sets. */
+  readonly endpoints: ReadonlyMap<EndpointId, EndpointRecord['state']>;
+}
+
+const NOTHING_TOLD: ToldState = {
+  leader: null,
+  version: 0,
+  hasLease: false,
+  endpoints: new Map(),
+};
+
 /** Key of the counts of one month, tier, organisation and kind. */
 export type CountKey = Identifier<'count'>;
 
@@ -420,6 +427,8 @@
       sentAt: Number.NEGATIVE_INFINITY,
     }),
     counts: defineMap<CountKey, ServiceCount>(),
+    /** What the decision log has told last. */
+    told: defineCell<ToldState>(NOTHING_TOLD),
     openOrders: defineMap<EndpointId, EndpointOrder>(),
     orderRuns: defineMap<EndpointId, OrderRunState>(),
     orderEpochs: defineMap<EndpointSetId, OrderEpoch>(),
--- a/scheduling/entryNode/src/entryNode.ts
+++ b/scheduling/entryNode/src/entryNode.ts
@@ -11,6 +11,7 @@
   createReplacementController,
   createServiceController,
 } from '@gentianshunt/controlClient';
+import {createDecisionLog} from '@gentianshunt/decisionLog';
 import {createEndpointOrderController} from '@gentianshunt/endpointOrders';
 import {createEntrySections} from '@gentianshunt/entryModel';
 import type {
@@ -78,6 +79,7 @@
     createReportController(),
     createEndpointListController(),
     createGrantController(),
+    createDecisionLog(),
   ];
 }
 
