--- a/control/entrySessions/src/proposalController.ts
+++ b/control/entrySessions/src/proposalController.ts
@@ -122,9 +122,7 @@
       return [{kind: 'command', command: message.command, setsInUse}];
     }
     case 'replacementRequest':
-      return [
-        {kind: 'replaceConfiguration', replacement: message.replacement},
-      ];
+      return [{kind: 'replaceConfiguration', replacement: message.replacement}];
     case 'claimRequest': {
       const session = view.board.sessions.get(from);
       if (session === undefined) {
--- a/control/entrySessions/src/sessionController.ts
+++ b/control/entrySessions/src/sessionController.ts
@@ -85,11 +85,7 @@
       return [createSessionTimer()];
     case 'timerDue':
       return observation.timer.kind === 'sessions'
-        ? [
-            ...expireSessions(view, now),
-            addDemands(view),
-            createSessionTimer(),
-          ]
+        ? [...expireSessions(view, now), addDemands(view), createSessionTimer()]
         : [];
     case 'entryMessage':
       return view.board.role.kind === 'leader'
--- a/daemons/controld/src/controld.ts
+++ b/daemons/controld/src/controld.ts
@@ -9,7 +9,6 @@
 import {fastify} from 'fastify';
 import type {FastifyInstance} from 'fastify';
 
-
 /** What a control daemon needs. */
 export interface ControldOptions {
   readonly settings: ControldSettings;
--- a/daemons/entryd/src/entryd.ts
+++ b/daemons/entryd/src/entryd.ts
@@ -27,7 +27,6 @@
 
 import {createOpenResponses} from './openResponses.js';
 
-
 /** Bytes of request bodies held before new ones are left unread. */
 const MAX_HELD_BODY_BYTES = 256 * 1024 * 1024;
 
--- a/eslint.config.mjs
+++ b/eslint.config.mjs
@@ -23,7 +23,15 @@
 ];
 
 export default tseslint.config(
-  {ignores: ['**/dist/**', 'target/**', '**/node_modules/**', '**/generated/**', '.tap']},
+  {
+    ignores: [
+      '**/dist/**',
+      'target/**',
+      '**/node_modules/**',
+      '**/generated/**',
+      '.tap',
+    ],
+  },
   ...tseslint.configs.strict,
   {
     plugins: {'import-x': importX},
--- a/fronts/callRelay/src/callProtocol.ts
+++ b/fronts/callRelay/src/callProtocol.ts
@@ -1,5 +1,9 @@
 import type {Milliseconds} from '@gentianshunt/clock';
-import type {AdmittedRequest, Dispatch, Refusal} from '@gentianshunt/entryModel';
+import type {
+  AdmittedRequest,
+  Dispatch,
+  Refusal,
+} from '@gentianshunt/entryModel';
 import type {RequestId} from '@gentianshunt/identifiers';
 import type {CallFacts} from '@gentianshunt/routing';
 
--- a/fronts/callRelay/src/callRelay.ts
+++ b/fronts/callRelay/src/callRelay.ts
@@ -8,7 +8,7 @@
   Refusal,
   RefusalReason,
 } from '@gentianshunt/entryModel';
-import {createRoutingTable, resolveCall} from '@gentianshunt/routing';
+import {createRoutingTable, routeCall} from '@gentianshunt/routing';
 import type {CallFacts, RoutingTable} from '@gentianshunt/routing';
 import type {FastifyInstance, FastifyReply, FastifyRequest} from 'fastify';
 
@@ -51,7 +51,8 @@
   server.route({
     method: ['GET', 'POST', 'PUT', 'PATCH', 'DELETE', 'HEAD', 'OPTIONS'],
     url: '/*',
-    handler: (request, reply) => takeCall(options, calls, findTable(), request, reply),
+    handler: (request, reply) =>
+      takeCall(options, calls, findTable(), request, reply),
   });
   const refuse = (refusal: Refusal): void => {
     const call = calls.take(refusal.request);
@@ -131,7 +132,7 @@
 ): void {
   const {clock, post, view, protocol} = options;
   const now = clock.readMonotonic();
-  const resolved = resolveCall(table, view.configuration, facts);
+  const resolved = routeCall(table, view.configuration, facts);
   if (resolved.kind === 'refused') {
     const isSure = view.control.leaseUntil > now;
     const reason: RefusalReason = isSure ? resolved.reason : {kind: 'noLease'};
--- a/fronts/callRelay/src/endpointStream.ts
+++ b/fronts/callRelay/src/endpointStream.ts
@@ -13,6 +13,7 @@
 import type {AnswerWriter} from './answerWriter.js';
 import type {AnswerHead, CallProtocol} from './callProtocol.js';
 import type {CallTable, OpenCall} from './callTable.js';
+import {createResetWatch} from './resetWatch.js';
 
 /** Longest wait for an endpoint to accept a connection, in milliseconds. */
 export const CONNECT_TIMEOUT_MS = 500;
@@ -42,12 +43,13 @@
 export function createEndpointStreams(
   options: EndpointStreamOptions,
 ): EndpointStreams {
+  const resets = createResetWatch({timeoutMs: CONNECT_TIMEOUT_MS});
   const agent = new Agent({
     connections: null,
     pipelining: 1,
     keepAliveTimeout: KEEP_ALIVE_MS,
     keepAliveTimeoutThreshold: KEEP_ALIVE_MARGIN_MS,
-    connect: {timeout: CONNECT_TIMEOUT_MS, noDelay: true},
+    connect: resets.connect,
     // How long an endpoint may be silent is decided on the board.
     headersTimeout: 0,
     bodyTimeout: 0,
@@ -60,9 +62,13 @@
         postEnd(options, dispatch, {kind: 'notSent', detail: 'caller gone'});
         return;
       }
-      const stream = createStream(options, call, request, dispatch, () =>
-        streams.delete(dispatch.id),
-      );
+      const stream = createStream(options, {
+        call,
+        request,
+        dispatch,
+        isBreaking: resets.isBreaking,
+        onEnded: () => streams.delete(dispatch.id),
+      });
       streams.set(dispatch.id, stream);
       agent.dispatch(
         createSending(options, call, request, dispatch),
@@ -119,12 +125,18 @@
   | {readonly kind: 'pass'; readonly writer: AnswerWriter}
   | {readonly kind: 'discard'};
 
+/** What one stream is about. */
+interface StreamContext {
+  readonly call: OpenCall;
+  readonly request: AdmittedRequest;
+  readonly dispatch: Dispatch;
+  readonly isBreaking: () => boolean;
+  readonly onEnded: () => void;
+}
+
 function createStream(
   options: EndpointStreamOptions,
-  call: OpenCall,
-  request: AdmittedRequest,
-  dispatch: Dispatch,
-  onEnded: () => void,
+  {call, request, dispatch, isBreaking, onEnded}: StreamContext,
 ): EndpointStream {
   let controller: Dispatcher.DispatchController | undefined;
   let use: BodyUse = {kind: 'awaitingHead'};
@@ -160,7 +172,7 @@
           return;
         }
         const head = {status, headers: readRawHeaders(started)};
-        const judged = judgeAnswer(options, call, request, dispatch, head);
+        const judged = decideUse(options, call, request, dispatch, head);
         switch (judged.kind) {
           case 'pass':
             use = {
@@ -195,6 +207,10 @@
         if (use.kind !== 'pass' || isEnded) {
           return;
         }
+        if (isBreaking()) {
+          end({kind: 'cut', detail: 'the connection broke', events: 0});
+          return;
+        }
         if (use.writer.end()) {
           options.calls.take(call.id);
           end({kind: 'complete'});
@@ -228,7 +244,7 @@
 const FIRST_SERVER_ERROR = 500;
 const FIRST_REDIRECT = 300;
 
-function judgeAnswer(
+function decideUse(
   {protocol}: EndpointStreamOptions,
   call: OpenCall,
   request: AdmittedRequest,
--- a/fronts/logging/src/logEvent.ts
+++ b/fronts/logging/src/logEvent.ts
@@ -22,7 +22,11 @@
       readonly isAsked: boolean;
     }
   | {readonly kind: 'settingsRefused'; readonly error: Error}
-  | {readonly kind: 'callRejected'; readonly call: string; readonly detail: string}
+  | {
+      readonly kind: 'callRejected';
+      readonly call: string;
+      readonly detail: string;
+    }
   | {readonly kind: 'requestRefused'; readonly refusal: Refusal}
   | {
       readonly kind: 'requestEnded';
@@ -102,7 +106,7 @@
       return {event: event.kind, ...toEndRecord(event.end)};
     case 'entryDecided': {
       const {kind, ...fields} = event.decision;
-      return {event: kind, ...roundNumbers(fields)};
+      return {event: kind, ...toWholeNumbers(fields)};
     }
     case 'controlDecided':
       return toControlRecord(event.decision);
@@ -155,7 +159,7 @@
 function toControlRecord(decision: ControlDecision): LogRecord {
   if (decision.kind !== 'membersChanged') {
     const {kind, ...fields} = decision;
-    return {event: kind, ...roundNumbers(fields)};
+    return {event: kind, ...toWholeNumbers(fields)};
   }
   const {kind, index, members} = decision;
   return {
@@ -166,7 +170,7 @@
 }
 
 /** Times are told to the millisecond. */
-function roundNumbers(fields: LogRecord): LogRecord {
+function toWholeNumbers(fields: LogRecord): LogRecord {
   return Object.fromEntries(
     Object.entries(fields).map(([name, value]) => [
       name,
--- a/fronts/operatorFront/src/queryRoute.ts
+++ b/fronts/operatorFront/src/queryRoute.ts
@@ -133,9 +133,7 @@
     return {kind: 'issue', issue};
   }
   const control =
-    table.control === null
-      ? null
-      : await ask(options, waiters, table.control);
+    table.control === null ? null : await ask(options, waiters, table.control);
   if (table.control !== null && control === null) {
     return {kind: 'unavailable'};
   }
--- a/scheduling/controlClient/src/controlController.ts
+++ b/scheduling/controlClient/src/controlController.ts
@@ -13,7 +13,7 @@
   EntryWrite,
 } from '@gentianshunt/entryModel';
 import {assertNever} from '@gentianshunt/errors';
-import {decayRate} from '@gentianshunt/limits';
+import {ageRate} from '@gentianshunt/limits';
 import type {ControlToEntry, TokenDemand} from '@gentianshunt/messages';
 import type {EndpointSetId, NodeId} from '@gentianshunt/identifiers';
 
@@ -217,7 +217,7 @@
   const demands: TokenDemand[] = [];
   for (const [organisation, {demandPerSecond, at}] of board.allotments) {
     const elapsedMs = now.monotonic - at;
-    const rate = decayRate(demandPerSecond, {elapsedMs, amount: 0});
+    const rate = ageRate(demandPerSecond, {elapsedMs, amount: 0});
     if (rate >= MIN_DEMAND_PER_SECOND) {
       demands.push({organisation, tokensPerSecond: Math.round(rate)});
     }
@@ -263,14 +263,12 @@
   return [
     ...(isNewer ? applyChanges(view, update) : []),
     {kind: 'set', section: 'control', value: next},
-    ...(update.shares ?? []).map(
-      ({organisation, share}): ControlWrite => ({
-        kind: 'put',
-        section: 'allotmentShares',
-        key: organisation,
-        value: share,
-      }),
-    ),
+    ...(update.shares ?? []).map(({organisation, share}): ControlWrite => ({
+      kind: 'put',
+      section: 'allotmentShares',
+      key: organisation,
+      value: share,
+    })),
     ...(isNewer ? [confirmVersion(next, from)] : []),
   ];
 }
--- /dev/null
+++ b/scheduling/entryModel/src/identity.ts
@@ -0,0 +1,37 @@
+import type {EntryAddress} from '@gentianshunt/messages';
+import type {IncarnationId, NodeId} from '@gentianshunt/identifiers';
+
+/** Bounds that all entries keep together; each keeps its part of them. */
+export interface SharedBounds {
+  /** Repeated dispatches of a set for each request to it. */
+  readonly repeatRatio: number;
+  /** Repeated dispatches of a set beyond the ratio. */
+  readonly repeatBurst: number;
+  /** Tokens by which an organisation may exceed its allotment for a while. */
+  readonly allotmentSlackTokens: number;
+}
+
+/** Bounds of a deployment that sets none. */
+export const DEFAULT_SHARED_BOUNDS: SharedBounds = {
+  repeatRatio: 0.1,
+  repeatBurst: 16,
+  allotmentSlackTokens: 0,
+};
+
+/** What an entry does while the leader of a set does not answer. */
+export type LeaderSilence =
+  /** Nothing, so that no endpoint ever runs more than it can hold. */
+  | {readonly kind: 'wait'}
+  /** It takes its equal part; for endpoints that queue what is too much. */
+  | {readonly kind: 'takeShare'};
+
+/** What an entry knows of itself and of the control daemons. */
+export interface EntryIdentity {
+  readonly address: EntryAddress;
+  readonly incarnation: IncarnationId;
+  /** Where the control log may be found at first. */
+  readonly controls: readonly NodeId[];
+  readonly bounds?: SharedBounds;
+  /** Left out, it waits. */
+  readonly leaderSilence?: LeaderSilence;
+}
--- a/scheduling/entryModel/src/request.ts
+++ b/scheduling/entryModel/src/request.ts
@@ -143,8 +143,7 @@
 
 /** The states in which a request stands in its line. */
 export type QueuedState =
-  | Extract<UndispatchedState, {readonly kind: 'waiting'}>
-  | RepeatingState;
+  Extract<UndispatchedState, {readonly kind: 'waiting'}> | RepeatingState;
 
 /** Tells whether a request stands in its line. */
 export function isQueued(state: RequestState): state is QueuedState {
@@ -152,8 +151,7 @@
 }
 
 /** The states of a live request; an ended one leaves the board. */
-export type RequestState =
-  UndispatchedState | RepeatingState | DispatchedState;
+export type RequestState = UndispatchedState | RepeatingState | DispatchedState;
 
 /** Why the system refused a request. */
 export type RefusalReason =
--- a/scheduling/entryModel/src/sections.ts
+++ b/scheduling/entryModel/src/sections.ts
@@ -39,6 +39,9 @@
 } from '@gentianshunt/identifiers';
 
 import type {EndpointRecord} from './endpointRecord.js';
+import type {EntryIdentity} from './identity.js';
+import {NOTHING_TOLD} from './toldState.js';
+import type {ToldState} from './toldState.js';
 import type {OrderEpoch, OrderRunState} from './endpointOrder.js';
 import type {
   EndpointList,
@@ -49,41 +52,6 @@
 } from './exchange.js';
 import type {AdmittedRequest, Refusal, RequestState} from './request.js';
 
-/** Bounds that all entries keep together; each keeps its part of them. */
-export interface SharedBounds {
-  /** Repeated dispatches of a set for each request to it. */
-  readonly repeatRatio: number;
-  /** Repeated dispatches of a set beyond the ratio. */
-  readonly repeatBurst: number;
-  /** Tokens by which an organisation may exceed its allotment for a while. */
-  readonly allotmentSlackTokens: number;
-}
-
-/** Bounds of a deployment that sets none. */
-export const DEFAULT_SHARED_BOUNDS: SharedBounds = {
-  repeatRatio: 0.1,
-  repeatBurst: 16,
-  allotmentSlackTokens: 0,
-};
-
-/** What an entry does while the leader of a set does not answer. */
-export type LeaderSilence =
-  /** Nothing, so that no endpoint ever runs more than it can hold. */
-  | {readonly kind: 'wait'}
-  /** It takes its equal part; for endpoints that queue what is too much. */
-  | {readonly kind: 'takeShare'};
-
-/** What an entry knows of itself and of the control daemons. */
-export interface EntryIdentity {
-  readonly address: EntryAddress;
-  readonly incarnation: IncarnationId;
-  /** Where the control log may be found at first. */
-  readonly controls: readonly NodeId[];
-  readonly bounds?: SharedBounds;
-  /** Left out, it waits. */
-  readonly leaderSilence?: LeaderSilence;
-}
-
 /** Where the entry stands with the control daemons. */
 export interface ControlStatus {
   /** The control daemon last known to lead. */
@@ -327,22 +295,6 @@
   readonly sentAt: MonotonicTime;
 }
 
-/** What the decision log has told of the entry's standing. */
-export interface ToldState {
-  readonly leader: NodeId | null;
-  readonly version: number;
-  readonly hasLease: boolean;
-  /** States of the endpoints of led sets. */
-  readonly endpoints: ReadonlyMap<EndpointId, EndpointRecord['state']>;
-}
-
-const NOTHING_TOLD: ToldState = {
-  leader: null,
-  version: 0,
-  hasLease: false,
-  endpoints: new Map(),
-};
-
 /** Key of the counts of one month, tier, organisation and kind. */
 export type CountKey = Identifier<'count'>;
 
--- a/scheduling/learning/src/healthController.ts
+++ b/scheduling/learning/src/healthController.ts
@@ -11,7 +11,7 @@
   StreamEnd,
 } from '@gentianshunt/entryModel';
 import {assertNever} from '@gentianshunt/errors';
-import {fadeTrouble, learnFailure} from '@gentianshunt/policy';
+import {ageTrouble, learnFailure} from '@gentianshunt/policy';
 
 /** A caller that leaves after this time without a byte shows a failure. */
 export const MUTE_MS: Milliseconds = 1_500;
@@ -95,7 +95,7 @@
   }
   const at = now.monotonic;
   const share = known
-    ? fadeTrouble(known.failureShare, at - known.observedAt)
+    ? ageTrouble(known.failureShare, at - known.observedAt)
     : 0;
   const value: EndpointHealth = {
     set: state.request.set,
--- a/scheduling/lifecycle/src/admitRequest.ts
+++ b/scheduling/lifecycle/src/admitRequest.ts
@@ -15,7 +15,7 @@
 
 import {spendAllotment} from './allotments.js';
 import type {LifecycleView, RequestDraft} from './requestDraft.js';
-import {earnRepeats} from './repeats.js';
+import {refillRepeats} from './repeats.js';
 
 /** When a caller refused for a passing reason may try again. */
 export const TRANSIENT_RETRY_AFTER_MS = 1_000;
@@ -47,7 +47,7 @@
     refuse(draft, facts, {kind: 'allotmentUsed'}, overdrawnMs);
     return;
   }
-  earnRepeats(view, draft, request, now);
+  refillRepeats(view, draft, request, now);
   draft.move({kind: 'waiting', request});
 }
 
--- a/scheduling/lifecycle/src/allotments.ts
+++ b/scheduling/lifecycle/src/allotments.ts
@@ -4,7 +4,7 @@
 import type {TokenAllotment} from '@gentianshunt/configuration';
 import {DEFAULT_SHARED_BOUNDS} from '@gentianshunt/entryModel';
 import type {AdmittedRequest, AllotmentState} from '@gentianshunt/entryModel';
-import {decayRate, fillBucket} from '@gentianshunt/limits';
+import {ageRate, refillTokens} from '@gentianshunt/limits';
 import type {BucketRate} from '@gentianshunt/limits';
 
 import type {LifecycleView, RequestDraft} from './requestDraft.js';
@@ -36,14 +36,14 @@
   const {allotmentTokens} = terms;
   const known = draft.readAllotment(organisation);
   const rate = readShare(view, request, allotment);
-  const filled = fillBucket(known, rate, now.monotonic);
+  const filled = refillTokens(known, rate, now.monotonic);
   const missing = allotmentTokens - filled.tokens;
   // A request larger than the bucket goes ahead when the bucket is full.
   const isCovered = missing <= 0 || filled.tokens >= rate.capacity;
   const next: AllotmentState = {
     ...filled,
     tokens: isCovered ? filled.tokens - allotmentTokens : filled.tokens,
-    demandPerSecond: decayRate(known?.demandPerSecond ?? 0, {
+    demandPerSecond: ageRate(known?.demandPerSecond ?? 0, {
       elapsedMs: now.monotonic - (known?.at ?? now.monotonic),
       amount: allotmentTokens,
     }),
--- a/scheduling/lifecycle/src/matches.ts
+++ b/scheduling/lifecycle/src/matches.ts
@@ -1,9 +1,5 @@
 import type {TurnTime} from '@gentianshunt/board';
-import {
-  isQueued,
-  iterateWaiting,
-  refuseNotRun,
-} from '@gentianshunt/entryModel';
+import {isQueued, iterateWaiting, refuseNotRun} from '@gentianshunt/entryModel';
 import type {
   AdmittedRequest,
   Dispatch,
--- a/scheduling/lifecycle/src/overdue.ts
+++ b/scheduling/lifecycle/src/overdue.ts
@@ -36,13 +36,13 @@
       draft.order({kind: 'refuseCaller', refusal});
       endRequest(draft, state, {kind: 'refused', refusal}, now);
     } else if (waitedMs >= terms.objectiveMs) {
-      demote(draft, state);
+      setBehindTier(draft, state);
     }
   }
 }
 
 /** The rank behind a tier's own is that of its late requests. */
-function demote(draft: RequestDraft, state: QueuedState): void {
+function setBehindTier(draft: RequestDraft, state: QueuedState): void {
   const {request} = state;
   if (request.isLate !== true) {
     const rank = request.rank + 1;
@@ -50,10 +50,7 @@
   }
 }
 
-function createRefusal(
-  state: QueuedState,
-  {timeLimitMs}: RouteTerms,
-): Refusal {
+function createRefusal(state: QueuedState, {timeLimitMs}: RouteTerms): Refusal {
   const reason = {kind: 'shed'} as const;
   const retryAfterMs = Math.min(
     MAX_RETRY_AFTER_MS,
--- a/scheduling/lifecycle/src/repeats.ts
+++ b/scheduling/lifecycle/src/repeats.ts
@@ -9,7 +9,7 @@
 export const MAX_UNSENT = 3;
 
 /** A request adds its part to what the set may have repeated. */
-export function earnRepeats(
+export function refillRepeats(
   {board}: LifecycleView,
   draft: RequestDraft,
   {set}: AdmittedRequest,
@@ -41,7 +41,7 @@
 }
 
 /** Puts a request back into its line after an endpoint had it. */
-export function requeue(
+export function returnToLine(
   view: LifecycleView,
   draft: RequestDraft,
   state: DispatchedState,
@@ -51,7 +51,7 @@
   const {request} = state;
   const budget = readBudget(view.board, draft, request.set, now);
   draft.putRetryBudget(request.set, {...budget, tokens: budget.tokens - 1});
-  moveToLine(draft, state, noteTried(state), mayHaveRun);
+  putInLine(draft, state, noteTried(state), mayHaveRun);
 }
 
 /** Tells whether a request that never left may be dispatched once more. */
@@ -60,12 +60,12 @@
 }
 
 /** Puts a request that never left back into its line; it costs no repeat. */
-export function requeueUnsent(
+export function returnUnsent(
   draft: RequestDraft,
   state: DispatchedState,
 ): void {
   const unsent = (state.request.unsent ?? 0) + 1;
-  moveToLine(draft, state, {...noteTried(state), unsent}, false);
+  putInLine(draft, state, {...noteTried(state), unsent}, false);
 }
 
 function noteTried({request, dispatch}: DispatchedState): AdmittedRequest {
@@ -73,7 +73,7 @@
   return {...request, tried};
 }
 
-function moveToLine(
+function putInLine(
   draft: RequestDraft,
   state: DispatchedState,
   request: AdmittedRequest,
@@ -104,5 +104,8 @@
 
 function readCapacity({control, identity}: LifecycleView['board']): number {
   const {repeatBurst} = identity.bounds ?? DEFAULT_SHARED_BOUNDS;
-  return Math.max(1, repeatBurst / Math.max(1, control.directory.entries.length));
+  return Math.max(
+    1,
+    repeatBurst / Math.max(1, control.directory.entries.length),
+  );
 }
--- a/scheduling/lifecycle/src/streams.ts
+++ b/scheduling/lifecycle/src/streams.ts
@@ -18,7 +18,7 @@
 
 import {TRANSIENT_RETRY_AFTER_MS} from './admitRequest.js';
 import {endRequest} from './endRequest.js';
-import {canRepeat, canResend, requeue, requeueUnsent} from './repeats.js';
+import {canRepeat, canResend, returnToLine, returnUnsent} from './repeats.js';
 import type {LifecycleView, RequestDraft} from './requestDraft.js';
 import {settleClaim} from './settlements.js';
 
@@ -109,7 +109,7 @@
   now: TurnTime,
 ): void {
   if (canResend(state.request)) {
-    requeueUnsent(draft, state);
+    returnUnsent(draft, state);
     return;
   }
   if (state.kind === 'answering' || state.resumes > 0 || state.mayHaveRun) {
@@ -131,7 +131,7 @@
   now: TurnTime,
 ): void {
   if (canRepeat(view, draft, state.request, now)) {
-    requeue(view, draft, state, false, now);
+    returnToLine(view, draft, state, false, now);
     return;
   }
   const hasRun = state.kind === 'answering' || state.mayHaveRun === true;
@@ -155,7 +155,7 @@
 ): void {
   const {request} = state;
   if (request.isIdempotent && canRepeat(view, draft, request, now)) {
-    requeue(view, draft, state, true, now);
+    returnToLine(view, draft, state, true, now);
     return;
   }
   const reason = {kind: 'endpointFailed', detail: `status ${status}`} as const;
@@ -219,7 +219,7 @@
   const isOpen =
     state.kind === 'dispatched' || request.terms?.isResumable === true;
   if (isOpen && request.isIdempotent && canRepeat(view, draft, request, now)) {
-    requeue(view, draft, state, true, now);
+    returnToLine(view, draft, state, true, now);
     return;
   }
   const reason = {kind: 'answerCut', detail: end.detail} as const;
@@ -277,7 +277,7 @@
       draft.order({kind: 'cancelStream', dispatch: state.dispatch});
       const {request} = state;
       if (request.isIdempotent && canRepeat(view, draft, request, now)) {
-        requeue(view, draft, state, true, now);
+        returnToLine(view, draft, state, true, now);
         continue;
       }
       const reason = {kind: 'answerCut', detail: 'endpoint silent'} as const;
--- a/scheduling/limits/src/rateBucket.ts
+++ b/scheduling/limits/src/rateBucket.ts
@@ -33,7 +33,7 @@
 }
 
 /** Fills a bucket of any rate; one that was never used is full. */
-export function fillBucket(
+export function refillTokens(
   bucket: RateBucket | undefined,
   rate: BucketRate,
   now: MonotonicTime,
@@ -61,7 +61,7 @@
 }
 
 /** Brings a decaying average of use a second up to date. */
-export function decayRate(
+export function ageRate(
   perSecond: number,
   {elapsedMs, amount}: RateSample,
 ): number {
--- a/scheduling/policy/src/endpointTrouble.ts
+++ b/scheduling/policy/src/endpointTrouble.ts
@@ -19,7 +19,7 @@
 }
 
 /** Lets a share fade with its age. */
-export function fadeTrouble(share: number, ageMs: Milliseconds): number {
+export function ageTrouble(share: number, ageMs: Milliseconds): number {
   return share * Math.exp(-Math.max(0, ageMs) / TROUBLE_FADE_MS);
 }
 
@@ -35,7 +35,9 @@
 export type EndpointTrust = 'full' | 'probe' | 'none';
 
 /** Decides how much work an endpoint gets after what was suffered there. */
-export function decideTrust(verdict: TroubleVerdict | undefined): EndpointTrust {
+export function decideTrust(
+  verdict: TroubleVerdict | undefined,
+): EndpointTrust {
   if (verdict === undefined) {
     return 'full';
   }
--- a/scheduling/routing/src/index.ts
+++ b/scheduling/routing/src/index.ts
@@ -1,2 +1,2 @@
-export * from './resolveCall.js';
+export * from './routeCall.js';
 export * from './routingTable.js';
--- a/scheduling/routing/src/resolveCall.ts
+++ b/scheduling/routing/src/routeCall.ts
@@ -46,7 +46,7 @@
 >;
 
 /** A call with its route, or the reason why it has none. */
-export type ResolvedCall =
+export type RoutedCall =
   | {
       readonly kind: 'resolved';
       readonly route: Route;
@@ -55,11 +55,11 @@
   | {readonly kind: 'refused'; readonly reason: UnresolvedReason};
 
 /** Finds what a call asks for. */
-export function resolveCall(
+export function routeCall(
   table: RoutingTable,
   configuration: ConfigurationTable,
   call: CallFacts,
-): ResolvedCall {
+): RoutedCall {
   if (table.release === undefined) {
     return {kind: 'refused', reason: {kind: 'noConfiguration'}};
   }
--- a/scheduling/slotExchange/src/lineReport.ts
+++ b/scheduling/slotExchange/src/lineReport.ts
@@ -9,7 +9,7 @@
   WaitingLine,
 } from '@gentianshunt/entryModel';
 import type {EndpointSetId} from '@gentianshunt/identifiers';
-import {fadeTrouble, UNREACHABLE_MS} from '@gentianshunt/policy';
+import {ageTrouble, UNREACHABLE_MS} from '@gentianshunt/policy';
 
 import {listCandidates} from './lineOrder.js';
 import type {LineSections} from './lineOrder.js';
@@ -42,9 +42,12 @@
   for (const health of board.endpointHealth.values()) {
     const {endpoint, observedAt, unreachableAt} = health;
     const ageMs = now.monotonic - observedAt;
-    const failureShare = fadeTrouble(health.failureShare, ageMs);
+    const failureShare = ageTrouble(health.failureShare, ageMs);
     const isUnreachable = now.monotonic - unreachableAt < UNREACHABLE_MS;
-    if (health.set === set && (isUnreachable || failureShare >= MIN_TOLD_SHARE)) {
+    if (
+      health.set === set &&
+      (isUnreachable || failureShare >= MIN_TOLD_SHARE)
+    ) {
       troubles.push({endpoint, failureShare, isUnreachable});
     }
   }
--- a/scheduling/slotExchange/src/replyController.ts
+++ b/scheduling/slotExchange/src/replyController.ts
@@ -25,7 +25,7 @@
       const {message} = observation;
       if (message.kind === 'endpointsListed') {
         const known = board.knownEndpoints.get(message.list.set);
-        return keepList(known, message.list);
+        return acceptList(known, message.list);
       }
       if (message.kind !== 'grantReply') {
         return [];
@@ -50,7 +50,7 @@
 }
 
 /** What an earlier leader said is out of date. */
-function keepList(
+function acceptList(
   known: EndpointList | undefined,
   list: EndpointList,
 ): readonly EntryWrite<'knownEndpoints'>[] {
