--- a/fronts/callRelay/src/callRelay.ts
+++ b/fronts/callRelay/src/callRelay.ts
@@ -31,6 +31,8 @@
   readonly view: BoardView<EntrySections>;
   readonly clock: Clock;
   readonly post: (observation: EntryObservation) => void;
+  /** Hears of refusals that no order asked for. */
+  readonly onRefused: (refusal: Refusal) => void;
 }
 
 /** The HTTP front for calls of routes. */
@@ -139,6 +141,7 @@
     const refusal = refuseUnadmitted(facts, reason, UNREADY_RETRY_AFTER_MS);
     sendOwnAnswer(response, protocol.formatRefusal(refusal));
     post({kind: 'callerRefused', refusal});
+    options.onRefused(refusal);
     return;
   }
   const {id} = facts;
--- a/scheduling/controlClient/src/controlController.ts
+++ b/scheduling/controlClient/src/controlController.ts
@@ -21,6 +21,8 @@
 
 /** Slower use of an allotment is not worth a share of its own. */
 export const MIN_DEMAND_PER_SECOND = 1;
+/** Heartbeats between two words to the nodes that the settings name. */
+export const HEARTBEATS_PER_SPREAD = 4;
 /** Time between two heartbeats to the leading control daemon. */
 export const HEARTBEAT_INTERVAL_MS: Milliseconds = 500;
 
@@ -77,7 +79,10 @@
       return sendHeartbeat(view, view.board.control, now);
     case 'timerDue':
       return observation.timer.kind === 'heartbeat'
-        ? sendHeartbeat(view, view.board.control, now)
+        ? [
+            ...sendHeartbeat(view, view.board.control, now),
+            ...(isSpreadDue(view) ? spreadMembers(view, now) : []),
+          ]
         : [];
     case 'controlMessage':
       return handleMessage(view, observation.from, observation.message, now);
@@ -105,13 +110,58 @@
 function followMembers(
   view: ControlView,
   members: readonly NodeId[],
+  now: TurnTime,
 ): readonly ControlWrite[] {
-  const {controls, identity} = view.board;
+  const {control, controls, identity} = view.board;
   const value = [...new Set([...members, ...identity.controls])];
   const isSame =
     value.length === controls.length &&
     value.every((node, index) => node === controls[index]);
-  return isSame ? [] : [{kind: 'set', section: 'controls', value}];
+  if (isSame) {
+    return [];
+  }
+  const leader = members[0] ?? null;
+  return [
+    {kind: 'set', section: 'controls', value},
+    ...(control.leaseUntil > now.monotonic
+      ? []
+      : followLeader(view, leader, now)),
+  ];
+}
+
+/**
+ * Tells the nodes that the settings name who keeps the log: others that start
+ * with the same settings ask them, and they may know nothing themselves.
+ */
+function spreadMembers(
+  {board}: ControlView,
+  now: TurnTime,
+): readonly ControlWrite[] {
+  const {control, controls, identity} = board;
+  if (control.leaseUntil <= now.monotonic) {
+    return [];
+  }
+  const others = identity.controls.filter(
+    node => node !== identity.address.node && node !== control.leader,
+  );
+  return others.map(to => {
+    const order = {
+      kind: 'redirectEntry',
+      to,
+      leader: null,
+      members: controls,
+    } as const;
+    return {kind: 'order', order};
+  });
+}
+
+/** Only where the settings do not name the whole group. */
+function isSpreadDue({board}: ControlView): boolean {
+  const {identity, control} = board;
+  return (
+    identity.spreadsMembers === true &&
+    control.lastSequence % HEARTBEATS_PER_SPREAD === 0
+  );
 }
 
 /** Sends a heartbeat to the leader, or to each daemon in turn to find it. */
@@ -178,7 +228,7 @@
     case 'notLeader':
       return followLeader(view, message.leader, now);
     case 'membersUpdate':
-      return followMembers(view, message.members);
+      return followMembers(view, message.members, now);
     case 'commandReply':
     case 'commandStatusReply':
     case 'replacementReply':
--- a/scheduling/entryModel/src/identity.ts
+++ b/scheduling/entryModel/src/identity.ts
@@ -31,6 +31,8 @@
   readonly incarnation: IncarnationId;
   /** Where the control log may be found at first. */
   readonly controls: readonly NodeId[];
+  /** Whether the settings may name nodes that do not keep the log. */
+  readonly spreadsMembers?: boolean;
   readonly bounds?: SharedBounds;
   /** Left out, it waits. */
   readonly leaderSilence?: LeaderSilence;
