--- a/control/configuration/src/objects.ts
+++ b/control/configuration/src/objects.ts
@@ -48,6 +48,8 @@
   /** Tiers its requests may name; the first is the default. */
   readonly tiers: readonly TierId[];
   readonly limits: OrganisationLimits;
+  /** Ranks by which its requests stand behind the ranks of their tiers. */
+  readonly rankOffset?: number;
   /** Keys by which callers of routes show that they belong to it. */
   readonly keys?: readonly string[];
 }
--- a/scheduling/entryModel/src/identity.ts
+++ b/scheduling/entryModel/src/identity.ts
@@ -1,3 +1,4 @@
+import type {Milliseconds} from '@gentianshunt/clock';
 import type {EntryAddress} from '@gentianshunt/messages';
 import type {IncarnationId, NodeId} from '@gentianshunt/identifiers';
 
@@ -7,15 +8,23 @@
   readonly repeatRatio: number;
   /** Repeated dispatches of a set beyond the ratio. */
   readonly repeatBurst: number;
-  /** Tokens by which an organisation may exceed its allotment for a while. */
-  readonly allotmentSlackTokens: number;
+  /** How far an organisation may exceed its allotment. */
+  readonly allotmentTolerance: AllotmentTolerance;
+}
+
+/** What an operator concedes beyond an allotment, in any span of a length. */
+export interface AllotmentTolerance {
+  readonly windowMs: Milliseconds;
+  /** Part of the allotment of the span. */
+  readonly overage: number;
+  readonly slackTokens: number;
 }
 
 /** Bounds of a deployment that sets none. */
 export const DEFAULT_SHARED_BOUNDS: SharedBounds = {
   repeatRatio: 0.1,
   repeatBurst: 16,
-  allotmentSlackTokens: 0,
+  allotmentTolerance: {windowMs: 1_000, overage: 0, slackTokens: 0},
 };
 
 /** What an entry does while the leader of a set does not answer. */
--- a/scheduling/lifecycle/src/admitRequest.ts
+++ b/scheduling/lifecycle/src/admitRequest.ts
@@ -137,7 +137,7 @@
     tier: checked.tier.id,
     claim: checked.requestKind.idempotent ? null : facts.claim,
     isIdempotent: checked.requestKind.idempotent,
-    rank: checked.tier.rank,
+    rank: checked.tier.rank + (checked.organisation.rankOffset ?? 0),
     value: checked.requestKind.weight * checked.tier.weight,
     arrivedAt: now.monotonic,
   };
--- a/scheduling/lifecycle/src/allotments.ts
+++ b/scheduling/lifecycle/src/allotments.ts
@@ -9,8 +9,10 @@
 
 import type {LifecycleView, RequestDraft} from './requestDraft.js';
 
-/** Part of the slack that entries use; the rest covers their disagreement. */
-const SLACK_USED = 0.5;
+/** Part of the conceded tokens that is handed out evenly over time. */
+const SLACK_IN_RATE = 0.55;
+/** Part of the conceded tokens that may be used at once. */
+const SLACK_IN_BURST = 0.15;
 const MS_PER_SECOND = 1_000;
 
 /**
@@ -52,7 +54,10 @@
   return isCovered ? 0 : (missing / rate.perSecond) * MS_PER_SECOND;
 }
 
-/** The part of an allotment that falls to this entry. */
+/**
+ * The part of an allotment that falls to this entry. Part of what the operator
+ * concedes is handed out; the rest covers that entries disagree for a while.
+ */
 function readShare(
   {board}: LifecycleView,
   {organisation}: AdmittedRequest,
@@ -60,11 +65,12 @@
 ): BucketRate {
   const entries = Math.max(1, board.control.directory.entries.length);
   const share = board.allotmentShares.get(organisation) ?? 1 / entries;
-  const {allotmentSlackTokens} = board.identity.bounds ?? DEFAULT_SHARED_BOUNDS;
-  // The slack is spread evenly: it is for demand that nobody has seen yet.
+  const {allotmentTolerance} = board.identity.bounds ?? DEFAULT_SHARED_BOUNDS;
+  const {windowMs, overage, slackTokens} = allotmentTolerance;
+  const conceded = (SLACK_IN_RATE * slackTokens * MS_PER_SECOND) / windowMs;
   return {
-    perSecond: tokensPerSecond * share,
-    capacity:
-      burstTokens * share + (SLACK_USED * allotmentSlackTokens) / entries,
+    perSecond: (tokensPerSecond * (1 + overage) + conceded) * share,
+    // Spread evenly: it is for demand that nobody has seen yet.
+    capacity: burstTokens * share + (SLACK_IN_BURST * slackTokens) / entries,
   };
 }
