--- a/control/controlNode/test/deploymentFixture.ts
+++ b/control/controlNode/test/deploymentFixture.ts
@@ -1,4 +1,5 @@
 import {createManualClock} from '@gentianshunt/clock';
+import type {Admission} from '@gentianshunt/controlModel';
 import {toIdentifier} from '@gentianshunt/identifiers';
 import type {NodeId, OperatorId, RequestId} from '@gentianshunt/identifiers';
 import type {EntryToControl} from '@gentianshunt/messages';
@@ -21,25 +22,43 @@
   findLeader(): TestMember | undefined;
   /** Sends a command to a member as an entry would. */
   command(member: TestMember, number: number): void;
+  /** Starts a member that is not among the founders. */
+  join(name: string): TestMember;
+  /** Loses what a member sends and is sent, or no longer does. */
+  setCut(member: TestMember, isCut: boolean): void;
 }
 
-/** Creates members and starts them. */
+/** Creates members that their settings list and starts them. */
 export function createTestDeployment(count: number): TestDeployment {
+  return createDeployment(count, {kind: 'listed'});
+}
+
+/** Creates the founders of a group that any node may join. */
+export function createOpenDeployment(count: number): TestDeployment {
+  return createDeployment(count, {kind: 'open', mayFound: true});
+}
+
+function createDeployment(count: number, admission: Admission): TestDeployment {
   const clock = createManualClock();
   const bag: TestMessage[] = [];
+  const cut = new Set<NodeId>();
   const nodes = Array.from({length: count}, (_, index) =>
     toIdentifier<NodeId>(`control-${index}`),
   );
-  const members = nodes.map(node =>
+  const createMember = (node: NodeId, admitted: Admission): TestMember =>
     createTestMember({
       node,
       members: nodes,
+      admission: admitted,
       clock,
       send: message => bag.push(message),
-    }),
-  );
-  const deliver = (message: TestMessage): void =>
-    members.find(({node}) => node === message.to)!.receive(message);
+    });
+  const members = nodes.map(node => createMember(node, admission));
+  const deliver = (message: TestMessage): void => {
+    if (!cut.has(message.from) && !cut.has(message.to)) {
+      members.find(({node}) => node === message.to)?.receive(message);
+    }
+  };
   const advance = (durationMs: number): void => {
     clock.advance(durationMs);
     members.forEach(member => member.fireDueTimers());
@@ -63,6 +82,20 @@
       members
         .filter(({loop}) => loop?.view.role.kind === 'leader')
         .sort((left, right) => readTerm(right) - readTerm(left))[0],
+    join: name => {
+      const node = toIdentifier<NodeId>(name);
+      const joined = createMember(node, {kind: 'open', mayFound: false});
+      members.push(joined);
+      joined.start();
+      return joined;
+    },
+    setCut: ({node}, isCut) => {
+      if (isCut) {
+        cut.add(node);
+      } else {
+        cut.delete(node);
+      }
+    },
     command: (member, number) =>
       member.loop?.post({
         kind: 'entryMessage',
--- a/control/controlNode/test/memberFixture.ts
+++ b/control/controlNode/test/memberFixture.ts
@@ -1,5 +1,6 @@
 import type {ManualClock} from '@gentianshunt/clock';
 import type {
+  Admission,
   ControlOrder,
   HaltReason,
   PersistBatch,
@@ -52,13 +53,14 @@
 export interface TestMemberOptions {
   readonly node: NodeId;
   readonly members: readonly NodeId[];
+  readonly admission: Admission;
   readonly clock: ManualClock;
   readonly send: (message: TestMessage) => void;
 }
 
 /** Creates a member that is not started yet. */
 export function createTestMember(options: TestMemberOptions): TestMember {
-  const {node, members, clock, send} = options;
+  const {node, members, admission, clock, send} = options;
   const replies: ControlToEntry[] = [];
   const timers = new Map<string, {readonly dueAt: number; fire(): void}>();
   let queued: PersistBatch[] = [];
@@ -129,7 +131,7 @@
         identity: {
           node,
           members,
-          admission: {kind: 'listed'},
+          admission,
           storage: folder.storage,
           seed: members.indexOf(node) + 1,
         },
--- a/control/stateMachine/test/stateMachine.test.ts
+++ b/control/stateMachine/test/stateMachine.test.ts
@@ -228,3 +228,73 @@
     {seed: SEED, numRuns: RUNS},
   );
 });
+
+function createReplacement(version: number, host: string): LogPayload {
+  return {
+    kind: 'replaceConfiguration',
+    replacement: {
+      version,
+      objects: [
+        {
+          kind: 'release',
+          id: 'default',
+          revision: 0,
+          version,
+          callerLimits: null,
+        },
+      ],
+      source: Buffer.from(host),
+    },
+  };
+}
+
+/** Reads the version and the document that a log leads to. */
+function readSource(payloads: readonly LogPayload[]): string {
+  const state = applyRuns([payloads]) as readonly unknown[];
+  const source = state[STATE_SECTIONS.indexOf('source')] as {
+    readonly version: number;
+    readonly document: Uint8Array;
+  };
+  return `${source.version} ${Buffer.from(source.document).toString()}`;
+}
+
+const replacementRows: readonly {
+  readonly name: string;
+  readonly versions: readonly (readonly [number, string])[];
+  readonly expected: string;
+}[] = [
+  {name: 'the first one holds', versions: [[2, 'a']], expected: '2 a'},
+  {
+    name: 'a higher one replaces it',
+    versions: [
+      [2, 'a'],
+      [9, 'b'],
+    ],
+    expected: '9 b',
+  },
+  {
+    name: 'an older one changes nothing',
+    versions: [
+      [9, 'b'],
+      [2, 'a'],
+    ],
+    expected: '9 b',
+  },
+  {
+    name: 'other content under the same version changes nothing',
+    versions: [
+      [9, 'b'],
+      [9, 'c'],
+    ],
+    expected: '9 b',
+  },
+];
+
+for (const {name, versions, expected} of replacementRows) {
+  t.test(`replacements: ${name}`, async t => {
+    const payloads = versions.map(([version, host]) =>
+      createReplacement(version, host),
+    );
+    t.equal(readSource(payloads), expected);
+  });
+}
