--- a/fronts/callRelay/src/endpointStream.ts
+++ b/fronts/callRelay/src/endpointStream.ts
@@ -13,7 +13,7 @@
 import type {AnswerWriter} from './answerWriter.js';
 import type {AnswerHead, CallProtocol} from './callProtocol.js';
 import type {CallTable, OpenCall} from './callTable.js';
-import {createResetWatch} from './resetWatch.js';
+import {findHeader} from './headers.js';
 
 /** Longest wait for an endpoint to accept a connection, in milliseconds. */
 export const CONNECT_TIMEOUT_MS = 500;
@@ -43,13 +43,12 @@
 export function createEndpointStreams(
   options: EndpointStreamOptions,
 ): EndpointStreams {
-  const resets = createResetWatch({timeoutMs: CONNECT_TIMEOUT_MS});
   const agent = new Agent({
     connections: null,
     pipelining: 1,
     keepAliveTimeout: KEEP_ALIVE_MS,
     keepAliveTimeoutThreshold: KEEP_ALIVE_MARGIN_MS,
-    connect: resets.connect,
+    connect: {timeout: CONNECT_TIMEOUT_MS, noDelay: true},
     // How long an endpoint may be silent is decided on the board.
     headersTimeout: 0,
     bodyTimeout: 0,
@@ -66,7 +65,6 @@
         call,
         request,
         dispatch,
-        isBreaking: resets.isBreaking,
         onEnded: () => streams.delete(dispatch.id),
       });
       streams.set(dispatch.id, stream);
@@ -130,13 +128,12 @@
   readonly call: OpenCall;
   readonly request: AdmittedRequest;
   readonly dispatch: Dispatch;
-  readonly isBreaking: () => boolean;
   readonly onEnded: () => void;
 }
 
 function createStream(
   options: EndpointStreamOptions,
-  {call, request, dispatch, isBreaking, onEnded}: StreamContext,
+  {call, request, dispatch, onEnded}: StreamContext,
 ): EndpointStream {
   let controller: Dispatcher.DispatchController | undefined;
   let use: BodyUse = {kind: 'awaitingHead'};
@@ -177,7 +174,11 @@
           case 'pass':
             use = {
               kind: 'pass',
-              writer: createAnswerWriter(call, head, isResumable(request)),
+              writer: createAnswerWriter(
+                call,
+                head,
+                status === SUCCESS && isResumable(request),
+              ),
             };
             return;
           case 'foreign':
@@ -207,10 +208,6 @@
         if (use.kind !== 'pass' || isEnded) {
           return;
         }
-        if (isBreaking()) {
-          end({kind: 'cut', detail: 'the connection broke', events: 0});
-          return;
-        }
         if (use.writer.end()) {
           options.calls.take(call.id);
           end({kind: 'complete'});
@@ -241,6 +238,7 @@
 
 /** Statuses that promise to a caller that its call has not run. */
 const PROMISING_STATUSES: ReadonlySet<number> = new Set([408, 421, 429, 503]);
+const SUCCESS = 200;
 const FIRST_SERVER_ERROR = 500;
 const FIRST_REDIRECT = 300;
 
@@ -263,7 +261,9 @@
   const isSuccess = status < FIRST_REDIRECT;
   const failed = {kind: 'ended', end: {kind: 'failed', status}} as const;
   if (isSuccess) {
-    return facts.isAuthentic ? {kind: 'pass'} : failed;
+    return facts.isAuthentic && hasMarkedEnd(call, head)
+      ? {kind: 'pass'}
+      : failed;
   }
   // The caller has the head of a success already.
   if (call.response.headersSent) {
@@ -276,6 +276,19 @@
   return isKept || PROMISING_STATUSES.has(status) ? failed : {kind: 'pass'};
 }
 
+const BODILESS_STATUSES: ReadonlySet<number> = new Set([204, 304]);
+
+/** Without a mark, nobody can tell a whole body from one that was cut. */
+function hasMarkedEnd({head: {method}}: OpenCall, answer: AnswerHead): boolean {
+  const {status, headers} = answer;
+  return (
+    method === 'HEAD' ||
+    BODILESS_STATUSES.has(status) ||
+    findHeader(headers, 'content-length') !== undefined ||
+    findHeader(headers, 'transfer-encoding') !== undefined
+  );
+}
+
 /** Errors of the connection attempt: no byte has been sent before them. */
 const NOT_SENT_CODES: ReadonlySet<string> = new Set([
   'UND_ERR_CONNECT_TIMEOUT',
--- /dev/null
+++ b/fronts/callRelay/test/callRelay.test.ts
@@ -0,0 +1,268 @@
+import type {Socket} from 'node:net';
+
+import t from 'tap';
+
+import {
+  createRawEndpoint,
+  createRelayFixture,
+  describeEnd,
+  formatAnswer,
+} from './relayFixture.js';
+import type {CallerAnswer} from './relayFixture.js';
+
+/** Sends the call `q1` to an endpoint and tells what became of it. */
+async function runCall(
+  answer: (socket: Socket, count: number) => void,
+  isRepeatable = false,
+): Promise<{readonly end: string; readonly answer: CallerAnswer | Error}> {
+  const fixture = await createRelayFixture();
+  const endpoint = await createRawEndpoint(answer);
+  const received = fixture.next('requestReceived');
+  const answered = fixture.call('q1');
+  const {facts} = await received;
+  const ended = fixture.next('streamEnded');
+  fixture.dispatch(facts, endpoint.url, {isRepeatable});
+  const {end} = await ended;
+  if (end.kind !== 'complete') {
+    fixture.giveUp(facts);
+  }
+  const result = {end: describeEnd(end), answer: await answered};
+  endpoint.close();
+  await fixture.close();
+  return result;
+}
+
+const CHUNKED = 'transfer-encoding: chunked\r\n\r\n';
+
+const rows: readonly {
+  readonly name: string;
+  readonly answer: (socket: Socket) => void;
+  readonly isRepeatable?: boolean;
+  readonly end: string;
+  readonly status: number | 'none';
+  readonly body?: string;
+  readonly isWhole?: boolean;
+}[] = [
+  {
+    name: 'a whole answer passes',
+    answer: socket =>
+      socket.write(formatAnswer('q1', 'content-length: 2\r\n\r\nok')),
+    end: 'complete',
+    status: 200,
+    body: 'ok',
+    isWhole: true,
+  },
+  {
+    name: 'an answer without a length may have been cut',
+    answer: socket => socket.end(formatAnswer('q1', '\r\nok')),
+    end: 'failed 200',
+    status: 502,
+  },
+  {
+    name: 'an answer without a length that is reset is cut',
+    answer: socket => {
+      socket.write(formatAnswer('q1', '\r\nok'));
+      setTimeout(() => socket.resetAndDestroy(), 30);
+    },
+    end: 'failed 200',
+    status: 502,
+  },
+  {
+    name: 'a length that is not reached is cut',
+    answer: socket =>
+      socket.end(formatAnswer('q1', 'content-length: 9\r\n\r\nok')),
+    end: 'cut',
+    status: 200,
+    isWhole: false,
+  },
+  {
+    name: 'an answer to another call is not passed on',
+    answer: socket =>
+      socket.write(formatAnswer('q0', 'content-length: 2\r\n\r\nok')),
+    end: 'cut',
+    status: 502,
+  },
+  {
+    name: 'a success without its proof is a failure',
+    answer: socket =>
+      socket.write(
+        'HTTP/1.1 200 OK\r\nx-call: q1\r\ncontent-length: 2\r\n\r\nok',
+      ),
+    end: 'failed 200',
+    status: 502,
+  },
+  {
+    name: 'bytes that are no answer are cut',
+    answer: socket => socket.write('garbage\r\n\r\n'),
+    end: 'cut',
+    status: 502,
+  },
+  {
+    name: 'a promise of the endpoint is kept apart',
+    answer: socket =>
+      socket.write(
+        'HTTP/1.1 503 Full\r\nx-not-executed: 1\r\ncontent-length: 0\r\n\r\n',
+      ),
+    end: 'notExecuted',
+    status: 502,
+  },
+  {
+    name: 'a 503 without the promise is a failure',
+    answer: socket =>
+      socket.write('HTTP/1.1 503 Full\r\ncontent-length: 0\r\n\r\n'),
+    end: 'failed 503',
+    status: 502,
+  },
+  {
+    name: "an endpoint's failure passes as it is",
+    answer: socket =>
+      socket.write(
+        'HTTP/1.1 500 No\r\nx-call: q1\r\ncontent-length: 2\r\n\r\nno',
+      ),
+    end: 'complete',
+    status: 500,
+    body: 'no',
+  },
+  {
+    name: 'a failure is kept where another endpoint may do better',
+    answer: socket =>
+      socket.write(
+        'HTTP/1.1 500 No\r\nx-call: q1\r\ncontent-length: 2\r\n\r\nno',
+      ),
+    isRepeatable: true,
+    end: 'failed 500',
+    status: 502,
+  },
+  {
+    name: 'a connection closed without an answer is cut',
+    answer: socket => socket.end(),
+    end: 'cut',
+    status: 502,
+  },
+];
+
+for (const row of rows) {
+  t.test(row.name, async t => {
+    const {end, answer} = await runCall(row.answer, row.isRepeatable);
+    t.equal(end, row.end);
+    if (answer instanceof Error) {
+      t.equal(row.status, 'none', answer.message);
+      return;
+    }
+    t.equal(answer.status, row.status);
+    if (row.body !== undefined) {
+      t.equal(answer.body, row.body);
+    }
+    if (row.isWhole !== undefined) {
+      t.equal(answer.isWhole, row.isWhole);
+    }
+  });
+}
+
+t.test('a port without a listener was not sent to', async t => {
+  const fixture = await createRelayFixture();
+  const endpoint = await createRawEndpoint(() => undefined);
+  endpoint.close();
+  const received = fixture.next('requestReceived');
+  const answered = fixture.call('q1');
+  const {facts} = await received;
+  const ended = fixture.next('streamEnded');
+  fixture.dispatch(facts, endpoint.url);
+  t.equal(describeEnd((await ended).end), 'notSent');
+  fixture.giveUp(facts);
+  await answered;
+  await fixture.close();
+});
+
+t.test('the second of two answers belongs to no call', async t => {
+  const fixture = await createRelayFixture();
+  const endpoint = await createRawEndpoint((socket, count) => {
+    const answer = formatAnswer(`q${count}`, 'content-length: 2\r\n\r\nok');
+    socket.write(count === 1 ? answer + answer : answer);
+  });
+  for (const id of ['q1', 'q2']) {
+    const received = fixture.next('requestReceived');
+    const answered = fixture.call(id);
+    const {facts} = await received;
+    fixture.dispatch(facts, endpoint.url);
+    t.match(await answered, {status: 200, body: 'ok', headers: {'x-call': id}});
+  }
+  endpoint.close();
+  await fixture.close();
+});
+
+t.test('a caller that leaves ends the work at once', async t => {
+  const fixture = await createRelayFixture();
+  let onClosed: () => void = () => undefined;
+  const closed = new Promise<void>(resolve => {
+    onClosed = resolve;
+  });
+  const endpoint = await createRawEndpoint(socket => {
+    socket.once('close', onClosed);
+    socket.write(formatAnswer('q1', `${CHUNKED}2\r\nok\r\n`));
+  });
+  const received = fixture.next('requestReceived');
+  void fixture.call('q1');
+  const {facts} = await received;
+  const started = fixture.next('streamStarted');
+  const dispatch = fixture.dispatch(facts, endpoint.url);
+  await started;
+  fixture.relay.perform({kind: 'cancelStream', dispatch});
+  await closed;
+  t.pass('the connection to the endpoint is closed');
+  fixture.giveUp(facts);
+  endpoint.close();
+  await fixture.close();
+});
+
+t.test('a resumed stream joins after the last whole event', async t => {
+  const fixture = await createRelayFixture();
+  const toChunk = (text: string): string =>
+    `${text.length.toString(16)}\r\n${text}\r\n`;
+  const first = await createRawEndpoint(socket => {
+    const events = toChunk('id: 1\ndata: a\n\n') + toChunk('id: 2\nda');
+    socket.write(formatAnswer('q1', CHUNKED + events));
+    setTimeout(() => socket.resetAndDestroy(), 30);
+  });
+  const second = await createRawEndpoint(socket => {
+    const events = toChunk('id: 2\ndata: b\n\n');
+    socket.write(formatAnswer('q1', `${CHUNKED}${events}0\r\n\r\n`));
+  });
+  const received = fixture.next('requestReceived');
+  const answered = fixture.call('q1');
+  const {facts} = await received;
+  const cut = fixture.next('streamEnded');
+  fixture.dispatch(facts, first.url, {isResumable: true});
+  t.equal(describeEnd((await cut).end), 'cut');
+  fixture.dispatch(facts, second.url, {attempt: 2, isResumable: true});
+  const answer = await answered;
+  t.match(answer, {
+    status: 200,
+    body: 'id: 1\ndata: a\n\nid: 2\ndata: b\n\n',
+    isWhole: true,
+  });
+  t.match(second.heads[0]!, /last-event-id: 1\r\n/i);
+  first.close();
+  second.close();
+  await fixture.close();
+});
+
+t.test(
+  'a call goes on with its path, and idle connections serve again',
+  async t => {
+    const fixture = await createRelayFixture();
+    const endpoint = await createRawEndpoint((socket, count) =>
+      socket.write(formatAnswer(`q${count}`, 'content-length: 2\r\n\r\nok')),
+    );
+    for (const id of ['q1', 'q2']) {
+      const received = fixture.next('requestReceived');
+      const answered = fixture.call(id);
+      fixture.dispatch((await received).facts, endpoint.url);
+      await answered;
+    }
+    t.match(endpoint.heads[0]!, /^GET \/x\/1\?q=2 HTTP\/1.1\r\n/);
+    t.equal(endpoint.connections, 1);
+    endpoint.close();
+    await fixture.close();
+  },
+);
--- /dev/null
+++ b/fronts/callRelay/test/relayFixture.ts
@@ -0,0 +1,289 @@
+import {request as sendHttp} from 'node:http';
+import type {IncomingHttpHeaders} from 'node:http';
+import {createServer} from 'node:net';
+import type {AddressInfo, Socket} from 'node:net';
+
+import {createManualClock} from '@gentianshunt/clock';
+import {formatObjectKey} from '@gentianshunt/configuration';
+import type {ConfigurationObject} from '@gentianshunt/configuration';
+import {failDispatched} from '@gentianshunt/entryModel';
+import type {
+  Dispatch,
+  EntryObservation,
+  RequestFacts,
+  StreamEnd,
+} from '@gentianshunt/entryModel';
+import {toIdentifier} from '@gentianshunt/identifiers';
+import type {RequestId} from '@gentianshunt/identifiers';
+import {ANONYMOUS} from '@gentianshunt/routing';
+import {fastify} from 'fastify';
+
+import {createCallRelay, dropHeaders, findHeader} from '../src/index.js';
+import type {CallProtocol, CallRelay} from '../src/index.js';
+
+const HOST = '127.0.0.1';
+
+/** What a caller got. */
+export interface CallerAnswer {
+  readonly status: number;
+  readonly headers: IncomingHttpHeaders;
+  readonly body: string;
+  /** Whether the answer was whole by its framing. */
+  readonly isWhole: boolean;
+}
+
+/** A relay on a real port; a test plays the part of the board. */
+export interface RelayFixture {
+  readonly relay: CallRelay;
+  readonly observations: readonly EntryObservation[];
+  /** Resolves with the next observation of a kind. */
+  next<Kind extends EntryObservation['kind']>(
+    kind: Kind,
+  ): Promise<Extract<EntryObservation, {readonly kind: Kind}>>;
+  /** Sends a call and resolves with its answer, or with its failure. */
+  call(id: string): Promise<CallerAnswer | Error>;
+  /** Dispatches a received call to an endpoint. */
+  dispatch(
+    facts: RequestFacts,
+    url: string,
+    options?: DispatchOptions,
+  ): Dispatch;
+  /** Ends a call as a board would that gives it up. */
+  giveUp(facts: RequestFacts): void;
+  close(): Promise<void>;
+}
+
+/** How a call is dispatched. */
+export interface DispatchOptions {
+  readonly isRepeatable?: boolean;
+  readonly isResumable?: boolean;
+  readonly attempt?: number;
+}
+
+/** The names that the tests speak. */
+const protocol: CallProtocol = {
+  readCall: ({headers, url}) => {
+    const id = findHeader(headers, 'x-call');
+    return id === undefined
+      ? {kind: 'malformed', detail: 'no id'}
+      : {
+          kind: 'read',
+          facts: {
+            id: toIdentifier(id),
+            host: 'a.example',
+            path: url,
+            key: null,
+            timeLeftMs: null,
+            size: null,
+            prefix: null,
+          },
+        };
+  },
+  listEndpointHeaders: ({call, lastEventId}) => [
+    ...dropHeaders(call.headers, new Set(['content-length'])),
+    ...(lastEventId === null ? [] : ['last-event-id', lastEventId]),
+  ],
+  readAnswer: ({headers}) => ({
+    call: (findHeader(headers, 'x-call') ?? null) as RequestId | null,
+    isNotExecuted: findHeader(headers, 'x-not-executed') !== undefined,
+    isAuthentic: findHeader(headers, 'x-proof') !== undefined,
+  }),
+  formatRefusal: ({notRun, reason}) => ({
+    status: notRun ? 503 : 502,
+    headers: [],
+    body: reason.kind,
+  }),
+  formatMalformed: detail => ({status: 400, headers: [], body: detail}),
+};
+
+function listObjects(): readonly ConfigurationObject[] {
+  return [
+    {
+      kind: 'route',
+      id: toIdentifier('r1'),
+      revision: 1,
+      host: 'a.example',
+      pathPrefix: '/x/',
+      requestKind: toIdentifier('k'),
+      tier: toIdentifier('t'),
+      shares: [{set: toIdentifier('s'), weight: 1}],
+      maxAttempts: 2,
+      timeoutMs: 5_000,
+      objectiveMs: 100,
+      patienceMs: 1_000,
+      isAnonymous: true,
+      isResumable: true,
+      isStream: true,
+    },
+    {
+      kind: 'organisation',
+      id: ANONYMOUS,
+      revision: 1,
+      weight: 1,
+      tiers: [],
+      limits: {maxRunning: null, maxRequestsPerSecond: null},
+    },
+    {
+      kind: 'release',
+      id: 'default',
+      revision: 1,
+      version: 1,
+      callerLimits: null,
+    },
+  ];
+}
+
+/** Starts a relay. */
+export async function createRelayFixture(): Promise<RelayFixture> {
+  const server = fastify({forceCloseConnections: true});
+  server.removeAllContentTypeParsers();
+  server.addContentTypeParser(
+    '*',
+    {parseAs: 'buffer'},
+    (_request, body, done) => done(null, body),
+  );
+  const observations: EntryObservation[] = [];
+  const waiters = new Map<string, (observation: EntryObservation) => void>();
+  const configuration = new Map(
+    listObjects().map(object => [
+      formatObjectKey(object.kind, object.id),
+      object,
+    ]),
+  );
+  const control = {version: 1, leaseUntil: Number.POSITIVE_INFINITY};
+  const relay = createCallRelay({
+    server,
+    protocol,
+    view: {configuration, control} as never,
+    clock: createManualClock(),
+    post: observation => {
+      observations.push(observation);
+      waiters.get(observation.kind)?.(observation);
+      waiters.delete(observation.kind);
+    },
+    onRefused: () => undefined,
+  });
+  await server.listen({host: HOST, port: 0});
+  const {port} = server.server.address() as AddressInfo;
+  return {
+    relay,
+    observations,
+    next: kind =>
+      new Promise(resolve => waiters.set(kind, resolve as never)) as never,
+    call: id => sendCall(port, id),
+    dispatch: (facts, url, options = {}) => {
+      const {isRepeatable, isResumable = false, attempt = 1} = options;
+      const dispatch: Dispatch = {
+        id: toIdentifier(`${facts.id}.d${attempt}`),
+        grant: toIdentifier('g'),
+        target: {endpoint: toIdentifier('e1'), url},
+        at: 0,
+        ...(isRepeatable === undefined ? {} : {isRepeatable}),
+      };
+      const request = {
+        ...facts,
+        terms: {...facts.terms!, isResumable},
+        tier: toIdentifier<never>('t'),
+        rank: 1,
+        value: 1,
+        arrivedAt: 0,
+        isIdempotent: true,
+      };
+      relay.perform({kind: 'openStream', request, dispatch});
+      return dispatch;
+    },
+    giveUp: ({id}) => {
+      const reason = {kind: 'endpointFailed', detail: 'test'} as const;
+      relay.perform({
+        kind: 'refuseCaller',
+        refusal: failDispatched(id, reason),
+      });
+    },
+    close: async () => {
+      await relay.close();
+      await server.close();
+    },
+  };
+}
+
+function sendCall(port: number, id: string): Promise<CallerAnswer | Error> {
+  return new Promise(resolve => {
+    const request = sendHttp(
+      {host: HOST, port, path: '/x/1?q=2', headers: {'x-call': id}},
+      response => {
+        const chunks: Buffer[] = [];
+        const finish = (isWhole: boolean): void =>
+          resolve({
+            status: response.statusCode!,
+            headers: response.headers,
+            body: Buffer.concat(chunks).toString(),
+            isWhole,
+          });
+        response.on('data', (chunk: Buffer) => chunks.push(chunk));
+        response.on('end', () => finish(response.complete));
+        response.on('error', () => finish(false));
+      },
+    );
+    request.on('error', resolve);
+    request.end();
+  });
+}
+
+/** An endpoint that writes raw bytes. */
+export interface RawEndpoint {
+  readonly url: string;
+  /** Heads of the requests that came. */
+  readonly heads: readonly string[];
+  readonly connections: number;
+  close(): void;
+}
+
+/** Starts an endpoint that answers each request as it is scripted. */
+export async function createRawEndpoint(
+  answer: (socket: Socket, count: number) => void,
+): Promise<RawEndpoint> {
+  const heads: string[] = [];
+  const sockets = new Set<Socket>();
+  let connections = 0;
+  const server = createServer(socket => {
+    connections += 1;
+    sockets.add(socket);
+    socket.on('error', () => undefined);
+    socket.on('data', bytes => {
+      heads.push(bytes.toString());
+      answer(socket, heads.length);
+    });
+  });
+  await new Promise<void>(resolve => server.listen(0, HOST, resolve));
+  const {port} = server.address() as AddressInfo;
+  return {
+    url: `http://${HOST}:${port}`,
+    heads,
+    get connections() {
+      return connections;
+    },
+    close: () => {
+      sockets.forEach(socket => socket.destroy());
+      server.close();
+    },
+  };
+}
+
+/** Writes the head of an answer of 200, and the bytes that follow it. */
+export function formatAnswer(call: string, rest: string): string {
+  return `HTTP/1.1 200 OK\r\nx-call: ${call}\r\nx-proof: p\r\n${rest}`;
+}
+
+/** Describes how a stream ended. */
+export function describeEnd(end: StreamEnd): string {
+  switch (end.kind) {
+    case 'failed':
+    case 'rejected':
+      return `${end.kind} ${end.status}`;
+    case 'complete':
+    case 'cut':
+    case 'notExecuted':
+    case 'notSent':
+      return end.kind;
+  }
+}
--- /dev/null
+++ b/scheduling/routing/test/routeCall.test.ts
@@ -0,0 +1,165 @@
+import {formatObjectKey} from '@gentianshunt/configuration';
+import type {
+  ConfigurationObject,
+  ConfigurationTable,
+  Route,
+} from '@gentianshunt/configuration';
+import {toIdentifier} from '@gentianshunt/identifiers';
+import t from 'tap';
+
+import {ANONYMOUS, createRoutingTable, routeCall} from '../src/index.js';
+import type {CallFacts} from '../src/index.js';
+
+function createRoute(changes: Partial<Route>): Route {
+  return {
+    kind: 'route',
+    id: toIdentifier('r'),
+    revision: 1,
+    host: 'a.example',
+    pathPrefix: '/x/',
+    requestKind: toIdentifier('once'),
+    tier: toIdentifier('first'),
+    shares: [{set: toIdentifier('s1'), weight: 1}],
+    maxAttempts: 1,
+    timeoutMs: 1_000,
+    objectiveMs: 100,
+    patienceMs: 3_000,
+    isAnonymous: false,
+    isResumable: false,
+    isStream: false,
+    ...changes,
+  };
+}
+
+function createConfiguration(
+  routes: readonly Route[],
+  isReleased = true,
+): ConfigurationTable {
+  const organisations = ['lab', ANONYMOUS].map((id): ConfigurationObject => ({
+    kind: 'organisation',
+    id: toIdentifier(id),
+    revision: 1,
+    weight: 1,
+    tiers: [toIdentifier('first')],
+    limits: {
+      maxRunning: null,
+      maxRequestsPerSecond: null,
+      tokens: {tokensPerSecond: 10, burstTokens: 10, defaultTokens: 200},
+    },
+    keys: id === 'lab' ? ['key-1'] : [],
+  }));
+  const release: ConfigurationObject = {
+    kind: 'release',
+    id: 'default',
+    revision: 1,
+    version: 3,
+    callerLimits: null,
+  };
+  const objects = [
+    ...routes,
+    ...organisations,
+    ...(isReleased ? [release] : []),
+  ];
+  return new Map(
+    objects.map(object => [formatObjectKey(object.kind, object.id), object]),
+  );
+}
+
+function createCall(changes: Partial<CallFacts> = {}): CallFacts {
+  return {
+    id: toIdentifier('q1'),
+    host: 'a.example',
+    path: '/x/1',
+    key: 'key-1',
+    timeLeftMs: 800,
+    size: {promptTokens: 100, maxAnswerTokens: 20},
+    prefix: null,
+    ...changes,
+  };
+}
+
+function run(
+  routes: readonly Route[],
+  call: Partial<CallFacts> = {},
+  isReleased = true,
+) {
+  const configuration = createConfiguration(routes, isReleased);
+  const table = createRoutingTable(configuration);
+  return routeCall(table, configuration, createCall(call));
+}
+
+const refusals: readonly {
+  readonly name: string;
+  readonly call: Partial<CallFacts>;
+  readonly isReleased?: boolean;
+  readonly reason: string;
+}[] = [
+  {
+    name: 'no release yet',
+    call: {},
+    isReleased: false,
+    reason: 'noConfiguration',
+  },
+  {name: 'another host', call: {host: 'b.example'}, reason: 'unknownRoute'},
+  {name: 'another path', call: {path: '/xy/1'}, reason: 'unknownRoute'},
+  {name: 'another key', call: {key: 'key-2'}, reason: 'unknownKey'},
+  {name: 'no key', call: {key: null}, reason: 'unknownKey'},
+];
+
+for (const {name, call, isReleased, reason} of refusals) {
+  t.test(`refused: ${name}`, async t => {
+    const routed = run([createRoute({})], call, isReleased ?? true);
+    t.match(routed, {kind: 'refused', reason: {kind: reason}});
+  });
+}
+
+t.test('the longest prefix wins', async t => {
+  const routes = [
+    createRoute({id: toIdentifier('short')}),
+    createRoute({id: toIdentifier('long'), pathPrefix: '/x/y/'}),
+  ];
+  t.match(run(routes, {path: '/x/y/1'}), {route: {id: 'long'}});
+  t.match(run(routes, {path: '/x/1'}), {route: {id: 'short'}});
+});
+
+t.test('a route without keys takes anybody', async t => {
+  const routed = run([createRoute({isAnonymous: true})], {key: null});
+  t.match(routed, {facts: {organisation: ANONYMOUS}});
+});
+
+t.test('the nearer of the time limits holds', async t => {
+  t.match(run([createRoute({})]), {facts: {terms: {timeLimitMs: 800}}});
+  t.match(run([createRoute({timeoutMs: 300})]), {
+    facts: {terms: {timeLimitMs: 300, patienceMs: 300}},
+  });
+});
+
+t.test('a call of unknown size counts as the allotment says', async t => {
+  t.match(run([createRoute({})]), {facts: {terms: {allotmentTokens: 120}}});
+  t.match(run([createRoute({})], {size: null}), {
+    facts: {terms: {allotmentTokens: 200}},
+  });
+});
+
+t.test('calls spread over sets by weight, and one call stays put', async t => {
+  const route = createRoute({
+    shares: [
+      {set: toIdentifier('s1'), weight: 3},
+      {set: toIdentifier('s2'), weight: 1},
+      {set: toIdentifier('s3'), weight: 0},
+    ],
+  });
+  const counts = new Map<string, number>();
+  const calls = 2_000;
+  for (let index = 0; index < calls; index += 1) {
+    const routed = run([route], {id: toIdentifier(`q${index}`)});
+    const set = routed.kind === 'resolved' ? routed.facts.set : '';
+    counts.set(set, (counts.get(set) ?? 0) + 1);
+  }
+  t.ok(Math.abs(counts.get('s1')! / calls - 0.75) < 0.05);
+  t.notOk(counts.has('s3'));
+  t.same(
+    run([route], {id: toIdentifier('q7')}),
+    run([route], {id: toIdentifier('q7')}),
+  );
+});
