--- /dev/null
+++ b/standins/platformWorker/src/index.ts
@@ -0,0 +1,1 @@
+export * from './platformWorker.js';
