Count what was received, not what was sent, as a peer's sign of life

A link into which pings were written never became silent: the socket's own timer counts both directions.

--- a/control/entrySessions/src/index.ts
+++ b/control/entrySessions/src/index.ts
@@ -1,3 +1,4 @@
+export * from './allotmentShares.js';
 export * from './assignmentController.js';
 export * from './claimAnswers.js';
 export * from './inForce.js';
--- a/transport/peerLinks/src/link.ts
+++ b/transport/peerLinks/src/link.ts
@@ -11,9 +11,9 @@
 import {parsePeerFrame, PROTOCOL_VERSION} from './protocol.js';
 import type {PeerFrame} from './protocol.js';
 
-/** Time without sending after which a ping is sent. */
+/** Time between two pings, in milliseconds. */
 export const PING_INTERVAL_MS = 2_000;
-/** Time without receiving after which a link is closed. */
+/** Time without receiving after which a link is closed, in milliseconds. */
 export const SILENCE_LIMIT_MS = 6_000;
 /** Bytes waiting to be sent at which a link counts as stuck. */
 export const MAX_BUFFERED_BYTES = 32 * 1024 * 1024;
@@ -78,12 +78,18 @@
       options.onMessage(node, frame.body);
     }
   };
-  const ping = setInterval(() => link.send({kind: 'ping'}), PING_INTERVAL_MS);
+  // What is sent into a silent connection must not count as a sign of life.
+  let receivedAt = performance.now();
+  const ping = setInterval(() => {
+    if (performance.now() - receivedAt >= SILENCE_LIMIT_MS) {
+      link.close(new PeerSilentError(node ?? address, SILENCE_LIMIT_MS));
+    } else {
+      link.send({kind: 'ping'});
+    }
+  }, PING_INTERVAL_MS);
   socket.setNoDelay(true);
-  socket.setTimeout(SILENCE_LIMIT_MS, () => {
-    link.close(new PeerSilentError(node ?? address, SILENCE_LIMIT_MS));
-  });
   socket.on('data', chunk => {
+    receivedAt = performance.now();
     try {
       reader.read(chunk).forEach(handleFrame);
     } catch (error) {
