--- a/control/consensus/src/memberChangeController.ts
+++ b/control/consensus/src/memberChangeController.ts
@@ -144,7 +144,7 @@
   const voters = members.filter(member => member.role === 'voter');
   const isReplaceable =
     voters.length > MIN_KEPT_VOTERS ||
-    findReadyLearner(view, membership) !== undefined;
+    listReadyLearners(view, membership).length > 0;
   const silent = isReplaceable
     ? voters.find(({node}) => isSilent(view, node, now))
     : undefined;
@@ -167,13 +167,13 @@
   return now.monotonic - heardAt >= VOTER_SILENCE_MS;
 }
 
-/** Finds a learner that lacks little; one of a group that is full stays. */
-function findReadyLearner(
+/** Lists the learners that lack little. */
+function listReadyLearners(
   view: MemberChangeView,
   {members}: Membership,
-): Member | undefined {
+): readonly Member[] {
   const {logStatus, progress} = view.board;
-  return members.find(
+  return members.filter(
     ({node, role}) =>
       role === 'learner' &&
       (progress.get(node)?.matchIndex ?? 0) >=
@@ -187,8 +187,15 @@
 ): readonly Member[] | undefined {
   const {members} = membership;
   const voters = members.filter(member => member.role === 'voter').length;
-  const ready = findReadyLearner(view, membership);
-  if (ready === undefined || voters >= MAX_VOTERS) {
+  const [ready, second] = listReadyLearners(view, membership);
+  // An even number of voters bears no more losses than one less, and a cut
+  // into halves leaves neither of them a quorum.
+  const isOdd = voters % 2 === 1;
+  if (
+    ready === undefined ||
+    voters >= MAX_VOTERS ||
+    (isOdd && second === undefined)
+  ) {
     return undefined;
   }
   return members.map(member =>
