--- a/transport/peerLinks/src/peerErrors.ts
+++ b/transport/peerLinks/src/peerErrors.ts
@@ -33,3 +33,14 @@
     });
   }
 }
+
+/** A peer that did not accept a connection in time. */
+export class PeerUnreachableError extends SchedulerError {
+  constructor(peer: string, waitedMs: number) {
+    super({
+      code: 'ERR_PEER_UNREACHABLE',
+      message: `no connection within ${waitedMs} ms`,
+      origin: {step: 'connect', peer},
+    });
+  }
+}
--- a/transport/peerLinks/src/peerLinks.ts
+++ b/transport/peerLinks/src/peerLinks.ts
@@ -5,11 +5,14 @@
 
 import {createLink} from './link.js';
 import type {Link} from './link.js';
+import {PeerUnreachableError} from './peerErrors.js';
 
 /** Shortest wait before a connection is tried again, in milliseconds. */
 export const MIN_RECONNECT_MS = 50;
 /** Longest wait before a connection is tried again, in milliseconds. */
-export const MAX_RECONNECT_MS = 2_000;
+export const MAX_RECONNECT_MS = 500;
+/** Longest wait for a peer to accept a connection, in milliseconds. */
+export const CONNECT_TIMEOUT_MS = 500;
 /** Most messages kept for a peer while its connection is being made. */
 export const MAX_QUEUED_MESSAGES = 1_024;
 
@@ -104,8 +107,14 @@
     }
     peer.isConnecting = true;
     const socket = connect({host: address.host, port: address.port});
+    // The kernel tries again ever more rarely, also after a cut has healed.
+    socket.setTimeout(CONNECT_TIMEOUT_MS, () => {
+      socket.destroy(new PeerUnreachableError(node, CONNECT_TIMEOUT_MS));
+    });
     socket.once('connect', () => {
       peer.isConnecting = false;
+      socket.setTimeout(0);
+      socket.removeAllListeners('timeout');
       socket.removeAllListeners('error');
       openLink(socket, node);
     });
