--- a/daemons/hosts/src/index.ts
+++ b/daemons/hosts/src/index.ts
@@ -3,3 +3,4 @@
 export * from './dataFolderRefusedError.js';
 export * from './entryHost.js';
 export * from './entryMessages.js';
+export * from './recoveringMember.js';
--- a/storage/logFile/src/index.ts
+++ b/storage/logFile/src/index.ts
@@ -1,3 +1,4 @@
+export * from './clearStorageFolder.js';
 export * from './logFile.js';
 export * from './logFileErrors.js';
 export * from './readFolder.js';
