--- a/daemons/controld/src/controld.ts
+++ b/daemons/controld/src/controld.ts
@@ -54,8 +54,7 @@
       onFailed(new DataFolderRefusedError(settings.data_folder, reason)),
     onFailed: error => {
       logger.write({kind: 'diskFailed', error});
-      logger.flush();
-      onFailed(error);
+      void logger.flush().then(() => onFailed(error));
     },
   });
   const {node, close} = host;
@@ -67,7 +66,7 @@
       await links.close();
       await close();
       logger.write({kind: 'daemonStopped', exitCode: 0});
-      logger.flush();
+      await logger.flush();
     },
   };
 }
--- a/daemons/entryd/src/entryd.ts
+++ b/daemons/entryd/src/entryd.ts
@@ -113,8 +113,7 @@
   const metrics = createEntryMetrics();
   const exit = (): void => {
     logger.write({kind: 'daemonStopped', exitCode: 0});
-    logger.flush();
-    options.onExit();
+    void logger.flush().then(options.onExit);
   };
   adapters = {
     performFront: order => {
--- a/fronts/logging/src/logger.ts
+++ b/fronts/logging/src/logger.ts
@@ -14,14 +14,16 @@
 const MIN_WRITTEN_BYTES = 4_096;
 /** Longest time for which lines are gathered, in milliseconds. */
 const FLUSH_INTERVAL_MS = 250;
+/** Longest wait for the last lines, in milliseconds. */
+const MAX_FLUSH_MS = 100;
 const STDOUT = 1;
 const SECOND_MS = 1_000;
 
 /** Writes events to the log. */
 export interface Logger {
   write(event: LogEvent): void;
-  /** Writes what was gathered; for the end of a process. */
-  flush(): void;
+  /** Resolves once what was gathered is written, or after a short wait. */
+  flush(): Promise<void>;
 }
 
 /** What a logger needs. */
@@ -63,12 +65,12 @@
 
 interface Output {
   readonly stream: DestinationStream;
-  flush(): void;
+  flush(): Promise<void>;
 }
 
 function createOutput({destination}: LoggerOptions): Output {
   if (destination !== undefined) {
-    return {stream: destination, flush: () => undefined};
+    return {stream: destination, flush: () => Promise.resolve()};
   }
   const stream = pino.destination({
     fd: STDOUT,
@@ -78,7 +80,15 @@
   });
   const timer = setInterval(() => stream.flush(), FLUSH_INTERVAL_MS);
   timer.unref();
-  return {stream, flush: () => stream.flushSync()};
+  return {
+    stream,
+    // A reader that is slow or gone must not hold up the end of a process.
+    flush: () =>
+      new Promise(resolve => {
+        setTimeout(resolve, MAX_FLUSH_MS);
+        stream.flush(() => resolve());
+      }),
+  };
 }
 
 interface Verdict {
