--- a/daemons/entryd/src/entryd.ts
+++ b/daemons/entryd/src/entryd.ts
@@ -156,7 +156,7 @@
     httpPort: settings.http.port,
     shutdown: () => {
       if (node.view.service.kind === 'draining') {
-        exit();
+        options.onExit();
         return;
       }
       logger.write({kind: 'daemonStopping', cause: 'shutdown'});
