--- a/daemons/hosts/src/entryHost.ts
+++ b/daemons/hosts/src/entryHost.ts
@@ -2,6 +2,7 @@
 import {createEntryNode} from '@gentianshunt/entryNode';
 import type {EntryNode} from '@gentianshunt/entryNode';
 import type {
+  CallerOrder,
   EntryDecision,
   EntryIdentity,
   EntryMessage,
@@ -17,24 +18,10 @@
   NetworkAddress,
 } from '@gentianshunt/messages';
 
-/** Orders that the front for callers carries out. */
-export type FrontOrder = Extract<
-  EntryOrder,
-  {
-    readonly kind:
-      | 'openStream'
-      | 'resumeStream'
-      | 'cancelStream'
-      | 'refuseCaller'
-      | 'repeatAnswer'
-      | 'answerAddresses';
-  }
->;
-
 /** The adapters of an entry. */
 export interface EntryAdapters {
   /** Carries out what concerns callers and their answers. */
-  performFront(order: FrontOrder): void;
+  performFront(order: CallerOrder): void;
   answerOperator(
     correlation: RequestId,
     progress: Extract<EntryOrder, {kind: 'answerOperator'}>['progress'],
--- a/fronts/callerFront/src/callerFront.ts
+++ b/fronts/callerFront/src/callerFront.ts
@@ -1,7 +1,7 @@
 import {pickFallbacks} from '@gentianshunt/addressLookup';
 import type {
+  CallerOrder,
   EntryObservation,
-  EntryOrder,
   Refusal,
 } from '@gentianshunt/entryModel';
 import type {NodeId, RequestId} from '@gentianshunt/identifiers';
@@ -23,20 +23,6 @@
 import type {ParsedRequest} from './requestForm.js';
 import {createStreamClient} from './streamClient.js';
 
-/** Orders that the caller front carries out. */
-export type CallerOrder = Extract<
-  EntryOrder,
-  {
-    readonly kind:
-      | 'openStream'
-      | 'resumeStream'
-      | 'cancelStream'
-      | 'refuseCaller'
-      | 'repeatAnswer'
-      | 'answerAddresses';
-  }
->;
-
 /** What the caller front needs. */
 export interface CallerFrontOptions {
   readonly server: FastifyInstance;
--- a/scheduling/entryModel/src/order.ts
+++ b/scheduling/entryModel/src/order.ts
@@ -91,3 +91,17 @@
   /** Tells of a decision; losing it changes nothing. */
   | {readonly kind: 'tell'; readonly decision: EntryDecision}
   | {readonly kind: 'exit'};
+
+/** Orders that a front for callers carries out. */
+export type CallerOrder = Extract<
+  EntryOrder,
+  {
+    readonly kind:
+      | 'openStream'
+      | 'resumeStream'
+      | 'cancelStream'
+      | 'refuseCaller'
+      | 'repeatAnswer'
+      | 'answerAddresses';
+  }
+>;
--- a/scheduling/lifecycle/src/repeats.ts
+++ b/scheduling/lifecycle/src/repeats.ts
@@ -54,6 +54,21 @@
   putInLine(draft, state, noteTried(state), mayHaveRun);
 }
 
+/** Repeats a call that may have run; tells whether it could. */
+export function retryElsewhere(
+  view: LifecycleView,
+  draft: RequestDraft,
+  state: DispatchedState,
+  now: TurnTime,
+): boolean {
+  const {request} = state;
+  if (!request.isIdempotent || !canRepeat(view, draft, request, now)) {
+    return false;
+  }
+  returnToLine(view, draft, state, true, now);
+  return true;
+}
+
 /** Tells whether a request that never left may be dispatched once more. */
 export function canResend({terms, unsent}: AdmittedRequest): boolean {
   return terms !== undefined && (unsent ?? 0) < MAX_UNSENT;
--- a/scheduling/lifecycle/src/streams.ts
+++ b/scheduling/lifecycle/src/streams.ts
@@ -18,7 +18,13 @@
 
 import {TRANSIENT_RETRY_AFTER_MS} from './admitRequest.js';
 import {endRequest} from './endRequest.js';
-import {canRepeat, canResend, returnToLine, returnUnsent} from './repeats.js';
+import {
+  canRepeat,
+  canResend,
+  returnToLine,
+  returnUnsent,
+  retryElsewhere,
+} from './repeats.js';
 import type {LifecycleView, RequestDraft} from './requestDraft.js';
 import {settleClaim} from './settlements.js';
 
@@ -154,8 +160,7 @@
   now: TurnTime,
 ): void {
   const {request} = state;
-  if (request.isIdempotent && canRepeat(view, draft, request, now)) {
-    returnToLine(view, draft, state, true, now);
+  if (retryElsewhere(view, draft, state, now)) {
     return;
   }
   const reason = {kind: 'endpointFailed', detail: `status ${status}`} as const;
@@ -218,8 +223,7 @@
   const {request} = state;
   const isOpen =
     state.kind === 'dispatched' || request.terms?.isResumable === true;
-  if (isOpen && request.isIdempotent && canRepeat(view, draft, request, now)) {
-    returnToLine(view, draft, state, true, now);
+  if (isOpen && retryElsewhere(view, draft, state, now)) {
     return;
   }
   const reason = {kind: 'answerCut', detail: end.detail} as const;
@@ -275,9 +279,7 @@
     const state = draft.read(value);
     if (state?.kind === 'dispatched' || state?.kind === 'answering') {
       draft.order({kind: 'cancelStream', dispatch: state.dispatch});
-      const {request} = state;
-      if (request.isIdempotent && canRepeat(view, draft, request, now)) {
-        returnToLine(view, draft, state, true, now);
+      if (retryElsewhere(view, draft, state, now)) {
         continue;
       }
       const reason = {kind: 'answerCut', detail: 'endpoint silent'} as const;
--- a/scheduling/limits/src/rateBucket.ts
+++ b/scheduling/limits/src/rateBucket.ts
@@ -18,12 +18,7 @@
   now: MonotonicTime,
 ): RateBucket {
   const capacity = Math.max(1, requestsPerSecond * BURST_SECONDS);
-  if (bucket === undefined) {
-    return {tokens: capacity, at: now};
-  }
-  const elapsedSeconds = (now - bucket.at) / MS_PER_SECOND;
-  const tokens = bucket.tokens + elapsedSeconds * requestsPerSecond;
-  return {tokens: Math.min(capacity, tokens), at: now};
+  return refillTokens(bucket, {perSecond: requestsPerSecond, capacity}, now);
 }
 
 /** How a bucket fills up. */
