--- /dev/null
+++ b/cli/gentianshunt/src/explain.ts
@@ -0,0 +1,66 @@
+import {readFileSync} from 'node:fs';
+
+import {
+  explainRequest,
+  formatExplanation,
+  formatFailures,
+  readLogLines,
+  summarizeFailures,
+} from '@gentianshunt/explain';
+import type {LogLines} from '@gentianshunt/explain';
+import {defineCommand} from 'citty';
+
+import {FAILURE_EXIT_CODE, runChecked} from './exitCodes.js';
+
+/** Tells from the daemons' logs why requests were not served. */
+export const explainCommand = defineCommand({
+  meta: {
+    name: 'explain',
+    description:
+      "Tell from daemons' logs why a request was not served; without a request, count the causes of all. Exit code 1 when the logs do not know the request.",
+  },
+  args: {
+    log: {
+      type: 'string',
+      required: true,
+      description: 'Files of log lines, separated by commas',
+    },
+    request: {type: 'string', description: 'Identifier of the request'},
+    json: {type: 'boolean', description: 'Print JSON'},
+  },
+  run: ({args}) =>
+    runChecked(() => {
+      const files = args.log.split(',').map(file => readFileSync(file, 'utf8'));
+      const log = readLogLines(files);
+      if (log.unreadable > 0) {
+        console.error(`${log.unreadable} lines are no log lines of a daemon`);
+      }
+      const isJson = args.json === true;
+      if (args.request === undefined) {
+        printFailures(log, isJson);
+      } else {
+        printExplanation(log, args.request, isJson);
+      }
+    }),
+});
+
+function printFailures({lines}: LogLines, isJson: boolean): void {
+  const rows = summarizeFailures(lines);
+  console.log(isJson ? JSON.stringify(rows) : formatFailures(rows));
+}
+
+function printExplanation(
+  {lines}: LogLines,
+  request: string,
+  isJson: boolean,
+): void {
+  const explanation = explainRequest({lines, request});
+  if (explanation === undefined) {
+    console.error(`no line tells of request ${request}`);
+    process.exitCode = FAILURE_EXIT_CODE;
+    return;
+  }
+  console.log(
+    isJson ? JSON.stringify(explanation) : formatExplanation(explanation),
+  );
+}
--- a/cli/gentianshunt/src/main.ts
+++ b/cli/gentianshunt/src/main.ts
@@ -4,6 +4,7 @@
 import {checkSettingsCommand} from './checkSettings.js';
 import {commandCommand} from './command.js';
 import {createKeyCommand} from './createKey.js';
+import {explainCommand} from './explain.js';
 import {loadCommand} from './load.js';
 import {queryCommand} from './query.js';
 import {reportCommand} from './report.js';
@@ -17,6 +18,7 @@
     'check-settings': checkSettingsCommand,
     command: commandCommand,
     'create-key': createKeyCommand,
+    explain: explainCommand,
     load: loadCommand,
     query: queryCommand,
     report: reportCommand,
--- /dev/null
+++ b/reports/explain/src/formatExplanation.ts
@@ -0,0 +1,41 @@
+import Table from 'cli-table3';
+
+import type {Explanation, TimelineLine} from './explainRequest.js';
+import {describeCause} from './failureCause.js';
+import type {FailureRow} from './summarizeFailures.js';
+
+const PLAIN = {head: [], border: []};
+
+/** Formats the timeline of a request and its cause for a terminal. */
+export function formatExplanation(explanation: Explanation): string {
+  const {request, cause, timeline} = explanation;
+  return [
+    `request ${request}: ${describeCause(cause)}`,
+    ...timeline.map(formatLine),
+  ].join('\n');
+}
+
+function formatLine({offsetMs, relation, line}: TimelineLine): string {
+  const sign = offsetMs < 0 ? '-' : '+';
+  const offset = `${sign}${Math.abs(offsetMs)} ms`.padStart(10);
+  const fields = Object.entries(line.fields)
+    .filter(([name]) => name !== 'level' && name !== 'request')
+    .map(([name, value]) => `${name}=${formatValue(value)}`);
+  return `${offset} [${relation}] ${line.daemon} ${line.event} ${fields.join(' ')}`.trimEnd();
+}
+
+function formatValue(value: unknown): string {
+  return typeof value === 'string' ? value : JSON.stringify(value);
+}
+
+/** Formats the counts of causes as a table for a terminal. */
+export function formatFailures(rows: readonly FailureRow[]): string {
+  const table = new Table({
+    head: ['cause', 'requests', 'for example'],
+    style: PLAIN,
+  });
+  for (const {cause, count, example} of rows) {
+    table.push([cause, String(count), example]);
+  }
+  return table.toString();
+}
--- /dev/null
+++ b/reports/explain/test/explainRequest.test.ts
@@ -0,0 +1,230 @@
+import t from 'tap';
+
+import {
+  describeCause,
+  explainRequest,
+  formatExplanation,
+  formatFailures,
+  readLogLines,
+  summarizeFailures,
+} from '../src/index.js';
+import type {FailureCause, LogLine} from '../src/index.js';
+
+const START = Date.parse('2026-12-04T10:00:00.000Z');
+
+interface LineFixture {
+  readonly atMs: number;
+  readonly daemon?: string;
+  readonly event: string;
+  readonly [field: string]: unknown;
+}
+
+function createText(fixtures: readonly LineFixture[]): string {
+  return fixtures
+    .map(({atMs, ...fields}) =>
+      JSON.stringify({
+        level: 'info',
+        time: new Date(START + atMs).toISOString(),
+        daemon: 'front-a',
+        ...fields,
+      }),
+    )
+    .join('\n');
+}
+
+function createLines(fixtures: readonly LineFixture[]): readonly LogLine[] {
+  return readLogLines([createText(fixtures)]).lines;
+}
+
+function createDispatch(atMs: number, endpoint: string): LineFixture {
+  return {
+    atMs,
+    event: 'requestDispatched',
+    request: 'r1',
+    set: 'chat',
+    endpoint,
+  };
+}
+
+function createEnd(
+  atMs: number,
+  fields: Readonly<Record<string, unknown>>,
+): LineFixture {
+  return {atMs, event: 'requestEnded', request: 'r1', set: 'chat', ...fields};
+}
+
+const CASES: readonly {
+  readonly name: string;
+  readonly lines: readonly LineFixture[];
+  readonly cause: FailureCause;
+}[] = [
+  {
+    name: 'an answer',
+    lines: [createDispatch(0, 'e1'), createEnd(9, {end: 'answered'})],
+    cause: {kind: 'answered'},
+  },
+  {
+    name: 'an earlier answer given again',
+    lines: [createEnd(9, {end: 'repeated'})],
+    cause: {kind: 'answered'},
+  },
+  {
+    name: 'a caller who left while waiting',
+    lines: [createEnd(9, {end: 'abandonedWaiting'})],
+    cause: {kind: 'abandoned', hadEndpoint: false},
+  },
+  {
+    name: 'a caller who left while it ran',
+    lines: [createDispatch(0, 'e1'), createEnd(9, {end: 'abandonedRunning'})],
+    cause: {kind: 'abandoned', hadEndpoint: true},
+  },
+  {
+    name: 'a refusal before admission',
+    lines: [
+      {
+        atMs: 0,
+        event: 'requestRefused',
+        request: 'r1',
+        reason: 'allotmentUsed',
+        notRun: true,
+      },
+    ],
+    cause: {kind: 'allotmentUsed', organisation: undefined},
+  },
+  {
+    name: 'a wait without a place',
+    lines: [createEnd(724, {end: 'refused', reason: 'shed', totalMs: 724})],
+    cause: {kind: 'waitedTooLong', waitedMs: 724},
+  },
+  {
+    name: 'a wait for a further attempt',
+    lines: [
+      createDispatch(0, 'e1'),
+      createEnd(724, {end: 'refused', reason: 'shed', totalMs: 724}),
+    ],
+    cause: {kind: 'endpointFailed', endpoints: ['e1']},
+  },
+  {
+    name: 'two endpoints that failed it',
+    lines: [
+      createDispatch(0, 'e1'),
+      createDispatch(5, 'e2'),
+      createEnd(9, {end: 'refused', reason: 'answerCut'}),
+    ],
+    cause: {kind: 'endpointFailed', endpoints: ['e1', 'e2']},
+  },
+  {
+    name: 'a time limit',
+    lines: [
+      createDispatch(0, 'e1'),
+      createEnd(9, {end: 'refused', reason: 'timeLimit'}),
+    ],
+    cause: {kind: 'timeLimit', endpoints: ['e1']},
+  },
+  {
+    name: 'no lease',
+    lines: [
+      {atMs: 0, event: 'requestRefused', request: 'r1', reason: 'noLease'},
+    ],
+    cause: {kind: 'noLease'},
+  },
+  {
+    name: 'an unknown route',
+    lines: [
+      {atMs: 0, event: 'requestRefused', request: 'r1', reason: 'unknownRoute'},
+    ],
+    cause: {kind: 'notAllowed', reason: 'unknownRoute'},
+  },
+  {
+    name: 'an entry that was killed',
+    lines: [createDispatch(0, 'e1')],
+    cause: {kind: 'endNotLogged', endpoints: ['e1']},
+  },
+];
+
+for (const {name, lines, cause} of CASES) {
+  t.test(`the cause of ${name}`, async test => {
+    const found = explainRequest({lines: createLines(lines), request: 'r1'});
+    test.same(found?.cause, cause);
+    test.not(describeCause(cause), '');
+  });
+}
+
+t.test('the timeline holds what concerns the request, in order', async test => {
+  const lines = createLines([
+    {atMs: -5_000, event: 'leaseLost'},
+    {atMs: -100, event: 'leaseRegained'},
+    {atMs: -90, event: 'leaseRegained', daemon: 'front-b'},
+    {atMs: 10, event: 'requestDispatched', request: 'other', endpoint: 'e1'},
+    createDispatch(0, 'e1'),
+    {
+      atMs: 5,
+      event: 'endpointChanged',
+      daemon: 'front-b',
+      set: 'chat',
+      endpoint: 'e1',
+      state: 'silent',
+    },
+    {
+      atMs: 6,
+      event: 'setLeaderChanged',
+      daemon: 'front-b',
+      set: 'chat',
+      node: 'front-c',
+    },
+    {atMs: 7, event: 'setLeaderChanged', daemon: 'front-b', set: 'plain'},
+    createEnd(20, {end: 'refused', reason: 'answerCut'}),
+    {atMs: 30, event: 'leaseLost'},
+  ]);
+  const found = explainRequest({lines, request: 'r1'});
+  test.same(
+    found?.timeline.map(({offsetMs, relation, line}) => [
+      offsetMs,
+      relation,
+      line.event,
+    ]),
+    [
+      [-100, 'entry', 'leaseRegained'],
+      [0, 'request', 'requestDispatched'],
+      [5, 'endpoint', 'endpointChanged'],
+      [6, 'set', 'setLeaderChanged'],
+      [20, 'request', 'requestEnded'],
+    ],
+  );
+  const text = formatExplanation(found!);
+  test.match(text, /failed at e1/);
+  test.match(text, /\+5 ms \[endpoint\] front-b endpointChanged/);
+});
+
+t.test('a request of which no line tells', async test => {
+  const lines = createLines([createDispatch(0, 'e1')]);
+  test.equal(explainRequest({lines, request: 'r2'}), undefined);
+});
+
+t.test('lines of several files in any order, and foreign ones', async test => {
+  const texts = [
+    `${createText([createEnd(9, {end: 'answered'})])}\n\nnot a line\n{"a":1}\n{broken`,
+    `12.5 front-a | ${createText([createDispatch(0, 'e1')])}`,
+  ];
+  const {lines, unreadable} = readLogLines(texts);
+  test.equal(unreadable, 3);
+  test.same(
+    lines.map(({event}) => event),
+    ['requestDispatched', 'requestEnded'],
+  );
+});
+
+t.test('the causes of all requests are counted', async test => {
+  const lines = createLines([
+    createEnd(1, {end: 'answered'}),
+    {atMs: 2, event: 'requestRefused', request: 'r2', reason: 'noLease'},
+    {atMs: 3, event: 'requestRefused', request: 'r3', reason: 'noLease'},
+    {atMs: 4, event: 'leaseLost'},
+  ]);
+  const rows = summarizeFailures(lines);
+  test.same(rows, [
+    {cause: 'noLease', count: 2, example: 'r2'},
+    {cause: 'answered', count: 1, example: 'r1'},
+  ]);
+  test.match(formatFailures(rows), /noLease/);
+});
