--- a/cli/gentianshunt/src/explain.ts
+++ b/cli/gentianshunt/src/explain.ts
@@ -1,11 +1,11 @@
 import {readFileSync} from 'node:fs';
 
 import {
-  explainRequest,
+  createExplanation,
   formatExplanation,
   formatFailures,
   readLogLines,
-  summarizeFailures,
+  countFailures,
 } from '@gentianshunt/explain';
 import type {LogLines} from '@gentianshunt/explain';
 import {defineCommand} from 'citty';
@@ -45,7 +45,7 @@
 });
 
 function printFailures({lines}: LogLines, isJson: boolean): void {
-  const rows = summarizeFailures(lines);
+  const rows = countFailures(lines);
   console.log(isJson ? JSON.stringify(rows) : formatFailures(rows));
 }
 
@@ -54,7 +54,7 @@
   request: string,
   isJson: boolean,
 ): void {
-  const explanation = explainRequest({lines, request});
+  const explanation = createExplanation({lines, request});
   if (explanation === undefined) {
     console.error(`no line tells of request ${request}`);
     process.exitCode = FAILURE_EXIT_CODE;
--- a/reports/explain/src/summarizeFailures.ts
+++ b/reports/explain/src/countFailures.ts
@@ -12,11 +12,11 @@
 }
 
 /** Counts the requests of some logs by the cause of their end. */
-export function summarizeFailures(
+export function countFailures(
   lines: readonly LogLine[],
 ): readonly FailureRow[] {
   const rows = new Map<FailureCause['kind'], FailureRow>();
-  for (const [request, own] of groupByRequest(lines)) {
+  for (const [request, own] of joinByRequest(lines)) {
     const {kind} = findCause(own);
     const row = rows.get(kind) ?? {cause: kind, count: 0, example: request};
     rows.set(kind, {...row, count: row.count + 1});
@@ -24,7 +24,7 @@
   return [...rows.values()].sort((left, right) => right.count - left.count);
 }
 
-function groupByRequest(
+function joinByRequest(
   lines: readonly LogLine[],
 ): ReadonlyMap<string, readonly LogLine[]> {
   const groups = new Map<string, LogLine[]>();
--- a/reports/explain/src/explainRequest.ts
+++ b/reports/explain/src/createExplanation.ts
@@ -42,7 +42,7 @@
  * entry, its endpoint set and its endpoints. `undefined` when the logs do not
  * know the request.
  */
-export function explainRequest(options: {
+export function createExplanation(options: {
   readonly lines: readonly LogLine[];
   readonly request: string;
 }): Explanation | undefined {
--- a/reports/explain/src/formatExplanation.ts
+++ b/reports/explain/src/formatExplanation.ts
@@ -1,8 +1,8 @@
 import Table from 'cli-table3';
 
-import type {Explanation, TimelineLine} from './explainRequest.js';
+import type {Explanation, TimelineLine} from './createExplanation.js';
 import {describeCause} from './failureCause.js';
-import type {FailureRow} from './summarizeFailures.js';
+import type {FailureRow} from './countFailures.js';
 
 const PLAIN = {head: [], border: []};
 
--- a/reports/explain/src/index.ts
+++ b/reports/explain/src/index.ts
@@ -1,5 +1,5 @@
-export * from './explainRequest.js';
+export * from './createExplanation.js';
 export * from './failureCause.js';
 export * from './formatExplanation.js';
 export * from './logLine.js';
-export * from './summarizeFailures.js';
+export * from './countFailures.js';
--- a/reports/explain/src/logLine.ts
+++ b/reports/explain/src/logLine.ts
@@ -33,9 +33,7 @@
     .filter(line => line.trim() !== '');
   const lines = written.flatMap(line => readLine(line));
   return {
-    lines: lines.sort(
-      (left, right) => left.at.getTime() - right.at.getTime(),
-    ),
+    lines: lines.sort((left, right) => left.at.getTime() - right.at.getTime()),
     unreadable: written.length - lines.length,
   };
 }
--- a/reports/explain/test/explainRequest.test.ts
+++ b/reports/explain/test/createExplanation.test.ts
@@ -2,11 +2,11 @@
 
 import {
   describeCause,
-  explainRequest,
+  createExplanation,
   formatExplanation,
   formatFailures,
   readLogLines,
-  summarizeFailures,
+  countFailures,
 } from '../src/index.js';
 import type {FailureCause, LogLine} from '../src/index.js';
 
@@ -144,7 +144,7 @@
 
 for (const {name, lines, cause} of CASES) {
   t.test(`the cause of ${name}`, async test => {
-    const found = explainRequest({lines: createLines(lines), request: 'r1'});
+    const found = createExplanation({lines: createLines(lines), request: 'r1'});
     test.same(found?.cause, cause);
     test.not(describeCause(cause), '');
   });
@@ -176,7 +176,7 @@
     createEnd(20, {end: 'refused', reason: 'answerCut'}),
     {atMs: 30, event: 'leaseLost'},
   ]);
-  const found = explainRequest({lines, request: 'r1'});
+  const found = createExplanation({lines, request: 'r1'});
   test.same(
     found?.timeline.map(({offsetMs, relation, line}) => [
       offsetMs,
@@ -198,7 +198,7 @@
 
 t.test('a request of which no line tells', async test => {
   const lines = createLines([createDispatch(0, 'e1')]);
-  test.equal(explainRequest({lines, request: 'r2'}), undefined);
+  test.equal(createExplanation({lines, request: 'r2'}), undefined);
 });
 
 t.test('lines of several files in any order, and foreign ones', async test => {
@@ -221,7 +221,7 @@
     {atMs: 3, event: 'requestRefused', request: 'r3', reason: 'noLease'},
     {atMs: 4, event: 'leaseLost'},
   ]);
-  const rows = summarizeFailures(lines);
+  const rows = countFailures(lines);
   test.same(rows, [
     {cause: 'noLease', count: 2, example: 'r2'},
     {cause: 'answered', count: 1, example: 'r1'},
