Keep token allotments at one entry per organisation instead of dividing them by demand

Equal or demand-weighted parts of a small allotment are smaller than its requests, and a bucket concedes less than a window. Now the leader of one endpoint set, picked by the organisation's name, counts what each entry used within the sliding window and answers entries that ask. While it is silent, each entry goes on with its equal part.

--- a/control/controlModel/src/sections.ts
+++ b/control/controlModel/src/sections.ts
@@ -31,11 +31,7 @@
 } from '@gentianshunt/messages';
 import {INITIAL_BUCKET} from '@gentianshunt/orders';
 import type {TokenBucket} from '@gentianshunt/orders';
-import type {
-  EndpointSetId,
-  NodeId,
-  OrganisationId,
-} from '@gentianshunt/identifiers';
+import type {EndpointSetId, NodeId} from '@gentianshunt/identifiers';
 
 import type {ControlObservation} from './observation.js';
 import type {ControlOrder} from './order.js';
@@ -215,8 +211,6 @@
     sessionLeases: defineOrdered<SessionLeaseKey, true>(
       compareBy('leaseUntil', 'node'),
     ),
-    /** Tokens a second that all entries ask for, as last added up. */
-    tokenDemands: defineCell<ReadonlyMap<OrganisationId, number>>(new Map()),
     directory: defineCell<DirectoryVersion>(NO_DIRECTORY_VERSION),
     directoryHistory: defineOrdered<number, DirectoryChange>(compareValues),
     leaderCandidates: defineMap<NodeId, LeaderCandidate>(),
--- a/control/controlModel/src/sessionRecords.ts
+++ b/control/controlModel/src/sessionRecords.ts
@@ -5,7 +5,6 @@
   EntryAddress,
   EntryToControl,
   OperatorCommand,
-  TokenDemand,
 } from '@gentianshunt/messages';
 import type {
   EndpointSetId,
@@ -30,7 +29,6 @@
   readonly directoryVersion: DirectoryVersion;
   readonly leaseUntil: MonotonicTime;
   readonly setsInUse: readonly EndpointSetId[];
-  readonly demands: readonly TokenDemand[];
 }
 
 /** Orders the sessions by the version they have confirmed. */
--- a/control/entrySessions/src/index.ts
+++ b/control/entrySessions/src/index.ts
@@ -1,4 +1,3 @@
-export * from './allotmentShares.js';
 export * from './assignmentController.js';
 export * from './claimAnswers.js';
 export * from './inForce.js';
--- a/control/entrySessions/src/sessionController.ts
+++ b/control/entrySessions/src/sessionController.ts
@@ -13,7 +13,6 @@
 } from '@gentianshunt/messages';
 import type {NodeId} from '@gentianshunt/identifiers';
 
-import {divideAllotments, sumDemands} from './allotmentShares.js';
 import {createDelta} from './configurationDelta.js';
 import type {ConfigurationDelta} from './configurationDelta.js';
 import {
@@ -45,7 +44,6 @@
   'sessions',
   'sessionVersions',
   'sessionLeases',
-  'tokenDemands',
   'directory',
   'directoryHistory',
 ] as const satisfies readonly SessionWrites[];
@@ -85,7 +83,7 @@
       return [createSessionTimer()];
     case 'timerDue':
       return observation.timer.kind === 'sessions'
-        ? [...expireSessions(view, now), addDemands(view), createSessionTimer()]
+        ? [...expireSessions(view, now), createSessionTimer()]
         : [];
     case 'entryMessage':
       return view.board.role.kind === 'leader'
@@ -96,11 +94,6 @@
   }
 }
 
-function addDemands({board}: SessionView): SessionWrite {
-  const value = sumDemands(board.sessions);
-  return {kind: 'set', section: 'tokenDemands', value};
-}
-
 function createSessionTimer(): SessionWrite {
   return {
     kind: 'order',
@@ -174,7 +167,6 @@
   now: TurnTime,
 ): readonly SessionWrite[] {
   const {entry, incarnation, draining, version, setsInUse} = heartbeat;
-  const demands = heartbeat.demands ?? [];
   const known = view.board.sessions.get(entry.node);
   const session: EntrySession = {
     entry,
@@ -185,7 +177,6 @@
     directoryVersion: heartbeat.directoryVersion,
     leaseUntil: now.monotonic + ENTRY_LEASE_MS,
     setsInUse,
-    demands,
   };
   const step = isListed(known, session)
     ? null
@@ -209,14 +200,7 @@
     ...replaceSession(known, session),
     ...(step === null ? [] : writeStep(view, view.board.directory, step)),
     ...(known === undefined ? sendMembers(view, entry.node) : []),
-    send(entry.node, {
-      ...update,
-      shares: divideAllotments(
-        demands,
-        view.board.tokenDemands,
-        view.board.sessions.size,
-      ),
-    }),
+    send(entry.node, update),
   ];
 }
 
--- a/control/entrySessions/src/sessionWrites.ts
+++ b/control/entrySessions/src/sessionWrites.ts
@@ -24,7 +24,6 @@
   | 'sessions'
   | 'sessionVersions'
   | 'sessionLeases'
-  | 'tokenDemands'
   | 'directory'
   | 'directoryHistory';
 /** What the session controller reads of the board. */
--- a/control/messages/src/controlMessage.ts
+++ b/control/messages/src/controlMessage.ts
@@ -10,7 +10,6 @@
   IncarnationId,
   NodeId,
   OperatorId,
-  OrganisationId,
   RegionId,
   RequestId,
 } from '@gentianshunt/identifiers';
@@ -138,19 +137,6 @@
   | {readonly kind: 'digestMismatch'}
   | {readonly kind: 'full'; readonly retryAfterMs: number};
 
-/** How fast an entry's callers use up an organisation's tokens. */
-export interface TokenDemand {
-  readonly organisation: OrganisationId;
-  readonly tokensPerSecond: number;
-}
-
-/** The part of an organisation's allotment that an entry may use. */
-export interface AllotmentShare {
-  readonly organisation: OrganisationId;
-  /** From 0 to 1; the shares of all entries add up to 1. */
-  readonly share: number;
-}
-
 /** Messages from an entry to the control daemons. */
 export type EntryToControl =
   | {
@@ -165,8 +151,6 @@
       readonly draining: boolean;
       /** Sets led by the entry that have endpoints. */
       readonly setsInUse: readonly EndpointSetId[];
-      /** Of organisations whose tokens are limited. */
-      readonly demands?: readonly TokenDemand[];
     }
   | {
       /** Sent at once when a pushed update was applied. */
@@ -235,8 +219,6 @@
       readonly directory: DirectoryUpdate | null;
       /** Lifetime of the lease from the sending of the heartbeat. */
       readonly leaseMs: number;
-      /** The entry's shares of what its heartbeat asked for. */
-      readonly shares?: readonly AllotmentShare[];
     }
   | {
       readonly kind: 'notLeader';
--- /dev/null
+++ b/fronts/entryWire/src/allotmentWire.ts
@@ -0,0 +1,72 @@
+import type {AllotmentAsk, AllotmentVerdict} from '@gentianshunt/entryModel';
+import type {
+  EndpointSetId,
+  OrganisationId,
+  RequestId,
+} from '@gentianshunt/identifiers';
+
+import {readAll} from './wireReader.js';
+import type {WireReader} from './wireReader.js';
+
+/** Encodes a question after an allotment as lists. */
+export function encodeAllotmentAsk(ask: AllotmentAsk): readonly unknown[] {
+  return [
+    ask.organisation,
+    ask.set,
+    ask.epoch,
+    ask.sequence,
+    ask.request,
+    ask.rank,
+    ask.tokens,
+    ask.used.flatMap(({ageMs, tokens}) => [ageMs, tokens]),
+  ];
+}
+
+/** Decodes a question after an allotment and checks its form. */
+export function decodeAllotmentAsk(reader: WireReader): AllotmentAsk {
+  return {
+    organisation: reader.readIdentifier<OrganisationId>(),
+    set: reader.readIdentifier<EndpointSetId>(),
+    epoch: reader.readCount(),
+    sequence: reader.readCount(),
+    request: reader.readIdentifier<RequestId>(),
+    rank: reader.readCount(),
+    tokens: reader.readCount(),
+    used: readAll(reader.readList(), list => ({
+      ageMs: list.readCount(),
+      tokens: list.readCount(),
+    })),
+  };
+}
+
+/** Encodes what the keeper of an allotment decided. */
+export function encodeAllotmentVerdict(
+  verdict: AllotmentVerdict,
+): readonly unknown[] {
+  return [
+    verdict.organisation,
+    verdict.epoch,
+    verdict.sequence,
+    verdict.request,
+    verdict.isCovered ? 1 : 0,
+    Math.ceil(verdict.retryAfterMs),
+    verdict.spareTokens,
+    verdict.usedTokens,
+    verdict.limitTokens,
+  ];
+}
+
+/** Decodes what the keeper of an allotment decided and checks its form. */
+export function decodeAllotmentVerdict(reader: WireReader): AllotmentVerdict {
+  return {
+    organisation: reader.readIdentifier<OrganisationId>(),
+    epoch: reader.readCount(),
+    sequence: reader.readCount(),
+    request: reader.readIdentifier<RequestId>(),
+    isCovered: reader.readCount() === 1,
+    retryAfterMs: reader.readCount(),
+    spareTokens: reader.readCount(),
+    usedTokens: reader.readCount(),
+    limitTokens: reader.readCount(),
+  };
+}
--- a/fronts/entryWire/src/entryWire.ts
+++ b/fronts/entryWire/src/entryWire.ts
@@ -10,6 +10,12 @@
   IncarnationId,
 } from '@gentianshunt/identifiers';
 
+import {
+  decodeAllotmentAsk,
+  decodeAllotmentVerdict,
+  encodeAllotmentAsk,
+  encodeAllotmentVerdict,
+} from './allotmentWire.js';
 import {decodeDemandReport, encodeDemandReport} from './demandReportWire.js';
 import {decodeEndpointList, encodeEndpointList} from './endpointListWire.js';
 import {decodeGrantReply, encodeGrantReply} from './grantReplyWire.js';
@@ -25,6 +31,8 @@
   endpointAnnounced: 4,
   endpointLeft: 5,
   endpointsListed: 6,
+  allotmentAsk: 7,
+  allotmentVerdict: 8,
 } as const satisfies Readonly<Record<EntryMessage['kind'], number>>;
 
 /** Encodes a message between entries as nested lists. */
@@ -43,6 +51,10 @@
       return [kind, message.endpoint];
     case 'endpointsListed':
       return [kind, ...encodeEndpointList(message.list)];
+    case 'allotmentAsk':
+      return [kind, ...encodeAllotmentAsk(message.ask)];
+    case 'allotmentVerdict':
+      return [kind, ...encodeAllotmentVerdict(message.verdict)];
     default:
       return assertNever(message, 'encodeEntryMessage');
   }
@@ -88,6 +100,13 @@
       };
     case WIRE_KINDS.endpointsListed:
       return {kind: 'endpointsListed', list: decodeEndpointList(reader)};
+    case WIRE_KINDS.allotmentAsk:
+      return {kind: 'allotmentAsk', ask: decodeAllotmentAsk(reader)};
+    case WIRE_KINDS.allotmentVerdict:
+      return {
+        kind: 'allotmentVerdict',
+        verdict: decodeAllotmentVerdict(reader),
+      };
     default:
       throw new MalformedMessageError(peer, 'kind');
   }
--- a/fronts/entryWire/test/entryWire.test.ts
+++ b/fronts/entryWire/test/entryWire.test.ts
@@ -4,6 +4,7 @@
   EndpointId,
   EndpointSetId,
   OrganisationId,
+  RequestId,
 } from '@gentianshunt/identifiers';
 import fc from 'fast-check';
 import t from 'tap';
@@ -50,6 +51,36 @@
         rates: [{endpoint: target.endpoint, decodeMsPerToken: 31.5, ageMs: 40}],
       },
     },
+    {
+      kind: 'allotmentAsk',
+      ask: {
+        organisation,
+        set,
+        epoch: 3,
+        sequence: 1_700_000_000_001,
+        request: toIdentifier<RequestId>('q1'),
+        rank: 4,
+        tokens: 3_000,
+        used: [
+          {ageMs: 750, tokens: 900},
+          {ageMs: 0, tokens: 3_000},
+        ],
+      },
+    },
+    {
+      kind: 'allotmentVerdict',
+      verdict: {
+        organisation,
+        epoch: 3,
+        sequence: 1_700_000_000_001,
+        request: toIdentifier<RequestId>('q1'),
+        isCovered: false,
+        retryAfterMs: 250,
+        spareTokens: 0,
+        usedTokens: 90_000,
+        limitTokens: 89_000,
+      },
+    },
     {
       kind: 'grantReply',
       reply: {
--- a/fronts/logging/src/logEvent.ts
+++ b/fronts/logging/src/logEvent.ts
@@ -62,6 +62,7 @@
       return 'outcome';
     case 'entryDecided':
       return event.decision.kind === 'requestDispatched' ||
+        event.decision.kind === 'allotmentRefused' ||
         event.decision.kind === 'requestRequeued'
         ? 'detail'
         : 'standing';
--- /dev/null
+++ b/scheduling/allotments/src/index.ts
@@ -0,0 +1,3 @@
+export * from './allotmentLimit.js';
+export * from './findKeeper.js';
+export * from './keeperController.js';
--- a/scheduling/controlClient/src/controlController.ts
+++ b/scheduling/controlClient/src/controlController.ts
@@ -13,14 +13,11 @@
   EntryWrite,
 } from '@gentianshunt/entryModel';
 import {assertNever} from '@gentianshunt/errors';
-import {ageRate} from '@gentianshunt/limits';
-import type {ControlToEntry, TokenDemand} from '@gentianshunt/messages';
+import type {ControlToEntry} from '@gentianshunt/messages';
 import type {EndpointSetId, NodeId} from '@gentianshunt/identifiers';
 
 import {applyDirectoryUpdate} from './applyDirectoryUpdate.js';
 
-/** Slower use of an allotment is not worth a share of its own. */
-export const MIN_DEMAND_PER_SECOND = 1;
 /** Heartbeats between two words to the nodes that the settings name. */
 export const HEARTBEATS_PER_SPREAD = 4;
 /** Time between two heartbeats to the leading control daemon. */
@@ -33,11 +30,8 @@
   | 'controls'
   | 'configuration'
   | 'leaderships'
-  | 'endpoints'
-  | 'allotments'
-  | 'allotmentShares';
-type ControlWrites =
-  'control' | 'controls' | 'configuration' | 'allotmentShares';
+  | 'endpoints';
+type ControlWrites = 'control' | 'controls' | 'configuration';
 type ControlView = View<EntrySections, ControlReads, EntryObservation>;
 type ControlWrite = EntryWrite<ControlWrites>;
 type Update = Extract<ControlToEntry, {readonly kind: 'configurationUpdate'}>;
@@ -54,10 +48,8 @@
       'configuration',
       'leaderships',
       'endpoints',
-      'allotments',
-      'allotmentShares',
     ],
-    writes: ['control', 'controls', 'configuration', 'allotmentShares'],
+    writes: ['control', 'controls', 'configuration'],
     observes: [
       'started',
       'timerDue',
@@ -201,7 +193,6 @@
           directoryVersion: status.directory.version,
           draining: service.kind === 'draining',
           setsInUse: listSetsInUse(view),
-          demands: listDemands(view, now),
         },
       },
     },
@@ -259,22 +250,6 @@
   return sendHeartbeat(view, answered, now);
 }
 
-/** Lists what is asked of limited allotments; what has ceased is left out. */
-function listDemands(
-  {board}: ControlView,
-  now: TurnTime,
-): readonly TokenDemand[] {
-  const demands: TokenDemand[] = [];
-  for (const [organisation, {demandPerSecond, at}] of board.allotments) {
-    const elapsedMs = now.monotonic - at;
-    const rate = ageRate(demandPerSecond, {elapsedMs, amount: 0});
-    if (rate >= MIN_DEMAND_PER_SECOND) {
-      demands.push({organisation, tokensPerSecond: Math.round(rate)});
-    }
-  }
-  return demands;
-}
-
 /** Lists the led sets that have endpoints. */
 function listSetsInUse(view: ControlView): readonly EndpointSetId[] {
   const {leaderships, endpoints} = view.board;
@@ -313,12 +288,6 @@
   return [
     ...(isNewer ? applyChanges(view, update) : []),
     {kind: 'set', section: 'control', value: next},
-    ...(update.shares ?? []).map(({organisation, share}): ControlWrite => ({
-      kind: 'put',
-      section: 'allotmentShares',
-      key: organisation,
-      value: share,
-    })),
     ...(isNewer ? [confirmVersion(next, from)] : []),
   ];
 }
--- a/scheduling/decisionLog/src/decisionLog.ts
+++ b/scheduling/decisionLog/src/decisionLog.ts
@@ -137,6 +137,7 @@
             },
           ];
     }
+    case 'awaitingAllotment':
     case 'claiming':
     case 'awaitingOutcome':
     case 'answering':
--- a/scheduling/entryModel/src/decision.ts
+++ b/scheduling/entryModel/src/decision.ts
@@ -36,6 +36,18 @@
       readonly mayHaveRun: boolean;
       readonly waitedMs: Milliseconds;
     }
+  | {
+      readonly kind: 'allotmentRefused';
+      readonly request: RequestId;
+      readonly organisation: OrganisationId;
+      readonly tokens: number;
+      /** The keeper, or the entry itself while the keeper is silent. */
+      readonly decidedBy: NodeId;
+      readonly usedTokens: number;
+      readonly limitTokens: number;
+      readonly retryAfterMs: Milliseconds;
+      readonly configurationVersion: number;
+    }
   | {
       readonly kind: 'leaseLost';
       readonly leader: NodeId | null;
--- a/scheduling/entryModel/src/exchange.ts
+++ b/scheduling/entryModel/src/exchange.ts
@@ -7,6 +7,7 @@
   OrganisationId,
 } from '@gentianshunt/identifiers';
 
+import type {AllotmentAsk, AllotmentVerdict} from './allotment.js';
 import type {EndpointAnnouncement} from './endpoint.js';
 import type {EndpointTarget} from './request.js';
 
@@ -147,7 +148,9 @@
       readonly announcement: EndpointAnnouncement;
     }
   | {readonly kind: 'endpointLeft'; readonly endpoint: EndpointId}
-  | {readonly kind: 'endpointsListed'; readonly list: EndpointList};
+  | {readonly kind: 'endpointsListed'; readonly list: EndpointList}
+  | {readonly kind: 'allotmentAsk'; readonly ask: AllotmentAsk}
+  | {readonly kind: 'allotmentVerdict'; readonly verdict: AllotmentVerdict};
 
 /** Slots an entry may use until their deadline. */
 export interface Slot {
--- a/scheduling/entryModel/src/index.ts
+++ b/scheduling/entryModel/src/index.ts
@@ -1,3 +1,4 @@
+export * from './allotment.js';
 export * from './decision.js';
 export * from './endpoint.js';
 export * from './endpointOrder.js';
--- a/scheduling/entryModel/src/observation.ts
+++ b/scheduling/entryModel/src/observation.ts
@@ -32,6 +32,7 @@
 /** The timers of an entry; one of each name runs at a time. */
 export type EntryTimer =
   | {readonly kind: 'heartbeat'}
+  | {readonly kind: 'allotments'}
   | {readonly kind: 'exchange'}
   | {readonly kind: 'housekeeping'};
 
--- a/scheduling/entryModel/src/request.ts
+++ b/scheduling/entryModel/src/request.ts
@@ -109,6 +109,11 @@
       /** The slot's deadline; past it the dispatch must not start. */
       readonly deadline: MonotonicTime;
     }
+  | {
+      /** Waits until the allotment of its organisation covers it. */
+      readonly kind: 'awaitingAllotment';
+      readonly request: AdmittedRequest;
+    }
   | {
       /** Another run holds the key; this one awaits its outcome. */
       readonly kind: 'awaitingOutcome';
--- a/scheduling/entryModel/src/sections.ts
+++ b/scheduling/entryModel/src/sections.ts
@@ -36,6 +36,12 @@
   RequestId,
 } from '@gentianshunt/identifiers';
 
+import type {
+  AllotmentKey,
+  AllotmentRecord,
+  AllotmentState,
+  OpenAsk,
+} from './allotment.js';
 import type {EndpointRecord} from './endpointRecord.js';
 import type {EntryIdentity} from './identity.js';
 import {NOTHING_TOLD} from './toldState.js';
@@ -270,12 +276,6 @@
   readonly replacement: Replacement;
 }
 
-/** What an entry has left of an allotment, and what it is asked for. */
-export interface AllotmentState extends RateBucket {
-  /** Tokens a second that callers ask for, as a decaying average. */
-  readonly demandPerSecond: number;
-}
-
 /** A recent refusal, as operators see it. */
 export interface RefusalRecord {
   readonly number: number;
@@ -367,8 +367,13 @@
     queries: defineMap<RequestId, PendingQuery>(),
     replacements: defineMap<RequestId, PendingReplacement>(),
     allotments: defineMap<OrganisationId, AllotmentState>(),
-    /** Parts of allotments that the control leader has given this entry. */
-    allotmentShares: defineMap<OrganisationId, number>(),
+    openAsks: defineMap<RequestId, OpenAsk>(),
+    /** Until when keepers of allotments count as silent. */
+    silentKeepers: defineMap<NodeId, MonotonicTime>(),
+    /** Use of the allotments that this entry keeps. */
+    keptAllotments: defineOrdered<AllotmentKey, AllotmentRecord>(
+      compareBy('organisation', 'node'),
+    ),
     retryBudgets: defineMap<EndpointSetId, RateBucket>(),
     refusals: defineOrdered<number, RefusalRecord>(compareValues),
     countState: defineCell<CountState>({
--- a/scheduling/entryNode/src/entryNode.ts
+++ b/scheduling/entryNode/src/entryNode.ts
@@ -1,3 +1,4 @@
+import {createKeeperController} from '@gentianshunt/allotments';
 import {createLookupController} from '@gentianshunt/addressLookup';
 import {createControlLoop} from '@gentianshunt/board';
 import type {ControlLoop} from '@gentianshunt/board';
@@ -79,6 +80,7 @@
     createReportController(),
     createEndpointListController(),
     createGrantController(),
+    createKeeperController(),
     createDecisionLog(),
   ];
 }
--- a/scheduling/lifecycle/src/admitRequest.ts
+++ b/scheduling/lifecycle/src/admitRequest.ts
@@ -13,7 +13,7 @@
 } from '@gentianshunt/entryModel';
 import {readWaitingLimit} from '@gentianshunt/limits';
 
-import {spendAllotment} from './allotments.js';
+import {isAllotted, spendAllotment} from './allotments.js';
 import type {LifecycleView, RequestDraft} from './requestDraft.js';
 import {refillRepeats} from './repeats.js';
 
@@ -42,13 +42,12 @@
     refuse(draft, facts, {kind: 'organisationLimit'}, TRANSIENT_RETRY_AFTER_MS);
     return;
   }
-  const overdrawnMs = spendAllotment(view, draft, request, now);
-  if (overdrawnMs > 0) {
-    refuse(draft, facts, {kind: 'allotmentUsed'}, overdrawnMs);
-    return;
-  }
   refillRepeats(view, draft, request, now);
-  draft.move({kind: 'waiting', request});
+  if (isAllotted(view, request)) {
+    spendAllotment(view, draft, request, now);
+  } else {
+    draft.move({kind: 'waiting', request});
+  }
 }
 
 function isOverLimit(
--- a/scheduling/lifecycle/src/lifecycleController.ts
+++ b/scheduling/lifecycle/src/lifecycleController.ts
@@ -4,6 +4,7 @@
 import type {ControlToEntry} from '@gentianshunt/messages';
 
 import {admitRequest} from './admitRequest.js';
+import {handleOpenAsks, handleVerdict} from './allotments.js';
 import {handleClaimAnswer, repeatClaims} from './claims.js';
 import {handleMatches, handleShedOrders} from './matches.js';
 import {handleOverdue} from './overdue.js';
@@ -33,7 +34,6 @@
       'lines',
       'dispatches',
       'running',
-      'allotmentShares',
       'identity',
       'service',
       'control',
@@ -44,6 +44,8 @@
       'settlements',
       'silences',
       'allotments',
+      'openAsks',
+      'silentKeepers',
       'retryBudgets',
     ],
     writes: [
@@ -56,6 +58,8 @@
       'settlements',
       'silences',
       'allotments',
+      'openAsks',
+      'silentKeepers',
       'retryBudgets',
     ],
     observes: [
@@ -66,6 +70,7 @@
       'streamProgress',
       'streamEnded',
       'controlMessage',
+      'entryMessage',
       'timerDue',
     ],
     run: (view, now) => {
@@ -114,7 +119,15 @@
     case 'controlMessage':
       handleControlMessage(view, draft, observation.message, now);
       return;
+    case 'entryMessage':
+      if (observation.message.kind === 'allotmentVerdict') {
+        handleVerdict(view, draft, observation.message.verdict, now);
+      }
+      return;
     case 'timerDue':
+      if (observation.timer.kind === 'allotments') {
+        handleOpenAsks(view, draft, now);
+      }
       if (observation.timer.kind === 'housekeeping') {
         repeatClaims(view, draft, now);
         repeatSettlements(view, draft, now);
--- a/scheduling/lifecycle/src/requestDraft.ts
+++ b/scheduling/lifecycle/src/requestDraft.ts
@@ -10,6 +10,7 @@
   EntrySections,
   EntryWrite,
   LineKey,
+  OpenAsk,
   OpenClaim,
   RequestState,
   RunningKey,
@@ -17,8 +18,10 @@
   SilenceKey,
   WaitingKey,
 } from '@gentianshunt/entryModel';
+import type {MonotonicTime} from '@gentianshunt/clock';
 import type {
   EndpointSetId,
+  NodeId,
   OrganisationId,
   RequestId,
 } from '@gentianshunt/identifiers';
@@ -35,12 +38,13 @@
   | 'settlements'
   | 'silences'
   | 'allotments'
+  | 'openAsks'
+  | 'silentKeepers'
   | 'retryBudgets';
 
 /** The sections that the lifecycle controller reads. */
 export type LifecycleReads =
   | LifecycleSections
-  | 'allotmentShares'
   | 'identity'
   | 'service'
   | 'control'
@@ -72,6 +76,8 @@
   putSettlement(settlement: Settlement): void;
   readAllotment(organisation: OrganisationId): AllotmentState | undefined;
   putAllotment(organisation: OrganisationId, state: AllotmentState): void;
+  putOpenAsk(ask: OpenAsk): void;
+  putSilentKeeper(keeper: NodeId, until: MonotonicTime): void;
   readRetryBudget(set: EndpointSetId): RateBucket | undefined;
   putRetryBudget(set: EndpointSetId, bucket: RateBucket): void;
   dropSettlement(request: RequestId): void;
@@ -170,6 +176,7 @@
       const before = read(state.request.id);
       if (before !== undefined) {
         leave(before);
+        writes.push(...closeAsk(before, state));
       }
       enter(state);
       indexDispatch(before, state);
@@ -185,6 +192,7 @@
         return;
       }
       leave(before);
+      writes.push(...closeAsk(before));
       indexDispatch(before, undefined);
       indexSilence(before, undefined);
       closeClaim(before, undefined);
@@ -202,6 +210,12 @@
       writes.push({kind: 'delete', section: 'settlements', key}),
     readAllotment: allotments.get,
     putAllotment: allotments.put,
+    putOpenAsk: value => {
+      const key = value.request;
+      writes.push({kind: 'put', section: 'openAsks', key, value});
+    },
+    putSilentKeeper: (key, value) =>
+      writes.push({kind: 'put', section: 'silentKeepers', key, value}),
     readRetryBudget: retryBudgets.get,
     putRetryBudget: retryBudgets.put,
     listWrites: () => [
@@ -228,6 +242,17 @@
   );
 }
 
+function closeAsk(
+  before: RequestState,
+  after?: RequestState,
+): readonly LifecycleWrite[] {
+  const isClosed =
+    before.kind === 'awaitingAllotment' && after?.kind !== 'awaitingAllotment';
+  return isClosed
+    ? [{kind: 'delete', section: 'openAsks', key: before.request.id}]
+    : [];
+}
+
 function isAwaitingClaim(state: RequestState): boolean {
   return state.kind === 'claiming' || state.kind === 'awaitingOutcome';
 }
--- a/scheduling/lifecycle/src/streams.ts
+++ b/scheduling/lifecycle/src/streams.ts
@@ -307,6 +307,7 @@
       }
       endRequest(draft, state, {kind: 'abandonedWaiting'}, now);
       return;
+    case 'awaitingAllotment':
     case 'repeating':
       endRequest(draft, state, {kind: 'abandonedWaiting'}, now);
       return;
--- a/scheduling/lifecycle/src/timeLimit.ts
+++ b/scheduling/lifecycle/src/timeLimit.ts
@@ -34,6 +34,7 @@
   const reason = {kind: 'timeLimit'} as const;
   switch (state.kind) {
     case 'waiting':
+    case 'awaitingAllotment':
     case 'claiming':
     case 'awaitingOutcome':
       return refuseNotRun(state, reason, TRANSIENT_RETRY_AFTER_MS);
--- a/scheduling/limits/src/rateBucket.ts
+++ b/scheduling/limits/src/rateBucket.ts
@@ -1,4 +1,4 @@
-import type {Milliseconds, MonotonicTime} from '@gentianshunt/clock';
+import type {MonotonicTime} from '@gentianshunt/clock';
 
 /** Requests an organisation may start at once after a pause, in seconds. */
 export const BURST_SECONDS = 1;
@@ -45,21 +45,3 @@
 export function spendBucket(bucket: RateBucket, count: number): RateBucket {
   return {...bucket, tokens: bucket.tokens - count};
 }
-
-/** Time over which a rate of use is averaged. */
-export const DEMAND_WINDOW_MS: Milliseconds = 3_000;
-
-/** A use of something, and the time since the one before. */
-export interface RateSample {
-  readonly elapsedMs: Milliseconds;
-  readonly amount: number;
-}
-
-/** Brings a decaying average of use a second up to date. */
-export function ageRate(
-  perSecond: number,
-  {elapsedMs, amount}: RateSample,
-): number {
-  const kept = perSecond * Math.exp(-elapsedMs / DEMAND_WINDOW_MS);
-  return kept + (amount * MS_PER_SECOND) / DEMAND_WINDOW_MS;
-}
