Let a new keeper of allotments hear what entries used before it, and set aside what they use without one

A property test over four entries (moved leaders, cut entries, delayed messages) found windows up to 12,544 of 9,600 tokens: a silent keeper's entries took equal parts on top of what the keeper had granted to few of them, and a new keeper assumed a fixed part as used. The keeper now sets the unkept parts aside, entries tell a new keeper their uses, and it is silent until it has heard from half of them.

--- a/fronts/entryWire/src/allotmentWire.ts
+++ b/fronts/entryWire/src/allotmentWire.ts
@@ -1,4 +1,9 @@
-import type {AllotmentAsk, AllotmentVerdict} from '@gentianshunt/entryModel';
+import type {
+  AllotmentAsk,
+  AllotmentVerdict,
+  ReportedUse,
+  ToldUses,
+} from '@gentianshunt/entryModel';
 import type {
   EndpointSetId,
   OrganisationId,
@@ -18,7 +23,7 @@
     ask.request,
     ask.rank,
     ask.tokens,
-    ask.used.flatMap(({ageMs, tokens}) => [ageMs, tokens]),
+    encodeUsed(ask.used),
   ];
 }
 
@@ -32,13 +37,47 @@
     request: reader.readIdentifier<RequestId>(),
     rank: reader.readCount(),
     tokens: reader.readCount(),
-    used: readAll(reader.readList(), list => ({
-      ageMs: list.readCount(),
-      tokens: list.readCount(),
+    used: decodeUsed(reader.readList()),
+  };
+}
+
+/** Encodes what an entry has used as lists. */
+export function encodeToldUses(told: ToldUses): readonly unknown[] {
+  return [
+    told.set,
+    told.epoch,
+    told.uses.flatMap(({organisation, sequence, used}) => [
+      organisation,
+      sequence,
+      encodeUsed(used),
+    ]),
+  ];
+}
+
+/** Decodes what an entry has used and checks its form. */
+export function decodeToldUses(reader: WireReader): ToldUses {
+  return {
+    set: reader.readIdentifier<EndpointSetId>(),
+    epoch: reader.readCount(),
+    uses: readAll(reader.readList(), list => ({
+      organisation: list.readIdentifier<OrganisationId>(),
+      sequence: list.readCount(),
+      used: decodeUsed(list.readList()),
     })),
   };
 }
 
+function encodeUsed(used: readonly ReportedUse[]): readonly number[] {
+  return used.flatMap(({ageMs, tokens}) => [ageMs, tokens]);
+}
+
+function decodeUsed(reader: WireReader): readonly ReportedUse[] {
+  return readAll(reader, list => ({
+    ageMs: list.readCount(),
+    tokens: list.readCount(),
+  }));
+}
+
 /** Encodes what the keeper of an allotment decided. */
 export function encodeAllotmentVerdict(
   verdict: AllotmentVerdict,
--- a/fronts/entryWire/src/entryWire.ts
+++ b/fronts/entryWire/src/entryWire.ts
@@ -13,8 +13,10 @@
 import {
   decodeAllotmentAsk,
   decodeAllotmentVerdict,
+  decodeToldUses,
   encodeAllotmentAsk,
   encodeAllotmentVerdict,
+  encodeToldUses,
 } from './allotmentWire.js';
 import {decodeDemandReport, encodeDemandReport} from './demandReportWire.js';
 import {decodeEndpointList, encodeEndpointList} from './endpointListWire.js';
@@ -33,6 +35,7 @@
   endpointsListed: 6,
   allotmentAsk: 7,
   allotmentVerdict: 8,
+  allotmentUses: 9,
 } as const satisfies Readonly<Record<EntryMessage['kind'], number>>;
 
 /** Encodes a message between entries as nested lists. */
@@ -55,6 +58,8 @@
       return [kind, ...encodeAllotmentAsk(message.ask)];
     case 'allotmentVerdict':
       return [kind, ...encodeAllotmentVerdict(message.verdict)];
+    case 'allotmentUses':
+      return [kind, ...encodeToldUses(message.told)];
     default:
       return assertNever(message, 'encodeEntryMessage');
   }
@@ -107,6 +112,8 @@
         kind: 'allotmentVerdict',
         verdict: decodeAllotmentVerdict(reader),
       };
+    case WIRE_KINDS.allotmentUses:
+      return {kind: 'allotmentUses', told: decodeToldUses(reader)};
     default:
       throw new MalformedMessageError(peer, 'kind');
   }
--- a/fronts/entryWire/test/entryWire.test.ts
+++ b/fronts/entryWire/test/entryWire.test.ts
@@ -67,6 +67,21 @@
         ],
       },
     },
+    {
+      kind: 'allotmentUses',
+      told: {
+        set,
+        epoch: 3,
+        uses: [
+          {organisation, sequence: 12, used: [{ageMs: 0, tokens: 7}]},
+          {
+            organisation: toIdentifier<OrganisationId>('o2'),
+            sequence: 1,
+            used: [],
+          },
+        ],
+      },
+    },
     {
       kind: 'allotmentVerdict',
       verdict: {
--- a/scheduling/allotments/src/allotmentLimit.ts
+++ b/scheduling/allotments/src/allotmentLimit.ts
@@ -11,10 +11,14 @@
 export const USED_PART = 0.95;
 /** Part of an allotment that each tier leaves to the tiers above it. */
 export const RESERVED_PER_TIER = 0.1;
-/** Part of an allotment that a new keeper takes to be used unseen. */
-export const UNSEEN_PART = 0.55;
-/** Part of an allotment that entries share out while its keeper is silent. */
-export const UNKEPT_PART = 0.7;
+/**
+ * Part of an allotment that entries share out while its keeper is silent. The
+ * keeper sets it aside, so that it is there whenever it falls silent.
+ */
+export const UNKEPT_PART = 0.3;
+
+/** Equal parts that an entry not heard from may have used. */
+const UNHEARD_PARTS = 2;
 
 const MS_PER_SECOND = 1_000;
 
@@ -41,11 +45,27 @@
   return Math.max(0, 1 - RESERVED_PER_TIER * above.length);
 }
 
-/** Part of an allotment that may have been used unseen by a new keeper. */
-export function readUnseenPart(
-  keptForMs: Milliseconds,
-  windowMs: Milliseconds,
-): number {
-  const left = 1 - Math.max(0, keptForMs) / windowMs;
-  return UNSEEN_PART * Math.max(0, left);
+/** Tokens that an entry may use within a window without a keeper. */
+export function readUnkeptTokens(total: number, entries: number): number {
+  return Math.floor((UNKEPT_PART * total) / Math.max(1, entries));
+}
+
+/** What a keeper knows of the time before it. */
+export interface KeeperKnowledge {
+  readonly keptForMs: Milliseconds;
+  readonly windowMs: Milliseconds;
+  readonly entries: number;
+  /** Entries that have told their use since. */
+  readonly heard: number;
+}
+
+/**
+ * Part of an allotment that may have been used unseen by a new keeper: by
+ * entries not heard from yet, and by the one that failed before it.
+ */
+export function estimateUnseenPart(knowledge: KeeperKnowledge): number {
+  const {keptForMs, windowMs, entries, heard} = knowledge;
+  const left = Math.max(0, 1 - Math.max(0, keptForMs) / windowMs);
+  const unheard = Math.max(entries - heard, 1) / Math.max(1, entries);
+  return Math.min(1, UNHEARD_PARTS * unheard) * left;
 }
--- a/scheduling/allotments/src/index.ts
+++ b/scheduling/allotments/src/index.ts
@@ -1,3 +1,5 @@
 export * from './allotmentLimit.js';
 export * from './findKeeper.js';
 export * from './keeperController.js';
+export * from './toReportedUses.js';
+export * from './useController.js';
--- a/scheduling/entryModel/src/allotment.ts
+++ b/scheduling/entryModel/src/allotment.ts
@@ -33,6 +33,28 @@
   readonly used: readonly ReportedUse[];
 }
 
+/** What an entry has used of the allotments of one keeper, for a new one. */
+export interface ToldUses {
+  readonly set: EndpointSetId;
+  readonly epoch: number;
+  readonly uses: readonly OrganisationUse[];
+}
+
+/** What an entry has used of an organisation's allotment. */
+export interface OrganisationUse {
+  readonly organisation: OrganisationId;
+  /** Of the entry's latest ask. */
+  readonly sequence: number;
+  readonly used: readonly ReportedUse[];
+}
+
+/** What an entry has told the leader of a set since it leads it. */
+export interface ToldKeeper {
+  readonly epoch: number;
+  /** How often; a message may come before the leader knows that it leads. */
+  readonly times: number;
+}
+
 /** What the keeper of an allotment decided about a request. */
 export interface AllotmentVerdict {
   readonly organisation: OrganisationId;
--- a/scheduling/entryModel/src/exchange.ts
+++ b/scheduling/entryModel/src/exchange.ts
@@ -7,7 +7,7 @@
   OrganisationId,
 } from '@gentianshunt/identifiers';
 
-import type {AllotmentAsk, AllotmentVerdict} from './allotment.js';
+import type {AllotmentAsk, AllotmentVerdict, ToldUses} from './allotment.js';
 import type {EndpointAnnouncement} from './endpoint.js';
 import type {EndpointTarget} from './request.js';
 
@@ -150,7 +150,8 @@
   | {readonly kind: 'endpointLeft'; readonly endpoint: EndpointId}
   | {readonly kind: 'endpointsListed'; readonly list: EndpointList}
   | {readonly kind: 'allotmentAsk'; readonly ask: AllotmentAsk}
-  | {readonly kind: 'allotmentVerdict'; readonly verdict: AllotmentVerdict};
+  | {readonly kind: 'allotmentVerdict'; readonly verdict: AllotmentVerdict}
+  | {readonly kind: 'allotmentUses'; readonly told: ToldUses};
 
 /** Slots an entry may use until their deadline. */
 export interface Slot {
--- a/scheduling/entryModel/src/sections.ts
+++ b/scheduling/entryModel/src/sections.ts
@@ -41,6 +41,7 @@
   AllotmentRecord,
   AllotmentState,
   OpenAsk,
+  ToldKeeper,
 } from './allotment.js';
 import type {EndpointRecord} from './endpointRecord.js';
 import type {EntryIdentity} from './identity.js';
@@ -370,6 +371,9 @@
     openAsks: defineMap<RequestId, OpenAsk>(),
     /** Until when keepers of allotments count as silent. */
     silentKeepers: defineMap<NodeId, MonotonicTime>(),
+    toldKeepers: defineMap<EndpointSetId, ToldKeeper>(),
+    /** Entries that have told their uses, and in which epoch. */
+    heardEntries: defineOrdered<ReportKey, number>(compareBy('set', 'node')),
     /** Use of the allotments that this entry keeps. */
     keptAllotments: defineOrdered<AllotmentKey, AllotmentRecord>(
       compareBy('organisation', 'node'),
--- a/scheduling/entryNode/src/entryNode.ts
+++ b/scheduling/entryNode/src/entryNode.ts
@@ -1,4 +1,7 @@
-import {createKeeperController} from '@gentianshunt/allotments';
+import {
+  createKeeperController,
+  createUseController,
+} from '@gentianshunt/allotments';
 import {createLookupController} from '@gentianshunt/addressLookup';
 import {createControlLoop} from '@gentianshunt/board';
 import type {ControlLoop} from '@gentianshunt/board';
@@ -80,6 +83,7 @@
     createReportController(),
     createEndpointListController(),
     createGrantController(),
+    createUseController(),
     createKeeperController(),
     createDecisionLog(),
   ];
--- a/scheduling/lifecycle/src/allotments.ts
+++ b/scheduling/lifecycle/src/allotments.ts
@@ -1,9 +1,10 @@
 /** An entry's use of token allotments, which other entries use as well. */
 import {
   findKeeper,
+  readUnkeptTokens,
   readWindowTokens,
   SPARE_LIFETIME_MS,
-  UNKEPT_PART,
+  toReportedUses,
 } from '@gentianshunt/allotments';
 import type {TurnTime} from '@gentianshunt/board';
 import type {Milliseconds, MonotonicTime} from '@gentianshunt/clock';
@@ -210,10 +211,7 @@
     request: id,
     rank,
     tokens: readTokens(request),
-    used: state.slices.map(({endsAt, amount}) => ({
-      ageMs: Math.max(0, Math.floor(now.monotonic - endsAt)),
-      tokens: amount,
-    })),
+    used: toReportedUses(state.slices, now),
   };
 }
 
@@ -233,7 +231,7 @@
     tokens === null
       ? Number.POSITIVE_INFINITY
       : readWindowTokens(tokens, readTolerance(view));
-  const limitTokens = (UNKEPT_PART * total) / entries;
+  const limitTokens = readUnkeptTokens(total, entries);
   const state = readState(view, draft, organisation, now);
   const usedTokens = sumWindow(state.slices);
   if (usedTokens <= Math.max(limitTokens, readTokens(request))) {
