Let a new set leader grant at once where endpoints queue what is too much

Cause: after a change of leader its entries had equal parts only, for the 2 s in which slots of the earlier leader may still be used. Where the settings say that endpoints queue (leaderSilence takeShare), nothing is lost by that: the leader waits 100 ms for the reports.

--- a/scheduling/setLeader/src/leadershipController.ts
+++ b/scheduling/setLeader/src/leadershipController.ts
@@ -2,17 +2,24 @@
 import type {Milliseconds, MonotonicTime} from '@gentianshunt/clock';
 import {formatObjectKey} from '@gentianshunt/configuration';
 import type {ObjectKey, SetLeadership} from '@gentianshunt/configuration';
+import {assertNever} from '@gentianshunt/errors';
 import {defineEntryController} from '@gentianshunt/entryModel';
 import type {
   EntryController,
   EntryObservation,
   EntrySections,
   EntryWrite,
+  LeaderSilence,
 } from '@gentianshunt/entryModel';
 
 /** How long a slot may be used after it was granted. */
 export const SLOT_LIFETIME_MS: Milliseconds = 2_000;
 
+/** How long a new leader waits for what the entries hold. */
+export const REPORTS_AWAITED_MS: Milliseconds = 100;
+
+const WAIT: LeaderSilence = {kind: 'wait'};
+
 type LeadershipReads =
   'identity' | 'configuration' | 'startedAt' | 'leaderships';
 type LeadershipWrites = 'startedAt' | 'leaderships';
@@ -83,16 +90,25 @@
 }
 
 /**
- * Slots of an earlier leader, or of an earlier start of this process, must
- * have lapsed before new ones are granted.
+ * Where endpoints must never be given too much, the slots of an earlier leader
+ * must have lapsed before new ones are granted. Where they queue it, entries
+ * need only have told what they hold.
  */
 function readGrantsFrom(
-  view: LeadershipView,
+  {board}: LeadershipView,
   object: SetLeadership,
   now: TurnTime,
 ): MonotonicTime {
-  const restartOver = view.board.startedAt + SLOT_LIFETIME_MS;
-  return object.epoch === 1
-    ? Math.max(now.monotonic, restartOver)
-    : now.monotonic + SLOT_LIFETIME_MS;
+  const restartOver = board.startedAt + SLOT_LIFETIME_MS;
+  const {kind} = board.identity.leaderSilence ?? WAIT;
+  switch (kind) {
+    case 'takeShare':
+      return now.monotonic + REPORTS_AWAITED_MS;
+    case 'wait':
+      return object.epoch === 1
+        ? Math.max(now.monotonic, restartOver)
+        : now.monotonic + SLOT_LIFETIME_MS;
+    default:
+      return assertNever(kind, 'readGrantsFrom');
+  }
 }
