Tell a new set leader what endpoints announced before it led

Cause: endpoints announce to the leader of their set; when that is lost, their next heartbeats reach entries that pass them on to nobody, and the new leader waits up to another heartbeat interval (1.2 s) for its endpoints. Entries keep what they heard within the lease of an announcement and tell it to a new leader; a leave is kept as well, so that nobody who left comes back.

--- a/scheduling/entryModel/src/endpointRecord.ts
+++ b/scheduling/entryModel/src/endpointRecord.ts
@@ -11,3 +11,12 @@
   /** Earlier incarnations, the latest first; their announcements are late. */
   readonly replaced: readonly IncarnationId[];
 }
+
+/** What an endpoint told this entry last. */
+export type HeardAnnouncement =
+  | {
+      readonly kind: 'announced';
+      readonly announcement: EndpointAnnouncement;
+      readonly heardAt: MonotonicTime;
+    }
+  | {readonly kind: 'left'; readonly heardAt: MonotonicTime};
--- a/scheduling/entryModel/src/sections.ts
+++ b/scheduling/entryModel/src/sections.ts
@@ -43,7 +43,7 @@
   OpenAsk,
   ToldKeeper,
 } from './allotment.js';
-import type {EndpointRecord} from './endpointRecord.js';
+import type {EndpointRecord, HeardAnnouncement} from './endpointRecord.js';
 import type {EntryIdentity} from './identity.js';
 import {NOTHING_TOLD} from './toldState.js';
 import type {ToldState} from './toldState.js';
@@ -349,6 +349,10 @@
     endpoints: defineOrdered<EndpointKey, EndpointRecord>(
       compareBy('set', 'endpoint'),
     ),
+    /** What endpoints of any set have told this entry lately. */
+    announcements: defineMap<EndpointId, HeardAnnouncement>(),
+    /** When this entry learnt who leads a set. */
+    leaderChanges: defineMap<EndpointSetId, MonotonicTime>(),
     /** Endpoints of led sets, as they are told to the other entries. */
     endpointLists: defineMap<EndpointSetId, EndpointList>(),
     /** Endpoints of any set, as its leader told them last. */
--- a/scheduling/setLeader/src/endpointRegistry.ts
+++ b/scheduling/setLeader/src/endpointRegistry.ts
@@ -1,6 +1,7 @@
 import type {TurnTime, View} from '@gentianshunt/board';
-import type {Milliseconds} from '@gentianshunt/clock';
+import type {Milliseconds, MonotonicTime} from '@gentianshunt/clock';
 import {findObject, listObjects} from '@gentianshunt/configuration';
+import type {ObjectKey} from '@gentianshunt/configuration';
 import {
   defineEntryController,
   findEntryAddress,
@@ -14,6 +15,7 @@
   EntryObservation,
   EntrySections,
   EntryWrite,
+  HeardAnnouncement,
 } from '@gentianshunt/entryModel';
 
 /** An endpoint not heard of for this long gets no new work. */
@@ -24,19 +26,40 @@
 /** Earlier incarnations of an endpoint that are remembered. */
 export const MAX_REPLACED_INCARNATIONS = 8;
 
+/** How long a new leader is told what endpoints have announced before. */
+export const REANNOUNCE_MS: Milliseconds = 600;
+
 type RegistryReads =
-  'identity' | 'control' | 'configuration' | 'leaderships' | 'endpoints';
+  | 'identity'
+  | 'control'
+  | 'configuration'
+  | 'leaderships'
+  | 'announcements'
+  | 'leaderChanges'
+  | 'endpoints';
+type RegistryWrites = 'announcements' | 'leaderChanges' | 'endpoints';
 type RegistryView = View<EntrySections, RegistryReads, EntryObservation>;
-type RegistryWrite = EntryWrite<'endpoints'>;
+type RegistryWrite = EntryWrite<RegistryWrites>;
 
 /** Creates the controller that knows the endpoints of the led sets. */
 export function createEndpointRegistry(): EntryController {
-  return defineEntryController<RegistryReads, 'endpoints'>({
+  return defineEntryController<RegistryReads, RegistryWrites>({
     name: 'endpoints',
-    reads: ['identity', 'control', 'configuration', 'leaderships', 'endpoints'],
-    writes: ['endpoints'],
+    reads: [
+      'identity',
+      'control',
+      'configuration',
+      'leaderships',
+      'announcements',
+      'leaderChanges',
+      'endpoints',
+    ],
+    writes: ['announcements', 'leaderChanges', 'endpoints'],
     observes: ['endpointContact', 'endpointLeft', 'entryMessage', 'timerDue'],
-    run: (view, now) => handleObservation(view, now),
+    run: (view, now) => [
+      ...followLeaders(view, now),
+      ...handleObservation(view, now),
+    ],
   });
 }
 
@@ -47,9 +70,13 @@
   const {observation} = view;
   switch (observation?.kind) {
     case 'endpointContact':
-      return routeAnnouncement(view, observation.announcement, now);
+      return noteContact(view, observation.announcement, now);
     case 'endpointLeft':
       return [
+        storeHeard(observation.endpoint, {
+          kind: 'left',
+          heardAt: now.monotonic,
+        }),
         ...recordLeave(view, observation.endpoint),
         ...spreadLeave(view, observation.endpoint),
       ];
@@ -57,13 +84,99 @@
       return handleMessage(view, observation.message, now);
     case 'timerDue':
       return observation.timer.kind === 'housekeeping'
-        ? ageEndpoints(view, now)
+        ? [
+            ...ageEndpoints(view, now),
+            ...dropAnnouncements(view, now),
+            ...repeatAnnouncements(view, now),
+          ]
         : [];
     default:
       return [];
   }
 }
 
+/** Notes when another entry came to lead a set. */
+function followLeaders(
+  view: RegistryView,
+  now: TurnTime,
+): readonly RegistryWrite[] {
+  return [...view.readChanges('configuration')].flatMap(
+    (key): readonly RegistryWrite[] => {
+      const object = view.board.configuration.get(key as ObjectKey);
+      return object?.kind === 'setLeadership'
+        ? [
+            {
+              kind: 'put',
+              section: 'leaderChanges',
+              key: object.id,
+              value: now.monotonic,
+            },
+          ]
+        : [];
+    },
+  );
+}
+
+/** A heartbeat sent before the endpoint left may arrive after it. */
+function noteContact(
+  view: RegistryView,
+  announcement: EndpointAnnouncement,
+  now: TurnTime,
+): readonly RegistryWrite[] {
+  const {endpoint} = announcement;
+  const known = view.board.announcements.get(endpoint);
+  const heard = {
+    kind: 'announced',
+    announcement,
+    heardAt: now.monotonic,
+  } as const;
+  return [
+    ...(known?.kind === 'left' ? [] : [storeHeard(endpoint, heard)]),
+    ...routeAnnouncement(view, announcement, now),
+  ];
+}
+
+function storeHeard(key: EndpointId, value: HeardAnnouncement): RegistryWrite {
+  return {kind: 'put', section: 'announcements', key, value};
+}
+
+function dropAnnouncements(
+  view: RegistryView,
+  now: TurnTime,
+): readonly RegistryWrite[] {
+  return [...view.board.announcements]
+    .filter(([, {heardAt}]) => now.monotonic - heardAt > ENDPOINT_LEASE_MS)
+    .map(([key]) => ({kind: 'delete', section: 'announcements', key}));
+}
+
+/**
+ * Tells a new leader what endpoints announced while there was none. It may
+ * learn a little later that it leads, so it is told more than once.
+ */
+function repeatAnnouncements(
+  view: RegistryView,
+  now: TurnTime,
+): readonly RegistryWrite[] {
+  const {announcements, leaderChanges} = view.board;
+  const isNew = (changedAt: MonotonicTime | undefined): boolean =>
+    changedAt !== undefined && now.monotonic - changedAt <= REANNOUNCE_MS;
+  const isAnyNew = [...leaderChanges.values()].some(isNew);
+  return [...announcements].flatMap(([endpoint, heard]) => {
+    switch (heard.kind) {
+      case 'announced': {
+        const {announcement} = heard;
+        return isNew(leaderChanges.get(announcement.set))
+          ? routeAnnouncement(view, announcement, now)
+          : [];
+      }
+      case 'left':
+        return isAnyNew
+          ? [...recordLeave(view, endpoint), ...spreadLeave(view, endpoint)]
+          : [];
+    }
+  });
+}
+
 function handleMessage(
   view: RegistryView,
   message: EntryMessage,
--- /dev/null
+++ b/scheduling/setLeader/test/endpointRegistry.test.ts
@@ -0,0 +1,203 @@
+import {createControlLoop, defineController} from '@gentianshunt/board';
+import {createManualClock} from '@gentianshunt/clock';
+import {createEntrySections} from '@gentianshunt/entryModel';
+import type {
+  EndpointAnnouncement,
+  EntryObservation,
+  EntryOrder,
+  EntrySections,
+} from '@gentianshunt/entryModel';
+import {toIdentifier} from '@gentianshunt/identifiers';
+import type {EndpointSetId, NodeId} from '@gentianshunt/identifiers';
+import t from 'tap';
+
+import {
+  createEndpointRegistry,
+  createLeadershipController,
+  ENDPOINT_LEASE_MS,
+  REANNOUNCE_MS,
+} from '../src/index.js';
+
+const SELF = 'n1';
+const OTHER = 'n2';
+const SET = toIdentifier<EndpointSetId>('drafts');
+const TICK_MS = 250;
+
+/** An entry whose knowledge of the set's leader a test decides. */
+interface RegistryFixture {
+  readonly states: readonly string[];
+  /** Messages sent so far, by kind and node. */
+  readonly sent: readonly string[];
+  announce(leaving?: boolean): void;
+  leave(): void;
+  learnLeader(node: string): void;
+  pass(durationMs: number): void;
+}
+
+function createAddress(node: string) {
+  const address = {host: '127.0.0.1', port: 1};
+  return {
+    node: toIdentifier<NodeId>(node),
+    domain: toIdentifier<never>('a'),
+    region: toIdentifier<never>('local'),
+    peer: address,
+    http: address,
+  };
+}
+
+function createAnnouncement(leaving: boolean): EndpointAnnouncement {
+  return {
+    endpoint: toIdentifier('e1'),
+    incarnation: toIdentifier('p1'),
+    set: SET,
+    domain: toIdentifier('a'),
+    url: 'http://127.0.0.1:2',
+    concurrency: 4,
+    checksFencing: false,
+    load: null,
+    leaving,
+  };
+}
+
+function createFixture(): RegistryFixture {
+  const clock = createManualClock();
+  const sent: string[] = [];
+  let leader: string | undefined;
+  let epoch = 1;
+  const source = defineController<
+    EntrySections,
+    EntryObservation,
+    EntryOrder,
+    'control',
+    'control' | 'configuration'
+  >({
+    name: 'source',
+    reads: ['control'],
+    writes: ['control', 'configuration'],
+    observes: ['started', 'controlsLearnt'],
+    run: ({board}) => [
+      {
+        kind: 'set',
+        section: 'control',
+        value: {
+          ...board.control,
+          directory: {
+            version: {term: 1, number: 1, digest: 1},
+            entries: [SELF, OTHER].map(node => ({
+              address: createAddress(node),
+              draining: false,
+            })),
+          },
+        },
+      },
+      ...(leader === undefined
+        ? []
+        : [
+            {
+              kind: 'put',
+              section: 'configuration',
+              key: toIdentifier<never>('setLeadership/drafts'),
+              value: {
+                kind: 'setLeadership',
+                id: SET,
+                revision: 1,
+                node: toIdentifier<NodeId>(leader),
+                epoch,
+              },
+            } as const,
+          ]),
+    ],
+  });
+  const loop = createControlLoop<EntrySections, EntryObservation, EntryOrder>({
+    sections: createEntrySections({
+      address: createAddress(SELF),
+      incarnation: toIdentifier('i1'),
+      controls: [],
+    }),
+    controllers: [
+      source,
+      createLeadershipController(),
+      createEndpointRegistry(),
+    ],
+    clock,
+    perform: order => {
+      if (order.kind === 'sendEntry') {
+        sent.push(`${order.message.kind} ${order.to}`);
+      }
+    },
+  });
+  loop.post({kind: 'started'});
+  return {
+    get states() {
+      return Array.from(
+        loop.view.endpoints.iterateFrom(),
+        ({value}) => value.state,
+      );
+    },
+    sent,
+    announce: (leaving = false) =>
+      loop.post({
+        kind: 'endpointContact',
+        announcement: createAnnouncement(leaving),
+      }),
+    leave: () =>
+      loop.post({kind: 'endpointLeft', endpoint: toIdentifier('e1')}),
+    learnLeader: node => {
+      leader = node;
+      epoch += 1;
+      loop.post({kind: 'controlsLearnt', nodes: []});
+    },
+    pass: durationMs => {
+      for (let passed = 0; passed < durationMs; passed += TICK_MS) {
+        clock.advance(TICK_MS);
+        loop.post({kind: 'timerDue', timer: {kind: 'housekeeping'}});
+      }
+    },
+  };
+}
+
+t.test('an announcement before there is a leader is not lost', async t => {
+  const fixture = createFixture();
+  fixture.announce();
+  fixture.learnLeader(SELF);
+  fixture.pass(TICK_MS);
+  t.same(fixture.states, ['active']);
+});
+
+t.test('another entry that comes to lead is told, a few times', async t => {
+  const fixture = createFixture();
+  fixture.announce();
+  fixture.learnLeader(OTHER);
+  fixture.pass(2 * REANNOUNCE_MS);
+  t.same(fixture.sent, [
+    `endpointAnnounced ${OTHER}`,
+    `endpointAnnounced ${OTHER}`,
+  ]);
+});
+
+t.test('what was heard too long ago is not told', async t => {
+  const fixture = createFixture();
+  fixture.announce();
+  fixture.pass(ENDPOINT_LEASE_MS + TICK_MS);
+  fixture.learnLeader(SELF);
+  fixture.pass(TICK_MS);
+  t.same(fixture.states, []);
+});
+
+t.test('an endpoint that left stays away from a new leader', async t => {
+  const fixture = createFixture();
+  fixture.announce();
+  fixture.leave();
+  fixture.announce();
+  fixture.learnLeader(SELF);
+  fixture.pass(REANNOUNCE_MS);
+  t.same(fixture.states, []);
+});
+
+t.test('a leave is told to a new leader as well', async t => {
+  const fixture = createFixture();
+  fixture.leave();
+  fixture.learnLeader(OTHER);
+  fixture.pass(TICK_MS);
+  t.same(fixture.sent, [`endpointLeft ${OTHER}`]);
+});
