Ask entries for their use of allotments when a keeper begins, also after a restart

The keeper had been killed and came back within its lease, so its epoch was the same and no entry told it again what it had used: it never heard from half of them and stayed silent. Ruled out: the core (leader and leases stood all the time) and the full disk.

--- a/fronts/entryWire/src/entryWire.ts
+++ b/fronts/entryWire/src/entryWire.ts
@@ -36,6 +36,7 @@
   allotmentAsk: 7,
   allotmentVerdict: 8,
   allotmentUses: 9,
+  allotmentInquiry: 10,
 } as const satisfies Readonly<Record<EntryMessage['kind'], number>>;
 
 /** Encodes a message between entries as nested lists. */
@@ -58,6 +59,8 @@
       return [kind, ...encodeAllotmentAsk(message.ask)];
     case 'allotmentVerdict':
       return [kind, ...encodeAllotmentVerdict(message.verdict)];
+    case 'allotmentInquiry':
+      return [kind, message.set, message.epoch];
     case 'allotmentUses':
       return [kind, ...encodeToldUses(message.told)];
     default:
@@ -112,6 +115,12 @@
         kind: 'allotmentVerdict',
         verdict: decodeAllotmentVerdict(reader),
       };
+    case WIRE_KINDS.allotmentInquiry:
+      return {
+        kind: 'allotmentInquiry',
+        set: reader.readIdentifier<EndpointSetId>(),
+        epoch: reader.readCount(),
+      };
     case WIRE_KINDS.allotmentUses:
       return {kind: 'allotmentUses', told: decodeToldUses(reader)};
     default:
--- a/fronts/entryWire/test/entryWire.test.ts
+++ b/fronts/entryWire/test/entryWire.test.ts
@@ -67,6 +67,7 @@
         ],
       },
     },
+    {kind: 'allotmentInquiry', set, epoch: 3},
     {
       kind: 'allotmentUses',
       told: {
--- a/scheduling/allotments/src/index.ts
+++ b/scheduling/allotments/src/index.ts
@@ -1,4 +1,5 @@
 export * from './allotmentLimit.js';
+export * from './decideAsk.js';
 export * from './findKeeper.js';
 export * from './keeperController.js';
 export * from './toReportedUses.js';
--- a/scheduling/allotments/src/useController.ts
+++ b/scheduling/allotments/src/useController.ts
@@ -1,82 +1,64 @@
 import type {TurnTime, View} from '@gentianshunt/board';
-import {listObjects} from '@gentianshunt/configuration';
-import type {SetLeadership} from '@gentianshunt/configuration';
 import {
   defineEntryController,
   findEntryAddress,
 } from '@gentianshunt/entryModel';
 import type {
   EntryController,
+  EntryMessage,
   EntryObservation,
   EntrySections,
   EntryWrite,
   OrganisationUse,
 } from '@gentianshunt/entryModel';
 
+import type {EndpointSetId, NodeId} from '@gentianshunt/identifiers';
+
 import {findKeeper} from './findKeeper.js';
 import {toReportedUses} from './toReportedUses.js';
 
-/** How often a new keeper is told, since it may not know that it is one. */
-export const TELL_TIMES = 3;
-
-type UseReads = 'control' | 'configuration' | 'allotments' | 'toldKeepers';
+type AllotmentInquiry = Extract<
+  EntryMessage,
+  {readonly kind: 'allotmentInquiry'}
+>;
+type UseReads = 'control' | 'configuration' | 'allotments';
 type UseView = View<EntrySections, UseReads, EntryObservation>;
-type UseWrite = EntryWrite<'toldKeepers'>;
+type UseWrite = EntryWrite<never>;
 
-/** Creates the controller that tells new keepers what this entry has used. */
+/** Creates the controller that tells keepers what this entry has used. */
 export function createUseController(): EntryController {
-  return defineEntryController<UseReads, 'toldKeepers'>({
+  return defineEntryController<UseReads, never>({
     name: 'allotmentUses',
-    reads: ['control', 'configuration', 'allotments', 'toldKeepers'],
-    writes: ['toldKeepers'],
-    observes: ['timerDue'],
+    reads: ['control', 'configuration', 'allotments'],
+    writes: [],
+    observes: ['entryMessage'],
     run: (view, now) => {
-      const {observation, board} = view;
-      return observation?.kind === 'timerDue' &&
-        observation.timer.kind === 'housekeeping'
-        ? listObjects(board.configuration, 'setLeadership').flatMap(keeper =>
-            announceUses(view, keeper, now),
-          )
+      const {observation} = view;
+      return observation?.kind === 'entryMessage' &&
+        observation.message.kind === 'allotmentInquiry'
+        ? answerInquiry(view, observation.from, observation.message, now)
         : [];
     },
   });
 }
 
-function announceUses(
+function answerInquiry(
   view: UseView,
-  {id: set, node, epoch}: SetLeadership,
+  to: NodeId,
+  {set, epoch}: AllotmentInquiry,
   now: TurnTime,
 ): readonly UseWrite[] {
-  const {control, toldKeepers} = view.board;
-  const told = toldKeepers.get(set);
-  const times = told?.epoch === epoch ? told.times : 0;
-  const address = findEntryAddress(control.directory, node);
-  if (times >= TELL_TIMES || address === undefined) {
-    return [];
-  }
-  const uses = listUses(view, set, now);
-  return [
-    {
-      kind: 'put',
-      section: 'toldKeepers',
-      key: set,
-      value: {epoch, times: times + 1},
-    },
-    {
-      kind: 'order',
-      order: {
-        kind: 'sendEntry',
-        to: node,
-        address,
-        message: {kind: 'allotmentUses', told: {set, epoch, uses}},
-      },
-    },
-  ];
+  const address = findEntryAddress(view.board.control.directory, to);
+  const told = {set, epoch, uses: listUses(view, set, now)};
+  const message = {kind: 'allotmentUses', told} as const;
+  return address === undefined
+    ? []
+    : [{kind: 'order', order: {kind: 'sendEntry', to, address, message}}];
 }
 
 function listUses(
   {board}: UseView,
-  set: SetLeadership['id'],
+  set: EndpointSetId,
   now: TurnTime,
 ): readonly OrganisationUse[] {
   return [...board.allotments]
--- a/scheduling/entryModel/src/allotment.ts
+++ b/scheduling/entryModel/src/allotment.ts
@@ -33,7 +33,7 @@
   readonly used: readonly ReportedUse[];
 }
 
-/** What an entry has used of the allotments of one keeper, for a new one. */
+/** What an entry has used of the allotments of a keeper that asks for it. */
 export interface ToldUses {
   readonly set: EndpointSetId;
   readonly epoch: number;
@@ -48,13 +48,6 @@
   readonly used: readonly ReportedUse[];
 }
 
-/** What an entry has told the leader of a set since it leads it. */
-export interface ToldKeeper {
-  readonly epoch: number;
-  /** How often; a message may come before the leader knows that it leads. */
-  readonly times: number;
-}
-
 /** What the keeper of an allotment decided about a request. */
 export interface AllotmentVerdict {
   readonly organisation: OrganisationId;
--- a/scheduling/entryModel/src/exchange.ts
+++ b/scheduling/entryModel/src/exchange.ts
@@ -151,6 +151,12 @@
   | {readonly kind: 'endpointsListed'; readonly list: EndpointList}
   | {readonly kind: 'allotmentAsk'; readonly ask: AllotmentAsk}
   | {readonly kind: 'allotmentVerdict'; readonly verdict: AllotmentVerdict}
+  | {
+      /** Asks for what an entry has used of the allotments of a keeper. */
+      readonly kind: 'allotmentInquiry';
+      readonly set: EndpointSetId;
+      readonly epoch: number;
+    }
   | {readonly kind: 'allotmentUses'; readonly told: ToldUses};
 
 /** Slots an entry may use until their deadline. */
--- a/scheduling/entryModel/src/sections.ts
+++ b/scheduling/entryModel/src/sections.ts
@@ -41,7 +41,6 @@
   AllotmentRecord,
   AllotmentState,
   OpenAsk,
-  ToldKeeper,
 } from './allotment.js';
 import type {EndpointRecord, HeardAnnouncement} from './endpointRecord.js';
 import type {EntryIdentity} from './identity.js';
@@ -375,7 +374,6 @@
     openAsks: defineMap<RequestId, OpenAsk>(),
     /** Until when keepers of allotments count as silent. */
     silentKeepers: defineMap<NodeId, MonotonicTime>(),
-    toldKeepers: defineMap<EndpointSetId, ToldKeeper>(),
     /** Entries that have told their uses, and in which epoch. */
     heardEntries: defineOrdered<ReportKey, number>(compareBy('set', 'node')),
     /** Use of the allotments that this entry keeps. */
--- a/scheduling/entryNode/test/allotments.test.ts
+++ b/scheduling/entryNode/test/allotments.test.ts
@@ -122,6 +122,20 @@
   t.match(fixture.refusals.at(-1), 'allotmentUsed notRun comeBack');
 });
 
+t.test('a keeper that restarts answers again', async t => {
+  const fixture = createFixture();
+  fixture.restart(0);
+  fixture.pass(1_000);
+  for (let count = 0; count < 30; count += 1) {
+    fixture.send(1 + (count % 3), 100);
+    fixture.pass(20);
+  }
+  // More than the unkept parts of three entries.
+  const total = fixture.covered.reduce((sum, {tokens}) => sum + tokens, 0);
+  t.equal(total, 3_000);
+  t.same(fixture.refusals, []);
+});
+
 t.test('a request larger than the allotment is covered when idle', async t => {
   const fixture = createFixture();
   fixture.send(0, 50_000);
--- a/scheduling/entryNode/test/entriesFixture.ts
+++ b/scheduling/entryNode/test/entriesFixture.ts
@@ -50,6 +50,8 @@
   pass(durationMs: Milliseconds): void;
   /** Makes another entry the leader of the set. */
   moveLeader(entry: number): void;
+  /** Ends an entry and starts it anew; it knows nothing of before. */
+  restart(entry: number): void;
   /** Loses all messages between an entry and the others. */
   cut(entry: number, isCut: boolean): void;
 }
@@ -108,23 +110,23 @@
       default:
     }
   };
-  const nodes: readonly EntryNode[] = Array.from(
-    {length: options.count},
-    (_, entry) =>
-      createEntryNode({
-        identity: {
-          address: createAddress(entry),
-          incarnation: toIdentifier('i1'),
-          controls: [toIdentifier(CONTROL)],
-          bounds: {
-            repeatRatio: 0.2,
-            repeatBurst: 8,
-            allotmentTolerance: options.tolerance,
-          },
+  const createNode = (entry: number): EntryNode =>
+    createEntryNode({
+      identity: {
+        address: createAddress(entry),
+        incarnation: toIdentifier('i1'),
+        controls: [toIdentifier(CONTROL)],
+        bounds: {
+          repeatRatio: 0.2,
+          repeatBurst: 8,
+          allotmentTolerance: options.tolerance,
         },
-        clock,
-        perform: order => perform(entry, order),
-      }),
+      },
+      clock,
+      perform: order => perform(entry, order),
+    });
+  const nodes = Array.from({length: options.count}, (_, entry) =>
+    createNode(entry),
   );
   const beat = (entry: number): void => {
     const node = nodes[entry]!;
@@ -245,6 +247,11 @@
       epoch += 1;
       version += 1;
     },
+    restart: entry => {
+      nodes[entry] = createNode(entry);
+      nodes[entry].post({kind: 'started'});
+      beat(entry);
+    },
     cut: (entry, isCut) => {
       if (isCut) {
         cuts.add(entry);
