Log why a waiting request was given up

A line requestShed now tells who gave the request up, what waited and what ran here. Still missing: the version of the configuration by which a key or path was unknown.

--- a/fronts/logging/src/logEvent.ts
+++ b/fronts/logging/src/logEvent.ts
@@ -63,6 +63,7 @@
     case 'entryDecided':
       return event.decision.kind === 'requestDispatched' ||
         event.decision.kind === 'allotmentRefused' ||
+        event.decision.kind === 'requestShed' ||
         event.decision.kind === 'requestRequeued'
         ? 'detail'
         : 'standing';
--- a/reports/explain/src/failureCause.ts
+++ b/reports/explain/src/failureCause.ts
@@ -13,7 +13,14 @@
   /** The entry held no lease, or no configuration yet. */
   | {readonly kind: 'noLease'}
   /** No place came before the caller was about to leave. */
-  | {readonly kind: 'waitedTooLong'; readonly waitedMs: Milliseconds}
+  | {
+      readonly kind: 'waitedTooLong';
+      readonly waitedMs: Milliseconds;
+      readonly decidedBy: string | undefined;
+      /** Of its line in the entry, when it was given up. */
+      readonly waitingHere: number | undefined;
+      readonly runningHere: number | undefined;
+    }
   /** Endpoints that had it failed it, and no other attempt answered it. */
   | {readonly kind: 'endpointFailed'; readonly endpoints: readonly string[]}
   /** It was still under way at the time limit of its route. */
@@ -42,13 +49,14 @@
     case 'abandonedRunning':
       return {kind: 'abandoned', hadEndpoint: true};
     default:
-      return findRefusalCause(last, endpoints);
+      return findRefusalCause(last, endpoints, lines);
   }
 }
 
 function findRefusalCause(
   line: LogLine,
   endpoints: readonly string[],
+  lines: readonly LogLine[],
 ): FailureCause {
   const reason = readText(line, 'reason') ?? 'unknown';
   switch (reason) {
@@ -67,10 +75,7 @@
     case 'organisationLimit':
       return endpoints.length > 0
         ? {kind: 'endpointFailed', endpoints}
-        : {
-            kind: 'waitedTooLong',
-            waitedMs: readNumber(line, 'totalMs') ?? 0,
-          };
+        : findShedCause(line, lines);
     case 'endpointFailed':
     case 'answerCut':
     case 'outcomeUnknown':
@@ -80,6 +85,17 @@
   }
 }
 
+function findShedCause(last: LogLine, lines: readonly LogLine[]): FailureCause {
+  const shed = lines.find(({event}) => event === 'requestShed');
+  return {
+    kind: 'waitedTooLong',
+    waitedMs: readNumber(last, 'totalMs') ?? 0,
+    decidedBy: shed && readText(shed, 'decidedBy'),
+    waitingHere: shed && readNumber(shed, 'waitingHere'),
+    runningHere: shed && readNumber(shed, 'runningHere'),
+  };
+}
+
 /** Lists the endpoints to which a request was dispatched. */
 export function listEndpoints(lines: readonly LogLine[]): readonly string[] {
   const endpoints = lines
@@ -102,7 +118,7 @@
     case 'noLease':
       return 'the entry could not take requests: no lease, no configuration, or it was stopping';
     case 'waitedTooLong':
-      return `no place came free in ${cause.waitedMs} ms: capacity was short, or the set had no leader`;
+      return describeWait(cause);
     case 'endpointFailed':
       return `failed at ${describeEndpoints(cause.endpoints)}; no further attempt answered it`;
     case 'timeLimit':
@@ -116,6 +132,16 @@
   }
 }
 
+function describeWait(
+  cause: Extract<FailureCause, {readonly kind: 'waitedTooLong'}>,
+): string {
+  const {waitedMs, decidedBy, waitingHere, runningHere} = cause;
+  const wait = `no place came free in ${waitedMs} ms`;
+  return decidedBy === undefined
+    ? `${wait}: capacity was short, or the set had no leader`
+    : `${wait}: given up by ${decidedBy}, with ${waitingHere ?? '?'} of its line waiting and ${runningHere ?? '?'} of its set running in the entry`;
+}
+
 function describeEndpoints(endpoints: readonly string[]): string {
   return endpoints.length === 0 ? 'no endpoint' : endpoints.join(', ');
 }
--- a/reports/explain/test/createExplanation.test.ts
+++ b/reports/explain/test/createExplanation.test.ts
@@ -94,7 +94,34 @@
   {
     name: 'a wait without a place',
     lines: [createEnd(724, {end: 'refused', reason: 'shed', totalMs: 724})],
-    cause: {kind: 'waitedTooLong', waitedMs: 724},
+    cause: {
+      kind: 'waitedTooLong',
+      waitedMs: 724,
+      decidedBy: undefined,
+      waitingHere: undefined,
+      runningHere: undefined,
+    },
+  },
+  {
+    name: 'a wait of which the line is known',
+    lines: [
+      {
+        atMs: 724,
+        event: 'requestShed',
+        request: 'r1',
+        decidedBy: 'front-b',
+        waitingHere: 7,
+        runningHere: 0,
+      },
+      createEnd(724, {end: 'refused', reason: 'shed', totalMs: 724}),
+    ],
+    cause: {
+      kind: 'waitedTooLong',
+      waitedMs: 724,
+      decidedBy: 'front-b',
+      waitingHere: 7,
+      runningHere: 0,
+    },
   },
   {
     name: 'a wait for a further attempt',
--- a/scheduling/entryModel/src/decision.ts
+++ b/scheduling/entryModel/src/decision.ts
@@ -48,6 +48,23 @@
       readonly retryAfterMs: Milliseconds;
       readonly configurationVersion: number;
     }
+  | {
+      readonly kind: 'requestShed';
+      readonly request: RequestId;
+      readonly set: EndpointSetId;
+      readonly rank: number;
+      /** The set's leader, or the entry itself for an overdue request. */
+      readonly decidedBy: NodeId;
+      readonly waitedMs: Milliseconds;
+      /** Time after which its caller leaves; `null` where none is known. */
+      readonly patienceMs: Milliseconds | null;
+      /** Requests of its line that wait in this entry. */
+      readonly waitingHere: number;
+      /** Requests of the set that this entry has at endpoints. */
+      readonly runningHere: number;
+      /** Of the leadership that this entry follows. */
+      readonly epoch: number | null;
+    }
   | {
       readonly kind: 'leaseLost';
       readonly leader: NodeId | null;
--- a/scheduling/entryNode/test/calls.test.ts
+++ b/scheduling/entryNode/test/calls.test.ts
@@ -202,3 +202,27 @@
   fixture.post({kind: 'timeLimitReached', request: toIdentifier('q1')});
   t.same(listRefusals(fixture), ['timeLimit notRun']);
 });
+
+t.test('it is told why a request was given up', async t => {
+  const fixture = createEntryFixture();
+  for (let count = 0; count < 6; count += 1) {
+    const facts = {...createCall(), id: toIdentifier<never>(`w${count}`)};
+    fixture.post({kind: 'requestReceived', facts});
+    fixture.pass(250);
+  }
+  fixture.pass(3_000);
+  const told = fixture
+    .list('tell')
+    .flatMap(({decision}) =>
+      decision.kind === 'requestShed' ? [decision] : [],
+    );
+  t.equal(told.length, 2);
+  t.match(told[0], {
+    set: 'drafts',
+    decidedBy: 'entry-0',
+    patienceMs: 3_000,
+    waitingHere: 2,
+    runningHere: 4,
+    epoch: 1,
+  });
+});
--- /dev/null
+++ b/scheduling/lifecycle/src/describeShed.ts
@@ -0,0 +1,37 @@
+import type {TurnTime} from '@gentianshunt/board';
+import {findObject} from '@gentianshunt/configuration';
+import {iterateRunning} from '@gentianshunt/entryModel';
+import type {AdmittedRequest, EntryOrder} from '@gentianshunt/entryModel';
+import type {NodeId} from '@gentianshunt/identifiers';
+
+import type {LifecycleView} from './requestDraft.js';
+
+/** Describes for the log why a request is shed, and by whom. */
+export function describeShed(
+  {board}: LifecycleView,
+  request: AdmittedRequest,
+  decidedBy: NodeId,
+  now: TurnTime,
+): EntryOrder {
+  const {id, set, rank, organisation, arrivedAt, terms} = request;
+  const leadership = findObject(board.configuration, 'setLeadership', set);
+  const running = Array.from(
+    iterateRunning(board.running, set),
+    ({value}) => value.count,
+  );
+  return {
+    kind: 'tell',
+    decision: {
+      kind: 'requestShed',
+      request: id,
+      set,
+      rank,
+      decidedBy,
+      waitedMs: now.monotonic - arrivedAt,
+      patienceMs: terms?.patienceMs ?? null,
+      waitingHere: board.lines.get({set, rank, organisation})?.count ?? 0,
+      runningHere: running.reduce((sum, count) => sum + count, 0),
+      epoch: leadership?.epoch ?? null,
+    },
+  };
+}
--- a/scheduling/lifecycle/src/matches.ts
+++ b/scheduling/lifecycle/src/matches.ts
@@ -1,4 +1,5 @@
 import type {TurnTime} from '@gentianshunt/board';
+import {findObject} from '@gentianshunt/configuration';
 import {isQueued, iterateWaiting, refuseNotRun} from '@gentianshunt/entryModel';
 import type {
   AdmittedRequest,
@@ -11,6 +12,7 @@
 import type {DispatchId, RequestId} from '@gentianshunt/identifiers';
 
 import {requestClaim} from './claims.js';
+import {describeShed} from './describeShed.js';
 import {endRequest, startDispatch} from './endRequest.js';
 import {canRepeat} from './repeats.js';
 import type {LifecycleView, RequestDraft} from './requestDraft.js';
@@ -74,6 +76,9 @@
   reply: GrantReply,
   now: TurnTime,
 ): void {
+  const {board} = view;
+  const leader = findObject(board.configuration, 'setLeadership', reply.set);
+  const decidedBy = leader?.node ?? board.identity.address.node;
   for (const order of reply.shed) {
     for (const request of pickShed(view, reply, order)) {
       const state = draft.read(request.id);
@@ -83,6 +88,7 @@
         }
         const {retryAfterMs} = order;
         const refusal = refuseNotRun(state, {kind: 'shed'}, retryAfterMs);
+        draft.order(describeShed(view, request, decidedBy, now));
         draft.order({kind: 'refuseCaller', refusal});
         endRequest(draft, state, {kind: 'refused', refusal}, now);
       }
--- a/scheduling/lifecycle/src/overdue.ts
+++ b/scheduling/lifecycle/src/overdue.ts
@@ -4,6 +4,7 @@
 import type {QueuedState, Refusal, RouteTerms} from '@gentianshunt/entryModel';
 import {assertNever} from '@gentianshunt/errors';
 
+import {describeShed} from './describeShed.js';
 import {endRequest} from './endRequest.js';
 import type {LifecycleView, RequestDraft} from './requestDraft.js';
 
@@ -33,6 +34,8 @@
     const waitedMs = now.monotonic - state.request.arrivedAt;
     if (waitedMs >= PATIENCE_USED * terms.patienceMs) {
       const refusal = createRefusal(state, terms);
+      const self = view.board.identity.address.node;
+      draft.order(describeShed(view, state.request, self, now));
       draft.order({kind: 'refuseCaller', refusal});
       endRequest(draft, state, {kind: 'refused', refusal}, now);
     } else if (waitedMs >= terms.objectiveMs) {
