Keep the unkept parts of an allotment also where a request is larger than one

Read while going over the change: with 84 entries an equal part is smaller than a request, and each entry covered one request per window all the same, up to several times what was set aside. As many entries as the parts of all cover are picked by hash in each window. The test has 40 entries.

--- a/scheduling/entryNode/test/allotments.test.ts
+++ b/scheduling/entryNode/test/allotments.test.ts
@@ -136,6 +136,18 @@
   t.same(fixture.refusals, []);
 });
 
+t.test('parts smaller than a request do not add up to more', async t => {
+  const fixture = createFixture({count: 40});
+  fixture.cut(0, true);
+  for (let count = 0; count < 160; count += 1) {
+    fixture.send(1 + (count % 39), 1_500);
+    fixture.pass(25);
+  }
+  // Parts of 68 tokens; one request in each would be 58,500.
+  const most = findMost(fixture.covered);
+  t.ok(most <= CONCEDED, `${most} tokens`);
+});
+
 t.test('a request larger than the allotment is covered when idle', async t => {
   const fixture = createFixture();
   fixture.send(0, 50_000);
--- a/scheduling/lifecycle/src/allotments.ts
+++ b/scheduling/lifecycle/src/allotments.ts
@@ -24,6 +24,7 @@
   OpenAsk,
   SpareTokens,
 } from '@gentianshunt/entryModel';
+import {hashToFraction} from '@gentianshunt/hashing';
 import type {NodeId, OrganisationId} from '@gentianshunt/identifiers';
 import {addToWindow, dropLapsed, sumWindow} from '@gentianshunt/limits';
 
@@ -234,7 +235,11 @@
   const limitTokens = readUnkeptTokens(total, entries);
   const state = readState(view, draft, organisation, now);
   const usedTokens = sumWindow(state.slices);
-  if (usedTokens <= Math.max(limitTokens, readTokens(request))) {
+  const isCovered =
+    usedTokens <= limitTokens ||
+    (usedTokens === readTokens(request) &&
+      isPicked(view, request, limitTokens, now));
+  if (isCovered) {
     draft.move({kind: 'waiting', request});
     return;
   }
@@ -245,6 +250,23 @@
   refuse(view, draft, request, decided, now);
 }
 
+/**
+ * Where a part is smaller than a request, as many entries take one in a window
+ * as the parts of all cover.
+ */
+function isPicked(
+  view: LifecycleView,
+  request: AdmittedRequest,
+  part: number,
+  now: TurnTime,
+): boolean {
+  const {windowMs} = readTolerance(view);
+  const {node} = view.board.identity.address;
+  const window = Math.floor(now.wall.getTime() / windowMs);
+  const key = `${node}/${request.organisation}/${window}`;
+  return hashToFraction(key) < part / readTokens(request);
+}
+
 /** Who refused a request, and by which figures. */
 interface AllotmentRefusal {
   readonly decidedBy: NodeId;
