Count on what an entry used before its process restarted

Read while going over the change: a restarted entry told its keeper that it had used nothing, which replaced what the keeper knew of it.

--- a/fronts/entryWire/src/allotmentWire.ts
+++ b/fronts/entryWire/src/allotmentWire.ts
@@ -24,6 +24,7 @@
     ask.rank,
     ask.tokens,
     encodeUsed(ask.used),
+    ask.coversMs,
   ];
 }
 
@@ -38,6 +39,7 @@
     rank: reader.readCount(),
     tokens: reader.readCount(),
     used: decodeUsed(reader.readList()),
+    coversMs: reader.readCount(),
   };
 }
 
@@ -51,6 +53,7 @@
       sequence,
       encodeUsed(used),
     ]),
+    told.coversMs,
   ];
 }
 
@@ -64,6 +67,7 @@
       sequence: list.readCount(),
       used: decodeUsed(list.readList()),
     })),
+    coversMs: reader.readCount(),
   };
 }
 
--- a/fronts/entryWire/test/entryWire.test.ts
+++ b/fronts/entryWire/test/entryWire.test.ts
@@ -65,6 +65,7 @@
           {ageMs: 750, tokens: 900},
           {ageMs: 0, tokens: 3_000},
         ],
+        coversMs: 8_000,
       },
     },
     {kind: 'allotmentInquiry', set, epoch: 3},
@@ -81,6 +82,7 @@
             used: [],
           },
         ],
+        coversMs: 750,
       },
     },
     {
--- a/scheduling/allotments/src/decideAsk.ts
+++ b/scheduling/allotments/src/decideAsk.ts
@@ -40,7 +40,8 @@
 export interface AskContext {
   readonly ask: AllotmentAsk;
   readonly leadership: LeadershipState;
-  readonly told: WindowSlices;
+  /** What the entry tells, before the verdict. */
+  readonly record: AllotmentRecord;
 }
 
 /** A verdict, and what the entry counts as having used after it. */
@@ -65,7 +66,8 @@
   context: AskContext,
   now: TurnTime,
 ): DecidedAsk {
-  const {ask, told} = context;
+  const {ask, record} = context;
+  const told = record.slices;
   const {organisation, request, tokens, epoch, sequence} = ask;
   const {windowMs} = readTolerance(view);
   const use = readUse(view, from, context, now);
@@ -104,19 +106,20 @@
 function readUse(
   view: KeeperView,
   from: NodeId,
-  {ask, told}: AskContext,
+  {ask, record}: AskContext,
   now: TurnTime,
 ): AllotmentUse {
   const {organisation} = ask;
   const {windowMs} = readTolerance(view);
   const records = listRecords(view, organisation);
+  const since = now.monotonic - windowMs;
   const uses = new Map<NodeId, WindowSlices>(
     records.map(({key, value}) => [
       key.node,
-      dropLapsed(value.slices, now.monotonic - windowMs),
+      dropLapsed(joinSlices(value), since),
     ]),
   );
-  uses.set(from, told);
+  uses.set(from, dropLapsed(joinSlices(record), since));
   const {entries} = view.board.control.directory;
   const total = readTotal(view, organisation);
   const part = readUnkeptTokens(total, entries.length);
@@ -160,6 +163,11 @@
     : readWindowTokens(tokens, readTolerance(view));
 }
 
+/** Joins the uses of all processes of an entry. */
+export function joinSlices({earlier, slices}: AllotmentRecord): WindowSlices {
+  return earlier.length === 0 ? slices : mergeSlices([earlier, slices]);
+}
+
 function listRecords(
   {board}: KeeperView,
   organisation: OrganisationId,
--- a/scheduling/allotments/src/keeperController.ts
+++ b/scheduling/allotments/src/keeperController.ts
@@ -1,4 +1,5 @@
 import type {TurnTime} from '@gentianshunt/board';
+import type {Milliseconds} from '@gentianshunt/clock';
 import {
   defineEntryController,
   findEntryAddress,
@@ -17,11 +18,14 @@
 import {addToWindow, dropLapsed} from '@gentianshunt/limits';
 import type {WindowSlices} from '@gentianshunt/limits';
 
-import {decideAsk} from './decideAsk.js';
+import {decideAsk, joinSlices} from './decideAsk.js';
 import {findKeeper} from './findKeeper.js';
 import {hasHeardMost, isWindowKnown, readTolerance} from './keeperView.js';
 import type {KeeperReads, KeeperView} from './keeperView.js';
 
+/** Differences of a process's start, as messages take longer or shorter. */
+const MAX_START_JITTER_MS: Milliseconds = 250;
+
 type KeeperWrites = 'heardEntries' | 'keptAllotments';
 type KeeperWrite = EntryWrite<KeeperWrites>;
 
@@ -121,7 +125,7 @@
 function noteUses(
   view: KeeperView,
   node: NodeId,
-  {set, epoch, uses}: ToldUses,
+  {set, epoch, uses, coversMs}: ToldUses,
   now: TurnTime,
 ): readonly KeeperWrite[] {
   const {leaderships, keptAllotments} = view.board;
@@ -129,10 +133,11 @@
     return [];
   }
   const records = uses
-    .map(({organisation, sequence, used}) => ({
-      key: {organisation, node},
-      value: {sequence, slices: toSlices(used, now)},
-    }))
+    .map(({organisation, sequence, used}) => {
+      const key = {organisation, node};
+      const told = {sequence, used, coversMs};
+      return {key, value: createRecord(keptAllotments.get(key), told, now)};
+    })
     .filter(
       ({key, value}) =>
         (keptAllotments.get(key)?.sequence ?? 0) < value.sequence,
@@ -165,17 +170,14 @@
   if (!isKeeper || address === undefined || isLate) {
     return [];
   }
-  const told = toSlices(ask.used, now);
-  const decided = decideAsk(view, from, {ask, leadership, told}, now);
+  const record = createRecord(known, ask, now);
+  const decided = decideAsk(view, from, {ask, leadership, record}, now);
   return [
     {
       kind: 'put',
       section: 'keptAllotments',
       key,
-      value: {
-        sequence: ask.sequence,
-        slices: decided.slices,
-      },
+      value: {...record, slices: decided.slices},
     },
     {
       kind: 'order',
@@ -189,6 +191,26 @@
   ];
 }
 
+/**
+ * Takes up what an entry tells. A process that starts anew knows nothing of
+ * the uses of the one before it, which count on.
+ */
+function createRecord(
+  known: AllotmentRecord | undefined,
+  told: Pick<AllotmentAsk, 'sequence' | 'used' | 'coversMs'>,
+  now: TurnTime,
+): AllotmentRecord {
+  const {sequence, used, coversMs} = told;
+  const startedAt = now.monotonic - coversMs;
+  const slices = toSlices(used, now);
+  if (known === undefined) {
+    return {sequence, startedAt, earlier: [], slices};
+  }
+  return startedAt - known.startedAt > MAX_START_JITTER_MS
+    ? {sequence, startedAt, earlier: joinSlices(known), slices}
+    : {...known, sequence, slices};
+}
+
 /** The age of a use is counted from the receipt, so it lapses late. */
 function toSlices(used: readonly ReportedUse[], now: TurnTime): WindowSlices {
   return used.reduce<WindowSlices>(
@@ -202,16 +224,17 @@
   const since = now.monotonic - readTolerance(view).windowMs;
   const writes: KeeperWrite[] = [];
   for (const {key, value} of view.board.keptAllotments.iterateFrom()) {
+    const earlier = dropLapsed(value.earlier, since);
     const slices = dropLapsed(value.slices, since);
-    if (slices !== value.slices) {
-      writes.push(putRecord(key, {...value, slices}));
+    if (slices !== value.slices || earlier !== value.earlier) {
+      writes.push(putRecord(key, {...value, earlier, slices}));
     }
   }
   return writes;
 }
 
 function putRecord(key: AllotmentKey, value: AllotmentRecord): KeeperWrite {
-  return value.slices.length === 0
+  return joinSlices(value).length === 0
     ? {kind: 'delete', section: 'keptAllotments', key}
     : {kind: 'put', section: 'keptAllotments', key, value};
 }
--- a/scheduling/allotments/src/toReportedUses.ts
+++ b/scheduling/allotments/src/toReportedUses.ts
@@ -1,4 +1,5 @@
 import type {TurnTime} from '@gentianshunt/board';
+import type {Milliseconds, MonotonicTime} from '@gentianshunt/clock';
 import type {ReportedUse} from '@gentianshunt/entryModel';
 import type {WindowSlices} from '@gentianshunt/limits';
 
@@ -12,3 +13,11 @@
     tokens: amount,
   }));
 }
+
+/** Reads how long a process has counted its uses. */
+export function readCoveredMs(
+  startedAt: MonotonicTime,
+  now: TurnTime,
+): Milliseconds {
+  return Math.max(0, Math.floor(now.monotonic - startedAt));
+}
--- a/scheduling/allotments/src/useController.ts
+++ b/scheduling/allotments/src/useController.ts
@@ -15,13 +15,13 @@
 import type {EndpointSetId, NodeId} from '@gentianshunt/identifiers';
 
 import {findKeeper} from './findKeeper.js';
-import {toReportedUses} from './toReportedUses.js';
+import {readCoveredMs, toReportedUses} from './toReportedUses.js';
 
 type AllotmentInquiry = Extract<
   EntryMessage,
   {readonly kind: 'allotmentInquiry'}
 >;
-type UseReads = 'control' | 'configuration' | 'allotments';
+type UseReads = 'startedAt' | 'control' | 'configuration' | 'allotments';
 type UseView = View<EntrySections, UseReads, EntryObservation>;
 type UseWrite = EntryWrite<never>;
 
@@ -29,7 +29,7 @@
 export function createUseController(): EntryController {
   return defineEntryController<UseReads, never>({
     name: 'allotmentUses',
-    reads: ['control', 'configuration', 'allotments'],
+    reads: ['startedAt', 'control', 'configuration', 'allotments'],
     writes: [],
     observes: ['entryMessage'],
     run: (view, now) => {
@@ -49,7 +49,8 @@
   now: TurnTime,
 ): readonly UseWrite[] {
   const address = findEntryAddress(view.board.control.directory, to);
-  const told = {set, epoch, uses: listUses(view, set, now)};
+  const coversMs = readCoveredMs(view.board.startedAt, now);
+  const told = {set, epoch, uses: listUses(view, set, now), coversMs};
   const message = {kind: 'allotmentUses', told} as const;
   return address === undefined
     ? []
--- a/scheduling/entryModel/src/allotment.ts
+++ b/scheduling/entryModel/src/allotment.ts
@@ -16,8 +16,8 @@
 
 /**
  * Asks the keeper of an organisation's allotment whether it covers a request.
- * It tells all that the entry has used within the window, which replaces what
- * the keeper knew, so that a new keeper learns it as well.
+ * It tells all that the process has used within the window, which replaces what
+ * the keeper knew of that time, so that a new keeper learns it as well.
  */
 export interface AllotmentAsk {
   readonly organisation: OrganisationId;
@@ -31,6 +31,8 @@
   readonly tokens: number;
   /** With the tokens of this request and of those still asked for. */
   readonly used: readonly ReportedUse[];
+  /** Time since the process started; it knows of no use before. */
+  readonly coversMs: Milliseconds;
 }
 
 /** What an entry has used of the allotments of a keeper that asks for it. */
@@ -38,6 +40,8 @@
   readonly set: EndpointSetId;
   readonly epoch: number;
   readonly uses: readonly OrganisationUse[];
+  /** Time since the process started; it knows of no use before. */
+  readonly coversMs: Milliseconds;
 }
 
 /** What an entry has used of an organisation's allotment. */
@@ -93,6 +97,10 @@
 /** What the keeper of an allotment knows of one entry's use. */
 export interface AllotmentRecord {
   readonly sequence: number;
+  /** When the entry's process started, by the keeper's clock. */
+  readonly startedAt: MonotonicTime;
+  /** What earlier processes of the entry had used. */
+  readonly earlier: WindowSlices;
   readonly slices: WindowSlices;
 }
 
--- a/scheduling/entryNode/test/allotments.test.ts
+++ b/scheduling/entryNode/test/allotments.test.ts
@@ -136,6 +136,20 @@
   t.same(fixture.refusals, []);
 });
 
+t.test('what an entry used before it restarted still counts', async t => {
+  const fixture = createFixture();
+  for (let count = 0; count < 120; count += 1) {
+    if (count % 30 === 29) {
+      fixture.restart(1 + (count % 3));
+    }
+    fixture.send(1 + (count % 3), 300);
+    fixture.pass(25);
+  }
+  const most = findMost(fixture.covered);
+  t.ok(most <= CONCEDED, `${most} tokens`);
+  t.ok(most > 0.7 * CONCEDED, `${most} tokens`);
+});
+
 t.test('parts smaller than a request do not add up to more', async t => {
   const fixture = createFixture({count: 40});
   fixture.cut(0, true);
--- a/scheduling/lifecycle/src/allotments.ts
+++ b/scheduling/lifecycle/src/allotments.ts
@@ -1,6 +1,7 @@
 /** An entry's use of token allotments, which other entries use as well. */
 import {
   findKeeper,
+  readCoveredMs,
   readUnkeptTokens,
   readWindowTokens,
   SPARE_LIFETIME_MS,
@@ -213,6 +214,7 @@
     rank,
     tokens: readTokens(request),
     used: toReportedUses(state.slices, now),
+    coversMs: readCoveredMs(view.board.startedAt, now),
   };
 }
 
--- a/scheduling/lifecycle/src/lifecycleController.ts
+++ b/scheduling/lifecycle/src/lifecycleController.ts
@@ -35,6 +35,7 @@
       'dispatches',
       'running',
       'identity',
+      'startedAt',
       'service',
       'control',
       'configuration',
--- a/scheduling/lifecycle/src/requestDraft.ts
+++ b/scheduling/lifecycle/src/requestDraft.ts
@@ -45,6 +45,7 @@
 /** The sections that the lifecycle controller reads. */
 export type LifecycleReads =
   | LifecycleSections
+  | 'startedAt'
   | 'identity'
   | 'service'
   | 'control'
