--- a/scheduling/allotments/src/allotmentLimit.ts
+++ b/scheduling/allotments/src/allotmentLimit.ts
@@ -17,8 +17,8 @@
  */
 export const UNKEPT_PART = 0.3;
 
-/** Equal parts that an entry not heard from may have used. */
-const UNHEARD_PARTS = 2;
+/** Equal parts that an entry may have used of which it has not told. */
+const UNTOLD_PARTS = 2;
 
 const MS_PER_SECOND = 1_000;
 
@@ -55,17 +55,18 @@
   readonly keptForMs: Milliseconds;
   readonly windowMs: Milliseconds;
   readonly entries: number;
-  /** Entries that have told their use since. */
-  readonly heard: number;
+  /** Entries that have not told what they used, in parts of the window. */
+  readonly untold: number;
 }
 
 /**
  * Part of an allotment that may have been used unseen by a new keeper: by
- * entries not heard from yet, and by the one that failed before it.
+ * entries that have not told of all of it, and by one that failed before.
  */
 export function estimateUnseenPart(knowledge: KeeperKnowledge): number {
-  const {keptForMs, windowMs, entries, heard} = knowledge;
+  const {keptForMs, windowMs, entries, untold} = knowledge;
   const left = Math.max(0, 1 - Math.max(0, keptForMs) / windowMs);
-  const unheard = Math.max(entries - heard, 1) / Math.max(1, entries);
-  return Math.min(1, UNHEARD_PARTS * unheard) * left;
+  // The entry that led before may be gone, with what it had used.
+  const unseen = Math.max(untold, 1) / Math.max(1, entries);
+  return Math.min(1, UNTOLD_PARTS * unseen) * left;
 }
--- a/scheduling/allotments/src/decideAsk.ts
+++ b/scheduling/allotments/src/decideAsk.ts
@@ -25,7 +25,7 @@
   readUnkeptTokens,
   readWindowTokens,
 } from './allotmentLimit.js';
-import {countHeard, readTolerance} from './keeperView.js';
+import {readTolerance, sumUntold} from './keeperView.js';
 import type {KeeperView} from './keeperView.js';
 
 /** How long an entry may use tokens without asking. */
@@ -145,7 +145,7 @@
     keptForMs: now.monotonic - leadership.grantsFrom,
     windowMs: readTolerance(view).windowMs,
     entries,
-    heard: countHeard(view, leadership),
+    untold: sumUntold(view, leadership),
   });
   const part = readRankPart(view.board.configuration, organisation, rank);
   const total = readTotal(view, organisation);
--- a/scheduling/allotments/src/keeperController.ts
+++ b/scheduling/allotments/src/keeperController.ts
@@ -93,7 +93,9 @@
   }
   const {epoch} = leadership;
   return control.directory.entries
-    .filter(({address: {node}}) => heardEntries.get({set, node}) !== epoch)
+    .filter(
+      ({address: {node}}) => heardEntries.get({set, node})?.epoch !== epoch,
+    )
     .map(({address: {node: to, peer: address}}) => ({
       kind: 'order',
       order: {
@@ -144,7 +146,12 @@
     );
   return [
     ...records.map(({key, value}) => putRecord(key, value)),
-    {kind: 'put', section: 'heardEntries', key: {set, node}, value: epoch},
+    {
+      kind: 'put',
+      section: 'heardEntries',
+      key: {set, node},
+      value: {epoch, startedAt: now.monotonic - coversMs},
+    },
   ];
 }
 
--- a/scheduling/allotments/src/keeperView.ts
+++ b/scheduling/allotments/src/keeperView.ts
@@ -34,14 +34,23 @@
   return now.monotonic - grantsFrom > readTolerance(view).windowMs;
 }
 
-/** Counts the entries that have told what they used before. */
-export function countHeard(
-  {board}: KeeperView,
-  {set, epoch}: LeadershipState,
+/**
+ * Sums up the parts of the window before this entry led the set of which the
+ * entries have not told: all of it, or what lies before their processes began.
+ */
+export function sumUntold(
+  view: KeeperView,
+  {set, epoch, grantsFrom}: LeadershipState,
 ): number {
-  return board.control.directory.entries.filter(
-    ({address: {node}}) => board.heardEntries.get({set, node}) === epoch,
-  ).length;
+  const {control, heardEntries} = view.board;
+  const {windowMs} = readTolerance(view);
+  const parts = control.directory.entries.map(({address: {node}}) => {
+    const heard = heardEntries.get({set, node});
+    const toldMs =
+      heard?.epoch === epoch ? Math.max(0, grantsFrom - heard.startedAt) : 0;
+    return Math.max(0, 1 - toldMs / windowMs);
+  });
+  return parts.reduce((sum, part) => sum + part, 0);
 }
 
 /** Before most entries have told their uses, a keeper can promise nothing. */
@@ -50,9 +59,13 @@
   leadership: LeadershipState,
   now: TurnTime,
 ): boolean {
-  const {entries} = view.board.control.directory;
+  const {control, heardEntries} = view.board;
+  const {set, epoch} = leadership;
+  const {entries} = control.directory;
+  const heard = entries.filter(
+    ({address: {node}}) => heardEntries.get({set, node})?.epoch === epoch,
+  );
   return (
-    isWindowKnown(view, leadership, now) ||
-    2 * countHeard(view, leadership) >= entries.length
+    isWindowKnown(view, leadership, now) || 2 * heard.length >= entries.length
   );
 }
--- a/scheduling/entryModel/src/allotment.ts
+++ b/scheduling/entryModel/src/allotment.ts
@@ -52,6 +52,13 @@
   readonly used: readonly ReportedUse[];
 }
 
+/** An entry that has told a keeper its uses. */
+export interface HeardEntry {
+  readonly epoch: number;
+  /** When the entry's process started, by the keeper's clock. */
+  readonly startedAt: MonotonicTime;
+}
+
 /** What the keeper of an allotment decided about a request. */
 export interface AllotmentVerdict {
   readonly organisation: OrganisationId;
--- a/scheduling/entryModel/src/sections.ts
+++ b/scheduling/entryModel/src/sections.ts
@@ -40,6 +40,7 @@
   AllotmentKey,
   AllotmentRecord,
   AllotmentState,
+  HeardEntry,
   OpenAsk,
 } from './allotment.js';
 import type {EndpointRecord, HeardAnnouncement} from './endpointRecord.js';
@@ -374,8 +375,9 @@
     openAsks: defineMap<RequestId, OpenAsk>(),
     /** Until when keepers of allotments count as silent. */
     silentKeepers: defineMap<NodeId, MonotonicTime>(),
-    /** Entries that have told their uses, and in which epoch. */
-    heardEntries: defineOrdered<ReportKey, number>(compareBy('set', 'node')),
+    heardEntries: defineOrdered<ReportKey, HeardEntry>(
+      compareBy('set', 'node'),
+    ),
     /** Use of the allotments that this entry keeps. */
     keptAllotments: defineOrdered<AllotmentKey, AllotmentRecord>(
       compareBy('organisation', 'node'),
