--- a/scheduling/allotments/src/keeperView.ts
+++ b/scheduling/allotments/src/keeperView.ts
@@ -1,6 +1,6 @@
 /** What the keeper of allotments sees, and what it knows by that. */
 import type {TurnTime, View} from '@gentianshunt/board';
-import {DEFAULT_SHARED_BOUNDS} from '@gentianshunt/entryModel';
+import {readSharedBounds} from '@gentianshunt/entryModel';
 import type {
   AllotmentTolerance,
   EntryObservation,
@@ -22,7 +22,7 @@
 
 /** Reads what the operator concedes beyond allotments. */
 export function readTolerance({board}: KeeperView): AllotmentTolerance {
-  return (board.identity.bounds ?? DEFAULT_SHARED_BOUNDS).allotmentTolerance;
+  return readSharedBounds(board.identity).allotmentTolerance;
 }
 
 /** What was used before this entry led the set has left the window. */
--- a/scheduling/entryModel/src/identity.ts
+++ b/scheduling/entryModel/src/identity.ts
@@ -27,6 +27,13 @@
   allotmentTolerance: {windowMs: 1_000, overage: 0, slackTokens: 0},
 };
 
+/** Reads the bounds that an entry keeps its part of. */
+export function readSharedBounds({
+  bounds = DEFAULT_SHARED_BOUNDS,
+}: Pick<EntryIdentity, 'bounds'>): SharedBounds {
+  return bounds;
+}
+
 /** What an entry does while the leader of a set does not answer. */
 export type LeaderSilence =
   /** Nothing, so that no endpoint ever runs more than it can hold. */
--- a/scheduling/lifecycle/src/allotments.ts
+++ b/scheduling/lifecycle/src/allotments.ts
@@ -12,8 +12,8 @@
 import {findObject} from '@gentianshunt/configuration';
 import type {SetLeadership, TokenAllotment} from '@gentianshunt/configuration';
 import {
-  DEFAULT_SHARED_BOUNDS,
   findEntryAddress,
+  readSharedBounds,
   refuseNotRun,
 } from '@gentianshunt/entryModel';
 import type {
@@ -359,7 +359,7 @@
 }
 
 function readTolerance({board}: LifecycleView): AllotmentTolerance {
-  return (board.identity.bounds ?? DEFAULT_SHARED_BOUNDS).allotmentTolerance;
+  return readSharedBounds(board.identity).allotmentTolerance;
 }
 
 function readTokens({terms}: AdmittedRequest): number {
--- a/scheduling/lifecycle/src/repeats.ts
+++ b/scheduling/lifecycle/src/repeats.ts
@@ -1,5 +1,5 @@
 import type {TurnTime} from '@gentianshunt/board';
-import {DEFAULT_SHARED_BOUNDS} from '@gentianshunt/entryModel';
+import {readSharedBounds} from '@gentianshunt/entryModel';
 import type {AdmittedRequest, DispatchedState} from '@gentianshunt/entryModel';
 import type {RateBucket} from '@gentianshunt/limits';
 
@@ -15,7 +15,7 @@
   {set}: AdmittedRequest,
   now: TurnTime,
 ): void {
-  const bounds = board.identity.bounds ?? DEFAULT_SHARED_BOUNDS;
+  const bounds = readSharedBounds(board.identity);
   const capacity = readCapacity(board);
   const tokens = readBudget(board, draft, set, now).tokens + bounds.repeatRatio;
   draft.putRetryBudget(set, {
@@ -118,7 +118,7 @@
 }
 
 function readCapacity({control, identity}: LifecycleView['board']): number {
-  const {repeatBurst} = identity.bounds ?? DEFAULT_SHARED_BOUNDS;
+  const {repeatBurst} = readSharedBounds(identity);
   return Math.max(
     1,
     repeatBurst / Math.max(1, control.directory.entries.length),
