--- /dev/null
+++ b/scripts/installation.mjs
@@ -0,0 +1,20 @@
+// Compares the installed packages with the lock file.
+import {existsSync, readFileSync} from 'node:fs';
+
+/** Lists the packages of the lock file that are missing or of another version. */
+export function listMissingPackages() {
+  const {packages} = JSON.parse(readFileSync('package-lock.json', 'utf8'));
+  return Object.entries(packages)
+    .filter(([folder]) => folder.includes('node_modules/'))
+    .filter(([, {link, optional}]) => !link && !optional)
+    .filter(([folder, {version}]) => readVersion(folder) !== version)
+    .map(([folder, {version}]) => `${folder}@${version}`);
+}
+
+/** Reads the version of the package in a folder; `null` if there is none. */
+export function readVersion(folder) {
+  const file = `${folder}/package.json`;
+  return existsSync(file)
+    ? JSON.parse(readFileSync(file, 'utf8')).version
+    : null;
+}
