Leave the languages of zod out of the bundle

Cause: the named import of z is a namespace object that keeps all of zod's message catalogues. A namespace import lets the bundler drop what is unused.

--- a/daemons/settings/src/readOperatorKeys.ts
+++ b/daemons/settings/src/readOperatorKeys.ts
@@ -1,6 +1,6 @@
 import type {OperatorId} from '@gentianshunt/identifiers';
 import {isIdentifier} from '@gentianshunt/identifiers';
-import {z} from 'zod';
+import * as z from 'zod';
 
 import {parseToml, readText} from './settingsFile.js';
 import {SettingsError} from './settingsError.js';
--- a/daemons/settings/src/readSettings.ts
+++ b/daemons/settings/src/readSettings.ts
@@ -1,4 +1,4 @@
-import type {z} from 'zod';
+import type * as z from 'zod';
 
 import {controldSchema, entrydSchema} from './schema.js';
 import type {ControldSettings, EntrydSettings} from './schema.js';
--- a/daemons/settings/src/schema.ts
+++ b/daemons/settings/src/schema.ts
@@ -5,7 +5,7 @@
   RegionId,
 } from '@gentianshunt/identifiers';
 import {isIP} from 'node:net';
-import {z} from 'zod';
+import * as z from 'zod';
 
 const identifier = z
   .string()
--- a/fronts/callerFront/src/requestParser.ts
+++ b/fronts/callerFront/src/requestParser.ts
@@ -9,7 +9,7 @@
   RequestKindId,
   TierId,
 } from '@gentianshunt/identifiers';
-import {z} from 'zod';
+import * as z from 'zod';
 
 /** Characters per token, for estimating the length of a prompt. */
 const CHARACTERS_PER_TOKEN = 4;
--- a/fronts/endpointFront/src/endpointFront.ts
+++ b/fronts/endpointFront/src/endpointFront.ts
@@ -11,7 +11,7 @@
 } from '@gentianshunt/identifiers';
 import type {EntryAddress} from '@gentianshunt/messages';
 import type {FastifyInstance} from 'fastify';
-import {z} from 'zod';
+import * as z from 'zod';
 
 /** Interval at which endpoints should announce themselves. */
 export const ANNOUNCE_INTERVAL_MS = 1_000;
--- a/fronts/operatorFront/src/commandRoute.ts
+++ b/fronts/operatorFront/src/commandRoute.ts
@@ -13,7 +13,7 @@
 } from '@gentianshunt/messages';
 import type {OperatorId} from '@gentianshunt/identifiers';
 import type {FastifyInstance} from 'fastify';
-import {z} from 'zod';
+import * as z from 'zod';
 
 import type {OperatorFrontOptions} from './operatorFront.js';
 import {readOperator} from './operatorScope.js';
--- a/fronts/operatorFront/src/queryRoute.ts
+++ b/fronts/operatorFront/src/queryRoute.ts
@@ -15,7 +15,7 @@
 } from '@gentianshunt/queries';
 import type {QueryResult} from '@gentianshunt/queries';
 import type {FastifyInstance} from 'fastify';
-import {z} from 'zod';
+import * as z from 'zod';
 
 import type {OperatorFrontOptions} from './operatorFront.js';
 import type {ProgressWaiters} from './progressWaiters.js';
--- a/fronts/operatorFront/src/readBody.ts
+++ b/fronts/operatorFront/src/readBody.ts
@@ -1,4 +1,4 @@
-import type {z} from 'zod';
+import type * as z from 'zod';
 
 /** Parses a JSON body; `undefined` if it does not match the schema. */
 export function readBody<Body>(
--- a/reports/explain/src/logLine.ts
+++ b/reports/explain/src/logLine.ts
@@ -1,5 +1,5 @@
 /** Parses the lines of the daemons' logs. */
-import {z} from 'zod';
+import * as z from 'zod';
 
 const lineSchema = z.looseObject({
   time: z.iso.datetime(),
