Take no answer to an earlier call for one to the next, nor an error for part of a stream

- A refusal that an endpoint writes once more on a kept connection counted as the refusal of the next call, which then was sent to another endpoint or refused as not run although it ran.
Cause: the promise not to run was looked at before the id of the call.
The id comes first now; such an answer ends the stream as cut, which promises nothing.
- An answer with another success status or content type continued a stream that had begun: its text stood in the stream, or an empty one ended it as if it were complete.
Only an answer with the status and content type of the head that the caller has continues it; everything else is a failure.
- A resumable answer with a content length kept it although another endpoint continued it with another number of bytes.
It is sent in chunks.

--- a/fronts/callRelay/src/answerAction.ts
+++ b/fronts/callRelay/src/answerAction.ts
@@ -18,6 +18,7 @@
 const NOT_RUN_STATUSES: ReadonlySet<number> = new Set([408, 421, 429, 503]);
 const FIRST_SERVER_ERROR = 500;
 const FIRST_REDIRECT = 300;
+const CONTENT_TYPE = 'content-type';
 
 /** Decides how an answer is handled. */
 export function decideAnswerAction(
@@ -29,24 +30,24 @@
 ): AnswerAction {
   const {status} = head;
   const attributes = protocol.readAnswer(head);
+  // An endpoint may repeat any answer to an earlier call, also a refusal.
+  if (attributes.call !== null && attributes.call !== request.id) {
+    return {kind: 'foreign'};
+  }
   if (attributes.isNotExecuted) {
     const detail = `not executed, status ${status}`;
     return {kind: 'ended', end: {kind: 'notExecuted', detail}};
   }
-  if (attributes.call !== null && attributes.call !== request.id) {
-    return {kind: 'foreign'};
-  }
   const isSuccess = status < FIRST_REDIRECT;
   const failed = {kind: 'ended', end: {kind: 'failed', status}} as const;
+  if (call.response.headersSent && !continuesAnswer(call, head)) {
+    return failed;
+  }
   if (isSuccess) {
     return attributes.isAuthentic && hasDelimitedBody(call, head)
       ? {kind: 'pass'}
       : failed;
   }
-  // The caller has already received the head of a successful answer.
-  if (call.response.headersSent) {
-    return failed;
-  }
   const isFailure =
     status >= FIRST_SERVER_ERROR || NOT_RUN_STATUSES.has(status);
   const isWithheld = dispatch.isRetryable === true && isFailure;
@@ -55,6 +56,19 @@
   return isWithheld || NOT_RUN_STATUSES.has(status) ? failed : {kind: 'pass'};
 }
 
+/**
+ * Returns whether an answer may continue the stream whose head the caller has
+ * received: only an answer of the same kind contains further events.
+ */
+function continuesAnswer({sentHead}: OpenCall, head: AnswerHead): boolean {
+  return (
+    sentHead !== null &&
+    head.status === sentHead.status &&
+    findHeader(head.headers, CONTENT_TYPE) ===
+      findHeader(sentHead.headers, CONTENT_TYPE)
+  );
+}
+
 const BODILESS_STATUSES: ReadonlySet<number> = new Set([204, 304]);
 
 /**
--- a/fronts/callRelay/src/answerWriter.ts
+++ b/fronts/callRelay/src/answerWriter.ts
@@ -13,6 +13,8 @@
 }
 
 const NO_HEADERS: ReadonlySet<string> = new Set();
+/** An answer that another endpoint continues may have another length. */
+const DROPPED_IF_RESUMABLE: ReadonlySet<string> = new Set(['content-length']);
 const EVENT_ID = /^id:[ \t]?(.*)$/m;
 
 /**
@@ -26,15 +28,16 @@
   isResumable: boolean,
 ): AnswerWriter {
   const {response} = call;
+  const dropped = isResumable ? DROPPED_IF_RESUMABLE : NO_HEADERS;
   const write = (bytes: Buffer): boolean => {
-    startAnswer(call, head);
+    startAnswer(call, head, dropped);
     return response.destroyed || response.write(bytes);
   };
   if (!isResumable) {
     return {
       write,
       end: () => {
-        startAnswer(call, head);
+        startAnswer(call, head, dropped);
         response.end();
         return true;
       },
@@ -56,16 +59,21 @@
       if (splitter.pendingBytes > 0) {
         return false;
       }
-      startAnswer(call, head);
+      startAnswer(call, head, dropped);
       response.end();
       return true;
     },
   };
 }
 
-function startAnswer({response}: OpenCall, head: AnswerHead): void {
-  if (!response.headersSent) {
-    response.writeHead(head.status, dropHeaders(head.headers, NO_HEADERS));
+function startAnswer(
+  call: OpenCall,
+  head: AnswerHead,
+  dropped: ReadonlySet<string>,
+): void {
+  if (!call.response.headersSent) {
+    call.response.writeHead(head.status, dropHeaders(head.headers, dropped));
+    call.sentHead = head;
   }
 }
 
--- a/fronts/callRelay/src/callRelay.ts
+++ b/fronts/callRelay/src/callRelay.ts
@@ -189,6 +189,7 @@
     dueAt: receivedAt + limitMs,
     timer,
     lastEventId: null,
+    sentHead: null,
   });
   response.once('close', () => {
     if (calls.remove(id) !== undefined) {
--- a/fronts/callRelay/src/callTable.ts
+++ b/fronts/callRelay/src/callTable.ts
@@ -3,7 +3,7 @@
 import type {MonotonicTime} from '@gentianshunt/clock';
 import type {RequestId} from '@gentianshunt/identifiers';
 
-import type {CallHead} from './callProtocol.js';
+import type {AnswerHead, CallHead} from './callProtocol.js';
 
 /** A call whose caller awaits the answer. */
 export interface OpenCall {
@@ -17,6 +17,8 @@
   readonly timer: NodeJS.Timeout;
   /** ID of the last complete event sent to the caller. */
   lastEventId: string | null;
+  /** Head of the answer that the caller has received; `null` before it. */
+  sentHead: AnswerHead | null;
 }
 
 /** The calls of an entry that await an answer. */
