--- a/fronts/callRelay/src/answerAction.ts
+++ b/fronts/callRelay/src/answerAction.ts
@@ -40,7 +40,7 @@
   }
   const isSuccess = status < FIRST_REDIRECT;
   const failed = {kind: 'ended', end: {kind: 'failed', status}} as const;
-  if (call.response.headersSent && !continuesAnswer(call, head)) {
+  if (call.response.headersSent && !isContinuation(call, head)) {
     return failed;
   }
   if (isSuccess) {
@@ -60,7 +60,7 @@
  * Returns whether an answer may continue the stream whose head the caller has
  * received: only an answer of the same kind contains further events.
  */
-function continuesAnswer({sentHead}: OpenCall, head: AnswerHead): boolean {
+function isContinuation({sentHead}: OpenCall, head: AnswerHead): boolean {
   return (
     sentHead !== null &&
     head.status === sentHead.status &&
