Do not admit calls whose callers left before they were read

Callers saw: none; they had left.

Change: a call is admitted two turns after it was read, when a close that came with it is known. A dead call costs no turn of the scheduler, so the queue of connections also empties faster.

Test: a caller in another thread connects, calls and leaves while the event loop is blocked.

--- a/fronts/callRelay/src/callRelay.ts
+++ b/fronts/callRelay/src/callRelay.ts
@@ -1,4 +1,5 @@
 import type {BoardView} from '@gentianshunt/board';
+import {hasDisconnected} from '@gentianshunt/callerFront';
 import type {Clock} from '@gentianshunt/clock';
 import {refuseIfOverloaded, refuseUnadmitted} from '@gentianshunt/entryModel';
 import type {
@@ -60,7 +61,7 @@
     method: ['GET', 'POST', 'PUT', 'PATCH', 'DELETE', 'HEAD', 'OPTIONS'],
     url: '/*',
     handler: (request, reply) =>
-      receiveCall(options, calls, readRoutingTable(), request, reply),
+      receiveCall(options, calls, readRoutingTable, request, reply),
   });
   const refuse = (refusal: Refusal): void => {
     const call = calls.remove(refusal.request);
@@ -104,18 +105,31 @@
 function receiveCall(
   options: CallRelayOptions,
   calls: CallTable,
-  table: RoutingTable,
+  readTable: () => RoutingTable,
   request: FastifyRequest,
   reply: FastifyReply,
 ): void {
   reply.hijack();
   const {raw} = request;
-  const response = reply.raw;
   const head: CallHead = {
     method: raw.method ?? 'GET',
     url: raw.url ?? '/',
     headers: raw.rawHeaders,
   };
+  const body = (request.body as Buffer | undefined) ?? Buffer.alloc(0);
+  options.loop.runOnceRead(() => {
+    if (!hasDisconnected(raw)) {
+      parseCall(options, calls, readTable(), {head, body, response: reply.raw});
+    }
+  });
+}
+
+function parseCall(
+  options: CallRelayOptions,
+  calls: CallTable,
+  table: RoutingTable,
+  {head, body, response}: Omit<IncomingCall, 'attributes'>,
+): void {
   const parsed = options.protocol.readCall(head);
   if (
     parsed.kind === 'malformed' ||
@@ -126,7 +140,6 @@
     sendSchedulerAnswer(response, options.protocol.formatMalformed(detail));
     return;
   }
-  const body = (request.body as Buffer | undefined) ?? Buffer.alloc(0);
   openCall(options, calls, table, {
     head,
     attributes: parsed.attributes,
--- a/fronts/callRelay/test/lateCalls.test.ts
+++ b/fronts/callRelay/test/lateCalls.test.ts
@@ -34,6 +34,20 @@
   return new Worker(CALLER_SOURCE, {eval: true, workerData});
 }
 
+/** A caller in another thread, which disconnects right after its call. */
+const LEAVING_CALLER_SOURCE = `
+const {connect} = require('node:net');
+const {workerData: {port, isDone}} = require('node:worker_threads');
+const socket = connect({port, host: '127.0.0.1', allowHalfOpen: true}, () => {
+  const head = 'GET /x/1 HTTP/1.1\\r\\nhost: a.example\\r\\nx-call: q1\\r\\n\\r\\n';
+  socket.end(head, () => {
+    Atomics.store(isDone, 0, 1);
+    Atomics.notify(isDone, 0);
+  });
+});
+socket.on('error', () => undefined);
+`;
+
 function createEndpoint(): Promise<RawEndpoint> {
   return createRawEndpoint(socket =>
     socket.write(formatAnswer('q1', 'content-length: 2\r\n\r\nok')),
@@ -72,6 +86,25 @@
   },
 );
 
+t.test(
+  'a call is not admitted if its caller left before it was read',
+  async t => {
+    const clock = createSystemClock();
+    const loop = createLoopMonitor({clock});
+    const fixture = await createRelayFixture({clock, loop});
+    const isDone = new Int32Array(new SharedArrayBuffer(4));
+    const workerData = {port: fixture.port, isDone};
+    const caller = new Worker(LEAVING_CALLER_SOURCE, {eval: true, workerData});
+    // Blocks the event loop until the caller has left.
+    Atomics.wait(isDone, 0, 0);
+    await wait(SETTLE_MS);
+    t.same(fixture.observations, []);
+    await caller.terminate();
+    loop.close();
+    await fixture.close();
+  },
+);
+
 t.test('a call is not sent after its deadline', async t => {
   const clock = createManualClock();
   const fixture = await createRelayFixture({clock});
--- a/fronts/callerFront/src/callerFront.ts
+++ b/fronts/callerFront/src/callerFront.ts
@@ -17,6 +17,7 @@
 import {addBodyBackpressure} from './bodyBackpressure.js';
 import {createCallerTable, sendProblem} from './callerTable.js';
 import type {CallerTable, ForwardedRequest} from './callerTable.js';
+import {hasDisconnected} from './hasDisconnected.js';
 import {createLookupRoute} from './lookupRoute.js';
 import {createBadRequestProblem, toProblem} from './problem.js';
 import type {CallerAddress} from './problem.js';
@@ -171,7 +172,11 @@
       options.post({kind: 'callerGone', request: id});
     }
   });
-  options.post({kind: 'requestReceived', attributes});
+  options.loop.runOnceRead(() => {
+    if (callers.find(id) !== undefined && !hasDisconnected(request.raw)) {
+      options.post({kind: 'requestReceived', attributes});
+    }
+  });
 }
 
 /** Answers a caller with the stored outcome of an earlier run. */
--- a/transport/runtime/src/loopMonitor.ts
+++ b/transport/runtime/src/loopMonitor.ts
@@ -22,6 +22,12 @@
    * included: at once unless the event loop is late.
    */
   runAfterReading(action: () => void): void;
+  /**
+   * Runs an action for data that was just read, once the disconnect that may
+   * have arrived behind it is read too. New connections wait for the event loop
+   * one turn each, so these may be old without the event loop being late.
+   */
+  runOnceRead(action: () => void): void;
   close(): void;
 }
 
@@ -29,7 +35,8 @@
 const MAX_UNREAD_MS: Milliseconds = 100;
 /**
  * Turns of the event loop until a disconnect is known: it may arrive during the
- * present turn, is read in the next one and reported at the end of that.
+ * present turn, is read in the next one and reported at the end of that. One
+ * that has already arrived is known a turn earlier.
  */
 const TURNS_TO_READ = 3;
 
@@ -66,6 +73,7 @@
         runAfterTurns(TURNS_TO_READ, action);
       }
     },
+    runOnceRead: action => runAfterTurns(TURNS_TO_READ - 1, action),
     close: () => clearInterval(timer),
   };
 }
--- a/transport/runtime/src/manualLoop.ts
+++ b/transport/runtime/src/manualLoop.ts
@@ -23,6 +23,7 @@
         waiting.push(action);
       }
     },
+    runOnceRead: action => action(),
     setLag: value => {
       lagMs = value;
     },
