Divide each token quota into two accounts with owners of their own

Cause: the leaders of the endpoint sets, the busiest entries, owned the quotas too and answered late. An entry without an answer decided by an equal part of a reserve, at 200 entries less than one request. The reserve itself was kept from organisations whose callers use few entries, and lower tiers left a tenth of the quota to each tier above, so that requests were refused at half of the quota.

Each quota has two accounts with two owners. An entry asks one, and the other if the first is silent or has no tokens left; so a lost owner leaves half of the quota, and no reserve is needed. Tiers leave tokens only of what is tolerated beyond the quota. Prepaid tokens follow the demand of the entry. An owner reads no list of all entries once it knows its window.

--- a/control/configuration/src/checkObject.ts
+++ b/control/configuration/src/checkObject.ts
@@ -8,6 +8,7 @@
   Route,
   TokenQuota,
 } from './objects.js';
+import {isQuotaSet, QUOTA_SET_PREFIX} from './quotaSets.js';
 
 /** Checks the values of an object; returns why one is invalid, if any. */
 export function checkObject(object: ConfigurationObject): string | undefined {
@@ -58,6 +59,9 @@
         ? undefined
         : `the release is called ${RELEASE_ID}`;
     case 'endpointSet':
+      return isQuotaSet(object.id) === (object.service.kind === 'quotas')
+        ? undefined
+        : `names that begin with ${QUOTA_SET_PREFIX} are reserved`;
     case 'endpointPolicy':
     case 'endpointOrder':
     case 'setLeadership':
--- a/control/configuration/src/index.ts
+++ b/control/configuration/src/index.ts
@@ -4,5 +4,6 @@
 export * from './isOrderIssuable.js';
 export * from './lookup.js';
 export * from './objects.js';
+export * from './quotaSets.js';
 export * from './replaceObjects.js';
 export * from './checkObject.js';
--- a/control/configuration/src/objects.ts
+++ b/control/configuration/src/objects.ts
@@ -70,10 +70,11 @@
   readonly objective: number;
 }
 
-/** The model or other service that the endpoints of a set run. */
+/** What the endpoints of a set run. A quota set has no endpoints. */
 export type EndpointService =
   | {readonly kind: 'model'; readonly model: string}
-  | {readonly kind: 'plain'; readonly service: string};
+  | {readonly kind: 'plain'; readonly service: string}
+  | {readonly kind: 'quotas'};
 
 /** A named group of endpoints that can serve the same requests. */
 export interface EndpointSet {
--- a/control/entrySessions/src/assignmentController.ts
+++ b/control/entrySessions/src/assignmentController.ts
@@ -1,7 +1,11 @@
 import {createOrderedDraft, iterateWhile} from '@gentianshunt/board';
 import type {OrderedDraft, TurnTime} from '@gentianshunt/board';
 import type {Milliseconds} from '@gentianshunt/clock';
-import {findObject, formatObjectKey} from '@gentianshunt/configuration';
+import {
+  findObject,
+  formatObjectKey,
+  isQuotaSet,
+} from '@gentianshunt/configuration';
 import type {ObjectKey} from '@gentianshunt/configuration';
 import {defineControlController} from '@gentianshunt/controlModel';
 import type {
@@ -9,6 +13,7 @@
   ControlController,
   SetLeaderLoadKey,
 } from '@gentianshunt/controlModel';
+import {sortByRendezvous} from '@gentianshunt/hashing';
 import type {EndpointSetId, NodeId, RegionId} from '@gentianshunt/identifiers';
 
 import {
@@ -227,22 +232,61 @@
     view: view.board.setLeaderLoads,
     compare: compareLoads,
   });
-  for (const [set, leaderless] of view.board.leaderlessSets) {
-    const isDue =
-      draft.leaderlessSets.get(set) !== undefined &&
-      now.monotonic - leaderless.proposedAt >= ASSIGNMENT_RETRY_MS;
-    const chosen = isDue ? pickLeader(view, loads, set) : undefined;
-    if (chosen !== undefined) {
-      loads.delete(chosen);
-      loads.put({...chosen, load: addSet(view, chosen)}, true);
-      draft.leaderlessSets.put(set, {proposedAt: now.monotonic});
-      wanted.push({set, node: chosen.node});
-    }
-    if (wanted.length === MAX_ASSIGNMENTS_PER_TURN) {
-      break;
+  const due = [...view.board.leaderlessSets]
+    .filter(
+      ([set, {proposedAt}]) =>
+        draft.leaderlessSets.get(set) !== undefined &&
+        now.monotonic - proposedAt >= ASSIGNMENT_RETRY_MS,
+    )
+    .map(([set]) => set);
+  for (const set of due.filter(each => !isQuotaSet(each))) {
+    const node = takeLeader(view, loads, set);
+    if (node !== undefined) {
+      wanted.push({set, node});
     }
   }
-  return wanted;
+  wanted.push(...pickQuotaOwners(draft, due.filter(isQuotaSet), wanted));
+  const proposed = wanted.slice(0, MAX_ASSIGNMENTS_PER_TURN);
+  for (const {set} of proposed) {
+    draft.leaderlessSets.put(set, {proposedAt: now.monotonic});
+  }
+  return proposed;
+}
+
+/**
+ * Picks the leaders of quota sets among the entries that lead no endpoint set,
+ * also none of those that are assigned in the same turn.
+ */
+function pickQuotaOwners(
+  draft: AssignmentDraft,
+  sets: readonly EndpointSetId[],
+  assigned: readonly AssignmentProposal[],
+): readonly AssignmentProposal[] {
+  if (sets.length === 0) {
+    return [];
+  }
+  const leaders = new Set(assigned.map(({node}) => node));
+  const all = draft.listQuotaOwners();
+  const idle = all.filter(node => !leaders.has(node));
+  const nodes = idle.length > 0 ? idle : all;
+  return sets.flatMap(set => {
+    const [node] = sortByRendezvous(set, nodes, each => each);
+    return node === undefined ? [] : [{set, node}];
+  });
+}
+
+/** Picks the leader of an endpoint set and counts the set in its load. */
+function takeLeader(
+  view: AssignmentView,
+  loads: OrderedDraft<SetLeaderLoadKey, true>,
+  set: EndpointSetId,
+): NodeId | undefined {
+  const chosen = pickLeader(view, loads, set);
+  if (chosen !== undefined) {
+    loads.delete(chosen);
+    loads.put({...chosen, load: addSet(view, chosen)}, true);
+  }
+  return chosen?.node;
 }
 
 /** Computes the load of a candidate that leads one more set. */
--- a/control/entrySessions/src/assignmentDraft.ts
+++ b/control/entrySessions/src/assignmentDraft.ts
@@ -5,6 +5,7 @@
   iterateWhile,
 } from '@gentianshunt/board';
 import type {MapDraft, OrderedDraft, View} from '@gentianshunt/board';
+import {isQuotaSet} from '@gentianshunt/configuration';
 import type {
   AssignmentPhase,
   ControlObservation,
@@ -65,6 +66,8 @@
   isCandidate(node: NodeId): boolean;
   /** Lists the sets that an entry leads. */
   listSets(node: NodeId): readonly EndpointSetId[];
+  /** Lists the entries that may lead quota sets. */
+  listQuotaOwners(): readonly NodeId[];
   listWrites(): readonly AssignmentWrite[];
 }
 
@@ -109,6 +112,7 @@
     readLeader: set => drafts.leaders.get(set),
     isCandidate: node => drafts.candidates.get(node) !== undefined,
     listSets: node => listSets(drafts, node),
+    listQuotaOwners: () => listQuotaOwners(board, drafts),
     listWrites: () => [
       ...drafts.candidates.listWrites('setLeaderCandidates' as const),
       ...drafts.loads.listWrites('setLeaderLoads' as const),
@@ -143,6 +147,27 @@
 /** Sets of an average load that the work of the control leader equals. */
 const CONTROL_LEADER_SETS = 1;
 
+function countEndpointSets(drafts: SectionDrafts, node: NodeId): number {
+  return listSets(drafts, node).filter(set => !isQuotaSet(set)).length;
+}
+
+/**
+ * Lists the entries that neither lead an endpoint set nor run beside the
+ * control leader; if there are none, all of them.
+ */
+function listQuotaOwners(
+  {sessions}: AssignmentView['board'],
+  drafts: SectionDrafts,
+): readonly NodeId[] {
+  const nodes = [...sessions.keys()].filter(
+    node => drafts.candidates.get(node) !== undefined,
+  );
+  const idle = nodes.filter(
+    node => node !== drafts.self && countEndpointSets(drafts, node) === 0,
+  );
+  return idle.length > 0 ? idle : nodes;
+}
+
 function putCandidate(
   drafts: SectionDrafts,
   {node, region, cores = DEFAULT_CORES}: EntryAddress,
@@ -166,7 +191,7 @@
   {region, cores}: Omit<SetLeaderCandidate, 'load'>,
 ): void {
   const controlSets = node === drafts.self ? CONTROL_LEADER_SETS : 0;
-  const load = (listSets(drafts, node).length + 1 + controlSets) / cores;
+  const load = (countEndpointSets(drafts, node) + 1 + controlSets) / cores;
   drafts.candidates.put(node, {region, cores, load});
   drafts.loads.put({region, load, node}, true);
 }
--- a/core/hashing/src/index.ts
+++ b/core/hashing/src/index.ts
@@ -1,1 +1,2 @@
 export * from './hashText.js';
+export * from './sortByRendezvous.js';
--- a/core/identifiers/src/identifiers.ts
+++ b/core/identifiers/src/identifiers.ts
@@ -10,6 +10,8 @@
 /** Identifies one start of a process. */
 export type IncarnationId = Identifier<'incarnation'>;
 export type OrganisationId = Identifier<'organisation'>;
+/** Identifies a part of the token quota of an organisation. */
+export type QuotaAccountId = Identifier<'quotaAccount'>;
 export type TierId = Identifier<'tier'>;
 export type EndpointSetId = Identifier<'endpointSet'>;
 export type EndpointId = Identifier<'endpoint'>;
--- a/fronts/callerFront/src/problem.ts
+++ b/fronts/callerFront/src/problem.ts
@@ -103,6 +103,8 @@
       return {status: 401, title: 'The key is unknown'};
     case 'allotmentUsed':
       return {status: 429, title: 'The token allotment is used up'};
+    case 'quotaUndecided':
+      return {status: 503, title: 'The token quota cannot be checked now'};
     case 'timeLimit':
       return {status: 504, title: 'The time limit has passed'};
     case 'claimsUnavailable':
--- a/fronts/entryWire/src/quotaWire.ts
+++ b/fronts/entryWire/src/quotaWire.ts
@@ -1,3 +1,8 @@
+import {
+  formatQuotaAccount,
+  readQuotaOrganisation,
+  readQuotaPart,
+} from '@gentianshunt/entryModel';
 import type {
   QuotaDecision,
   QuotaRequest,
@@ -7,18 +12,19 @@
 import type {
   EndpointSetId,
   OrganisationId,
+  QuotaAccountId,
   RequestId,
 } from '@gentianshunt/identifiers';
 
 import {readRecords} from './wireReader.js';
 import type {WireReader} from './wireReader.js';
 
-/** Encodes a request for tokens of an organisation's quota as an array. */
+/** Encodes a request for tokens of an account as an array. */
 export function encodeQuotaRequest(
   quotaRequest: QuotaRequest,
 ): readonly unknown[] {
   return [
-    quotaRequest.organisation,
+    ...encodeAccount(quotaRequest.account),
     quotaRequest.set,
     quotaRequest.epoch,
     quotaRequest.sequence,
@@ -30,10 +36,10 @@
   ];
 }
 
-/** Decodes and validates a request for tokens of an organisation's quota. */
+/** Decodes and validates a request for tokens of an account. */
 export function decodeQuotaRequest(reader: WireReader): QuotaRequest {
   return {
-    organisation: reader.readIdentifier<OrganisationId>(),
+    account: decodeAccount(reader),
     set: reader.readIdentifier<EndpointSetId>(),
     epoch: reader.readCount(),
     sequence: reader.readCount(),
@@ -52,8 +58,8 @@
   return [
     report.set,
     report.epoch,
-    report.uses.flatMap(({organisation, sequence, used}) => [
-      organisation,
+    report.uses.flatMap(({account, sequence, used}) => [
+      ...encodeAccount(account),
       sequence,
       encodeUsageSlices(used),
     ]),
@@ -67,7 +73,7 @@
     set: reader.readIdentifier<EndpointSetId>(),
     epoch: reader.readCount(),
     uses: readRecords(reader.readList(), list => ({
-      organisation: list.readIdentifier<OrganisationId>(),
+      account: decodeAccount(list),
       sequence: list.readCount(),
       used: decodeUsageSlices(list.readList()),
     })),
@@ -75,6 +81,15 @@
   };
 }
 
+function encodeAccount(account: QuotaAccountId): readonly unknown[] {
+  return [readQuotaPart(account), readQuotaOrganisation(account)];
+}
+
+function decodeAccount(reader: WireReader): QuotaAccountId {
+  const part = reader.readCount();
+  return formatQuotaAccount(reader.readIdentifier<OrganisationId>(), part);
+}
+
 function encodeUsageSlices(
   slices: readonly ReportedUsage[],
 ): readonly number[] {
@@ -93,7 +108,7 @@
   decision: QuotaDecision,
 ): readonly unknown[] {
   return [
-    decision.organisation,
+    ...encodeAccount(decision.account),
     decision.epoch,
     decision.sequence,
     decision.request,
@@ -108,7 +123,7 @@
 /** Decodes and validates the quota owner's decision about a request. */
 export function decodeQuotaDecision(reader: WireReader): QuotaDecision {
   return {
-    organisation: reader.readIdentifier<OrganisationId>(),
+    account: decodeAccount(reader),
     epoch: reader.readCount(),
     sequence: reader.readCount(),
     request: reader.readIdentifier<RequestId>(),
--- a/language/queries/src/configurationTables.ts
+++ b/language/queries/src/configurationTables.ts
@@ -79,6 +79,8 @@
       return service.model;
     case 'plain':
       return service.service;
+    case 'quotas':
+      return '';
     default:
       return assertNever(service, 'readService');
   }
--- a/reports/explain/src/failureCause.ts
+++ b/reports/explain/src/failureCause.ts
@@ -11,6 +11,8 @@
   | {readonly kind: 'abandoned'; readonly hadEndpoint: boolean}
   /** The organisation had used up its token quota. */
   | {readonly kind: 'allotmentUsed'; readonly organisation: string | undefined}
+  /** No owner of the organisation's token quota answered. */
+  | {readonly kind: 'quotaUndecided'}
   /** The entry had no lease or no configuration, or was draining. */
   | {readonly kind: 'noLease'}
   | {readonly kind: 'overloaded'}
@@ -69,6 +71,8 @@
         kind: 'allotmentUsed',
         organisation: readText(line, 'organisation'),
       };
+    case 'quotaUndecided':
+      return {kind: 'quotaUndecided'};
     case 'noLease':
     case 'noConfiguration':
     case 'draining':
@@ -121,6 +125,8 @@
         : 'the caller disconnected while the request waited for capacity';
     case 'allotmentUsed':
       return `organisation ${cause.organisation ?? '(not logged)'} had used up its token quota`;
+    case 'quotaUndecided':
+      return "no owner of the organisation's token quota answered; see 'setLeaderChanged' of the quota sets";
     case 'noLease':
       return 'the entry could not take requests: no lease, no configuration, or it was stopping';
     case 'overloaded':
--- a/scheduling/addressLookup/src/pickAddresses.ts
+++ b/scheduling/addressLookup/src/pickAddresses.ts
@@ -1,4 +1,4 @@
-import {hashText} from '@gentianshunt/hashing';
+import {sortByRendezvous} from '@gentianshunt/hashing';
 import type {
   EndpointSetId,
   FailureDomainId,
@@ -74,15 +74,11 @@
   return rankEntries(serving, key).slice(0, MAX_ADDRESSES);
 }
 
-/** Orders entries by rendezvous hashing. */
 function rankEntries(
   entries: readonly DirectoryEntry[],
   key: string,
 ): readonly DirectoryEntry[] {
-  return entries
-    .map(entry => ({entry, score: hashText(`${key}/${entry.address.node}`)}))
-    .sort((left, right) => right.score - left.score)
-    .map(scored => scored.entry);
+  return sortByRendezvous(key, entries, ({address}) => address.node);
 }
 
 function computeLimit(
--- a/scheduling/entryModel/src/index.ts
+++ b/scheduling/entryModel/src/index.ts
@@ -12,5 +12,6 @@
 export * from './observation.js';
 export * from './overload.js';
 export * from './quota.js';
+export * from './quotaAccount.js';
 export * from './request.js';
 export * from './sections.js';
--- a/scheduling/entryModel/src/quota.ts
+++ b/scheduling/entryModel/src/quota.ts
@@ -3,7 +3,7 @@
 import type {
   EndpointSetId,
   NodeId,
-  OrganisationId,
+  QuotaAccountId,
   RequestId,
 } from '@gentianshunt/identifiers';
 import type {WindowSlices} from '@gentianshunt/limits';
@@ -16,13 +16,13 @@
 }
 
 /**
- * Asks the quota owner whether an organisation's quota covers a request. It
- * lists everything that the process used within the window, which replaces the
- * owner's record of that time. So a new owner receives the record too.
+ * Asks a quota owner whether one of its accounts covers a request. It lists
+ * everything that the process used of the account within the window, which
+ * replaces the owner's record of that time. So a new owner receives it too.
  */
 export interface QuotaRequest {
-  readonly organisation: OrganisationId;
-  /** The set whose leader owns the quota. */
+  readonly account: QuotaAccountId;
+  /** The set whose leader owns the account. */
   readonly set: EndpointSetId;
   readonly epoch: number;
   /** Rises with every quota request of this entry. */
@@ -40,14 +40,14 @@
 export interface QuotaUsageReport {
   readonly set: EndpointSetId;
   readonly epoch: number;
-  readonly uses: readonly OrganisationUsage[];
+  readonly uses: readonly AccountUsage[];
   /** Time since the process started; it has no record of earlier use. */
   readonly coversMs: Milliseconds;
 }
 
-/** What an entry has used of an organisation's quota. */
-export interface OrganisationUsage {
-  readonly organisation: OrganisationId;
+/** What an entry has used of an account. */
+export interface AccountUsage {
+  readonly account: QuotaAccountId;
   /** Sequence of the entry's latest quota request. */
   readonly sequence: number;
   readonly used: readonly ReportedUsage[];
@@ -62,13 +62,13 @@
 
 /** The quota owner's decision about a request. */
 export interface QuotaDecision {
-  readonly organisation: OrganisationId;
+  readonly account: QuotaAccountId;
   readonly epoch: number;
   /** Sequence of the quota request. */
   readonly sequence: number;
   readonly request: RequestId;
   readonly isCovered: boolean;
-  /** Time until the quota may cover it; 0 if it does already. */
+  /** Time until the account may cover it; 0 if it does already. */
   readonly retryAfterMs: Milliseconds;
   /** Prepaid tokens: the entry may use them without asking the owner. */
   readonly spareTokens: number;
@@ -84,7 +84,7 @@
   readonly until: MonotonicTime;
 }
 
-/** What this entry has used of an organisation's quota. */
+/** What this entry has used of an account. */
 export interface QuotaUsageState {
   /**
    * Sequence of the latest quota request; above all sequences of earlier
@@ -98,13 +98,27 @@
 /** A request that waits for the decision of a quota owner. */
 export interface OpenQuotaRequest {
   readonly request: RequestId;
-  readonly organisation: OrganisationId;
+  readonly account: QuotaAccountId;
   readonly owner: NodeId;
   readonly requestedAt: MonotonicTime;
-  /** When to ask again, if the owner deferred the request; else `null`. */
+  /** What the other accounts of the organisation have answered before. */
+  readonly denials: readonly QuotaDenial[];
+  /** When to ask again, if the owners deferred the request; else `null`. */
   readonly retryAt: MonotonicTime | null;
 }
 
+/** Why an account does not cover a request. */
+export type QuotaDenial =
+  | {readonly kind: 'ownerSilent'; readonly account: QuotaAccountId}
+  | {
+      readonly kind: 'used';
+      readonly account: QuotaAccountId;
+      readonly owner: NodeId;
+      readonly usedTokens: number;
+      readonly limitTokens: number;
+      readonly retryAfterMs: Milliseconds;
+    };
+
 /** What a quota owner has recorded of one entry's use. */
 export interface EntryQuotaUsage {
   readonly sequence: number;
@@ -116,8 +130,8 @@
   readonly slices: WindowSlices;
 }
 
-/** Identifies what an entry uses of an organisation's quota. */
+/** Identifies what an entry uses of an account. */
 export interface EntryQuotaKey {
-  readonly organisation: OrganisationId;
+  readonly account: QuotaAccountId;
   readonly node: NodeId;
 }
--- a/scheduling/entryModel/src/request.ts
+++ b/scheduling/entryModel/src/request.ts
@@ -181,6 +181,8 @@
   | {readonly kind: 'unknownKey'}
   /** The token quota of the organisation does not cover the request. */
   | {readonly kind: 'allotmentUsed'}
+  /** No owner of the token quota answered. */
+  | {readonly kind: 'quotaUndecided'}
   | {readonly kind: 'timeLimit'}
   | {readonly kind: 'endpointFailed'; readonly detail: string}
   /** The answer broke off, or the endpoint fell silent. */
--- a/scheduling/entryModel/src/sections.ts
+++ b/scheduling/entryModel/src/sections.ts
@@ -33,6 +33,7 @@
   Identifier,
   NodeId,
   OrganisationId,
+  QuotaAccountId,
   RequestId,
 } from '@gentianshunt/identifiers';
 
@@ -394,7 +395,7 @@
     commands: defineMap<RequestId, PendingCommand>(),
     queries: defineMap<RequestId, PendingQuery>(),
     replacements: defineMap<RequestId, PendingReplacement>(),
-    quotaUsage: defineMap<OrganisationId, QuotaUsageState>(),
+    quotaUsage: defineMap<QuotaAccountId, QuotaUsageState>(),
     openQuotaRequests: defineMap<RequestId, OpenQuotaRequest>(),
     /** Until when quota owners count as silent. */
     silentQuotaOwners: defineMap<NodeId, MonotonicTime>(),
@@ -403,7 +404,7 @@
     ),
     /** Use of the quotas that this entry owns, by entry. */
     ownedQuotaUsage: defineOrdered<EntryQuotaKey, EntryQuotaUsage>(
-      compareBy('organisation', 'node'),
+      compareBy('account', 'node'),
     ),
     retryBudgets: defineMap<EndpointSetId, RateBucket>(),
     refusals: defineOrdered<number, RefusalRecord>(compareValues),
--- a/scheduling/lifecycle/src/requestDraft.ts
+++ b/scheduling/lifecycle/src/requestDraft.ts
@@ -22,7 +22,7 @@
 import type {
   EndpointSetId,
   NodeId,
-  OrganisationId,
+  QuotaAccountId,
   RequestId,
 } from '@gentianshunt/identifiers';
 import type {RateBucket} from '@gentianshunt/limits';
@@ -76,8 +76,8 @@
   addEffect(effect: EntryEffect): void;
   putOpenClaim(request: RequestId, claim: OpenClaim): void;
   putCompletion(completion: ClaimCompletion): void;
-  readQuota(organisation: OrganisationId): QuotaUsageState | undefined;
-  putQuota(organisation: OrganisationId, state: QuotaUsageState): void;
+  readQuota(account: QuotaAccountId): QuotaUsageState | undefined;
+  putQuota(account: QuotaAccountId, state: QuotaUsageState): void;
   putOpenQuotaRequest(openRequest: OpenQuotaRequest): void;
   putSilentOwner(owner: NodeId, until: MonotonicTime): void;
   readRetryBudget(set: EndpointSetId): RateBucket | undefined;
--- a/scheduling/quotas/src/decideQuotaRequest.ts
+++ b/scheduling/quotas/src/decideQuotaRequest.ts
@@ -1,15 +1,15 @@
 import {iterateWhile} from '@gentianshunt/board';
-import type {OrderedEntry, TurnTime} from '@gentianshunt/board';
+import type {TurnTime} from '@gentianshunt/board';
 import type {Milliseconds} from '@gentianshunt/clock';
 import {findObject} from '@gentianshunt/configuration';
+import {readQuotaOrganisation, readQuotaPart} from '@gentianshunt/entryModel';
 import type {
-  EntryQuotaKey,
   EntryQuotaUsage,
   LeadershipState,
   QuotaDecision,
   QuotaRequest,
 } from '@gentianshunt/entryModel';
-import type {NodeId, OrganisationId} from '@gentianshunt/identifiers';
+import type {NodeId, QuotaAccountId} from '@gentianshunt/identifiers';
 import {
   addToWindow,
   estimateReleaseMs,
@@ -20,21 +20,29 @@
 import type {WindowSlices} from '@gentianshunt/limits';
 
 import {
-  computeFallbackTokens,
+  computeAccountTokens,
   computeRankFraction,
-  computeWindowTokens,
   estimateUnreportedFraction,
 } from './quotaLimit.js';
-import {readTolerance, sumUnreported} from './quotaOwnerView.js';
+import type {AccountTokens} from './quotaLimit.js';
+import {isWindowKnown, readTolerance, sumUnreported} from './quotaOwnerView.js';
 import type {QuotaOwnerView} from './quotaOwnerView.js';
 
 /** How long prepaid tokens are valid. */
 export const PREPAID_LIFETIME_MS: Milliseconds = 2_000;
-/** Fraction of the limit in use up to which prepaid tokens are handed out. */
+/** Fraction of the account in use up to which prepaid tokens are issued. */
 export const PREPAID_MAX_LOAD = 0.5;
+/**
+ * Most prepaid tokens, as a multiple of what the entry used of the account in
+ * the lifetime of prepaid tokens before the request.
+ */
+export const PREPAID_DEMAND_FACTOR = 4;
 
 /** Above any possible usage; entries request whole numbers of tokens. */
-const UNLIMITED_TOKENS = Number.MAX_SAFE_INTEGER;
+const UNLIMITED_TOKENS: AccountTokens = {
+  ofRank: Number.MAX_SAFE_INTEGER,
+  total: Number.MAX_SAFE_INTEGER,
+};
 
 /** A quota request, and what the owner knows of its set and its entry. */
 export interface QuotaRequestContext {
@@ -50,16 +58,7 @@
   readonly slices: WindowSlices;
 }
 
-/** Usage of a quota by all entries within the window. */
-interface QuotaUsage {
-  readonly slices: WindowSlices;
-  readonly used: number;
-  /** Tokens reserved for the unused rest of all fallback quotas. */
-  readonly reserved: number;
-  readonly entryCount: number;
-}
-
-/** Decides whether a quota covers a request. */
+/** Decides whether an account covers a request. */
 export function decideQuotaRequest(
   view: QuotaOwnerView,
   from: NodeId,
@@ -68,16 +67,17 @@
 ): DecidedQuotaRequest {
   const {quotaRequest, record} = context;
   const reported = record.slices;
-  const {organisation, request, tokens, epoch, sequence} = quotaRequest;
+  const {account, request, tokens, epoch, sequence} = quotaRequest;
   const {windowMs} = readTolerance(view);
-  const usage = computeUsage(view, from, context, now);
-  const limitTokens = computeLimit(view, context, usage, now);
-  const usedTokens = usage.used + usage.reserved;
-  // A request larger than the limit is covered if nothing else was used.
+  const slicesByNode = readUsage(view, from, context, now);
+  const used = mergeSlices(slicesByNode.values());
+  const usedTokens = sumWindow(used);
+  const limitTokens = computeLimit(view, context, now);
   const isCovered =
-    usedTokens <= limitTokens || (tokens > limitTokens && usage.used <= tokens);
+    usedTokens <= limitTokens ||
+    isCoveredAlone(view, quotaRequest, usedTokens, limitTokens);
   const decision = {
-    organisation,
+    account,
     epoch,
     sequence,
     request,
@@ -88,14 +88,16 @@
   if (!isCovered) {
     const amount = usedTokens - limitTokens;
     const release = {now: now.monotonic, windowMs, amount};
-    const retryAfterMs = estimateReleaseMs(usage.slices, release);
+    const retryAfterMs = estimateReleaseMs(used, release);
     return {
       decision: {...decision, retryAfterMs, spareTokens: 0},
       slices: addToWindow(reported, now.monotonic, -tokens),
     };
   }
   const headroom = PREPAID_MAX_LOAD * limitTokens - usedTokens;
-  const spareTokens = Math.max(0, Math.floor(headroom / usage.entryCount));
+  const share = headroom / slicesByNode.size;
+  const demand = estimateDemand(reported, tokens, now);
+  const spareTokens = Math.max(0, Math.floor(Math.min(share, demand)));
   return {
     decision: {...decision, retryAfterMs: 0, spareTokens},
     // Prepaid tokens count as used at the end of their lifetime.
@@ -107,77 +109,101 @@
   };
 }
 
-function computeUsage(
+/**
+ * Returns whether the first account of an organisation covers a request that is
+ * larger than the account, because nothing else was used of it.
+ */
+function isCoveredAlone(
   view: QuotaOwnerView,
+  {account, tokens}: QuotaRequest,
+  usedTokens: number,
+  limitTokens: number,
+): boolean {
+  return (
+    readQuotaPart(account) === 0 &&
+    tokens > limitTokens &&
+    tokens > readAccountTokens(view, account, 1).total &&
+    usedTokens <= tokens
+  );
+}
+
+/** Estimates what an entry will use in the lifetime of prepaid tokens. */
+function estimateDemand(
+  reported: WindowSlices,
+  requestTokens: number,
+  now: TurnTime,
+): number {
+  const since = now.monotonic - PREPAID_LIFETIME_MS;
+  const recent = sumWindow(removeExpiredSlices(reported, since));
+  return PREPAID_DEMAND_FACTOR * Math.max(0, recent - requestTokens);
+}
+
+/** Reads the use of an account by each entry that has used it. */
+function readUsage(
+  {board}: QuotaOwnerView,
   from: NodeId,
-  {quotaRequest, record}: QuotaRequestContext,
+  {quotaRequest: {account}, record}: QuotaRequestContext,
   now: TurnTime,
-): QuotaUsage {
-  const {organisation} = quotaRequest;
-  const {windowMs} = readTolerance(view);
-  const records = listRecords(view, organisation);
+): ReadonlyMap<NodeId, WindowSlices> {
+  const {windowMs} = readTolerance({board});
   const since = now.monotonic - windowMs;
-  const slicesByNode = new Map<NodeId, WindowSlices>(
-    records.map(({key, value}) => [
-      key.node,
-      removeExpiredSlices(mergeProcessSlices(value), since),
-    ]),
+  const records = iterateWhile(
+    board.ownedQuotaUsage,
+    {account, node: '' as NodeId},
+    key => key.account === account,
   );
-  slicesByNode.set(
+  const slices = new Map<NodeId, WindowSlices>();
+  for (const {key, value} of records) {
+    slices.set(key.node, removeExpiredSlices(mergeProcessSlices(value), since));
+  }
+  return slices.set(
     from,
     removeExpiredSlices(mergeProcessSlices(record), since),
   );
-  const {entries} = view.board.control.directory;
-  const total = computeQuotaTokens(view, organisation);
-  const fallbackTokens = computeFallbackTokens(total, entries.length);
-  const reserved = entries.map(({address}) =>
-    Math.max(
-      0,
-      fallbackTokens - sumWindow(slicesByNode.get(address.node) ?? []),
-    ),
-  );
-  const slices = mergeSlices(slicesByNode.values());
-  return {
-    slices,
-    used: sumWindow(slices),
-    reserved: reserved.reduce((sum, tokens) => sum + tokens, 0),
-    entryCount: Math.max(1, entries.length),
-  };
 }
 
 function computeLimit(
   view: QuotaOwnerView,
-  {quotaRequest: {organisation, rank}, leadership}: QuotaRequestContext,
-  {entryCount}: QuotaUsage,
+  {quotaRequest: {account, rank}, leadership}: QuotaRequestContext,
+  now: TurnTime,
+): number {
+  const organisation = readQuotaOrganisation(account);
+  const {configuration} = view.board;
+  const fraction = computeRankFraction(configuration, organisation, rank);
+  const {ofRank, total} = readAccountTokens(view, account, fraction);
+  const unreported = isWindowKnown(view, leadership, now)
+    ? 0
+    : estimateUnreported(view, leadership, now);
+  return Math.max(0, Math.floor(ofRank - total * unreported));
+}
+
+function estimateUnreported(
+  view: QuotaOwnerView,
+  leadership: LeadershipState,
   now: TurnTime,
 ): number {
-  const unreportedFraction = estimateUnreportedFraction({
+  return estimateUnreportedFraction({
     ownedForMs: now.monotonic - leadership.grantsFrom,
     windowMs: readTolerance(view).windowMs,
-    entryCount,
+    entryCount: view.board.control.directory.entries.length,
     unreportedEntries: sumUnreported(view, leadership),
   });
-  const rankFraction = computeRankFraction(
-    view.board.configuration,
-    organisation,
-    rank,
-  );
-  const total = computeQuotaTokens(view, organisation);
-  return Math.max(0, Math.floor(total * (rankFraction - unreportedFraction)));
 }
 
-/** Computes the tokens of a window. Without a quota there is no limit. */
-function computeQuotaTokens(
+/** Reads the tokens that an account issues. Without a quota all are covered. */
+function readAccountTokens(
   view: QuotaOwnerView,
-  organisation: OrganisationId,
-): number {
+  account: QuotaAccountId,
+  rankFraction: number,
+): AccountTokens {
+  const organisation = readQuotaOrganisation(account);
   const {configuration} = view.board;
-  const tokens =
+  const quota =
     findObject(configuration, 'organisation', organisation)?.limits.tokens ??
     null;
-  return tokens === null
+  return quota === null
     ? UNLIMITED_TOKENS
-    : computeWindowTokens(tokens, readTolerance(view));
+    : computeAccountTokens(quota, readTolerance(view), rankFraction);
 }
 
 /** Merges the usage of all processes of an entry. */
@@ -187,17 +213,3 @@
 }: EntryQuotaUsage): WindowSlices {
   return earlier.length === 0 ? slices : mergeSlices([earlier, slices]);
 }
-
-function listRecords(
-  {board}: QuotaOwnerView,
-  organisation: OrganisationId,
-): readonly OrderedEntry<EntryQuotaKey, EntryQuotaUsage>[] {
-  const from = {organisation, node: '' as NodeId};
-  return Array.from(
-    iterateWhile(
-      board.ownedQuotaUsage,
-      from,
-      key => key.organisation === organisation,
-    ),
-  );
-}
--- a/scheduling/quotas/src/findQuotaOwner.ts
+++ b/scheduling/quotas/src/findQuotaOwner.ts
@@ -1,27 +1,25 @@
-import {listObjects} from '@gentianshunt/configuration';
+import {isQuotaSet, listObjects} from '@gentianshunt/configuration';
 import type {
   ConfigurationTable,
   SetLeadership,
 } from '@gentianshunt/configuration';
-import {hashText} from '@gentianshunt/hashing';
-import type {OrganisationId} from '@gentianshunt/identifiers';
+import {readQuotaOrganisation, readQuotaPart} from '@gentianshunt/entryModel';
+import {sortByRendezvous} from '@gentianshunt/hashing';
+import type {QuotaAccountId} from '@gentianshunt/identifiers';
 
 /**
- * Finds the set whose leader owns an organisation's quota, by rendezvous
- * hashing: adding or removing a set moves few organisations.
+ * Finds the set whose leader owns an account, by rendezvous hashing over the
+ * quota sets; without any, over all sets. The accounts of an organisation
+ * belong to different sets if there are enough.
  */
 export function findQuotaOwner(
   configuration: ConfigurationTable,
-  organisation: OrganisationId,
+  account: QuotaAccountId,
 ): SetLeadership | undefined {
-  let owner: SetLeadership | undefined;
-  let highestWeight = -1;
-  for (const leadership of listObjects(configuration, 'setLeadership')) {
-    const weight = hashText(`${organisation}/${leadership.id}`);
-    if (weight > highestWeight) {
-      highestWeight = weight;
-      owner = leadership;
-    }
-  }
-  return owner;
+  const all = listObjects(configuration, 'setLeadership');
+  const quotaSets = all.filter(({id}) => isQuotaSet(id));
+  const owners = quotaSets.length > 0 ? quotaSets : all;
+  const organisation = readQuotaOrganisation(account);
+  const sorted = sortByRendezvous(organisation, owners, ({id}) => id);
+  return sorted[readQuotaPart(account) % Math.max(1, sorted.length)];
 }
--- a/scheduling/quotas/src/quotaLimit.ts
+++ b/scheduling/quotas/src/quotaLimit.ts
@@ -1,7 +1,8 @@
-/** How many tokens of a quota may be used: in total, by rank, by one entry. */
+/** How many tokens of a quota may be used: in total, by account, by rank. */
 import type {Milliseconds} from '@gentianshunt/clock';
 import {findObject, listObjects} from '@gentianshunt/configuration';
 import type {ConfigurationTable, TokenQuota} from '@gentianshunt/configuration';
+import {QUOTA_ACCOUNT_COUNT} from '@gentianshunt/entryModel';
 import type {QuotaTolerance} from '@gentianshunt/entryModel';
 import type {OrganisationId} from '@gentianshunt/identifiers';
 
@@ -12,12 +13,6 @@
 export const ISSUED_FRACTION = 0.95;
 /** Fraction of a quota that a tier leaves to each tier above it. */
 export const RESERVED_FRACTION_PER_TIER = 0.1;
-/**
- * Fraction of a quota that the entries divide equally and may use while the
- * quota owner is silent. The owner reserves it at all times, so that it is
- * available whenever the owner falls silent.
- */
-export const FALLBACK_FRACTION = 0.3;
 
 /**
  * Assumed usage of an entry that has not reported, as a multiple of the quota
@@ -29,14 +24,50 @@
 
 /** Computes the tokens that all entries together may use within a window. */
 export function computeWindowTokens(
-  {tokensPerSecond, burstTokens}: TokenQuota,
-  {windowMs, overage, slackTokens}: QuotaTolerance,
+  quota: TokenQuota,
+  tolerance: QuotaTolerance,
 ): number {
-  const quotaTokens =
-    (tokensPerSecond * windowMs) / MS_PER_SECOND + burstTokens;
+  const {overage, slackTokens} = tolerance;
+  const quotaTokens = computeQuotaTokens(quota, tolerance);
   return ISSUED_FRACTION * (quotaTokens * (1 + overage) + slackTokens);
 }
 
+/** Computes the tokens of a window without what is tolerated beyond them. */
+function computeQuotaTokens(
+  {tokensPerSecond, burstTokens}: TokenQuota,
+  {windowMs}: QuotaTolerance,
+): number {
+  return (tokensPerSecond * windowMs) / MS_PER_SECOND + burstTokens;
+}
+
+/** The tokens of a window that one account issues. */
+export interface AccountTokens {
+  /** Tokens that requests of a rank may fill. */
+  readonly ofRank: number;
+  readonly total: number;
+}
+
+/**
+ * Computes the tokens of a window that one account issues. Requests of a lower
+ * rank leave some to those above it, but only of what is tolerated beyond the
+ * quota: no request within the quota is refused.
+ */
+export function computeAccountTokens(
+  quota: TokenQuota,
+  tolerance: QuotaTolerance,
+  rankFraction: number,
+): AccountTokens {
+  const windowTokens = computeWindowTokens(quota, tolerance);
+  const ofRank = Math.max(
+    Math.min(windowTokens, computeQuotaTokens(quota, tolerance)),
+    windowTokens * rankFraction,
+  );
+  return {
+    ofRank: ofRank / QUOTA_ACCOUNT_COUNT,
+    total: windowTokens / QUOTA_ACCOUNT_COUNT,
+  };
+}
+
 /** Computes the fraction of a quota that requests of a rank may fill. */
 export function computeRankFraction(
   configuration: ConfigurationTable,
@@ -51,16 +82,6 @@
   return Math.max(0, 1 - RESERVED_FRACTION_PER_TIER * above.length);
 }
 
-/** Computes the tokens of a window that an entry may use by itself. */
-export function computeFallbackTokens(
-  windowTokens: number,
-  entryCount: number,
-): number {
-  return Math.floor(
-    (FALLBACK_FRACTION * windowTokens) / Math.max(1, entryCount),
-  );
-}
-
 /** What a quota owner knows of the usage before it became the owner. */
 export interface OwnerKnowledge {
   /** Time since this entry became the quota owner. */
--- a/scheduling/quotas/src/quotaOwnerController.ts
+++ b/scheduling/quotas/src/quotaOwnerController.ts
@@ -38,7 +38,7 @@
 
 /**
  * Creates the controller of the quota owner: it counts the usage of all entries
- * and decides quota requests for the organisations whose set this entry leads.
+ * and decides quota requests for the accounts whose set this entry leads.
  */
 export function createQuotaOwnerController(): EntryController {
   return defineEntryController<QuotaOwnerReads, QuotaOwnerWrites>({
@@ -154,8 +154,8 @@
     return [];
   }
   const records = uses
-    .map(({organisation, sequence, used}) => {
-      const key = {organisation, node};
+    .map(({account, sequence, used}) => {
+      const key = {account, node};
       const report = {sequence, used, coversMs};
       return {key, value: createRecord(ownedQuotaUsage.get(key), report, now)};
     })
@@ -187,14 +187,14 @@
     leadership.epoch === quotaRequest.epoch &&
     now.monotonic < board.control.leaseUntil &&
     hasMostReports(view, leadership, now) &&
-    findQuotaOwner(board.configuration, quotaRequest.organisation)?.id ===
+    findQuotaOwner(board.configuration, quotaRequest.account)?.id ===
       quotaRequest.set;
-  const key = {organisation: quotaRequest.organisation, node: from};
+  const key = {account: quotaRequest.account, node: from};
   const known = board.ownedQuotaUsage.get(key);
   const address = findEntryAddress(board.control.directory, from);
   const isOutdated =
     known !== undefined && known.sequence >= quotaRequest.sequence;
-  // An entry that gets no answer uses its fallback quota.
+  // An entry that gets no answer asks the owner of another account.
   if (!isOwner || address === undefined || isOutdated) {
     return [];
   }
--- a/scheduling/quotas/src/quotaOwnerView.ts
+++ b/scheduling/quotas/src/quotaOwnerView.ts
@@ -25,7 +25,9 @@
 >;
 
 /** Reads the usage beyond quotas that the operator tolerates. */
-export function readTolerance({board}: QuotaOwnerView): QuotaTolerance {
+export function readTolerance({
+  board,
+}: Pick<QuotaOwnerView, 'board'>): QuotaTolerance {
   return readSharedBounds(board.identity).allotmentTolerance;
 }
 
@@ -71,14 +73,14 @@
   leadership: LeadershipState,
   now: TurnTime,
 ): boolean {
+  if (isWindowKnown(view, leadership, now)) {
+    return true;
+  }
   const {control, reportedEntries} = view.board;
   const {set, epoch} = leadership;
   const {entries} = control.directory;
   const reported = entries.filter(
     ({address: {node}}) => reportedEntries.get({set, node})?.epoch === epoch,
   );
-  return (
-    isWindowKnown(view, leadership, now) ||
-    2 * reported.length >= entries.length
-  );
+  return 2 * reported.length >= entries.length;
 }
--- a/scheduling/quotas/src/usageReportController.ts
+++ b/scheduling/quotas/src/usageReportController.ts
@@ -4,12 +4,12 @@
   findEntryAddress,
 } from '@gentianshunt/entryModel';
 import type {
+  AccountUsage,
   EntryController,
   EntryMessage,
   EntryObservation,
   EntrySections,
   EntryWrite,
-  OrganisationUsage,
 } from '@gentianshunt/entryModel';
 import type {EndpointSetId, NodeId} from '@gentianshunt/identifiers';
 
@@ -57,14 +57,13 @@
   {board}: UsageView,
   set: EndpointSetId,
   now: TurnTime,
-): readonly OrganisationUsage[] {
+): readonly AccountUsage[] {
   return [...board.quotaUsage]
     .filter(
-      ([organisation]) =>
-        findQuotaOwner(board.configuration, organisation)?.id === set,
+      ([account]) => findQuotaOwner(board.configuration, account)?.id === set,
     )
-    .map(([organisation, {sequence, slices}]) => ({
-      organisation,
+    .map(([account, {sequence, slices}]) => ({
+      account,
       sequence,
       used: toReportedUsage(slices, now),
     }));
