--- a/fronts/callRelay/src/index.ts
+++ b/fronts/callRelay/src/index.ts
@@ -2,3 +2,4 @@
 export * from './callProtocol.js';
 export * from './callRelay.js';
 export {dropHeaders, findHeader} from './headers.js';
+export * from './listenForCalls.js';
