End one call, not the process, when handling it fails unexpectedly

A report of other operators: one unexpected error took a whole process down. It could happen here: the relay reads and sends calls in later turns of the event loop, where an exception of the protocol or of the HTTP client was not caught; 133 daemons of a partial installation ended that way at their first call (GROWTH, invalid onError method).

Change: reading and sending run behind a guard for each call. A call that fails before it is admitted is answered 500, one that fails while it is sent ends as cut; both promise nothing. The error is logged as callFailed with step and peer.

--- a/fronts/callRelay/src/callRelay.ts
+++ b/fronts/callRelay/src/callRelay.ts
@@ -20,6 +20,7 @@
 import {createCallTable} from './callTable.js';
 import type {CallTable} from './callTable.js';
 import {createEndpointStreams} from './endpointStream.js';
+import {guardCall} from './guardCall.js';
 
 /** The effects that the relay executes. */
 export type RelayEffect = Extract<
@@ -51,6 +52,13 @@
 /** Retry time sent with the refusal of a call that cannot be routed. */
 const UNROUTED_RETRY_AFTER_MS = 500;
 
+/** Promises nothing: the call may have been dispatched before the error. */
+const UNEXPECTED_ERROR_ANSWER = {
+  status: 500,
+  headers: [],
+  body: 'unexpected error',
+};
+
 /** Adds a route for calls to a server; it matches every path. */
 export function createCallRelay(options: CallRelayOptions): CallRelay {
   const {server, protocol} = options;
@@ -117,11 +125,20 @@
     headers: raw.rawHeaders,
   };
   const body = (request.body as Buffer | undefined) ?? Buffer.alloc(0);
-  options.loop.runOnceRead(() => {
-    if (!hasDisconnected(raw)) {
-      parseCall(options, calls, readTable(), {head, body, response: reply.raw});
-    }
-  });
+  const response = reply.raw;
+  const guard = {
+    step: 'receiveCall',
+    peer: raw.socket.remoteAddress ?? 'unknown',
+    onStep: options.onStep,
+    onFailed: () => sendSchedulerAnswer(response, UNEXPECTED_ERROR_ANSWER),
+  };
+  options.loop.runOnceRead(() =>
+    guardCall(guard, () => {
+      if (!hasDisconnected(raw)) {
+        parseCall(options, calls, readTable(), {head, body, response});
+      }
+    }),
+  );
 }
 
 function parseCall(
--- a/fronts/callRelay/src/callStep.ts
+++ b/fronts/callRelay/src/callStep.ts
@@ -2,6 +2,7 @@
 import type {EndpointId, RequestId} from '@gentianshunt/identifiers';
 
 import type {UnboundedAnswerError} from './droppedBody.js';
+import type {CallFailedError} from './guardCall.js';
 
 /** A call at the moment at which it is sent to an endpoint. */
 export interface SentCall {
@@ -23,6 +24,8 @@
   | ({readonly kind: 'withheld'; readonly cause: string} & SentCall)
   /** An answer did not end within its bounds; its connection is closed. */
   | {readonly kind: 'answerUnbounded'; readonly error: UnboundedAnswerError}
+  /** Handling it failed in a way that was not expected. */
+  | {readonly kind: 'callFailed'; readonly error: CallFailedError}
   /** The relay has read that its caller disconnected. */
   | {
       readonly kind: 'callerDisconnected';
--- a/fronts/callRelay/src/endpointStream.ts
+++ b/fronts/callRelay/src/endpointStream.ts
@@ -22,6 +22,7 @@
 import type {CallTable, OpenCall} from './callTable.js';
 import {createDroppedBody, UnboundedAnswerError} from './droppedBody.js';
 import type {DroppedBody} from './droppedBody.js';
+import {guardCall} from './guardCall.js';
 
 /** Longest wait for a connection to an endpoint. */
 export const CONNECT_TIMEOUT_MS = 500;
@@ -86,14 +87,22 @@
         onEnded: () => streams.delete(dispatch.id),
       });
       streams.set(dispatch.id, stream);
-      options.loop.runAfterReading(() => {
-        if (stream.canSend()) {
-          agent.dispatch(
-            createEndpointRequest(options, call, request, dispatch),
-            stream.handler,
-          );
-        }
-      });
+      const guard = {
+        step: 'sendCall',
+        peer: dispatch.target.url,
+        onStep: options.onStep,
+        onFailed: stream.fail,
+      };
+      options.loop.runAfterReading(() =>
+        guardCall(guard, () => {
+          if (stream.canSend()) {
+            agent.dispatch(
+              createEndpointRequest(options, call, request, dispatch),
+              stream.handler,
+            );
+          }
+        }),
+      );
     },
     cancel: dispatch => {
       streams.get(dispatch.id)?.cancel();
@@ -168,6 +177,8 @@
   readonly handler: Dispatcher.DispatchHandler;
   /** Returns whether the call may be sent; if not, the stream has ended. */
   canSend(): boolean;
+  /** Ends the stream after an unexpected error. */
+  fail(error: Error): void;
   cancel(): void;
 }
 
@@ -223,6 +234,7 @@
   };
   return {
     canSend,
+    fail: error => abort(error.message),
     cancel: () => {
       isEnded = true;
       // Without a connection yet, `onRequestStart` aborts the request.
--- /dev/null
+++ b/fronts/callRelay/src/guardCall.ts
@@ -0,0 +1,36 @@
+import {SchedulerError} from '@gentianshunt/errors';
+
+import type {CallStep} from './callStep.js';
+
+/** Thrown when handling one call failed in a way that was not expected. */
+export class CallFailedError extends SchedulerError {
+  constructor(step: string, peer: string, cause: unknown) {
+    super({
+      code: 'ERR_CALL_FAILED',
+      message: cause instanceof Error ? cause.message : String(cause),
+      origin: {step, peer},
+      hint: 'the other calls of the entry go on',
+      cause,
+    });
+  }
+}
+
+/** Options of a guarded action. */
+export interface GuardOptions {
+  readonly step: string;
+  readonly peer: string;
+  readonly onStep: (step: CallStep) => void;
+  /** Ends the call after an unexpected error. */
+  readonly onFailed: (error: CallFailedError) => void;
+}
+
+/** Runs an action of one call; an unexpected error ends this call only. */
+export function guardCall(options: GuardOptions, action: () => void): void {
+  try {
+    action();
+  } catch (cause) {
+    const error = new CallFailedError(options.step, options.peer, cause);
+    options.onStep({kind: 'callFailed', error});
+    options.onFailed(error);
+  }
+}
--- a/fronts/callRelay/test/relayFixture.ts
+++ b/fronts/callRelay/test/relayFixture.ts
@@ -140,8 +140,9 @@
   ];
 }
 
-/** The time that a relay sees. */
+/** The time that a relay sees, and changes to the protocol. */
 export interface RelayFixtureOptions {
+  readonly protocol?: Partial<CallProtocol>;
   readonly clock?: Clock;
   readonly loop?: LoopMonitor;
 }
@@ -150,6 +151,7 @@
 export async function createRelayFixture({
   clock = createManualClock(),
   loop = createManualLoop(),
+  protocol: changed = {},
 }: RelayFixtureOptions = {}): Promise<RelayFixture> {
   const server = fastify({forceCloseConnections: true});
   server.removeAllContentTypeParsers();
@@ -171,7 +173,7 @@
   const control = {version: 1, leaseUntil: Number.POSITIVE_INFINITY};
   const relay = createCallRelay({
     server,
-    protocol,
+    protocol: {...protocol, ...changed},
     view: {configuration, control, withdrawnEndpoints} as never,
     clock,
     loop,
--- a/fronts/logging/src/logEvent.ts
+++ b/fronts/logging/src/logEvent.ts
@@ -48,6 +48,7 @@
     }
   /** An endpoint's answer did not end within its bounds. */
   | {readonly kind: 'answerUnbounded'; readonly error: Error}
+  | {readonly kind: 'callFailed'; readonly error: Error}
   | {readonly kind: 'linesDropped'; readonly count: number};
 
 /** What a daemon did while its event loop was late. */
@@ -99,6 +100,7 @@
     case 'peerLinkFailed':
     case 'callWithheld':
     case 'answerUnbounded':
+    case 'callFailed':
       return 'outcome';
     case 'callSent':
     case 'callerDisconnected':
@@ -140,6 +142,7 @@
     case 'folderDiscarded':
     case 'settingsRefused':
     case 'answerUnbounded':
+    case 'callFailed':
       return {event: event.kind, ...toErrorRecord(event.error)};
     case 'settingsRead': {
       const {file, isChanged, isAsked} = event;
