Do not use an endpoint of an open set that this entry has seen fail

An entry dispatches to an open set without asking, and a set leader hears of failures with the next demand report, seconds later in large sets.

--- a/scheduling/slotClient/src/demandReport.ts
+++ b/scheduling/slotClient/src/demandReport.ts
@@ -159,7 +159,7 @@
  * Lists the recent failure rates of a set's endpoints and whether this entry
  * could connect to them.
  */
-function listEndpointFailures(
+export function listEndpointFailures(
   board: Pick<BoardView<EntrySections>, 'endpointHealth'>,
   set: EndpointSetId,
   now: TurnTime,
--- a/scheduling/slotClient/src/index.ts
+++ b/scheduling/slotClient/src/index.ts
@@ -3,6 +3,7 @@
 export * from './dispatchOrder.js';
 export * from './fallbackCapacity.js';
 export * from './grantReplyController.js';
+export * from './openTargets.js';
 export * from './reportTimes.js';
 export * from './setUseController.js';
 export * from './slotController.js';
--- a/scheduling/slotClient/src/openTargets.ts
+++ b/scheduling/slotClient/src/openTargets.ts
@@ -8,10 +8,18 @@
   EndpointSetId,
   RequestId,
 } from '@gentianshunt/identifiers';
+import {PROBE_FAILURE_RATE} from '@gentianshunt/policy';
 
-type OpenSections = Pick<
+import {listEndpointFailures} from './demandReport.js';
+
+/** The board sections that the use of open capacity depends on. */
+export type OpenSections = Pick<
   BoardView<EntrySections>,
-  'openCapacities' | 'withdrawnEndpoints' | 'running' | 'matches'
+  | 'openCapacities'
+  | 'withdrawnEndpoints'
+  | 'endpointHealth'
+  | 'running'
+  | 'matches'
 >;
 
 /** Number of endpoints of which the one with fewer own requests is picked. */
@@ -34,8 +42,10 @@
   if (open === undefined || open.until <= now.monotonic) {
     return {hasCapacity: () => false, take: () => undefined};
   }
+  const failing = listFailing(board, set, now);
   const targets = open.targets.filter(
-    ({endpoint}) => !board.withdrawnEndpoints.has(endpoint),
+    ({endpoint}) =>
+      !board.withdrawnEndpoints.has(endpoint) && !failing.has(endpoint),
   );
   const counts = countRunning(board, set);
   let total = [...counts.values()].reduce((sum, count) => sum + count, 0);
@@ -57,6 +67,23 @@
   };
 }
 
+/**
+ * Lists the endpoints that fail or cannot be connected to, as this entry has
+ * seen it. The leader hears of it with the next demand report; until then only
+ * it decides who tries them again.
+ */
+function listFailing(
+  board: OpenSections,
+  set: EndpointSetId,
+  now: TurnTime,
+): ReadonlySet<EndpointId> {
+  const failing = listEndpointFailures(board, set, now).filter(
+    ({failureShare, isUnreachable}) =>
+      isUnreachable || failureShare >= PROBE_FAILURE_RATE,
+  );
+  return new Set(failing.map(({endpoint}) => endpoint));
+}
+
 /** Picks the least used of a few endpoints drawn by a hash. */
 function pickTarget(
   targets: readonly EndpointTarget[],
--- a/scheduling/slotClient/src/slotController.ts
+++ b/scheduling/slotClient/src/slotController.ts
@@ -48,6 +48,7 @@
   | 'decodeRates'
   | 'acceptedReply'
   | 'openCapacities'
+  | 'endpointHealth'
   | 'identity'
   | 'control'
   | 'knownEndpoints'
@@ -73,6 +74,7 @@
       'decodeRates',
       'acceptedReply',
       'openCapacities',
+      'endpointHealth',
       'identity',
       'control',
       'knownEndpoints',
