--- a/scripts/bundle.mjs
+++ b/scripts/bundle.mjs
@@ -42,12 +42,15 @@
   ]);
 }
 
-const alias = Object.fromEntries(
-  readPackages().map(({path, manifest}) => [
-    manifest.name,
-    `./${path}/src/index.ts`,
-  ]),
-);
+const alias = {
+  ...Object.fromEntries(
+    readPackages().map(({path, manifest}) => [
+      manifest.name,
+      `./${path}/src/index.ts`,
+    ]),
+  ),
+  undici: './scripts/bundledUndici.mjs',
+};
 
 const {metafile} = await build({
   entryPoints: ['platform/adapter/src/main.ts'],
