--- a/control/controlNode/test/setLeaders.test.ts
+++ b/control/controlNode/test/setLeaders.test.ts
@@ -1,6 +1,7 @@
 import t from 'tap';
 
-import {findObject} from '@gentianshunt/configuration';
+import {findObject, listQuotaSets} from '@gentianshunt/configuration';
+import type {ConfigurationObject} from '@gentianshunt/configuration';
 import {ENTRY_LEASE_MS} from '@gentianshunt/entrySessions';
 import {toIdentifier} from '@gentianshunt/identifiers';
 import type {RegionId} from '@gentianshunt/identifiers';
@@ -55,6 +56,19 @@
   t.equal(fixture.node.view.log.size, entries, 'nothing is proposed twice');
 });
 
+/** Sends a command that puts new objects. */
+function receiveObjects(
+  fixture: ControlFixture,
+  objects: readonly ConfigurationObject[],
+): void {
+  const commands = objects.map(object => ({
+    kind: 'put' as const,
+    object,
+    expectedRevision: null,
+  }));
+  fixture.receive('entry-0', createCommandRequest(createCommand(2, commands)));
+}
+
 /** Sends heartbeats of entries on VMs of different processor shares. */
 function receiveEntries(
   fixture: ControlFixture,
@@ -86,6 +100,34 @@
   t.equal(readLeader(fixture, 'a')?.node, 'n2');
 });
 
+t.test('quota sets are led by entries that lead no endpoint set', async t => {
+  const fixture = createFixture([['a', 'north']]);
+  const {node: self} = fixture.node.view.identity;
+  const quotaSets = listQuotaSets(toIdentifier('north'));
+  receiveObjects(fixture, quotaSets);
+  receiveEntries(fixture, {[self]: 0.9, n1: 0.9, n2: 0.3, n3: 0.3, n4: 0.3});
+  fixture.advance(1);
+  t.equal(readLeader(fixture, 'a')?.node, 'n1');
+  const owners = quotaSets.map(({id}) => readLeader(fixture, id)?.node);
+  const counts = ['n2', 'n3', 'n4'].map(
+    node => owners.filter(owner => owner === node).length,
+  );
+  t.equal(counts[0]! + counts[1]! + counts[2]!, quotaSets.length);
+  t.ok(Math.min(...counts) >= 4, `${counts.join(', ')} quota sets`);
+});
+
+t.test('a lone entry leads all sets', async t => {
+  const fixture = createFixture([['a', 'north']]);
+  const quotaSets = listQuotaSets(toIdentifier('north'));
+  receiveObjects(fixture, quotaSets);
+  receiveEntries(fixture, {n1: 0.9});
+  fixture.advance(1);
+  const owners = new Set(
+    quotaSets.map(({id}) => readLeader(fixture, id)?.node),
+  );
+  t.same([...owners], ['n1']);
+});
+
 t.test('sets of a draining entry get a leader of a higher epoch', async t => {
   const fixture = createFixture([['a', 'north']]);
   fixture.receive('n1', createRegionHeartbeat('n1', 'north'));
--- a/control/entrySessions/src/assignmentController.ts
+++ b/control/entrySessions/src/assignmentController.ts
@@ -239,7 +239,8 @@
         now.monotonic - proposedAt >= ASSIGNMENT_RETRY_MS,
     )
     .map(([set]) => set);
-  for (const set of due.filter(each => !isQuotaSet(each))) {
+  const endpointSets = due.filter(set => !isQuotaSet(set));
+  for (const set of endpointSets.slice(0, MAX_ASSIGNMENTS_PER_TURN)) {
     const node = takeLeader(view, loads, set);
     if (node !== undefined) {
       wanted.push({set, node});
