--- a/fronts/callRelay/src/callRelay.ts
+++ b/fronts/callRelay/src/callRelay.ts
@@ -132,21 +132,26 @@
     onStep: options.onStep,
     onFailed: () => sendSchedulerAnswer(response, UNEXPECTED_ERROR_ANSWER),
   };
-  options.loop.runOnceRead(() =>
-    guardCall(guard, () => {
-      if (!hasDisconnected(raw)) {
-        parseCall(options, calls, readTable(), {head, body, response});
-      }
-    }),
-  );
+  options.loop.runOnceRead(() => {
+    if (hasDisconnected(raw)) {
+      return;
+    }
+    const observation = guardCall(guard, () =>
+      parseCall(options, calls, readTable(), {head, body, response}),
+    );
+    if (observation !== undefined) {
+      options.post(observation);
+    }
+  });
 }
 
+/** Parses and registers a call; returns what the entry must be told of it. */
 function parseCall(
   options: CallRelayOptions,
   calls: CallTable,
   table: RoutingTable,
   {head, body, response}: Omit<IncomingCall, 'attributes'>,
-): void {
+): EntryObservation | undefined {
   const parsed = options.protocol.readCall(head);
   if (
     parsed.kind === 'malformed' ||
@@ -155,9 +160,9 @@
     const detail =
       parsed.kind === 'malformed' ? parsed.detail : 'the call is open already';
     sendSchedulerAnswer(response, options.protocol.formatMalformed(detail));
-    return;
+    return undefined;
   }
-  openCall(options, calls, table, {
+  return openCall(options, calls, table, {
     head,
     attributes: parsed.attributes,
     body,
@@ -178,7 +183,7 @@
   calls: CallTable,
   table: RoutingTable,
   {head, attributes, body, response}: IncomingCall,
-): void {
+): EntryObservation {
   const {clock, loop, post, view} = options;
   const now = clock.readMonotonic();
   const lagMs = loop.readLag();
@@ -194,13 +199,11 @@
       reason,
       UNROUTED_RETRY_AFTER_MS,
     );
-    refuseCall(options, response, refusal);
-    return;
+    return refuseCall(options, response, refusal);
   }
   const overload = refuseIfOverloaded(attributes, lagMs);
   if (overload !== undefined) {
-    refuseCall(options, response, overload);
-    return;
+    return refuseCall(options, response, overload);
   }
   const {id} = attributes;
   // The call may have waited for the event loop before it was read.
@@ -228,16 +231,16 @@
       post({kind: 'callerGone', request: id});
     }
   });
-  post({kind: 'requestReceived', attributes: resolved.attributes});
+  return {kind: 'requestReceived', attributes: resolved.attributes};
 }
 
 /** Refuses a call that has not been admitted. */
 function refuseCall(
-  {protocol, post, onRefused}: CallRelayOptions,
+  {protocol, onRefused}: CallRelayOptions,
   response: FastifyReply['raw'],
   refusal: Refusal,
-): void {
+): EntryObservation {
   sendSchedulerAnswer(response, protocol.formatRefusal(refusal));
-  post({kind: 'callerRefused', refusal});
   onRefused(refusal);
+  return {kind: 'callerRefused', refusal};
 }
--- a/fronts/callRelay/src/endpointStream.ts
+++ b/fronts/callRelay/src/endpointStream.ts
@@ -93,16 +93,16 @@
         onStep: options.onStep,
         onFailed: stream.fail,
       };
-      options.loop.runAfterReading(() =>
-        guardCall(guard, () => {
-          if (stream.canSend()) {
+      options.loop.runAfterReading(() => {
+        if (stream.canSend()) {
+          guardCall(guard, () =>
             agent.dispatch(
               createEndpointRequest(options, call, request, dispatch),
               stream.handler,
-            );
-          }
-        }),
-      );
+            ),
+          );
+        }
+      });
     },
     cancel: dispatch => {
       streams.get(dispatch.id)?.cancel();
--- a/fronts/callRelay/src/guardCall.ts
+++ b/fronts/callRelay/src/guardCall.ts
@@ -24,13 +24,20 @@
   readonly onFailed: (error: CallFailedError) => void;
 }
 
-/** Runs an action of one call; an unexpected error ends this call only. */
-export function guardCall(options: GuardOptions, action: () => void): void {
+/**
+ * Runs an action of one call; an unexpected error ends this call only. The
+ * action must not post observations: an error of the board ends the process.
+ */
+export function guardCall<Result>(
+  options: GuardOptions,
+  action: () => Result,
+): Result | undefined {
   try {
-    action();
+    return action();
   } catch (cause) {
     const error = new CallFailedError(options.step, options.peer, cause);
     options.onStep({kind: 'callFailed', error});
     options.onFailed(error);
+    return undefined;
   }
 }
