--- a/scheduling/slotClient/src/openTargets.ts
+++ b/scheduling/slotClient/src/openTargets.ts
@@ -68,9 +68,9 @@
 }
 
 /**
- * Lists the endpoints that fail or cannot be connected to, as this entry has
- * seen it. The leader hears of it with the next demand report; until then only
- * it decides who tries them again.
+ * Lists the endpoints that fail or refuse connections, by the calls of this
+ * entry. The leader learns of them from the next demand report and decides which
+ * entries try them again.
  */
 function listFailing(
   board: OpenSections,
