--- a/fronts/callRelay/src/callRelay.ts
+++ b/fronts/callRelay/src/callRelay.ts
@@ -145,7 +145,7 @@
   });
 }
 
-/** Parses and registers a call; returns what the entry must be told of it. */
+/** Parses and registers a call; returns the observation to post, if any. */
 function parseCall(
   options: CallRelayOptions,
   calls: CallTable,
--- a/scheduling/quotas/src/decideQuotaRequest.ts
+++ b/scheduling/quotas/src/decideQuotaRequest.ts
@@ -75,7 +75,7 @@
   const limitTokens = computeLimit(view, context, now);
   const isCovered =
     usedTokens <= limitTokens ||
-    isCoveredAlone(view, quotaRequest, usedTokens, limitTokens);
+    isCoveredAlone(view, quotaRequest, usedTokens);
   const decision = {
     account,
     epoch,
@@ -117,11 +117,9 @@
   view: QuotaOwnerView,
   {account, tokens}: QuotaRequest,
   usedTokens: number,
-  limitTokens: number,
 ): boolean {
   return (
     readQuotaPart(account) === 0 &&
-    tokens > limitTokens &&
     tokens > readAccountTokens(view, account, 1).total &&
     usedTokens <= tokens
   );
