--- a/scheduling/quotas/src/decideQuotaRequest.ts
+++ b/scheduling/quotas/src/decideQuotaRequest.ts
@@ -74,8 +74,7 @@
   const usedTokens = sumWindow(used);
   const limitTokens = computeLimit(view, context, now);
   const isCovered =
-    usedTokens <= limitTokens ||
-    isCoveredAlone(view, quotaRequest, usedTokens);
+    usedTokens <= limitTokens || isCoveredAlone(view, quotaRequest, usedTokens);
   const decision = {
     account,
     epoch,
