Log each broken answer with its progress and prompt parts

Which of the three hypotheses of docs/incidents/crashing-prompt-part.md holds could not be told from the logs: no line named a prompt part, and whether an answer had begun was not recorded for requests that are dispatched again.

--- a/bench/matrix/src/entryHost.ts
+++ b/bench/matrix/src/entryHost.ts
@@ -316,7 +316,12 @@
       const events = state.streams.get(dispatch.id)?.received.length ?? 0;
       const detail = 'connection lost';
       process.run(() =>
-        endStream(state, dispatch, {kind: 'cut', detail, events}),
+        endStream(state, dispatch, {
+          kind: 'cut',
+          detail,
+          events,
+          progress: events > 0 ? 'delivering' : 'awaitingHead',
+        }),
       );
     },
   };
--- a/bench/policyBench/src/entryCluster.ts
+++ b/bench/policyBench/src/entryCluster.ts
@@ -174,7 +174,12 @@
       postStreamObservation(arrival, dispatch => ({
         kind: 'streamEnded',
         dispatch,
-        end: {kind: 'cut', detail: 'connection reset', events: 0},
+        end: {
+          kind: 'cut',
+          detail: 'connection reset',
+          events: 0,
+          progress: 'awaitingHead',
+        },
         stored: null,
       }));
     },
--- a/core/identifiers/src/identifiers.ts
+++ b/core/identifiers/src/identifiers.ts
@@ -21,6 +21,8 @@
 /** Identifies one dispatch of one request to one endpoint. */
 export type DispatchId = Identifier<'dispatch'>;
 export type GrantId = Identifier<'grant'>;
+/** Identifies a part of prompts; requests with the same part share its text. */
+export type PromptPartId = Identifier<'promptPart'>;
 export type FailureDomainId = Identifier<'failureDomain'>;
 export type RegionId = Identifier<'region'>;
 export type OperatorId = Identifier<'operator'>;
--- a/fronts/callRelay/src/endpointStream.ts
+++ b/fronts/callRelay/src/endpointStream.ts
@@ -3,6 +3,7 @@
 import type {Clock} from '@gentianshunt/clock';
 import type {
   AdmittedRequest,
+  AnswerProgress,
   Dispatch,
   EntryObservation,
   EntrySections,
@@ -20,6 +21,7 @@
 import type {CallProtocol} from './callProtocol.js';
 import type {CallStep, SentCall} from './callStep.js';
 import type {CallTable, OpenCall} from './callTable.js';
+import {createProgressTracker} from './progressTracker.js';
 import {createDroppedBody, UnboundedAnswerError} from './droppedBody.js';
 import type {DroppedBody} from './droppedBody.js';
 import {guardCall} from './guardCall.js';
@@ -204,6 +206,7 @@
   let handling: BodyHandling = {kind: 'awaitingHead'};
   let isEnded = false;
   let informationalHeads = 0;
+  const progress = createProgressTracker();
   const reportTokens = createTokenReporter(options, dispatch);
   const end = (reason: StreamEnd): void => {
     if (!isEnded) {
@@ -218,7 +221,7 @@
     options.onStep({kind: 'answerUnbounded', error});
   };
   const abort = (detail: string): void => {
-    end({kind: 'cut', detail, events: 0});
+    end({kind: 'cut', detail, events: 0, progress: progress.read()});
     controller?.abort(new Error(detail));
   };
   const resume = (): void => controller?.resume();
@@ -262,6 +265,7 @@
           }
           return;
         }
+        progress.recordHead();
         const head = {status, headers: readRawHeaders(started)};
         const action = decideAnswerAction(
           options,
@@ -303,6 +307,7 @@
         if (handling.kind !== 'pass' || isEnded) {
           return;
         }
+        progress.recordChunk(chunk);
         reportTokens();
         try {
           if (!handling.writer.write(chunk)) {
@@ -324,7 +329,12 @@
           options.calls.remove(call.id);
           end({kind: 'complete'});
         } else {
-          end({kind: 'cut', detail: 'the last event is not whole', events: 0});
+          end({
+            kind: 'cut',
+            detail: 'the last event is not whole',
+            events: 0,
+            progress: progress.read(),
+          });
         }
       },
       onResponseError: (_controller, error) => {
@@ -334,7 +344,7 @@
         if (readErrorCode(error) === HEAD_OVERFLOW_CODE) {
           reportUnbounded('readHead', `more than ${MAX_HEAD_BYTES} bytes`);
         }
-        end(toStreamEnd(error));
+        end(toStreamEnd(error, progress.read()));
       },
     },
   };
@@ -362,11 +372,11 @@
   return (error as NodeJS.ErrnoException).code;
 }
 
-function toStreamEnd(error: Error): StreamEnd {
+function toStreamEnd(error: Error, progress: AnswerProgress): StreamEnd {
   const code = readErrorCode(error);
   return code !== undefined && NOT_SENT_CODES.has(code)
     ? {kind: 'notSent', detail: code}
-    : {kind: 'cut', detail: code ?? error.message, events: 0};
+    : {kind: 'cut', detail: code ?? error.message, events: 0, progress};
 }
 
 /**
--- a/fronts/callRelay/test/relayFixture.ts
+++ b/fronts/callRelay/test/relayFixture.ts
@@ -83,6 +83,7 @@
             timeLeftMs: null,
             size: null,
             prefix: null,
+            promptParts: [],
           },
         };
   },
--- a/fronts/callerFront/src/forwardAnswer.ts
+++ b/fronts/callerFront/src/forwardAnswer.ts
@@ -65,7 +65,9 @@
 }
 
 function createTruncatedEnd(stream: AnswerStream, detail: string): StreamEnd {
-  return {kind: 'cut', detail, events: stream.events};
+  const {events} = stream;
+  const progress = events > 0 ? 'delivering' : 'awaitingFirstEvent';
+  return {kind: 'cut', detail, events, progress};
 }
 
 function startResponse(stream: AnswerStream, data: ResponseData): void {
--- a/fronts/callerFront/src/streamClient.ts
+++ b/fronts/callerFront/src/streamClient.ts
@@ -254,7 +254,12 @@
   const {code, message} = error as NodeJS.ErrnoException;
   return code !== undefined && NOT_SENT_CODES.has(code)
     ? {kind: 'notSent', detail: code}
-    : {kind: 'cut', detail: message, events};
+    : {
+        kind: 'cut',
+        detail: message,
+        events,
+        progress: events > 0 ? 'delivering' : 'awaitingHead',
+      };
 }
 
 /**
--- a/fronts/logging/src/logEvent.ts
+++ b/fronts/logging/src/logEvent.ts
@@ -108,6 +108,7 @@
     case 'entryDecided':
       return event.decision.kind === 'requestDispatched' ||
         event.decision.kind === 'allotmentRefused' ||
+        event.decision.kind === 'answerBroken' ||
         event.decision.kind === 'requestShed' ||
         event.decision.kind === 'requestRequeued'
         ? 'detail'
--- a/scheduling/entryModel/src/decision.ts
+++ b/scheduling/entryModel/src/decision.ts
@@ -5,9 +5,11 @@
   GrantId,
   NodeId,
   OrganisationId,
+  PromptPartId,
   RequestId,
 } from '@gentianshunt/identifiers';
 
+import type {AnswerProgress} from './observation.js';
 import type {EndpointRecord} from './endpointRecord.js';
 
 /** A decision or a state change of an entry, with its inputs, for the log. */
@@ -67,6 +69,18 @@
       /** Epoch of the set leader that this entry follows. */
       readonly epoch: number | null;
     }
+  | {
+      /** The connection to an endpoint failed before the end of an answer. */
+      readonly kind: 'answerBroken';
+      readonly request: RequestId;
+      readonly set: EndpointSetId;
+      readonly organisation: OrganisationId;
+      readonly endpoint: EndpointId;
+      readonly attempt: number;
+      readonly progress: AnswerProgress;
+      readonly sinceDispatchMs: Milliseconds;
+      readonly promptParts: readonly PromptPartId[];
+    }
   | {
       readonly kind: 'leaseLost';
       readonly leader: NodeId | null;
--- a/scheduling/entryModel/src/observation.ts
+++ b/scheduling/entryModel/src/observation.ts
@@ -47,6 +47,14 @@
   /** The endpoint left after the request was dispatched. */
   | 'endpointLeft';
 
+/** How far an answer had come when its stream broke. */
+export type AnswerProgress =
+  /** Its head had not arrived. */
+  | 'awaitingHead'
+  /** Its head had arrived, but no whole event. */
+  | 'awaitingFirstEvent'
+  | 'delivering';
+
 /** How a stream from an endpoint ended. */
 export type StreamEnd =
   /** The end marker arrived, and every byte was passed to the caller. */
@@ -67,6 +75,7 @@
       readonly detail: string;
       /** Complete events that were passed to the caller. */
       readonly events: number;
+      readonly progress: AnswerProgress;
     };
 
 /** The events that an entry's controllers react to. */
--- a/scheduling/entryModel/src/request.ts
+++ b/scheduling/entryModel/src/request.ts
@@ -7,6 +7,7 @@
   EndpointSetId,
   GrantId,
   OrganisationId,
+  PromptPartId,
   RequestId,
   RequestKindId,
   RouteId,
@@ -55,6 +56,11 @@
   readonly maxTokens: number;
   /** Hash of the start of the prompt, to prefer endpoints that cached it. */
   readonly prefix: string | null;
+  /**
+   * The parts of the prompt in their order, without the last one, which belongs
+   * to the request itself. Absent when the caller named none.
+   */
+  readonly promptParts?: readonly PromptPartId[];
   /** Absent when the request names its endpoint set instead of a route. */
   readonly routePolicy?: RoutePolicy;
 }
--- a/scheduling/entryNode/src/entryNode.ts
+++ b/scheduling/entryNode/src/entryNode.ts
@@ -27,6 +27,7 @@
   createRateController,
 } from '@gentianshunt/learning';
 import {createLifecycleController} from '@gentianshunt/lifecycle';
+import {createBrokenAnswerController} from '@gentianshunt/promptQuarantine';
 import {
   createQuotaOwnerController,
   createUsageReportController,
@@ -80,6 +81,7 @@
     createPatienceController(),
     createRateController(),
     createHealthController(),
+    createBrokenAnswerController(),
     createLifecycleController(),
     createArrivalController(),
     createSetUseController(),
--- a/scheduling/entryNode/test/calls.test.ts
+++ b/scheduling/entryNode/test/calls.test.ts
@@ -59,7 +59,12 @@
     );
 }
 
-const brokenStream: StreamEnd = {kind: 'cut', detail: 'reset', events: 0};
+const brokenStream: StreamEnd = {
+  kind: 'cut',
+  detail: 'reset',
+  events: 0,
+  progress: 'awaitingHead',
+};
 const notExecuted: StreamEnd = {kind: 'notExecuted', detail: 'full'};
 const notSent: StreamEnd = {kind: 'notSent', detail: 'ECONNREFUSED'};
 const failed: StreamEnd = {kind: 'failed', status: 500};
--- a/scheduling/entryNode/test/outcomes.test.ts
+++ b/scheduling/entryNode/test/outcomes.test.ts
@@ -193,7 +193,7 @@
   },
   {
     name: 'the stream broke',
-    end: {kind: 'cut', detail: 'closed', events: 0},
+    end: {kind: 'cut', detail: 'closed', events: 0, progress: 'awaitingHead'},
     notRun: false,
     outcome: 'unknown',
   },
@@ -221,7 +221,12 @@
   });
   fixture.post({kind: 'streamStarted', dispatch: DISPATCH});
   for (const events of [3, 5, 5]) {
-    endStream(fixture, {kind: 'cut', detail: 'closed', events});
+    endStream(fixture, {
+      kind: 'cut',
+      detail: 'closed',
+      events,
+      progress: 'delivering',
+    });
   }
   t.strictSame(
     fixture.list('resumeStream').map(effect => effect.fromEvent),
@@ -237,7 +242,12 @@
     kind: 'requestReceived',
     attributes: createRequestAttributes('q1'),
   });
-  endStream(fixture, {kind: 'cut', detail: 'closed', events: 0});
+  endStream(fixture, {
+    kind: 'cut',
+    detail: 'closed',
+    events: 0,
+    progress: 'awaitingHead',
+  });
   endStream(fixture, {kind: 'notSent', detail: 'ECONNREFUSED'});
   t.equal(fixture.list('refuseCaller').at(0)?.refusal.notRun, false);
 });
--- /dev/null
+++ b/scheduling/promptQuarantine/src/index.ts
@@ -0,0 +1,1 @@
+export * from './brokenAnswerController.js';
--- a/scheduling/routing/src/routeCall.ts
+++ b/scheduling/routing/src/routeCall.ts
@@ -10,6 +10,7 @@
 import type {
   EndpointSetId,
   OrganisationId,
+  PromptPartId,
   RequestId,
 } from '@gentianshunt/identifiers';
 
@@ -31,6 +32,8 @@
   readonly size: CallSize | null;
   /** Identifies the prefix of the prompt, for prefix caches. */
   readonly prefix: string | null;
+  /** The parts of the prompt in their order, without the last one. */
+  readonly promptParts: readonly PromptPartId[];
 }
 
 /** The size of a call to a model, in tokens. */
@@ -100,6 +103,7 @@
     promptTokens: size?.promptTokens ?? 0,
     maxTokens: size?.maxAnswerTokens ?? 0,
     prefix: call.prefix,
+    ...(call.promptParts.length === 0 ? {} : {promptParts: call.promptParts}),
     routePolicy: {
       route: route.id,
       maxAttempts: route.maxAttempts,
--- a/scheduling/routing/test/routeCall.test.ts
+++ b/scheduling/routing/test/routeCall.test.ts
@@ -74,6 +74,7 @@
     timeLeftMs: 800,
     size: {promptTokens: 100, maxAnswerTokens: 20},
     prefix: null,
+    promptParts: [],
     ...changes,
   };
 }
