--- a/bench/policyBench/src/entryCluster.ts
+++ b/bench/policyBench/src/entryCluster.ts
@@ -1,4 +1,8 @@
-import type {EntryEffect, EntryObservation} from '@gentianshunt/entryModel';
+import type {
+  EntryEffect,
+  EntryObservation,
+  StreamEnd,
+} from '@gentianshunt/entryModel';
 import {assertNever} from '@gentianshunt/errors';
 import type {DispatchId, RequestId} from '@gentianshunt/identifiers';
 
@@ -21,6 +25,13 @@
 /** Time until a failed leader's sets are assigned to another entry. */
 export const FAILOVER_DELAY_MS = 3_000;
 
+const BROKEN_ANSWER: StreamEnd = {
+  kind: 'cut',
+  detail: 'connection reset',
+  events: 0,
+  progress: 'awaitingHead',
+};
+
 /** Creates Gentianshunt's policy: real entries, linked by messages in memory. */
 export function createEntryCluster(options: SchedulerOptions): Scheduler {
   const {profile, timeline, recorder, fault} = options;
@@ -174,12 +185,7 @@
       postStreamObservation(arrival, dispatch => ({
         kind: 'streamEnded',
         dispatch,
-        end: {
-          kind: 'cut',
-          detail: 'connection reset',
-          events: 0,
-          progress: 'awaitingHead',
-        },
+        end: BROKEN_ANSWER,
         stored: null,
       }));
     },
--- a/scheduling/promptQuarantine/src/brokenAnswerController.ts
+++ b/scheduling/promptQuarantine/src/brokenAnswerController.ts
@@ -1,20 +1,13 @@
-import type {TurnTime, View} from '@gentianshunt/board';
+import type {TurnTime} from '@gentianshunt/board';
 import {defineEntryController} from '@gentianshunt/entryModel';
 import type {
   DispatchedState,
   EntryController,
   EntryDecision,
-  EntryObservation,
-  EntrySections,
   StreamEnd,
 } from '@gentianshunt/entryModel';
 
 type BrokenAnswerReads = 'requests' | 'dispatches';
-type BrokenAnswerView = View<
-  EntrySections,
-  BrokenAnswerReads,
-  EntryObservation
->;
 
 /**
  * Creates the controller that logs each answer that broke off, with the parts of
