Quarantine prompt parts that crash endpoints

Callers saw endpoints end one after the other, each with eight streams: no entry could tell that one part of the prompts was in all of these crashes, since each saw one or two of the broken answers, and a request whose endpoint had ended was sent on to the next one.

Class of fault: a failure whose cause is in the request was taken for one of the endpoint.

Entries report runs that broke to the leader of the set and to one other entry, with the parts of those that had delivered nothing and how often each was sound. A part is held after two crashes without any sound answer, or three if it was sound before; entries that know sound answers object within 100 ms. A held part is refused everywhere before dispatch and before the first byte; requests that may have caused a crash are not dispatched again. After 60 s, doubled with each relapse, one request of all entries together tests the part. Quarantines are exchanged between entries, so that a new or partitioned entry learns them.

--- a/fronts/callRelay/src/endpointStream.ts
+++ b/fronts/callRelay/src/endpointStream.ts
@@ -11,6 +11,7 @@
   WithholdCause,
 } from '@gentianshunt/entryModel';
 import type {DispatchId} from '@gentianshunt/identifiers';
+import {findQuarantine} from '@gentianshunt/promptQuarantine';
 import type {LoopMonitor} from '@gentianshunt/runtime';
 import {Agent} from 'undici';
 import type {Dispatcher} from 'undici';
@@ -156,6 +157,7 @@
 function findWithholdCause(
   {clock, view}: EndpointStreamOptions,
   {response, dueAt}: OpenCall,
+  request: AdmittedRequest,
   {target}: Dispatch,
 ): WithholdCause | undefined {
   if (response.destroyed) {
@@ -164,7 +166,13 @@
   if (view.withdrawnEndpoints.has(target.endpoint)) {
     return 'endpointLeft';
   }
-  return dueAt <= clock.readMonotonic() ? 'timeLimit' : undefined;
+  const now = clock.readMonotonic();
+  const {quarantines, requests, identity} = view;
+  const self = identity.address.node;
+  if (findQuarantine({quarantines, requests, self, now}, request)) {
+    return 'promptQuarantined';
+  }
+  return dueAt <= now ? 'timeLimit' : undefined;
 }
 
 function postEnd(
@@ -226,7 +234,7 @@
   };
   const resume = (): void => controller?.resume();
   const canSend = (): boolean => {
-    const cause = findWithholdCause(options, call, dispatch);
+    const cause = findWithholdCause(options, call, request, dispatch);
     if (cause === undefined || isEnded) {
       return !isEnded;
     }
--- a/fronts/callRelay/test/lateCalls.test.ts
+++ b/fronts/callRelay/test/lateCalls.test.ts
@@ -6,6 +6,8 @@
   createManualLoop,
   createSystemClock,
 } from '@gentianshunt/runtime';
+import {toIdentifier} from '@gentianshunt/identifiers';
+import type {PromptPartId} from '@gentianshunt/identifiers';
 import t from 'tap';
 
 import {
@@ -175,3 +177,35 @@
     await fixture.close();
   },
 );
+
+t.test(
+  'a call is not sent once a part of its prompt is quarantined',
+  async t => {
+    const loop = createManualLoop(100);
+    const fixture = await createRelayFixture({loop});
+    const endpoint = await createEndpoint();
+    const received = fixture.next('requestReceived');
+    const answered = fixture.call('q1');
+    const {attributes} = await received;
+    const ended = fixture.next('streamEnded');
+    const part = toIdentifier<PromptPartId>('abc');
+    fixture.dispatch({...attributes, promptParts: [part]}, endpoint.url);
+    fixture.quarantines.set(part, {
+      part,
+      set: attributes.set,
+      revision: 1,
+      changedAt: 0,
+      level: 1,
+      crashes: 2,
+      reporters: 2,
+      state: {kind: 'held', from: 0, until: Number.POSITIVE_INFINITY},
+    });
+    loop.finishReading();
+    t.equal(describeEnd((await ended).end), 'withheld promptQuarantined');
+    fixture.fail(attributes);
+    await answered;
+    t.same(endpoint.heads, []);
+    endpoint.close();
+    await fixture.close();
+  },
+);
--- a/fronts/callRelay/test/relayFixture.ts
+++ b/fronts/callRelay/test/relayFixture.ts
@@ -11,6 +11,7 @@
 import type {
   Dispatch,
   EntryObservation,
+  Quarantine,
   RequestAttributes,
   StreamEnd,
 } from '@gentianshunt/entryModel';
@@ -41,6 +42,7 @@
   readonly port: number;
   readonly observations: readonly EntryObservation[];
   readonly withdrawnEndpoints: Map<string, number>;
+  readonly quarantines: Map<string, Quarantine>;
   /** What happened to calls at their connections. */
   readonly steps: readonly CallStep[];
   /** Resolves with the next observation of a kind. */
@@ -171,11 +173,19 @@
     ]),
   );
   const withdrawnEndpoints = new Map<string, number>();
+  const quarantines = new Map<string, Quarantine>();
   const control = {version: 1, leaseUntil: Number.POSITIVE_INFINITY};
   const relay = createCallRelay({
     server,
     protocol: {...protocol, ...changed},
-    view: {configuration, control, withdrawnEndpoints} as never,
+    view: {
+      configuration,
+      control,
+      withdrawnEndpoints,
+      quarantines,
+      requests: new Map(),
+      identity: {address: {node: 'entry-0'}},
+    } as never,
     clock,
     loop,
     post: observation => {
@@ -194,6 +204,7 @@
     observations,
     steps,
     withdrawnEndpoints,
+    quarantines,
     next: kind =>
       new Promise(resolve => waiters.set(kind, resolve as never)) as never,
     call: id => sendCall(port, id),
--- a/fronts/callerFront/src/problem.ts
+++ b/fronts/callerFront/src/problem.ts
@@ -103,6 +103,11 @@
       return {status: 401, title: 'The key is unknown'};
     case 'allotmentUsed':
       return {status: 429, title: 'The token allotment is used up'};
+    case 'promptQuarantined':
+      return {
+        status: 503,
+        title: 'A part of the prompt has ended several endpoints',
+      };
     case 'quotaUndecided':
       return {status: 503, title: 'The token quota cannot be checked now'};
     case 'timeLimit':
--- a/fronts/entryWire/src/entryWire.ts
+++ b/fronts/entryWire/src/entryWire.ts
@@ -8,6 +8,7 @@
   EndpointSetId,
   FailureDomainId,
   IncarnationId,
+  PromptPartId,
 } from '@gentianshunt/identifiers';
 
 import {decodeDemandReport, encodeDemandReport} from './demandReportWire.js';
@@ -21,6 +22,14 @@
   encodeQuotaRequest,
   encodeQuotaUsageReport,
 } from './quotaWire.js';
+import {
+  decodeBrokenRuns,
+  decodeQuarantines,
+  decodeSoundParts,
+  encodeBrokenRuns,
+  encodeQuarantines,
+  encodeSoundParts,
+} from './quarantineWire.js';
 import {MalformedMessageError} from './wireErrors.js';
 import {createWireReader} from './wireReader.js';
 import type {WireReader} from './wireReader.js';
@@ -37,6 +46,10 @@
   allotmentVerdict: 8,
   allotmentUses: 9,
   allotmentInquiry: 10,
+  brokenRunsReported: 11,
+  soundPartsReported: 12,
+  quarantinesReported: 13,
+  quarantineTestRequested: 14,
 } as const satisfies Readonly<Record<EntryMessage['kind'], number>>;
 
 /** Encodes a message between entries as nested arrays. */
@@ -63,6 +76,18 @@
       return [kind, message.set, message.epoch];
     case 'allotmentUses':
       return [kind, ...encodeQuotaUsageReport(message.told)];
+    case 'brokenRunsReported':
+      return [kind, message.set, encodeBrokenRuns(message.runs)];
+    case 'soundPartsReported':
+      return [kind, encodeSoundParts(message.parts)];
+    case 'quarantinesReported':
+      return [
+        kind,
+        message.isReplyRequested ? 1 : 0,
+        encodeQuarantines(message.quarantines),
+      ];
+    case 'quarantineTestRequested':
+      return [kind, message.part];
     default:
       return assertNever(message, 'encodeEntryMessage');
   }
@@ -126,6 +151,28 @@
       };
     case WIRE_KINDS.allotmentUses:
       return {kind: 'allotmentUses', told: decodeQuotaUsageReport(reader)};
+    case WIRE_KINDS.brokenRunsReported:
+      return {
+        kind: 'brokenRunsReported',
+        set: reader.readIdentifier<EndpointSetId>(),
+        runs: decodeBrokenRuns(reader.readList()),
+      };
+    case WIRE_KINDS.soundPartsReported:
+      return {
+        kind: 'soundPartsReported',
+        parts: decodeSoundParts(reader.readList()),
+      };
+    case WIRE_KINDS.quarantinesReported:
+      return {
+        kind: 'quarantinesReported',
+        isReplyRequested: reader.readCount() === 1,
+        quarantines: decodeQuarantines(reader.readList()),
+      };
+    case WIRE_KINDS.quarantineTestRequested:
+      return {
+        kind: 'quarantineTestRequested',
+        part: reader.readIdentifier<PromptPartId>(),
+      };
     default:
       throw new MalformedMessageError(peer, 'unknown message kind');
   }
--- /dev/null
+++ b/fronts/entryWire/src/quarantineWire.ts
@@ -0,0 +1,162 @@
+import type {
+  AnswerProgress,
+  ReportedBrokenRun,
+  ReportedQuarantine,
+  ReportedSoundPart,
+  SuspectPart,
+} from '@gentianshunt/entryModel';
+import {assertNever} from '@gentianshunt/errors';
+import type {
+  EndpointId,
+  EndpointSetId,
+  NodeId,
+  PromptPartId,
+} from '@gentianshunt/identifiers';
+
+import {readRecords} from './wireReader.js';
+import type {WireReader} from './wireReader.js';
+
+/** Decaying counts are sent as whole thousandths. */
+const COUNT_SCALE = 1_000;
+/** The progress of an answer, by its number on the wire. */
+const PROGRESS: readonly AnswerProgress[] = [
+  'awaitingHead',
+  'awaitingFirstEvent',
+  'delivering',
+];
+/** The states of a quarantine, by their numbers on the wire. */
+const STATES = ['held', 'testing', 'lifted'] as const;
+
+/** Encodes broken runs, each as an array. */
+export function encodeBrokenRuns(
+  runs: readonly ReportedBrokenRun[],
+): readonly unknown[] {
+  return runs.map(({endpoint, ageMs, progress, parts}) => [
+    endpoint,
+    Math.round(ageMs),
+    PROGRESS.indexOf(progress),
+    parts.flatMap(encodeSuspectPart),
+  ]);
+}
+
+/** Decodes and validates broken runs. */
+export function decodeBrokenRuns(
+  reader: WireReader,
+): readonly ReportedBrokenRun[] {
+  return readRecords(reader, list => {
+    const run = list.readList();
+    return {
+      endpoint: run.readIdentifier<EndpointId>(),
+      ageMs: run.readCount(),
+      progress: run.readReference(PROGRESS),
+      parts: readRecords(run.readList(), decodeSuspectPart),
+    };
+  });
+}
+
+/** Encodes sound answers by prompt part. */
+export function encodeSoundParts(
+  parts: readonly ReportedSoundPart[],
+): readonly unknown[] {
+  return parts.flatMap(part => [
+    ...encodeSuspectPart(part),
+    part.isUnderQuarantine ? 1 : 0,
+  ]);
+}
+
+/** Decodes and validates sound answers by prompt part. */
+export function decodeSoundParts(
+  reader: WireReader,
+): readonly ReportedSoundPart[] {
+  return readRecords(reader, list => ({
+    ...decodeSuspectPart(list),
+    isUnderQuarantine: list.readCount() === 1,
+  }));
+}
+
+/** Encodes quarantines, each as an array. */
+export function encodeQuarantines(
+  quarantines: readonly ReportedQuarantine[],
+): readonly unknown[] {
+  return quarantines.map(({state, ...quarantine}) => [
+    quarantine.part,
+    quarantine.set,
+    quarantine.revision,
+    Math.round(quarantine.ageMs),
+    quarantine.level,
+    quarantine.crashes,
+    quarantine.reporters,
+    STATES.indexOf(state.kind),
+    Math.round(state.remainingMs),
+    ...encodeStateFields(state),
+  ]);
+}
+
+function encodeStateFields(
+  state: ReportedQuarantine['state'],
+): readonly unknown[] {
+  switch (state.kind) {
+    case 'held':
+      return [Math.round(state.startsInMs)];
+    case 'testing':
+      return [state.tester];
+    case 'lifted':
+      return [];
+    default:
+      return assertNever(state, 'encodeStateFields');
+  }
+}
+
+/** Decodes and validates quarantines. */
+export function decodeQuarantines(
+  reader: WireReader,
+): readonly ReportedQuarantine[] {
+  return readRecords(reader, list => {
+    const quarantine = list.readList();
+    return {
+      part: quarantine.readIdentifier<PromptPartId>(),
+      set: quarantine.readIdentifier<EndpointSetId>(),
+      revision: quarantine.readCount(),
+      ageMs: quarantine.readCount(),
+      level: quarantine.readCount(),
+      crashes: quarantine.readCount(),
+      reporters: quarantine.readCount(),
+      state: decodeState(quarantine),
+    };
+  });
+}
+
+function decodeState(reader: WireReader): ReportedQuarantine['state'] {
+  const kind = reader.readReference(STATES);
+  const remainingMs = reader.readCount();
+  switch (kind) {
+    case 'held':
+      return {kind, remainingMs, startsInMs: reader.readCount()};
+    case 'testing':
+      return {kind, remainingMs, tester: reader.readIdentifier<NodeId>()};
+    case 'lifted':
+      return {kind, remainingMs};
+    default:
+      return assertNever(kind, 'decodeState');
+  }
+}
+
+function encodeSuspectPart({
+  part,
+  lasting,
+  recent,
+}: SuspectPart): readonly unknown[] {
+  return [
+    part,
+    Math.round(lasting * COUNT_SCALE),
+    Math.round(recent * COUNT_SCALE),
+  ];
+}
+
+function decodeSuspectPart(reader: WireReader): SuspectPart {
+  return {
+    part: reader.readIdentifier<PromptPartId>(),
+    lasting: reader.readCount() / COUNT_SCALE,
+    recent: reader.readCount() / COUNT_SCALE,
+  };
+}
--- a/fronts/entryWire/test/entryWire.test.ts
+++ b/fronts/entryWire/test/entryWire.test.ts
@@ -4,7 +4,9 @@
 import type {
   EndpointId,
   EndpointSetId,
+  NodeId,
   OrganisationId,
+  PromptPartId,
   RequestId,
 } from '@gentianshunt/identifiers';
 import fc from 'fast-check';
@@ -28,6 +30,16 @@
   const account = formatQuotaAccount(organisation, 0);
   const countedSlots = {endpoint: target.endpoint, organisation, count: 3};
   const set = toIdentifier<EndpointSetId>('drafts');
+  const part = toIdentifier<PromptPartId>('5c1e07a2');
+  const quarantine = {
+    part,
+    set,
+    revision: 4,
+    ageMs: 30,
+    level: 2,
+    crashes: 3,
+    reporters: 2,
+  };
   return [
     {
       kind: 'demandReport',
@@ -72,6 +84,45 @@
       },
     },
     {kind: 'allotmentInquiry', set, epoch: 3},
+    {
+      kind: 'brokenRunsReported',
+      set,
+      runs: [
+        {
+          endpoint: toIdentifier<EndpointId>('e1'),
+          ageMs: 12,
+          progress: 'awaitingFirstEvent',
+          parts: [{part, lasting: 1.5, recent: 0.5}],
+        },
+        {
+          endpoint: toIdentifier<EndpointId>('e1'),
+          ageMs: 0,
+          progress: 'delivering',
+          parts: [],
+        },
+      ],
+    },
+    {
+      kind: 'soundPartsReported',
+      parts: [{part, lasting: 0.25, recent: 0, isUnderQuarantine: true}],
+    },
+    {
+      kind: 'quarantinesReported',
+      isReplyRequested: true,
+      quarantines: [
+        {...quarantine, state: {kind: 'held', startsInMs: 5, remainingMs: 9}},
+        {
+          ...quarantine,
+          state: {
+            kind: 'testing',
+            tester: toIdentifier<NodeId>('entry-1'),
+            remainingMs: 9,
+          },
+        },
+        {...quarantine, state: {kind: 'lifted', remainingMs: 0}},
+      ],
+    },
+    {kind: 'quarantineTestRequested', part},
     {
       kind: 'allotmentUses',
       told: {
--- a/reports/explain/src/failureCause.ts
+++ b/reports/explain/src/failureCause.ts
@@ -13,6 +13,8 @@
   | {readonly kind: 'allotmentUsed'; readonly organisation: string | undefined}
   /** No owner of the organisation's token quota answered. */
   | {readonly kind: 'quotaUndecided'}
+  /** A part of its prompt has ended several endpoints. */
+  | {readonly kind: 'promptQuarantined'}
   /** The entry had no lease or no configuration, or was draining. */
   | {readonly kind: 'noLease'}
   | {readonly kind: 'overloaded'}
@@ -73,6 +75,8 @@
       };
     case 'quotaUndecided':
       return {kind: 'quotaUndecided'};
+    case 'promptQuarantined':
+      return {kind: 'promptQuarantined'};
     case 'noLease':
     case 'noConfiguration':
     case 'draining':
@@ -127,6 +131,8 @@
       return `organisation ${cause.organisation ?? '(not logged)'} had used up its token quota`;
     case 'quotaUndecided':
       return "no owner of the organisation's token quota answered; see 'setLeaderChanged' of the quota sets";
+    case 'promptQuarantined':
+      return "a part of its prompt has ended several endpoints; see 'promptQuarantineChanged' and 'answerBroken'";
     case 'noLease':
       return 'the entry could not take requests: no lease, no configuration, or it was stopping';
     case 'overloaded':
--- a/scheduling/entryModel/src/decision.ts
+++ b/scheduling/entryModel/src/decision.ts
@@ -10,6 +10,7 @@
 } from '@gentianshunt/identifiers';
 
 import type {AnswerProgress} from './observation.js';
+import type {QuarantineState} from './promptQuarantine.js';
 import type {EndpointRecord} from './endpointRecord.js';
 
 /** A decision or a state change of an entry, with its inputs, for the log. */
@@ -81,6 +82,19 @@
       readonly sinceDispatchMs: Milliseconds;
       readonly promptParts: readonly PromptPartId[];
     }
+  | {
+      /** The quarantine of a prompt part was decided or learnt. */
+      readonly kind: 'promptQuarantineChanged';
+      readonly part: PromptPartId;
+      readonly set: EndpointSetId;
+      readonly state: QuarantineState['kind'];
+      /** This entry, or the one that reported it. */
+      readonly learntFrom: NodeId;
+      readonly crashes: number;
+      readonly reporters: number;
+      readonly level: number;
+      readonly remainingMs: Milliseconds;
+    }
   | {
       readonly kind: 'leaseLost';
       readonly leader: NodeId | null;
--- a/scheduling/entryModel/src/entryMessage.ts
+++ b/scheduling/entryModel/src/entryMessage.ts
@@ -6,8 +6,14 @@
   GrantId,
   NodeId,
   OrganisationId,
+  PromptPartId,
 } from '@gentianshunt/identifiers';
 
+import type {
+  ReportedBrokenRun,
+  ReportedQuarantine,
+  ReportedSoundPart,
+} from './promptQuarantine.js';
 import type {QuotaDecision, QuotaRequest, QuotaUsageReport} from './quota.js';
 import type {EndpointAnnouncement} from './endpoint.js';
 import type {EndpointTarget} from './request.js';
@@ -181,7 +187,27 @@
       readonly set: EndpointSetId;
       readonly epoch: number;
     }
-  | {readonly kind: 'allotmentUses'; readonly told: QuotaUsageReport};
+  | {readonly kind: 'allotmentUses'; readonly told: QuotaUsageReport}
+  | {
+      /** Requests of a set that were at endpoints which failed. */
+      readonly kind: 'brokenRunsReported';
+      readonly set: EndpointSetId;
+      readonly runs: readonly ReportedBrokenRun[];
+    }
+  | {
+      readonly kind: 'soundPartsReported';
+      readonly parts: readonly ReportedSoundPart[];
+    }
+  | {
+      readonly kind: 'quarantinesReported';
+      readonly quarantines: readonly ReportedQuarantine[];
+      readonly isReplyRequested: boolean;
+    }
+  | {
+      /** Asks for permission to run one request with a quarantined part. */
+      readonly kind: 'quarantineTestRequested';
+      readonly part: PromptPartId;
+    };
 
 /** Slots an entry may use until their deadline. */
 export interface Slot {
--- a/scheduling/entryModel/src/index.ts
+++ b/scheduling/entryModel/src/index.ts
@@ -11,6 +11,7 @@
 export * from './loggedState.js';
 export * from './observation.js';
 export * from './overload.js';
+export * from './promptQuarantine.js';
 export * from './quota.js';
 export * from './quotaAccount.js';
 export * from './request.js';
--- a/scheduling/entryModel/src/observation.ts
+++ b/scheduling/entryModel/src/observation.ts
@@ -44,6 +44,8 @@
   | 'callerGone'
   /** The time limit of the request has passed. */
   | 'timeLimit'
+  /** A part of the prompt was quarantined after the dispatch. */
+  | 'promptQuarantined'
   /** The endpoint left after the request was dispatched. */
   | 'endpointLeft';
 
--- /dev/null
+++ b/scheduling/entryModel/src/promptQuarantine.ts
@@ -0,0 +1,132 @@
+// Prompt parts that may crash endpoints: evidence, decisions and messages.
+import type {Milliseconds, MonotonicTime} from '@gentianshunt/clock';
+import type {
+  EndpointId,
+  EndpointSetId,
+  NodeId,
+  PromptPartId,
+} from '@gentianshunt/identifiers';
+
+import type {AnswerProgress} from './observation.js';
+
+/** Decaying counts of sound answers to requests with a prompt part. */
+export interface SoundRuns {
+  /** Decays slowly: whether the part was ever sound. */
+  readonly lasting: number;
+  /** Decays fast: whether the part is sound now. */
+  readonly recent: number;
+}
+
+/** Counts of sound answers at an instant. */
+export interface SoundUse extends SoundRuns {
+  readonly at: MonotonicTime;
+}
+
+/** Identifies the sound answers that one entry reported. */
+export interface SoundPartKey {
+  readonly part: PromptPartId;
+  readonly node: NodeId;
+}
+
+/** A prompt part, and the sound answers with it at one entry. */
+export interface SuspectPart extends SoundRuns {
+  readonly part: PromptPartId;
+}
+
+/** A request that was at an endpoint when the connection failed. */
+export interface BrokenRun {
+  readonly set: EndpointSetId;
+  readonly endpoint: EndpointId;
+  readonly at: MonotonicTime;
+  readonly progress: AnswerProgress;
+  /** Empty if the answer had delivered events. */
+  readonly parts: readonly SuspectPart[];
+}
+
+/** A broken run in a message. */
+export interface ReportedBrokenRun extends Omit<BrokenRun, 'set' | 'at'> {
+  readonly ageMs: Milliseconds;
+}
+
+/** An endpoint that failed while it ran requests, and these requests. */
+export interface EndpointCrash {
+  readonly endpoint: EndpointId;
+  readonly at: MonotonicTime;
+  readonly runs: readonly CrashedRun[];
+}
+
+/** A request that a crash ended, as reported by its entry. */
+export interface CrashedRun {
+  readonly reporter: NodeId;
+  readonly progress: AnswerProgress;
+  readonly parts: readonly SuspectPart[];
+}
+
+/** What is decided of a prompt part that crashes endpoints. */
+export type QuarantineState =
+  | {
+      /** Requests with the part are refused. */
+      readonly kind: 'held';
+      /** Until then, entries that know sound answers may object. */
+      readonly from: MonotonicTime;
+      /** When the part may be tested. */
+      readonly until: MonotonicTime;
+    }
+  | {
+      /** One request with the part may run, at one entry. */
+      readonly kind: 'testing';
+      readonly tester: NodeId;
+      readonly until: MonotonicTime;
+    }
+  /** Remembered, so that a relapse is held for longer. */
+  | {readonly kind: 'lifted'; readonly until: MonotonicTime};
+
+/** The quarantine of a prompt part. */
+export interface Quarantine {
+  readonly part: PromptPartId;
+  /** The set whose endpoints crashed. */
+  readonly set: EndpointSetId;
+  /** Rises with each decision; the highest one holds. */
+  readonly revision: number;
+  readonly changedAt: MonotonicTime;
+  /** How often the part has been held. */
+  readonly level: number;
+  /** Crashes that led to the decision. */
+  readonly crashes: number;
+  /** Entries that reported them. */
+  readonly reporters: number;
+  readonly state: QuarantineState;
+}
+
+/** A quarantine in a message: its instants relative to the sending. */
+export interface ReportedQuarantine extends Omit<
+  Quarantine,
+  'changedAt' | 'state'
+> {
+  readonly ageMs: Milliseconds;
+  readonly state:
+    | {
+        readonly kind: 'held';
+        readonly startsInMs: Milliseconds;
+        readonly remainingMs: Milliseconds;
+      }
+    | {
+        readonly kind: 'testing';
+        readonly tester: NodeId;
+        readonly remainingMs: Milliseconds;
+      }
+    | {readonly kind: 'lifted'; readonly remainingMs: Milliseconds};
+}
+
+/** Sound answers that speak against the quarantine of a part. */
+export interface ReportedSoundPart extends SuspectPart {
+  /** Whether one of them was given under the quarantine. */
+  readonly isUnderQuarantine: boolean;
+}
+
+/** How this entry exchanges quarantines with others. */
+export interface QuarantineExchange {
+  /** Whether it has requested the quarantines that others know. */
+  readonly hasRequested: boolean;
+  readonly sentAt: MonotonicTime;
+}
--- a/scheduling/entryModel/src/request.ts
+++ b/scheduling/entryModel/src/request.ts
@@ -187,6 +187,8 @@
   | {readonly kind: 'unknownKey'}
   /** The token quota of the organisation does not cover the request. */
   | {readonly kind: 'allotmentUsed'}
+  /** A part of its prompt crashes endpoints. */
+  | {readonly kind: 'promptQuarantined'}
   /** No owner of the token quota answered. */
   | {readonly kind: 'quotaUndecided'}
   | {readonly kind: 'timeLimit'}
--- a/scheduling/entryModel/src/sections.ts
+++ b/scheduling/entryModel/src/sections.ts
@@ -33,10 +33,19 @@
   Identifier,
   NodeId,
   OrganisationId,
+  PromptPartId,
   QuotaAccountId,
   RequestId,
 } from '@gentianshunt/identifiers';
 
+import type {
+  BrokenRun,
+  EndpointCrash,
+  Quarantine,
+  QuarantineExchange,
+  SoundPartKey,
+  SoundUse,
+} from './promptQuarantine.js';
 import type {
   EntryQuotaKey,
   EntryQuotaUsage,
@@ -366,6 +375,21 @@
     endpointHealth: defineMap<EndpointId, EndpointHealth>(),
     patience: defineMap<RequestClass, PatienceRecord>(),
     shedding: defineMap<EndpointSetId, boolean>(),
+    /** Prompt parts with sound answers of this entry. */
+    soundParts: defineMap<PromptPartId, SoundUse>(),
+    /** This entry's requests that failed endpoints ended, the latest last. */
+    brokenRuns: defineCell<readonly BrokenRun[]>([]),
+    /** Failed endpoints that entries reported to this one, the latest last. */
+    endpointCrashes: defineCell<readonly EndpointCrash[]>([]),
+    /** Sound answers that entries reported to this one. */
+    reportedSoundParts: defineOrdered<SoundPartKey, SoundUse>(
+      compareBy('part', 'node'),
+    ),
+    quarantines: defineMap<PromptPartId, Quarantine>(),
+    quarantineExchange: defineCell<QuarantineExchange>({
+      hasRequested: false,
+      sentAt: Number.NEGATIVE_INFINITY,
+    }),
     commands: defineMap<RequestId, PendingCommand>(),
     queries: defineMap<RequestId, PendingQuery>(),
     replacements: defineMap<RequestId, PendingReplacement>(),
--- a/scheduling/entryNode/src/entryNode.ts
+++ b/scheduling/entryNode/src/entryNode.ts
@@ -27,7 +27,10 @@
   createRateController,
 } from '@gentianshunt/learning';
 import {createLifecycleController} from '@gentianshunt/lifecycle';
-import {createBrokenAnswerController} from '@gentianshunt/promptQuarantine';
+import {
+  createPromptEvidenceController,
+  createQuarantineController,
+} from '@gentianshunt/promptQuarantine';
 import {
   createQuotaOwnerController,
   createUsageReportController,
@@ -79,9 +82,10 @@
     createEndpointOrderController(),
     createGrantReplyController(),
     createPatienceController(),
+    createPromptEvidenceController(),
     createRateController(),
     createHealthController(),
-    createBrokenAnswerController(),
+    createQuarantineController(),
     createLifecycleController(),
     createArrivalController(),
     createSetUseController(),
--- a/scheduling/lifecycle/src/admitRequest.ts
+++ b/scheduling/lifecycle/src/admitRequest.ts
@@ -13,6 +13,9 @@
 } from '@gentianshunt/entryModel';
 import {computeWaitingLimit} from '@gentianshunt/limits';
 
+import {computeQuarantineRetry} from '@gentianshunt/promptQuarantine';
+
+import {findRequestQuarantine} from './quarantinedRequests.js';
 import {consumeQuota, hasQuota} from './quota.js';
 import type {LifecycleView, RequestDraft} from './requestDraft.js';
 import {refillRetryBudget} from './retries.js';
@@ -35,6 +38,12 @@
     refuse(draft, attributes, reason, TRANSIENT_RETRY_AFTER_MS);
     return;
   }
+  const quarantine = findRequestQuarantine(view, attributes, now);
+  if (quarantine !== undefined) {
+    const retryAfterMs = computeQuarantineRetry(quarantine, now.monotonic);
+    refuse(draft, attributes, {kind: 'promptQuarantined'}, retryAfterMs);
+    return;
+  }
   const checked = checkAttributes(view, attributes);
   if (checked.kind === 'refused') {
     refuse(draft, attributes, checked.reason, null);
--- a/scheduling/lifecycle/src/lifecycleController.ts
+++ b/scheduling/lifecycle/src/lifecycleController.ts
@@ -8,6 +8,7 @@
 import {handleClaimAnswer, resendClaimRequests} from './claims.js';
 import {handleMatches, handleShedInstructions} from './matches.js';
 import {checkWaitingTimes} from './waitingTimes.js';
+import {refuseQueuedQuarantined} from './quarantinedRequests.js';
 import {createRequestDraft} from './requestDraft.js';
 import type {
   LifecycleReads,
@@ -45,6 +46,8 @@
       'matches',
       'acceptedReply',
       'withdrawnEndpoints',
+      'quarantines',
+      'soundParts',
       'openClaims',
       'claimCompletions',
       'silenceDeadlines',
@@ -137,6 +140,7 @@
         resendClaimRequests(view, draft, now);
         resendCompletions(view, draft, now);
         endSilentStreams(view, draft, now);
+        refuseQueuedQuarantined(view, draft, now);
         checkWaitingTimes(view, draft, now);
       }
       return;
--- a/scheduling/lifecycle/src/matches.ts
+++ b/scheduling/lifecycle/src/matches.ts
@@ -14,6 +14,10 @@
 import {requestClaim} from './claims.js';
 import {describeShed} from './describeShed.js';
 import {endRequest, startDispatch} from './endRequest.js';
+import {
+  findRequestQuarantine,
+  refuseQuarantined,
+} from './quarantinedRequests.js';
 import {canRetry} from './retries.js';
 import type {LifecycleView, RequestDraft} from './requestDraft.js';
 import {completeClaim} from './claimCompletions.js';
@@ -43,6 +47,11 @@
   now: TurnTime,
 ): void {
   const {request} = state;
+  const quarantine = findRequestQuarantine(view, request, now);
+  if (quarantine !== undefined) {
+    refuseQuarantined(view, draft, state, quarantine, now);
+    return;
+  }
   const isRetryable =
     request.isIdempotent === true && canRetry(view, draft, request, now);
   const dispatch: Dispatch = {
--- a/scheduling/lifecycle/src/requestDraft.ts
+++ b/scheduling/lifecycle/src/requestDraft.ts
@@ -52,7 +52,9 @@
   | 'configuration'
   | 'matches'
   | 'acceptedReply'
-  | 'withdrawnEndpoints';
+  | 'withdrawnEndpoints'
+  | 'quarantines'
+  | 'soundParts';
 
 /** The board as the lifecycle controller sees it. */
 export type LifecycleView = View<
--- a/scheduling/lifecycle/src/streams.ts
+++ b/scheduling/lifecycle/src/streams.ts
@@ -14,6 +14,7 @@
 import {TRANSIENT_RETRY_AFTER_MS} from './admitRequest.js';
 import {endRequest} from './endRequest.js';
 import {failRequest} from './failRequest.js';
+import {isSuspected} from './quarantinedRequests.js';
 import {canRetry, requeueForRetry, requeueIfRetryable} from './retries.js';
 import type {LifecycleView, RequestDraft} from './requestDraft.js';
 import {completeClaim} from './claimCompletions.js';
@@ -209,8 +210,11 @@
   now: TurnTime,
 ): void {
   const {request} = state;
-  const canContinue =
+  const isOpen =
     state.kind === 'dispatched' || request.routePolicy?.isResumable === true;
+  const mayBeCause =
+    end.progress !== 'delivering' && isSuspected(view, request, now);
+  const canContinue = isOpen && !mayBeCause;
   if (canContinue && requeueIfRetryable(view, draft, state, now)) {
     return;
   }
--- a/scheduling/lifecycle/src/unsentStreams.ts
+++ b/scheduling/lifecycle/src/unsentStreams.ts
@@ -58,7 +58,8 @@
       endRequest(draft, state, {kind: 'abandonedWaiting'}, now);
       return;
     case 'timeLimit':
-      refuseExpired(view, draft, state, end, now);
+    case 'promptQuarantined':
+      refuseUnsendable(view, draft, state, end, end.cause, now);
       return;
     case 'endpointLeft':
       handleNotSent(
@@ -74,15 +75,16 @@
   }
 }
 
-/** Refuses a request whose time limit passed before it was sent. */
-function refuseExpired(
+/** Refuses a request that must not be sent any more. */
+function refuseUnsendable(
   view: LifecycleView,
   draft: RequestDraft,
   state: DispatchedState,
   end: WithheldEnd,
+  kind: 'timeLimit' | 'promptQuarantined',
   now: TurnTime,
 ): void {
-  const reason = {kind: 'timeLimit'} as const;
+  const reason = {kind};
   if (state.kind === 'answering' || hasEarlierRun(state)) {
     const refusal = failDispatched(state.request.id, reason);
     failRequest(view, draft, state, refusal, {kind: 'unknown'}, now);
--- /dev/null
+++ b/scheduling/promptQuarantine/src/reportedSoundParts.ts
@@ -0,0 +1,68 @@
+/** Counts of sound answers that other entries reported to this one. */
+import {compareBy, createOrderedDraft} from '@gentianshunt/board';
+import type {TurnTime} from '@gentianshunt/board';
+import type {SoundPartKey, SuspectPart} from '@gentianshunt/entryModel';
+import type {NodeId} from '@gentianshunt/identifiers';
+
+import type {SoundCounter} from './decideSuspects.js';
+import type {QuarantineView, SoundPartsDraft} from './quarantineView.js';
+import {decaySoundUse, sumSoundRuns} from './soundUse.js';
+
+/** Most counts of sound answers that an entry keeps of others. */
+const MAX_REPORTED_SOUND_PARTS = 2_048;
+/** Smaller counts of sound answers are dropped. */
+const MIN_SOUND_RUNS = 0.01;
+
+/** Replaces the counts of sound answers that an entry has reported. */
+export function recordSoundParts(
+  {board}: QuarantineView,
+  node: NodeId,
+  parts: readonly SuspectPart[],
+  now: TurnTime,
+): SoundPartsDraft {
+  const draft = createOrderedDraft({
+    view: board.reportedSoundParts,
+    compare: compareBy('part', 'node'),
+  });
+  for (const {part, lasting, recent} of parts) {
+    const isKnown = draft.get({part, node}) !== undefined;
+    if (isKnown || draft.size < MAX_REPORTED_SOUND_PARTS) {
+      draft.put({part, node}, {lasting, recent, at: now.monotonic});
+    }
+  }
+  return draft;
+}
+
+/** Counts the sound answers of this entry and those that were reported. */
+export function createSoundCounter(
+  {board}: QuarantineView,
+  reported: SoundPartsDraft,
+  now: TurnTime,
+): SoundCounter {
+  const self = board.identity.address.node;
+  return part => {
+    const counts = [decaySoundUse(board.soundParts.get(part), now.monotonic)];
+    const first = {part, node: '' as NodeId};
+    for (const {key, value} of reported.iterateFrom(first)) {
+      if (key.part !== part) {
+        break;
+      }
+      if (key.node !== self) {
+        counts.push(decaySoundUse(value, now.monotonic));
+      }
+    }
+    return sumSoundRuns(counts);
+  };
+}
+
+/** Lists the counts that have decayed. */
+export function listFadedSoundParts(
+  soundParts: QuarantineView['board']['reportedSoundParts'],
+  now: TurnTime,
+): readonly SoundPartKey[] {
+  return [...soundParts.iterateFrom()]
+    .filter(
+      ({value}) => decaySoundUse(value, now.monotonic).lasting < MIN_SOUND_RUNS,
+    )
+    .map(({key}) => key);
+}
--- a/scheduling/slotContract/test/crashingPromptPart.test.ts
+++ b/scheduling/slotContract/test/crashingPromptPart.test.ts
@@ -1,3 +1,4 @@
+import {FIRST_HOLD_MS} from '@gentianshunt/promptQuarantine';
 import t from 'tap';
 
 import {createCrashingSet, DEADLY_PART} from './crashingSet.js';
@@ -39,6 +40,18 @@
   return begun.length / sound.length;
 }
 
+/** Counts answers that were refused for a quarantined part, by requests. */
+function countRefused({sent, refusals}: CrashingSet, deadly: boolean): number {
+  const refused = new Set(
+    refusals
+      .filter(({reason}) => reason === 'promptQuarantined')
+      .map(({request}) => request),
+  );
+  return sent.filter(
+    request => refused.has(request.request) && isDeadly(request) === deadly,
+  ).length;
+}
+
 for (const size of sizes) {
   t.test(
     `a prompt part that crashes endpoints stops reaching them: ${size.entries} entries`,
@@ -62,6 +75,68 @@
         after >= MIN_BEGUN_RATIO * before,
         `${after} of the sound requests begin, ${before} before`,
       );
+      t.equal(countRefused(set, false), 0, 'no sound request is held');
     },
   );
 }
+
+t.test(
+  'a crashing part stays known when the set leader is lost after two crashes',
+  async t => {
+    const size = sizes[0]!;
+    const lost = new Set<string>();
+    const set = createCrashingSet({
+      ...size,
+      deadlyShare: 0.02,
+      isLost: ({from, to}) => lost.has(from) || lost.has(to),
+    });
+    set.isDeadly = false;
+    set.runArrivals(WARM_UP_MS);
+    set.isDeadly = true;
+    while (set.crashedAt.length < 1) {
+      set.runArrivals(100);
+    }
+    lost.add(set.nodes[0]!);
+    set.entries.find(set.nodes[0]!).freeze();
+    set.runArrivals(CONTACT_MS);
+    set.moveLeader(set.nodes[1]!);
+    set.runArrivals(DAY_MS);
+    t.ok(
+      countLate(set) <= MAX_LATE_REQUESTS,
+      `${countLate(set)} late, ${set.crashedAt.length} crashes`,
+    );
+  },
+);
+
+t.test('endpoints that are killed hold no prompt part', async t => {
+  for (const seed of [1, 2, 3]) {
+    const size = sizes[0]!;
+    const set = createCrashingSet({...size, deadlyShare: 0, seed});
+    set.runArrivals(WARM_UP_MS);
+    for (let kill = 0; kill < 24; kill += 1) {
+      set.kill(kill % size.endpoints);
+      set.runArrivals(kill % 4 === 0 ? 2_000 : 150);
+    }
+    t.equal(countRefused(set, false), 0, `seed ${seed}`);
+  }
+});
+
+t.test(
+  'a held part is tested once a period, by all entries together',
+  async t => {
+    const size = sizes[0]!;
+    const set = createCrashingSet({...size, deadlyShare: 0.02});
+    set.isDeadly = false;
+    set.runArrivals(WARM_UP_MS);
+    set.isDeadly = true;
+    set.runArrivals(DAY_MS);
+    const crashes = set.crashedAt.length;
+    set.runArrivals(FIRST_HOLD_MS);
+    t.equal(set.crashedAt.length, crashes + 1, 'the first test');
+    set.isDeadly = false;
+    set.runArrivals(2 * FIRST_HOLD_MS + DAY_MS);
+    const last = set.sent.filter(isDeadly).at(-1)!;
+    set.runArrivals(1_000);
+    t.ok(set.begun.has(last.request), 'served again after the second test');
+  },
+);
