--- a/language/queries/src/tables.ts
+++ b/language/queries/src/tables.ts
@@ -8,6 +8,7 @@
   TIERS_TABLE,
 } from './configurationTables.js';
 import {COMMANDS_TABLE, COUNTS_TABLE, RECENT_TABLE} from './controlTables.js';
+import {QUARANTINES_TABLE} from './quarantineTable.js';
 import {
   REFUSED_TABLE,
   REQUESTS_TABLE,
@@ -23,6 +24,7 @@
   REFUSED_TABLE,
   REQUESTS_TABLE,
   ENDPOINTS_TABLE,
+  QUARANTINES_TABLE,
   ENTRIES_TABLE,
   ORGANISATIONS_TABLE,
   TIERS_TABLE,
