Log the request rates that endpoints name in their answers

No line told whether an answer had named a limit, so that a limit that nobody reads could not be told from one that does not reach the set leader. The head of an answer is read once, and what the endpoint states about itself is recorded and logged when it changes (endpointLimitNamed).

--- a/fronts/callRelay/src/answerAction.ts
+++ b/fronts/callRelay/src/answerAction.ts
@@ -4,7 +4,7 @@
   StreamEnd,
 } from '@gentianshunt/entryModel';
 
-import type {AnswerHead, CallProtocol} from './callProtocol.js';
+import type {AnswerAttributes, AnswerHead} from './callProtocol.js';
 import type {OpenCall} from './callTable.js';
 import {findHeader} from './headers.js';
 
@@ -22,14 +22,13 @@
 
 /** Decides how an answer is handled. */
 export function decideAnswerAction(
-  {protocol}: {readonly protocol: CallProtocol},
+  attributes: AnswerAttributes,
   call: OpenCall,
   request: AdmittedRequest,
   dispatch: Dispatch,
   head: AnswerHead,
 ): AnswerAction {
   const {status} = head;
-  const attributes = protocol.readAnswer(head);
   // An endpoint may repeat any answer to an earlier call, also a refusal.
   if (attributes.call !== null && attributes.call !== request.id) {
     return {kind: 'foreign'};
--- a/fronts/callRelay/src/callProtocol.ts
+++ b/fronts/callRelay/src/callProtocol.ts
@@ -2,6 +2,7 @@
 import type {
   AdmittedRequest,
   Dispatch,
+  EndpointSignals,
   Refusal,
 } from '@gentianshunt/entryModel';
 import type {RequestId} from '@gentianshunt/identifiers';
@@ -47,6 +48,7 @@
   readonly isNotExecuted: boolean;
   /** Whether it carries the endpoint's seal, which marks a genuine answer. */
   readonly isAuthentic: boolean;
+  readonly signals: EndpointSignals;
 }
 
 /** An answer that the scheduler creates itself. */
--- a/fronts/callRelay/src/endpointStream.ts
+++ b/fronts/callRelay/src/endpointStream.ts
@@ -8,21 +8,22 @@
   EntryObservation,
   EntrySections,
   StreamEnd,
-  WithholdCause,
 } from '@gentianshunt/entryModel';
 import type {DispatchId} from '@gentianshunt/identifiers';
-import {findQuarantine} from '@gentianshunt/promptQuarantine';
 import type {LoopMonitor} from '@gentianshunt/runtime';
 import {Agent} from 'undici';
 import type {Dispatcher} from 'undici';
 
 import {decideAnswerAction} from './answerAction.js';
+import type {AnswerAction} from './answerAction.js';
 import {createAnswerWriter} from './answerWriter.js';
 import type {AnswerWriter} from './answerWriter.js';
-import type {CallProtocol} from './callProtocol.js';
+import type {AnswerHead, CallProtocol} from './callProtocol.js';
 import type {CallStep, SentCall} from './callStep.js';
 import type {CallTable, OpenCall} from './callTable.js';
 import {createProgressTracker} from './progressTracker.js';
+import {createTokenReporter, reportSignals} from './streamReports.js';
+import {findWithholdCause} from './withholdCause.js';
 import {createDroppedBody, UnboundedAnswerError} from './droppedBody.js';
 import type {DroppedBody} from './droppedBody.js';
 import {guardCall} from './guardCall.js';
@@ -39,8 +40,6 @@
 const HEAD_OVERFLOW_CODE = 'UND_ERR_HEADERS_OVERFLOW';
 const FIRST_FINAL_STATUS = 200;
 const SUCCESS = 200;
-/** Shortest time between two reports of the token count of a stream. */
-export const TOKEN_REPORT_INTERVAL_MS = 250;
 
 /** Options of the streams from endpoints. */
 export interface EndpointStreamOptions {
@@ -153,28 +152,6 @@
   };
 }
 
-/** Finds a reason why a dispatched call must not be sent any more. */
-function findWithholdCause(
-  {clock, view}: EndpointStreamOptions,
-  {response, dueAt}: OpenCall,
-  request: AdmittedRequest,
-  {target}: Dispatch,
-): WithholdCause | undefined {
-  if (response.destroyed) {
-    return 'callerGone';
-  }
-  if (view.withdrawnEndpoints.has(target.endpoint)) {
-    return 'endpointLeft';
-  }
-  const now = clock.readMonotonic();
-  const {quarantines, requests, identity} = view;
-  const self = identity.address.node;
-  if (findQuarantine({quarantines, requests, self, now}, request)) {
-    return 'promptQuarantined';
-  }
-  return dueAt <= now ? 'timeLimit' : undefined;
-}
-
 function postEnd(
   {post}: EndpointStreamOptions,
   dispatch: Dispatch,
@@ -228,6 +205,12 @@
     const error = new UnboundedAnswerError(step, url, detail);
     options.onStep({kind: 'answerUnbounded', error});
   };
+  const discard = (started: Dispatcher.DispatchController): BodyHandling => ({
+    kind: 'discard',
+    drop: createDroppedBody(started, detail =>
+      reportUnbounded('dropBody', detail),
+    ),
+  });
   const abort = (detail: string): void => {
     end({kind: 'cut', detail, events: 0, progress: progress.read()});
     controller?.abort(new Error(detail));
@@ -275,13 +258,7 @@
         }
         progress.recordHead();
         const head = {status, headers: readRawHeaders(started)};
-        const action = decideAnswerAction(
-          options,
-          call,
-          request,
-          dispatch,
-          head,
-        );
+        const action = readHead(options, {call, request, dispatch}, head);
         switch (action.kind) {
           case 'pass':
             handling = {
@@ -297,12 +274,7 @@
             abort('the answer belongs to another call');
             return;
           case 'ended':
-            handling = {
-              kind: 'discard',
-              drop: createDroppedBody(started, detail =>
-                reportUnbounded('dropBody', detail),
-              ),
-            };
+            handling = discard(started);
             end(action.end);
             return;
         }
@@ -358,6 +330,17 @@
   };
 }
 
+/** Reports what the head of an answer states and decides how to handle it. */
+function readHead(
+  options: EndpointStreamOptions,
+  {call, request, dispatch}: Omit<StreamOptions, 'onEnded'>,
+  head: AnswerHead,
+): AnswerAction {
+  const attributes = options.protocol.readAnswer(head);
+  reportSignals(options, request, dispatch, attributes);
+  return decideAnswerAction(attributes, call, request, dispatch, head);
+}
+
 function isResumable({routePolicy, isIdempotent}: AdmittedRequest): boolean {
   return routePolicy?.isResumable === true && isIdempotent === true;
 }
@@ -386,26 +369,3 @@
     ? {kind: 'notSent', detail: code}
     : {kind: 'cut', detail: code ?? error.message, events: 0, progress};
 }
-
-/**
- * Reports the first byte, and at intervals how many chunks have arrived; each
- * chunk counts as one token.
- */
-function createTokenReporter(
-  {clock, post}: EndpointStreamOptions,
-  {id: dispatch}: Dispatch,
-): () => void {
-  let reportedAt: number | undefined;
-  let chunks = 0;
-  return () => {
-    const now = clock.readMonotonic();
-    chunks += 1;
-    if (reportedAt === undefined) {
-      post({kind: 'streamStarted', dispatch});
-    } else if (now - reportedAt < TOKEN_REPORT_INTERVAL_MS) {
-      return;
-    }
-    reportedAt = now;
-    post({kind: 'tokensStreamed', dispatch, answerTokens: chunks});
-  };
-}
--- /dev/null
+++ b/fronts/callRelay/src/streamReports.ts
@@ -0,0 +1,46 @@
+/** Posts what an endpoint's answer shows while it arrives. */
+import {hasSignals} from '@gentianshunt/entryModel';
+import type {AdmittedRequest, Dispatch} from '@gentianshunt/entryModel';
+
+import type {AnswerAttributes} from './callProtocol.js';
+import type {EndpointStreamOptions} from './endpointStream.js';
+
+/** Shortest time between two reports of the token count of a stream. */
+const TOKEN_REPORT_INTERVAL_MS = 250;
+
+/** Posts what an endpoint states about itself, and when it ceases to. */
+export function reportSignals(
+  {view, post}: EndpointStreamOptions,
+  request: AdmittedRequest,
+  {id: dispatch, target}: Dispatch,
+  {call, signals}: AnswerAttributes,
+): void {
+  const known = view.namedLimits.get(target.endpoint);
+  const isNews = hasSignals(signals) || (known?.perSecond ?? null) !== null;
+  if (call === request.id && isNews) {
+    post({kind: 'endpointSignalled', dispatch, signals});
+  }
+}
+
+/**
+ * Reports the first byte, and at intervals how many chunks have arrived; each
+ * chunk counts as one token.
+ */
+export function createTokenReporter(
+  {clock, post}: EndpointStreamOptions,
+  {id: dispatch}: Dispatch,
+): () => void {
+  let reportedAt: number | undefined;
+  let chunks = 0;
+  return () => {
+    const now = clock.readMonotonic();
+    chunks += 1;
+    if (reportedAt === undefined) {
+      post({kind: 'streamStarted', dispatch});
+    } else if (now - reportedAt < TOKEN_REPORT_INTERVAL_MS) {
+      return;
+    }
+    reportedAt = now;
+    post({kind: 'tokensStreamed', dispatch, answerTokens: chunks});
+  };
+}
--- /dev/null
+++ b/fronts/callRelay/src/withholdCause.ts
@@ -0,0 +1,31 @@
+import type {
+  AdmittedRequest,
+  Dispatch,
+  WithholdCause,
+} from '@gentianshunt/entryModel';
+import {findQuarantine} from '@gentianshunt/promptQuarantine';
+
+import type {OpenCall} from './callTable.js';
+import type {EndpointStreamOptions} from './endpointStream.js';
+
+/** Finds a reason why a dispatched call must not be sent any more. */
+export function findWithholdCause(
+  {clock, view}: EndpointStreamOptions,
+  {response, dueAt}: OpenCall,
+  request: AdmittedRequest,
+  {target}: Dispatch,
+): WithholdCause | undefined {
+  if (response.destroyed) {
+    return 'callerGone';
+  }
+  if (view.withdrawnEndpoints.has(target.endpoint)) {
+    return 'endpointLeft';
+  }
+  const now = clock.readMonotonic();
+  const {quarantines, requests, identity} = view;
+  const self = identity.address.node;
+  if (findQuarantine({quarantines, requests, self, now}, request)) {
+    return 'promptQuarantined';
+  }
+  return dueAt <= now ? 'timeLimit' : undefined;
+}
--- a/fronts/callRelay/test/relayFixture.ts
+++ b/fronts/callRelay/test/relayFixture.ts
@@ -7,7 +7,7 @@
 import type {Clock} from '@gentianshunt/clock';
 import {formatObjectKey} from '@gentianshunt/configuration';
 import type {ConfigurationObject} from '@gentianshunt/configuration';
-import {failDispatched} from '@gentianshunt/entryModel';
+import {failDispatched, NO_SIGNALS} from '@gentianshunt/entryModel';
 import type {
   Dispatch,
   EntryObservation,
@@ -97,6 +97,7 @@
     call: (findHeader(headers, 'x-call') ?? null) as RequestId | null,
     isNotExecuted: findHeader(headers, 'x-not-executed') !== undefined,
     isAuthentic: findHeader(headers, 'x-proof') !== undefined,
+    signals: NO_SIGNALS,
   }),
   formatRefusal: ({notRun, reason}) => ({
     status: notRun ? 503 : 502,
@@ -183,6 +184,7 @@
       control,
       withdrawnEndpoints,
       quarantines,
+      namedLimits: new Map(),
       requests: new Map(),
       identity: {address: {node: 'entry-0'}},
     } as never,
--- a/scheduling/entryModel/src/decision.ts
+++ b/scheduling/entryModel/src/decision.ts
@@ -82,6 +82,14 @@
       readonly sinceDispatchMs: Milliseconds;
       readonly promptParts: readonly PromptPartId[];
     }
+  | {
+      /** An endpoint named a limit in an answer, another one, or none again. */
+      readonly kind: 'endpointLimitNamed';
+      readonly set: EndpointSetId;
+      readonly endpoint: EndpointId;
+      readonly perSecond: number | null;
+      readonly before: number | null;
+    }
   | {
       /** The quarantine of a prompt part was decided or learnt. */
       readonly kind: 'promptQuarantineChanged';
--- /dev/null
+++ b/scheduling/entryModel/src/endpointSignals.ts
@@ -0,0 +1,27 @@
+// What endpoints state about themselves in their answers.
+import type {MonotonicTime} from '@gentianshunt/clock';
+import type {EndpointSetId} from '@gentianshunt/identifiers';
+
+/** What an endpoint states about itself in an answer. */
+export interface EndpointSignals {
+  /** Requests a second that it takes from all entries; `null` for no limit. */
+  readonly limitPerSecond: number | null;
+}
+
+/** Signals of an endpoint that states nothing. */
+export const NO_SIGNALS: EndpointSignals = {limitPerSecond: null};
+
+/** Returns whether an endpoint states anything about itself. */
+export function hasSignals({limitPerSecond}: EndpointSignals): boolean {
+  return limitPerSecond !== null;
+}
+
+/** The rate that an endpoint named in an answer to this entry. */
+export interface NamedLimit {
+  readonly set: EndpointSetId;
+  /** Requests a second; `null` once an answer named no limit any more. */
+  readonly perSecond: number | null;
+  readonly namedAt: MonotonicTime;
+  /** When this entry reported it to the set leader. */
+  readonly reportedAt: MonotonicTime;
+}
--- a/scheduling/entryModel/src/observation.ts
+++ b/scheduling/entryModel/src/observation.ts
@@ -20,6 +20,7 @@
 } from '@gentianshunt/identifiers';
 
 import type {EndpointAnnouncement} from './endpoint.js';
+import type {EndpointSignals} from './endpointSignals.js';
 import type {OrderExecution} from './endpointOrder.js';
 import type {EntryMessage} from './entryMessage.js';
 import type {
@@ -105,6 +106,12 @@
       /** The answer, stored to answer a resent non-idempotent request. */
       readonly stored: StoredAnswer | null;
     }
+  | {
+      /** The head of an answer that states something, or no longer does. */
+      readonly kind: 'endpointSignalled';
+      readonly dispatch: DispatchId;
+      readonly signals: EndpointSignals;
+    }
   | {
       readonly kind: 'endpointContact';
       readonly announcement: EndpointAnnouncement;
--- a/scheduling/entryModel/src/sections.ts
+++ b/scheduling/entryModel/src/sections.ts
@@ -14,8 +14,6 @@
 import type {RateBucket} from '@gentianshunt/limits';
 import {NO_DIRECTORY_VERSION} from '@gentianshunt/messages';
 import type {
-  ClaimKey,
-  ClaimOutcome,
   ConfigurationReplacement,
   ControlQuery,
   CountReport,
@@ -53,7 +51,9 @@
   QuotaUsageState,
   ReportedEntry,
 } from './quota.js';
+import type {ClaimCompletion, OpenClaim} from './claimState.js';
 import type {AllocationRound} from './allocationRound.js';
+import type {NamedLimit} from './endpointSignals.js';
 import type {EndpointRecord, ReceivedAnnouncement} from './endpointRecord.js';
 import type {EntryIdentity} from './identity.js';
 import {NOTHING_LOGGED} from './loggedState.js';
@@ -224,25 +224,6 @@
   readonly unreachableAt: MonotonicTime;
 }
 
-/** A claim that the control log has not decided yet. */
-export interface OpenClaim {
-  readonly startedAt: MonotonicTime;
-  readonly requestedAt: MonotonicTime;
-  /** How often the claim request was sent. */
-  readonly requestCount: number;
-}
-
-/** The outcome of a claimed request, to be stored in the control log. */
-export interface ClaimCompletion {
-  readonly key: ClaimKey;
-  readonly request: RequestId;
-  readonly outcome: ClaimOutcome;
-  readonly endedAt: MonotonicTime;
-  readonly sentAt: MonotonicTime;
-  /** When the control log confirmed it; `null` while unconfirmed. */
-  readonly confirmedAt: MonotonicTime | null;
-}
-
 /** Sorts dispatched requests by when their endpoint counts as silent. */
 export interface SilenceDeadlineKey {
   readonly silentAt: MonotonicTime;
@@ -373,6 +354,8 @@
     streamProgress: defineMap<DispatchId, StreamProgress>(),
     decodeRates: defineMap<EndpointId, ObservedDecodeRate>(),
     endpointHealth: defineMap<EndpointId, EndpointHealth>(),
+    /** Limits that endpoints named in answers to this entry. */
+    namedLimits: defineMap<EndpointId, NamedLimit>(),
     patience: defineMap<RequestClass, PatienceRecord>(),
     shedding: defineMap<EndpointSetId, boolean>(),
     /** Prompt parts with sound answers of this entry. */
--- a/scheduling/entryNode/src/entryNode.ts
+++ b/scheduling/entryNode/src/entryNode.ts
@@ -23,6 +23,7 @@
 } from '@gentianshunt/entryModel';
 import {
   createHealthController,
+  createLimitController,
   createPatienceController,
   createRateController,
 } from '@gentianshunt/learning';
@@ -85,6 +86,7 @@
     createPromptEvidenceController(),
     createRateController(),
     createHealthController(),
+    createLimitController(),
     createQuarantineController(),
     createLifecycleController(),
     createArrivalController(),
