Reproduce: endpoints get more requests than the rate they named

Virtual entries, 12 and 200, before endpoints that name 0.5 to 5 requests a second in their answers: with and without a leader, in open sets, with requests of 20 and of 600 ms.

--- /dev/null
+++ b/scheduling/slotContract/test/endpointRateLimit.test.ts
@@ -0,0 +1,132 @@
+import t from 'tap';
+
+import {createLimitedSet} from './limitedSet.js';
+import type {LimitedSet} from './limitedSet.js';
+
+const CONTACT_MS = 3_000;
+const WINDOW_MS = 4_000;
+const OVERAGE = 1.5;
+const SLACK_REQUESTS = 5;
+const WARM_UP_MS = 3_000;
+const DAY_MS = 15_000;
+
+/** Finds the most requests that reached an endpoint within a window. */
+function findBusiestWindow(
+  {arrived}: LimitedSet,
+  endpoint: number,
+  from: number,
+): number {
+  const times = arrived
+    .filter(arrival => arrival.endpoint === endpoint && arrival.at >= from)
+    .map(({at}) => at);
+  let first = 0;
+  let most = 0;
+  times.forEach((at, index) => {
+    while (times[first]! <= at - WINDOW_MS) {
+      first += 1;
+    }
+    most = Math.max(most, index - first + 1);
+  });
+  return most;
+}
+
+/** Lists the endpoints that got more in a window than their limit allows. */
+function listExceeded(set: LimitedSet, from: number): readonly string[] {
+  return [...set.limits].flatMap(([endpoint, limit]) => {
+    const allowed = OVERAGE * limit * (WINDOW_MS / 1_000) + SLACK_REQUESTS;
+    const most = findBusiestWindow(set, endpoint, from);
+    return most > allowed ? [`${endpoint}: ${most} of ${allowed}`] : [];
+  });
+}
+
+function countArrived(set: LimitedSet, endpoint: number, from: number): number {
+  return set.arrived.filter(
+    arrival => arrival.endpoint === endpoint && arrival.at >= from,
+  ).length;
+}
+
+const sizes = [
+  {entries: 12, endpoints: 9, concurrency: 8, requestsPerSecond: 60},
+  {entries: 200, endpoints: 82, concurrency: 5, requestsPerSecond: 400},
+];
+
+for (const size of sizes) {
+  for (const serviceMs of [20, 600]) {
+    t.test(
+      `endpoints get no more requests than they take: ${size.entries} entries, ${serviceMs} ms`,
+      async t => {
+        const set = createLimitedSet({...size, serviceMs});
+        set.runArrivals(WARM_UP_MS);
+        for (let endpoint = 0; endpoint < size.endpoints / 3; endpoint += 1) {
+          set.limits.set(endpoint, 1 + (endpoint % 3));
+        }
+        const namedAt = set.entries.time.clock.readMonotonic();
+        set.runArrivals(DAY_MS);
+        t.same(listExceeded(set, namedAt + CONTACT_MS), []);
+        const used = countArrived(set, 2, namedAt + CONTACT_MS);
+        t.ok(used >= 0.5 * 3 * ((DAY_MS - CONTACT_MS) / 1_000), `${used} used`);
+      },
+    );
+  }
+}
+
+t.test(
+  'a limit holds while the set has no leader, and for the next one',
+  async t => {
+    for (const size of sizes) {
+      const set = createLimitedSet({...size, serviceMs: 600});
+      set.runArrivals(WARM_UP_MS);
+      for (let endpoint = 0; endpoint < size.endpoints; endpoint += 1) {
+        set.limits.set(endpoint, 3);
+      }
+      const namedAt = set.entries.time.clock.readMonotonic();
+      set.runArrivals(CONTACT_MS);
+      set.entries.find('entry-0').freeze();
+      set.runArrivals(WINDOW_MS);
+      set.moveLeader('entry-1');
+      set.runArrivals(DAY_MS);
+      t.same(listExceeded(set, namedAt + CONTACT_MS), [], `${size.entries}`);
+    }
+  },
+);
+
+t.test('a limit of an open set holds for all entries together', async t => {
+  for (const size of sizes) {
+    const set = createLimitedSet({
+      ...size,
+      requestsPerSecond: size.requestsPerSecond / 2,
+      serviceMs: 20,
+      service: 'plain',
+    });
+    set.runArrivals(WARM_UP_MS);
+    set.limits.set(0, 2);
+    set.limits.set(1, 0.5);
+    const namedAt = set.entries.time.clock.readMonotonic();
+    set.runArrivals(DAY_MS);
+    t.same(listExceeded(set, namedAt + CONTACT_MS), [], `${size.entries}`);
+  }
+});
+
+t.test('a limit that rises, falls or ends is followed', async t => {
+  const size = sizes[0]!;
+  const set = createLimitedSet({...size, serviceMs: 300});
+  const now = (): number => set.entries.time.clock.readMonotonic();
+  set.runArrivals(WARM_UP_MS);
+  set.limits.set(0, 1);
+  set.runArrivals(CONTACT_MS + WINDOW_MS);
+  set.limits.set(0, 5);
+  set.runArrivals(CONTACT_MS);
+  const raisedAt = now();
+  set.runArrivals(WINDOW_MS);
+  t.ok(countArrived(set, 0, raisedAt) > 1.5 * 4 + SLACK_REQUESTS, 'raised');
+  set.limits.set(0, 1);
+  set.runArrivals(CONTACT_MS);
+  const loweredAt = now();
+  set.runArrivals(DAY_MS);
+  t.same(listExceeded(set, loweredAt), [], 'lowered');
+  set.limits.clear();
+  set.runArrivals(CONTACT_MS);
+  const endedAt = now();
+  set.runArrivals(WINDOW_MS);
+  t.ok(countArrived(set, 0, endedAt) >= 16, 'ended');
+});
