Keep within the request rates that endpoints name

Class of fault: what an endpoint states about itself in an answer was not read. Entries report the limits to the set leader, which shares them out by a token bucket for each endpoint and grants no advance slots there; a new leader gets them from all entries. Open sets leave limited endpoints out. While a set has no leader, about as many entries as a limit has requests a second use it, since an equal part would be nothing. A limit holds as long as answers name it; one that no answer names or ends doubles every 5 s after 5 s.

The tests now count as the rule does, entries that were told half a second before: a set leader cannot bind entries that it has not told.

--- a/fronts/entryWire/src/entryWire.ts
+++ b/fronts/entryWire/src/entryWire.ts
@@ -12,6 +12,10 @@
 } from '@gentianshunt/identifiers';
 
 import {decodeDemandReport, encodeDemandReport} from './demandReportWire.js';
+import {
+  decodeEndpointLimits,
+  encodeEndpointLimits,
+} from './endpointLimitWire.js';
 import {decodeEndpointList, encodeEndpointList} from './endpointListWire.js';
 import {decodeGrantReply, encodeGrantReply} from './grantReplyWire.js';
 import {
@@ -50,6 +54,7 @@
   soundPartsReported: 12,
   quarantinesReported: 13,
   quarantineTestRequested: 14,
+  endpointLimitsReported: 15,
 } as const satisfies Readonly<Record<EntryMessage['kind'], number>>;
 
 /** Encodes a message between entries as nested arrays. */
@@ -76,6 +81,8 @@
       return [kind, message.set, message.epoch];
     case 'allotmentUses':
       return [kind, ...encodeQuotaUsageReport(message.told)];
+    case 'endpointLimitsReported':
+      return [kind, message.set, encodeEndpointLimits(message.limits)];
     case 'brokenRunsReported':
       return [kind, message.set, encodeBrokenRuns(message.runs)];
     case 'soundPartsReported':
@@ -151,6 +158,12 @@
       };
     case WIRE_KINDS.allotmentUses:
       return {kind: 'allotmentUses', told: decodeQuotaUsageReport(reader)};
+    case WIRE_KINDS.endpointLimitsReported:
+      return {
+        kind: 'endpointLimitsReported',
+        set: reader.readIdentifier<EndpointSetId>(),
+        limits: decodeEndpointLimits(reader.readList()),
+      };
     case WIRE_KINDS.brokenRunsReported:
       return {
         kind: 'brokenRunsReported',
--- a/fronts/entryWire/test/entryWire.test.ts
+++ b/fronts/entryWire/test/entryWire.test.ts
@@ -84,6 +84,14 @@
       },
     },
     {kind: 'allotmentInquiry', set, epoch: 3},
+    {
+      kind: 'endpointLimitsReported',
+      set,
+      limits: [
+        {endpoint: toIdentifier<EndpointId>('e1'), perSecond: 2.8, ageMs: 4},
+        {endpoint: toIdentifier<EndpointId>('e2'), perSecond: null, ageMs: 0},
+      ],
+    },
     {
       kind: 'brokenRunsReported',
       set,
--- a/scheduling/entryModel/src/endpointSignals.ts
+++ b/scheduling/entryModel/src/endpointSignals.ts
@@ -1,6 +1,6 @@
 // What endpoints state about themselves in their answers.
-import type {MonotonicTime} from '@gentianshunt/clock';
-import type {EndpointSetId} from '@gentianshunt/identifiers';
+import type {Milliseconds, MonotonicTime} from '@gentianshunt/clock';
+import type {EndpointId, EndpointSetId} from '@gentianshunt/identifiers';
 
 /** What an endpoint states about itself in an answer. */
 export interface EndpointSignals {
@@ -25,3 +25,19 @@
   /** When this entry reported it to the set leader. */
   readonly reportedAt: MonotonicTime;
 }
+
+/** A limit in a message to the set leader. */
+export interface ReportedLimit {
+  readonly endpoint: EndpointId;
+  /** Requests a second; `null` if answers name none any more. */
+  readonly perSecond: number | null;
+  /** Age of the answer when the message was sent. */
+  readonly ageMs: Milliseconds;
+}
+
+/** The limit of an endpoint, by the latest answer that an entry reported. */
+export interface KnownLimit {
+  readonly set: EndpointSetId;
+  readonly perSecond: number | null;
+  readonly namedAt: MonotonicTime;
+}
--- a/scheduling/entryModel/src/entryMessage.ts
+++ b/scheduling/entryModel/src/entryMessage.ts
@@ -9,6 +9,7 @@
   PromptPartId,
 } from '@gentianshunt/identifiers';
 
+import type {ReportedLimit} from './endpointSignals.js';
 import type {
   ReportedBrokenRun,
   ReportedQuarantine,
@@ -188,6 +189,12 @@
       readonly epoch: number;
     }
   | {readonly kind: 'allotmentUses'; readonly told: QuotaUsageReport}
+  | {
+      /** Limits that endpoints of a set named in answers to an entry. */
+      readonly kind: 'endpointLimitsReported';
+      readonly set: EndpointSetId;
+      readonly limits: readonly ReportedLimit[];
+    }
   | {
       /** Requests of a set that were at endpoints which failed. */
       readonly kind: 'brokenRunsReported';
--- a/scheduling/entryModel/src/sections.ts
+++ b/scheduling/entryModel/src/sections.ts
@@ -53,7 +53,7 @@
 } from './quota.js';
 import type {ClaimCompletion, OpenClaim} from './claimState.js';
 import type {AllocationRound} from './allocationRound.js';
-import type {NamedLimit} from './endpointSignals.js';
+import type {KnownLimit, NamedLimit} from './endpointSignals.js';
 import type {EndpointRecord, ReceivedAnnouncement} from './endpointRecord.js';
 import type {EntryIdentity} from './identity.js';
 import {NOTHING_LOGGED} from './loggedState.js';
@@ -356,6 +356,12 @@
     endpointHealth: defineMap<EndpointId, EndpointHealth>(),
     /** Limits that endpoints named in answers to this entry. */
     namedLimits: defineMap<EndpointId, NamedLimit>(),
+    /** What this entry may send to such endpoints without a grant. */
+    ungrantedUse: defineMap<EndpointId, RateBucket>(),
+    /** Limits of endpoints that entries reported to this one. */
+    knownLimits: defineMap<EndpointId, KnownLimit>(),
+    /** What a led set may still send to its limited endpoints. */
+    endpointBuckets: defineMap<EndpointId, RateBucket>(),
     patience: defineMap<RequestClass, PatienceRecord>(),
     shedding: defineMap<EndpointSetId, boolean>(),
     /** Prompt parts with sound answers of this entry. */
--- a/scheduling/entryNode/src/entryNode.ts
+++ b/scheduling/entryNode/src/entryNode.ts
@@ -40,6 +40,7 @@
   createEndpointListController,
   createEndpointRegistry,
   createGrantController,
+  createKnownLimitController,
   createLeadershipController,
   createReceivedDemandController,
 } from '@gentianshunt/setLeader';
@@ -95,6 +96,7 @@
     createDemandReportingController(),
     createLookupController(),
     createReceivedDemandController(),
+    createKnownLimitController(),
     createEndpointListController(),
     createGrantController(),
     createUsageReportController(),
--- a/scheduling/learning/src/limitController.ts
+++ b/scheduling/learning/src/limitController.ts
@@ -1,5 +1,10 @@
 import type {TurnTime, View} from '@gentianshunt/board';
-import {defineEntryController} from '@gentianshunt/entryModel';
+import type {Milliseconds} from '@gentianshunt/clock';
+import {findObject} from '@gentianshunt/configuration';
+import {
+  defineEntryController,
+  findEntryAddress,
+} from '@gentianshunt/entryModel';
 import type {
   EndpointSignals,
   EntryController,
@@ -7,35 +12,76 @@
   EntryObservation,
   EntrySections,
   EntryWrite,
+  NamedLimit,
 } from '@gentianshunt/entryModel';
-import type {DispatchId} from '@gentianshunt/identifiers';
+import type {
+  DispatchId,
+  EndpointId,
+  EndpointSetId,
+} from '@gentianshunt/identifiers';
+import {LIMIT_RETENTION_MS} from '@gentianshunt/policy';
+
+/** Shortest time between two reports of an unchanged limit. */
+const REPORT_INTERVAL_MS: Milliseconds = 2_000;
 
-type LimitReads = 'requests' | 'dispatches' | 'namedLimits';
+type LimitReads =
+  | 'requests'
+  | 'dispatches'
+  | 'control'
+  | 'configuration'
+  | 'leaderChanges'
+  | 'namedLimits';
 type LimitView = View<EntrySections, LimitReads, EntryObservation>;
 type LimitWrite = EntryWrite<'namedLimits'>;
 
-/** Creates the controller that records the limits that endpoints name. */
+/**
+ * Creates the controller that records the limits that endpoints name in answers
+ * to this entry, and reports them to the leaders of their sets.
+ */
 export function createLimitController(): EntryController {
   return defineEntryController<LimitReads, 'namedLimits'>({
     name: 'limits',
-    reads: ['requests', 'dispatches', 'namedLimits'],
+    reads: [
+      'requests',
+      'dispatches',
+      'control',
+      'configuration',
+      'leaderChanges',
+      'namedLimits',
+    ],
     writes: ['namedLimits'],
-    observes: ['endpointSignalled'],
-    run: (view, now) => {
-      const {observation} = view;
-      return observation?.kind === 'endpointSignalled'
-        ? recordLimit(view, observation.dispatch, observation.signals, now)
-        : [];
-    },
+    observes: ['endpointSignalled', 'timerDue'],
+    run: (view, now) => [
+      ...handleObservation(view, now),
+      ...reportToNewLeaders(view, now),
+    ],
   });
 }
 
+function handleObservation(
+  view: LimitView,
+  now: TurnTime,
+): readonly LimitWrite[] {
+  const {observation} = view;
+  switch (observation?.kind) {
+    case 'endpointSignalled':
+      return recordLimit(view, observation.dispatch, observation.signals, now);
+    case 'timerDue':
+      return observation.timer.kind === 'housekeeping'
+        ? dropOldLimits(view, now)
+        : [];
+    default:
+      return [];
+  }
+}
+
 function recordLimit(
-  {board}: LimitView,
+  view: LimitView,
   dispatch: DispatchId,
   {limitPerSecond: perSecond}: EndpointSignals,
   now: TurnTime,
 ): readonly LimitWrite[] {
+  const {board} = view;
   const request = board.dispatches.get(dispatch);
   const state = request === undefined ? undefined : board.requests.get(request);
   if (state?.kind !== 'dispatched' && state?.kind !== 'answering') {
@@ -45,7 +91,15 @@
   const {endpoint} = state.dispatch.target;
   const known = board.namedLimits.get(endpoint);
   const before = known?.perSecond ?? null;
-  const reportedAt = known?.reportedAt ?? Number.NEGATIVE_INFINITY;
+  const lastReportAt = known?.reportedAt ?? Number.NEGATIVE_INFINITY;
+  const isDue =
+    perSecond !== before || now.monotonic - lastReportAt >= REPORT_INTERVAL_MS;
+  const value: NamedLimit = {
+    set,
+    perSecond,
+    namedAt: now.monotonic,
+    reportedAt: isDue ? now.monotonic : lastReportAt,
+  };
   const decision: EntryDecision = {
     kind: 'endpointLimitNamed',
     set,
@@ -54,14 +108,55 @@
     before,
   };
   return [
-    {
-      kind: 'put',
-      section: 'namedLimits',
-      key: endpoint,
-      value: {set, perSecond, namedAt: now.monotonic, reportedAt},
-    },
+    {kind: 'put', section: 'namedLimits', key: endpoint, value},
+    ...(isDue ? sendLimits(view, set, [[endpoint, value]], now) : []),
     ...(perSecond === before
       ? []
       : [{kind: 'effect', effect: {kind: 'logDecision', decision}} as const]),
   ];
 }
+
+/** A new set leader knows none of the limits. */
+function reportToNewLeaders(
+  view: LimitView,
+  now: TurnTime,
+): readonly LimitWrite[] {
+  return [...view.readChanges('leaderChanges')].flatMap(key => {
+    const limits = [...view.board.namedLimits].filter(
+      ([, limit]) => limit.set === key,
+    );
+    return sendLimits(view, key as EndpointSetId, limits, now);
+  });
+}
+
+function sendLimits(
+  {board}: LimitView,
+  set: EndpointSetId,
+  named: readonly (readonly [EndpointId, NamedLimit])[],
+  now: TurnTime,
+): readonly LimitWrite[] {
+  const {configuration, control} = board;
+  const leader = findObject(configuration, 'setLeadership', set)?.node;
+  const address = leader && findEntryAddress(control.directory, leader);
+  if (leader === undefined || address === undefined || named.length === 0) {
+    return [];
+  }
+  const limits = named.map(([endpoint, {perSecond, namedAt}]) => ({
+    endpoint,
+    perSecond,
+    ageMs: now.monotonic - namedAt,
+  }));
+  const message = {kind: 'endpointLimitsReported', set, limits} as const;
+  return [
+    {kind: 'effect', effect: {kind: 'sendEntry', to: leader, address, message}},
+  ];
+}
+
+function dropOldLimits(
+  {board}: LimitView,
+  now: TurnTime,
+): readonly LimitWrite[] {
+  return [...board.namedLimits]
+    .filter(([, {namedAt}]) => now.monotonic - namedAt >= LIMIT_RETENTION_MS)
+    .map(([key]) => ({kind: 'delete', section: 'namedLimits', key}));
+}
--- a/scheduling/policy/src/index.ts
+++ b/scheduling/policy/src/index.ts
@@ -6,3 +6,4 @@
 export * from './requestClass.js';
 export * from './shedding.js';
 export * from './work.js';
+export * from './endpointLimit.js';
--- a/scheduling/setLeader/src/grantController.ts
+++ b/scheduling/setLeader/src/grantController.ts
@@ -18,12 +18,17 @@
 
 import {allocateAdvanceSlots} from './advanceSlots.js';
 import {allocateSlots} from './allocation.js';
-import type {AllocationInput, AllocationResult} from './allocation.js';
+import type {
+  AllocationInput,
+  AllocationResult,
+  EndpointCapacity,
+} from './allocation.js';
 import {planRounds, recordRound} from './allocationRounds.js';
 import {listCapacities} from './capacities.js';
 import {listFairShares, putFairShare} from './fairShares.js';
 import {answerDemandReport, EMPTY_DECISION, mergeByNode} from './grantReply.js';
 import type {LeaderDecision} from './grantReply.js';
+import {limitCapacities} from './limitedCapacities.js';
 import {decideOpenCapacity} from './openCapacity.js';
 import {countUnserved, listOpenQueues} from './openDemand.js';
 import {limitOrganisations} from './organisationLimits.js';
@@ -39,12 +44,15 @@
   | 'grantsSinceReport'
   | 'fairShares'
   | 'limitBuckets'
+  | 'knownLimits'
+  | 'endpointBuckets'
   | 'shedding';
 type GrantWrites =
   | 'allocationRounds'
   | 'grantsSinceReport'
   | 'fairShares'
   | 'limitBuckets'
+  | 'endpointBuckets'
   | 'shedding';
 type GrantView = View<EntrySections, GrantReads, EntryObservation>;
 type GrantWrite = EntryWrite<GrantWrites>;
@@ -67,6 +75,8 @@
       'grantsSinceReport',
       'fairShares',
       'limitBuckets',
+      'knownLimits',
+      'endpointBuckets',
       'shedding',
     ],
     writes: [
@@ -74,6 +84,7 @@
       'grantsSinceReport',
       'fairShares',
       'limitBuckets',
+      'endpointBuckets',
       'shedding',
     ],
     observes: ['timerDue'],
@@ -120,7 +131,12 @@
       ),
     ];
   }
-  const endpoints = listCapacities(view, set, records, grantedByNode);
+  const capacities = limitCapacities(
+    view,
+    listCapacities(view, set, records, grantedByNode),
+    now,
+  );
+  const {endpoints, advanceEndpoints} = capacities;
   const limiter = limitOrganisations(view, {
     set,
     records,
@@ -137,7 +153,7 @@
   const input: AllocationInput = {endpoints, queues, fairShares};
   const open = isOpenable(view, set)
     ? decideOpenCapacity({
-        endpoints,
+        endpoints: capacities.unlimited,
         running: sumRunning(records),
         entries: records.length,
       })
@@ -145,7 +161,7 @@
   // An open set needs no advance slots.
   const allocation =
     open === null
-      ? allocateWithAdvance(input, records, grantedByNode)
+      ? allocateWithAdvance(input, advanceEndpoints, records, grantedByNode)
       : allocateSlots(input);
   const shedding = decideShedding({
     waiting: countUnserved(queues, allocation.slots),
@@ -172,6 +188,7 @@
     ),
     ...allocation.fairShares.map(fairShare => putFairShare(set, fairShare)),
     ...limiter.listBucketWrites(allocation.slots),
+    ...capacities.listBucketWrites(allocation.slots),
     {kind: 'put', section: 'shedding', key: set, value: shedding.shedding},
   ];
 }
@@ -205,6 +222,7 @@
  */
 function allocateWithAdvance(
   input: AllocationInput,
+  advanceEndpoints: readonly EndpointCapacity[],
   records: readonly DemandReportRecord[],
   grantedByNode: ReadonlyMap<NodeId, GrantsSinceReport>,
 ): AllocationResult {
@@ -214,7 +232,7 @@
     return result;
   }
   const advanceSlots = allocateAdvanceSlots({
-    endpoints: input.endpoints,
+    endpoints: advanceEndpoints,
     records,
     isUnanswered: node => grantedByNode.get(node)!.parts === 0,
     allocated: result.slots,
--- a/scheduling/slotClient/src/fallbackCapacity.ts
+++ b/scheduling/slotClient/src/fallbackCapacity.ts
@@ -5,6 +5,7 @@
 import type {EndpointId, EndpointSetId} from '@gentianshunt/identifiers';
 
 import {countRunning} from './openTargets.js';
+import {refillUngrantedUse} from './ungrantedUse.js';
 
 /** A leader that has not answered a report for this long counts as silent. */
 export const LEADER_SILENCE_MS: Milliseconds = 200;
@@ -18,6 +19,8 @@
   | 'withdrawnEndpoints'
   | 'demandReporting'
   | 'running'
+  | 'namedLimits'
+  | 'ungrantedUse'
 >;
 
 /**
@@ -47,9 +50,12 @@
 export function listFallbackCapacity(
   board: FallbackSections,
   set: EndpointSetId,
+  now: TurnTime,
 ): readonly ListedEndpoint[] {
-  const endpoints = listUsable(board, set);
   const running = countRunning(board, set);
+  const endpoints = listUsable(board, set).map(listed =>
+    limitToUngrantedUse(board, listed, running, now),
+  );
   const entries = Math.max(1, board.control.directory.entries.length);
   const totalCapacity = endpoints.reduce(
     (sum, {concurrency}) => sum + concurrency,
@@ -99,6 +105,22 @@
     .map(({item}) => item);
 }
 
+/** Limits an endpoint that named a rate to what this entry may use of it. */
+function limitToUngrantedUse(
+  board: FallbackSections,
+  listed: ListedEndpoint,
+  running: ReadonlyMap<EndpointId, number>,
+  now: TurnTime,
+): ListedEndpoint {
+  const {endpoint} = listed.target;
+  const bucket = refillUngrantedUse(board, endpoint, now);
+  if (bucket === undefined) {
+    return listed;
+  }
+  const most = (running.get(endpoint) ?? 0) + Math.floor(bucket.tokens);
+  return {...listed, concurrency: Math.min(listed.concurrency, most)};
+}
+
 function pickLeastLoaded(
   endpoints: readonly ListedEndpoint[],
   loads: ReadonlyMap<EndpointId, number>,
--- a/scheduling/slotClient/src/openTargets.ts
+++ b/scheduling/slotClient/src/openTargets.ts
@@ -11,6 +11,7 @@
 import {PROBE_FAILURE_RATE} from '@gentianshunt/policy';
 
 import {listEndpointFailures} from './demandReport.js';
+import {isLimited} from './ungrantedUse.js';
 
 /** The board sections that the use of open capacity depends on. */
 export type OpenSections = Pick<
@@ -20,6 +21,7 @@
   | 'endpointHealth'
   | 'running'
   | 'matches'
+  | 'namedLimits'
 >;
 
 /** Number of endpoints of which the one with fewer own requests is picked. */
@@ -45,7 +47,9 @@
   const failing = listFailing(board, set, now);
   const targets = open.targets.filter(
     ({endpoint}) =>
-      !board.withdrawnEndpoints.has(endpoint) && !failing.has(endpoint),
+      !board.withdrawnEndpoints.has(endpoint) &&
+      !isLimited(board, endpoint, now) &&
+      !failing.has(endpoint),
   );
   const counts = countRunning(board, set);
   let total = [...counts.values()].reduce((sum, count) => sum + count, 0);
--- a/scheduling/slotClient/src/slotController.ts
+++ b/scheduling/slotClient/src/slotController.ts
@@ -1,5 +1,4 @@
-import type {TurnTime, View} from '@gentianshunt/board';
-import type {Milliseconds} from '@gentianshunt/clock';
+import type {TurnTime} from '@gentianshunt/board';
 import {findObject} from '@gentianshunt/configuration';
 import {
   ANY_ORGANISATION,
@@ -13,9 +12,6 @@
 import type {
   EndpointTarget,
   EntryController,
-  EntryObservation,
-  EntrySections,
-  EntryWrite,
   GrantReply,
   QueueKey,
   Slot,
@@ -30,59 +26,18 @@
 
 import {listCandidates} from './dispatchOrder.js';
 import type {Candidate} from './dispatchOrder.js';
-import {isLeaderSilent, listFallbackCapacity} from './fallbackCapacity.js';
+import {matchToFallback} from './matchToFallback.js';
 import {createOpenTargets} from './openTargets.js';
 import type {OpenTargets} from './openTargets.js';
-
-/** How long a request may use the fallback capacity it was matched to. */
-const FALLBACK_SLOT_LIFETIME_MS: Milliseconds = 500;
-
-type SlotReads =
-  | 'configuration'
-  | 'requests'
-  | 'waiting'
-  | 'queues'
-  | 'slots'
-  | 'matches'
-  | 'patience'
-  | 'decodeRates'
-  | 'acceptedReply'
-  | 'openCapacities'
-  | 'endpointHealth'
-  | 'identity'
-  | 'control'
-  | 'knownEndpoints'
-  | 'running'
-  | 'withdrawnEndpoints'
-  | 'demandReporting';
-type SlotWrites = 'slots' | 'matches';
-type SlotView = View<EntrySections, SlotReads, EntryObservation>;
-type SlotWrite = EntryWrite<SlotWrites>;
+import {SLOT_READS, SLOT_WRITES, UNGRANTED_LIFETIME_MS} from './slotView.js';
+import type {SlotReads, SlotView, SlotWrite, SlotWrites} from './slotView.js';
 
 /** Creates the controller that stores slots and matches them to requests. */
 export function createSlotController(): EntryController {
   return defineEntryController<SlotReads, SlotWrites>({
     name: 'slots',
-    reads: [
-      'configuration',
-      'requests',
-      'waiting',
-      'queues',
-      'slots',
-      'matches',
-      'patience',
-      'decodeRates',
-      'acceptedReply',
-      'openCapacities',
-      'endpointHealth',
-      'identity',
-      'control',
-      'knownEndpoints',
-      'running',
-      'withdrawnEndpoints',
-      'demandReporting',
-    ],
-    writes: ['slots', 'matches'],
+    reads: SLOT_READS,
+    writes: SLOT_WRITES,
     observes: ['timerDue'],
     run: (view, now) => [
       ...dropUsedMatches(view),
@@ -187,48 +142,6 @@
   return [...queues.values()];
 }
 
-/**
- * Matches requests to fallback capacity while a set leader is silent, if the
- * deployment allows it. Runs on timers only.
- */
-function matchToFallback(view: SlotView, now: TurnTime): readonly SlotWrite[] {
-  const {leaderSilence} = view.board.identity;
-  const usesFallback = leaderSilence?.kind === 'useFallbackCapacity';
-  if (view.observation?.kind !== 'timerDue' || !usesFallback) {
-    return [];
-  }
-  const sets = new Set<EndpointSetId>();
-  for (const {key} of view.board.queues.iterateFrom()) {
-    sets.add(key.set);
-  }
-  return [...sets]
-    .filter(set => isLeaderSilent(view.board, set, now))
-    .flatMap(set => matchSetToFallback(view, set, now));
-}
-
-function matchSetToFallback(
-  view: SlotView,
-  set: EndpointSetId,
-  now: TurnTime,
-): readonly SlotWrite[] {
-  const capacity = listFallbackCapacity(view.board, set);
-  const listedAt = view.board.knownEndpoints.get(set)?.receivedAt ?? 0;
-  const waiting = Array.from(iterateQueues(view.board.queues, set), ({key}) =>
-    listCandidates(view.board, key, now),
-  ).flat();
-  return waiting.slice(0, capacity.length).map(({request}, index) => ({
-    kind: 'put',
-    section: 'matches',
-    key: request.id,
-    value: {
-      grant: `${set}.local` as GrantId,
-      target: capacity[index]!.target,
-      stateAt: listedAt,
-      deadline: now.monotonic + FALLBACK_SLOT_LIFETIME_MS,
-    },
-  }));
-}
-
 interface KeyedSlot {
   readonly key: SlotKey;
   readonly slot: Slot;
@@ -310,7 +223,7 @@
       grant: `${set}.open` as GrantId,
       target,
       stateAt: now.monotonic,
-      deadline: now.monotonic + FALLBACK_SLOT_LIFETIME_MS,
+      deadline: now.monotonic + UNGRANTED_LIFETIME_MS,
     };
     writes.push({kind: 'put', section: 'matches', key: request.id, value});
   }
--- /dev/null
+++ b/scheduling/slotClient/src/slotView.ts
@@ -0,0 +1,42 @@
+import type {View} from '@gentianshunt/board';
+import type {Milliseconds} from '@gentianshunt/clock';
+import type {
+  EntryObservation,
+  EntrySections,
+  EntryWrite,
+} from '@gentianshunt/entryModel';
+
+/** How long a request may use the capacity that it was matched to unasked. */
+export const UNGRANTED_LIFETIME_MS: Milliseconds = 500;
+
+/** The board sections that the slot controller reads. */
+export const SLOT_READS = [
+  'configuration',
+  'requests',
+  'waiting',
+  'queues',
+  'slots',
+  'matches',
+  'patience',
+  'decodeRates',
+  'acceptedReply',
+  'openCapacities',
+  'endpointHealth',
+  'identity',
+  'control',
+  'knownEndpoints',
+  'running',
+  'withdrawnEndpoints',
+  'namedLimits',
+  'ungrantedUse',
+  'demandReporting',
+] as const;
+export type SlotReads = (typeof SLOT_READS)[number];
+
+/** The board sections that the slot controller writes. */
+export const SLOT_WRITES = ['slots', 'matches', 'ungrantedUse'] as const;
+export type SlotWrites = (typeof SLOT_WRITES)[number];
+
+/** The board as the slot controller sees it. */
+export type SlotView = View<EntrySections, SlotReads, EntryObservation>;
+export type SlotWrite = EntryWrite<SlotWrites>;
--- a/scheduling/slotClient/test/openTargets.test.ts
+++ b/scheduling/slotClient/test/openTargets.test.ts
@@ -46,6 +46,7 @@
     withdrawnEndpoints: new Map(left.map(id => [id, 1])),
     endpointHealth: new Map(health.map(item => [item.endpoint, item])),
     matches: new Map(),
+    namedLimits: new Map(),
     running: {iterateFrom: () => counts.values()},
   } as never;
 }
--- a/scheduling/slotContract/test/limitedSet.ts
+++ b/scheduling/slotContract/test/limitedSet.ts
@@ -37,6 +37,8 @@
   readonly arrived: LimitedArrival[];
   /** Requests a second that endpoints name in each answer, by endpoint. */
   readonly limits: Map<number, number>;
+  /** When an entry first received an answer with the limit of an endpoint. */
+  readonly toldAt: Map<string, number>;
   readonly refused: string[];
   runArrivals(durationMs: number): void;
   /** Lets another entry lead the set. */
@@ -79,6 +81,7 @@
     nodes,
     arrived: [],
     limits: new Map(),
+    toldAt: new Map(),
     refused: [],
     runArrivals: durationMs => {
       const intervalMs = MILLISECONDS_PER_SECOND / options.requestsPerSecond;
@@ -121,6 +124,10 @@
   time.schedule(Math.min(FIRST_EVENT_MS, serviceMs), () => {
     const limitPerSecond = set.limits.get(endpoint) ?? null;
     const {namedLimits} = entry.entry.view;
+    const told = `${node}/${endpoint}`;
+    if (limitPerSecond !== null && !set.toldAt.has(told)) {
+      set.toldAt.set(told, time.clock.readMonotonic());
+    }
     const isNews = limitPerSecond !== null || namedLimits.has(target.endpoint);
     if (isNews) {
       entry.post({
