Use no endpoint that said in an answer that it leaves

An endpoint that leaves says so in all its answers (Server-Leaving); it was not read, like the limits. Heartbeats may still say that it is active, so an entry that read it got the endpoint listed again after 5 s. Such an entry now does not use it for 120 s and tells the others. Test: 12 entries, endpoints of model and plain sets that leave by their answers only; requests to them beyond 2 s before the change, none after.

--- a/fronts/callRelay/src/streamReports.ts
+++ b/fronts/callRelay/src/streamReports.ts
@@ -12,13 +12,14 @@
 export function reportSignals(
   {view, post}: EndpointStreamOptions,
   request: AdmittedRequest,
-  {id: dispatch, target}: Dispatch,
+  {target: {endpoint}}: Dispatch,
   {call, signals}: AnswerAttributes,
 ): void {
-  const known = view.namedLimits.get(target.endpoint);
+  const known = view.namedLimits.get(endpoint);
   const isNews = hasSignals(signals) || (known?.perSecond ?? null) !== null;
   if (call === request.id && isNews) {
-    post({kind: 'endpointSignalled', dispatch, signals});
+    const {set} = request;
+    post({kind: 'endpointSignalled', set, endpoint, signals});
   }
 }
 
--- a/scheduling/entryModel/src/endpointSignals.ts
+++ b/scheduling/entryModel/src/endpointSignals.ts
@@ -6,14 +6,19 @@
 export interface EndpointSignals {
   /** Requests a second that it takes from all entries; `null` for no limit. */
   readonly limitPerSecond: number | null;
+  /** Whether it asks for no further requests, because it stops. */
+  readonly isLeaving: boolean;
 }
 
 /** Signals of an endpoint that states nothing. */
-export const NO_SIGNALS: EndpointSignals = {limitPerSecond: null};
+export const NO_SIGNALS: EndpointSignals = {
+  limitPerSecond: null,
+  isLeaving: false,
+};
 
 /** Returns whether an endpoint states anything about itself. */
-export function hasSignals({limitPerSecond}: EndpointSignals): boolean {
-  return limitPerSecond !== null;
+export function hasSignals(signals: EndpointSignals): boolean {
+  return signals.limitPerSecond !== null || signals.isLeaving;
 }
 
 /** The rate that an endpoint named in an answer to this entry. */
--- a/scheduling/entryModel/src/observation.ts
+++ b/scheduling/entryModel/src/observation.ts
@@ -109,7 +109,8 @@
   | {
       /** The head of an answer that states something, or no longer does. */
       readonly kind: 'endpointSignalled';
-      readonly dispatch: DispatchId;
+      readonly set: EndpointSetId;
+      readonly endpoint: EndpointId;
       readonly signals: EndpointSignals;
     }
   | {
--- a/scheduling/learning/src/limitController.ts
+++ b/scheduling/learning/src/limitController.ts
@@ -6,7 +6,6 @@
   findEntryAddress,
 } from '@gentianshunt/entryModel';
 import type {
-  EndpointSignals,
   EntryController,
   EntryDecision,
   EntryObservation,
@@ -14,23 +13,17 @@
   EntryWrite,
   NamedLimit,
 } from '@gentianshunt/entryModel';
-import type {
-  DispatchId,
-  EndpointId,
-  EndpointSetId,
-} from '@gentianshunt/identifiers';
+import type {EndpointId, EndpointSetId} from '@gentianshunt/identifiers';
 import {LIMIT_RETENTION_MS} from '@gentianshunt/policy';
 
 /** Shortest time between two reports of an unchanged limit. */
 const REPORT_INTERVAL_MS: Milliseconds = 2_000;
 
-type LimitReads =
-  | 'requests'
-  | 'dispatches'
-  | 'control'
-  | 'configuration'
-  | 'leaderChanges'
-  | 'namedLimits';
+type LimitReads = 'control' | 'configuration' | 'leaderChanges' | 'namedLimits';
+type EndpointSignal = Extract<
+  EntryObservation,
+  {readonly kind: 'endpointSignalled'}
+>;
 type LimitView = View<EntrySections, LimitReads, EntryObservation>;
 type LimitWrite = EntryWrite<'namedLimits'>;
 
@@ -41,14 +34,7 @@
 export function createLimitController(): EntryController {
   return defineEntryController<LimitReads, 'namedLimits'>({
     name: 'limits',
-    reads: [
-      'requests',
-      'dispatches',
-      'control',
-      'configuration',
-      'leaderChanges',
-      'namedLimits',
-    ],
+    reads: ['control', 'configuration', 'leaderChanges', 'namedLimits'],
     writes: ['namedLimits'],
     observes: ['endpointSignalled', 'timerDue'],
     run: (view, now) => [
@@ -65,7 +51,7 @@
   const {observation} = view;
   switch (observation?.kind) {
     case 'endpointSignalled':
-      return recordLimit(view, observation.dispatch, observation.signals, now);
+      return recordLimit(view, observation, now);
     case 'timerDue':
       return observation.timer.kind === 'housekeeping'
         ? dropOldLimits(view, now)
@@ -77,20 +63,16 @@
 
 function recordLimit(
   view: LimitView,
-  dispatch: DispatchId,
-  {limitPerSecond: perSecond}: EndpointSignals,
+  {set, endpoint, signals}: EndpointSignal,
   now: TurnTime,
 ): readonly LimitWrite[] {
   const {board} = view;
-  const request = board.dispatches.get(dispatch);
-  const state = request === undefined ? undefined : board.requests.get(request);
-  if (state?.kind !== 'dispatched' && state?.kind !== 'answering') {
-    return [];
-  }
-  const {set} = state.request;
-  const {endpoint} = state.dispatch.target;
+  const {limitPerSecond: perSecond} = signals;
   const known = board.namedLimits.get(endpoint);
   const before = known?.perSecond ?? null;
+  if (perSecond === null && before === null) {
+    return [];
+  }
   const lastReportAt = known?.reportedAt ?? Number.NEGATIVE_INFINITY;
   const isDue =
     perSecond !== before || now.monotonic - lastReportAt >= REPORT_INTERVAL_MS;
--- a/scheduling/slotClient/src/withdrawalController.ts
+++ b/scheduling/slotClient/src/withdrawalController.ts
@@ -17,6 +17,11 @@
  * expired by then, and endpoint lists no longer contain it.
  */
 export const WITHDRAWAL_MS: Milliseconds = 5_000;
+/**
+ * How long an entry does not use an endpoint that said in an answer that it
+ * leaves. Its heartbeats may still say that it is active.
+ */
+export const ANSWERED_LEAVE_MS: Milliseconds = 120_000;
 
 type WithdrawalReads =
   'identity' | 'control' | 'configuration' | 'withdrawnEndpoints';
@@ -34,7 +39,13 @@
     name: 'withdrawals',
     reads: ['identity', 'control', 'configuration', 'withdrawnEndpoints'],
     writes: ['withdrawnEndpoints'],
-    observes: ['endpointContact', 'endpointLeft', 'entryMessage', 'timerDue'],
+    observes: [
+      'endpointContact',
+      'endpointLeft',
+      'endpointSignalled',
+      'entryMessage',
+      'timerDue',
+    ],
     run: (view, now) => {
       const {observation} = view;
       switch (observation?.kind) {
@@ -42,6 +53,10 @@
           return handleContact(view, observation.announcement, now);
         case 'endpointLeft':
           return broadcastLeave(view, observation.endpoint, undefined, now);
+        case 'endpointSignalled':
+          return observation.signals.isLeaving
+            ? handleAnsweredLeave(view, observation.endpoint, now)
+            : [];
         case 'entryMessage':
           return handleMessage(view, observation.message, now);
         case 'timerDue':
@@ -72,16 +87,28 @@
 ): readonly WithdrawalWrite[] {
   switch (message.kind) {
     case 'endpointLeft':
-      return putWithdrawal(message.endpoint, now);
+      return putWithdrawal(view, message.endpoint, now);
     case 'endpointAnnounced': {
       const {endpoint, leaving} = message.announcement;
-      return leaving ? putWithdrawal(endpoint, now) : [];
+      return leaving ? putWithdrawal(view, endpoint, now) : [];
     }
     default:
       return [];
   }
 }
 
+/** An answer is proof, whatever heartbeats say before and after it. */
+function handleAnsweredLeave(
+  view: WithdrawalView,
+  endpoint: EndpointId,
+  now: TurnTime,
+): readonly WithdrawalWrite[] {
+  return [
+    ...broadcastLeave(view, endpoint, undefined, now),
+    ...putWithdrawal(view, endpoint, now, ANSWERED_LEAVE_MS),
+  ];
+}
+
 /** Withdraws an endpoint and notifies all entries except one, once. */
 function broadcastLeave(
   view: WithdrawalView,
@@ -96,7 +123,7 @@
   const self = identity.address.node;
   const message = {kind: 'endpointLeft', endpoint} as const;
   return [
-    ...putWithdrawal(endpoint, now),
+    ...putWithdrawal(view, endpoint, now),
     ...control.directory.entries
       .filter(({address: {node}}) => node !== self && node !== except)
       .map(({address: {node: to, peer: address}}): WithdrawalWrite => ({
@@ -107,10 +134,13 @@
 }
 
 function putWithdrawal(
+  {board}: WithdrawalView,
   key: EndpointId,
   now: TurnTime,
+  durationMs: Milliseconds = WITHDRAWAL_MS,
 ): readonly WithdrawalWrite[] {
-  const value = now.monotonic + WITHDRAWAL_MS;
+  const known = board.withdrawnEndpoints.get(key) ?? 0;
+  const value = Math.max(known, now.monotonic + durationMs);
   return [{kind: 'put', section: 'withdrawnEndpoints', key, value}];
 }
 
--- a/scheduling/slotContract/test/limitedSet.ts
+++ b/scheduling/slotContract/test/limitedSet.ts
@@ -1,4 +1,9 @@
-import type {EntryEffect, LeaderSilencePolicy} from '@gentianshunt/entryModel';
+import {hasSignals} from '@gentianshunt/entryModel';
+import type {
+  EndpointSignals,
+  EntryEffect,
+  LeaderSilencePolicy,
+} from '@gentianshunt/entryModel';
 import {
   createArrival,
   createConfigurationObjects,
@@ -37,6 +42,8 @@
   readonly arrived: LimitedArrival[];
   /** Requests a second that endpoints name in each answer, by endpoint. */
   readonly limits: Map<number, number>;
+  /** Endpoints that say in each answer that they leave. */
+  readonly leaving: Set<number>;
   /** When an entry first received an answer with the limit of an endpoint. */
   readonly toldAt: Map<string, number>;
   readonly refused: string[];
@@ -81,6 +88,7 @@
     nodes,
     arrived: [],
     limits: new Map(),
+    leaving: new Set(),
     toldAt: new Map(),
     refused: [],
     runArrivals: durationMs => {
@@ -122,18 +130,21 @@
   set.arrived.push({at: time.clock.readMonotonic(), node, endpoint});
   const entry = set.entries.find(node);
   time.schedule(Math.min(FIRST_EVENT_MS, serviceMs), () => {
-    const limitPerSecond = set.limits.get(endpoint) ?? null;
-    const {namedLimits} = entry.entry.view;
+    const signals: EndpointSignals = {
+      limitPerSecond: set.limits.get(endpoint) ?? null,
+      isLeaving: set.leaving.has(endpoint),
+    };
     const told = `${node}/${endpoint}`;
-    if (limitPerSecond !== null && !set.toldAt.has(told)) {
+    if (hasSignals(signals) && !set.toldAt.has(told)) {
       set.toldAt.set(told, time.clock.readMonotonic());
     }
-    const isNews = limitPerSecond !== null || namedLimits.has(target.endpoint);
-    if (isNews) {
+    const {namedLimits} = entry.entry.view;
+    if (hasSignals(signals) || namedLimits.has(target.endpoint)) {
       entry.post({
         kind: 'endpointSignalled',
-        dispatch,
-        signals: {limitPerSecond},
+        set: effect.request.set,
+        endpoint: target.endpoint,
+        signals,
       });
     }
     entry.post({kind: 'streamStarted', dispatch});
