Send nothing to an endpoint for the pause that it asks for

An endpoint that turns a request away with 503 may say for how long it wants nothing from this VM (Retry-After); it was not read.

--- a/fronts/callRelay/src/withholdCause.ts
+++ b/fronts/callRelay/src/withholdCause.ts
@@ -22,6 +22,9 @@
     return 'endpointLeft';
   }
   const now = clock.readMonotonic();
+  if ((view.pausedEndpoints.get(target.endpoint) ?? now) > now) {
+    return 'endpointPaused';
+  }
   const {quarantines, requests, identity} = view;
   const self = identity.address.node;
   if (findQuarantine({quarantines, requests, self, now}, request)) {
--- a/fronts/callRelay/test/relayFixture.ts
+++ b/fronts/callRelay/test/relayFixture.ts
@@ -185,6 +185,7 @@
       withdrawnEndpoints,
       quarantines,
       namedLimits: new Map(),
+      pausedEndpoints: new Map(),
       requests: new Map(),
       identity: {address: {node: 'entry-0'}},
     } as never,
--- a/scheduling/entryModel/src/endpointSignals.ts
+++ b/scheduling/entryModel/src/endpointSignals.ts
@@ -8,17 +8,21 @@
   readonly limitPerSecond: number | null;
   /** Whether it asks for no further requests, because it stops. */
   readonly isLeaving: boolean;
+  /** How long it wants nothing from this entry; `null` if it does not say. */
+  readonly retryAfterMs: Milliseconds | null;
 }
 
 /** Signals of an endpoint that states nothing. */
 export const NO_SIGNALS: EndpointSignals = {
   limitPerSecond: null,
   isLeaving: false,
+  retryAfterMs: null,
 };
 
 /** Returns whether an endpoint states anything about itself. */
 export function hasSignals(signals: EndpointSignals): boolean {
-  return signals.limitPerSecond !== null || signals.isLeaving;
+  const {limitPerSecond, isLeaving, retryAfterMs} = signals;
+  return limitPerSecond !== null || isLeaving || retryAfterMs !== null;
 }
 
 /** The rate that an endpoint named in an answer to this entry. */
--- a/scheduling/entryModel/src/sections.ts
+++ b/scheduling/entryModel/src/sections.ts
@@ -338,6 +338,8 @@
     knownEndpoints: defineMap<EndpointSetId, KnownEndpoints>(),
     /** Until when endpoints that left are not used. */
     withdrawnEndpoints: defineMap<EndpointId, MonotonicTime>(),
+    /** Until when endpoints want nothing from this entry. */
+    pausedEndpoints: defineMap<EndpointId, MonotonicTime>(),
     demandReports: defineOrdered<SetEntryKey, DemandReportRecord>(
       compareBy('set', 'node'),
     ),
--- a/scheduling/entryNode/src/entryNode.ts
+++ b/scheduling/entryNode/src/entryNode.ts
@@ -49,6 +49,7 @@
   createSetUseController,
   createDemandReportingController,
   createGrantReplyController,
+  createPauseController,
   createSlotController,
   createWithdrawalController,
 } from '@gentianshunt/slotClient';
@@ -81,6 +82,7 @@
     createLeadershipController(),
     createEndpointRegistry(),
     createWithdrawalController(),
+    createPauseController(),
     createEndpointOrderController(),
     createGrantReplyController(),
     createPatienceController(),
--- a/scheduling/lifecycle/src/unsentStreams.ts
+++ b/scheduling/lifecycle/src/unsentStreams.ts
@@ -62,6 +62,7 @@
       refuseUnsendable(view, draft, state, end, end.cause, now);
       return;
     case 'endpointLeft':
+    case 'endpointPaused':
       handleNotSent(
         view,
         draft,
--- a/scheduling/slotClient/src/fallbackCapacity.ts
+++ b/scheduling/slotClient/src/fallbackCapacity.ts
@@ -5,6 +5,7 @@
 import type {EndpointId, EndpointSetId} from '@gentianshunt/identifiers';
 
 import {countRunning} from './openTargets.js';
+import {isPaused} from './pauseController.js';
 import {refillUngrantedUse} from './ungrantedUse.js';
 
 /** A leader that has not answered a report for this long counts as silent. */
@@ -21,6 +22,7 @@
   | 'running'
   | 'namedLimits'
   | 'ungrantedUse'
+  | 'pausedEndpoints'
 >;
 
 /**
@@ -53,7 +55,7 @@
   now: TurnTime,
 ): readonly ListedEndpoint[] {
   const running = countRunning(board, set);
-  const endpoints = listUsable(board, set).map(listed =>
+  const endpoints = listUsable(board, set, now).map(listed =>
     limitToUngrantedUse(board, listed, running, now),
   );
   const entries = Math.max(1, board.control.directory.entries.length);
@@ -90,13 +92,18 @@
  * entry, so that the entries do not all use the same few.
  */
 function listUsable(
-  {identity, knownEndpoints, withdrawnEndpoints}: FallbackSections,
+  board: FallbackSections,
   set: EndpointSetId,
+  now: TurnTime,
 ): readonly ListedEndpoint[] {
+  const {identity, knownEndpoints, withdrawnEndpoints} = board;
   const {node} = identity.address;
   const listed = knownEndpoints.get(set)?.endpoints ?? [];
   return listed
-    .filter(({target}) => !withdrawnEndpoints.has(target.endpoint))
+    .filter(
+      ({target: {endpoint}}) =>
+        !withdrawnEndpoints.has(endpoint) && !isPaused(board, endpoint, now),
+    )
     .map(item => ({
       item,
       position: hashToFraction(`${node}/${item.target.endpoint}`),
--- a/scheduling/slotClient/src/openTargets.ts
+++ b/scheduling/slotClient/src/openTargets.ts
@@ -11,6 +11,7 @@
 import {PROBE_FAILURE_RATE} from '@gentianshunt/policy';
 
 import {listEndpointFailures} from './demandReport.js';
+import {isPaused} from './pauseController.js';
 import {isLimited} from './ungrantedUse.js';
 
 /** The board sections that the use of open capacity depends on. */
@@ -22,6 +23,7 @@
   | 'running'
   | 'matches'
   | 'namedLimits'
+  | 'pausedEndpoints'
 >;
 
 /** Number of endpoints of which the one with fewer own requests is picked. */
@@ -48,6 +50,7 @@
   const targets = open.targets.filter(
     ({endpoint}) =>
       !board.withdrawnEndpoints.has(endpoint) &&
+      !isPaused(board, endpoint, now) &&
       !isLimited(board, endpoint, now) &&
       !failing.has(endpoint),
   );
--- a/scheduling/slotClient/src/slotController.ts
+++ b/scheduling/slotClient/src/slotController.ts
@@ -29,6 +29,7 @@
 import {matchToFallback} from './matchToFallback.js';
 import {createOpenTargets} from './openTargets.js';
 import type {OpenTargets} from './openTargets.js';
+import {isPaused} from './pauseController.js';
 import {SLOT_READS, SLOT_WRITES, UNGRANTED_LIFETIME_MS} from './slotView.js';
 import type {SlotReads, SlotView, SlotWrite, SlotWrites} from './slotView.js';
 
@@ -42,7 +43,7 @@
     run: (view, now) => [
       ...dropUsedMatches(view),
       ...dropExpiredSlots(view, now),
-      ...dropWithdrawnSlots(view),
+      ...dropUnusableSlots(view, now),
       ...matchGrants(view, now),
       ...matchToFallback(view, now),
     ],
@@ -80,18 +81,30 @@
   return writes;
 }
 
-/** Deletes the slots at endpoints that left. */
-function dropWithdrawnSlots(view: SlotView): readonly SlotWrite[] {
-  if (view.readChanges('withdrawnEndpoints').size === 0) {
+/** Deletes the slots at endpoints that left or want nothing now. */
+function dropUnusableSlots(
+  view: SlotView,
+  now: TurnTime,
+): readonly SlotWrite[] {
+  const isChanged =
+    view.readChanges('withdrawnEndpoints').size > 0 ||
+    view.readChanges('pausedEndpoints').size > 0;
+  if (!isChanged) {
     return [];
   }
   return Array.from(view.board.slots.iterateFrom())
-    .filter(({value}) => isWithdrawn(view, value.grant.target))
+    .filter(({value}) => isUnusable(view, value.grant.target, now))
     .map(({key}) => ({kind: 'delete', section: 'slots', key}));
 }
 
-function isWithdrawn({board}: SlotView, {endpoint}: EndpointTarget): boolean {
-  return board.withdrawnEndpoints.has(endpoint);
+function isUnusable(
+  {board}: SlotView,
+  {endpoint}: EndpointTarget,
+  now: TurnTime,
+): boolean {
+  return (
+    board.withdrawnEndpoints.has(endpoint) || isPaused(board, endpoint, now)
+  );
 }
 
 /** Matches requests in the queues that gained requests or capacity. */
@@ -100,8 +113,8 @@
     view.readChanges('acceptedReply').size > 0
       ? view.board.acceptedReply
       : null;
-  const newSlots = reply === null ? [] : toSlots(view, reply);
-  const draft = createSlotDraft(view, newSlots);
+  const newSlots = reply === null ? [] : toSlots(view, reply, now);
+  const draft = createSlotDraft(view, newSlots, now);
   const readOpen = createOpenReader(view, now);
   const matches = listChangedQueues(view, newSlots).flatMap(queue =>
     matchQueue(view, queue, draft, readOpen(queue.set), now),
@@ -147,7 +160,11 @@
   readonly slot: Slot;
 }
 
-function toSlots(view: SlotView, reply: GrantReply): readonly KeyedSlot[] {
+function toSlots(
+  view: SlotView,
+  reply: GrantReply,
+  now: TurnTime,
+): readonly KeyedSlot[] {
   const sentAt = view.board.demandReporting.get(reply.set)?.sentAt ?? 0;
   // The leader counts the lifetime from when it sends the reply, and
   // `reportAgeMs` from when it received the report. Counting both from when the
@@ -155,7 +172,9 @@
   // however long the messages were delayed.
   const grantedAt = sentAt + reply.reportAgeMs;
   const deadline = grantedAt + reply.lifetimeMs;
-  const usable = reply.grants.filter(({target}) => !isWithdrawn(view, target));
+  const usable = reply.grants.filter(
+    ({target}) => !isUnusable(view, target, now),
+  );
   return usable.map(grant => ({
     key: {
       set: reply.set,
@@ -261,6 +280,7 @@
 function createSlotDraft(
   view: SlotView,
   newSlots: readonly KeyedSlot[],
+  now: TurnTime,
 ): SlotDraft {
   const changed = new Map<GrantId, KeyedSlot>();
   newSlots.forEach(added => changed.set(added.key.grant, added));
@@ -268,7 +288,7 @@
     changed.get(key.grant)?.slot ?? view.board.slots.get(key);
   const listQueueSlots = (queue: QueueKey): readonly KeyedSlot[] => [
     ...[...iterateQueueSlots(view.board.slots, queue)]
-      .filter(({value}) => !isWithdrawn(view, value.grant.target))
+      .filter(({value}) => !isUnusable(view, value.grant.target, now))
       .map(({key, value}): KeyedSlot => ({key, slot: value})),
     ...newSlots.filter(({key}) => isSameQueue(key, queue)),
   ];
--- a/scheduling/slotClient/src/slotView.ts
+++ b/scheduling/slotClient/src/slotView.ts
@@ -27,6 +27,7 @@
   'knownEndpoints',
   'running',
   'withdrawnEndpoints',
+  'pausedEndpoints',
   'namedLimits',
   'ungrantedUse',
   'demandReporting',
--- a/scheduling/slotClient/test/fallbackCapacity.test.ts
+++ b/scheduling/slotClient/test/fallbackCapacity.test.ts
@@ -52,6 +52,7 @@
     demandReporting: new Map(reporting === undefined ? [] : [[SET, state]]),
     running: {iterateFrom: () => counts.values()},
     namedLimits: new Map(),
+    pausedEndpoints: new Map(),
     ungrantedUse: new Map(),
   } as never;
 }
--- a/scheduling/slotClient/test/openTargets.test.ts
+++ b/scheduling/slotClient/test/openTargets.test.ts
@@ -47,6 +47,7 @@
     endpointHealth: new Map(health.map(item => [item.endpoint, item])),
     matches: new Map(),
     namedLimits: new Map(),
+    pausedEndpoints: new Map(),
     running: {iterateFrom: () => counts.values()},
   } as never;
 }
--- a/scheduling/slotContract/test/limitedSet.ts
+++ b/scheduling/slotContract/test/limitedSet.ts
@@ -44,6 +44,8 @@
   readonly limits: Map<number, number>;
   /** Endpoints that say in each answer that they leave. */
   readonly leaving: Set<number>;
+  /** Endpoints that turn each request away, and the pause they ask for. */
+  readonly pauses: Map<number, number>;
   /** When an entry first received an answer with the limit of an endpoint. */
   readonly toldAt: Map<string, number>;
   readonly refused: string[];
@@ -89,6 +91,7 @@
     arrived: [],
     limits: new Map(),
     leaving: new Set(),
+    pauses: new Map(),
     toldAt: new Map(),
     refused: [],
     runArrivals: durationMs => {
@@ -133,6 +136,7 @@
     const signals: EndpointSignals = {
       limitPerSecond: set.limits.get(endpoint) ?? null,
       isLeaving: set.leaving.has(endpoint),
+      retryAfterMs: set.pauses.get(endpoint) ?? null,
     };
     const told = `${node}/${endpoint}`;
     if (hasSignals(signals) && !set.toldAt.has(told)) {
@@ -147,6 +151,11 @@
         signals,
       });
     }
+    if (signals.retryAfterMs !== null) {
+      const end = {kind: 'notExecuted', detail: 'full'} as const;
+      entry.post({kind: 'streamEnded', dispatch, end, stored: null});
+      return;
+    }
     entry.post({kind: 'streamStarted', dispatch});
   });
   time.schedule(serviceMs, () =>
