Take an answer without a length for whole when its connection ends in order

Callers got 502 for sound answers that have neither a length nor chunks and end with their connection: each was taken for a failure, because the client reports a reset of such an answer as its end. A reset now has an error code of its own, so that it looks broken off to the caller, as does a stream of events that stops inside an event, with chunks or without (before, it ended as whole).

--- a/fronts/callRelay/src/answerAction.ts
+++ b/fronts/callRelay/src/answerAction.ts
@@ -43,9 +43,7 @@
     return failed;
   }
   if (isSuccess) {
-    return attributes.isAuthentic && hasDelimitedBody(call, head)
-      ? {kind: 'pass'}
-      : failed;
+    return attributes.isAuthentic ? {kind: 'pass'} : failed;
   }
   const isFailure =
     status >= FIRST_SERVER_ERROR || NOT_RUN_STATUSES.has(status);
@@ -67,22 +65,3 @@
       findHeader(sentHead.headers, CONTENT_TYPE)
   );
 }
-
-const BODILESS_STATUSES: ReadonlySet<number> = new Set([204, 304]);
-
-/**
- * Returns whether the body has a length or an end mark. Without either, a
- * truncated body cannot be distinguished from a complete one.
- */
-function hasDelimitedBody(
-  {head: {method}}: OpenCall,
-  answer: AnswerHead,
-): boolean {
-  const {status, headers} = answer;
-  return (
-    method === 'HEAD' ||
-    BODILESS_STATUSES.has(status) ||
-    findHeader(headers, 'content-length') !== undefined ||
-    findHeader(headers, 'transfer-encoding') !== undefined
-  );
-}
--- a/fronts/callRelay/src/answerWriter.ts
+++ b/fronts/callRelay/src/answerWriter.ts
@@ -2,7 +2,7 @@
 
 import type {AnswerHead, SchedulerAnswer} from './callProtocol.js';
 import type {OpenCall} from './callTable.js';
-import {dropHeaders} from './headers.js';
+import {dropHeaders, findHeader} from './headers.js';
 
 /** Forwards an endpoint's answer to the caller. */
 export interface AnswerWriter {
@@ -34,9 +34,16 @@
     return response.destroyed || response.write(bytes);
   };
   if (!isResumable) {
+    const tail = createTailTracker(head);
     return {
-      write,
+      write: chunk => {
+        tail.push(chunk);
+        return write(chunk);
+      },
       end: () => {
+        if (tail.isInsideEvent()) {
+          return false;
+        }
         startAnswer(call, head, dropped);
         response.end();
         return true;
@@ -66,6 +73,32 @@
   };
 }
 
+/** Tells whether an answer stopped in the middle of an event. */
+interface TailTracker {
+  push(chunk: Buffer): void;
+  isInsideEvent(): boolean;
+}
+
+/** Bytes of the longest separator of two events. */
+const SEPARATOR_BYTES = 4;
+const EVENT_END = /\n\r?\n$/;
+
+/** Tracks the last bytes of a stream of events; of other answers nothing. */
+function createTailTracker({headers}: AnswerHead): TailTracker {
+  const type = findHeader(headers, 'content-type') ?? '';
+  const isStream = type.trim().toLowerCase().startsWith('text/event-stream');
+  let tail = '';
+  return {
+    push: chunk => {
+      if (isStream) {
+        const last = chunk.subarray(-SEPARATOR_BYTES).toString('latin1');
+        tail = (tail + last).slice(-SEPARATOR_BYTES);
+      }
+    },
+    isInsideEvent: () => tail !== '' && !EVENT_END.test(tail),
+  };
+}
+
 function startAnswer(
   call: OpenCall,
   head: AnswerHead,
--- a/fronts/callRelay/src/endpointStream.ts
+++ b/fronts/callRelay/src/endpointStream.ts
@@ -21,6 +21,7 @@
 import type {AnswerHead, CallProtocol} from './callProtocol.js';
 import type {CallStep, SentCall} from './callStep.js';
 import type {CallTable, OpenCall} from './callTable.js';
+import {createEndpointConnector} from './endpointConnector.js';
 import {createProgressTracker} from './progressTracker.js';
 import {createTokenReporter, reportSignals} from './streamReports.js';
 import {findWithholdCause} from './withholdCause.js';
@@ -68,7 +69,10 @@
     pipelining: 1,
     keepAliveTimeout: KEEP_ALIVE_MS,
     keepAliveTimeoutThreshold: KEEP_ALIVE_MARGIN_MS,
-    connect: {timeout: CONNECT_TIMEOUT_MS, noDelay: true},
+    connect: createEndpointConnector({
+      timeout: CONNECT_TIMEOUT_MS,
+      noDelay: true,
+    }),
     maxHeaderSize: MAX_HEAD_BYTES,
     // The controllers of the entry decide how long an endpoint may be silent.
     headersTimeout: 0,
--- a/scripts/bundledUndici.mjs
+++ b/scripts/bundledUndici.mjs
@@ -2,8 +2,9 @@
 // dozen further clients, which take 8 MB more at the start of a daemon.
 import api from '../node_modules/undici/lib/api/index.js';
 import Agent from '../node_modules/undici/lib/dispatcher/agent.js';
+import buildConnector from '../node_modules/undici/lib/core/connect.js';
 
-export {Agent};
+export {Agent, buildConnector};
 
 let sharedAgent;
 
