--- a/scheduling/entryNode/test/calls.test.ts
+++ b/scheduling/entryNode/test/calls.test.ts
@@ -5,7 +5,7 @@
   StreamEnd,
 } from '@gentianshunt/entryModel';
 import {toIdentifier} from '@gentianshunt/identifiers';
-import type {DispatchId} from '@gentianshunt/identifiers';
+import type {DispatchId, RequestId} from '@gentianshunt/identifiers';
 import t from 'tap';
 
 import {createEntryFixture, createRequestAttributes} from './entryFixture.js';
@@ -251,3 +251,24 @@
     epoch: 1,
   });
 });
+
+t.test('a draining entry passes no new request on, in calm', async t => {
+  const fixture = createEntryFixture();
+  fixture.post({kind: 'shutdownRequested'});
+  for (const [index, delayMs] of [0, 1_000, 3_000, 6_500].entries()) {
+    fixture.advance(delayMs);
+    const id = toIdentifier<RequestId>(`q${index + 1}`);
+    const attributes = {...createCallAttributes(), id};
+    fixture.post({kind: 'requestReceived', attributes});
+    fixture.post({
+      kind: 'requestReceived',
+      attributes: {
+        ...createRequestAttributes(`k${index + 1}`),
+        claim: {idempotencyKey: `key-${index}`, digest: 'd'},
+      },
+    });
+  }
+  t.same(fixture.list('openStream'), []);
+  t.same(new Set(listRefusals(fixture)), new Set(['draining notRun']));
+  t.equal(listRefusals(fixture).length, 8);
+});
