Let operators hold and lift prompt parts

'hold prompt-part NAME' and 'lift prompt-part NAME' go through the control log like the policy of an endpoint: a part that an operator holds is refused by all entries, also after they restart, and one that is lifted may run again at once.

--- a/control/configuration/src/checkObject.ts
+++ b/control/configuration/src/checkObject.ts
@@ -63,6 +63,7 @@
         ? undefined
         : `names that begin with ${QUOTA_SET_PREFIX} are reserved`;
     case 'endpointPolicy':
+    case 'promptPolicy':
     case 'endpointOrder':
     case 'setLeadership':
       return undefined;
@@ -133,6 +134,7 @@
     case 'endpointSet':
     case 'requestKind':
     case 'endpointPolicy':
+    case 'promptPolicy':
     case 'endpointOrder':
     case 'weightStore':
     case 'release':
--- a/control/configuration/src/objects.ts
+++ b/control/configuration/src/objects.ts
@@ -10,6 +10,7 @@
   Identifier,
   NodeId,
   OrganisationId,
+  PromptPartId,
   RegionId,
   RequestKindId,
   RouteId,
@@ -168,6 +169,14 @@
   readonly state: 'active' | 'draining';
 }
 
+/** Whether an operator holds a prompt part, or lifted its quarantine. */
+export interface PromptPolicy {
+  readonly kind: 'promptPolicy';
+  readonly id: PromptPartId;
+  readonly revision: Revision;
+  readonly state: 'held' | 'lifted';
+}
+
 /** The entry that leads a set, as assigned by the control log. */
 export interface SetLeadership {
   readonly kind: 'setLeadership';
@@ -205,6 +214,7 @@
   | EndpointSet
   | RequestKind
   | EndpointPolicy
+  | PromptPolicy
   | SetLeadership
   | EndpointOrder
   | WeightStore
--- a/fronts/callRelay/src/withholdCause.ts
+++ b/fronts/callRelay/src/withholdCause.ts
@@ -3,7 +3,7 @@
   Dispatch,
   WithholdCause,
 } from '@gentianshunt/entryModel';
-import {findQuarantine} from '@gentianshunt/promptQuarantine';
+import {findPromptRefusal} from '@gentianshunt/promptQuarantine';
 
 import type {OpenCall} from './callTable.js';
 import type {EndpointStreamOptions} from './endpointStream.js';
@@ -25,9 +25,14 @@
   if ((view.pausedEndpoints.get(target.endpoint) ?? now) > now) {
     return 'endpointPaused';
   }
-  const {quarantines, requests, identity} = view;
+  const {configuration, quarantines, requests, identity} = view;
   const self = identity.address.node;
-  if (findQuarantine({quarantines, requests, self, now}, request)) {
+  if (
+    findPromptRefusal(
+      {configuration, quarantines, requests, self, now},
+      request,
+    )
+  ) {
     return 'promptQuarantined';
   }
   return dueAt <= now ? 'timeLimit' : undefined;
--- a/language/commands/src/compileCommands.ts
+++ b/language/commands/src/compileCommands.ts
@@ -2,6 +2,7 @@
 import type {
   ConfigurationObject,
   EndpointPolicy,
+  PromptPolicy,
   ObjectCommand,
   ObjectPatch,
 } from '@gentianshunt/configuration';
@@ -43,7 +44,17 @@
         createSemanticIssue(
           `${statement.kind} cannot be used among commands`,
           statement.position,
-          ['create', 'set', 'delete', 'drain', 'undrain', 'load', 'change'],
+          [
+            'create',
+            'set',
+            'delete',
+            'drain',
+            'undrain',
+            'hold',
+            'lift',
+            'load',
+            'change',
+          ],
         ),
       );
     case 'load':
@@ -54,6 +65,8 @@
     case 'delete':
     case 'drain':
     case 'undrain':
+    case 'hold':
+    case 'lift':
       return compileChange(statement);
     default:
       return assertNever(statement, 'compileStatement');
@@ -78,6 +91,9 @@
   if (statement.kind === 'drain' || statement.kind === 'undrain') {
     return createResult(createPolicyCommand(statement, statement.kind));
   }
+  if (statement.kind === 'hold' || statement.kind === 'lift') {
+    return createResult(createPromptCommand(statement, statement.kind));
+  }
   const type = findType(statement.type);
   if (type === undefined) {
     return fail(
@@ -107,6 +123,19 @@
   return {kind: 'put', object, expectedRevision: statement.revision};
 }
 
+function createPromptCommand(
+  statement: ChangeStatement,
+  kind: 'hold' | 'lift',
+): ObjectCommand {
+  const object: PromptPolicy = {
+    kind: 'promptPolicy',
+    id: toIdentifier(statement.id.toLowerCase()),
+    revision: 0,
+    state: kind === 'hold' ? 'held' : 'lifted',
+  };
+  return {kind: 'put', object, expectedRevision: statement.revision};
+}
+
 function createCommand(
   statement: ChangeStatement,
   type: TypeSpec,
@@ -145,6 +174,9 @@
     case 'drain':
     case 'undrain':
       return createResult(createPolicyCommand(statement, statement.kind));
+    case 'hold':
+    case 'lift':
+      return createResult(createPromptCommand(statement, statement.kind));
     default:
       return assertNever(statement.kind, 'createCommand');
   }
--- a/language/commands/src/help.ts
+++ b/language/commands/src/help.ts
@@ -56,6 +56,18 @@
     text: 'Sends new requests to an endpoint again.',
     examples: ['undrain endpoint e7'],
   },
+  {
+    name: 'hold',
+    syntax: 'hold prompt-part NAME',
+    text: 'Refuses requests with a prompt part until it is lifted.',
+    examples: ['hold prompt-part 5c1e07a2'],
+  },
+  {
+    name: 'lift',
+    syntax: 'lift prompt-part NAME',
+    text: 'Lets requests with a prompt part run again, whether an operator or the entries held it. Further crashes hold it again.',
+    examples: ['lift prompt-part 5c1e07a2'],
+  },
   {
     name: 'load',
     syntax:
--- a/language/commands/test/compileCommands.test.ts
+++ b/language/commands/test/compileCommands.test.ts
@@ -79,6 +79,13 @@
         {object: {kind: 'endpointPolicy', id: 'e8', state: 'active'}},
       ],
     },
+    {
+      text: 'hold prompt-part 5C1E07A2; lift prompt-part 5c1e07a2',
+      commands: [
+        {object: {kind: 'promptPolicy', id: '5c1e07a2', state: 'held'}},
+        {object: {kind: 'promptPolicy', id: '5c1e07a2', state: 'lifted'}},
+      ],
+    },
     {
       text: 'load model m version 7 on endpoint e1; change role of endpoint e1 to prefill',
       commands: [
--- a/language/grammar/src/grammar.peggy
+++ b/language/grammar/src/grammar.peggy
@@ -11,7 +11,7 @@
   = _ first:Statement rest:(_ ";" _ @Statement)* _ ";"? _ { return [first, ...rest]; }
 
 Statement
-  = Show / Help / Load / ChangeRole / Create / Set / Delete / Drain
+  = Show / Help / Load / ChangeRole / Create / Set / Delete / Drain / Hold
 
 Show
   = "show"i !Char __ table:Word
@@ -85,6 +85,10 @@
   = verb:("drain"i / "undrain"i) __ "endpoint"i __ id:Word revision:Revision?
     { return {kind: verb.toLowerCase(), type: 'endpoint', id, settings: [], revision, position: toPosition(location())}; }
 
+Hold
+  = verb:("hold"i / "lift"i) __ "prompt-part"i __ id:Word revision:Revision?
+    { return {kind: verb.toLowerCase(), type: 'prompt-part', id, settings: [], revision, position: toPosition(location())}; }
+
 Revision
   = __ "if"i __ "revision"i _ "=" _ @Integer
 
--- a/language/grammar/src/printStatement.ts
+++ b/language/grammar/src/printStatement.ts
@@ -25,6 +25,8 @@
     case 'delete':
     case 'drain':
     case 'undrain':
+    case 'hold':
+    case 'lift':
       return printChange(statement);
     default:
       return assertNever(statement, 'printStatement');
--- a/language/grammar/src/syntaxTree.ts
+++ b/language/grammar/src/syntaxTree.ts
@@ -62,7 +62,8 @@
 
 /** A command that changes one configuration object. */
 export interface ChangeStatement {
-  readonly kind: 'create' | 'set' | 'delete' | 'drain' | 'undrain';
+  readonly kind:
+    'create' | 'set' | 'delete' | 'drain' | 'undrain' | 'hold' | 'lift';
   /** Type of the object, such as `tier`. */
   readonly type: string;
   readonly id: string;
--- a/language/grammar/test/grammar.test.ts
+++ b/language/grammar/test/grammar.test.ts
@@ -113,6 +113,14 @@
       revision,
       position,
     }),
+    record({
+      kind: constantFrom('hold' as const, 'lift' as const),
+      type: constant('prompt-part'),
+      id: createWords(),
+      settings: constant([]),
+      revision,
+      position,
+    }),
     record({
       kind: constantFrom('drain' as const, 'undrain' as const),
       type: constant('endpoint'),
--- a/scheduling/lifecycle/src/admitRequest.ts
+++ b/scheduling/lifecycle/src/admitRequest.ts
@@ -13,9 +13,7 @@
 } from '@gentianshunt/entryModel';
 import {computeWaitingLimit} from '@gentianshunt/limits';
 
-import {computeQuarantineRetry} from '@gentianshunt/promptQuarantine';
-
-import {findRequestQuarantine} from './quarantinedRequests.js';
+import {findRequestRefusal} from './quarantinedRequests.js';
 import {consumeQuota, hasQuota} from './quota.js';
 import type {LifecycleView, RequestDraft} from './requestDraft.js';
 import {refillRetryBudget} from './retries.js';
@@ -38,9 +36,9 @@
     refuse(draft, attributes, reason, TRANSIENT_RETRY_AFTER_MS);
     return;
   }
-  const quarantine = findRequestQuarantine(view, attributes, now);
-  if (quarantine !== undefined) {
-    const retryAfterMs = computeQuarantineRetry(quarantine, now.monotonic);
+  const found = findRequestRefusal(view, attributes, now);
+  if (found !== undefined) {
+    const {retryAfterMs} = found;
     refuse(draft, attributes, {kind: 'promptQuarantined'}, retryAfterMs);
     return;
   }
--- a/scheduling/lifecycle/src/matches.ts
+++ b/scheduling/lifecycle/src/matches.ts
@@ -14,10 +14,7 @@
 import {requestClaim} from './claims.js';
 import {describeShed} from './describeShed.js';
 import {endRequest, startDispatch} from './endRequest.js';
-import {
-  findRequestQuarantine,
-  refuseQuarantined,
-} from './quarantinedRequests.js';
+import {findRequestRefusal, refuseQuarantined} from './quarantinedRequests.js';
 import {canRetry} from './retries.js';
 import type {LifecycleView, RequestDraft} from './requestDraft.js';
 import {completeClaim} from './claimCompletions.js';
@@ -47,9 +44,9 @@
   now: TurnTime,
 ): void {
   const {request} = state;
-  const quarantine = findRequestQuarantine(view, request, now);
-  if (quarantine !== undefined) {
-    refuseQuarantined(view, draft, state, quarantine, now);
+  const found = findRequestRefusal(view, request, now);
+  if (found !== undefined) {
+    refuseQuarantined(view, draft, state, found, now);
     return;
   }
   const isRetryable =
--- a/scheduling/lifecycle/src/quarantinedRequests.ts
+++ b/scheduling/lifecycle/src/quarantinedRequests.ts
@@ -3,15 +3,11 @@
 import {failDispatched, isQueued, refuseNotRun} from '@gentianshunt/entryModel';
 import type {
   AdmittedRequest,
-  Quarantine,
   QueuedState,
   RequestAttributes,
 } from '@gentianshunt/entryModel';
-import {
-  computeQuarantineRetry,
-  decaySoundUse,
-  findQuarantine,
-} from '@gentianshunt/promptQuarantine';
+import {decaySoundUse, findPromptRefusal} from '@gentianshunt/promptQuarantine';
+import type {PromptRefusal} from '@gentianshunt/promptQuarantine';
 
 import {completeClaim} from './claimCompletions.js';
 import {endRequest} from './endRequest.js';
@@ -21,20 +17,21 @@
 /** Sound answers after which a part is not suspected of a single crash. */
 const MIN_SOUND_RUNS = 0.5;
 
-/** Finds a quarantine by which a request must not be dispatched. */
-export function findRequestQuarantine(
+/** Finds a prompt part by which a request must not be dispatched. */
+export function findRequestRefusal(
   {board}: LifecycleView,
   request: Pick<RequestAttributes, 'id' | 'promptParts'>,
   now: TurnTime,
-): Quarantine | undefined {
-  const {quarantines, requests, identity} = board;
+): PromptRefusal | undefined {
+  const {configuration, quarantines, requests, identity} = board;
   const query = {
+    configuration,
     quarantines,
     requests,
     self: identity.address.node,
     now: now.monotonic,
   };
-  return findQuarantine(query, request);
+  return findPromptRefusal(query, request);
 }
 
 /** Refuses a queued request; one that may have run is not called unrun. */
@@ -42,10 +39,9 @@
   view: LifecycleView,
   draft: RequestDraft,
   state: QueuedState,
-  quarantine: Quarantine,
+  {retryAfterMs}: PromptRefusal,
   now: TurnTime,
 ): void {
-  const retryAfterMs = computeQuarantineRetry(quarantine, now.monotonic);
   const refusal =
     state.kind === 'repeating'
       ? failDispatched(state.request.id, REASON)
@@ -63,14 +59,11 @@
   draft: RequestDraft,
   now: TurnTime,
 ): void {
-  if (view.board.quarantines.size === 0) {
-    return;
-  }
   for (const {request} of view.board.requests.values()) {
     const state = draft.read(request.id);
-    const quarantine = findRequestQuarantine(view, request, now);
-    if (quarantine !== undefined && state !== undefined && isQueued(state)) {
-      refuseQuarantined(view, draft, state, quarantine, now);
+    const found = findRequestRefusal(view, request, now);
+    if (found !== undefined && state !== undefined && isQueued(state)) {
+      refuseQuarantined(view, draft, state, found, now);
     }
   }
 }
--- a/scheduling/promptQuarantine/src/findQuarantine.ts
+++ b/scheduling/promptQuarantine/src/findQuarantine.ts
@@ -1,4 +1,6 @@
 import type {Milliseconds, MonotonicTime} from '@gentianshunt/clock';
+import {findObject} from '@gentianshunt/configuration';
+import type {ConfigurationTable} from '@gentianshunt/configuration';
 import {assertNever} from '@gentianshunt/errors';
 import type {
   Quarantine,
@@ -7,29 +9,43 @@
 } from '@gentianshunt/entryModel';
 import type {NodeId, PromptPartId, RequestId} from '@gentianshunt/identifiers';
 
+/** Shortest time after which a refused caller may try again. */
+const MIN_RETRY_AFTER_MS: Milliseconds = 1_000;
+/** The same for a part that an operator holds. */
+const OPERATOR_RETRY_AFTER_MS: Milliseconds = 60_000;
+
 /** The state of an entry in which quarantines are looked up. */
 export interface QuarantineQuery {
+  readonly configuration: ConfigurationTable;
   readonly quarantines: ReadonlyMap<PromptPartId, Quarantine>;
   readonly requests: ReadonlyMap<RequestId, RequestState>;
   readonly self: NodeId;
   readonly now: MonotonicTime;
 }
 
-/** Finds a quarantine by which a request must not reach an endpoint now. */
-export function findQuarantine(
+/** Why a request must not reach an endpoint now. */
+export interface PromptRefusal {
+  readonly part: PromptPartId;
+  /** When its caller may try again. */
+  readonly retryAfterMs: Milliseconds;
+}
+
+/** Finds a prompt part by which a request must not reach an endpoint now. */
+export function findPromptRefusal(
   query: QuarantineQuery,
   request: Pick<RequestAttributes, 'id' | 'promptParts'>,
-): Quarantine | undefined {
-  // Most of the time nothing is quarantined.
-  if (query.quarantines.size === 0) {
-    return undefined;
+): PromptRefusal | undefined {
+  for (const part of request.promptParts ?? []) {
+    const policy = findObject(query.configuration, 'promptPolicy', part);
+    if (policy?.state === 'held') {
+      return {part, retryAfterMs: OPERATOR_RETRY_AFTER_MS};
+    }
+    const quarantine = query.quarantines.get(part);
+    if (quarantine !== undefined && isRefused(query, quarantine, request.id)) {
+      return {part, retryAfterMs: computeRetryAfter(quarantine, query.now)};
+    }
   }
-  return (request.promptParts ?? [])
-    .map(part => query.quarantines.get(part))
-    .find(
-      quarantine =>
-        quarantine !== undefined && isRefused(query, quarantine, request.id),
-    );
+  return undefined;
 }
 
 function isRefused(
@@ -65,11 +81,7 @@
   );
 }
 
-/** Shortest time after which a refused caller may try again. */
-const MIN_RETRY_AFTER_MS: Milliseconds = 1_000;
-
-/** Computes when the caller of a refused request may try again. */
-export function computeQuarantineRetry(
+function computeRetryAfter(
   {state}: Quarantine,
   now: MonotonicTime,
 ): Milliseconds {
--- a/scheduling/promptQuarantine/src/quarantineController.ts
+++ b/scheduling/promptQuarantine/src/quarantineController.ts
@@ -10,6 +10,7 @@
   checkContradiction,
   endFailedTest,
   grantTest,
+  handlePolicies,
   handleSuspects,
   learnQuarantine,
 } from './quarantineDecisions.js';
@@ -41,7 +42,10 @@
     observes: ['entryMessage', 'requestReceived', 'streamEnded', 'timerDue'],
     run: (view, now) => {
       const draft = createMapDraft(view.board.quarantines);
-      const writes = handleObservation(view, draft, now);
+      const writes = [
+        ...handleObservation(view, draft, now),
+        ...handlePolicies(view, draft, now),
+      ];
       return [...writes, ...draft.listWrites('quarantines' as const)];
     },
   });
--- a/scheduling/slotContract/test/crashingPromptPart.test.ts
+++ b/scheduling/slotContract/test/crashingPromptPart.test.ts
@@ -140,3 +140,36 @@
     t.ok(set.begun.has(last.request), 'served again after the second test');
   },
 );
+
+t.test(
+  'an operator holds a prompt part, and lifts one that crashed',
+  async t => {
+    const size = sizes[0]!;
+    const set = createCrashingSet({...size, deadlyShare: 0.1});
+    set.isDeadly = false;
+    set.setPolicy('held');
+    set.runArrivals(1_000);
+    const heldFrom = set.entries.time.clock.readMonotonic();
+    set.runArrivals(WARM_UP_MS);
+    const late = set.arrived.filter(
+      request => isDeadly(request) && request.at > heldFrom,
+    );
+    t.same(late, [], 'held by the operator');
+    set.setPolicy('lifted');
+    set.isDeadly = true;
+    set.runArrivals(WARM_UP_MS);
+    t.ok(set.crashedAt.length >= 2, 'lifted, it crashes endpoints');
+    t.ok(countRefused(set, true) > 0, 'and is held by the entries');
+    set.isDeadly = false;
+    set.setPolicy('held');
+    set.runArrivals(1_000);
+    set.setPolicy('lifted');
+    set.runArrivals(1_000);
+    const sent = set.sent.length;
+    set.runArrivals(WARM_UP_MS);
+    const again = set.sent.slice(sent, -60).filter(isDeadly);
+    const arrived = new Set(set.arrived.map(({request}) => request));
+    const refused = again.filter(({request}) => !arrived.has(request));
+    t.same(refused, [], 'lifted by the operator');
+  },
+);
--- a/scheduling/slotContract/test/crashingSet.ts
+++ b/scheduling/slotContract/test/crashingSet.ts
@@ -1,3 +1,7 @@
+import type {
+  ConfigurationObject,
+  PromptPolicy,
+} from '@gentianshunt/configuration';
 import type {
   AnswerProgress,
   Dispatch,
@@ -72,6 +76,8 @@
   kill(endpoint: number): void;
   /** Lets another entry lead the set. */
   moveLeader(node: string): void;
+  /** Lets an operator hold or lift the deadly part. */
+  setPolicy(state: PromptPolicy['state']): void;
 }
 
 interface RunningStream {
@@ -99,8 +105,11 @@
   );
   let leader = nodes[0]!;
   let arrivals = 0;
-  const publish = (): ReturnType<typeof createConfigurationObjects> =>
-    createConfigurationObjects({organisations: ORGANISATIONS, leader});
+  let policies: readonly PromptPolicy[] = [];
+  const publish = (): readonly ConfigurationObject[] => [
+    ...createConfigurationObjects({organisations: ORGANISATIONS, leader}),
+    ...policies,
+  ];
   const entries = createVirtualEntries({
     nodes,
     objects: publish(),
@@ -144,6 +153,11 @@
       leader = node;
       entries.publish(publish(), nodes);
     },
+    setPolicy: state => {
+      const id = toIdentifier<PromptPartId>(DEADLY_PART);
+      policies = [{kind: 'promptPolicy', id, revision: 1, state}];
+      entries.publish(publish(), nodes);
+    },
   };
   announce();
   entries.time.advance(START_UP_MS);
