--- a/scheduling/promptQuarantine/src/index.ts
+++ b/scheduling/promptQuarantine/src/index.ts
@@ -1,6 +1,6 @@
 export * from './crashRecords.js';
 export * from './decideSuspects.js';
-export * from './findQuarantine.js';
+export * from './findPromptRefusal.js';
 export * from './promptEvidenceController.js';
 export * from './quarantineController.js';
 export * from './quarantineExchange.js';
--- a/scheduling/promptQuarantine/src/quarantineController.ts
+++ b/scheduling/promptQuarantine/src/quarantineController.ts
@@ -7,7 +7,7 @@
 import {addReportedRuns, listRecentCrashes} from './crashRecords.js';
 import {listEvidenceNodes} from './evidenceNodes.js';
 import {
-  checkContradiction,
+  acceptSoundPart,
   endFailedTest,
   grantTest,
   handlePolicies,
@@ -116,7 +116,7 @@
       return [
         ...soundParts.listWrites('reportedSoundParts' as const),
         ...parts.flatMap(part =>
-          checkContradiction(view, draft, part, soundParts, now),
+          acceptSoundPart(view, draft, part, soundParts, now),
         ),
       ];
     }
--- a/scheduling/promptQuarantine/src/quarantineDecisions.ts
+++ b/scheduling/promptQuarantine/src/quarantineDecisions.ts
@@ -55,7 +55,7 @@
 }
 
 /** Lifts a quarantine that sound answers contradict. */
-export function checkContradiction(
+export function acceptSoundPart(
   view: QuarantineView,
   draft: QuarantineDraft,
   {part, isUnderQuarantine}: ReportedSoundPart,
