--- a/fronts/logging/src/logEvent.ts
+++ b/fronts/logging/src/logEvent.ts
@@ -157,7 +157,10 @@
       return {event: event.kind, ...toEndRecord(event.end)};
     case 'entryDecided': {
       const {kind, ...fields} = event.decision;
-      return {event: kind, ...toWholeNumbers(fields)};
+      // Rates are often fractions.
+      return kind === 'endpointLimitNamed'
+        ? {event: kind, ...fields}
+        : {event: kind, ...toWholeNumbers(fields)};
     }
     case 'controlDecided':
       return toControlRecord(event.decision);
--- a/fronts/logging/test/logEvent.test.ts
+++ b/fronts/logging/test/logEvent.test.ts
@@ -1,4 +1,5 @@
 import {SchedulerError} from '@gentianshunt/errors';
+import {toIdentifier} from '@gentianshunt/identifiers';
 import t from 'tap';
 
 import {
@@ -143,3 +144,17 @@
   t.match(lines.at(-2)!, {event: 'linesDropped', count: surplus});
   t.match(lines.at(-1)!, {event: 'requestDispatched', request: 'r0'});
 });
+
+t.test('the limit of an endpoint keeps its fraction', async t => {
+  const record = toLogRecord({
+    kind: 'entryDecided',
+    decision: {
+      kind: 'endpointLimitNamed',
+      set: toIdentifier('drafts'),
+      endpoint: toIdentifier('e1'),
+      perSecond: 2.8,
+      before: null,
+    },
+  });
+  t.match(record, {event: 'endpointLimitNamed', perSecond: 2.8, before: null});
+});
