Bound what a broken run costs the entry that collects the evidence

Each report of a broken run weighed all parts of up to 128 crashes with 64 runs each, also when it named no part. A report now weighs the parts that it names, and a crash keeps 16 runs.

--- a/scheduling/promptQuarantine/src/crashRecords.ts
+++ b/scheduling/promptQuarantine/src/crashRecords.ts
@@ -13,7 +13,7 @@
 /** Most crashes that an entry remembers. */
 export const MAX_CRASHES = 128;
 /** Most runs recorded of one crash. */
-export const MAX_RUNS_PER_CRASH = 64;
+export const MAX_RUNS_PER_CRASH = 16;
 
 /** Lists the crashes that still count. */
 export function listRecentCrashes(
@@ -46,7 +46,10 @@
   now: MonotonicTime,
 ): readonly EndpointCrash[] {
   const at = now - ageMs;
+  // That an endpoint failed is known by its first run; others without parts
+  // show nothing more.
   const run = {reporter, progress, parts};
+  const isEmpty = parts.length === 0;
   const known = crashes.find(
     crash =>
       crash.endpoint === endpoint && Math.abs(crash.at - at) < CRASH_SPAN_MS,
@@ -55,6 +58,7 @@
     return [...crashes, {endpoint, at, runs: [run]}];
   }
   if (
+    isEmpty ||
     known.runs.length >= MAX_RUNS_PER_CRASH ||
     known.runs.some(other => isSameRun(other, run))
   ) {
--- a/scheduling/promptQuarantine/src/decideSuspects.ts
+++ b/scheduling/promptQuarantine/src/decideSuspects.ts
@@ -39,14 +39,18 @@
 }
 
 /**
- * Decides which prompt parts are to be held: those involved in several crashes
- * and hardly ever in a sound answer.
+ * Decides which of some prompt parts are to be held: those involved in several
+ * crashes and hardly ever in a sound answer.
  */
 export function decideSuspects(
+  candidates: ReadonlySet<PromptPartId>,
   crashes: readonly EndpointCrash[],
   countSoundRuns: SoundCounter,
 ): readonly DecidedSuspect[] {
-  return [...collectEvidence(crashes)]
+  if (candidates.size === 0) {
+    return [];
+  }
+  return [...collectEvidence(candidates, crashes)]
     .filter(([part, evidence]) =>
       isHeld(evidence, countSoundRuns(part), crashes.length),
     )
@@ -75,12 +79,16 @@
 }
 
 function collectEvidence(
+  candidates: ReadonlySet<PromptPartId>,
   crashes: readonly EndpointCrash[],
 ): ReadonlyMap<PromptPartId, PartEvidence> {
   const evidence = new Map<PromptPartId, PartEvidence>();
   crashes.forEach((crash, index) => {
     const suspects = new Set<PromptPartId>();
     for (const {reporter, parts} of listSuspectedRuns(crash)) {
+      if (!parts.some(({part}) => candidates.has(part))) {
+        continue;
+      }
       for (const part of pickLeastSound(parts)) {
         const known = evidence.get(part) ?? {
           crashes: 0,
--- a/scheduling/promptQuarantine/src/quarantineController.ts
+++ b/scheduling/promptQuarantine/src/quarantineController.ts
@@ -107,7 +107,7 @@
       return [
         {kind: 'set', section: 'endpointCrashes', value: crashes},
         ...soundParts.listWrites('reportedSoundParts' as const),
-        ...handleSuspects(view, draft, set, crashes, soundParts, now),
+        ...handleSuspects(view, draft, set, parts, crashes, soundParts, now),
       ];
     }
     case 'soundPartsReported': {
--- a/scheduling/promptQuarantine/src/quarantineDecisions.ts
+++ b/scheduling/promptQuarantine/src/quarantineDecisions.ts
@@ -6,6 +6,7 @@
   Quarantine,
   ReportedQuarantine,
   ReportedSoundPart,
+  SuspectPart,
 } from '@gentianshunt/entryModel';
 import type {
   DispatchId,
@@ -41,11 +42,16 @@
   view: QuarantineView,
   draft: QuarantineDraft,
   set: EndpointSetId,
+  parts: readonly SuspectPart[],
   crashes: readonly EndpointCrash[],
   soundParts: SoundPartsDraft,
   now: TurnTime,
 ): readonly QuarantineWrite[] {
-  return decideSuspects(crashes, createSoundCounter(view, soundParts, now))
+  return decideSuspects(
+    new Set(parts.map(({part}) => part)),
+    crashes,
+    createSoundCounter(view, soundParts, now),
+  )
     .filter(({part}) => isNewEvidence(draft.get(part), crashes))
     .flatMap(suspect => {
       const known = draft.get(suspect.part);
@@ -67,6 +73,7 @@
     return [];
   }
   const isSuspected = decideSuspects(
+    new Set([part]),
     view.board.endpointCrashes,
     createSoundCounter(view, soundParts, now),
   ).some(suspect => suspect.part === part);
