Look for held prompt parts among the queued requests only

Every 250 ms all requests of an entry were looked up, the running ones too, and most of them cannot be refused any more. The queue index lists those that can. Also: a constant that nothing imports is not exported, and a clearer comment.

--- a/fronts/callRelay/src/answerWriter.ts
+++ b/fronts/callRelay/src/answerWriter.ts
@@ -73,7 +73,7 @@
   };
 }
 
-/** Tells whether an answer stopped in the middle of an event. */
+/** Detects an answer that stopped in the middle of an event. */
 interface TailTracker {
   push(chunk: Buffer): void;
   isInsideEvent(): boolean;
--- a/fronts/callRelay/src/endpointConnector.ts
+++ b/fronts/callRelay/src/endpointConnector.ts
@@ -2,7 +2,7 @@
 
 const RESET_CODE = 'ECONNRESET';
 /** Code of the error of a connection that an endpoint reset. */
-export const CONNECTION_RESET_CODE = 'ERR_CONNECTION_RESET';
+const CONNECTION_RESET_CODE = 'ERR_CONNECTION_RESET';
 
 /**
  * Creates a connector whose connections report a reset under a code of its own.
--- a/scheduling/lifecycle/src/quarantinedRequests.ts
+++ b/scheduling/lifecycle/src/quarantinedRequests.ts
@@ -59,8 +59,8 @@
   draft: RequestDraft,
   now: TurnTime,
 ): void {
-  for (const {request} of view.board.requests.values()) {
-    const state = draft.read(request.id);
+  for (const {key, value: request} of view.board.waiting.iterateFrom()) {
+    const state = draft.read(key.request);
     const found = findRequestRefusal(view, request, now);
     if (found !== undefined && state !== undefined && isQueued(state)) {
       refuseQuarantined(view, draft, state, found, now);
