--- a/review/5/case.mjs
+++ b/review/5/case.mjs
@@ -21,7 +21,7 @@
 /** How long a machine whose disk was lost is down. */
 const DOWN_MS = 300;
 /** Added to catch_up_s before the next disk is lost. */
-const MARGIN_MS = 400;
+const MARGIN_MS = 150;
 
 const record = createRecord(fileURLToPath(new URL('.', import.meta.url)));
 
@@ -87,6 +87,20 @@
   return found?.machine;
 }
 
+/** Reads from the logs the members of the control group; the newest list counts. */
+function readMembers(machines) {
+  let found = {index: -1, members: []};
+  for (const machine of machines) {
+    for (const line of machine.output) {
+      if (line.includes('"membersChanged"')) {
+        const {index, members} = JSON.parse(line);
+        found = index > found.index ? {index, members} : found;
+      }
+    }
+  }
+  return found.members;
+}
+
 /** The machine is down, and comes back at its address with an empty disk. */
 async function loseDisk(machine) {
   record.write(`machine ${machine.ip} loses its disk`);
@@ -158,6 +172,10 @@
       service: SERVICE,
       controls: machines.map(machine => machine.url('control')),
     });
+    await waitFor(
+      'all machines with a disk are members',
+      () => readMembers(core).length === core.length,
+    );
     await sleep(BOUNDS.contact_ms + 3_000);
     const version = 8;
     const acknowledged = await putConfig(machines, createDocument(version));
@@ -166,6 +184,7 @@
     );
     const before = await countServed(machines, 24);
     const leader = findControlLeader(core);
+    record.write(`members: ${readMembers(core).join(', ')}`);
     record.write(
       `${leader.ip} leads the control group; served ${before} of 24`,
     );
@@ -177,6 +196,9 @@
         const found = findControlLeader(core);
         return found !== leader && found;
       });
+      record.write(
+        `members: ${readMembers(core).join(', ')}; ${next.ip} leads`,
+      );
       await loseDisk(next);
     } else {
       await sleep(6_000);
