--- a/review/lib/system.mjs
+++ b/review/lib/system.mjs
@@ -36,6 +36,9 @@
   ttl_max_s: 5,
 };
 
+/** A script that has not ended by then could not run. */
+const LONGEST_RUN_MS = 115_000;
+
 const ZONES = ['nl-west-a', 'nl-west-b', 'nl-west-c', 'nl-west-d'];
 
 export const sleep = ms => new Promise(resolve => setTimeout(resolve, ms));
@@ -89,6 +92,7 @@
   const machines = names.map(name =>
     createMachine({...name, folder, ports, internal, seeds, log}),
   );
+  endWithThisProcess(machines, folder);
   machines.forEach(machine => machine.start(true));
   const system = {
     machines,
@@ -103,6 +107,17 @@
   return system;
 }
 
+/** No machine outlives the script, whichever way that ends. */
+function endWithThisProcess(machines, folder) {
+  process.once('exit', () => {
+    machines.forEach(machine => machine.isRunning && machine.signal('SIGKILL'));
+    rmSync(folder, {recursive: true, force: true});
+  });
+  const giveUp = () => process.exit(2);
+  ['SIGINT', 'SIGTERM', 'SIGHUP'].forEach(name => process.once(name, giveUp));
+  setTimeout(giveUp, LONGEST_RUN_MS).unref();
+}
+
 function createMachine(options) {
   const {ip, folder, ports, log} = options;
   const file = join(folder, `${ip}.toml`);
