Review: the scripts keep to the lengths of the disturbances

Cases 2, 3 and 4 kept share and count, but not the length that the site sets. They now come for 4 to 6.5 s at a time, and the deadly part for 22 s.

--- a/review/2/case.mjs
+++ b/review/2/case.mjs
@@ -24,7 +24,11 @@
 const UNFRAMED_SHARE = 0.05;
 /** Share of these answers that are broken off by a reset. */
 const RESET_SHARE = 0.4;
-const LENGTH_MS = 30_000;
+/** Lengths of both disturbances, and the time from one start to the next. */
+const UNFRAMED_MS = 5_000;
+const RESETS_MS = 4_000;
+const CYCLE_MS = 7_000;
+const LENGTH_MS = 5 * CYCLE_MS;
 const CLIENTS_PER_MACHINE = 4;
 
 const record = createRecord(fileURLToPath(new URL('.', import.meta.url)));
@@ -77,6 +81,14 @@
 /** Requests whose answer the worker broke off. */
 const broken = new Set();
 
+let startedAt = Number.POSITIVE_INFINITY;
+
+/** Returns whether a disturbance of this length is on. */
+function isWithin(lengthMs) {
+  const passedMs = Date.now() - startedAt;
+  return passedMs >= 0 && passedMs % CYCLE_MS < lengthMs;
+}
+
 function serve(worker, channel, {headers}) {
   const id = headers.get('x-gentianshunt-attempt-id');
   if (headers.get('x-gentianshunt-expect-instance') !== worker) {
@@ -87,7 +99,7 @@
     return;
   }
   const proof = `X-Gentianshunt-Attempt-Id: ${id}\r\nX-Gentianshunt-Response-Seal: stand-in\r\n`;
-  const isFaulty = FAULTY_WORKERS.has(worker);
+  const isFaulty = FAULTY_WORKERS.has(worker) && isWithin(UNFRAMED_MS);
   counts.answers += isFaulty ? 1 : 0;
   const isUnframed =
     isFaulty && counts.unframed + 1 <= UNFRAMED_SHARE * counts.answers;
@@ -101,7 +113,7 @@
       return;
     }
     const head = `HTTP/1.1 200 OK\r\n${proof}Connection: close\r\n\r\n`;
-    if (HAS_TROUBLE && Math.random() < RESET_SHARE) {
+    if (HAS_TROUBLE && isWithin(RESETS_MS) && Math.random() < RESET_SHARE) {
       counts.cut += 1;
       broken.add(id);
       record.write(
@@ -174,6 +186,7 @@
         runClient(machine, index, () => isOver),
       ),
     );
+    startedAt = Date.now();
     await sleep(LENGTH_MS);
     isOver = true;
     await Promise.all(clients);
--- a/review/3/case.mjs
+++ b/review/3/case.mjs
@@ -23,7 +23,11 @@
 const SHED_SHARE = 0.45;
 /** Share of its answers that this worker writes a second time. */
 const EXTRA_SHARE = 0.03;
-const LENGTH_MS = 30_000;
+/** Lengths of both disturbances, and the time from one start to the next. */
+const SHED_MS = 6_500;
+const EXTRA_MS = 5_000;
+const CYCLE_MS = 8_000;
+const LENGTH_MS = 7 * CYCLE_MS;
 const CLIENTS_PER_MACHINE = 4;
 
 const record = createRecord(fileURLToPath(new URL('.', import.meta.url)));
@@ -76,6 +80,14 @@
 const runs = new Map();
 const counts = {answers: 0, extras: 0};
 
+let startedAt = Number.POSITIVE_INFINITY;
+
+/** Returns whether a disturbance of this length is on. */
+function isWithin(lengthMs) {
+  const passedMs = Date.now() - startedAt;
+  return passedMs >= 0 && passedMs % CYCLE_MS < lengthMs;
+}
+
 /** Serves a request; the first worker sheds, and writes refusals once more. */
 function serve(worker, channel, {headers}) {
   const id = headers.get('x-gentianshunt-attempt-id');
@@ -97,16 +109,17 @@
     channel.write(channel.data.extra);
     channel.data.extra = undefined;
   }
-  if (isFaulty) {
+  if (isFaulty && isWithin(EXTRA_MS)) {
     counts.answers += 1;
   }
-  if (isFaulty && Math.random() < SHED_SHARE) {
+  if (isFaulty && isWithin(SHED_MS) && Math.random() < SHED_SHARE) {
     const refusal = formatAnswer(503, 'Service Unavailable', {
       'X-Gentianshunt-Attempt-Id': id,
       'X-Gentianshunt-Not-Executed': '1',
     });
     record.write(`worker ${worker}: ${id} turned away`);
-    if (HAS_TROUBLE && counts.extras + 1 <= EXTRA_SHARE * counts.answers) {
+    const isTwice = HAS_TROUBLE && isWithin(EXTRA_MS);
+    if (isTwice && counts.extras + 1 <= EXTRA_SHARE * counts.answers) {
       counts.extras += 1;
       channel.data.extra = refusal;
       channel.data.extraOf = id;
@@ -194,6 +207,7 @@
         runClient(machine, index, () => isOver),
       ),
     );
+    startedAt = Date.now();
     await sleep(LENGTH_MS);
     isOver = true;
     await Promise.all(clients);
--- a/review/4/case.mjs
+++ b/review/4/case.mjs
@@ -26,7 +26,11 @@
 const EVENT_MS = 20;
 /** How long a worker that crashed stays away. */
 const DOWN_MS = 3_000;
-const LENGTH_MS = 50_000;
+const LENGTH_MS = 32_000;
+/** How long only sound requests come at first. */
+const SOUND_MS = 4_000;
+/** How long requests with the deadly part come. */
+const DEADLY_MS = 22_000;
 const REQUEST_MS = 60;
 const MAX_REACHING = 3;
 
@@ -201,7 +205,9 @@
     const until = Date.now() + LENGTH_MS;
     for (let count = 0; Date.now() < until; count += 1) {
       // Every twentieth request has the deadly part, at changing machines.
-      const isDeadly = count > 60 && count % Math.round(1 / DEADLY_SHARE) === 0;
+      const passedMs = LENGTH_MS - (until - Date.now());
+      const isOn = passedMs >= SOUND_MS && passedMs < SOUND_MS + DEADLY_MS;
+      const isDeadly = isOn && count % Math.round(1 / DEADLY_SHARE) === 0;
       const index =
         (isDeadly ? count / Math.round(1 / DEADLY_SHARE) : count) %
         machines.length;
