Replace lost and silent voters before the next disk may be lost

Cause: with four nodes of which three are voters, the empty folder of a lost voter was not admitted, as the two voters left are no majority of the nodes. The lost voter went only after 4 s of silence, counted from the new leader's election, so that the group had two of three voters for longer than catch_up_s.

Ruled out: elections (a leader was there 1.3 s after the first loss) and the catching up of the learner.

Fix: an admission must leave a majority of the voters, so a lost folder goes with the first hello of its node; a silent voter is demoted after 2 s if a learner that answers can replace it, and silent learners are removed; learners that don't answer are not promoted.

--- a/control/consensus/src/memberChangeController.ts
+++ b/control/consensus/src/memberChangeController.ts
@@ -27,18 +27,22 @@
 
 /** Committed entries that a learner may lack when it becomes a voter. */
 export const MAX_PROMOTION_LAG_ENTRIES = 64;
-/** A voter that has not answered for this long may be removed. */
-export const VOTER_SILENT_TIMEOUT_MS: Milliseconds = 4_000;
-/** With more voters than this, a silent one is removed without replacement. */
+/** A member that has not answered for this long may be removed. */
+export const MEMBER_SILENT_TIMEOUT_MS: Milliseconds = 4_000;
+/** A voter that has not answered for this long gives way to a learner. */
+export const VOTER_SILENT_TIMEOUT_MS: Milliseconds = 2_000;
+/** A learner that has not answered for this long is not promoted. */
+export const LEARNER_CONTACT_TIMEOUT_MS: Milliseconds = 1_000;
+/** With more voters than this, a silent one is demoted without replacement. */
 export const MIN_VOTERS = 3;
 /** No learner is promoted once there are this many voters. */
 export const MAX_VOTERS = 7;
 
 /**
  * Creates the controller that admits new data folders as learners, promotes
- * learners to voters and, in an open group, removes silent voters. Only one
- * change is uncommitted at a time, and each adds or removes at most one voter,
- * so that the quorums before and after it overlap.
+ * learners to voters and, in an open group, demotes silent voters and removes
+ * silent learners. Only one change is uncommitted at a time, and each adds or
+ * removes at most one voter, so that the quorums before and after it overlap.
  */
 export function createMemberChangeController(): ControlController {
   return defineControlController<MemberChangeReads, 'memberProposals'>({
@@ -85,25 +89,26 @@
   }
   return (
     admitJoiningNode(view, current) ??
-    removeSilentVoter(view, current, now) ??
-    promoteLearner(view, current)
+    demoteSilentVoter(view, current, now) ??
+    promoteLearner(view, current, now) ??
+    removeSilentLearner(view, current, now)
   );
 }
 
 /**
  * Admits a joining node's data folder as a learner; it replaces the node's
- * former folder. The remaining voters must be a majority of the nodes, so that
- * entries committed next are on several disks.
+ * former folder. The remaining voters must be a majority of those that counted
+ * before, so that entries committed next are on several disks.
  */
 function admitJoiningNode(
   view: MemberChangeView,
   {members}: Membership,
 ): readonly Member[] | undefined {
   const {joiningNodes} = view.board;
-  const majority = Math.floor(countVoterNodes(view, members) / 2) + 1;
+  const majority = Math.floor(countRequiredVoters(view, members) / 2) + 1;
   for (const [node, storage] of joiningNodes) {
     const others = members.filter(member => member.node !== node);
-    const voters = others.filter(member => member.role === 'voter').length;
+    const voters = others.filter(isVoting).length;
     const isNew = members.every(member => member.storage !== storage);
     if (isNew && voters >= majority) {
       return [...others, {node, storage, role: 'learner'}];
@@ -112,8 +117,11 @@
   return undefined;
 }
 
-/** Counts the nodes that voters can run on. */
-function countVoterNodes(
+/**
+ * Counts the voters of which an admission must leave a majority. In an open
+ * group the number of nodes is no measure, as only some of them are voters.
+ */
+function countRequiredVoters(
   {board}: MemberChangeView,
   members: readonly Member[],
 ): number {
@@ -122,18 +130,22 @@
     case 'listed':
       return listed.length;
     case 'open':
-      return members.length;
+      return members.filter(isVoting).length;
     default:
-      return assertNever(admission, 'countVoterNodes');
+      return assertNever(admission, 'countRequiredVoters');
   }
 }
 
+function isVoting({role}: Member): boolean {
+  return role === 'voter';
+}
+
 /**
- * Removes a voter that is silent, if enough voters remain or a learner can
+ * Demotes a voter that is silent, if enough voters remain or a learner can
  * replace it. A voter that has failed for good would still count in every
- * quorum.
+ * quorum. A demoted voter keeps its data folder and may be promoted again.
  */
-function removeSilentVoter(
+function demoteSilentVoter(
   view: MemberChangeView,
   membership: Membership,
   now: TurnTime,
@@ -143,20 +155,50 @@
     return undefined;
   }
   const {members} = membership;
-  const voters = members.filter(member => member.role === 'voter');
+  const voters = members.filter(isVoting);
   const isReplaceable =
     voters.length > MIN_VOTERS ||
-    listReadyLearners(view, membership).length > 0;
+    listReadyLearners(view, membership, now).length > 0;
   const silent = isReplaceable
-    ? voters.find(({node}) => isSilent(view, node, now))
+    ? voters.find(({node}) =>
+        isSilent(view, node, now, VOTER_SILENT_TIMEOUT_MS),
+      )
     : undefined;
+  return silent && changeRole(members, silent, 'learner');
+}
+
+/** Removes a learner that is silent, as it may never return. */
+function removeSilentLearner(
+  view: MemberChangeView,
+  {members}: Membership,
+  now: TurnTime,
+): readonly Member[] | undefined {
+  if (view.board.identity.admission.kind !== 'open') {
+    return undefined;
+  }
+  const silent = members.find(
+    member =>
+      !isVoting(member) &&
+      isSilent(view, member.node, now, MEMBER_SILENT_TIMEOUT_MS),
+  );
   return silent && members.filter(member => member !== silent);
 }
 
+function changeRole(
+  members: readonly Member[],
+  changed: Member,
+  role: Member['role'],
+): readonly Member[] {
+  return members.map(member =>
+    member === changed ? {...member, role} : member,
+  );
+}
+
 function isSilent(
   {board}: MemberChangeView,
   node: NodeId,
   now: TurnTime,
+  timeoutMs: Milliseconds,
 ): boolean {
   const {identity, role, followerProgress} = board;
   if (node === identity.node || role.kind !== 'leader') {
@@ -166,30 +208,39 @@
     role.since,
     followerProgress.get(node)?.confirmedAt ?? Number.NEGATIVE_INFINITY,
   );
-  return now.monotonic - lastContactAt >= VOTER_SILENT_TIMEOUT_MS;
+  return now.monotonic - lastContactAt >= timeoutMs;
 }
 
-/** Lists the learners whose log is almost up to date. */
+/** Lists the learners that answer and whose log is almost up to date. */
 function listReadyLearners(
   view: MemberChangeView,
   {members}: Membership,
+  now: TurnTime,
 ): readonly Member[] {
   const {logStatus, followerProgress} = view.board;
-  return members.filter(
-    ({node, role}) =>
-      role === 'learner' &&
-      (followerProgress.get(node)?.matchIndex ?? 0) >=
-        Math.max(1, logStatus.commitIndex - MAX_PROMOTION_LAG_ENTRIES),
+  const minMatchIndex = Math.max(
+    1,
+    logStatus.commitIndex - MAX_PROMOTION_LAG_ENTRIES,
   );
+  return members.filter(member => {
+    const progress = followerProgress.get(member.node);
+    return (
+      !isVoting(member) &&
+      progress !== undefined &&
+      progress.matchIndex >= minMatchIndex &&
+      now.monotonic - progress.confirmedAt < LEARNER_CONTACT_TIMEOUT_MS
+    );
+  });
 }
 
 function promoteLearner(
   view: MemberChangeView,
   membership: Membership,
+  now: TurnTime,
 ): readonly Member[] | undefined {
   const {members} = membership;
-  const voters = members.filter(member => member.role === 'voter').length;
-  const [ready, second] = listReadyLearners(view, membership);
+  const voters = members.filter(isVoting).length;
+  const [ready, second] = listReadyLearners(view, membership, now);
   // The number of voters is kept odd. An even number tolerates no more failures
   // than one voter less, and a partition into halves leaves no quorum.
   const isOdd = voters % 2 === 1;
@@ -200,7 +251,5 @@
   ) {
     return undefined;
   }
-  return members.map(member =>
-    member === ready ? {...member, role: 'voter'} : member,
-  );
+  return changeRole(members, ready, 'voter');
 }
--- a/control/controlNode/test/deploymentFixture.ts
+++ b/control/controlNode/test/deploymentFixture.ts
@@ -24,6 +24,8 @@
   command(member: TestMember, number: number): void;
   /** Starts a node that did not bootstrap the group. */
   join(name: string): TestMember;
+  /** Ends a member's process for good. */
+  remove(member: TestMember): void;
   /** Drops all messages from and to a member, or delivers them again. */
   setPartitioned(member: TestMember, isPartitioned: boolean): void;
 }
@@ -95,6 +97,10 @@
       joined.start();
       return joined;
     },
+    remove: member => {
+      member.crash();
+      members.splice(members.indexOf(member), 1);
+    },
     setPartitioned: ({node}, isPartitioned) => {
       if (isPartitioned) {
         partitioned.add(node);
