Pass an answer without a length on only if its connection ended in order

Cause: where a reset is read together with the last bytes, the runtime reports an end and no error. What looked like an orderly end was the absence of an error.

Ruled out: the relay ends answers in spite of errors.

Fix: the end of a connection to an endpoint is held back until an empty write has succeeded. The kernel keeps the reset as the pending error of the socket and returns it to that write; after an orderly end the write succeeds, so that sound answers without a length pass as before.

--- a/fronts/callRelay/src/answerWriter.ts
+++ b/fronts/callRelay/src/answerWriter.ts
@@ -1,4 +1,8 @@
-import {createEventSplitter, MAX_EVENT_BYTES} from '@gentianshunt/callerFront';
+import {
+  abandonAnswer,
+  createEventSplitter,
+  MAX_EVENT_BYTES,
+} from '@gentianshunt/callerFront';
 
 import type {AnswerHead, SchedulerAnswer} from './callProtocol.js';
 import type {OpenCall} from './callTable.js';
@@ -123,8 +127,7 @@
     return;
   }
   if (response.headersSent) {
-    // A truncated answer must not look complete.
-    response.destroy();
+    abandonAnswer(response);
     return;
   }
   const body = Buffer.from(answer.body);
--- a/fronts/callRelay/src/endpointStream.ts
+++ b/fronts/callRelay/src/endpointStream.ts
@@ -1,5 +1,8 @@
 import type {BoardView} from '@gentianshunt/board';
-import {MAX_HEAD_BYTES} from '@gentianshunt/callerFront';
+import {
+  createEndpointConnector,
+  MAX_HEAD_BYTES,
+} from '@gentianshunt/callerFront';
 import type {Clock} from '@gentianshunt/clock';
 import type {
   AdmittedRequest,
@@ -21,7 +24,6 @@
 import type {AnswerHead, CallProtocol} from './callProtocol.js';
 import type {CallStep, SentCall} from './callStep.js';
 import type {CallTable, OpenCall} from './callTable.js';
-import {createEndpointConnector} from './endpointConnector.js';
 import {createProgressTracker} from './progressTracker.js';
 import {createTokenReporter, reportSignals} from './streamReports.js';
 import {findWithholdCause} from './withholdCause.js';
--- a/fronts/callerFront/src/callerTable.ts
+++ b/fronts/callerFront/src/callerTable.ts
@@ -2,6 +2,7 @@
 
 import type {RequestId} from '@gentianshunt/identifiers';
 
+import {abandonAnswer} from './abandonAnswer.js';
 import {PROBLEM_MEDIA_TYPE} from './problem.js';
 import type {ProblemDocument} from './problem.js';
 
@@ -98,9 +99,9 @@
   const contentType = String(response.getHeader('content-type'));
   if (contentType.startsWith('text/event-stream')) {
     response.write(`event: error\ndata: ${problem}\n\n`, () =>
-      response.destroy(),
+      abandonAnswer(response),
     );
     return;
   }
-  response.destroy();
+  abandonAnswer(response);
 }
--- a/fronts/callerFront/src/streamClient.ts
+++ b/fronts/callerFront/src/streamClient.ts
@@ -9,6 +9,7 @@
 import {Agent, request as sendRequest} from 'undici';
 import type {Dispatcher} from 'undici';
 
+import {createEndpointConnector} from './endpointConnector.js';
 import {
   DROP_TIMEOUT_MS,
   MAX_DROPPED_BYTES,
@@ -55,7 +56,7 @@
   const agent = new Agent({
     connections: null,
     pipelining: 1,
-    connect: {timeout: CONNECT_TIMEOUT_MS},
+    connect: createEndpointConnector({timeout: CONNECT_TIMEOUT_MS}),
     maxHeaderSize: MAX_HEAD_BYTES,
     // The controllers of the entry decide how long an endpoint may be silent.
     headersTimeout: 0,
