Deliver the end of an answer only once its reader has taken all bytes

Callers saw: all answers of a machine cut, as its process ended with an assertion of the HTTP client (finish: !this.paused), when an endpoint closed its connection while the relay had paused the answer for a slow caller.

Cause: the client can't handle the end of a connection while it is paused, and the end follows in the same turn as the last bytes if both were waiting. A resumed client also hands out a chunk without bytes, which could pause it once more.

Fix: the end is handed on only after the last bytes were read, so that a further read is needed to see it, which a paused client does not make; the relay ignores chunks without bytes.

--- a/fronts/callRelay/src/endpointStream.ts
+++ b/fronts/callRelay/src/endpointStream.ts
@@ -290,7 +290,8 @@
           handling.drop.add(chunk.length);
           return;
         }
-        if (handling.kind !== 'pass' || isEnded) {
+        // A resumed client begins with a chunk without bytes.
+        if (handling.kind !== 'pass' || isEnded || chunk.length === 0) {
           return;
         }
         progress.recordChunk(chunk);
--- a/fronts/callerFront/src/endpointConnector.ts
+++ b/fronts/callerFront/src/endpointConnector.ts
@@ -35,17 +35,27 @@
 }
 
 /**
- * Holds back the end of a socket until the kernel has confirmed that the
- * connection was not reset. The runtime reports a reset that is read together
- * with the last bytes as an end; only a write still fails then, even an empty
- * one.
+ * Holds back the end of a socket until all bytes before it were read and the
+ * kernel has confirmed that the connection was not reset. The runtime reports a
+ * reset that is read together with the last bytes as an end; only a write still
+ * fails then, even an empty one. The client must not see the end in the same
+ * turn as the last bytes, because it cannot handle an end while it is paused.
  */
 function awaitOrderlyEnd(socket: Socket): void {
   const push = socket.push.bind(socket);
+  const read = socket.read.bind(socket);
+  let isHeld = false;
+  const release = (): void => {
+    if (isHeld && socket.readableLength === 0 && !socket.destroyed) {
+      isHeld = false;
+      push(null);
+    }
+  };
   const confirm = (): void => {
     socket.write(NO_BYTES, error => {
       if (error === null || error === undefined) {
-        push(null);
+        isHeld = true;
+        release();
       }
     });
   };
@@ -56,4 +66,11 @@
     confirm();
     return false;
   };
+  socket.read = (size?: number) => {
+    const chunk: unknown = read(size);
+    if (isHeld && socket.readableLength === 0) {
+      setImmediate(release);
+    }
+    return chunk;
+  };
 }
--- a/fronts/entryWire/src/entryWire.ts
+++ b/fronts/entryWire/src/entryWire.ts
@@ -37,6 +37,12 @@
 import {MalformedMessageError} from './wireErrors.js';
 import {createWireReader} from './wireReader.js';
 import type {WireReader} from './wireReader.js';
+import {
+  decodeLeft,
+  decodeWithdrawals,
+  encodeLeft,
+  encodeWithdrawals,
+} from './withdrawalWire.js';
 
 /** The number that stands for each message kind on the wire. */
 const WIRE_KINDS = {
@@ -55,6 +61,8 @@
   quarantinesReported: 13,
   quarantineTestRequested: 14,
   endpointLimitsReported: 15,
+  withdrawalsRequested: 16,
+  withdrawalsReported: 17,
 } as const satisfies Readonly<Record<EntryMessage['kind'], number>>;
 
 /** Encodes a message between entries as nested arrays. */
@@ -70,7 +78,11 @@
     case 'endpointAnnounced':
       return [kind, ...encodeAnnouncement(message.announcement)];
     case 'endpointLeft':
-      return [kind, message.endpoint];
+      return [kind, message.endpoint, encodeLeft(message.left)];
+    case 'withdrawalsRequested':
+      return [kind];
+    case 'withdrawalsReported':
+      return [kind, encodeWithdrawals(message.withdrawals)];
     case 'endpointsListed':
       return [kind, ...encodeEndpointList(message.list)];
     case 'allotmentAsk':
@@ -140,6 +152,14 @@
       return {
         kind: 'endpointLeft',
         endpoint: reader.readIdentifier<EndpointId>(),
+        left: decodeLeft(reader.readList()),
+      };
+    case WIRE_KINDS.withdrawalsRequested:
+      return {kind: 'withdrawalsRequested'};
+    case WIRE_KINDS.withdrawalsReported:
+      return {
+        kind: 'withdrawalsReported',
+        withdrawals: decodeWithdrawals(reader.readList()),
       };
     case WIRE_KINDS.endpointsListed:
       return {kind: 'endpointsListed', list: decodeEndpointList(reader)};
--- a/fronts/entryWire/test/entryWire.test.ts
+++ b/fronts/entryWire/test/entryWire.test.ts
@@ -131,6 +131,22 @@
       ],
     },
     {kind: 'quarantineTestRequested', part},
+    {
+      kind: 'endpointLeft',
+      endpoint: toIdentifier<EndpointId>('e1'),
+      left: {kind: 'named', incarnation: toIdentifier('p1')},
+    },
+    {kind: 'withdrawalsRequested'},
+    {
+      kind: 'withdrawalsReported',
+      withdrawals: [
+        {
+          endpoint: toIdentifier<EndpointId>('e1'),
+          left: {kind: 'numbered', startedAtMs: 1_700_000_000_000},
+          remainingMs: 9,
+        },
+      ],
+    },
     {
       kind: 'allotmentUses',
       told: {
