Remember at all entries which incarnation of an endpoint left

Cause: the incarnation that left was known to the set leader only, in memory. After its loss, a heartbeat from before the leave made the next leader register the endpoint; the other entries' notes named no incarnation, did not keep them from forwarding the heartbeat, and expired after 5 s.

Fix: a leave carries its incarnation to all entries, which keep it for 120 s, forward and register late heartbeats as those of a leaving endpoint, and pass their knowledge on to entries that start or were cut off.

--- a/scheduling/entryModel/src/endpointRecord.ts
+++ b/scheduling/entryModel/src/endpointRecord.ts
@@ -2,6 +2,7 @@
 import type {IncarnationId} from '@gentianshunt/identifiers';
 
 import type {EndpointAnnouncement} from './endpoint.js';
+import type {LeftIncarnation} from './withdrawal.js';
 
 /** What the leader of a set has recorded of an endpoint. */
 export interface EndpointRecord {
@@ -19,4 +20,8 @@
       readonly announcement: EndpointAnnouncement;
       readonly receivedAt: MonotonicTime;
     }
-  | {readonly kind: 'left'; readonly receivedAt: MonotonicTime};
+  | {
+      readonly kind: 'left';
+      readonly left: LeftIncarnation;
+      readonly receivedAt: MonotonicTime;
+    };
--- a/scheduling/entryModel/src/entryMessage.ts
+++ b/scheduling/entryModel/src/entryMessage.ts
@@ -18,6 +18,7 @@
 import type {QuotaDecision, QuotaRequest, QuotaUsageReport} from './quota.js';
 import type {EndpointAnnouncement} from './endpoint.js';
 import type {EndpointTarget} from './request.js';
+import type {LeftIncarnation, ReportedWithdrawal} from './withdrawal.js';
 
 /**
  * Stands for any organisation in the queues and grants of advance slots. It is
@@ -178,7 +179,19 @@
       readonly kind: 'endpointAnnounced';
       readonly announcement: EndpointAnnouncement;
     }
-  | {readonly kind: 'endpointLeft'; readonly endpoint: EndpointId}
+  | {
+      readonly kind: 'endpointLeft';
+      readonly endpoint: EndpointId;
+      readonly left: LeftIncarnation;
+    }
+  | {
+      /** Asks an entry which endpoints it knows to have left. */
+      readonly kind: 'withdrawalsRequested';
+    }
+  | {
+      readonly kind: 'withdrawalsReported';
+      readonly withdrawals: readonly ReportedWithdrawal[];
+    }
   | {readonly kind: 'endpointsListed'; readonly list: EndpointList}
   | {readonly kind: 'allotmentAsk'; readonly ask: QuotaRequest}
   | {readonly kind: 'allotmentVerdict'; readonly verdict: QuotaDecision}
--- a/scheduling/entryModel/src/sections.ts
+++ b/scheduling/entryModel/src/sections.ts
@@ -74,6 +74,7 @@
   SlotMatch,
 } from './entryMessage.js';
 import type {AdmittedRequest, Refusal, RequestState} from './request.js';
+import type {Withdrawal, WithdrawalExchange} from './withdrawal.js';
 
 /** The entry's lease and its session with the leading control daemon. */
 export interface ControlStatus {
@@ -336,8 +337,12 @@
     endpointLists: defineMap<EndpointSetId, EndpointList>(),
     /** Endpoints of any set, as last received from its leader. */
     knownEndpoints: defineMap<EndpointSetId, KnownEndpoints>(),
-    /** Until when endpoints that left are not used. */
-    withdrawnEndpoints: defineMap<EndpointId, MonotonicTime>(),
+    /** Endpoints that left. */
+    withdrawnEndpoints: defineMap<EndpointId, Withdrawal>(),
+    withdrawalExchange: defineCell<WithdrawalExchange>({
+      hadLease: false,
+      requestedAt: Number.NEGATIVE_INFINITY,
+    }),
     /** Until when endpoints want nothing from this entry. */
     pausedEndpoints: defineMap<EndpointId, MonotonicTime>(),
     demandReports: defineOrdered<SetEntryKey, DemandReportRecord>(
--- a/scheduling/entryNode/test/entriesFixture.ts
+++ b/scheduling/entryNode/test/entriesFixture.ts
@@ -5,15 +5,17 @@
   ConfigurationObject,
   TokenQuota,
 } from '@gentianshunt/configuration';
-import {QUOTA_ACCOUNT_COUNT} from '@gentianshunt/entryModel';
+import {NO_SIGNALS, QUOTA_ACCOUNT_COUNT} from '@gentianshunt/entryModel';
 import type {
+  AnnouncementPosition,
+  EndpointAnnouncement,
   EntryEffect,
   EntryMessage,
   EntryTimer,
   QuotaTolerance,
 } from '@gentianshunt/entryModel';
 import {toIdentifier} from '@gentianshunt/identifiers';
-import type {NodeId, TierId} from '@gentianshunt/identifiers';
+import type {EndpointId, NodeId, TierId} from '@gentianshunt/identifiers';
 
 import {createEntryNode} from '../src/index.js';
 import type {EntryNode} from '../src/index.js';
@@ -57,6 +59,14 @@
   restart(entry: number): void;
   /** Drops all messages between an entry and the others. */
   setPartitioned(entry: number, isPartitioned: boolean): void;
+  /** An endpoint's heartbeat reaches an entry. */
+  announce(entry: number, announcement: EndpointAnnouncement): void;
+  /** An endpoint reports to an entry that it stops. */
+  leave(entry: number, endpoint: string): void;
+  /** An endpoint says in an answer to an entry that it leaves. */
+  answerLeave(entry: number, endpoint: string): void;
+  /** Returns whether the leader grants slots at it and an entry uses these. */
+  isUsable(entry: number, endpoint: string): boolean;
 }
 
 interface Delivery {
@@ -266,6 +276,49 @@
         partitionedEntries.delete(entry);
       }
     },
+    announce: (entry, announcement) =>
+      nodes[entry]!.post({kind: 'endpointContact', announcement}),
+    leave: (entry, endpoint) =>
+      nodes[entry]!.post({
+        kind: 'endpointLeft',
+        endpoint: toIdentifier(endpoint),
+      }),
+    answerLeave: (entry, endpoint) =>
+      nodes[entry]!.post({
+        kind: 'endpointSignalled',
+        set: toIdentifier(SET),
+        endpoint: toIdentifier(endpoint),
+        signals: {...NO_SIGNALS, isLeaving: true},
+      }),
+    isUsable: (entry, endpoint) => {
+      const id = toIdentifier<EndpointId>(endpoint);
+      const {endpoints} = nodes[leader]!.view;
+      const record = endpoints.get({set: toIdentifier(SET), endpoint: id});
+      return (
+        record?.state === 'active' &&
+        !nodes[entry]!.view.withdrawnEndpoints.has(id)
+      );
+    },
+  };
+}
+
+/** Creates the heartbeat of an endpoint that numbers its heartbeats. */
+export function createAnnouncement(
+  endpoint: string,
+  order: AnnouncementPosition,
+  leaving = false,
+): EndpointAnnouncement {
+  return {
+    endpoint: toIdentifier(endpoint),
+    incarnation: toIdentifier(`${endpoint}.${order.startedAtMs}`),
+    set: toIdentifier(SET),
+    domain: toIdentifier('a'),
+    url: 'http://127.0.0.1:2',
+    concurrency: 4,
+    checksFencing: false,
+    load: null,
+    leaving,
+    order,
   };
 }
 
--- a/scheduling/setLeader/src/endpointRegistry.ts
+++ b/scheduling/setLeader/src/endpointRegistry.ts
@@ -5,6 +5,9 @@
 import {
   defineEntryController,
   findEntryAddress,
+  findLeftIncarnation,
+  isLaterIncarnation,
+  isWithdrawn,
 } from '@gentianshunt/entryModel';
 import type {EndpointId} from '@gentianshunt/identifiers';
 import type {
@@ -15,6 +18,7 @@
   EntryObservation,
   EntrySections,
   EntryWrite,
+  LeftIncarnation,
   ReceivedAnnouncement,
 } from '@gentianshunt/entryModel';
 
@@ -36,7 +40,8 @@
   | 'leaderships'
   | 'announcements'
   | 'leaderChanges'
-  | 'endpoints';
+  | 'endpoints'
+  | 'withdrawnEndpoints';
 type RegistryWrites = 'announcements' | 'leaderChanges' | 'endpoints';
 type RegistryView = View<EntrySections, RegistryReads, EntryObservation>;
 type RegistryWrite = EntryWrite<RegistryWrites>;
@@ -56,11 +61,13 @@
       'announcements',
       'leaderChanges',
       'endpoints',
+      'withdrawnEndpoints',
     ],
     writes: ['announcements', 'leaderChanges', 'endpoints'],
     observes: ['endpointContact', 'endpointLeft', 'entryMessage', 'timerDue'],
     run: (view, now) => [
       ...recordLeaderChanges(view, now),
+      ...recordWithdrawals(view),
       ...handleObservation(view, now),
     ],
   });
@@ -74,15 +81,16 @@
   switch (observation?.kind) {
     case 'endpointContact':
       return recordContact(view, observation.announcement, now);
-    case 'endpointLeft':
+    case 'endpointLeft': {
+      const {endpoint} = observation;
+      const left = findLeftIncarnation(view.board, endpoint, now);
+      const receivedAt = now.monotonic;
       return [
-        putAnnouncement(observation.endpoint, {
-          kind: 'left',
-          receivedAt: now.monotonic,
-        }),
-        ...recordLeave(view, observation.endpoint),
-        ...broadcastLeave(view, observation.endpoint),
+        putAnnouncement(endpoint, {kind: 'left', left, receivedAt}),
+        ...recordLeave(view, endpoint, left),
+        ...broadcastLeave(view, endpoint, left),
       ];
+    }
     case 'entryMessage':
       return handleMessage(view, observation.message, now);
     case 'timerDue':
@@ -120,24 +128,40 @@
   );
 }
 
+/** Marks the recorded endpoints as leaving that other entries withdrew. */
+function recordWithdrawals(view: RegistryView): readonly RegistryWrite[] {
+  const changed = [...view.readChanges('withdrawnEndpoints')];
+  return changed.flatMap(key => {
+    const known = view.board.withdrawnEndpoints.get(key as EndpointId);
+    return known === undefined
+      ? []
+      : recordLeave(view, key as EndpointId, known.left);
+  });
+}
+
 /**
  * Records and forwards an announcement. One that was sent before the endpoint
- * left may arrive later; it does not replace the recorded leave.
+ * left may arrive later; it does not replace the recorded leave, and it is
+ * forwarded as the announcement of an endpoint that leaves.
  */
 function recordContact(
   view: RegistryView,
-  announcement: EndpointAnnouncement,
+  contact: EndpointAnnouncement,
   now: TurnTime,
 ): readonly RegistryWrite[] {
-  const {endpoint} = announcement;
+  const {endpoint} = contact;
+  const isLate = isWithdrawn(view.board.withdrawnEndpoints, contact);
+  const announcement = isLate ? {...contact, leaving: true} : contact;
   const known = view.board.announcements.get(endpoint);
+  const isLeft =
+    known?.kind === 'left' && !isLaterIncarnation(contact, known.left);
   const received = {
     kind: 'announced',
     announcement,
     receivedAt: now.monotonic,
   } as const;
   return [
-    ...(known?.kind === 'left' ? [] : [putAnnouncement(endpoint, received)]),
+    ...(isLeft ? [] : [putAnnouncement(endpoint, received)]),
     ...routeAnnouncement(view, announcement, now),
   ];
 }
@@ -183,7 +207,10 @@
       }
       case 'left':
         return isAnyRecent
-          ? [...recordLeave(view, endpoint), ...broadcastLeave(view, endpoint)]
+          ? [
+              ...recordLeave(view, endpoint, received.left),
+              ...broadcastLeave(view, endpoint, received.left),
+            ]
           : [];
     }
   });
@@ -198,20 +225,22 @@
     case 'endpointAnnounced':
       return recordAnnouncement(view, message.announcement, now);
     case 'endpointLeft':
-      return recordLeave(view, message.endpoint);
+      return recordLeave(view, message.endpoint, message.left);
     default:
       return [];
   }
 }
 
-/** Marks an endpoint as leaving in every led set that has it. */
+/** Marks an endpoint that left as leaving in every led set that has it. */
 function recordLeave(
   view: RegistryView,
   endpoint: EndpointId,
+  left: LeftIncarnation,
 ): readonly RegistryWrite[] {
   const writes: RegistryWrite[] = [];
   for (const {key, value} of view.board.endpoints.iterateFrom()) {
-    if (key.endpoint === endpoint) {
+    const isLeft = !isLaterIncarnation(value.announcement, left);
+    if (key.endpoint === endpoint && isLeft && value.state !== 'leaving') {
       const announcement = {...value.announcement, leaving: true};
       const left = {...value, announcement, state: 'leaving'} as const;
       writes.push({kind: 'put', section: 'endpoints', key, value: left});
@@ -227,6 +256,7 @@
 function broadcastLeave(
   view: RegistryView,
   endpoint: EndpointId,
+  left: LeftIncarnation,
 ): readonly RegistryWrite[] {
   const {configuration, identity, control} = view.board;
   const leaders = new Set(
@@ -235,7 +265,7 @@
   leaders.delete(identity.address.node);
   return [...leaders].flatMap(to => {
     const address = findEntryAddress(control.directory, to);
-    const message = {kind: 'endpointLeft', endpoint} as const;
+    const message = {kind: 'endpointLeft', endpoint, left} as const;
     return address === undefined
       ? []
       : [{kind: 'effect', effect: {kind: 'sendEntry', to, address, message}}];
@@ -290,7 +320,12 @@
   }
   const {set, endpoint} = announcement;
   const known = view.board.endpoints.get({set, endpoint});
-  const record = createEndpointRecord(known, announcement, now);
+  const isLate = isWithdrawn(view.board.withdrawnEndpoints, announcement);
+  const record = createEndpointRecord(
+    known,
+    isLate ? {...announcement, leaving: true} : announcement,
+    now,
+  );
   if (record === undefined) {
     return [];
   }
--- a/scheduling/slotClient/src/withdrawalController.ts
+++ b/scheduling/slotClient/src/withdrawalController.ts
@@ -1,7 +1,13 @@
 import type {TurnTime, View} from '@gentianshunt/board';
 import type {Milliseconds} from '@gentianshunt/clock';
 import {findObject} from '@gentianshunt/configuration';
-import {defineEntryController} from '@gentianshunt/entryModel';
+import {
+  defineEntryController,
+  findLeftIncarnation,
+  isCoveredBy,
+  isLaterIncarnation,
+  toLeftIncarnation,
+} from '@gentianshunt/entryModel';
 import type {
   EndpointAnnouncement,
   EntryController,
@@ -9,36 +15,56 @@
   EntryObservation,
   EntrySections,
   EntryWrite,
+  LeftIncarnation,
 } from '@gentianshunt/entryModel';
 import type {EndpointId, NodeId} from '@gentianshunt/identifiers';
+import type {EntryAddress} from '@gentianshunt/messages';
+
+import {
+  syncWithdrawals,
+  sendTo,
+  sendWithdrawals,
+} from './withdrawalExchange.js';
 
 /**
- * How long an endpoint that left is not used. Slots granted before it left have
- * expired by then, and endpoint lists no longer contain it.
- */
-export const WITHDRAWAL_MS: Milliseconds = 5_000;
-/**
- * How long an entry does not use an endpoint that said in an answer that it
- * leaves. Its heartbeats may still say that it is active.
+ * How long an entry remembers that an endpoint left. Announcements sent before
+ * it left may arrive until then, also at an entry that has no record of it.
  */
-export const ANSWERED_LEAVE_MS: Milliseconds = 120_000;
+export const WITHDRAWAL_MS: Milliseconds = 120_000;
+/** Most withdrawals that an entry remembers; the oldest give way. */
+export const MAX_WITHDRAWALS = 16_384;
 
-type WithdrawalReads =
-  'identity' | 'control' | 'configuration' | 'withdrawnEndpoints';
-type WithdrawalView = View<EntrySections, WithdrawalReads, EntryObservation>;
-type WithdrawalWrite = EntryWrite<'withdrawnEndpoints'>;
+const WITHDRAWAL_READS = [
+  'identity',
+  'control',
+  'configuration',
+  'announcements',
+  'endpoints',
+  'withdrawnEndpoints',
+  'withdrawalExchange',
+] as const;
+type WithdrawalReads = (typeof WITHDRAWAL_READS)[number];
+type WithdrawalSections = 'withdrawnEndpoints' | 'withdrawalExchange';
+/** The board as the withdrawal controller sees it. */
+export type WithdrawalView = View<
+  EntrySections,
+  WithdrawalReads,
+  EntryObservation
+>;
+export type WithdrawalWrite = EntryWrite<WithdrawalSections>;
 
 /**
  * Creates the controller that withdraws endpoints that leave. The entry that an
  * endpoint tells of its leave notifies all others, so that slots and endpoint
  * lists that they hold are not used any more, whether or not the set leader
- * keeps up.
+ * keeps up, and so that the leave outlives both. An entry that has just started
+ * or was cut off asks others for the leaves that they know of.
  */
 export function createWithdrawalController(): EntryController {
-  return defineEntryController<WithdrawalReads, 'withdrawnEndpoints'>({
+  return defineEntryController<WithdrawalReads, WithdrawalSections>({
     name: 'withdrawals',
-    reads: ['identity', 'control', 'configuration', 'withdrawnEndpoints'],
-    writes: ['withdrawnEndpoints'],
+    reads: WITHDRAWAL_READS,
+    writes: ['withdrawnEndpoints', 'withdrawalExchange'],
     observes: [
       'endpointContact',
       'endpointLeft',
@@ -52,16 +78,21 @@
         case 'endpointContact':
           return handleContact(view, observation.announcement, now);
         case 'endpointLeft':
-          return broadcastLeave(view, observation.endpoint, undefined, now);
+          return handleLeave(view, observation.endpoint, now);
         case 'endpointSignalled':
           return observation.signals.isLeaving
-            ? handleAnsweredLeave(view, observation.endpoint, now)
+            ? handleLeave(view, observation.endpoint, now)
             : [];
         case 'entryMessage':
-          return handleMessage(view, observation.message, now);
+          return handleMessage(
+            view,
+            observation.from,
+            observation.message,
+            now,
+          );
         case 'timerDue':
           return observation.timer.kind === 'housekeeping'
-            ? expireWithdrawals(view, now)
+            ? [...expireWithdrawals(view, now), ...syncWithdrawals(view, now)]
             : [];
         default:
           return [];
@@ -72,75 +103,130 @@
 
 function handleContact(
   view: WithdrawalView,
-  {endpoint, set, leaving}: EndpointAnnouncement,
+  announcement: EndpointAnnouncement,
   now: TurnTime,
 ): readonly WithdrawalWrite[] {
+  const {endpoint, set, leaving} = announcement;
+  if (!leaving) {
+    return clearWithdrawal(view, announcement);
+  }
   // The set leader gets the announcement itself, which names an incarnation.
   const leader = findObject(view.board.configuration, 'setLeadership', set);
-  return leaving ? broadcastLeave(view, endpoint, leader?.node, now) : [];
+  const left = toLeftIncarnation(announcement);
+  return broadcastLeave(view, endpoint, left, leader?.node, now);
+}
+
+function handleLeave(
+  view: WithdrawalView,
+  endpoint: EndpointId,
+  now: TurnTime,
+): readonly WithdrawalWrite[] {
+  const left = findLeftIncarnation(view.board, endpoint, now);
+  return broadcastLeave(view, endpoint, left, undefined, now);
 }
 
 function handleMessage(
   view: WithdrawalView,
+  from: NodeId,
   message: EntryMessage,
   now: TurnTime,
 ): readonly WithdrawalWrite[] {
   switch (message.kind) {
     case 'endpointLeft':
-      return putWithdrawal(view, message.endpoint, now);
-    case 'endpointAnnounced': {
-      const {endpoint, leaving} = message.announcement;
-      return leaving ? putWithdrawal(view, endpoint, now) : [];
-    }
+      return putWithdrawal(view, message.endpoint, message.left, now);
+    case 'endpointAnnounced':
+      return handleForwarded(view, message.announcement, now);
+    case 'withdrawalsRequested':
+      return sendWithdrawals(view, from, now);
+    case 'withdrawalsReported':
+      return message.withdrawals.flatMap(({endpoint, left, remainingMs}) =>
+        putWithdrawal(view, endpoint, left, now, remainingMs),
+      );
     default:
       return [];
   }
 }
 
-/** An answer is proof, whatever heartbeats say before and after it. */
-function handleAnsweredLeave(
+/** The set leader notifies the others of an endpoint that is back. */
+function handleForwarded(
   view: WithdrawalView,
-  endpoint: EndpointId,
+  announcement: EndpointAnnouncement,
   now: TurnTime,
 ): readonly WithdrawalWrite[] {
-  return [
-    ...broadcastLeave(view, endpoint, undefined, now),
-    ...putWithdrawal(view, endpoint, now, ANSWERED_LEAVE_MS),
-  ];
+  const {endpoint, set, leaving} = announcement;
+  if (leaving) {
+    const left = toLeftIncarnation(announcement);
+    return putWithdrawal(view, endpoint, left, now);
+  }
+  const {configuration, identity} = view.board;
+  const self = identity.address.node;
+  const lifted = clearWithdrawal(view, announcement);
+  const isLeader =
+    findObject(configuration, 'setLeadership', set)?.node === self;
+  return lifted.length === 0 || !isLeader
+    ? lifted
+    : [
+        ...lifted,
+        ...listOthers(view).map(address =>
+          sendTo(address, {kind: 'endpointAnnounced', announcement}),
+        ),
+      ];
+}
+
+/** Lifts the withdrawal of an endpoint that has started since it left. */
+function clearWithdrawal(
+  {board}: WithdrawalView,
+  announcement: EndpointAnnouncement,
+): readonly WithdrawalWrite[] {
+  const key = announcement.endpoint;
+  const known = board.withdrawnEndpoints.get(key);
+  return known === undefined || !isLaterIncarnation(announcement, known.left)
+    ? []
+    : [{kind: 'delete', section: 'withdrawnEndpoints', key}];
 }
 
 /** Withdraws an endpoint and notifies all entries except one, once. */
 function broadcastLeave(
   view: WithdrawalView,
   endpoint: EndpointId,
+  left: LeftIncarnation,
   except: NodeId | undefined,
   now: TurnTime,
 ): readonly WithdrawalWrite[] {
-  const {control, identity, withdrawnEndpoints} = view.board;
-  if (withdrawnEndpoints.has(endpoint)) {
-    return [];
-  }
-  const self = identity.address.node;
-  const message = {kind: 'endpointLeft', endpoint} as const;
-  return [
-    ...putWithdrawal(view, endpoint, now),
-    ...control.directory.entries
-      .filter(({address: {node}}) => node !== self && node !== except)
-      .map(({address: {node: to, peer: address}}): WithdrawalWrite => ({
-        kind: 'effect',
-        effect: {kind: 'sendEntry', to, address, message},
-      })),
-  ];
+  const writes = putWithdrawal(view, endpoint, left, now);
+  const message = {kind: 'endpointLeft', endpoint, left} as const;
+  return writes.length === 0
+    ? []
+    : [
+        ...writes,
+        ...listOthers(view)
+          .filter(({node}) => node !== except)
+          .map(address => sendTo(address, message)),
+      ];
+}
+
+/** Lists the addresses of the other entries. */
+function listOthers({board}: WithdrawalView): readonly EntryAddress[] {
+  const self = board.identity.address.node;
+  return board.control.directory.entries
+    .map(({address}) => address)
+    .filter(({node}) => node !== self);
 }
 
+/** Withdraws an endpoint, unless it is withdrawn already. */
 function putWithdrawal(
   {board}: WithdrawalView,
   key: EndpointId,
+  left: LeftIncarnation,
   now: TurnTime,
   durationMs: Milliseconds = WITHDRAWAL_MS,
 ): readonly WithdrawalWrite[] {
-  const known = board.withdrawnEndpoints.get(key) ?? 0;
-  const value = Math.max(known, now.monotonic + durationMs);
+  const known = board.withdrawnEndpoints.get(key);
+  if (known !== undefined && isCoveredBy(left, known.left)) {
+    return [];
+  }
+  const until = now.monotonic + Math.min(durationMs, WITHDRAWAL_MS);
+  const value = {left, until};
   return [{kind: 'put', section: 'withdrawnEndpoints', key, value}];
 }
 
@@ -148,7 +234,17 @@
   {board}: WithdrawalView,
   now: TurnTime,
 ): readonly WithdrawalWrite[] {
-  return [...board.withdrawnEndpoints]
-    .filter(([, until]) => until <= now.monotonic)
-    .map(([key]) => ({kind: 'delete', section: 'withdrawnEndpoints', key}));
+  const withdrawals = [...board.withdrawnEndpoints];
+  const excess = withdrawals.length - MAX_WITHDRAWALS;
+  const dropped =
+    excess > 0
+      ? withdrawals
+          .sort(([, left], [, right]) => left.until - right.until)
+          .slice(0, excess)
+      : withdrawals.filter(([, {until}]) => until <= now.monotonic);
+  return dropped.map(([key]) => ({
+    kind: 'delete',
+    section: 'withdrawnEndpoints',
+    key,
+  }));
 }
