Send a call again only on connections that have not carried it

Cause: an endpoint wrote its refusal of the first sending once more during the second. The id in an answer names the caller's attempt, not the sending, and both sendings used the same kept connection.

Fix: a call that was sent n times goes out on connections of pool n, so that no connection ever carries two sendings of one call and a copy can only meet calls with another id.

--- a/fronts/callRelay/src/callRelay.ts
+++ b/fronts/callRelay/src/callRelay.ts
@@ -223,6 +223,7 @@
     timer,
     lastEventId: null,
     sentHead: null,
+    sentCount: 0,
   });
   response.once('close', () => {
     if (calls.remove(id) !== undefined) {
--- a/fronts/callRelay/src/callTable.ts
+++ b/fronts/callRelay/src/callTable.ts
@@ -15,6 +15,8 @@
   /** Deadline of the final answer, in monotonic milliseconds. */
   readonly dueAt: MonotonicTime;
   readonly timer: NodeJS.Timeout;
+  /** How often it was sent to an endpoint. */
+  sentCount: number;
   /** ID of the last complete event sent to the caller. */
   lastEventId: string | null;
   /** Head of the answer that the caller has received; `null` before it. */
--- a/fronts/callRelay/src/endpointStream.ts
+++ b/fronts/callRelay/src/endpointStream.ts
@@ -1,8 +1,5 @@
 import type {BoardView} from '@gentianshunt/board';
-import {
-  createEndpointConnector,
-  MAX_HEAD_BYTES,
-} from '@gentianshunt/callerFront';
+import {MAX_HEAD_BYTES} from '@gentianshunt/callerFront';
 import type {Clock} from '@gentianshunt/clock';
 import type {
   AdmittedRequest,
@@ -14,7 +11,6 @@
 } from '@gentianshunt/entryModel';
 import type {DispatchId} from '@gentianshunt/identifiers';
 import type {LoopMonitor} from '@gentianshunt/runtime';
-import {Agent} from 'undici';
 import type {Dispatcher} from 'undici';
 
 import {decideAnswerAction} from './answerAction.js';
@@ -24,6 +20,7 @@
 import type {AnswerHead, CallProtocol} from './callProtocol.js';
 import type {CallStep, SentCall} from './callStep.js';
 import type {CallTable, OpenCall} from './callTable.js';
+import {createConnectionPools} from './connectionPools.js';
 import {createProgressTracker} from './progressTracker.js';
 import {createTokenReporter, reportSignals} from './streamReports.js';
 import {findWithholdCause} from './withholdCause.js';
@@ -31,12 +28,6 @@
 import type {DroppedBody} from './droppedBody.js';
 import {guardCall} from './guardCall.js';
 
-/** Longest wait for a connection to an endpoint. */
-export const CONNECT_TIMEOUT_MS = 500;
-/** How long an idle connection to an endpoint is kept open. */
-export const KEEP_ALIVE_MS = 4_000;
-/** How much earlier than the endpoint this side closes an idle connection. */
-const KEEP_ALIVE_MARGIN_MS = 1_000;
 /** Most informational heads before the head of an answer. */
 const MAX_INFORMATIONAL_HEADS = 8;
 const TOO_MANY_HEADS = 'too many informational heads';
@@ -62,24 +53,11 @@
   close(): Promise<void>;
 }
 
-/** Creates a client with its own connection pool to the endpoints. */
+/** Creates a client with its own connections to the endpoints. */
 export function createEndpointStreams(
   options: EndpointStreamOptions,
 ): EndpointStreams {
-  const agent = new Agent({
-    connections: null,
-    pipelining: 1,
-    keepAliveTimeout: KEEP_ALIVE_MS,
-    keepAliveTimeoutThreshold: KEEP_ALIVE_MARGIN_MS,
-    connect: createEndpointConnector({
-      timeout: CONNECT_TIMEOUT_MS,
-      noDelay: true,
-    }),
-    maxHeaderSize: MAX_HEAD_BYTES,
-    // The controllers of the entry decide how long an endpoint may be silent.
-    headersTimeout: 0,
-    bodyTimeout: 0,
-  });
+  const pools = createConnectionPools();
   const streams = new Map<DispatchId, EndpointStream>();
   return {
     open: (request, dispatch) => {
@@ -103,8 +81,10 @@
       };
       options.loop.runAfterReading(() => {
         if (stream.canSend()) {
+          const pool = pools.find(call.sentCount);
+          call.sentCount += 1;
           guardCall(guard, () =>
-            agent.dispatch(
+            pool.dispatch(
               createEndpointRequest(options, call, request, dispatch),
               stream.handler,
             ),
@@ -116,7 +96,7 @@
       streams.get(dispatch.id)?.cancel();
       streams.delete(dispatch.id);
     },
-    close: () => agent.destroy(),
+    close: () => pools.close(),
   };
 }
 
--- a/fronts/endpointFront/src/endpointOrderClient.ts
+++ b/fronts/endpointFront/src/endpointOrderClient.ts
@@ -50,6 +50,8 @@
         fencing: execution.fencing,
         directive: execution.directive,
       }),
+      // An answer that is repeated on a kept connection names no order.
+      reset: true,
       signal: AbortSignal.timeout(MAX_ORDER_DELIVERY_MS),
     });
     const text = await readBoundedText(reply.body, {
