Start a member again also when its full disk refuses to close the log

Report of another operator: after disks were full one after another, changes stayed refused while all processes ran (Acks, CONFIG).

Cause found here: a member whose write failed is stopped and started again after a second, but when closing the log failed as well it was not started again, and the rejection went unhandled. A failure during the start itself could leave two members on one folder; a failed sync leaked a descriptor.

--- a/daemons/hosts/src/controlHost.ts
+++ b/daemons/hosts/src/controlHost.ts
@@ -13,7 +13,7 @@
 import {toIdentifier} from '@gentianshunt/identifiers';
 import type {NodeId} from '@gentianshunt/identifiers';
 import {openLogFile, openStorageFolder} from '@gentianshunt/logFile';
-import type {LogFile} from '@gentianshunt/logFile';
+import type {LogFile, StorageFolder} from '@gentianshunt/logFile';
 import type {ControlToEntry, StorageId} from '@gentianshunt/messages';
 import {
   createTimerTable,
@@ -33,6 +33,8 @@
   readonly members: readonly NodeId[];
   readonly admission: AdmissionPolicy;
   readonly dataFolder: string;
+  /** Opens the data folder; that of the file system by default. */
+  readonly openFolder?: (path: string) => Promise<StorageFolder>;
   readonly clock: Clock;
   readonly sendToMember: (to: NodeId, envelope: ConsensusEnvelope) => void;
   readonly sendToEntry: (to: NodeId, message: ControlToEntry) => void;
@@ -64,7 +66,7 @@
     }
   };
   const logFile = await openLogFile({
-    folder: await openStorageFolder(options.dataFolder),
+    folder: await (options.openFolder ?? openStorageFolder)(options.dataFolder),
     drawStorageId,
     onPersisted: sequence => post({kind: 'persisted', sequence}),
     onFailed: options.onFailed,
--- a/daemons/hosts/src/recoveringMember.ts
+++ b/daemons/hosts/src/recoveringMember.ts
@@ -30,6 +30,8 @@
 export interface RecoveringMember {
   /** Handles a peer's message; returns whether it was meant for a member. */
   receive(from: NodeId, body: unknown): boolean;
+  /** Ends the member for good. */
+  close(): Promise<void>;
 }
 
 /** Interval at which the member is updated with the known members. */
@@ -43,14 +45,22 @@
 ): Promise<RecoveringMember> {
   const {dataFolder, onFolderEvent} = options;
   let host: ControlHost | undefined = undefined;
+  let retryTimer: NodeJS.Timeout | undefined;
+  let isClosed = false;
   const start = async (): Promise<void> => {
+    if (isClosed) {
+      return;
+    }
+    const opening = createControlHost({
+      ...options,
+      onHalted: reason => {
+        const error = new DataFolderRefusedError(dataFolder, reason);
+        runOnceOpen(opening, () => replaceFolder(error));
+      },
+      onFailed: error => runOnceOpen(opening, () => restartAfterDelay(error)),
+    });
     try {
-      host = await createControlHost({
-        ...options,
-        onHalted: reason =>
-          void replaceFolder(new DataFolderRefusedError(dataFolder, reason)),
-        onFailed: error => void restartAfterDelay(error),
-      });
+      host = await opening;
     } catch (error) {
       await (isDamaged(error)
         ? replaceFolder(error)
@@ -73,18 +83,39 @@
   const restartAfterDelay = async (error: Error): Promise<void> => {
     onFolderEvent({kind: 'diskFailed', error});
     await stop();
-    setTimeout(() => void start(), DISK_RETRY_DELAY_MS);
+    retryTimer = setTimeout(() => void start(), DISK_RETRY_DELAY_MS);
   };
   const stop = async (): Promise<void> => {
     const stopped = host;
     host = undefined;
-    await stopped?.close();
+    try {
+      await stopped?.close();
+    } catch (error) {
+      // The folder is read again at the next start, whatever its state.
+      onFolderEvent({kind: 'diskFailed', error: error as Error});
+    }
   };
   await start();
-  setInterval(() => {
+  const knownMembersTimer = setInterval(() => {
     host?.post({kind: 'membersLearnt', members: options.readKnownMembers()});
   }, KNOWN_MEMBERS_INTERVAL_MS);
-  return {receive: (from, body) => host?.receive(from, body) ?? false};
+  return {
+    receive: (from, body) => host?.receive(from, body) ?? false,
+    close: async () => {
+      clearInterval(knownMembersTimer);
+      clearTimeout(retryTimer);
+      isClosed = true;
+      await stop();
+    },
+  };
+}
+
+/** Recovers after a failure, which may come before the host is open. */
+function runOnceOpen(
+  opening: Promise<ControlHost>,
+  recover: () => Promise<void>,
+): void {
+  void opening.then(recover, () => undefined);
 }
 
 function isDamaged(error: unknown): error is Error {
--- a/storage/logFile/src/readFolder.ts
+++ b/storage/logFile/src/readFolder.ts
@@ -132,13 +132,27 @@
   if (hasRecordAfter(bytes, length)) {
     throw new CorruptLogError(path, length);
   }
-  if (length < bytes.length) {
-    const file = await folder.openFile(LOG_FILE_NAME);
-    await file.truncate(length);
+  await syncLog(folder, length < bytes.length ? length : null);
+  return replayRecords(records, path);
+}
+
+/**
+ * Syncs the log, after truncating it to a length in bytes. What a killed process
+ * wrote may not be synced yet, and counts as stored from now on.
+ */
+async function syncLog(
+  folder: StorageFolder,
+  length: number | null,
+): Promise<void> {
+  const file = await folder.openFile(LOG_FILE_NAME);
+  try {
+    if (length !== null) {
+      await file.truncate(length);
+    }
     await file.sync();
+  } finally {
     await file.close();
   }
-  return replayRecords(records, path);
 }
 
 function replayRecords(
--- a/storage/logFile/src/storageFolder.ts
+++ b/storage/logFile/src/storageFolder.ts
@@ -52,6 +52,9 @@
 
 async function syncFolder(path: string): Promise<void> {
   const handle = await open(path, 'r');
-  await handle.sync();
-  await handle.close();
+  try {
+    await handle.sync();
+  } finally {
+    await handle.close();
+  }
 }
