--- a/fronts/endpointFront/test/endlessOrderAnswer.test.ts
+++ b/fronts/endpointFront/test/endlessOrderAnswer.test.ts
@@ -1,13 +1,10 @@
 import {createServer} from 'node:http';
 import type {AddressInfo} from 'node:net';
 
-import {createManualClock} from '@gentianshunt/clock';
-import type {EntryObservation} from '@gentianshunt/entryModel';
 import t from 'tap';
 
-import {createEndpointOrderClient} from '../src/index.js';
+import {HOST, sendOrder} from './orderFixture.js';
 
-const HOST = '127.0.0.1';
 const CHUNK = 'a'.repeat(16 * 1_024);
 
 t.test('the answer to an order is not read without end', async t => {
@@ -25,18 +22,7 @@
   });
   await new Promise<void>(resolve => server.listen(0, HOST, resolve));
   const {port} = server.address() as AddressInfo;
-  const posted = new Promise<EntryObservation>(resolve => {
-    const client = createEndpointOrderClient({
-      clock: createManualClock(),
-      post: resolve,
-    });
-    client.send({
-      url: `http://${HOST}:${port}`,
-      fencing: 1,
-      directive: {kind: 'load'},
-      sendBefore: 1,
-    } as never);
-  });
+  const posted = sendOrder(port);
   t.match(await posted, {
     kind: 'endpointOrderEnded',
     result: {kind: 'unknown', detail: /the body of the answer is larger/},
--- a/scheduling/entryModel/src/index.ts
+++ b/scheduling/entryModel/src/index.ts
@@ -1,6 +1,7 @@
 export * from './allocationRound.js';
 export * from './claimState.js';
 export * from './decision.js';
+export * from './directory.js';
 export * from './effect.js';
 export * from './endpoint.js';
 export * from './endpointOrder.js';
--- a/scheduling/entryModel/src/sections.ts
+++ b/scheduling/entryModel/src/sections.ts
@@ -18,7 +18,6 @@
   ControlQuery,
   CountReport,
   EntryDirectory,
-  NetworkAddress,
   OperatorCommand,
   ServiceCount,
 } from '@gentianshunt/messages';
@@ -418,12 +417,3 @@
 
 /** The sections of an entry's board. */
 export type EntrySections = ReturnType<typeof createEntrySections>;
-
-/** Finds the address of an entry in the directory. */
-export function findEntryAddress(
-  directory: EntryDirectory,
-  node: NodeId,
-): NetworkAddress | undefined {
-  return directory.entries.find(entry => entry.address.node === node)?.address
-    .peer;
-}
--- a/scheduling/promptQuarantine/src/quarantineExchange.ts
+++ b/scheduling/promptQuarantine/src/quarantineExchange.ts
@@ -1,6 +1,7 @@
 /** Sends quarantines to other entries. */
 import type {TurnTime} from '@gentianshunt/board';
 import type {Milliseconds} from '@gentianshunt/clock';
+import {listOtherEntries} from '@gentianshunt/entryModel';
 import type {Quarantine} from '@gentianshunt/entryModel';
 import {hashToFraction} from '@gentianshunt/hashing';
 import type {NodeId} from '@gentianshunt/identifiers';
@@ -21,7 +22,12 @@
   quarantine: Quarantine,
   now: TurnTime,
 ): readonly QuarantineWrite[] {
-  return sendQuarantines(listOthers(view), [quarantine], false, now);
+  return sendQuarantines(
+    listOtherEntries(view.board),
+    [quarantine],
+    false,
+    now,
+  );
 }
 
 /** Sends an entry that asked for them the quarantines known here. */
@@ -31,7 +37,9 @@
   now: TurnTime,
 ): readonly QuarantineWrite[] {
   const {quarantines} = view.board;
-  const receivers = listOthers(view).filter(({node}) => node === to);
+  const receivers = listOtherEntries(view.board).filter(
+    ({node}) => node === to,
+  );
   return sendQuarantines(receivers, [...quarantines.values()], false, now);
 }
 
@@ -47,7 +55,7 @@
   const {quarantineExchange, quarantines, identity} = view.board;
   const {hasRequested, sentAt} = quarantineExchange;
   const self = identity.address.node;
-  const others = listOthers(view);
+  const others = listOtherEntries(view.board);
   const isDue =
     now.monotonic - sentAt >= EXCHANGE_INTERVAL_MS &&
     (!hasRequested || quarantines.size > 0);
@@ -73,14 +81,6 @@
   ];
 }
 
-/** Lists the addresses of the other entries. */
-function listOthers({board}: QuarantineView): readonly EntryAddress[] {
-  const self = board.identity.address.node;
-  return board.control.directory.entries
-    .map(({address}) => address)
-    .filter(({node}) => node !== self);
-}
-
 function sendQuarantines(
   receivers: readonly EntryAddress[],
   known: readonly Quarantine[],
--- a/scheduling/slotClient/src/withdrawalController.ts
+++ b/scheduling/slotClient/src/withdrawalController.ts
@@ -6,6 +6,7 @@
   findLeftIncarnation,
   isCoveredBy,
   isLaterIncarnation,
+  listOtherEntries,
   toLeftIncarnation,
 } from '@gentianshunt/entryModel';
 import type {
@@ -18,7 +19,6 @@
   LeftIncarnation,
 } from '@gentianshunt/entryModel';
 import type {EndpointId, NodeId} from '@gentianshunt/identifiers';
-import type {EntryAddress} from '@gentianshunt/messages';
 
 import {
   syncWithdrawals,
@@ -167,7 +167,7 @@
     ? lifted
     : [
         ...lifted,
-        ...listOthers(view).map(address =>
+        ...listOtherEntries(view.board).map(address =>
           sendTo(address, {kind: 'endpointAnnounced', announcement}),
         ),
       ];
@@ -199,20 +199,12 @@
     ? []
     : [
         ...writes,
-        ...listOthers(view)
+        ...listOtherEntries(view.board)
           .filter(({node}) => node !== except)
           .map(address => sendTo(address, message)),
       ];
 }
 
-/** Lists the addresses of the other entries. */
-function listOthers({board}: WithdrawalView): readonly EntryAddress[] {
-  const self = board.identity.address.node;
-  return board.control.directory.entries
-    .map(({address}) => address)
-    .filter(({node}) => node !== self);
-}
-
 /** Withdraws an endpoint, unless it is withdrawn already. */
 function putWithdrawal(
   {board}: WithdrawalView,
--- a/scheduling/slotClient/src/withdrawalExchange.ts
+++ b/scheduling/slotClient/src/withdrawalExchange.ts
@@ -1,6 +1,7 @@
 // Exchanges of withdrawals between entries, for those that missed a leave.
 import type {TurnTime} from '@gentianshunt/board';
 import type {Milliseconds} from '@gentianshunt/clock';
+import {listOtherEntries} from '@gentianshunt/entryModel';
 import type {EntryMessage} from '@gentianshunt/entryModel';
 import {hashToFraction} from '@gentianshunt/hashing';
 import type {NodeId} from '@gentianshunt/identifiers';
@@ -33,10 +34,8 @@
       ? []
       : [putExchange({...exchange, hadLease: hasLease})];
   }
+  const others = listOtherEntries(board);
   const self = identity.address.node;
-  const others = control.directory.entries
-    .map(({address}) => address)
-    .filter(({node}) => node !== self);
   const offset = hashToFraction(`${self}/${Math.round(now.monotonic)}`);
   const first = Math.floor(offset * others.length);
   return [
@@ -59,9 +58,7 @@
   to: NodeId,
   now: TurnTime,
 ): readonly WithdrawalWrite[] {
-  const address = board.control.directory.entries.find(
-    entry => entry.address.node === to,
-  )?.address;
+  const address = listOtherEntries(board).find(({node}) => node === to);
   const withdrawals = [...board.withdrawnEndpoints]
     .sort(([, left], [, right]) => right.until - left.until)
     .slice(0, MAX_REPORTED)
