--- a/daemons/hosts/test/fullDisk.test.ts
+++ b/daemons/hosts/test/fullDisk.test.ts
@@ -70,16 +70,15 @@
   return state;
 }
 
-/** Runs a single member on a disk that is full for some time. */
+/** Returns whether a single member serves once its disk has room again. */
 async function runOnFullDisk(
   refused: readonly Operation[],
   isFullAtStart: boolean,
-): Promise<{readonly refusedFor: number; readonly isServing: boolean}> {
+): Promise<boolean> {
   const dataFolder = mkdtempSync(join(tmpdir(), 'gentianshunt-'));
   const folder = createFullFolder();
   folder.refused = new Set(isFullAtStart ? refused : []);
   const answered = new Set<number>();
-  let failures = 0;
   let sent = 0;
   const member = await createRecoveringMember({
     node: NODE,
@@ -99,9 +98,7 @@
     },
     logDecision: () => undefined,
     readKnownMembers: () => [NODE],
-    onFolderEvent: () => {
-      failures += 1;
-    },
+    onFolderEvent: () => undefined,
   });
   const commands = setInterval(() => {
     sent += 1;
@@ -118,10 +115,7 @@
   clearInterval(commands);
   await member.close();
   rmSync(dataFolder, {recursive: true, force: true});
-  return {
-    refusedFor: failures,
-    isServing: [...answered].some(number => number > sentWhileFull),
-  };
+  return [...answered].some(number => number > sentWhileFull);
 }
 
 function createCommand(number: number): unknown {
@@ -154,8 +148,7 @@
     t.test(
       `a member serves after its disk refused ${refused.join(', ')} ${moment}`,
       async t => {
-        const {isServing} = await runOnFullDisk(refused, isFullAtStart);
-        t.equal(isServing, true);
+        t.equal(await runOnFullDisk(refused, isFullAtStart), true);
       },
     );
   }
