Mark late announcements as leaving in one place

The registry built the leaving copy of a late heartbeat twice, for the entry that gets it and for the set leader.

--- a/scheduling/setLeader/src/endpointRegistry.ts
+++ b/scheduling/setLeader/src/endpointRegistry.ts
@@ -150,8 +150,7 @@
   now: TurnTime,
 ): readonly RegistryWrite[] {
   const {endpoint} = contact;
-  const isLate = isWithdrawn(view.board.withdrawnEndpoints, contact);
-  const announcement = isLate ? {...contact, leaving: true} : contact;
+  const announcement = updateLeaving(view, contact);
   const known = view.board.announcements.get(endpoint);
   const isLeft =
     known?.kind === 'left' && !isLaterIncarnation(contact, known.left);
@@ -166,6 +165,16 @@
   ];
 }
 
+/** Returns an announcement as leaving if it is a late one after a leave. */
+function updateLeaving(
+  {board}: RegistryView,
+  announcement: EndpointAnnouncement,
+): EndpointAnnouncement {
+  return isWithdrawn(board.withdrawnEndpoints, announcement)
+    ? {...announcement, leaving: true}
+    : announcement;
+}
+
 function putAnnouncement(
   key: EndpointId,
   value: ReceivedAnnouncement,
@@ -320,12 +329,8 @@
   }
   const {set, endpoint} = announcement;
   const known = view.board.endpoints.get({set, endpoint});
-  const isLate = isWithdrawn(view.board.withdrawnEndpoints, announcement);
-  const record = createEndpointRecord(
-    known,
-    isLate ? {...announcement, leaving: true} : announcement,
-    now,
-  );
+  const current = updateLeaving(view, announcement);
+  const record = createEndpointRecord(known, current, now);
   if (record === undefined) {
     return [];
   }
