--- a/control/consensus/src/cellDraft.ts
+++ b/control/consensus/src/cellDraft.ts
@@ -1,22 +1,9 @@
 import type {SectionView} from '@gentianshunt/board';
 import type {ControlSections, ControlWrite} from '@gentianshunt/controlModel';
 
+import type {ConsensusCells} from './consensusCells.js';
 import type {ConsensusView} from './consensusView.js';
 
-/** The cells that the consensus controller writes. */
-export type ConsensusCells =
-  | 'ballot'
-  | 'role'
-  | 'logStatus'
-  | 'electionTimer'
-  | 'persistSequence'
-  | 'memberships'
-  | 'leadership'
-  | 'startCheck'
-  | 'snapshot'
-  | 'incomingSnapshot'
-  | 'contacts';
-
 /** The values of the cells, including the changes of the current run. */
 export interface CellDraft {
   read<Name extends ConsensusCells>(
--- /dev/null
+++ b/control/consensus/src/consensusCells.ts
@@ -0,0 +1,13 @@
+/** The cells that the consensus controller writes. */
+export type ConsensusCells =
+  | 'ballot'
+  | 'role'
+  | 'logStatus'
+  | 'electionTimer'
+  | 'persistSequence'
+  | 'memberships'
+  | 'leadership'
+  | 'startCheck'
+  | 'snapshot'
+  | 'incomingSnapshot'
+  | 'contacts';
--- a/control/consensus/src/consensusView.ts
+++ b/control/consensus/src/consensusView.ts
@@ -4,7 +4,7 @@
   ControlSections,
 } from '@gentianshunt/controlModel';
 
-import type {ConsensusCells} from './cellDraft.js';
+import type {ConsensusCells} from './consensusCells.js';
 
 /** The maps by node that the consensus controller writes. */
 export type ConsensusMaps =
--- a/control/stateMachine/src/captureController.ts
+++ b/control/stateMachine/src/captureController.ts
@@ -1,8 +1,8 @@
 import {defineControlController} from '@gentianshunt/controlModel';
 import type {ControlController} from '@gentianshunt/controlModel';
 
-import {STATE_SECTIONS} from './stateDraft.js';
-import type {StateWrites} from './stateDraft.js';
+import {STATE_SECTIONS} from './stateSections.js';
+import type {StateWrites} from './stateSections.js';
 import {listSnapshotItems} from './stateSnapshot.js';
 
 /** Log entries applied after a snapshot before the next one is captured. */
--- a/control/stateMachine/src/configurationDraft.ts
+++ b/control/stateMachine/src/configurationDraft.ts
@@ -15,7 +15,7 @@
 import type {KindKey, ReferenceKey} from '@gentianshunt/controlModel';
 import {assertNever} from '@gentianshunt/errors';
 
-import type {StateView, StateWrite} from './stateDraft.js';
+import type {StateView, StateWrite} from './stateSections.js';
 
 /** The configuration and its indexes with the changes of the current turn. */
 export interface ConfigurationDraft extends ConfigurationLookup {
--- a/control/stateMachine/src/index.ts
+++ b/control/stateMachine/src/index.ts
@@ -5,5 +5,6 @@
 export * from './changeConfiguration.js';
 export * from './stateDraft.js';
 export * from './stateMachineController.js';
+export * from './stateSections.js';
 export * from './captureController.js';
 export * from './stateSnapshot.js';
--- a/control/stateMachine/src/stateDraft.ts
+++ b/control/stateMachine/src/stateDraft.ts
@@ -3,7 +3,7 @@
   createMapDraft,
   createOrderedDraft,
 } from '@gentianshunt/board';
-import type {MapDraft, OrderedDraft, View} from '@gentianshunt/board';
+import type {MapDraft, OrderedDraft} from '@gentianshunt/board';
 import type {ConfigurationChange} from '@gentianshunt/configuration';
 import {
   compareClaimExpiry,
@@ -20,9 +20,6 @@
   ClaimRecord,
   ClaimUsage,
   CommandRecord,
-  ControlObservation,
-  ControlSections,
-  ControlWrite,
   CountMark,
   CountMarkKey,
   RunningClaimKey,
@@ -39,40 +36,7 @@
 
 import {createConfigurationDraft} from './configurationDraft.js';
 import type {ConfigurationDraft} from './configurationDraft.js';
-
-/**
- * The sections that make up the applied state. The committed log alone
- * determines them, and snapshots store them by name.
- */
-export const STATE_SECTIONS = [
-  'applied',
-  'configuration',
-  'source',
-  'objectKinds',
-  'references',
-  'history',
-  'commands',
-  'commandFloor',
-  'changeUsage',
-  'nextCommand',
-  'weightStore',
-  'claims',
-  'claimExpiry',
-  'runningClaims',
-  'claimUsage',
-  'serviceCounts',
-  'recentCounts',
-  'countMarks',
-] as const;
-
-/** The sections that the state machine writes. */
-export type StateWrites = (typeof STATE_SECTIONS)[number];
-/** The sections that the state machine reads. */
-export type StateReads = StateWrites | 'log' | 'logStatus';
-/** The part of the board that the state machine reads. */
-export type StateView = View<ControlSections, StateReads, ControlObservation>;
-/** A write of the state machine. */
-export type StateWrite = ControlWrite<StateWrites>;
+import type {StateView, StateWrite} from './stateSections.js';
 
 /**
  * The applied state with the changes of the current turn. Each log entry sees
--- a/control/stateMachine/src/stateMachineController.ts
+++ b/control/stateMachine/src/stateMachineController.ts
@@ -13,12 +13,10 @@
 import {applyCountReport} from './applyCounts.js';
 import {applyEndOrder, applyIssueOrder} from './applyOrder.js';
 import {applyReplacement} from './applyReplacement.js';
-import {
-  createStateDraft,
-  listStateWrites,
-  STATE_SECTIONS,
-} from './stateDraft.js';
-import type {StateDraft, StateReads, StateWrites} from './stateDraft.js';
+import {createStateDraft, listStateWrites} from './stateDraft.js';
+import type {StateDraft} from './stateDraft.js';
+import {STATE_SECTIONS} from './stateSections.js';
+import type {StateReads, StateWrites} from './stateSections.js';
 import {listRestoreWrites} from './stateSnapshot.js';
 
 /**
--- a/control/stateMachine/src/stateSnapshot.ts
+++ b/control/stateMachine/src/stateSnapshot.ts
@@ -2,8 +2,8 @@
 import type {ControlSections} from '@gentianshunt/controlModel';
 import type {SnapshotItem, StateSnapshot} from '@gentianshunt/messages';
 
-import {STATE_SECTIONS} from './stateDraft.js';
-import type {StateWrite, StateWrites} from './stateDraft.js';
+import {STATE_SECTIONS} from './stateSections.js';
+import type {StateWrite, StateWrites} from './stateSections.js';
 
 type SnapshotView = Pick<BoardView<ControlSections>, StateWrites>;
 
