--- a/scheduling/entryModel/src/index.ts
+++ b/scheduling/entryModel/src/index.ts
@@ -21,4 +21,5 @@
 export * from './request.js';
 export * from './demandReportingState.js';
 export * from './sections.js';
+export * from './streamEnd.js';
 export * from './withdrawal.js';
--- a/scheduling/entryModel/src/promptQuarantine.ts
+++ b/scheduling/entryModel/src/promptQuarantine.ts
@@ -7,7 +7,7 @@
   PromptPartId,
 } from '@gentianshunt/identifiers';
 
-import type {AnswerProgress} from './observation.js';
+import type {AnswerProgress} from './streamEnd.js';
 
 /** Decaying counts of sound answers to requests with a prompt part. */
 export interface SoundRuns {
--- a/scheduling/entryModel/src/request.ts
+++ b/scheduling/entryModel/src/request.ts
@@ -14,7 +14,7 @@
   TierId,
 } from '@gentianshunt/identifiers';
 
-import type {StreamEnd} from './observation.js';
+import type {StreamEnd} from './streamEnd.js';
 
 /** A non-idempotent request's key and the digest of its content. */
 export interface IdempotencyClaim {
