--- a/fronts/callRelay/src/callStep.ts
+++ b/fronts/callRelay/src/callStep.ts
@@ -1,8 +1,8 @@
 import type {Milliseconds} from '@gentianshunt/clock';
 import type {EndpointId, RequestId} from '@gentianshunt/identifiers';
 
+import type {CallFailedError} from './callFailedError.js';
 import type {UnboundedAnswerError} from './droppedBody.js';
-import type {CallFailedError} from './guardCall.js';
 
 /** A call at the moment at which it is sent to an endpoint. */
 export interface SentCall {
--- a/fronts/callRelay/src/endpointStream.ts
+++ b/fronts/callRelay/src/endpointStream.ts
@@ -1,26 +1,22 @@
-import type {BoardView} from '@gentianshunt/board';
 import {MAX_HEAD_BYTES} from '@gentianshunt/callerFront';
-import type {Clock} from '@gentianshunt/clock';
 import type {
   AdmittedRequest,
   AnswerProgress,
   Dispatch,
-  EntryObservation,
-  EntrySections,
   StreamEnd,
 } from '@gentianshunt/entryModel';
 import type {DispatchId} from '@gentianshunt/identifiers';
-import type {LoopMonitor} from '@gentianshunt/runtime';
 import type {Dispatcher} from 'undici';
 
 import {decideAnswerAction} from './answerAction.js';
 import type {AnswerAction} from './answerAction.js';
 import {createAnswerWriter} from './answerWriter.js';
 import type {AnswerWriter} from './answerWriter.js';
-import type {AnswerHead, CallProtocol} from './callProtocol.js';
-import type {CallStep, SentCall} from './callStep.js';
-import type {CallTable, OpenCall} from './callTable.js';
+import type {AnswerHead} from './callProtocol.js';
+import type {SentCall} from './callStep.js';
+import type {OpenCall} from './callTable.js';
 import {createConnectionPools} from './connectionPools.js';
+import type {EndpointStreamOptions} from './endpointStreamOptions.js';
 import {createProgressTracker} from './progressTracker.js';
 import {createTokenReporter, reportSignals} from './streamReports.js';
 import {findWithholdCause} from './withholdCause.js';
@@ -35,17 +31,6 @@
 const FIRST_FINAL_STATUS = 200;
 const SUCCESS = 200;
 
-/** Options of the streams from endpoints. */
-export interface EndpointStreamOptions {
-  readonly calls: CallTable;
-  readonly protocol: CallProtocol;
-  readonly view: BoardView<EntrySections>;
-  readonly clock: Clock;
-  readonly loop: LoopMonitor;
-  readonly post: (observation: EntryObservation) => void;
-  readonly onStep: (step: CallStep) => void;
-}
-
 /** Opens and cancels the answer streams from endpoints. */
 export interface EndpointStreams {
   open(request: AdmittedRequest, dispatch: Dispatch): void;
--- a/fronts/callRelay/src/guardCall.ts
+++ b/fronts/callRelay/src/guardCall.ts
@@ -1,20 +1,6 @@
-import {SchedulerError} from '@gentianshunt/errors';
-
+import {CallFailedError} from './callFailedError.js';
 import type {CallStep} from './callStep.js';
 
-/** Thrown when handling one call failed in a way that was not expected. */
-export class CallFailedError extends SchedulerError {
-  constructor(step: string, peer: string, cause: unknown) {
-    super({
-      code: 'ERR_CALL_FAILED',
-      message: cause instanceof Error ? cause.message : String(cause),
-      origin: {step, peer},
-      hint: 'the other calls of the entry go on',
-      cause,
-    });
-  }
-}
-
 /** Options of a guarded action. */
 export interface GuardOptions {
   readonly step: string;
--- a/fronts/callRelay/src/streamReports.ts
+++ b/fronts/callRelay/src/streamReports.ts
@@ -3,7 +3,7 @@
 import type {AdmittedRequest, Dispatch} from '@gentianshunt/entryModel';
 
 import type {AnswerAttributes} from './callProtocol.js';
-import type {EndpointStreamOptions} from './endpointStream.js';
+import type {EndpointStreamOptions} from './endpointStreamOptions.js';
 
 /** Shortest time between two reports of the token count of a stream. */
 const TOKEN_REPORT_INTERVAL_MS = 250;
--- a/fronts/callRelay/src/withholdCause.ts
+++ b/fronts/callRelay/src/withholdCause.ts
@@ -6,7 +6,7 @@
 import {findPromptRefusal} from '@gentianshunt/promptQuarantine';
 
 import type {OpenCall} from './callTable.js';
-import type {EndpointStreamOptions} from './endpointStream.js';
+import type {EndpointStreamOptions} from './endpointStreamOptions.js';
 
 /** Finds a reason why a dispatched call must not be sent any more. */
 export function findWithholdCause(
