--- a/fronts/operatorFront/src/commandRoute.ts
+++ b/fronts/operatorFront/src/commandRoute.ts
@@ -15,7 +15,7 @@
 import type {FastifyInstance} from 'fastify';
 import * as z from 'zod';
 
-import type {OperatorFrontOptions} from './operatorFront.js';
+import type {OperatorFrontOptions} from './operatorFrontOptions.js';
 import {readOperator} from './operatorScope.js';
 import type {ProgressWaiters} from './progressWaiters.js';
 import {readBody} from './readBody.js';
--- a/fronts/operatorFront/src/queryRoute.ts
+++ b/fronts/operatorFront/src/queryRoute.ts
@@ -17,7 +17,7 @@
 import type {FastifyInstance} from 'fastify';
 import * as z from 'zod';
 
-import type {OperatorFrontOptions} from './operatorFront.js';
+import type {OperatorFrontOptions} from './operatorFrontOptions.js';
 import type {ProgressWaiters} from './progressWaiters.js';
 import {queryControl} from './queryControl.js';
 import {readBody} from './readBody.js';
