Report resident memory and the bytes held by owner

A process that ends because it used more than its memory left no line that said so, and nothing told request bodies from unread answers or peer queues.

The metric gentianshunt_buffered_bytes shows the same owners.

--- a/daemons/entryd/src/entryd.ts
+++ b/daemons/entryd/src/entryd.ts
@@ -9,6 +9,7 @@
 import {
   createEntryHost,
   createLoadMonitor,
+  createMemoryMonitor,
   createObservationCounts,
   toEntryObservation,
 } from '@gentianshunt/hosts';
@@ -32,6 +33,7 @@
 
 import {createOpenResponses} from './openResponses.js';
 
+const BYTES_PER_MB = 1_024 * 1_024;
 /** Bytes of buffered request bodies above which new ones are not read. */
 const MAX_BUFFERED_BODY_BYTES = 256 * 1024 * 1024;
 
@@ -102,6 +104,7 @@
   });
   const metrics = createEntryMetrics({
     readQueuedBytes: () => links.readQueuedBytes().total,
+    readBufferedBytes: () => readBufferedBytes(),
     readObservations: counts.read,
   });
   const loop = createLoadMonitor({
@@ -120,6 +123,16 @@
     self: settings.node,
     maxBufferedBytes: MAX_BUFFERED_BODY_BYTES,
   });
+  const readBufferedBytes = () => ({
+    ...callerFront.measure(),
+    peerLinkBytes: links.readQueuedBytes().total,
+  });
+  const memory = createMemoryMonitor({
+    clock,
+    limitBytes: settings.limits.memory_mb * BYTES_PER_MB,
+    readBufferedBytes,
+    onHigh: use => logger.write({kind: 'memoryHigh', use}),
+  });
   const endpointOrders = createEndpointOrderClient({clock, post});
   const operatorFront = createOperatorFront({
     server,
@@ -183,6 +196,7 @@
     close: async () => {
       timers.clear();
       loop.close();
+      memory.close();
       await callerFront.close();
       await server.close();
       await links.close();
--- a/daemons/hosts/src/index.ts
+++ b/daemons/hosts/src/index.ts
@@ -6,3 +6,4 @@
 export * from './recoveringMember.js';
 export * from './loadMonitor.js';
 export * from './observationCounts.js';
+export * from './memoryMonitor.js';
--- a/daemons/settings/src/schema.ts
+++ b/daemons/settings/src/schema.ts
@@ -48,6 +48,8 @@
           .int()
           .min(1_024)
           .default(4 * 1024 * 1024),
+        /** Memory of the process, in units of 1024 x 1024 bytes. */
+        memory_mb: z.int().min(150).default(1_024),
       })
       .prefault({}),
   })
--- a/fronts/callRelay/src/callRelay.ts
+++ b/fronts/callRelay/src/callRelay.ts
@@ -18,7 +18,7 @@
 import type {CallHead, CallProtocol} from './callProtocol.js';
 import type {CallStep} from './callStep.js';
 import {createCallTable} from './callTable.js';
-import type {CallTable} from './callTable.js';
+import type {CallTable, HeldBytes} from './callTable.js';
 import {createEndpointStreams} from './endpointStream.js';
 import {guardCall} from './guardCall.js';
 
@@ -46,6 +46,8 @@
 export interface CallRelay {
   /** Executes an effect that the entry has decided on. */
   perform(effect: RelayEffect): void;
+  /** Measures the bytes held for open calls. */
+  measure(): HeldBytes;
   close(): Promise<void>;
 }
 
@@ -91,6 +93,7 @@
           return;
       }
     },
+    measure: calls.measure,
     close: () => streams.close(),
   };
 }
--- a/fronts/callRelay/src/callTable.ts
+++ b/fronts/callRelay/src/callTable.ts
@@ -23,10 +23,18 @@
   sentHead: AnswerHead | null;
 }
 
+/** Bytes held for open calls. */
+export interface HeldBytes {
+  readonly requestBodyBytes: number;
+  readonly answerBytes: number;
+}
+
 /** The calls of an entry that await an answer. */
 export interface CallTable {
   add(call: OpenCall): void;
   find(id: RequestId): OpenCall | undefined;
+  /** Sums the bytes of the calls' bodies and of unread parts of answers. */
+  measure(): HeldBytes;
   /** Removes a call, stops its timer and returns it. */
   remove(id: RequestId): OpenCall | undefined;
 }
@@ -39,6 +47,16 @@
       calls.set(call.id, call);
     },
     find: id => calls.get(id),
+    measure: () => {
+      const open = [...calls.values()];
+      return {
+        requestBodyBytes: open.reduce((sum, {body}) => sum + body.length, 0),
+        answerBytes: open.reduce(
+          (sum, {response}) => sum + response.writableLength,
+          0,
+        ),
+      };
+    },
     remove: id => {
       const call = calls.get(id);
       if (call !== undefined) {
--- a/fronts/callerFront/src/callerFront.ts
+++ b/fronts/callerFront/src/callerFront.ts
@@ -16,7 +16,7 @@
 
 import {addBodyBackpressure} from './bodyBackpressure.js';
 import {createCallerTable, sendProblem} from './callerTable.js';
-import type {CallerTable, ForwardedRequest} from './callerTable.js';
+import type {CallerTable, ForwardedRequest, HeldBytes} from './callerTable.js';
 import {hasDisconnected} from './hasDisconnected.js';
 import {createLookupRoute} from './lookupRoute.js';
 import {createBadRequestProblem, toProblem} from './problem.js';
@@ -43,6 +43,8 @@
 export interface CallerFront {
   /** Executes an effect that the entry has decided on. */
   perform(effect: CallerEffect): void;
+  /** Measures the bytes held for callers. */
+  measure(): HeldBytes;
   close(): Promise<void>;
 }
 
@@ -85,6 +87,7 @@
           return;
       }
     },
+    measure: callers.measure,
     close: () => streams.close(),
   };
 }
--- a/fronts/callerFront/src/callerTable.ts
+++ b/fronts/callerFront/src/callerTable.ts
@@ -25,11 +25,19 @@
   readonly response: ServerResponse;
 }
 
+/** Bytes held for callers. */
+export interface HeldBytes {
+  readonly requestBodyBytes: number;
+  readonly answerBytes: number;
+}
+
 /** The callers that await an answer, by request. */
 export interface CallerTable {
   add(caller: Caller): void;
   find(request: RequestId): Caller | undefined;
   remove(request: RequestId): void;
+  /** Sums the bytes of request bodies and of unread parts of answers. */
+  measure(): HeldBytes;
   /** Registers a listener that is called after every removal. */
   onRemoved(listener: () => void): void;
   readonly size: number;
@@ -56,6 +64,13 @@
         listeners.forEach(listener => listener());
       }
     },
+    measure: () => ({
+      requestBodyBytes: bufferedBytes,
+      answerBytes: [...callers.values()].reduce(
+        (sum, {response}) => sum + response.writableLength,
+        0,
+      ),
+    }),
     onRemoved: listener => {
       listeners.push(listener);
     },
--- a/fronts/logging/src/logEvent.ts
+++ b/fronts/logging/src/logEvent.ts
@@ -36,6 +36,8 @@
   | {readonly kind: 'controlDecided'; readonly decision: ControlDecision}
   /** The event loop was late; written once per report interval at most. */
   | {readonly kind: 'loopDelayed'; readonly load: DaemonLoad}
+  /** Resident memory is near its limit; written at intervals while it is. */
+  | {readonly kind: 'memoryHigh'; readonly use: MemoryUse}
   /** The first byte of a call leaves for an endpoint. */
   | ({readonly kind: 'callSent'} & SentCall)
   /** A dispatched call was not sent. */
@@ -63,6 +65,27 @@
   readonly observations: readonly string[];
 }
 
+/** Bytes that a daemon holds for others, by what they belong to. */
+export interface BufferedBytes {
+  /** Bodies of callers' requests that are received or kept for retries. */
+  readonly requestBodyBytes: number;
+  /** Answers that their callers have not read yet. */
+  readonly answerBytes: number;
+  /** Messages that wait to be sent to other daemons. */
+  readonly peerLinkBytes: number;
+}
+
+/** What the memory of a daemon is used for, in bytes. */
+export interface MemoryUse extends BufferedBytes {
+  /** Memory that the daemon may use. */
+  readonly limitBytes: number;
+  readonly residentBytes: number;
+  /** Memory used by objects of the runtime. */
+  readonly heapBytes: number;
+  /** Memory of buffers outside the runtime's heap, unused ones included. */
+  readonly externalBytes: number;
+}
+
 /** A call at the moment at which it is sent to an endpoint. */
 export interface SentCall {
   readonly request: string;
@@ -122,6 +145,7 @@
     case 'settingsRefused':
     case 'controlDecided':
     case 'loopDelayed':
+    case 'memoryHigh':
     case 'linesDropped':
       return 'standing';
     default:
@@ -166,6 +190,8 @@
       return toControlRecord(event.decision);
     case 'loopDelayed':
       return {event: event.kind, ...toWholeNumbers({...event.load})};
+    case 'memoryHigh':
+      return {event: event.kind, ...event.use};
     case 'callSent':
     case 'callWithheld':
     case 'callerDisconnected': {
--- a/fronts/logging/test/logEvent.test.ts
+++ b/fronts/logging/test/logEvent.test.ts
@@ -86,6 +86,21 @@
   t.match(lines[0]!, {event: 'loopDelayed', ...load, maxLagMs: 2_310});
 });
 
+t.test('high memory is logged with what it is used for', async t => {
+  const {logger, lines} = createLoggerFixture();
+  const use = {
+    limitBytes: 200,
+    residentBytes: 170,
+    heapBytes: 60,
+    externalBytes: 80,
+    requestBodyBytes: 50,
+    answerBytes: 5,
+    peerLinkBytes: 2,
+  };
+  logger.write({kind: 'memoryHigh', use});
+  t.match(lines[0]!, {event: 'memoryHigh', ...use});
+});
+
 t.test('a sent call is logged with its age and its time left', async t => {
   const {logger, lines} = createLoggerFixture();
   logger.write({
--- a/fronts/metrics/src/entryMetrics.ts
+++ b/fronts/metrics/src/entryMetrics.ts
@@ -23,6 +23,8 @@
 export interface EntryMetricsOptions {
   /** Reads the bytes that wait to be sent to other daemons. */
   readonly readQueuedBytes: () => number;
+  /** Reads the bytes held for others, by what they belong to. */
+  readonly readBufferedBytes: () => Readonly<Record<string, number>>;
   /** Reads the numbers of observations so far, by kind. */
   readonly readObservations: () => ReadonlyMap<string, number>;
 }
@@ -83,6 +85,16 @@
     registers: [registry],
     collect: () => queuedBytes.set(options.readQueuedBytes()),
   });
+  const bufferedBytes: Gauge = new Gauge({
+    name: 'gentianshunt_buffered_bytes',
+    help: 'Bytes held for callers and other daemons, by what they belong to.',
+    labelNames: ['owner'],
+    registers: [registry],
+    collect: () =>
+      Object.entries(options.readBufferedBytes()).forEach(([owner, bytes]) =>
+        bufferedBytes.set({owner}, bytes),
+      ),
+  });
   const observations: Gauge = new Gauge({
     name: 'gentianshunt_observations',
     help: 'Observations handled since the start, by kind.',
