Log why a process ends, and what is tried again at its start

Starts and ends could not be told apart in the logs: an end by an error left no line of the log, and daemonStopped had a code only. The events: daemonStopped with its cause, and the step and peer of the error; startRetried, signalIgnored, faultDetected, connectionFailed, effectFailed, memberFailed. The last line waits for a slow reader, so that a full buffer doesn't drop it; errors carry their hint; a log that can't be written doesn't end the process.

--- a/daemons/controld/src/controld.ts
+++ b/daemons/controld/src/controld.ts
@@ -69,7 +69,12 @@
       await server?.close();
       await links.close();
       await close();
-      logger.write({kind: 'daemonStopped', exitCode: 0});
+      logger.write({
+        kind: 'daemonStopped',
+        exitCode: 0,
+        cause: 'stopped',
+        error: null,
+      });
       await logger.flush();
     },
   };
--- a/daemons/entryd/src/entryd.ts
+++ b/daemons/entryd/src/entryd.ts
@@ -130,7 +130,12 @@
     drawRequestId: drawIdentifier,
   });
   const exit = (): void => {
-    logger.write({kind: 'daemonStopped', exitCode: 0});
+    logger.write({
+      kind: 'daemonStopped',
+      exitCode: 0,
+      cause: 'stopped',
+      error: null,
+    });
     void logger.flush().then(options.onExit);
   };
   adapters = {
--- a/fronts/logging/src/logEvent.ts
+++ b/fronts/logging/src/logEvent.ts
@@ -10,7 +10,31 @@
 export type LogEvent =
   | {readonly kind: 'daemonReady'; readonly node: string}
   | {readonly kind: 'daemonStopping'; readonly cause: string}
-  | {readonly kind: 'daemonStopped'; readonly exitCode: number}
+  /** The last event of a process: why it ends. */
+  | {
+      readonly kind: 'daemonStopped';
+      readonly exitCode: number;
+      readonly cause: string;
+      /** The error that made it end; `null` if a signal did. */
+      readonly error: Error | null;
+    }
+  /** A step of the start failed and is tried again. */
+  | {
+      readonly kind: 'startRetried';
+      readonly step: string;
+      readonly peer: string;
+      readonly waitedMs: number;
+      readonly error: Error;
+    }
+  | {readonly kind: 'signalIgnored'; readonly signal: string}
+  /** An error that makes the process drain and end. */
+  | {readonly kind: 'faultDetected'; readonly error: Error}
+  /** An error of one connection that nothing else handled. */
+  | {readonly kind: 'connectionFailed'; readonly error: Error}
+  /** The action that a controller decided on failed; the others go on. */
+  | {readonly kind: 'effectFailed'; readonly error: Error}
+  /** A controller of the control member failed; the member is restarted. */
+  | {readonly kind: 'memberFailed'; readonly error: Error}
   | {readonly kind: 'peerLinkFailed'; readonly error: Error}
   | {readonly kind: 'diskFailed'; readonly error: Error}
   | {readonly kind: 'folderDiscarded'; readonly error: Error}
@@ -101,6 +125,8 @@
     case 'callWithheld':
     case 'answerUnbounded':
     case 'callFailed':
+    case 'connectionFailed':
+    case 'effectFailed':
       return 'outcome';
     case 'callSent':
     case 'callerDisconnected':
@@ -116,6 +142,10 @@
     case 'daemonReady':
     case 'daemonStopping':
     case 'daemonStopped':
+    case 'startRetried':
+    case 'signalIgnored':
+    case 'faultDetected':
+    case 'memberFailed':
     case 'diskFailed':
     case 'folderDiscarded':
     case 'settingsRead':
@@ -137,13 +167,35 @@
     case 'daemonStopping':
       return {event: event.kind, cause: event.cause};
     case 'daemonStopped':
-      return {event: event.kind, exitCode: event.exitCode};
+      return {
+        event: event.kind,
+        exitCode: event.exitCode,
+        cause: event.cause,
+        ...(event.error === null ? {} : toErrorRecord(event.error)),
+      };
+    case 'startRetried': {
+      const {kind, step, peer, waitedMs, error} = event;
+      const waited = Math.round(waitedMs);
+      return {
+        event: kind,
+        step,
+        peer,
+        waitedMs: waited,
+        message: error.message,
+      };
+    }
+    case 'signalIgnored':
+      return {event: event.kind, signal: event.signal};
     case 'peerLinkFailed':
     case 'diskFailed':
     case 'folderDiscarded':
     case 'settingsRefused':
     case 'answerUnbounded':
     case 'callFailed':
+    case 'faultDetected':
+    case 'connectionFailed':
+    case 'effectFailed':
+    case 'memberFailed':
       return {event: event.kind, ...toErrorRecord(event.error)};
     case 'settingsRead': {
       const {file, isChanged, isAsked} = event;
@@ -184,7 +236,8 @@
     return {message: error.message};
   }
   const {step, peer} = error.origin;
-  return {code: error.code, step, peer, message: error.message};
+  const hint = error.hint === undefined ? {} : {hint: error.hint};
+  return {code: error.code, step, peer, message: error.message, ...hint};
 }
 
 function toRefusalRecord(refusal: Refusal): LogRecord {
--- a/fronts/logging/src/logger.ts
+++ b/fronts/logging/src/logger.ts
@@ -14,16 +14,23 @@
 const FLUSH_THRESHOLD_BYTES = 4_096;
 /** Longest time that a line stays in the buffer. */
 const FLUSH_INTERVAL_MS = 250;
-/** Longest wait for the last lines when a process ends. */
-const FLUSH_TIMEOUT_MS = 100;
+/** Longest wait until a reader has taken the buffered lines. */
+export const FLUSH_TIMEOUT_MS = 500;
 const STDOUT_FD = 1;
 const MILLISECONDS_PER_SECOND = 1_000;
 
 /** Writes events to the log. */
 export interface Logger {
   write(event: LogEvent): void;
+  /**
+   * Writes the last line of a process, behind those that a slow reader has not
+   * taken yet, and closes the log. Returns whether it was written in time.
+   */
+  writeLast(event: LogEvent): Promise<boolean>;
   /** Resolves once the buffered lines are written, or after a timeout. */
-  flush(): Promise<void>;
+  flush(): Promise<boolean>;
+  /** Returns a logger that writes to the same output for another daemon. */
+  withNode(node: string): Logger;
 }
 
 /** Options of a logger. */
@@ -38,18 +45,25 @@
 
 /** Creates a logger that writes JSON lines and never blocks. */
 export function createLogger(options: LoggerOptions): Logger {
-  const output = createOutput(options);
+  const limiter = createRateLimiter(
+    options.readTime ?? (() => performance.now()),
+  );
+  return createNodeLogger(options.node, createOutput(options), limiter);
+}
+
+function createNodeLogger(
+  node: string,
+  output: Output,
+  limiter: RateLimiter,
+): Logger {
   const lines = pino(
     {
-      base: {daemon: options.node},
+      base: {daemon: node},
       formatters: {level: label => ({level: label})},
       timestamp: pino.stdTimeFunctions.isoTime,
     },
     output.stream,
   );
-  const limiter = createRateLimiter(
-    options.readTime ?? (() => performance.now()),
-  );
   const write = (event: LogEvent): void => lines.info(toLogRecord(event));
   return {
     write: event => {
@@ -61,18 +75,33 @@
         write(event);
       }
     },
+    writeLast: async event => {
+      // A full buffer would drop the line.
+      await output.flush();
+      write(event);
+      const isWritten = await output.flush();
+      output.close();
+      return isWritten;
+    },
     flush: output.flush,
+    withNode: other => createNodeLogger(other, output, limiter),
   };
 }
 
 interface Output {
   readonly stream: DestinationStream;
-  flush(): Promise<void>;
+  /** Returns whether the buffered lines were written before the timeout. */
+  flush(): Promise<boolean>;
+  close(): void;
 }
 
 function createOutput({destination}: LoggerOptions): Output {
   if (destination !== undefined) {
-    return {stream: destination, flush: () => Promise.resolve()};
+    return {
+      stream: destination,
+      flush: () => Promise.resolve(true),
+      close: () => undefined,
+    };
   }
   const stream = pino.destination({
     fd: STDOUT_FD,
@@ -80,6 +109,8 @@
     minLength: FLUSH_THRESHOLD_BYTES,
     maxLength: MAX_BUFFERED_BYTES,
   });
+  // A log that cannot be written must not end the process.
+  stream.on('error', () => undefined);
   const timer = setInterval(() => stream.flush(), FLUSH_INTERVAL_MS);
   timer.unref();
   return {
@@ -87,9 +118,14 @@
     // A slow or closed reader must not delay the exit of the process.
     flush: () =>
       new Promise(resolve => {
-        setTimeout(resolve, FLUSH_TIMEOUT_MS);
-        stream.flush(() => resolve());
+        setTimeout(() => resolve(false), FLUSH_TIMEOUT_MS);
+        stream.flush(error => resolve(error === undefined || error === null));
       }),
+    close: () => {
+      clearInterval(timer);
+      // Otherwise the exit of the process waits for the reader.
+      stream.destroy();
+    },
   };
 }
 
--- a/fronts/logging/test/logEvent.test.ts
+++ b/fronts/logging/test/logEvent.test.ts
@@ -158,3 +158,23 @@
   });
   t.match(record, {event: 'endpointLimitNamed', perSecond: 2.8, before: null});
 });
+
+t.test('the last line of a process says why it ends', async t => {
+  const {logger, lines} = createLoggerFixture();
+  const error = createError();
+  const cause = 'settingsInvalid';
+  await logger.writeLast({kind: 'daemonStopped', exitCode: 2, cause, error});
+  t.match(lines.at(-1), {
+    event: 'daemonStopped',
+    exitCode: 2,
+    cause,
+    step: 'connect',
+    peer: 'entry-1',
+  });
+});
+
+t.test('a logger for another daemon writes to the same output', async t => {
+  const {logger, lines} = createLoggerFixture();
+  logger.withNode('entry-1').write({kind: 'signalIgnored', signal: 'SIGUSR2'});
+  t.match(lines, [{daemon: 'entry-1', signal: 'SIGUSR2'}]);
+});
