--- a/bench/policyBench/src/index.ts
+++ b/bench/policyBench/src/index.ts
@@ -6,5 +6,6 @@
 export * from './policyName.js';
 export * from './profile.js';
 export * from './profiles.js';
+export * from './random.js';
 export * from './runPolicy.js';
 export * from './timeline.js';
