--- /dev/null
+++ b/bench/soak/src/checkAcknowledgements.ts
@@ -0,0 +1,102 @@
+import type {Finding} from './finding.js';
+import {isCoreStable} from './inTouch.js';
+import type {RunTime} from './recordedEvent.js';
+import {listEvents} from './runHistory.js';
+import type {RunHistory} from './runHistory.js';
+
+/** Fraction of the leaves that may have no acknowledgement in time. */
+const MAX_UNACKNOWLEDGED_FRACTION = 0.2;
+/** Fewer leaves say nothing of the fraction. */
+const MIN_LEAVES = 5;
+/** Interval at which the stretch of an order is examined. */
+const STEP_MS = 100;
+
+/** Checks that valid configurations and leaves are acknowledged in time. */
+export function checkAcknowledgements(history: RunHistory): readonly Finding[] {
+  return [...checkOrders(history), ...checkLeaveAnswers(history)];
+}
+
+function checkOrders(history: RunHistory): readonly Finding[] {
+  const {events, bounds} = history;
+  const firstSent = new Map<number, RunTime>();
+  for (const {version, at} of listEvents(events, 'orderSent')) {
+    firstSent.set(version, firstSent.get(version) ?? at);
+  }
+  const acknowledged = new Map(
+    listEvents(events, 'orderAcknowledged').map(({version, at}) => [
+      version,
+      at,
+    ]),
+  );
+  const refusals = listEvents(events, 'orderRefused').map(event => ({
+    check: 'acknowledgements' as const,
+    at: event.at,
+    detail: `${event.vm} refused version ${event.version} with ${event.status}`,
+    excuse: null,
+  }));
+  const late = Array.from(firstSent).flatMap(([version, sentAt]) => {
+    const due = sentAt + bounds.ackMs;
+    const at = acknowledged.get(version) ?? Infinity;
+    return at > due && due <= readEnd(history)
+      ? [
+          {
+            check: 'acknowledgements' as const,
+            at: due,
+            detail: `version ${version} has no acknowledgement after ${bounds.ackMs} ms`,
+            excuse: isSteady(history, sentAt, due)
+              ? null
+              : 'the core was not stable, or a link was disrupted',
+          },
+        ]
+      : [];
+  });
+  return [...refusals, ...late];
+}
+
+function checkLeaveAnswers(history: RunHistory): readonly Finding[] {
+  const {events, bounds} = history;
+  const sent = new Map<string, RunTime>();
+  for (const {endpoint, at} of listEvents(events, 'leaveSent')) {
+    sent.set(endpoint, sent.get(endpoint) ?? at);
+  }
+  const acknowledged = new Map<string, RunTime>();
+  for (const {endpoint, at} of listEvents(events, 'leaveAcknowledged')) {
+    acknowledged.set(endpoint, acknowledged.get(endpoint) ?? at);
+  }
+  const steady = Array.from(sent).filter(
+    ([, at]) =>
+      at + bounds.ackMs <= readEnd(history) &&
+      isSteady(history, at, at + bounds.ackMs),
+  );
+  const missing = steady.filter(
+    ([endpoint, at]) =>
+      (acknowledged.get(endpoint) ?? Infinity) > at + bounds.ackMs,
+  );
+  const first = missing[0];
+  return first === undefined ||
+    steady.length < MIN_LEAVES ||
+    missing.length <= steady.length * MAX_UNACKNOWLEDGED_FRACTION
+    ? []
+    : [
+        {
+          check: 'acknowledgements',
+          at: first[1],
+          detail: `${missing.length} of ${steady.length} leaves in steady state have no acknowledgement: ${missing.map(([endpoint]) => endpoint).join(', ')}`,
+          excuse: null,
+        },
+      ];
+}
+
+/** Whether the core was stable all the while and no link was disrupted. */
+function isSteady(history: RunHistory, from: RunTime, to: RunTime): boolean {
+  for (let at = from; at <= to; at += STEP_MS) {
+    if (!isCoreStable(history, at)) {
+      return false;
+    }
+  }
+  return !history.linkSpans.some(({start, end}) => start <= to && end >= from);
+}
+
+function readEnd({events}: RunHistory): RunTime {
+  return events[events.length - 1]?.at ?? 0;
+}
--- /dev/null
+++ b/bench/soak/src/checks.ts
@@ -0,0 +1,38 @@
+import {checkAcknowledgements} from './checkAcknowledgements.js';
+import {checkCancelled} from './checkCancelled.js';
+import {checkClosedWithoutAnswer, checkPlannedWork} from './checkCuts.js';
+import {checkLeaves, checkLeavingAnswers} from './checkLeaves.js';
+import {checkMemory, checkProcessEnds} from './checkProcesses.js';
+import {
+  checkAnswers,
+  checkBodies,
+  checkRefusals,
+  checkRunOnce,
+} from './checkRequests.js';
+import type {CheckName, Finding} from './finding.js';
+import type {RunHistory} from './runHistory.js';
+
+/** All checkers by name. */
+export const CHECKS: Readonly<
+  Record<CheckName, (history: RunHistory) => readonly Finding[]>
+> = {
+  leaves: checkLeaves,
+  leavingAnswers: checkLeavingAnswers,
+  runOnce: checkRunOnce,
+  refusals: checkRefusals,
+  answers: checkAnswers,
+  bodies: checkBodies,
+  cancelled: checkCancelled,
+  closedWithoutAnswer: checkClosedWithoutAnswer,
+  plannedWork: checkPlannedWork,
+  acknowledgements: checkAcknowledgements,
+  processEnds: checkProcessEnds,
+  memory: checkMemory,
+};
+
+/** Runs all checkers; returns their findings in order of time. */
+export function checkHistory(history: RunHistory): readonly Finding[] {
+  return Object.values(CHECKS)
+    .flatMap(check => check(history))
+    .sort((left, right) => left.at - right.at);
+}
--- /dev/null
+++ b/bench/soak/src/disturbances.ts
@@ -0,0 +1,100 @@
+import type {LinkFaultKind, RecordedEvent, RunTime} from './recordedEvent.js';
+
+/** A time in which a VM did not run as usual. */
+export interface VmSpan {
+  readonly vm: string;
+  readonly from: RunTime;
+  readonly to: RunTime;
+  /** Whether it is planned work: a SIGTERM and the start that follows. */
+  readonly isPlanned: boolean;
+  /** Whether the VM was paused, so that its process went on afterwards. */
+  readonly isPause: boolean;
+}
+
+/** A time in which the links between two VMs had a fault. */
+export interface LinkSpan {
+  readonly from: string;
+  readonly to: string;
+  readonly fault: LinkFaultKind;
+  readonly start: RunTime;
+  readonly end: RunTime;
+}
+
+interface OpenSpan {
+  readonly from: RunTime;
+  readonly isPlanned: boolean;
+  readonly isPause: boolean;
+}
+
+/**
+ * Lists the times in which VMs were down or paused. The end of a process by
+ * itself, and the start after it, are no disturbance.
+ */
+export function listVmSpans(
+  events: readonly RecordedEvent[],
+): readonly VmSpan[] {
+  const open = new Map<string, OpenSpan>();
+  const spans: VmSpan[] = [];
+  const end = (vm: string, to: RunTime): void => {
+    const span = open.get(vm);
+    if (span !== undefined) {
+      open.delete(vm);
+      spans.push({vm, to, ...span});
+    }
+  };
+  for (const event of events) {
+    if (event.kind === 'signalSent') {
+      const {vm, signal, at} = event;
+      if (signal === 'SIGCONT') {
+        if (open.get(vm)?.isPause === true) {
+          end(vm, at);
+        }
+      } else if (signal !== 'SIGHUP') {
+        const before = open.get(vm);
+        const isPause = signal === 'SIGSTOP';
+        const isPlanned =
+          signal === 'SIGTERM' ||
+          // A process that outlives its grace time is killed.
+          (signal === 'SIGKILL' && before?.isPlanned === true);
+        open.set(vm, {
+          from: before?.from ?? at,
+          isPlanned: isPlanned && before?.isPlanned !== false,
+          isPause,
+        });
+      }
+    } else if (event.kind === 'vmStarted') {
+      const {vm, at, cause} = event;
+      end(vm, at);
+      if (cause === 'firstStart') {
+        spans.push({vm, from: at, to: at, isPlanned: false, isPause: false});
+      }
+    }
+  }
+  const still = Array.from(open, ([vm, span]) => ({vm, to: Infinity, ...span}));
+  return [...spans, ...still];
+}
+
+/** Lists the times in which links had a fault. */
+export function listLinkSpans(
+  events: readonly RecordedEvent[],
+): readonly LinkSpan[] {
+  const open = new Map<string, LinkSpan>();
+  const spans: LinkSpan[] = [];
+  for (const event of events) {
+    if (event.kind !== 'linkFaulted' && event.kind !== 'linkRestored') {
+      continue;
+    }
+    const {from, to, fault, at} = event;
+    const key = `${from} ${to} ${fault}`;
+    if (event.kind === 'linkFaulted') {
+      open.set(key, {from, to, fault, start: at, end: Infinity});
+    } else {
+      const span = open.get(key);
+      open.delete(key);
+      if (span !== undefined) {
+        spans.push({...span, end: at});
+      }
+    }
+  }
+  return [...spans, ...open.values()];
+}
--- /dev/null
+++ b/bench/soak/src/main.ts
@@ -0,0 +1,82 @@
+#!/usr/bin/env node
+import {mkdtempSync, rmSync} from 'node:fs';
+import {tmpdir} from 'node:os';
+import {join} from 'node:path';
+
+import {defineCommand, runMain} from 'citty';
+
+import {formatFinding} from './finding.js';
+import {runSoak} from './runSoak.js';
+import {runSeedProcesses} from './seedProcess.js';
+import {createSummary, mergeSummaries} from './summary.js';
+import type {SoakSummary} from './summary.js';
+
+const MS_PER_SECOND = 1_000;
+
+const command = defineCommand({
+  meta: {
+    name: 'soak',
+    description:
+      'Plays seeded faults on a deployment of real processes and checks the record.',
+  },
+  args: {
+    seed: {type: 'string', description: 'One seed', default: '1'},
+    seeds: {type: 'string', description: 'A range of seeds, FROM-TO'},
+    seconds: {type: 'string', description: 'Length of a run', default: '45'},
+    vms: {type: 'string', description: 'VMs, three with a disk', default: '9'},
+    memory: {type: 'string', description: 'MB of a VM', default: '200'},
+    jobs: {type: 'string', description: 'Runs side by side', default: '1'},
+  },
+  run: async ({args}) => {
+    const {seconds, vms, memory} = args;
+    const summary =
+      args.seeds === undefined
+        ? await runSeed(Number(args.seed), {seconds, vms, memory})
+        : mergeSummaries(
+            await runSeedProcesses(listSeeds(args.seeds), {
+              args: ['--seconds', seconds, '--vms', vms, '--memory', memory],
+              jobs: Number(args.jobs),
+            }),
+          );
+    console.log(JSON.stringify(summary));
+    process.exit(summary?.failedSeeds.length === 0 ? 0 : 1);
+  },
+});
+
+/** Parses `FROM-TO`. */
+function listSeeds(text: string): readonly number[] {
+  const [from = 1, to = from] = text.split('-').map(Number);
+  return Array.from({length: to - from + 1}, (_, index) => from + index);
+}
+
+/** Runs one seed and prints its findings; keeps the record if it failed. */
+async function runSeed(
+  seed: number,
+  args: {
+    readonly seconds: string;
+    readonly vms: string;
+    readonly memory: string;
+  },
+): Promise<SoakSummary> {
+  const folder = mkdtempSync(join(tmpdir(), `gentianshunt-soak-${seed}-`));
+  const result = await runSoak({
+    seed,
+    durationMs: Number(args.seconds) * MS_PER_SECOND,
+    vms: Number(args.vms),
+    memoryMb: Number(args.memory),
+    folder,
+  });
+  for (const finding of result.findings) {
+    console.log(`seed ${seed}: ${formatFinding(finding)}`);
+  }
+  const summary = createSummary(result);
+  if (summary.failedSeeds.length === 0) {
+    rmSync(folder, {recursive: true, force: true});
+    console.log(`seed ${seed}: passed`);
+  } else {
+    console.log(`seed ${seed}: failed, record in ${folder}`);
+  }
+  return summary;
+}
+
+await runMain(command);
--- /dev/null
+++ b/bench/soak/src/performAction.ts
@@ -0,0 +1,183 @@
+import {setTimeout as delay} from 'node:timers/promises';
+
+import {assertNever} from '@gentianshunt/errors';
+
+import {runBodyCallers} from './callers.js';
+import type {CallersOptions} from './callers.js';
+import type {SoakDeployment} from './deployment.js';
+import {sendVersion} from './operator.js';
+import type {OperatorOptions} from './operator.js';
+import type {Recorder} from './recorder.js';
+import type {ScheduledAction} from './scheduledAction.js';
+import type {VmProcess} from './vmProcess.js';
+
+/** What actions act on. */
+export interface ActionContext {
+  readonly deployment: SoakDeployment;
+  readonly recorder: Recorder;
+  readonly graceMs: number;
+  readonly operator: OperatorOptions;
+  /** Creates the options of callers of a VM. */
+  readonly createCallers: (vm: VmProcess) => CallersOptions;
+  /** VMs that an action has ended or paused and will start or wake. */
+  readonly away: Set<VmProcess>;
+}
+
+type ActionOf<Kind extends ScheduledAction['kind']> = Extract<
+  ScheduledAction,
+  {readonly kind: Kind}
+>;
+
+/** Longest wait for a process to end after SIGKILL. */
+const KILL_WAIT_MS = 5_000;
+
+/**
+ * Performs an action and resolves when it is over. Actions that end or pause a
+ * VM leave out VMs that are away already.
+ */
+export function performAction(
+  context: ActionContext,
+  action: ScheduledAction,
+): Promise<void> {
+  const {deployment, operator} = context;
+  switch (action.kind) {
+    case 'kill':
+      return killVm(context, action);
+    case 'killCore':
+      return killCore(context, action);
+    case 'terminate':
+      return endVm(context, action);
+    case 'pause':
+      return injectPauses(context, action);
+    case 'reload':
+      deployment.vms[action.vm]!.signal('SIGHUP');
+      return Promise.resolve();
+    case 'changeSettings':
+      return changeSettings(deployment.vms[action.vm]!, action);
+    case 'faultLink':
+      return injectLinkFault(context, action);
+    case 'configure':
+      return sendVersion(operator, action.version);
+    case 'sendBodies':
+      return runBodyCallers({
+        ...context.createCallers(deployment.vms[action.vm]!),
+        ...action,
+        vm: deployment.vms[action.vm]!.vm.ip,
+        name: `b${context.recorder.readTime()}`,
+      });
+    default:
+      return assertNever(action, 'performAction');
+  }
+}
+
+async function killVm(
+  context: ActionContext,
+  {vm: index, downMs, reloadAfterMs}: ActionOf<'kill'>,
+): Promise<void> {
+  const vm = context.deployment.vms[index]!;
+  await runAway(context, [vm], async () => {
+    vm.signal('SIGKILL');
+    await vm.awaitEnd(KILL_WAIT_MS);
+    await delay(downMs);
+    vm.start('scheduled');
+  });
+  if (reloadAfterMs !== null) {
+    await delay(reloadAfterMs);
+    vm.signal('SIGHUP');
+  }
+}
+
+async function killCore(
+  context: ActionContext,
+  {downMs}: ActionOf<'killCore'>,
+): Promise<void> {
+  const core = context.deployment.vms.filter(
+    ({vm: {dataFolder}}) => dataFolder !== null,
+  );
+  await runAway(context, core, async vms => {
+    vms.forEach(vm => vm.signal('SIGKILL'));
+    await Promise.all(vms.map(vm => vm.awaitEnd(KILL_WAIT_MS)));
+    await delay(downMs);
+    vms.forEach(vm => vm.start('scheduled'));
+  });
+}
+
+async function endVm(
+  context: ActionContext,
+  {vm: index, downMs, overlapAfterMs}: ActionOf<'terminate'>,
+): Promise<void> {
+  const vm = context.deployment.vms[index]!;
+  await runAway(context, [vm], async () => {
+    vm.signal('SIGTERM');
+    if (overlapAfterMs !== null) {
+      await delay(overlapAfterMs);
+      vm.start('scheduled');
+      return;
+    }
+    if (!(await vm.awaitEnd(context.graceMs))) {
+      vm.signal('SIGKILL');
+      await vm.awaitEnd(KILL_WAIT_MS);
+    }
+    await delay(downMs);
+    vm.start('scheduled');
+  });
+}
+
+async function injectPauses(
+  context: ActionContext,
+  {vms: indices, forMs}: ActionOf<'pause'>,
+): Promise<void> {
+  const vms = indices.map(index => context.deployment.vms[index]!);
+  await runAway(context, vms, async paused => {
+    paused.forEach(vm => vm.signal('SIGSTOP'));
+    await delay(forMs);
+    paused.forEach(vm => vm.signal('SIGCONT'));
+  });
+}
+
+async function changeSettings(
+  vm: VmProcess,
+  {halfWrittenMs, hasSignal}: ActionOf<'changeSettings'>,
+): Promise<void> {
+  vm.changeSettings();
+  if (halfWrittenMs !== null) {
+    vm.writeSettings(false);
+    if (hasSignal) {
+      vm.signal('SIGHUP');
+    }
+    await delay(halfWrittenMs);
+  }
+  vm.writeSettings(true);
+  if (hasSignal) {
+    vm.signal('SIGHUP');
+  }
+}
+
+async function injectLinkFault(
+  {deployment, recorder}: ActionContext,
+  action: ActionOf<'faultLink'>,
+): Promise<void> {
+  const from = deployment.vms[action.from]!.vm.ip;
+  const to = deployment.vms[action.to]!.vm.ip;
+  const fault = {from, to, kind: action.fault};
+  recorder.record({kind: 'linkFaulted', from, to, fault: action.fault});
+  deployment.faults.addFault(fault);
+  await delay(action.forMs);
+  deployment.faults.removeFault(fault);
+  recorder.record({kind: 'linkRestored', from, to, fault: action.fault});
+}
+
+/** Performs something on those VMs that are not away. */
+async function runAway(
+  {away}: ActionContext,
+  vms: readonly VmProcess[],
+  perform: (vms: readonly VmProcess[]) => Promise<void>,
+): Promise<void> {
+  const present = vms.filter(vm => !away.has(vm) && vm.isRunning);
+  if (present.length === 0) {
+    return;
+  }
+  present.forEach(vm => away.add(vm));
+  await perform(present);
+  present.forEach(vm => away.delete(vm));
+}
--- /dev/null
+++ b/bench/soak/src/recordedEvent.ts
@@ -0,0 +1,158 @@
+import type {RunEnd, SiteRouteKind} from '@gentianshunt/platformWorker';
+
+/** Milliseconds since the start of the run. */
+export type RunTime = number;
+
+/** Signals that the supervisor of a VM sends. */
+export type VmSignal = 'SIGKILL' | 'SIGTERM' | 'SIGSTOP' | 'SIGCONT' | 'SIGHUP';
+
+/** Why a process was started. */
+export type StartCause =
+  | 'firstStart'
+  /** The schedule had ended its predecessor. */
+  | 'scheduled'
+  /** Its predecessor had ended by itself. */
+  | 'ownEnd';
+
+/** Faults of the links between two VMs. */
+export type LinkFaultKind =
+  /** Every chunk is held for a while. */
+  | 'delayed'
+  /** Few bytes a second pass. */
+  | 'narrow'
+  /** Open connections are reset, once. */
+  | 'reset'
+  /** Nothing passes in one direction. */
+  | 'silentOneWay'
+  /** Nothing passes. */
+  | 'cut'
+  /** Open connections stay silent for good; new ones work. */
+  | 'stale';
+
+/** The ways in which an endpoint says that it leaves. */
+export type LeaveForm = 'draining' | 'withdrawal';
+
+/** How an answer reached its caller. */
+export type AnswerResult =
+  | {
+      readonly kind: 'whole';
+      readonly status: number;
+      /** What is wrong with a successful answer. */
+      readonly defect: string | undefined;
+    }
+  /** The connection ended before the answer was complete. */
+  | {readonly kind: 'cut'; readonly hasHead: boolean; readonly detail: string}
+  /** The caller closed its connection. */
+  | {readonly kind: 'cancelled'; readonly cause: 'planned' | 'deadline'};
+
+/** A request as its caller sent it. */
+export interface SentRequest {
+  readonly attempt: string;
+  /** The VM that took the request. */
+  readonly vm: string;
+  readonly kind: SiteRouteKind;
+  readonly timeLeftMs: number;
+  /** Whether the connection had served requests before. */
+  readonly isKept: boolean;
+}
+
+/** What callers, endpoints, operators and supervisors saw. */
+export type RecordedEvent = {readonly at: RunTime} & (
+  | {
+      readonly kind: 'vmStarted';
+      readonly vm: string;
+      readonly cause: StartCause;
+      readonly pid: number;
+    }
+  | {
+      readonly kind: 'vmEnded';
+      readonly vm: string;
+      readonly pid: number;
+      readonly result: string;
+      /** Whether the supervisor had sent SIGTERM or SIGKILL. */
+      readonly isAsked: boolean;
+    }
+  | {
+      readonly kind: 'signalSent';
+      readonly vm: string;
+      readonly signal: VmSignal;
+      readonly pid: number;
+    }
+  | {readonly kind: 'settingsWritten'; readonly vm: string}
+  | {
+      readonly kind: 'memoryMeasured';
+      readonly vm: string;
+      readonly pid: number;
+      readonly peakBytes: number;
+    }
+  | {
+      readonly kind: 'linkFaulted' | 'linkRestored';
+      readonly from: string;
+      readonly to: string;
+      readonly fault: LinkFaultKind;
+    }
+  | {readonly kind: 'requestSent'; readonly request: SentRequest}
+  /** The last byte of the request was handed to the system. */
+  | {readonly kind: 'requestWritten'; readonly attempt: string}
+  | {
+      readonly kind: 'requestEnded';
+      readonly attempt: string;
+      readonly result: AnswerResult;
+    }
+  | {
+      readonly kind: 'endpointStarted';
+      readonly endpoint: string;
+      readonly service: string;
+    }
+  | {readonly kind: 'endpointEnded'; readonly endpoint: string}
+  | {
+      readonly kind: 'arrived' | 'leavingSaid';
+      readonly attempt: string;
+      readonly endpoint: string;
+    }
+  | {
+      readonly kind: 'turnedAway';
+      readonly attempt: string;
+      readonly endpoint: string;
+      readonly status: number;
+    }
+  | {
+      readonly kind: 'runStarted';
+      readonly attempt: string;
+      readonly endpoint: string;
+      readonly isIntact: boolean;
+      readonly plannedMs: number;
+    }
+  | {
+      readonly kind: 'runEnded';
+      readonly attempt: string;
+      readonly endpoint: string;
+      readonly end: RunEnd;
+    }
+  | {
+      readonly kind: 'leaveSent' | 'leaveAcknowledged';
+      readonly endpoint: string;
+      readonly vm: string;
+      readonly form: LeaveForm;
+    }
+  /** The endpoint sends no further leave, acknowledged or not. */
+  | {readonly kind: 'leaveEnded'; readonly endpoint: string}
+  | {
+      readonly kind: 'lateHeartbeatSent';
+      readonly endpoint: string;
+      readonly vm: string;
+    }
+  | {
+      readonly kind: 'orderSent' | 'orderAcknowledged';
+      readonly version: number;
+      readonly vm: string;
+    }
+  | {
+      readonly kind: 'orderRefused';
+      readonly version: number;
+      readonly vm: string;
+      readonly status: number;
+    }
+  /** The recording process was late by this time. */
+  | {readonly kind: 'recorderDelayed'; readonly delayMs: number}
+);
--- /dev/null
+++ b/bench/soak/src/runSoak.ts
@@ -0,0 +1,269 @@
+import {setMaxListeners} from 'node:events';
+import {mkdirSync, writeFileSync} from 'node:fs';
+import {join} from 'node:path';
+import {setTimeout as delay} from 'node:timers/promises';
+
+import type {SiteBounds} from '@gentianshunt/platformWorker';
+
+import {runCaller} from './callers.js';
+import type {CallersOptions} from './callers.js';
+import {countAcknowledgedLeaves} from './checkLeaves.js';
+import {measurePeakMemory} from './checkProcesses.js';
+import {checkHistory} from './checks.js';
+import {createDeployment} from './deployment.js';
+import type {SoakDeployment} from './deployment.js';
+import {runEndpoints} from './endpoints.js';
+import type {Finding} from './finding.js';
+import {ROUTE_KINDS, sendVersion} from './operator.js';
+import {performAction} from './performAction.js';
+import type {ActionContext} from './performAction.js';
+import {createRecorder} from './recorder.js';
+import type {Recorder} from './recorder.js';
+import {createRunHistory, listEvents} from './runHistory.js';
+import type {RunHistory} from './runHistory.js';
+import {planSchedule} from './schedule.js';
+import type {ScheduledEvent} from './scheduledAction.js';
+import type {VmProcess} from './vmProcess.js';
+
+/** Options of a run. */
+export interface SoakOptions {
+  readonly seed: number;
+  readonly durationMs: number;
+  readonly vms: number;
+  readonly memoryMb: number;
+  /** Folder of settings, logs and data. */
+  readonly folder: string;
+}
+
+/** What a run showed. */
+export interface SoakResult {
+  readonly seed: number;
+  readonly findings: readonly Finding[];
+  readonly counts: SoakCounts;
+}
+
+/** What happened in a run, in numbers. */
+export interface SoakCounts {
+  readonly actions: number;
+  readonly requests: number;
+  readonly answered: number;
+  readonly refused: number;
+  readonly cut: number;
+  readonly cancelled: number;
+  readonly leaves: number;
+  readonly peakMebibytes: number;
+  readonly longestDelayMs: number;
+}
+
+const CORE_VMS = 3;
+const FIRST_VERSION = 7;
+const CALLERS_PER_VM = 6;
+const ENDPOINTS_PER_SERVICE = 5;
+const ZONES = ['zone-a', 'zone-b', 'zone-c'];
+const HOST = 'app.example';
+const KEY = 'k-lab-1';
+const READY_TIMEOUT_MS = 30_000;
+/** Time for endpoints to register before the first requests. */
+const WARM_UP_MS = 3_000;
+const MEMORY_INTERVAL_MS = 500;
+/** Longest time for the last requests and actions. */
+const END_TIMEOUT_MS = 15_000;
+const CATCH_UP_MS = 4_000;
+const BYTES_PER_MEBIBYTE = 1024 * 1024;
+
+/** The values of the rules, as the settings of the smallest site name them. */
+export const BOUNDS: SiteBounds = {
+  contactMs: 3_000,
+  ackMs: 4_000,
+  drainMs: 2_000,
+  graceMs: 8_000,
+  lossSlackMs: 200,
+  configApplyMs: 2_000,
+};
+
+/** Plays the schedule of a seed on a new deployment and checks the record. */
+export async function runSoak(options: SoakOptions): Promise<SoakResult> {
+  const {seed, durationMs, vms, memoryMb, folder} = options;
+  mkdirSync(folder, {recursive: true});
+  const schedule = planSchedule({
+    seed,
+    durationMs,
+    coreVms: CORE_VMS,
+    plainVms: vms - CORE_VMS,
+    firstVersion: FIRST_VERSION,
+    settleMs: CATCH_UP_MS + BOUNDS.contactMs,
+  });
+  writeJsonLines(join(folder, 'schedule.jsonl'), schedule);
+  const recorder = createRecorder();
+  const deployment = await createDeployment({
+    coreVms: CORE_VMS,
+    plainVms: vms - CORE_VMS,
+    memoryMb,
+    bounds: BOUNDS,
+    folder,
+    recorder,
+  });
+  try {
+    await runWorkload(options, deployment, recorder, schedule);
+  } finally {
+    await deployment.close();
+    recorder.close();
+  }
+  const history = createRunHistory({
+    bounds: BOUNDS,
+    memoryBytes: memoryMb * BYTES_PER_MEBIBYTE,
+    vms: deployment.vms.map(({vm: {ip, dataFolder}}) => ({
+      name: ip,
+      hasDisk: dataFolder !== null,
+    })),
+    events: recorder.events,
+  });
+  writeJsonLines(join(folder, 'events.jsonl'), recorder.events);
+  const findings = checkHistory(history);
+  writeJsonLines(join(folder, 'findings.jsonl'), findings);
+  return {seed, findings, counts: countEvents(history, schedule.length)};
+}
+
+async function runWorkload(
+  options: SoakOptions,
+  deployment: SoakDeployment,
+  recorder: Recorder,
+  schedule: readonly ScheduledEvent[],
+): Promise<void> {
+  const {vms, controls} = deployment;
+  const ended = new AbortController();
+  const callersEnded = new AbortController();
+  setMaxListeners(Infinity, ended.signal);
+  const operator = {
+    host: HOST,
+    key: KEY,
+    controls,
+    recorder,
+    signal: ended.signal,
+  };
+  const createCallers = (vm: VmProcess): CallersOptions => ({
+    vm: vm.vm.ip,
+    url: `http://${vm.vm.ip}:${deployment.ports.front}`,
+    host: HOST,
+    key: KEY,
+    recorder,
+    signal: callersEnded.signal,
+  });
+  vms.forEach(vm => vm.start('firstStart'));
+  await deployment.awaitReady(READY_TIMEOUT_MS);
+  await sendVersion(operator, FIRST_VERSION);
+  const endpoints = startEndpoints(options, deployment, recorder, ended.signal);
+  await delay(WARM_UP_MS);
+  const callers = vms.flatMap((vm, vmIndex) =>
+    Array.from({length: CALLERS_PER_VM}, (_, index) =>
+      runCaller({
+        ...createCallers(vm),
+        seed: options.seed,
+        caller: vmIndex * CALLERS_PER_VM + index,
+      }),
+    ),
+  );
+  const memoryTimer = setInterval(
+    () => vms.forEach(vm => vm.measureMemory()),
+    MEMORY_INTERVAL_MS,
+  );
+  const actions = await runSchedule(
+    {
+      deployment,
+      recorder,
+      graceMs: BOUNDS.graceMs,
+      operator,
+      createCallers,
+      away: new Set(),
+    },
+    schedule,
+    options.durationMs,
+  );
+  callersEnded.abort();
+  await awaitAll([...callers, ...actions]);
+  clearInterval(memoryTimer);
+  ended.abort();
+  await awaitAll(endpoints);
+}
+
+/** Starts each action at its time; returns those that may still go on. */
+async function runSchedule(
+  context: ActionContext,
+  schedule: readonly ScheduledEvent[],
+  durationMs: number,
+): Promise<readonly Promise<void>[]> {
+  const startedAt = performance.now();
+  const waitUntil = (at: number): Promise<void> =>
+    delay(Math.max(0, startedAt + at - performance.now()));
+  const actions: Promise<void>[] = [];
+  for (const {at, action} of schedule) {
+    await waitUntil(at);
+    actions.push(performAction(context, action));
+  }
+  await waitUntil(durationMs);
+  return actions;
+}
+
+function startEndpoints(
+  {seed}: SoakOptions,
+  deployment: SoakDeployment,
+  recorder: Recorder,
+  signal: AbortSignal,
+): readonly Promise<void>[] {
+  return ROUTE_KINDS.flatMap((kind, kindIndex) =>
+    Array.from({length: ENDPOINTS_PER_SERVICE}, (_, index) => {
+      const place = kindIndex * ENDPOINTS_PER_SERVICE + index;
+      return runEndpoints({
+        seed,
+        place,
+        host: deployment.createHost(place),
+        service: `s-${kind}`,
+        zone: ZONES[index % ZONES.length]!,
+        controls: deployment.controls,
+        recorder,
+        drainMs: BOUNDS.drainMs,
+        signal,
+      });
+    }),
+  );
+}
+
+async function awaitAll(promises: readonly Promise<void>[]): Promise<void> {
+  const timeout = new AbortController();
+  await Promise.race([
+    Promise.all(promises),
+    delay(END_TIMEOUT_MS, undefined, {signal: timeout.signal}).catch(
+      () => undefined,
+    ),
+  ]);
+  timeout.abort();
+}
+
+function countEvents(history: RunHistory, actions: number): SoakCounts {
+  const results = listEvents(history.events, 'requestEnded').map(
+    ({result}) => result,
+  );
+  const countResults = (isCounted: (result: (typeof results)[0]) => boolean) =>
+    results.filter(isCounted).length;
+  const delays = listEvents(history.events, 'recorderDelayed');
+  return {
+    actions,
+    requests: history.requests.size,
+    answered: countResults(
+      result => result.kind === 'whole' && result.status < 300,
+    ),
+    refused: countResults(
+      result => result.kind === 'whole' && result.status >= 300,
+    ),
+    cut: countResults(({kind}) => kind === 'cut'),
+    cancelled: countResults(({kind}) => kind === 'cancelled'),
+    leaves: countAcknowledgedLeaves(history),
+    peakMebibytes: Math.round(measurePeakMemory(history) / BYTES_PER_MEBIBYTE),
+    longestDelayMs: Math.max(0, ...delays.map(({delayMs}) => delayMs)),
+  };
+}
+
+function writeJsonLines(file: string, values: readonly unknown[]): void {
+  const lines = values.map(value => `${JSON.stringify(value)}\n`);
+  writeFileSync(file, lines.join(''));
+}
--- /dev/null
+++ b/bench/soak/src/schedule.ts
@@ -0,0 +1,251 @@
+import {createRandom} from '@gentianshunt/policyBench';
+import type {Random} from '@gentianshunt/policyBench';
+
+import {
+  drawBetween,
+  drawChance,
+  drawIndex,
+  drawIndices,
+  drawItem,
+} from './draws.js';
+import type {LinkFaultKind, RunTime} from './recordedEvent.js';
+import type {ScheduledAction, ScheduledEvent} from './scheduledAction.js';
+
+/** What a schedule is drawn for. */
+export interface ScheduleOptions {
+  readonly seed: number;
+  readonly durationMs: number;
+  /** VMs with a disk come first. */
+  readonly coreVms: number;
+  readonly plainVms: number;
+  readonly firstVersion: number;
+  /** Time of VMs that return until they count as recovered. */
+  readonly settleMs: number;
+}
+
+/** A stretch of a run in which certain actions are frequent. */
+interface Phase {
+  readonly name: string;
+  readonly meanIntervalMs: number;
+  readonly choices: readonly Choice[];
+}
+
+interface Choice {
+  readonly kind: ScheduledAction['kind'];
+  readonly weight: number;
+}
+
+interface PlanState {
+  readonly options: ScheduleOptions;
+  readonly random: Random;
+  version: number;
+  /** Until then, another VM of the core is away. */
+  coreAwayUntil: RunTime;
+}
+
+/** Stream of random numbers of the schedule. */
+const SCHEDULE_STREAM = 1;
+const PHASE_MS = 15_000;
+const WARM_UP_MS = 4_000;
+/** Time at the end in which nothing new happens. */
+const COOL_DOWN_MS = 6_000;
+const CORE_CHANCE = 0.2;
+const RELOAD_IN_START_CHANCE = 0.4;
+const OVERLAP_CHANCE = 0.3;
+const MAX_RELOAD_DELAY_MS = 300;
+const BODY_SIZES = [65_536, 262_144, 1_048_576, 4_194_304 - 1_024];
+
+const PHASES: readonly Phase[] = [
+  {
+    name: 'mixed',
+    meanIntervalMs: 1_200,
+    choices: [
+      {kind: 'kill', weight: 3},
+      {kind: 'terminate', weight: 3},
+      {kind: 'pause', weight: 3},
+      {kind: 'reload', weight: 2},
+      {kind: 'changeSettings', weight: 2},
+      {kind: 'faultLink', weight: 4},
+      {kind: 'configure', weight: 1},
+      {kind: 'sendBodies', weight: 1},
+      {kind: 'killCore', weight: 0.6},
+    ],
+  },
+  {
+    name: 'planned',
+    meanIntervalMs: 1_500,
+    choices: [
+      {kind: 'terminate', weight: 4},
+      {kind: 'reload', weight: 4},
+      {kind: 'changeSettings', weight: 2},
+      {kind: 'configure', weight: 2},
+    ],
+  },
+  {
+    name: 'pauses',
+    meanIntervalMs: 1_500,
+    choices: [
+      {kind: 'pause', weight: 8},
+      {kind: 'reload', weight: 1},
+      {kind: 'configure', weight: 1},
+    ],
+  },
+  {
+    name: 'links',
+    meanIntervalMs: 1_000,
+    choices: [
+      {kind: 'faultLink', weight: 8},
+      {kind: 'terminate', weight: 1},
+      {kind: 'pause', weight: 1},
+      {kind: 'configure', weight: 1},
+    ],
+  },
+  {
+    name: 'bodies',
+    meanIntervalMs: 2_000,
+    choices: [
+      {kind: 'sendBodies', weight: 4},
+      {kind: 'reload', weight: 1},
+      {kind: 'faultLink', weight: 1},
+    ],
+  },
+];
+
+const LINK_FAULTS: readonly LinkFaultKind[] = [
+  'delayed',
+  'narrow',
+  'reset',
+  'silentOneWay',
+  'cut',
+  'stale',
+];
+
+/** Plans a run; the same options give the same schedule. */
+export function planSchedule(
+  options: ScheduleOptions,
+): readonly ScheduledEvent[] {
+  const random = createRandom(options.seed, SCHEDULE_STREAM);
+  const state: PlanState = {
+    options,
+    random,
+    version: options.firstVersion,
+    coreAwayUntil: 0,
+  };
+  const events: ScheduledEvent[] = [];
+  const end = options.durationMs - COOL_DOWN_MS;
+  for (let start = WARM_UP_MS; start < end; start += PHASE_MS) {
+    const phase = drawItem(random, PHASES);
+    const phaseEnd = Math.min(start + PHASE_MS, end);
+    let at = start + random.drawExponential(phase.meanIntervalMs);
+    while (at < phaseEnd) {
+      const {kind} = random.drawWeighted(phase.choices);
+      events.push({at: Math.round(at), action: planAction(state, kind, at)});
+      at += random.drawExponential(phase.meanIntervalMs);
+    }
+  }
+  return events;
+}
+
+function planAction(
+  state: PlanState,
+  kind: ScheduledAction['kind'],
+  at: RunTime,
+): ScheduledAction {
+  const {random, options} = state;
+  switch (kind) {
+    case 'kill': {
+      const downMs = drawDuration(random, 100, 3_000);
+      return {
+        kind,
+        vm: pickVm(state, at, downMs),
+        downMs,
+        reloadAfterMs: drawChance(random, RELOAD_IN_START_CHANCE)
+          ? drawDuration(random, 5, MAX_RELOAD_DELAY_MS)
+          : null,
+      };
+    }
+    case 'killCore':
+      state.coreAwayUntil = at + options.settleMs;
+      return {kind, downMs: drawDuration(random, 100, 900)};
+    case 'terminate': {
+      const downMs = drawDuration(random, 100, 2_000);
+      return {
+        kind,
+        vm: pickVm(state, at, downMs + options.settleMs),
+        downMs,
+        overlapAfterMs: drawChance(random, OVERLAP_CHANCE)
+          ? drawDuration(random, 0, 1_500)
+          : null,
+      };
+    }
+    case 'pause':
+      return planPause(state, at);
+    case 'reload':
+      return {kind, vm: drawIndex(random, countVms(options))};
+    case 'changeSettings':
+      return {
+        kind,
+        vm: drawIndex(random, countVms(options)),
+        hasSignal: drawChance(random, 0.5),
+        halfWrittenMs: drawChance(random, 0.5)
+          ? drawDuration(random, 20, 3_000)
+          : null,
+      };
+    case 'faultLink':
+      return planLinkFault(state, at);
+    case 'configure':
+      state.version += 1 + drawIndex(random, 5);
+      return {kind, version: state.version};
+    case 'sendBodies':
+      return {
+        kind,
+        vm: drawIndex(random, countVms(options)),
+        callers: 4 + drawIndex(random, 37),
+        bytes: drawItem(random, BODY_SIZES),
+        isChunked: drawChance(random, 0.5),
+        forMs: drawDuration(random, 1_500, 5_000),
+      };
+  }
+}
+
+function planPause(state: PlanState, at: RunTime): ScheduledAction {
+  const {random, options} = state;
+  const forMs = drawDuration(random, 500, 10_000);
+  const size = 1 + drawIndex(random, Math.min(4, options.plainVms));
+  const vms = drawIndices(random, options.plainVms, size).map(
+    index => options.coreVms + index,
+  );
+  const vm = pickVm(state, at, forMs);
+  return {kind: 'pause', vms: vm < options.coreVms ? [vm, ...vms] : vms, forMs};
+}
+
+function planLinkFault(state: PlanState, at: RunTime): ScheduledAction {
+  const {random, options} = state;
+  const fault = drawItem(random, LINK_FAULTS);
+  const forMs = drawDuration(random, 500, 10_000);
+  const from = pickVm(state, at, forMs);
+  const others = countVms(options) - 1;
+  const to = (from + 1 + drawIndex(random, others)) % (others + 1);
+  return {kind: 'faultLink', from, to, fault, forMs};
+}
+
+/** Picks a VM; one of the core only while no other one is away. */
+function pickVm(state: PlanState, at: RunTime, awayMs: number): number {
+  const {random, options} = state;
+  const isCore =
+    options.plainVms === 0 ||
+    (at >= state.coreAwayUntil && drawChance(random, CORE_CHANCE));
+  if (!isCore) {
+    return options.coreVms + drawIndex(random, options.plainVms);
+  }
+  state.coreAwayUntil = at + awayMs + options.settleMs;
+  return drawIndex(random, options.coreVms);
+}
+
+function countVms({coreVms, plainVms}: ScheduleOptions): number {
+  return coreVms + plainVms;
+}
+
+function drawDuration(random: Random, min: number, max: number): number {
+  return Math.round(drawBetween(random, min, max));
+}
--- /dev/null
+++ b/bench/soak/src/scheduledAction.ts
@@ -0,0 +1,62 @@
+import type {LinkFaultKind, RunTime} from './recordedEvent.js';
+
+/** Something that the schedule does to the deployment. */
+export type ScheduledAction =
+  /** Kills a VM's process and starts it again. */
+  | {
+      readonly kind: 'kill';
+      readonly vm: number;
+      readonly downMs: number;
+      /** Time from the start to a SIGHUP, or `null` for none. */
+      readonly reloadAfterMs: number | null;
+    }
+  /** Kills the processes of all VMs with a disk at once. */
+  | {readonly kind: 'killCore'; readonly downMs: number}
+  /** Stops a VM in order and starts it again. */
+  | {
+      readonly kind: 'terminate';
+      readonly vm: number;
+      readonly downMs: number;
+      /** Starts the successor so long after SIGTERM, even while the process ends. */
+      readonly overlapAfterMs: number | null;
+    }
+  /** Pauses VMs side by side. */
+  | {
+      readonly kind: 'pause';
+      readonly vms: readonly number[];
+      readonly forMs: number;
+    }
+  /** Sends SIGHUP. */
+  | {readonly kind: 'reload'; readonly vm: number}
+  /** Changes a settings file. */
+  | {
+      readonly kind: 'changeSettings';
+      readonly vm: number;
+      readonly hasSignal: boolean;
+      /** Time for which the file is half written, or `null`. */
+      readonly halfWrittenMs: number | null;
+    }
+  | {
+      readonly kind: 'faultLink';
+      readonly from: number;
+      readonly to: number;
+      readonly fault: LinkFaultKind;
+      readonly forMs: number;
+    }
+  /** Sends a new version of the configuration. */
+  | {readonly kind: 'configure'; readonly version: number}
+  /** More callers with large bodies at one VM. */
+  | {
+      readonly kind: 'sendBodies';
+      readonly vm: number;
+      readonly callers: number;
+      readonly bytes: number;
+      readonly isChunked: boolean;
+      readonly forMs: number;
+    };
+
+/** An action and its time. */
+export interface ScheduledEvent {
+  readonly at: RunTime;
+  readonly action: ScheduledAction;
+}
