--- a/daemons/entryd/src/entryd.ts
+++ b/daemons/entryd/src/entryd.ts
@@ -3,7 +3,11 @@
   createEndpointFront,
   createEndpointOrderClient,
 } from '@gentianshunt/endpointFront';
-import type {EntryObservation, EntryTimer} from '@gentianshunt/entryModel';
+import type {
+  EntryIdentity,
+  EntryObservation,
+  EntryTimer,
+} from '@gentianshunt/entryModel';
 import {encodeEntryMessage} from '@gentianshunt/entryWire';
 import type {EntryNode} from '@gentianshunt/entryNode';
 import {
@@ -20,6 +24,7 @@
 import {createOperatorFront} from '@gentianshunt/operatorFront';
 import type {OperatorAccess} from '@gentianshunt/operatorFront';
 import {createPeerLinks} from '@gentianshunt/peerLinks';
+import type {PeerAddress} from '@gentianshunt/peerLinks';
 import {
   createSystemClock,
   createTimerTable,
@@ -84,17 +89,7 @@
   });
   const counts = createObservationCounts();
   const node: EntryNode = createEntryHost({
-    identity: {
-      address: {
-        node: settings.node,
-        region: settings.region,
-        domain: settings.domain,
-        peer: links.address,
-        http: settings.http,
-      },
-      incarnation: drawIdentifier<IncarnationId>(),
-      controlNodes: settings.control.map(member => member.node),
-    },
+    identity: createIdentity(settings, links.address),
     clock,
     readAdapters: () => adapters!,
     onObservation: counts.add,
@@ -209,6 +204,23 @@
   };
 }
 
+function createIdentity(
+  settings: EntrydSettings,
+  peer: PeerAddress,
+): EntryIdentity {
+  return {
+    address: {
+      node: settings.node,
+      region: settings.region,
+      domain: settings.domain,
+      peer,
+      http: settings.http,
+    },
+    incarnation: drawIdentifier<IncarnationId>(),
+    controlNodes: settings.control.map(member => member.node),
+  };
+}
+
 function readOperatorAccess(settings: EntrydSettings): OperatorAccess {
   const file = settings.operator_keys_file;
   return file === undefined
