--- /dev/null
+++ b/control/entrySessions/src/configurationUpdates.ts
@@ -0,0 +1,108 @@
+// What entries learn of changes of the configuration.
+import {iterateWhile} from '@gentianshunt/board';
+import type {TurnTime} from '@gentianshunt/board';
+import type {
+  ConfigurationVersion,
+  ControlToEntry,
+  DirectoryUpdate,
+  EntryToControl,
+} from '@gentianshunt/messages';
+import type {NodeId} from '@gentianshunt/identifiers';
+
+import {createDelta} from './configurationDelta.js';
+import type {ConfigurationDelta} from './configurationDelta.js';
+import {ENTRY_LEASE_MS} from './leaderStatus.js';
+import {replaceSession, send} from './sessionWrites.js';
+import type {SessionView, SessionWrite} from './sessionWrites.js';
+
+type Confirmation = Extract<
+  EntryToControl,
+  {readonly kind: 'versionConfirmed'}
+>;
+
+/** Creates the message with the changes that an entry lacks. */
+export function createConfigurationUpdate(
+  view: SessionView,
+  delta: ConfigurationDelta,
+  sequence: number | null,
+  directory: DirectoryUpdate | null,
+): Extract<ControlToEntry, {readonly kind: 'configurationUpdate'}> {
+  return {
+    kind: 'configurationUpdate',
+    sequence,
+    fromVersion: delta.fromVersion,
+    version: view.board.applied.version,
+    changes: delta.changes,
+    directory,
+    leaseMs: ENTRY_LEASE_MS,
+  };
+}
+
+/**
+ * Records the version that an entry has confirmed, and sends it the changes
+ * that were applied since.
+ */
+export function confirmVersion(
+  view: SessionView,
+  from: NodeId,
+  message: Confirmation,
+): readonly SessionWrite[] {
+  const current = view.board.sessions.get(from);
+  if (current === undefined || message.version <= current.confirmedVersion) {
+    return [];
+  }
+  const {version, directoryVersion} = message;
+  const latest = view.board.applied.version;
+  const confirmed = {
+    ...current,
+    confirmedVersion: version,
+    directoryVersion,
+  };
+  if (version >= latest) {
+    return replaceSession(current, confirmed);
+  }
+  const delta = createDelta(view.board, version);
+  return [
+    ...replaceSession(current, {...confirmed, sentVersion: latest}),
+    send(from, createConfigurationUpdate(view, delta, null, null)),
+  ];
+}
+
+/**
+ * Sends new changes without waiting for heartbeats. An entry that has not yet
+ * confirmed the previous push receives the newer changes once it does.
+ */
+export function pushChanges(
+  view: SessionView,
+  now: TurnTime,
+): readonly SessionWrite[] {
+  const {role, applied, sessions, sessionVersions} = view.board;
+  const isChanged = view.readChanges('applied').size > 0;
+  if (!isChanged || role.kind !== 'leader') {
+    return [];
+  }
+  const deltas = new Map<ConfigurationVersion, ConfigurationDelta>();
+  const writes: SessionWrite[] = [];
+  const from = {version: 0, node: '' as NodeId};
+  const lagging = iterateWhile(
+    sessionVersions,
+    from,
+    key => key.version < applied.version,
+  );
+  for (const {key} of lagging) {
+    const session = sessions.get(key.node)!;
+    const isConfirmationPending =
+      session.sentVersion > session.confirmedVersion;
+    if (isConfirmationPending || session.leaseUntil <= now.monotonic) {
+      continue;
+    }
+    const delta =
+      deltas.get(key.version) ?? createDelta(view.board, key.version);
+    deltas.set(key.version, delta);
+    writes.push(
+      ...replaceSession(session, {...session, sentVersion: applied.version}),
+      send(key.node, createConfigurationUpdate(view, delta, null, null)),
+    );
+  }
+  return writes;
+}
--- a/control/entrySessions/src/sessionController.ts
+++ b/control/entrySessions/src/sessionController.ts
@@ -3,30 +3,23 @@
 import type {Milliseconds} from '@gentianshunt/clock';
 import {defineControlController} from '@gentianshunt/controlModel';
 import type {ControlController, EntrySession} from '@gentianshunt/controlModel';
-import type {
-  ConfigurationVersion,
-  ControlToEntry,
-  DirectoryChange,
-  DirectoryUpdate,
-  DirectoryVersion,
-  EntryToControl,
-} from '@gentianshunt/messages';
+import type {EntryToControl} from '@gentianshunt/messages';
 import type {NodeId} from '@gentianshunt/identifiers';
 
 import {createDelta} from './configurationDelta.js';
-import type {ConfigurationDelta} from './configurationDelta.js';
 import {
-  createDirectoryUpdate,
-  MAX_DIRECTORY_HISTORY,
-  toDirectoryEntry,
-} from './directoryDelta.js';
-import type {DirectoryStep} from './directoryDelta.js';
-import {EMPTY_DIRECTORY_DIGEST, toggleEntry} from './directoryDigest.js';
+  confirmVersion,
+  createConfigurationUpdate,
+  pushChanges,
+} from './configurationUpdates.js';
+import {createDirectoryUpdate, toDirectoryEntry} from './directoryDelta.js';
+import {createDirectoryStep, writeDirectoryStep} from './directorySteps.js';
 import {
   ENTRY_LEASE_MS,
   isConfirmedLeader,
   isLeaseRecoveryOver,
 } from './leaderStatus.js';
+import {broadcastMembers, sendMembers} from './memberUpdates.js';
 import {removeSession, replaceSession, send} from './sessionWrites.js';
 import type {
   SessionReads,
@@ -39,10 +32,6 @@
 export const SESSION_CHECK_INTERVAL_MS: Milliseconds = 250;
 
 type Heartbeat = Extract<EntryToControl, {readonly kind: 'entryHeartbeat'}>;
-type Confirmation = Extract<
-  EntryToControl,
-  {readonly kind: 'versionConfirmed'}
->;
 
 const SESSION_SECTIONS = [
   'sessions',
@@ -128,31 +117,6 @@
   ];
 }
 
-/**
- * Sends an entry the current control daemons. With a fixed list in the settings
- * there is nothing to send.
- */
-function sendMembers(view: SessionView, to: NodeId): readonly SessionWrite[] {
-  const {identity, memberships} = view.board;
-  if (identity.admission.kind === 'listed') {
-    return [];
-  }
-  const members = memberships[memberships.length - 1]?.members ?? [];
-  const nodes = members.map(({node}) => node);
-  return nodes.length === 0
-    ? []
-    : [send(to, {kind: 'membersUpdate', members: nodes})];
-}
-
-/** Broadcasts a change of the members to all entries. */
-function broadcastMembers(view: SessionView): readonly SessionWrite[] {
-  const {role, sessions} = view.board;
-  const isChanged = view.readChanges('memberships').size > 0;
-  return isChanged && role.kind === 'leader'
-    ? [...sessions.keys()].flatMap(node => sendMembers(view, node))
-    : [];
-}
-
 function handleLeaderMessage(
   view: SessionView,
   from: NodeId,
@@ -228,166 +192,6 @@
   );
 }
 
-/**
- * Creates the next version of the directory for a change. The numbers start at
- * 1 in each term, with the digest of the sessions at that moment.
- */
-function createDirectoryStep(
-  view: SessionView,
-  previous: DirectoryVersion,
-  change: DirectoryChange,
-): DirectoryStep {
-  const {term} = view.board.ballot;
-  const isContinued = previous.term === term;
-  const digest = isContinued
-    ? previous.digest
-    : computeSessionsDigest(view.board.sessions);
-  return {
-    version: {
-      term,
-      number: isContinued ? previous.number + 1 : 1,
-      digest: updateDigest(view, digest, change),
-    },
-    change,
-  };
-}
-
-function computeSessionsDigest(
-  sessions: ReadonlyMap<NodeId, EntrySession>,
-): number {
-  return [...sessions.values()]
-    .map(toDirectoryEntry)
-    .reduce(toggleEntry, EMPTY_DIRECTORY_DIGEST);
-}
-
-/** Computes the digest of the directory after a change. */
-function updateDigest(
-  view: SessionView,
-  digest: number,
-  change: DirectoryChange,
-): number {
-  const node = change.kind === 'put' ? change.entry.address.node : change.node;
-  const current = view.board.sessions.get(node);
-  const without =
-    current === undefined
-      ? digest
-      : toggleEntry(digest, toDirectoryEntry(current));
-  return change.kind === 'put' ? toggleEntry(without, change.entry) : without;
-}
-
-/** Writes a directory version and drops the oldest or outdated history. */
-function writeDirectoryStep(
-  view: SessionView,
-  previous: DirectoryVersion,
-  step: DirectoryStep,
-): readonly SessionWrite[] {
-  const {version, change} = step;
-  const stale =
-    previous.term === version.term
-      ? [version.number - MAX_DIRECTORY_HISTORY].filter(number => number > 0)
-      : Array.from(view.board.directoryHistory.iterateFrom(), ({key}) => key);
-  return [
-    ...stale.map((key): SessionWrite => ({
-      kind: 'delete',
-      section: 'directoryHistory',
-      key,
-    })),
-    {kind: 'set', section: 'directory', value: version},
-    {
-      kind: 'put',
-      section: 'directoryHistory',
-      key: version.number,
-      value: change,
-    },
-  ];
-}
-
-function createConfigurationUpdate(
-  view: SessionView,
-  delta: ConfigurationDelta,
-  sequence: number | null,
-  directory: DirectoryUpdate | null,
-): Extract<ControlToEntry, {readonly kind: 'configurationUpdate'}> {
-  return {
-    kind: 'configurationUpdate',
-    sequence,
-    fromVersion: delta.fromVersion,
-    version: view.board.applied.version,
-    changes: delta.changes,
-    directory,
-    leaseMs: ENTRY_LEASE_MS,
-  };
-}
-
-/**
- * Records the version that an entry has confirmed, and sends it the changes
- * that were applied since.
- */
-function confirmVersion(
-  view: SessionView,
-  from: NodeId,
-  message: Confirmation,
-): readonly SessionWrite[] {
-  const current = view.board.sessions.get(from);
-  if (current === undefined || message.version <= current.confirmedVersion) {
-    return [];
-  }
-  const {version, directoryVersion} = message;
-  const latest = view.board.applied.version;
-  const confirmed = {
-    ...current,
-    confirmedVersion: version,
-    directoryVersion,
-  };
-  if (version >= latest) {
-    return replaceSession(current, confirmed);
-  }
-  const delta = createDelta(view.board, version);
-  return [
-    ...replaceSession(current, {...confirmed, sentVersion: latest}),
-    send(from, createConfigurationUpdate(view, delta, null, null)),
-  ];
-}
-
-/**
- * Sends new changes without waiting for heartbeats. An entry that has not yet
- * confirmed the previous push receives the newer changes once it does.
- */
-function pushChanges(
-  view: SessionView,
-  now: TurnTime,
-): readonly SessionWrite[] {
-  const {role, applied, sessions, sessionVersions} = view.board;
-  const isChanged = view.readChanges('applied').size > 0;
-  if (!isChanged || role.kind !== 'leader') {
-    return [];
-  }
-  const deltas = new Map<ConfigurationVersion, ConfigurationDelta>();
-  const writes: SessionWrite[] = [];
-  const from = {version: 0, node: '' as NodeId};
-  const lagging = iterateWhile(
-    sessionVersions,
-    from,
-    key => key.version < applied.version,
-  );
-  for (const {key} of lagging) {
-    const session = sessions.get(key.node)!;
-    const isConfirmationPending =
-      session.sentVersion > session.confirmedVersion;
-    if (isConfirmationPending || session.leaseUntil <= now.monotonic) {
-      continue;
-    }
-    const delta =
-      deltas.get(key.version) ?? createDelta(view.board, key.version);
-    deltas.set(key.version, delta);
-    writes.push(
-      ...replaceSession(session, {...session, sentVersion: applied.version}),
-      send(key.node, createConfigurationUpdate(view, delta, null, null)),
-    );
-  }
-  return writes;
-}
-
 /** Ends the sessions with an expired lease; a non-leader ends all. */
 function expireSessions(
   view: SessionView,
