--- a/bench/matrix/src/entryHost.ts
+++ b/bench/matrix/src/entryHost.ts
@@ -1,49 +1,16 @@
-import type {Clock} from '@gentianshunt/clock';
 import {createEntryNode} from '@gentianshunt/entryNode';
 import type {EntryNode} from '@gentianshunt/entryNode';
-import type {
-  Dispatch,
-  EntryController,
-  EntryEffect,
-  EntryMessage,
-  EntryObservation,
-  StreamEnd,
-} from '@gentianshunt/entryModel';
+import type {EntryEffect, EntryObservation} from '@gentianshunt/entryModel';
 import {assertNever} from '@gentianshunt/errors';
 import {toIdentifier} from '@gentianshunt/identifiers';
-import type {EntryToControl} from '@gentianshunt/messages';
 
 import type {Attempt} from './caller.js';
-import {formatTokens} from './caller.js';
-import {createEntryIdentity} from './identities.js';
-import type {FakeEndpoint, Reader} from './fakeEndpoint.js';
+import {refuseCaller, sendStoredAnswer} from './callerAnswers.js';
+import type {EntryHostOptions, HostState} from './entryHostState.js';
+import {cancelStream, openStream, resumeStream} from './entryStreams.js';
 import type {FakeProcess} from './fakeProcess.js';
-import type {Network, Transmission} from './network.js';
+import {createEntryIdentity} from './identities.js';
 import {createRequestAttributes, readWeight} from './objects.js';
-import type {StepListener} from './steps.js';
-import type {TraceEvent} from './trace.js';
-
-/** What a simulated entry sends to or calls: other nodes and endpoints. */
-export interface EntryPeers {
-  sendToEntry(to: string, message: EntryMessage): void;
-  sendToControl(to: string, message: EntryToControl): void;
-  findEndpoint(id: string): FakeEndpoint;
-  answerOperator(
-    effect: Extract<EntryEffect, {readonly kind: 'answerOperator'}>,
-  ): void;
-}
-
-/** Options of a simulated entry. */
-export interface EntryHostOptions {
-  readonly process: FakeProcess;
-  readonly clock: Clock;
-  readonly network: Network;
-  readonly peers: EntryPeers;
-  readonly record: (event: TraceEvent) => void;
-  readonly onStep: StepListener;
-  /** Creates the controllers of the entry instead of the usual ones. */
-  readonly createControllers?: () => readonly EntryController[];
-}
 
 /** An entry whose effects are executed in the simulation. */
 export interface EntryHost {
@@ -61,19 +28,6 @@
   kill(): void;
 }
 
-interface HostState {
-  node: EntryNode;
-  /** Node names in the latest answer to a lookup. */
-  addresses: readonly string[];
-  readonly attempts: Map<string, Attempt>;
-  readonly streams: Map<string, OpenStream>;
-}
-
-interface OpenStream {
-  readonly attempt: Attempt;
-  readonly received: string[];
-}
-
 /** Creates an entry that is not yet started. */
 export function createEntryHost(options: EntryHostOptions): EntryHost {
   const {process, clock, record} = options;
@@ -251,154 +205,3 @@
   });
   process.kill();
 }
-
-function openStream(
-  options: EntryHostOptions,
-  state: HostState,
-  effect: Extract<EntryEffect, {readonly kind: 'openStream'}>,
-): void {
-  const {process, clock, network, peers, record, onStep} = options;
-  const {request, dispatch} = effect;
-  const attempt = state.attempts.get(request.id);
-  const endpoint = peers.findEndpoint(dispatch.target.endpoint);
-  const at = clock.readMonotonic();
-  record({at, kind: 'opened', entry: process.id, request: request.id});
-  onStep('dispatched', {entry: process, request: request.id});
-  if (!process.isAlive || attempt === undefined) {
-    return;
-  }
-  if (!endpoint.process.isAlive) {
-    const end = {kind: 'notSent', detail: 'ECONNREFUSED'} as const;
-    process.schedule(1, () => endStream(state, dispatch, end));
-    return;
-  }
-  state.streams.set(dispatch.id, {attempt, received: []});
-  const reader = createReader(options, state, dispatch);
-  const {plan} = attempt;
-  const key = plan.key === null ? null : plan.key;
-  const tokens = formatTokens(plan);
-  const job = {dispatch: dispatch.id, request: request.id, key, tokens};
-  sendStream(network, process, endpoint.process, {
-    deliver: () => endpoint.open(job, reader),
-    onBroken: reader.onBroken,
-  });
-}
-
-function sendStream(
-  network: Network,
-  from: FakeProcess,
-  to: FakeProcess,
-  rest: Pick<Transmission, 'deliver' | 'onBroken'>,
-): void {
-  network.send({kind: 'stream', from, to, ...rest});
-}
-
-function createReader(
-  {process, onStep}: EntryHostOptions,
-  state: HostState,
-  dispatch: Dispatch,
-): Reader {
-  return {
-    process,
-    onToken: (token, isLast) => {
-      const stream = state.streams.get(dispatch.id);
-      if (stream === undefined) {
-        return;
-      }
-      stream.received.push(token);
-      state.node.post({kind: 'streamStarted', dispatch: dispatch.id});
-      if (isLast) {
-        onStep('endMark', {entry: process, request: stream.attempt.request});
-        endStream(state, dispatch, {kind: 'complete'});
-      }
-    },
-    onBroken: () => {
-      const events = state.streams.get(dispatch.id)?.received.length ?? 0;
-      const detail = 'connection lost';
-      process.run(() =>
-        endStream(state, dispatch, {
-          kind: 'cut',
-          detail,
-          events,
-          progress: events > 0 ? 'delivering' : 'awaitingHead',
-        }),
-      );
-    },
-  };
-}
-
-function endStream(state: HostState, dispatch: Dispatch, end: StreamEnd): void {
-  const stream = state.streams.get(dispatch.id);
-  const answer = stream?.received.join(' ') ?? '';
-  const isWhole = end.kind === 'complete';
-  const stored = isWhole
-    ? {status: 200, contentType: 'text/plain', body: Buffer.from(answer)}
-    : null;
-  state.node.post({kind: 'streamEnded', dispatch: dispatch.id, end, stored});
-  if (isWhole && stream !== undefined) {
-    state.streams.delete(dispatch.id);
-    state.attempts.delete(stream.attempt.request);
-    stream.attempt.finish(answer);
-  }
-}
-
-function resumeStream(
-  options: EntryHostOptions,
-  state: HostState,
-  dispatch: Dispatch,
-  fromEvent: number,
-): void {
-  const {process, network, peers} = options;
-  const endpoint = peers.findEndpoint(dispatch.target.endpoint);
-  const reader = createReader(options, state, dispatch);
-  sendStream(network, process, endpoint.process, {
-    deliver: () => {
-      if (!endpoint.resume(dispatch.id, fromEvent, reader)) {
-        const end = {kind: 'rejected', status: 404} as const;
-        process.schedule(1, () => endStream(state, dispatch, end));
-      }
-    },
-    onBroken: reader.onBroken,
-  });
-}
-
-function cancelStream(options: EntryHostOptions, dispatch: Dispatch): void {
-  const {process, network, peers, onStep} = options;
-  const endpoint = peers.findEndpoint(dispatch.target.endpoint);
-  onStep('cancelSent', {entry: process, endpoint: endpoint.process});
-  sendStream(network, process, endpoint.process, {
-    deliver: () => endpoint.cancel(dispatch.id),
-  });
-}
-
-function refuseCaller(
-  {process, clock, record}: EntryHostOptions,
-  state: HostState,
-  {refusal}: Extract<EntryEffect, {readonly kind: 'refuseCaller'}>,
-): void {
-  const {request, notRun} = refusal;
-  record({
-    at: clock.readMonotonic(),
-    kind: 'refused',
-    entry: process.id,
-    request,
-    reason: refusal.reason.kind,
-    notRun,
-  });
-  const attempt = state.attempts.get(request);
-  state.attempts.delete(request);
-  attempt?.refuse(refusal);
-}
-
-function sendStoredAnswer(
-  state: HostState,
-  effect: Extract<EntryEffect, {readonly kind: 'repeatAnswer'}>,
-): void {
-  const attempt = state.attempts.get(effect.request);
-  state.attempts.delete(effect.request);
-  if (effect.outcome.kind === 'answered') {
-    attempt?.finish(Buffer.from(effect.outcome.body).toString());
-  } else {
-    attempt?.fail();
-  }
-}
