--- a/scheduling/slotClient/src/withdrawalController.ts
+++ b/scheduling/slotClient/src/withdrawalController.ts
@@ -1,4 +1,4 @@
-import type {TurnTime, View} from '@gentianshunt/board';
+import type {TurnTime} from '@gentianshunt/board';
 import type {Milliseconds} from '@gentianshunt/clock';
 import {findObject} from '@gentianshunt/configuration';
 import {
@@ -13,9 +13,6 @@
   EndpointAnnouncement,
   EntryController,
   EntryMessage,
-  EntryObservation,
-  EntrySections,
-  EntryWrite,
   LeftIncarnation,
 } from '@gentianshunt/entryModel';
 import type {EndpointId, NodeId} from '@gentianshunt/identifiers';
@@ -25,6 +22,13 @@
   sendTo,
   sendWithdrawals,
 } from './withdrawalExchange.js';
+import {WITHDRAWAL_READS} from './withdrawalView.js';
+import type {
+  WithdrawalReads,
+  WithdrawalSections,
+  WithdrawalView,
+  WithdrawalWrite,
+} from './withdrawalView.js';
 
 /**
  * How long an entry remembers that an endpoint left. Announcements sent before
@@ -34,25 +38,6 @@
 /** Most withdrawals that an entry remembers; the oldest give way. */
 export const MAX_WITHDRAWALS = 16_384;
 
-const WITHDRAWAL_READS = [
-  'identity',
-  'control',
-  'configuration',
-  'announcements',
-  'endpoints',
-  'withdrawnEndpoints',
-  'withdrawalExchange',
-] as const;
-type WithdrawalReads = (typeof WITHDRAWAL_READS)[number];
-type WithdrawalSections = 'withdrawnEndpoints' | 'withdrawalExchange';
-/** The board as the withdrawal controller sees it. */
-export type WithdrawalView = View<
-  EntrySections,
-  WithdrawalReads,
-  EntryObservation
->;
-export type WithdrawalWrite = EntryWrite<WithdrawalSections>;
-
 /**
  * Creates the controller that withdraws endpoints that leave. The entry that an
  * endpoint tells of its leave notifies all others, so that slots and endpoint
--- a/scheduling/slotClient/src/withdrawalExchange.ts
+++ b/scheduling/slotClient/src/withdrawalExchange.ts
@@ -6,7 +6,7 @@
 import type {NodeId} from '@gentianshunt/identifiers';
 import type {EntryAddress} from '@gentianshunt/messages';
 
-import type {WithdrawalView, WithdrawalWrite} from './withdrawalController.js';
+import type {WithdrawalView, WithdrawalWrite} from './withdrawalView.js';
 
 /** How often an entry asks another one which endpoints left. */
 export const WITHDRAWAL_EXCHANGE_MS: Milliseconds = 30_000;
