Bound the timers whose delay comes from outside

What callers saw: every call of a route with a time limit above 2^31-1 ms was refused at once with its time limit as the reason. Cause: a timer of Node.js with a longer delay fires after 1 ms.

startTimer counts a longer delay as the longest. It serves the calls' time limits and the timers of all controllers. Looked at as well: callers' deadlines (never above the route's limit), Retry-After of endpoints (at most 60 s), Keep-Alive hints (bounded by undici), and all other setTimeout of daemons, fronts, transport and platform, whose delays are constants or checked.

--- a/fronts/callRelay/src/callRelay.ts
+++ b/fronts/callRelay/src/callRelay.ts
@@ -11,6 +11,7 @@
 } from '@gentianshunt/entryModel';
 import {createRoutingTable, routeCall} from '@gentianshunt/routing';
 import type {CallAttributes, RoutingTable} from '@gentianshunt/routing';
+import {startTimer} from '@gentianshunt/runtime';
 import type {LoopMonitor} from '@gentianshunt/runtime';
 import type {FastifyInstance, FastifyReply, FastifyRequest} from 'fastify';
 
@@ -209,7 +210,7 @@
   // The call may have waited for the event loop before it was read.
   const receivedAt = now - lagMs;
   const limitMs = resolved.attributes.routePolicy!.timeLimitMs;
-  const timer = setTimeout(
+  const timer = startTimer(
     () => post({kind: 'timeLimitReached', request: id}),
     Math.max(0, limitMs - lagMs),
   );
--- a/fronts/callRelay/test/relayFixture.ts
+++ b/fronts/callRelay/test/relayFixture.ts
@@ -107,7 +107,7 @@
   formatMalformed: detail => ({status: 400, headers: [], body: detail}),
 };
 
-function listObjects(): readonly ConfigurationObject[] {
+function listObjects(timeoutMs: number): readonly ConfigurationObject[] {
   return [
     {
       kind: 'route',
@@ -119,7 +119,7 @@
       tier: toIdentifier('t'),
       shares: [{set: toIdentifier('s'), weight: 1}],
       maxAttempts: 2,
-      timeoutMs: 5_000,
+      timeoutMs,
       objectiveMs: 100,
       patienceMs: 1_000,
       isAnonymous: true,
@@ -149,6 +149,8 @@
   readonly protocol?: Partial<CallProtocol>;
   readonly clock?: Clock;
   readonly loop?: LoopMonitor;
+  /** Time limit of the calls, in milliseconds. */
+  readonly timeoutMs?: number;
 }
 
 /** Starts a relay. */
@@ -156,6 +158,7 @@
   clock = createManualClock(),
   loop = createManualLoop(),
   protocol: changed = {},
+  timeoutMs = 5_000,
 }: RelayFixtureOptions = {}): Promise<RelayFixture> {
   const server = fastify({forceCloseConnections: true});
   server.removeAllContentTypeParsers();
@@ -168,7 +171,7 @@
   const steps: CallStep[] = [];
   const waiters = new Map<string, (observation: EntryObservation) => void>();
   const configuration = new Map(
-    listObjects().map(object => [
+    listObjects(timeoutMs).map(object => [
       formatObjectKey(object.kind, object.id),
       object,
     ]),
--- a/transport/runtime/src/timerTable.ts
+++ b/transport/runtime/src/timerTable.ts
@@ -1,5 +1,7 @@
 import type {Milliseconds} from '@gentianshunt/clock';
 
+import {startTimer} from './startTimer.js';
+
 /** At most one pending timer per kind; setting a kind again replaces it. */
 export interface TimerTable<Timer extends {readonly kind: string}> {
   set(timer: Timer, delayMs: Milliseconds): void;
@@ -21,7 +23,7 @@
       clearTimeout(handles.get(timer.kind));
       handles.set(
         timer.kind,
-        setTimeout(() => {
+        startTimer(() => {
           handles.delete(timer.kind);
           options.onDue(timer);
         }, delayMs),
