--- a/bench/soak/src/draws.ts
+++ b/bench/soak/src/draws.ts
@@ -1,5 +1,18 @@
+import {createRandom} from '@gentianshunt/policyBench';
 import type {Random} from '@gentianshunt/policyBench';
 
+/** Draws after which streams of neighbouring numbers have nothing in common. */
+const DISCARDED_DRAWS = 16;
+
+/** Creates one of many independent random streams of a seed. */
+export function createStream(seed: number, stream: number): Random {
+  const random = createRandom(seed, stream);
+  for (let draw = 0; draw < DISCARDED_DRAWS; draw += 1) {
+    random.drawUniform();
+  }
+  return random;
+}
+
 /** Draws a number from a range, evenly. */
 export function drawBetween(random: Random, min: number, max: number): number {
   return min + (max - min) * random.drawUniform();
