--- a/bench/soak/test/inTouch.test.ts
+++ b/bench/soak/test/inTouch.test.ts
@@ -41,6 +41,18 @@
   t.equal(isInTouch(history, vm, CALM + 600), true);
 });
 
+t.test('the kill of a predecessor does not disturb its successor', async t => {
+  const vm = 'plain-1';
+  const started = {kind: 'vmStarted', vm, cause: 'scheduled', pid: 9} as const;
+  const history = createHistory(
+    createSignal(CALM, vm, 'SIGTERM'),
+    {at: CALM + 500, ...started},
+    createSignal(CALM + 8_000, vm, 'SIGKILL'),
+  );
+  t.equal(isInTouch(history, vm, CALM + 3_500), false);
+  t.equal(isInTouch(history, vm, CALM + 9_000), true);
+});
+
 t.test('an event on a VM of the core puts all VMs out of touch', async t => {
   const history = createHistory(createSignal(CALM, 'core-1', 'SIGKILL'), {
     at: CALM + 1_000,
