--- a/bench/soak/src/linkFaults.ts
+++ b/bench/soak/src/linkFaults.ts
@@ -2,7 +2,7 @@
 
 import {assertNever} from '@gentianshunt/errors';
 
-import type {ProxiedLink} from './linkProxy.js';
+import type {ProxiedLink} from './proxiedLink.js';
 import type {LinkFaultKind} from './recordedEvent.js';
 
 /** A fault of the links between two VMs. */
--- a/bench/soak/src/linkProxy.ts
+++ b/bench/soak/src/linkProxy.ts
@@ -5,6 +5,7 @@
 import {parsePeerFrame} from '@gentianshunt/peerLinks';
 
 import type {LinkFaults} from './linkFaults.js';
+import type {ProxiedLink} from './proxiedLink.js';
 
 /** An address that a proxy listens at or forwards to. */
 export interface ProxyAddress {
@@ -28,16 +29,6 @@
   close(): Promise<void>;
 }
 
-/** A connection from one VM to another, through a proxy. */
-export interface ProxiedLink {
-  /** `undefined` until the first frame names the VM that dialled. */
-  dialler: string | undefined;
-  readonly target: string;
-  /** Whether the connection stays silent for good. */
-  isStale: boolean;
-  reset(): void;
-}
-
 /** Starts the proxy before a VM. */
 export async function startLinkProxy(
   options: LinkProxyOptions,
