--- a/language/commands/src/readFields.ts
+++ b/language/commands/src/readFields.ts
@@ -1,5 +1,5 @@
 import {assertNever} from '@gentianshunt/errors';
-import {createSemanticIssue} from '@gentianshunt/grammar';
+import {createSemanticIssue, readText} from '@gentianshunt/grammar';
 import type {LanguageIssue, Setting, Value} from '@gentianshunt/grammar';
 import {isIdentifier} from '@gentianshunt/identifiers';
 
@@ -126,16 +126,3 @@
   const text = readText(value);
   return text !== undefined && isIdentifier(text) ? text : undefined;
 }
-
-function readText(value: Value): string {
-  switch (value.kind) {
-    case 'number':
-      return String(value.number);
-    case 'word':
-      return value.word;
-    case 'text':
-      return value.text;
-    default:
-      return assertNever(value, 'readText');
-  }
-}
--- a/language/queries/src/runQuery.ts
+++ b/language/queries/src/runQuery.ts
@@ -1,5 +1,5 @@
 import {assertNever} from '@gentianshunt/errors';
-import {createSemanticIssue} from '@gentianshunt/grammar';
+import {createSemanticIssue, readText} from '@gentianshunt/grammar';
 import type {
   Comparison,
   Condition,
@@ -176,19 +176,6 @@
   }
 }
 
-function readText(value: Value): string {
-  switch (value.kind) {
-    case 'number':
-      return String(value.number);
-    case 'word':
-      return value.word;
-    case 'text':
-      return value.text;
-    default:
-      return assertNever(value, 'readText');
-  }
-}
-
 function isComparisonTrue(
   left: Cell,
   comparison: Comparison,
