--- a/control/stateMachine/src/applyCounts.ts
+++ b/control/stateMachine/src/applyCounts.ts
@@ -1,4 +1,5 @@
 import {iterateWhile} from '@gentianshunt/board';
+import type {OrderedDraft} from '@gentianshunt/board';
 import type {CountMarkKey} from '@gentianshunt/controlModel';
 import {
   addTotals,
@@ -13,6 +14,7 @@
   RecentCountKey,
   ServiceCount,
   ServiceCountKey,
+  ServiceTotals,
 } from '@gentianshunt/messages';
 import type {
   IncarnationId,
@@ -72,19 +74,22 @@
 }
 
 function addCount(draft: StateDraft, count: ServiceCount): void {
-  const key = resolveCountKey(draft, count.key);
+  const key = resolveCountKey(
+    draft.serviceCounts,
+    MAX_SERVICE_COUNTS,
+    count.key,
+  );
   const totals = draft.serviceCounts.get(key) ?? EMPTY_TOTALS;
   draft.serviceCounts.put(key, addTotals(totals, count.totals));
 }
 
 /** Returns the key, or that of the other organisations if there is no room. */
-function resolveCountKey(
-  draft: StateDraft,
-  key: ServiceCountKey,
-): ServiceCountKey {
-  const fits =
-    draft.serviceCounts.size < MAX_SERVICE_COUNTS ||
-    draft.serviceCounts.get(key) !== undefined;
+function resolveCountKey<Key extends {readonly organisation: OrganisationId}>(
+  counts: OrderedDraft<Key, ServiceTotals>,
+  maxCounts: number,
+  key: Key,
+): Key {
+  const fits = counts.size < maxCounts || counts.get(key) !== undefined;
   return fits ? key : {...key, organisation: OTHER_ORGANISATIONS};
 }
 
@@ -96,21 +101,16 @@
 ): void {
   const {tier, organisation, kind} = count.key;
   const startMs = computePeriodStart(atMs);
-  const key = resolveRecentKey(draft, {startMs, tier, organisation, kind});
+  const key = resolveCountKey(draft.recentCounts, MAX_RECENT_COUNTS, {
+    startMs,
+    tier,
+    organisation,
+    kind,
+  });
   const totals = draft.recentCounts.get(key) ?? EMPTY_TOTALS;
   draft.recentCounts.put(key, addTotals(totals, count.totals));
 }
 
-function resolveRecentKey(
-  draft: StateDraft,
-  key: RecentCountKey,
-): RecentCountKey {
-  const fits =
-    draft.recentCounts.size < MAX_RECENT_COUNTS ||
-    draft.recentCounts.get(key) !== undefined;
-  return fits ? key : {...key, organisation: OTHER_ORGANISATIONS};
-}
-
 /** Removes the mark of the entry's incarnation that reported longest ago. */
 function removeOldestMark(draft: StateDraft, node: NodeId): void {
   const from = {node, incarnation: '' as IncarnationId};
