--- a/scheduling/lifecycle/src/failRequest.ts
+++ b/scheduling/lifecycle/src/failRequest.ts
@@ -1,5 +1,11 @@
 import type {TurnTime} from '@gentianshunt/board';
-import type {DispatchedState, Refusal} from '@gentianshunt/entryModel';
+import type {Milliseconds} from '@gentianshunt/clock';
+import {failDispatched} from '@gentianshunt/entryModel';
+import type {
+  DispatchedState,
+  Refusal,
+  RefusalReason,
+} from '@gentianshunt/entryModel';
 import type {ClaimOutcome} from '@gentianshunt/messages';
 
 import {completeClaim} from './claimCompletions.js';
@@ -19,3 +25,16 @@
   draft.addEffect({kind: 'refuseCaller', refusal});
   endRequest(draft, state, {kind: 'refused', refusal}, now);
 }
+
+/** Fails a request of which nobody knows whether it ran. */
+export function failUnknown(
+  view: LifecycleView,
+  draft: RequestDraft,
+  state: DispatchedState,
+  reason: RefusalReason,
+  now: TurnTime,
+  retryAfterMs: Milliseconds | null = null,
+): void {
+  const refusal = failDispatched(state.request.id, reason, retryAfterMs);
+  failRequest(view, draft, state, refusal, {kind: 'unknown'}, now);
+}
--- a/scheduling/lifecycle/src/streams.ts
+++ b/scheduling/lifecycle/src/streams.ts
@@ -13,7 +13,7 @@
 
 import {TRANSIENT_RETRY_AFTER_MS} from './admitRequest.js';
 import {endRequest} from './endRequest.js';
-import {failRequest} from './failRequest.js';
+import {failRequest, failUnknown} from './failRequest.js';
 import {isSuspected} from './quarantinedRequests.js';
 import {canRetry, requeueForRetry, requeueIfRetryable} from './retries.js';
 import type {LifecycleView, RequestDraft} from './requestDraft.js';
@@ -141,13 +141,11 @@
   status: number,
   now: TurnTime,
 ): void {
-  const {request} = state;
   if (requeueIfRetryable(view, draft, state, now)) {
     return;
   }
   const reason = {kind: 'endpointFailed', detail: `status ${status}`} as const;
-  const refusal = failDispatched(request.id, reason);
-  failRequest(view, draft, state, refusal, {kind: 'unknown'}, now);
+  failUnknown(view, draft, state, reason, now);
 }
 
 /**
@@ -165,8 +163,7 @@
   const retryAfterMs = BUSY_STATUSES.has(status)
     ? TRANSIENT_RETRY_AFTER_MS
     : null;
-  const refusal = failDispatched(state.request.id, reason, retryAfterMs);
-  failRequest(view, draft, state, refusal, {kind: 'unknown'}, now);
+  failUnknown(view, draft, state, reason, now, retryAfterMs);
 }
 
 /** Resumes or fails a request whose stream ended without its end mark. */
@@ -194,8 +191,7 @@
     return;
   }
   const reason = {kind: 'answerCut', detail: end.detail} as const;
-  const refusal = failDispatched(request.id, reason);
-  failRequest(view, draft, state, refusal, {kind: 'unknown'}, now);
+  failUnknown(view, draft, state, reason, now);
 }
 
 /**
@@ -219,8 +215,7 @@
     return;
   }
   const reason = {kind: 'answerCut', detail: end.detail} as const;
-  const refusal = failDispatched(request.id, reason);
-  failRequest(view, draft, state, refusal, {kind: 'unknown'}, now);
+  failUnknown(view, draft, state, reason, now);
 }
 
 /**
@@ -265,8 +260,7 @@
         continue;
       }
       const reason = {kind: 'answerCut', detail: 'endpoint silent'} as const;
-      const refusal = failDispatched(state.request.id, reason);
-      failRequest(view, draft, state, refusal, {kind: 'unknown'}, now);
+      failUnknown(view, draft, state, reason, now);
     }
   }
 }
--- a/scheduling/lifecycle/src/unsentStreams.ts
+++ b/scheduling/lifecycle/src/unsentStreams.ts
@@ -1,17 +1,13 @@
 /** Handles dispatches of which no byte was sent. */
 import type {TurnTime} from '@gentianshunt/board';
-import {
-  failDispatched,
-  refuseUnsent,
-  refuseWithheld,
-} from '@gentianshunt/entryModel';
+import {refuseUnsent, refuseWithheld} from '@gentianshunt/entryModel';
 import type {DispatchedState, StreamEnd} from '@gentianshunt/entryModel';
 import {assertNever} from '@gentianshunt/errors';
 
 import {TRANSIENT_RETRY_AFTER_MS} from './admitRequest.js';
 import {completeClaim} from './claimCompletions.js';
 import {endRequest} from './endRequest.js';
-import {failRequest} from './failRequest.js';
+import {failRequest, failUnknown} from './failRequest.js';
 import type {LifecycleView, RequestDraft} from './requestDraft.js';
 import {canRetryUnsent, requeueUnsent} from './retries.js';
 
@@ -36,8 +32,7 @@
   }
   if (state.kind === 'answering' || hasEarlierRun(state)) {
     const reason = {kind: 'answerCut', detail: end.detail} as const;
-    const refusal = failDispatched(state.request.id, reason);
-    failRequest(view, draft, state, refusal, {kind: 'unknown'}, now);
+    failUnknown(view, draft, state, reason, now);
     return;
   }
   const refusal = refuseUnsent(state, end, TRANSIENT_RETRY_AFTER_MS);
@@ -87,8 +82,7 @@
 ): void {
   const reason = {kind};
   if (state.kind === 'answering' || hasEarlierRun(state)) {
-    const refusal = failDispatched(state.request.id, reason);
-    failRequest(view, draft, state, refusal, {kind: 'unknown'}, now);
+    failUnknown(view, draft, state, reason, now);
     return;
   }
   const refusal = refuseWithheld(state, end, reason, TRANSIENT_RETRY_AFTER_MS);
