--- /dev/null
+++ b/bench/soak/src/failedRuns.ts
@@ -0,0 +1,49 @@
+import type {RunArguments} from './seedProcess.js';
+
+/** A run that failed, and what it showed. */
+export interface FailedRun extends RunArguments {
+  readonly showed: string;
+}
+
+/** Runs that failed; they stay as cases to play again. */
+export const FAILED_RUNS: readonly FailedRun[] = [
+  {
+    seed: 1,
+    seconds: 60,
+    vms: 9,
+    memory: 200,
+    showed:
+      'a VM acknowledged a leave 3 s after its process was ready, and no other VM learnt of it',
+  },
+  {
+    seed: 2,
+    seconds: 60,
+    vms: 9,
+    memory: 200,
+    showed:
+      'a process that starts while its predecessor ends exits with code 2, because of the ports',
+  },
+  {
+    seed: 3,
+    seconds: 60,
+    vms: 9,
+    memory: 200,
+    showed:
+      'large bodies: 245 MiB of 200; SIGHUP 139 ms after the start ends the process',
+  },
+  {
+    seed: 7,
+    seconds: 45,
+    vms: 4,
+    memory: 200,
+    showed: 'large bodies: 273 MiB of 200',
+  },
+  {
+    seed: 10,
+    seconds: 75,
+    vms: 9,
+    memory: 200,
+    showed:
+      'connections to the control leader fell silent; the VM that lost its lease by that was not told of a leave, and sent the endpoint requests as soon as it had a lease again',
+  },
+];
--- /dev/null
+++ b/bench/soak/test/mediumSoak.test.ts
@@ -0,0 +1,3 @@
+import {checkRun} from './checkRun.js';
+
+checkRun(20, 9);
