Log and count the leaves that an entry learns of

Each leave is logged with its source (the endpoint, an answer, a notification, an exchange), the entry it came from, the time it is still remembered, and the requests of this entry that are at the endpoint with the time since the last dispatch. A request sent after another entry acknowledged a leave can so be told apart: learnt late, or never. gentianshunt_leaves_learnt_total counts the same.

Virtual entries can be killed, started again and suspended with their clock.

--- a/bench/virtualEntry/src/virtualEntries.ts
+++ b/bench/virtualEntry/src/virtualEntries.ts
@@ -2,6 +2,7 @@
 import type {ConfigurationObject} from '@gentianshunt/configuration';
 import type {
   EntryEffect,
+  EntryIdentity,
   EntryMessage,
   EntryObservation,
   LeaderSilencePolicy,
@@ -13,6 +14,7 @@
 
 import {createDirectoryEntry, createFakeControl} from './fakeControl.js';
 import type {FakeControl} from './fakeControl.js';
+import {createStoppableClock} from './stoppableClock.js';
 import {createVirtualTime} from './virtualTime.js';
 import type {CancelTask, VirtualTime} from './virtualTime.js';
 
@@ -41,15 +43,22 @@
 }
 
 /**
- * An entry whose process can be frozen and partitioned from the control
+ * An entry whose process can be frozen, killed and partitioned from the control
  * daemons.
  */
 export interface VirtualEntry {
+  /** The present process. */
   readonly entry: EntryNode;
   post(observation: EntryObservation): void;
   /** Buffers all observations until `resume` delivers them in order. */
   freeze(): void;
   resume(): void;
+  /** Freezes the VM: its monotonic clock stands still until `resume`. */
+  suspend(): void;
+  /** Ends the process, which loses its state, timers and what arrives. */
+  kill(): void;
+  /** Starts a new process after `kill`. */
+  start(): void;
   /** Sets whether the entry's heartbeats to the control daemons are lost. */
   setControlPartitioned(isPartitioned: boolean): void;
 }
@@ -104,85 +113,162 @@
   return {time, publish, find: node => entries.get(node)!};
 }
 
+/** The process of an entry. */
+interface EntryProcess {
+  readonly node: EntryNode;
+  readonly timers: Map<string, CancelTask>;
+}
+
 function createEntry(
   node: string,
   time: VirtualTime,
   control: FakeControl,
   send: (sent: SentMessage) => void,
-  {onEffect, leaderSilence}: VirtualEntriesOptions,
+  options: VirtualEntriesOptions,
 ): VirtualEntry {
-  const timers = new Map<string, CancelTask>();
+  const clock = createStoppableClock(time.clock);
   let backlog: EntryObservation[] | undefined;
   let isControlPartitioned = false;
-  const post = (observation: EntryObservation): void => {
+  let incarnation = 0;
+  const createProcess = (): EntryProcess => {
+    const timers = new Map<string, CancelTask>();
+    incarnation += 1;
+    const created: EntryProcess = {
+      timers,
+      node: createEntryNode({
+        identity: createIdentity(node, incarnation, options),
+        clock,
+        perform: effect =>
+          performEffect(effect, {
+            node,
+            time,
+            control,
+            send,
+            options,
+            timers,
+            isControlPartitioned,
+            post: observation => postTo(created, observation),
+          }),
+      }),
+    };
+    return created;
+  };
+  const postTo = (to: EntryProcess, observation: EntryObservation): void => {
+    if (to !== current) {
+      return;
+    }
     if (backlog === undefined) {
-      entry.post(observation);
+      to.node.post(observation);
     } else {
       backlog.push(observation);
     }
   };
-  const perform = (effect: EntryEffect): void => {
-    switch (effect.kind) {
-      case 'setTimer': {
-        const {timer, delayMs} = effect;
-        timers.get(timer.kind)?.();
-        const postTimerDue = (): void => post({kind: 'timerDue', timer});
-        timers.set(timer.kind, time.schedule(delayMs, postTimerDue));
-        return;
-      }
-      case 'sendControl': {
-        const {message} = effect;
-        if (message.kind === 'entryHeartbeat' && !isControlPartitioned) {
-          const answer = control.answerHeartbeat(message);
-          time.schedule(0, () => post(answer));
-        }
-        return;
-      }
-      case 'sendEntry':
-        onEffect?.(node, effect);
-        send({from: node, to: effect.to, message: effect.message});
-        return;
-      case 'openStream':
-      case 'resumeStream':
-      case 'cancelStream':
-      case 'refuseCaller':
-      case 'repeatAnswer':
-      case 'answerAddresses':
-      case 'sendEndpointOrder':
-      case 'redirectEntry':
-      case 'logDecision':
-      case 'answerOperator':
-      case 'recordEnd':
-      case 'exit':
-        onEffect?.(node, effect);
-        return;
-      default:
-        assertNever(effect, 'perform');
+  const created = createProcess();
+  let current: EntryProcess | undefined = created;
+  let latest = created;
+  const post = (observation: EntryObservation): void => {
+    if (current !== undefined) {
+      postTo(current, observation);
     }
   };
-  const entry = createEntryNode({
-    identity: {
-      address: createDirectoryEntry(node).address,
-      incarnation: toIdentifier('start-1'),
-      controlNodes: [toIdentifier('control-0')],
-      ...(leaderSilence === undefined ? {} : {leaderSilence}),
-    },
-    clock: time.clock,
-    perform,
-  });
   return {
-    entry,
+    get entry() {
+      return latest.node;
+    },
     post,
     freeze: () => {
       backlog ??= [];
     },
+    suspend: () => {
+      backlog ??= [];
+      clock.stop();
+    },
     resume: () => {
       const pending = backlog ?? [];
       backlog = undefined;
+      clock.resume();
       pending.forEach(post);
     },
+    kill: () => {
+      latest.timers.forEach(cancel => cancel());
+      current = undefined;
+      backlog = undefined;
+      clock.resume();
+    },
+    start: () => {
+      latest = createProcess();
+      current = latest;
+      post({kind: 'started'});
+    },
     setControlPartitioned: isPartitioned => {
       isControlPartitioned = isPartitioned;
     },
   };
 }
+
+function createIdentity(
+  node: string,
+  incarnation: number,
+  {leaderSilence}: VirtualEntriesOptions,
+): EntryIdentity {
+  return {
+    address: createDirectoryEntry(node).address,
+    incarnation: toIdentifier(`start-${incarnation}`),
+    controlNodes: [toIdentifier('control-0')],
+    ...(leaderSilence === undefined ? {} : {leaderSilence}),
+  };
+}
+
+/** What the effects of an entry act on. */
+interface EffectContext {
+  readonly node: string;
+  readonly time: VirtualTime;
+  readonly control: FakeControl;
+  readonly send: (sent: SentMessage) => void;
+  readonly options: VirtualEntriesOptions;
+  readonly timers: Map<string, CancelTask>;
+  readonly isControlPartitioned: boolean;
+  readonly post: (observation: EntryObservation) => void;
+}
+
+function performEffect(effect: EntryEffect, context: EffectContext): void {
+  const {node, time, timers, post, send} = context;
+  const {onEffect} = context.options;
+  switch (effect.kind) {
+    case 'setTimer': {
+      const {timer, delayMs} = effect;
+      timers.get(timer.kind)?.();
+      const postTimerDue = (): void => post({kind: 'timerDue', timer});
+      timers.set(timer.kind, time.schedule(delayMs, postTimerDue));
+      return;
+    }
+    case 'sendControl': {
+      const {message} = effect;
+      if (message.kind === 'entryHeartbeat' && !context.isControlPartitioned) {
+        const answer = context.control.answerHeartbeat(message);
+        time.schedule(0, () => post(answer));
+      }
+      return;
+    }
+    case 'sendEntry':
+      onEffect?.(node, effect);
+      send({from: node, to: effect.to, message: effect.message});
+      return;
+    case 'openStream':
+    case 'resumeStream':
+    case 'cancelStream':
+    case 'refuseCaller':
+    case 'repeatAnswer':
+    case 'answerAddresses':
+    case 'sendEndpointOrder':
+    case 'redirectEntry':
+    case 'logDecision':
+    case 'answerOperator':
+    case 'recordEnd':
+    case 'exit':
+      onEffect?.(node, effect);
+      return;
+    default:
+      assertNever(effect, 'performEffect');
+  }
+}
--- a/daemons/entryd/src/entryd.ts
+++ b/daemons/entryd/src/entryd.ts
@@ -140,7 +140,10 @@
         logger.write({kind: 'requestRefused', refusal: effect.refusal});
       }
     },
-    logDecision: decision => logger.write({kind: 'entryDecided', decision}),
+    logDecision: decision => {
+      metrics.recordDecision(decision);
+      logger.write({kind: 'entryDecided', decision});
+    },
     answerOperator: operatorFront.answer,
     sendToEntry: (to, address, message) =>
       links.send(to, address, encodeEntryMessage(message)),
--- a/fronts/logging/src/logEvent.ts
+++ b/fronts/logging/src/logEvent.ts
@@ -106,6 +106,9 @@
     case 'callerDisconnected':
       return 'detail';
     case 'entryDecided':
+      if (event.decision.kind === 'endpointLeaveLearnt') {
+        return 'outcome';
+      }
       return event.decision.kind === 'requestDispatched' ||
         event.decision.kind === 'allotmentRefused' ||
         event.decision.kind === 'answerBroken' ||
--- a/fronts/metrics/src/entryMetrics.ts
+++ b/fronts/metrics/src/entryMetrics.ts
@@ -1,4 +1,4 @@
-import type {EntryEffect} from '@gentianshunt/entryModel';
+import type {EntryDecision, EntryEffect} from '@gentianshunt/entryModel';
 import {
   collectDefaultMetrics,
   Counter,
@@ -32,6 +32,8 @@
   recordLoopLag(lagMs: number): void;
   /** Records the age of a call whose first byte leaves for an endpoint. */
   recordSentCall(ageMs: number): void;
+  /** Counts a decision, if there is a metric of its kind. */
+  recordDecision(decision: EntryDecision): void;
   /** Counts a request that has ended. */
   recordEnd(effect: RecordEndEffect): void;
 }
@@ -77,6 +79,12 @@
     buckets: CALL_AGE_BUCKETS_S,
     registers: [registry],
   });
+  const leaves = new Counter({
+    name: 'gentianshunt_leaves_learnt_total',
+    help: 'Endpoints learnt to have left, by source and whether requests of this entry were there.',
+    labelNames: ['source', 'in_use'],
+    registers: [registry],
+  });
   const queuedBytes: Gauge = new Gauge({
     name: 'gentianshunt_link_queued_bytes',
     help: 'Bytes that wait to be sent to other daemons.',
@@ -96,6 +104,12 @@
   return {
     recordLoopLag: lagMs => loopLag.observe(lagMs / 1_000),
     recordSentCall: ageMs => sentAge.observe(ageMs / 1_000),
+    recordDecision: decision => {
+      if (decision.kind === 'endpointLeaveLearnt') {
+        const {source, openRequests} = decision;
+        leaves.inc({source, in_use: String(openRequests > 0)});
+      }
+    },
     recordEnd: ({request, end, firstTokenMs}) => {
       const {tier, organisation} = request;
       ended.inc({tier, organisation, end: end.kind});
--- a/scheduling/decisionLog/src/decisionLog.ts
+++ b/scheduling/decisionLog/src/decisionLog.ts
@@ -18,6 +18,8 @@
 } from '@gentianshunt/entryModel';
 import type {EndpointSetId, RequestId} from '@gentianshunt/identifiers';
 
+import {listLeaveDecisions} from './leaveDecisions.js';
+
 type LogReads =
   | 'requests'
   | 'control'
@@ -25,6 +27,7 @@
   | 'endpoints'
   | 'knownEndpoints'
   | 'service'
+  | 'withdrawnEndpoints'
   | 'loggedState';
 type LogView = View<EntrySections, LogReads, EntryObservation>;
 type LogWrite = EntryWrite<'loggedState'>;
@@ -40,6 +43,7 @@
       'endpoints',
       'knownEndpoints',
       'service',
+      'withdrawnEndpoints',
       'loggedState',
     ],
     writes: ['loggedState'],
@@ -52,6 +56,7 @@
         ...listStatusDecisions(view, before, after, now),
         ...listEndpointDecisions(view, before, now),
         ...listLearntDecisions(view),
+        ...listLeaveDecisions(view, now),
       ];
       const logged = {...after, endpoints: readEndpointStates(view, before)};
       return [
--- a/scheduling/entryModel/src/decision.ts
+++ b/scheduling/entryModel/src/decision.ts
@@ -12,6 +12,7 @@
 import type {AnswerProgress} from './observation.js';
 import type {QuarantineState} from './promptQuarantine.js';
 import type {EndpointRecord} from './endpointRecord.js';
+import type {WithdrawalSource} from './withdrawal.js';
 
 /** A decision or a state change of an entry, with its inputs, for the log. */
 export type EntryDecision =
@@ -90,6 +91,20 @@
       readonly perSecond: number | null;
       readonly before: number | null;
     }
+  | {
+      /** The entry learnt that an endpoint left. */
+      readonly kind: 'endpointLeaveLearnt';
+      readonly endpoint: EndpointId;
+      readonly source: WithdrawalSource;
+      /** This entry, or the one that told it. */
+      readonly learntFrom: NodeId;
+      /** How long the leave is remembered; less the longer ago it was. */
+      readonly remainingMs: Milliseconds;
+      /** Requests of this entry that are at the endpoint. */
+      readonly openRequests: number;
+      /** Time since the latest of them was dispatched. */
+      readonly sinceDispatchMs: Milliseconds | null;
+    }
   | {
       /** The quarantine of a prompt part was decided or learnt. */
       readonly kind: 'promptQuarantineChanged';
--- a/scheduling/entryModel/src/withdrawal.ts
+++ b/scheduling/entryModel/src/withdrawal.ts
@@ -1,6 +1,10 @@
 import type {Milliseconds, MonotonicTime} from '@gentianshunt/clock';
 import {assertNever} from '@gentianshunt/errors';
-import type {EndpointId, IncarnationId} from '@gentianshunt/identifiers';
+import type {
+  EndpointId,
+  IncarnationId,
+  NodeId,
+} from '@gentianshunt/identifiers';
 
 import type {EndpointAnnouncement} from './endpoint.js';
 
@@ -11,9 +15,23 @@
   /** Of endpoints that do not number their announcements. */
   | {readonly kind: 'named'; readonly incarnation: IncarnationId};
 
+/** How an entry learnt that an endpoint left. */
+export type WithdrawalSource =
+  /** The endpoint reported it to this entry. */
+  | 'endpoint'
+  /** The endpoint stated it in an answer to this entry. */
+  | 'answer'
+  /** The entry that the endpoint told notified this one. */
+  | 'notification'
+  /** Another entry reported it in an exchange. */
+  | 'exchange';
+
 /** What an entry knows of an endpoint that left. */
 export interface Withdrawal {
   readonly left: LeftIncarnation;
+  readonly source: WithdrawalSource;
+  /** This entry, or the one that told it. */
+  readonly learntFrom: NodeId;
   /** Until when announcements of that incarnation may still arrive. */
   readonly until: MonotonicTime;
 }
--- a/scheduling/slotClient/src/withdrawalController.ts
+++ b/scheduling/slotClient/src/withdrawalController.ts
@@ -17,6 +17,8 @@
   EntrySections,
   EntryWrite,
   LeftIncarnation,
+  Withdrawal,
+  WithdrawalSource,
 } from '@gentianshunt/entryModel';
 import type {EndpointId, NodeId} from '@gentianshunt/identifiers';
 
@@ -78,10 +80,10 @@
         case 'endpointContact':
           return handleContact(view, observation.announcement, now);
         case 'endpointLeft':
-          return handleLeave(view, observation.endpoint, now);
+          return handleLeave(view, observation.endpoint, 'endpoint', now);
         case 'endpointSignalled':
           return observation.signals.isLeaving
-            ? handleLeave(view, observation.endpoint, now)
+            ? handleLeave(view, observation.endpoint, 'answer', now)
             : [];
         case 'entryMessage':
           return handleMessage(
@@ -113,16 +115,29 @@
   // The set leader gets the announcement itself, which names an incarnation.
   const leader = findObject(view.board.configuration, 'setLeadership', set);
   const left = toLeftIncarnation(announcement);
-  return broadcastLeave(view, endpoint, left, leader?.node, now);
+  const origin = createOwnOrigin(view, 'endpoint');
+  return broadcastLeave(view, endpoint, left, origin, leader?.node, now);
 }
 
 function handleLeave(
   view: WithdrawalView,
   endpoint: EndpointId,
+  source: WithdrawalSource,
   now: TurnTime,
 ): readonly WithdrawalWrite[] {
   const left = findLeftIncarnation(view.board, endpoint, now);
-  return broadcastLeave(view, endpoint, left, undefined, now);
+  const origin = createOwnOrigin(view, source);
+  return broadcastLeave(view, endpoint, left, origin, undefined, now);
+}
+
+/** Where an entry knows a leave from. */
+type Origin = Pick<Withdrawal, 'source' | 'learntFrom'>;
+
+function createOwnOrigin(
+  {board}: WithdrawalView,
+  source: WithdrawalSource,
+): Origin {
+  return {source, learntFrom: board.identity.address.node};
 }
 
 function handleMessage(
@@ -132,15 +147,24 @@
   now: TurnTime,
 ): readonly WithdrawalWrite[] {
   switch (message.kind) {
-    case 'endpointLeft':
-      return putWithdrawal(view, message.endpoint, message.left, now);
+    case 'endpointLeft': {
+      const origin = {source: 'notification', learntFrom: from} as const;
+      return putWithdrawal(view, message.endpoint, message.left, origin, now);
+    }
     case 'endpointAnnounced':
-      return handleForwarded(view, message.announcement, now);
+      return handleForwarded(view, from, message.announcement, now);
     case 'withdrawalsRequested':
       return sendWithdrawals(view, from, now);
     case 'withdrawalsReported':
       return message.withdrawals.flatMap(({endpoint, left, remainingMs}) =>
-        putWithdrawal(view, endpoint, left, now, remainingMs),
+        putWithdrawal(
+          view,
+          endpoint,
+          left,
+          {source: 'exchange', learntFrom: from},
+          now,
+          remainingMs,
+        ),
       );
     default:
       return [];
@@ -150,13 +174,15 @@
 /** The set leader notifies the others of an endpoint that is back. */
 function handleForwarded(
   view: WithdrawalView,
+  from: NodeId,
   announcement: EndpointAnnouncement,
   now: TurnTime,
 ): readonly WithdrawalWrite[] {
   const {endpoint, set, leaving} = announcement;
   if (leaving) {
     const left = toLeftIncarnation(announcement);
-    return putWithdrawal(view, endpoint, left, now);
+    const origin = {source: 'notification', learntFrom: from} as const;
+    return putWithdrawal(view, endpoint, left, origin, now);
   }
   const {configuration, identity} = view.board;
   const self = identity.address.node;
@@ -190,10 +216,11 @@
   view: WithdrawalView,
   endpoint: EndpointId,
   left: LeftIncarnation,
+  origin: Origin,
   except: NodeId | undefined,
   now: TurnTime,
 ): readonly WithdrawalWrite[] {
-  const writes = putWithdrawal(view, endpoint, left, now);
+  const writes = putWithdrawal(view, endpoint, left, origin, now);
   const message = {kind: 'endpointLeft', endpoint, left} as const;
   return writes.length === 0
     ? []
@@ -210,6 +237,7 @@
   {board}: WithdrawalView,
   key: EndpointId,
   left: LeftIncarnation,
+  origin: Origin,
   now: TurnTime,
   durationMs: Milliseconds = WITHDRAWAL_MS,
 ): readonly WithdrawalWrite[] {
@@ -218,7 +246,7 @@
     return [];
   }
   const until = now.monotonic + Math.min(durationMs, WITHDRAWAL_MS);
-  const value = {left, until};
+  const value = {left, ...origin, until};
   return [{kind: 'put', section: 'withdrawnEndpoints', key, value}];
 }
 
