--- a/scripts/installation.mjs
+++ b/scripts/installation.mjs
@@ -6,9 +6,18 @@
   const {packages} = JSON.parse(readFileSync('package-lock.json', 'utf8'));
   return Object.entries(packages)
     .filter(([folder]) => folder.includes('node_modules/'))
-    .filter(([, {link, optional}]) => !link && !optional)
-    .filter(([folder, {version}]) => readVersion(folder) !== version)
-    .map(([folder, {version}]) => `${folder}@${version}`);
+    .filter(([, {optional}]) => !optional)
+    .filter(([folder, locked]) => !isInstalled(folder, locked))
+    .map(([folder, {link, version}]) =>
+      link ? folder : `${folder}@${version}`,
+    );
+}
+
+/** Returns whether a folder holds the locked version, or a linked package. */
+function isInstalled(folder, {link, version}) {
+  return link
+    ? existsSync(`${folder}/package.json`)
+    : readVersion(folder) === version;
 }
 
 /** Reads the version of the package in a folder; `null` if there is none. */
