Bound what an error ends: an effect, a link, the control member, or in order the process

Callers lost every answer of a machine when one callback threw: nothing handled uncaughtException or unhandledRejection, so the process ended with code 1 and no line of its log. An adapter that threw took the other effects of its turn along.

Now an effect that fails costs itself (effectFailed; a call whose stream cannot be opened is ended as cut, so that it doesn't wait for its time limit); the remaining observations of a queue are processed when a turn fails. A message of another node that a controller cannot handle closes the link, as before.

Where else: every post of the entry goes through the host's post, from HTTP, timers, streams and peers; the disk's callbacks were guarded by the log file.

--- a/core/board/src/boardErrors.ts
+++ b/core/board/src/boardErrors.ts
@@ -34,3 +34,16 @@
     });
   }
 }
+
+/** A controller failed; what it wrote in this turn is lost. */
+export class ControllerFailedError extends SchedulerError {
+  constructor(controller: string, observation: string, cause: unknown) {
+    const message = cause instanceof Error ? cause.message : String(cause);
+    super({
+      code: 'ERR_CONTROLLER_FAILED',
+      message: `${message} (while it handled ${observation})`,
+      origin: {step: controller, peer: 'self'},
+      cause,
+    });
+  }
+}
--- a/core/board/src/controlLoop.ts
+++ b/core/board/src/controlLoop.ts
@@ -3,6 +3,7 @@
 import {createBoard} from './board.js';
 import type {Board, BoardView, Change} from './board.js';
 import {
+  ControllerFailedError,
   DuplicateWriterError,
   SectionOwnershipError,
   UnsettledTurnError,
@@ -26,7 +27,10 @@
 /** Processes observations one at a time and executes the resulting effects. */
 export interface ControlLoop<S extends Sections, Observation> {
   readonly view: BoardView<S>;
-  /** Queues an observation and processes it after all earlier ones. */
+  /**
+   * Queues an observation and processes it after all earlier ones. Throws the
+   * first error of a turn, once the queue is empty.
+   */
   post(observation: Observation): void;
 }
 
@@ -88,19 +92,27 @@
   schedule: Schedule<S, Observation, Effect>,
   options: ControlLoopOptions<S, Observation, Effect>,
 ): void {
+  const failures: unknown[] = [];
   for (;;) {
     const observation = pending.shift();
     if (observation === undefined) {
-      return;
+      break;
     }
     const now = {
       monotonic: options.clock.readMonotonic(),
       wall: options.clock.readWallTime(),
     };
-    for (const effect of runTurn(board, schedule, observation, now)) {
-      options.perform(effect);
+    try {
+      for (const effect of runTurn(board, schedule, observation, now)) {
+        options.perform(effect);
+      }
+    } catch (error) {
+      failures.push(error);
     }
   }
+  if (failures.length > 0) {
+    throw failures[0];
+  }
 }
 
 function runTurn<
@@ -126,7 +138,7 @@
       }
       ran = true;
       const view = createView(board, observed, takeChanged(runner));
-      const writes = runner.controller.run(view, now);
+      const writes = runController(runner.controller, view, now, observation);
       commitWrites(board, schedule, runner, writes, outbox);
     }
     if (!ran) {
@@ -139,6 +151,23 @@
   );
 }
 
+function runController<
+  S extends Sections,
+  Observation extends {readonly kind: string},
+  Effect,
+>(
+  controller: AnyController<S, Observation, Effect>,
+  view: View<S, keyof S, Observation>,
+  now: TurnTime,
+  {kind}: Observation,
+): readonly Write<S, keyof S, Effect>[] {
+  try {
+    return controller.run(view, now);
+  } catch (error) {
+    throw new ControllerFailedError(controller.name, kind, error);
+  }
+}
+
 function takeChanged<S extends Sections, Observation, Effect>(
   runner: Runner<S, Observation, Effect>,
 ): ReadonlyMap<keyof S, ChangedKeys> {
--- a/daemons/controld/src/controld.ts
+++ b/daemons/controld/src/controld.ts
@@ -56,6 +56,8 @@
       onHalted: reason =>
         storageFailed(new DataFolderRefusedError(settings.data_folder, reason)),
       onFailed: storageFailed,
+      onFault: error => context.onFailed({kind: 'fault', error}),
+      onEffectFailed: error => logger.write({kind: 'effectFailed', error}),
     }),
   );
   host = await opening;
--- a/daemons/entryd/src/entryd.ts
+++ b/daemons/entryd/src/entryd.ts
@@ -94,6 +94,8 @@
     clock,
     readAdapters: () => adapters!,
     onObservation: counts.add,
+    onFault: error => context.onFailed({kind: 'fault', error}),
+    onEffectFailed: error => logger.write({kind: 'effectFailed', error}),
   });
   const timers = createTimerTable<EntryTimer>({
     onDue: timer => post({kind: 'timerDue', timer}),
--- a/daemons/hosts/src/controlHost.ts
+++ b/daemons/hosts/src/controlHost.ts
@@ -21,6 +21,7 @@
   drawSeed,
 } from '@gentianshunt/runtime';
 
+import {EffectFailedError} from './effectFailedError.js';
 import {toControlObservation} from './controlMessages.js';
 import type {ConsensusEnvelope} from './controlMessages.js';
 
@@ -44,6 +45,13 @@
   readonly onHalted: (reason: HaltReason) => void;
   /** Called when a write or sync failed; nothing further is written. */
   readonly onFailed: (error: Error) => void;
+  /**
+   * Called when a controller failed. The member has stopped: what it knows may
+   * differ from what it has written, and it must be opened again.
+   */
+  readonly onFault: (error: Error) => void;
+  /** Called when a message could not be sent; the other effects go on. */
+  readonly onEffectFailed: (error: EffectFailedError) => void;
 }
 
 /** A running control member and its data folder. */
@@ -61,8 +69,15 @@
 ): Promise<ControlHost> {
   let isClosed = false;
   const post = (observation: ControlObservation): void => {
-    if (!isClosed) {
+    if (isClosed) {
+      return;
+    }
+    try {
       node.post(observation);
+    } catch (error) {
+      isClosed = true;
+      timers.clear();
+      options.onFault(error as Error);
     }
   };
   const logFile = await openLogFile({
@@ -85,7 +100,9 @@
     clock: options.clock,
     perform: effect => {
       if (!isClosed) {
-        performEffect(options, logFile, timers.set, effect);
+        guardSend(options, effect, () =>
+          performEffect(options, logFile, timers.set, effect),
+        );
       }
     },
   });
@@ -115,6 +132,22 @@
   return toIdentifier(id.slice(0, STORAGE_ID_LENGTH));
 }
 
+/** Reports that a message could not be sent; any other error is thrown. */
+function guardSend(
+  {onEffectFailed}: ControlHostOptions,
+  effect: ControlEffect,
+  run: () => void,
+): void {
+  try {
+    run();
+  } catch (error) {
+    if (effect.kind !== 'sendConsensus' && effect.kind !== 'sendEntry') {
+      throw error;
+    }
+    onEffectFailed(new EffectFailedError(effect.kind, effect.to, error));
+  }
+}
+
 function performEffect(
   options: ControlHostOptions,
   logFile: LogFile,
--- a/daemons/hosts/src/entryHost.ts
+++ b/daemons/hosts/src/entryHost.ts
@@ -18,6 +18,8 @@
   NetworkAddress,
 } from '@gentianshunt/messages';
 
+import {EffectFailedError} from './effectFailedError.js';
+
 /** Functions that execute the effects of an entry. */
 export interface EntryAdapters {
   /** Executes an effect on a caller's request or stream. */
@@ -55,23 +57,93 @@
   readonly readAdapters: () => EntryAdapters;
   /** Called with each observation before the entry handles it. */
   readonly onObservation?: (observation: EntryObservation) => void;
+  /**
+   * Called when a controller failed. The board may be inconsistent, so the
+   * process must drain and end.
+   */
+  readonly onFault: (error: Error) => void;
+  /** Called when an effect could not be executed; the others go on. */
+  readonly onEffectFailed: (error: EffectFailedError) => void;
 }
 
-/** Creates an entry whose effects are executed by adapters. */
+/**
+ * Creates an entry whose effects are executed by adapters. `post` throws only
+ * for a message from another node that a controller cannot handle, so that the
+ * link to that node is closed.
+ */
 export function createEntryHost(options: EntryHostOptions): EntryNode {
   const {identity, clock, readAdapters, onObservation} = options;
   const post = (observation: EntryObservation): void => {
     onObservation?.(observation);
-    node.post(observation);
+    try {
+      node.post(observation);
+    } catch (error) {
+      if (isFromOtherNode(observation, identity.address.node)) {
+        throw error;
+      }
+      options.onFault(error as Error);
+    }
   };
   const node: EntryNode = createEntryNode({
     identity,
     clock,
-    perform: effect => performEffect(identity, readAdapters(), effect, post),
+    perform: effect => {
+      try {
+        performEffect(identity, readAdapters(), effect, post);
+      } catch (error) {
+        const peer = findEffectPeer(effect);
+        options.onEffectFailed(new EffectFailedError(effect.kind, peer, error));
+        endUnopenedStream(effect, post);
+      }
+    },
   });
   return {view: node.view, post};
 }
 
+function isFromOtherNode(observation: EntryObservation, self: NodeId): boolean {
+  switch (observation.kind) {
+    case 'entryMessage':
+    case 'controlMessage':
+      return observation.from !== self;
+    default:
+      return false;
+  }
+}
+
+function findEffectPeer(effect: EntryEffect): string {
+  switch (effect.kind) {
+    case 'sendEntry':
+    case 'sendControl':
+    case 'redirectEntry':
+      return effect.to;
+    case 'openStream':
+    case 'resumeStream':
+      return effect.dispatch.target.url;
+    default:
+      return 'self';
+  }
+}
+
+/** Ends a stream that could not be opened; its call may have been sent. */
+function endUnopenedStream(
+  effect: EntryEffect,
+  post: (observation: EntryObservation) => void,
+): void {
+  if (effect.kind === 'openStream') {
+    post({
+      kind: 'streamEnded',
+      dispatch: effect.dispatch.id,
+      end: {
+        kind: 'cut',
+        detail: 'the stream could not be opened',
+        events: 0,
+        progress: 'awaitingHead',
+      },
+      stored: null,
+    });
+  }
+}
+
 function performEffect(
   identity: EntryIdentity,
   adapters: EntryAdapters,
--- a/daemons/hosts/src/index.ts
+++ b/daemons/hosts/src/index.ts
@@ -1,6 +1,7 @@
 export * from './controlHost.js';
 export * from './controlMessages.js';
 export * from './dataFolderRefusedError.js';
+export * from './effectFailedError.js';
 export * from './entryHost.js';
 export * from './entryMessages.js';
 export * from './recoveringMember.js';
--- a/daemons/hosts/src/recoveringMember.ts
+++ b/daemons/hosts/src/recoveringMember.ts
@@ -9,24 +9,26 @@
 import type {ControlHost, ControlHostOptions} from './controlHost.js';
 import {DataFolderRefusedError} from './dataFolderRefusedError.js';
 
-/** A failure of the data folder or its disk, which the member handles. */
-export type FolderEvent =
+/** A failure from which the member recovers. */
+export type MemberEvent =
   /** The folder is damaged or rejected by the group, and is emptied. */
   | {readonly kind: 'folderDiscarded'; readonly error: Error}
   /** The disk failed; the member is restarted after a delay. */
-  | {readonly kind: 'diskFailed'; readonly error: Error};
+  | {readonly kind: 'diskFailed'; readonly error: Error}
+  /** A controller failed; the member is restarted after a delay. */
+  | {readonly kind: 'memberFailed'; readonly error: Error};
 
 /** Options of a control member that recovers from disk failures. */
 export interface RecoveringMemberOptions extends Omit<
   ControlHostOptions,
-  'onHalted' | 'onFailed'
+  'onHalted' | 'onFailed' | 'onFault'
 > {
   /** Lists the nodes that other nodes know as members. */
   readonly readKnownMembers: () => readonly NodeId[];
-  readonly onFolderEvent: (event: FolderEvent) => void;
+  readonly onMemberEvent: (event: MemberEvent) => void;
 }
 
-/** A control member that restarts after its data folder or disk failed. */
+/** A control member that restarts after a failure. */
 export interface RecoveringMember {
   /** Handles a peer's message; returns whether it was meant for a member. */
   receive(from: NodeId, body: unknown): boolean;
@@ -36,14 +38,14 @@
 
 /** Interval at which the member is updated with the known members. */
 const KNOWN_MEMBERS_INTERVAL_MS = 500;
-/** Delay before a member whose disk failed is restarted. */
-const DISK_RETRY_DELAY_MS = 1_000;
+/** Delay before a member that failed is restarted. */
+const RESTART_DELAY_MS = 1_000;
 
-/** Starts a member that recovers after its data folder or disk failed. */
+/** Starts a member that recovers after a failure. */
 export async function createRecoveringMember(
   options: RecoveringMemberOptions,
 ): Promise<RecoveringMember> {
-  const {dataFolder, onFolderEvent} = options;
+  const {dataFolder, onMemberEvent} = options;
   let host: ControlHost | undefined = undefined;
   let retryTimer: NodeJS.Timeout | undefined;
   let isClosed = false;
@@ -57,33 +59,40 @@
         const error = new DataFolderRefusedError(dataFolder, reason);
         runOnceOpen(opening, () => replaceFolder(error));
       },
-      onFailed: error => runOnceOpen(opening, () => restartAfterDelay(error)),
+      onFailed: error =>
+        runOnceOpen(opening, () => restartAfterDelay('diskFailed', error)),
+      // Its state is on the disk, so the entry beside it can go on.
+      onFault: error =>
+        runOnceOpen(opening, () => restartAfterDelay('memberFailed', error)),
     });
     try {
       host = await opening;
     } catch (error) {
       await (isDamaged(error)
         ? replaceFolder(error)
-        : restartAfterDelay(error as Error));
+        : restartAfterDelay('diskFailed', error as Error));
     }
   };
   // The group does not accept a damaged or outdated folder. With an empty
   // folder the member is admitted again.
   const replaceFolder = async (error: Error): Promise<void> => {
-    onFolderEvent({kind: 'folderDiscarded', error});
+    onMemberEvent({kind: 'folderDiscarded', error});
     await stop();
     try {
       await clearStorageFolder(dataFolder);
     } catch (failure) {
-      await restartAfterDelay(failure as Error);
+      await restartAfterDelay('diskFailed', failure as Error);
       return;
     }
     await start();
   };
-  const restartAfterDelay = async (error: Error): Promise<void> => {
-    onFolderEvent({kind: 'diskFailed', error});
+  const restartAfterDelay = async (
+    kind: 'diskFailed' | 'memberFailed',
+    error: Error,
+  ): Promise<void> => {
+    onMemberEvent({kind, error});
     await stop();
-    retryTimer = setTimeout(() => void start(), DISK_RETRY_DELAY_MS);
+    retryTimer = setTimeout(() => void start(), RESTART_DELAY_MS);
   };
   const stop = async (): Promise<void> => {
     const stopped = host;
@@ -92,7 +101,7 @@
       await stopped?.close();
     } catch (error) {
       // The folder is read again at the next start, whatever its state.
-      onFolderEvent({kind: 'diskFailed', error: error as Error});
+      onMemberEvent({kind: 'diskFailed', error: error as Error});
     }
   };
   await start();
--- a/daemons/hosts/test/fullDisk.test.ts
+++ b/daemons/hosts/test/fullDisk.test.ts
@@ -98,7 +98,8 @@
     },
     logDecision: () => undefined,
     readKnownMembers: () => [NODE],
-    onFolderEvent: () => undefined,
+    onEffectFailed: () => undefined,
+    onMemberEvent: () => undefined,
   });
   const commands = setInterval(() => {
     sent += 1;
