bench/soak: requests that were left unread are not cut by planned work

A connection that is closed with unread bytes is reset; one whose bytes were read ends without a reset. Only the latter had read the request.

--- a/bench/soak/src/recordedEvent.ts
+++ b/bench/soak/src/recordedEvent.ts
@@ -41,7 +41,13 @@
       readonly defect: string | undefined;
     }
   /** The connection ended before the answer was complete. */
-  | {readonly kind: 'cut'; readonly hasHead: boolean; readonly detail: string}
+  | {
+      readonly kind: 'cut';
+      readonly hasHead: boolean;
+      /** Whether it was reset, as systems do if unread bytes are left. */
+      readonly isReset: boolean;
+      readonly detail: string;
+    }
   /** The caller closed its connection. */
   | {readonly kind: 'cancelled'; readonly cause: 'planned' | 'deadline'};
 
--- a/bench/soak/test/processChecks.test.ts
+++ b/bench/soak/test/processChecks.test.ts
@@ -64,6 +64,17 @@
     violations: 1,
     excused: 0,
   },
+  {
+    name: 'a request that was left unread',
+    events: [
+      terminated,
+      createSent(CALM, 'r'),
+      {at: CALM + 10, kind: 'requestWritten', attempt: 'r'},
+      createCut(CALM + 1_000, 'r', true),
+    ],
+    violations: 0,
+    excused: 0,
+  },
   {
     name: 'a request that crosses the close of its connection',
     events: [
