--- a/bench/soak/src/failedRuns.ts
+++ b/bench/soak/src/failedRuns.ts
@@ -46,4 +46,12 @@
     showed:
       'connections to the control leader fell silent; the VM that lost its lease by that was not told of a leave, and sent the endpoint requests as soon as it had a lease again',
   },
+  {
+    seed: 18,
+    seconds: 60,
+    vms: 4,
+    memory: 200,
+    showed:
+      'a VM without a lease was not told of a leave; it got its lease back 0.5 s later and still sent the endpoint requests 3 s after that',
+  },
 ];
