--- a/scheduling/slotContract/test/checkRateLimits.ts
+++ b/scheduling/slotContract/test/checkRateLimits.ts
@@ -13,7 +13,7 @@
 
 export const CONTACT_MS = 3_000;
 export const WINDOW_MS = 4_000;
-/** Time after which an entry must act on a limit that it was told. */
+/** Time after which an entry must act on a limit that it received. */
 const TOLD_MS = 500;
 const OVERAGE = 1.5;
 export const SLACK_REQUESTS = 5;
