Name the messages of token quotas by what they hold

allotmentAsk, allotmentVerdict, allotmentInquiry and allotmentUses, with the fields ask, verdict and told, become quotaRequest, quotaDecision, quotaUsageQuery and quotaUsageReport, as their types are called. The bytes between processes stay: kinds are numbers there and fields have no names.

--- a/fronts/entryWire/src/entryWire.ts
+++ b/fronts/entryWire/src/entryWire.ts
@@ -52,10 +52,10 @@
   endpointAnnounced: 4,
   endpointLeft: 5,
   endpointsListed: 6,
-  allotmentAsk: 7,
-  allotmentVerdict: 8,
-  allotmentUses: 9,
-  allotmentInquiry: 10,
+  quotaRequest: 7,
+  quotaDecision: 8,
+  quotaUsageReport: 9,
+  quotaUsageQuery: 10,
   brokenRunsReported: 11,
   soundPartsReported: 12,
   quarantinesReported: 13,
@@ -85,14 +85,14 @@
       return [kind, encodeWithdrawals(message.withdrawals)];
     case 'endpointsListed':
       return [kind, ...encodeEndpointList(message.list)];
-    case 'allotmentAsk':
-      return [kind, ...encodeQuotaRequest(message.ask)];
-    case 'allotmentVerdict':
-      return [kind, ...encodeQuotaDecision(message.verdict)];
-    case 'allotmentInquiry':
+    case 'quotaRequest':
+      return [kind, ...encodeQuotaRequest(message.request)];
+    case 'quotaDecision':
+      return [kind, ...encodeQuotaDecision(message.decision)];
+    case 'quotaUsageQuery':
       return [kind, message.set, message.epoch];
-    case 'allotmentUses':
-      return [kind, ...encodeQuotaUsageReport(message.told)];
+    case 'quotaUsageReport':
+      return [kind, ...encodeQuotaUsageReport(message.report)];
     case 'endpointLimitsReported':
       return [kind, message.set, encodeEndpointLimits(message.limits)];
     case 'brokenRunsReported':
@@ -163,21 +163,21 @@
       };
     case WIRE_KINDS.endpointsListed:
       return {kind: 'endpointsListed', list: decodeEndpointList(reader)};
-    case WIRE_KINDS.allotmentAsk:
-      return {kind: 'allotmentAsk', ask: decodeQuotaRequest(reader)};
-    case WIRE_KINDS.allotmentVerdict:
+    case WIRE_KINDS.quotaRequest:
+      return {kind: 'quotaRequest', request: decodeQuotaRequest(reader)};
+    case WIRE_KINDS.quotaDecision:
       return {
-        kind: 'allotmentVerdict',
-        verdict: decodeQuotaDecision(reader),
+        kind: 'quotaDecision',
+        decision: decodeQuotaDecision(reader),
       };
-    case WIRE_KINDS.allotmentInquiry:
+    case WIRE_KINDS.quotaUsageQuery:
       return {
-        kind: 'allotmentInquiry',
+        kind: 'quotaUsageQuery',
         set: reader.readIdentifier<EndpointSetId>(),
         epoch: reader.readCount(),
       };
-    case WIRE_KINDS.allotmentUses:
-      return {kind: 'allotmentUses', told: decodeQuotaUsageReport(reader)};
+    case WIRE_KINDS.quotaUsageReport:
+      return {kind: 'quotaUsageReport', report: decodeQuotaUsageReport(reader)};
     case WIRE_KINDS.endpointLimitsReported:
       return {
         kind: 'endpointLimitsReported',
--- a/fronts/entryWire/test/entryWire.test.ts
+++ b/fronts/entryWire/test/entryWire.test.ts
@@ -67,8 +67,8 @@
       },
     },
     {
-      kind: 'allotmentAsk',
-      ask: {
+      kind: 'quotaRequest',
+      request: {
         account,
         set,
         epoch: 3,
@@ -83,7 +83,7 @@
         coversMs: 8_000,
       },
     },
-    {kind: 'allotmentInquiry', set, epoch: 3},
+    {kind: 'quotaUsageQuery', set, epoch: 3},
     {
       kind: 'endpointLimitsReported',
       set,
@@ -148,8 +148,8 @@
       ],
     },
     {
-      kind: 'allotmentUses',
-      told: {
+      kind: 'quotaUsageReport',
+      report: {
         set,
         epoch: 3,
         uses: [
@@ -164,8 +164,8 @@
       },
     },
     {
-      kind: 'allotmentVerdict',
-      verdict: {
+      kind: 'quotaDecision',
+      decision: {
         account,
         epoch: 3,
         sequence: 1_700_000_000_001,
--- a/scheduling/entryModel/src/entryMessage.ts
+++ b/scheduling/entryModel/src/entryMessage.ts
@@ -193,15 +193,15 @@
       readonly withdrawals: readonly ReportedWithdrawal[];
     }
   | {readonly kind: 'endpointsListed'; readonly list: EndpointList}
-  | {readonly kind: 'allotmentAsk'; readonly ask: QuotaRequest}
-  | {readonly kind: 'allotmentVerdict'; readonly verdict: QuotaDecision}
+  | {readonly kind: 'quotaRequest'; readonly request: QuotaRequest}
+  | {readonly kind: 'quotaDecision'; readonly decision: QuotaDecision}
   | {
       /** Usage query: a quota owner asks an entry for its usage report. */
-      readonly kind: 'allotmentInquiry';
+      readonly kind: 'quotaUsageQuery';
       readonly set: EndpointSetId;
       readonly epoch: number;
     }
-  | {readonly kind: 'allotmentUses'; readonly told: QuotaUsageReport}
+  | {readonly kind: 'quotaUsageReport'; readonly report: QuotaUsageReport}
   | {
       /** Limits that endpoints of a set named in answers to an entry. */
       readonly kind: 'endpointLimitsReported';
--- a/scheduling/entryNode/test/entriesFixture.ts
+++ b/scheduling/entryNode/test/entriesFixture.ts
@@ -101,7 +101,7 @@
       case 'sendEntry': {
         const to = readEntry(effect.to);
         const {message} = effect;
-        quotaRequests += message.kind === 'allotmentAsk' ? 1 : 0;
+        quotaRequests += message.kind === 'quotaRequest' ? 1 : 0;
         deliveries.push({
           at: now() + (to === entry ? 0 : options.delayMs),
           from: entry,
--- a/scheduling/lifecycle/src/lifecycleController.ts
+++ b/scheduling/lifecycle/src/lifecycleController.ts
@@ -128,8 +128,8 @@
       handleControlMessage(view, draft, observation.message, now);
       return;
     case 'entryMessage':
-      if (observation.message.kind === 'allotmentVerdict') {
-        handleQuotaDecision(view, draft, observation.message.verdict, now);
+      if (observation.message.kind === 'quotaDecision') {
+        handleQuotaDecision(view, draft, observation.message.decision, now);
       }
       return;
     case 'timerDue':
--- a/scheduling/lifecycle/src/quota.ts
+++ b/scheduling/lifecycle/src/quota.ts
@@ -202,8 +202,8 @@
       denials: passed,
       retryAt: null,
     });
-    const ask = {...charge, set, epoch};
-    const message = {kind: 'allotmentAsk', ask} as const;
+    const quotaRequest = {...charge, set, epoch};
+    const message = {kind: 'quotaRequest', request: quotaRequest} as const;
     draft.addEffect({kind: 'sendEntry', to: node, address, message});
     const dueAt = now.monotonic + QUOTA_DECISION_TIMEOUT_MS;
     scheduleTimer(view, draft, dueAt, now);
--- a/scheduling/quotas/src/quotaOwnerController.ts
+++ b/scheduling/quotas/src/quotaOwnerController.ts
@@ -118,7 +118,7 @@
         kind: 'sendEntry',
         to,
         address,
-        message: {kind: 'allotmentInquiry', set, epoch},
+        message: {kind: 'quotaUsageQuery', set, epoch},
       },
     }));
 }
@@ -130,10 +130,10 @@
   now: TurnTime,
 ): readonly QuotaOwnerWrite[] {
   switch (message.kind) {
-    case 'allotmentAsk':
-      return answerQuotaRequest(view, from, message.ask, now);
-    case 'allotmentUses':
-      return recordUsageReport(view, from, message.told, now);
+    case 'quotaRequest':
+      return answerQuotaRequest(view, from, message.request, now);
+    case 'quotaUsageReport':
+      return recordUsageReport(view, from, message.report, now);
     default:
       return [];
   }
@@ -218,7 +218,7 @@
         kind: 'sendEntry',
         to: from,
         address,
-        message: {kind: 'allotmentVerdict', verdict: decided.decision},
+        message: {kind: 'quotaDecision', decision: decided.decision},
       },
     },
   ];
--- a/scheduling/quotas/src/usageReportController.ts
+++ b/scheduling/quotas/src/usageReportController.ts
@@ -16,7 +16,7 @@
 import {findQuotaOwner} from './findQuotaOwner.js';
 import {computeCoveredMs, toReportedUsage} from './usageReport.js';
 
-type UsageQuery = Extract<EntryMessage, {readonly kind: 'allotmentInquiry'}>;
+type UsageQuery = Extract<EntryMessage, {readonly kind: 'quotaUsageQuery'}>;
 type UsageReads = 'startedAt' | 'control' | 'configuration' | 'quotaUsage';
 type UsageView = View<EntrySections, UsageReads, EntryObservation>;
 type UsageWrite = EntryWrite<never>;
@@ -31,7 +31,7 @@
     run: (view, now) => {
       const {observation} = view;
       return observation?.kind === 'entryMessage' &&
-        observation.message.kind === 'allotmentInquiry'
+        observation.message.kind === 'quotaUsageQuery'
         ? answerUsageQuery(view, observation.from, observation.message, now)
         : [];
     },
@@ -47,7 +47,7 @@
   const address = findEntryAddress(view.board.control.directory, to);
   const coversMs = computeCoveredMs(view.board.startedAt, now);
   const report = {set, epoch, uses: listUsage(view, set, now), coversMs};
-  const message = {kind: 'allotmentUses', told: report} as const;
+  const message = {kind: 'quotaUsageReport', report} as const;
   return address === undefined
     ? []
     : [{kind: 'effect', effect: {kind: 'sendEntry', to, address, message}}];
