--- a/scheduling/entryModel/src/decision.ts
+++ b/scheduling/entryModel/src/decision.ts
@@ -9,9 +9,9 @@
   RequestId,
 } from '@gentianshunt/identifiers';
 
+import type {AnswerProgress} from './streamEnd.js';
 import type {QuarantineState} from './promptQuarantine.js';
 import type {EndpointRecord} from './endpointRecord.js';
-import type {AnswerProgress} from './streamEnd.js';
 
 /** A decision or a state change of an entry, with its inputs, for the log. */
 export type EntryDecision =
