--- a/scheduling/entryModel/src/decision.ts
+++ b/scheduling/entryModel/src/decision.ts
@@ -9,7 +9,6 @@
   RequestId,
 } from '@gentianshunt/identifiers';
 
-import type {AnswerProgress} from './streamEnd.js';
 import type {QuarantineState} from './promptQuarantine.js';
 import type {EndpointRecord} from './endpointRecord.js';
 import type {AnswerProgress} from './streamEnd.js';
