--- a/bench/soak/src/checkProcesses.ts
+++ b/bench/soak/src/checkProcesses.ts
@@ -8,8 +8,20 @@
 const AFTER_DISTURBANCE_MS = 1_000;
 const BYTES_PER_MEBIBYTE = 1024 * 1024;
 
-/** Checks that no process ends by itself. */
+/** Checks that all processes start and that none ends by itself. */
 export function checkProcessEnds(history: RunHistory): readonly Finding[] {
+  const notReady = listEvents(history.events, 'deploymentNotReady').map(
+    ({at, waitedMs}) => ({
+      check: 'processEnds' as const,
+      at,
+      detail: `not all VMs were ready ${waitedMs} ms after their first start`,
+      excuse: null,
+    }),
+  );
+  return [...notReady, ...listOwnEnds(history)];
+}
+
+function listOwnEnds(history: RunHistory): readonly Finding[] {
   return listEvents(history.events, 'vmEnded')
     .filter(({isAsked}) => !isAsked)
     .map(({at, vm, pid, result}) => ({
--- a/bench/soak/src/deployment.ts
+++ b/bench/soak/src/deployment.ts
@@ -7,6 +7,7 @@
 import type {SiteBounds, SitePorts, SiteVm} from '@gentianshunt/platformWorker';
 
 import type {ControlAddress} from './announcer.js';
+import {endWithProcess} from './endWithProcess.js';
 import {createLinkFaults} from './linkFaults.js';
 import type {LinkFaults} from './linkFaults.js';
 import {startLinkProxy} from './linkProxy.js';
@@ -74,6 +75,7 @@
   );
   const {folder, recorder} = options;
   const vms = sites.map(vm => createVmProcess({vm, folder, recorder}));
+  const forget = endWithProcess(() => vms.forEach(vm => vm.kill()));
   return {
     vms,
     ports,
@@ -92,6 +94,7 @@
     close: async () => {
       await Promise.all(vms.map(vm => vm.close()));
       await Promise.all(proxies.map(proxy => proxy.close()));
+      forget();
     },
   };
 }
--- a/bench/soak/src/recordedEvent.ts
+++ b/bench/soak/src/recordedEvent.ts
@@ -84,6 +84,8 @@
       readonly signal: VmSignal;
       readonly pid: number;
     }
+  /** Not all VMs were ready so long after their first start. */
+  | {readonly kind: 'deploymentNotReady'; readonly waitedMs: number}
   | {readonly kind: 'settingsWritten'; readonly vm: string}
   | {
       readonly kind: 'memoryMeasured';
--- a/bench/soak/src/runSoak.ts
+++ b/bench/soak/src/runSoak.ts
@@ -136,7 +136,10 @@
     signal: callersEnded.signal,
   });
   vms.forEach(vm => vm.start('firstStart'));
-  await deployment.awaitReady(READY_TIMEOUT_MS);
+  if (!(await deployment.awaitReady(READY_TIMEOUT_MS))) {
+    const waitedMs = READY_TIMEOUT_MS;
+    recorder.record({kind: 'deploymentNotReady', waitedMs});
+  }
   await sendVersion(operator, FIRST_VERSION);
   const endpoints = startEndpoints(options, deployment, recorder, ended.signal);
   await delay(WARM_UP_MS);
--- a/bench/soak/src/seedProcess.ts
+++ b/bench/soak/src/seedProcess.ts
@@ -1,6 +1,7 @@
 import {spawn} from 'node:child_process';
 import {createInterface} from 'node:readline';
 
+import {endWithProcess} from './endWithProcess.js';
 import type {SoakSummary} from './summary.js';
 
 /** A run, as the command line names it. */
@@ -39,6 +40,7 @@
   const child = spawn(process.execPath, [process.argv[1]!, ...args], {
     stdio: ['ignore', 'pipe', 'inherit'],
   });
+  const forget = endWithProcess(() => child.kill('SIGTERM'));
   let last = '';
   for await (const line of createInterface({input: child.stdout})) {
     if (last !== '') {
@@ -46,5 +48,6 @@
     }
     last = line;
   }
+  forget();
   return JSON.parse(last) as SoakSummary;
 }
--- a/bench/soak/src/vmProcess.ts
+++ b/bench/soak/src/vmProcess.ts
@@ -34,6 +34,8 @@
   /** Records the peak memory of the running process. */
   measureMemory(): void;
   /** Kills all processes; none starts afterwards. */
+  kill(): void;
+  /** Kills all processes and waits until they have ended. */
   close(): Promise<void>;
 }
 
@@ -95,17 +97,22 @@
       state.seeds = [...others, first!];
     },
     measureMemory: () => measureMemory(state),
+    kill: () => killProcesses(state),
     close: async () => {
-      state.isClosed = true;
-      state.running.forEach(child => {
-        state.asked.add(child);
-        child.kill('SIGKILL');
-      });
+      killProcesses(state);
       await awaitEnd(Infinity);
     },
   };
 }
 
+function killProcesses(state: VmState): void {
+  state.isClosed = true;
+  state.running.forEach(child => {
+    state.asked.add(child);
+    child.kill('SIGKILL');
+  });
+}
+
 function startProcess(state: VmState, cause: StartCause): void {
   const {vm, folder, recorder, running} = state;
   if (state.isClosed) {
--- a/bench/soak/test/processChecks.test.ts
+++ b/bench/soak/test/processChecks.test.ts
@@ -185,6 +185,12 @@
 }
 
 checkCases('processEnds', [
+  {
+    name: 'VMs that do not start',
+    events: [{at: CALM, kind: 'deploymentNotReady', waitedMs: 30_000}],
+    violations: 1,
+    excused: 0,
+  },
   {
     name: 'an end by itself',
     events: [createEnd(false)],
