--- a/daemons/processControl/src/runProcess.ts
+++ b/daemons/processControl/src/runProcess.ts
@@ -175,15 +175,11 @@
     console.error(`${formatEndCause(cause)}${detail}`);
     process.exit(exitCode);
   }
-  const isWritten = await logger.writeLast({
+  await logger.writeLast({
     kind: 'daemonStopped',
     exitCode,
     cause: formatEndCause(cause),
     error,
   });
-  if (!isWritten) {
-    // A write that the reader blocks would also block the exit.
-    process.kill(process.pid, 'SIGKILL');
-  }
   process.exit(exitCode);
 }
--- a/fronts/logging/src/logEvent.ts
+++ b/fronts/logging/src/logEvent.ts
@@ -192,11 +192,18 @@
     case 'settingsRefused':
     case 'answerUnbounded':
     case 'callFailed':
-    case 'faultDetected':
     case 'connectionFailed':
-    case 'effectFailed':
-    case 'memberFailed':
       return {event: event.kind, ...toErrorRecord(event.error)};
+    case 'faultDetected':
+    case 'effectFailed':
+    case 'memberFailed': {
+      const {error} = event;
+      return {
+        event: event.kind,
+        ...toErrorRecord(error),
+        stack: findStack(error),
+      };
+    }
     case 'settingsRead': {
       const {file, isChanged, isAsked} = event;
       return {event: event.kind, file, isChanged, isAsked};
@@ -240,6 +247,13 @@
   return {code: error.code, step, peer, message: error.message, ...hint};
 }
 
+/** Finds where the first cause of an error was thrown. */
+function findStack(error: Error): string | null {
+  return error.cause instanceof Error
+    ? findStack(error.cause)
+    : (error.stack ?? null);
+}
+
 function toRefusalRecord(refusal: Refusal): LogRecord {
   const {request, reason, notRun, retryAfterMs} = refusal;
   return {
--- a/fronts/logging/src/logger.ts
+++ b/fronts/logging/src/logger.ts
@@ -15,7 +15,7 @@
 /** Longest time that a line stays in the buffer. */
 const FLUSH_INTERVAL_MS = 250;
 /** Longest wait until a reader has taken the buffered lines. */
-export const FLUSH_TIMEOUT_MS = 500;
+export const FLUSH_TIMEOUT_MS = 1_000;
 const STDOUT_FD = 1;
 const MILLISECONDS_PER_SECOND = 1_000;
 
@@ -24,9 +24,9 @@
   write(event: LogEvent): void;
   /**
    * Writes the last line of a process, behind those that a slow reader has not
-   * taken yet, and closes the log. Returns whether it was written in time.
+   * taken yet, and closes the log. Resolves after a timeout at the latest.
    */
-  writeLast(event: LogEvent): Promise<boolean>;
+  writeLast(event: LogEvent): Promise<void>;
   /** Returns a logger that writes to the same output for another daemon. */
   withNode(node: string): Logger;
 }
@@ -78,8 +78,9 @@
       await output.flush();
       write(event);
       const isWritten = await output.flush();
-      output.close();
-      return isWritten;
+      if (!isWritten) {
+        output.close();
+      }
     },
     withNode: other => createNodeLogger(other, output, limiter),
   };
@@ -87,7 +88,7 @@
 
 interface Output {
   readonly stream: DestinationStream;
-  /** Returns whether the buffered lines were written before the timeout. */
+  /** Returns whether the buffered lines were written before a timeout. */
   flush(): Promise<boolean>;
   close(): void;
 }
@@ -121,7 +122,7 @@
       }),
     close: () => {
       clearInterval(timer);
-      // Otherwise the exit of the process waits for the reader.
+      // Otherwise the exit writes the rest synchronously.
       stream.destroy();
     },
   };
--- a/fronts/logging/test/logEvent.test.ts
+++ b/fronts/logging/test/logEvent.test.ts
@@ -178,3 +178,14 @@
   logger.withNode('entry-1').write({kind: 'signalIgnored', signal: 'SIGUSR2'});
   t.match(lines, [{daemon: 'entry-1', signal: 'SIGUSR2'}]);
 });
+
+t.test('a fault is logged with the stack of its cause', async t => {
+  const cause = new Error('example');
+  const error = new SchedulerError({
+    code: 'ERR_EXAMPLE',
+    message: 'it did not work',
+    origin: {step: 'connect', peer: 'entry-1'},
+    cause,
+  });
+  t.match(toLogRecord({kind: 'faultDetected', error}), {stack: cause.stack});
+});
