Reconcile leaves between entries, and confirm them before the acknowledgement

Callers saw requests reach an endpoint seconds after its leave was acknowledged, from a VM that had been paused, also later than contact_ms after its wake.

Cause: a leave was sent to each entry once, as a message that had to arrive. An entry whose link or process did not take it asked others only if housekeeping saw its lease gone, and else after up to 30 s. An entry that woke dispatched what it believed.

Leaves are now records that entries exchange each 500 ms by version and digest, both ways. An endpoint is acknowledged once another entry knows of its leave (503 after 600 ms). An entry that started, whose lease had lapsed or whose process stood still (monotonic clock or time of day) asks others before it matches or sends a request, for 600 ms at most. Returns are records too, so that no exchange brings a leave back.

Changed tests: entryWire has the new messages in place of the old ones; relayFixture, endlessHeartbeat and withdrawals give the new required fields; entriesFixture names each process, as the real one does, and fires the new timer.

Class: state announced once as a message. Also seen, not changed: pauses and named limits (one entry each, reported again with demand), returns (now records).

--- a/bench/matrix/src/entryHost.ts
+++ b/bench/matrix/src/entryHost.ts
@@ -228,6 +228,7 @@
       state.addresses = effect.addresses.map(address => address.node);
       return;
     case 'sendEndpointOrder':
+    case 'settleLeave':
     case 'redirectEntry':
     case 'logDecision':
       // No cell sends endpoint orders, asks for the members of the control
--- a/bench/policyBench/src/entryCluster.ts
+++ b/bench/policyBench/src/entryCluster.ts
@@ -212,6 +212,7 @@
     case 'redirectEntry':
     case 'logDecision':
     case 'sendEndpointOrder':
+    case 'settleLeave':
     case 'answerAddresses':
     case 'repeatAnswer':
     case 'answerOperator':
--- a/bench/virtualEntry/src/virtualEntries.ts
+++ b/bench/virtualEntry/src/virtualEntries.ts
@@ -261,6 +261,7 @@
     case 'repeatAnswer':
     case 'answerAddresses':
     case 'sendEndpointOrder':
+    case 'settleLeave':
     case 'redirectEntry':
     case 'logDecision':
     case 'answerOperator':
--- a/daemons/hosts/src/entryHost.ts
+++ b/daemons/hosts/src/entryHost.ts
@@ -11,7 +11,7 @@
   EntryTimer,
 } from '@gentianshunt/entryModel';
 import {assertNever} from '@gentianshunt/errors';
-import type {NodeId, RequestId} from '@gentianshunt/identifiers';
+import type {EndpointId, NodeId, RequestId} from '@gentianshunt/identifiers';
 import type {
   ControlToEntry,
   EntryToControl,
@@ -36,6 +36,11 @@
   sendEndpointOrder(
     execution: Extract<EntryEffect, {kind: 'sendEndpointOrder'}>['execution'],
   ): void;
+  /**
+   * Answers an endpoint that waits for the confirmation of its leave, if the
+   * daemon lets endpoints wait.
+   */
+  settleLeave?(endpoint: EndpointId, isConfirmed: boolean): void;
   setTimer(timer: EntryTimer, delayMs: Milliseconds): void;
   /** Writes a decision to the daemon's log output. */
   logDecision(decision: EntryDecision): void;
@@ -127,6 +132,9 @@
     case 'sendEndpointOrder':
       adapters.sendEndpointOrder(effect.execution);
       return;
+    case 'settleLeave':
+      adapters.settleLeave?.(effect.endpoint, effect.isConfirmed);
+      return;
     case 'logDecision':
       adapters.logDecision(effect.decision);
       return;
--- a/fronts/callRelay/src/withholdCause.ts
+++ b/fronts/callRelay/src/withholdCause.ts
@@ -1,3 +1,4 @@
+import {isLeaveKnowledgeCurrent} from '@gentianshunt/entryModel';
 import type {
   AdmittedRequest,
   Dispatch,
@@ -22,6 +23,10 @@
     return 'endpointLeft';
   }
   const now = clock.readMonotonic();
+  const turn = {monotonic: now, wall: clock.readWallTime()};
+  if (!isLeaveKnowledgeCurrent(view, turn)) {
+    return 'leavesUnknown';
+  }
   if ((view.pausedEndpoints.get(target.endpoint) ?? now) > now) {
     return 'endpointPaused';
   }
--- a/fronts/callRelay/test/relayFixture.ts
+++ b/fronts/callRelay/test/relayFixture.ts
@@ -183,6 +183,8 @@
       configuration,
       control,
       withdrawnEndpoints,
+      leaveCatchUp: {kind: 'current'},
+      processActivity: null,
       quarantines,
       namedLimits: new Map(),
       pausedEndpoints: new Map(),
--- a/fronts/entryWire/src/entryWire.ts
+++ b/fronts/entryWire/src/entryWire.ts
@@ -38,10 +38,12 @@
 import {createWireReader} from './wireReader.js';
 import type {WireReader} from './wireReader.js';
 import {
+  decodeLeavesReport,
+  decodeLeavesRequest,
   decodeLeft,
-  decodeWithdrawals,
+  encodeLeavesReport,
+  encodeLeavesRequest,
   encodeLeft,
-  encodeWithdrawals,
 } from './withdrawalWire.js';
 
 /** The number that stands for each message kind on the wire. */
@@ -63,6 +65,7 @@
   endpointLimitsReported: 15,
   withdrawalsRequested: 16,
   withdrawalsReported: 17,
+  leaveConfirmed: 18,
 } as const satisfies Readonly<Record<EntryMessage['kind'], number>>;
 
 /** Encodes a message between entries as nested arrays. */
@@ -78,11 +81,18 @@
     case 'endpointAnnounced':
       return [kind, ...encodeAnnouncement(message.announcement)];
     case 'endpointLeft':
+      return [
+        kind,
+        message.endpoint,
+        encodeLeft(message.left),
+        message.isConfirmationRequested ? 1 : 0,
+      ];
+    case 'leaveConfirmed':
       return [kind, message.endpoint, encodeLeft(message.left)];
     case 'withdrawalsRequested':
-      return [kind];
+      return [kind, ...encodeLeavesRequest(message)];
     case 'withdrawalsReported':
-      return [kind, encodeWithdrawals(message.withdrawals)];
+      return [kind, ...encodeLeavesReport(message)];
     case 'endpointsListed':
       return [kind, ...encodeEndpointList(message.list)];
     case 'allotmentAsk':
@@ -153,14 +163,18 @@
         kind: 'endpointLeft',
         endpoint: reader.readIdentifier<EndpointId>(),
         left: decodeLeft(reader.readList()),
+        isConfirmationRequested: reader.readCount() === 1,
       };
-    case WIRE_KINDS.withdrawalsRequested:
-      return {kind: 'withdrawalsRequested'};
-    case WIRE_KINDS.withdrawalsReported:
+    case WIRE_KINDS.leaveConfirmed:
       return {
-        kind: 'withdrawalsReported',
-        withdrawals: decodeWithdrawals(reader.readList()),
+        kind: 'leaveConfirmed',
+        endpoint: reader.readIdentifier<EndpointId>(),
+        left: decodeLeft(reader.readList()),
       };
+    case WIRE_KINDS.withdrawalsRequested:
+      return decodeLeavesRequest(reader);
+    case WIRE_KINDS.withdrawalsReported:
+      return decodeLeavesReport(reader);
     case WIRE_KINDS.endpointsListed:
       return {kind: 'endpointsListed', list: decodeEndpointList(reader)};
     case WIRE_KINDS.allotmentAsk:
--- a/fronts/logging/src/logEvent.ts
+++ b/fronts/logging/src/logEvent.ts
@@ -106,7 +106,10 @@
     case 'callerDisconnected':
       return 'detail';
     case 'entryDecided':
-      if (event.decision.kind === 'endpointLeaveLearnt') {
+      if (
+        event.decision.kind === 'endpointLeaveLearnt' ||
+        event.decision.kind === 'leaveUnconfirmed'
+      ) {
         return 'outcome';
       }
       return event.decision.kind === 'requestDispatched' ||
--- a/scheduling/entryModel/src/decision.ts
+++ b/scheduling/entryModel/src/decision.ts
@@ -12,6 +12,7 @@
 import type {AnswerProgress} from './observation.js';
 import type {QuarantineState} from './promptQuarantine.js';
 import type {EndpointRecord} from './endpointRecord.js';
+import type {CatchUpCause} from './leaveRecord.js';
 import type {WithdrawalSource} from './withdrawal.js';
 
 /** A decision or a state change of an entry, with its inputs, for the log. */
@@ -105,6 +106,22 @@
       /** Time since the latest of them was dispatched. */
       readonly sinceDispatchMs: Milliseconds | null;
     }
+  | {
+      /** No other entry confirmed in time that it knows of a leave. */
+      readonly kind: 'leaveUnconfirmed';
+      readonly endpoint: EndpointId;
+      readonly waitedMs: Milliseconds;
+    }
+  | {
+      /** The entry has caught up with the leaves that it may have missed. */
+      readonly kind: 'leaveCatchUpEnded';
+      readonly cause: CatchUpCause;
+      /** How long the process stood still; 0 for another cause. */
+      readonly pausedMs: Milliseconds;
+      readonly waitedMs: Milliseconds;
+      /** `null` if no entry answered in time, or there is no other. */
+      readonly answeredBy: NodeId | null;
+    }
   | {
       /** The quarantine of a prompt part was decided or learnt. */
       readonly kind: 'promptQuarantineChanged';
--- a/scheduling/entryModel/src/directory.ts
+++ b/scheduling/entryModel/src/directory.ts
@@ -16,17 +16,39 @@
   readonly identity: EntryIdentity;
 }
 
-/** Picks some of the other entries, others at each time and entry. */
+/**
+ * Picks some of the other entries, others at each time and entry. They are apart
+ * in the directory, where neighbours may share a failure domain.
+ */
 export function pickOtherEntries(
   board: DirectoryBoard,
   count: number,
   now: TurnTime,
 ): readonly EntryAddress[] {
-  const others = listOtherEntries(board);
+  const {entries} = board.control.directory;
   const self = board.identity.address.node;
   const offset = hashToFraction(`${self}/${Math.round(now.monotonic)}`);
-  const first = Math.floor(offset * others.length);
-  return [...others.slice(first), ...others.slice(0, first)].slice(0, count);
+  const first = Math.floor(offset * entries.length);
+  const distance = Math.max(1, Math.floor(entries.length / (count + 1)));
+  const picked = new Set<EntryAddress>();
+  for (let step = 0; step < entries.length && picked.size < count; step += 1) {
+    const {address} = entries[(first + step * distance) % entries.length]!;
+    if (address.node !== self) {
+      picked.add(address);
+    }
+  }
+  return picked.size === Math.min(count, entries.length - 1)
+    ? [...picked]
+    : listOtherEntries(board).slice(0, count);
+}
+
+/** Finds the address of another entry. */
+export function findOtherEntry(
+  {control}: DirectoryBoard,
+  node: NodeId,
+): EntryAddress | undefined {
+  return control.directory.entries.find(({address}) => address.node === node)
+    ?.address;
 }
 
 /** Lists the addresses of the other entries. */
--- a/scheduling/entryModel/src/effect.ts
+++ b/scheduling/entryModel/src/effect.ts
@@ -5,7 +5,7 @@
   EntryToControl,
   NetworkAddress,
 } from '@gentianshunt/messages';
-import type {NodeId, RequestId} from '@gentianshunt/identifiers';
+import type {EndpointId, NodeId, RequestId} from '@gentianshunt/identifiers';
 
 import type {EntryDecision} from './decision.js';
 import type {OrderExecution} from './endpointOrder.js';
@@ -88,6 +88,13 @@
       /** Entries in the order in which the caller tries them. */
       readonly addresses: readonly EntryAddress[];
     }
+  | {
+      /** Answers an endpoint that reported its leave and waits. */
+      readonly kind: 'settleLeave';
+      readonly endpoint: EndpointId;
+      /** Whether another entry knows of the leave. */
+      readonly isConfirmed: boolean;
+    }
   /** Logs a decision; nothing depends on its delivery. */
   | {readonly kind: 'logDecision'; readonly decision: EntryDecision}
   | {readonly kind: 'exit'};
--- a/scheduling/entryModel/src/entryMessage.ts
+++ b/scheduling/entryModel/src/entryMessage.ts
@@ -18,7 +18,8 @@
 import type {QuotaDecision, QuotaRequest, QuotaUsageReport} from './quota.js';
 import type {EndpointAnnouncement} from './endpoint.js';
 import type {EndpointTarget} from './request.js';
-import type {LeftIncarnation, ReportedWithdrawal} from './withdrawal.js';
+import type {LeaveLogPosition, ReportedLeave} from './leaveRecord.js';
+import type {LeftIncarnation} from './withdrawal.js';
 
 /**
  * Stands for any organisation in the queues and grants of advance slots. It is
@@ -183,14 +184,36 @@
       readonly kind: 'endpointLeft';
       readonly endpoint: EndpointId;
       readonly left: LeftIncarnation;
+      readonly isConfirmationRequested: boolean;
     }
   | {
-      /** Asks an entry which endpoints it knows to have left. */
+      /** The sender knows of a leave that this entry notified it of. */
+      readonly kind: 'leaveConfirmed';
+      readonly endpoint: EndpointId;
+      readonly left: LeftIncarnation;
+    }
+  | {
+      /** Asks an entry what it has learnt of leaves since it was asked last. */
       readonly kind: 'withdrawalsRequested';
+      /** Number of the request, which the reply repeats. */
+      readonly request: number;
+      /** How far the sender has read the receiver's log; `null` if not at all. */
+      readonly after: LeaveLogPosition | null;
+      /** Digest of the sender's records. */
+      readonly digest: number;
+      /** Position of the sender's own log. */
+      readonly own: LeaveLogPosition;
     }
   | {
       readonly kind: 'withdrawalsReported';
-      readonly withdrawals: readonly ReportedWithdrawal[];
+      readonly request: number;
+      /** How far the receiver has read the sender's log with this reply. */
+      readonly position: LeaveLogPosition;
+      /** Whether the sender knows nothing else. */
+      readonly isComplete: boolean;
+      /** Whether the sender is not about to catch up itself. */
+      readonly isCurrent: boolean;
+      readonly withdrawals: readonly ReportedLeave[];
     }
   | {readonly kind: 'endpointsListed'; readonly list: EndpointList}
   | {readonly kind: 'allotmentAsk'; readonly ask: QuotaRequest}
--- a/scheduling/entryModel/src/observation.ts
+++ b/scheduling/entryModel/src/observation.ts
@@ -37,6 +37,8 @@
   | {readonly kind: 'demandReporting'}
   /** An allocation of a led set is due. */
   | {readonly kind: 'allocation'}
+  /** Other entries have not answered questions about leaves. */
+  | {readonly kind: 'withdrawalExchange'}
   | {readonly kind: 'housekeeping'};
 
 /** Why a front did not send a dispatched request. */
@@ -50,7 +52,9 @@
   /** The endpoint has asked this entry to send nothing for a while. */
   | 'endpointPaused'
   /** The endpoint left after the request was dispatched. */
-  | 'endpointLeft';
+  | 'endpointLeft'
+  /** The process stood still since, and may not know whether it left. */
+  | 'leavesUnknown';
 
 /** How far an answer had come when its stream broke. */
 export type AnswerProgress =
--- a/scheduling/entryModel/src/sections.ts
+++ b/scheduling/entryModel/src/sections.ts
@@ -55,6 +55,7 @@
 import type {KnownLimit, NamedLimit} from './endpointSignals.js';
 import type {EndpointRecord, ReceivedAnnouncement} from './endpointRecord.js';
 import type {EntryIdentity} from './identity.js';
+import {createLeaveSections} from './leaveSections.js';
 import {NOTHING_LOGGED} from './loggedState.js';
 import type {LoggedState} from './loggedState.js';
 import type {OrderEpoch, OrderExecutionState} from './endpointOrder.js';
@@ -73,7 +74,7 @@
   SlotMatch,
 } from './entryMessage.js';
 import type {AdmittedRequest, Refusal, RequestState} from './request.js';
-import type {Withdrawal, WithdrawalExchange} from './withdrawal.js';
+import type {Withdrawal} from './withdrawal.js';
 
 /** The entry's lease and its session with the leading control daemon. */
 export interface ControlStatus {
@@ -338,10 +339,7 @@
     knownEndpoints: defineMap<EndpointSetId, KnownEndpoints>(),
     /** Endpoints that left. */
     withdrawnEndpoints: defineMap<EndpointId, Withdrawal>(),
-    withdrawalExchange: defineCell<WithdrawalExchange>({
-      hadLease: false,
-      requestedAt: Number.NEGATIVE_INFINITY,
-    }),
+    ...createLeaveSections(),
     /** Until when endpoints want nothing from this entry. */
     pausedEndpoints: defineMap<EndpointId, MonotonicTime>(),
     demandReports: defineOrdered<SetEntryKey, DemandReportRecord>(
--- a/scheduling/entryModel/src/withdrawal.ts
+++ b/scheduling/entryModel/src/withdrawal.ts
@@ -1,4 +1,4 @@
-import type {Milliseconds, MonotonicTime} from '@gentianshunt/clock';
+import type {MonotonicTime} from '@gentianshunt/clock';
 import {assertNever} from '@gentianshunt/errors';
 import type {
   EndpointId,
@@ -36,20 +36,6 @@
   readonly until: MonotonicTime;
 }
 
-/** A withdrawal as entries report it to each other. */
-export interface ReportedWithdrawal {
-  readonly endpoint: EndpointId;
-  readonly left: LeftIncarnation;
-  readonly remainingMs: Milliseconds;
-}
-
-/** When this entry asked others which endpoints left. */
-export interface WithdrawalExchange {
-  /** Whether it had a lease when that was last checked. */
-  readonly hadLease: boolean;
-  readonly requestedAt: MonotonicTime;
-}
-
 /** Returns the incarnation that an announcement describes. */
 export function toLeftIncarnation({
   order,
--- a/scheduling/entryNode/test/entriesFixture.ts
+++ b/scheduling/entryNode/test/entriesFixture.ts
@@ -26,6 +26,11 @@
 const LEASE_MS = 3_000;
 const CONTROL = 'control-0';
 const SET = 'drafts';
+/** Timers that the fixture fires when they are due. */
+const FIXTURE_TIMERS: ReadonlySet<EntryTimer['kind']> = new Set([
+  'quotaRequests',
+  'withdrawalExchange',
+]);
 const TIERS = ['gold', 'silver', 'bronze'];
 
 /** What the entries of a fixture share. */
@@ -94,6 +99,7 @@
   let version = 1;
   let requestCount = 0;
   let quotaRequests = 0;
+  let processes = 0;
   const now = (): Milliseconds => clock.readMonotonic();
   const readEntry = (node: NodeId): number => Number(node.slice(6));
   const perform = (entry: number, effect: EntryEffect): void => {
@@ -127,7 +133,7 @@
     createEntryNode({
       identity: {
         address: createAddress(entry),
-        incarnation: toIdentifier('i1'),
+        incarnation: toIdentifier(`i${(processes += 1)}`),
         controlNodes: [toIdentifier(CONTROL)],
         bounds: {
           repeatRatio: 0.2,
@@ -190,7 +196,7 @@
   const runTimers = (): void => {
     for (const [name, at] of [...timers]) {
       const [entry, kind] = name.split('/') as [string, EntryTimer['kind']];
-      if (at <= now() && kind === 'quotaRequests') {
+      if (at <= now() && FIXTURE_TIMERS.has(kind)) {
         timers.delete(name);
         nodes[Number(entry)]!.post({kind: 'timerDue', timer: {kind}});
       }
--- a/scheduling/lifecycle/src/unsentStreams.ts
+++ b/scheduling/lifecycle/src/unsentStreams.ts
@@ -63,6 +63,7 @@
       return;
     case 'endpointLeft':
     case 'endpointPaused':
+    case 'leavesUnknown':
       handleNotSent(
         view,
         draft,
--- a/scheduling/setLeader/src/endpointRegistry.ts
+++ b/scheduling/setLeader/src/endpointRegistry.ts
@@ -274,7 +274,12 @@
   leaders.delete(identity.address.node);
   return [...leaders].flatMap(to => {
     const address = findEntryAddress(control.directory, to);
-    const message = {kind: 'endpointLeft', endpoint, left} as const;
+    const message = {
+      kind: 'endpointLeft',
+      endpoint,
+      left,
+      isConfirmationRequested: false,
+    } as const;
     return address === undefined
       ? []
       : [{kind: 'effect', effect: {kind: 'sendEntry', to, address, message}}];
--- a/scheduling/slotClient/src/index.ts
+++ b/scheduling/slotClient/src/index.ts
@@ -9,3 +9,4 @@
 export * from './setUseController.js';
 export * from './slotController.js';
 export * from './withdrawalController.js';
+export {WITHDRAWAL_MS} from './withdrawalDraft.js';
--- a/scheduling/slotClient/src/matchToFallback.ts
+++ b/scheduling/slotClient/src/matchToFallback.ts
@@ -1,5 +1,5 @@
 import type {TurnTime} from '@gentianshunt/board';
-import {iterateQueues} from '@gentianshunt/entryModel';
+import {isLeaveKnowledgeCurrent, iterateQueues} from '@gentianshunt/entryModel';
 import type {EndpointTarget} from '@gentianshunt/entryModel';
 import type {EndpointSetId, GrantId} from '@gentianshunt/identifiers';
 import {spendBucket} from '@gentianshunt/limits';
@@ -20,7 +20,8 @@
 ): readonly SlotWrite[] {
   const {leaderSilence} = view.board.identity;
   const usesFallback = leaderSilence?.kind === 'useFallbackCapacity';
-  if (view.observation?.kind !== 'timerDue' || !usesFallback) {
+  const isCurrent = isLeaveKnowledgeCurrent(view.board, now);
+  if (view.observation?.kind !== 'timerDue' || !usesFallback || !isCurrent) {
     return [];
   }
   const sets = new Set<EndpointSetId>();
--- a/scheduling/slotClient/src/slotController.ts
+++ b/scheduling/slotClient/src/slotController.ts
@@ -3,6 +3,7 @@
 import {
   ANY_ORGANISATION,
   defineEntryController,
+  isLeaveKnowledgeCurrent,
   isQueued,
   isSameQueue,
   iterateQueues,
@@ -116,7 +117,11 @@
   const newSlots = reply === null ? [] : toSlots(view, reply, now);
   const draft = createSlotDraft(view, newSlots, now);
   const readOpen = createOpenReader(view, now);
-  const matches = listChangedQueues(view, newSlots).flatMap(queue =>
+  // An entry that may have missed leaves keeps new slots until it has caught up.
+  const queues = isLeaveKnowledgeCurrent(view.board, now)
+    ? listChangedQueues(view, newSlots)
+    : [];
+  const matches = queues.flatMap(queue =>
     matchQueue(view, queue, draft, readOpen(queue.set), now),
   );
   return [...matches, ...draft.listWrites()];
@@ -133,6 +138,11 @@
   for (const key of view.readChanges('waiting')) {
     addQueue(pickQueueKey(key as QueueKey));
   }
+  if (view.readChanges('leaveCatchUp').size > 0) {
+    for (const {key} of view.board.queues.iterateFrom()) {
+      addQueue(key);
+    }
+  }
   for (const set of view.readChanges('openCapacities')) {
     for (const {key} of iterateQueues(
       view.board.queues,
--- a/scheduling/slotClient/src/slotView.ts
+++ b/scheduling/slotClient/src/slotView.ts
@@ -27,6 +27,8 @@
   'knownEndpoints',
   'running',
   'withdrawnEndpoints',
+  'leaveCatchUp',
+  'processActivity',
   'pausedEndpoints',
   'namedLimits',
   'ungrantedUse',
--- a/scheduling/slotClient/src/withdrawalController.ts
+++ b/scheduling/slotClient/src/withdrawalController.ts
@@ -1,10 +1,8 @@
-import type {TurnTime, View} from '@gentianshunt/board';
-import type {Milliseconds} from '@gentianshunt/clock';
-import {findObject} from '@gentianshunt/configuration';
+import type {TurnTime} from '@gentianshunt/board';
 import {
   defineEntryController,
   findLeftIncarnation,
-  isCoveredBy,
+  findOtherEntry,
   isLaterIncarnation,
   listOtherEntries,
   toLeftIncarnation,
@@ -13,61 +11,57 @@
   EndpointAnnouncement,
   EntryController,
   EntryMessage,
-  EntryObservation,
-  EntrySections,
-  EntryWrite,
+  EntryTimer,
   LeftIncarnation,
-  Withdrawal,
   WithdrawalSource,
 } from '@gentianshunt/entryModel';
+import {findObject} from '@gentianshunt/configuration';
 import type {EndpointId, NodeId} from '@gentianshunt/identifiers';
 
 import {
+  checkLease,
+  checkPause,
+  handleCatchUpReport,
+  startAfterStart,
+  stepCatchUp,
+} from './leaveCatchUp.js';
+import {
+  broadcastLeave,
+  confirmLeave,
+  resumeConfirmation,
+  stepConfirmations,
+} from './leaveConfirmation.js';
+import {createWithdrawalDraft} from './withdrawalDraft.js';
+import type {LearntLeave, WithdrawalDraft} from './withdrawalDraft.js';
+import {
+  dropPositions,
+  handleLeavesReport,
+  handleLeavesRequest,
   syncWithdrawals,
-  sendTo,
-  sendWithdrawals,
 } from './withdrawalExchange.js';
+import {sendTo, WITHDRAWAL_READS, WITHDRAWAL_WRITES} from './withdrawalView.js';
+import type {
+  WithdrawalReads,
+  WithdrawalView,
+  WithdrawalWrites,
+} from './withdrawalView.js';
 
-/**
- * How long an entry remembers that an endpoint left. Announcements sent before
- * it left may arrive until then, also at an entry that has no record of it.
- */
-export const WITHDRAWAL_MS: Milliseconds = 120_000;
 /** Most withdrawals that an entry remembers; the oldest give way. */
 export const MAX_WITHDRAWALS = 16_384;
 
-const WITHDRAWAL_READS = [
-  'identity',
-  'control',
-  'configuration',
-  'announcements',
-  'endpoints',
-  'withdrawnEndpoints',
-  'withdrawalExchange',
-] as const;
-type WithdrawalReads = (typeof WITHDRAWAL_READS)[number];
-type WithdrawalSections = 'withdrawnEndpoints' | 'withdrawalExchange';
-/** The board as the withdrawal controller sees it. */
-export type WithdrawalView = View<
-  EntrySections,
-  WithdrawalReads,
-  EntryObservation
->;
-export type WithdrawalWrite = EntryWrite<WithdrawalSections>;
-
 /**
- * Creates the controller that withdraws endpoints that leave. The entry that an
- * endpoint tells of its leave notifies all others, so that slots and endpoint
- * lists that they hold are not used any more, whether or not the set leader
- * keeps up, and so that the leave outlives both. An entry that has just started
- * or was cut off asks others for the leaves that they know of.
+ * Creates the controller that withdraws endpoints that leave. What is known of
+ * leaves is state that all entries keep and compare with each other: the entry
+ * that an endpoint tells notifies all others, which is the fast way, and entries
+ * exchange what a notification did not reach. See docs/design/leaves.md.
  */
 export function createWithdrawalController(): EntryController {
-  return defineEntryController<WithdrawalReads, WithdrawalSections>({
+  return defineEntryController<WithdrawalReads, WithdrawalWrites>({
     name: 'withdrawals',
     reads: WITHDRAWAL_READS,
-    writes: ['withdrawnEndpoints', 'withdrawalExchange'],
+    writes: WITHDRAWAL_WRITES,
     observes: [
+      'started',
       'endpointContact',
       'endpointLeft',
       'endpointSignalled',
@@ -75,196 +69,241 @@
       'timerDue',
     ],
     run: (view, now) => {
-      const {observation} = view;
-      switch (observation?.kind) {
-        case 'endpointContact':
-          return handleContact(view, observation.announcement, now);
-        case 'endpointLeft':
-          return handleLeave(view, observation.endpoint, 'endpoint', now);
-        case 'endpointSignalled':
-          return observation.signals.isLeaving
-            ? handleLeave(view, observation.endpoint, 'answer', now)
-            : [];
-        case 'entryMessage':
-          return handleMessage(
-            view,
-            observation.from,
-            observation.message,
-            now,
-          );
-        case 'timerDue':
-          return observation.timer.kind === 'housekeeping'
-            ? [...expireWithdrawals(view, now), ...syncWithdrawals(view, now)]
-            : [];
-        default:
-          return [];
-      }
+      const draft = createWithdrawalDraft(view, now);
+      checkPause(view, draft, now);
+      checkLease(view, draft, now);
+      handleObservation(view, draft, now);
+      return draft.listWrites();
     },
   });
 }
 
+function handleObservation(
+  view: WithdrawalView,
+  draft: WithdrawalDraft,
+  now: TurnTime,
+): void {
+  const {observation} = view;
+  switch (observation?.kind) {
+    case 'started':
+      startAfterStart(draft, now);
+      return;
+    case 'endpointContact':
+      handleContact(view, draft, observation.announcement, now);
+      return;
+    case 'endpointLeft':
+      handleLeave(view, draft, observation.endpoint, 'endpoint', now);
+      return;
+    case 'endpointSignalled':
+      if (observation.signals.isLeaving) {
+        handleLeave(view, draft, observation.endpoint, 'answer', now);
+      }
+      return;
+    case 'entryMessage':
+      handleMessage(view, draft, observation.from, observation.message, now);
+      return;
+    case 'timerDue':
+      handleTimer(view, draft, observation.timer, now);
+      return;
+    default:
+  }
+}
+
+function handleTimer(
+  view: WithdrawalView,
+  draft: WithdrawalDraft,
+  {kind}: EntryTimer,
+  now: TurnTime,
+): void {
+  if (kind === 'housekeeping') {
+    expireWithdrawals(view, draft, now);
+    syncWithdrawals(view, draft, now);
+    dropPositions(view, draft);
+  }
+  if (kind === 'housekeeping' || kind === 'withdrawalExchange') {
+    stepCatchUp(view, draft, now);
+    stepConfirmations(view, draft, now);
+  }
+}
+
 function handleContact(
   view: WithdrawalView,
+  draft: WithdrawalDraft,
   announcement: EndpointAnnouncement,
   now: TurnTime,
-): readonly WithdrawalWrite[] {
-  const {endpoint, set, leaving} = announcement;
-  if (!leaving) {
-    return clearWithdrawal(view, announcement);
+): void {
+  const self = view.board.identity.address.node;
+  if (announcement.leaving) {
+    const {endpoint} = announcement;
+    const left = toLeftIncarnation(announcement);
+    recordLeave(view, draft, endpoint, left, 'endpoint', now);
+  } else {
+    learnReturn(draft, announcement, 'endpoint', self);
   }
-  // The set leader gets the announcement itself, which names an incarnation.
-  const leader = findObject(view.board.configuration, 'setLeadership', set);
-  const left = toLeftIncarnation(announcement);
-  const origin = createOwnOrigin(view, 'endpoint');
-  return broadcastLeave(view, endpoint, left, origin, leader?.node, now);
 }
 
 function handleLeave(
   view: WithdrawalView,
+  draft: WithdrawalDraft,
   endpoint: EndpointId,
   source: WithdrawalSource,
   now: TurnTime,
-): readonly WithdrawalWrite[] {
+): void {
   const left = findLeftIncarnation(view.board, endpoint, now);
-  const origin = createOwnOrigin(view, source);
-  return broadcastLeave(view, endpoint, left, origin, undefined, now);
+  recordLeave(view, draft, endpoint, left, source, now);
+}
+
+/** Withdraws an endpoint that told this entry, and notifies all others once. */
+function recordLeave(
+  view: WithdrawalView,
+  draft: WithdrawalDraft,
+  endpoint: EndpointId,
+  left: LeftIncarnation,
+  source: WithdrawalSource,
+  now: TurnTime,
+): void {
+  const learntFrom = view.board.identity.address.node;
+  if (learnLeave(draft, {endpoint, left, source, learntFrom})) {
+    broadcastLeave(view, draft, endpoint, left, now);
+  } else {
+    resumeConfirmation(view, draft, endpoint, now);
+  }
 }
 
-/** Where an entry knows a leave from. */
-type Origin = Pick<Withdrawal, 'source' | 'learntFrom'>;
+/** What an entry is told of a leave. */
+interface ToldLeave {
+  readonly endpoint: EndpointId;
+  readonly left: LeftIncarnation;
+  readonly source: WithdrawalSource;
+  readonly learntFrom: NodeId;
+}
 
-function createOwnOrigin(
-  {board}: WithdrawalView,
+function learnLeave(
+  draft: WithdrawalDraft,
+  {endpoint, left, source, learntFrom}: ToldLeave,
+): boolean {
+  const leave: LearntLeave = {
+    endpoint,
+    state: 'left',
+    incarnation: left,
+    source,
+    learntFrom,
+  };
+  return draft.learn(leave);
+}
+
+/** Lifts the withdrawal of an endpoint that has started since it left. */
+function learnReturn(
+  draft: WithdrawalDraft,
+  announcement: EndpointAnnouncement,
   source: WithdrawalSource,
-): Origin {
-  return {source, learntFrom: board.identity.address.node};
+  learntFrom: NodeId,
+): boolean {
+  const {endpoint} = announcement;
+  const known = draft.find(endpoint);
+  return (
+    known?.state === 'left' &&
+    isLaterIncarnation(announcement, known.incarnation) &&
+    draft.learn({
+      endpoint,
+      state: 'returned',
+      incarnation: toLeftIncarnation(announcement),
+      source,
+      learntFrom,
+    })
+  );
 }
 
 function handleMessage(
   view: WithdrawalView,
+  draft: WithdrawalDraft,
   from: NodeId,
   message: EntryMessage,
   now: TurnTime,
-): readonly WithdrawalWrite[] {
+): void {
   switch (message.kind) {
     case 'endpointLeft': {
-      const origin = {source: 'notification', learntFrom: from} as const;
-      return putWithdrawal(view, message.endpoint, message.left, origin, now);
+      const {endpoint, left} = message;
+      const source = 'notification';
+      learnLeave(draft, {endpoint, left, source, learntFrom: from});
+      confirmLeave(view, draft, endpoint, left);
+      if (message.isConfirmationRequested) {
+        sendConfirmation(view, draft, from, endpoint, left);
+      }
+      return;
     }
+    case 'leaveConfirmed':
+      confirmLeave(view, draft, message.endpoint, message.left);
+      return;
     case 'endpointAnnounced':
-      return handleForwarded(view, from, message.announcement, now);
+      handleForwarded(view, draft, from, message.announcement);
+      return;
     case 'withdrawalsRequested':
-      return sendWithdrawals(view, from, now);
+      handleLeavesRequest(view, draft, from, message, now);
+      return;
     case 'withdrawalsReported':
-      return message.withdrawals.flatMap(({endpoint, left, remainingMs}) =>
-        putWithdrawal(
-          view,
-          endpoint,
-          left,
-          {source: 'exchange', learntFrom: from},
-          now,
-          remainingMs,
-        ),
-      );
+      handleLeavesReport(view, draft, from, message);
+      for (const {endpoint, state, incarnation} of message.withdrawals) {
+        if (state === 'left') {
+          confirmLeave(view, draft, endpoint, incarnation);
+        }
+      }
+      handleCatchUpReport(draft, from, message, now);
+      return;
     default:
-      return [];
+  }
+}
+
+function sendConfirmation(
+  {board}: WithdrawalView,
+  draft: WithdrawalDraft,
+  to: NodeId,
+  endpoint: EndpointId,
+  left: LeftIncarnation,
+): void {
+  const address = findOtherEntry(board, to);
+  if (address !== undefined) {
+    draft.add(sendTo(address, {kind: 'leaveConfirmed', endpoint, left}));
   }
 }
 
 /** The set leader notifies the others of an endpoint that is back. */
 function handleForwarded(
   view: WithdrawalView,
+  draft: WithdrawalDraft,
   from: NodeId,
   announcement: EndpointAnnouncement,
-  now: TurnTime,
-): readonly WithdrawalWrite[] {
+): void {
   const {endpoint, set, leaving} = announcement;
+  const source = 'notification';
   if (leaving) {
     const left = toLeftIncarnation(announcement);
-    const origin = {source: 'notification', learntFrom: from} as const;
-    return putWithdrawal(view, endpoint, left, origin, now);
+    learnLeave(draft, {endpoint, left, source, learntFrom: from});
+    return;
   }
   const {configuration, identity} = view.board;
-  const self = identity.address.node;
-  const lifted = clearWithdrawal(view, announcement);
   const isLeader =
-    findObject(configuration, 'setLeadership', set)?.node === self;
-  return lifted.length === 0 || !isLeader
-    ? lifted
-    : [
-        ...lifted,
-        ...listOtherEntries(view.board).map(address =>
-          sendTo(address, {kind: 'endpointAnnounced', announcement}),
-        ),
-      ];
-}
-
-/** Lifts the withdrawal of an endpoint that has started since it left. */
-function clearWithdrawal(
-  {board}: WithdrawalView,
-  announcement: EndpointAnnouncement,
-): readonly WithdrawalWrite[] {
-  const key = announcement.endpoint;
-  const known = board.withdrawnEndpoints.get(key);
-  return known === undefined || !isLaterIncarnation(announcement, known.left)
-    ? []
-    : [{kind: 'delete', section: 'withdrawnEndpoints', key}];
-}
-
-/** Withdraws an endpoint and notifies all entries except one, once. */
-function broadcastLeave(
-  view: WithdrawalView,
-  endpoint: EndpointId,
-  left: LeftIncarnation,
-  origin: Origin,
-  except: NodeId | undefined,
-  now: TurnTime,
-): readonly WithdrawalWrite[] {
-  const writes = putWithdrawal(view, endpoint, left, origin, now);
-  const message = {kind: 'endpointLeft', endpoint, left} as const;
-  return writes.length === 0
-    ? []
-    : [
-        ...writes,
-        ...listOtherEntries(view.board)
-          .filter(({node}) => node !== except)
-          .map(address => sendTo(address, message)),
-      ];
-}
-
-/** Withdraws an endpoint, unless it is withdrawn already. */
-function putWithdrawal(
-  {board}: WithdrawalView,
-  key: EndpointId,
-  left: LeftIncarnation,
-  origin: Origin,
-  now: TurnTime,
-  durationMs: Milliseconds = WITHDRAWAL_MS,
-): readonly WithdrawalWrite[] {
-  const known = board.withdrawnEndpoints.get(key);
-  if (known !== undefined && isCoveredBy(left, known.left)) {
-    return [];
+    findObject(configuration, 'setLeadership', set)?.node ===
+    identity.address.node;
+  if (learnReturn(draft, announcement, source, from) && isLeader) {
+    for (const address of listOtherEntries(view.board)) {
+      draft.add(sendTo(address, {kind: 'endpointAnnounced', announcement}));
+    }
   }
-  const until = now.monotonic + Math.min(durationMs, WITHDRAWAL_MS);
-  const value = {left, ...origin, until};
-  return [{kind: 'put', section: 'withdrawnEndpoints', key, value}];
 }
 
 function expireWithdrawals(
   {board}: WithdrawalView,
+  draft: WithdrawalDraft,
   now: TurnTime,
-): readonly WithdrawalWrite[] {
-  const withdrawals = [...board.withdrawnEndpoints];
-  const excess = withdrawals.length - MAX_WITHDRAWALS;
+): void {
+  const records = [...board.leaveRecords];
+  const excess = records.length - MAX_WITHDRAWALS;
   const dropped =
     excess > 0
-      ? withdrawals
+      ? records
           .sort(([, left], [, right]) => left.until - right.until)
           .slice(0, excess)
-      : withdrawals.filter(([, {until}]) => until <= now.monotonic);
-  return dropped.map(([key]) => ({
-    kind: 'delete',
-    section: 'withdrawnEndpoints',
-    key,
-  }));
+      : records.filter(([, {until}]) => until <= now.monotonic);
+  dropped.forEach(([endpoint]) => draft.drop(endpoint));
 }
--- a/scheduling/slotClient/src/withdrawalExchange.ts
+++ b/scheduling/slotClient/src/withdrawalExchange.ts
@@ -1,75 +1,201 @@
-// Exchanges of withdrawals between entries, for those that missed a leave.
+/**
+ * Exchanges of leaves between entries: each asks others from time to time for what
+ * it has not read of their logs, and a log that differs is asked for in return.
+ */
 import type {TurnTime} from '@gentianshunt/board';
 import type {Milliseconds} from '@gentianshunt/clock';
-import {listOtherEntries, pickOtherEntries} from '@gentianshunt/entryModel';
-import type {EntryMessage} from '@gentianshunt/entryModel';
-import type {NodeId} from '@gentianshunt/identifiers';
+import {
+  findOtherEntry,
+  isLeaveKnowledgeCurrent,
+  pickOtherEntries,
+} from '@gentianshunt/entryModel';
+import type {
+  EntryMessage,
+  LeaveLogPosition,
+  LeaveRecord,
+  ReportedLeave,
+} from '@gentianshunt/entryModel';
+import type {EndpointId, NodeId} from '@gentianshunt/identifiers';
 import type {EntryAddress} from '@gentianshunt/messages';
 
-import type {WithdrawalView, WithdrawalWrite} from './withdrawalController.js';
+import type {WithdrawalDraft} from './withdrawalDraft.js';
+import {sendTo} from './withdrawalView.js';
+import type {WithdrawalView} from './withdrawalView.js';
 
-/** How often an entry asks another one which endpoints left. */
-export const WITHDRAWAL_EXCHANGE_MS: Milliseconds = 30_000;
-/** Entries that one without knowledge of the last seconds asks. */
-const REQUESTED_ENTRIES = 3;
-/** Most withdrawals in one reply; the latest are reported. */
-const MAX_REPORTED = 4_096;
+/** How often an entry asks others for the leaves that they know. */
+export const WITHDRAWAL_EXCHANGE_MS: Milliseconds = 500;
+/** Entries asked at each time; as many ask this one, and are asked in return. */
+const REQUESTED_ENTRIES = 1;
+/** Most leaves in one reply. */
+const MAX_REPORTED = 2_048;
 
-/**
- * Asks other entries which endpoints left: several once this entry gets a lease,
- * as it has started or was cut off, and then one from time to time.
- */
+type LeavesRequest = Extract<
+  EntryMessage,
+  {readonly kind: 'withdrawalsRequested'}
+>;
+type LeavesReport = Extract<
+  EntryMessage,
+  {readonly kind: 'withdrawalsReported'}
+>;
+
+/** Asks some other entries if the last time is long enough ago. */
 export function syncWithdrawals(
-  {board}: WithdrawalView,
+  view: WithdrawalView,
+  draft: WithdrawalDraft,
   now: TurnTime,
-): readonly WithdrawalWrite[] {
-  const {withdrawalExchange: exchange, control} = board;
-  const hasLease = control.leaseUntil > now.monotonic;
-  const isNew = hasLease && !exchange.hadLease;
-  const isDue =
-    hasLease && now.monotonic - exchange.requestedAt >= WITHDRAWAL_EXCHANGE_MS;
-  if (!isNew && !isDue) {
-    return hasLease === exchange.hadLease
-      ? []
-      : [putExchange({...exchange, hadLease: hasLease})];
+): void {
+  const {requestedAt} = draft.readExchange();
+  if (now.monotonic - requestedAt >= WITHDRAWAL_EXCHANGE_MS) {
+    requestLeaves(view, draft, REQUESTED_ENTRIES, now);
   }
-  const asked = pickOtherEntries(board, isNew ? REQUESTED_ENTRIES : 1, now);
-  return [
-    putExchange({hadLease: true, requestedAt: now.monotonic}),
-    ...asked.map(address => sendTo(address, {kind: 'withdrawalsRequested'})),
-  ];
 }
 
-function putExchange(
-  value: WithdrawalView['board']['withdrawalExchange'],
-): WithdrawalWrite {
-  return {kind: 'set', section: 'withdrawalExchange', value};
+/** Asks some other entries for the leaves that they know. */
+export function requestLeaves(
+  view: WithdrawalView,
+  draft: WithdrawalDraft,
+  count: number,
+  now: TurnTime,
+): void {
+  draft.putExchange({...draft.readExchange(), requestedAt: now.monotonic});
+  for (const address of pickOtherEntries(view.board, count, now)) {
+    sendRequest(view, draft, address);
+  }
+}
+
+function sendRequest(
+  {board}: WithdrawalView,
+  draft: WithdrawalDraft,
+  address: EntryAddress,
+  after: LeaveLogPosition | null = board.leavePositions.get(address.node) ??
+    null,
+): void {
+  const exchange = draft.readExchange();
+  const request = exchange.lastRequest + 1;
+  const {version, digest} = draft.readLog();
+  const own = {process: board.identity.incarnation, version};
+  draft.putExchange({...exchange, lastRequest: request});
+  draft.add(
+    sendTo(address, {
+      kind: 'withdrawalsRequested',
+      request,
+      after,
+      digest,
+      own,
+    }),
+  );
+}
+
+/** Reports leaves to an entry, and asks it if it knows others. */
+export function handleLeavesRequest(
+  view: WithdrawalView,
+  draft: WithdrawalDraft,
+  from: NodeId,
+  {request, after, digest, own}: LeavesRequest,
+  now: TurnTime,
+): void {
+  const {board} = view;
+  const address = findOtherEntry(view.board, from);
+  if (address === undefined) {
+    return;
+  }
+  const isSame = digest === draft.readLog().digest;
+  const unread = isSame ? [] : listUnread(view, from, after);
+  const reported = unread.slice(0, MAX_REPORTED);
+  const isComplete = reported.length === unread.length;
+  const version = isComplete
+    ? draft.readLog().version
+    : reported[reported.length - 1]![1].version;
+  draft.add(
+    sendTo(address, {
+      kind: 'withdrawalsReported',
+      request,
+      position: {process: board.identity.incarnation, version},
+      isComplete,
+      isCurrent: isLeaveKnowledgeCurrent(board, now),
+      withdrawals: reported.map(([endpoint, record]) =>
+        toReportedLeave(endpoint, record, now),
+      ),
+    }),
+  );
+  if (!isSame && isBehind(view, from, own)) {
+    sendRequest(view, draft, address);
+  }
 }
 
-/** Reports the withdrawals that this entry knows to one that asked. */
-export function sendWithdrawals(
+/**
+ * Lists the records that an entry has not read, in the order in which they were
+ * learnt. Without a position it has started since, and has lost what it reported.
+ */
+function listUnread(
   {board}: WithdrawalView,
-  to: NodeId,
+  reader: NodeId,
+  after: LeaveLogPosition | null,
+): readonly (readonly [EndpointId, LeaveRecord])[] {
+  const isKnown = after?.process === board.identity.incarnation;
+  const first = isKnown ? after.version : 0;
+  return [...board.leaveRecords]
+    .filter(
+      ([, {version, learntFrom}]) =>
+        version > first && !(isKnown && learntFrom === reader),
+    )
+    .sort(([, left], [, right]) => left.version - right.version);
+}
+
+function toReportedLeave(
+  endpoint: EndpointId,
+  {state, incarnation, until}: LeaveRecord,
   now: TurnTime,
-): readonly WithdrawalWrite[] {
-  const address = listOtherEntries(board).find(({node}) => node === to);
-  const withdrawals = [...board.withdrawnEndpoints]
-    .sort(([, left], [, right]) => right.until - left.until)
-    .slice(0, MAX_REPORTED)
-    .map(([endpoint, {left, until}]) => ({
-      endpoint,
-      left,
-      remainingMs: Math.max(0, until - now.monotonic),
-    }));
-  return address === undefined || withdrawals.length === 0
-    ? []
-    : [sendTo(address, {kind: 'withdrawalsReported', withdrawals})];
+): ReportedLeave {
+  const remainingMs = Math.max(0, until - now.monotonic);
+  return {endpoint, state, incarnation, remainingMs};
+}
+
+/** Returns whether the log of another entry has grown since it was read. */
+function isBehind(
+  {board}: WithdrawalView,
+  node: NodeId,
+  {process, version}: LeaveLogPosition,
+): boolean {
+  const read = board.leavePositions.get(node);
+  return read?.process !== process || read.version < version;
 }
 
-/** Sends a message to another entry. */
-export function sendTo(
-  {node: to, peer: address}: EntryAddress,
-  message: EntryMessage,
-): WithdrawalWrite {
-  return {kind: 'effect', effect: {kind: 'sendEntry', to, address, message}};
+/** Learns what another entry reports; asks for the rest if there is more. */
+export function handleLeavesReport(
+  view: WithdrawalView,
+  draft: WithdrawalDraft,
+  from: NodeId,
+  {position, isComplete, withdrawals}: LeavesReport,
+): void {
+  for (const leave of withdrawals) {
+    draft.learn({...leave, source: 'exchange', learntFrom: from});
+  }
+  draft.add({
+    kind: 'put',
+    section: 'leavePositions',
+    key: from,
+    value: position,
+  });
+  const address = findOtherEntry(view.board, from);
+  if (!isComplete && address !== undefined) {
+    sendRequest(view, draft, address, position);
+  }
+}
+
+/** Forgets the positions in the logs of entries that are gone. */
+export function dropPositions(
+  {board}: WithdrawalView,
+  draft: WithdrawalDraft,
+): void {
+  const {entries} = board.control.directory;
+  if (board.leavePositions.size <= entries.length) {
+    return;
+  }
+  const listed = new Set(entries.map(({address}) => address.node));
+  for (const key of board.leavePositions.keys()) {
+    if (!listed.has(key)) {
+      draft.add({kind: 'delete', section: 'leavePositions', key});
+    }
+  }
 }
--- /dev/null
+++ b/scheduling/slotClient/src/withdrawalView.ts
@@ -0,0 +1,71 @@
+import type {View} from '@gentianshunt/board';
+import type {Milliseconds} from '@gentianshunt/clock';
+import type {
+  EntryMessage,
+  EntryObservation,
+  EntrySections,
+  EntryWrite,
+} from '@gentianshunt/entryModel';
+import type {EntryAddress} from '@gentianshunt/messages';
+
+/** Time after which unanswered questions are asked again. */
+export const EXCHANGE_RETRY_MS: Milliseconds = 100;
+
+/** The board sections that the withdrawal controller reads. */
+export const WITHDRAWAL_READS = [
+  'identity',
+  'control',
+  'announcements',
+  'endpoints',
+  'configuration',
+  'withdrawnEndpoints',
+  'leaveRecords',
+  'leaveLog',
+  'leavePositions',
+  'leaveExchange',
+  'leaveCatchUp',
+  'unconfirmedLeaves',
+  'processActivity',
+] as const;
+export type WithdrawalReads = (typeof WITHDRAWAL_READS)[number];
+
+/** The board sections that the withdrawal controller writes. */
+export const WITHDRAWAL_WRITES = [
+  'withdrawnEndpoints',
+  'leaveRecords',
+  'leaveLog',
+  'leavePositions',
+  'leaveExchange',
+  'leaveCatchUp',
+  'unconfirmedLeaves',
+  'processActivity',
+] as const;
+export type WithdrawalWrites = (typeof WITHDRAWAL_WRITES)[number];
+
+/** The board as the withdrawal controller sees it. */
+export type WithdrawalView = View<
+  EntrySections,
+  WithdrawalReads,
+  EntryObservation
+>;
+export type WithdrawalWrite = EntryWrite<WithdrawalWrites>;
+
+/** Sends a message to another entry. */
+export function sendTo(
+  {node: to, peer: address}: EntryAddress,
+  message: EntryMessage,
+): WithdrawalWrite {
+  return {kind: 'effect', effect: {kind: 'sendEntry', to, address, message}};
+}
+
+/** Creates the timer after which unanswered questions are asked again. */
+export function createExchangeTimer(): WithdrawalWrite {
+  return {
+    kind: 'effect',
+    effect: {
+      kind: 'setTimer',
+      timer: {kind: 'withdrawalExchange'},
+      delayMs: EXCHANGE_RETRY_MS,
+    },
+  };
+}
--- a/scheduling/slotClient/test/withdrawals.test.ts
+++ b/scheduling/slotClient/test/withdrawals.test.ts
@@ -46,6 +46,7 @@
         kind: 'endpointLeft',
         endpoint: toIdentifier<EndpointId>(endpoint),
         left: {kind: 'numbered', startedAtMs: 1},
+        isConfirmationRequested: false,
       },
     });
   const advance = (durationMs: number): void => {
