--- a/scheduling/entryModel/src/observation.ts
+++ b/scheduling/entryModel/src/observation.ts
@@ -38,6 +38,8 @@
   | {readonly kind: 'demandReporting'}
   /** An allocation of a led set is due. */
   | {readonly kind: 'allocation'}
+  /** Other entries have not answered questions about leaves. */
+  | {readonly kind: 'withdrawalExchange'}
   | {readonly kind: 'housekeeping'};
 
 /** The events that an entry's controllers react to. */
--- a/scheduling/entryModel/src/streamEnd.ts
+++ b/scheduling/entryModel/src/streamEnd.ts
@@ -9,7 +9,9 @@
   /** The endpoint has asked this entry to send nothing for a while. */
   | 'endpointPaused'
   /** The endpoint left after the request was dispatched. */
-  | 'endpointLeft';
+  | 'endpointLeft'
+  /** The process stood still since, and may not know whether it left. */
+  | 'leavesUnknown';
 
 /** How far an answer had come when its stream broke. */
 export type AnswerProgress =
--- a/scheduling/lifecycle/src/unsentStreams.ts
+++ b/scheduling/lifecycle/src/unsentStreams.ts
@@ -58,6 +58,7 @@
       return;
     case 'endpointLeft':
     case 'endpointPaused':
+    case 'leavesUnknown':
       handleNotSent(
         view,
         draft,
