Bound the messages that wait for all peers together

Each link queued up to 32 MB, and up to 1,024 messages of any size waited for each unconnected peer, so a process with a dozen lost peers could hold more than its machine has. Found by reading; the class is that of the request bodies: each owner had a bound of its own, or none, and nothing bounded the sum.

All queues of a process now share maxQueuedBytes (32 MB where no value is given, as one link had); a link may always queue 64 KiB. Messages for unconnected peers are kept encoded, so that their bytes are known.

--- a/transport/peerLinks/src/link.ts
+++ b/transport/peerLinks/src/link.ts
@@ -15,13 +15,13 @@
 export const PING_INTERVAL_MS = 2_000;
 /** Time without received data after which a link is closed. */
 export const SILENCE_TIMEOUT_MS = 6_000;
-/** Bytes waiting to be sent above which further frames are dropped. */
-export const MAX_BUFFERED_BYTES = 32 * 1024 * 1024;
 
 /** Options of a link. */
 export interface LinkOptions {
   readonly socket: Socket;
   readonly self: NodeId;
+  /** Returns whether more may be queued, given what this link has queued. */
+  readonly canQueue: (queuedBytes: number) => boolean;
   readonly onOpen: (link: Link) => void;
   readonly onMessage: (from: NodeId, body: unknown) => void;
   readonly onClose: (link: Link, error: Error | undefined) => void;
@@ -35,6 +35,8 @@
   readonly queuedBytes: number;
   /** Sends a frame, or drops it if the socket is closed or overloaded. */
   send(frame: PeerFrame): void;
+  /** Sends a frame that is encoded already, or drops it. */
+  sendEncoded(frame: Buffer): void;
   close(error?: Error): void;
 }
 
@@ -46,6 +48,8 @@
   let node: NodeId | undefined;
   let failure: Error | undefined;
   let isCorked = false;
+  const canSend = (): boolean =>
+    !socket.destroyed && options.canQueue(socket.writableLength);
   const link: Link = {
     get node() {
       return node;
@@ -54,7 +58,12 @@
       return socket.writableLength;
     },
     send: frame => {
-      if (socket.destroyed || socket.writableLength > MAX_BUFFERED_BYTES) {
+      if (canSend()) {
+        link.sendEncoded(encodeFrame(frame));
+      }
+    },
+    sendEncoded: frame => {
+      if (!canSend()) {
         return;
       }
       if (!isCorked) {
@@ -65,7 +74,7 @@
           socket.uncork();
         });
       }
-      socket.write(encodeFrame(frame));
+      socket.write(frame);
     },
     close: error => {
       failure = failure ?? error;
--- a/transport/peerLinks/src/peerLinks.ts
+++ b/transport/peerLinks/src/peerLinks.ts
@@ -1,6 +1,7 @@
 import {connect, createServer} from 'node:net';
 import type {AddressInfo, Server, Socket} from 'node:net';
 
+import {encodeFrame} from '@gentianshunt/frames';
 import type {NodeId} from '@gentianshunt/identifiers';
 
 import {createLink} from './link.js';
@@ -22,6 +23,11 @@
   readonly port: number;
 }
 
+/** Bytes queued over all links above which further messages are dropped. */
+export const DEFAULT_MAX_QUEUED_BYTES = 32 * 1024 * 1024;
+/** Bytes that a link may always queue, however much the others do. */
+const MIN_LINK_QUEUE_BYTES = 64 * 1024;
+
 /** Options of the links of a daemon. */
 export interface PeerLinksOptions {
   readonly self: NodeId;
@@ -31,6 +37,8 @@
   readonly onError: (error: Error) => void;
   /** Draws a number from 0 to below 1, for the jitter of reconnection. */
   readonly drawFraction: () => number;
+  /** Bytes queued over all links above which messages are dropped. */
+  readonly maxQueuedBytes?: number;
 }
 
 /** The connections of a daemon to other daemons. */
@@ -56,7 +64,8 @@
 
 interface PeerState {
   link: Link | undefined;
-  queued: unknown[];
+  /** Encoded messages that wait for a connection. */
+  queued: Buffer[];
   failureCount: number;
   /** Monotonic time before which no connection is attempted. */
   retryAtMs: number;
@@ -69,6 +78,24 @@
 ): Promise<PeerLinks> {
   const peers = new Map<NodeId, PeerState>();
   const links = new Set<Link>();
+  const maxQueuedBytes = options.maxQueuedBytes ?? DEFAULT_MAX_QUEUED_BYTES;
+  let unsentBytes = 0;
+  const readQueuedBytes = (): QueuedBytes => {
+    const queued = Array.from(links, ({queuedBytes}) => queuedBytes);
+    return {
+      total: queued.reduce((sum, bytes) => sum + bytes, unsentBytes),
+      largest: Math.max(0, ...queued),
+    };
+  };
+  const canQueue = (queuedBytes: number): boolean =>
+    queuedBytes <= MIN_LINK_QUEUE_BYTES ||
+    readQueuedBytes().total <= maxQueuedBytes;
+  const takeQueue = (peer: PeerState): readonly Buffer[] => {
+    const frames = peer.queued;
+    peer.queued = [];
+    unsentBytes -= sumBytes(frames);
+    return frames;
+  };
   const findOrCreatePeer = (node: NodeId): PeerState => {
     const known = peers.get(node);
     if (known !== undefined) {
@@ -84,27 +111,30 @@
     peers.set(node, created);
     return created;
   };
+  const disconnect = (peer: PeerState, link: Link | undefined): void => {
+    if (peer.link === undefined || peer.link === link) {
+      takeQueue(peer);
+      recordDisconnect(peer, options.drawFraction);
+    }
+  };
   const openLink = (socket: Socket, expected: NodeId | undefined): void => {
     links.add(
       createLink({
         socket,
         self: options.self,
+        canQueue,
         onOpen: link => {
           const peer = findOrCreatePeer(link.node!);
           peer.link = link;
           peer.failureCount = 0;
-          sendQueued(peer, link);
+          takeQueue(peer).forEach(link.sendEncoded);
         },
         onMessage: options.onMessage,
         onClose: (link, error) => {
           links.delete(link);
           const node = link.node ?? expected;
           if (node !== undefined) {
-            recordDisconnect(
-              findOrCreatePeer(node),
-              link,
-              options.drawFraction,
-            );
+            disconnect(findOrCreatePeer(node), link);
           }
           if (error !== undefined) {
             options.onError(error);
@@ -134,7 +164,7 @@
     });
     socket.once('error', error => {
       peer.isConnecting = false;
-      recordDisconnect(peer, undefined, options.drawFraction);
+      disconnect(peer, undefined);
       options.onError(error);
     });
   };
@@ -149,20 +179,19 @@
         peer.link.send({kind: 'message', body});
         return;
       }
-      if (peer.queued.length < MAX_QUEUED_MESSAGES) {
-        peer.queued.push(body);
+      if (
+        peer.queued.length < MAX_QUEUED_MESSAGES &&
+        readQueuedBytes().total <= maxQueuedBytes
+      ) {
+        const frame = encodeFrame({kind: 'message', body});
+        peer.queued.push(frame);
+        unsentBytes += frame.length;
       }
       if (address !== undefined) {
         startConnecting(to, address);
       }
     },
-    readQueuedBytes: () => {
-      const queued = Array.from(links, ({queuedBytes}) => queuedBytes);
-      return {
-        total: queued.reduce((sum, bytes) => sum + bytes, 0),
-        largest: Math.max(0, ...queued),
-      };
-    },
+    readQueuedBytes,
     close: async () => {
       links.forEach(link => link.close());
       await new Promise(resolve => server.close(resolve));
@@ -170,23 +199,13 @@
   };
 }
 
-function sendQueued(peer: PeerState, link: Link): void {
-  const queued = peer.queued;
-  peer.queued = [];
-  queued.forEach(body => link.send({kind: 'message', body}));
+function sumBytes(frames: readonly Buffer[]): number {
+  return frames.reduce((sum, {length}) => sum + length, 0);
 }
 
-/** Drops queued messages and delays the next attempt by a jittered backoff. */
-function recordDisconnect(
-  peer: PeerState,
-  link: Link | undefined,
-  drawFraction: () => number,
-): void {
-  if (peer.link !== undefined && peer.link !== link) {
-    return;
-  }
+/** Delays the next attempt by a jittered backoff. */
+function recordDisconnect(peer: PeerState, drawFraction: () => number): void {
   peer.link = undefined;
-  peer.queued = [];
   const maxDelayMs = Math.min(
     MAX_RECONNECT_DELAY_MS,
     MIN_RECONNECT_DELAY_MS * 2 ** peer.failureCount,
