Hold request bodies and unread answers within one memory account

Callers saw: calls with bodies of 4 MB, within the routes' limits, filled the process; one that uses more than limits.memory_mb is killed with all its calls. Nothing bounded what all bodies together held (fastify collected each of them before anything was decided), nor unread answers.

The budget is derived from limits.memory_mb (planMemory). A pure account decides what is reserved, waits or is refused, by tier and age; fronts/requestBodies executes it for both fronts in place of bodyBackpressure. Memory is reserved before a body is read, kept once for all attempts and given back when the call ends. A call that gets none within 0.5 s is refused with 503; its body was not read, so it has not run. Heartbeats and documents have accounts of their own. Large bodies are kept in blocks that are used again, except those that a connection still writes.

The fixtures of the two fronts leave the reading of bodies to the fronts.

--- a/daemons/entryd/src/entryd.ts
+++ b/daemons/entryd/src/entryd.ts
@@ -1,3 +1,5 @@
+import type {Clock} from '@gentianshunt/clock';
+import {findObject} from '@gentianshunt/configuration';
 import {createCallerFront} from '@gentianshunt/callerFront';
 import {
   createEndpointFront,
@@ -19,7 +21,9 @@
 import {addHealthRoutes, createEntryMetrics} from '@gentianshunt/metrics';
 import {createOperatorFront} from '@gentianshunt/operatorFront';
 import type {OperatorAccess} from '@gentianshunt/operatorFront';
+import {BYTES_PER_MB, planMemory} from '@gentianshunt/memoryAccount';
 import {createPeerLinks} from '@gentianshunt/peerLinks';
+import {createMemoryGate} from '@gentianshunt/requestBodies';
 import {
   createSystemClock,
   createTimerTable,
@@ -33,9 +37,8 @@
 
 import {createOpenResponses} from './openResponses.js';
 
-const BYTES_PER_MB = 1_024 * 1_024;
-/** Bytes of buffered request bodies above which new ones are not read. */
-const MAX_BUFFERED_BODY_BYTES = 256 * 1024 * 1024;
+/** Rank of requests that name no known tier: they go after all others. */
+const UNKNOWN_RANK = Number.MAX_SAFE_INTEGER;
 
 /** Options of an entry daemon. */
 export interface EntrydOptions {
@@ -57,17 +60,12 @@
   const {settings} = options;
   const logger = createLogger({node: settings.node});
   const clock = createSystemClock();
-  const server = fastify({
-    bodyLimit: settings.limits.max_body_bytes,
-    forceCloseConnections: true,
-  });
-  const openResponses = createOpenResponses(server.server);
-  server.removeAllContentTypeParsers();
-  server.addContentTypeParser(
-    '*',
-    {parseAs: 'buffer'},
-    (_request, body, done) => done(null, body),
+  const server = fastify({forceCloseConnections: true});
+  const {memoryBytes, plan, callerGate, managementGate} = createGates(
+    settings,
+    clock,
   );
+  const openResponses = createOpenResponses(server.server);
   let adapters: EntryAdapters | undefined = undefined;
   const post = (observation: EntryObservation): void => node.post(observation);
   const links = await createPeerLinks({
@@ -80,6 +78,7 @@
       }
     },
     onError: error => logger.write({kind: 'peerLinkFailed', error}),
+    maxQueuedBytes: plan.peerLinkBytes,
     drawFraction,
   });
   const counts = createObservationCounts();
@@ -102,9 +101,14 @@
   const timers = createTimerTable<EntryTimer>({
     onDue: timer => post({kind: 'timerDue', timer}),
   });
+  const readBufferedBytes = () => ({
+    requestBodyBytes: callerGate.reservedBytes + managementGate.reservedBytes,
+    answerBytes: openResponses.measure(),
+    peerLinkBytes: links.readQueuedBytes().total,
+  });
   const metrics = createEntryMetrics({
     readQueuedBytes: () => links.readQueuedBytes().total,
-    readBufferedBytes: () => readBufferedBytes(),
+    readBufferedBytes,
     readObservations: counts.read,
   });
   const loop = createLoadMonitor({
@@ -121,15 +125,15 @@
     readDirectory: () => node.view.control.directory,
     drawRequestId: drawIdentifier,
     self: settings.node,
-    maxBufferedBytes: MAX_BUFFERED_BODY_BYTES,
-  });
-  const readBufferedBytes = () => ({
-    ...callerFront.measure(),
-    peerLinkBytes: links.readQueuedBytes().total,
+    clock,
+    gate: callerGate,
+    managementGate,
+    maxBodyBytes: settings.limits.max_body_bytes,
+    readRank: tier => findRank(node, tier),
   });
   const memory = createMemoryMonitor({
     clock,
-    limitBytes: settings.limits.memory_mb * BYTES_PER_MB,
+    limitBytes: memoryBytes,
     readBufferedBytes,
     onHigh: use => logger.write({kind: 'memoryHigh', use}),
   });
@@ -211,6 +215,25 @@
     : {kind: 'keys', keys: readOperatorKeys({file})};
 }
 
+/** Creates the memory accounts of the daemon. */
+function createGates({limits}: EntrydSettings, clock: Clock) {
+  const memoryBytes = limits.memory_mb * BYTES_PER_MB;
+  const plan = planMemory(memoryBytes);
+  return {
+    memoryBytes,
+    plan,
+    callerGate: createMemoryGate(plan.callerBytes, clock),
+    managementGate: createMemoryGate(plan.documentBytes, clock),
+  };
+}
+
+/** Finds the rank of the tier that a request names. */
+function findRank({view}: EntryNode, tier: string | undefined): number {
+  return (
+    findObject(view.configuration, 'tier', tier ?? '')?.rank ?? UNKNOWN_RANK
+  );
+}
+
 function isReady(node: EntryNode): boolean {
   const {service, control} = node.view;
   return (
--- a/daemons/entryd/src/openResponses.ts
+++ b/daemons/entryd/src/openResponses.ts
@@ -4,6 +4,8 @@
 export interface OpenResponses {
   /** Resolves once every response is closed. */
   drain(): Promise<void>;
+  /** Sums the bytes that callers have not read yet. */
+  measure(): number;
 }
 
 /** Starts tracking the responses of a server. */
@@ -20,6 +22,11 @@
     });
   });
   return {
+    measure: () =>
+      Array.from(open, ({writableLength}) => writableLength).reduce(
+        (sum, bytes) => sum + bytes,
+        0,
+      ),
     drain: () =>
       new Promise(resolve => {
         resolveDrain = resolve;
--- a/fronts/callRelay/src/callRelay.ts
+++ b/fronts/callRelay/src/callRelay.ts
@@ -1,6 +1,17 @@
 import type {BoardView} from '@gentianshunt/board';
 import {hasDisconnected} from '@gentianshunt/callerFront';
-import type {Clock} from '@gentianshunt/clock';
+import type {Clock, Milliseconds} from '@gentianshunt/clock';
+import {assertNever} from '@gentianshunt/errors';
+import {
+  addBodyParser,
+  createEmptyBody,
+  findReceivedBody,
+} from '@gentianshunt/requestBodies';
+import type {
+  MemoryGate,
+  ReceivedBody,
+  RequestBody,
+} from '@gentianshunt/requestBodies';
 import {refuseIfOverloaded, refuseUnadmitted} from '@gentianshunt/entryModel';
 import type {
   EntryEffect,
@@ -18,9 +29,12 @@
 import type {CallHead, CallProtocol} from './callProtocol.js';
 import type {CallStep} from './callStep.js';
 import {createCallTable} from './callTable.js';
-import type {CallTable, HeldBytes} from './callTable.js';
+import type {CallTable} from './callTable.js';
 import {createEndpointStreams} from './endpointStream.js';
 import {guardCall} from './guardCall.js';
+import {readCallTerms} from './readCallTerms.js';
+import {decideUnreadAnswer} from './unreadCalls.js';
+import type {UnreadBody} from './unreadCalls.js';
 
 /** The effects that the relay executes. */
 export type RelayEffect = Extract<
@@ -35,6 +49,10 @@
   readonly view: BoardView<EntrySections>;
   readonly clock: Clock;
   readonly loop: LoopMonitor;
+  /** Memory for the bodies of calls and for unread answers. */
+  readonly gate: MemoryGate;
+  /** Largest body of a call, in bytes. */
+  readonly maxBodyBytes: number;
   readonly post: (observation: EntryObservation) => void;
   /** Called with the refusals that the relay decides on by itself. */
   readonly onRefused: (refusal: Refusal) => void;
@@ -46,8 +64,6 @@
 export interface CallRelay {
   /** Executes an effect that the entry has decided on. */
   perform(effect: RelayEffect): void;
-  /** Measures the bytes held for open calls. */
-  measure(): HeldBytes;
   close(): Promise<void>;
 }
 
@@ -67,6 +83,13 @@
   const calls = createCallTable();
   const streams = createEndpointStreams({...options, calls});
   const readRoutingTable = createRoutingTableCache(options.view);
+  addBodyParser(server, ({raw}) => ({
+    gate: options.gate,
+    clock: options.clock,
+    maxBytes: options.maxBodyBytes,
+    readTerms: () =>
+      readCallTerms(protocol, options.view, readRoutingTable(), toHead(raw)),
+  }));
   server.route({
     method: ['GET', 'POST', 'PUT', 'PATCH', 'DELETE', 'HEAD', 'OPTIONS'],
     url: '/*',
@@ -93,7 +116,6 @@
           return;
       }
     },
-    measure: calls.measure,
     close: () => streams.close(),
   };
 }
@@ -122,13 +144,15 @@
 ): void {
   reply.hijack();
   const {raw} = request;
-  const head: CallHead = {
-    method: raw.method ?? 'GET',
-    url: raw.url ?? '/',
-    headers: raw.rawHeaders,
-  };
-  const body = (request.body as Buffer | undefined) ?? Buffer.alloc(0);
+  const head = toHead(raw);
+  const received = findReceivedBody(request) ?? receiveEmpty(options.gate);
   const response = reply.raw;
+  if (received.kind !== 'received') {
+    answerUnread(options, head, received, response);
+    return;
+  }
+  const {body, ageMs} = received;
+  response.once('close', body.release);
   const guard = {
     step: 'receiveCall',
     peer: raw.socket.remoteAddress ?? 'unknown',
@@ -137,10 +161,11 @@
   };
   options.loop.runOnceRead(() => {
     if (hasDisconnected(raw)) {
+      body.release();
       return;
     }
     const observation = guardCall(guard, () =>
-      parseCall(options, calls, readTable(), {head, body, response}),
+      parseCall(options, calls, readTable(), {head, body, ageMs, response}),
     );
     if (observation !== undefined) {
       options.post(observation);
@@ -148,12 +173,44 @@
   });
 }
 
+/** Reads the request line and headers of a call. */
+function toHead({method, url, rawHeaders}: FastifyRequest['raw']): CallHead {
+  return {method: method ?? 'GET', url: url ?? '/', headers: rawHeaders};
+}
+
+/** Admits a call without a body unless memory is used up. */
+function receiveEmpty(gate: MemoryGate): ReceivedBody {
+  return gate.isFull()
+    ? {kind: 'memoryFull'}
+    : {kind: 'received', body: createEmptyBody(), ageMs: 0};
+}
+
+/** Answers a call whose body was not read. */
+function answerUnread(
+  options: CallRelayOptions,
+  head: CallHead,
+  unread: UnreadBody,
+  response: FastifyReply['raw'],
+): void {
+  const decided = decideUnreadAnswer(options.protocol, head, unread);
+  switch (decided.kind) {
+    case 'refused':
+      options.post(refuseCall(options, response, decided.refusal));
+      return;
+    case 'answered':
+      sendSchedulerAnswer(response, decided.answer);
+      return;
+    default:
+      assertNever(decided, 'answerUnread');
+  }
+}
+
 /** Parses and registers a call; returns the observation to post, if any. */
 function parseCall(
   options: CallRelayOptions,
   calls: CallTable,
   table: RoutingTable,
-  {head, body, response}: Omit<IncomingCall, 'attributes'>,
+  {head, body, ageMs, response}: Omit<IncomingCall, 'attributes'>,
 ): EntryObservation | undefined {
   const parsed = options.protocol.readCall(head);
   if (
@@ -169,6 +226,7 @@
     head,
     attributes: parsed.attributes,
     body,
+    ageMs,
     response,
   });
 }
@@ -177,7 +235,9 @@
 interface IncomingCall {
   readonly head: CallHead;
   readonly attributes: CallAttributes;
-  readonly body: Buffer;
+  readonly body: RequestBody;
+  /** Time since its head was read. */
+  readonly ageMs: Milliseconds;
   readonly response: FastifyReply['raw'];
 }
 
@@ -185,7 +245,7 @@
   options: CallRelayOptions,
   calls: CallTable,
   table: RoutingTable,
-  {head, attributes, body, response}: IncomingCall,
+  {head, attributes, body, ageMs, response}: IncomingCall,
 ): EntryObservation {
   const {clock, loop, post, view} = options;
   const now = clock.readMonotonic();
@@ -210,11 +270,12 @@
   }
   const {id} = attributes;
   // The call may have waited for the event loop before it was read.
-  const receivedAt = now - lagMs;
+  const waitedMs = lagMs + ageMs;
+  const receivedAt = now - waitedMs;
   const limitMs = resolved.attributes.routePolicy!.timeLimitMs;
   const timer = setTimeout(
     () => post({kind: 'timeLimitReached', request: id}),
-    Math.max(0, limitMs - lagMs),
+    Math.max(0, limitMs - waitedMs),
   );
   calls.add({
     id,
--- a/fronts/callRelay/src/callTable.ts
+++ b/fronts/callRelay/src/callTable.ts
@@ -2,6 +2,7 @@
 
 import type {MonotonicTime} from '@gentianshunt/clock';
 import type {RequestId} from '@gentianshunt/identifiers';
+import type {RequestBody} from '@gentianshunt/requestBodies';
 
 import type {AnswerHead, CallHead} from './callProtocol.js';
 
@@ -9,7 +10,7 @@
 export interface OpenCall {
   readonly id: RequestId;
   readonly head: CallHead;
-  readonly body: Buffer;
+  readonly body: RequestBody;
   readonly response: ServerResponse;
   readonly receivedAt: MonotonicTime;
   /** Deadline of the final answer, in monotonic milliseconds. */
@@ -23,19 +24,11 @@
   sentHead: AnswerHead | null;
 }
 
-/** Bytes held for open calls. */
-export interface HeldBytes {
-  readonly requestBodyBytes: number;
-  readonly answerBytes: number;
-}
-
 /** The calls of an entry that await an answer. */
 export interface CallTable {
   add(call: OpenCall): void;
   find(id: RequestId): OpenCall | undefined;
-  /** Sums the bytes of the calls' bodies and of unread parts of answers. */
-  measure(): HeldBytes;
-  /** Removes a call, stops its timer and returns it. */
+  /** Removes a call, stops its timer, frees its body and returns it. */
   remove(id: RequestId): OpenCall | undefined;
 }
 
@@ -47,21 +40,12 @@
       calls.set(call.id, call);
     },
     find: id => calls.get(id),
-    measure: () => {
-      const open = [...calls.values()];
-      return {
-        requestBodyBytes: open.reduce((sum, {body}) => sum + body.length, 0),
-        answerBytes: open.reduce(
-          (sum, {response}) => sum + response.writableLength,
-          0,
-        ),
-      };
-    },
     remove: id => {
       const call = calls.get(id);
       if (call !== undefined) {
         calls.delete(id);
         clearTimeout(call.timer);
+        call.body.release();
       }
       return call;
     },
--- a/fronts/callRelay/src/endpointStream.ts
+++ b/fronts/callRelay/src/endpointStream.ts
@@ -10,6 +10,8 @@
   StreamEnd,
 } from '@gentianshunt/entryModel';
 import type {DispatchId} from '@gentianshunt/identifiers';
+import {recordReadBytes} from '@gentianshunt/requestBodies';
+import type {MemoryGate} from '@gentianshunt/requestBodies';
 import type {LoopMonitor} from '@gentianshunt/runtime';
 import type {Dispatcher} from 'undici';
 
@@ -27,6 +29,7 @@
 import {createDroppedBody, UnboundedAnswerError} from './droppedBody.js';
 import type {DroppedBody} from './droppedBody.js';
 import {guardCall} from './guardCall.js';
+import {createAnswerPause} from './answerPause.js';
 
 /** Most informational heads before the head of an answer. */
 const MAX_INFORMATIONAL_HEADS = 8;
@@ -42,6 +45,7 @@
   readonly view: BoardView<EntrySections>;
   readonly clock: Clock;
   readonly loop: LoopMonitor;
+  readonly gate: MemoryGate;
   readonly post: (observation: EntryObservation) => void;
   readonly onStep: (step: CallStep) => void;
 }
@@ -107,6 +111,7 @@
   dispatch: Dispatch,
 ): Dispatcher.DispatchOptions {
   const timeLeftMs = Math.max(1, call.dueAt - clock.readMonotonic());
+  const body = call.body.toPayload();
   const headers = protocol.listEndpointHeaders({
     call: call.head,
     request,
@@ -118,8 +123,13 @@
     origin: dispatch.target.url,
     path: call.head.url,
     method: call.head.method as Dispatcher.HttpMethod,
-    headers: [...headers],
-    body: call.body.length === 0 ? null : call.body,
+    // The client learns the length of a buffer by itself.
+    headers:
+      body === null || Buffer.isBuffer(body)
+        ? [...headers]
+        : [...headers, 'Content-Length', String(call.body.length)],
+    // Its types do not mention iterables, which it sends.
+    body: body as Buffer | null,
   };
 }
 
@@ -201,7 +211,7 @@
     end({kind: 'cut', detail, events: 0, progress: progress.read()});
     controller?.abort(new Error(detail));
   };
-  const resume = (): void => controller?.resume();
+  const pause = createAnswerPause(options.gate, call.response);
   const canSend = (): boolean => {
     const cause = findWithholdCause(options, call, request, dispatch);
     if (cause === undefined || isEnded) {
@@ -265,7 +275,8 @@
             return;
         }
       },
-      onResponseData: (_controller, chunk) => {
+      onResponseData: (started, chunk) => {
+        recordReadBytes(chunk.length);
         if (handling.kind === 'discard') {
           handling.drop.add(chunk.length);
           return;
@@ -278,8 +289,7 @@
         reportTokens();
         try {
           if (!handling.writer.write(chunk)) {
-            controller?.pause();
-            call.response.once('drain', resume);
+            pause(started);
           }
         } catch (error) {
           abort((error as Error).message);
--- a/fronts/callRelay/src/index.ts
+++ b/fronts/callRelay/src/index.ts
@@ -3,4 +3,3 @@
 export * from './callRelay.js';
 export {dropHeaders, findHeader} from './headers.js';
 export * from './listenForCalls.js';
-export type {HeldBytes} from './callTable.js';
--- a/fronts/callRelay/test/relayFixture.ts
+++ b/fronts/callRelay/test/relayFixture.ts
@@ -17,6 +17,7 @@
 } from '@gentianshunt/entryModel';
 import {toIdentifier} from '@gentianshunt/identifiers';
 import type {RequestId} from '@gentianshunt/identifiers';
+import {createMemoryGate} from '@gentianshunt/requestBodies';
 import {ANONYMOUS} from '@gentianshunt/routing';
 import {createManualLoop} from '@gentianshunt/runtime';
 import type {LoopMonitor} from '@gentianshunt/runtime';
@@ -26,6 +27,7 @@
 import type {CallProtocol, CallRelay, CallStep} from '../src/index.js';
 
 const HOST = '127.0.0.1';
+const MEMORY_BYTES = 1_024 * 1_024;
 
 /** The answer that a caller received. */
 export interface CallerAnswer {
@@ -158,12 +160,6 @@
   protocol: changed = {},
 }: RelayFixtureOptions = {}): Promise<RelayFixture> {
   const server = fastify({forceCloseConnections: true});
-  server.removeAllContentTypeParsers();
-  server.addContentTypeParser(
-    '*',
-    {parseAs: 'buffer'},
-    (_request, body, done) => done(null, body),
-  );
   const observations: EntryObservation[] = [];
   const steps: CallStep[] = [];
   const waiters = new Map<string, (observation: EntryObservation) => void>();
@@ -191,6 +187,8 @@
     } as never,
     clock,
     loop,
+    gate: createMemoryGate(MEMORY_BYTES, clock),
+    maxBodyBytes: MEMORY_BYTES,
     post: observation => {
       observations.push(observation);
       waiters.get(observation.kind)?.(observation);
--- a/fronts/callerFront/src/callerFront.ts
+++ b/fronts/callerFront/src/callerFront.ts
@@ -12,11 +12,12 @@
   EntryDirectory,
 } from '@gentianshunt/messages';
 import type {LoopMonitor} from '@gentianshunt/runtime';
-import type {FastifyInstance, FastifyReply, FastifyRequest} from 'fastify';
+import type {FastifyReply, FastifyRequest} from 'fastify';
 
-import {addBodyBackpressure} from './bodyBackpressure.js';
+import {addCallerBodies} from './callerBodies.js';
+import type {CallerBodiesOptions} from './callerBodies.js';
 import {createCallerTable, sendProblem} from './callerTable.js';
-import type {CallerTable, ForwardedRequest, HeldBytes} from './callerTable.js';
+import type {CallerTable, ForwardedRequest} from './callerTable.js';
 import {hasDisconnected} from './hasDisconnected.js';
 import {createLookupRoute} from './lookupRoute.js';
 import {createBadRequestProblem, toProblem} from './problem.js';
@@ -27,35 +28,29 @@
 import {createStreamClient} from './streamClient.js';
 
 /** Options of the HTTP interface for callers. */
-export interface CallerFrontOptions {
-  readonly server: FastifyInstance;
+export interface CallerFrontOptions extends CallerBodiesOptions {
   readonly loop: LoopMonitor;
   readonly post: (observation: EntryObservation) => void;
   readonly readDirectory: () => EntryDirectory;
   readonly drawRequestId: () => RequestId;
   /** This entry, which is omitted from the fallback addresses. */
   readonly self: NodeId;
-  /** Bytes of request bodies in memory at which reading further ones stops. */
-  readonly maxBufferedBytes: number;
 }
 
 /** The HTTP interface for callers. */
 export interface CallerFront {
   /** Executes an effect that the entry has decided on. */
   perform(effect: CallerEffect): void;
-  /** Measures the bytes held for callers. */
-  measure(): HeldBytes;
   close(): Promise<void>;
 }
 
 /** Adds the routes for callers to a server. */
 export function createCallerFront(options: CallerFrontOptions): CallerFront {
-  const callers = createCallerTable();
+  const callers = createCallerTable(options.gate);
   const {loop, post} = options;
   const streams = createStreamClient({callers, loop, post});
-  const {server, maxBufferedBytes} = options;
-  addProblemHandlers(server);
-  addBodyBackpressure({server, callers, maxBufferedBytes});
+  addProblemHandlers(options.server);
+  addCallerBodies(options);
   addRoutes(options, callers);
   const lookups = createLookupRoute(options);
   return {
@@ -87,7 +82,6 @@
           return;
       }
     },
-    measure: callers.measure,
     close: () => streams.close(),
   };
 }
--- a/fronts/callerFront/src/callerTable.ts
+++ b/fronts/callerFront/src/callerTable.ts
@@ -1,6 +1,7 @@
 import type {ServerResponse} from 'node:http';
 
 import type {RequestId} from '@gentianshunt/identifiers';
+import type {HeldBytes, MemoryGate} from '@gentianshunt/requestBodies';
 
 import {abandonAnswer} from './abandonAnswer.js';
 import {PROBLEM_MEDIA_TYPE} from './problem.js';
@@ -25,61 +26,32 @@
   readonly response: ServerResponse;
 }
 
-/** Bytes held for callers. */
-export interface HeldBytes {
-  readonly requestBodyBytes: number;
-  readonly answerBytes: number;
-}
-
 /** The callers that await an answer, by request. */
 export interface CallerTable {
   add(caller: Caller): void;
   find(request: RequestId): Caller | undefined;
   remove(request: RequestId): void;
-  /** Sums the bytes of request bodies and of unread parts of answers. */
-  measure(): HeldBytes;
-  /** Registers a listener that is called after every removal. */
-  onRemoved(listener: () => void): void;
   readonly size: number;
-  /** Total size of the request bodies of all callers. */
-  readonly bufferedBytes: number;
 }
 
-/** Creates an empty table. */
-export function createCallerTable(): CallerTable {
+/** Creates an empty table; the bodies of its callers are held in a gate. */
+export function createCallerTable(gate: MemoryGate): CallerTable {
   const callers = new Map<RequestId, Caller>();
-  const listeners: (() => void)[] = [];
-  let bufferedBytes = 0;
+  const held = new Map<RequestId, HeldBytes>();
   return {
     add: caller => {
       callers.set(caller.request, caller);
-      bufferedBytes += caller.forwarded.body.length;
+      held.set(caller.request, gate.addHeld(caller.forwarded.body.length));
     },
     find: request => callers.get(request),
     remove: request => {
-      const caller = callers.get(request);
-      if (caller !== undefined) {
-        callers.delete(request);
-        bufferedBytes -= caller.forwarded.body.length;
-        listeners.forEach(listener => listener());
-      }
-    },
-    measure: () => ({
-      requestBodyBytes: bufferedBytes,
-      answerBytes: [...callers.values()].reduce(
-        (sum, {response}) => sum + response.writableLength,
-        0,
-      ),
-    }),
-    onRemoved: listener => {
-      listeners.push(listener);
+      callers.delete(request);
+      held.get(request)?.release();
+      held.delete(request);
     },
     get size() {
       return callers.size;
     },
-    get bufferedBytes() {
-      return bufferedBytes;
-    },
   };
 }
 
--- a/fronts/callerFront/src/problem.ts
+++ b/fronts/callerFront/src/problem.ts
@@ -95,6 +95,8 @@
       return {status: 503, title: 'This entry is shutting down'};
     case 'overloaded':
       return {status: 503, title: 'This entry is overloaded'};
+    case 'memoryFull':
+      return {status: 503, title: 'This entry has no memory for the request'};
     case 'noConfiguration':
       return {status: 503, title: 'This entry has no configuration yet'};
     case 'unknownRoute':
--- a/fronts/callerFront/test/frontFixture.ts
+++ b/fronts/callerFront/test/frontFixture.ts
@@ -2,6 +2,7 @@
 import type {IncomingMessage, ServerResponse} from 'node:http';
 import type {AddressInfo} from 'node:net';
 
+import {createManualClock} from '@gentianshunt/clock';
 import type {
   AdmittedRequest,
   Dispatch,
@@ -10,6 +11,7 @@
 } from '@gentianshunt/entryModel';
 import {toIdentifier} from '@gentianshunt/identifiers';
 import type {EntryDirectory} from '@gentianshunt/messages';
+import {createMemoryGate} from '@gentianshunt/requestBodies';
 import {createManualLoop} from '@gentianshunt/runtime';
 import type {LoopMonitor} from '@gentianshunt/runtime';
 import {fastify} from 'fastify';
@@ -47,12 +49,7 @@
     bodyLimit: MAX_BODY_BYTES,
     forceCloseConnections: true,
   });
-  server.removeAllContentTypeParsers();
-  server.addContentTypeParser(
-    '*',
-    {parseAs: 'buffer'},
-    (_request, body, done) => done(null, body),
-  );
+  const clock = createManualClock();
   const observations: EntryObservation[] = [];
   const waiters = new Map<string, (observation: EntryObservation) => void>();
   let requestCount = 0;
@@ -67,7 +64,11 @@
     readDirectory: () => options.directory ?? createDirectory(),
     drawRequestId: () => toIdentifier(`q${(requestCount += 1)}`),
     self: toIdentifier('entry-0'),
-    maxBufferedBytes: options.maxBufferedBytes ?? MAX_BODY_BYTES,
+    clock,
+    gate: createMemoryGate(options.maxBufferedBytes ?? MAX_BODY_BYTES, clock),
+    managementGate: createMemoryGate(MAX_BODY_BYTES, clock),
+    maxBodyBytes: MAX_BODY_BYTES,
+    readRank: () => 1,
   });
   const url = await server.listen({host: HOST, port: 0});
   return {
--- /dev/null
+++ b/fronts/requestBodies/src/readRequestBody.ts
@@ -0,0 +1,204 @@
+import type {IncomingMessage} from 'node:http';
+
+import type {Clock, Milliseconds} from '@gentianshunt/clock';
+import {SMALL_BODY_BYTES} from '@gentianshunt/memoryAccount';
+import type {ClaimDecision, ClaimKind} from '@gentianshunt/memoryAccount';
+
+import {BLOCK_BYTES} from './blockPool.js';
+import type {MemoryGate, Reservation} from './memoryGate.js';
+import {recordReadBytes} from './recordReadBytes.js';
+import {createBodyBuilder} from './requestBody.js';
+import type {RequestBody} from './requestBody.js';
+
+/** What is known of a request from its head. */
+export interface ReadTerms {
+  /** Rank of the tier; rank 1 is served first. */
+  readonly rank: number;
+  /** Time within which the request must be answered. */
+  readonly timeLimitMs: Milliseconds;
+}
+
+/** Options for reading one body. */
+export interface ReadOptions {
+  readonly gate: MemoryGate;
+  readonly clock: Clock;
+  /** Largest body that is read, in bytes. */
+  readonly maxBytes: number;
+  /** Called only if memory is short or the sender is slow. */
+  readonly readTerms: () => ReadTerms;
+}
+
+/** A body, or the reason why it is not read. */
+export type ReceivedBody =
+  | {
+      readonly kind: 'received';
+      readonly body: RequestBody;
+      /** Time since the head was read. */
+      readonly ageMs: Milliseconds;
+    }
+  | {readonly kind: 'memoryFull'}
+  | {readonly kind: 'tooLarge'}
+  | {readonly kind: 'tooSlow'};
+
+/** Longest time that an unread request waits for memory. */
+const MAX_WAIT_MS: Milliseconds = 500;
+/** Fraction of the time limit that a request may wait for memory. */
+const MAX_WAIT_FRACTION = 0.15;
+/**
+ * Memory reserved for a body of unknown length once it is not small. Most bodies
+ * need no more, so that few under way wait for each other.
+ */
+const GROWTH_BYTES = 4 * 1_024 * 1_024;
+/** Interval at which incomplete bodies are checked. */
+const CHECK_INTERVAL_MS: Milliseconds = 500;
+/** Longest time without a byte of a body that is being read. */
+const MAX_SILENCE_MS: Milliseconds = 2_000;
+/** Longest time for which the rest of a refused body is read. */
+const MAX_DROP_MS: Milliseconds = 5_000;
+
+/**
+ * Reads the body of a request once memory for it is reserved. Until then
+ * nothing is read, so that TCP flow control slows down the sender. Nothing is
+ * reported of a request whose caller disconnects.
+ */
+export function readRequestBody(
+  raw: IncomingMessage,
+  options: ReadOptions,
+  onRead: (received: ReceivedBody) => void,
+): void {
+  const {gate, clock, maxBytes} = options;
+  const declared = parseLength(raw);
+  if (declared !== undefined && declared > maxBytes) {
+    dropRest(raw, maxBytes);
+    onRead({kind: 'tooLarge'});
+    return;
+  }
+  const startedAt = clock.readMonotonic();
+  const builder = createBodyBuilder();
+  let pending: Reservation | undefined;
+  let unread: Buffer | undefined;
+  let isComplete = false;
+  let readAt = startedAt;
+  const stop = (): void => {
+    clearInterval(checks);
+    raw.off('data', receive);
+    raw.off('end', finish);
+    raw.off('close', abandon);
+  };
+  const abandon = (): void => {
+    stop();
+    pending?.release();
+    builder.release();
+  };
+  const fail = (kind: 'memoryFull' | 'tooLarge' | 'tooSlow'): void => {
+    abandon();
+    dropRest(raw, maxBytes);
+    onRead({kind});
+  };
+  const finish = (): void => {
+    isComplete = true;
+    if (unread === undefined) {
+      stop();
+      const ageMs = clock.readMonotonic() - startedAt;
+      onRead({kind: 'received', body: builder.build(), ageMs});
+    }
+  };
+  const reserve = (kind: ClaimKind, bytes: number, onGranted: () => void) => {
+    let decided: ClaimDecision['kind'] | undefined;
+    const accept = (decision: ClaimDecision['kind']): void => {
+      if (decision === 'refused') {
+        fail('memoryFull');
+        return;
+      }
+      builder.addMemory(pending!, bytes);
+      pending = undefined;
+      readAt = clock.readMonotonic();
+      onGranted();
+    };
+    pending = gate.request({
+      kind,
+      bytes,
+      readTerms: () => toWaitTerms(options.readTerms()),
+      onDecided: decision => {
+        // A decision at once comes before the reservation is returned.
+        decided = decision;
+        if (pending !== undefined) {
+          accept(decision);
+        }
+      },
+    });
+    if (decided !== undefined) {
+      accept(decided);
+    }
+  };
+  const add = (chunk: Buffer): void => {
+    if (chunk.length <= builder.freeBytes) {
+      unread = undefined;
+      builder.append(chunk);
+      return;
+    }
+    unread = chunk;
+    raw.pause();
+    const missing = Math.max(chunk.length, maxBytes - builder.length);
+    reserve('growth', Math.min(missing, GROWTH_BYTES), () => {
+      add(chunk);
+      raw.resume();
+      if (isComplete) {
+        finish();
+      }
+    });
+  };
+  const receive = (chunk: Buffer): void => {
+    readAt = clock.readMonotonic();
+    recordReadBytes(chunk.length);
+    if (builder.length + chunk.length > maxBytes) {
+      fail('tooLarge');
+    } else {
+      add(chunk);
+    }
+  };
+  const checks = setInterval(() => {
+    const now = clock.readMonotonic();
+    const isSilent = pending === undefined && now - readAt >= MAX_SILENCE_MS;
+    if (isSilent || now - startedAt >= options.readTerms().timeLimitMs) {
+      fail('tooSlow');
+    }
+  }, CHECK_INTERVAL_MS);
+  raw.on('error', () => undefined);
+  raw.on('close', abandon);
+  const bytes = declared ?? BLOCK_BYTES;
+  reserve(bytes <= SMALL_BODY_BYTES ? 'small' : 'large', bytes, () => {
+    raw.on('data', receive);
+    raw.on('end', finish);
+  });
+}
+
+function toWaitTerms({rank, timeLimitMs}: ReadTerms) {
+  return {
+    rank,
+    maxWaitMs: Math.min(MAX_WAIT_MS, timeLimitMs * MAX_WAIT_FRACTION),
+  };
+}
+
+function parseLength({headers}: IncomingMessage): number | undefined {
+  const text = headers['content-length'];
+  return text === undefined ? undefined : Number(text);
+}
+
+/**
+ * Reads the rest of a refused body without keeping it, so that the sender can
+ * read the refusal. The connection is closed if the rest is too long or slow.
+ */
+function dropRest(raw: IncomingMessage, maxBytes: number): void {
+  let received = 0;
+  const timer = setTimeout(() => raw.destroy(), MAX_DROP_MS);
+  raw.on('data', (chunk: Buffer) => {
+    received += chunk.length;
+    recordReadBytes(chunk.length);
+    if (received > maxBytes) {
+      raw.destroy();
+    }
+  });
+  raw.once('close', () => clearTimeout(timer));
+  raw.resume();
+}
--- /dev/null
+++ b/fronts/requestBodies/test/requestBodies.test.ts
@@ -0,0 +1,147 @@
+import {PassThrough} from 'node:stream';
+import type {IncomingMessage} from 'node:http';
+import {setTimeout as sleep} from 'node:timers/promises';
+
+import {createManualClock} from '@gentianshunt/clock';
+import t from 'tap';
+
+import {createMemoryGate, readRequestBody} from '../src/index.js';
+import type {MemoryGate, ReceivedBody} from '../src/index.js';
+
+const KB = 1_024;
+const BUDGET = 1_024 * KB;
+const MAX_BYTES = 512 * KB;
+const TERMS = {rank: 1, timeLimitMs: 1_000};
+
+/** Starts to read a body whose bytes the test writes. */
+function createSender(gate: MemoryGate, length?: number) {
+  const stream = new PassThrough();
+  const headers = length === undefined ? {} : {'content-length': `${length}`};
+  const raw = Object.assign(stream, {headers}) as unknown as IncomingMessage;
+  const received = new Promise<ReceivedBody>(resolve =>
+    readRequestBody(
+      raw,
+      {
+        gate,
+        clock: createManualClock(),
+        maxBytes: MAX_BYTES,
+        readTerms: () => TERMS,
+      },
+      resolve,
+    ),
+  );
+  return {stream, received};
+}
+
+async function awaitBody(received: Promise<ReceivedBody>) {
+  const result = await received;
+  if (result.kind !== 'received') {
+    throw new Error(result.kind);
+  }
+  return result.body;
+}
+
+function createBytes(length: number): Buffer {
+  return Buffer.from(Array.from({length}, (_, index) => index % 251));
+}
+
+for (const length of [1, 64 * KB, 64 * KB + 1, 300 * KB]) {
+  for (const isDeclared of [true, false]) {
+    const form = isDeclared ? 'with' : 'without';
+    t.test(`a body of ${length} bytes ${form} a length`, async t => {
+      const gate = createMemoryGate(BUDGET, createManualClock());
+      const bytes = createBytes(length);
+      const sender = createSender(gate, isDeclared ? length : undefined);
+      sender.stream.write(bytes.subarray(0, 1_000));
+      sender.stream.end(bytes.subarray(1_000));
+      const body = await awaitBody(sender.received);
+      t.equal(body.length, length);
+      t.ok(gate.reservedBytes >= length);
+      const payload = body.toPayload()!;
+      const sent = Buffer.isBuffer(payload) ? [payload] : [...payload];
+      t.ok(Buffer.concat(sent).equals(bytes));
+      t.ok(body.toBuffer().equals(bytes));
+      body.release();
+      body.release();
+      t.equal(gate.reservedBytes, 0);
+    });
+  }
+}
+
+// Guards against an endpoint that gets bytes of another request.
+t.test('a block that is being written is not used again', async t => {
+  const gate = createMemoryGate(BUDGET, createManualClock());
+  const length = 128 * KB;
+  const first = createSender(gate, length);
+  first.stream.end(createBytes(length));
+  const body = await awaitBody(first.received);
+  const payload = (body.toPayload() as Iterable<Buffer>)[Symbol.iterator]();
+  payload.next();
+  const written = payload.next().value as Buffer;
+  const before = Buffer.from(written);
+  body.release();
+  const second = createSender(gate, MAX_BYTES);
+  second.stream.end(Buffer.alloc(MAX_BYTES, 'z'));
+  await awaitBody(second.received);
+  t.ok(written.equals(before));
+});
+
+t.test('sending a released body fails', async t => {
+  const gate = createMemoryGate(BUDGET, createManualClock());
+  const length = 300 * KB;
+  const sender = createSender(gate, length);
+  sender.stream.end(createBytes(length));
+  const body = await awaitBody(sender.received);
+  const payload = (body.toPayload() as Iterable<Buffer>)[Symbol.iterator]();
+  t.notOk(payload.next().done);
+  body.release();
+  t.throws(() => payload.next(), {code: 'ERR_BODY_RELEASED'});
+  t.throws(() => body.toPayload(), {code: 'ERR_BODY_RELEASED'});
+});
+
+t.test('a body waits unread until memory is free', async t => {
+  const gate = createMemoryGate(BUDGET, createManualClock());
+  const held = gate.addHeld(BUDGET);
+  const sender = createSender(gate, 100 * KB);
+  sender.stream.end(createBytes(100 * KB));
+  await sleep(20);
+  t.equal(gate.waitingClaims, 1);
+  t.equal(gate.reservedBytes, BUDGET);
+  held.release();
+  t.equal((await awaitBody(sender.received)).length, 100 * KB);
+});
+
+t.test('a body that waits too long is refused', async t => {
+  const gate = createMemoryGate(BUDGET, createManualClock());
+  gate.addHeld(BUDGET);
+  const sender = createSender(gate, 10);
+  t.same(await sender.received, {kind: 'memoryFull'});
+  t.equal(gate.waitingClaims, 0);
+});
+
+for (const length of [undefined, 100 * KB]) {
+  t.test('a caller that leaves frees memory and its place', async t => {
+    const gate = createMemoryGate(BUDGET, createManualClock());
+    const first = createSender(gate, length);
+    first.stream.write(createBytes(KB));
+    const held = gate.addHeld(BUDGET);
+    const second = createSender(gate, length);
+    await sleep(20);
+    first.stream.destroy();
+    second.stream.destroy();
+    await sleep(20);
+    held.release();
+    t.equal(gate.reservedBytes, 0);
+    t.equal(gate.waitingClaims, 0);
+  });
+}
+
+t.test('a body without end is refused at the limit', async t => {
+  const gate = createMemoryGate(BUDGET, createManualClock());
+  const sender = createSender(gate);
+  const timer = setInterval(() => sender.stream.write(createBytes(64 * KB)), 1);
+  t.same(await sender.received, {kind: 'tooLarge'});
+  t.equal(gate.reservedBytes, 0);
+  await new Promise(resolve => sender.stream.once('close', resolve));
+  clearInterval(timer);
+});
--- a/reports/explain/src/failureCause.ts
+++ b/reports/explain/src/failureCause.ts
@@ -18,6 +18,8 @@
   /** The entry had no lease or no configuration, or was draining. */
   | {readonly kind: 'noLease'}
   | {readonly kind: 'overloaded'}
+  /** The entry had no memory for the request's body. */
+  | {readonly kind: 'memoryFull'}
   /** Shed, because no capacity became free within the callers' patience. */
   | {
       readonly kind: 'waitedTooLong';
@@ -83,6 +85,8 @@
       return {kind: 'noLease'};
     case 'overloaded':
       return {kind: 'overloaded'};
+    case 'memoryFull':
+      return {kind: 'memoryFull'};
     case 'timeLimit':
       return {kind: 'timeLimit', endpoints};
     case 'shed':
@@ -137,6 +141,8 @@
       return 'the entry could not take requests: no lease, no configuration, or it was stopping';
     case 'overloaded':
       return "the event loop of the entry was late; see its line 'loopDelayed'";
+    case 'memoryFull':
+      return "the entry had no memory for the body; see its line 'memoryHigh'";
     case 'waitedTooLong':
       return describeWait(cause);
     case 'endpointFailed':
--- a/scheduling/entryModel/src/request.ts
+++ b/scheduling/entryModel/src/request.ts
@@ -181,6 +181,8 @@
   | {readonly kind: 'draining'}
   /** The event loop of the entry is too late to serve the request in time. */
   | {readonly kind: 'overloaded'}
+  /** The entry has no memory for the request's body. */
+  | {readonly kind: 'memoryFull'}
   | {readonly kind: 'claimsUnavailable'}
   | {readonly kind: 'noConfiguration'}
   | {readonly kind: 'unknownRoute'}
--- /dev/null
+++ b/scheduling/memoryAccount/src/index.ts
@@ -0,0 +1,3 @@
+export * from './accountState.js';
+export * from './claims.js';
+export * from './memoryPlan.js';
