--- a/fronts/callRelay/src/endpointStream.ts
+++ b/fronts/callRelay/src/endpointStream.ts
@@ -6,6 +6,7 @@
   StreamEnd,
 } from '@gentianshunt/entryModel';
 import type {DispatchId} from '@gentianshunt/identifiers';
+import {recordReadBytes} from '@gentianshunt/requestBodies';
 import type {Dispatcher} from 'undici';
 
 import {decideAnswerAction} from './answerAction.js';
@@ -23,6 +24,7 @@
 import {createDroppedBody, UnboundedAnswerError} from './droppedBody.js';
 import type {DroppedBody} from './droppedBody.js';
 import {guardCall} from './guardCall.js';
+import {createAnswerPause} from './answerPause.js';
 
 /** Most informational heads before the head of an answer. */
 const MAX_INFORMATIONAL_HEADS = 8;
@@ -92,6 +94,7 @@
   dispatch: Dispatch,
 ): Dispatcher.DispatchOptions {
   const timeLeftMs = Math.max(1, call.dueAt - clock.readMonotonic());
+  const body = call.body.toPayload();
   const headers = protocol.listEndpointHeaders({
     call: call.head,
     request,
@@ -103,8 +106,13 @@
     origin: dispatch.target.url,
     path: call.head.url,
     method: call.head.method as Dispatcher.HttpMethod,
-    headers: [...headers],
-    body: call.body.length === 0 ? null : call.body,
+    // The client learns the length of a buffer by itself.
+    headers:
+      body === null || Buffer.isBuffer(body)
+        ? [...headers]
+        : [...headers, 'Content-Length', String(call.body.length)],
+    // Its types do not mention iterables, which it sends.
+    body: body as Buffer | null,
   };
 }
 
@@ -186,7 +194,7 @@
     end({kind: 'cut', detail, events: 0, progress: progress.read()});
     controller?.abort(new Error(detail));
   };
-  const resume = (): void => controller?.resume();
+  const pause = createAnswerPause(options.gate, call.response);
   const canSend = (): boolean => {
     const cause = findWithholdCause(options, call, request, dispatch);
     if (cause === undefined || isEnded) {
@@ -250,7 +258,8 @@
             return;
         }
       },
-      onResponseData: (_controller, chunk) => {
+      onResponseData: (started, chunk) => {
+        recordReadBytes(chunk.length);
         if (handling.kind === 'discard') {
           handling.drop.add(chunk.length);
           return;
@@ -263,8 +272,7 @@
         reportTokens();
         try {
           if (!handling.writer.write(chunk)) {
-            controller?.pause();
-            call.response.once('drain', resume);
+            pause(started);
           }
         } catch (error) {
           abort((error as Error).message);
--- a/fronts/callRelay/src/endpointStreamOptions.ts
+++ b/fronts/callRelay/src/endpointStreamOptions.ts
@@ -1,6 +1,7 @@
 import type {BoardView} from '@gentianshunt/board';
 import type {Clock} from '@gentianshunt/clock';
 import type {EntryObservation, EntrySections} from '@gentianshunt/entryModel';
+import type {MemoryGate} from '@gentianshunt/requestBodies';
 import type {LoopMonitor} from '@gentianshunt/runtime';
 
 import type {CallProtocol} from './callProtocol.js';
@@ -14,6 +15,7 @@
   readonly view: BoardView<EntrySections>;
   readonly clock: Clock;
   readonly loop: LoopMonitor;
+  readonly gate: MemoryGate;
   readonly post: (observation: EntryObservation) => void;
   readonly onStep: (step: CallStep) => void;
 }
