Take an unhandled error of a file for a fault

An unhandled error of a file (ENOSPC, EIO, EBADF) has the system calls read and write as well, and passed for an error of one connection: it was logged and the process went on. Now the code must be one of a connection too.

--- a/daemons/processControl/src/uncaughtError.ts
+++ b/daemons/processControl/src/uncaughtError.ts
@@ -8,6 +8,19 @@
   'shutdown',
   'write',
 ]);
+/** What those calls fail with on a connection; a file fails otherwise. */
+const CONNECTION_CODES: ReadonlySet<string> = new Set([
+  'ECONNABORTED',
+  'ECONNREFUSED',
+  'ECONNRESET',
+  'EHOSTUNREACH',
+  'EMFILE',
+  'ENETUNREACH',
+  'ENFILE',
+  'ENOTCONN',
+  'EPIPE',
+  'ETIMEDOUT',
+]);
 /** Errors of a stream that was closed while it was still in use. */
 const CLOSED_STREAM_CODES: ReadonlySet<string> = new Set([
   'ERR_STREAM_DESTROYED',
@@ -21,8 +34,13 @@
  */
 export function isConnectionError(error: Error): boolean {
   const {code, syscall} = error as NodeJS.ErrnoException;
+  if (code === undefined) {
+    return false;
+  }
+  const isConnectionCall =
+    syscall !== undefined && CONNECTION_CALLS.has(syscall);
   return (
-    (syscall !== undefined && CONNECTION_CALLS.has(syscall)) ||
-    (code !== undefined && CLOSED_STREAM_CODES.has(code))
+    (isConnectionCall && CONNECTION_CODES.has(code)) ||
+    CLOSED_STREAM_CODES.has(code)
   );
 }
--- a/daemons/processControl/test/processState.test.ts
+++ b/daemons/processControl/test/processState.test.ts
@@ -29,6 +29,10 @@
   return {kind: 'signalReceived', signal};
 }
 
+function createSystemError(syscall: string, code: string): Error {
+  return Object.assign(new Error(code), {syscall, code});
+}
+
 /** Lists the actions for events in order; an exit as its code. */
 function listActions(
   events: readonly ProcessEvent[],
@@ -136,11 +140,19 @@
       STARTED,
       {
         kind: 'errorUncaught',
-        error: Object.assign(new Error('reset'), {syscall: 'read'}),
+        error: createSystemError('read', 'ECONNRESET'),
       },
     ],
     actions: ['recordConnectionError'],
   },
+  {
+    name: 'an error of a file is a fault',
+    events: [
+      STARTED,
+      {kind: 'errorUncaught', error: createSystemError('write', 'ENOSPC')},
+    ],
+    actions: ['recordFault', 'limitTime', 'drain'],
+  },
 ];
 
 for (const {name, events, policy, actions} of cases) {
