Answer a caller whose last chunk waits for memory

Callers saw no answer at all: a chunked body whose first block had waited and whose last chunk then waited for more memory was forgotten, neither read nor refused, with the connection open.

Cause: Node.js schedules `end` with the read of the last buffered chunk, before `data` is emitted, so `pause` in the handler does not hold it back; `close` of the message follows, and it was taken for the caller's leaving.

`close` of a message counts only until its end; from then on, while a chunk is still unread, the close of the socket tells that the caller has left. Class: a stream event taken for an event of its connection. Also looked at in this file: the rest of a body that has ended is no longer dropped, which started a timer that nothing cleared.

--- a/fronts/requestBodies/src/readRequestBody.ts
+++ b/fronts/requestBodies/src/readRequestBody.ts
@@ -83,13 +83,20 @@
     clearInterval(checks);
     raw.off('data', receive);
     raw.off('end', finish);
-    raw.off('close', abandon);
+    raw.off('close', leave);
+    raw.socket?.off('close', abandon);
   };
   const abandon = (): void => {
     stop();
     pending?.release();
     builder.release();
   };
+  /** A message closes by itself after its end, while its caller waits. */
+  const leave = (): void => {
+    if (!isComplete) {
+      abandon();
+    }
+  };
   const fail = (kind: 'memoryFull' | 'tooLarge' | 'tooSlow'): void => {
     abandon();
     dropRest(raw, maxBytes);
@@ -97,11 +104,13 @@
   };
   const finish = (): void => {
     isComplete = true;
-    if (unread === undefined) {
-      stop();
-      const ageMs = clock.readMonotonic() - startedAt;
-      onRead({kind: 'received', body: builder.build(), ageMs});
+    if (unread !== undefined) {
+      raw.socket?.once('close', abandon);
+      return;
     }
+    stop();
+    const ageMs = clock.readMonotonic() - startedAt;
+    onRead({kind: 'received', body: builder.build(), ageMs});
   };
   const reserve = (kind: ClaimKind, bytes: number, onGranted: () => void) => {
     let decided: ClaimDecision['kind'] | undefined;
@@ -165,7 +174,7 @@
     }
   }, CHECK_INTERVAL_MS);
   raw.on('error', () => undefined);
-  raw.on('close', abandon);
+  raw.on('close', leave);
   const bytes = declared ?? BLOCK_BYTES;
   reserve(bytes <= SMALL_BODY_BYTES ? 'small' : 'large', bytes, () => {
     raw.on('data', receive);
@@ -190,6 +199,9 @@
  * read the refusal. The connection is closed if the rest is too long or slow.
  */
 function dropRest(raw: IncomingMessage, maxBytes: number): void {
+  if (raw.readableEnded) {
+    return;
+  }
   let received = 0;
   const timer = setTimeout(() => raw.destroy(), MAX_DROP_MS);
   raw.on('data', (chunk: Buffer) => {
--- a/fronts/requestBodies/test/requestBodies.test.ts
+++ b/fronts/requestBodies/test/requestBodies.test.ts
@@ -1,9 +1,12 @@
 import {PassThrough} from 'node:stream';
+import {createServer, request} from 'node:http';
 import type {IncomingMessage} from 'node:http';
+import type {AddressInfo} from 'node:net';
 import {setTimeout as sleep} from 'node:timers/promises';
 
 import {createManualClock} from '@gentianshunt/clock';
 import t from 'tap';
+import type {Test} from 'tap';
 
 import {createMemoryGate, readRequestBody} from '../src/index.js';
 import type {MemoryGate, ReceivedBody} from '../src/index.js';
@@ -145,3 +148,62 @@
   await new Promise(resolve => sender.stream.once('close', resolve));
   clearInterval(timer);
 });
+
+/** Sends a chunked body over TCP; its first block waits, then its last chunk. */
+async function sendWaitingChunk(t: Test, gate: MemoryGate) {
+  const results: ReceivedBody[] = [];
+  const options = {
+    gate,
+    clock: createManualClock(),
+    maxBytes: MAX_BYTES,
+    readTerms: () => TERMS,
+  };
+  const server = createServer((raw, response) =>
+    readRequestBody(raw, options, received => {
+      results.push(received);
+      response.end(received.kind);
+    }),
+  );
+  await new Promise<void>(resolve => server.listen(0, '127.0.0.1', resolve));
+  t.teardown(() => server.close().closeAllConnections());
+  const {port} = server.address() as AddressInfo;
+  const sender = request({port, host: '127.0.0.1', method: 'POST'});
+  sender.on('error', () => undefined);
+  sender.on('response', response => response.resume());
+  const held = gate.addHeld(BUDGET - 64 * KB);
+  const firstBlock = gate.addHeld(64 * KB);
+  sender.write(createBytes(10_000));
+  await sleep(50);
+  sender.end(createBytes(55_600));
+  await sleep(50);
+  firstBlock.release();
+  await sleep(20);
+  return {sender, held, results};
+}
+
+t.test('a caller whose last chunk waits gets an answer', async t => {
+  const gate = createMemoryGate(BUDGET, createManualClock());
+  const {held, results} = await sendWaitingChunk(t, gate);
+  t.equal(gate.waitingClaims, 1);
+  held.release();
+  await sleep(50);
+  t.match(results, [{kind: 'received', body: {length: 65_600}}]);
+});
+
+t.test('a caller whose last chunk waits too long is refused', async t => {
+  const gate = createMemoryGate(BUDGET, createManualClock());
+  const {results} = await sendWaitingChunk(t, gate);
+  await sleep(250);
+  t.same(results, [{kind: 'memoryFull'}]);
+});
+
+t.test('a caller that leaves while its last chunk waits', async t => {
+  const gate = createMemoryGate(BUDGET, createManualClock());
+  const {sender, results} = await sendWaitingChunk(t, gate);
+  t.equal(gate.waitingClaims, 1);
+  sender.destroy();
+  await sleep(50);
+  t.equal(gate.waitingClaims, 0);
+  t.equal(gate.reservedBytes, BUDGET - 64 * KB);
+  t.same(results, []);
+});
