Answer leaves that can't be confirmed any more

An endpoint whose leave was refused once, and which reported it again to an entry that had become alone in the directory, got no answer: the entry wrote nothing, the record of the unconfirmed leave stayed, and the periodic check skips refused ones. A forgotten leave was dropped without an answer, too.

An entry that is alone now settles unconfirmed leaves as acknowledged, when it is told and at each check. Dropped records and returns settle them as well; all ways go through one function that deletes the record and answers.

--- a/scheduling/slotClient/src/leaveConfirmation.ts
+++ b/scheduling/slotClient/src/leaveConfirmation.ts
@@ -14,7 +14,11 @@
 import type {EntryAddress} from '@gentianshunt/messages';
 
 import type {WithdrawalDraft} from './withdrawalDraft.js';
-import {createExchangeTimer, sendTo} from './withdrawalView.js';
+import {
+  createExchangeTimer,
+  createLeaveAnswer,
+  sendTo,
+} from './withdrawalView.js';
 import type {WithdrawalView, WithdrawalWrite} from './withdrawalView.js';
 
 /** Longest wait for a confirmation; endpoints wait for a second. */
@@ -54,16 +58,14 @@
 }
 
 function awaitConfirmation(
-  {board}: WithdrawalView,
+  view: WithdrawalView,
   draft: WithdrawalDraft,
   endpoint: EndpointId,
   left: LeftIncarnation,
   now: TurnTime,
 ): void {
-  const isAlone =
-    board.control.directory.entries.length > 0 &&
-    listOtherEntries(board).length === 0;
-  if (isAlone) {
+  if (isAlone(view)) {
+    draft.settleLeave(endpoint, true);
     return;
   }
   const at = now.monotonic;
@@ -73,6 +75,14 @@
   );
 }
 
+/** Returns whether the directory lists no other entry that could confirm. */
+function isAlone({board}: WithdrawalView): boolean {
+  return (
+    board.control.directory.entries.length > 0 &&
+    listOtherEntries(board).length === 0
+  );
+}
+
 function requestOthers(
   {board}: WithdrawalView,
   draft: WithdrawalDraft,
@@ -91,7 +101,12 @@
   draft: WithdrawalDraft,
   now: TurnTime,
 ): void {
+  const canConfirm = !isAlone(view);
   for (const [endpoint, leave] of view.board.unconfirmedLeaves) {
+    if (!canConfirm) {
+      draft.settleLeave(endpoint, true);
+      continue;
+    }
     if (leave.isRefused) {
       continue;
     }
@@ -116,7 +131,7 @@
 ): void {
   draft.add(
     putUnconfirmed(endpoint, {...leave, isRefused: true}),
-    answerEndpoint(endpoint, false),
+    createLeaveAnswer(endpoint, false),
     {
       kind: 'effect',
       effect: {
@@ -136,10 +151,7 @@
 ): void {
   const waiting = board.unconfirmedLeaves.get(endpoint);
   if (waiting !== undefined && isCoveredBy(waiting.left, left)) {
-    draft.add(
-      {kind: 'delete', section: 'unconfirmedLeaves', key: endpoint},
-      answerEndpoint(endpoint, true),
-    );
+    draft.settleLeave(endpoint, true);
   }
 }
 
@@ -150,16 +162,6 @@
   return {kind: 'put', section: 'unconfirmedLeaves', key, value};
 }
 
-function answerEndpoint(
-  endpoint: EndpointId,
-  isConfirmed: boolean,
-): WithdrawalWrite {
-  return {
-    kind: 'effect',
-    effect: {kind: 'settleLeave', endpoint, isConfirmed},
-  };
-}
-
 function sendLeave(
   address: EntryAddress,
   endpoint: EndpointId,
--- a/scheduling/slotClient/src/withdrawalDraft.ts
+++ b/scheduling/slotClient/src/withdrawalDraft.ts
@@ -10,6 +10,7 @@
 } from '@gentianshunt/entryModel';
 import type {EndpointId} from '@gentianshunt/identifiers';
 
+import {createLeaveAnswer} from './withdrawalView.js';
 import type {WithdrawalView, WithdrawalWrite} from './withdrawalView.js';
 
 /**
@@ -34,6 +35,8 @@
   learn(leave: LearntLeave): boolean;
   /** Drops a record that is not needed any more. */
   drop(endpoint: EndpointId): void;
+  /** Ends the wait for a confirmation, if any, and answers the endpoint. */
+  settleLeave(endpoint: EndpointId, isConfirmed: boolean): void;
   putExchange(exchange: LeaveExchange): void;
   readCatchUp(): LeaveCatchUp;
   setCatchUp(state: LeaveCatchUp): void;
@@ -66,8 +69,17 @@
       createWithdrawalWrite(key, value),
     );
   };
+  const settleLeave = (key: EndpointId, isConfirmed: boolean): void => {
+    if (board.unconfirmedLeaves.has(key)) {
+      writes.push(
+        {kind: 'delete', section: 'unconfirmedLeaves', key},
+        createLeaveAnswer(key, isConfirmed),
+      );
+    }
+  };
   return {
     find,
+    settleLeave,
     readLog: () => log,
     readExchange: () => exchange,
     learn: ({endpoint, remainingMs = WITHDRAWAL_MS, ...leave}) => {
@@ -77,6 +89,9 @@
       const isNews = known === undefined || isLaterLeave(record, known);
       if (isNews && remainingMs > 0) {
         put(endpoint, record);
+        if (record.state === 'returned') {
+          settleLeave(endpoint, true);
+        }
       }
       return isNews;
     },
@@ -88,8 +103,8 @@
         writes.push(
           {kind: 'delete', section: 'leaveRecords', key},
           {kind: 'delete', section: 'withdrawnEndpoints', key},
-          {kind: 'delete', section: 'unconfirmedLeaves', key},
         );
+        settleLeave(key, false);
       }
     },
     putExchange: value => {
--- a/scheduling/slotClient/src/withdrawalView.ts
+++ b/scheduling/slotClient/src/withdrawalView.ts
@@ -6,6 +6,7 @@
   EntrySections,
   EntryWrite,
 } from '@gentianshunt/entryModel';
+import type {EndpointId} from '@gentianshunt/identifiers';
 import type {EntryAddress} from '@gentianshunt/messages';
 
 /** Time after which unanswered questions are asked again. */
@@ -69,3 +70,14 @@
     },
   };
 }
+
+/** Answers an endpoint that waits for the acknowledgement of its leave. */
+export function createLeaveAnswer(
+  endpoint: EndpointId,
+  isConfirmed: boolean,
+): WithdrawalWrite {
+  return {
+    kind: 'effect',
+    effect: {kind: 'settleLeave', endpoint, isConfirmed},
+  };
+}
