Let catch-ups end under pauses in series

An overloaded entry whose event loop was late by more than 1.25 s again and again restarted its catch-up on leaves each time: the wait's bound of 600 ms never applied, replies read late were discarded, and the entry dispatched nothing as long as the load lasted. Before: 'short pauses in series do not restart a catch-up' found 'catchingUp' instead of 'current' after a further pause of 1.4 s.

A further pause below 1.75 s, less than the time for which endpoints go on after their leave, now leaves the start of the wait and the first request as they are. A longer one restarts it as before; waits after a start or a lapse of the lease are not concerned.

--- a/scheduling/slotClient/src/leaveCatchUp.ts
+++ b/scheduling/slotClient/src/leaveCatchUp.ts
@@ -19,6 +19,11 @@
 
 /** Longest time for which an entry waits for an answer. */
 export const CATCH_UP_LIMIT_MS: Milliseconds = 600;
+/**
+ * Longest further pause that a wait outlasts: shorter than the time for which
+ * endpoints go on after their leave, so that earlier requests still count.
+ */
+const MAX_OUTLASTED_PAUSE_MS: Milliseconds = 1_750;
 /** Entries asked at once, and again others after each interval. */
 const REQUESTED_ENTRIES = 3;
 
@@ -32,7 +37,7 @@
 ): void {
   const {observation, board} = view;
   const pausedMs = measurePause(board.processActivity, now);
-  if (pausedMs > 0) {
+  if (pausedMs > 0 && !isOutlasted(draft.readCatchUp(), pausedMs)) {
     startCatchUp(view, draft, 'pause', pausedMs, now);
   }
   const isTimer =
@@ -43,6 +48,15 @@
   }
 }
 
+/** Returns whether a wait because of a pause goes on after a further one. */
+function isOutlasted(state: LeaveCatchUp, pausedMs: Milliseconds): boolean {
+  return (
+    state.kind === 'catchingUp' &&
+    state.cause === 'pause' &&
+    pausedMs < MAX_OUTLASTED_PAUSE_MS
+  );
+}
+
 function recordActivity({monotonic, wall}: TurnTime): WithdrawalWrite {
   return {
     kind: 'set',
