Report the rest of a restarted entry's own leaves

An entry that had restarted asks for what it told before its end. Above 2,048 records the answer comes in parts, and from the second part on the records that were learnt from the reader were left out, those of its earlier process too: it went on dispatching to endpoints that had left.

Records now name the process in whose log they were read; only those read from the reader's present process are left out. Notifications name no process, so that what they told may be reported back once, where the digests differ.

--- a/scheduling/entryModel/src/leaveRecord.ts
+++ b/scheduling/entryModel/src/leaveRecord.ts
@@ -16,6 +16,8 @@
   readonly source: WithdrawalSource;
   /** This entry, or the one that told it. */
   readonly learntFrom: NodeId;
+  /** The process in whose log it was read; null if it was told otherwise. */
+  readonly readFrom: IncarnationId | null;
   /** Position of the record among all that this entry has learnt. */
   readonly version: number;
   /** Until when announcements of earlier incarnations may still arrive. */
--- a/scheduling/slotClient/src/withdrawalController.ts
+++ b/scheduling/slotClient/src/withdrawalController.ts
@@ -188,6 +188,7 @@
     incarnation: left,
     source,
     learntFrom,
+    readFrom: null,
   };
   return draft.learn(leave);
 }
@@ -210,6 +211,7 @@
       incarnation: toLeftIncarnation(announcement),
       source,
       learntFrom,
+      readFrom: null,
     })
   );
 }
--- a/scheduling/slotClient/src/withdrawalExchange.ts
+++ b/scheduling/slotClient/src/withdrawalExchange.ts
@@ -15,7 +15,11 @@
   LeaveRecord,
   ReportedLeave,
 } from '@gentianshunt/entryModel';
-import type {EndpointId, NodeId} from '@gentianshunt/identifiers';
+import type {
+  EndpointId,
+  IncarnationId,
+  NodeId,
+} from '@gentianshunt/identifiers';
 import type {EntryAddress} from '@gentianshunt/messages';
 
 import type {WithdrawalDraft} from './withdrawalDraft.js';
@@ -100,7 +104,7 @@
     return;
   }
   const isSame = digest === draft.readLog().digest;
-  const unread = isSame ? [] : listUnread(view, from, after);
+  const unread = isSame ? [] : listUnread(view, own.process, after);
   const reported = unread.slice(0, MAX_REPORTED);
   const isComplete = reported.length === unread.length;
   const version = isComplete
@@ -125,19 +129,20 @@
 
 /**
  * Lists the records that an entry has not read, in the order in which they were
- * learnt. Without a position it has started since, and has lost what it reported.
+ * learnt. What was read from its present process it knows; an earlier one may have
+ * told more than the present one remembers.
  */
 function listUnread(
   {board}: WithdrawalView,
-  reader: NodeId,
+  reader: IncarnationId,
   after: LeaveLogPosition | null,
 ): readonly (readonly [EndpointId, LeaveRecord])[] {
   const isKnown = after?.process === board.identity.incarnation;
   const first = isKnown ? after.version : 0;
   return [...board.leaveRecords]
     .filter(
-      ([, {version, learntFrom}]) =>
-        version > first && !(isKnown && learntFrom === reader),
+      ([, {version, readFrom}]) =>
+        version > first && !(isKnown && readFrom === reader),
     )
     .sort(([, left], [, right]) => left.version - right.version);
 }
@@ -169,7 +174,12 @@
   {position, isComplete, withdrawals}: LeavesReport,
 ): void {
   for (const leave of withdrawals) {
-    draft.learn({...leave, source: 'exchange', learntFrom: from});
+    draft.learn({
+      ...leave,
+      source: 'exchange',
+      learntFrom: from,
+      readFrom: position.process,
+    });
   }
   draft.add({
     kind: 'put',
