--- a/fronts/requestBodies/test/requestBodies.test.ts
+++ b/fronts/requestBodies/test/requestBodies.test.ts
@@ -5,6 +5,7 @@
 import {setTimeout as sleep} from 'node:timers/promises';
 
 import {createManualClock} from '@gentianshunt/clock';
+import {createSystemClock} from '@gentianshunt/runtime';
 import t from 'tap';
 import type {Test} from 'tap';
 
@@ -26,7 +27,7 @@
       raw,
       {
         gate,
-        clock: createManualClock(),
+        clock: createSystemClock(),
         maxBytes: MAX_BYTES,
         readTerms: () => terms,
       },
