Requeue calls withheld for unknown leaves uncounted

A call that an entry withheld since it was behind on leaves was treated like a failed connection: each time used up an unsent retry and marked an endpoint as tried that had not failed. Before: 'a call withheld while leaves are unknown uses no retry' got 4 dispatches instead of 5 and a refusal 'endpointFailed notRun'. It now goes back to its queue unchanged; its patience and time limit bound it.

--- a/scheduling/entryNode/test/calls.test.ts
+++ b/scheduling/entryNode/test/calls.test.ts
@@ -148,6 +148,23 @@
   },
 );
 
+// Guards against calls refused because their entry was behind on leaves.
+t.test('a call withheld while leaves are unknown uses no retry', async t => {
+  const fixture = createDispatched({patienceMs: 30_000});
+  for (let count = 1; count <= 5; count += 1) {
+    const opened = fixture.list('openStream');
+    t.equal(opened.length, count);
+    endStream(
+      fixture,
+      {kind: 'withheld', cause: 'leavesUnknown'},
+      opened.at(-1)!.dispatch.id,
+    );
+    fixture.advance(250);
+  }
+  t.same(listRefusals(fixture), []);
+  t.notOk(fixture.list('openStream').at(-1)!.request.tried?.length);
+});
+
 t.test('a call that may be retried leaves a silent endpoint', async t => {
   const fixture = createDispatched();
   fixture.advance(1_500);
--- a/scheduling/lifecycle/src/retries.ts
+++ b/scheduling/lifecycle/src/retries.ts
@@ -98,6 +98,14 @@
   );
 }
 
+/** Requeues a request that the entry withheld for a reason of its own. */
+export function requeueWithheld(
+  draft: RequestDraft,
+  state: DispatchedState,
+): void {
+  requeueRequest(draft, state, state.request, false);
+}
+
 /** Records the endpoint of the current dispatch in the request. */
 function addTriedEndpoint({
   request,
--- a/scheduling/lifecycle/src/unsentStreams.ts
+++ b/scheduling/lifecycle/src/unsentStreams.ts
@@ -9,7 +9,7 @@
 import {endRequest} from './endRequest.js';
 import {failRequest, failUnknown} from './failRequest.js';
 import type {LifecycleView, RequestDraft} from './requestDraft.js';
-import {canRetryUnsent, requeueUnsent} from './retries.js';
+import {canRetryUnsent, requeueUnsent, requeueWithheld} from './retries.js';
 
 type NotSentEnd = Extract<StreamEnd, {readonly kind: 'notSent'}>;
 type WithheldEnd = Extract<StreamEnd, {readonly kind: 'withheld'}>;
@@ -58,7 +58,6 @@
       return;
     case 'endpointLeft':
     case 'endpointPaused':
-    case 'leavesUnknown':
       handleNotSent(
         view,
         draft,
@@ -67,6 +66,9 @@
         now,
       );
       return;
+    case 'leavesUnknown':
+      requeueWithheld(draft, state);
+      return;
     default:
       assertNever(end.cause, 'handleWithheld');
   }
