Let the only body under way grow beyond the budget

What operators would have seen: with a memory limit below about 183 MB, each configuration of over 64 KiB that was sent in chunks was refused with 503 for ever. Cause: a body of unknown length holds 64 KiB before it asks for more, so that the account was never empty for it, and the exception for a body that is alone never applied. The claim now says what its body holds already. Evidence: takeFreeBytes of an account that holds these 64 KiB only, for 1 MiB of a budget of 1 MiB, gave undefined on; with the change the memory is granted, and not if another byte is held. memoryAccount and requestBodies: 88 passed, 0 failed. Found by a review; not tried with a process of that size.

--- a/fronts/requestBodies/src/memoryGate.ts
+++ b/fronts/requestBodies/src/memoryGate.ts
@@ -27,6 +27,8 @@
 export interface GateRequest {
   readonly kind: ClaimKind;
   readonly bytes: number;
+  /** Bytes that the same body holds already. */
+  readonly ownBytes: number;
   /** Called only if the claim has to wait. */
   readonly readTerms: () => WaitTerms;
   /** Called at once if memory is free, otherwise later. */
@@ -92,7 +94,7 @@
     return {release: () => shrink(0), shrink};
   };
   const awaitMemory = (claim: GateRequest): Reservation => {
-    const {kind, bytes} = claim;
+    const {kind, bytes, ownBytes} = claim;
     const {rank, maxWaitMs} = claim.readTerms();
     lastId += 1;
     const id = lastId;
@@ -115,7 +117,7 @@
         claim.onDecided(decision);
       },
     });
-    apply(admitClaim(account, {id, kind, bytes, rank, refuseAt}));
+    apply(admitClaim(account, {id, kind, bytes, ownBytes, rank, refuseAt}));
     return {
       release: () => reservation.release(),
       shrink: wantedBytes => reservation.shrink(wantedBytes),
@@ -123,7 +125,7 @@
   };
   return {
     request: claim => {
-      const taken = takeFreeBytes(account, claim.kind, claim.bytes);
+      const taken = takeFreeBytes(account, claim);
       if (taken === undefined) {
         return awaitMemory(claim);
       }
--- a/fronts/requestBodies/src/readRequestBody.ts
+++ b/fronts/requestBodies/src/readRequestBody.ts
@@ -81,6 +81,7 @@
   let pending: Reservation | undefined;
   let unread: Buffer | undefined;
   let isComplete = false;
+  let ownBytes = 0;
   let silentChecks = 0;
   const stop = (): void => {
     clearInterval(checks);
@@ -124,6 +125,7 @@
         return;
       }
       builder.addMemory(pending!, bytes);
+      ownBytes += bytes;
       pending = undefined;
       silentChecks = 0;
       onGranted();
@@ -131,6 +133,7 @@
     pending = gate.request({
       kind,
       bytes,
+      ownBytes,
       readTerms: () => toWaitTerms(options.readTerms()),
       onDecided: decision => {
         // A decision at once comes before the reservation is returned.
--- a/fronts/requestBodies/test/requestBodies.test.ts
+++ b/fronts/requestBodies/test/requestBodies.test.ts
@@ -227,6 +227,7 @@
   gate.request({
     kind: 'small',
     bytes: 10,
+    ownBytes: 0,
     readTerms: () => ({rank: 1, maxWaitMs: 4_000}),
     onDecided: () => undefined,
   });
--- a/scheduling/memoryAccount/src/accountState.ts
+++ b/scheduling/memoryAccount/src/accountState.ts
@@ -17,6 +17,8 @@
   readonly id: number;
   readonly kind: ClaimKind;
   readonly bytes: number;
+  /** Bytes that the same body holds already. */
+  readonly ownBytes: number;
   /** Rank of the tier; rank 1 is served first and refused last. */
   readonly rank: number;
   /** When the claim is refused if it still waits. */
--- a/scheduling/memoryAccount/src/claims.ts
+++ b/scheduling/memoryAccount/src/claims.ts
@@ -12,6 +12,9 @@
 /** Fraction of the budget that large and growing bodies may use. */
 const LARGE_FRACTION = 0.75;
 
+/** How much a body wants, and what it holds already. */
+export type WantedBytes = Pick<MemoryClaim, 'kind' | 'bytes' | 'ownBytes'>;
+
 /** Returns whether the budget is used up, so that no call can be admitted. */
 export function isFull({reservedBytes, budgetBytes}: AccountState): boolean {
   return reservedBytes >= budgetBytes;
@@ -23,12 +26,13 @@
  */
 export function takeFreeBytes(
   state: AccountState,
-  kind: ClaimKind,
-  bytes: number,
+  wanted: WantedBytes,
 ): AccountState | undefined {
-  const isBehind = state.waiting.some(claim => canPrecede(claim.kind, kind));
-  return !isBehind && canHold(state, kind, bytes)
-    ? addHeldBytes(state, bytes)
+  const isBehind = state.waiting.some(({kind}) =>
+    canPrecede(kind, wanted.kind),
+  );
+  return !isBehind && canHold(state, wanted)
+    ? addHeldBytes(state, wanted.bytes)
     : undefined;
 }
 
@@ -84,14 +88,14 @@
   let state = start;
   let isLargeHeldUp = false;
   const granted: ClaimDecision[] = [];
-  const waiting = start.waiting.filter(({id, kind, bytes}) => {
-    const isHeldUp = isLargeHeldUp && !isSmall(kind);
-    if (isHeldUp || !canHold(state, kind, bytes)) {
-      isLargeHeldUp ||= !isSmall(kind);
+  const waiting = start.waiting.filter(claim => {
+    const isHeldUp = isLargeHeldUp && !isSmall(claim.kind);
+    if (isHeldUp || !canHold(state, claim)) {
+      isLargeHeldUp ||= !isSmall(claim.kind);
       return true;
     }
-    state = addHeldBytes(state, bytes);
-    granted.push({kind: 'granted', claim: id});
+    state = addHeldBytes(state, claim.bytes);
+    granted.push({kind: 'granted', claim: claim.id});
     return false;
   });
   return {state: {...state, waiting}, decisions: [...decided, ...granted]};
@@ -100,11 +104,10 @@
 /** A body beyond the budget is held alone. */
 function canHold(
   {budgetBytes, reservedBytes}: AccountState,
-  kind: ClaimKind,
-  bytes: number,
+  {kind, bytes, ownBytes}: WantedBytes,
 ): boolean {
   const limit = isSmall(kind) ? budgetBytes : budgetBytes * LARGE_FRACTION;
-  return reservedBytes + bytes <= limit || reservedBytes <= 0;
+  return reservedBytes + bytes <= limit || reservedBytes <= ownBytes;
 }
 
 /** Bodies under way first, then by tier; equal ones keep their order. */
--- a/scheduling/memoryAccount/test/memoryAccount.test.ts
+++ b/scheduling/memoryAccount/test/memoryAccount.test.ts
@@ -12,16 +12,30 @@
   SMALL_BODY_BYTES,
   takeFreeBytes,
 } from '../src/index.js';
-import type {AccountState, MemoryClaim} from '../src/index.js';
+import type {AccountState, MemoryClaim, WantedBytes} from '../src/index.js';
 
 const BUDGET = 16 * SMALL_BODY_BYTES;
 const LARGE = 4 * SMALL_BODY_BYTES;
 
+function createWanted(
+  kind: MemoryClaim['kind'],
+  bytes: number,
+  ownBytes = 0,
+): WantedBytes {
+  return {kind, bytes, ownBytes};
+}
+
 function createClaim(
   id: number,
   changes: Partial<MemoryClaim> = {},
 ): MemoryClaim {
-  return {id, kind: 'large', bytes: LARGE, rank: 1, refuseAt: 100, ...changes};
+  return {
+    ...createWanted('large', LARGE),
+    id,
+    rank: 1,
+    refuseAt: 100,
+    ...changes,
+  };
 }
 
 /** Creates an account with three quarters in use and claims that wait. */
@@ -34,12 +48,21 @@
 
 t.test('large bodies leave a part of the budget to small ones', async t => {
   const state = createBusyAccount([]);
-  t.equal(takeFreeBytes(state, 'large', LARGE), undefined);
-  t.equal(takeFreeBytes(state, 'growth', 1), undefined);
-  t.ok(takeFreeBytes(state, 'small', SMALL_BODY_BYTES));
+  t.equal(takeFreeBytes(state, createWanted('large', LARGE)), undefined);
+  t.equal(takeFreeBytes(state, createWanted('growth', 1)), undefined);
+  t.ok(takeFreeBytes(state, createWanted('small', SMALL_BODY_BYTES)));
   t.notOk(isFull(state));
 });
 
+// Guards against bodies of unknown length that wait for what they hold themselves.
+t.test('the only body under way may grow beyond the budget', async t => {
+  const state = addHeldBytes(createAccount(BUDGET), SMALL_BODY_BYTES);
+  const own = createWanted('growth', BUDGET, SMALL_BODY_BYTES);
+  t.ok(takeFreeBytes(state, own));
+  const busy = addHeldBytes(state, 1);
+  t.equal(takeFreeBytes(busy, own), undefined);
+});
+
 t.test('free memory goes by tier, then by age', async t => {
   const state = createBusyAccount([
     createClaim(1, {rank: 2}),
@@ -66,8 +89,8 @@
 t.test('no new body overtakes one that waits', async t => {
   const waiting = createBusyAccount([createClaim(1, {bytes: 2 * LARGE})]);
   const {state} = releaseBytes(waiting, LARGE);
-  t.equal(takeFreeBytes(state, 'large', 1), undefined);
-  t.ok(takeFreeBytes(state, 'small', 1));
+  t.equal(takeFreeBytes(state, createWanted('large', 1)), undefined);
+  t.ok(takeFreeBytes(state, createWanted('small', 1)));
 });
 
 t.test('of too many that wait the lowest tier is refused', async t => {
@@ -102,9 +125,9 @@
 
 t.test('a body beyond the budget is held alone', async t => {
   const empty = createAccount(BUDGET);
-  t.ok(takeFreeBytes(empty, 'large', 2 * BUDGET));
+  t.ok(takeFreeBytes(empty, createWanted('large', 2 * BUDGET)));
   const busy = addHeldBytes(empty, 1);
-  t.equal(takeFreeBytes(busy, 'large', 2 * BUDGET), undefined);
+  t.equal(takeFreeBytes(busy, createWanted('large', 2 * BUDGET)), undefined);
 });
 
 t.test('the parts of a plan stay under the memory of the process', async t => {
