--- a/scheduling/slotClient/src/withdrawalView.ts
+++ b/scheduling/slotClient/src/withdrawalView.ts
@@ -12,24 +12,6 @@
 /** Time after which unanswered questions are asked again. */
 export const EXCHANGE_RETRY_MS: Milliseconds = 100;
 
-/** The board sections that the withdrawal controller reads. */
-export const WITHDRAWAL_READS = [
-  'identity',
-  'control',
-  'announcements',
-  'endpoints',
-  'configuration',
-  'withdrawnEndpoints',
-  'leaveRecords',
-  'leaveLog',
-  'leavePositions',
-  'leaveExchange',
-  'leaveCatchUp',
-  'unconfirmedLeaves',
-  'processActivity',
-] as const;
-export type WithdrawalReads = (typeof WITHDRAWAL_READS)[number];
-
 /** The board sections that the withdrawal controller writes. */
 export const WITHDRAWAL_WRITES = [
   'withdrawnEndpoints',
@@ -43,6 +25,17 @@
 ] as const;
 export type WithdrawalWrites = (typeof WITHDRAWAL_WRITES)[number];
 
+/** The board sections that the withdrawal controller reads. */
+export const WITHDRAWAL_READS = [
+  ...WITHDRAWAL_WRITES,
+  'identity',
+  'control',
+  'announcements',
+  'endpoints',
+  'configuration',
+] as const;
+export type WithdrawalReads = (typeof WITHDRAWAL_READS)[number];
+
 /** The board as the withdrawal controller sees it. */
 export type WithdrawalView = View<
   EntrySections,
