--- a/fronts/logging/src/logger.ts
+++ b/fronts/logging/src/logger.ts
@@ -1,8 +1,10 @@
 import {pino} from 'pino';
 import type {DestinationStream} from 'pino';
 
-import {readLogClass, toLogRecord} from './logEvent.js';
-import type {LogClass, LogEvent} from './logEvent.js';
+import {readLogClass} from './logClass.js';
+import type {LogClass} from './logClass.js';
+import type {LogEvent} from './logEvent.js';
+import {toLogRecord} from './logRecord.js';
 
 /** Limit of the class `outcome`: lines on how requests ended. */
 export const MAX_OUTCOME_LINES_PER_SECOND = 1_000;
