control: log when a release was proposed, applied and in force

Pure controllers derive this from the board; nothing reads it back. Bytes are those of the document (entryBytes.ts), until the log counts its own.

--- a/control/controlDecisionLog/src/decisionLogController.ts
+++ b/control/controlDecisionLog/src/decisionLogController.ts
@@ -5,21 +5,14 @@
   ControlDecision,
   ControlObservation,
   ControlSections,
-  ControlWrite,
   LoggedState,
 } from '@gentianshunt/controlModel';
 import type {NodeId} from '@gentianshunt/identifiers';
 
+import {createDecisionWrite} from './decisionWrite.js';
+
 type DecisionLogReads =
-  | 'role'
-  | 'ballot'
-  | 'logStatus'
-  | 'memberships'
-  | 'source'
-  | 'applied'
-  | 'configuration'
-  | 'sessions'
-  | 'loggedState';
+  'role' | 'ballot' | 'logStatus' | 'memberships' | 'sessions' | 'loggedState';
 type DecisionLogView = View<
   ControlSections,
   DecisionLogReads,
@@ -38,9 +31,6 @@
       'ballot',
       'logStatus',
       'memberships',
-      'source',
-      'applied',
-      'configuration',
       'sessions',
       'loggedState',
     ],
@@ -55,10 +45,7 @@
       return decisions.length === 0
         ? []
         : [
-            ...decisions.map((decision): ControlWrite<'loggedState'> => ({
-              kind: 'effect',
-              effect: {kind: 'logDecision', decision},
-            })),
+            ...decisions.map(createDecisionWrite),
             {kind: 'set', section: 'loggedState', value: current},
           ];
     },
@@ -66,13 +53,12 @@
 }
 
 function readCurrentState({board}: DecisionLogView): LoggedState {
-  const {role, ballot, memberships, source, sessions} = board;
+  const {role, ballot, memberships, sessions} = board;
   return {
     role: role.kind,
     term: ballot.term,
     leader: role.kind === 'follower' ? role.leader : null,
     membersIndex: memberships[memberships.length - 1]?.index ?? -1,
-    release: source.version,
     sessions: new Set(sessions.keys()),
   };
 }
@@ -101,14 +87,6 @@
     const {index, members} = latest;
     decisions.push({kind: 'membersChanged', index, members});
   }
-  if (logged.release !== current.release) {
-    decisions.push({
-      kind: 'releaseApplied',
-      release: current.release,
-      index: board.applied.index,
-      objects: board.configuration.size,
-    });
-  }
   return decisions;
 }
 
--- a/control/controlDecisionLog/src/index.ts
+++ b/control/controlDecisionLog/src/index.ts
@@ -1,1 +1,6 @@
 export * from './decisionLogController.js';
+export * from './entryBytes.js';
+export * from './logUsageController.js';
+export * from './releaseController.js';
+export * from './snapshotController.js';
+export * from './startController.js';
--- a/control/controlModel/src/decision.ts
+++ b/control/controlModel/src/decision.ts
@@ -1,6 +1,8 @@
+import type {Milliseconds} from '@gentianshunt/clock';
 import type {IncarnationId, NodeId} from '@gentianshunt/identifiers';
 import type {LogIndex, Member, Term} from '@gentianshunt/messages';
 
+import type {SnapshotOrigin} from './logActivity.js';
 import type {Role} from './role.js';
 
 /** A change in a control daemon's state that its decision log records. */
@@ -17,18 +19,129 @@
       readonly index: LogIndex;
       readonly members: readonly Member[];
     }
+  | ReleaseDecision
+  | LogDecision
   | {
-      readonly kind: 'releaseApplied';
+      readonly kind: 'sessionOpened';
+      readonly node: NodeId;
+      readonly incarnation: IncarnationId;
+      readonly version: number;
+    }
+  | {readonly kind: 'sessionEnded'; readonly node: NodeId};
+
+/** A stage that a release has reached. */
+export type ReleaseDecision =
+  | {
+      /** This member, as the leader, appended the release to the log. */
+      readonly kind: 'releaseProposed';
       /** The operator's version. */
       readonly release: number;
       readonly index: LogIndex;
+      readonly bytes: number;
+    }
+  | {
+      /** The release was committed, and this member has applied it. */
+      readonly kind: 'releaseApplied';
+      readonly release: number;
+      readonly index: LogIndex;
       /** The number of objects in the configuration. */
       readonly objects: number;
+      /** The number of objects that changed; `null` if no longer known. */
+      readonly changedObjects: number | null;
+      /** `null` on a member that did not propose it. */
+      readonly sinceProposedMs: Milliseconds | null;
     }
   | {
-      readonly kind: 'sessionOpened';
-      readonly node: NodeId;
-      readonly incarnation: IncarnationId;
-      readonly version: number;
+      /** The release was committed and changed nothing. */
+      readonly kind: 'releaseSuperseded';
+      readonly release: number;
+      readonly index: LogIndex;
+      /** The release that is applied. */
+      readonly heldRelease: number;
     }
-  | {readonly kind: 'sessionEnded'; readonly node: NodeId};
+  | {
+      /** Every entry with a live lease has confirmed the release. */
+      readonly kind: 'releaseInForce';
+      readonly release: number;
+      readonly index: LogIndex;
+      /** Entries with a session. */
+      readonly entries: number;
+      readonly sinceProposedMs: Milliseconds | null;
+      readonly sinceAppliedMs: Milliseconds;
+    }
+  | {
+      /** Some entries have not confirmed the release yet. */
+      readonly kind: 'releaseLagging';
+      readonly release: number;
+      readonly index: LogIndex;
+      readonly sinceAppliedMs: Milliseconds;
+      /** The remaining lease recovery period of a new leader. */
+      readonly settlingMs: Milliseconds;
+      readonly lagging: number;
+      /** The first of the lagging entries. */
+      readonly nodes: readonly NodeId[];
+    };
+
+/** What happened to the size of a member's log, or to its snapshots. */
+export type LogDecision =
+  | {
+      /** The member has restored what its data folder holds. */
+      readonly kind: 'logRestored';
+      /** 0 if there is no snapshot. */
+      readonly snapshotIndex: LogIndex;
+      readonly snapshotBytes: number;
+      readonly entries: number;
+      readonly bytes: number;
+    }
+  | {
+      /** The member, as the leader, can answer reads from now on. */
+      readonly kind: 'readsConfirmed';
+      readonly term: Term;
+      readonly appliedIndex: LogIndex;
+      readonly sinceElectedMs: Milliseconds;
+      readonly sinceStartMs: Milliseconds;
+    }
+  | {
+      /** The log in memory has grown by a step since the last such line. */
+      readonly kind: 'logGrown';
+      readonly entries: number;
+      readonly bytes: number;
+      readonly sinceSnapshotBytes: number;
+    }
+  | {
+      /** A snapshot is on this member's disk, and the log is shortened. */
+      readonly kind: 'snapshotStored';
+      readonly origin: SnapshotOrigin;
+      readonly index: LogIndex;
+      readonly items: number;
+      readonly bytes: number;
+      /** Entries that the log holds after it. */
+      readonly entriesKept: number;
+      readonly durationMs: Milliseconds;
+    }
+  | {
+      readonly kind: 'snapshotReceived';
+      readonly index: LogIndex;
+      readonly items: number;
+      readonly bytes: number;
+      readonly chunks: number;
+      readonly durationMs: Milliseconds;
+    }
+  | {
+      readonly kind: 'snapshotSent';
+      readonly node: NodeId;
+      readonly index: LogIndex;
+      readonly outcome: SnapshotSendOutcome;
+      readonly bytes: number;
+      readonly chunks: number;
+      readonly durationMs: Milliseconds;
+    };
+
+/** How the transmission of a snapshot to a follower ended. */
+export type SnapshotSendOutcome =
+  /** The follower has stored it. */
+  | 'completed'
+  /** The leader has a newer snapshot and sends that one from its start. */
+  | 'replaced'
+  /** The leader no longer leads, or the follower is no longer a member. */
+  | 'abandoned';
--- a/control/controlModel/src/sections.ts
+++ b/control/controlModel/src/sections.ts
@@ -35,6 +35,9 @@
 
 import type {ControlObservation} from './observation.js';
 import type {ControlEffect} from './effect.js';
+import {EMPTY_LOG_USAGE, NO_SNAPSHOT_ACTIVITY} from './logActivity.js';
+import type {LogUsage, SnapshotActivity, StartProgress} from './logActivity.js';
+import type {ReleaseRecord} from './releaseRecord.js';
 import type {
   Ballot,
   CapturedState,
@@ -130,8 +133,6 @@
   readonly leader: NodeId | null;
   /** The log index of the latest membership. */
   readonly membersIndex: LogIndex;
-  /** The operator's version of the configuration. */
-  readonly release: number;
   readonly sessions: ReadonlySet<NodeId>;
 }
 
@@ -140,7 +141,6 @@
   term: 0,
   leader: null,
   membersIndex: -1,
-  release: -1,
   sessions: new Set(),
 };
 
@@ -237,6 +237,12 @@
     assignmentProposals: defineCell<readonly AssignmentProposal[]>([]),
     /** Requests of entries that await a reply. */
     pendingReplies: defineMap<PendingKey, PendingReply>(),
+    /** The latest releases, by log index. */
+    releases: defineOrdered<LogIndex, ReleaseRecord>(compareValues),
+    logUsage: defineCell<LogUsage>(EMPTY_LOG_USAGE),
+    snapshotActivity: defineCell<SnapshotActivity>(NO_SNAPSHOT_ACTIVITY),
+    /** `null` until the process has read its data folder. */
+    startProgress: defineCell<StartProgress | null>(null),
     /** The state that the decision log recorded last. */
     loggedState: defineCell<LoggedState>(NOTHING_LOGGED),
   };
--- a/control/controlNode/src/controlNode.ts
+++ b/control/controlNode/src/controlNode.ts
@@ -5,7 +5,13 @@
   createConsensusController,
   createMemberChangeController,
 } from '@gentianshunt/consensus';
-import {createDecisionLogController} from '@gentianshunt/controlDecisionLog';
+import {
+  createDecisionLogController,
+  createLogUsageController,
+  createReleaseController,
+  createSnapshotController,
+  createStartController,
+} from '@gentianshunt/controlDecisionLog';
 import {createControlSections} from '@gentianshunt/controlModel';
 import type {
   ControlController,
@@ -55,6 +61,10 @@
     createSessionController(),
     createAssignmentController(),
     createDecisionLogController(),
+    createStartController(),
+    createReleaseController(),
+    createSnapshotController(),
+    createLogUsageController(),
   ];
 }
 
--- a/control/controlNode/test/fixture.ts
+++ b/control/controlNode/test/fixture.ts
@@ -1,7 +1,11 @@
 import {createManualClock} from '@gentianshunt/clock';
 import type {ManualClock} from '@gentianshunt/clock';
 import type {ObjectCommand} from '@gentianshunt/configuration';
-import type {Ballot, ControlEffect} from '@gentianshunt/controlModel';
+import type {
+  Ballot,
+  ControlDecision,
+  ControlEffect,
+} from '@gentianshunt/controlModel';
 import type {
   ControlToEntry,
   EntryToControl,
@@ -32,6 +36,8 @@
     readonly to: NodeId;
     readonly message: ControlToEntry;
   }[];
+  /** Removes and returns the decisions that were logged. */
+  takeDecisions(): readonly ControlDecision[];
   receive(from: string, message: EntryToControl): void;
   /** Sends an entry's message and returns the replies to that entry. */
   ask(from: string, message: EntryToControl): readonly ControlToEntry[];
@@ -46,6 +52,7 @@
 ): ControlFixture {
   const clock = createManualClock();
   const sent: {to: NodeId; message: ControlToEntry}[] = [];
+  const decisions: ControlDecision[] = [];
   const node = createControlNode({
     identity: {
       node: SELF,
@@ -64,6 +71,9 @@
     if (effect.kind === 'sendEntry') {
       sent.push({to: effect.to, message: effect.message});
     }
+    if (effect.kind === 'logDecision') {
+      decisions.push(effect.decision);
+    }
   };
   const takeSent: ControlFixture['takeSent'] = () => sent.splice(0);
   const receive: ControlFixture['receive'] = (from, message) =>
@@ -80,6 +90,7 @@
     node,
     clock,
     takeSent,
+    takeDecisions: () => decisions.splice(0),
     receive,
     ask: (from, message) => {
       takeSent();
@@ -166,6 +177,23 @@
   };
 }
 
+/** Creates an entry's request to replace the whole configuration. */
+export function createReplacementRequest(
+  version: number,
+  tiers: readonly string[],
+  documentBytes = 10,
+): EntryToControl {
+  const objects = tiers.flatMap((id, index) => {
+    const command = createTierCommand(id, index + 1);
+    return command.kind === 'put' ? [command.object] : [];
+  });
+  return {
+    kind: 'replacementRequest',
+    correlation: toIdentifier(`replacement-${version}`),
+    replacement: {version, objects, source: new Uint8Array(documentBytes)},
+  };
+}
+
 /** Creates an operator's numbered batch of commands. */
 export function createCommand(
   number: number,
--- a/control/controlNode/test/memberFixture.ts
+++ b/control/controlNode/test/memberFixture.ts
@@ -1,6 +1,7 @@
 import type {ManualClock} from '@gentianshunt/clock';
 import type {
   AdmissionPolicy,
+  ControlDecision,
   ControlEffect,
   HaltReason,
   PersistBatch,
@@ -39,6 +40,8 @@
   readonly loop: ControlNode | undefined;
   readonly folder: TestFolder;
   readonly replies: readonly ControlToEntry[];
+  /** What the member has logged. */
+  readonly decisions: readonly ControlDecision[];
   readonly haltReason: HaltReason | undefined;
   start(): void;
   /** Ends the process; unsynced data is lost. */
@@ -66,6 +69,7 @@
 export function createTestMember(options: TestMemberOptions): TestMember {
   const {node, members, admission, clock, send} = options;
   const replies: ControlToEntry[] = [];
+  const decisions: ControlDecision[] = [];
   const timers = new Map<string, {readonly dueAt: number; fire(): void}>();
   let queued: PersistBatch[] = [];
   let folders = 0;
@@ -109,6 +113,7 @@
         return;
       }
       case 'logDecision':
+        decisions.push(effect.decision);
         return;
       case 'halt':
         haltReason = effect.reason;
@@ -130,6 +135,7 @@
       return haltReason;
     },
     replies,
+    decisions,
     start: () => {
       haltReason = undefined;
       loop = createControlNode({
--- /dev/null
+++ b/control/controlNode/test/releaseDecisions.test.ts
@@ -0,0 +1,172 @@
+import t from 'tap';
+
+import {
+  LOG_GROWTH_STEP_BYTES,
+  RELEASE_LAG_MS,
+} from '@gentianshunt/controlDecisionLog';
+import type {ControlDecision} from '@gentianshunt/controlModel';
+import {ENTRY_LEASE_MS} from '@gentianshunt/entrySessions';
+
+import {
+  createControlFixture,
+  createHeartbeat,
+  createReplacementRequest,
+} from './fixture.js';
+import type {ControlFixture} from './fixture.js';
+
+/** A leader whose lease recovery period is over, and two entries. */
+function createLeader(): ControlFixture {
+  const fixture = createControlFixture();
+  fixture.advance(ENTRY_LEASE_MS);
+  ['entry-0', 'entry-1'].forEach(node =>
+    fixture.receive(node, createHeartbeat(node)),
+  );
+  fixture.takeDecisions();
+  return fixture;
+}
+
+function confirm(fixture: ControlFixture, node: string): void {
+  fixture.receive(node, {
+    kind: 'versionConfirmed',
+    version: fixture.node.view.applied.version,
+    directoryVersion: {term: 1, number: 1, digest: 0},
+  });
+}
+
+function listKinds(
+  decisions: readonly ControlDecision[],
+): readonly ControlDecision['kind'][] {
+  return decisions.map(({kind}) => kind);
+}
+
+t.test('a release is logged when proposed, applied and in force', async t => {
+  const fixture = createLeader();
+  fixture.receive('entry-0', createReplacementRequest(7, ['gold', 'silver']));
+  const index = fixture.node.view.applied.version;
+  t.strictSame(fixture.takeDecisions(), [
+    {kind: 'releaseProposed', release: 7, index, bytes: 10},
+    {
+      kind: 'releaseApplied',
+      release: 7,
+      index,
+      objects: 2,
+      changedObjects: 2,
+      sinceProposedMs: 0,
+    },
+  ]);
+  fixture.clock.advance(40);
+  confirm(fixture, 'entry-0');
+  t.strictSame(fixture.takeDecisions(), []);
+  fixture.clock.advance(20);
+  confirm(fixture, 'entry-1');
+  t.strictSame(fixture.takeDecisions(), [
+    {
+      kind: 'releaseInForce',
+      release: 7,
+      index,
+      entries: 2,
+      sinceProposedMs: 60,
+      sinceAppliedMs: 60,
+    },
+  ]);
+});
+
+t.test('entries that keep a release from being in force are named', async t => {
+  const fixture = createLeader();
+  fixture.receive('entry-0', createReplacementRequest(7, ['gold']));
+  confirm(fixture, 'entry-0');
+  fixture.takeDecisions();
+  fixture.advance(RELEASE_LAG_MS - 1);
+  t.strictSame(fixture.takeDecisions(), []);
+  fixture.advance(1);
+  t.match(fixture.takeDecisions(), [
+    {
+      kind: 'releaseLagging',
+      release: 7,
+      sinceAppliedMs: RELEASE_LAG_MS,
+      settlingMs: 0,
+      lagging: 1,
+      nodes: ['entry-1'],
+    },
+  ]);
+  fixture.advance(1);
+  t.strictSame(fixture.takeDecisions(), [], 'once');
+  fixture.advance(ENTRY_LEASE_MS);
+  t.match(
+    fixture.takeDecisions().filter(({kind}) => kind === 'releaseInForce'),
+    [{release: 7, sinceAppliedMs: RELEASE_LAG_MS + 1 + ENTRY_LEASE_MS}],
+    'once the leases of the others have ended',
+  );
+});
+
+t.test('a new leader says how long it still waits for leases', async t => {
+  const fixture = createControlFixture();
+  fixture.receive('entry-0', createHeartbeat('entry-0'));
+  fixture.receive('entry-0', createReplacementRequest(7, ['gold']));
+  confirm(fixture, 'entry-0');
+  fixture.takeDecisions();
+  fixture.advance(RELEASE_LAG_MS);
+  t.match(fixture.takeDecisions(), [
+    {
+      kind: 'releaseLagging',
+      lagging: 0,
+      settlingMs: ENTRY_LEASE_MS - RELEASE_LAG_MS,
+    },
+  ]);
+});
+
+t.test(
+  'an older release that is committed is logged as superseded',
+  async t => {
+    const fixture = createLeader();
+    fixture.receive('entry-0', createReplacementRequest(7, ['gold']));
+    const {entries, ballot} = fixture.readStored();
+    const index = fixture.node.view.logStatus.lastIndex + 1;
+    const older = createReplacementRequest(6, ['silver']);
+    const payload = {
+      kind: 'replaceConfiguration',
+      replacement: (older as Extract<typeof older, {replacement: unknown}>)
+        .replacement,
+    } as const;
+    const restarted = createControlFixture({
+      ballot,
+      entries: [...entries, {index, term: ballot.term, payload}],
+    });
+    const decisions = restarted.takeDecisions();
+    t.match(
+      decisions.filter(({kind}) => kind.startsWith('release')),
+      [
+        {kind: 'releaseApplied', release: 7, sinceProposedMs: null},
+        {kind: 'releaseSuperseded', release: 6, index, heldRelease: 7},
+      ],
+    );
+  },
+);
+
+t.test('a start is logged with what was read and the first read', async t => {
+  const fixture = createLeader();
+  fixture.receive('entry-0', createReplacementRequest(7, ['gold'], 5_000));
+  const stored = fixture.readStored();
+  const restarted = createControlFixture(stored);
+  const decisions = restarted.takeDecisions();
+  t.match(
+    decisions.find(({kind}) => kind === 'logRestored'),
+    {snapshotIndex: 0, entries: stored.entries.length, bytes: 5_000},
+  );
+  t.match(
+    decisions.find(({kind}) => kind === 'readsConfirmed'),
+    {term: restarted.node.view.ballot.term, sinceStartMs: 10_000},
+  );
+});
+
+t.test('the growth of the log in memory is logged in steps', async t => {
+  const fixture = createLeader();
+  const half = LOG_GROWTH_STEP_BYTES / 2;
+  fixture.receive('entry-0', createReplacementRequest(7, ['gold'], half));
+  t.notOk(listKinds(fixture.takeDecisions()).includes('logGrown'));
+  fixture.receive('entry-0', createReplacementRequest(8, ['silver'], half));
+  t.match(
+    fixture.takeDecisions().find(({kind}) => kind === 'logGrown'),
+    {bytes: LOG_GROWTH_STEP_BYTES, sinceSnapshotBytes: LOG_GROWTH_STEP_BYTES},
+  );
+});
