--- a/scheduling/decisionLog/src/decisionLog.ts
+++ b/scheduling/decisionLog/src/decisionLog.ts
@@ -3,7 +3,6 @@
  * the board with what was logged last.
  */
 import type {TurnTime, View} from '@gentianshunt/board';
-import {findObject, RELEASE_ID} from '@gentianshunt/configuration';
 import type {ObjectKey} from '@gentianshunt/configuration';
 import {defineEntryController} from '@gentianshunt/entryModel';
 import type {
@@ -19,6 +18,11 @@
 import type {EndpointSetId, RequestId} from '@gentianshunt/identifiers';
 
 import {listLeaveDecisions} from './leaveDecisions.js';
+import {
+  isStatusSame,
+  listStatusDecisions,
+  readEntryStatus,
+} from './statusDecisions.js';
 
 type LogReads =
   | 'requests'
@@ -50,7 +54,7 @@
     observes: ['timerDue'],
     run: (view, now) => {
       const before = view.board.loggedState;
-      const after = readEntryStatus(view, now);
+      const after = readEntryStatus(view, before, now);
       const decisions = [
         ...listRequestDecisions(view, now),
         ...listStatusDecisions(view, before, after, now),
@@ -73,20 +77,7 @@
 }
 
 function isSame(left: LoggedState, right: LoggedState): boolean {
-  return (
-    left.leader === right.leader &&
-    left.version === right.version &&
-    left.hasLease === right.hasLease &&
-    left.endpoints === right.endpoints
-  );
-}
-
-/** The entry's relation to the control daemons, as far as it is logged. */
-type EntryStatus = Omit<LoggedState, 'endpoints'>;
-
-function readEntryStatus({board}: LogView, now: TurnTime): EntryStatus {
-  const {leader, version, leaseUntil} = board.control;
-  return {leader, version, hasLease: leaseUntil > now.monotonic};
+  return isStatusSame(left, right) && left.endpoints === right.endpoints;
 }
 
 /** Lists dispatches and requeues among the requests that changed. */
@@ -157,47 +148,6 @@
   }
 }
 
-/** Lists changes of the control leader, configuration, lease and service. */
-function listStatusDecisions(
-  view: LogView,
-  before: EntryStatus,
-  after: EntryStatus,
-  now: TurnTime,
-): readonly EntryDecision[] {
-  const decisions: EntryDecision[] = [];
-  const {leader, version: configurationVersion} = after;
-  if (before.leader !== leader) {
-    const from = before.leader;
-    decisions.push({kind: 'controlLeaderChanged', from, to: leader});
-  }
-  if (before.version !== configurationVersion) {
-    const {configuration} = view.board;
-    const release = findObject(configuration, 'release', RELEASE_ID);
-    decisions.push({
-      kind: 'configurationApplied',
-      configurationVersion,
-      release: release?.version ?? null,
-    });
-  }
-  if (before.hasLease && !after.hasLease) {
-    const expiredMs = now.monotonic - view.board.control.leaseUntil;
-    decisions.push({
-      kind: 'leaseLost',
-      leader,
-      expiredMs,
-      configurationVersion,
-    });
-  }
-  if (!before.hasLease && after.hasLease) {
-    decisions.push({kind: 'leaseRegained', leader, configurationVersion});
-  }
-  if (view.readChanges('service').size > 0) {
-    const {kind: state} = view.board.service;
-    decisions.push({kind: 'serviceChanged', state});
-  }
-  return decisions;
-}
-
 /** Reads the endpoint states that count as logged after this run. */
 function readEndpointStates(
   view: LogView,
--- a/scheduling/entryModel/src/decision.ts
+++ b/scheduling/entryModel/src/decision.ts
@@ -140,11 +140,21 @@
       readonly leader: NodeId | null;
       readonly expiredMs: Milliseconds;
       readonly configurationVersion: number;
+      /** The operator's version of the configuration that it held. */
+      readonly release: number | null;
+      /** Time since the entry adopted that configuration. */
+      readonly sinceAdoptedMs: Milliseconds | null;
+      /** Time since the leader last confirmed it by renewing the lease. */
+      readonly sinceRenewedMs: Milliseconds | null;
     }
   | {
       readonly kind: 'leaseRegained';
       readonly leader: NodeId | null;
       readonly configurationVersion: number;
+      readonly release: number | null;
+      /** How long the entry had no lease; `null` for the first one. */
+      readonly lapsedMs: Milliseconds | null;
+      readonly sinceStartMs: Milliseconds;
     }
   | {
       readonly kind: 'controlLeaderChanged';
@@ -154,8 +164,13 @@
   | {
       readonly kind: 'configurationApplied';
       readonly configurationVersion: number;
+      readonly fromVersion: number;
       /** The version that the operator gave the configuration. */
       readonly release: number | null;
+      /** The number of objects that changed. */
+      readonly changes: number;
+      /** Time since the version before; `null` for the first one. */
+      readonly sinceAdoptedMs: Milliseconds | null;
     }
   | {
       readonly kind: 'setLeaderChanged';
--- a/scheduling/entryModel/src/loggedState.ts
+++ b/scheduling/entryModel/src/loggedState.ts
@@ -1,3 +1,4 @@
+import type {MonotonicTime} from '@gentianshunt/clock';
 import type {EndpointId, NodeId} from '@gentianshunt/identifiers';
 
 import type {EndpointRecord} from './endpointRecord.js';
@@ -9,7 +10,15 @@
 export interface LoggedState {
   readonly leader: NodeId | null;
   readonly version: number;
+  /** When the entry adopted the version; `null` before the first one. */
+  readonly adoptedAt: MonotonicTime | null;
   readonly hasLease: boolean;
+  /** The end of the latest lease. */
+  readonly leaseUntil: MonotonicTime;
+  /** When the lease was last renewed; `null` before the first one. */
+  readonly renewedAt: MonotonicTime | null;
+  /** When the entry started; `null` before its first turn. */
+  readonly startedAt: MonotonicTime | null;
   /** States of the endpoints of led sets. */
   readonly endpoints: ReadonlyMap<EndpointId, EndpointRecord['state']>;
 }
@@ -18,6 +27,10 @@
 export const NOTHING_LOGGED: LoggedState = {
   leader: null,
   version: 0,
+  adoptedAt: null,
   hasLease: false,
+  leaseUntil: Number.NEGATIVE_INFINITY,
+  renewedAt: null,
+  startedAt: null,
   endpoints: new Map(),
 };
