--- a/daemons/controld/src/controld.ts
+++ b/daemons/controld/src/controld.ts
@@ -1,5 +1,9 @@
 import type {ControlNode} from '@gentianshunt/controlNode';
-import {createControlHost, DataFolderRefusedError} from '@gentianshunt/hosts';
+import {
+  createControlHost,
+  DataFolderRefusedError,
+  measureFolder,
+} from '@gentianshunt/hosts';
 import type {ControlHost} from '@gentianshunt/hosts';
 import type {Logger} from '@gentianshunt/logging';
 import {addHealthRoutes, createControlMetrics} from '@gentianshunt/metrics';
@@ -53,6 +57,7 @@
       // entries, so no address is given.
       sendToEntry: (to, message) => links.send(to, undefined, message),
       logDecision: decision => logger.write({kind: 'controlDecided', decision}),
+      onFolderRead: read => logger.write({kind: 'folderRead', ...read}),
       onHalted: reason =>
         storageFailed(new DataFolderRefusedError(settings.data_folder, reason)),
       onFailed: storageFailed,
@@ -88,7 +93,10 @@
   const server = fastify({forceCloseConnections: true});
   addHealthRoutes({
     server,
-    metrics: createControlMetrics({view: node.view}),
+    metrics: createControlMetrics({
+      view: node.view,
+      measureFolder: () => measureFolder(settings.data_folder),
+    }),
     readReady: () => hasLeader(node),
   });
   await listenWithRetry(context, http, () => server.listen({...http}));
--- a/daemons/entryd/src/entryd.ts
+++ b/daemons/entryd/src/entryd.ts
@@ -102,6 +102,7 @@
     peerLinkBytes: links.readQueuedBytes().total,
   });
   const metrics = createEntryMetrics({
+    entry: {view: node.view, clock},
     readQueuedBytes: () => links.readQueuedBytes().total,
     readBufferedBytes,
     readObservations: counts.read,
--- a/daemons/hosts/src/controlHost.ts
+++ b/daemons/hosts/src/controlHost.ts
@@ -14,6 +14,7 @@
 import type {NodeId} from '@gentianshunt/identifiers';
 import {openLogFile, openStorageFolder} from '@gentianshunt/logFile';
 import type {LogFile, StorageFolder} from '@gentianshunt/logFile';
+import type {FolderRead} from '@gentianshunt/logging';
 import type {ControlToEntry, StorageId} from '@gentianshunt/messages';
 import {
   createTimerTable,
@@ -24,6 +25,7 @@
 import {EffectFailedError} from './effectFailedError.js';
 import {toControlObservation} from './controlMessages.js';
 import type {ConsensusEnvelope} from './controlMessages.js';
+import {createMeteredFolder} from './meteredFolder.js';
 
 /** Characters of a storage id; enough to be unique in a group of members. */
 const STORAGE_ID_LENGTH = 10;
@@ -41,6 +43,8 @@
   readonly sendToEntry: (to: NodeId, message: ControlToEntry) => void;
   /** Writes a decision to the daemon's log output. */
   readonly logDecision: (decision: ControlDecision) => void;
+  /** Called once the data folder has been read. */
+  readonly onFolderRead?: (read: FolderRead) => void;
   /** Called when the member must stop using its data folder. */
   readonly onHalted: (reason: HaltReason) => void;
   /** Called when a write or sync failed; nothing further is written. */
@@ -80,12 +84,9 @@
       options.onFault(error as Error);
     }
   };
-  const logFile = await openLogFile({
-    folder: await (options.openFolder ?? openStorageFolder)(options.dataFolder),
-    drawStorageId,
-    onPersisted: sequence => post({kind: 'persisted', sequence}),
-    onFailed: options.onFailed,
-  });
+  const logFile = await readLogFile(options, sequence =>
+    post({kind: 'persisted', sequence}),
+  );
   const timers = createTimerTable<ControlTimer>({
     onDue: timer => post({kind: 'timerDue', timer}),
   });
@@ -126,6 +127,30 @@
   };
 }
 
+/** Opens the log in the data folder, and reports what was read. */
+async function readLogFile(
+  options: ControlHostOptions,
+  onPersisted: (sequence: number) => void,
+): Promise<LogFile> {
+  const {clock, dataFolder, onFailed, onFolderRead} = options;
+  const startedAt = clock.readMonotonic();
+  const {folder, measure} = createMeteredFolder(
+    await (options.openFolder ?? openStorageFolder)(dataFolder),
+  );
+  const logFile = await openLogFile({
+    folder,
+    drawStorageId,
+    onPersisted,
+    onFailed,
+  });
+  onFolderRead?.({
+    ...measure(),
+    entries: logFile.stored.entries.length,
+    durationMs: clock.readMonotonic() - startedAt,
+  });
+  return logFile;
+}
+
 /** Draws a short id, because every consensus message carries it. */
 function drawStorageId(): StorageId {
   const id = drawIdentifier<StorageId>();
--- a/daemons/hosts/src/index.ts
+++ b/daemons/hosts/src/index.ts
@@ -7,4 +7,5 @@
 export * from './recoveringMember.js';
 export * from './loadMonitor.js';
 export * from './observationCounts.js';
+export * from './measureFolder.js';
 export * from './memoryMonitor.js';
--- a/daemons/hosts/src/recoveringMember.ts
+++ b/daemons/hosts/src/recoveringMember.ts
@@ -3,6 +3,7 @@
   CorruptLogError,
   IncompleteFolderError,
 } from '@gentianshunt/logFile';
+import type {ControlNode} from '@gentianshunt/controlNode';
 import type {NodeId} from '@gentianshunt/identifiers';
 
 import {createControlHost} from './controlHost.js';
@@ -32,6 +33,8 @@
 export interface RecoveringMember {
   /** Handles a peer's message; returns whether it was meant for a member. */
   receive(from: NodeId, body: unknown): boolean;
+  /** Reads the member's board; `undefined` while it is restarted. */
+  readView(): ControlNode['view'] | undefined;
   /** Ends the member for good. */
   close(): Promise<void>;
 }
@@ -110,6 +113,7 @@
   }, KNOWN_MEMBERS_INTERVAL_MS);
   return {
     receive: (from, body) => host?.receive(from, body) ?? false,
+    readView: () => host?.node.view,
     close: async () => {
       clearInterval(knownMembersTimer);
       clearTimeout(retryTimer);
--- a/fronts/logging/src/logClass.ts
+++ b/fronts/logging/src/logClass.ts
@@ -18,6 +18,8 @@
     case 'requestEnded':
     case 'requestRefused':
     case 'callRejected':
+    case 'changeReceived':
+    case 'changeEnded':
     case 'peerLinkFailed':
     case 'callWithheld':
     case 'answerUnbounded':
@@ -53,6 +55,7 @@
     case 'folderDiscarded':
     case 'settingsRead':
     case 'settingsRefused':
+    case 'folderRead':
     case 'controlDecided':
     case 'loopDelayed':
     case 'memoryHigh':
--- a/fronts/logging/src/logEvent.ts
+++ b/fronts/logging/src/logEvent.ts
@@ -46,6 +46,15 @@
       readonly isAsked: boolean;
     }
   | {readonly kind: 'settingsRefused'; readonly error: Error}
+  /** An operator sent a configuration that can be read. */
+  | {
+      readonly kind: 'changeReceived';
+      /** The operator's version. */
+      readonly release: number;
+      readonly bytes: number;
+    }
+  | ({readonly kind: 'changeEnded'} & EndedChange)
+  | ({readonly kind: 'folderRead'} & FolderRead)
   | {
       readonly kind: 'callRejected';
       readonly call: string;
@@ -110,6 +119,34 @@
   readonly externalBytes: number;
 }
 
+/** How an operator's change of the whole configuration ended. */
+export interface EndedChange {
+  /** `null` if the configuration could not be read. */
+  readonly release: number | null;
+  readonly bytes: number;
+  readonly outcome: ChangeOutcome;
+  /** Why it was refused; `null` if it was not. */
+  readonly detail: string | null;
+  readonly durationMs: number;
+}
+
+/** How a change ended for the operator. */
+export type ChangeOutcome =
+  | 'acknowledged'
+  /** It is invalid. */
+  | 'refused'
+  /** The control log did not answer in time; it may be in force later. */
+  | 'unanswered';
+
+/** What a control member read of its data folder at a start. */
+export interface FolderRead {
+  readonly snapshotBytes: number;
+  readonly logBytes: number;
+  /** Entries of the log. */
+  readonly entries: number;
+  readonly durationMs: number;
+}
+
 /** A call at the moment at which it is sent to an endpoint. */
 export interface SentCall {
   readonly request: string;
--- a/fronts/logging/src/logRecord.ts
+++ b/fronts/logging/src/logRecord.ts
@@ -80,6 +80,9 @@
       return {event: event.kind, ...toWholeNumbers({...event.load})};
     case 'memoryHigh':
       return {event: event.kind, ...event.use};
+    case 'changeReceived':
+    case 'changeEnded':
+    case 'folderRead':
     case 'callSent':
     case 'callWithheld':
     case 'callerDisconnected': {
--- /dev/null
+++ b/fronts/metrics/src/controlGauges.ts
@@ -0,0 +1,104 @@
+/** Gauges of a control member. */
+import type {BoardView} from '@gentianshunt/board';
+import type {ControlSections} from '@gentianshunt/controlModel';
+import {Gauge} from 'prom-client';
+import type {Registry} from 'prom-client';
+
+/** A control member whose state is scraped. */
+export interface ScrapedMember {
+  readonly view: BoardView<ControlSections>;
+  /** Measures the files of its data folder, in bytes. */
+  readonly measureFolder: () => Promise<number>;
+}
+
+/** A gauge of a control member. */
+interface MemberGauge {
+  readonly name: string;
+  readonly help: string;
+  read(member: ScrapedMember): number | Promise<number>;
+}
+
+const MEMBER_GAUGES: readonly MemberGauge[] = [
+  {
+    name: 'term',
+    help: 'Current term.',
+    read: ({view}) => view.ballot.term,
+  },
+  {
+    name: 'leader',
+    help: 'Whether this member leads: 1 or 0.',
+    read: ({view}) => (view.role.kind === 'leader' ? 1 : 0),
+  },
+  {
+    name: 'commit_index',
+    help: 'Last committed index of the log.',
+    read: ({view}) => view.logStatus.commitIndex,
+  },
+  {
+    name: 'synced_index',
+    help: 'Last index of the log that is on disk.',
+    read: ({view}) => view.logStatus.syncedIndex,
+  },
+  {
+    name: 'configuration_version',
+    help: 'Version of the configuration applied here.',
+    read: ({view}) => view.applied.version,
+  },
+  {
+    name: 'release',
+    help: "The operator's version of the configuration applied here; -1 if none.",
+    read: ({view}) => view.source.version,
+  },
+  {
+    name: 'entry_sessions',
+    help: 'Entries that hold a lease from this member.',
+    read: ({view}) => view.sessions.size,
+  },
+  {
+    name: 'claims',
+    help: 'Idempotency keys remembered.',
+    read: ({view}) => view.claims.size,
+  },
+  {
+    name: 'log_entries',
+    help: 'Entries of the log in memory.',
+    read: ({view}) => view.logUsage.entries,
+  },
+  {
+    name: 'log_bytes',
+    help: 'Bytes of the entries of the log in memory.',
+    read: ({view}) => view.logUsage.bytes,
+  },
+  {
+    name: 'log_since_snapshot_bytes',
+    help: 'Bytes of the entries after the latest snapshot.',
+    read: ({view}) => view.logUsage.sinceSnapshotBytes,
+  },
+  {
+    name: 'folder_bytes',
+    help: 'Bytes of the files in the data folder.',
+    read: ({measureFolder}) => measureFolder(),
+  },
+];
+
+/** Adds the gauges of a member; without one they have no value. */
+export function addControlGauges(
+  registry: Registry,
+  readMember: () => ScrapedMember | undefined,
+): void {
+  for (const {name, help, read} of MEMBER_GAUGES) {
+    const gauge: Gauge = new Gauge({
+      name: `gentianshunt_control_${name}`,
+      help,
+      registers: [registry],
+      collect: async () => {
+        const member = readMember();
+        if (member === undefined) {
+          gauge.remove();
+          return;
+        }
+        gauge.set(await read(member));
+      },
+    });
+  }
+}
--- a/fronts/metrics/src/entryMetrics.ts
+++ b/fronts/metrics/src/entryMetrics.ts
@@ -7,6 +7,10 @@
   Registry,
 } from 'prom-client';
 
+import {addConfigurationGauges} from './configurationGauges.js';
+import type {ScrapedEntry} from './configurationGauges.js';
+import {addControlGauges} from './controlGauges.js';
+import type {ScrapedMember} from './controlGauges.js';
 import type {MetricsFormatter} from './metricsFormatter.js';
 
 type RecordEndEffect = Extract<EntryEffect, {readonly kind: 'recordEnd'}>;
@@ -21,6 +25,9 @@
 
 /** Options of the metrics of an entry. */
 export interface EntryMetricsOptions {
+  readonly entry: ScrapedEntry;
+  /** Reads the control member of the same process, if there is one. */
+  readonly readMember?: () => ScrapedMember | undefined;
   /** Reads the bytes that wait to be sent to other daemons. */
   readonly readQueuedBytes: () => number;
   /** Reads the bytes held for others, by what they belong to. */
@@ -113,6 +120,10 @@
         .readObservations()
         .forEach((count, kind) => observations.set({kind}, count)),
   });
+  addConfigurationGauges(registry, options.entry);
+  if (options.readMember !== undefined) {
+    addControlGauges(registry, options.readMember);
+  }
   return {
     recordLoopLag: lagMs => loopLag.observe(lagMs / 1_000),
     recordSentCall: ageMs => sentAge.observe(ageMs / 1_000),
--- a/fronts/metrics/src/index.ts
+++ b/fronts/metrics/src/index.ts
@@ -1,3 +1,5 @@
+export * from './configurationGauges.js';
+export * from './controlGauges.js';
 export * from './controlMetrics.js';
 export * from './entryMetrics.js';
 export * from './healthRoutes.js';
