--- a/control/configuration/src/objects.ts
+++ b/control/configuration/src/objects.ts
@@ -54,6 +54,8 @@
   readonly rankOffset?: number;
   /** Keys that identify callers of routes as part of the organisation. */
   readonly keys?: readonly string[];
+  /** What endpoints of routes are told; the identifier if it is absent. */
+  readonly name?: string;
 }
 
 /** A class of service that requests belong to. */
--- a/scheduling/entryModel/src/request.ts
+++ b/scheduling/entryModel/src/request.ts
@@ -38,6 +38,8 @@
   readonly isStream: boolean;
   /** Tokens that count against the token quota of the organisation. */
   readonly quotaTokens: number;
+  /** What endpoints are told; the organisation's identifier if absent. */
+  readonly organisationName?: string;
 }
 
 /** The attributes of a request that has been parsed and validated. */
--- a/scheduling/routing/src/routeCall.ts
+++ b/scheduling/routing/src/routeCall.ts
@@ -113,6 +113,9 @@
       isResumable: route.isResumable,
       isStream: route.isStream,
       quotaTokens: tokens ?? organisation.limits.tokens?.defaultTokens ?? 0,
+      ...(organisation.name === undefined
+        ? {}
+        : {organisationName: organisation.name}),
     },
   };
 }
