Acknowledge a release when no entry can use an older one beyond its bound

Callers saw an older configuration obeyed for more than `config_apply_ms` (2 s) after its successor was acknowledged. A replacement was acknowledged once it was committed, while an entry that heard nothing went on with its lease, which ended 3 s after the heartbeat that was answered last. Nothing derived one number from the other, and neither `config_apply_ms` nor `revoke_ms` was read.

The leader now acknowledges a release when every live lease has confirmed it, or from the moment at which the leases granted on an older one end within the bound by themselves: one lease less the bound after it applied the release, and no earlier than the longest lease less the bound after it took the lead. The lease is derived from the bound (2.5 s to 3 s, 3 s at 2 s). What is resent waits for the same and is no longer proposed again. The wait is at most 1 s at 2 s, and only while an entry with a live lease is silent or the leader is new.

`ENTRY_LEASE_MS` is now `MAX_ENTRY_LEASE_MS`, and existing tests name it so.

--- a/bench/matrix/src/identities.ts
+++ b/bench/matrix/src/identities.ts
@@ -1,3 +1,4 @@
+import type {Milliseconds} from '@gentianshunt/clock';
 import type {ControlIdentity} from '@gentianshunt/controlModel';
 import type {EntryIdentity} from '@gentianshunt/entryModel';
 import {toIdentifier} from '@gentianshunt/identifiers';
@@ -11,6 +12,7 @@
 export const ENTRY_IDS = ['entry-0', 'entry-1', 'entry-2'] as const;
 
 const HOST = '127.0.0.1';
+const RELEASE_APPLY_MS: Milliseconds = 2_000;
 
 /** Creates the identity of an entry in its current incarnation. */
 export function createEntryIdentity(process: FakeProcess): EntryIdentity {
@@ -39,5 +41,6 @@
     bootstrapMembers: CONTROL_IDS.map(id => toIdentifier(id)),
     admission: {kind: 'listed'},
     seed: Number(process.id.split('-')[1]) * 1_000 + process.incarnation,
+    releaseApplyMs: RELEASE_APPLY_MS,
   };
 }
--- a/control/controlModel/src/sections.ts
+++ b/control/controlModel/src/sections.ts
@@ -7,6 +7,7 @@
   defineOrdered,
 } from '@gentianshunt/board';
 import type {AnyController, Controller, Write} from '@gentianshunt/board';
+import type {Milliseconds} from '@gentianshunt/clock';
 import type {
   ConfigurationChange,
   ConfigurationObject,
@@ -56,6 +57,7 @@
   LedSetKey,
   PendingKey,
   PendingReply,
+  ReleaseRecord,
   SessionLeaseKey,
   SessionVersionKey,
   SetLeaderCandidate,
@@ -106,6 +108,11 @@
   readonly storage: StorageId;
   /** Seed of the election jitter. */
   readonly seed: number;
+  /**
+   * Time after the acknowledgement of a release within which every entry must
+   * have stopped using older ones.
+   */
+  readonly releaseApplyMs: Milliseconds;
 }
 
 /** A message that is sent once a batch is synced to disk. */
@@ -235,6 +242,8 @@
     /** Sets without a live leader. */
     leaderlessSets: defineMap<EndpointSetId, LeaderlessSet>(),
     assignmentProposals: defineCell<readonly AssignmentProposal[]>([]),
+    /** The releases applied lately, by the operator's version. */
+    releases: defineOrdered<number, ReleaseRecord>(compareValues),
     /** Requests of entries that await a reply. */
     pendingReplies: defineMap<PendingKey, PendingReply>(),
     /** The state that the decision log recorded last. */
--- a/control/controlModel/src/sessionRecords.ts
+++ b/control/controlModel/src/sessionRecords.ts
@@ -87,6 +87,13 @@
   /** The lease recovery period is over. */
   | {readonly kind: 'recovered'};
 
+/** When a release was applied at this daemon. */
+export interface ReleaseRecord {
+  /** The configuration version since which entries use it or a later one. */
+  readonly version: ConfigurationVersion;
+  readonly appliedAt: MonotonicTime;
+}
+
 /** An entry's request that is answered once the log has been applied. */
 export interface PendingReply {
   readonly to: NodeId;
--- a/control/controlNode/src/controlNode.ts
+++ b/control/controlNode/src/controlNode.ts
@@ -17,6 +17,7 @@
 import {
   createAssignmentController,
   createProposalController,
+  createReleaseController,
   createReplyController,
   createSessionController,
 } from '@gentianshunt/entrySessions';
@@ -51,6 +52,7 @@
     createConsensusController(),
     createMemberChangeController(),
     createStateMachineController(),
+    createReleaseController(),
     createCaptureController(capture),
     createSessionController(),
     createAssignmentController(),
--- a/control/controlNode/test/claims.test.ts
+++ b/control/controlNode/test/claims.test.ts
@@ -1,7 +1,7 @@
 import t from 'tap';
 
 import {
-  ENTRY_LEASE_MS,
+  MAX_ENTRY_LEASE_MS,
   MAX_ADMITTED_CLAIMS,
   MIN_CLAIM_RETRY_MS,
 } from '@gentianshunt/entrySessions';
@@ -182,7 +182,7 @@
 t.test('an entry whose lease expired may still report an outcome', async t => {
   const fixture = createFixture();
   fixture.ask('e0', createClaim('r1'));
-  fixture.advance(ENTRY_LEASE_MS);
+  fixture.advance(MAX_ENTRY_LEASE_MS);
   fixture.advance(1);
   fixture.receive('e1', createHeartbeat('e1'));
   t.match(readAnswer(fixture.ask('e1', createClaim('r2'))), {
--- a/control/controlNode/test/fixture.ts
+++ b/control/controlNode/test/fixture.ts
@@ -1,5 +1,5 @@
 import {createManualClock} from '@gentianshunt/clock';
-import type {ManualClock} from '@gentianshunt/clock';
+import type {ManualClock, Milliseconds} from '@gentianshunt/clock';
 import type {ObjectCommand} from '@gentianshunt/configuration';
 import type {Ballot, ControlEffect} from '@gentianshunt/controlModel';
 import type {
@@ -43,6 +43,7 @@
 /** Starts a single control daemon and makes it the leader. */
 export function createControlFixture(
   stored: Stored = {ballot: {term: 0, votedFor: null}, entries: []},
+  releaseApplyMs: Milliseconds = 2_000,
 ): ControlFixture {
   const clock = createManualClock();
   const sent: {to: NodeId; message: ControlToEntry}[] = [];
@@ -53,6 +54,7 @@
       admission: {kind: 'listed'},
       storage: toIdentifier('folder'),
       seed: 1,
+      releaseApplyMs,
     },
     clock,
     perform: effect => perform(effect),
--- a/control/controlNode/test/inForce.test.ts
+++ b/control/controlNode/test/inForce.test.ts
@@ -1,6 +1,6 @@
 import t from 'tap';
 
-import {ENTRY_LEASE_MS} from '@gentianshunt/entrySessions';
+import {MAX_ENTRY_LEASE_MS} from '@gentianshunt/entrySessions';
 import {NO_DIRECTORY_VERSION} from '@gentianshunt/messages';
 import type {ControlToEntry, InForceStatus} from '@gentianshunt/messages';
 import {toIdentifier} from '@gentianshunt/identifiers';
@@ -44,7 +44,7 @@
 /** Two entries, and a command, after the leader's lease recovery period. */
 function createRecoveredFixture(): ControlFixture {
   const fixture = createControlFixture();
-  fixture.advance(ENTRY_LEASE_MS);
+  fixture.advance(MAX_ENTRY_LEASE_MS);
   for (const node of ['entry-0', 'entry-1']) {
     fixture.receive(node, createHeartbeat(node));
   }
@@ -60,7 +60,7 @@
   confirm(fixture, 'entry-0', version);
   const early = queryForceStatus(fixture, version);
   t.match(early, {isInForce: false, unconfirmed: [], settlingMs: 3_000});
-  fixture.advance(ENTRY_LEASE_MS - 1);
+  fixture.advance(MAX_ENTRY_LEASE_MS - 1);
   fixture.receive('entry-0', createHeartbeat('entry-0', {version}));
   t.equal(queryForceStatus(fixture, version).isInForce, false);
   fixture.takeSent();
@@ -91,7 +91,7 @@
 t.test('an entry whose lease has expired need not confirm', async t => {
   const fixture = createRecoveredFixture();
   const {version} = fixture.node.view.applied;
-  fixture.advance(ENTRY_LEASE_MS - 1);
+  fixture.advance(MAX_ENTRY_LEASE_MS - 1);
   fixture.receive('entry-0', createHeartbeat('entry-0', {version}));
   t.strictSame(queryForceStatus(fixture, version).unconfirmed, ['entry-1']);
   fixture.advance(1);
@@ -165,7 +165,7 @@
 
 t.test('changes of the directory are sent as deltas', async t => {
   const fixture = createControlFixture();
-  fixture.advance(ENTRY_LEASE_MS);
+  fixture.advance(MAX_ENTRY_LEASE_MS);
   const [first] = fixture.ask('entry-0', createHeartbeat('entry-0'));
   t.match(first, {directory: {kind: 'replace', directory: {entries: [{}]}}});
   const {term} = fixture.node.view.ballot;
@@ -185,7 +185,7 @@
   const current = {directoryVersion: readDirectoryVersion(second)};
   const [third] = fixture.ask('entry-0', createHeartbeat('entry-0', current));
   t.match(third, {directory: null});
-  fixture.advance(ENTRY_LEASE_MS - 1);
+  fixture.advance(MAX_ENTRY_LEASE_MS - 1);
   fixture.receive('entry-0', createHeartbeat('entry-0', current));
   fixture.advance(1);
   const [fourth] = fixture.ask('entry-0', createHeartbeat('entry-0', current));
@@ -199,7 +199,7 @@
   const changes = {directoryVersion: {term: 77, number: 12, digest: 1}};
   const [early] = fixture.ask('entry-0', createHeartbeat('entry-0', changes));
   t.match(early, {directory: null});
-  fixture.advance(ENTRY_LEASE_MS - 1);
+  fixture.advance(MAX_ENTRY_LEASE_MS - 1);
   fixture.receive('entry-0', createHeartbeat('entry-0', changes));
   fixture.advance(1);
   const [late] = fixture.ask('entry-0', createHeartbeat('entry-0', changes));
@@ -210,7 +210,7 @@
   'an equal directory is not sent again after a change of leader',
   async t => {
     const before = createControlFixture();
-    before.advance(ENTRY_LEASE_MS);
+    before.advance(MAX_ENTRY_LEASE_MS);
     const nodes = ['entry-0', 'entry-1', 'entry-2'];
     for (const node of nodes) {
       before.receive(node, createHeartbeat(node));
@@ -223,7 +223,7 @@
     ];
     for (const {name, present, kind} of cases) {
       const after = createControlFixture(before.readStored());
-      after.advance(ENTRY_LEASE_MS);
+      after.advance(MAX_ENTRY_LEASE_MS);
       for (const node of [...present].reverse()) {
         after.receive(node, createHeartbeat(node));
       }
--- a/control/controlNode/test/memberFixture.ts
+++ b/control/controlNode/test/memberFixture.ts
@@ -139,6 +139,7 @@
           admission,
           storage: folder.storage,
           seed: members.indexOf(node) + 1,
+          releaseApplyMs: 2_000,
         },
         clock,
         capture: {intervalEntries: CAPTURE_INTERVAL_ENTRIES},
--- a/control/controlNode/test/orders.test.ts
+++ b/control/controlNode/test/orders.test.ts
@@ -2,7 +2,7 @@
 
 import {findObject} from '@gentianshunt/configuration';
 import type {ObjectCommand} from '@gentianshunt/configuration';
-import {ENTRY_LEASE_MS} from '@gentianshunt/entrySessions';
+import {MAX_ENTRY_LEASE_MS} from '@gentianshunt/entrySessions';
 import type {OrderResult} from '@gentianshunt/orders';
 import {toIdentifier} from '@gentianshunt/identifiers';
 
@@ -146,7 +146,7 @@
 t.test('an order is issued again after its set leader failed', async t => {
   const fixture = createFixture(['e1']);
   offer(fixture, 'e1');
-  fixture.advance(ENTRY_LEASE_MS);
+  fixture.advance(MAX_ENTRY_LEASE_MS);
   fixture.receive('n2', createHeartbeat('n2'));
   fixture.advance(1);
   fixture.advance(1);
--- a/control/controlNode/test/setLeaders.test.ts
+++ b/control/controlNode/test/setLeaders.test.ts
@@ -2,7 +2,7 @@
 
 import {findObject, listQuotaSets} from '@gentianshunt/configuration';
 import type {ConfigurationObject} from '@gentianshunt/configuration';
-import {ENTRY_LEASE_MS} from '@gentianshunt/entrySessions';
+import {MAX_ENTRY_LEASE_MS} from '@gentianshunt/entrySessions';
 import {toIdentifier} from '@gentianshunt/identifiers';
 import type {RegionId} from '@gentianshunt/identifiers';
 
@@ -149,7 +149,7 @@
   after.receive('n2', createRegionHeartbeat('n2', 'north'));
   after.advance(1);
   t.equal(readLeader(after, 'a')?.node, 'n1', 'n1 may still hold its lease');
-  after.advance(ENTRY_LEASE_MS - 2);
+  after.advance(MAX_ENTRY_LEASE_MS - 2);
   after.receive('n2', createRegionHeartbeat('n2', 'north'));
   after.advance(1);
   // The first session check unassigns the leader, the second assigns another.
--- a/control/entrySessions/src/configurationUpdates.ts
+++ b/control/entrySessions/src/configurationUpdates.ts
@@ -11,7 +11,7 @@
 
 import {createDelta} from './configurationDelta.js';
 import type {ConfigurationDelta} from './configurationDelta.js';
-import {ENTRY_LEASE_MS} from './leaderStatus.js';
+import {computeEntryLeaseMs} from './leaderStatus.js';
 import {replaceSession, send} from './sessionWrites.js';
 import type {SessionView, SessionWrite} from './sessionWrites.js';
 
@@ -34,7 +34,7 @@
     version: view.board.applied.version,
     changes: delta.changes,
     directory,
-    leaseMs: ENTRY_LEASE_MS,
+    leaseMs: computeEntryLeaseMs(view.board.identity),
   };
 }
 
--- a/control/entrySessions/src/inForce.ts
+++ b/control/entrySessions/src/inForce.ts
@@ -1,10 +1,18 @@
 import {iterateWhile} from '@gentianshunt/board';
 import type {BoardView, TurnTime} from '@gentianshunt/board';
-import type {ControlSections} from '@gentianshunt/controlModel';
+import type {MonotonicTime} from '@gentianshunt/clock';
+import type {ControlSections, ReleaseRecord} from '@gentianshunt/controlModel';
 import type {ConfigurationVersion, InForceStatus} from '@gentianshunt/messages';
 import type {NodeId} from '@gentianshunt/identifiers';
 
-import {computeLeaseRecoveryMs, isConfirmedLeader} from './leaderStatus.js';
+import {
+  computeEntryLeaseMs,
+  computeLeaseRecoveryMs,
+  hasOwnEntryApplied,
+  isConfirmedLeader,
+  isLeaseRecoveryOver,
+  MAX_ENTRY_LEASE_MS,
+} from './leaderStatus.js';
 
 /** The sections that hold the versions which the entries have confirmed. */
 export type InForceBoard = Pick<
@@ -12,6 +20,10 @@
   'role' | 'leadership' | 'applied' | 'sessions' | 'sessionVersions'
 >;
 
+/** The sections that decide whether a release may be acknowledged. */
+export type ReleaseBoard = InForceBoard &
+  Pick<BoardView<ControlSections>, 'identity' | 'releases'>;
+
 /**
  * Computes whether a version is in force: every entry with a live lease has
  * confirmed it. It is never in force during the lease recovery period, in which
@@ -35,6 +47,52 @@
   };
 }
 
+/**
+ * Returns whether a release may be acknowledged: no entry will use an older one
+ * later than `releaseApplyMs` from now. Either every live lease has confirmed
+ * the release or a later one, or those that have not end in time by themselves.
+ */
+export function canAcknowledgeRelease(
+  board: ReleaseBoard,
+  release: number,
+  now: TurnTime,
+): boolean {
+  const [applied] = board.releases.iterateFrom(release);
+  return (
+    applied !== undefined &&
+    hasOwnEntryApplied(board) &&
+    (isConfirmedByAll(board, applied.value, now) ||
+      now.monotonic + board.identity.releaseApplyMs >=
+        computeLeasesEnd(board, applied.value))
+  );
+}
+
+/** Returns whether all entries that may hold a lease use a release. */
+function isConfirmedByAll(
+  board: ReleaseBoard,
+  {version}: ReleaseRecord,
+  now: TurnTime,
+): boolean {
+  const [unconfirmed] = iterateUnconfirmed(board, version, now);
+  return unconfirmed === undefined && isLeaseRecoveryOver(board.role, now);
+}
+
+/**
+ * Computes when the last lease that was granted before a release was applied
+ * has ended. Leases of earlier leaders were granted before this one led.
+ */
+function computeLeasesEnd(
+  {role, identity}: ReleaseBoard,
+  {appliedAt}: ReleaseRecord,
+): MonotonicTime {
+  return role.kind === 'leader'
+    ? Math.max(
+        role.since + MAX_ENTRY_LEASE_MS,
+        appliedAt + computeEntryLeaseMs(identity),
+      )
+    : Number.POSITIVE_INFINITY;
+}
+
 function* iterateUnconfirmed(
   board: InForceBoard,
   version: ConfigurationVersion,
--- a/control/entrySessions/src/index.ts
+++ b/control/entrySessions/src/index.ts
@@ -5,5 +5,6 @@
 export * from './leaderStatus.js';
 export * from './pendingReplies.js';
 export * from './proposalController.js';
+export * from './releaseController.js';
 export * from './replyController.js';
 export * from './sessionController.js';
--- a/control/entrySessions/src/leaderStatus.ts
+++ b/control/entrySessions/src/leaderStatus.ts
@@ -1,22 +1,47 @@
 import type {TurnTime} from '@gentianshunt/board';
 import type {Milliseconds} from '@gentianshunt/clock';
-import type {AppliedStatus, Leadership, Role} from '@gentianshunt/controlModel';
+import type {
+  AppliedStatus,
+  ControlIdentity,
+  Leadership,
+  Role,
+} from '@gentianshunt/controlModel';
 
-/** Lifetime of the lease under which an entry uses its configuration. */
-export const ENTRY_LEASE_MS: Milliseconds = 3_000;
+/** Longest lease under which an entry uses its configuration. */
+export const MAX_ENTRY_LEASE_MS: Milliseconds = 3_000;
+/** Shortest lease; it outlasts an election and the search for the new leader. */
+export const MIN_ENTRY_LEASE_MS: Milliseconds = 2_500;
+/**
+ * Longest wait of an acknowledgement for the lease of a silent entry, as far as
+ * the bounds of the lease permit.
+ */
+const MAX_ACKNOWLEDGEMENT_WAIT_MS: Milliseconds = 1_000;
+
+/**
+ * Computes the lifetime of the leases that this daemon grants. A lease that is
+ * not renewed ends `releaseApplyMs` after the acknowledgement of a release at
+ * the latest, so a longer one delays acknowledgements while an entry is silent.
+ */
+export function computeEntryLeaseMs({
+  releaseApplyMs,
+}: Pick<ControlIdentity, 'releaseApplyMs'>): Milliseconds {
+  const wanted = releaseApplyMs + MAX_ACKNOWLEDGEMENT_WAIT_MS;
+  return Math.min(MAX_ENTRY_LEASE_MS, Math.max(MIN_ENTRY_LEASE_MS, wanted));
+}
 
 /**
  * Computes the remaining time of the lease recovery period, in which leases of
- * the previous leader may still be valid. Until it ends, a new leader may have
- * no session of an entry that uses a configuration.
+ * an earlier leader may still be valid. Until it ends, a new leader may have no
+ * session of an entry that uses a configuration. An earlier leader may have had
+ * other settings, so the period is the longest lease that any may grant.
  */
 export function computeLeaseRecoveryMs(
   role: Role,
   now: TurnTime,
 ): Milliseconds {
   return role.kind === 'leader'
-    ? Math.max(0, role.since + ENTRY_LEASE_MS - now.monotonic)
-    : ENTRY_LEASE_MS;
+    ? Math.max(0, role.since + MAX_ENTRY_LEASE_MS - now.monotonic)
+    : MAX_ENTRY_LEASE_MS;
 }
 
 /** The sections that decide whether entries may be answered. */
--- a/control/entrySessions/src/pendingReplies.ts
+++ b/control/entrySessions/src/pendingReplies.ts
@@ -11,7 +11,7 @@
 import type {NodeId} from '@gentianshunt/identifiers';
 
 import {findClaimAnswer, isCompletionApplied} from './claimAnswers.js';
-import {computeInForceStatus} from './inForce.js';
+import {canAcknowledgeRelease, computeInForceStatus} from './inForce.js';
 import {hasOwnEntryApplied} from './leaderStatus.js';
 
 /** Time after which an unapplied payload may be proposed again. */
@@ -21,6 +21,7 @@
 
 /** The sections from which replies to entries are created. */
 export const REPLY_SECTIONS = [
+  'identity',
   'role',
   'leadership',
   'applied',
@@ -32,6 +33,7 @@
   'claimUsage',
   'countMarks',
   'source',
+  'releases',
   'sessions',
   'sessionVersions',
   'pendingReplies',
@@ -117,7 +119,18 @@
   );
 }
 
-/** Finds the reply to a request, if the applied log already decides it. */
+/**
+ * Returns whether the log needs no proposal for a request, although its reply
+ * may have to wait for the confirmations of entries.
+ */
+export function isStored(
+  {source}: Pick<ReplyBoard, 'source'>,
+  request: PendingRequest,
+): boolean {
+  return request.kind === 'replacement' && source.version >= request.version;
+}
+
+/** Finds the reply to a request, if it is decided already. */
 export function findReply(
   board: ReplyBoard,
   request: PendingRequest,
@@ -130,10 +143,9 @@
       return answer && {kind: 'commandReply', correlation, answer};
     }
     case 'replacement': {
-      const {correlation} = request;
-      const {version} = board.source;
-      return hasOwnEntryApplied(board) && version >= request.version
-        ? {kind: 'replacementReply', correlation, version}
+      const {correlation, version} = request;
+      return canAcknowledgeRelease(board, version, now)
+        ? {kind: 'replacementReply', correlation, version: board.source.version}
         : undefined;
     }
     case 'claim': {
--- a/control/entrySessions/src/proposalController.ts
+++ b/control/entrySessions/src/proposalController.ts
@@ -18,6 +18,7 @@
 import {
   findReply,
   isRecentlyProposed,
+  isStored,
   REPLY_SECTIONS,
   toPendingRequest,
 } from './pendingReplies.js';
@@ -120,6 +121,7 @@
   const request = toPendingRequest(from, message);
   const isHandled =
     request === undefined ||
+    isStored(view.board, request) ||
     isRecentlyProposed(view.board, request, now) ||
     findReply(view.board, request, now) !== undefined;
   return isHandled ? [] : toPayloads(view, from, message, now);
--- a/control/entrySessions/src/replyController.ts
+++ b/control/entrySessions/src/replyController.ts
@@ -146,6 +146,7 @@
 function replyToPending(view: ReplyView, now: TurnTime): readonly ReplyWrite[] {
   const isDue =
     view.readChanges('applied').size > 0 ||
+    view.readChanges('releases').size > 0 ||
     view.readChanges('sessionVersions').size > 0 ||
     view.observation?.kind === 'timerDue';
   if (!isDue) {
--- a/control/entrySessions/src/sessionController.ts
+++ b/control/entrySessions/src/sessionController.ts
@@ -15,7 +15,7 @@
 import {createDirectoryUpdate, toDirectoryEntry} from './directoryDelta.js';
 import {createDirectoryStep, writeDirectoryStep} from './directorySteps.js';
 import {
-  ENTRY_LEASE_MS,
+  computeEntryLeaseMs,
   isConfirmedLeader,
   isLeaseRecoveryOver,
 } from './leaderStatus.js';
@@ -150,7 +150,7 @@
     confirmedVersion: version,
     sentVersion: Math.max(version, view.board.applied.version),
     directoryVersion: heartbeat.directoryVersion,
-    leaseUntil: now.monotonic + ENTRY_LEASE_MS,
+    leaseUntil: now.monotonic + computeEntryLeaseMs(view.board.identity),
     setsInUse,
   };
   const step = isDirectoryEntryCurrent(current, session)
--- a/control/stateMachine/test/stateMachine.test.ts
+++ b/control/stateMachine/test/stateMachine.test.ts
@@ -79,6 +79,7 @@
       admission: {kind: 'listed'},
       storage: toIdentifier('folder'),
       seed: 1,
+      releaseApplyMs: 2_000,
     }),
     controllers: [createFakeLog(groups), createStateMachineController()],
     clock: createManualClock(),
--- a/daemons/controld/src/controld.ts
+++ b/daemons/controld/src/controld.ts
@@ -1,3 +1,4 @@
+import type {Milliseconds} from '@gentianshunt/clock';
 import type {ControlNode} from '@gentianshunt/controlNode';
 import {createControlHost, DataFolderRefusedError} from '@gentianshunt/hosts';
 import type {ControlHost} from '@gentianshunt/hosts';
@@ -11,6 +12,9 @@
 import {fastify} from 'fastify';
 import type {FastifyInstance} from 'fastify';
 
+/** See `ControlIdentity.releaseApplyMs`. */
+const RELEASE_APPLY_MS: Milliseconds = 2_000;
+
 /** Options of a control daemon. */
 export interface ControldOptions {
   readonly settings: ControldSettings;
@@ -43,6 +47,7 @@
       node: settings.node,
       members: settings.control.map(member => member.node),
       admission: {kind: 'listed'},
+      releaseApplyMs: RELEASE_APPLY_MS,
       dataFolder: settings.data_folder,
       clock: createSystemClock(),
       sendToMember: (to, envelope) => {
--- a/daemons/hosts/src/controlHost.ts
+++ b/daemons/hosts/src/controlHost.ts
@@ -1,4 +1,4 @@
-import type {Clock} from '@gentianshunt/clock';
+import type {Clock, Milliseconds} from '@gentianshunt/clock';
 import type {
   AdmissionPolicy,
   ControlDecision,
@@ -33,6 +33,7 @@
   readonly node: NodeId;
   readonly members: readonly NodeId[];
   readonly admission: AdmissionPolicy;
+  readonly releaseApplyMs: Milliseconds;
   readonly dataFolder: string;
   /** Opens the data folder; that of the file system by default. */
   readonly openFolder?: (path: string) => Promise<StorageFolder>;
@@ -96,6 +97,7 @@
       admission: options.admission,
       storage: logFile.storage,
       seed: drawSeed(),
+      releaseApplyMs: options.releaseApplyMs,
     },
     clock: options.clock,
     perform: effect => {
--- a/daemons/hosts/test/fullDisk.test.ts
+++ b/daemons/hosts/test/fullDisk.test.ts
@@ -84,6 +84,7 @@
     node: NODE,
     members: [NODE],
     admission: {kind: 'open', mayBootstrap: true},
+    releaseApplyMs: 2_000,
     dataFolder,
     openFolder: folder.open,
     clock: createSystemClock(),
