End an entry's lease by the time of day too, as a suspended VM's clock stands still

Callers whose key had been revoked were served, and old routes obeyed, by an entry whose VM had been suspended for seconds: its monotonic clock stood still meanwhile, so that its lease went on for up to 3 s, whatever was changed during the suspension. A set leader granted slots and sent orders under such a lease.

A lease now has an end by both clocks, noted when the heartbeat is sent, and is over at the first. A time of day that is set forward ends it early, until the next heartbeat is answered; one that is set back changes nothing. Deadlines and timers keep to the monotonic clock, so that a step of the time of day expires no request.

`sendBefore` of an order is now its `lease`; the tests that set `leaseUntil` set a lease of the same length.

--- a/bench/matrix/src/entryHost.ts
+++ b/bench/matrix/src/entryHost.ts
@@ -1,3 +1,4 @@
+import {isLeaseValid, readInstant} from '@gentianshunt/clock';
 import {createEntryNode} from '@gentianshunt/entryNode';
 import type {EntryNode} from '@gentianshunt/entryNode';
 import type {EntryEffect, EntryObservation} from '@gentianshunt/entryModel';
@@ -70,7 +71,7 @@
         version: control.version,
         weight: readWeight(configuration),
         isServing:
-          process.isAlive && control.leaseUntil > clock.readMonotonic(),
+          process.isAlive && isLeaseValid(control.lease, readInstant(clock)),
       });
     },
     start: () => {
--- a/core/board/src/controlLoop.ts
+++ b/core/board/src/controlLoop.ts
@@ -1,3 +1,4 @@
+import {readInstant} from '@gentianshunt/clock';
 import type {Clock} from '@gentianshunt/clock';
 
 import {createBoard} from './board.js';
@@ -98,10 +99,7 @@
     if (observation === undefined) {
       break;
     }
-    const now = {
-      monotonic: options.clock.readMonotonic(),
-      wall: options.clock.readWallTime(),
-    };
+    const now = readInstant(options.clock);
     try {
       for (const effect of runTurn(board, schedule, observation, now)) {
         options.perform(effect);
--- a/core/board/src/controller.ts
+++ b/core/board/src/controller.ts
@@ -1,4 +1,4 @@
-import type {MonotonicTime} from '@gentianshunt/clock';
+import type {Instant} from '@gentianshunt/clock';
 
 import type {Sections, SectionView} from './section.js';
 import type {Write} from './write.js';
@@ -7,10 +7,7 @@
 export type ChangedKeys = ReadonlySet<unknown>;
 
 /** The current time, read once for each observation. */
-export interface TurnTime {
-  readonly monotonic: MonotonicTime;
-  readonly wall: Date;
-}
+export type TurnTime = Instant;
 
 /** What a controller may read. */
 export interface View<S extends Sections, Reads extends keyof S, Observation> {
--- a/core/clock/src/index.ts
+++ b/core/clock/src/index.ts
@@ -1,2 +1,3 @@
 export * from './clock.js';
+export * from './lease.js';
 export * from './manualClock.js';
--- a/daemons/entryd/src/entryd.ts
+++ b/daemons/entryd/src/entryd.ts
@@ -1,3 +1,4 @@
+import {isLeaseValid, readInstant} from '@gentianshunt/clock';
 import type {Clock} from '@gentianshunt/clock';
 import {findObject} from '@gentianshunt/configuration';
 import {createCallerFront} from '@gentianshunt/callerFront';
@@ -236,7 +237,7 @@
   const {service, control} = node.view;
   return (
     service.kind === 'serving' &&
-    control.leaseUntil > createSystemClock().readMonotonic()
+    isLeaseValid(control.lease, readInstant(createSystemClock()))
   );
 }
 
--- a/fronts/callRelay/src/callRelay.ts
+++ b/fronts/callRelay/src/callRelay.ts
@@ -1,5 +1,6 @@
 import type {BoardView} from '@gentianshunt/board';
 import {hasDisconnected} from '@gentianshunt/callerFront';
+import {isLeaseValid, readInstant} from '@gentianshunt/clock';
 import type {Clock, Milliseconds} from '@gentianshunt/clock';
 import {assertNever} from '@gentianshunt/errors';
 import {
@@ -249,13 +250,12 @@
   {head, attributes, body, ageMs, response}: IncomingCall,
 ): EntryObservation {
   const {clock, loop, post, view} = options;
-  const now = clock.readMonotonic();
+  const now = readInstant(clock);
   const lagMs = loop.readLag();
   const resolved = routeCall(table, view.configuration, attributes);
   if (resolved.kind === 'refused') {
     // Without a lease the configuration may be outdated: the route may exist.
-    const hasLease = view.control.leaseUntil > now;
-    const reason: RefusalReason = hasLease
+    const reason: RefusalReason = isLeaseValid(view.control.lease, now)
       ? resolved.reason
       : {kind: 'noLease'};
     const refusal = refuseUnadmitted(
@@ -272,7 +272,7 @@
   const {id} = attributes;
   // The call may have waited for the event loop before it was read.
   const waitedMs = lagMs + ageMs;
-  const receivedAt = now - waitedMs;
+  const receivedAt = now.monotonic - waitedMs;
   const limitMs = resolved.attributes.routePolicy!.timeLimitMs;
   const timer = startTimer(
     () => post({kind: 'timeLimitReached', request: id}),
--- a/fronts/callRelay/test/relayFixture.ts
+++ b/fronts/callRelay/test/relayFixture.ts
@@ -3,7 +3,7 @@
 import {createServer} from 'node:net';
 import type {AddressInfo, Socket} from 'node:net';
 
-import {createManualClock} from '@gentianshunt/clock';
+import {createLease, createManualClock, readInstant} from '@gentianshunt/clock';
 import type {Clock} from '@gentianshunt/clock';
 import {formatObjectKey} from '@gentianshunt/configuration';
 import type {ConfigurationObject} from '@gentianshunt/configuration';
@@ -27,6 +27,7 @@
 import type {CallProtocol, CallRelay, CallStep} from '../src/index.js';
 
 const HOST = '127.0.0.1';
+const LEASE_MS = 3_600_000;
 const MEMORY_BYTES = 1_024 * 1_024;
 
 /** The answer that a caller received. */
@@ -174,7 +175,10 @@
   );
   const withdrawnEndpoints = new Map<string, number>();
   const quarantines = new Map<string, Quarantine>();
-  const control = {version: 1, leaseUntil: Number.POSITIVE_INFINITY};
+  const control = {
+    version: 1,
+    lease: createLease(readInstant(clock), LEASE_MS),
+  };
   const relay = createCallRelay({
     server,
     protocol: {...protocol, ...changed},
--- a/fronts/endpointFront/src/endpointOrderClient.ts
+++ b/fronts/endpointFront/src/endpointOrderClient.ts
@@ -1,3 +1,4 @@
+import {isLeaseValid, readInstant} from '@gentianshunt/clock';
 import type {Clock} from '@gentianshunt/clock';
 import type {EntryObservation, OrderExecution} from '@gentianshunt/entryModel';
 import {MAX_ORDER_DELIVERY_MS} from '@gentianshunt/orders';
@@ -39,7 +40,7 @@
   execution: OrderExecution,
 ): Promise<OrderResult> {
   // The process may have been suspended since the order was decided.
-  if (clock.readMonotonic() >= execution.sendBefore) {
+  if (!isLeaseValid(execution.lease, readInstant(clock))) {
     return {kind: 'unknown', detail: 'the lease ended before sending'};
   }
   try {
--- a/scheduling/controlClient/src/controlController.ts
+++ b/scheduling/controlClient/src/controlController.ts
@@ -1,4 +1,5 @@
 import type {TurnTime, View} from '@gentianshunt/board';
+import {createLease, isLeaseValid} from '@gentianshunt/clock';
 import type {Milliseconds} from '@gentianshunt/clock';
 import {formatObjectKey} from '@gentianshunt/configuration';
 import {
@@ -129,7 +130,7 @@
   const leader = members[0] ?? null;
   return [
     {kind: 'set', section: 'controlNodes', value},
-    ...(control.leaseUntil > now.monotonic
+    ...(isLeaseValid(control.lease, now)
       ? []
       : followLeader(view, leader, now)),
   ];
@@ -145,7 +146,7 @@
   now: TurnTime,
 ): readonly ControlWrite[] {
   const {control, controlNodes, identity} = board;
-  if (control.leaseUntil <= now.monotonic) {
+  if (!isLeaseValid(control.lease, now)) {
     return [];
   }
   const others = identity.controlNodes.filter(
@@ -180,8 +181,7 @@
   const {identity, service, controlNodes} = view.board;
   const sequence = status.lastSequence + 1;
   // After an unanswered heartbeat, the next one goes to another daemon.
-  const isAnswered = status.sentAt === Number.NEGATIVE_INFINITY;
-  const leader = isAnswered ? status.leader : null;
+  const leader = status.sentAt === null ? status.leader : null;
   const to = leader ?? controlNodes[sequence % controlNodes.length]!;
   return [
     {
@@ -191,7 +191,7 @@
         ...status,
         leader,
         lastSequence: sequence,
-        sentAt: now.monotonic,
+        sentAt: now,
       },
     },
     {
@@ -260,7 +260,7 @@
   const newStatus = {
     ...status,
     leader,
-    sentAt: Number.NEGATIVE_INFINITY,
+    sentAt: null,
   };
   return sendHeartbeat(view, newStatus, now);
 }
@@ -292,15 +292,17 @@
   if (!isApplicable) {
     return [];
   }
-  const isHeartbeatReply = update.sequence === status.lastSequence;
+  const {sentAt} = status;
+  const isHeartbeatReply =
+    sentAt !== null && update.sequence === status.lastSequence;
   const next: ControlStatus = {
     ...status,
     leader: from,
     version: update.version,
-    leaseUntil: isHeartbeatReply
-      ? status.sentAt + update.leaseMs
-      : status.leaseUntil,
-    sentAt: isHeartbeatReply ? Number.NEGATIVE_INFINITY : status.sentAt,
+    lease: isHeartbeatReply
+      ? createLease(sentAt, update.leaseMs)
+      : status.lease,
+    sentAt: isHeartbeatReply ? null : sentAt,
     directory: applyDirectoryUpdate(status.directory, update.directory),
   };
   return [
--- a/scheduling/controlClient/test/controlController.test.ts
+++ b/scheduling/controlClient/test/controlController.test.ts
@@ -1,5 +1,6 @@
 import t from 'tap';
 
+import {ENDED_LEASE} from '@gentianshunt/clock';
 import {toIdentifier} from '@gentianshunt/identifiers';
 import type {DirectoryEntry} from '@gentianshunt/messages';
 
@@ -64,10 +65,10 @@
   fixture.clock.advance(100);
   const push = createUpdate(0, 5, [GOLD]);
   fixture.receive(push);
-  t.equal(fixture.loop.view.control.leaseUntil, Number.NEGATIVE_INFINITY);
+  t.equal(fixture.loop.view.control.lease, ENDED_LEASE);
   fixture.receive(createUpdate(5, 5, [], {sequence: 1}));
   t.equal(
-    fixture.loop.view.control.leaseUntil,
+    fixture.loop.view.control.lease.until,
     3_000,
     'counted from the sending of the heartbeat',
   );
--- a/scheduling/decisionLog/src/decisionLog.ts
+++ b/scheduling/decisionLog/src/decisionLog.ts
@@ -3,6 +3,7 @@
  * the board with what was logged last.
  */
 import type {TurnTime, View} from '@gentianshunt/board';
+import {isLeaseValid, measureLeaseOverrun} from '@gentianshunt/clock';
 import {findObject, RELEASE_ID} from '@gentianshunt/configuration';
 import type {ObjectKey} from '@gentianshunt/configuration';
 import {defineEntryController} from '@gentianshunt/entryModel';
@@ -85,8 +86,8 @@
 type EntryStatus = Omit<LoggedState, 'endpoints'>;
 
 function readEntryStatus({board}: LogView, now: TurnTime): EntryStatus {
-  const {leader, version, leaseUntil} = board.control;
-  return {leader, version, hasLease: leaseUntil > now.monotonic};
+  const {leader, version, lease} = board.control;
+  return {leader, version, hasLease: isLeaseValid(lease, now)};
 }
 
 /** Lists dispatches and requeues among the requests that changed. */
@@ -180,7 +181,7 @@
     });
   }
   if (before.hasLease && !after.hasLease) {
-    const expiredMs = now.monotonic - view.board.control.leaseUntil;
+    const expiredMs = measureLeaseOverrun(view.board.control.lease, now);
     decisions.push({
       kind: 'leaseLost',
       leader,
--- a/scheduling/endpointOrders/src/endpointOrderController.ts
+++ b/scheduling/endpointOrders/src/endpointOrderController.ts
@@ -4,6 +4,7 @@
  * a fencing number; then it is sent to the endpoint, and its result reported.
  */
 import type {TurnTime, View} from '@gentianshunt/board';
+import {isLeaseValid} from '@gentianshunt/clock';
 import type {Milliseconds} from '@gentianshunt/clock';
 import {formatObjectKey} from '@gentianshunt/configuration';
 import type {EndpointOrder, ObjectKey} from '@gentianshunt/configuration';
@@ -126,7 +127,7 @@
 /** Takes the next step of each open order of the led sets. */
 function advanceOrders(view: OrderView, now: TurnTime): readonly OrderWrite[] {
   // Without a lease another entry may already lead the set.
-  if (view.board.control.leaseUntil <= now.monotonic) {
+  if (!isLeaseValid(view.board.control.lease, now)) {
     return [];
   }
   return [...view.board.openEndpointOrders.values()].flatMap(order =>
@@ -174,7 +175,7 @@
         fencing: state.fencing,
         url: target.record.announcement.url,
         directive: order.directive,
-        sendBefore: view.board.control.leaseUntil,
+        lease: view.board.control.lease,
       });
 }
 
@@ -246,7 +247,7 @@
   const orderEpoch = view.board.orderEpochs.get(execution.set);
   const isLeading =
     orderEpoch?.epoch === execution.epoch &&
-    view.board.control.leaseUntil > now.monotonic;
+    isLeaseValid(view.board.control.lease, now);
   const result: OrderResult = isLeading
     ? reported
     : {kind: 'unknown', detail: 'the lease ended before the answer came'};
--- a/scheduling/endpointOrders/test/endpointOrderController.test.ts
+++ b/scheduling/endpointOrders/test/endpointOrderController.test.ts
@@ -1,7 +1,7 @@
 import t from 'tap';
 
 import {createControlLoop, defineController} from '@gentianshunt/board';
-import {createManualClock} from '@gentianshunt/clock';
+import {createLease, createManualClock, readInstant} from '@gentianshunt/clock';
 import type {EndpointOrder} from '@gentianshunt/configuration';
 import {createEntrySections} from '@gentianshunt/entryModel';
 import type {
@@ -32,7 +32,7 @@
 interface FixtureOptions {
   readonly state?: OrderState;
   readonly checksFencing?: boolean;
-  readonly leaseUntil?: number;
+  readonly leaseMs?: number;
 }
 
 function createOrder(state: OrderState): EndpointOrder {
@@ -66,7 +66,10 @@
         value: {
           ...createSections().control.initial,
           leader: toIdentifier<NodeId>('c0'),
-          leaseUntil: options.leaseUntil ?? LEASE_END_MS,
+          lease: createLease(
+            readInstant(createManualClock()),
+            options.leaseMs ?? LEASE_END_MS,
+          ),
         },
       },
       {
@@ -175,7 +178,7 @@
 t.test('an order is sent once, within the lease', async t => {
   const fixture = createFixture();
   const execution = findSentExecution(fixture.tick(1));
-  t.match(execution, {fencing: 9, sendBefore: LEASE_END_MS});
+  t.match(execution, {fencing: 9, lease: {until: LEASE_END_MS}});
   t.equal(findSentExecution(fixture.tick(1)), undefined);
   const [report] = fixture.end(execution!);
   t.match(report, {message: {kind: 'orderReport', fencing: 9}});
@@ -199,9 +202,9 @@
 );
 
 t.test('without a lease no order is sent and no result reported', async t => {
-  const expired = createFixture({leaseUntil: 10});
+  const expired = createFixture({leaseMs: 10});
   t.strictSame(expired.tick(10), [], 'the lease ended before sending');
-  const paused = createFixture({leaseUntil: 10});
+  const paused = createFixture({leaseMs: 10});
   const execution = findSentExecution(paused.tick(9));
   t.ok(execution);
   paused.advance(5_000);
--- a/scheduling/entryModel/src/effect.ts
+++ b/scheduling/entryModel/src/effect.ts
@@ -77,7 +77,7 @@
       readonly firstTokenMs: Milliseconds | null;
     }
   | {
-      /** Sends an order to an endpoint, unless its `sendBefore` has passed. */
+      /** Sends an order to an endpoint, unless its lease has ended. */
       readonly kind: 'sendEndpointOrder';
       readonly execution: OrderExecution;
     }
--- a/scheduling/entryModel/src/endpointOrder.ts
+++ b/scheduling/entryModel/src/endpointOrder.ts
@@ -1,4 +1,4 @@
-import type {MonotonicTime} from '@gentianshunt/clock';
+import type {Lease, MonotonicTime} from '@gentianshunt/clock';
 import type {
   EndpointDirective,
   FencingNumber,
@@ -14,8 +14,8 @@
   readonly fencing: FencingNumber;
   readonly url: string;
   readonly directive: EndpointDirective;
-  /** The end of the entry's lease, after which it must not send the order. */
-  readonly sendBefore: MonotonicTime;
+  /** The entry's lease, without which it must not send the order. */
+  readonly lease: Lease;
 }
 
 /** The state of an order execution. */
--- a/scheduling/entryModel/src/leaveRecord.ts
+++ b/scheduling/entryModel/src/leaveRecord.ts
@@ -1,5 +1,5 @@
 import type {TurnTime} from '@gentianshunt/board';
-import type {Milliseconds, MonotonicTime} from '@gentianshunt/clock';
+import type {Lease, Milliseconds, MonotonicTime} from '@gentianshunt/clock';
 import type {
   EndpointId,
   IncarnationId,
@@ -54,8 +54,8 @@
   /** Number of the latest request. */
   readonly lastRequest: number;
   readonly requestedAt: MonotonicTime;
-  /** End of the lease when it was last looked at. */
-  readonly leaseUntil: MonotonicTime;
+  /** The entry's lease when it was last looked at. */
+  readonly lease: Lease;
 }
 
 /** A leave that an endpoint told to this entry and no other is known to have. */
--- a/scheduling/entryModel/src/leaveSections.ts
+++ b/scheduling/entryModel/src/leaveSections.ts
@@ -1,4 +1,5 @@
 import {defineCell, defineMap} from '@gentianshunt/board';
+import {ENDED_LEASE} from '@gentianshunt/clock';
 import type {EndpointId, NodeId} from '@gentianshunt/identifiers';
 
 import type {
@@ -22,7 +23,7 @@
     leaveExchange: defineCell<LeaveExchange>({
       lastRequest: 0,
       requestedAt: Number.NEGATIVE_INFINITY,
-      leaseUntil: Number.NEGATIVE_INFINITY,
+      lease: ENDED_LEASE,
     }),
     /** Whether this entry may have missed leaves. */
     leaveCatchUp: defineCell<LeaveCatchUp>({kind: 'current'}),
--- a/scheduling/entryModel/src/sections.ts
+++ b/scheduling/entryModel/src/sections.ts
@@ -5,7 +5,13 @@
   defineMap,
   defineOrdered,
 } from '@gentianshunt/board';
-import type {Milliseconds, MonotonicTime} from '@gentianshunt/clock';
+import {ENDED_LEASE} from '@gentianshunt/clock';
+import type {
+  Instant,
+  Lease,
+  Milliseconds,
+  MonotonicTime,
+} from '@gentianshunt/clock';
 import type {
   ConfigurationObject,
   EndpointOrder,
@@ -82,12 +88,12 @@
   readonly leader: NodeId | null;
   /** Version of the configuration that the entry holds. */
   readonly version: number;
-  /** End of the lease, until which the configuration is valid. */
-  readonly leaseUntil: MonotonicTime;
+  /** The lease under which the entry uses the configuration. */
+  readonly lease: Lease;
   /** Sequence of the latest heartbeat. */
   readonly lastSequence: number;
-  /** When the unanswered heartbeat was sent; minus infinity if none is. */
-  readonly sentAt: MonotonicTime;
+  /** When the latest heartbeat was sent; `null` once it is answered. */
+  readonly sentAt: Instant | null;
   readonly directory: EntryDirectory;
 }
 
@@ -283,9 +289,9 @@
     control: defineCell<ControlStatus>({
       leader: null,
       version: 0,
-      leaseUntil: Number.NEGATIVE_INFINITY,
+      lease: ENDED_LEASE,
       lastSequence: 0,
-      sentAt: Number.NEGATIVE_INFINITY,
+      sentAt: null,
       directory: {version: NO_DIRECTORY_VERSION, entries: []},
     }),
     /** Nodes that may run the leading control daemon, likeliest first. */
--- a/scheduling/lifecycle/src/admitRequest.ts
+++ b/scheduling/lifecycle/src/admitRequest.ts
@@ -1,4 +1,5 @@
 import type {TurnTime} from '@gentianshunt/board';
+import {isLeaseValid} from '@gentianshunt/clock';
 import {findObject} from '@gentianshunt/configuration';
 import type {
   Organisation,
@@ -94,7 +95,7 @@
   if (view.board.service.kind === 'draining') {
     return {kind: 'draining'};
   }
-  if (view.board.control.leaseUntil <= now.monotonic) {
+  if (!isLeaseValid(view.board.control.lease, now)) {
     return {kind: 'noLease'};
   }
   return undefined;
--- a/scheduling/quotas/src/quotaOwnerController.ts
+++ b/scheduling/quotas/src/quotaOwnerController.ts
@@ -1,4 +1,5 @@
 import type {TurnTime} from '@gentianshunt/board';
+import {isLeaseValid} from '@gentianshunt/clock';
 import type {Milliseconds} from '@gentianshunt/clock';
 import {
   defineEntryController,
@@ -185,7 +186,7 @@
   const isOwner =
     leadership !== undefined &&
     leadership.epoch === quotaRequest.epoch &&
-    now.monotonic < board.control.leaseUntil &&
+    isLeaseValid(board.control.lease, now) &&
     hasMostReports(view, leadership, now) &&
     findQuotaOwner(board.configuration, quotaRequest.account)?.id ===
       quotaRequest.set;
--- a/scheduling/setLeader/src/grantController.ts
+++ b/scheduling/setLeader/src/grantController.ts
@@ -1,4 +1,5 @@
 import type {TurnTime, View} from '@gentianshunt/board';
+import {isLeaseValid} from '@gentianshunt/clock';
 import {findObject, listObjects} from '@gentianshunt/configuration';
 import {
   defineEntryController,
@@ -115,7 +116,7 @@
   );
   const mayGrant =
     now.monotonic >= leadership.grantsFrom &&
-    now.monotonic < view.board.control.leaseUntil;
+    isLeaseValid(view.board.control.lease, now);
   if (!mayGrant) {
     return [
       recordRound(set, records.length, now),
--- a/scheduling/slotClient/src/leaveCatchUp.ts
+++ b/scheduling/slotClient/src/leaveCatchUp.ts
@@ -3,6 +3,7 @@
  * its start, after a lapse of its lease and after a pause of its process.
  */
 import type {TurnTime} from '@gentianshunt/board';
+import {isLeaseValid} from '@gentianshunt/clock';
 import type {Milliseconds} from '@gentianshunt/clock';
 import {listOtherEntries, measurePause} from '@gentianshunt/entryModel';
 import type {
@@ -71,13 +72,13 @@
   draft: WithdrawalDraft,
   now: TurnTime,
 ): void {
-  const {leaseUntil} = view.board.control;
-  const before = draft.readExchange().leaseUntil;
-  if (leaseUntil === before) {
+  const {lease} = view.board.control;
+  const before = draft.readExchange().lease;
+  if (lease === before) {
     return;
   }
-  draft.putExchange({...draft.readExchange(), leaseUntil});
-  if (before <= now.monotonic && leaseUntil > now.monotonic) {
+  draft.putExchange({...draft.readExchange(), lease});
+  if (!isLeaseValid(before, now) && isLeaseValid(lease, now)) {
     startCatchUp(view, draft, 'lease', 0, now);
   }
 }
