End a leader's lease by the time of day too, as a suspended VM's clock stands still

A control leader whose VM had been suspended answered reads of the configuration, and renewed entries' leases, from its old state, for up to 640 ms of its monotonic clock: that clock had stood still while another leader was elected and took changes. Replies to requests from before the suspension renewed its lease.

The leader follows the offset between its clocks. If the time of day gets more than 50 ms ahead, requests sent before are no evidence for its lease, and the lease has an end by both clocks. Voters and the leases that a leader keeps of entries stay on the monotonic clock alone, since for those a slow clock is the safe one; so do elections, which a step of the time of day must not start.

--- a/control/consensus/src/consensusCells.ts
+++ b/control/consensus/src/consensusCells.ts
@@ -7,6 +7,7 @@
   | 'persistSequence'
   | 'memberships'
   | 'leadership'
+  | 'leaderClock'
   | 'startCheck'
   | 'snapshot'
   | 'incomingSnapshot'
--- a/control/consensus/src/consensusController.ts
+++ b/control/consensus/src/consensusController.ts
@@ -29,6 +29,7 @@
   handleHeartbeatTimer,
   stepDownIfRemoved,
 } from './leadership.js';
+import {followLeaderClock} from './leaderClock.js';
 import {isInGroup} from './members.js';
 import type {Sender} from './messageTypes.js';
 import {recordPosition} from './rememberedPositions.js';
@@ -52,6 +53,7 @@
   'unsyncedBatches',
   'memberships',
   'leadership',
+  'leaderClock',
   'startCheck',
   'snapshot',
   'incomingSnapshot',
@@ -84,6 +86,9 @@
       if (view.board.startCheck.kind === 'halted') {
         return [];
       }
+      if (draft.role.kind === 'leader') {
+        followLeaderClock(draft, now);
+      }
       if (view.observation !== undefined) {
         handleObservation(draft, view.observation, now);
       }
--- a/control/consensus/src/leadership.ts
+++ b/control/consensus/src/leadership.ts
@@ -1,4 +1,5 @@
 import type {TurnTime} from '@gentianshunt/board';
+import {createLease, ENDED_LEASE} from '@gentianshunt/clock';
 import type {MonotonicTime} from '@gentianshunt/clock';
 import type {FollowerProgress} from '@gentianshunt/controlModel';
 import type {
@@ -10,6 +11,7 @@
 
 import {becomeFollower} from './becomeFollower.js';
 import type {ConsensusDraft} from './consensusDraft.js';
+import {startLeaderClock, toSteadyInstant} from './leaderClock.js';
 import {
   addMemberships,
   findQuorumValue,
@@ -30,6 +32,7 @@
  */
 export function becomeLeader(draft: ConsensusDraft, now: TurnTime): void {
   const readIndex = draft.status.lastIndex + 1;
+  startLeaderClock(draft, now);
   draft.set('role', {kind: 'leader', since: now.monotonic});
   draft.set('leadership', {
     kind: 'leading',
@@ -37,7 +40,7 @@
     readIndex,
     // Votes give no lease: voters may support another candidate next.
     confirmedSince: Number.NEGATIVE_INFINITY,
-    confirmedUntil: Number.NEGATIVE_INFINITY,
+    lease: ENDED_LEASE,
   });
   for (const {node} of listPeers(draft)) {
     draft.progress.put(node, createProgress(readIndex, now));
@@ -128,11 +131,12 @@
     return;
   }
   const confirmedSince = computeQuorumContact(draft, now);
-  if (confirmedSince <= leadership.confirmedSince) {
+  const since = toSteadyInstant(draft, confirmedSince);
+  if (since === undefined || confirmedSince <= leadership.confirmedSince) {
     return;
   }
-  const confirmedUntil = confirmedSince + LEADER_LEASE_MS;
-  draft.set('leadership', {...leadership, confirmedSince, confirmedUntil});
+  const lease = createLease(since, LEADER_LEASE_MS);
+  draft.set('leadership', {...leadership, confirmedSince, lease});
 }
 
 /** Commits entries that a quorum has synced, if of the leader's own term. */
--- a/control/consensus/src/startCheck.ts
+++ b/control/consensus/src/startCheck.ts
@@ -5,6 +5,7 @@
 // nodes, which the member change controller admits.
 
 import type {TurnTime} from '@gentianshunt/board';
+import {isLeaseValid} from '@gentianshunt/clock';
 import type {
   ControlObservation,
   HaltReason,
@@ -156,7 +157,7 @@
   const {commitIndex} = draft.status;
   return (
     leadership.kind === 'leading' &&
-    now.monotonic < leadership.confirmedUntil &&
+    isLeaseValid(leadership.lease, now) &&
     commitIndex >= leadership.readIndex &&
     memberships.every(membership => membership.index <= commitIndex)
   );
--- a/control/controlModel/src/role.ts
+++ b/control/controlModel/src/role.ts
@@ -1,4 +1,4 @@
-import type {MonotonicTime} from '@gentianshunt/clock';
+import type {Lease, Milliseconds, MonotonicTime} from '@gentianshunt/clock';
 import type {
   LogIndex,
   LogPosition,
@@ -85,8 +85,8 @@
  *
  * A read that arrived at time `t` may be answered from the applied state once
  * `applied.index >= readIndex` and either `confirmedSince >= t` (a quorum
- * answered a request sent after the read arrived) or `now < confirmedUntil`
- * (the leader lease: no other member can have been elected yet).
+ * answered a request sent after the read arrived) or the leader lease is valid
+ * (no other member can have been elected yet).
  */
 export type Leadership =
   | {readonly kind: 'following'}
@@ -97,10 +97,18 @@
       readonly readIndex: LogIndex;
       /** A quorum answered a request sent at this time or later. */
       readonly confirmedSince: MonotonicTime;
-      /** No other member can be elected before this time. */
-      readonly confirmedUntil: MonotonicTime;
+      /** No other member can be elected before it ends. */
+      readonly lease: Lease;
     };
 
+/** How the clocks of a leader advance relative to each other. */
+export interface LeaderClock {
+  /** The time of day less the monotonic time. */
+  readonly offsetMs: Milliseconds;
+  /** Since when the VM has not been suspended. */
+  readonly steadySince: MonotonicTime;
+}
+
 /** What another node answered when this member started. */
 export interface HelloAnswer {
   readonly storage: StorageId;
--- a/control/controlModel/src/sections.ts
+++ b/control/controlModel/src/sections.ts
@@ -42,6 +42,7 @@
   ElectionTimer,
   FollowerProgress,
   IncomingSnapshot,
+  LeaderClock,
   Leadership,
   LogStatus,
   Membership,
@@ -174,6 +175,7 @@
     }),
     memberships: defineCell<readonly Membership[]>([]),
     leadership: defineCell<Leadership>({kind: 'following'}),
+    leaderClock: defineCell<LeaderClock>({offsetMs: 0, steadySince: 0}),
     startCheck: defineCell<StartCheck>({
       kind: 'checking',
       since: 0,
--- a/control/controlNode/test/deploymentFixture.ts
+++ b/control/controlNode/test/deploymentFixture.ts
@@ -17,6 +17,8 @@
   readonly inFlight: TestMessage[];
   deliver(message: TestMessage): void;
   advance(durationMs: number): void;
+  /** Suspends all VMs: only the time of day goes on. */
+  suspend(durationMs: number): void;
   /** Repeats a step: syncs, delivers all messages, advances the clock. */
   run(steps: number): void;
   findLeader(): TestMember | undefined;
@@ -85,6 +87,7 @@
     inFlight,
     deliver,
     advance,
+    suspend: clock.suspend,
     run,
     findLeader: () =>
       members
--- a/control/controlNode/test/leadership.test.ts
+++ b/control/controlNode/test/leadership.test.ts
@@ -1,11 +1,15 @@
 import t from 'tap';
 
+import {ENDED_LEASE} from '@gentianshunt/clock';
+import type {Lease} from '@gentianshunt/clock';
+
 import {createTestDeployment} from './deploymentFixture.js';
 import type {TestDeployment} from './deploymentFixture.js';
 
 const ONE_SECOND_STEPS = 100;
 const LEASE_MS = 640;
 const HEARTBEAT_MS = 350;
+const SUSPENDED_MS = 10_000;
 const ELECTION_LIMIT_STEPS = 2 * ONE_SECOND_STEPS;
 
 function createLedDeployment(): TestDeployment {
@@ -37,7 +41,7 @@
   t.equal(leadership.kind, 'leading');
   if (leadership.kind === 'leading') {
     t.equal(
-      leadership.confirmedUntil,
+      leadership.lease.until,
       leadership.confirmedSince + LEASE_MS,
       'the lease starts when the request was sent',
     );
@@ -45,6 +49,29 @@
   t.end();
 });
 
+t.test('a reply from before a suspension does not renew the lease', t => {
+  const deployment = createLedDeployment();
+  const leader = deployment.findLeader()!;
+  const readLease = (): Lease => {
+    const {leadership} = leader.loop!.view;
+    return leadership.kind === 'leading' ? leadership.lease : ENDED_LEASE;
+  };
+  const before = readLease();
+  for (let waitedMs = 0; waitedMs < HEARTBEAT_MS; waitedMs += 10) {
+    deployment.advance(10);
+    if (deployment.inFlight.length > 0) {
+      break;
+    }
+  }
+  t.not(deployment.inFlight.length, 0, 'a heartbeat was sent');
+  deployment.suspend(SUSPENDED_MS);
+  deployment.run(2);
+  t.equal(readLease(), before, 'its reply is no evidence');
+  deployment.run(ONE_SECOND_STEPS);
+  t.ok(readLease().until > before.until, 'later replies are');
+  t.end();
+});
+
 t.test('an isolated leader loses its lease before another is elected', t => {
   const deployment = createLedDeployment();
   const former = deployment.findLeader()!;
@@ -54,7 +81,7 @@
   const {leadership} = former.loop!.view;
   const until =
     leadership.kind === 'leading'
-      ? leadership.confirmedUntil - leadership.confirmedSince
+      ? leadership.lease.until - leadership.confirmedSince
       : 0;
   for (let step = 0; step < ELECTION_LIMIT_STEPS; step += 1) {
     runWithout(deployment, former.node, 1);
--- a/control/entrySessions/src/leaderStatus.ts
+++ b/control/entrySessions/src/leaderStatus.ts
@@ -1,4 +1,5 @@
 import type {TurnTime} from '@gentianshunt/board';
+import {isLeaseValid} from '@gentianshunt/clock';
 import type {Milliseconds} from '@gentianshunt/clock';
 import type {
   AppliedStatus,
@@ -60,7 +61,7 @@
   return (
     hasOwnEntryApplied(board) &&
     leadership.kind === 'leading' &&
-    now.monotonic < leadership.confirmedUntil
+    isLeaseValid(leadership.lease, now)
   );
 }
 
--- a/core/clock/src/manualClock.ts
+++ b/core/clock/src/manualClock.ts
@@ -4,6 +4,8 @@
 export interface ManualClock extends Clock {
   /** Advances both clocks by a duration. */
   advance(duration: Milliseconds): void;
+  /** Advances the time of day only, as on a VM that is suspended meanwhile. */
+  suspend(duration: Milliseconds): void;
 }
 
 /** The initial time of a manual clock. */
@@ -19,11 +21,15 @@
 ): ManualClock {
   const origin = (options.wallTime ?? DEFAULT_WALL_TIME).getTime();
   let elapsedMs = 0;
+  let suspendedMs = 0;
   return {
-    readWallTime: () => new Date(origin + elapsedMs),
+    readWallTime: () => new Date(origin + elapsedMs + suspendedMs),
     readMonotonic: () => elapsedMs,
     advance: duration => {
       elapsedMs += duration;
     },
+    suspend: duration => {
+      suspendedMs += duration;
+    },
   };
 }
