--- a/control/controlModel/src/sections.ts
+++ b/control/controlModel/src/sections.ts
@@ -7,6 +7,7 @@
   defineOrdered,
 } from '@gentianshunt/board';
 import type {AnyController, Controller, Write} from '@gentianshunt/board';
+import type {Milliseconds} from '@gentianshunt/clock';
 import type {
   ConfigurationChange,
   ConfigurationObject,
@@ -44,6 +45,7 @@
   ElectionTimer,
   FollowerProgress,
   IncomingSnapshot,
+  LeaderClock,
   Leadership,
   LogStatus,
   Membership,
@@ -59,6 +61,7 @@
   LedSetKey,
   PendingKey,
   PendingReply,
+  AppliedRelease,
   SessionLeaseKey,
   SessionVersionKey,
   SetLeaderCandidate,
@@ -109,6 +112,11 @@
   readonly storage: StorageId;
   /** Seed of the election jitter. */
   readonly seed: number;
+  /**
+   * Time after the acknowledgement of a release within which every entry must
+   * have stopped using older ones.
+   */
+  readonly releaseApplyMs: Milliseconds;
 }
 
 /** A message that is sent once a batch is synced to disk. */
@@ -167,6 +175,7 @@
     }),
     memberships: defineCell<readonly Membership[]>([]),
     leadership: defineCell<Leadership>({kind: 'following'}),
+    leaderClock: defineCell<LeaderClock>({offsetMs: 0, steadySince: 0}),
     startCheck: defineCell<StartCheck>({
       kind: 'checking',
       since: 0,
@@ -235,6 +244,8 @@
     /** Sets without a live leader. */
     leaderlessSets: defineMap<EndpointSetId, LeaderlessSet>(),
     assignmentProposals: defineCell<readonly AssignmentProposal[]>([]),
+    /** The releases applied lately, by the operator's version. */
+    appliedReleases: defineOrdered<number, AppliedRelease>(compareValues),
     /** Requests of entries that await a reply. */
     pendingReplies: defineMap<PendingKey, PendingReply>(),
     /** The latest releases, by log index. */
--- a/control/controlNode/src/controlNode.ts
+++ b/control/controlNode/src/controlNode.ts
@@ -21,6 +21,7 @@
   ControlSections,
 } from '@gentianshunt/controlModel';
 import {
+  createAppliedReleaseController,
   createAssignmentController,
   createProposalController,
   createReplyController,
@@ -57,6 +58,7 @@
     createConsensusController(),
     createMemberChangeController(),
     createStateMachineController(),
+    createAppliedReleaseController(),
     createCaptureController(capture),
     createSessionController(),
     createAssignmentController(),
--- a/control/controlNode/test/releaseDecisions.test.ts
+++ b/control/controlNode/test/releaseDecisions.test.ts
@@ -5,7 +5,7 @@
   RELEASE_LAG_MS,
 } from '@gentianshunt/controlDecisionLog';
 import type {ControlDecision} from '@gentianshunt/controlModel';
-import {ENTRY_LEASE_MS} from '@gentianshunt/entrySessions';
+import {MAX_ENTRY_LEASE_MS} from '@gentianshunt/entrySessions';
 
 import {
   createControlFixture,
@@ -17,7 +17,7 @@
 /** A leader whose lease recovery period is over, and two entries. */
 function createLeader(): ControlFixture {
   const fixture = createControlFixture();
-  fixture.advance(ENTRY_LEASE_MS);
+  fixture.advance(MAX_ENTRY_LEASE_MS);
   ['entry-0', 'entry-1'].forEach(node =>
     fixture.receive(node, createHeartbeat(node)),
   );
@@ -91,10 +91,10 @@
   ]);
   fixture.advance(1);
   t.strictSame(fixture.takeDecisions(), [], 'once');
-  fixture.advance(ENTRY_LEASE_MS);
+  fixture.advance(MAX_ENTRY_LEASE_MS);
   t.match(
     fixture.takeDecisions().filter(({kind}) => kind === 'releaseInForce'),
-    [{release: 7, sinceAppliedMs: RELEASE_LAG_MS + 1 + ENTRY_LEASE_MS}],
+    [{release: 7, sinceAppliedMs: RELEASE_LAG_MS + 1 + MAX_ENTRY_LEASE_MS}],
     'once the leases of the others have ended',
   );
 });
@@ -110,7 +110,7 @@
     {
       kind: 'releaseLagging',
       lagging: 0,
-      settlingMs: ENTRY_LEASE_MS - RELEASE_LAG_MS,
+      settlingMs: MAX_ENTRY_LEASE_MS - RELEASE_LAG_MS,
     },
   ]);
 });
--- a/fronts/metrics/src/configurationGauges.ts
+++ b/fronts/metrics/src/configurationGauges.ts
@@ -1,5 +1,6 @@
 /** Gauges of the configuration that an entry obeys. */
 import type {BoardView} from '@gentianshunt/board';
+import {measureLeaseOverrun, readInstant} from '@gentianshunt/clock';
 import type {Clock} from '@gentianshunt/clock';
 import {findObject, RELEASE_ID} from '@gentianshunt/configuration';
 import type {EntrySections} from '@gentianshunt/entryModel';
@@ -45,7 +46,7 @@
     'lease_remaining_seconds',
     'Time until the lease of this entry ends; negative after it, -Inf before the first.',
     () =>
-      (view.control.leaseUntil - clock.readMonotonic()) /
+      -measureLeaseOverrun(view.control.lease, readInstant(clock)) /
       MILLISECONDS_PER_SECOND,
   );
   addGauge(
--- a/scheduling/decisionLog/src/statusDecisions.ts
+++ b/scheduling/decisionLog/src/statusDecisions.ts
@@ -1,5 +1,6 @@
 /** Logs an entry's relation to the control daemons, and whether it serves. */
 import type {TurnTime, View} from '@gentianshunt/board';
+import {isLeaseValid, measureLeaseOverrun} from '@gentianshunt/clock';
 import type {Milliseconds, MonotonicTime} from '@gentianshunt/clock';
 import {findObject, RELEASE_ID} from '@gentianshunt/configuration';
 import type {
@@ -24,15 +25,15 @@
   before: EntryStatus,
   now: TurnTime,
 ): EntryStatus {
-  const {leader, version, leaseUntil} = board.control;
+  const {leader, version, lease} = board.control;
   const isAdopted = before.version !== version;
-  const isRenewed = before.leaseUntil !== leaseUntil;
+  const isRenewed = before.lease !== lease;
   return {
     leader,
     version,
     adoptedAt: isAdopted ? now.monotonic : before.adoptedAt,
-    hasLease: leaseUntil > now.monotonic,
-    leaseUntil,
+    hasLease: isLeaseValid(lease, now),
+    lease,
     renewedAt: isRenewed ? now.monotonic : before.renewedAt,
     startedAt: before.startedAt ?? now.monotonic,
   };
@@ -44,7 +45,7 @@
     left.leader === right.leader &&
     left.version === right.version &&
     left.hasLease === right.hasLease &&
-    left.leaseUntil === right.leaseUntil &&
+    left.lease === right.lease &&
     left.startedAt === right.startedAt
   );
 }
@@ -65,7 +66,7 @@
     decisions.push(describeAdoption(view, before, after, now));
   }
   // A lease may lapse and be renewed within one turn, after a suspension.
-  const hasLapsed = before.hasLease && before.leaseUntil <= now.monotonic;
+  const hasLapsed = before.hasLease && !isLeaseValid(before.lease, now);
   if (hasLapsed) {
     decisions.push(describeLapse(view, before, after, now));
   }
@@ -104,7 +105,7 @@
   return {
     kind: 'leaseLost',
     leader,
-    expiredMs: now.monotonic - before.leaseUntil,
+    expiredMs: measureLeaseOverrun(before.lease, now),
     configurationVersion: version,
     release: findRelease(view),
     sinceAdoptedMs: computeAge(adoptedAt, now),
@@ -118,13 +119,13 @@
   {leader, version, startedAt}: EntryStatus,
   now: TurnTime,
 ): EntryDecision {
-  const lapsedAt = before.renewedAt === null ? null : before.leaseUntil;
   return {
     kind: 'leaseRegained',
     leader,
     configurationVersion: version,
     release: findRelease(view),
-    lapsedMs: computeAge(lapsedAt, now),
+    lapsedMs:
+      before.renewedAt === null ? null : measureLeaseOverrun(before.lease, now),
     sinceStartMs: computeAge(startedAt, now) ?? 0,
   };
 }
--- a/scheduling/entryModel/src/loggedState.ts
+++ b/scheduling/entryModel/src/loggedState.ts
@@ -1,4 +1,5 @@
-import type {MonotonicTime} from '@gentianshunt/clock';
+import {ENDED_LEASE} from '@gentianshunt/clock';
+import type {Lease, MonotonicTime} from '@gentianshunt/clock';
 import type {EndpointId, NodeId} from '@gentianshunt/identifiers';
 
 import type {EndpointRecord} from './endpointRecord.js';
@@ -13,8 +14,8 @@
   /** When the entry adopted the version; `null` before the first one. */
   readonly adoptedAt: MonotonicTime | null;
   readonly hasLease: boolean;
-  /** The end of the latest lease. */
-  readonly leaseUntil: MonotonicTime;
+  /** The latest lease. */
+  readonly lease: Lease;
   /** When the lease was last renewed; `null` before the first one. */
   readonly renewedAt: MonotonicTime | null;
   /** When the entry started; `null` before its first turn. */
@@ -29,7 +30,7 @@
   version: 0,
   adoptedAt: null,
   hasLease: false,
-  leaseUntil: Number.NEGATIVE_INFINITY,
+  lease: ENDED_LEASE,
   renewedAt: null,
   startedAt: null,
   endpoints: new Map(),
