queries: list when the latest releases were in force and what each entry obeys

'show releases' is answered by the control leader from a bounded record of 64: how long ago each release was proposed, applied and in force, and which entries have not confirmed it. 'show obeyed' is what the queried entry obeys, and since when; the command line joins all entries. The leader doesn't know since when an entry obeys a version, and an entry not whether the others do: each answers for itself.

--- a/control/controlNode/test/releaseDecisions.test.ts
+++ b/control/controlNode/test/releaseDecisions.test.ts
@@ -6,6 +6,7 @@
 } from '@gentianshunt/controlDecisionLog';
 import type {ControlDecision} from '@gentianshunt/controlModel';
 import {MAX_ENTRY_LEASE_MS} from '@gentianshunt/entrySessions';
+import {toIdentifier} from '@gentianshunt/identifiers';
 
 import {
   createControlFixture,
@@ -170,3 +171,32 @@
     {bytes: LOG_GROWTH_STEP_BYTES, sinceSnapshotBytes: LOG_GROWTH_STEP_BYTES},
   );
 });
+
+t.test('the leader lists the latest releases and who lags', async t => {
+  const fixture = createLeader();
+  fixture.receive('entry-0', createReplacementRequest(7, ['gold']));
+  ['entry-0', 'entry-1'].forEach(node => confirm(fixture, node));
+  fixture.clock.advance(100);
+  fixture.receive('entry-0', createReplacementRequest(8, ['silver']));
+  confirm(fixture, 'entry-1');
+  fixture.clock.advance(30);
+  const [reply] = fixture.ask('entry-0', {
+    kind: 'controlQueryRequest',
+    correlation: toIdentifier('q1'),
+    query: {kind: 'releases'},
+  });
+  t.match(reply, {
+    result: {
+      kind: 'releases',
+      releases: [
+        {
+          release: 8,
+          sinceAppliedMs: 30,
+          sinceInForceMs: null,
+          lagging: ['entry-0'],
+        },
+        {release: 7, sinceAppliedMs: 130, sinceInForceMs: 130, lagging: []},
+      ],
+    },
+  });
+});
--- a/control/entrySessions/src/controlQuery.ts
+++ b/control/entrySessions/src/controlQuery.ts
@@ -1,5 +1,5 @@
 import {iterateWhile} from '@gentianshunt/board';
-import type {BoardView} from '@gentianshunt/board';
+import type {BoardView, TurnTime} from '@gentianshunt/board';
 import type {CommandRecord, ControlSections} from '@gentianshunt/controlModel';
 import {assertNever} from '@gentianshunt/errors';
 import type {
@@ -17,6 +17,8 @@
   TierId,
 } from '@gentianshunt/identifiers';
 
+import {listReleaseSummaries} from './releaseSummaries.js';
+
 /** Maximum number of commands or counts in one query result. */
 export const MAX_QUERY_ROWS = 10_000;
 
@@ -29,12 +31,15 @@
   | 'serviceCounts'
   | 'recentCounts'
   | 'source'
+  | 'releases'
+  | 'sessionVersions'
 >;
 
 /** Answers a query from the applied state. */
 export function answerControlQuery(
   board: QueryBoard,
   query: ControlQuery,
+  now: TurnTime,
 ): ControlQueryResult {
   switch (query.kind) {
     case 'counts':
@@ -46,6 +51,8 @@
         kind: 'source',
         source: board.source.version < 0 ? null : board.source,
       };
+    case 'releases':
+      return {kind: 'releases', releases: listReleaseSummaries(board, now)};
     case 'commands':
       return {
         kind: 'commands',
--- a/control/entrySessions/src/replyController.ts
+++ b/control/entrySessions/src/replyController.ts
@@ -23,7 +23,8 @@
 } from './pendingReplies.js';
 import type {ReplyBoard} from './pendingReplies.js';
 
-type ReplyReads = keyof ReplyBoard | 'serviceCounts' | 'recentCounts';
+type ReplyReads =
+  keyof ReplyBoard | 'serviceCounts' | 'recentCounts' | 'releases';
 type ReplyView = View<ControlSections, ReplyReads, ControlObservation>;
 type ReplyWrite = ControlWrite<'pendingReplies'>;
 
@@ -34,7 +35,7 @@
 export function createReplyController(): ControlController {
   return defineControlController<ReplyReads, 'pendingReplies'>({
     name: 'replies',
-    reads: [...REPLY_SECTIONS, 'serviceCounts', 'recentCounts'],
+    reads: [...REPLY_SECTIONS, 'serviceCounts', 'recentCounts', 'releases'],
     writes: ['pendingReplies'],
     observes: ['entryMessage', 'timerDue'],
     run: (view, now) =>
@@ -85,7 +86,7 @@
       return [];
     }
     const {correlation, query} = message;
-    const result = answerControlQuery(view.board, query);
+    const result = answerControlQuery(view.board, query, now);
     return [send(from, {kind: 'controlQueryReply', correlation, result})];
   }
   const request = toPendingRequest(from, message);
--- a/control/messages/src/controlMessage.ts
+++ b/control/messages/src/controlMessage.ts
@@ -88,11 +88,28 @@
   readonly result: BatchResult['kind'];
 }
 
+/** How long ago a release reached each stage, as the leader knows. */
+export interface ReleaseSummary {
+  /** The operator's version. */
+  readonly release: number;
+  readonly version: ConfigurationVersion;
+  readonly bytes: number;
+  /** `null` if this leader did not propose it. */
+  readonly sinceProposedMs: number | null;
+  /** `null` while it is not committed. */
+  readonly sinceAppliedMs: number | null;
+  /** `null` while it is not known to be in force. */
+  readonly sinceInForceMs: number | null;
+  /** Entries with a session that have not confirmed it. */
+  readonly lagging: readonly NodeId[];
+}
+
 /** A query that only the leading control daemon can answer. */
 export type ControlQuery =
   | {readonly kind: 'counts'; readonly month: CalendarMonth | null}
   | {readonly kind: 'recentCounts'}
   | {readonly kind: 'source'}
+  | {readonly kind: 'releases'}
   | {readonly kind: 'commands'; readonly limit: number};
 
 /** The result of a control query. */
@@ -104,6 +121,11 @@
       /** `null` until a replacement has been applied. */
       readonly source: ConfigurationSource | null;
     }
+  | {
+      readonly kind: 'releases';
+      /** The latest releases, newest first. */
+      readonly releases: readonly ReleaseSummary[];
+    }
   | {
       readonly kind: 'commands';
       readonly nextFree: CommandNumber;
--- a/fronts/operatorFront/src/queryRoute.ts
+++ b/fronts/operatorFront/src/queryRoute.ts
@@ -1,3 +1,4 @@
+import {readInstant} from '@gentianshunt/clock';
 import {formatOverview, formatTopic} from '@gentianshunt/commands';
 import {createSemanticIssue, parseText} from '@gentianshunt/grammar';
 import type {LanguageIssue, ShowStatement} from '@gentianshunt/grammar';
@@ -142,10 +143,9 @@
   if (table.controlQuery !== null && control === null) {
     return {kind: 'unavailable'};
   }
-  const monotonic = options.clock.readMonotonic();
   const rows = table.listRows({
     board: options.view,
-    monotonic,
+    ...readInstant(options.clock),
     controlResult: control,
   });
   const outcome = runQuery({statement, columns: table.columns, rows});
--- a/language/queries/src/table.ts
+++ b/language/queries/src/table.ts
@@ -20,6 +20,8 @@
   readonly board: BoardView<EntrySections>;
   /** The current monotonic time, used to compute ages. */
   readonly monotonic: number;
+  /** The current time of day. */
+  readonly wall: Date;
   /** The result of the table's control query; `null` if it has none. */
   readonly controlResult: ControlQueryResult | null;
 }
--- a/language/queries/src/tables.ts
+++ b/language/queries/src/tables.ts
@@ -9,6 +9,7 @@
 } from './configurationTables.js';
 import {COMMANDS_TABLE, COUNTS_TABLE, RECENT_TABLE} from './controlTables.js';
 import {QUARANTINES_TABLE} from './quarantineTable.js';
+import {OBEYED_TABLE, RELEASES_TABLE} from './releaseTables.js';
 import {
   REFUSED_TABLE,
   REQUESTS_TABLE,
@@ -31,6 +32,8 @@
   SETS_TABLE,
   KINDS_TABLE,
   ORDERS_TABLE,
+  RELEASES_TABLE,
+  OBEYED_TABLE,
   COMMANDS_TABLE,
   COUNTS_TABLE,
   RECENT_TABLE,
