--- a/fronts/logging/test/logEvent.test.ts
+++ b/fronts/logging/test/logEvent.test.ts
@@ -204,3 +204,37 @@
   });
   t.match(toLogRecord({kind: 'faultDetected', error}), {stack: cause.stack});
 });
+
+t.test('the end of a change is logged with its reason', async t => {
+  const {logger, lines} = createLoggerFixture();
+  const change = {
+    release: null,
+    bytes: 132,
+    outcome: 'refused',
+    detail: 'routes.0.service: there is no service "nope"',
+  } as const;
+  logger.write({kind: 'changeEnded', ...change, durationMs: 1.4});
+  t.match(lines[0]!, {event: 'changeEnded', ...change, durationMs: 1});
+});
+
+t.test('entries that lag behind a release are logged by name', async t => {
+  const {logger, lines} = createLoggerFixture();
+  const nodes = ['entry-1', 'entry-2'].map(toIdentifier<never>);
+  logger.write({
+    kind: 'controlDecided',
+    decision: {
+      kind: 'releaseLagging',
+      release: 42,
+      index: 311,
+      sinceAppliedMs: 1_000.7,
+      settlingMs: 0,
+      lagging: 2,
+      nodes,
+    },
+  });
+  t.match(lines[0]!, {
+    event: 'releaseLagging',
+    sinceAppliedMs: 1_001,
+    nodes: ['entry-1', 'entry-2'],
+  });
+});
