Do not refuse a heartbeat that overtakes a large entry

A heartbeat named the last entry sent as the one before it. Links will let short messages overtake large ones; a follower that lacks the entry refuses such a heartbeat, and the leader answers each refusal by sending the entries again at once, beyond its limit in flight. With megabytes in flight on a slow link that is a collapse by resends.

Smaller entries are not overtaken, and the refusal that shows their loss stays as quick ("a lost append request is resent").

--- a/control/consensus/src/replication.ts
+++ b/control/consensus/src/replication.ts
@@ -1,5 +1,6 @@
 import type {TurnTime} from '@gentianshunt/board';
 import type {FollowerProgress} from '@gentianshunt/controlModel';
+import {measureLogEntry} from '@gentianshunt/messages';
 import type {LogIndex, Member} from '@gentianshunt/messages';
 
 import type {ConsensusDraft} from './consensusDraft.js';
@@ -11,6 +12,8 @@
 export const MAX_ENTRIES_PER_APPEND = 256;
 /** Maximum number of unanswered append requests with entries. */
 export const MAX_APPENDS_IN_FLIGHT = 2;
+/** Bytes of entries in flight that no later message overtakes. */
+const MAX_ORDERED_BYTES = 4 * 1_024;
 
 /**
  * Sends a follower the next entries, up to the in-flight limit, or a snapshot
@@ -87,11 +90,29 @@
     resend(draft, peer, progress, now);
     return;
   }
-  const previousIndex = progress.nextIndex - 1;
+  // It may overtake large messages, and must not be refused for that.
+  const isOvertaking =
+    progress.transfer !== null ||
+    measureBytesInFlight(draft, progress) > MAX_ORDERED_BYTES;
+  const previousIndex = isOvertaking
+    ? progress.matchIndex
+    : progress.nextIndex - 1;
   const isKnown = previousIndex >= draft.status.base.index;
   sendAppendRequest(draft, peer, isKnown ? previousIndex : 0, 0, now);
 }
 
+/** Measures the bytes of the entries that are sent and not answered. */
+function measureBytesInFlight(
+  draft: ConsensusDraft,
+  {inFlight, matchIndex, nextIndex}: FollowerProgress,
+): number {
+  return inFlight.length === 0
+    ? 0
+    : draft.log
+        .listEntries(matchIndex + 1, nextIndex - 1 - matchIndex)
+        .reduce((sum, entry) => sum + measureLogEntry(entry), 0);
+}
+
 function resend(
   draft: ConsensusDraft,
   peer: Member,
