Links: bound queued bytes and let short messages overtake large ones

What callers saw: in a storm of changes with documents of 90 KB, 38.9 MB waited in the queues to peers of a machine with 200 MB, links were reset as silent, and heartbeats came too late.

Cause: a link with at most 64 KiB queued took a message of any size, and the total was compared before the message was added. Each message was one frame, written into the socket at once, so that a heartbeat waited behind all of it.

Now the message that is to be added counts, large messages may use three quarters of the bound, and the 64 KiB that each link may queue in any case are for short messages only. Messages above 16 KiB are sent in fragments, of which 8 may be unconfirmed: waiting for the socket to drain would leave megabytes in the kernel's buffers. Short messages overtake fragments unless they have the same ordering key. A message to several peers is encoded once; one above the largest frame is reported and dropped, where it closed the link at the receiver before. A hello still names version 2, with the newest version beside it, so that a peer of version 2 is spoken to in whole messages.

Tests, each run with the old link.ts and peerLinks.ts first: - "a heartbeat does not wait behind a large message on a slow link" (2 MiB, 10 Mbit/s, bound 800 ms): 3,006 ms before. - "messages to many links do not exceed the bound of queued bytes" (8 MiB): 50,332,272 bytes before. - "a large message does not wait for one with another key", "a short message is queued whatever large ones wait" and "a message above the largest size does not end the link": failed before. - "a peer of the previous protocol gets whole messages" and "messages with the same key arrive in order": passed before and now.

--- a/daemons/controld/src/controld.ts
+++ b/daemons/controld/src/controld.ts
@@ -1,5 +1,9 @@
 import type {ControlNode} from '@gentianshunt/controlNode';
-import {createControlHost, DataFolderRefusedError} from '@gentianshunt/hosts';
+import {
+  createControlHost,
+  DataFolderRefusedError,
+  readOrderingKey,
+} from '@gentianshunt/hosts';
 import type {ControlHost} from '@gentianshunt/hosts';
 import type {Logger} from '@gentianshunt/logging';
 import {addHealthRoutes, createControlMetrics} from '@gentianshunt/metrics';
@@ -33,6 +37,7 @@
         host?.receive(from, body);
       },
       onError: error => logger.write({kind: 'peerLinkFailed', error}),
+      readOrderingKey,
       drawFraction,
     }),
   );
--- a/daemons/entryd/src/entryd.ts
+++ b/daemons/entryd/src/entryd.ts
@@ -17,6 +17,7 @@
   createLoadMonitor,
   createMemoryMonitor,
   createObservationCounts,
+  readOrderingKey,
   toEntryObservation,
 } from '@gentianshunt/hosts';
 import type {EntryAdapters} from '@gentianshunt/hosts';
@@ -81,6 +82,7 @@
       },
       onError: error => logger.write({kind: 'peerLinkFailed', error}),
       maxQueuedBytes: plan.peerLinkBytes,
+      readOrderingKey,
       drawFraction,
     }),
   );
--- a/daemons/hosts/src/index.ts
+++ b/daemons/hosts/src/index.ts
@@ -4,6 +4,7 @@
 export * from './effectFailedError.js';
 export * from './entryHost.js';
 export * from './entryMessages.js';
+export * from './messageOrder.js';
 export * from './recoveringMember.js';
 export * from './loadMonitor.js';
 export * from './observationCounts.js';
--- a/transport/frames/src/frames.ts
+++ b/transport/frames/src/frames.ts
@@ -21,7 +21,11 @@
 
 /** Encodes a value as one frame: its length, then its content. */
 export function encodeFrame(value: unknown): Buffer {
-  const content = codec.encode(value);
+  return buildFrame(codec.encode(value));
+}
+
+/** Builds a frame of a value that is encoded already. */
+export function buildFrame(content: Buffer): Buffer {
   const frame = Buffer.allocUnsafe(FRAME_HEADER_BYTES + content.length);
   frame.writeUInt32BE(content.length, 0);
   content.copy(frame, FRAME_HEADER_BYTES);
@@ -68,7 +72,11 @@
   };
 }
 
-function decodeFrame(content: Buffer, peer: string): unknown {
+/**
+ * Decodes the content of a frame.
+ * @throws {MalformedFrameError} if it is not a valid value
+ */
+export function decodeFrame(content: Buffer, peer: string): unknown {
   try {
     return codec.decode(content);
   } catch (error) {
--- a/transport/peerLinks/src/link.ts
+++ b/transport/peerLinks/src/link.ts
@@ -1,15 +1,29 @@
 import type {Socket} from 'node:net';
 
-import {createFrameReader, encodeFrame} from '@gentianshunt/frames';
+import {assertNever} from '@gentianshunt/errors';
+import {
+  createFrameReader,
+  decodeFrame,
+  encodeFrame,
+} from '@gentianshunt/frames';
 import type {NodeId} from '@gentianshunt/identifiers';
 
+import {createFragmentReader} from './fragmentReader.js';
+import {createFragmentWriter} from './fragmentWriter.js';
+import {isLargeMessage} from './outgoingMessage.js';
+import type {OutgoingMessage} from './outgoingMessage.js';
 import {
   PeerSilentError,
   ProtocolVersionError,
   UnexpectedFrameError,
 } from './peerErrors.js';
-import {parsePeerFrame, PROTOCOL_VERSION} from './protocol.js';
-import type {PeerFrame} from './protocol.js';
+import {
+  FRAGMENT_PROTOCOL_VERSION,
+  MIN_PROTOCOL_VERSION,
+  parsePeerFrame,
+  PROTOCOL_VERSION,
+} from './protocol.js';
+import type {Fragment, PeerFrame} from './protocol.js';
 
 /** Interval between pings, in milliseconds. */
 export const PING_INTERVAL_MS = 2_000;
@@ -20,8 +34,8 @@
 export interface LinkOptions {
   readonly socket: Socket;
   readonly self: NodeId;
-  /** Returns whether more may be queued, given what this link has queued. */
-  readonly canQueue: (queuedBytes: number) => boolean;
+  /** Returns whether a link that has so much queued may queue a message. */
+  readonly canQueue: (linkBytes: number, message: OutgoingMessage) => boolean;
   readonly onOpen: (link: Link) => void;
   readonly onMessage: (from: NodeId, body: unknown) => void;
   readonly onClose: (link: Link, error: Error | undefined) => void;
@@ -33,64 +47,108 @@
   readonly node: NodeId | undefined;
   /** Bytes that wait to be sent. */
   readonly queuedBytes: number;
-  /** Sends a frame, or drops it if the socket is closed or overloaded. */
-  send(frame: PeerFrame): void;
-  /** Sends a frame that is encoded already, or drops it. */
-  sendEncoded(frame: Buffer): void;
+  /** Sends a message, or drops it if the socket is closed or overloaded. */
+  send(message: OutgoingMessage): void;
   close(error?: Error): void;
 }
 
+/** What is known of a peer from its hello. */
+interface Peer {
+  readonly node: NodeId;
+  readonly acceptsFragments: boolean;
+}
+
 /** Creates a link on a connected socket and sends the hello. */
 export function createLink(options: LinkOptions): Link {
   const {socket, self} = options;
   const address = `${socket.remoteAddress}:${socket.remotePort}`;
   const reader = createFrameReader({peer: address});
-  let node: NodeId | undefined;
+  const fragmentReader = createFragmentReader(address);
+  let peer: Peer | undefined;
   let failure: Error | undefined;
   let isCorked = false;
-  const canSend = (): boolean =>
-    !socket.destroyed && options.canQueue(socket.writableLength);
+  const write = (frame: Buffer): void => {
+    if (socket.destroyed) {
+      return;
+    }
+    if (!isCorked) {
+      isCorked = true;
+      socket.cork();
+      process.nextTick(() => {
+        isCorked = false;
+        socket.uncork();
+      });
+    }
+    socket.write(frame);
+  };
+  const writeFrame = (frame: PeerFrame): void => write(encodeFrame(frame));
+  const fragmentWriter = createFragmentWriter(writeFrame);
+  /** A short message is not held up by large ones that it need not follow. */
+  const isDivided = (message: OutgoingMessage): boolean =>
+    peer?.acceptsFragments === true &&
+    (isLargeMessage(message) || fragmentWriter.has(message.orderingKey));
   const link: Link = {
     get node() {
-      return node;
+      return peer?.node;
     },
     get queuedBytes() {
-      return socket.writableLength;
+      return socket.writableLength + fragmentWriter.queuedBytes;
     },
-    send: frame => {
-      if (canSend()) {
-        link.sendEncoded(encodeFrame(frame));
-      }
-    },
-    sendEncoded: frame => {
-      if (!canSend()) {
+    send: message => {
+      if (socket.destroyed || !options.canQueue(link.queuedBytes, message)) {
         return;
       }
-      if (!isCorked) {
-        isCorked = true;
-        socket.cork();
-        process.nextTick(() => {
-          isCorked = false;
-          socket.uncork();
-        });
+      if (isDivided(message)) {
+        fragmentWriter.add(message);
+      } else {
+        write(message.frame);
       }
-      socket.write(frame);
     },
     close: error => {
       failure = failure ?? error;
       socket.destroy();
     },
   };
+  const receiveFragment = (from: NodeId, fragment: Fragment): void => {
+    const content = fragmentReader.add(fragment);
+    writeFrame({kind: 'fragmentReceived'});
+    if (content === undefined) {
+      return;
+    }
+    const frame = parsePeerFrame(decodeFrame(content, address));
+    if (frame?.kind !== 'message') {
+      throw new UnexpectedFrameError(from, 'receiveFragment');
+    }
+    options.onMessage(from, frame.body);
+  };
+  const receiveFrame = (from: NodeId, frame: PeerFrame): void => {
+    switch (frame.kind) {
+      case 'message':
+        options.onMessage(from, frame.body);
+        return;
+      case 'fragment':
+        receiveFragment(from, frame);
+        return;
+      case 'fragmentReceived':
+        fragmentWriter.confirm();
+        return;
+      case 'hello':
+      case 'ping':
+        return;
+      default:
+        assertNever(frame, 'receiveFrame');
+    }
+  };
   const handleFrame = (value: unknown): void => {
     const frame = parsePeerFrame(value);
     if (frame === undefined) {
-      throw new UnexpectedFrameError(node ?? address, 'parsePeerFrame');
+      throw new UnexpectedFrameError(link.node ?? address, 'parsePeerFrame');
     }
-    if (node === undefined) {
-      node = readHello(frame, address);
+    if (peer === undefined) {
+      peer = readHello(frame, address);
       options.onOpen(link);
-    } else if (frame.kind === 'message') {
-      options.onMessage(node, frame.body);
+    } else {
+      receiveFrame(peer.node, frame);
     }
   };
   // Only received data proves that the peer is alive. A socket timeout would
@@ -98,9 +156,9 @@
   let receivedAt = performance.now();
   const pingTimer = setInterval(() => {
     if (performance.now() - receivedAt >= SILENCE_TIMEOUT_MS) {
-      link.close(new PeerSilentError(node ?? address, SILENCE_TIMEOUT_MS));
+      link.close(new PeerSilentError(link.node ?? address, SILENCE_TIMEOUT_MS));
     } else {
-      link.send({kind: 'ping'});
+      writeFrame({kind: 'ping'});
     }
   }, PING_INTERVAL_MS);
   socket.setNoDelay(true);
@@ -119,16 +177,22 @@
     clearInterval(pingTimer);
     options.onClose(link, failure);
   });
-  link.send({kind: 'hello', protocol: PROTOCOL_VERSION, node: self});
+  writeFrame({
+    kind: 'hello',
+    protocol: MIN_PROTOCOL_VERSION,
+    newestProtocol: PROTOCOL_VERSION,
+    node: self,
+  });
   return link;
 }
 
-function readHello(frame: PeerFrame, address: string): NodeId {
+function readHello(frame: PeerFrame, address: string): Peer {
   if (frame.kind !== 'hello') {
     throw new UnexpectedFrameError(address, 'readHello');
   }
-  if (frame.protocol !== PROTOCOL_VERSION) {
-    throw new ProtocolVersionError(address, frame.protocol);
+  const {protocol, newestProtocol = protocol, node} = frame;
+  if (protocol > PROTOCOL_VERSION || newestProtocol < MIN_PROTOCOL_VERSION) {
+    throw new ProtocolVersionError(address, protocol);
   }
-  return frame.node;
+  return {node, acceptsFragments: newestProtocol >= FRAGMENT_PROTOCOL_VERSION};
 }
--- a/transport/peerLinks/src/peerErrors.ts
+++ b/transport/peerLinks/src/peerErrors.ts
@@ -44,3 +44,14 @@
     });
   }
 }
+
+/** Thrown when a message is longer than a link may send or receive. */
+export class MessageTooLargeError extends SchedulerError {
+  constructor(peer: string, bytes: number, limit: number) {
+    super({
+      code: 'ERR_MESSAGE_TOO_LARGE',
+      message: `message of ${bytes} bytes exceeds the limit of ${limit} bytes`,
+      origin: {step: 'checkMessageSize', peer},
+    });
+  }
+}
--- a/transport/peerLinks/src/peerLinks.ts
+++ b/transport/peerLinks/src/peerLinks.ts
@@ -1,12 +1,19 @@
 import {connect, createServer} from 'node:net';
 import type {AddressInfo, Server, Socket} from 'node:net';
 
-import {encodeFrame} from '@gentianshunt/frames';
 import type {NodeId} from '@gentianshunt/identifiers';
 
 import {createLink} from './link.js';
 import type {Link} from './link.js';
-import {PeerUnreachableError} from './peerErrors.js';
+import {
+  createMessageEncoder,
+  isLargeMessage,
+  MAX_MESSAGE_BYTES,
+} from './outgoingMessage.js';
+import type {OutgoingMessage} from './outgoingMessage.js';
+import {MessageTooLargeError, PeerUnreachableError} from './peerErrors.js';
+import {readMessageKind} from './protocol.js';
+import {canQueueMessage} from './queueBound.js';
 
 /** Maximum delay before the first attempt to reconnect, in milliseconds. */
 export const MIN_RECONNECT_DELAY_MS = 50;
@@ -23,10 +30,8 @@
   readonly port: number;
 }
 
-/** Bytes queued over all links above which further messages are dropped. */
+/** Most bytes that are queued over all links. */
 export const DEFAULT_MAX_QUEUED_BYTES = 32 * 1024 * 1024;
-/** Bytes that a link may always queue, however much the others do. */
-const MIN_LINK_QUEUE_BYTES = 64 * 1024;
 
 /** Options of the links of a daemon. */
 export interface PeerLinksOptions {
@@ -37,8 +42,13 @@
   readonly onError: (error: Error) => void;
   /** Draws a number from 0 to below 1, for the jitter of reconnection. */
   readonly drawFraction: () => number;
-  /** Bytes queued over all links above which messages are dropped. */
+  /** Most bytes queued over all links; further messages are dropped. */
   readonly maxQueuedBytes?: number;
+  /**
+   * Reads the ordering key of a message, its kind by default. A short message
+   * overtakes large ones with another key.
+   */
+  readonly readOrderingKey?: (body: unknown) => string;
 }
 
 /** The connections of a daemon to other daemons. */
@@ -64,8 +74,8 @@
 
 interface PeerState {
   link: Link | undefined;
-  /** Encoded messages that wait for a connection. */
-  queued: Buffer[];
+  /** Messages that wait for a connection. */
+  queued: OutgoingMessage[];
   failureCount: number;
   /** Monotonic time before which no connection is attempted. */
   retryAtMs: number;
@@ -79,6 +89,9 @@
   const peers = new Map<NodeId, PeerState>();
   const links = new Set<Link>();
   const maxQueuedBytes = options.maxQueuedBytes ?? DEFAULT_MAX_QUEUED_BYTES;
+  const encoder = createMessageEncoder(
+    options.readOrderingKey ?? readMessageKind,
+  );
   let unsentBytes = 0;
   const readQueuedBytes = (): QueuedBytes => {
     const queued = Array.from(links, ({queuedBytes}) => queuedBytes);
@@ -87,14 +100,22 @@
       largest: Math.max(0, ...queued),
     };
   };
-  const canQueue = (queuedBytes: number): boolean =>
-    queuedBytes <= MIN_LINK_QUEUE_BYTES ||
-    readQueuedBytes().total <= maxQueuedBytes;
-  const takeQueue = (peer: PeerState): readonly Buffer[] => {
-    const frames = peer.queued;
+  const canQueue = (
+    linkBytes: number | undefined,
+    message: OutgoingMessage,
+  ): boolean =>
+    canQueueMessage({
+      bytes: message.frame.length,
+      isLarge: isLargeMessage(message),
+      linkBytes,
+      readTotalBytes: () => readQueuedBytes().total,
+      maxBytes: maxQueuedBytes,
+    });
+  const takeQueue = (peer: PeerState): readonly OutgoingMessage[] => {
+    const messages = peer.queued;
     peer.queued = [];
-    unsentBytes -= sumBytes(frames);
-    return frames;
+    unsentBytes -= sumBytes(messages);
+    return messages;
   };
   const findOrCreatePeer = (node: NodeId): PeerState => {
     const known = peers.get(node);
@@ -127,7 +148,7 @@
           const peer = findOrCreatePeer(link.node!);
           peer.link = link;
           peer.failureCount = 0;
-          takeQueue(peer).forEach(link.sendEncoded);
+          takeQueue(peer).forEach(link.send);
         },
         onMessage: options.onMessage,
         onClose: (link, error) => {
@@ -168,25 +189,33 @@
       options.onError(error);
     });
   };
+  const queueUnsent = (peer: PeerState, message: OutgoingMessage): void => {
+    const hasPlace = peer.queued.length < MAX_QUEUED_MESSAGES;
+    if (hasPlace && canQueue(undefined, message)) {
+      peer.queued.push(message);
+      unsentBytes += message.frame.length;
+    }
+  };
   const server = await listen(options.listen, socket =>
     openLink(socket, undefined),
   );
   return {
     address: readAddress(server),
     send: (to, address, body) => {
+      const message = encoder.encode(body);
+      const {length} = message.frame;
+      if (length > MAX_MESSAGE_BYTES) {
+        options.onError(
+          new MessageTooLargeError(to, length, MAX_MESSAGE_BYTES),
+        );
+        return;
+      }
       const peer = findOrCreatePeer(to);
       if (peer.link !== undefined) {
-        peer.link.send({kind: 'message', body});
+        peer.link.send(message);
         return;
       }
-      if (
-        peer.queued.length < MAX_QUEUED_MESSAGES &&
-        readQueuedBytes().total <= maxQueuedBytes
-      ) {
-        const frame = encodeFrame({kind: 'message', body});
-        peer.queued.push(frame);
-        unsentBytes += frame.length;
-      }
+      queueUnsent(peer, message);
       if (address !== undefined) {
         startConnecting(to, address);
       }
@@ -199,8 +228,8 @@
   };
 }
 
-function sumBytes(frames: readonly Buffer[]): number {
-  return frames.reduce((sum, {length}) => sum + length, 0);
+function sumBytes(messages: readonly OutgoingMessage[]): number {
+  return messages.reduce((sum, {frame}) => sum + frame.length, 0);
 }
 
 /** Delays the next attempt by a jittered backoff. */
