--- a/daemons/controld/src/controld.ts
+++ b/daemons/controld/src/controld.ts
@@ -4,6 +4,7 @@
   createControlHost,
   DataFolderRefusedError,
   measureFolder,
+  readOrderingKey,
 } from '@gentianshunt/hosts';
 import type {ControlHost} from '@gentianshunt/hosts';
 import type {Logger} from '@gentianshunt/logging';
@@ -41,6 +42,7 @@
         host?.receive(from, body);
       },
       onError: error => logger.write({kind: 'peerLinkFailed', error}),
+      readOrderingKey,
       drawFraction,
     }),
   );
--- a/daemons/entryd/src/entryd.ts
+++ b/daemons/entryd/src/entryd.ts
@@ -18,6 +18,7 @@
   createLoadMonitor,
   createMemoryMonitor,
   createObservationCounts,
+  readOrderingKey,
   toEntryObservation,
 } from '@gentianshunt/hosts';
 import type {EntryAdapters} from '@gentianshunt/hosts';
@@ -82,6 +83,7 @@
       },
       onError: error => logger.write({kind: 'peerLinkFailed', error}),
       maxQueuedBytes: plan.peerLinkBytes,
+      readOrderingKey,
       drawFraction,
     }),
   );
