Measure only the entries in flight that the log still holds

A leader whose compaction had discarded entries in flight failed at its next heartbeat ("Cannot destructure property 'payload' of 'undefined'"), so that the member was started again. Entries in flight are listed from the log to decide whether a heartbeat may overtake them; a follower that is far behind has entries in flight below the base.

--- a/control/consensus/src/replication.ts
+++ b/control/consensus/src/replication.ts
@@ -106,11 +106,14 @@
   draft: ConsensusDraft,
   {inFlight, matchIndex, nextIndex}: FollowerProgress,
 ): number {
-  return inFlight.length === 0
-    ? 0
-    : draft.log
-        .listEntries(matchIndex + 1, nextIndex - 1 - matchIndex)
-        .reduce((sum, entry) => sum + measureLogEntry(entry), 0);
+  if (inFlight.length === 0) {
+    return 0;
+  }
+  // A compaction may have discarded entries that are still in flight.
+  const from = Math.max(matchIndex, draft.status.base.index);
+  return draft.log
+    .listEntries(from + 1, nextIndex - 1 - from)
+    .reduce((sum, entry) => sum + measureLogEntry(entry), 0);
 }
 
 function resend(
