Do not send a waiting document again every tick

An entry sent each pending document to the leader every 250 ms although the leader had it. With documents of 90 KB, changes in flight and slow commits, the resends alone filled the queues.

A replacement now records when and to whom it was sent: it is sent again at once to another leader, and to the same one after 1 s, then 2 s.

Tests "a waiting document is not sent again every tick" (11 resends in 2.75 s before, 1 now) and "a waiting document is sent to a new leader at once" (sent again to the same leader a tick later before).

--- a/scheduling/controlClient/src/replacementController.ts
+++ b/scheduling/controlClient/src/replacementController.ts
@@ -11,6 +11,8 @@
 } from '@gentianshunt/entryModel';
 import type {RequestId} from '@gentianshunt/identifiers';
 
+import {isSendingDue, recordDelivery} from './delivery.js';
+
 /** Time after which an operator gets the answer `unanswered`. */
 export const REPLACEMENT_TIMEOUT_MS: Milliseconds = 3_000;
 
@@ -40,11 +42,13 @@
   switch (observation?.kind) {
     case 'replacementReceived': {
       const {correlation, replacement} = observation;
-      const value = {correlation, replacement, receivedAt: now.monotonic};
-      return [
-        {kind: 'put', section: 'replacements', key: correlation, value},
-        ...sendPending(view, value),
-      ];
+      const pending: PendingReplacement = {
+        correlation,
+        replacement,
+        receivedAt: now.monotonic,
+        delivery: null,
+      };
+      return [putPending(pending), ...sendPending(view, pending, now)];
     }
     case 'controlMessage': {
       const {message} = observation;
@@ -65,22 +69,34 @@
   }
 }
 
-/** Resending is safe, as a version that is stored already changes nothing. */
+function putPending(value: PendingReplacement): ReplacementWrite {
+  const key = value.correlation;
+  return {kind: 'put', section: 'replacements', key, value};
+}
+
+/**
+ * Sends a replacement unless the leader got it a short time ago. Resending is
+ * safe, as a version that is stored already changes nothing.
+ */
 function sendPending(
   view: ReplacementView,
   pending: PendingReplacement,
+  now: TurnTime,
 ): readonly ReplacementWrite[] {
   const {leader} = view.board.control;
-  if (leader === null) {
+  const {correlation, replacement, delivery} = pending;
+  if (leader === null || !isSendingDue(delivery, leader, now)) {
     return [];
   }
-  const {correlation, replacement} = pending;
   const message = {
     kind: 'replacementRequest',
     correlation,
     replacement,
   } as const;
-  return [{kind: 'effect', effect: {kind: 'sendControl', to: leader, message}}];
+  return [
+    putPending({...pending, delivery: recordDelivery(delivery, leader, now)}),
+    {kind: 'effect', effect: {kind: 'sendControl', to: leader, message}},
+  ];
 }
 
 function resendPending(
@@ -90,7 +106,7 @@
   return [...view.board.replacements.values()].flatMap(pending =>
     now.monotonic - pending.receivedAt >= REPLACEMENT_TIMEOUT_MS
       ? completeReplacement(pending.correlation, {kind: 'unanswered'})
-      : sendPending(view, pending),
+      : sendPending(view, pending, now),
   );
 }
 
--- /dev/null
+++ b/scheduling/controlClient/test/replacementController.test.ts
@@ -0,0 +1,64 @@
+import t from 'tap';
+
+import {toIdentifier} from '@gentianshunt/identifiers';
+import type {NodeId} from '@gentianshunt/identifiers';
+
+import {
+  createControlController,
+  createReplacementController,
+  REPLACEMENT_TIMEOUT_MS,
+} from '../src/index.js';
+import {createEntryFixture, createUpdate} from './fixture.js';
+import type {EntryFixture} from './fixture.js';
+
+const TICK_MS = 250;
+
+function createFixture(): EntryFixture {
+  const fixture = createEntryFixture([
+    createControlController(),
+    createReplacementController(),
+  ]);
+  fixture.receive(createUpdate(0, 1, []));
+  fixture.takeSent();
+  return fixture;
+}
+
+function postReplacement({loop}: EntryFixture): void {
+  loop.post({
+    kind: 'replacementReceived',
+    correlation: toIdentifier('r1'),
+    replacement: {version: 7, objects: [], source: new Uint8Array()},
+  });
+}
+
+function countReplacements(fixture: EntryFixture): number {
+  return fixture.takeSent().filter(({kind}) => kind === 'replacementRequest')
+    .length;
+}
+
+t.test('a waiting document is not sent again every tick', async t => {
+  const fixture = createFixture();
+  postReplacement(fixture);
+  t.equal(countReplacements(fixture), 1);
+  let resent = 0;
+  for (let age = TICK_MS; age < REPLACEMENT_TIMEOUT_MS; age += TICK_MS) {
+    fixture.tick(TICK_MS);
+    resent += countReplacements(fixture);
+  }
+  t.equal(resent, 1, 'sent again after a backoff');
+});
+
+t.test('a waiting document is sent to a new leader at once', async t => {
+  const fixture = createFixture();
+  postReplacement(fixture);
+  t.equal(countReplacements(fixture), 1);
+  fixture.receive({
+    kind: 'notLeader',
+    sequence: null,
+    leader: toIdentifier<NodeId>('c1'),
+  });
+  fixture.tick(TICK_MS);
+  t.equal(countReplacements(fixture), 1);
+  fixture.tick(TICK_MS);
+  t.equal(countReplacements(fixture), 0);
+});
--- a/scheduling/entryModel/src/sections.ts
+++ b/scheduling/entryModel/src/sections.ts
@@ -247,10 +247,20 @@
   readonly query: ControlQuery;
 }
 
+/** When a request was last sent to the leading control daemon. */
+export interface RequestDelivery {
+  readonly to: NodeId;
+  readonly sentAt: MonotonicTime;
+  /** How often it was sent to this daemon. */
+  readonly attempts: number;
+}
+
 /** A whole configuration that the control log has not stored yet. */
 export interface PendingReplacement {
   readonly correlation: RequestId;
   readonly receivedAt: MonotonicTime;
+  /** `null` until the leading control daemon is known. */
+  readonly delivery: RequestDelivery | null;
   readonly replacement: ConfigurationReplacement;
 }
 
