--- /dev/null
+++ b/scheduling/entryModel/src/controlStatus.ts
@@ -0,0 +1,36 @@
+/** What an entry knows of the control daemons, and what it reports to them. */
+import type {Instant, Lease, MonotonicTime} from '@gentianshunt/clock';
+import type {CountReport, EntryDirectory} from '@gentianshunt/messages';
+import type {Identifier, NodeId} from '@gentianshunt/identifiers';
+
+/** The entry's lease and its session with the leading control daemon. */
+export interface ControlStatus {
+  /** The control daemon last known to lead. */
+  readonly leader: NodeId | null;
+  /** Version of the configuration that the entry holds. */
+  readonly version: number;
+  /** The lease under which the entry uses the configuration. */
+  readonly lease: Lease;
+  /** Sequence of the latest heartbeat. */
+  readonly lastSequence: number;
+  /** When the latest heartbeat was sent; `null` once it is answered. */
+  readonly sentAt: Instant | null;
+  readonly directory: EntryDirectory;
+}
+
+/** Whether the entry accepts new requests. */
+export type ServiceState =
+  | {readonly kind: 'serving'}
+  | {readonly kind: 'draining'; readonly since: MonotonicTime};
+
+/** State of the count reports of this process. */
+export interface CountState {
+  /** Sequence of the latest count report. */
+  readonly lastSequence: number;
+  /** The unacknowledged report, which is resent unchanged. */
+  readonly open: CountReport | null;
+  readonly sentAt: MonotonicTime;
+}
+
+/** Key of the counts of one month, tier, organisation and kind. */
+export type CountKey = Identifier<'count'>;
--- a/scheduling/entryModel/src/directory.ts
+++ b/scheduling/entryModel/src/directory.ts
@@ -8,7 +8,7 @@
 } from '@gentianshunt/messages';
 
 import type {EntryIdentity} from './identity.js';
-import type {ControlStatus} from './sections.js';
+import type {ControlStatus} from './controlStatus.js';
 
 /** What tells an entry which others there are. */
 interface DirectoryBoard {
--- a/scheduling/entryModel/src/iterateSet.ts
+++ b/scheduling/entryModel/src/iterateSet.ts
@@ -10,14 +10,16 @@
 } from '@gentianshunt/identifiers';
 
 import type {
-  EndpointKey,
-  FairShareKey,
   QueueKey,
   RunningKey,
-  SetEntryKey,
   SlotKey,
   WaitingKey,
-} from './sections.js';
+} from './queueRecords.js';
+import type {
+  EndpointKey,
+  FairShareKey,
+  SetEntryKey,
+} from './setLeaderRecords.js';
 
 const LOWEST_KEY = '';
 
--- a/scheduling/entryModel/src/sections.ts
+++ b/scheduling/entryModel/src/sections.ts
@@ -6,12 +6,7 @@
   defineOrdered,
 } from '@gentianshunt/board';
 import {ENDED_LEASE} from '@gentianshunt/clock';
-import type {
-  Instant,
-  Lease,
-  Milliseconds,
-  MonotonicTime,
-} from '@gentianshunt/clock';
+import type {MonotonicTime} from '@gentianshunt/clock';
 import type {
   ConfigurationObject,
   EndpointOrder,
@@ -19,28 +14,58 @@
 } from '@gentianshunt/configuration';
 import type {RateBucket} from '@gentianshunt/limits';
 import {NO_DIRECTORY_VERSION} from '@gentianshunt/messages';
-import type {
-  ConfigurationReplacement,
-  ControlQuery,
-  CountReport,
-  EntryDirectory,
-  OperatorCommand,
-  ServiceCount,
-} from '@gentianshunt/messages';
+import type {ServiceCount} from '@gentianshunt/messages';
 import type {PatienceRecord, RequestClass} from '@gentianshunt/policy';
 import type {
   DispatchId,
   EndpointId,
   EndpointSetId,
-  GrantId,
-  Identifier,
   NodeId,
-  OrganisationId,
   PromptPartId,
   QuotaAccountId,
   RequestId,
 } from '@gentianshunt/identifiers';
 
+import type {AllocationRound} from './allocationRound.js';
+import type {ClaimCompletion, OpenClaim} from './claimState.js';
+import type {
+  ControlStatus,
+  CountKey,
+  CountState,
+  ServiceState,
+} from './controlStatus.js';
+import type {
+  DemandReportingState,
+  KnownOpenCapacity,
+  ReplyPosition,
+  SetUse,
+} from './demandReportingState.js';
+import type {OrderEpoch, OrderExecutionState} from './endpointOrder.js';
+import type {EndpointRecord, ReceivedAnnouncement} from './endpointRecord.js';
+import type {KnownLimit, NamedLimit} from './endpointSignals.js';
+import type {
+  DemandReportRecord,
+  EndpointList,
+  GrantReply,
+  KnownEndpoints,
+  Slot,
+  SlotMatch,
+} from './entryMessage.js';
+import type {EntryIdentity} from './identity.js';
+import {createLeaveSections} from './leaveSections.js';
+import {NOTHING_LOGGED} from './loggedState.js';
+import type {LoggedState} from './loggedState.js';
+import type {
+  EndpointHealth,
+  ObservedDecodeRate,
+  StreamProgress,
+} from './measurementRecords.js';
+import type {
+  PendingCommand,
+  PendingQuery,
+  PendingReplacement,
+  RefusalRecord,
+} from './operatorRequests.js';
 import type {
   BrokenRun,
   EndpointCrash,
@@ -49,6 +74,17 @@
   SoundPartKey,
   SoundUse,
 } from './promptQuarantine.js';
+import type {
+  ArrivalRate,
+  AssignedAddresses,
+  QueueKey,
+  QueueLength,
+  RunningKey,
+  RunningRecord,
+  SilenceDeadlineKey,
+  SlotKey,
+  WaitingKey,
+} from './queueRecords.js';
 import type {
   EntryQuotaKey,
   EntryQuotaUsage,
@@ -56,241 +92,16 @@
   QuotaUsageState,
   ReportedEntry,
 } from './quota.js';
-import type {ClaimCompletion, OpenClaim} from './claimState.js';
-import type {AllocationRound} from './allocationRound.js';
-import type {KnownLimit, NamedLimit} from './endpointSignals.js';
-import type {EndpointRecord, ReceivedAnnouncement} from './endpointRecord.js';
-import type {EntryIdentity} from './identity.js';
-import {createLeaveSections} from './leaveSections.js';
-import {NOTHING_LOGGED} from './loggedState.js';
-import type {LoggedState} from './loggedState.js';
-import type {OrderEpoch, OrderExecutionState} from './endpointOrder.js';
-import type {
-  DemandReportingState,
-  KnownOpenCapacity,
-  ReplyPosition,
-  SetUse,
-} from './demandReportingState.js';
+import type {AdmittedRequest, RequestState} from './request.js';
 import type {
-  DemandReportRecord,
-  EndpointList,
-  KnownEndpoints,
-  GrantReply,
-  Slot,
-  SlotMatch,
-} from './entryMessage.js';
-import type {AdmittedRequest, Refusal, RequestState} from './request.js';
+  EndpointKey,
+  FairShareKey,
+  GrantsSinceReport,
+  LeadershipState,
+  SetEntryKey,
+} from './setLeaderRecords.js';
 import type {Withdrawal} from './withdrawal.js';
 
-/** The entry's lease and its session with the leading control daemon. */
-export interface ControlStatus {
-  /** The control daemon last known to lead. */
-  readonly leader: NodeId | null;
-  /** Version of the configuration that the entry holds. */
-  readonly version: number;
-  /** The lease under which the entry uses the configuration. */
-  readonly lease: Lease;
-  /** Sequence of the latest heartbeat. */
-  readonly lastSequence: number;
-  /** When the latest heartbeat was sent; `null` once it is answered. */
-  readonly sentAt: Instant | null;
-  readonly directory: EntryDirectory;
-}
-
-/** Whether the entry accepts new requests. */
-export type ServiceState =
-  | {readonly kind: 'serving'}
-  | {readonly kind: 'draining'; readonly since: MonotonicTime};
-
-/** Identifies a queue of waiting requests. */
-export interface QueueKey {
-  readonly set: EndpointSetId;
-  readonly rank: number;
-  readonly organisation: OrganisationId;
-}
-
-/** Sorts waiting requests by queue, then by arrival. */
-export interface WaitingKey extends QueueKey {
-  readonly arrivedAt: MonotonicTime;
-  readonly request: RequestId;
-}
-
-/** How many requests a queue holds. */
-export interface QueueLength {
-  readonly count: number;
-}
-
-/** How often each entry was assigned to a caller as its first address. */
-export interface AssignedAddresses {
-  readonly since: MonotonicTime;
-  readonly counts: ReadonlyMap<NodeId, number>;
-}
-
-/** Arrival rate of a queue's requests, as a decaying average. */
-export interface ArrivalRate {
-  readonly perSecond: number;
-  readonly at: MonotonicTime;
-}
-
-/** Identifies this entry's requests of an organisation at an endpoint. */
-export interface RunningKey {
-  readonly set: EndpointSetId;
-  readonly endpoint: EndpointId;
-  readonly organisation: OrganisationId;
-}
-
-/** How many requests that share a `RunningKey` are running. */
-export interface RunningRecord {
-  readonly count: number;
-}
-
-/** Sorts slots by queue, then by grant. */
-export interface SlotKey extends QueueKey {
-  readonly grant: GrantId;
-}
-
-/** A set this entry leads. */
-export interface LeadershipState {
-  readonly set: EndpointSetId;
-  readonly epoch: number;
-  /**
-   * When this leader may start to grant; before, slots of the previous leader
-   * may still be valid.
-   */
-  readonly grantsFrom: MonotonicTime;
-}
-
-/** Identifies an endpoint of a set. */
-export interface EndpointKey {
-  readonly set: EndpointSetId;
-  readonly endpoint: EndpointId;
-}
-
-/** Identifies what is recorded of an entry for a set. */
-export interface SetEntryKey {
-  readonly set: EndpointSetId;
-  readonly node: NodeId;
-}
-
-/** What a set leader granted to an entry since its latest demand report. */
-export interface GrantsSinceReport {
-  readonly set: EndpointSetId;
-  readonly node: NodeId;
-  /** Sequence of the report. */
-  readonly sequence: number;
-  /** Number of replies sent to the report. */
-  readonly parts: number;
-  readonly slots: readonly GrantedSlots[];
-  /** Waiting requests that the entry had to shed since the report. */
-  readonly shed: readonly ShedCount[];
-}
-
-/** Slots of one grant, as counted by the set leader. */
-export interface GrantedSlots {
-  readonly endpoint: EndpointId;
-  readonly rank: number;
-  readonly organisation: OrganisationId;
-  readonly count: number;
-}
-
-/** How many requests of a queue the entry had to shed. */
-export interface ShedCount {
-  readonly rank: number;
-  readonly organisation: OrganisationId;
-  readonly count: number;
-}
-
-/** Identifies an organisation in a set: its fair share and its limits. */
-export interface FairShareKey {
-  readonly set: EndpointSetId;
-  readonly organisation: OrganisationId;
-}
-
-/** Tokens of a stream's answer at its latest progress event. */
-export interface StreamProgress {
-  readonly answerTokens: number;
-  readonly at: MonotonicTime;
-}
-
-/** An endpoint's decoding speed, measured on this entry's streams. */
-export interface ObservedDecodeRate {
-  readonly set: EndpointSetId;
-  readonly endpoint: EndpointId;
-  readonly decodeMsPerToken: Milliseconds;
-  readonly observedAt: MonotonicTime;
-}
-
-/** Failures of this entry's dispatches at an endpoint. */
-export interface EndpointHealth {
-  readonly set: EndpointSetId;
-  readonly endpoint: EndpointId;
-  /** Fraction of the dispatches that failed, as a decaying average. */
-  readonly failureRate: number;
-  readonly observedAt: MonotonicTime;
-  /** When a connection to the endpoint failed last. */
-  readonly unreachableAt: MonotonicTime;
-}
-
-/** Sorts dispatched requests by when their endpoint counts as silent. */
-export interface SilenceDeadlineKey {
-  readonly silentAt: MonotonicTime;
-  readonly request: RequestId;
-}
-
-/** An operator's command that is not in force yet. */
-export interface PendingCommand {
-  readonly correlation: RequestId;
-  readonly receivedAt: MonotonicTime;
-  readonly command: OperatorCommand;
-  /** Version that contains the command; `null` until it is accepted. */
-  readonly version: number | null;
-}
-
-/** An operator's query that the leading control daemon has not answered. */
-export interface PendingQuery {
-  readonly correlation: RequestId;
-  readonly receivedAt: MonotonicTime;
-  readonly query: ControlQuery;
-}
-
-/** When a request was last sent to the leading control daemon. */
-export interface RequestDelivery {
-  readonly to: NodeId;
-  readonly sentAt: MonotonicTime;
-  /** How often it was sent to this daemon. */
-  readonly attempts: number;
-}
-
-/** A whole configuration that the control log has not stored yet. */
-export interface PendingReplacement {
-  readonly correlation: RequestId;
-  readonly receivedAt: MonotonicTime;
-  /** `null` until the leading control daemon is known. */
-  readonly delivery: RequestDelivery | null;
-  readonly replacement: ConfigurationReplacement;
-}
-
-/** A recent refusal, for operators' queries. */
-export interface RefusalRecord {
-  readonly number: number;
-  readonly at: Date;
-  readonly refusal: Refusal;
-  /** `null` when the request was never admitted. */
-  readonly request: AdmittedRequest | null;
-}
-
-/** State of the count reports of this process. */
-export interface CountState {
-  /** Sequence of the latest count report. */
-  readonly lastSequence: number;
-  /** The unacknowledged report, which is resent unchanged. */
-  readonly open: CountReport | null;
-  readonly sentAt: MonotonicTime;
-}
-
-/** Key of the counts of one month, tier, organisation and kind. */
-export type CountKey = Identifier<'count'>;
-
 /** Creates the sections of an entry's board. */
 export function createEntrySections(identity: EntryIdentity) {
   return {
