releases: do nothing on a heartbeat once the latest release is in force

Each heartbeat of an entry changes its session and runs this controller, which then listed all remembered releases. No change of behaviour; control/controlNode passes as before.

--- a/control/controlDecisionLog/src/releaseController.ts
+++ b/control/controlDecisionLog/src/releaseController.ts
@@ -56,6 +56,9 @@
     writes: ['releases'],
     observes: ['timerDue'],
     run: (view, now) => {
+      if (isSettled(view)) {
+        return [];
+      }
       const draft = createReleaseDraft(view.board.releases);
       const decisions = [
         ...recordProposed(view, draft, now),
@@ -67,6 +70,19 @@
   });
 }
 
+/**
+ * Returns whether there is nothing to record: no new entry, and the latest
+ * release, and thus each one before it, is in force already.
+ */
+function isSettled(view: ReleaseView): boolean {
+  const latest = view.board.releases.readLast();
+  return (
+    view.readChanges('log').size === 0 &&
+    view.readChanges('applied').size === 0 &&
+    (latest === undefined || latest.value.inForceAt !== null)
+  );
+}
+
 /** Records the releases that were appended to the log, or removed from it. */
 function recordProposed(
   view: ReleaseView,
