--- a/bench/matrix/src/identities.ts
+++ b/bench/matrix/src/identities.ts
@@ -1,3 +1,4 @@
+import {DEFAULT_LOG_BOUNDS} from '@gentianshunt/controlModel';
 import type {ControlIdentity} from '@gentianshunt/controlModel';
 import type {EntryIdentity} from '@gentianshunt/entryModel';
 import {toIdentifier} from '@gentianshunt/identifiers';
@@ -39,5 +40,6 @@
     bootstrapMembers: CONTROL_IDS.map(id => toIdentifier(id)),
     admission: {kind: 'listed'},
     seed: Number(process.id.split('-')[1]) * 1_000 + process.incarnation,
+    logBounds: DEFAULT_LOG_BOUNDS,
   };
 }
--- a/control/consensus/src/compaction.ts
+++ b/control/consensus/src/compaction.ts
@@ -1,4 +1,5 @@
 import type {CapturedState} from '@gentianshunt/controlModel';
+import type {LogIndex} from '@gentianshunt/messages';
 
 import type {ConsensusDraft} from './consensusDraft.js';
 import {findMembersAt} from './members.js';
@@ -15,16 +16,33 @@
   const memberships = draft.read('memberships');
   const members = findMembersAt(memberships, index);
   const term = draft.log.readTerm(index)!;
-  draft.set('snapshot', {index, term, members, items});
+  draft.setSnapshot({index, term, members, items});
   draft.set('memberships', [
     {index, members},
     ...memberships.filter(membership => membership.index > index),
   ]);
-  const {base} = draft.status;
-  const baseIndex = Math.max(base.index, index - RETAINED_ENTRIES);
+  const {retainedBytes} = draft.view.board.identity.logBounds;
+  const baseIndex = findRetainedIndex(draft, index, retainedBytes);
   draft.log.discardThrough({
     index: baseIndex,
     term: draft.log.readTerm(baseIndex)!,
   });
   draft.disk.compact();
 }
+
+/** Finds the index after which the entries up to another one fit in bounds. */
+function findRetainedIndex(
+  draft: ConsensusDraft,
+  index: LogIndex,
+  maxBytes: number,
+): LogIndex {
+  const first = Math.max(draft.status.base.index, index - RETAINED_ENTRIES);
+  let retained = index;
+  while (
+    retained > first &&
+    draft.log.measureBytes(retained - 1, index) <= maxBytes
+  ) {
+    retained -= 1;
+  }
+  return retained;
+}
--- a/control/consensus/src/consensusCells.ts
+++ b/control/consensus/src/consensusCells.ts
@@ -9,5 +9,6 @@
   | 'leadership'
   | 'startCheck'
   | 'snapshot'
+  | 'snapshotBytes'
   | 'incomingSnapshot'
   | 'contacts';
--- a/control/consensus/src/consensusDraft.ts
+++ b/control/consensus/src/consensusDraft.ts
@@ -11,7 +11,12 @@
   Role,
 } from '@gentianshunt/controlModel';
 import type {NodeId} from '@gentianshunt/identifiers';
-import type {ConsensusMessage, StorageId} from '@gentianshunt/messages';
+import {measureItems} from '@gentianshunt/messages';
+import type {
+  ConsensusMessage,
+  StateSnapshot,
+  StorageId,
+} from '@gentianshunt/messages';
 
 import {createCellDraft} from './cellDraft.js';
 import type {CellDraft} from './cellDraft.js';
@@ -45,6 +50,7 @@
   readonly progress: MapDraft<NodeId, FollowerProgress>;
   readonly rememberedPositions: MapDraft<NodeId, RememberedFolderPosition>;
   readonly joiningNodes: MapDraft<NodeId, StorageId>;
+  setSnapshot(snapshot: StateSnapshot): void;
   /** Sends a message without waiting for the disk. */
   send(to: Recipient, message: ConsensusMessage): void;
   /** Sends a message once this run's batch and all earlier ones are synced. */
@@ -83,6 +89,10 @@
     progress,
     rememberedPositions,
     joiningNodes,
+    setSnapshot: snapshot => {
+      cells.set('snapshot', snapshot);
+      cells.set('snapshotBytes', measureItems(snapshot.items));
+    },
     send: ({node, storage}, message) => {
       effects.push({kind: 'sendConsensus', to: node, storage, message});
     },
--- a/control/consensus/src/consensusView.ts
+++ b/control/consensus/src/consensusView.ts
@@ -12,7 +12,7 @@
 
 /** The sections that the consensus controller writes. */
 export type ConsensusSections =
-  ConsensusCells | ConsensusMaps | 'log' | 'unsyncedBatches';
+  ConsensusCells | ConsensusMaps | 'log' | 'logOffsets' | 'unsyncedBatches';
 
 /** The sections that the consensus controller reads. */
 export type ConsensusReads =
--- a/control/consensus/src/diskDraft.ts
+++ b/control/consensus/src/diskDraft.ts
@@ -51,6 +51,7 @@
     ) {
       return deferred.map(createSend);
     }
+    const stored = batch ?? createEmptyBatch(sequence);
     cells.set('persistSequence', sequence);
     const {lastIndex} = cells.read('logStatus');
     return [
@@ -58,12 +59,9 @@
         kind: 'put',
         section: 'unsyncedBatches',
         key: sequence,
-        value: {messages: deferred, lastIndex},
-      },
-      {
-        kind: 'effect',
-        effect: {kind: 'persist', batch: batch ?? createEmptyBatch(sequence)},
+        value: {kind: stored.kind, messages: deferred, lastIndex},
       },
+      {kind: 'effect', effect: {kind: 'persist', batch: stored}},
     ];
   };
 
--- a/control/consensus/src/logDraft.ts
+++ b/control/consensus/src/logDraft.ts
@@ -1,4 +1,6 @@
+import {compareValues, createOrderedDraft} from '@gentianshunt/board';
 import type {ControlWrite, LogStatus} from '@gentianshunt/controlModel';
+import {measureLogEntry} from '@gentianshunt/messages';
 import type {
   LogEntry,
   LogIndex,
@@ -16,6 +18,12 @@
   readonly commitIndex: LogIndex;
 }
 
+/** The most that a list of entries may hold; one entry is always listed. */
+export interface ListLimits {
+  readonly entries: number;
+  readonly bytes: number;
+}
+
 /** The log, including the changes of the current run. */
 export interface LogDraft {
   readEntry(index: LogIndex): LogEntry | undefined;
@@ -23,6 +31,10 @@
   readTerm(index: LogIndex): Term | undefined;
   /** Reads up to `count` entries from an index on. */
   listEntries(from: LogIndex, count: number): readonly LogEntry[];
+  /** Reads entries from an index on, within limits. */
+  listEntriesWithin(from: LogIndex, limits: ListLimits): readonly LogEntry[];
+  /** Measures the bytes of the entries after an index, up to another one. */
+  measureBytes(after: LogIndex, through: LogIndex): number;
   /** Loads a stored log without storing it again. */
   restore(stored: StoredLogState): void;
   /** Appends entries after the last one. */
@@ -37,7 +49,7 @@
   listAppended(): readonly LogEntry[];
   /** Returns the lowest index truncated in this run, or `null`. */
   readTruncation(): LogIndex | null;
-  listWrites(): readonly ControlWrite<'log'>[];
+  listWrites(): readonly ControlWrite<'log' | 'logOffsets'>[];
 }
 
 /** Creates a draft of the log; it updates `logStatus` with every change. */
@@ -48,6 +60,10 @@
   const stored = view.board.log;
   const changed = new Map<LogIndex, LogEntry | undefined>();
   const appended = new Map<LogIndex, LogEntry>();
+  const offsets = createOrderedDraft({
+    view: view.board.logOffsets,
+    compare: compareValues<LogIndex>,
+  });
   let truncation: LogIndex | null = null;
 
   const readStatus = (): LogStatus => cells.read('logStatus');
@@ -63,29 +79,50 @@
     for (let index = from; index <= to; index += 1) {
       changed.set(index, undefined);
       appended.delete(index);
+      offsets.delete(index);
     }
   };
+  const readOffset = (index: LogIndex): number =>
+    offsets.get(Math.max(index, readStatus().base.index)) ?? 0;
   const put = (entry: LogEntry): void => {
     changed.set(entry.index, entry);
+    const offset = readOffset(entry.index - 1) + measureLogEntry(entry);
+    offsets.put(entry.index, offset);
+  };
+  const listEntries = (from: LogIndex, count: number): readonly LogEntry[] => {
+    const last = Math.min(readStatus().lastIndex, from + count - 1);
+    const entries: LogEntry[] = [];
+    for (let index = from; index <= last; index += 1) {
+      entries.push(readEntry(index)!);
+    }
+    return entries;
   };
+  const measureBytes = (after: LogIndex, through: LogIndex): number =>
+    readOffset(through) - readOffset(after);
   const setLast = (last: LogPosition): void =>
     setStatus({lastIndex: last.index, lastTerm: last.term});
 
   return {
     readEntry,
     readTerm,
-    listEntries: (from, count) => {
-      const last = Math.min(readStatus().lastIndex, from + count - 1);
-      const entries: LogEntry[] = [];
-      for (let index = from; index <= last; index += 1) {
-        entries.push(readEntry(index)!);
+    listEntries,
+    listEntriesWithin: (from, limits) => {
+      const last = Math.min(readStatus().lastIndex, from + limits.entries - 1);
+      let through = from;
+      while (
+        through < last &&
+        measureBytes(from - 1, through + 1) <= limits.bytes
+      ) {
+        through += 1;
       }
-      return entries;
+      return listEntries(from, through - from + 1);
     },
+    measureBytes,
     restore: ({base, entries, commitIndex}) => {
-      entries.forEach(put);
       const last = entries[entries.length - 1] ?? base;
       setStatus({base, syncedIndex: last.index, commitIndex});
+      offsets.put(base.index, 0);
+      entries.forEach(put);
       setLast(last);
     },
     append: entries => {
@@ -103,22 +140,29 @@
       setStatus({syncedIndex});
     },
     discardThrough: base => {
+      const offset = readOffset(base.index);
+      offsets.delete(readStatus().base.index);
       remove(readStatus().base.index + 1, base.index);
       setStatus({base});
+      offsets.put(base.index, offset);
     },
     reset: base => {
       const {base: oldBase, lastIndex} = readStatus();
+      offsets.delete(oldBase.index);
       remove(oldBase.index + 1, lastIndex);
       setStatus({base, syncedIndex: 0, commitIndex: base.index});
+      offsets.put(base.index, 0);
       setLast(base);
     },
     listAppended: () => [...appended.values()],
     readTruncation: () => truncation,
-    listWrites: () =>
-      [...changed].map(([key, value]) =>
+    listWrites: () => [
+      ...[...changed].map(([key, value]) =>
         value === undefined
-          ? {kind: 'delete', section: 'log', key}
-          : {kind: 'put', section: 'log', key, value},
+          ? ({kind: 'delete', section: 'log', key} as const)
+          : ({kind: 'put', section: 'log', key, value} as const),
       ),
+      ...offsets.listWrites('logOffsets' as const),
+    ],
   };
 }
--- a/control/consensus/src/snapshotReceiver.ts
+++ b/control/consensus/src/snapshotReceiver.ts
@@ -63,7 +63,7 @@
   const {header, items} = incoming;
   const base = {index: header.index, term: header.term};
   draft.set('incomingSnapshot', null);
-  draft.set('snapshot', {...header, items});
+  draft.setSnapshot({...header, items});
   draft.set('memberships', [{index: header.index, members: header.members}]);
   draft.log.reset(base);
   draft.disk.compact();
--- a/control/consensus/src/startCheck.ts
+++ b/control/consensus/src/startCheck.ts
@@ -46,7 +46,7 @@
   draft.log.restore({base, entries, commitIndex: snapshot?.index ?? 0});
   if (snapshot !== null) {
     const {index, members} = snapshot;
-    draft.set('snapshot', snapshot);
+    draft.setSnapshot(snapshot);
     draft.set('memberships', [{index, members}]);
   }
   const since = snapshot?.index ?? 0;
@@ -283,6 +283,6 @@
   members: readonly Member[],
 ): void {
   draft.set('memberships', [{index: 0, members}]);
-  draft.set('snapshot', {index: 0, term: 0, members, items: []});
+  draft.setSnapshot({index: 0, term: 0, members, items: []});
   draft.disk.compact();
 }
--- a/control/controlModel/src/index.ts
+++ b/control/controlModel/src/index.ts
@@ -2,6 +2,8 @@
 export * from './commandNumbers.js';
 export * from './decision.js';
 export * from './effect.js';
+export * from './logBounds.js';
+export * from './logUsage.js';
 export * from './observation.js';
 export * from './role.js';
 export * from './sections.js';
--- /dev/null
+++ b/control/controlModel/src/logUsage.ts
@@ -0,0 +1,34 @@
+import type {BoardView} from '@gentianshunt/board';
+import type {LogIndex} from '@gentianshunt/messages';
+
+import type {ControlSections} from './sections.js';
+
+/** The sections from which the bytes of the log are computed. */
+export type LogUsageBoard = Pick<
+  BoardView<ControlSections>,
+  'applied' | 'logOffsets' | 'logStatus' | 'snapshot'
+>;
+
+/** The bytes of the log that a member holds. */
+export interface LogUsage {
+  readonly bytes: number;
+  /** Bytes of the applied entries that the latest snapshot lacks. */
+  readonly sinceSnapshotBytes: number;
+  /** Bytes of the entries that are not committed, or not synced here. */
+  readonly pendingBytes: number;
+}
+
+/** Measures the bytes of a member's log. */
+export function measureLog(board: LogUsageBoard): LogUsage {
+  const {applied, logOffsets, logStatus, snapshot} = board;
+  const {base, commitIndex, syncedIndex, lastIndex} = logStatus;
+  const readOffset = (index: LogIndex): number =>
+    logOffsets.get(Math.max(index, base.index)) ?? 0;
+  const end = readOffset(lastIndex);
+  return {
+    bytes: end - readOffset(base.index),
+    sinceSnapshotBytes:
+      readOffset(applied.index) - readOffset(snapshot?.index ?? 0),
+    pendingBytes: end - readOffset(Math.min(commitIndex, syncedIndex)),
+  };
+}
--- a/control/controlModel/src/sections.ts
+++ b/control/controlModel/src/sections.ts
@@ -33,8 +33,9 @@
 import type {TokenBucket} from '@gentianshunt/orders';
 import type {EndpointSetId, NodeId} from '@gentianshunt/identifiers';
 
+import type {LogBounds} from './logBounds.js';
 import type {ControlObservation} from './observation.js';
-import type {ControlEffect} from './effect.js';
+import type {ControlEffect, PersistBatch} from './effect.js';
 import type {
   Ballot,
   CapturedState,
@@ -106,6 +107,7 @@
   readonly storage: StorageId;
   /** Seed of the election jitter. */
   readonly seed: number;
+  readonly logBounds: LogBounds;
 }
 
 /** A message that is sent once a batch is synced to disk. */
@@ -118,6 +120,7 @@
 
 /** A batch that is not synced yet and the messages that wait for it. */
 export interface UnsyncedBatch {
+  readonly kind: PersistBatch['kind'];
   readonly messages: readonly DeferredMessage[];
   /** The last log index that is synced once the batch is. */
   readonly lastIndex: LogIndex;
@@ -158,6 +161,11 @@
       syncedIndex: 0,
       commitIndex: 0,
     }),
+    /**
+     * The bytes of the log up to and including each entry, and up to its base.
+     * Only differences have a meaning.
+     */
+    logOffsets: defineOrdered<LogIndex, number>(compareValues),
     /** The leader's record of each other member. */
     followerProgress: defineMap<NodeId, FollowerProgress>(),
     electionTimer: defineCell<ElectionTimer>({
@@ -173,6 +181,8 @@
       answers: new Map(),
     }),
     snapshot: defineCell<StateSnapshot | null>(null),
+    /** The size of the snapshot, in bytes. */
+    snapshotBytes: defineCell<number>(0),
     /** The copy of the applied state that the next snapshot holds. */
     capturedState: defineCell<CapturedState | null>(null),
     /** The snapshot that is being received. */
@@ -201,6 +211,8 @@
     references: defineOrdered<ReferenceKey, true>(compareReferences),
     commands: defineOrdered<CommandNumber, CommandRecord>(compareValues),
     changeUsage: defineCell<ChangeUsage>({history: 0, commands: 0}),
+    /** The bytes of the changes that `changeUsage` counts. */
+    changeBytes: defineCell<ChangeUsage>({history: 0, commands: 0}),
     commandFloor: defineCell<CommandNumber>(1),
     /** Limits the rate at which orders load from the weight store. */
     weightStore: defineCell<TokenBucket>(INITIAL_BUCKET),
--- a/control/controlNode/test/deploymentFixture.ts
+++ b/control/controlNode/test/deploymentFixture.ts
@@ -1,5 +1,6 @@
 import {createManualClock} from '@gentianshunt/clock';
-import type {AdmissionPolicy} from '@gentianshunt/controlModel';
+import {DEFAULT_LOG_BOUNDS} from '@gentianshunt/controlModel';
+import type {AdmissionPolicy, LogBounds} from '@gentianshunt/controlModel';
 import {toIdentifier} from '@gentianshunt/identifiers';
 import type {NodeId, OperatorId, RequestId} from '@gentianshunt/identifiers';
 import type {EntryToControl} from '@gentianshunt/messages';
@@ -31,18 +32,23 @@
 }
 
 /** Starts members of a group that only listed nodes belong to. */
-export function createTestDeployment(count: number): TestDeployment {
-  return createDeployment(count, {kind: 'listed'});
+export function createTestDeployment(
+  count: number,
+  logBounds: LogBounds = DEFAULT_LOG_BOUNDS,
+): TestDeployment {
+  return createDeployment(count, {kind: 'listed'}, logBounds);
 }
 
 /** Starts nodes that bootstrap a group that any node may join. */
 export function createOpenDeployment(count: number): TestDeployment {
-  return createDeployment(count, {kind: 'open', mayBootstrap: true});
+  const admission = {kind: 'open', mayBootstrap: true} as const;
+  return createDeployment(count, admission, DEFAULT_LOG_BOUNDS);
 }
 
 function createDeployment(
   count: number,
   admission: AdmissionPolicy,
+  logBounds: LogBounds,
 ): TestDeployment {
   const clock = createManualClock();
   const inFlight: TestMessage[] = [];
@@ -58,6 +64,7 @@
       node,
       members: nodes,
       admission: ownAdmission,
+      logBounds,
       clock,
       send: message => inFlight.push(message),
     });
--- a/control/controlNode/test/fixture.ts
+++ b/control/controlNode/test/fixture.ts
@@ -1,6 +1,7 @@
 import {createManualClock} from '@gentianshunt/clock';
 import type {ManualClock} from '@gentianshunt/clock';
 import type {ObjectCommand} from '@gentianshunt/configuration';
+import {DEFAULT_LOG_BOUNDS} from '@gentianshunt/controlModel';
 import type {Ballot, ControlEffect} from '@gentianshunt/controlModel';
 import type {
   ControlToEntry,
@@ -53,6 +54,7 @@
       admission: {kind: 'listed'},
       storage: toIdentifier('folder'),
       seed: 1,
+      logBounds: DEFAULT_LOG_BOUNDS,
     },
     clock,
     perform: effect => perform(effect),
--- a/control/controlNode/test/memberFixture.ts
+++ b/control/controlNode/test/memberFixture.ts
@@ -3,6 +3,7 @@
   AdmissionPolicy,
   ControlEffect,
   HaltReason,
+  LogBounds,
   PersistBatch,
 } from '@gentianshunt/controlModel';
 import {assertNever} from '@gentianshunt/errors';
@@ -49,6 +50,10 @@
   sync(): void;
   /** Lets each write to the folder fail, or succeed again. */
   setDiskFull(isFull: boolean): void;
+  /** Lets no sync end, or all again. */
+  setDiskStalled(isStalled: boolean): void;
+  /** Lists the batches that are not synced. */
+  listQueued(): readonly PersistBatch[];
   fireDueTimers(): void;
   receive(message: TestMessage): void;
 }
@@ -58,18 +63,20 @@
   readonly node: NodeId;
   readonly members: readonly NodeId[];
   readonly admission: AdmissionPolicy;
+  readonly logBounds: LogBounds;
   readonly clock: ManualClock;
   readonly send: (message: TestMessage) => void;
 }
 
 /** Creates a member without starting it. */
 export function createTestMember(options: TestMemberOptions): TestMember {
-  const {node, members, admission, clock, send} = options;
+  const {node, members, admission, logBounds, clock, send} = options;
   const replies: ControlToEntry[] = [];
   const timers = new Map<string, {readonly dueAt: number; fire(): void}>();
   let queued: PersistBatch[] = [];
   let folders = 0;
   let isDiskFull = false;
+  let isDiskStalled = false;
   let loop: ControlNode | undefined;
   let haltReason: HaltReason | undefined;
 
@@ -139,6 +146,7 @@
           admission,
           storage: folder.storage,
           seed: members.indexOf(node) + 1,
+          logBounds,
         },
         clock,
         capture: {intervalEntries: CAPTURE_INTERVAL_ENTRIES},
@@ -154,7 +162,14 @@
     setDiskFull: value => {
       isDiskFull = value;
     },
+    setDiskStalled: value => {
+      isDiskStalled = value;
+    },
+    listQueued: () => queued,
     sync: () => {
+      if (isDiskStalled) {
+        return;
+      }
       if (isDiskFull && queued.length > 0) {
         crash();
         return;
--- a/control/stateMachine/src/captureController.ts
+++ b/control/stateMachine/src/captureController.ts
@@ -1,5 +1,11 @@
-import {defineControlController} from '@gentianshunt/controlModel';
-import type {ControlController} from '@gentianshunt/controlModel';
+import type {BoardView} from '@gentianshunt/board';
+import {defineControlController, measureLog} from '@gentianshunt/controlModel';
+import type {
+  ControlController,
+  ControlSections,
+  LogBounds,
+  LogUsageBoard,
+} from '@gentianshunt/controlModel';
 
 import {STATE_SECTIONS} from './stateSections.js';
 import type {StateWrites} from './stateSections.js';
@@ -14,29 +20,74 @@
   readonly intervalEntries?: number;
 }
 
-/** Creates the controller that captures the applied state for a snapshot. */
+type CaptureReads =
+  | StateWrites
+  | keyof LogUsageBoard
+  | 'identity'
+  | 'snapshotBytes'
+  | 'unsyncedBatches';
+type CaptureBoard = Pick<BoardView<ControlSections>, CaptureReads>;
+
+/**
+ * Creates the controller that captures the applied state for a snapshot, by
+ * the number and the bytes of the log entries since the last one.
+ */
 export function createCaptureController(
   options: CaptureOptions = {},
 ): ControlController {
-  const interval = options.intervalEntries ?? SNAPSHOT_INTERVAL_LOG_ENTRIES;
-  return defineControlController<StateWrites | 'snapshot', 'capturedState'>({
+  const intervalEntries =
+    options.intervalEntries ?? SNAPSHOT_INTERVAL_LOG_ENTRIES;
+  return defineControlController<CaptureReads, 'capturedState'>({
     name: 'capture',
-    reads: ['snapshot', ...STATE_SECTIONS],
+    reads: [
+      'identity',
+      'logStatus',
+      'logOffsets',
+      'snapshot',
+      'snapshotBytes',
+      'unsyncedBatches',
+      ...STATE_SECTIONS,
+    ],
     writes: ['capturedState'],
     observes: [],
-    run: view => {
-      const {applied, snapshot} = view.board;
-      if (applied.index - (snapshot?.index ?? 0) < interval) {
+    run: ({board}) => {
+      if (!isDue(board, intervalEntries) || isCompacting(board)) {
         return [];
       }
-      const items = listSnapshotItems(view.board);
-      return [
-        {
-          kind: 'set',
-          section: 'capturedState',
-          value: {index: applied.index, items},
-        },
-      ];
+      const {index} = board.applied;
+      const value = {index, items: listSnapshotItems(board)};
+      return [{kind: 'set', section: 'capturedState', value}];
     },
   });
 }
+
+function isDue(board: CaptureBoard, intervalEntries: number): boolean {
+  const {applied, snapshot, snapshotBytes, identity} = board;
+  const entries = applied.index - (snapshot?.index ?? 0);
+  const intervalBytes = computeIntervalBytes(identity.logBounds, snapshotBytes);
+  return (
+    entries >= intervalEntries ||
+    measureLog(board).sinceSnapshotBytes >= intervalBytes
+  );
+}
+
+/** Spreads the cost of a large snapshot over as many bytes of the log. */
+function computeIntervalBytes(
+  {minSnapshotIntervalBytes, maxSnapshotIntervalBytes}: LogBounds,
+  snapshotBytes: number,
+): number {
+  return Math.min(
+    maxSnapshotIntervalBytes,
+    Math.max(minSnapshotIntervalBytes, snapshotBytes),
+  );
+}
+
+/** Returns whether the last snapshot is still being written. */
+function isCompacting({unsyncedBatches}: CaptureBoard): boolean {
+  for (const {value} of unsyncedBatches.iterateFrom()) {
+    if (value.kind === 'compact') {
+      return true;
+    }
+  }
+  return false;
+}
--- a/control/stateMachine/test/stateMachine.test.ts
+++ b/control/stateMachine/test/stateMachine.test.ts
@@ -13,7 +13,10 @@
 
 import {createControlLoop, defineController} from '@gentianshunt/board';
 import {createManualClock} from '@gentianshunt/clock';
-import {createControlSections} from '@gentianshunt/controlModel';
+import {
+  createControlSections,
+  DEFAULT_LOG_BOUNDS,
+} from '@gentianshunt/controlModel';
 import type {
   ControlEffect,
   ControlObservation,
@@ -79,6 +82,7 @@
       admission: {kind: 'listed'},
       storage: toIdentifier('folder'),
       seed: 1,
+      logBounds: DEFAULT_LOG_BOUNDS,
     }),
     controllers: [createFakeLog(groups), createStateMachineController()],
     clock: createManualClock(),
--- a/daemons/controld/src/controld.ts
+++ b/daemons/controld/src/controld.ts
@@ -11,6 +11,8 @@
 import {fastify} from 'fastify';
 import type {FastifyInstance} from 'fastify';
 
+const BYTES_PER_MB = 1_024 * 1_024;
+
 /** Options of a control daemon. */
 export interface ControldOptions {
   readonly settings: ControldSettings;
@@ -44,6 +46,10 @@
       members: settings.control.map(member => member.node),
       admission: {kind: 'listed'},
       dataFolder: settings.data_folder,
+      resources: {
+        memoryBytes: settings.limits.memory_mb * BYTES_PER_MB,
+        diskBytes: settings.limits.disk_mb * BYTES_PER_MB,
+      },
       clock: createSystemClock(),
       sendToMember: (to, envelope) => {
         const member = settings.control.find(({node}) => node === to);
--- a/daemons/hosts/src/controlHost.ts
+++ b/daemons/hosts/src/controlHost.ts
@@ -1,4 +1,5 @@
 import type {Clock} from '@gentianshunt/clock';
+import {planLogBounds} from '@gentianshunt/controlModel';
 import type {
   AdmissionPolicy,
   ControlDecision,
@@ -6,6 +7,7 @@
   ControlObservation,
   ControlTimer,
   HaltReason,
+  LogResources,
 } from '@gentianshunt/controlModel';
 import {createControlNode} from '@gentianshunt/controlNode';
 import type {ControlNode} from '@gentianshunt/controlNode';
@@ -34,6 +36,8 @@
   readonly members: readonly NodeId[];
   readonly admission: AdmissionPolicy;
   readonly dataFolder: string;
+  /** What the member may use of the VM; bounds the bytes of its log. */
+  readonly resources: LogResources;
   /** Opens the data folder; that of the file system by default. */
   readonly openFolder?: (path: string) => Promise<StorageFolder>;
   readonly clock: Clock;
@@ -96,6 +100,7 @@
       admission: options.admission,
       storage: logFile.storage,
       seed: drawSeed(),
+      logBounds: planLogBounds(options.resources),
     },
     clock: options.clock,
     perform: effect => {
--- a/daemons/hosts/test/fullDisk.test.ts
+++ b/daemons/hosts/test/fullDisk.test.ts
@@ -14,6 +14,7 @@
 
 const NODE = toIdentifier<NodeId>('control-0');
 const ENTRY = toIdentifier<NodeId>('entry-0');
+const BYTES_PER_MB = 1_024 * 1_024;
 const FULL_MS = 2_500;
 /** The member restarts a second after a failure and then elects itself. */
 const RECOVERY_MS = 6_000;
@@ -85,6 +86,7 @@
     members: [NODE],
     admission: {kind: 'open', mayBootstrap: true},
     dataFolder,
+    resources: {memoryBytes: 512 * BYTES_PER_MB, diskBytes: 64 * BYTES_PER_MB},
     openFolder: folder.open,
     clock: createSystemClock(),
     sendToMember: () => undefined,
--- a/daemons/settings/src/schema.ts
+++ b/daemons/settings/src/schema.ts
@@ -68,6 +68,14 @@
   data_folder: z.string().min(1),
   /** Address of the metrics and health routes; not served if omitted. */
   http: address.optional(),
+  limits: z
+    .strictObject({
+      /** Memory of the process, in units of 1024 x 1024 bytes. */
+      memory_mb: z.int().min(150).default(512),
+      /** Space for the data folder, in the same units. */
+      disk_mb: z.int().min(64).default(1_024),
+    })
+    .prefault({}),
 });
 
 /** Settings of an entry daemon. */
