--- a/control/controlModel/src/stateRecords.ts
+++ b/control/controlModel/src/stateRecords.ts
@@ -66,7 +66,7 @@
   readonly answerBytes: number;
 }
 
-/** The number of changes kept in the history and in command answers. */
+/** The changes kept in the history and in command answers. */
 export interface ChangeUsage {
   readonly history: number;
   readonly commands: number;
--- a/control/stateMachine/src/applyCommand.ts
+++ b/control/stateMachine/src/applyCommand.ts
@@ -1,15 +1,19 @@
 import {applyBatch, formatObjectKey} from '@gentianshunt/configuration';
 import {MAX_COMMAND_GAP} from '@gentianshunt/controlModel';
+import type {ConfigurationChange} from '@gentianshunt/configuration';
 import type {CommandRecord} from '@gentianshunt/controlModel';
 import type {LogEntry, LogPayload} from '@gentianshunt/messages';
 
 import {changeConfiguration} from './changeConfiguration.js';
+import {addChangeUsage, removeChangeUsage} from './changeUsage.js';
 import type {StateDraft} from './stateDraft.js';
 
 /** Maximum number of stored commands; lower numbers are refused. */
 export const MAX_COMMANDS = 10_000;
 /** Maximum number of changes in the answers of all stored commands. */
 export const MAX_COMMAND_CHANGES = 100_000;
+/** Maximum size of the changes in the answers of all stored commands, in bytes. */
+export const MAX_COMMAND_BYTES = 4 * 1_024 * 1_024;
 
 type CommandPayload = Extract<LogPayload, {readonly kind: 'command'}>;
 type AssignPayload = Extract<LogPayload, {readonly kind: 'assignSetLeader'}>;
@@ -45,7 +49,7 @@
     answer: {kind: 'applied', number, version: entry.index, result},
   };
   draft.commands.put(number, record);
-  updateCommandChanges(draft, readChangeCount(record));
+  addChangeUsage(draft, 'commands', listAnswerChanges(record));
   draft.nextCommand = Math.max(draft.nextCommand, number + 1);
   removeOldestCommands(draft);
 }
@@ -57,24 +61,22 @@
 function removeOldestCommands(draft: StateDraft): void {
   while (
     draft.commands.size > MAX_COMMANDS ||
-    draft.changeUsage.commands > MAX_COMMAND_CHANGES
+    draft.changeUsage.commands > MAX_COMMAND_CHANGES ||
+    (draft.changeBytes.commands > MAX_COMMAND_BYTES && draft.commands.size > 1)
   ) {
     const [lowest] = draft.commands.iterateFrom();
     draft.commands.delete(lowest!.key);
-    updateCommandChanges(draft, -readChangeCount(lowest!.value));
+    removeChangeUsage(draft, 'commands', listAnswerChanges(lowest!.value));
     draft.commandFloor = lowest!.key + 1;
   }
 }
 
-function updateCommandChanges(draft: StateDraft, added: number): void {
-  const {commands} = draft.changeUsage;
-  draft.changeUsage = {...draft.changeUsage, commands: commands + added};
-}
-
-function readChangeCount({answer}: CommandRecord): number {
+function listAnswerChanges({
+  answer,
+}: CommandRecord): readonly ConfigurationChange[] {
   return answer.kind === 'applied' && answer.result.kind === 'accepted'
-    ? answer.result.changes.length
-    : 0;
+    ? answer.result.changes
+    : [];
 }
 
 /** Assigns a leader with a new epoch to a set. */
--- a/control/stateMachine/src/stateDraft.ts
+++ b/control/stateMachine/src/stateDraft.ts
@@ -47,6 +47,7 @@
   nextCommand: CommandNumber;
   commandFloor: CommandNumber;
   changeUsage: ChangeUsage;
+  changeBytes: ChangeUsage;
   claimUsage: ClaimUsage;
   weightStore: TokenBucket;
   source: ConfigurationSource;
@@ -71,6 +72,7 @@
     nextCommand: board.nextCommand,
     commandFloor: board.commandFloor,
     changeUsage: board.changeUsage,
+    changeBytes: board.changeBytes,
     claimUsage: board.claimUsage,
     weightStore: board.weightStore,
     source: board.source,
@@ -139,6 +141,10 @@
     const value = draft.changeUsage;
     writes.push({kind: 'set', section: 'changeUsage', value});
   }
+  if (draft.changeBytes !== board.changeBytes) {
+    const value = draft.changeBytes;
+    writes.push({kind: 'set', section: 'changeBytes', value});
+  }
   if (claimUsage !== board.claimUsage) {
     writes.push({kind: 'set', section: 'claimUsage', value: claimUsage});
   }
--- a/control/stateMachine/src/stateSections.ts
+++ b/control/stateMachine/src/stateSections.ts
@@ -19,6 +19,7 @@
   'commands',
   'commandFloor',
   'changeUsage',
+  'changeBytes',
   'nextCommand',
   'weightStore',
   'claims',
