Append a document that waits only once

A replacement was proposed once for each correlation and again after 2 s. An operator resends a version through other daemons with new correlations, and entries resend every 250 ms, so the log received the same document several times just when it was slow to commit, without any bound on what was not committed.

A replacement is not appended while the log holds the same or a later version that is not applied; once applied, that one answers the request by its version. Nor is it appended while the bytes that wait for the group or the disk exceed their bound; the entry's resend decides again, so a burst is slowed.

--- a/control/entrySessions/src/proposalController.ts
+++ b/control/entrySessions/src/proposalController.ts
@@ -22,9 +22,12 @@
   toPendingRequest,
 } from './pendingReplies.js';
 import type {ReplyBoard} from './pendingReplies.js';
+import {proposeReplacement} from './replacementProposals.js';
+import type {ReplacementBoard} from './replacementProposals.js';
 
 type ProposalReads =
   | keyof ReplyBoard
+  | keyof ReplacementBoard
   | 'runningClaims'
   | 'configuration'
   | 'weightStore'
@@ -41,6 +44,11 @@
     name: 'proposals',
     reads: [
       ...REPLY_SECTIONS,
+      'identity',
+      'log',
+      'logOffsets',
+      'logStatus',
+      'snapshot',
       'runningClaims',
       'configuration',
       'weightStore',
@@ -120,7 +128,8 @@
   const request = toPendingRequest(from, message);
   const isHandled =
     request === undefined ||
-    isRecentlyProposed(view.board, request, now) ||
+    (request.kind !== 'replacement' &&
+      isRecentlyProposed(view.board, request, now)) ||
     findReply(view.board, request, now) !== undefined;
   return isHandled ? [] : toPayloads(view, from, message, now);
 }
@@ -138,7 +147,7 @@
       return [{kind: 'command', command: message.command, setsInUse}];
     }
     case 'replacementRequest':
-      return [{kind: 'replaceConfiguration', replacement: message.replacement}];
+      return proposeReplacement(view.board, message.replacement);
     case 'claimRequest': {
       const session = view.board.sessions.get(from);
       if (session === undefined) {
