--- a/control/consensus/src/compaction.ts
+++ b/control/consensus/src/compaction.ts
@@ -21,8 +21,7 @@
     {index, members},
     ...memberships.filter(membership => membership.index > index),
   ]);
-  const {retainedBytes} = draft.view.board.identity.logBounds;
-  const baseIndex = findRetainedIndex(draft, index, retainedBytes);
+  const baseIndex = findBaseIndex(draft, index);
   draft.log.discardThrough({
     index: baseIndex,
     term: draft.log.readTerm(baseIndex)!,
@@ -30,6 +29,21 @@
   draft.disk.compact();
 }
 
+/**
+ * Finds the index up to which entries may be discarded. What a follower needs
+ * after the snapshot that it receives is kept, within bounds.
+ */
+function findBaseIndex(draft: ConsensusDraft, index: LogIndex): LogIndex {
+  const {logBounds} = draft.view.board.identity;
+  const retained = findRetainedIndex(draft, index, logBounds.retainedBytes);
+  const transferred = findTransferIndex(draft) ?? retained;
+  if (transferred >= retained) {
+    return retained;
+  }
+  const bytes = draft.log.measureBytes(transferred, index);
+  return bytes <= logBounds.transferBytes ? transferred : retained;
+}
+
 /** Finds the index after which the entries up to another one fit in bounds. */
 function findRetainedIndex(
   draft: ConsensusDraft,
@@ -46,3 +60,11 @@
   }
   return retained;
 }
+
+/** Finds the last index of the oldest snapshot that is being sent. */
+function findTransferIndex(draft: ConsensusDraft): LogIndex | undefined {
+  const indices = [...draft.view.board.followerProgress.values()].flatMap(
+    ({transfer}) => (transfer === null ? [] : [transfer.snapshot.index]),
+  );
+  return indices.length === 0 ? undefined : Math.min(...indices);
+}
--- a/control/consensus/src/replication.ts
+++ b/control/consensus/src/replication.ts
@@ -1,16 +1,22 @@
 import type {TurnTime} from '@gentianshunt/board';
+import type {Milliseconds} from '@gentianshunt/clock';
 import type {FollowerProgress} from '@gentianshunt/controlModel';
+import {measureItems} from '@gentianshunt/messages';
 import type {LogIndex, Member} from '@gentianshunt/messages';
 
 import type {ConsensusDraft} from './consensusDraft.js';
 import type {AppendReply} from './messageTypes.js';
-import {RETRANSMIT_MS} from './timing.js';
-import {resendChunk, startTransfer} from './snapshotSender.js';
+import {RETRANSMIT_MS, SLOW_LINK_BYTES_PER_MS} from './timing.js';
+import {listChunkItems, resendChunk, startTransfer} from './snapshotSender.js';
 
 /** Maximum number of entries in one append request. */
 export const MAX_ENTRIES_PER_APPEND = 256;
+/** Maximum size of one append request with several entries, in bytes. */
+export const MAX_APPEND_BYTES = 128 * 1_024;
 /** Maximum number of unanswered append requests with entries. */
 export const MAX_APPENDS_IN_FLIGHT = 2;
+/** Unanswered bytes at which no further append request is sent. */
+export const MAX_BYTES_IN_FLIGHT = 128 * 1_024;
 
 /**
  * Sends a follower the next entries, up to the in-flight limit, or a snapshot
@@ -25,6 +31,7 @@
   const isDue =
     progress.nextIndex <= draft.status.lastIndex &&
     progress.inFlight.length < MAX_APPENDS_IN_FLIGHT &&
+    measureBytesInFlight(draft, progress) < MAX_BYTES_IN_FLIGHT &&
     progress.transfer === null;
   if (!isDue) {
     return;
@@ -33,10 +40,10 @@
     startTransfer(draft, peer, now);
     return;
   }
-  const entries = draft.log.listEntries(
-    progress.nextIndex,
-    MAX_ENTRIES_PER_APPEND,
-  );
+  const entries = draft.log.listEntriesWithin(progress.nextIndex, {
+    entries: MAX_ENTRIES_PER_APPEND,
+    bytes: MAX_APPEND_BYTES,
+  });
   const lastIndex = entries[entries.length - 1]!.index;
   draft.progress.put(peer.node, {
     ...progress,
@@ -48,6 +55,16 @@
   sendAppendRequest(draft, peer, progress.nextIndex - 1, entries.length, now);
 }
 
+/** Measures the bytes of the entries that are sent and not answered. */
+function measureBytesInFlight(
+  draft: ConsensusDraft,
+  {inFlight, matchIndex, nextIndex}: FollowerProgress,
+): number {
+  return inFlight.length === 0
+    ? 0
+    : draft.log.measureBytes(matchIndex, nextIndex - 1);
+}
+
 function sendAppendRequest(
   draft: ConsensusDraft,
   peer: Member,
@@ -82,7 +99,8 @@
   const isUnacknowledged =
     progress.inFlight.length > 0 || progress.transfer !== null;
   const isRetransmitDue =
-    now.monotonic - progress.progressedAt >= RETRANSMIT_MS;
+    now.monotonic - progress.progressedAt >=
+    RETRANSMIT_MS + computeTransmitMs(draft, progress);
   if (isUnacknowledged && isRetransmitDue) {
     resend(draft, peer, progress, now);
     return;
@@ -92,6 +110,19 @@
   sendAppendRequest(draft, peer, isKnown ? previousIndex : 0, 0, now);
 }
 
+/** Computes how long a slow link takes to carry what is not answered. */
+function computeTransmitMs(
+  draft: ConsensusDraft,
+  progress: FollowerProgress,
+): Milliseconds {
+  const {transfer} = progress;
+  const bytes =
+    transfer === null
+      ? measureBytesInFlight(draft, progress)
+      : measureItems(listChunkItems(transfer));
+  return bytes / SLOW_LINK_BYTES_PER_MS;
+}
+
 function resend(
   draft: ConsensusDraft,
   peer: Member,
@@ -135,7 +166,8 @@
 ): FollowerProgress {
   const matchIndex = Math.max(progress.matchIndex, index);
   const {transfer} = progress;
-  const isTransferred = transfer !== null && matchIndex >= transfer.index;
+  const isTransferred =
+    transfer !== null && matchIndex >= transfer.snapshot.index;
   return {
     ...progress,
     transfer: isTransferred ? null : transfer,
--- a/control/consensus/src/snapshotSender.ts
+++ b/control/consensus/src/snapshotSender.ts
@@ -3,13 +3,16 @@
   FollowerProgress,
   SnapshotTransfer,
 } from '@gentianshunt/controlModel';
-import type {Member} from '@gentianshunt/messages';
+import {measureValue} from '@gentianshunt/messages';
+import type {Member, SnapshotItem} from '@gentianshunt/messages';
 
 import type {ConsensusDraft} from './consensusDraft.js';
 import type {SnapshotChunkReply} from './messageTypes.js';
 
 /** Maximum number of snapshot items in one chunk. */
 export const MAX_ITEMS_PER_CHUNK = 256;
+/** Maximum size of one chunk that holds several items, in bytes. */
+export const MAX_CHUNK_BYTES = 128 * 1_024;
 
 /** Starts to send the latest snapshot to a follower that lacks old entries. */
 export function startTransfer(
@@ -17,8 +20,8 @@
   peer: Member,
   now: TurnTime,
 ): void {
-  const {index} = draft.read('snapshot')!;
-  sendChunk(draft, peer, {index, offset: 0}, now);
+  const snapshot = draft.read('snapshot')!;
+  sendChunk(draft, peer, {snapshot, offset: 0}, now);
 }
 
 /** Resends the chunk that has not been acknowledged. */
@@ -32,24 +35,38 @@
 }
 
 /**
- * Sends a chunk of the latest snapshot. The transfer starts again at the first
- * item if the snapshot has changed.
+ * Lists the items of the chunk that a transfer sends next. The transfer goes
+ * on with its snapshot when a later one is captured: a slow follower would
+ * otherwise start again with each capture.
  */
+export function listChunkItems({
+  snapshot,
+  offset,
+}: SnapshotTransfer): readonly SnapshotItem[] {
+  const items = snapshot.items.slice(offset, offset + MAX_ITEMS_PER_CHUNK);
+  let bytes = 0;
+  const end = items.findIndex((item, position) => {
+    bytes += measureValue(item);
+    return position > 0 && bytes > MAX_CHUNK_BYTES;
+  });
+  return end < 0 ? items : items.slice(0, end);
+}
+
+/** Sends a chunk of the snapshot of a transfer. */
 function sendChunk(
   draft: ConsensusDraft,
   peer: Member,
-  wanted: SnapshotTransfer,
+  transfer: SnapshotTransfer,
   now: TurnTime,
 ): void {
-  const {items, ...header} = draft.read('snapshot')!;
-  const isCurrent = wanted.index === header.index;
-  const offset = isCurrent ? wanted.offset : 0;
-  const end = offset + MAX_ITEMS_PER_CHUNK;
+  const {snapshot, offset} = transfer;
+  const {items: allItems, ...header} = snapshot;
+  const items = listChunkItems(transfer);
   draft.progress.put(peer.node, {
     ...draft.progress.get(peer.node)!,
     inFlight: [],
     progressedAt: now.monotonic,
-    transfer: {index: header.index, offset},
+    transfer,
   });
   draft.send(
     {node: peer.node, storage: peer.storage},
@@ -58,8 +75,8 @@
       term: draft.ballot.term,
       header,
       offset,
-      items: items.slice(offset, end),
-      isLast: end >= items.length,
+      items,
+      isLast: offset + items.length >= allItems.length,
       sentAt: Math.floor(now.monotonic),
     },
   );
@@ -76,7 +93,7 @@
   const confirmedAt = Math.max(progress.confirmedAt, reply.sentAt);
   draft.progress.put(peer.node, {...progress, confirmedAt});
   const {transfer} = progress;
-  if (transfer === null || transfer.index !== reply.index) {
+  if (transfer === null || transfer.snapshot.index !== reply.index) {
     return;
   }
   const isDuplicate = reply.received === transfer.offset;
--- a/control/consensus/src/timing.ts
+++ b/control/consensus/src/timing.ts
@@ -27,6 +27,8 @@
 export const LEADER_LEASE_MS: Milliseconds = 0.8 * LEADER_STICKINESS_MS;
 /** Time without progress after which entries or a chunk are resent. */
 export const RETRANSMIT_MS: Milliseconds = 500;
+/** Rate of a slow link, by which a resend of many bytes is delayed. */
+export const SLOW_LINK_BYTES_PER_MS = 1_000;
 /** Time between two hellos of a member whose start check is not over. */
 export const HELLO_INTERVAL_MS: Milliseconds = 200;
 /**
--- a/control/controlModel/src/role.ts
+++ b/control/controlModel/src/role.ts
@@ -6,6 +6,7 @@
   RememberedPosition,
   SnapshotHeader,
   SnapshotItem,
+  StateSnapshot,
   StorageId,
   Term,
 } from '@gentianshunt/messages';
@@ -59,8 +60,8 @@
 
 /** The transfer of a snapshot to a follower. */
 export interface SnapshotTransfer {
-  /** The snapshot's last log index. */
-  readonly index: LogIndex;
+  /** The snapshot that was the latest one when the transfer began. */
+  readonly snapshot: StateSnapshot;
   /** The number of items that the follower has acknowledged. */
   readonly offset: number;
 }
