Write large files in pieces, and free what was read

Files are encoded in pieces of 1 MiB, byte strings are copied when they are decoded, and of several compactions that wait only the last one is written.

--- a/storage/logFile/src/atomicFile.ts
+++ b/storage/logFile/src/atomicFile.ts
@@ -1,16 +1,23 @@
 import {CorruptLogError} from './logFileErrors.js';
-import {decodeRecords, encodeRecords} from './record.js';
+import {decodeRecords, iteratePieces} from './record.js';
 import type {StoredRecord} from './record.js';
 import type {StorageFile, StorageFolder} from './storageFolder.js';
 
 /** Suffix of a file that is being written and not yet renamed. */
 export const TEMPORARY_SUFFIX = '.new';
 
-/** Appends all bytes, repeating the append after short writes. */
-export async function appendAll(
+/** Appends the records of one write, a piece at a time. */
+export async function appendRecords(
   file: StorageFile,
-  bytes: Buffer,
+  records: Iterable<StoredRecord>,
 ): Promise<void> {
+  for (const piece of iteratePieces(records)) {
+    await appendAll(file, piece);
+  }
+}
+
+/** Appends all bytes, repeating the append after short writes. */
+async function appendAll(file: StorageFile, bytes: Buffer): Promise<void> {
   let offset = 0;
   while (offset < bytes.length) {
     offset += await file.append(bytes.subarray(offset));
@@ -21,13 +28,13 @@
 export async function writeFileAtomically(
   folder: StorageFolder,
   name: string,
-  records: readonly StoredRecord[],
+  records: Iterable<StoredRecord>,
 ): Promise<void> {
   const temporaryName = `${name}${TEMPORARY_SUFFIX}`;
   const file = await folder.openFile(temporaryName);
   try {
     await file.truncate(0);
-    await appendAll(file, encodeRecords(records));
+    await appendRecords(file, records);
     await file.sync();
   } finally {
     await file.close();
--- a/storage/logFile/src/logFile.ts
+++ b/storage/logFile/src/logFile.ts
@@ -10,10 +10,9 @@
   SNAPSHOT_FILE_NAME,
 } from './readFolder.js';
 import type {StoredLog} from './readFolder.js';
-import {encodeRecords} from './record.js';
 import type {StoredRecord} from './record.js';
 import type {StorageFile, StorageFolder} from './storageFolder.js';
-import {appendAll, writeFileAtomically} from './atomicFile.js';
+import {appendRecords, writeFileAtomically} from './atomicFile.js';
 
 type AppendBatch = Extract<PersistBatch, {readonly kind: 'append'}>;
 type CompactBatch = Extract<PersistBatch, {readonly kind: 'compact'}>;
@@ -72,7 +71,7 @@
     append: async batches => {
       const records = batches.flatMap(listAppendRecords);
       if (records.length > 0) {
-        await appendAll(file, encodeRecords(records));
+        await appendRecords(file, records);
         await file.sync();
       }
     },
@@ -126,11 +125,15 @@
   };
 }
 
-/** Writes batches in order; consecutive appends share one sync. */
+/**
+ * Writes batches in order; consecutive appends share one sync. A compaction
+ * contains everything that the batches before it contain.
+ */
 async function writeBatches(
   writer: LogWriter,
   batches: readonly PersistBatch[],
 ): Promise<void> {
+  let compaction: CompactBatch | undefined = undefined;
   let appends: AppendBatch[] = [];
   for (const batch of batches) {
     switch (batch.kind) {
@@ -138,14 +141,16 @@
         appends.push(batch);
         break;
       case 'compact':
-        // A compaction contains everything that the earlier appends contain.
+        compaction = batch;
         appends = [];
-        await writer.compact(batch);
         break;
       default:
         assertNever(batch, 'writeBatches');
     }
   }
+  if (compaction !== undefined) {
+    await writer.compact(compaction);
+  }
   await writer.append(appends);
 }
 
--- a/storage/logFile/src/record.ts
+++ b/storage/logFile/src/record.ts
@@ -29,6 +29,9 @@
 /** Bytes of the marker, length and checksum before the content. */
 export const RECORD_HEADER_BYTES = CHECKSUM_OFFSET + 4;
 
+/** Size of the pieces in which the records of one write are encoded. */
+export const PIECE_BYTES = 1_024 * 1_024;
+
 /** Encodes a record with its header. */
 export function encodeRecord(record: StoredRecord): Buffer {
   const content = encodeValue(record);
@@ -40,9 +43,26 @@
   return bytes;
 }
 
-/** Encodes the records of one write, followed by an `end` record. */
-export function encodeRecords(records: readonly StoredRecord[]): Buffer {
-  return Buffer.concat([...records, {kind: 'end'} as const].map(encodeRecord));
+/**
+ * Encodes the records of one write, followed by an `end` record, in pieces of
+ * about `PIECE_BYTES`.
+ */
+export function* iteratePieces(
+  records: Iterable<StoredRecord>,
+): IterableIterator<Buffer> {
+  let encoded: Buffer[] = [];
+  let bytes = 0;
+  for (const record of records) {
+    const next = encodeRecord(record);
+    encoded.push(next);
+    bytes += next.length;
+    if (bytes >= PIECE_BYTES) {
+      yield Buffer.concat(encoded);
+      encoded = [];
+      bytes = 0;
+    }
+  }
+  yield Buffer.concat([...encoded, encodeRecord({kind: 'end'})]);
 }
 
 /** Computes the checksum of the length and the content of a record. */
--- a/storage/logFile/test/diskFixture.ts
+++ b/storage/logFile/test/diskFixture.ts
@@ -22,6 +22,10 @@
   readFile(name: string): Buffer;
   writeFile(name: string, bytes: Buffer): void;
   copy(): FakeDisk;
+  /** Returns the most bytes that were appended at once. */
+  readLargestAppend(): number;
+  /** Counts how often a file was replaced by another one. */
+  countRenames(to: string): number;
 }
 
 /** Creates a disk, empty or with the given files. */
@@ -38,8 +42,11 @@
   let files = toFiles(initial);
   let syncedNames = new Map(files);
   let fault: DiskFault | null = null;
+  let largestAppend = 0;
+  const renames: string[] = [];
 
   const appendWithFault = (file: FakeFile, bytes: Buffer): number => {
+    largestAppend = Math.max(largestAppend, bytes.length);
     if (fault?.kind === 'diskFull') {
       const taken = bytes.subarray(0, fault.afterBytes);
       file.bytes = Buffer.concat([file.bytes, taken]);
@@ -76,6 +83,7 @@
     read: async name => files.get(name)!.bytes,
     openFile: async name => openFile(name),
     rename: async (from, to) => {
+      renames.push(to);
       files.set(to, files.get(from)!);
       files.delete(from);
     },
@@ -104,6 +112,8 @@
     writeFile: (name, bytes) => {
       files.set(name, {bytes, synced: bytes});
     },
+    readLargestAppend: () => largestAppend,
+    countRenames: to => renames.filter(name => name === to).length,
     copy: () =>
       createFakeDisk(
         new Map([...files].map(([name, {bytes}]) => [name, bytes])),
--- a/storage/logFile/test/logFixture.ts
+++ b/storage/logFile/test/logFixture.ts
@@ -46,6 +46,17 @@
   return {index, term, payload: {kind: 'noop'}};
 }
 
+/** Creates a log entry that holds a document of a size in bytes. */
+export function createDocumentEntry(index: number, bytes: number): LogEntry {
+  const source = new Uint8Array(bytes);
+  const replacement = {version: index, objects: [], source};
+  return {
+    index,
+    term: 1,
+    payload: {kind: 'replaceConfiguration', replacement},
+  };
+}
+
 /** Creates a batch that appends entries. */
 export function createAppendBatch(
   sequence: number,
--- a/transport/frames/src/frames.ts
+++ b/transport/frames/src/frames.ts
@@ -7,7 +7,12 @@
 /** Longest accepted content of a frame, in bytes. */
 export const MAX_FRAME_BYTES = 8 * 1024 * 1024;
 
-const codec = new Encoder({useRecords: false, tagUint8Array: false});
+const codec = new Encoder({
+  useRecords: false,
+  tagUint8Array: false,
+  // A view would keep the whole frame or file in memory.
+  copyBuffers: true,
+});
 
 /** Encodes a value without a frame header. */
 export function encodeValue(value: unknown): Buffer {
