--- a/bench/matrix/src/identities.ts
+++ b/bench/matrix/src/identities.ts
@@ -1,4 +1,5 @@
 import type {Milliseconds} from '@gentianshunt/clock';
+import {DEFAULT_LOG_BOUNDS} from '@gentianshunt/controlModel';
 import type {ControlIdentity} from '@gentianshunt/controlModel';
 import type {EntryIdentity} from '@gentianshunt/entryModel';
 import {toIdentifier} from '@gentianshunt/identifiers';
@@ -42,5 +43,6 @@
     admission: {kind: 'listed'},
     seed: Number(process.id.split('-')[1]) * 1_000 + process.incarnation,
     releaseApplyMs: RELEASE_APPLY_MS,
+    logBounds: DEFAULT_LOG_BOUNDS,
   };
 }
--- a/control/consensus/src/replication.ts
+++ b/control/consensus/src/replication.ts
@@ -1,19 +1,24 @@
 import type {TurnTime} from '@gentianshunt/board';
+import type {Milliseconds} from '@gentianshunt/clock';
 import type {FollowerProgress} from '@gentianshunt/controlModel';
-import {measureLogEntry} from '@gentianshunt/messages';
+import {measureItems} from '@gentianshunt/messages';
 import type {LogIndex, Member} from '@gentianshunt/messages';
 
 import type {ConsensusDraft} from './consensusDraft.js';
 import type {AppendReply} from './messageTypes.js';
-import {RETRANSMIT_MS} from './timing.js';
-import {resendChunk, startTransfer} from './snapshotSender.js';
+import {RETRANSMIT_MS, SLOW_LINK_BYTES_PER_MS} from './timing.js';
+import {listChunkItems, resendChunk, startTransfer} from './snapshotSender.js';
 
 /** Maximum number of entries in one append request. */
 export const MAX_ENTRIES_PER_APPEND = 256;
+/** Maximum size of one append request with several entries, in bytes. */
+export const MAX_APPEND_BYTES = 128 * 1_024;
 /** Maximum number of unanswered append requests with entries. */
 export const MAX_APPENDS_IN_FLIGHT = 2;
 /** Bytes of entries in flight that no later message overtakes. */
 const MAX_ORDERED_BYTES = 4 * 1_024;
+/** Unanswered bytes at which no further append request is sent. */
+export const MAX_BYTES_IN_FLIGHT = 128 * 1_024;
 
 /**
  * Sends a follower the next entries, up to the in-flight limit, or a snapshot
@@ -28,6 +33,7 @@
   const isDue =
     progress.nextIndex <= draft.status.lastIndex &&
     progress.inFlight.length < MAX_APPENDS_IN_FLIGHT &&
+    measureBytesInFlight(draft, progress) < MAX_BYTES_IN_FLIGHT &&
     progress.transfer === null;
   if (!isDue) {
     return;
@@ -36,10 +42,10 @@
     startTransfer(draft, peer, now);
     return;
   }
-  const entries = draft.log.listEntries(
-    progress.nextIndex,
-    MAX_ENTRIES_PER_APPEND,
-  );
+  const entries = draft.log.listEntriesWithin(progress.nextIndex, {
+    entries: MAX_ENTRIES_PER_APPEND,
+    bytes: MAX_APPEND_BYTES,
+  });
   const lastIndex = entries[entries.length - 1]!.index;
   draft.progress.put(peer.node, {
     ...progress,
@@ -51,6 +57,16 @@
   sendAppendRequest(draft, peer, progress.nextIndex - 1, entries.length, now);
 }
 
+/** Measures the bytes of the entries that are sent and not answered. */
+function measureBytesInFlight(
+  draft: ConsensusDraft,
+  {inFlight, matchIndex, nextIndex}: FollowerProgress,
+): number {
+  return inFlight.length === 0
+    ? 0
+    : draft.log.measureBytes(matchIndex, nextIndex - 1);
+}
+
 function sendAppendRequest(
   draft: ConsensusDraft,
   peer: Member,
@@ -85,7 +101,8 @@
   const isUnacknowledged =
     progress.inFlight.length > 0 || progress.transfer !== null;
   const isRetransmitDue =
-    now.monotonic - progress.progressedAt >= RETRANSMIT_MS;
+    now.monotonic - progress.progressedAt >=
+    RETRANSMIT_MS + computeTransmitMs(draft, progress);
   if (isUnacknowledged && isRetransmitDue) {
     resend(draft, peer, progress, now);
     return;
@@ -101,19 +118,17 @@
   sendAppendRequest(draft, peer, isKnown ? previousIndex : 0, 0, now);
 }
 
-/** Measures the bytes of the entries that are sent and not answered. */
-function measureBytesInFlight(
+/** Computes how long a slow link takes to carry what is not answered. */
+function computeTransmitMs(
   draft: ConsensusDraft,
-  {inFlight, matchIndex, nextIndex}: FollowerProgress,
-): number {
-  if (inFlight.length === 0) {
-    return 0;
-  }
-  // A compaction may have discarded entries that are still in flight.
-  const from = Math.max(matchIndex, draft.status.base.index);
-  return draft.log
-    .listEntries(from + 1, nextIndex - 1 - from)
-    .reduce((sum, entry) => sum + measureLogEntry(entry), 0);
+  progress: FollowerProgress,
+): Milliseconds {
+  const {transfer} = progress;
+  const bytes =
+    transfer === null
+      ? measureBytesInFlight(draft, progress)
+      : measureItems(listChunkItems(transfer));
+  return bytes / SLOW_LINK_BYTES_PER_MS;
 }
 
 function resend(
@@ -159,7 +174,8 @@
 ): FollowerProgress {
   const matchIndex = Math.max(progress.matchIndex, index);
   const {transfer} = progress;
-  const isTransferred = transfer !== null && matchIndex >= transfer.index;
+  const isTransferred =
+    transfer !== null && matchIndex >= transfer.snapshot.index;
   return {
     ...progress,
     transfer: isTransferred ? null : transfer,
--- a/control/controlDecisionLog/src/snapshotSending.ts
+++ b/control/controlDecisionLog/src/snapshotSending.ts
@@ -55,7 +55,7 @@
     }
     const transfer = progress?.transfer ?? null;
     if (transfer !== null) {
-      state.set(node, advanceSending(view, state.get(node), transfer, now));
+      state.set(node, advanceSending(state.get(node), transfer, now));
     }
   }
   return {state, decisions};
@@ -73,7 +73,7 @@
   if (transfer === null) {
     return matchIndex >= index ? 'completed' : 'abandoned';
   }
-  return transfer.index === index ? undefined : 'replaced';
+  return transfer.snapshot.index === index ? undefined : 'replaced';
 }
 
 function describeEnd(
@@ -95,14 +95,13 @@
 }
 
 function advanceSending(
-  {board}: SendingView,
   sending: SendingSnapshot | undefined,
-  {index, offset}: SnapshotTransfer,
+  {snapshot, offset}: SnapshotTransfer,
   now: TurnTime,
 ): SendingSnapshot {
   if (sending === undefined) {
-    const bytes =
-      board.snapshot === null ? 0 : measureSnapshotBytes(board.snapshot);
+    const {index} = snapshot;
+    const bytes = measureSnapshotBytes(snapshot);
     return {index, offset, bytes, chunks: 1, startedAt: now.monotonic};
   }
   return sending.offset === offset
--- a/control/controlModel/src/index.ts
+++ b/control/controlModel/src/index.ts
@@ -3,6 +3,8 @@
 export * from './decision.js';
 export * from './effect.js';
 export * from './logActivity.js';
+export * from './logBounds.js';
+export * from './logBytes.js';
 export * from './observation.js';
 export * from './releaseRecord.js';
 export * from './role.js';
--- a/control/messages/src/payloadBytes.ts
+++ b/control/messages/src/payloadBytes.ts
@@ -8,6 +8,8 @@
 
 /** Bytes of a number, a flag, or the header of any other value. */
 const VALUE_BYTES = 8;
+/** Average bytes of the name of a field. */
+const FIELD_NAME_BYTES = 8;
 /** Bytes of a log entry without what its payload carries. */
 const LOG_ENTRY_BYTES = 64;
 
@@ -35,8 +37,8 @@
 
 function measureRecord(record: object): number {
   let bytes = VALUE_BYTES;
-  for (const [name, value] of Object.entries(record)) {
-    bytes += name.length + measureValue(value);
+  for (const value of Object.values(record)) {
+    bytes += FIELD_NAME_BYTES + measureValue(value);
   }
   return bytes;
 }
--- a/daemons/hosts/test/folderRead.test.ts
+++ b/daemons/hosts/test/folderRead.test.ts
@@ -12,6 +12,7 @@
 import type {ControlHost} from '../src/index.js';
 
 const NODE = toIdentifier<NodeId>('control-0');
+const BYTES_PER_MB = 1_024 * 1_024;
 const ELECTION_POLL_MS = 50;
 const ELECTION_TIMEOUT_MS = 10_000;
 
@@ -29,6 +30,7 @@
     admission: {kind: 'listed'},
     releaseApplyMs: 2_000,
     dataFolder,
+    resources: {memoryBytes: 512 * BYTES_PER_MB, diskBytes: 64 * BYTES_PER_MB},
     clock: createSystemClock(),
     sendToMember: () => undefined,
     sendToEntry: () => undefined,
--- a/fronts/metrics/test/gauges.test.ts
+++ b/fronts/metrics/test/gauges.test.ts
@@ -3,7 +3,10 @@
 import {createLease, createManualClock, readInstant} from '@gentianshunt/clock';
 import {formatObjectKey, RELEASE_ID} from '@gentianshunt/configuration';
 import type {ConfigurationTable} from '@gentianshunt/configuration';
-import {createControlSections} from '@gentianshunt/controlModel';
+import {
+  createControlSections,
+  DEFAULT_LOG_BOUNDS,
+} from '@gentianshunt/controlModel';
 import {createEntrySections} from '@gentianshunt/entryModel';
 import type {EntrySections} from '@gentianshunt/entryModel';
 import {toIdentifier} from '@gentianshunt/identifiers';
@@ -34,12 +37,12 @@
     storage: toIdentifier('folder'),
     seed: 1,
     releaseApplyMs: 2_000,
+    logBounds: DEFAULT_LOG_BOUNDS,
   });
   const logUsage = {
     entries: 7,
     bytes: 600,
     sinceSnapshotBytes: 500,
-    lastIndex: 7,
     recordedBytes: 0,
   };
   return {
