--- a/control/controlNode/test/releaseDecisions.test.ts
+++ b/control/controlNode/test/releaseDecisions.test.ts
@@ -166,14 +166,17 @@
   const half = LOG_GROWTH_STEP_BYTES / 2;
   fixture.receive('entry-0', createReplacementRequest(7, ['gold'], half));
   t.notOk(listKinds(fixture.takeDecisions()).includes('logGrown'));
-  fixture.receive('entry-0', createReplacementRequest(8, ['silver'], half));
-  const sizes = fixture.readStored().entries.map(measureLogEntry);
-  const bytes = sizes.reduce((sum, size) => sum + size, 0);
-  t.ok(bytes >= LOG_GROWTH_STEP_BYTES);
+  const applied = fixture
+    .readStored()
+    .entries.reduce((sum, entry) => sum + measureLogEntry(entry), 0);
+  const request = createReplacementRequest(8, ['silver'], half);
+  const {replacement} = request;
+  const payload = {kind: 'replaceConfiguration', replacement} as const;
+  const appended = measureLogEntry({index: 0, term: 0, payload});
+  fixture.receive('entry-0', request);
   t.match(
     fixture.takeDecisions().find(({kind}) => kind === 'logGrown'),
-    // The latest entry is in the log, but not applied yet.
-    {bytes, sinceSnapshotBytes: bytes - sizes.at(-1)!},
+    {bytes: applied + appended, sinceSnapshotBytes: applied},
   );
 });
 
