--- a/control/controlNode/test/fixture.ts
+++ b/control/controlNode/test/fixture.ts
@@ -181,12 +181,18 @@
   };
 }
 
+/** The message with which an entry proposes a whole configuration. */
+export type ReplacementRequest = Extract<
+  EntryToControl,
+  {readonly kind: 'replacementRequest'}
+>;
+
 /** Creates an entry's request to replace the whole configuration. */
 export function createReplacementRequest(
   version: number,
   tiers: readonly string[],
   documentBytes = 10,
-): EntryToControl {
+): ReplacementRequest {
   const objects = tiers.flatMap((id, index) => {
     const command = createTierCommand(id, index + 1);
     return command.kind === 'put' ? [command.object] : [];
