Links: send a message above the bound alone, and count only short ones for short ones

And a short message counted the large ones of its link, so that it was dropped beside them once the bound was reached.

A large message may now wait when little else does, as the largest document may be held alone, and the 64 KiB of a link count its short messages only.

Test "a message above the bound is sent alone": neither the large message nor the short one after it arrived before.

--- a/transport/peerLinks/src/link.ts
+++ b/transport/peerLinks/src/link.ts
@@ -34,8 +34,8 @@
 export interface LinkOptions {
   readonly socket: Socket;
   readonly self: NodeId;
-  /** Returns whether a link that has so much queued may queue a message. */
-  readonly canQueue: (linkBytes: number, message: OutgoingMessage) => boolean;
+  /** Returns whether a message may wait, given the link's short messages. */
+  readonly canQueue: (shortBytes: number, message: OutgoingMessage) => boolean;
   readonly onOpen: (link: Link) => void;
   readonly onMessage: (from: NodeId, body: unknown) => void;
   readonly onClose: (link: Link, error: Error | undefined) => void;
@@ -67,7 +67,8 @@
   let peer: Peer | undefined;
   let failure: Error | undefined;
   let isCorked = false;
-  const write = (frame: Buffer): void => {
+  let fragmentBytesInSocket = 0;
+  const write = (frame: Buffer, onWritten?: () => void): void => {
     if (socket.destroyed) {
       return;
     }
@@ -79,10 +80,16 @@
         socket.uncork();
       });
     }
-    socket.write(frame);
+    socket.write(frame, onWritten);
   };
   const writeFrame = (frame: PeerFrame): void => write(encodeFrame(frame));
-  const fragmentWriter = createFragmentWriter(writeFrame);
+  const fragmentWriter = createFragmentWriter(fragment => {
+    const frame = encodeFrame(fragment);
+    fragmentBytesInSocket += frame.length;
+    write(frame, () => {
+      fragmentBytesInSocket -= frame.length;
+    });
+  });
   /** A short message is not held up by large ones that it need not follow. */
   const isDivided = (message: OutgoingMessage): boolean =>
     peer?.acceptsFragments === true &&
@@ -95,7 +102,8 @@
       return socket.writableLength + fragmentWriter.queuedBytes;
     },
     send: message => {
-      if (socket.destroyed || !options.canQueue(link.queuedBytes, message)) {
+      const shortBytes = socket.writableLength - fragmentBytesInSocket;
+      if (socket.destroyed || !options.canQueue(shortBytes, message)) {
         return;
       }
       if (isDivided(message)) {
--- a/transport/peerLinks/src/peerLinks.ts
+++ b/transport/peerLinks/src/peerLinks.ts
@@ -101,13 +101,13 @@
     };
   };
   const canQueue = (
-    linkBytes: number | undefined,
+    shortBytes: number | undefined,
     message: OutgoingMessage,
   ): boolean =>
     canQueueMessage({
       bytes: message.frame.length,
       isLarge: isLargeMessage(message),
-      linkBytes,
+      shortBytes,
       readTotalBytes: () => readQueuedBytes().total,
       maxBytes: maxQueuedBytes,
     });
--- a/transport/peerLinks/src/queueBound.ts
+++ b/transport/peerLinks/src/queueBound.ts
@@ -9,8 +9,11 @@
 export interface QueueRequest {
   readonly bytes: number;
   readonly isLarge: boolean;
-  /** Bytes that wait on the same link; `undefined` without a connection. */
-  readonly linkBytes: number | undefined;
+  /**
+   * Bytes of short messages that wait on the same link; `undefined` without a
+   * connection.
+   */
+  readonly shortBytes: number | undefined;
   /** Bytes that wait on all links. */
   readonly readTotalBytes: () => number;
   /** Most bytes that may wait on all links. */
@@ -19,14 +22,19 @@
 
 /** Returns whether a message may be queued; otherwise it is dropped. */
 export function canQueueMessage(request: QueueRequest): boolean {
-  const {bytes, isLarge, linkBytes, readTotalBytes, maxBytes} = request;
+  const {bytes, isLarge, shortBytes, readTotalBytes, maxBytes} = request;
   const isGuaranteed =
     !isLarge &&
-    linkBytes !== undefined &&
-    linkBytes + bytes <= MIN_LINK_QUEUE_BYTES;
+    shortBytes !== undefined &&
+    shortBytes + bytes <= MIN_LINK_QUEUE_BYTES;
   if (isGuaranteed) {
     return true;
   }
-  const limit = isLarge ? maxBytes * LARGE_FRACTION : maxBytes;
-  return readTotalBytes() + bytes <= limit;
+  const totalBytes = readTotalBytes();
+  if (!isLarge) {
+    return totalBytes + bytes <= maxBytes;
+  }
+  // A message beyond the bound is sent alone; otherwise it never would be.
+  const isAlone = totalBytes <= maxBytes * (1 - LARGE_FRACTION);
+  return isAlone || totalBytes + bytes <= maxBytes * LARGE_FRACTION;
 }
--- a/transport/peerLinks/test/queuedBytes.test.ts
+++ b/transport/peerLinks/test/queuedBytes.test.ts
@@ -74,3 +74,19 @@
   other!.close();
   await links.close();
 });
+
+t.test('a message above the bound is sent alone', async t => {
+  const near = await openLinks('near', {maxQueuedBytes: MEGABYTE});
+  const far = await openLinks('far');
+  const send = (body: unknown): void =>
+    near.links.send(far.node, far.links.address, body);
+  send({kind: 'first'});
+  await waitUntil(() => far.received.length === 1);
+  send({kind: 'large', payload: Buffer.alloc(MESSAGE_BYTES, 1)});
+  send({kind: 'other', payload: Buffer.alloc(MESSAGE_BYTES, 2)});
+  send({kind: 'last'});
+  await waitUntil(() => far.received.length === 3);
+  const kinds = far.received.map(({body}) => (body as {kind: string}).kind);
+  t.same(kinds, ['first', 'last', 'large']);
+  await Promise.all([near.links.close(), far.links.close()]);
+});
