Refuse a document that the deployment cannot hold

What callers saw: a document was read, parsed, proposed and replicated whatever its size, up to 8 MiB, and processes ended for lack of memory.

--- a/fronts/requestBodies/src/readRequestBody.ts
+++ b/fronts/requestBodies/src/readRequestBody.ts
@@ -25,6 +25,8 @@
   readonly clock: Clock;
   /** Largest body that is read, in bytes. */
   readonly maxBytes: number;
+  /** Most bytes read of a refused body without keeping them. */
+  readonly maxDroppedBytes?: number;
   readonly readTerms: () => ReadTerms;
 }
 
@@ -69,10 +71,10 @@
   options: ReadOptions,
   onRead: (received: ReceivedBody) => void,
 ): void {
-  const {gate, clock, maxBytes} = options;
+  const {gate, clock, maxBytes, maxDroppedBytes = maxBytes} = options;
   const declared = parseLength(raw);
   if (declared !== undefined && declared > maxBytes) {
-    dropRest(raw, maxBytes);
+    dropRest(raw, maxDroppedBytes);
     onRead({kind: 'tooLarge'});
     return;
   }
@@ -104,7 +106,7 @@
   };
   const fail = (kind: 'memoryFull' | 'tooLarge' | 'tooSlow'): void => {
     abandon();
-    dropRest(raw, maxBytes);
+    dropRest(raw, maxDroppedBytes);
     onRead({kind});
   };
   const finish = (): void => {
@@ -208,7 +210,7 @@
  * Reads the rest of a refused body without keeping it, so that the sender can
  * read the refusal. The connection is closed if the rest is too long or slow.
  */
-function dropRest(raw: IncomingMessage, maxBytes: number): void {
+function dropRest(raw: IncomingMessage, maxDroppedBytes: number): void {
   if (raw.readableEnded) {
     return;
   }
@@ -217,7 +219,7 @@
   raw.on('data', (chunk: Buffer) => {
     received += chunk.length;
     recordReadBytes(chunk.length);
-    if (received > maxBytes) {
+    if (received > maxDroppedBytes) {
       raw.destroy();
     }
   });
--- a/fronts/requestBodies/src/requestBody.ts
+++ b/fronts/requestBodies/src/requestBody.ts
@@ -9,6 +9,8 @@
   readonly length: number;
   /** Copies the body into one buffer. */
   toBuffer(): Buffer;
+  /** Moves the body into one buffer; its memory stays reserved. */
+  takeBuffer(): Buffer;
   /**
    * Returns the body in the form in which an HTTP client sends it: `null` if it
    * is empty. A large one is sent block by block, so that its memory can be
@@ -113,6 +115,11 @@
       return {
         length,
         toBuffer: () => whole ?? mergeBlocks(blocks, length),
+        takeBuffer: () => {
+          whole ??= mergeBlocks(blocks, length);
+          blocks.splice(0).forEach(releaseBlock);
+          return whole;
+        },
         toPayload: () => {
           if (isReleased) {
             throw new BodyReleasedError();
--- a/scheduling/memoryAccount/src/memoryPlan.ts
+++ b/scheduling/memoryAccount/src/memoryPlan.ts
@@ -14,6 +14,15 @@
 const DOCUMENT_FRACTION = 0.125;
 /** Fraction for other management calls, as heartbeats. */
 const MANAGEMENT_FRACTION = 0.0625;
+/** Fraction for the control member: its log, proposals and snapshots. */
+const CONTROL_FRACTION = 0.1875;
+/** Memory with which the control member holds the largest configurations. */
+const MAX_CONTROL_BYTES = 40 * BYTES_PER_MB;
+/**
+ * How often the control member holds a document: the state, the log and the
+ * message to a follower, each with the objects and the source.
+ */
+const DOCUMENT_COPIES = 8;
 /** Memory that one connection without a complete request may take. */
 const CONNECTION_BYTES = 32 * 1_024;
 /** Fraction of the whole memory for the connections of callers. */
@@ -25,6 +34,10 @@
   readonly callerBytes: number;
   /** Bodies of operators' documents. */
   readonly documentBytes: number;
+  /** The control member's log, its proposals and snapshots on their way. */
+  readonly controlBytes: number;
+  /** Largest document of an operator that the control member can hold. */
+  readonly maxDocumentBytes: number;
   /** Bodies of the other management calls. */
   readonly managementBytes: number;
   /** Messages that wait to be sent, over all links. */
@@ -36,10 +49,15 @@
 /** Plans the parts of the memory that a process may use. */
 export function planMemory(memoryBytes: number): MemoryPlan {
   const sharedBytes = Math.max(MIN_SHARED_BYTES, memoryBytes - RUNTIME_BYTES);
+  const controlBytes = Math.floor(
+    Math.min(MAX_CONTROL_BYTES, sharedBytes * CONTROL_FRACTION),
+  );
   return {
     callerBytes: Math.floor(sharedBytes * CALLER_FRACTION),
     documentBytes: Math.floor(sharedBytes * DOCUMENT_FRACTION),
     managementBytes: Math.floor(sharedBytes * MANAGEMENT_FRACTION),
+    controlBytes,
+    maxDocumentBytes: Math.floor(controlBytes / DOCUMENT_COPIES),
     peerLinkBytes: Math.floor(sharedBytes * PEER_FRACTION),
     callerConnections: Math.floor(
       (memoryBytes * CONNECTION_FRACTION) / CONNECTION_BYTES,
--- a/scheduling/memoryAccount/test/memoryAccount.test.ts
+++ b/scheduling/memoryAccount/test/memoryAccount.test.ts
@@ -138,7 +138,20 @@
       plan.callerBytes +
       plan.documentBytes +
       plan.managementBytes +
+      plan.controlBytes +
       plan.peerLinkBytes;
     t.ok(sum < bytes * 0.75, `${megabytes} MB`);
   }
 });
+
+t.test('a process of 350 MB takes the largest document', async t => {
+  const {maxDocumentBytes} = planMemory(350 * 1_024 * 1_024);
+  t.ok(maxDocumentBytes >= 3.9 * 1_024 * 1_024, `${maxDocumentBytes} bytes`);
+});
+
+t.test('the largest document can be sent over a link', async t => {
+  for (const megabytes of [150, 178, 200, 350, 1_024]) {
+    const plan = planMemory(megabytes * 1_024 * 1_024);
+    t.ok(4 * plan.maxDocumentBytes <= plan.peerLinkBytes, `${megabytes} MB`);
+  }
+});
