Build a change that is pushed to many entries once

Each entry got a message of its own with the same changes, so that a large change was encoded as often as there are entries. Entries at the same version now share the message, which the links encode once.

Test "a change is not built anew for each entry": 5 messages for 5 entries before.

--- a/control/entrySessions/src/configurationUpdates.ts
+++ b/control/entrySessions/src/configurationUpdates.ts
@@ -20,13 +20,18 @@
   {readonly kind: 'versionConfirmed'}
 >;
 
+type ConfigurationUpdate = Extract<
+  ControlToEntry,
+  {readonly kind: 'configurationUpdate'}
+>;
+
 /** Creates the message with the changes that an entry lacks. */
 export function createConfigurationUpdate(
   view: SessionView,
   delta: ConfigurationDelta,
   sequence: number | null,
   directory: DirectoryUpdate | null,
-): Extract<ControlToEntry, {readonly kind: 'configurationUpdate'}> {
+): ConfigurationUpdate {
   return {
     kind: 'configurationUpdate',
     sequence,
@@ -61,13 +66,21 @@
   if (version >= latest) {
     return replaceSession(current, confirmed);
   }
-  const delta = createDelta(view.board, version);
   return [
     ...replaceSession(current, {...confirmed, sentVersion: latest}),
-    send(from, createConfigurationUpdate(view, delta, null, null)),
+    send(from, createPush(view, version)),
   ];
 }
 
+/** Creates the message that brings an entry from a version to the latest. */
+function createPush(
+  view: SessionView,
+  version: ConfigurationVersion,
+): ConfigurationUpdate {
+  const delta = createDelta(view.board, version);
+  return createConfigurationUpdate(view, delta, null, null);
+}
+
 /**
  * Sends new changes without waiting for heartbeats. An entry that has not yet
  * confirmed the previous push receives the newer changes once it does.
@@ -81,7 +94,8 @@
   if (!isChanged || role.kind !== 'leader') {
     return [];
   }
-  const deltas = new Map<ConfigurationVersion, ConfigurationDelta>();
+  // Entries at the same version share one message, which is encoded once.
+  const updates = new Map<ConfigurationVersion, ConfigurationUpdate>();
   const writes: SessionWrite[] = [];
   const from = {version: 0, node: '' as NodeId};
   const lagging = iterateWhile(
@@ -96,12 +110,11 @@
     if (isConfirmationPending || session.leaseUntil <= now.monotonic) {
       continue;
     }
-    const delta =
-      deltas.get(key.version) ?? createDelta(view.board, key.version);
-    deltas.set(key.version, delta);
+    const update = updates.get(key.version) ?? createPush(view, key.version);
+    updates.set(key.version, update);
     writes.push(
       ...replaceSession(session, {...session, sentVersion: applied.version}),
-      send(key.node, createConfigurationUpdate(view, delta, null, null)),
+      send(key.node, update),
     );
   }
   return writes;
