Let a release wait only for leases that last beyond its bound

Each silent entry with a live lease delayed an acknowledgement until one lease after the release was applied, whenever its last heartbeat had come: an entry that had been paused or ended for a second or more before the change delayed it for a second, although its lease ended within the bound by then.

The leader knows when the lease of a silent entry ends, at the latest one lease after its last heartbeat. It now waits only for leases that end beyond the bound. The same rule covers entries that have confirmed and those whose lease has ended.

"an entry that was silent before delays nothing" failed before: no reply.

--- a/control/controlNode/test/releases.test.ts
+++ b/control/controlNode/test/releases.test.ts
@@ -111,12 +111,25 @@
   for (const release of [1, 2, 3, 4]) {
     fixture.receive('entry-0', createReplacementRequest(release));
     fixture.advance(intervalMs);
+    // Its reply, which includes the release, may be lost.
+    fixture.receive('entry-1', createHeartbeat('entry-1'));
   }
   t.match(takeReplies(fixture), [{correlation: 'put-1'}]);
   fixture.advance(intervalMs);
   t.match(takeReplies(fixture), [{correlation: 'put-2'}]);
 });
 
+t.test('an entry that was silent before delays nothing', async t => {
+  const fixture = createLedFixture();
+  fixture.advance(MAX_WAIT_MS - 1);
+  fixture.receive('entry-0', createHeartbeat('entry-0'));
+  fixture.receive('entry-0', createReplacementRequest(7));
+  confirm(fixture, 'entry-0');
+  t.same(takeReplies(fixture), [], 'its lease ends just beyond the bound');
+  fixture.advance(1);
+  t.match(takeReplies(fixture), [{correlation: 'put-7', version: 7}]);
+});
+
 t.test(
   'a new leader does not acknowledge a release before the leases of its predecessor are within the bound',
   async t => {
--- a/control/entrySessions/src/inForce.ts
+++ b/control/entrySessions/src/inForce.ts
@@ -1,7 +1,11 @@
 import {iterateWhile} from '@gentianshunt/board';
 import type {BoardView, TurnTime} from '@gentianshunt/board';
 import type {MonotonicTime} from '@gentianshunt/clock';
-import type {ControlSections, ReleaseRecord} from '@gentianshunt/controlModel';
+import type {
+  ControlSections,
+  EntrySession,
+  ReleaseRecord,
+} from '@gentianshunt/controlModel';
 import type {ConfigurationVersion, InForceStatus} from '@gentianshunt/messages';
 import type {NodeId} from '@gentianshunt/identifiers';
 
@@ -10,8 +14,6 @@
   computeLeaseRecoveryMs,
   hasOwnEntryApplied,
   isConfirmedLeader,
-  isLeaseRecoveryOver,
-  MAX_ENTRY_LEASE_MS,
 } from './leaderStatus.js';
 
 /** The sections that hold the versions which the entries have confirmed. */
@@ -34,7 +36,9 @@
   version: ConfigurationVersion,
   now: TurnTime,
 ): InForceStatus {
-  const unconfirmed = [...iterateUnconfirmed(board, version, now)];
+  const unconfirmed = [...iterateLagging(board, version)]
+    .filter(({leaseUntil}) => leaseUntil > now.monotonic)
+    .map(({entry}) => entry.node);
   const settlingMs = computeLeaseRecoveryMs(board.role, now);
   return {
     version,
@@ -49,8 +53,8 @@
 
 /**
  * Returns whether a release may be acknowledged: no entry will use an older one
- * later than `releaseApplyMs` from now. Either every live lease has confirmed
- * the release or a later one, or those that have not end in time by themselves.
+ * later than `releaseApplyMs` from now. Leases of earlier leaders, and those of
+ * entries that have not confirmed the release, end in time by themselves.
  */
 export function canAcknowledgeRelease(
   board: ReleaseBoard,
@@ -58,55 +62,48 @@
   now: TurnTime,
 ): boolean {
   const [applied] = board.releases.iterateFrom(release);
+  const {releaseApplyMs} = board.identity;
   return (
     applied !== undefined &&
     hasOwnEntryApplied(board) &&
-    (isConfirmedByAll(board, applied.value, now) ||
-      now.monotonic + board.identity.releaseApplyMs >=
-        computeLeasesEnd(board, applied.value))
+    computeLeaseRecoveryMs(board.role, now) <= releaseApplyMs &&
+    !hasOlderLeaseAt(board, applied.value, now.monotonic + releaseApplyMs)
   );
 }
 
-/** Returns whether all entries that may hold a lease use a release. */
-function isConfirmedByAll(
-  board: ReleaseBoard,
-  {version}: ReleaseRecord,
-  now: TurnTime,
-): boolean {
-  const [unconfirmed] = iterateUnconfirmed(board, version, now);
-  return unconfirmed === undefined && isLeaseRecoveryOver(board.role, now);
-}
-
 /**
- * Computes when the last lease that was granted before a release was applied
- * has ended. Leases of earlier leaders were granted before this one led.
+ * Returns whether a lease of this leader may be valid at a time without its
+ * entry having confirmed a release. A lease that was renewed after the release
+ * was applied includes it.
  */
-function computeLeasesEnd(
-  {role, identity}: ReleaseBoard,
-  {appliedAt}: ReleaseRecord,
-): MonotonicTime {
-  return role.kind === 'leader'
-    ? Math.max(
-        role.since + MAX_ENTRY_LEASE_MS,
-        appliedAt + computeEntryLeaseMs(identity),
-      )
-    : Number.POSITIVE_INFINITY;
+function hasOlderLeaseAt(
+  board: ReleaseBoard,
+  {version, appliedAt}: ReleaseRecord,
+  at: MonotonicTime,
+): boolean {
+  if (appliedAt + computeEntryLeaseMs(board.identity) <= at) {
+    return false;
+  }
+  for (const {leaseUntil} of iterateLagging(board, version)) {
+    if (leaseUntil > at) {
+      return true;
+    }
+  }
+  return false;
 }
 
-function* iterateUnconfirmed(
-  board: InForceBoard,
+/** Iterates over the sessions of entries that have not confirmed a version. */
+function* iterateLagging(
+  {sessions, sessionVersions}: InForceBoard,
   version: ConfigurationVersion,
-  now: TurnTime,
-): IterableIterator<NodeId> {
+): IterableIterator<EntrySession> {
   const from = {version: 0, node: '' as NodeId};
   const lagging = iterateWhile(
-    board.sessionVersions,
+    sessionVersions,
     from,
     key => key.version < version,
   );
   for (const {key} of lagging) {
-    if (board.sessions.get(key.node)!.leaseUntil > now.monotonic) {
-      yield key.node;
-    }
+    yield sessions.get(key.node)!;
   }
 }
