--- a/control/controlModel/src/logBounds.ts
+++ b/control/controlModel/src/logBounds.ts
@@ -27,7 +27,7 @@
 /** The log shares the memory with the rest of the process. */
 const MEMORY_FRACTION = 1 / 64;
 /** A compaction holds two snapshots and two logs on the disk. */
-const DISK_FRACTION = 1 / 16;
+const DISK_FRACTION = 1 / 32;
 const MIN_UNIT_BYTES = BYTES_PER_MB;
 const MAX_UNIT_BYTES = 64 * BYTES_PER_MB;
 /** Space for the data folder if the settings name none, in bytes. */
