Bound the stored answers of claims by the leader's resources

Answers of claims took up to 64 MiB of the state, and twice that on the disk during a compaction, whatever the memory and the disk of the members. The leader proposes an answer without its body once its own bound is reached. The payload carries the decision, so that all members store the same.

--- a/control/controlModel/src/logBounds.ts
+++ b/control/controlModel/src/logBounds.ts
@@ -13,6 +13,8 @@
    * replacement of the configuration is appended.
    */
   readonly pendingBytes: number;
+  /** Bytes of stored answers beyond which a leader proposes no further ones. */
+  readonly answerBytes: number;
 }
 
 /** What a control daemon may use. */
@@ -53,5 +55,6 @@
     retainedBytes: bytes,
     transferBytes: 4 * bytes,
     pendingBytes: bytes,
+    answerBytes: 4 * bytes,
   };
 }
--- a/control/controlNode/test/claims.test.ts
+++ b/control/controlNode/test/claims.test.ts
@@ -14,8 +14,14 @@
 } from '@gentianshunt/messages';
 import {CLAIM_RETENTION_MS, MAX_ANSWER_BYTES} from '@gentianshunt/stateMachine';
 import {toIdentifier} from '@gentianshunt/identifiers';
+import type {RequestId} from '@gentianshunt/identifiers';
 
-import {createControlFixture, createHeartbeat} from './fixture.js';
+import {LOW_LOG_BOUNDS} from './documentFixture.js';
+import {
+  createControlFixture,
+  createHeartbeat,
+  NOTHING_STORED,
+} from './fixture.js';
 import type {ControlFixture} from './fixture.js';
 
 const KEY: ClaimKey = {
@@ -213,3 +219,28 @@
     t.equal(fixture.node.view.claimUsage.answerBytes, 0, name);
   }
 });
+
+t.test('stored answers do not exceed what the leader has room for', async t => {
+  const fixture = createControlFixture(NOTHING_STORED, LOW_LOG_BOUNDS);
+  fixture.receive('e0', createHeartbeat('e0'));
+  const {answerBytes} = LOW_LOG_BOUNDS;
+  const body = new Uint8Array(MAX_ANSWER_BYTES);
+  for (
+    let number = 0;
+    number * body.byteLength < 2 * answerBytes;
+    number += 1
+  ) {
+    const key = {...KEY, idempotencyKey: `k${number}`};
+    const request = toIdentifier<RequestId>(`r${number}`);
+    fixture.ask('e0', {kind: 'claimRequest', key, digest: 'd', request});
+    const outcome = {...ANSWERED, body};
+    const [reply] = fixture.ask('e0', {
+      kind: 'settleRequest',
+      key,
+      request,
+      outcome,
+    });
+    t.equal(reply?.kind, 'settleReply');
+  }
+  t.equal(fixture.node.view.claimUsage.answerBytes, answerBytes);
+});
--- a/control/controlNode/test/documentFixture.ts
+++ b/control/controlNode/test/documentFixture.ts
@@ -27,6 +27,7 @@
   retainedBytes: 256 * KIBIBYTE,
   transferBytes: 1_024 * KIBIBYTE,
   pendingBytes: 256 * KIBIBYTE,
+  answerBytes: 128 * KIBIBYTE,
 };
 
 /** The size of a configuration document. */
--- a/control/controlNode/test/fixture.ts
+++ b/control/controlNode/test/fixture.ts
@@ -2,7 +2,11 @@
 import type {ManualClock} from '@gentianshunt/clock';
 import type {ObjectCommand} from '@gentianshunt/configuration';
 import {DEFAULT_LOG_BOUNDS} from '@gentianshunt/controlModel';
-import type {Ballot, ControlEffect} from '@gentianshunt/controlModel';
+import type {
+  Ballot,
+  ControlEffect,
+  LogBounds,
+} from '@gentianshunt/controlModel';
 import type {
   ControlToEntry,
   EntryToControl,
@@ -24,6 +28,12 @@
   readonly entries: readonly LogEntry[];
 }
 
+/** An empty disk. */
+export const NOTHING_STORED: Stored = {
+  ballot: {term: 0, votedFor: null},
+  entries: [],
+};
+
 /** A single control daemon whose disk syncs at once. */
 export interface ControlFixture {
   readonly node: ControlNode;
@@ -43,7 +53,8 @@
 
 /** Starts a single control daemon and makes it the leader. */
 export function createControlFixture(
-  stored: Stored = {ballot: {term: 0, votedFor: null}, entries: []},
+  stored: Stored = NOTHING_STORED,
+  logBounds: LogBounds = DEFAULT_LOG_BOUNDS,
 ): ControlFixture {
   const clock = createManualClock();
   const sent: {to: NodeId; message: ControlToEntry}[] = [];
@@ -54,7 +65,7 @@
       admission: {kind: 'listed'},
       storage: toIdentifier('folder'),
       seed: 1,
-      logBounds: DEFAULT_LOG_BOUNDS,
+      logBounds,
     },
     clock,
     perform: effect => perform(effect),
--- a/control/entrySessions/src/claimAnswers.ts
+++ b/control/entrySessions/src/claimAnswers.ts
@@ -1,7 +1,11 @@
 import type {BoardView, TurnTime} from '@gentianshunt/board';
 import {formatClaimId} from '@gentianshunt/controlModel';
 import type {ClaimRecord, ControlSections} from '@gentianshunt/controlModel';
-import type {ClaimAnswer, EntryToControl} from '@gentianshunt/messages';
+import type {
+  ClaimAnswer,
+  ClaimOutcome,
+  EntryToControl,
+} from '@gentianshunt/messages';
 
 /** Number of claims from which new ones are refused as `full`. */
 export const MAX_ADMITTED_CLAIMS = 100_000;
@@ -74,3 +78,21 @@
     (outcome.kind !== 'unknown' || request.outcome.kind === 'unknown')
   );
 }
+
+/**
+ * Removes the body of an answer that this leader has no room for. The outcome
+ * is decided before it is in the log, so that all members store the same.
+ */
+export function limitOutcome(
+  board: Pick<BoardView<ControlSections>, 'claimUsage' | 'identity'>,
+  outcome: ClaimOutcome,
+): ClaimOutcome {
+  const {claimUsage, identity} = board;
+  if (outcome.kind !== 'answered') {
+    return outcome;
+  }
+  const total = claimUsage.answerBytes + outcome.body.byteLength;
+  return total <= identity.logBounds.answerBytes
+    ? outcome
+    : {kind: 'answeredNotKept', status: outcome.status};
+}
--- a/control/entrySessions/src/proposalController.ts
+++ b/control/entrySessions/src/proposalController.ts
@@ -13,6 +13,7 @@
   NodeId,
 } from '@gentianshunt/identifiers';
 
+import {limitOutcome} from './claimAnswers.js';
 import {isLeaseRecoveryOver} from './leaderStatus.js';
 import {proposeOrder} from './orderProposals.js';
 import {
@@ -160,7 +161,8 @@
       ];
     }
     case 'settleRequest': {
-      const {key, request, outcome} = message;
+      const {key, request} = message;
+      const outcome = limitOutcome(view.board, message.outcome);
       return [{kind: 'settleClaim', key, request, outcome, atMs}];
     }
     case 'countReportRequest':
