--- a/fronts/metrics/src/controlMetrics.ts
+++ b/fronts/metrics/src/controlMetrics.ts
@@ -1,4 +1,5 @@
 import type {BoardView} from '@gentianshunt/board';
+import {measureLog} from '@gentianshunt/controlModel';
 import type {ControlSections} from '@gentianshunt/controlModel';
 import {collectDefaultMetrics, Gauge, Registry} from 'prom-client';
 
@@ -40,6 +41,26 @@
     'Last index of the log that is on disk.',
     () => view.logStatus.syncedIndex,
   );
+  addGauge(
+    'log_bytes',
+    'Size of the entries of the log.',
+    () => measureLog(view).bytes,
+  );
+  addGauge(
+    'log_since_snapshot_bytes',
+    'Size of the applied entries that the latest snapshot lacks.',
+    () => measureLog(view).sinceSnapshotBytes,
+  );
+  addGauge(
+    'log_pending_bytes',
+    'Size of the entries that are not committed, or not on disk.',
+    () => measureLog(view).pendingBytes,
+  );
+  addGauge(
+    'snapshot_bytes',
+    'Size of the latest snapshot.',
+    () => view.snapshotBytes,
+  );
   addGauge(
     'configuration_version',
     'Version of the configuration applied here.',
