--- a/control/controlNode/test/fixture.ts
+++ b/control/controlNode/test/fixture.ts
@@ -6,6 +6,7 @@
   Ballot,
   ControlDecision,
   ControlEffect,
+  LogBounds,
 } from '@gentianshunt/controlModel';
 import type {
   ControlToEntry,
@@ -28,6 +29,12 @@
   readonly entries: readonly LogEntry[];
 }
 
+/** An empty disk. */
+export const NOTHING_STORED: Stored = {
+  ballot: {term: 0, votedFor: null},
+  entries: [],
+};
+
 /** A single control daemon whose disk syncs at once. */
 export interface ControlFixture {
   readonly node: ControlNode;
@@ -47,10 +54,16 @@
   readStored(): Stored;
 }
 
+/** Bounds of a control daemon that differ from the usual ones. */
+export interface FixtureBounds {
+  readonly releaseApplyMs?: Milliseconds | undefined;
+  readonly logBounds?: LogBounds;
+}
+
 /** Starts a single control daemon and makes it the leader. */
 export function createControlFixture(
-  stored: Stored = {ballot: {term: 0, votedFor: null}, entries: []},
-  releaseApplyMs: Milliseconds = 2_000,
+  stored: Stored = NOTHING_STORED,
+  {releaseApplyMs = 2_000, logBounds = DEFAULT_LOG_BOUNDS}: FixtureBounds = {},
 ): ControlFixture {
   const clock = createManualClock();
   const sent: {to: NodeId; message: ControlToEntry}[] = [];
@@ -63,7 +76,7 @@
       storage: toIdentifier('folder'),
       seed: 1,
       releaseApplyMs,
-      logBounds: DEFAULT_LOG_BOUNDS,
+      logBounds,
     },
     clock,
     perform: effect => perform(effect),
--- a/control/controlNode/test/releases.test.ts
+++ b/control/controlNode/test/releases.test.ts
@@ -36,7 +36,7 @@
 
 /** Two entries with a session, after the leader's lease recovery period. */
 function createLedFixture(releaseApplyMs?: number): ControlFixture {
-  const fixture = createControlFixture(undefined, releaseApplyMs);
+  const fixture = createControlFixture(undefined, {releaseApplyMs});
   fixture.advance(MAX_ENTRY_LEASE_MS);
   for (const node of ['entry-0', 'entry-1']) {
     fixture.receive(node, createHeartbeat(node));
