Soak: two operators, readers, probe calls and a final fault check the configuration

The soak changed the configuration but never read it back, nor looked at what VMs obey. Loads 'operators' and 'largeDocuments' now play two operators beside the schedule, read the configuration at every VM, call routes and keys that come and go, and end with a final fault right after an acknowledgement. New checkers: obeyedVersions, configurationReads, regressions, revokedKeys, refusedDocuments, repeatedOrders, readBack and dataFolders; acknowledgements allows 3 ms for each route, as the rule does.

schedule.test: the two schedules of the first test are compared as text.

--- a/bench/soak/src/checkAcknowledgements.ts
+++ b/bench/soak/src/checkAcknowledgements.ts
@@ -1,7 +1,7 @@
 import type {Finding} from './finding.js';
 import {isCoreStable, isInTouch} from './inTouch.js';
 import type {RunTime} from './recordedEvent.js';
-import {listEvents} from './runHistory.js';
+import {listEvents} from './listEvents.js';
 import type {RunHistory} from './runHistory.js';
 
 /** Fraction of the leaves that may have no acknowledgement in time. */
@@ -10,6 +10,8 @@
 const MIN_LEAVES = 5;
 /** Interval at which the stretch of an order is examined. */
 const STEP_MS = 100;
+/** Time for an acknowledgement beyond the bound, for each route. */
+const ACK_MS_PER_ROUTE = 3;
 
 /** Checks that valid configurations and leaves are acknowledged in time. */
 export function checkAcknowledgements(history: RunHistory): readonly Finding[] {
@@ -17,32 +19,25 @@
 }
 
 function checkOrders(history: RunHistory): readonly Finding[] {
-  const {events, bounds} = history;
-  const firstSent = new Map<number, RunTime>();
-  for (const {version, at} of listEvents(events, 'orderSent')) {
-    firstSent.set(version, firstSent.get(version) ?? at);
-  }
-  const acknowledged = new Map(
-    listEvents(events, 'orderAcknowledged').map(({version, at}) => [
-      version,
-      at,
-    ]),
-  );
-  const refusals = listEvents(events, 'orderRefused').map(event => ({
-    check: 'acknowledgements' as const,
-    at: event.at,
-    detail: `${event.vm} refused version ${event.version} with ${event.status}`,
-    excuse: null,
-  }));
-  const late = Array.from(firstSent).flatMap(([version, sentAt]) => {
-    const due = sentAt + bounds.ackMs;
-    const at = acknowledged.get(version) ?? Infinity;
-    return at > due && due <= readEnd(history)
+  const {events, bounds, configuration} = history;
+  const refusals = listEvents(events, 'orderRefused')
+    .filter(({form}) => form === 'change')
+    .map(event => ({
+      check: 'acknowledgements' as const,
+      at: event.at,
+      detail: `${event.vm} refused version ${event.version} with ${event.status}`,
+      excuse: null,
+    }));
+  const late = configuration.versions.flatMap(order => {
+    const {version, sentAt, acknowledgedAt = Infinity, routes} = order;
+    const allowedMs = bounds.ackMs + routes * ACK_MS_PER_ROUTE;
+    const due = sentAt + allowedMs;
+    return acknowledgedAt > due && due <= readEnd(history)
       ? [
           {
             check: 'acknowledgements' as const,
             at: due,
-            detail: `version ${version} has no acknowledgement after ${bounds.ackMs} ms`,
+            detail: `version ${version} has no acknowledgement after ${allowedMs} ms`,
             excuse: findExcuse(history, version, sentAt, due),
           },
         ]
@@ -61,7 +56,8 @@
     return 'the core was not stable, or a link was disrupted';
   }
   const calls = listEvents(history.events, 'orderSent').filter(
-    event => event.version === version && event.at < due,
+    ({version: sent, form, at}) =>
+      sent === version && form === 'change' && at < due,
   );
   return calls.some(({vm, at}) => isInTouch(history, vm, at))
     ? null
--- a/bench/soak/src/checkCuts.ts
+++ b/bench/soak/src/checkCuts.ts
@@ -3,7 +3,7 @@
 import {hasUnplannedDisturbance, isInTouch} from './inTouch.js';
 import type {RunTime, VmSignal} from './recordedEvent.js';
 import {measureDelay} from './recorderDelay.js';
-import {listEvents} from './runHistory.js';
+import {listEvents} from './listEvents.js';
 import type {RequestHistory, RunHistory} from './runHistory.js';
 
 /** Connections that a VM may close after it sent their request on. */
--- a/bench/soak/src/checkLeaves.ts
+++ b/bench/soak/src/checkLeaves.ts
@@ -3,7 +3,7 @@
 import {isInTouch} from './inTouch.js';
 import type {LeaveForm, RunTime} from './recordedEvent.js';
 import {measureDelay} from './recorderDelay.js';
-import {listEvents} from './runHistory.js';
+import {listEvents} from './listEvents.js';
 import type {RequestHistory, RunHistory} from './runHistory.js';
 
 interface Acknowledgement {
--- a/bench/soak/src/checkProcesses.ts
+++ b/bench/soak/src/checkProcesses.ts
@@ -1,7 +1,7 @@
 import {formatTime} from './finding.js';
 import type {Finding} from './finding.js';
 import {hasVmDisturbance} from './inTouch.js';
-import {listEvents} from './runHistory.js';
+import {listEvents} from './listEvents.js';
 import type {RunHistory} from './runHistory.js';
 
 /** Time after a disturbance in which an end still belongs to it. */
--- a/bench/soak/src/checks.ts
+++ b/bench/soak/src/checks.ts
@@ -1,14 +1,22 @@
 import {checkAcknowledgements} from './checkAcknowledgements.js';
 import {checkCancelled} from './checkCancelled.js';
+import {checkConfigurationReads} from './checkConfigurationReads.js';
 import {checkClosedWithoutAnswer, checkPlannedWork} from './checkCuts.js';
+import {checkDataFolders} from './checkDataFolders.js';
 import {checkLeaves, checkLeavingAnswers} from './checkLeaves.js';
+import {checkObeyedVersions} from './checkObeyedVersions.js';
 import {checkMemory, checkProcessEnds} from './checkProcesses.js';
+import {checkReadBack} from './checkReadBack.js';
+import {checkRefusedDocuments} from './checkRefusedDocuments.js';
+import {checkRegressions} from './checkRegressions.js';
+import {checkRepeatedOrders} from './checkRepeatedOrders.js';
 import {
   checkAnswers,
   checkBodies,
   checkRefusals,
   checkRunOnce,
 } from './checkRequests.js';
+import {checkRevokedKeys} from './checkRevokedKeys.js';
 import type {CheckName, Finding} from './finding.js';
 import type {RunHistory} from './runHistory.js';
 
@@ -28,6 +36,14 @@
   acknowledgements: checkAcknowledgements,
   processEnds: checkProcessEnds,
   memory: checkMemory,
+  dataFolders: checkDataFolders,
+  obeyedVersions: checkObeyedVersions,
+  configurationReads: checkConfigurationReads,
+  regressions: checkRegressions,
+  revokedKeys: checkRevokedKeys,
+  refusedDocuments: checkRefusedDocuments,
+  repeatedOrders: checkRepeatedOrders,
+  readBack: checkReadBack,
 };
 
 /** Runs all checkers; returns their findings in order of time. */
--- a/bench/soak/src/deployment.ts
+++ b/bench/soak/src/deployment.ts
@@ -34,6 +34,7 @@
   readonly coreVms: number;
   readonly plainVms: number;
   readonly memoryMb: number;
+  readonly diskMb: number;
   readonly bounds: SiteBounds;
   readonly folder: string;
   readonly recorder: Recorder;
@@ -104,7 +105,7 @@
   network: string,
   ports: SitePorts,
 ): readonly SiteVm[] {
-  const {coreVms, plainVms, folder, memoryMb, bounds} = options;
+  const {coreVms, plainVms, folder, memoryMb, diskMb, bounds} = options;
   const toIp = (index: number): string =>
     `${network}.${DIALLED_SUBNET}.${index + 1}`;
   const seeds = Array.from({length: Math.min(SEEDS, coreVms)}, (_, index) =>
@@ -124,6 +125,7 @@
       ports,
       peerListen: `${network}.${LISTENING_SUBNET}.${index + 1}:${ports.internal[0]}`,
       dataFolder,
+      diskMb,
       memoryMb,
       bounds,
     };
--- a/bench/soak/src/failedRuns.ts
+++ b/bench/soak/src/failedRuns.ts
@@ -12,6 +12,8 @@
     seconds: 60,
     vms: 9,
     memory: 200,
+    disk: 64,
+    load: 'scheduled',
     showed:
       'a VM acknowledged a leave 3 s after its process was ready, and no other VM learnt of it',
   },
@@ -20,6 +22,8 @@
     seconds: 60,
     vms: 9,
     memory: 200,
+    disk: 64,
+    load: 'scheduled',
     showed:
       'a process that starts while its predecessor ends exits with code 2, because of the ports',
   },
@@ -28,6 +32,8 @@
     seconds: 60,
     vms: 9,
     memory: 200,
+    disk: 64,
+    load: 'scheduled',
     showed:
       'large bodies: 245 MiB of 200; SIGHUP 139 ms after the start ends the process',
   },
@@ -36,6 +42,8 @@
     seconds: 45,
     vms: 4,
     memory: 200,
+    disk: 64,
+    load: 'scheduled',
     showed: 'large bodies: 273 MiB of 200',
   },
   {
@@ -43,6 +51,8 @@
     seconds: 75,
     vms: 9,
     memory: 200,
+    disk: 64,
+    load: 'scheduled',
     showed:
       'connections to the control leader fell silent; the VM that lost its lease by that was not told of a leave, and sent the endpoint requests as soon as it had a lease again',
   },
@@ -51,6 +61,8 @@
     seconds: 60,
     vms: 4,
     memory: 200,
+    disk: 64,
+    load: 'scheduled',
     showed:
       'a VM without a lease was not told of a leave; it got its lease back 0.5 s later and still sent the endpoint requests 3 s after that',
   },
@@ -59,6 +71,8 @@
     seconds: 75,
     vms: 9,
     memory: 200,
+    disk: 64,
+    load: 'scheduled',
     showed:
       'six VMs acknowledged a leave; one that had been cut off from the set leader for 1 s was not told and sent the endpoint requests for 6 s',
   },
@@ -67,6 +81,8 @@
     seconds: 75,
     vms: 9,
     memory: 200,
+    disk: 64,
+    load: 'scheduled',
     showed:
       'requests that a process read between the end of its shutdown and its exit, 0.5 s later on a busy machine, got no answer',
   },
--- a/bench/soak/src/finding.ts
+++ b/bench/soak/src/finding.ts
@@ -13,7 +13,15 @@
   | 'plannedWork'
   | 'acknowledgements'
   | 'processEnds'
-  | 'memory';
+  | 'memory'
+  | 'dataFolders'
+  | 'obeyedVersions'
+  | 'configurationReads'
+  | 'regressions'
+  | 'revokedKeys'
+  | 'refusedDocuments'
+  | 'repeatedOrders'
+  | 'readBack';
 
 /** Something that a rule forbids, unless it has an excuse. */
 export interface Finding {
--- a/bench/soak/src/inTouch.ts
+++ b/bench/soak/src/inTouch.ts
@@ -45,6 +45,29 @@
   );
 }
 
+/**
+ * Returns whether a VM meets all conditions of a VM in touch but a stable core,
+ * while more than half of the core has run since a time, connected and not
+ * slowed.
+ */
+export function isInTouchOfMajority(
+  history: RunHistory,
+  vm: string,
+  since: RunTime,
+  at: RunTime,
+): boolean {
+  const window = {from: at - history.bounds.contactMs, to: at};
+  const core = listCore(history);
+  const calm = core.filter(
+    ({name}) => !isMemberDisturbed(history, name, {from: since, to: at}),
+  );
+  return (
+    !hasVmDisturbance(history, vm, window) &&
+    hasPathToCore(history, vm, window) &&
+    calm.length * 2 > core.length
+  );
+}
+
 /** Returns whether a VM was disturbed itself, or its links slowed or reset. */
 export function hasVmDisturbance(
   history: RunHistory,
@@ -86,6 +109,17 @@
   );
 }
 
+/** Whether a VM of the core was disturbed, or any of its links to the core. */
+function isMemberDisturbed(
+  history: RunHistory,
+  vm: string,
+  window: Window,
+): boolean {
+  return (
+    hasVmDisturbance(history, vm, window) || !hasPathToCore(history, vm, window)
+  );
+}
+
 /** The core is stable again a contact time after its last event. */
 function isStartOrEndWithin(
   span: {readonly from: RunTime; readonly to: RunTime},
--- a/bench/soak/src/main.ts
+++ b/bench/soak/src/main.ts
@@ -5,6 +5,7 @@
 
 import {defineCommand, runMain} from 'citty';
 
+import {parseConfigurationLoad} from './configurationLoad.js';
 import {FAILED_RUNS} from './failedRuns.js';
 import {formatFinding} from './finding.js';
 import {runSoak} from './runSoak.js';
@@ -27,6 +28,13 @@
     seconds: {type: 'string', description: 'Length of a run', default: '45'},
     vms: {type: 'string', description: 'VMs, three with a disk', default: '9'},
     memory: {type: 'string', description: 'MB of a VM', default: '200'},
+    disk: {type: 'string', description: 'MB of a disk', default: '64'},
+    load: {
+      type: 'string',
+      description:
+        'How the configuration changes: scheduled, operators or largeDocuments',
+      default: 'scheduled',
+    },
     failed: {type: 'boolean', description: 'Play the runs that failed before'},
     jobs: {type: 'string', description: 'Runs side by side', default: '1'},
   },
@@ -50,6 +58,8 @@
   readonly seconds: string;
   readonly vms: string;
   readonly memory: string;
+  readonly disk: string;
+  readonly load: string;
 }): readonly RunArguments[] {
   if (args.failed === true) {
     return FAILED_RUNS;
@@ -59,6 +69,8 @@
     seconds: Number(args.seconds),
     vms: Number(args.vms),
     memory: Number(args.memory),
+    disk: Number(args.disk),
+    load: parseConfigurationLoad(args.load),
   }));
 }
 
@@ -70,13 +82,15 @@
 
 /** Runs one seed and prints its findings; keeps the record if it failed. */
 async function runSeed(run: RunArguments): Promise<SoakSummary> {
-  const {seed, seconds, vms, memory} = run;
+  const {seed, seconds, vms, memory, disk, load} = run;
   const folder = mkdtempSync(join(tmpdir(), `gentianshunt-soak-${seed}-`));
   const result = await runSoak({
     seed,
     durationMs: seconds * MS_PER_SECOND,
     vms,
     memoryMb: memory,
+    diskMb: disk,
+    load,
     folder,
   });
   for (const finding of result.findings) {
--- a/bench/soak/src/performAction.ts
+++ b/bench/soak/src/performAction.ts
@@ -57,7 +57,9 @@
     case 'faultLink':
       return injectLinkFault(context, action);
     case 'configure':
-      return sendVersion(operator, action.version);
+      return sendVersion(operator, operator.versions.takeNext(action.step));
+    case 'loseDisk':
+      return injectDiskLoss(context, action);
     case 'sendBodies':
       return runBodyCallers({
         ...context.createCallers(deployment.vms[action.vm]!),
@@ -87,6 +89,19 @@
   }
 }
 
+async function injectDiskLoss(
+  context: ActionContext,
+  {vm: index, downMs}: ActionOf<'loseDisk'>,
+): Promise<void> {
+  await runAway(context, [context.deployment.vms[index]!], async vms => {
+    vms.forEach(vm => vm.signal('SIGKILL'));
+    await Promise.all(vms.map(vm => vm.awaitEnd(KILL_WAIT_MS)));
+    vms.forEach(vm => vm.clearDisk());
+    await delay(downMs);
+    vms.forEach(vm => vm.start('scheduled'));
+  });
+}
+
 async function killCore(
   context: ActionContext,
   {downMs}: ActionOf<'killCore'>,
--- a/bench/soak/src/recordedEvent.ts
+++ b/bench/soak/src/recordedEvent.ts
@@ -1,5 +1,10 @@
 import type {RunEnd, SiteRouteKind} from '@gentianshunt/platformWorker';
 
+import type {
+  ConfigurationContent,
+  ProbeTarget,
+} from './configurationContent.js';
+
 /** Milliseconds since the start of the run. */
 export type RunTime = number;
 
@@ -29,6 +34,13 @@
   /** Open connections stay silent for good; new ones work. */
   | 'stale';
 
+/** The last fault of a run, right after an acknowledgement. */
+export type FinalFault =
+  /** All processes are killed; one VM of the core may lose its disk too. */
+  | {readonly kind: 'allKilled'; readonly lostDisk: string | null}
+  /** One VM of the core is killed and loses its disk. */
+  | {readonly kind: 'diskLost'; readonly lostDisk: string};
+
 /** The ways in which an endpoint says that it leaves. */
 export type LeaveForm = 'draining' | 'withdrawal';
 
@@ -62,6 +74,17 @@
   readonly isKept: boolean;
 }
 
+/** What an operator sends a configuration document for. */
+export type OrderForm =
+  /** A valid document with a new version, also if it is sent again. */
+  | 'change'
+  /** A version that was acknowledged before. */
+  | 'repeat'
+  /** Other content under a version that was acknowledged before. */
+  | 'otherContent'
+  /** A document that must be refused. */
+  | 'invalid';
+
 /** What callers, endpoints, operators and supervisors saw. */
 export type RecordedEvent = {readonly at: RunTime} & (
   | {
@@ -151,16 +174,59 @@
       readonly vm: string;
     }
   | {
-      readonly kind: 'orderSent' | 'orderAcknowledged';
+      readonly kind: 'orderSent';
+      readonly form: OrderForm;
+      readonly version: number;
+      readonly vm: string;
+      readonly content: ConfigurationContent;
+      /** `null` if the document can't be read. */
+      readonly digest: string | null;
+      /** Number of routes of the document. */
+      readonly routes: number;
+    }
+  | {
+      readonly kind: 'orderAcknowledged';
+      readonly form: OrderForm;
       readonly version: number;
       readonly vm: string;
     }
   | {
       readonly kind: 'orderRefused';
+      readonly form: OrderForm;
       readonly version: number;
       readonly vm: string;
       readonly status: number;
     }
+  | {
+      readonly kind: 'configurationRead';
+      readonly vm: string;
+      readonly sentAt: RunTime;
+      /** 0 if no answer came in time. */
+      readonly status: number;
+      /** `null` unless a document was read. */
+      readonly version: number | null;
+      readonly digest: string | null;
+    }
+  | {
+      readonly kind: 'probeSent';
+      readonly attempt: string;
+      readonly vm: string;
+      readonly target: ProbeTarget;
+    }
+  | {
+      readonly kind: 'probeEnded';
+      readonly attempt: string;
+      /** 0 if no whole answer came. */
+      readonly status: number;
+    }
+  | {
+      readonly kind: 'dataFolderMeasured';
+      readonly vm: string;
+      readonly bytes: number;
+    }
+  | {readonly kind: 'diskLost'; readonly vm: string}
+  /** The last fault of the run; the VMs that it ended start right after it. */
+  | {readonly kind: 'finalFaultInjected'; readonly fault: FinalFault}
   /** The recording process was late by this time. */
   | {readonly kind: 'recorderDelayed'; readonly delayMs: number}
 );
--- a/bench/soak/src/runHistory.ts
+++ b/bench/soak/src/runHistory.ts
@@ -1,5 +1,8 @@
 import type {SiteBounds} from '@gentianshunt/platformWorker';
 
+import {createConfigurationHistory} from './configurationHistory.js';
+import type {ConfigurationHistory} from './configurationHistory.js';
+import {listEvents} from './listEvents.js';
 import {listLinkSpans, listVmSpans} from './disturbances.js';
 import type {LinkSpan, VmSpan} from './disturbances.js';
 import type {
@@ -45,9 +48,12 @@
   readonly bounds: SiteBounds;
   /** Memory of a VM, in bytes. */
   readonly memoryBytes: number;
+  /** Size of the disk of a VM that has one, in bytes. */
+  readonly diskBytes: number;
   readonly vms: readonly CheckedVm[];
   readonly events: readonly RecordedEvent[];
   readonly requests: ReadonlyMap<string, RequestHistory>;
+  readonly configuration: ConfigurationHistory;
   readonly vmSpans: readonly VmSpan[];
   readonly linkSpans: readonly LinkSpan[];
   /** Times at which the recording process was late, and by how much. */
@@ -64,6 +70,7 @@
 export function createRunHistory(options: {
   readonly bounds: SiteBounds;
   readonly memoryBytes: number;
+  readonly diskBytes: number;
   readonly vms: readonly CheckedVm[];
   readonly events: readonly RecordedEvent[];
 }): RunHistory {
@@ -71,24 +78,13 @@
   return {
     ...options,
     requests: collectRequests(events),
+    configuration: createConfigurationHistory(events),
     vmSpans: listVmSpans(events),
     linkSpans: listLinkSpans(events),
     delays: listEvents(events, 'recorderDelayed'),
   };
 }
 
-/** Lists the events of some kinds. */
-export function listEvents<Kind extends RecordedEvent['kind']>(
-  events: readonly RecordedEvent[],
-  ...kinds: readonly Kind[]
-): readonly (RecordedEvent & {readonly kind: Kind})[] {
-  const wanted: readonly string[] = kinds;
-  return events.filter(
-    (event): event is RecordedEvent & {readonly kind: Kind} =>
-      wanted.includes(event.kind),
-  );
-}
-
 interface RequestDraft {
   readonly request: SentRequest;
   readonly sentAt: RunTime;
@@ -150,6 +146,8 @@
       break;
     case 'turnedAway':
     case 'leavingSaid':
+    case 'probeSent':
+    case 'probeEnded':
       break;
   }
 }
--- a/bench/soak/src/schedule.ts
+++ b/bench/soak/src/schedule.ts
@@ -18,13 +18,13 @@
   /** VMs with a disk come first. */
   readonly coreVms: number;
   readonly plainVms: number;
-  readonly firstVersion: number;
   /** Time of VMs that return until they count as recovered. */
   readonly settleMs: number;
+  readonly phases: readonly Phase[];
 }
 
 /** A stretch of a run in which certain actions are frequent. */
-interface Phase {
+export interface Phase {
   readonly name: string;
   readonly meanIntervalMs: number;
   readonly choices: readonly Choice[];
@@ -38,7 +38,6 @@
 interface PlanState {
   readonly options: ScheduleOptions;
   readonly random: Random;
-  version: number;
   /** Until then, another VM of the core is away. */
   coreAwayUntil: RunTime;
 }
@@ -55,7 +54,8 @@
 const MAX_RELOAD_DELAY_MS = 300;
 const BODY_SIZES = [65_536, 262_144, 1_048_576, 4_194_304 - 1_024];
 
-const PHASES: readonly Phase[] = [
+/** Phases of most runs. */
+export const PHASES: readonly Phase[] = [
   {
     name: 'mixed',
     meanIntervalMs: 1_200,
@@ -111,6 +111,35 @@
   },
 ];
 
+/** Phases of runs in which the configuration changes all the while. */
+export const CONFIGURATION_PHASES: readonly Phase[] = [
+  ...PHASES,
+  {
+    name: 'disks',
+    meanIntervalMs: 4_000,
+    choices: [
+      {kind: 'loseDisk', weight: 4},
+      {kind: 'kill', weight: 2},
+      {kind: 'faultLink', weight: 1},
+    ],
+  },
+];
+
+/** Phases of runs with large documents. */
+export const LARGE_DOCUMENT_PHASES: readonly Phase[] = [
+  {
+    name: 'largeDocuments',
+    meanIntervalMs: 6_000,
+    choices: [
+      {kind: 'loseDisk', weight: 3},
+      {kind: 'kill', weight: 2},
+      {kind: 'killCore', weight: 1},
+      {kind: 'pause', weight: 1},
+      {kind: 'faultLink', weight: 1},
+    ],
+  },
+];
+
 const LINK_FAULTS: readonly LinkFaultKind[] = [
   'delayed',
   'narrow',
@@ -128,13 +157,12 @@
   const state: PlanState = {
     options,
     random,
-    version: options.firstVersion,
     coreAwayUntil: 0,
   };
   const events: ScheduledEvent[] = [];
   const end = options.durationMs - COOL_DOWN_MS;
   for (let start = WARM_UP_MS; start < end; start += PHASE_MS) {
-    const phase = drawItem(random, PHASES);
+    const phase = drawItem(random, options.phases);
     const phaseEnd = Math.min(start + PHASE_MS, end);
     let at = start + random.drawExponential(phase.meanIntervalMs);
     while (at < phaseEnd) {
@@ -194,8 +222,9 @@
     case 'faultLink':
       return planLinkFault(state, at);
     case 'configure':
-      state.version += 1 + drawIndex(random, 5);
-      return {kind, version: state.version};
+      return {kind, step: 1 + drawIndex(random, 5)};
+    case 'loseDisk':
+      return planDiskLoss(state, at);
     case 'sendBodies':
       return {
         kind,
@@ -208,6 +237,18 @@
   }
 }
 
+/** Plans the loss of a disk, or a reload while another VM of the core is away. */
+function planDiskLoss(state: PlanState, at: RunTime): ScheduledAction {
+  const {random, options} = state;
+  const vm = drawIndex(random, options.coreVms);
+  const downMs = drawDuration(random, 100, 1_500);
+  if (at < state.coreAwayUntil) {
+    return {kind: 'reload', vm};
+  }
+  state.coreAwayUntil = at + downMs + options.settleMs;
+  return {kind: 'loseDisk', vm, downMs};
+}
+
 function planPause(state: PlanState, at: RunTime): ScheduledAction {
   const {random, options} = state;
   const forMs = drawDuration(random, 500, 10_000);
--- a/bench/soak/src/scheduledAction.ts
+++ b/bench/soak/src/scheduledAction.ts
@@ -43,8 +43,10 @@
       readonly fault: LinkFaultKind;
       readonly forMs: number;
     }
-  /** Sends a new version of the configuration. */
-  | {readonly kind: 'configure'; readonly version: number}
+  /** Sends a version of the configuration that is higher by a step. */
+  | {readonly kind: 'configure'; readonly step: number}
+  /** Kills a VM of the core, which loses its disk, and starts it again. */
+  | {readonly kind: 'loseDisk'; readonly vm: number; readonly downMs: number}
   /** More callers with large bodies at one VM. */
   | {
       readonly kind: 'sendBodies';
--- a/bench/soak/src/seedProcess.ts
+++ b/bench/soak/src/seedProcess.ts
@@ -1,6 +1,7 @@
 import {spawn} from 'node:child_process';
 import {createInterface} from 'node:readline';
 
+import type {ConfigurationLoad} from './configurationLoad.js';
 import {endWithProcess} from './endWithProcess.js';
 import type {SoakSummary} from './summary.js';
 
@@ -10,6 +11,8 @@
   readonly seconds: number;
   readonly vms: number;
   readonly memory: number;
+  readonly disk: number;
+  readonly load: ConfigurationLoad;
 }
 
 /**
@@ -33,8 +36,8 @@
 
 /** Plays one run; its last line is the summary. */
 async function runSeedProcess(run: RunArguments): Promise<SoakSummary> {
-  const {seed, seconds, vms, memory} = run;
-  const args = Object.entries({seed, seconds, vms, memory}).flatMap(
+  const {seed, seconds, vms, memory, disk, load} = run;
+  const args = Object.entries({seed, seconds, vms, memory, disk, load}).flatMap(
     ([name, value]) => [`--${name}`, String(value)],
   );
   const child = spawn(process.execPath, [process.argv[1]!, ...args], {
--- a/bench/soak/src/soakCounts.ts
+++ b/bench/soak/src/soakCounts.ts
@@ -1,6 +1,9 @@
+import {measurePeakDataFolder} from './checkDataFolders.js';
 import {countAcknowledgedLeaves} from './checkLeaves.js';
+import {measureApplyTime} from './checkObeyedVersions.js';
 import {measurePeakMemory} from './checkProcesses.js';
-import {listEvents} from './runHistory.js';
+import {isInTouch} from './inTouch.js';
+import {listEvents} from './listEvents.js';
 import type {RunHistory} from './runHistory.js';
 
 /** What happened in a run, in numbers. */
@@ -14,6 +17,15 @@
   readonly leaves: number;
   readonly peakMebibytes: number;
   readonly longestDelayMs: number;
+  readonly acknowledgedVersions: number;
+  readonly longestAckMs: number;
+  readonly reads: number;
+  readonly probes: number;
+  /** Longest time after an acknowledgement in which an older version was obeyed. */
+  readonly longestApplyMs: number;
+  /** The same at VMs in touch. */
+  readonly longestApplyInTouchMs: number;
+  readonly peakDiskMebibytes: number;
 }
 
 const BYTES_PER_MEBIBYTE = 1024 * 1024;
@@ -40,5 +52,43 @@
     leaves: countAcknowledgedLeaves(history),
     peakMebibytes: Math.round(measurePeakMemory(history) / BYTES_PER_MEBIBYTE),
     longestDelayMs: Math.max(0, ...delays.map(({delayMs}) => delayMs)),
+    ...countChanges(history),
+    peakDiskMebibytes: Math.round(
+      measurePeakDataFolder(history) / BYTES_PER_MEBIBYTE,
+    ),
+  };
+}
+
+function countChanges(
+  history: RunHistory,
+): Pick<
+  SoakCounts,
+  | 'acknowledgedVersions'
+  | 'longestAckMs'
+  | 'reads'
+  | 'probes'
+  | 'longestApplyMs'
+  | 'longestApplyInTouchMs'
+> {
+  const {configuration, events} = history;
+  const ackTimes = configuration.versions.flatMap(({sentAt, acknowledgedAt}) =>
+    acknowledgedAt === undefined ? [] : [acknowledgedAt - sentAt],
+  );
+  const late = configuration.probes
+    .map(probe => ({probe, applyMs: measureApplyTime(history, probe)}))
+    .filter(({applyMs}) => applyMs > 0);
+  const inTouch = late.filter(
+    ({probe: {vm, sentAt, endedAt}}) =>
+      isInTouch(history, vm, sentAt) && isInTouch(history, vm, endedAt),
+  );
+  const readLongest = (times: readonly {readonly applyMs: number}[]): number =>
+    Math.max(0, ...times.map(({applyMs}) => applyMs));
+  return {
+    acknowledgedVersions: ackTimes.length,
+    longestAckMs: Math.max(0, ...ackTimes),
+    reads: listEvents(events, 'configurationRead').length,
+    probes: configuration.probes.length,
+    longestApplyMs: readLongest(late),
+    longestApplyInTouchMs: readLongest(inTouch),
   };
 }
--- a/bench/soak/src/summary.ts
+++ b/bench/soak/src/summary.ts
@@ -22,6 +22,10 @@
 const MAXIMA: readonly (keyof SoakCounts)[] = [
   'peakMebibytes',
   'longestDelayMs',
+  'longestAckMs',
+  'longestApplyMs',
+  'longestApplyInTouchMs',
+  'peakDiskMebibytes',
 ];
 
 /** Creates the summary of one run. */
--- a/bench/soak/src/vmProcess.ts
+++ b/bench/soak/src/vmProcess.ts
@@ -1,7 +1,14 @@
 import {spawn} from 'node:child_process';
 import type {ChildProcess} from 'node:child_process';
-import {closeSync, existsSync, openSync, readFileSync} from 'node:fs';
-import {writeFileSync} from 'node:fs';
+import {
+  closeSync,
+  existsSync,
+  mkdirSync,
+  openSync,
+  readFileSync,
+  rmSync,
+  writeFileSync,
+} from 'node:fs';
 import {join} from 'node:path';
 import {setTimeout as delay} from 'node:timers/promises';
 import {fileURLToPath} from 'node:url';
@@ -12,6 +19,7 @@
 } from '@gentianshunt/platformWorker';
 import type {SiteVm} from '@gentianshunt/platformWorker';
 
+import {measureFolder} from './folderSize.js';
 import type {Recorder} from './recorder.js';
 import type {StartCause, VmSignal} from './recordedEvent.js';
 
@@ -33,6 +41,10 @@
   changeSettings(): void;
   /** Records the peak memory of the running process. */
   measureMemory(): void;
+  /** Records the size of the data folder, if there is one. */
+  measureDataFolder(): void;
+  /** Empties the data folder, if there is one; no process may run. */
+  clearDisk(): void;
   /** Kills all processes; none starts afterwards. */
   kill(): void;
   /** Kills all processes and waits until they have ended. */
@@ -97,6 +109,8 @@
       state.seeds = [...others, first!];
     },
     measureMemory: () => measureMemory(state),
+    measureDataFolder: () => measureDataFolder(state),
+    clearDisk: () => clearDisk(state),
     kill: () => killProcesses(state),
     close: async () => {
       killProcesses(state);
@@ -215,6 +229,21 @@
     : command.replace(BUNDLE, COMPILED_PROGRAM).split(' ');
 }
 
+function measureDataFolder({vm, recorder}: VmState): void {
+  if (vm.dataFolder !== null) {
+    const bytes = measureFolder(vm.dataFolder);
+    recorder.record({kind: 'dataFolderMeasured', vm: vm.ip, bytes});
+  }
+}
+
+function clearDisk({vm, recorder}: VmState): void {
+  if (vm.dataFolder !== null) {
+    rmSync(vm.dataFolder, {recursive: true, force: true});
+    mkdirSync(vm.dataFolder);
+    recorder.record({kind: 'diskLost', vm: vm.ip});
+  }
+}
+
 function measureMemory({newest, running, recorder, vm}: VmState): void {
   if (newest?.pid === undefined || !running.has(newest)) {
     return;
--- /dev/null
+++ b/bench/soak/test/changesSoak.test.ts
@@ -0,0 +1,3 @@
+import {checkRun} from './checkRun.js';
+
+checkRun(31, 5, 'operators');
--- a/bench/soak/test/historyFixture.ts
+++ b/bench/soak/test/historyFixture.ts
@@ -10,6 +10,7 @@
 export const CALM = 60_000;
 
 const MEMORY_BYTES = 200_000_000;
+const DISK_BYTES = 64_000_000;
 
 /** Creates a history from events; all VMs have run since the start. */
 export function createHistory(...events: readonly RecordedEvent[]): RunHistory {
@@ -24,6 +25,7 @@
   return createRunHistory({
     bounds: BOUNDS,
     memoryBytes: MEMORY_BYTES,
+    diskBytes: DISK_BYTES,
     vms: VMS.map(name => ({name, hasDisk: name.startsWith('core')})),
     events: sorted,
   });
--- a/bench/soak/test/processChecks.test.ts
+++ b/bench/soak/test/processChecks.test.ts
@@ -1,5 +1,9 @@
 import type {RecordedEvent} from '../src/index.js';
 import {checkCases, repeat} from './checkCases.js';
+import {
+  createOrderAcknowledged,
+  createOrderSent,
+} from './configurationFixture.js';
 import {
   CALM,
   createCut,
@@ -109,10 +113,9 @@
   acknowledgedAt: number,
   vm = 'core-1',
 ): RecordedEvent[] {
-  const order = {version: 8, vm};
   return [
-    {at: sentAt, kind: 'orderSent', ...order},
-    {at: acknowledgedAt, kind: 'orderAcknowledged', ...order},
+    createOrderSent(sentAt, 8, {vm}),
+    createOrderAcknowledged(acknowledgedAt, 8, {vm}),
     {at: CALM + 20_000, kind: 'settingsWritten', vm: 'core-1'},
   ];
 }
@@ -137,6 +140,30 @@
     violations: 0,
     excused: 0,
   },
+  {
+    name: 'an order with many routes, which may take longer',
+    events: [
+      createOrderSent(CALM, 8, {routes: 100}),
+      createOrderAcknowledged(CALM + 4_300, 8),
+    ],
+    violations: 0,
+    excused: 0,
+  },
+  {
+    name: 'an invalid order that is refused',
+    events: [
+      {
+        at: CALM,
+        kind: 'orderRefused',
+        form: 'invalid',
+        version: 8,
+        vm: 'core-1',
+        status: 400,
+      },
+    ],
+    violations: 0,
+    excused: 0,
+  },
   {
     name: 'an order while the core was not stable',
     events: [
@@ -161,6 +188,7 @@
       {
         at: CALM,
         kind: 'orderRefused',
+        form: 'change',
         version: 8,
         vm: 'core-1',
         status: 400,
--- a/bench/soak/test/schedule.test.ts
+++ b/bench/soak/test/schedule.test.ts
@@ -1,21 +1,23 @@
 import t from 'tap';
 
-import {planSchedule} from '../src/index.js';
+import {CONFIGURATION_PHASES, PHASES, planSchedule} from '../src/index.js';
 
-function createOptions(seed: number) {
+function createOptions(seed: number, phases = PHASES) {
   return {
     seed,
     durationMs: 1_800_000,
     coreVms: 3,
     plainVms: 6,
-    firstVersion: 7,
     settleMs: 7_000,
+    phases,
   };
 }
 
 t.test('the same seed gives the same schedule', async t => {
-  t.same(planSchedule(createOptions(3)), planSchedule(createOptions(3)));
-  t.notSame(planSchedule(createOptions(3)), planSchedule(createOptions(4)));
+  const format = (seed: number): string =>
+    JSON.stringify(planSchedule(createOptions(seed)));
+  t.equal(format(3), format(3));
+  t.not(format(3), format(4));
 });
 
 t.test('a long schedule contains every kind of action and fault', async t => {
@@ -37,6 +39,17 @@
   t.equal(new Set(faults.filter(fault => fault !== '')).size, 6);
 });
 
+t.test('disks are lost one at a time, while the core is whole', async t => {
+  const events = planSchedule(createOptions(1, CONFIGURATION_PHASES));
+  const losses = events.filter(({action}) => action.kind === 'loseDisk');
+  t.ok(losses.length > 1);
+  for (const [index, {at, action}] of losses.entries()) {
+    const before = losses[index - 1]?.at ?? -Infinity;
+    t.ok(at - before > 7_000, 'the VM before has recovered');
+    t.ok(action.kind === 'loseDisk' && action.vm < 3, 'a VM with a disk');
+  }
+});
+
 t.test('a link fault is between two VMs; times increase', async t => {
   const events = planSchedule(createOptions(2));
   for (const {action} of events) {
--- a/standins/platformWorker/src/siteCalls.ts
+++ b/standins/platformWorker/src/siteCalls.ts
@@ -69,12 +69,21 @@
   return callOnce('DELETE', `${control}/v1/instances/${id}`);
 }
 
-/** Sends a configuration document to a control address. */
+/** Sends the bytes of a configuration document to a control address. */
 export function sendConfiguration(
   control: string,
-  document: object,
+  document: Buffer,
+  timeoutMs = ANSWER_TIMEOUT_MS,
 ): Promise<SiteReply | undefined> {
-  return callOnce('PUT', `${control}/v1/config`, JSON.stringify(document));
+  return callOnce('PUT', `${control}/v1/config`, document, timeoutMs);
+}
+
+/** Reads the configuration at a control address. */
+export function readConfiguration(
+  control: string,
+  timeoutMs = ANSWER_TIMEOUT_MS,
+): Promise<SiteReply | undefined> {
+  return callOnce('GET', `${control}/v1/config`, '', timeoutMs);
 }
 
 /** Asks a VM at its readiness address whether it is ready. */
@@ -87,7 +96,8 @@
 function callOnce(
   method: string,
   url: string,
-  body = '',
+  body: string | Buffer = '',
+  timeoutMs = ANSWER_TIMEOUT_MS,
 ): Promise<SiteReply | undefined> {
   return new Promise(resolve => {
     const headers = {
@@ -103,7 +113,7 @@
         end({status: response.statusCode ?? 0, body: text}),
       );
     });
-    const timer = setTimeout(() => end(undefined), ANSWER_TIMEOUT_MS);
+    const timer = setTimeout(() => end(undefined), timeoutMs);
     const end = (reply: SiteReply | undefined): void => {
       clearTimeout(timer);
       call.destroy();
--- a/standins/platformWorker/src/siteDocument.ts
+++ b/standins/platformWorker/src/siteDocument.ts
@@ -9,20 +9,37 @@
   readonly timeoutMs: number;
 }
 
+/** An organisation and the keys of its callers. */
+export interface SiteOrganisation {
+  readonly name: string;
+  readonly keys: readonly string[];
+}
+
 /** A whole configuration of a site. */
 export interface SiteConfiguration {
   readonly version: number;
   readonly host: string;
-  readonly key: string;
+  readonly organisations: readonly SiteOrganisation[];
   readonly routes: readonly SiteRoute[];
 }
 
 /** Largest request body that the configuration allows, in bytes. */
 export const MAX_BODY_BYTES = 4 * 1024 * 1024;
 
+/** The operator's document of a configuration. */
+export interface SiteDocument {
+  readonly version: number;
+  readonly routes: readonly object[];
+  readonly services: readonly object[];
+  readonly limits: object;
+  readonly tenants: readonly object[];
+}
+
 /** Builds the operator's document of a configuration. */
-export function buildSiteDocument(configuration: SiteConfiguration): object {
-  const {version, host, key, routes} = configuration;
+export function buildSiteDocument(
+  configuration: SiteConfiguration,
+): SiteDocument {
+  const {version, host, organisations, routes} = configuration;
   const services = new Map(routes.map(route => [route.service, route]));
   return {
     version,
@@ -34,13 +51,11 @@
       header_timeout_ms: 3_000,
       idle_timeout_ms: 15_000,
     },
-    tenants: [
-      {
-        name: 'lab',
-        api_keys: [key],
-        priority: 1,
-      },
-    ],
+    tenants: organisations.map(({name, keys}) => ({
+      name,
+      api_keys: keys,
+      priority: 1,
+    })),
   };
 }
 
--- a/standins/platformWorker/src/siteSettings.ts
+++ b/standins/platformWorker/src/siteSettings.ts
@@ -19,6 +19,9 @@
   readonly graceMs: number;
   readonly lossSlackMs: number;
   readonly configApplyMs: number;
+  readonly rollbackSlackMs: number;
+  readonly maxSkewMs: number;
+  readonly revokeMs: number;
 }
 
 /** What the settings file of one VM says. */
@@ -32,6 +35,8 @@
   readonly peerListen: string | null;
   /** `null` on a VM without a disk. */
   readonly dataFolder: string | null;
+  /** Size of the disk, if there is one. */
+  readonly diskMb: number;
   readonly memoryMb: number;
   readonly bounds: SiteBounds;
 }
@@ -67,6 +72,11 @@
 memory_mb = ${vm.memoryMb}
 max_fds = 4100
 link_mbps = 1000.0
+${vm.dataFolder === null ? '' : `disk_mb = ${vm.diskMb}\n`}\
+[fault_tolerance]
+machines = 1
+zones = 0
+regions = 0
 [bounds]
 contact_ms = ${bounds.contactMs}
 ack_ms = ${bounds.ackMs}
@@ -74,6 +84,10 @@
 grace_s = ${bounds.graceMs / MS_PER_SECOND}
 loss_slack_ms = ${bounds.lossSlackMs}
 config_apply_ms = ${bounds.configApplyMs}
+rollback_slack_ms = ${bounds.rollbackSlackMs}
+max_skew_ms = ${bounds.maxSkewMs}
+fail_closed = true
+revoke_ms = ${bounds.revokeMs}
 retry_budget_ratio = 0.2
 retry_window_s = 10
 retry_budget_slack = 64
