--- a/bench/soak/src/schedule.ts
+++ b/bench/soak/src/schedule.ts
@@ -10,6 +10,7 @@
 } from './draws.js';
 import type {LinkFaultKind, RunTime} from './recordedEvent.js';
 import type {ScheduledAction, ScheduledEvent} from './scheduledAction.js';
+import type {Phase} from './schedulePhases.js';
 
 /** What a schedule is drawn for. */
 export interface ScheduleOptions {
@@ -23,18 +24,6 @@
   readonly phases: readonly Phase[];
 }
 
-/** A stretch of a run in which certain actions are frequent. */
-export interface Phase {
-  readonly name: string;
-  readonly meanIntervalMs: number;
-  readonly choices: readonly Choice[];
-}
-
-interface Choice {
-  readonly kind: ScheduledAction['kind'];
-  readonly weight: number;
-}
-
 interface PlanState {
   readonly options: ScheduleOptions;
   readonly random: Random;
@@ -54,92 +43,6 @@
 const MAX_RELOAD_DELAY_MS = 300;
 const BODY_SIZES = [65_536, 262_144, 1_048_576, 4_194_304 - 1_024];
 
-/** Phases of most runs. */
-export const PHASES: readonly Phase[] = [
-  {
-    name: 'mixed',
-    meanIntervalMs: 1_200,
-    choices: [
-      {kind: 'kill', weight: 3},
-      {kind: 'terminate', weight: 3},
-      {kind: 'pause', weight: 3},
-      {kind: 'reload', weight: 2},
-      {kind: 'changeSettings', weight: 2},
-      {kind: 'faultLink', weight: 4},
-      {kind: 'configure', weight: 1},
-      {kind: 'sendBodies', weight: 1},
-      {kind: 'killCore', weight: 0.6},
-    ],
-  },
-  {
-    name: 'planned',
-    meanIntervalMs: 1_500,
-    choices: [
-      {kind: 'terminate', weight: 4},
-      {kind: 'reload', weight: 4},
-      {kind: 'changeSettings', weight: 2},
-      {kind: 'configure', weight: 2},
-    ],
-  },
-  {
-    name: 'pauses',
-    meanIntervalMs: 1_500,
-    choices: [
-      {kind: 'pause', weight: 8},
-      {kind: 'reload', weight: 1},
-      {kind: 'configure', weight: 1},
-    ],
-  },
-  {
-    name: 'links',
-    meanIntervalMs: 1_000,
-    choices: [
-      {kind: 'faultLink', weight: 8},
-      {kind: 'terminate', weight: 1},
-      {kind: 'pause', weight: 1},
-      {kind: 'configure', weight: 1},
-    ],
-  },
-  {
-    name: 'bodies',
-    meanIntervalMs: 2_000,
-    choices: [
-      {kind: 'sendBodies', weight: 4},
-      {kind: 'reload', weight: 1},
-      {kind: 'faultLink', weight: 1},
-    ],
-  },
-];
-
-/** Phases of runs in which the configuration changes all the while. */
-export const CONFIGURATION_PHASES: readonly Phase[] = [
-  ...PHASES,
-  {
-    name: 'disks',
-    meanIntervalMs: 4_000,
-    choices: [
-      {kind: 'loseDisk', weight: 4},
-      {kind: 'kill', weight: 2},
-      {kind: 'faultLink', weight: 1},
-    ],
-  },
-];
-
-/** Phases of runs with large documents. */
-export const LARGE_DOCUMENT_PHASES: readonly Phase[] = [
-  {
-    name: 'largeDocuments',
-    meanIntervalMs: 6_000,
-    choices: [
-      {kind: 'loseDisk', weight: 3},
-      {kind: 'kill', weight: 2},
-      {kind: 'killCore', weight: 1},
-      {kind: 'pause', weight: 1},
-      {kind: 'faultLink', weight: 1},
-    ],
-  },
-];
-
 const LINK_FAULTS: readonly LinkFaultKind[] = [
   'delayed',
   'narrow',
--- /dev/null
+++ b/bench/soak/src/soakOptions.ts
@@ -0,0 +1,13 @@
+import type {ConfigurationLoad} from './configurationLoad.js';
+
+/** Options of a run. */
+export interface SoakOptions {
+  readonly seed: number;
+  readonly durationMs: number;
+  readonly vms: number;
+  readonly memoryMb: number;
+  readonly diskMb: number;
+  readonly load: ConfigurationLoad;
+  /** Folder of settings, logs and data. */
+  readonly folder: string;
+}
--- a/bench/soak/test/schedule.test.ts
+++ b/bench/soak/test/schedule.test.ts
@@ -1,15 +1,16 @@
 import t from 'tap';
 
-import {CONFIGURATION_PHASES, PHASES, planSchedule} from '../src/index.js';
+import {listPhases, planSchedule} from '../src/index.js';
+import type {ConfigurationLoad} from '../src/index.js';
 
-function createOptions(seed: number, phases = PHASES) {
+function createOptions(seed: number, load: ConfigurationLoad = 'scheduled') {
   return {
     seed,
     durationMs: 1_800_000,
     coreVms: 3,
     plainVms: 6,
     settleMs: 7_000,
-    phases,
+    phases: listPhases(load),
   };
 }
 
@@ -40,7 +41,7 @@
 });
 
 t.test('disks are lost one at a time, while the core is whole', async t => {
-  const events = planSchedule(createOptions(1, CONFIGURATION_PHASES));
+  const events = planSchedule(createOptions(1, 'operators'));
   const losses = events.filter(({action}) => action.kind === 'loseDisk');
   t.ok(losses.length > 1);
   for (const [index, {at, action}] of losses.entries()) {
