--- a/bench/soak/src/checkConfigurationReads.ts
+++ b/bench/soak/src/checkConfigurationReads.ts
@@ -21,7 +21,7 @@
     const afterMs = sentAt - due.acknowledgedAt;
     return [
       {
-        group: `${vm} ${due.version}`,
+        group: vm,
         finding: {
           check: 'configurationReads' as const,
           at: sentAt,
--- a/bench/soak/src/checkObeyedVersions.ts
+++ b/bench/soak/src/checkObeyedVersions.ts
@@ -66,7 +66,7 @@
   const afterMs = sentAt - due.acknowledgedAt;
   return [
     {
-      group: `${vm} ${due.version}`,
+      group: vm,
       finding: {
         check: 'obeyedVersions',
         at: sentAt,
--- a/bench/soak/src/checkRefusedDocuments.ts
+++ b/bench/soak/src/checkRefusedDocuments.ts
@@ -23,7 +23,7 @@
     .map(({at, vm, version}) =>
       createFinding(
         at,
-        `acknowledged ${version}`,
+        `acknowledged ${vm}`,
         `${vm} acknowledged version ${version}, which is invalid`,
       ),
     );
@@ -48,8 +48,9 @@
         : digests.has(version)
           ? `other content under version ${version}`
           : `version ${version}, which is not valid`;
-    const group = `read ${vm} ${version}`;
-    return [createFinding(at, group, `${vm} answered a read with ${content}`)];
+    return [
+      createFinding(at, `read ${vm}`, `${vm} answered a read with ${content}`),
+    ];
   });
 }
 
--- a/bench/soak/src/checkRegressions.ts
+++ b/bench/soak/src/checkRegressions.ts
@@ -90,7 +90,7 @@
   }
   return [
     {
-      group: `${vm} ${known.version}`,
+      group: vm,
       finding: {
         check: 'regressions',
         at: sentAt,
--- a/bench/soak/src/checkRevokedKeys.ts
+++ b/bench/soak/src/checkRevokedKeys.ts
@@ -24,7 +24,7 @@
     const afterMs = sentAt - due.acknowledgedAt;
     return [
       {
-        group: `${vm} ${due.version}`,
+        group: vm,
         finding: {
           check: 'revokedKeys' as const,
           at: run.at,
