--- a/bench/soak/src/failedRuns.ts
+++ b/bench/soak/src/failedRuns.ts
@@ -86,4 +86,54 @@
     showed:
       'requests that a process read between the end of its shutdown and its exit, 0.5 s later on a busy machine, got no answer',
   },
+  {
+    seed: 31,
+    seconds: 45,
+    vms: 7,
+    memory: 200,
+    disk: 64,
+    load: 'operators',
+    showed:
+      'a document with bytes that are no UTF-8 was acknowledged, read back and obeyed',
+  },
+  {
+    seed: 41,
+    seconds: 40,
+    vms: 6,
+    memory: 200,
+    disk: 64,
+    load: 'largeDocuments',
+    showed:
+      'documents of 90 KB: 260 MiB of 200; a VM that lost its disk did not return, as the whole log was sent to it in one frame that it refused',
+  },
+  {
+    seed: 42,
+    seconds: 40,
+    vms: 6,
+    memory: 200,
+    disk: 64,
+    load: 'largeDocuments',
+    showed:
+      'documents of 90 KB: 237 MiB of 200; a document with bytes that are no UTF-8 was acknowledged and obeyed',
+  },
+  {
+    seed: 43,
+    seconds: 40,
+    vms: 6,
+    memory: 200,
+    disk: 64,
+    load: 'largeDocuments',
+    showed:
+      'documents of 480 KB: 252 MiB of 200; changes without an acknowledgement after 4 s',
+  },
+  {
+    seed: 44,
+    seconds: 40,
+    vms: 6,
+    memory: 200,
+    disk: 64,
+    load: 'largeDocuments',
+    showed:
+      'documents of 480 KB: changes acknowledged after 32 s; three disks lost one after the other, 16 and 30 s apart, then no VM gave the configuration back',
+  },
 ];
