--- a/bench/slopes/src/main.ts
+++ b/bench/slopes/src/main.ts
@@ -6,6 +6,8 @@
 import {measureControl} from './controlCost.js';
 import {measureDemandReporting} from './demandReportingCost.js';
 import type {DemandReportingLoad} from './demandReportingCost.js';
+import {measureDocuments} from './documentCost.js';
+import type {DocumentCost, DocumentLoad} from './documentCost.js';
 import {measureFailover} from './failoverGap.js';
 
 const SERVICE_MS = 9_000;
@@ -57,6 +59,14 @@
   })),
 ];
 
+const DOCUMENT_LOADS: readonly DocumentLoad[] = [
+  ...[10, 60, 90, 145, 480, 3_900].map(kilobytes => ({
+    kilobytes,
+    changes: 100,
+  })),
+  ...[10, 60, 90, 145, 480].map(kilobytes => ({kilobytes, changes: 400})),
+];
+
 function measureDemandReportingLoads(): Metrics {
   const metrics: Metrics = {};
   for (const {name, load} of DEMAND_REPORTING_LOADS) {
@@ -113,6 +123,36 @@
   return metrics;
 }
 
+async function measureDocumentLoads(): Promise<Metrics> {
+  const metrics: Metrics = {};
+  for (const load of DOCUMENT_LOADS) {
+    const cost = await measureDocuments(load);
+    console.log(`documents ${JSON.stringify({load, cost})}`);
+    Object.assign(metrics, listDocumentMetrics(load, cost));
+  }
+  return metrics;
+}
+
+function listDocumentMetrics(
+  {kilobytes, changes}: DocumentLoad,
+  cost: DocumentCost,
+): Metrics {
+  const name = `documents${kilobytes}Kb${changes}`;
+  const {acknowledged, medianAckMs, peakMb, folderMb, replaceMs, readMs} = cost;
+  return {
+    [`${name}Acknowledged`]: createMetric(acknowledged, 'changes'),
+    [`${name}Ack`]: createMetric(medianAckMs, 'ms'),
+    [`${name}Memory`]: createMetric(peakMb, 'MB', '<= 200'),
+    [`${name}Folder`]: createMetric(folderMb, 'MB', '<= 64'),
+    ...(replaceMs === undefined
+      ? {}
+      : {[`${name}Replace`]: createMetric(replaceMs, 'ms')}),
+    ...(readMs === undefined
+      ? {}
+      : {[`${name}Read`]: createMetric(readMs, 'ms', '<= 6000')}),
+  };
+}
+
 async function measureSetLeaderFailure(): Promise<Metrics> {
   const gap = await measureFailover();
   console.log(`set leader killed: ${JSON.stringify(gap)}`);
@@ -122,13 +162,22 @@
   };
 }
 
-async function runBench(): Promise<void> {
-  const metrics: Metrics = {
+const isDocumentsOnly = process.argv.includes('--documents');
+
+async function measureOthers(): Promise<Metrics> {
+  return {
     ...measureDemandReportingLoads(),
     ...measureConfigurations(),
     ...(await measureControls()),
     ...(await measureSetLeaderFailure()),
   };
+}
+
+async function runBench(): Promise<void> {
+  const metrics: Metrics = {
+    ...(isDocumentsOnly ? {} : await measureOthers()),
+    ...(await measureDocumentLoads()),
+  };
   printBenchOutput({bench: 'slopes', seed: null, metrics});
 }
 
