--- a/bench/soak/src/checks.ts
+++ b/bench/soak/src/checks.ts
@@ -1,4 +1,5 @@
 import {checkAcknowledgements} from './checkAcknowledgements.js';
+import {checkAddedRoutes} from './checkAddedRoutes.js';
 import {checkCancelled} from './checkCancelled.js';
 import {checkConfigurationReads} from './checkConfigurationReads.js';
 import {checkClosedWithoutAnswer, checkPlannedWork} from './checkCuts.js';
@@ -39,6 +40,7 @@
   dataFolders: checkDataFolders,
   obeyedVersions: checkObeyedVersions,
   configurationReads: checkConfigurationReads,
+  addedRoutes: checkAddedRoutes,
   regressions: checkRegressions,
   revokedKeys: checkRevokedKeys,
   refusedDocuments: checkRefusedDocuments,
--- a/bench/soak/src/finding.ts
+++ b/bench/soak/src/finding.ts
@@ -17,6 +17,7 @@
   | 'dataFolders'
   | 'obeyedVersions'
   | 'configurationReads'
+  | 'addedRoutes'
   | 'regressions'
   | 'revokedKeys'
   | 'refusedDocuments'
