--- a/bench/soak/src/linkProxy.ts
+++ b/bench/soak/src/linkProxy.ts
@@ -111,10 +111,7 @@
       return;
     }
     if (!to.write(chunk)) {
-      await new Promise<void>(resolve => {
-        to.once('drain', resolve);
-        to.once('close', resolve);
-      });
+      await awaitDrain(to);
     }
     from.resume();
   };
@@ -122,3 +119,16 @@
     forward(chunk).catch(() => from.destroy());
   });
 }
+
+/** Waits until a socket takes more bytes, or is closed. */
+function awaitDrain(socket: Socket): Promise<void> {
+  return new Promise(resolve => {
+    const end = (): void => {
+      socket.off('drain', end);
+      socket.off('close', end);
+      resolve();
+    };
+    socket.on('drain', end);
+    socket.on('close', end);
+  });
+}
