--- a/control/controlModel/src/sections.ts
+++ b/control/controlModel/src/sections.ts
@@ -7,6 +7,7 @@
   defineOrdered,
 } from '@gentianshunt/board';
 import type {AnyController, Controller, Write} from '@gentianshunt/board';
+import type {Milliseconds} from '@gentianshunt/clock';
 import type {
   ConfigurationChange,
   ConfigurationObject,
@@ -35,12 +36,16 @@
 
 import type {ControlObservation} from './observation.js';
 import type {ControlEffect} from './effect.js';
+import {EMPTY_LOG_USAGE, NO_SNAPSHOT_ACTIVITY} from './logActivity.js';
+import type {LogUsage, SnapshotActivity, StartProgress} from './logActivity.js';
+import type {ReleaseRecord} from './releaseRecord.js';
 import type {
   Ballot,
   CapturedState,
   ElectionTimer,
   FollowerProgress,
   IncomingSnapshot,
+  LeaderClock,
   Leadership,
   LogStatus,
   Membership,
@@ -56,6 +61,7 @@
   LedSetKey,
   PendingKey,
   PendingReply,
+  AppliedRelease,
   SessionLeaseKey,
   SessionVersionKey,
   SetLeaderCandidate,
@@ -106,6 +112,11 @@
   readonly storage: StorageId;
   /** Seed of the election jitter. */
   readonly seed: number;
+  /**
+   * Time after the acknowledgement of a release within which every entry must
+   * have stopped using older ones.
+   */
+  readonly releaseApplyMs: Milliseconds;
 }
 
 /** A message that is sent once a batch is synced to disk. */
@@ -130,8 +141,6 @@
   readonly leader: NodeId | null;
   /** The log index of the latest membership. */
   readonly membersIndex: LogIndex;
-  /** The operator's version of the configuration. */
-  readonly release: number;
   readonly sessions: ReadonlySet<NodeId>;
 }
 
@@ -140,7 +149,6 @@
   term: 0,
   leader: null,
   membersIndex: -1,
-  release: -1,
   sessions: new Set(),
 };
 
@@ -167,6 +175,7 @@
     }),
     memberships: defineCell<readonly Membership[]>([]),
     leadership: defineCell<Leadership>({kind: 'following'}),
+    leaderClock: defineCell<LeaderClock>({offsetMs: 0, steadySince: 0}),
     startCheck: defineCell<StartCheck>({
       kind: 'checking',
       since: 0,
@@ -235,8 +244,16 @@
     /** Sets without a live leader. */
     leaderlessSets: defineMap<EndpointSetId, LeaderlessSet>(),
     assignmentProposals: defineCell<readonly AssignmentProposal[]>([]),
+    /** The releases applied lately, by the operator's version. */
+    appliedReleases: defineOrdered<number, AppliedRelease>(compareValues),
     /** Requests of entries that await a reply. */
     pendingReplies: defineMap<PendingKey, PendingReply>(),
+    /** The latest releases, by log index. */
+    releases: defineOrdered<LogIndex, ReleaseRecord>(compareValues),
+    logUsage: defineCell<LogUsage>(EMPTY_LOG_USAGE),
+    snapshotActivity: defineCell<SnapshotActivity>(NO_SNAPSHOT_ACTIVITY),
+    /** `null` until the process has read its data folder. */
+    startProgress: defineCell<StartProgress | null>(null),
     /** The state that the decision log recorded last. */
     loggedState: defineCell<LoggedState>(NOTHING_LOGGED),
   };
--- a/control/controlNode/src/controlNode.ts
+++ b/control/controlNode/src/controlNode.ts
@@ -5,7 +5,13 @@
   createConsensusController,
   createMemberChangeController,
 } from '@gentianshunt/consensus';
-import {createDecisionLogController} from '@gentianshunt/controlDecisionLog';
+import {
+  createDecisionLogController,
+  createLogUsageController,
+  createReleaseController,
+  createSnapshotController,
+  createStartController,
+} from '@gentianshunt/controlDecisionLog';
 import {createControlSections} from '@gentianshunt/controlModel';
 import type {
   ControlController,
@@ -15,6 +21,7 @@
   ControlSections,
 } from '@gentianshunt/controlModel';
 import {
+  createAppliedReleaseController,
   createAssignmentController,
   createProposalController,
   createReplyController,
@@ -51,10 +58,15 @@
     createConsensusController(),
     createMemberChangeController(),
     createStateMachineController(),
+    createAppliedReleaseController(),
     createCaptureController(capture),
     createSessionController(),
     createAssignmentController(),
     createDecisionLogController(),
+    createStartController(),
+    createReleaseController(),
+    createSnapshotController(),
+    createLogUsageController(),
   ];
 }
 
--- a/daemons/controld/src/controld.ts
+++ b/daemons/controld/src/controld.ts
@@ -1,5 +1,11 @@
+import type {Milliseconds} from '@gentianshunt/clock';
 import type {ControlNode} from '@gentianshunt/controlNode';
-import {createControlHost, DataFolderRefusedError} from '@gentianshunt/hosts';
+import {
+  createControlHost,
+  DataFolderRefusedError,
+  measureFolder,
+  readOrderingKey,
+} from '@gentianshunt/hosts';
 import type {ControlHost} from '@gentianshunt/hosts';
 import type {Logger} from '@gentianshunt/logging';
 import {addHealthRoutes, createControlMetrics} from '@gentianshunt/metrics';
@@ -11,6 +17,9 @@
 import {fastify} from 'fastify';
 import type {FastifyInstance} from 'fastify';
 
+/** See `ControlIdentity.releaseApplyMs`. */
+const RELEASE_APPLY_MS: Milliseconds = 2_000;
+
 /** Options of a control daemon. */
 export interface ControldOptions {
   readonly settings: ControldSettings;
@@ -33,6 +42,7 @@
         host?.receive(from, body);
       },
       onError: error => logger.write({kind: 'peerLinkFailed', error}),
+      readOrderingKey,
       drawFraction,
     }),
   );
@@ -43,6 +53,7 @@
       node: settings.node,
       members: settings.control.map(member => member.node),
       admission: {kind: 'listed'},
+      releaseApplyMs: RELEASE_APPLY_MS,
       dataFolder: settings.data_folder,
       clock: createSystemClock(),
       sendToMember: (to, envelope) => {
@@ -53,6 +64,7 @@
       // entries, so no address is given.
       sendToEntry: (to, message) => links.send(to, undefined, message),
       logDecision: decision => logger.write({kind: 'controlDecided', decision}),
+      onFolderRead: read => logger.write({kind: 'folderRead', ...read}),
       onHalted: reason =>
         storageFailed(new DataFolderRefusedError(settings.data_folder, reason)),
       onFailed: storageFailed,
@@ -88,7 +100,10 @@
   const server = fastify({forceCloseConnections: true});
   addHealthRoutes({
     server,
-    metrics: createControlMetrics({view: node.view}),
+    metrics: createControlMetrics({
+      view: node.view,
+      measureFolder: () => measureFolder(settings.data_folder),
+    }),
     readReady: () => hasLeader(node),
   });
   await listenWithRetry(context, http, () => server.listen({...http}));
--- a/daemons/entryd/src/entryd.ts
+++ b/daemons/entryd/src/entryd.ts
@@ -1,3 +1,4 @@
+import {isLeaseValid, readInstant} from '@gentianshunt/clock';
 import type {Clock} from '@gentianshunt/clock';
 import {findObject} from '@gentianshunt/configuration';
 import {createCallerFront} from '@gentianshunt/callerFront';
@@ -17,6 +18,7 @@
   createLoadMonitor,
   createMemoryMonitor,
   createObservationCounts,
+  readOrderingKey,
   toEntryObservation,
 } from '@gentianshunt/hosts';
 import type {EntryAdapters} from '@gentianshunt/hosts';
@@ -81,6 +83,7 @@
       },
       onError: error => logger.write({kind: 'peerLinkFailed', error}),
       maxQueuedBytes: plan.peerLinkBytes,
+      readOrderingKey,
       drawFraction,
     }),
   );
@@ -102,6 +105,7 @@
     peerLinkBytes: links.readQueuedBytes().total,
   });
   const metrics = createEntryMetrics({
+    entry: {view: node.view, clock},
     readQueuedBytes: () => links.readQueuedBytes().total,
     readBufferedBytes,
     readObservations: counts.read,
@@ -236,7 +240,7 @@
   const {service, control} = node.view;
   return (
     service.kind === 'serving' &&
-    control.leaseUntil > createSystemClock().readMonotonic()
+    isLeaseValid(control.lease, readInstant(createSystemClock()))
   );
 }
 
--- a/daemons/hosts/src/controlHost.ts
+++ b/daemons/hosts/src/controlHost.ts
@@ -1,4 +1,4 @@
-import type {Clock} from '@gentianshunt/clock';
+import type {Clock, Milliseconds} from '@gentianshunt/clock';
 import type {
   AdmissionPolicy,
   ControlDecision,
@@ -14,6 +14,7 @@
 import type {NodeId} from '@gentianshunt/identifiers';
 import {openLogFile, openStorageFolder} from '@gentianshunt/logFile';
 import type {LogFile, StorageFolder} from '@gentianshunt/logFile';
+import type {FolderRead} from '@gentianshunt/logging';
 import type {ControlToEntry, StorageId} from '@gentianshunt/messages';
 import {
   createTimerTable,
@@ -24,6 +25,7 @@
 import {EffectFailedError} from './effectFailedError.js';
 import {toControlObservation} from './controlMessages.js';
 import type {ConsensusEnvelope} from './controlMessages.js';
+import {createMeteredFolder} from './meteredFolder.js';
 
 /** Characters of a storage id; enough to be unique in a group of members. */
 const STORAGE_ID_LENGTH = 10;
@@ -33,6 +35,7 @@
   readonly node: NodeId;
   readonly members: readonly NodeId[];
   readonly admission: AdmissionPolicy;
+  readonly releaseApplyMs: Milliseconds;
   readonly dataFolder: string;
   /** Opens the data folder; that of the file system by default. */
   readonly openFolder?: (path: string) => Promise<StorageFolder>;
@@ -41,6 +44,8 @@
   readonly sendToEntry: (to: NodeId, message: ControlToEntry) => void;
   /** Writes a decision to the daemon's log output. */
   readonly logDecision: (decision: ControlDecision) => void;
+  /** Called once the data folder has been read. */
+  readonly onFolderRead?: (read: FolderRead) => void;
   /** Called when the member must stop using its data folder. */
   readonly onHalted: (reason: HaltReason) => void;
   /** Called when a write or sync failed; nothing further is written. */
@@ -80,12 +85,9 @@
       options.onFault(error as Error);
     }
   };
-  const logFile = await openLogFile({
-    folder: await (options.openFolder ?? openStorageFolder)(options.dataFolder),
-    drawStorageId,
-    onPersisted: sequence => post({kind: 'persisted', sequence}),
-    onFailed: options.onFailed,
-  });
+  const logFile = await readLogFile(options, sequence =>
+    post({kind: 'persisted', sequence}),
+  );
   const timers = createTimerTable<ControlTimer>({
     onDue: timer => post({kind: 'timerDue', timer}),
   });
@@ -96,6 +98,7 @@
       admission: options.admission,
       storage: logFile.storage,
       seed: drawSeed(),
+      releaseApplyMs: options.releaseApplyMs,
     },
     clock: options.clock,
     perform: effect => {
@@ -126,6 +129,30 @@
   };
 }
 
+/** Opens the log in the data folder, and reports what was read. */
+async function readLogFile(
+  options: ControlHostOptions,
+  onPersisted: (sequence: number) => void,
+): Promise<LogFile> {
+  const {clock, dataFolder, onFailed, onFolderRead} = options;
+  const startedAt = clock.readMonotonic();
+  const {folder, measure} = createMeteredFolder(
+    await (options.openFolder ?? openStorageFolder)(dataFolder),
+  );
+  const logFile = await openLogFile({
+    folder,
+    drawStorageId,
+    onPersisted,
+    onFailed,
+  });
+  onFolderRead?.({
+    ...measure(),
+    entries: logFile.stored.entries.length,
+    durationMs: clock.readMonotonic() - startedAt,
+  });
+  return logFile;
+}
+
 /** Draws a short id, because every consensus message carries it. */
 function drawStorageId(): StorageId {
   const id = drawIdentifier<StorageId>();
