--- a/control/controlNode/test/fixture.ts
+++ b/control/controlNode/test/fixture.ts
@@ -1,6 +1,7 @@
 import {createManualClock} from '@gentianshunt/clock';
 import type {ManualClock, Milliseconds} from '@gentianshunt/clock';
 import type {ObjectCommand} from '@gentianshunt/configuration';
+import {DEFAULT_LOG_BOUNDS} from '@gentianshunt/controlModel';
 import type {
   Ballot,
   ControlDecision,
@@ -62,6 +63,7 @@
       storage: toIdentifier('folder'),
       seed: 1,
       releaseApplyMs,
+      logBounds: DEFAULT_LOG_BOUNDS,
     },
     clock,
     perform: effect => perform(effect),
--- a/control/stateMachine/test/stateMachine.test.ts
+++ b/control/stateMachine/test/stateMachine.test.ts
@@ -13,7 +13,10 @@
 
 import {createControlLoop, defineController} from '@gentianshunt/board';
 import {createManualClock} from '@gentianshunt/clock';
-import {createControlSections} from '@gentianshunt/controlModel';
+import {
+  createControlSections,
+  DEFAULT_LOG_BOUNDS,
+} from '@gentianshunt/controlModel';
 import type {
   ControlEffect,
   ControlObservation,
@@ -80,6 +83,7 @@
       storage: toIdentifier('folder'),
       seed: 1,
       releaseApplyMs: 2_000,
+      logBounds: DEFAULT_LOG_BOUNDS,
     }),
     controllers: [createFakeLog(groups), createStateMachineController()],
     clock: createManualClock(),
--- a/daemons/controld/src/controld.ts
+++ b/daemons/controld/src/controld.ts
@@ -19,6 +19,7 @@
 
 /** See `ControlIdentity.releaseApplyMs`. */
 const RELEASE_APPLY_MS: Milliseconds = 2_000;
+const BYTES_PER_MB = 1_024 * 1_024;
 
 /** Options of a control daemon. */
 export interface ControldOptions {
@@ -55,6 +56,10 @@
       admission: {kind: 'listed'},
       releaseApplyMs: RELEASE_APPLY_MS,
       dataFolder: settings.data_folder,
+      resources: {
+        memoryBytes: settings.limits.memory_mb * BYTES_PER_MB,
+        diskBytes: settings.limits.disk_mb * BYTES_PER_MB,
+      },
       clock: createSystemClock(),
       sendToMember: (to, envelope) => {
         const member = settings.control.find(({node}) => node === to);
--- a/daemons/hosts/src/controlHost.ts
+++ b/daemons/hosts/src/controlHost.ts
@@ -1,4 +1,5 @@
 import type {Clock, Milliseconds} from '@gentianshunt/clock';
+import {planLogBounds} from '@gentianshunt/controlModel';
 import type {
   AdmissionPolicy,
   ControlDecision,
@@ -6,6 +7,7 @@
   ControlObservation,
   ControlTimer,
   HaltReason,
+  LogResources,
 } from '@gentianshunt/controlModel';
 import {createControlNode} from '@gentianshunt/controlNode';
 import type {ControlNode} from '@gentianshunt/controlNode';
@@ -37,6 +39,8 @@
   readonly admission: AdmissionPolicy;
   readonly releaseApplyMs: Milliseconds;
   readonly dataFolder: string;
+  /** What the member may use of the VM; bounds the bytes of its log. */
+  readonly resources: LogResources;
   /** Opens the data folder; that of the file system by default. */
   readonly openFolder?: (path: string) => Promise<StorageFolder>;
   readonly clock: Clock;
@@ -99,6 +103,7 @@
       storage: logFile.storage,
       seed: drawSeed(),
       releaseApplyMs: options.releaseApplyMs,
+      logBounds: planLogBounds(options.resources),
     },
     clock: options.clock,
     perform: effect => {
