--- a/bench/soak/src/failedRuns.ts
+++ b/bench/soak/src/failedRuns.ts
@@ -12,6 +12,8 @@
     seconds: 60,
     vms: 9,
     memory: 200,
+    disk: 64,
+    load: 'scheduled',
     showed:
       'a VM acknowledged a leave 3 s after its process was ready, and no other VM learnt of it',
   },
@@ -20,6 +22,8 @@
     seconds: 60,
     vms: 9,
     memory: 200,
+    disk: 64,
+    load: 'scheduled',
     showed:
       'a process that starts while its predecessor ends exits with code 2, because of the ports',
   },
@@ -28,6 +32,8 @@
     seconds: 60,
     vms: 9,
     memory: 200,
+    disk: 64,
+    load: 'scheduled',
     showed:
       'large bodies: 245 MiB of 200; SIGHUP 139 ms after the start ends the process',
   },
@@ -36,6 +42,8 @@
     seconds: 45,
     vms: 4,
     memory: 200,
+    disk: 64,
+    load: 'scheduled',
     showed: 'large bodies: 273 MiB of 200',
   },
   {
@@ -43,6 +51,8 @@
     seconds: 75,
     vms: 9,
     memory: 200,
+    disk: 64,
+    load: 'scheduled',
     showed:
       'connections to the control leader fell silent; the VM that lost its lease by that was not told of a leave, and sent the endpoint requests as soon as it had a lease again',
   },
@@ -51,6 +61,8 @@
     seconds: 60,
     vms: 4,
     memory: 200,
+    disk: 64,
+    load: 'scheduled',
     showed:
       'a VM without a lease was not told of a leave; it got its lease back 0.5 s later and still sent the endpoint requests 3 s after that',
   },
@@ -59,6 +71,8 @@
     seconds: 75,
     vms: 9,
     memory: 200,
+    disk: 64,
+    load: 'scheduled',
     showed:
       'six VMs acknowledged a leave; one that had been cut off from the set leader for 1 s was not told and sent the endpoint requests for 6 s',
   },
@@ -67,7 +81,69 @@
     seconds: 75,
     vms: 9,
     memory: 200,
+    disk: 64,
+    load: 'scheduled',
     showed:
       'requests that a process read between the end of its shutdown and its exit, 0.5 s later on a busy machine, got no answer',
   },
+  {
+    seed: 31,
+    seconds: 45,
+    vms: 7,
+    memory: 200,
+    disk: 64,
+    load: 'operators',
+    showed:
+      'a document with bytes that are no UTF-8 was acknowledged, read back and obeyed',
+  },
+  {
+    seed: 41,
+    seconds: 40,
+    vms: 6,
+    memory: 200,
+    disk: 64,
+    load: 'largeDocuments',
+    showed:
+      'documents of 90 KB: 260 MiB of 200; a VM that lost its disk did not return, as the whole log was sent to it in one frame that it refused',
+  },
+  {
+    seed: 42,
+    seconds: 40,
+    vms: 6,
+    memory: 200,
+    disk: 64,
+    load: 'largeDocuments',
+    showed:
+      'documents of 90 KB: 237 MiB of 200; a document with bytes that are no UTF-8 was acknowledged and obeyed',
+  },
+  {
+    seed: 43,
+    seconds: 40,
+    vms: 6,
+    memory: 200,
+    disk: 64,
+    load: 'largeDocuments',
+    showed:
+      'documents of 480 KB: 252 MiB of 200; changes without an acknowledgement after 4 s',
+  },
+  {
+    seed: 44,
+    seconds: 40,
+    vms: 6,
+    memory: 200,
+    disk: 64,
+    load: 'largeDocuments',
+    showed:
+      'documents of 480 KB: changes acknowledged after 32 s; three disks lost one after the other, 16 and 30 s apart, then no VM gave the configuration back',
+  },
+  {
+    seed: 51,
+    seconds: 40,
+    vms: 6,
+    memory: 200,
+    disk: 64,
+    load: 'largeDocuments',
+    showed:
+      'documents of 350 routes: a VM that had lost its disk was still empty 16 s later, as it refused the whole log in one frame; the final fault took a second disk, and no VM gave the configuration back; 220 MiB of 200',
+  },
 ];
