--- a/bench/soak/src/finding.ts
+++ b/bench/soak/src/finding.ts
@@ -13,7 +13,16 @@
   | 'plannedWork'
   | 'acknowledgements'
   | 'processEnds'
-  | 'memory';
+  | 'memory'
+  | 'dataFolders'
+  | 'obeyedVersions'
+  | 'configurationReads'
+  | 'addedRoutes'
+  | 'regressions'
+  | 'revokedKeys'
+  | 'refusedDocuments'
+  | 'repeatedOrders'
+  | 'readBack';
 
 /** Something that a rule forbids, unless it has an excuse. */
 export interface Finding {
--- a/bench/soak/src/schedule.ts
+++ b/bench/soak/src/schedule.ts
@@ -10,6 +10,7 @@
 } from './draws.js';
 import type {LinkFaultKind, RunTime} from './recordedEvent.js';
 import type {ScheduledAction, ScheduledEvent} from './scheduledAction.js';
+import type {Phase} from './schedulePhases.js';
 
 /** What a schedule is drawn for. */
 export interface ScheduleOptions {
@@ -18,27 +19,14 @@
   /** VMs with a disk come first. */
   readonly coreVms: number;
   readonly plainVms: number;
-  readonly firstVersion: number;
   /** Time of VMs that return until they count as recovered. */
   readonly settleMs: number;
-}
-
-/** A stretch of a run in which certain actions are frequent. */
-interface Phase {
-  readonly name: string;
-  readonly meanIntervalMs: number;
-  readonly choices: readonly Choice[];
-}
-
-interface Choice {
-  readonly kind: ScheduledAction['kind'];
-  readonly weight: number;
+  readonly phases: readonly Phase[];
 }
 
 interface PlanState {
   readonly options: ScheduleOptions;
   readonly random: Random;
-  version: number;
   /** Until then, another VM of the core is away. */
   coreAwayUntil: RunTime;
 }
@@ -55,62 +43,6 @@
 const MAX_RELOAD_DELAY_MS = 300;
 const BODY_SIZES = [65_536, 262_144, 1_048_576, 4_194_304 - 1_024];
 
-const PHASES: readonly Phase[] = [
-  {
-    name: 'mixed',
-    meanIntervalMs: 1_200,
-    choices: [
-      {kind: 'kill', weight: 3},
-      {kind: 'terminate', weight: 3},
-      {kind: 'pause', weight: 3},
-      {kind: 'reload', weight: 2},
-      {kind: 'changeSettings', weight: 2},
-      {kind: 'faultLink', weight: 4},
-      {kind: 'configure', weight: 1},
-      {kind: 'sendBodies', weight: 1},
-      {kind: 'killCore', weight: 0.6},
-    ],
-  },
-  {
-    name: 'planned',
-    meanIntervalMs: 1_500,
-    choices: [
-      {kind: 'terminate', weight: 4},
-      {kind: 'reload', weight: 4},
-      {kind: 'changeSettings', weight: 2},
-      {kind: 'configure', weight: 2},
-    ],
-  },
-  {
-    name: 'pauses',
-    meanIntervalMs: 1_500,
-    choices: [
-      {kind: 'pause', weight: 8},
-      {kind: 'reload', weight: 1},
-      {kind: 'configure', weight: 1},
-    ],
-  },
-  {
-    name: 'links',
-    meanIntervalMs: 1_000,
-    choices: [
-      {kind: 'faultLink', weight: 8},
-      {kind: 'terminate', weight: 1},
-      {kind: 'pause', weight: 1},
-      {kind: 'configure', weight: 1},
-    ],
-  },
-  {
-    name: 'bodies',
-    meanIntervalMs: 2_000,
-    choices: [
-      {kind: 'sendBodies', weight: 4},
-      {kind: 'reload', weight: 1},
-      {kind: 'faultLink', weight: 1},
-    ],
-  },
-];
-
 const LINK_FAULTS: readonly LinkFaultKind[] = [
   'delayed',
   'narrow',
@@ -128,13 +60,12 @@
   const state: PlanState = {
     options,
     random,
-    version: options.firstVersion,
     coreAwayUntil: 0,
   };
   const events: ScheduledEvent[] = [];
   const end = options.durationMs - COOL_DOWN_MS;
   for (let start = WARM_UP_MS; start < end; start += PHASE_MS) {
-    const phase = drawItem(random, PHASES);
+    const phase = drawItem(random, options.phases);
     const phaseEnd = Math.min(start + PHASE_MS, end);
     let at = start + random.drawExponential(phase.meanIntervalMs);
     while (at < phaseEnd) {
@@ -194,8 +125,9 @@
     case 'faultLink':
       return planLinkFault(state, at);
     case 'configure':
-      state.version += 1 + drawIndex(random, 5);
-      return {kind, version: state.version};
+      return {kind, step: 1 + drawIndex(random, 5)};
+    case 'loseDisk':
+      return planDiskLoss(state, at);
     case 'sendBodies':
       return {
         kind,
@@ -208,6 +140,18 @@
   }
 }
 
+/** Plans the loss of a disk, or a reload while another VM of the core is away. */
+function planDiskLoss(state: PlanState, at: RunTime): ScheduledAction {
+  const {random, options} = state;
+  const vm = drawIndex(random, options.coreVms);
+  const downMs = drawDuration(random, 100, 1_500);
+  if (at < state.coreAwayUntil) {
+    return {kind: 'reload', vm};
+  }
+  state.coreAwayUntil = at + downMs + options.settleMs;
+  return {kind: 'loseDisk', vm, downMs};
+}
+
 function planPause(state: PlanState, at: RunTime): ScheduledAction {
   const {random, options} = state;
   const forMs = drawDuration(random, 500, 10_000);
--- a/control/controlNode/test/releaseDecisions.test.ts
+++ b/control/controlNode/test/releaseDecisions.test.ts
@@ -169,17 +169,15 @@
   const half = LOG_GROWTH_STEP_BYTES / 2;
   fixture.receive('entry-0', createReplacementRequest(7, ['gold'], half));
   t.notOk(listKinds(fixture.takeDecisions()).includes('logGrown'));
-  const before = sumBytes(fixture.readStored().entries);
-  const {replacement} = createReplacementRequest(8, ['silver'], half);
+  const applied = sumBytes(fixture.readStored().entries);
+  const request = createReplacementRequest(8, ['silver'], half);
+  const {replacement} = request;
   const payload = {kind: 'replaceConfiguration', replacement} as const;
-  fixture.receive('entry-0', createReplacementRequest(8, ['silver'], half));
+  const appended = measureLogEntry({index: 0, term: 0, payload});
+  fixture.receive('entry-0', request);
   t.match(
     fixture.takeDecisions().find(({kind}) => kind === 'logGrown'),
-    {
-      bytes: before + measureLogEntry({index: 0, term: 0, payload}),
-      // The latest entry is in the log, but not applied yet.
-      sinceSnapshotBytes: before,
-    },
+    {bytes: applied + appended, sinceSnapshotBytes: applied},
   );
 });
 
--- a/fronts/metrics/src/controlGauges.ts
+++ b/fronts/metrics/src/controlGauges.ts
@@ -1,5 +1,6 @@
 /** Gauges of a control member. */
 import type {BoardView} from '@gentianshunt/board';
+import {measureLog} from '@gentianshunt/controlModel';
 import type {ControlSections} from '@gentianshunt/controlModel';
 import {Gauge} from 'prom-client';
 import type {Registry} from 'prom-client';
@@ -74,6 +75,16 @@
     help: 'Estimated bytes of the applied entries after the latest snapshot.',
     read: ({view}) => view.logUsage.sinceSnapshotBytes,
   },
+  {
+    name: 'log_pending_bytes',
+    help: 'Bytes of the entries that are not committed, or not on disk.',
+    read: ({view}) => measureLog(view).pendingBytes,
+  },
+  {
+    name: 'snapshot_bytes',
+    help: 'Bytes of the latest snapshot.',
+    read: ({view}) => view.snapshotBytes,
+  },
   {
     name: 'folder_bytes',
     help: 'Bytes of the files in the data folder.',
