Let a leader with a slow disk commit further documents

The bound on documents that wait counted what was not committed together with what was not on the leader's own disk. The other members can commit without it, so a short stall of one disk held up all changes after a few documents. The bound for the leader's disk is four times as large now: it limits the memory of the queue only.

--- a/control/controlModel/src/logBounds.ts
+++ b/control/controlModel/src/logBounds.ts
@@ -9,10 +9,12 @@
   /** Bytes of log entries kept while a follower receives a snapshot. */
   readonly transferBytes: number;
   /**
-   * Bytes of log entries without a commit or sync beyond which no further
+   * Bytes of log entries that are not committed beyond which no further
    * replacement of the configuration is appended.
    */
-  readonly pendingBytes: number;
+  readonly uncommittedBytes: number;
+  /** The same for entries that are not on the leader's disk. */
+  readonly unsyncedBytes: number;
   /** Bytes of stored answers beyond which a leader proposes no further ones. */
   readonly answerBytes: number;
 }
@@ -54,7 +56,8 @@
     maxSnapshotIntervalBytes: 4 * bytes,
     retainedBytes: bytes,
     transferBytes: 4 * bytes,
-    pendingBytes: bytes,
+    uncommittedBytes: bytes,
+    unsyncedBytes: 4 * bytes,
     answerBytes: 4 * bytes,
   };
 }
--- a/control/controlModel/src/logUsage.ts
+++ b/control/controlModel/src/logUsage.ts
@@ -14,8 +14,9 @@
   readonly bytes: number;
   /** Bytes of the applied entries that the latest snapshot lacks. */
   readonly sinceSnapshotBytes: number;
-  /** Bytes of the entries that are not committed, or not synced here. */
-  readonly pendingBytes: number;
+  readonly uncommittedBytes: number;
+  /** Bytes of the entries that are not on this member's disk. */
+  readonly unsyncedBytes: number;
 }
 
 /** Measures the bytes of a member's log. */
@@ -29,6 +30,7 @@
     bytes: end - readOffset(base.index),
     sinceSnapshotBytes:
       readOffset(applied.index) - readOffset(snapshot?.index ?? 0),
-    pendingBytes: end - readOffset(Math.min(commitIndex, syncedIndex)),
+    uncommittedBytes: end - readOffset(commitIndex),
+    unsyncedBytes: end - readOffset(syncedIndex),
   };
 }
--- a/control/controlNode/test/documentFixture.ts
+++ b/control/controlNode/test/documentFixture.ts
@@ -26,7 +26,8 @@
   maxSnapshotIntervalBytes: 1_024 * KIBIBYTE,
   retainedBytes: 256 * KIBIBYTE,
   transferBytes: 1_024 * KIBIBYTE,
-  pendingBytes: 256 * KIBIBYTE,
+  uncommittedBytes: 256 * KIBIBYTE,
+  unsyncedBytes: 1_024 * KIBIBYTE,
   answerBytes: 128 * KIBIBYTE,
 };
 
--- a/control/controlNode/test/waitingDocuments.test.ts
+++ b/control/controlNode/test/waitingDocuments.test.ts
@@ -72,7 +72,7 @@
   const log = [...leader.loop!.view.log.iterateFrom()];
   const bytes = countBytes(log.map(({value}) => value));
   t.ok(
-    bytes <= LOW_LOG_BOUNDS.pendingBytes + 2 * LARGE_DOCUMENT_BYTES,
+    bytes <= LOW_LOG_BOUNDS.uncommittedBytes + 2 * LARGE_DOCUMENT_BYTES,
     `${bytes}`,
   );
   followers.forEach(member => deployment.setPartitioned(member, false));
@@ -82,3 +82,22 @@
   t.same(deployment.members.map(readVersion), [20, 20, 20]);
   t.end();
 });
+
+t.test('a leader with a stalled disk commits, within a bound', t => {
+  const deployment = createLedDeployment();
+  const leader = deployment.findLeader()!;
+  leader.setDiskStalled(true);
+  for (let version = 1; version <= 4; version += 1) {
+    replaceConfiguration(deployment, version);
+    deployment.run(3);
+  }
+  t.equal(readVersion(leader), 4);
+  for (let version = 5; version <= 30; version += 1) {
+    replaceConfiguration(deployment, version);
+    deployment.run(3);
+  }
+  const queued = countBytes(leader.listQueued());
+  const bound = LOW_LOG_BOUNDS.unsyncedBytes + 2 * LARGE_DOCUMENT_BYTES;
+  t.ok(queued <= bound, `${queued} bytes`);
+  t.end();
+});
--- a/control/entrySessions/src/replacementProposals.ts
+++ b/control/entrySessions/src/replacementProposals.ts
@@ -21,10 +21,12 @@
   board: ReplacementBoard,
   replacement: ConfigurationReplacement,
 ): readonly LogPayload[] {
-  const {pendingBytes} = board.identity.logBounds;
+  const {logBounds} = board.identity;
+  const usage = measureLog(board);
   const isWaiting =
     hasUnappliedVersion(board, replacement.version) ||
-    measureLog(board).pendingBytes >= pendingBytes;
+    usage.uncommittedBytes >= logBounds.uncommittedBytes ||
+    usage.unsyncedBytes >= logBounds.unsyncedBytes;
   return isWaiting ? [] : [{kind: 'replaceConfiguration', replacement}];
 }
 
--- a/fronts/metrics/src/controlMetrics.ts
+++ b/fronts/metrics/src/controlMetrics.ts
@@ -52,9 +52,14 @@
     () => measureLog(view).sinceSnapshotBytes,
   );
   addGauge(
-    'log_pending_bytes',
-    'Size of the entries that are not committed, or not on disk.',
-    () => measureLog(view).pendingBytes,
+    'log_uncommitted_bytes',
+    'Size of the entries that are not committed.',
+    () => measureLog(view).uncommittedBytes,
+  );
+  addGauge(
+    'log_unsynced_bytes',
+    'Size of the entries that are not on disk.',
+    () => measureLog(view).unsyncedBytes,
   );
   addGauge(
     'snapshot_bytes',
