--- a/control/controlNode/test/staleTransfer.test.ts
+++ b/control/controlNode/test/staleTransfer.test.ts
@@ -1,7 +1,10 @@
 import t from 'tap';
 
+import {createTestDeployment} from './deploymentFixture.js';
 import type {TestDeployment} from './deploymentFixture.js';
 import {
+  LOW_LOG_BOUNDS,
+  ONE_SECOND_STEPS,
   createLedDeployment,
   listFollowers,
   replaceConfiguration,
@@ -83,3 +86,31 @@
   t.same(listMissing(leader), [], 'the log has no gap');
   t.end();
 });
+
+t.test('a deposed leader moves the base of its log back', t => {
+  const deployment = createTestDeployment(5, LOW_LOG_BOUNDS);
+  deployment.run(5 * ONE_SECOND_STEPS);
+  const former = deployment.findLeader()!;
+  replaceMany(deployment, 1, VERSIONS_BEFORE);
+  const learner = interruptTransfer(deployment, former);
+  deployment.setPartitioned(former, true);
+  deployment.setPartitioned(learner, false);
+  deployment.run(5 * ONE_SECOND_STEPS);
+  deployment.setPartitioned(former, false);
+  deployment.run(5 * ONE_SECOND_STEPS);
+  t.equal(former.loop!.view.role.kind, 'follower');
+  replaceMany(deployment, VERSIONS_BEFORE + 1, VERSIONS_AFTER);
+  const before = former.loop!.view.logStatus.base.index;
+  for (
+    let number = 1;
+    number <= COMMANDS && listMissing(former).length === 0;
+    number += 1
+  ) {
+    deployment.command(deployment.findLeader()!, number);
+    deployment.run(1);
+  }
+  const {base} = former.loop!.view.logStatus;
+  t.ok(base.index >= before, `base ${base.index} after ${before}`);
+  t.same(listMissing(former), [], 'the log has no gap');
+  t.end();
+});
