--- a/control/controlNode/test/staleTransfer.test.ts
+++ b/control/controlNode/test/staleTransfer.test.ts
@@ -114,3 +114,24 @@
   t.same(listMissing(former), [], 'the log has no gap');
   t.end();
 });
+
+t.test('a follower that is down lets the leader move the base back', t => {
+  const deployment = createLedDeployment();
+  const leader = deployment.findLeader()!;
+  const follower = listFollowers(deployment)[0]!;
+  deployment.setPartitioned(follower, true);
+  replaceMany(deployment, 1, VERSIONS_BEFORE);
+  deployment.run(2 * ONE_SECOND_STEPS);
+  t.ok(isReceiving(leader, follower), 'a transfer begins');
+  replaceMany(deployment, VERSIONS_BEFORE + 1, VERSIONS_AFTER);
+  for (
+    let number = 1;
+    number <= COMMANDS && listMissing(leader).length === 0;
+    number += 1
+  ) {
+    deployment.command(leader, number);
+    deployment.run(1);
+  }
+  t.same(listMissing(leader), [], 'the log has no gap');
+  t.end();
+});
