--- /dev/null
+++ b/scheduling/controlClient/test/queryController.test.ts
@@ -0,0 +1,32 @@
+import {toIdentifier} from '@gentianshunt/identifiers';
+import t from 'tap';
+
+import {createControlController, createQueryController} from '../src/index.js';
+import {createEntryFixture, createUpdate} from './fixture.js';
+
+const TICK_MS = 250;
+/** A read of the configuration waits no longer for its answer. */
+const READ_MS = 900;
+/** The first sending, and one more after a second. */
+const MAX_SENT = 2;
+
+t.test('a waiting read is sent again every tick', async t => {
+  const fixture = createEntryFixture([
+    createControlController(),
+    createQueryController(),
+  ]);
+  fixture.receive(createUpdate(0, 1, []));
+  fixture.takeSent();
+  fixture.loop.post({
+    kind: 'queryReceived',
+    correlation: toIdentifier('r1'),
+    query: {kind: 'source'},
+  });
+  for (let age = 0; age < 10 * READ_MS; age += TICK_MS) {
+    fixture.tick(TICK_MS);
+  }
+  const sent = fixture
+    .takeSent()
+    .filter(({kind}) => kind === 'controlQueryRequest').length;
+  t.ok(sent <= MAX_SENT, `${sent} requests of a document`);
+});
