Count only the entries that are in flight

A new leader whose first append was lost could not commit for 0.5 s plus a second for each megabyte of its log: with nothing confirmed yet, the whole log counted as in flight, so that heartbeats named index 0 and were not refused, the resend waited for the time that a slow link needs for all of it, and no further entry was sent. The progress of a follower now names the index before the first unanswered request.

--- a/control/consensus/src/leadership.ts
+++ b/control/consensus/src/leadership.ts
@@ -60,6 +60,7 @@
     matchIndex: 0,
     confirmedAt: Number.NEGATIVE_INFINITY,
     inFlight: [],
+    inFlightAfter: nextIndex - 1,
     progressedAt: now.monotonic,
     transfer: null,
   };
@@ -81,6 +82,7 @@
   const known = new Set(listPeers(draft).map(({storage}) => storage));
   draft.log.append(entries);
   addMemberships(draft, entries);
+  dropRemovedPeers(draft);
   for (const peer of listPeers(draft)) {
     if (!known.has(peer.storage)) {
       // A new data folder holds nothing of what the node's former one held.
@@ -90,6 +92,16 @@
   }
 }
 
+/** Drops the progress of members that were removed. */
+function dropRemovedPeers(draft: ConsensusDraft): void {
+  const nodes = new Set(listPeers(draft).map(({node}) => node));
+  for (const node of draft.view.board.followerProgress.keys()) {
+    if (!nodes.has(node)) {
+      draft.progress.delete(node);
+    }
+  }
+}
+
 /** Sends heartbeats; steps down if no quorum has answered for too long. */
 export function handleHeartbeatTimer(
   draft: ConsensusDraft,
--- a/control/consensus/src/replication.ts
+++ b/control/consensus/src/replication.ts
@@ -50,21 +50,41 @@
   draft.progress.put(peer.node, {
     ...progress,
     nextIndex: lastIndex + 1,
+    ...startFlight(progress, now),
     inFlight: [...progress.inFlight, lastIndex],
-    progressedAt:
-      progress.inFlight.length === 0 ? now.monotonic : progress.progressedAt,
   });
   sendAppendRequest(draft, peer, progress.nextIndex - 1, entries.length, now);
 }
 
+/** Records where and when the entries in flight begin, if none are yet. */
+function startFlight(
+  {inFlight, inFlightAfter, nextIndex, progressedAt}: FollowerProgress,
+  now: TurnTime,
+): Pick<FollowerProgress, 'inFlightAfter' | 'progressedAt'> {
+  return inFlight.length === 0
+    ? {inFlightAfter: nextIndex - 1, progressedAt: now.monotonic}
+    : {inFlightAfter, progressedAt};
+}
+
+/** Finds the index before the first entry that is not answered. */
+function findAnsweredIndex({
+  matchIndex,
+  inFlightAfter,
+}: FollowerProgress): LogIndex {
+  return Math.max(matchIndex, inFlightAfter);
+}
+
 /** Measures the bytes of the entries that are sent and not answered. */
 function measureBytesInFlight(
   draft: ConsensusDraft,
-  {inFlight, matchIndex, nextIndex}: FollowerProgress,
+  progress: FollowerProgress,
 ): number {
-  return inFlight.length === 0
+  return progress.inFlight.length === 0
     ? 0
-    : draft.log.measureBytes(matchIndex, nextIndex - 1);
+    : draft.log.measureBytes(
+        findAnsweredIndex(progress),
+        progress.nextIndex - 1,
+      );
 }
 
 function sendAppendRequest(
@@ -107,17 +127,27 @@
     resend(draft, peer, progress, now);
     return;
   }
-  // It may overtake large messages, and must not be refused for that.
-  const isOvertaking =
-    progress.transfer !== null ||
-    measureBytesInFlight(draft, progress) > MAX_ORDERED_BYTES;
-  const previousIndex = isOvertaking
-    ? progress.matchIndex
-    : progress.nextIndex - 1;
+  const previousIndex = findHeartbeatIndex(draft, progress);
   const isKnown = previousIndex >= draft.status.base.index;
   sendAppendRequest(draft, peer, isKnown ? previousIndex : 0, 0, now);
 }
 
+/**
+ * Finds the index that a heartbeat names as the one before it. A heartbeat may
+ * overtake large messages, and must not be refused for that.
+ */
+function findHeartbeatIndex(
+  draft: ConsensusDraft,
+  progress: FollowerProgress,
+): LogIndex {
+  if (progress.transfer !== null) {
+    return progress.matchIndex;
+  }
+  return measureBytesInFlight(draft, progress) > MAX_ORDERED_BYTES
+    ? findAnsweredIndex(progress)
+    : progress.nextIndex - 1;
+}
+
 /** Computes how long a slow link takes to carry what is not answered. */
 function computeTransmitMs(
   draft: ConsensusDraft,
@@ -143,7 +173,7 @@
   }
   draft.progress.put(peer.node, {
     ...progress,
-    nextIndex: progress.matchIndex + 1,
+    nextIndex: findAnsweredIndex(progress) + 1,
     inFlight: [],
     progressedAt: now.monotonic,
   });
--- a/control/controlModel/src/role.ts
+++ b/control/controlModel/src/role.ts
@@ -52,6 +52,8 @@
   readonly confirmedAt: MonotonicTime;
   /** The last index of each unanswered request that carries entries. */
   readonly inFlight: readonly LogIndex[];
+  /** The index before the entries of the first unanswered request. */
+  readonly inFlightAfter: LogIndex;
   /** When the follower last advanced or a transmission was (re)started. */
   readonly progressedAt: MonotonicTime;
   /** The snapshot transfer, or `null` while entries are sent. */
