--- a/control/consensus/src/becomeFollower.ts
+++ b/control/consensus/src/becomeFollower.ts
@@ -21,6 +21,14 @@
   }
   draft.set('role', {kind: 'follower', leader});
   draft.set('leadership', {kind: 'following'});
+  dropProgress(draft);
   resetElectionDeadline(draft, now);
   scheduleElectionTimer(draft, now);
 }
+
+/** Drops what this member, as the leader, knew of its followers. */
+function dropProgress(draft: ConsensusDraft): void {
+  for (const node of draft.view.board.followerProgress.keys()) {
+    draft.progress.delete(node);
+  }
+}
--- a/control/consensus/src/compaction.ts
+++ b/control/consensus/src/compaction.ts
@@ -2,7 +2,7 @@
 import type {LogIndex} from '@gentianshunt/messages';
 
 import type {ConsensusDraft} from './consensusDraft.js';
-import {findMembersAt} from './members.js';
+import {findMembersAt, listPeers} from './members.js';
 
 /** Entries kept before a snapshot, so that few followers need a snapshot. */
 export const RETAINED_ENTRIES = 2_048;
@@ -61,10 +61,15 @@
   return retained;
 }
 
-/** Finds the last index of the oldest snapshot that is being sent. */
+/**
+ * Finds the last index of the oldest snapshot that is being sent and after which
+ * the log is whole.
+ */
 function findTransferIndex(draft: ConsensusDraft): LogIndex | undefined {
-  const indices = [...draft.view.board.followerProgress.values()].flatMap(
-    ({transfer}) => (transfer === null ? [] : [transfer.snapshot.index]),
-  );
+  const {base} = draft.status;
+  const indices = listPeers(draft).flatMap(({node}) => {
+    const index = draft.progress.get(node)?.transfer?.snapshot.index;
+    return index !== undefined && index >= base.index ? [index] : [];
+  });
   return indices.length === 0 ? undefined : Math.min(...indices);
 }
