--- a/fronts/metrics/src/controlGauges.ts
+++ b/fronts/metrics/src/controlGauges.ts
@@ -76,9 +76,14 @@
     read: ({view}) => view.logUsage.sinceSnapshotBytes,
   },
   {
-    name: 'log_pending_bytes',
-    help: 'Bytes of the entries that are not committed, or not on disk.',
-    read: ({view}) => measureLog(view).pendingBytes,
+    name: 'log_uncommitted_bytes',
+    help: 'Bytes of the entries that are not committed.',
+    read: ({view}) => measureLog(view).uncommittedBytes,
+  },
+  {
+    name: 'log_unsynced_bytes',
+    help: 'Bytes of the entries that are not on disk.',
+    read: ({view}) => measureLog(view).unsyncedBytes,
   },
   {
     name: 'snapshot_bytes',
