Links: carry the message of every document of the limit's size

A document of 4.7 MB, within the limit of a process of 350 MB, got 503 on all VMs: its replacement message has 11.5 MB, above the 8 MiB of a frame, which also bounded messages in fragments, so the link dropped it.

Only a single frame needs the bound of the frame reader. A message in fragments may now have 32 MiB; a peer of protocol 2, which gets whole frames, still gets none above 8 MiB: it is reported and dropped.

Open: how much longer the message is than its document depends on the document's form (short tenants, many priorities), and the size of the message itself is not checked at the edge.

--- a/transport/peerLinks/src/index.ts
+++ b/transport/peerLinks/src/index.ts
@@ -1,3 +1,4 @@
+export {MAX_MESSAGE_BYTES} from './outgoingMessage.js';
 export * from './peerErrors.js';
 export * from './peerLinks.js';
 export * from './protocol.js';
--- a/transport/peerLinks/src/link.ts
+++ b/transport/peerLinks/src/link.ts
@@ -5,6 +5,7 @@
   createFrameReader,
   decodeFrame,
   encodeFrame,
+  MAX_FRAME_BYTES,
 } from '@gentianshunt/frames';
 import type {NodeId} from '@gentianshunt/identifiers';
 
@@ -13,6 +14,7 @@
 import {isLargeMessage} from './outgoingMessage.js';
 import type {OutgoingMessage} from './outgoingMessage.js';
 import {
+  MessageTooLargeError,
   PeerSilentError,
   ProtocolVersionError,
   UnexpectedFrameError,
@@ -38,6 +40,8 @@
   readonly canQueue: (shortBytes: number, message: OutgoingMessage) => boolean;
   readonly onOpen: (link: Link) => void;
   readonly onMessage: (from: NodeId, body: unknown) => void;
+  /** Called when a message is dropped because the peer cannot receive it. */
+  readonly onDrop: (error: MessageTooLargeError) => void;
   readonly onClose: (link: Link, error: Error | undefined) => void;
 }
 
@@ -94,6 +98,14 @@
   const isDivided = (message: OutgoingMessage): boolean =>
     peer?.acceptsFragments === true &&
     (isLargeMessage(message) || fragmentWriter.has(message.orderingKey));
+  const writeWhole = ({frame}: OutgoingMessage): void => {
+    if (frame.length <= MAX_FRAME_BYTES) {
+      write(frame);
+      return;
+    }
+    const to = peer?.node ?? address;
+    options.onDrop(new MessageTooLargeError(to, frame.length, MAX_FRAME_BYTES));
+  };
   const link: Link = {
     get node() {
       return peer?.node;
@@ -109,7 +121,7 @@
       if (isDivided(message)) {
         fragmentWriter.add(message);
       } else {
-        write(message.frame);
+        writeWhole(message);
       }
     },
     close: error => {
--- a/transport/peerLinks/src/outgoingMessage.ts
+++ b/transport/peerLinks/src/outgoingMessage.ts
@@ -1,12 +1,15 @@
 // The encoded form of a message that waits to be sent.
-import {encodeFrame, MAX_FRAME_BYTES} from '@gentianshunt/frames';
+import {encodeFrame} from '@gentianshunt/frames';
 
 import type {PeerFrame} from './protocol.js';
 
 /** Most bytes of a message in one fragment; larger messages are divided. */
 export const FRAGMENT_BYTES = 16 * 1_024;
-/** Largest frame of a message that may be sent, in bytes. */
-export const MAX_MESSAGE_BYTES = MAX_FRAME_BYTES;
+/**
+ * Largest message that may be sent, in bytes. A peer that does not accept
+ * fragments gets no message above `MAX_FRAME_BYTES`.
+ */
+export const MAX_MESSAGE_BYTES = 32 * 1_024 * 1_024;
 
 /** A message that waits to be sent. */
 export interface OutgoingMessage {
--- a/transport/peerLinks/src/peerLinks.ts
+++ b/transport/peerLinks/src/peerLinks.ts
@@ -151,6 +151,7 @@
           takeQueue(peer).forEach(link.send);
         },
         onMessage: options.onMessage,
+        onDrop: options.onError,
         onClose: (link, error) => {
           links.delete(link);
           const node = link.node ?? expected;
