Queries: send a waiting read again after a backoff, at most once

Queries use the backoff of documents, with options of their own. The operator of a read waits 900 ms, so a lost request goes out again after 300 ms (at the next tick, 500 ms). The same daemon gets it twice at most: a leader that has answered neither is slow, and a third answer would make it slower. A new leader gets it at once.

--- a/scheduling/controlClient/src/delivery.ts
+++ b/scheduling/controlClient/src/delivery.ts
@@ -4,8 +4,24 @@
 import type {RequestDelivery} from '@gentianshunt/entryModel';
 import type {NodeId} from '@gentianshunt/identifiers';
 
-/** Time after the first sending before the same daemon gets a request again. */
-export const FIRST_RESEND_MS: Milliseconds = 1_000;
+/** When the same daemon gets a request again. */
+export interface ResendOptions {
+  /** Time from the first sending to the second; it doubles from then on. */
+  readonly firstResendMs: Milliseconds;
+  /** Most sendings to the same daemon. */
+  readonly maxAttempts: number;
+}
+
+/** For requests that carry a document or a batch of commands. */
+export const REQUEST_RESEND: ResendOptions = {
+  firstResendMs: 1_000,
+  maxAttempts: Number.POSITIVE_INFINITY,
+};
+/** For reads, whose operators wait for less than a second. */
+export const READ_RESEND: ResendOptions = {
+  firstResendMs: 300,
+  maxAttempts: 2,
+};
 /** Factor by which the time grows with each sending. */
 const BACKOFF_FACTOR = 2;
 
@@ -17,12 +33,14 @@
   delivery: RequestDelivery | null,
   to: NodeId,
   now: TurnTime,
+  {firstResendMs, maxAttempts}: ResendOptions,
 ): boolean {
   if (delivery === null || delivery.to !== to) {
     return true;
   }
-  const waitMs = FIRST_RESEND_MS * BACKOFF_FACTOR ** (delivery.attempts - 1);
-  return now.monotonic - delivery.sentAt >= waitMs;
+  const waitMs = firstResendMs * BACKOFF_FACTOR ** (delivery.attempts - 1);
+  const hasWaited = now.monotonic - delivery.sentAt >= waitMs;
+  return hasWaited && delivery.attempts < maxAttempts;
 }
 
 /** Records that a request is sent to a daemon. */
--- a/scheduling/controlClient/src/queryController.ts
+++ b/scheduling/controlClient/src/queryController.ts
@@ -10,6 +10,7 @@
 import type {RequestId} from '@gentianshunt/identifiers';
 
 import {COMMAND_TIMEOUT_MS} from './commandController.js';
+import {isSendingDue, READ_RESEND, recordDelivery} from './delivery.js';
 
 type QueryReads = 'control' | 'queries';
 type QueryView = View<EntrySections, QueryReads, EntryObservation>;
@@ -37,11 +38,13 @@
   switch (observation?.kind) {
     case 'queryReceived': {
       const {correlation, query} = observation;
-      const value = {correlation, query, receivedAt: now.monotonic};
-      return [
-        {kind: 'put', section: 'queries', key: correlation, value},
-        ...sendQuery(view, value),
-      ];
+      const pending: PendingQuery = {
+        correlation,
+        query,
+        receivedAt: now.monotonic,
+        delivery: null,
+      };
+      return [putQuery(pending), ...sendQuery(view, pending, now)];
     }
     case 'controlMessage': {
       const {message} = observation;
@@ -69,17 +72,27 @@
   }
 }
 
+function putQuery(value: PendingQuery): QueryWrite {
+  return {kind: 'put', section: 'queries', key: value.correlation, value};
+}
+
 function removeQuery(key: RequestId): QueryWrite {
   return {kind: 'delete', section: 'queries', key};
 }
 
-function sendQuery(view: QueryView, pending: PendingQuery): QueryWrite[] {
+/** Sends a query unless the leader got it a short time ago. */
+function sendQuery(
+  view: QueryView,
+  pending: PendingQuery,
+  now: TurnTime,
+): readonly QueryWrite[] {
   const {leader} = view.board.control;
-  if (leader === null) {
+  const {correlation, query, delivery} = pending;
+  if (leader === null || !isSendingDue(delivery, leader, now, READ_RESEND)) {
     return [];
   }
-  const {correlation, query} = pending;
   return [
+    putQuery({...pending, delivery: recordDelivery(delivery, leader, now)}),
     {
       kind: 'effect',
       effect: {
@@ -105,6 +118,6 @@
           },
           removeQuery(pending.correlation),
         ]
-      : sendQuery(view, pending),
+      : sendQuery(view, pending, now),
   );
 }
--- a/scheduling/controlClient/src/replacementController.ts
+++ b/scheduling/controlClient/src/replacementController.ts
@@ -11,7 +11,7 @@
 } from '@gentianshunt/entryModel';
 import type {RequestId} from '@gentianshunt/identifiers';
 
-import {isSendingDue, recordDelivery} from './delivery.js';
+import {isSendingDue, recordDelivery, REQUEST_RESEND} from './delivery.js';
 
 /** Time after which an operator gets the answer `unanswered`. */
 export const REPLACEMENT_TIMEOUT_MS: Milliseconds = 3_000;
@@ -85,7 +85,7 @@
 ): readonly ReplacementWrite[] {
   const {leader} = view.board.control;
   const {correlation, replacement, delivery} = pending;
-  if (leader === null || !isSendingDue(delivery, leader, now)) {
+  if (leader === null || !isSendingDue(delivery, leader, now, REQUEST_RESEND)) {
     return [];
   }
   const message = {
--- a/scheduling/controlClient/test/queryController.test.ts
+++ b/scheduling/controlClient/test/queryController.test.ts
@@ -30,3 +30,24 @@
     .filter(({kind}) => kind === 'controlQueryRequest').length;
   t.ok(sent <= MAX_SENT, `${sent} requests of a document`);
 });
+
+t.test('a lost read is not sent again in time', async t => {
+  const fixture = createEntryFixture([
+    createControlController(),
+    createQueryController(),
+  ]);
+  fixture.receive(createUpdate(0, 1, []));
+  fixture.loop.post({
+    kind: 'queryReceived',
+    correlation: toIdentifier('r1'),
+    query: {kind: 'source'},
+  });
+  fixture.takeSent();
+  for (let age = TICK_MS; age < READ_MS; age += TICK_MS) {
+    fixture.tick(TICK_MS);
+  }
+  t.same(
+    fixture.takeSent().map(({kind}) => kind),
+    ['controlQueryRequest'],
+  );
+});
--- a/scheduling/entryModel/src/operatorRequests.ts
+++ b/scheduling/entryModel/src/operatorRequests.ts
@@ -22,6 +22,8 @@
 export interface PendingQuery {
   readonly correlation: RequestId;
   readonly receivedAt: MonotonicTime;
+  /** `null` until the leading control daemon is known. */
+  readonly delivery: RequestDelivery | null;
   readonly query: ControlQuery;
 }
 
