--- a/control/entrySessions/src/leaderStatus.ts
+++ b/control/entrySessions/src/leaderStatus.ts
@@ -45,6 +45,14 @@
     : MAX_ENTRY_LEASE_MS;
 }
 
+/** Why a daemon may not answer entries. */
+export type UnconfirmedReason =
+  | 'notLeading'
+  /** The first entry of its term is not committed and applied yet. */
+  | 'ownEntryNotApplied'
+  /** No quorum has answered lately. */
+  | 'leaderLeaseLapsed';
+
 /** The sections that decide whether entries may be answered. */
 export interface LeaderBoard {
   readonly leadership: Leadership;
@@ -57,12 +65,21 @@
  * daemon can be elected, so a partitioned or suspended daemon fails the check.
  */
 export function isConfirmedLeader(board: LeaderBoard, now: TurnTime): boolean {
-  const {leadership} = board;
-  return (
-    hasOwnEntryApplied(board) &&
-    leadership.kind === 'leading' &&
-    isLeaseValid(leadership.lease, now)
-  );
+  return findUnconfirmedReason(board, now) === undefined;
+}
+
+/** Finds why this daemon may not answer entries; `undefined` if it may. */
+export function findUnconfirmedReason(
+  {leadership, applied}: LeaderBoard,
+  now: TurnTime,
+): UnconfirmedReason | undefined {
+  if (leadership.kind !== 'leading') {
+    return 'notLeading';
+  }
+  if (applied.index < leadership.readIndex) {
+    return 'ownEntryNotApplied';
+  }
+  return isLeaseValid(leadership.lease, now) ? undefined : 'leaderLeaseLapsed';
 }
 
 /** Returns whether the leader has applied the first log entry of its term. */
--- a/scheduling/controlClient/src/controlController.ts
+++ b/scheduling/controlClient/src/controlController.ts
@@ -18,6 +18,7 @@
 import type {EndpointSetId, NodeId} from '@gentianshunt/identifiers';
 
 import {applyDirectoryUpdate} from './applyDirectoryUpdate.js';
+import {addHeartbeat, recordAnswer} from './heartbeatRecord.js';
 
 /** Heartbeats between two broadcasts of the member list. */
 export const HEARTBEATS_PER_BROADCAST = 4;
@@ -35,6 +36,7 @@
 type ControlWrites = 'control' | 'controlNodes' | 'configuration';
 type ControlView = View<EntrySections, ControlReads, EntryObservation>;
 type ControlWrite = EntryWrite<ControlWrites>;
+type NotLeader = Extract<ControlToEntry, {readonly kind: 'notLeader'}>;
 type ConfigurationUpdate = Extract<
   ControlToEntry,
   {readonly kind: 'configurationUpdate'}
@@ -192,6 +194,11 @@
         leader,
         lastSequence: sequence,
         sentAt: now,
+        heartbeats: addHeartbeat(status.heartbeats, {
+          sequence,
+          to,
+          sentAt: now,
+        }),
       },
     },
     {
@@ -230,9 +237,9 @@
 ): readonly ControlWrite[] {
   switch (message.kind) {
     case 'configurationUpdate':
-      return applyUpdate(view, from, message);
+      return applyUpdate(view, from, message, now);
     case 'notLeader':
-      return followLeader(view, message.leader, now);
+      return handleNotLeader(view, message, now);
     case 'membersUpdate':
       return followMembers(view, message.members, now);
     case 'commandReply':
@@ -248,12 +255,31 @@
   }
 }
 
+function handleNotLeader(
+  view: ControlView,
+  {sequence, leader}: NotLeader,
+  now: TurnTime,
+): readonly ControlWrite[] {
+  const {control} = view.board;
+  const heartbeats = recordAnswer(
+    control.heartbeats,
+    sequence,
+    afterMs => ({kind: 'notLeader', afterMs, leader}),
+    now,
+  );
+  const status = {...control, heartbeats};
+  const followed = followLeader(view, leader, now, status);
+  return followed.length > 0
+    ? followed
+    : [{kind: 'set', section: 'control', value: status}];
+}
+
 function followLeader(
   view: ControlView,
   leader: NodeId | null,
   now: TurnTime,
+  status: ControlStatus = view.board.control,
 ): readonly ControlWrite[] {
-  const status = view.board.control;
   if (leader === null || leader === status.leader) {
     return [];
   }
@@ -284,6 +310,7 @@
   view: ControlView,
   from: NodeId,
   update: ConfigurationUpdate,
+  now: TurnTime,
 ): readonly ControlWrite[] {
   const status = view.board.control;
   const isNewer = update.version > status.version;
@@ -303,6 +330,12 @@
       ? createLease(sentAt, update.leaseMs)
       : status.lease,
     sentAt: isHeartbeatReply ? null : sentAt,
+    heartbeats: recordAnswer(
+      status.heartbeats,
+      update.sequence,
+      afterMs => ({kind: isHeartbeatReply ? 'renewed' : 'unused', afterMs}),
+      now,
+    ),
     directory: applyDirectoryUpdate(status.directory, update.directory),
   };
   return [
--- a/scheduling/entryModel/src/controlStatus.ts
+++ b/scheduling/entryModel/src/controlStatus.ts
@@ -1,8 +1,35 @@
 /** What an entry knows of the control daemons, and what it reports to them. */
-import type {Instant, Lease, MonotonicTime} from '@gentianshunt/clock';
+import type {
+  Instant,
+  Lease,
+  Milliseconds,
+  MonotonicTime,
+} from '@gentianshunt/clock';
 import type {CountReport, EntryDirectory} from '@gentianshunt/messages';
 import type {Identifier, NodeId} from '@gentianshunt/identifiers';
 
+/** What came back for a heartbeat. */
+export type HeartbeatAnswer =
+  | {readonly kind: 'none'}
+  /** The reply renewed the lease. */
+  | {readonly kind: 'renewed'; readonly afterMs: Milliseconds}
+  /** The reply came, and renewed nothing. */
+  | {readonly kind: 'unused'; readonly afterMs: Milliseconds}
+  | {
+      readonly kind: 'notLeader';
+      readonly afterMs: Milliseconds;
+      /** The leader that the daemon knows, if any. */
+      readonly leader: NodeId | null;
+    };
+
+/** A heartbeat of this entry, with what came back. */
+export interface SentHeartbeat {
+  readonly sequence: number;
+  readonly to: NodeId;
+  readonly sentAt: Instant;
+  readonly answer: HeartbeatAnswer;
+}
+
 /** The entry's lease and its session with the leading control daemon. */
 export interface ControlStatus {
   /** The control daemon last known to lead. */
@@ -15,6 +42,8 @@
   readonly lastSequence: number;
   /** When the latest heartbeat was sent; `null` once it is answered. */
   readonly sentAt: Instant | null;
+  /** The latest heartbeats, newest last. */
+  readonly heartbeats: readonly SentHeartbeat[];
   readonly directory: EntryDirectory;
 }
 
--- a/scheduling/entryModel/src/sections.ts
+++ b/scheduling/entryModel/src/sections.ts
@@ -113,6 +113,7 @@
       lease: ENDED_LEASE,
       lastSequence: 0,
       sentAt: null,
+      heartbeats: [],
       directory: {version: NO_DIRECTORY_VERSION, entries: []},
     }),
     /** Nodes that may run the leading control daemon, likeliest first. */
