Entries log why they have no lease

leaseLost, and leaseMissing each second after it, name the cause and the latest heartbeats with what came back; leaseRegained counts the heartbeats it took. Until now the log of an entry without a lease held refusals only, so that a silent leader, late replies and a group without a leader looked alike.

--- a/fronts/logging/src/logRecord.ts
+++ b/fronts/logging/src/logRecord.ts
@@ -1,8 +1,13 @@
 /** Converts events to the fields of log lines. */
 import type {ControlDecision} from '@gentianshunt/controlModel';
-import type {EntryEffect, Refusal} from '@gentianshunt/entryModel';
+import type {
+  EntryDecision,
+  EntryEffect,
+  Refusal,
+} from '@gentianshunt/entryModel';
 import {assertNever, SchedulerError} from '@gentianshunt/errors';
 
+import {formatHeartbeat} from './formatHeartbeat.js';
 import type {LogEvent} from './logEvent.js';
 
 /** A value of a log line. */
@@ -67,13 +72,8 @@
       return {event: event.kind, ...toRefusalRecord(event.refusal)};
     case 'requestEnded':
       return {event: event.kind, ...toEndRecord(event.end)};
-    case 'entryDecided': {
-      const {kind, ...fields} = event.decision;
-      // Rates are often fractions.
-      return kind === 'endpointLimitNamed'
-        ? {event: kind, ...fields}
-        : {event: kind, ...toWholeNumbers(fields)};
-    }
+    case 'entryDecided':
+      return toEntryRecord(event.decision);
     case 'controlDecided':
       return toControlRecord(event.decision);
     case 'loopDelayed':
@@ -143,6 +143,29 @@
   };
 }
 
+function toEntryRecord(decision: EntryDecision): LogRecord {
+  switch (decision.kind) {
+    case 'endpointLimitNamed': {
+      // Rates are often fractions.
+      const {kind, ...fields} = decision;
+      return {event: kind, ...fields};
+    }
+    case 'leaseLost':
+    case 'leaseMissing': {
+      const {kind, heartbeats, ...fields} = decision;
+      return {
+        event: kind,
+        ...toWholeNumbers(fields),
+        heartbeats: heartbeats.map(formatHeartbeat),
+      };
+    }
+    default: {
+      const {kind, ...fields} = decision;
+      return {event: kind, ...toWholeNumbers(fields)};
+    }
+  }
+}
+
 function toControlRecord(decision: ControlDecision): LogRecord {
   if (decision.kind !== 'membersChanged') {
     const {kind, ...fields} = decision;
--- a/fronts/logging/test/logEvent.test.ts
+++ b/fronts/logging/test/logEvent.test.ts
@@ -1,3 +1,4 @@
+import type {HeartbeatAnswer} from '@gentianshunt/entryModel';
 import {SchedulerError} from '@gentianshunt/errors';
 import {toIdentifier} from '@gentianshunt/identifiers';
 import t from 'tap';
@@ -217,6 +218,42 @@
   t.match(lines[0]!, {event: 'changeEnded', ...change, durationMs: 1});
 });
 
+t.test(
+  'the heartbeats of an entry without a lease are logged as words',
+  async t => {
+    const to = toIdentifier<never>('control-1');
+    const leader = toIdentifier<never>('control-0');
+    const answers: readonly HeartbeatAnswer[] = [
+      {kind: 'none'},
+      {kind: 'unused', afterMs: 640.2},
+      {kind: 'notLeader', afterMs: 3, leader},
+      {kind: 'notLeader', afterMs: 3, leader: null},
+    ];
+    const record = toLogRecord({
+      kind: 'entryDecided',
+      decision: {
+        kind: 'leaseMissing',
+        leader: null,
+        configurationVersion: 5,
+        missingMs: 1_000.4,
+        cause: 'replyLate',
+        heartbeats: answers.map(answer => ({to, ageMs: 900.6, answer})),
+      },
+    });
+    t.match(record, {
+      event: 'leaseMissing',
+      missingMs: 1_000,
+      cause: 'replyLate',
+      heartbeats: [
+        'control-1 901 none',
+        'control-1 901 unused 640',
+        'control-1 901 notLeader 3 control-0',
+        'control-1 901 notLeader 3',
+      ],
+    });
+  },
+);
+
 t.test('entries that lag behind a release are logged by name', async t => {
   const {logger, lines} = createLoggerFixture();
   const nodes = ['entry-1', 'entry-2'].map(toIdentifier<never>);
--- a/scheduling/entryModel/src/decision.ts
+++ b/scheduling/entryModel/src/decision.ts
@@ -9,12 +9,34 @@
   RequestId,
 } from '@gentianshunt/identifiers';
 
+import type {HeartbeatAnswer} from './controlStatus.js';
 import type {QuarantineState} from './promptQuarantine.js';
 import type {EndpointRecord} from './endpointRecord.js';
 import type {AnswerProgress} from './streamEnd.js';
 import type {CatchUpCause} from './leaveRecord.js';
 import type {WithdrawalSource} from './withdrawal.js';
 
+/** Why the latest heartbeats brought no lease. */
+export type MissingLeaseCause =
+  /** No heartbeat was sent after the one that renewed the lease. */
+  | 'notAsked'
+  /** No daemon replied. */
+  | 'noReply'
+  /** A reply came too late to renew the lease. */
+  | 'replyLate'
+  /** Daemons name a leader that does not reply. */
+  | 'leaderSilent'
+  /** The daemons that reply know no leader. */
+  | 'noLeader';
+
+/** A heartbeat with what came back, as it is logged. */
+export interface HeartbeatSummary {
+  readonly to: NodeId;
+  /** Time since it was sent. */
+  readonly ageMs: Milliseconds;
+  readonly answer: HeartbeatAnswer;
+}
+
 /** A decision or a state change of an entry, with its inputs, for the log. */
 export type EntryDecision =
   | {
@@ -146,6 +168,19 @@
       readonly sinceAdoptedMs: Milliseconds | null;
       /** Time since the leader last confirmed it by renewing the lease. */
       readonly sinceRenewedMs: Milliseconds | null;
+      readonly cause: MissingLeaseCause;
+      /** The latest heartbeats, newest last. */
+      readonly heartbeats: readonly HeartbeatSummary[];
+    }
+  | {
+      /** The entry still has no lease; written at intervals. */
+      readonly kind: 'leaseMissing';
+      readonly leader: NodeId | null;
+      readonly configurationVersion: number;
+      readonly missingMs: Milliseconds;
+      readonly cause: MissingLeaseCause;
+      /** The latest heartbeats, newest last. */
+      readonly heartbeats: readonly HeartbeatSummary[];
     }
   | {
       readonly kind: 'leaseRegained';
@@ -155,6 +190,8 @@
       /** How long the entry had no lease; `null` for the first one. */
       readonly lapsedMs: Milliseconds | null;
       readonly sinceStartMs: Milliseconds;
+      /** Heartbeats sent while the entry had no lease. */
+      readonly heartbeatsSent: number;
     }
   | {
       readonly kind: 'controlLeaderChanged';
--- a/scheduling/entryModel/src/loggedState.ts
+++ b/scheduling/entryModel/src/loggedState.ts
@@ -4,6 +4,15 @@
 
 import type {EndpointRecord} from './endpointRecord.js';
 
+/** A time without a lease that has not ended. */
+export interface LeaseLapse {
+  readonly since: MonotonicTime;
+  /** The last heartbeat that was sent before it. */
+  readonly sequence: number;
+  /** When it was last logged. */
+  readonly loggedAt: MonotonicTime;
+}
+
 /**
  * The state of the entry that the decision log wrote last. A difference from
  * the board is the next event to log.
@@ -14,6 +23,8 @@
   /** When the entry adopted the version; `null` before the first one. */
   readonly adoptedAt: MonotonicTime | null;
   readonly hasLease: boolean;
+  /** `null` while the entry has a lease, and before its first turn. */
+  readonly lapse: LeaseLapse | null;
   /** The latest lease. */
   readonly lease: Lease;
   /** When the lease was last renewed; `null` before the first one. */
@@ -30,6 +41,7 @@
   version: 0,
   adoptedAt: null,
   hasLease: false,
+  lapse: null,
   lease: ENDED_LEASE,
   renewedAt: null,
   startedAt: null,
--- a/scheduling/entryNode/test/statusDecisions.test.ts
+++ b/scheduling/entryNode/test/statusDecisions.test.ts
@@ -2,7 +2,11 @@
 
 import {RELEASE_ID} from '@gentianshunt/configuration';
 import type {ConfigurationObject} from '@gentianshunt/configuration';
+import {HEARTBEAT_INTERVAL_MS} from '@gentianshunt/controlClient';
+import {LEASE_MISSING_INTERVAL_MS} from '@gentianshunt/decisionLog';
 import type {EntryDecision} from '@gentianshunt/entryModel';
+import type {NodeId} from '@gentianshunt/identifiers';
+import {toIdentifier} from '@gentianshunt/identifiers';
 import type {ControlToEntry} from '@gentianshunt/messages';
 
 import {createEntryFixture} from './entryFixture.js';
@@ -108,3 +112,65 @@
   t.match(listOfKind(fixture, 'leaseLost'), [{expiredMs: 100}]);
   t.match(listOfKind(fixture, 'leaseRegained').at(-1), {lapsedMs: 100});
 });
+
+/** Lets heartbeats go out after the lease has ended, each answered alike. */
+function runLapse(
+  fixture: EntryFixture,
+  answer: (sequence: number) => ControlToEntry | null,
+): void {
+  const endAt = fixture.clock.readMonotonic() + 2 * LEASE_MS;
+  while (fixture.clock.readMonotonic() < endAt) {
+    isolate(fixture, HEARTBEAT_INTERVAL_MS);
+    const {sequence} = fixture.listSent('entryHeartbeat').at(-1)!;
+    const message = answer(sequence);
+    if (message !== null) {
+      fixture.receive(message);
+    }
+  }
+}
+
+function createNotLeader(
+  sequence: number,
+  leader: string | null,
+): ControlToEntry {
+  return {
+    kind: 'notLeader',
+    sequence,
+    leader: leader === null ? null : toIdentifier<NodeId>(leader),
+  };
+}
+
+t.test('a missing lease is logged at intervals with its cause', async t => {
+  const causes = {
+    noReply: () => null,
+    replyLate: sequence => createUpdate(1, 1, 41, sequence - 1),
+    noLeader: sequence => createNotLeader(sequence, null),
+    leaderSilent: sequence => createNotLeader(sequence, 'control-9'),
+  } as const satisfies Record<
+    string,
+    (sequence: number) => ControlToEntry | null
+  >;
+  for (const [cause, answer] of Object.entries(causes)) {
+    const fixture = createEntryFixture();
+    runLapse(fixture, answer);
+    t.match(listOfKind(fixture, 'leaseLost'), [{cause}]);
+    const missing = listOfKind(fixture, 'leaseMissing');
+    t.match(missing, [
+      {cause, missingMs: LEASE_MISSING_INTERVAL_MS},
+      {cause, missingMs: 2 * LEASE_MISSING_INTERVAL_MS},
+      {cause, missingMs: 3 * LEASE_MISSING_INTERVAL_MS},
+    ]);
+    t.ok(missing.every(({heartbeats}) => heartbeats.length > 0));
+  }
+});
+
+t.test('a regained lease is logged with the heartbeats it took', async t => {
+  const fixture = createEntryFixture();
+  runLapse(fixture, () => null);
+  const {sequence} = fixture.listSent('entryHeartbeat').at(-1)!;
+  fixture.receive(createUpdate(1, 1, 41, sequence));
+  t.match(listOfKind(fixture, 'leaseRegained').at(-1), {
+    lapsedMs: LEASE_MS,
+    heartbeatsSent: LEASE_MS / HEARTBEAT_INTERVAL_MS,
+  });
+});
