Leaders log why they may not answer entries

Until now a leader whose lease had lapsed, or whose first entry was not committed, wrote nothing, while entries went without a lease. The member's logged state moves out of sections.ts.

--- a/control/controlDecisionLog/src/index.ts
+++ b/control/controlDecisionLog/src/index.ts
@@ -1,3 +1,4 @@
+export * from './confirmationController.js';
 export * from './decisionLogController.js';
 export * from './snapshotBytes.js';
 export * from './logUsageController.js';
--- a/control/controlModel/src/decision.ts
+++ b/control/controlModel/src/decision.ts
@@ -19,6 +19,7 @@
       readonly index: LogIndex;
       readonly members: readonly Member[];
     }
+  | LeaderDecision
   | ReleaseDecision
   | LogDecision
   | {
@@ -29,6 +30,31 @@
     }
   | {readonly kind: 'sessionEnded'; readonly node: NodeId};
 
+/** Whether the leader may answer entries. */
+export type LeaderDecision =
+  | {
+      /** It may not; written when it begins and at intervals. */
+      readonly kind: 'leaderUnconfirmed';
+      readonly term: Term;
+      readonly reason: 'ownEntryNotApplied' | 'leaderLeaseLapsed';
+      readonly unconfirmedMs: Milliseconds;
+      /** The first index of its term. */
+      readonly ownIndex: LogIndex;
+      readonly syncedIndex: LogIndex;
+      readonly commitIndex: LogIndex;
+      readonly appliedIndex: LogIndex;
+      readonly voters: number;
+      /** Voters that have not answered lately. */
+      readonly silent: readonly NodeId[];
+    }
+  | {
+      /** It may again, after a time that was logged. */
+      readonly kind: 'leaderConfirmed';
+      readonly term: Term;
+      readonly unconfirmedMs: Milliseconds;
+      readonly commitIndex: LogIndex;
+    };
+
 /** A stage that a release has reached. */
 export type ReleaseDecision =
   | {
--- a/control/controlModel/src/index.ts
+++ b/control/controlModel/src/index.ts
@@ -5,6 +5,8 @@
 export * from './logActivity.js';
 export * from './logBounds.js';
 export * from './logBytes.js';
+export * from './loggedState.js';
+export * from './memberContact.js';
 export * from './observation.js';
 export * from './releaseRecord.js';
 export * from './role.js';
--- a/control/controlModel/src/sections.ts
+++ b/control/controlModel/src/sections.ts
@@ -39,6 +39,8 @@
 import type {ControlObservation} from './observation.js';
 import {EMPTY_LOG_USAGE, NO_SNAPSHOT_ACTIVITY} from './logActivity.js';
 import type {LogUsage, SnapshotActivity, StartProgress} from './logActivity.js';
+import {NOTHING_LOGGED} from './loggedState.js';
+import type {LeaderConfirmation, LoggedState} from './loggedState.js';
 import type {ReleaseRecord} from './releaseRecord.js';
 import type {
   Ballot,
@@ -137,24 +139,6 @@
   readonly lastIndex: LogIndex;
 }
 
-/** The member's state as the decision log last recorded it. */
-export interface LoggedState {
-  readonly role: Role['kind'] | null;
-  readonly term: number;
-  readonly leader: NodeId | null;
-  /** The log index of the latest membership. */
-  readonly membersIndex: LogIndex;
-  readonly sessions: ReadonlySet<NodeId>;
-}
-
-const NOTHING_LOGGED: LoggedState = {
-  role: null,
-  term: 0,
-  leader: null,
-  membersIndex: -1,
-  sessions: new Set(),
-};
-
 /** Creates the sections of a control daemon's board. */
 export function createControlSections(identity: ControlIdentity) {
   return {
@@ -268,6 +252,7 @@
     startProgress: defineCell<StartProgress | null>(null),
     /** The state that the decision log recorded last. */
     loggedState: defineCell<LoggedState>(NOTHING_LOGGED),
+    leaderConfirmation: defineCell<LeaderConfirmation>({kind: 'following'}),
   };
 }
 
--- a/control/controlNode/src/controlNode.ts
+++ b/control/controlNode/src/controlNode.ts
@@ -6,6 +6,7 @@
   createMemberChangeController,
 } from '@gentianshunt/consensus';
 import {
+  createConfirmationController,
   createDecisionLogController,
   createLogUsageController,
   createReleaseController,
@@ -64,6 +65,7 @@
     createAssignmentController(),
     createDecisionLogController(),
     createStartController(),
+    createConfirmationController(),
     createReleaseController(),
     createSnapshotController(),
     createLogUsageController(),
