Control leaders log missing copies, repeated changes and waiting joiners

copiesMissing names the voters that do not answer or lack a committed entry for a second; membersRepeating says that the same members come in force again and again; joinWaiting names nodes that asked to join and are no members. Gauges of voters, learners, copies, waiting joiners and a confirmed leader, and a counter of membership changes. Until now nothing said that a group that names three voters had two copies.

--- a/control/controlModel/src/decision.ts
+++ b/control/controlModel/src/decision.ts
@@ -2,6 +2,7 @@
 import type {IncarnationId, NodeId} from '@gentianshunt/identifiers';
 import type {LogIndex, Member, Term} from '@gentianshunt/messages';
 
+import type {MissingCopy} from './groupWatch.js';
 import type {SnapshotOrigin} from './logActivity.js';
 import type {Role} from './role.js';
 
@@ -20,6 +21,7 @@
       readonly members: readonly Member[];
     }
   | LeaderDecision
+  | GroupDecision
   | ReleaseDecision
   | LogDecision
   | {
@@ -55,6 +57,49 @@
       readonly commitIndex: LogIndex;
     };
 
+/** A node that waits to join the group. */
+export interface DelayedJoiner {
+  readonly node: NodeId;
+  readonly waitedMs: Milliseconds;
+}
+
+/** What the leader sees of the group. */
+export type GroupDecision =
+  | {
+      /** Fewer voters than there are hold what is committed and answer. */
+      readonly kind: 'copiesMissing';
+      readonly voters: number;
+      readonly copies: number;
+      readonly commitIndex: LogIndex;
+      readonly missing: readonly MissingCopy[];
+    }
+  | {
+      /** All voters do again. */
+      readonly kind: 'copiesComplete';
+      readonly voters: number;
+      readonly commitIndex: LogIndex;
+      readonly missingMs: Milliseconds;
+    }
+  | {
+      /** Nodes have asked to join for some time and are no members. */
+      readonly kind: 'joinWaiting';
+      /** All that wait, those that have waited less included. */
+      readonly waiting: number;
+      readonly nodes: readonly DelayedJoiner[];
+    }
+  | {
+      /** The same members come in force again and again. */
+      readonly kind: 'membersRepeating';
+      readonly index: LogIndex;
+      /** Membership changes within the window. */
+      readonly changes: number;
+      /** Those of them that led to the present members. */
+      readonly repetitions: number;
+      readonly windowMs: Milliseconds;
+      /** The nodes that the latest change concerns. */
+      readonly nodes: readonly NodeId[];
+    };
+
 /** A stage that a release has reached. */
 export type ReleaseDecision =
   | {
--- a/control/controlModel/src/index.ts
+++ b/control/controlModel/src/index.ts
@@ -2,6 +2,7 @@
 export * from './commandNumbers.js';
 export * from './decision.js';
 export * from './effect.js';
+export * from './groupWatch.js';
 export * from './logActivity.js';
 export * from './logBounds.js';
 export * from './logBytes.js';
--- a/control/controlModel/src/sections.ts
+++ b/control/controlModel/src/sections.ts
@@ -34,6 +34,8 @@
 import type {TokenBucket} from '@gentianshunt/orders';
 import type {EndpointSetId, NodeId} from '@gentianshunt/identifiers';
 
+import {NO_JOINERS, NO_MEMBER_CHANGES} from './groupWatch.js';
+import type {CopyWatch, JoinWatch, MemberChanges} from './groupWatch.js';
 import type {LogBounds} from './logBounds.js';
 import type {ControlEffect, PersistBatch} from './effect.js';
 import type {ControlObservation} from './observation.js';
@@ -252,6 +254,9 @@
     startProgress: defineCell<StartProgress | null>(null),
     /** The state that the decision log recorded last. */
     loggedState: defineCell<LoggedState>(NOTHING_LOGGED),
+    copyWatch: defineCell<CopyWatch>({kind: 'following'}),
+    joinWatch: defineCell<JoinWatch>(NO_JOINERS),
+    memberChanges: defineCell<MemberChanges>(NO_MEMBER_CHANGES),
     leaderConfirmation: defineCell<LeaderConfirmation>({kind: 'following'}),
   };
 }
--- a/control/controlNode/src/controlNode.ts
+++ b/control/controlNode/src/controlNode.ts
@@ -7,8 +7,11 @@
 } from '@gentianshunt/consensus';
 import {
   createConfirmationController,
+  createCopyController,
   createDecisionLogController,
+  createJoinController,
   createLogUsageController,
+  createMemberCountController,
   createReleaseController,
   createSnapshotController,
   createStartController,
@@ -66,6 +69,9 @@
     createDecisionLogController(),
     createStartController(),
     createConfirmationController(),
+    createCopyController(),
+    createJoinController(),
+    createMemberCountController(),
     createReleaseController(),
     createSnapshotController(),
     createLogUsageController(),
--- /dev/null
+++ b/control/controlNode/test/copies.test.ts
@@ -0,0 +1,77 @@
+import type {ControlDecision} from '@gentianshunt/controlModel';
+import t from 'tap';
+
+import {createTestDeployment} from './deploymentFixture.js';
+import type {TestDeployment} from './deploymentFixture.js';
+import type {TestMember} from './memberFixture.js';
+
+const ONE_SECOND_STEPS = 100;
+
+type CopyDecision = Extract<
+  ControlDecision,
+  {readonly kind: 'copiesMissing' | 'copiesComplete'}
+>;
+
+function createLedGroup(): TestDeployment {
+  const deployment = createTestDeployment(3);
+  deployment.run(5 * ONE_SECOND_STEPS);
+  return deployment;
+}
+
+function findFollower(deployment: TestDeployment): TestMember {
+  const leader = deployment.findLeader();
+  return deployment.members.find(member => member !== leader)!;
+}
+
+function listCopyDecisions(
+  deployment: TestDeployment,
+): readonly CopyDecision[] {
+  return deployment
+    .findLeader()!
+    .decisions.filter(
+      (decision): decision is CopyDecision =>
+        decision.kind === 'copiesMissing' || decision.kind === 'copiesComplete',
+    );
+}
+
+t.test('a voter that is gone and back is logged as a missing copy', async t => {
+  const deployment = createLedGroup();
+  t.same(listCopyDecisions(deployment), []);
+  const follower = findFollower(deployment);
+  follower.crash();
+  deployment.run(4 * ONE_SECOND_STEPS);
+  const missing = [{node: follower.node}];
+  const expected = {kind: 'copiesMissing', voters: 3, copies: 2, missing};
+  t.match(listCopyDecisions(deployment), [expected, expected]);
+  follower.start();
+  deployment.run(2 * ONE_SECOND_STEPS);
+  t.match(listCopyDecisions(deployment), [
+    expected,
+    expected,
+    {kind: 'copiesComplete', voters: 3},
+  ]);
+});
+
+/** Drops the requests that bring entries to a member. */
+function dropEntries({inFlight}: TestDeployment, {node}: TestMember): void {
+  const kept = inFlight.filter(
+    ({to, message}) =>
+      to !== node ||
+      message.kind !== 'appendRequest' ||
+      message.entries.length === 0,
+  );
+  inFlight.splice(0, inFlight.length, ...kept);
+}
+
+t.test('a voter that answers and stores nothing is no copy', async t => {
+  const deployment = createLedGroup();
+  const follower = findFollower(deployment);
+  deployment.command(deployment.findLeader()!, 1);
+  for (let step = 0; step < 2 * ONE_SECOND_STEPS; step += 1) {
+    dropEntries(deployment, follower);
+    deployment.run(1);
+  }
+  t.match(listCopyDecisions(deployment), [
+    {kind: 'copiesMissing', copies: 2, missing: [{node: follower.node}]},
+  ]);
+});
--- a/fronts/logging/src/logRecord.ts
+++ b/fronts/logging/src/logRecord.ts
@@ -167,16 +167,42 @@
 }
 
 function toControlRecord(decision: ControlDecision): LogRecord {
-  if (decision.kind !== 'membersChanged') {
-    const {kind, ...fields} = decision;
-    return {event: kind, ...toWholeNumbers(fields)};
+  switch (decision.kind) {
+    case 'membersChanged': {
+      const {kind, index, members} = decision;
+      return {
+        event: kind,
+        index,
+        members: members.map(({node, role}) => `${node}:${role}`),
+      };
+    }
+    case 'copiesMissing': {
+      const {kind, missing, ...fields} = decision;
+      return {
+        event: kind,
+        ...fields,
+        missing: missing.map(({node, missingMs}) =>
+          formatDuration(node, missingMs),
+        ),
+      };
+    }
+    case 'joinWaiting': {
+      const {kind, nodes, ...fields} = decision;
+      return {
+        event: kind,
+        ...fields,
+        nodes: nodes.map(({node, waitedMs}) => formatDuration(node, waitedMs)),
+      };
+    }
+    default: {
+      const {kind, ...fields} = decision;
+      return {event: kind, ...toWholeNumbers(fields)};
+    }
   }
-  const {kind, index, members} = decision;
-  return {
-    event: kind,
-    index,
-    members: members.map(({node, role}) => `${node}:${role}`),
-  };
+}
+
+function formatDuration(node: string, durationMs: number): string {
+  return `${node}:${Math.round(durationMs)}`;
 }
 
 /** Rounds all numbers: times are logged in whole milliseconds. */
--- a/fronts/logging/test/logEvent.test.ts
+++ b/fronts/logging/test/logEvent.test.ts
@@ -275,3 +275,30 @@
     nodes: ['entry-1', 'entry-2'],
   });
 });
+
+t.test(
+  'missing copies and waiting nodes are logged with their times',
+  async t => {
+    const node = toIdentifier<never>('control-2');
+    const copies = toLogRecord({
+      kind: 'controlDecided',
+      decision: {
+        kind: 'copiesMissing',
+        voters: 3,
+        copies: 2,
+        commitIndex: 7,
+        missing: [{node, missingMs: 1_200.4}],
+      },
+    });
+    t.match(copies, {copies: 2, missing: ['control-2:1200']});
+    const joins = toLogRecord({
+      kind: 'controlDecided',
+      decision: {
+        kind: 'joinWaiting',
+        waiting: 1,
+        nodes: [{node, waitedMs: 1_000}],
+      },
+    });
+    t.match(joins, {waiting: 1, nodes: ['control-2:1000']});
+  },
+);
--- a/fronts/metrics/src/controlGauges.ts
+++ b/fronts/metrics/src/controlGauges.ts
@@ -1,8 +1,9 @@
 /** Gauges of a control member. */
 import type {BoardView} from '@gentianshunt/board';
-import {measureLog} from '@gentianshunt/controlModel';
+import {listLatestMembers, measureLog} from '@gentianshunt/controlModel';
 import type {ControlSections} from '@gentianshunt/controlModel';
-import {Gauge} from 'prom-client';
+import type {Member} from '@gentianshunt/messages';
+import {Counter, Gauge} from 'prom-client';
 import type {Registry} from 'prom-client';
 
 /** A control member whose state is scraped. */
@@ -16,7 +17,8 @@
 interface MemberGauge {
   readonly name: string;
   readonly help: string;
-  read(member: ScrapedMember): number | Promise<number>;
+  /** Returns `undefined` if the member does not know it. */
+  read(member: ScrapedMember): number | undefined | Promise<number>;
 }
 
 const MEMBER_GAUGES: readonly MemberGauge[] = [
@@ -30,6 +32,33 @@
     help: 'Whether this member leads: 1 or 0.',
     read: ({view}) => (view.role.kind === 'leader' ? 1 : 0),
   },
+  {
+    name: 'leader_confirmed',
+    help: 'Whether this member leads and may answer entries: 1 or 0.',
+    read: ({view}) => (view.leaderConfirmation.kind === 'confirmed' ? 1 : 0),
+  },
+  {
+    name: 'voters',
+    help: 'Voters of the group.',
+    read: ({view}) => countMembers(view, 'voter'),
+  },
+  {
+    name: 'learners',
+    help: 'Learners of the group.',
+    read: ({view}) => countMembers(view, 'learner'),
+  },
+  {
+    name: 'copies',
+    help: 'Voters that answer and hold what is committed; only the leader knows.',
+    read: ({view}) =>
+      view.copyWatch.kind === 'leading' ? view.copyWatch.copies : undefined,
+  },
+  {
+    name: 'joiners_waiting',
+    help: 'Nodes that wait to join the group; only the leader knows.',
+    read: ({view}) =>
+      view.role.kind === 'leader' ? view.joinWatch.waiting.size : undefined,
+  },
   {
     name: 'commit_index',
     help: 'Last committed index of the log.',
@@ -97,6 +126,13 @@
   },
 ];
 
+function countMembers(
+  view: ScrapedMember['view'],
+  role: Member['role'],
+): number {
+  return listLatestMembers(view).filter(member => member.role === role).length;
+}
+
 /** Adds the gauges of a member; without one they have no value. */
 export function addControlGauges(
   registry: Registry,
@@ -109,12 +145,29 @@
       registers: [registry],
       collect: async () => {
         const member = readMember();
-        if (member === undefined) {
+        const value = member === undefined ? undefined : await read(member);
+        if (value === undefined) {
           gauge.remove();
-          return;
+        } else {
+          gauge.set(value);
         }
-        gauge.set(await read(member));
       },
     });
   }
+  addMemberChangeCounter(registry, readMember);
+}
+
+function addMemberChangeCounter(
+  registry: Registry,
+  readMember: () => ScrapedMember | undefined,
+): void {
+  const counter: Counter = new Counter({
+    name: 'gentianshunt_control_member_changes_total',
+    help: 'Membership changes that came in force since the start.',
+    registers: [registry],
+    collect: () => {
+      counter.reset();
+      counter.inc(readMember()?.view.memberChanges.count ?? 0);
+    },
+  });
 }
--- a/fronts/metrics/test/gauges.test.ts
+++ b/fronts/metrics/test/gauges.test.ts
@@ -8,8 +8,10 @@
   DEFAULT_LOG_BOUNDS,
 } from '@gentianshunt/controlModel';
 import {createEntrySections} from '@gentianshunt/entryModel';
+import type {ControlSections} from '@gentianshunt/controlModel';
 import type {EntrySections} from '@gentianshunt/entryModel';
 import {toIdentifier} from '@gentianshunt/identifiers';
+import type {Member} from '@gentianshunt/messages';
 import {Registry} from 'prom-client';
 import t from 'tap';
 
@@ -28,7 +30,9 @@
   return Object.create(view, properties) as BoardView<S>;
 }
 
-function createMember(): ScrapedMember {
+function createMember(
+  values: Partial<BoardView<ControlSections>> = {},
+): ScrapedMember {
   const node = toIdentifier<never>('control-0');
   const sections = createControlSections({
     node,
@@ -46,7 +50,7 @@
     recordedBytes: 0,
   };
   return {
-    view: createView(sections, {logUsage}),
+    view: createView(sections, {logUsage, ...values}),
     measureFolder: async () => FOLDER_BYTES,
   };
 }
@@ -110,6 +114,52 @@
   }
 });
 
+t.test('a group with fewer copies than voters shows it', async t => {
+  const registry = new Registry();
+  const members = ['voter', 'voter', 'voter', 'learner'].map(
+    (role, index): Member => ({
+      node: toIdentifier(`control-${index}`),
+      storage: toIdentifier(`folder-${index}`),
+      role: role as Member['role'],
+    }),
+  );
+  const loggedAt = 0;
+  const member = createMember({
+    memberships: [{index: 1, members}],
+    role: {kind: 'leader', since: 0},
+    leaderConfirmation: {kind: 'confirmed', loggedAt},
+    copyWatch: {
+      kind: 'leading',
+      lacking: new Map(),
+      copies: 2,
+      missingSince: 0,
+      loggedAt,
+    },
+    memberChanges: {index: 9, count: 8, recent: [], loggedAt},
+  });
+  addControlGauges(registry, () => member);
+  const expected = {
+    voters: 3,
+    learners: 1,
+    copies: 2,
+    leader_confirmed: 1,
+    joiners_waiting: 0,
+    member_changes_total: 8,
+  };
+  for (const [name, value] of Object.entries(expected)) {
+    const metric = `gentianshunt_control_${name}`;
+    t.equal(await readValue(registry, metric), value, name);
+  }
+});
+
+t.test('only the leader shows copies', async t => {
+  const registry = new Registry();
+  const member = createMember();
+  addControlGauges(registry, () => member);
+  const metric = 'gentianshunt_control_copies';
+  t.equal(await readValue(registry, metric), undefined);
+});
+
 t.test('a VM without a member has no values of one', async t => {
   const registry = new Registry();
   let member: ScrapedMember | undefined = createMember();
