Entries count their heartbeats by what came back

gentianshunt_heartbeats_total and gentianshunt_late_heartbeat_answers_total show whether daemons are silent, know no leader or answer too late.

--- a/fronts/metrics/src/entryMetrics.ts
+++ b/fronts/metrics/src/entryMetrics.ts
@@ -11,6 +11,7 @@
 import type {ScrapedEntry} from './configurationGauges.js';
 import {addControlGauges} from './controlGauges.js';
 import type {ScrapedMember} from './controlGauges.js';
+import {addHeartbeatCounters} from './heartbeatCounters.js';
 import type {MetricsFormatter} from './metricsFormatter.js';
 
 type RecordEndEffect = Extract<EntryEffect, {readonly kind: 'recordEnd'}>;
@@ -121,6 +122,7 @@
         .forEach((count, kind) => observations.set({kind}, count)),
   });
   addConfigurationGauges(registry, options.entry);
+  addHeartbeatCounters(registry, options.entry);
   if (options.readMember !== undefined) {
     addControlGauges(registry, options.readMember);
   }
--- a/fronts/metrics/test/gauges.test.ts
+++ b/fronts/metrics/test/gauges.test.ts
@@ -15,7 +15,11 @@
 import {Registry} from 'prom-client';
 import t from 'tap';
 
-import {addConfigurationGauges, addControlGauges} from '../src/index.js';
+import {
+  addConfigurationGauges,
+  addControlGauges,
+  addHeartbeatCounters,
+} from '../src/index.js';
 import type {ScrapedMember} from '../src/index.js';
 
 const FOLDER_BYTES = 4_321;
@@ -188,6 +192,24 @@
   t.equal(await readValue(registry, 'gentianshunt_unacknowledged_changes'), 0);
 });
 
+t.test('an entry shows what came back for its heartbeats', async t => {
+  const registry = new Registry();
+  const byAnswer = {none: 3, renewed: 2, unused: 1, notLeader: 0};
+  const heartbeatTotals = {byAnswer, late: 4, counted: []};
+  addHeartbeatCounters(registry, {view: createEntryView({heartbeatTotals})});
+  const metric = registry.getSingleMetric('gentianshunt_heartbeats_total');
+  // A scrape does not add to the one before.
+  await metric?.get();
+  t.match((await metric?.get())?.values, [
+    {labels: {answer: 'none'}, value: 3},
+    {labels: {answer: 'renewed'}, value: 2},
+    {labels: {answer: 'unused'}, value: 1},
+    {labels: {answer: 'notLeader'}, value: 0},
+  ]);
+  const late = 'gentianshunt_late_heartbeat_answers_total';
+  t.equal(await readValue(registry, late), 4);
+});
+
 t.test('an entry without a configuration shows no release', async t => {
   const registry = new Registry();
   const view = createEntryView({});
--- a/scheduling/entryModel/src/sections.ts
+++ b/scheduling/entryModel/src/sections.ts
@@ -54,6 +54,8 @@
 import type {EntryIdentity} from './identity.js';
 import {createLeaveSections} from './leaveSections.js';
 import {NOTHING_LOGGED} from './loggedState.js';
+import {NO_HEARTBEATS} from './heartbeatTotals.js';
+import type {HeartbeatTotals} from './heartbeatTotals.js';
 import type {LoggedState} from './loggedState.js';
 import type {
   EndpointHealth,
@@ -235,6 +237,7 @@
     counts: defineMap<CountKey, ServiceCount>(),
     /** The state that the decision log wrote last. */
     loggedState: defineCell<LoggedState>(NOTHING_LOGGED),
+    heartbeatTotals: defineCell<HeartbeatTotals>(NO_HEARTBEATS),
     openEndpointOrders: defineMap<EndpointId, EndpointOrder>(),
     orderExecutions: defineMap<EndpointId, OrderExecutionState>(),
     orderEpochs: defineMap<EndpointSetId, OrderEpoch>(),
--- a/scheduling/entryNode/src/entryNode.ts
+++ b/scheduling/entryNode/src/entryNode.ts
@@ -11,7 +11,10 @@
   createReplacementController,
   createServiceController,
 } from '@gentianshunt/controlClient';
-import {createDecisionLogController} from '@gentianshunt/decisionLog';
+import {
+  createDecisionLogController,
+  createHeartbeatCountController,
+} from '@gentianshunt/decisionLog';
 import {createEndpointOrderController} from '@gentianshunt/endpointOrders';
 import {createEntrySections} from '@gentianshunt/entryModel';
 import type {
@@ -103,6 +106,7 @@
     createGrantController(),
     createUsageReportController(),
     createQuotaOwnerController(),
+    createHeartbeatCountController(),
     createDecisionLogController(),
   ];
 }
--- a/scheduling/entryNode/test/statusDecisions.test.ts
+++ b/scheduling/entryNode/test/statusDecisions.test.ts
@@ -174,3 +174,16 @@
     heartbeatsSent: LEASE_MS / HEARTBEAT_INTERVAL_MS,
   });
 });
+
+t.test('heartbeats are counted once, by what came back', async t => {
+  const fixture = createEntryFixture();
+  const {renewed} = fixture.node.view.heartbeatTotals.byAnswer;
+  runLapse(fixture, sequence => createNotLeader(sequence, null));
+  runLapse(fixture, () => null);
+  runLapse(fixture, sequence => createUpdate(1, 1, 41, sequence - 2));
+  const perLapse = (2 * LEASE_MS) / HEARTBEAT_INTERVAL_MS;
+  t.match(fixture.node.view.heartbeatTotals, {
+    byAnswer: {renewed, notLeader: perLapse, unused: perLapse},
+    late: perLapse,
+  });
+});
