Consensus: requests to join end once they are fulfilled or no longer renewed

What callers saw: a voter whose disk was lost was never replaced, so that one more lost disk ended the quorum and no entry got a lease. The log held a change of the members each 8 to 20 ms until the end.

Cause: joiningNodes was filled by hellos and cleared at an election only. A node that had joined and left for good was removed as silent and admitted again at once, and each node behind it in the map waited for ever. Besides, a learner that was admitted more than 4 s after the election counted as silent from the start and was removed before it could answer.

Evidence, on the code before (node control/controlNode/dist/test/openGroup.test.js): not ok 8 - a node that joined and left for good is not admitted again -2 +304 changes of the members not ok 9 - a lost disk is replaced after another node left for good not ok 10 - a node that joins is not silent before it could answer -1 +113 changes of the members All three pass now.

Why it works: a request ends when its data folder is a member and when no hello has renewed it for 1 s (hellos come each 200 ms); a follower keeps none; the oldest request is served first. The silence of a member counts from when the leader began to replicate to its folder, so that an admission and a removal of the same folder are at least 4 s apart.

--- a/control/consensus/src/becomeFollower.ts
+++ b/control/consensus/src/becomeFollower.ts
@@ -3,6 +3,7 @@
 import type {Term} from '@gentianshunt/messages';
 
 import type {ConsensusDraft} from './consensusDraft.js';
+import {clearJoinRequests} from './joinRequests.js';
 import {resetElectionDeadline, scheduleElectionTimer} from './timing.js';
 
 /**
@@ -22,6 +23,7 @@
   draft.set('role', {kind: 'follower', leader});
   draft.set('leadership', {kind: 'following'});
   dropProgress(draft);
+  clearJoinRequests(draft);
   resetElectionDeadline(draft, now);
   scheduleElectionTimer(draft, now);
 }
--- a/control/consensus/src/consensusDraft.ts
+++ b/control/consensus/src/consensusDraft.ts
@@ -6,6 +6,7 @@
   ControlWrite,
   ElectionTimer,
   FollowerProgress,
+  JoinRequest,
   LogStatus,
   RememberedFolderPosition,
   Role,
@@ -49,7 +50,7 @@
   readonly disk: DiskDraft;
   readonly progress: MapDraft<NodeId, FollowerProgress>;
   readonly rememberedPositions: MapDraft<NodeId, RememberedFolderPosition>;
-  readonly joiningNodes: MapDraft<NodeId, StorageId>;
+  readonly joiningNodes: MapDraft<NodeId, JoinRequest>;
   setSnapshot(snapshot: StateSnapshot): void;
   /** Sends a message without waiting for the disk. */
   send(to: Recipient, message: ConsensusMessage): void;
--- a/control/consensus/src/leadership.ts
+++ b/control/consensus/src/leadership.ts
@@ -11,6 +11,11 @@
 
 import {becomeFollower} from './becomeFollower.js';
 import type {ConsensusDraft} from './consensusDraft.js';
+import {
+  clearJoinRequests,
+  dropFulfilledJoinRequests,
+  expireJoinRequests,
+} from './joinRequests.js';
 import {startLeaderClock, toSteadyInstant} from './leaderClock.js';
 import {
   addMemberships,
@@ -45,7 +50,7 @@
   for (const {node} of listPeers(draft)) {
     draft.progress.put(node, createProgress(readIndex, now));
   }
-  [...draft.view.board.joiningNodes.keys()].forEach(draft.joiningNodes.delete);
+  clearJoinRequests(draft);
   scheduleTimer(draft, 'heartbeat', LEADER_HEARTBEAT_MS);
   const members = listMembers(draft);
   const first: LogPayload =
@@ -58,6 +63,7 @@
   return {
     nextIndex,
     matchIndex: 0,
+    since: now.monotonic,
     confirmedAt: Number.NEGATIVE_INFINITY,
     inFlight: [],
     inFlightAfter: nextIndex - 1,
@@ -83,6 +89,7 @@
   draft.log.append(entries);
   addMemberships(draft, entries);
   dropRemovedPeers(draft);
+  dropFulfilledJoinRequests(draft);
   for (const peer of listPeers(draft)) {
     if (!known.has(peer.storage)) {
       // A new data folder holds nothing of what the node's former one held.
@@ -119,6 +126,7 @@
   for (const peer of listPeers(draft)) {
     sendHeartbeat(draft, peer, now);
   }
+  expireJoinRequests(draft, now);
   confirmLeadership(draft, now);
   scheduleTimer(draft, 'heartbeat', LEADER_HEARTBEAT_MS);
 }
--- a/control/consensus/src/memberChangeController.ts
+++ b/control/consensus/src/memberChangeController.ts
@@ -1,24 +1,27 @@
 import type {TurnTime, View} from '@gentianshunt/board';
-import type {Milliseconds, MonotonicTime} from '@gentianshunt/clock';
+import type {Milliseconds} from '@gentianshunt/clock';
 import {defineControlController} from '@gentianshunt/controlModel';
 import type {
   ControlController,
   ControlObservation,
   ControlSections,
+  JoinRequest,
   Membership,
 } from '@gentianshunt/controlModel';
 import {assertNever} from '@gentianshunt/errors';
 import type {NodeId} from '@gentianshunt/identifiers';
 import type {Member} from '@gentianshunt/messages';
 
+import {isJoinRequestValid} from './joinRequests.js';
+
 type MemberChangeReads =
   | 'identity'
-  | 'role'
   | 'leadership'
   | 'logStatus'
   | 'memberships'
   | 'followerProgress'
   | 'joiningNodes';
+type JoiningNode = JoinRequest & {readonly node: NodeId};
 type MemberChangeView = View<
   ControlSections,
   MemberChangeReads,
@@ -49,7 +52,6 @@
     name: 'memberChanges',
     reads: [
       'identity',
-      'role',
       'leadership',
       'logStatus',
       'memberships',
@@ -88,7 +90,7 @@
     return undefined;
   }
   return (
-    admitJoiningNode(view, current) ??
+    admitJoiningNode(view, current, now) ??
     demoteSilentVoter(view, current, now) ??
     promoteLearner(view, current, now) ??
     removeSilentLearner(view, current, now)
@@ -103,20 +105,34 @@
 function admitJoiningNode(
   view: MemberChangeView,
   {members}: Membership,
+  now: TurnTime,
 ): readonly Member[] | undefined {
-  const {joiningNodes} = view.board;
   const majority = Math.floor(countRequiredVoters(view, members) / 2) + 1;
-  for (const [node, storage] of joiningNodes) {
+  for (const {node, storage} of listJoining(view, members, now)) {
     const others = members.filter(member => member.node !== node);
-    const voters = others.filter(isVoting).length;
-    const isNew = members.every(member => member.storage !== storage);
-    if (isNew && voters >= majority) {
+    if (others.filter(isVoting).length >= majority) {
       return [...others, {node, storage, role: 'learner'}];
     }
   }
   return undefined;
 }
 
+/** Lists the nodes that ask to join by the time of their requests. */
+function listJoining(
+  {board}: MemberChangeView,
+  members: readonly Member[],
+  now: TurnTime,
+): readonly JoiningNode[] {
+  return [...board.joiningNodes]
+    .filter(
+      ([, request]) =>
+        isJoinRequestValid(request, now) &&
+        members.every(({storage}) => storage !== request.storage),
+    )
+    .map(([node, request]): JoiningNode => ({node, ...request}))
+    .sort((left, right) => left.since - right.since);
+}
+
 /**
  * Counts the voters of which an admission must leave a majority. In an open
  * group the number of nodes is no measure, as only some of them are voters.
@@ -200,14 +216,12 @@
   now: TurnTime,
   timeoutMs: Milliseconds,
 ): boolean {
-  const {identity, role, followerProgress} = board;
-  if (node === identity.node || role.kind !== 'leader') {
+  // The leader has no progress of itself.
+  const progress = board.followerProgress.get(node);
+  if (progress === undefined) {
     return false;
   }
-  const lastContactAt: MonotonicTime = Math.max(
-    role.since,
-    followerProgress.get(node)?.confirmedAt ?? Number.NEGATIVE_INFINITY,
-  );
+  const lastContactAt = Math.max(progress.since, progress.confirmedAt);
   return now.monotonic - lastContactAt >= timeoutMs;
 }
 
--- a/control/consensus/src/startCheck.ts
+++ b/control/consensus/src/startCheck.ts
@@ -15,6 +15,7 @@
 import type {NodeId} from '@gentianshunt/identifiers';
 
 import type {ConsensusDraft} from './consensusDraft.js';
+import {recordJoinRequest} from './joinRequests.js';
 import {
   addMemberships,
   computeQuorum,
@@ -120,7 +121,7 @@
     admission.kind === 'open' || bootstrapMembers.includes(node);
   const isNew = !hello.formed && !isMember(draft, node, storage);
   if (isLeading && isAdmissible && isNew) {
-    draft.joiningNodes.put(node, storage);
+    recordJoinRequest(draft, from, now);
   }
 }
 
--- a/control/controlModel/src/role.ts
+++ b/control/controlModel/src/role.ts
@@ -48,6 +48,8 @@
   readonly nextIndex: LogIndex;
   /** The last index known to match the leader's log. */
   readonly matchIndex: LogIndex;
+  /** When the leader began to replicate to this data folder. */
+  readonly since: MonotonicTime;
   /** When the latest request that the follower answered was sent. */
   readonly confirmedAt: MonotonicTime;
   /** The last index of each unanswered request that carries entries. */
@@ -60,6 +62,15 @@
   readonly transfer: SnapshotTransfer | null;
 }
 
+/** A node's request to join the group with a data folder. */
+export interface JoinRequest {
+  readonly storage: StorageId;
+  /** When the leader got the first hello of this request. */
+  readonly since: MonotonicTime;
+  /** When the leader got the latest hello of this request. */
+  readonly renewedAt: MonotonicTime;
+}
+
 /** The transfer of a snapshot to a follower. */
 export interface SnapshotTransfer {
   /** The snapshot that was the latest one when the transfer began. */
--- a/control/controlModel/src/sections.ts
+++ b/control/controlModel/src/sections.ts
@@ -46,6 +46,7 @@
   ElectionTimer,
   FollowerProgress,
   IncomingSnapshot,
+  JoinRequest,
   LeaderClock,
   Leadership,
   LogStatus,
@@ -198,8 +199,8 @@
     incomingSnapshot: defineCell<IncomingSnapshot | null>(null),
     /** What this member remembers of the other members' data folders. */
     rememberedPositions: defineMap<NodeId, RememberedFolderPosition>(),
-    /** Nodes that ask to join the group, with their data folders. */
-    joiningNodes: defineMap<NodeId, StorageId>(),
+    /** Requests to join the group that are neither fulfilled nor expired. */
+    joiningNodes: defineMap<NodeId, JoinRequest>(),
     /** Nodes that a member without a group sends its hello to. */
     contacts: defineCell<readonly NodeId[]>(identity.bootstrapMembers),
     /** Membership changes that the consensus controller appends. */
--- a/control/controlNode/test/openGroup.test.ts
+++ b/control/controlNode/test/openGroup.test.ts
@@ -142,3 +142,57 @@
   checker.check();
   t.equal(checker.acknowledged.size, 2 * COMMANDS);
 });
+
+/** Counts the changes of the members in the leader's log. */
+function countMemberChanges(deployment: TestDeployment): number {
+  const {log} = deployment.findLeader()!.loop!.view;
+  return [...log.iterateFrom()].filter(
+    ({value}) => value.payload.kind === 'membership',
+  ).length;
+}
+
+t.test(
+  'a node that joined and left for good is not admitted again',
+  async t => {
+    const deployment = createLedGroup(3);
+    const before = countMemberChanges(deployment);
+    const joined = deployment.join('control-8');
+    deployment.run(2 * ONE_SECOND_STEPS);
+    deployment.remove(joined);
+    deployment.run(10 * ONE_SECOND_STEPS);
+    t.equal(listMembers(deployment.findLeader()!).length, 3);
+    t.equal(countMemberChanges(deployment) - before, 2, 'admitted and removed');
+  },
+);
+
+t.test('a lost disk is replaced after another node left for good', async t => {
+  const deployment = createLedGroup(3);
+  const joined = deployment.join('control-8');
+  deployment.run(2 * ONE_SECOND_STEPS);
+  deployment.remove(joined);
+  deployment.run(5 * ONE_SECOND_STEPS);
+  const emptied = findFollower(deployment);
+  emptied.replaceFolder();
+  emptied.start();
+  deployment.run(4 * ONE_SECOND_STEPS);
+  const {members} = deployment.findLeader()!.loop!.view.memberships.at(-1)!;
+  const {storage} = emptied.folder;
+  t.match(
+    members.find(member => member.storage === storage),
+    {role: 'voter'},
+  );
+});
+
+t.test('a node that joins is not silent before it could answer', async t => {
+  const deployment = createLedGroup(3);
+  const before = countMemberChanges(deployment);
+  const joined = deployment.join('control-8');
+  // The node is admitted, and hears nothing of it for a while.
+  deployment.run(1);
+  deployment.setPartitioned(joined, true);
+  deployment.run(2 * ONE_SECOND_STEPS);
+  deployment.setPartitioned(joined, false);
+  deployment.run(2 * ONE_SECOND_STEPS);
+  t.equal(listMembers(deployment.findLeader()!).length, 4);
+  t.equal(countMemberChanges(deployment) - before, 1, 'admitted once');
+});
