Consensus: a removed learner that still runs joins again

What callers saw: none yet; a node that was cut off or stood still for more than 4 s never belonged to the group again until its process was started anew, so the group had one copy less than nodes.

Cause: a learner that is silent for 4 s is removed. A removed voter learns of it from the answer to its vote request; a learner requests no votes and was told by nobody.

Why it works: a learner that no leader contacts for an election timeout says hello to its former peers; the leader's answer lists the members without it, and it halts and joins with a new folder, as a removed voter does.

--- a/control/consensus/src/election.ts
+++ b/control/consensus/src/election.ts
@@ -6,7 +6,7 @@
 import {becomeLeader} from './leadership.js';
 import {computeQuorum, isInGroup, isVoter, listVoters} from './members.js';
 import type {Sender, VoteReply, VoteRequest} from './messageTypes.js';
-import {replyHello} from './startCheck.js';
+import {broadcastHello, replyHello} from './startCheck.js';
 import {
   LEADER_STICKINESS_MS,
   resetElectionDeadline,
@@ -30,6 +30,10 @@
     startPreVote(draft, now);
     return;
   }
+  if (draft.read('startCheck').kind === 'ready') {
+    // A learner that no leader contacts may have been removed.
+    broadcastHello(draft);
+  }
   resetElectionDeadline(draft, now);
   scheduleElectionTimer(draft, now);
 }
--- a/control/consensus/src/startCheck.ts
+++ b/control/consensus/src/startCheck.ts
@@ -73,11 +73,19 @@
   if (draft.read('startCheck').kind !== 'checking') {
     return;
   }
+  broadcastHello(draft);
+  scheduleTimer(draft, 'hello', HELLO_INTERVAL_MS);
+}
+
+/**
+ * Sends a hello to the other nodes. The answer of a leader tells a member
+ * whether its data folder still belongs to the group.
+ */
+export function broadcastHello(draft: ConsensusDraft): void {
   const formed = isInGroup(draft);
   for (const node of listHelloTargets(draft)) {
     draft.send({node, storage: null}, {kind: 'memberHello', formed});
   }
-  scheduleTimer(draft, 'hello', HELLO_INTERVAL_MS);
 }
 
 /** Lists the nodes that a hello goes to. */
--- a/control/controlNode/test/openGroup.test.ts
+++ b/control/controlNode/test/openGroup.test.ts
@@ -128,6 +128,22 @@
   t.same(listLostCommands(partitioned, checker.acknowledged), []);
 });
 
+t.test('a learner removed during a partition halts, then rejoins', async t => {
+  const deployment = createLedGroup(3);
+  const learner = deployment.join('control-8');
+  deployment.run(2 * ONE_SECOND_STEPS);
+  deployment.setPartitioned(learner, true);
+  deployment.run(6 * ONE_SECOND_STEPS);
+  t.equal(listMembers(deployment.findLeader()!).length, 3);
+  deployment.setPartitioned(learner, false);
+  deployment.run(2 * ONE_SECOND_STEPS);
+  t.equal(learner.haltReason?.kind, 'folderReplaced');
+  learner.replaceFolder();
+  learner.start();
+  deployment.run(2 * ONE_SECOND_STEPS);
+  t.ok(listMembers(deployment.findLeader()!).includes('control-8 learner'));
+});
+
 t.test('acknowledged commands survive a restart of all members', async t => {
   const deployment = createLedGroup(3);
   const checker = createInvariantChecker(deployment);
