Consensus: a late answer to a joining node's hello halts it not

Cause: a joining node says hello each 0.2 s. The leader's answer to a hello from before the admission names members without the folder. If another member's answer, which lists it, arrives first, the node takes itself for a member and the leader's answer for the news that its folder was replaced.

Evidence: 'a late answer to the hello of a joining node halts it not' of openGroup.test.ts failed on the code before (haltReason folderReplaced).

Why it works: an answer says whether the hello came from a folder that belonged to a group. Only such a folder can have been replaced, and once it is removed it is not admitted again.

--- a/control/consensus/src/election.ts
+++ b/control/consensus/src/election.ts
@@ -106,7 +106,7 @@
   if (draft.role.kind === 'leader' && !isVoter(draft, from.storage)) {
     // The sender may have been removed while it was partitioned from the
     // group; this reply reports it.
-    replyHello(draft, from, now);
+    replyHello(draft, from, true, now);
   }
   if (request.preVote || hasRecentLeaderContact(draft, now)) {
     answerPreVote(draft, from, request, now);
--- a/control/consensus/src/startCheck.ts
+++ b/control/consensus/src/startCheck.ts
@@ -123,7 +123,7 @@
 ): void {
   const {node, storage} = from;
   const isLeading = isConfirmedLeader(draft, now);
-  replyHello(draft, from, now);
+  replyHello(draft, from, hello.formed, now);
   const {admission, bootstrapMembers} = draft.view.board.identity;
   const isAdmissible =
     admission.kind === 'open' || bootstrapMembers.includes(node);
@@ -133,10 +133,14 @@
   }
 }
 
-/** Reports the group's members and the sender's remembered position. */
+/**
+ * Reports the group's members and the remembered position of a data folder, of
+ * which its node has said whether it belongs to a group.
+ */
 export function replyHello(
   draft: ConsensusDraft,
   to: Sender,
+  formed: boolean,
   now: TurnTime,
 ): void {
   const {node, storage} = to;
@@ -145,6 +149,7 @@
     {node, storage},
     {
       kind: 'memberHelloReply',
+      formed,
       term: draft.ballot.term,
       members: isInGroup(draft) ? listMembers(draft) : null,
       leading: isConfirmedLeader(draft, now),
@@ -220,10 +225,11 @@
     return {kind: 'oldFolder', peer: from.node, witness};
   }
   const {storage} = draft.view.board.identity;
-  // A late reply from the leader of an earlier term must not halt a member.
-  // That leader may not know that the folder was admitted since.
+  // A late reply must not halt a member: the folder may have been admitted
+  // since, and the leader of an earlier term may not know of it.
   const isReplaced =
     isInGroup(draft) &&
+    reply.formed &&
     reply.leading &&
     reply.term >= term &&
     members?.every(member => member.storage !== storage) === true;
--- a/control/controlNode/test/openGroup.test.ts
+++ b/control/controlNode/test/openGroup.test.ts
@@ -199,6 +199,21 @@
   );
 });
 
+t.test('a late answer to the hello of a joining node halts it not', async t => {
+  const deployment = createLedGroup(3);
+  const joined = deployment.join('control-8');
+  deployment.inFlight.splice(0).forEach(deployment.deliver);
+  const answers = deployment.inFlight.filter(
+    ({to, message}) =>
+      to === joined.node && message.kind === 'memberHelloReply',
+  );
+  t.equal(answers.length, 3);
+  deployment.run(2 * ONE_SECOND_STEPS);
+  t.ok(listMembers(joined).includes('control-8 learner'));
+  answers.forEach(deployment.deliver);
+  t.equal(joined.haltReason, undefined);
+});
+
 t.test('a node that joins is not silent before it could answer', async t => {
   const deployment = createLedGroup(3);
   const before = countMemberChanges(deployment);
--- a/control/messages/src/consensusMessage.ts
+++ b/control/messages/src/consensusMessage.ts
@@ -21,6 +21,8 @@
     }
   | {
       readonly kind: 'memberHelloReply';
+      /** Whether the hello said that the data folder belongs to a group. */
+      readonly formed: boolean;
       readonly term: Term;
       /** The members that the sender knows, or `null` if it knows none. */
       readonly members: readonly Member[] | null;
