--- a/control/controlDecisionLog/src/joinController.ts
+++ b/control/controlDecisionLog/src/joinController.ts
@@ -50,7 +50,7 @@
 
 function updateWatch({board}: JoinView, now: TurnTime): readonly JoinWrite[] {
   const {joinWatch: before} = board;
-  const waiting = listWaiting(board, now);
+  const waiting = listWaiting(board);
   if (waiting.size === 0 && before.waiting.size === 0) {
     return [];
   }
@@ -75,20 +75,14 @@
   ];
 }
 
-function listWaiting(
-  board: JoinView['board'],
-  now: TurnTime,
-): JoinWatch['waiting'] {
-  const {joiningNodes, joinWatch} = board;
-  const members = new Set(listLatestMembers(board).map(({storage}) => storage));
+function listWaiting({
+  joiningNodes,
+  memberships,
+}: JoinView['board']): JoinWatch['waiting'] {
+  const members = new Set(
+    listLatestMembers({memberships}).map(({storage}) => storage),
+  );
   return new Map(
-    [...joiningNodes]
-      .filter(([, storage]) => !members.has(storage))
-      .map(([node, storage]) => {
-        const known = joinWatch.waiting.get(node);
-        const isSame = known?.storage === storage;
-        const since = isSame ? known.since : now.monotonic;
-        return [node, {storage, since}];
-      }),
+    [...joiningNodes].filter(([, {storage}]) => !members.has(storage)),
   );
 }
--- a/control/controlDecisionLog/test/groupDecisions.test.ts
+++ b/control/controlDecisionLog/test/groupDecisions.test.ts
@@ -1,7 +1,6 @@
-import type {Membership} from '@gentianshunt/controlModel';
+import type {JoinRequest, Membership} from '@gentianshunt/controlModel';
 import {toIdentifier} from '@gentianshunt/identifiers';
 import type {NodeId} from '@gentianshunt/identifiers';
-import type {StorageId} from '@gentianshunt/messages';
 import t from 'tap';
 
 import {
@@ -12,7 +11,11 @@
   MIN_REPETITIONS,
   REPETITION_WINDOW_MS,
 } from '../src/index.js';
-import {createVoter, createWatchFixture} from './watchFixture.js';
+import {
+  createJoinRequest,
+  createVoter,
+  createWatchFixture,
+} from './watchFixture.js';
 import type {WatchFixture} from './watchFixture.js';
 
 const STEP_MS = 10;
@@ -63,9 +66,9 @@
 t.test('a node that waits to join is logged at intervals', async t => {
   const fixture = createWatchFixture(createJoinController());
   const memberships = [createMembership(1, true)];
-  const joiningNodes = new Map<NodeId, StorageId>([
-    [GONE.node, GONE.storage],
-    [toIdentifier('control-8'), toIdentifier('control-8-2')],
+  const joiningNodes = new Map<NodeId, JoinRequest>([
+    [GONE.node, createJoinRequest(GONE.storage, 0)],
+    [toIdentifier('control-8'), createJoinRequest('control-8-2', 0)],
   ]);
   t.same(fixture.run({memberships, joiningNodes}), []);
   fixture.advance(JOIN_LOG_DELAY_MS);
@@ -83,8 +86,11 @@
   const fixture = createWatchFixture(createJoinController());
   const node = toIdentifier<NodeId>('control-8');
   const memberships = [createMembership(1, true)];
-  for (const storage of ['first', 'second']) {
-    const joiningNodes = new Map([[node, toIdentifier<StorageId>(storage)]]);
+  for (const [storage, since] of [
+    ['first', 0],
+    ['second', JOIN_LOG_DELAY_MS],
+  ] as const) {
+    const joiningNodes = new Map([[node, createJoinRequest(storage, since)]]);
     t.same(fixture.run({memberships, joiningNodes}), []);
     fixture.advance(JOIN_LOG_DELAY_MS);
   }
--- a/control/controlDecisionLog/test/watchFixture.ts
+++ b/control/controlDecisionLog/test/watchFixture.ts
@@ -1,7 +1,7 @@
 import {createControlLoop} from '@gentianshunt/board';
 import type {BoardView} from '@gentianshunt/board';
 import {createManualClock} from '@gentianshunt/clock';
-import type {Milliseconds} from '@gentianshunt/clock';
+import type {Milliseconds, MonotonicTime} from '@gentianshunt/clock';
 import {
   createControlSections,
   DEFAULT_LOG_BOUNDS,
@@ -12,6 +12,7 @@
   ControlDecision,
   ControlSections,
   ControlWrite,
+  JoinRequest,
   Membership,
 } from '@gentianshunt/controlModel';
 import {toIdentifier} from '@gentianshunt/identifiers';
@@ -23,7 +24,7 @@
 /** What the leader knows of the group at a heartbeat. */
 export interface GroupState {
   readonly memberships: readonly Membership[];
-  readonly joiningNodes?: ReadonlyMap<NodeId, StorageId>;
+  readonly joiningNodes?: ReadonlyMap<NodeId, JoinRequest>;
 }
 
 /** One controller on the board of a leader. */
@@ -110,6 +111,14 @@
   });
 }
 
+/** Creates a request to join whose first and latest hello came at a time. */
+export function createJoinRequest(
+  storage: string,
+  since: MonotonicTime,
+): JoinRequest {
+  return {storage: toIdentifier<StorageId>(storage), since, renewedAt: since};
+}
+
 /** Creates a voter with its first data folder. */
 export function createVoter(node: string): Member {
   return {
--- a/control/controlModel/src/groupWatch.ts
+++ b/control/controlModel/src/groupWatch.ts
@@ -1,7 +1,9 @@
 /** What a member observes of the group, for the decision log and the metrics. */
 import type {Milliseconds, MonotonicTime} from '@gentianshunt/clock';
 import type {NodeId} from '@gentianshunt/identifiers';
-import type {LogIndex, StorageId} from '@gentianshunt/messages';
+import type {LogIndex} from '@gentianshunt/messages';
+
+import type {JoinRequest} from './role.js';
 
 /** A committed entry that a voter lacks. */
 export interface LackingVoter {
@@ -29,15 +31,9 @@
       readonly loggedAt: MonotonicTime;
     };
 
-/** A node that waits to join the group. */
-export interface WaitingJoiner {
-  readonly storage: StorageId;
-  readonly since: MonotonicTime;
-}
-
 /** The nodes that wait to join the group, as the leader knows. */
 export interface JoinWatch {
-  readonly waiting: ReadonlyMap<NodeId, WaitingJoiner>;
+  readonly waiting: ReadonlyMap<NodeId, JoinRequest>;
   readonly loggedAt: MonotonicTime;
 }
 
