Heartbeats: a reply counts whenever it comes

Callers saw 503 noLease at an entry whose links are slow (400 ms each way), for as long as they were slow, though a lease lasts 3 s.

Cause: the entry gave a heartbeat up after 500 ms, asked another daemon and counted only the reply to the newest heartbeat.

Now the lease runs from the sending of the heartbeat that a reply answers, if the entry holds the version that the reply names; the reply names the incarnation, since sequences begin anew with each process. The entry goes on asking the leader it knows; another daemon is asked beside it after two round trips of silence (450 ms to 1 s).

--- a/bench/policyBench/src/fakeControl.ts
+++ b/bench/policyBench/src/fakeControl.ts
@@ -64,6 +64,7 @@
     return {
       kind: 'configurationUpdate',
       sequence: message.sequence,
+      incarnation: message.incarnation,
       fromVersion: message.version,
       version,
       changes: objects.map(object => ({kind: 'put', object})),
--- a/bench/slopes/src/configurationCost.ts
+++ b/bench/slopes/src/configurationCost.ts
@@ -40,6 +40,7 @@
       message: {
         kind: 'configurationUpdate',
         sequence: null,
+        incarnation: null,
         fromVersion: change + 1,
         version: change + 2,
         changes: [{kind: 'put', object}],
--- a/bench/virtualEntry/src/fakeControl.ts
+++ b/bench/virtualEntry/src/fakeControl.ts
@@ -47,6 +47,7 @@
         message: {
           kind: 'configurationUpdate',
           sequence: heartbeat.sequence,
+          incarnation: heartbeat.incarnation,
           fromVersion: isCurrent ? version : 0,
           version,
           changes: isCurrent
--- a/control/entrySessions/src/configurationUpdates.ts
+++ b/control/entrySessions/src/configurationUpdates.ts
@@ -25,16 +25,23 @@
   {readonly kind: 'configurationUpdate'}
 >;
 
+/** The heartbeat that an update answers. */
+type AnsweredHeartbeat = Pick<
+  Extract<EntryToControl, {readonly kind: 'entryHeartbeat'}>,
+  'sequence' | 'incarnation'
+>;
+
 /** Creates the message with the changes that an entry lacks. */
 export function createConfigurationUpdate(
   view: SessionView,
   delta: ConfigurationDelta,
-  sequence: number | null,
+  answered: AnsweredHeartbeat | null,
   directory: DirectoryUpdate | null,
 ): ConfigurationUpdate {
   return {
     kind: 'configurationUpdate',
-    sequence,
+    sequence: answered?.sequence ?? null,
+    incarnation: answered?.incarnation ?? null,
     fromVersion: delta.fromVersion,
     version: view.board.applied.version,
     changes: delta.changes,
--- a/control/entrySessions/src/sessionController.ts
+++ b/control/entrySessions/src/sessionController.ts
@@ -168,7 +168,7 @@
   const update = createConfigurationUpdate(
     view,
     createDelta(view.board, version),
-    heartbeat.sequence,
+    heartbeat,
     directory,
   );
   return [
--- a/control/messages/src/controlMessage.ts
+++ b/control/messages/src/controlMessage.ts
@@ -250,6 +250,8 @@
       readonly kind: 'configurationUpdate';
       /** Number of the answered heartbeat, or `null` for a push. */
       readonly sequence: number | null;
+      /** The entry's process that sent the heartbeat, or `null` for a push. */
+      readonly incarnation: IncarnationId | null;
       /** Version that the changes apply to; 0 replaces everything. */
       readonly fromVersion: ConfigurationVersion;
       readonly version: ConfigurationVersion;
--- a/scheduling/controlClient/test/fixture.ts
+++ b/scheduling/controlClient/test/fixture.ts
@@ -13,6 +13,7 @@
 } from '@gentianshunt/entryModel';
 import type {ControlToEntry, EntryToControl} from '@gentianshunt/messages';
 import {toIdentifier} from '@gentianshunt/identifiers';
+import type {IncarnationId} from '@gentianshunt/identifiers';
 
 /** Creates an entry's control loop with some of its controllers. */
 export function createEntryFixture(controllers: readonly EntryController[]) {
@@ -44,8 +45,18 @@
         .flatMap(effect =>
           effect.kind === 'sendControl' ? [effect.message] : [],
         ),
-    receive: (message: ControlToEntry) =>
-      loop.post({kind: 'controlMessage', from: toIdentifier('c0'), message}),
+    /** Takes the heartbeats that were sent, with their receivers. */
+    takeHeartbeats: (): readonly TestHeartbeat[] =>
+      effects
+        .splice(0)
+        .flatMap(effect =>
+          effect.kind === 'sendControl' &&
+          effect.message.kind === 'entryHeartbeat'
+            ? [{to: effect.to, sequence: effect.message.sequence}]
+            : [],
+        ),
+    receive: (message: ControlToEntry, from = 'c0') =>
+      loop.post({kind: 'controlMessage', from: toIdentifier(from), message}),
     tick: (ms: number) => {
       clock.advance(ms);
       loop.post({kind: 'timerDue', timer: {kind: 'housekeeping'}});
@@ -53,6 +64,12 @@
   };
 }
 
+/** A heartbeat of the fixture's entry. */
+export interface TestHeartbeat {
+  readonly to: string;
+  readonly sequence: number;
+}
+
 /** An entry's control loop, with access to its clock and messages. */
 export type EntryFixture = ReturnType<typeof createEntryFixture>;
 
@@ -68,6 +85,7 @@
   return {
     kind: 'configurationUpdate',
     sequence: null,
+    incarnation: toIdentifier<IncarnationId>('i1'),
     fromVersion,
     version,
     changes: tiers.map(object => ({kind: 'put', object})),
--- a/scheduling/entryModel/src/controlStatus.ts
+++ b/scheduling/entryModel/src/controlStatus.ts
@@ -40,8 +40,8 @@
   readonly lease: Lease;
   /** Sequence of the latest heartbeat. */
   readonly lastSequence: number;
-  /** When the latest heartbeat was sent; `null` once it is answered. */
-  readonly sentAt: Instant | null;
+  /** The smoothed round trip of heartbeats; `null` before the first. */
+  readonly roundTripMs: Milliseconds | null;
   /** The latest heartbeats, newest last. */
   readonly heartbeats: readonly SentHeartbeat[];
   readonly directory: EntryDirectory;
--- a/scheduling/entryModel/src/sections.ts
+++ b/scheduling/entryModel/src/sections.ts
@@ -112,7 +112,7 @@
       version: 0,
       lease: ENDED_LEASE,
       lastSequence: 0,
-      sentAt: null,
+      roundTripMs: null,
       heartbeats: [],
       directory: {version: NO_DIRECTORY_VERSION, entries: []},
     }),
--- a/scheduling/entryNode/test/entriesFixture.ts
+++ b/scheduling/entryNode/test/entriesFixture.ts
@@ -156,6 +156,7 @@
       message: {
         kind: 'configurationUpdate',
         sequence: node.view.control.lastSequence,
+        incarnation: node.view.identity.incarnation,
         fromVersion: 0,
         version,
         changes: listObjects(options, leader, epoch).map(object => ({
--- a/scheduling/entryNode/test/entryFixture.ts
+++ b/scheduling/entryNode/test/entryFixture.ts
@@ -7,6 +7,7 @@
   RequestAttributes,
 } from '@gentianshunt/entryModel';
 import {toIdentifier} from '@gentianshunt/identifiers';
+import type {IncarnationId} from '@gentianshunt/identifiers';
 import type {
   ClaimAnswer,
   ControlToEntry,
@@ -131,6 +132,7 @@
   return {
     kind: 'configurationUpdate',
     sequence,
+    incarnation: toIdentifier<IncarnationId>('i1'),
     fromVersion: 0,
     version: 1,
     changes: listObjects().map(object => ({kind: 'put', object})),
--- a/scheduling/entryNode/test/statusDecisions.test.ts
+++ b/scheduling/entryNode/test/statusDecisions.test.ts
@@ -3,6 +3,8 @@
 import {RELEASE_ID} from '@gentianshunt/configuration';
 import type {ConfigurationObject} from '@gentianshunt/configuration';
 import type {EntryDecision} from '@gentianshunt/entryModel';
+import {toIdentifier} from '@gentianshunt/identifiers';
+import type {IncarnationId} from '@gentianshunt/identifiers';
 import type {ControlToEntry} from '@gentianshunt/messages';
 
 import {createEntryFixture} from './entryFixture.js';
@@ -29,6 +31,7 @@
   return {
     kind: 'configurationUpdate',
     sequence,
+    incarnation: toIdentifier<IncarnationId>('i1'),
     fromVersion,
     version,
     changes: [{kind: 'put', object: createRelease(release)}],
