Queries: the second sending of a read follows the measured round trip

At an entry with slow links each read was sent twice, since its reply takes longer than 300 ms: the repeats fill a link that passes few messages, and make heartbeats late.

--- a/scheduling/controlClient/src/delivery.ts
+++ b/scheduling/controlClient/src/delivery.ts
@@ -1,7 +1,7 @@
 // When a request is sent to the leading control daemon again.
 import type {TurnTime} from '@gentianshunt/board';
 import type {Milliseconds} from '@gentianshunt/clock';
-import type {RequestDelivery} from '@gentianshunt/entryModel';
+import type {ControlStatus, RequestDelivery} from '@gentianshunt/entryModel';
 import type {NodeId} from '@gentianshunt/identifiers';
 
 /** When the same daemon gets a request again. */
@@ -17,14 +17,28 @@
   firstResendMs: 1_000,
   maxAttempts: Number.POSITIVE_INFINITY,
 };
-/** For reads, whose operators wait for less than a second. */
-export const READ_RESEND: ResendOptions = {
-  firstResendMs: 300,
-  maxAttempts: 2,
-};
+/** Shortest time to the second sending of a read. */
+const MIN_READ_RESEND_MS: Milliseconds = 300;
+/** The same in round trips to the leader. */
+const READ_RESEND_ROUND_TRIPS = 2;
+const MAX_READ_ATTEMPTS = 2;
 /** Factor by which the time grows with each sending. */
 const BACKOFF_FACTOR = 2;
 
+/**
+ * Plans when a read is sent again. Its operator waits for less than a second, but
+ * a reply that is on its way need not be asked for again.
+ */
+export function planReadResend({
+  roundTripMs,
+}: Pick<ControlStatus, 'roundTripMs'>): ResendOptions {
+  const usualMs = READ_RESEND_ROUND_TRIPS * (roundTripMs ?? 0);
+  return {
+    firstResendMs: Math.max(MIN_READ_RESEND_MS, usualMs),
+    maxAttempts: MAX_READ_ATTEMPTS,
+  };
+}
+
 /**
  * Returns whether a request is to be sent to a daemon: at once if it went to
  * another one before, otherwise after a backoff.
--- a/scheduling/controlClient/src/queryController.ts
+++ b/scheduling/controlClient/src/queryController.ts
@@ -10,7 +10,7 @@
 import type {RequestId} from '@gentianshunt/identifiers';
 
 import {COMMAND_TIMEOUT_MS} from './commandController.js';
-import {isSendingDue, READ_RESEND, recordDelivery} from './delivery.js';
+import {isSendingDue, planReadResend, recordDelivery} from './delivery.js';
 
 type QueryReads = 'control' | 'queries';
 type QueryView = View<EntrySections, QueryReads, EntryObservation>;
@@ -86,9 +86,11 @@
   pending: PendingQuery,
   now: TurnTime,
 ): readonly QueryWrite[] {
-  const {leader} = view.board.control;
+  const {control} = view.board;
+  const {leader} = control;
   const {correlation, query, delivery} = pending;
-  if (leader === null || !isSendingDue(delivery, leader, now, READ_RESEND)) {
+  const resend = planReadResend(control);
+  if (leader === null || !isSendingDue(delivery, leader, now, resend)) {
     return [];
   }
   return [
--- a/scheduling/controlClient/test/queryController.test.ts
+++ b/scheduling/controlClient/test/queryController.test.ts
@@ -9,6 +9,7 @@
 const READ_MS = 900;
 /** The first sending, and one more after a second. */
 const MAX_SENT = 2;
+const SLOW_ROUND_TRIP_MS = 1_000;
 
 t.test('a waiting read is sent again every tick', async t => {
   const fixture = createEntryFixture([
@@ -51,3 +52,26 @@
     ['controlQueryRequest'],
   );
 });
+
+t.test('a read whose reply is on a slow link is sent twice', async t => {
+  const fixture = createEntryFixture([
+    createControlController(),
+    createQueryController(),
+  ]);
+  fixture.loop.post({kind: 'started'});
+  fixture.tick(SLOW_ROUND_TRIP_MS);
+  fixture.receive(createUpdate(0, 1, [], {sequence: 1}));
+  fixture.takeSent();
+  fixture.loop.post({
+    kind: 'queryReceived',
+    correlation: toIdentifier('r1'),
+    query: {kind: 'source'},
+  });
+  for (let age = 0; age < SLOW_ROUND_TRIP_MS; age += TICK_MS) {
+    fixture.tick(TICK_MS);
+  }
+  t.same(
+    fixture.takeSent().map(({kind}) => kind),
+    ['controlQueryRequest'],
+  );
+});
