--- a/scheduling/decisionLog/src/missingLease.ts
+++ b/scheduling/decisionLog/src/missingLease.ts
@@ -27,50 +27,44 @@
     }));
 }
 
-/** Finds why the heartbeats after the latest renewal brought no lease. */
+/** Finds why the heartbeats after the latest timely renewal brought no lease. */
 export function findMissingLeaseCause(
   record: ControlRecord,
 ): MissingLeaseCause {
   const {heartbeats} = record;
-  const kinds = heartbeats.map(({answer}) => answer.kind);
-  const renewed = kinds.lastIndexOf('renewed');
-  const unsuccessful = heartbeats.slice(renewed + 1);
-  if (unsuccessful.length > 0) {
-    return findFailureCause(unsuccessful);
-  }
-  const last = heartbeats[renewed];
-  return last !== undefined && isRenewalLate(record, last)
-    ? 'replyLate'
-    : 'notAsked';
+  const timely = heartbeats
+    .map(heartbeat => isRenewalTimely(record, heartbeat))
+    .lastIndexOf(true);
+  const causes = new Set(heartbeats.slice(timely + 1).map(toCause));
+  const ranked = [
+    'replyLate',
+    'versionMissing',
+    'leaderSilent',
+    'noLeader',
+    'noReply',
+  ] as const;
+  return ranked.find(cause => causes.has(cause)) ?? 'notAsked';
 }
 
-/** Returns whether the lease had ended when the reply that renewed it came. */
-function isRenewalLate(
+/** Returns whether a renewal came before the lease had ended. */
+function isRenewalTimely(
   {lease}: ControlRecord,
   {sentAt, answer}: SentHeartbeat,
 ): boolean {
   return (
-    answer.kind === 'renewed' &&
-    sentAt.monotonic + answer.afterMs >= lease.until
+    answer.kind === 'renewed' && sentAt.monotonic + answer.afterMs < lease.until
   );
 }
 
-function findFailureCause(
-  heartbeats: readonly SentHeartbeat[],
-): MissingLeaseCause {
-  const causes = new Set(heartbeats.map(toCause));
-  const ranked = ['replyLate', 'leaderSilent', 'noLeader'] as const;
-  return ranked.find(cause => causes.has(cause)) ?? 'noReply';
-}
-
 /** What one heartbeat that brought no lease shows of the cause. */
 function toCause({answer}: SentHeartbeat): MissingLeaseCause {
   switch (answer.kind) {
     case 'none':
       return 'noReply';
     case 'renewed':
-    case 'unused':
       return 'replyLate';
+    case 'unused':
+      return 'versionMissing';
     case 'notLeader':
       return answer.leader === null ? 'noLeader' : 'leaderSilent';
     default:
--- a/scheduling/entryModel/src/decision.ts
+++ b/scheduling/entryModel/src/decision.ts
@@ -22,8 +22,10 @@
   | 'notAsked'
   /** No daemon replied. */
   | 'noReply'
-  /** A reply came too late to renew the lease. */
+  /** A reply came after the lease that it gave had ended. */
   | 'replyLate'
+  /** The entry does not hold the version that a reply names. */
+  | 'versionMissing'
   /** Daemons name a leader that does not reply. */
   | 'leaderSilent'
   /** The daemons that reply know no leader. */
