--- a/control/controlNode/test/deploymentFixture.ts
+++ b/control/controlNode/test/deploymentFixture.ts
@@ -2,13 +2,12 @@
 import {DEFAULT_LOG_BOUNDS} from '@gentianshunt/controlModel';
 import type {AdmissionPolicy, LogBounds} from '@gentianshunt/controlModel';
 import {toIdentifier} from '@gentianshunt/identifiers';
-import type {NodeId, OperatorId, RequestId} from '@gentianshunt/identifiers';
-import type {EntryToControl} from '@gentianshunt/messages';
+import type {NodeId} from '@gentianshunt/identifiers';
 
+import {createPutCommand} from './commandFixture.js';
 import {createTestMember} from './memberFixture.js';
 import type {TestMember, TestMessage} from './memberFixture.js';
 
-const ENTRY = toIdentifier<NodeId>('entry-0');
 const STEP_MS = 10;
 
 /** Members in one process that exchange messages through a list. */
@@ -61,6 +60,7 @@
   const createMember = (
     node: NodeId,
     ownAdmission: AdmissionPolicy,
+    seed: number,
   ): TestMember =>
     createTestMember({
       node,
@@ -68,9 +68,13 @@
       admission: ownAdmission,
       logBounds,
       clock,
+      drawSeed: () => seed,
       send: message => inFlight.push(message),
     });
-  const members = nodes.map(node => createMember(node, admission));
+  const members = nodes.map((node, index) =>
+    createMember(node, admission, index + 1),
+  );
+  let joinedCount = 0;
   const deliver = (message: TestMessage): void => {
     if (!partitioned.has(message.from) && !partitioned.has(message.to)) {
       members.find(({node}) => node === message.to)?.receive(message);
@@ -102,7 +106,9 @@
         .sort((left, right) => readTerm(right) - readTerm(left))[0],
     join: name => {
       const node = toIdentifier<NodeId>(name);
-      const joined = createMember(node, {kind: 'open', mayBootstrap: false});
+      const joinAdmission = {kind: 'open', mayBootstrap: false} as const;
+      joinedCount += 1;
+      const joined = createMember(node, joinAdmission, count + joinedCount);
       members.push(joined);
       joined.start();
       return joined;
@@ -118,40 +124,10 @@
         partitioned.delete(node);
       }
     },
-    command: (member, number) =>
-      member.loop?.post({
-        kind: 'entryMessage',
-        from: ENTRY,
-        message: createCommand(number),
-      }),
+    command: (member, number) => member.loop?.post(createPutCommand(number)),
   };
 }
 
 function readTerm(member: TestMember): number {
   return member.loop!.view.ballot.term;
 }
-
-function createCommand(number: number): EntryToControl {
-  return {
-    kind: 'commandRequest',
-    correlation: toIdentifier<RequestId>(`request-${number}`),
-    command: {
-      number,
-      operator: toIdentifier<OperatorId>('operator'),
-      digest: `digest-${number}`,
-      commands: [
-        {
-          kind: 'put',
-          expectedRevision: 0,
-          object: {
-            kind: 'requestKind',
-            id: toIdentifier(`kind-${number}`),
-            revision: 0,
-            idempotent: true,
-            weight: 1,
-          },
-        },
-      ],
-    },
-  };
-}
--- a/control/controlNode/test/invariantFixture.ts
+++ b/control/controlNode/test/invariantFixture.ts
@@ -1,6 +1,11 @@
-import type {TestDeployment} from './deploymentFixture.js';
 import type {TestMember, TestMessage} from './memberFixture.js';
 
+/** The members that are checked and the messages that they have sent. */
+export interface CheckedDeployment {
+  readonly members: readonly TestMember[];
+  readonly inFlight: readonly TestMessage[];
+}
+
 /**
  * Checks the safety properties of a deployment: one leader and one vote per
  * member in a term, the same committed entries everywhere, versions that never
@@ -15,7 +20,7 @@
 
 /** Creates a checker without any recorded values. */
 export function createInvariantChecker(
-  deployment: TestDeployment,
+  deployment: CheckedDeployment,
 ): InvariantChecker {
   const values = new Map<string, string>();
   const acknowledged = new Map<number, number>();
--- a/control/controlNode/test/memberFixture.ts
+++ b/control/controlNode/test/memberFixture.ts
@@ -57,6 +57,8 @@
   setDiskStalled(isStalled: boolean): void;
   /** Lists the batches that are not synced. */
   listQueued(): readonly PersistBatch[];
+  /** Reads when the next timer is due, in ms; `Infinity` if none is set. */
+  readNextTimer(): number;
   fireDueTimers(): void;
   receive(message: TestMessage): void;
 }
@@ -68,12 +70,14 @@
   readonly admission: AdmissionPolicy;
   readonly logBounds: LogBounds;
   readonly clock: ManualClock;
+  /** Draws the seed of the election jitter of one process. */
+  readonly drawSeed: () => number;
   readonly send: (message: TestMessage) => void;
 }
 
 /** Creates a member without starting it. */
 export function createTestMember(options: TestMemberOptions): TestMember {
-  const {node, members, admission, logBounds, clock, send} = options;
+  const {node, members, admission, logBounds, clock, drawSeed, send} = options;
   const replies: ControlToEntry[] = [];
   const decisions: ControlDecision[] = [];
   const timers = new Map<string, {readonly dueAt: number; fire(): void}>();
@@ -151,7 +155,7 @@
           bootstrapMembers: members,
           admission,
           storage: folder.storage,
-          seed: members.indexOf(node) + 1,
+          seed: drawSeed(),
           releaseApplyMs: 2_000,
           logBounds,
         },
@@ -188,6 +192,8 @@
         loop?.post({kind: 'persisted', sequence: batch.sequence});
       }
     },
+    readNextTimer: () =>
+      Math.min(...[...timers.values()].map(({dueAt}) => dueAt)),
     fireDueTimers: () => {
       for (const [kind, timer] of [...timers]) {
         if (timer.dueAt <= clock.readMonotonic()) {
