Soak: VMs that stand still in turns, slow links of one VM, replacements in series

`--disturbances slow|replacements` beside `usual` (unchanged schedules): - standStill: SIGSTOP and SIGCONT in a duty cycle, all VMs or one; - slowLinks: the links of a VM without a disk delayed each way; - replaceVm: a VM of the core leaves for good, an empty one at another address takes its place; a deployment's VMs are read by their places, so callers, operators, readers and endpoints follow (bench/slopes reads the controls so too); - final fault with all processes killed, mostly one disk lost, and VMs that stand still or a VM with slow links while the configuration is read back.

Checks: `leases` (reads at a VM whose links only are slow fail for no longer than the contact time), `recovery` (RECOVER, probe calls from the recovery time on), `readBack` (the recovery time where VMs are hindered); the core and touch follow replacements.

--- a/bench/slopes/src/documentCost.ts
+++ b/bench/slopes/src/documentCost.ts
@@ -111,7 +111,7 @@
 /** Sends the changes in series; returns the times to their acknowledgements. */
 async function sendChanges(
   {kilobytes, changes}: DocumentLoad,
-  {controls}: SoakDeployment,
+  {listControls}: SoakDeployment,
   recorder: ReturnType<typeof createRecorder>,
 ): Promise<readonly number[]> {
   const filler: DocumentFiller = {kind: 'organisations', kilobytes};
@@ -119,7 +119,7 @@
   const options = {
     host: 'app.example',
     key: 'k-lab-1',
-    controls,
+    listControls,
     filler,
     versions,
     recorder,
@@ -162,13 +162,13 @@
   deployment,
   reader,
 }: Measurement): Promise<number | undefined> {
-  const {vms, controls} = deployment;
+  const {vms} = deployment;
   vms.forEach(vm => vm.signal('SIGKILL'));
   await Promise.all(vms.map(vm => vm.awaitEnd(KILL_WAIT_MS)));
   const startedAt = performance.now();
   vms.forEach(vm => vm.start('scheduled'));
   const times = await Promise.all(
-    controls.map(async control => {
+    deployment.listControls().map(async control => {
       while (performance.now() - startedAt < RETURN_TIMEOUT_MS) {
         if (await reader.readOnce(control)) {
           return performance.now() - startedAt;
--- a/bench/soak/src/announcer.ts
+++ b/bench/soak/src/announcer.ts
@@ -25,7 +25,7 @@
   readonly zone: string;
   readonly address: string;
   readonly slots: number;
-  readonly controls: readonly ControlAddress[];
+  readonly listControls: () => readonly ControlAddress[];
   readonly random: Random;
   readonly recorder: Recorder;
 }
@@ -75,7 +75,7 @@
     },
     scheduleLateHeartbeat: afterMs => {
       const heartbeat = createHeartbeat(state);
-      const control = drawItem(options.random, options.controls);
+      const control = drawItem(options.random, options.listControls());
       setTimeout(() => {
         const {id, endpoint, recorder} = options;
         const {vm} = control;
@@ -150,12 +150,14 @@
 }
 
 function drawControl({options}: AnnouncerState): ControlAddress {
-  return drawItem(options.random, options.controls);
+  return drawItem(options.random, options.listControls());
 }
 
 function learnTarget(state: AnnouncerState, reply: SiteReply): void {
   const url = parseHeartbeatAddress(reply);
-  const named = state.options.controls.find(control => control.url === url);
+  const named = state.options
+    .listControls()
+    .find(control => control.url === url);
   state.target = named ?? state.target;
 }
 
--- a/bench/soak/src/callers.ts
+++ b/bench/soak/src/callers.ts
@@ -8,10 +8,16 @@
 import type {Recorder} from './recorder.js';
 import {sendRequest} from './sendRequest.js';
 
-/** Options of the callers of one VM. */
-export interface CallersOptions {
+/** The VM that a caller sends its requests to. */
+export interface CalledVm {
   readonly vm: string;
+  /** Base URL of the VM for callers. */
   readonly url: string;
+}
+
+/** Options of the callers of the VM at one place. */
+export interface CallersOptions {
+  readonly readCalledVm: () => CalledVm;
   readonly host: string;
   readonly key: string;
   readonly recorder: Recorder;
@@ -86,7 +92,11 @@
   return async planned => {
     count += 1;
     const attempt = `${name}-${count}`;
-    const result = await sendRequest({...options, agent, attempt}, planned);
+    const called = options.readCalledVm();
+    const result = await sendRequest(
+      {...options, ...called, agent, attempt},
+      planned,
+    );
     await delay(isAnswered(result) ? planned.pauseMs : RETRY_PAUSE_MS);
   };
 }
--- a/bench/soak/src/checks.ts
+++ b/bench/soak/src/checks.ts
@@ -4,10 +4,12 @@
 import {checkConfigurationReads} from './checkConfigurationReads.js';
 import {checkClosedWithoutAnswer, checkPlannedWork} from './checkCuts.js';
 import {checkDataFolders} from './checkDataFolders.js';
+import {checkLeases} from './checkLeases.js';
 import {checkLeaves, checkLeavingAnswers} from './checkLeaves.js';
 import {checkObeyedVersions} from './checkObeyedVersions.js';
 import {checkMemory, checkProcessEnds} from './checkProcesses.js';
 import {checkReadBack} from './checkReadBack.js';
+import {checkRecovery} from './checkRecovery.js';
 import {checkRefusedDocuments} from './checkRefusedDocuments.js';
 import {checkRegressions} from './checkRegressions.js';
 import {checkRepeatedOrders} from './checkRepeatedOrders.js';
@@ -46,6 +48,8 @@
   refusedDocuments: checkRefusedDocuments,
   repeatedOrders: checkRepeatedOrders,
   readBack: checkReadBack,
+  leases: checkLeases,
+  recovery: checkRecovery,
 };
 
 /** Runs all checkers; returns their findings in order of time. */
--- a/bench/soak/src/configurationProbes.ts
+++ b/bench/soak/src/configurationProbes.ts
@@ -9,7 +9,7 @@
 } from '@gentianshunt/platformWorker';
 import type {Random} from '@gentianshunt/policyBench';
 
-import type {CallersOptions} from './callers.js';
+import type {CalledVm, CallersOptions} from './callers.js';
 import {EXTRA_KEYS, EXTRA_ROUTES} from './configurationContent.js';
 import type {ProbeTarget} from './configurationContent.js';
 import {
@@ -20,10 +20,10 @@
 } from './configurationDocument.js';
 import {createStream, drawIndex} from './draws.js';
 
-/** Options of the probe calls to one VM. */
+/** Options of the probe calls to the VM at one place. */
 export interface ProberOptions extends CallersOptions {
   readonly seed: number;
-  /** Number of the VM, which sets the random numbers. */
+  /** Number of the prober, which sets the random numbers. */
   readonly index: number;
 }
 
@@ -57,8 +57,14 @@
   for (let count = 0; !signal.aborted; count += 1) {
     const attempt = `p${index}-${count}`;
     const target = drawTarget(random);
-    recorder.record({kind: 'probeSent', attempt, vm: options.vm, target});
-    const status = await callOnce(options, agent, attempt, target);
+    const called = options.readCalledVm();
+    recorder.record({kind: 'probeSent', attempt, vm: called.vm, target});
+    const status = await callOnce(
+      {...options, ...called},
+      agent,
+      attempt,
+      target,
+    );
     recorder.record({kind: 'probeEnded', attempt, status});
     await delay(status === 0 ? RETRY_PAUSE_MS : PAUSE_MS);
   }
@@ -83,7 +89,7 @@
 
 /** Makes one call; returns the status, or 0 without a whole answer. */
 function callOnce(
-  {url, host, key}: ProberOptions,
+  {url, host, key}: ProberOptions & CalledVm,
   agent: Agent,
   attempt: string,
   target: ProbeTarget,
--- a/bench/soak/src/endpoints.ts
+++ b/bench/soak/src/endpoints.ts
@@ -21,7 +21,7 @@
   readonly host: string;
   readonly service: string;
   readonly zone: string;
-  readonly controls: readonly ControlAddress[];
+  readonly listControls: () => readonly ControlAddress[];
   readonly recorder: Recorder;
   readonly drainMs: number;
   /** Aborts when no endpoint starts any more and those that serve close. */
@@ -87,7 +87,7 @@
     zone: options.zone,
     address: worker.address,
     slots: life.slots,
-    controls: options.controls,
+    listControls: options.listControls,
     random,
     recorder,
   });
--- a/bench/soak/src/failedRuns.ts
+++ b/bench/soak/src/failedRuns.ts
@@ -14,6 +14,7 @@
     memory: 200,
     disk: 64,
     load: 'scheduled',
+    disturbances: 'usual',
     showed:
       'a VM acknowledged a leave 3 s after its process was ready, and no other VM learnt of it',
   },
@@ -24,6 +25,7 @@
     memory: 200,
     disk: 64,
     load: 'scheduled',
+    disturbances: 'usual',
     showed:
       'a process that starts while its predecessor ends exits with code 2, because of the ports',
   },
@@ -34,6 +36,7 @@
     memory: 200,
     disk: 64,
     load: 'scheduled',
+    disturbances: 'usual',
     showed:
       'large bodies: 245 MiB of 200; SIGHUP 139 ms after the start ends the process',
   },
@@ -44,6 +47,7 @@
     memory: 200,
     disk: 64,
     load: 'scheduled',
+    disturbances: 'usual',
     showed: 'large bodies: 273 MiB of 200',
   },
   {
@@ -53,6 +57,7 @@
     memory: 200,
     disk: 64,
     load: 'scheduled',
+    disturbances: 'usual',
     showed:
       'connections to the control leader fell silent; the VM that lost its lease by that was not told of a leave, and sent the endpoint requests as soon as it had a lease again',
   },
@@ -63,6 +68,7 @@
     memory: 200,
     disk: 64,
     load: 'scheduled',
+    disturbances: 'usual',
     showed:
       'a VM without a lease was not told of a leave; it got its lease back 0.5 s later and still sent the endpoint requests 3 s after that',
   },
@@ -73,6 +79,7 @@
     memory: 200,
     disk: 64,
     load: 'scheduled',
+    disturbances: 'usual',
     showed:
       'six VMs acknowledged a leave; one that had been cut off from the set leader for 1 s was not told and sent the endpoint requests for 6 s',
   },
@@ -83,6 +90,7 @@
     memory: 200,
     disk: 64,
     load: 'scheduled',
+    disturbances: 'usual',
     showed:
       'requests that a process read between the end of its shutdown and its exit, 0.5 s later on a busy machine, got no answer',
   },
@@ -93,6 +101,7 @@
     memory: 200,
     disk: 64,
     load: 'operators',
+    disturbances: 'usual',
     showed:
       'a document with bytes that are no UTF-8 was acknowledged, read back and obeyed',
   },
@@ -103,6 +112,7 @@
     memory: 200,
     disk: 64,
     load: 'largeDocuments',
+    disturbances: 'usual',
     showed:
       'documents of 90 KB: 260 MiB of 200; a VM that lost its disk did not return, as the whole log was sent to it in one frame that it refused',
   },
@@ -113,6 +123,7 @@
     memory: 200,
     disk: 64,
     load: 'largeDocuments',
+    disturbances: 'usual',
     showed:
       'documents of 90 KB: 237 MiB of 200; a document with bytes that are no UTF-8 was acknowledged and obeyed',
   },
@@ -123,6 +134,7 @@
     memory: 200,
     disk: 64,
     load: 'largeDocuments',
+    disturbances: 'usual',
     showed:
       'documents of 480 KB: 252 MiB of 200; changes without an acknowledgement after 4 s',
   },
@@ -133,6 +145,7 @@
     memory: 200,
     disk: 64,
     load: 'largeDocuments',
+    disturbances: 'usual',
     showed:
       'documents of 480 KB: changes acknowledged after 32 s; three disks lost one after the other, 16 and 30 s apart, then no VM gave the configuration back',
   },
@@ -143,6 +156,7 @@
     memory: 200,
     disk: 64,
     load: 'largeDocuments',
+    disturbances: 'usual',
     showed:
       'documents of 350 routes: a VM that had lost its disk was still empty 16 s later, as it refused the whole log in one frame; the final fault took a second disk, and no VM gave the configuration back; 220 MiB of 200',
   },
--- a/bench/soak/src/finding.ts
+++ b/bench/soak/src/finding.ts
@@ -22,7 +22,9 @@
   | 'revokedKeys'
   | 'refusedDocuments'
   | 'repeatedOrders'
-  | 'readBack';
+  | 'readBack'
+  | 'leases'
+  | 'recovery';
 
 /** Something that a rule forbids, unless it has an excuse. */
 export interface Finding {
--- a/bench/soak/src/index.ts
+++ b/bench/soak/src/index.ts
@@ -5,6 +5,7 @@
 export * from './configurationLoad.js';
 export * from './configurationReaders.js';
 export * from './deployment.js';
+export * from './disturbanceSet.js';
 export * from './disturbances.js';
 export * from './draws.js';
 export * from './finding.js';
--- a/bench/soak/src/operator.ts
+++ b/bench/soak/src/operator.ts
@@ -21,7 +21,7 @@
 export interface OperatorOptions {
   readonly host: string;
   readonly key: string;
-  readonly controls: readonly ControlAddress[];
+  readonly listControls: () => readonly ControlAddress[];
   readonly filler: DocumentFiller;
   readonly versions: VersionBook;
   readonly recorder: Recorder;
@@ -137,10 +137,11 @@
 
 /** Sends a document once; returns the status, or 0 for no answer. */
 async function sendOrder(
-  {controls, recorder}: OperatorOptions,
+  {listControls, recorder}: OperatorOptions,
   {body, ...order}: EncodedOrder,
   turn: number,
 ): Promise<number> {
+  const controls = listControls();
   const {vm, url} = controls[turn % controls.length]!;
   const {form, version} = order;
   const timeoutMs =
--- a/bench/soak/src/operators.ts
+++ b/bench/soak/src/operators.ts
@@ -96,8 +96,8 @@
   step: OperatorStep,
 ): Promise<void> {
   const {options, random} = state;
-  const {versions, controls} = options;
-  const turn = drawIndex(random, controls.length);
+  const {versions, listControls} = options;
+  const turn = drawIndex(random, listControls().length);
   switch (step) {
     case 'change':
       return sendVersion(options, takeVersion(state));
@@ -130,7 +130,7 @@
 async function sendInvalidForms(state: OperatorState): Promise<void> {
   const {options, random} = state;
   for (const form of INVALID_FORMS) {
-    const turn = drawIndex(random, options.controls.length);
+    const turn = drawIndex(random, options.listControls().length);
     await sendInvalid(options, takeVersion(state), form, turn);
   }
 }
--- a/bench/soak/src/recordedEvent.ts
+++ b/bench/soak/src/recordedEvent.ts
@@ -17,7 +17,9 @@
   /** The schedule had ended its predecessor. */
   | 'scheduled'
   /** Its predecessor had ended by itself. */
-  | 'ownEnd';
+  | 'ownEnd'
+  /** The VM takes the place of one that left for good. */
+  | 'joined';
 
 /** Faults of the links between two VMs. */
 export type LinkFaultKind =
@@ -34,10 +36,28 @@
   /** Open connections stay silent for good; new ones work. */
   | 'stale';
 
+/** How a process runs and stands still in turns. */
+export interface DutyCycle {
+  readonly runMs: number;
+  readonly stopMs: number;
+}
+
+/** What hinders VMs while they return from a final fault. */
+export type Hindrance =
+  | {readonly kind: 'none'}
+  /** All processes stand still in turns. */
+  | {readonly kind: 'standStill'; readonly duty: DutyCycle}
+  /** The links of one VM are slow. */
+  | {readonly kind: 'slowLinks'; readonly vm: string};
+
 /** The last fault of a run, right after an acknowledgement. */
 export type FinalFault =
   /** All processes are killed; one VM of the core may lose its disk too. */
-  | {readonly kind: 'allKilled'; readonly lostDisk: string | null}
+  | {
+      readonly kind: 'allKilled';
+      readonly lostDisk: string | null;
+      readonly hindrance: Hindrance;
+    }
   /** One VM of the core is killed and loses its disk. */
   | {readonly kind: 'diskLost'; readonly lostDisk: string};
 
@@ -107,6 +127,8 @@
       readonly signal: VmSignal;
       readonly pid: number;
     }
+  /** A VM left for good; another one, with an empty disk, takes its place. */
+  | {readonly kind: 'vmReplaced'; readonly vm: string; readonly by: string}
   /** Not all VMs were ready so long after their first start. */
   | {readonly kind: 'deploymentNotReady'; readonly waitedMs: number}
   | {readonly kind: 'settingsWritten'; readonly vm: string}
--- a/bench/soak/src/runHistory.ts
+++ b/bench/soak/src/runHistory.ts
@@ -19,6 +19,13 @@
   readonly hasDisk: boolean;
 }
 
+/** A VM and its time in the deployment. */
+export interface MemberVm extends CheckedVm {
+  readonly from: RunTime;
+  /** Time at which another VM took its place, or infinity. */
+  readonly to: RunTime;
+}
+
 /** A run of a request at an endpoint. */
 export interface RequestRun {
   readonly endpoint: string;
@@ -50,7 +57,8 @@
   readonly memoryBytes: number;
   /** Size of the disk of a VM that has one, in bytes. */
   readonly diskBytes: number;
-  readonly vms: readonly CheckedVm[];
+  /** All VMs that were part of the deployment. */
+  readonly vms: readonly MemberVm[];
   readonly events: readonly RecordedEvent[];
   readonly requests: ReadonlyMap<string, RequestHistory>;
   readonly configuration: ConfigurationHistory;
@@ -77,6 +85,7 @@
   const {events} = options;
   return {
     ...options,
+    vms: listMembers(options.vms, events),
     requests: collectRequests(events),
     configuration: createConfigurationHistory(events),
     vmSpans: listVmSpans(events),
@@ -85,6 +94,27 @@
   };
 }
 
+/** Returns whether a VM is part of the deployment at a time. */
+export function isMember({from, to}: MemberVm, at: RunTime): boolean {
+  return from <= at && at < to;
+}
+
+/** Lists the VMs that were part of the deployment, with their times. */
+function listMembers(
+  vms: readonly CheckedVm[],
+  events: readonly RecordedEvent[],
+): readonly MemberVm[] {
+  const replacements = listEvents(events, 'vmReplaced');
+  const started = new Set(listEvents(events, 'vmStarted').map(({vm}) => vm));
+  return vms
+    .filter(({name}) => started.has(name))
+    .map(vm => ({
+      ...vm,
+      from: replacements.find(({by}) => by === vm.name)?.at ?? -Infinity,
+      to: replacements.find(event => event.vm === vm.name)?.at ?? Infinity,
+    }));
+}
+
 interface RequestDraft {
   readonly request: SentRequest;
   readonly sentAt: RunTime;
--- a/bench/soak/src/schedule.ts
+++ b/bench/soak/src/schedule.ts
@@ -29,6 +29,8 @@
   readonly random: Random;
   /** Until then, another VM of the core is away. */
   coreAwayUntil: RunTime;
+  /** The place of the core that was taken last. */
+  newestPlace: number;
 }
 
 /** Stream of random numbers of the schedule. */
@@ -41,6 +43,12 @@
 const RELOAD_IN_START_CHANCE = 0.4;
 const OVERLAP_CHANCE = 0.3;
 const MAX_RELOAD_DELAY_MS = 300;
+const ALL_STAND_STILL_CHANCE = 0.4;
+const ORDERLY_CHANCE = 0.25;
+/** Longest time until a VM that was told to leave has ended. */
+const ORDERLY_END_MS = 8_000;
+/** Chance that the VM that joined last is the next to be replaced. */
+const NEWEST_LEAVES_CHANCE = 0.5;
 const BODY_SIZES = [65_536, 262_144, 1_048_576, 4_194_304 - 1_024];
 
 const LINK_FAULTS: readonly LinkFaultKind[] = [
@@ -61,6 +69,7 @@
     options,
     random,
     coreAwayUntil: 0,
+    newestPlace: 0,
   };
   const events: ScheduledEvent[] = [];
   const end = options.durationMs - COOL_DOWN_MS;
@@ -111,6 +120,16 @@
     }
     case 'pause':
       return planPause(state, at);
+    case 'standStill':
+      return planStandStill(state, at);
+    case 'slowLinks':
+      return {
+        kind,
+        vm: drawPlainVm(state),
+        forMs: drawDuration(random, 4_000, 14_000),
+      };
+    case 'replaceVm':
+      return planReplacement(state, at);
     case 'reload':
       return {kind, vm: drawIndex(random, countVms(options))};
     case 'changeSettings':
@@ -152,6 +171,40 @@
   return {kind: 'loseDisk', vm, downMs};
 }
 
+/** Plans that all VMs stand still in turns, or one VM or a few. */
+function planStandStill(state: PlanState, at: RunTime): ScheduledAction {
+  const {random, options} = state;
+  const kind = 'standStill';
+  const duty = {
+    runMs: drawDuration(random, 100, 300),
+    stopMs: drawDuration(random, 100, 400),
+  };
+  const forMs = drawDuration(random, 3_000, 10_000);
+  if (drawChance(random, ALL_STAND_STILL_CHANCE)) {
+    state.coreAwayUntil = at + forMs + options.settleMs;
+    const vms = Array.from({length: countVms(options)}, (_, index) => index);
+    return {kind, vms, duty, forMs};
+  }
+  return {kind, vms: [pickVm(state, at, forMs)], duty, forMs};
+}
+
+/** Plans a replacement, or a change while another VM of the core is away. */
+function planReplacement(state: PlanState, at: RunTime): ScheduledAction {
+  const {random, options} = state;
+  const vm = drawChance(random, NEWEST_LEAVES_CHANCE)
+    ? state.newestPlace
+    : drawIndex(random, options.coreVms);
+  const downMs = drawDuration(random, 100, 1_500);
+  const isOrderly = drawChance(random, ORDERLY_CHANCE);
+  if (at < state.coreAwayUntil) {
+    return {kind: 'configure', step: 1};
+  }
+  const endMs = isOrderly ? ORDERLY_END_MS : 0;
+  state.coreAwayUntil = at + endMs + downMs + options.settleMs;
+  state.newestPlace = vm;
+  return {kind: 'replaceVm', vm, isOrderly, downMs};
+}
+
 function planPause(state: PlanState, at: RunTime): ScheduledAction {
   const {random, options} = state;
   const forMs = drawDuration(random, 500, 10_000);
@@ -186,6 +239,16 @@
   return drawIndex(random, options.coreVms);
 }
 
+/** Draws a VM without a disk, if there is one. */
+function drawPlainVm({
+  random,
+  options: {coreVms, plainVms},
+}: PlanState): number {
+  return plainVms === 0
+    ? drawIndex(random, coreVms)
+    : coreVms + drawIndex(random, plainVms);
+}
+
 function countVms({coreVms, plainVms}: ScheduleOptions): number {
   return coreVms + plainVms;
 }
--- a/bench/soak/src/scheduledAction.ts
+++ b/bench/soak/src/scheduledAction.ts
@@ -1,6 +1,6 @@
-import type {LinkFaultKind, RunTime} from './recordedEvent.js';
+import type {DutyCycle, LinkFaultKind, RunTime} from './recordedEvent.js';
 
-/** Something that the schedule does to the deployment. */
+/** Something that the schedule does to the deployment; VMs by their place. */
 export type ScheduledAction =
   /** Kills a VM's process and starts it again. */
   | {
@@ -26,6 +26,23 @@
       readonly vms: readonly number[];
       readonly forMs: number;
     }
+  /** Lets VMs stand still in turns, each from its own moment on. */
+  | {
+      readonly kind: 'standStill';
+      readonly vms: readonly number[];
+      readonly duty: DutyCycle;
+      readonly forMs: number;
+    }
+  /** Slows the links between a VM and all others, in both directions. */
+  | {readonly kind: 'slowLinks'; readonly vm: number; readonly forMs: number}
+  /** Replaces a VM of the core by an empty one at another address. */
+  | {
+      readonly kind: 'replaceVm';
+      readonly vm: number;
+      /** Whether it is told by SIGTERM. */
+      readonly isOrderly: boolean;
+      readonly downMs: number;
+    }
   /** Sends SIGHUP. */
   | {readonly kind: 'reload'; readonly vm: number}
   /** Changes a settings file. */
--- a/bench/soak/src/soakBounds.ts
+++ b/bench/soak/src/soakBounds.ts
@@ -12,3 +12,6 @@
   maxSkewMs: 5_000,
   revokeMs: 5_000,
 };
+
+/** Time after which the deployment serves again once all VMs are back. */
+export const RECOVER_MS = 12_000;
--- a/bench/soak/src/soakOptions.ts
+++ b/bench/soak/src/soakOptions.ts
@@ -1,4 +1,5 @@
 import type {ConfigurationLoad} from './configurationLoad.js';
+import type {DisturbanceSet} from './disturbanceSet.js';
 
 /** Options of a run. */
 export interface SoakOptions {
@@ -8,6 +9,7 @@
   readonly memoryMb: number;
   readonly diskMb: number;
   readonly load: ConfigurationLoad;
+  readonly disturbances: DisturbanceSet;
   /** Folder of settings, logs and data. */
   readonly folder: string;
 }
--- a/bench/soak/src/vmProcess.ts
+++ b/bench/soak/src/vmProcess.ts
@@ -29,6 +29,8 @@
   /** Whether a process runs or is paused. */
   readonly isRunning: boolean;
   start(cause: StartCause): void;
+  /** Starts the process of a VM that joins a running deployment. */
+  join(seeds: readonly string[]): void;
   /** Sends a signal to the newest process, if it runs. */
   signal(signal: VmSignal): void;
   /** Ends the newest process in order, and kills it after the grace time. */
@@ -100,6 +102,11 @@
       return state.newest !== undefined && state.running.has(state.newest);
     },
     start: cause => startProcess(state, cause),
+    join: seeds => {
+      state.seeds = seeds;
+      state.isFirstStart = false;
+      startProcess(state, 'joined');
+    },
     signal: signal => sendSignal(state, state.newest, signal),
     end: graceMs => endProcess(state, graceMs),
     awaitEnd,
--- a/bench/soak/test/inTouch.test.ts
+++ b/bench/soak/test/inTouch.test.ts
@@ -2,7 +2,13 @@
 
 import {isCoreStable, isInTouch} from '../src/index.js';
 import type {LinkFaultKind, RecordedEvent} from '../src/index.js';
-import {CALM, createHistory, createSignal} from './historyFixture.js';
+import {
+  CALM,
+  createHistory,
+  createReplacement,
+  createSignal,
+  SPARE,
+} from './historyFixture.js';
 
 function createLinkFault(
   fault: LinkFaultKind,
@@ -72,6 +78,20 @@
   t.equal(isInTouch(history, 'core-1', CALM + 3_001), false);
 });
 
+t.test('a VM that takes the place of another one counts instead', async t => {
+  const joinedAt = CALM + 500;
+  const history = createHistory(
+    ...createReplacement(CALM, 'core-1', SPARE, 500),
+    createSignal(CALM + 10_000, 'core-2', 'SIGSTOP'),
+    createSignal(CALM + 20_000, SPARE, 'SIGSTOP'),
+  );
+  t.equal(isCoreStable(history, joinedAt + 3_000), false);
+  t.equal(isCoreStable(history, joinedAt + 3_001), true);
+  t.equal(isInTouch(history, SPARE, joinedAt + 3_001), true);
+  t.equal(isCoreStable(history, CALM + 13_001), true, 'two of three run');
+  t.equal(isCoreStable(history, CALM + 23_001), false, 'one of three runs');
+});
+
 t.test('the core is not stable while half of it is away', async t => {
   const history = createHistory(
     createSignal(CALM, 'core-1', 'SIGSTOP'),
