--- a/control/consensus/src/startCheck.ts
+++ b/control/consensus/src/startCheck.ts
@@ -15,6 +15,7 @@
 import type {NodeId} from '@gentianshunt/identifiers';
 
 import type {ConsensusDraft} from './consensusDraft.js';
+import {recordJoinRequest} from './joinRequests.js';
 import {
   addMemberships,
   computeQuorum,
@@ -72,11 +73,19 @@
   if (draft.read('startCheck').kind !== 'checking') {
     return;
   }
+  broadcastHello(draft);
+  scheduleTimer(draft, 'hello', HELLO_INTERVAL_MS);
+}
+
+/**
+ * Sends a hello to the other nodes. The answer of a leader tells a member
+ * whether its data folder still belongs to the group.
+ */
+export function broadcastHello(draft: ConsensusDraft): void {
   const formed = isInGroup(draft);
   for (const node of listHelloTargets(draft)) {
     draft.send({node, storage: null}, {kind: 'memberHello', formed});
   }
-  scheduleTimer(draft, 'hello', HELLO_INTERVAL_MS);
 }
 
 /** Lists the nodes that a hello goes to. */
@@ -114,20 +123,24 @@
 ): void {
   const {node, storage} = from;
   const isLeading = isConfirmedLeader(draft, now);
-  replyHello(draft, from, now);
+  replyHello(draft, from, hello.formed, now);
   const {admission, bootstrapMembers} = draft.view.board.identity;
   const isAdmissible =
     admission.kind === 'open' || bootstrapMembers.includes(node);
   const isNew = !hello.formed && !isMember(draft, node, storage);
   if (isLeading && isAdmissible && isNew) {
-    draft.joiningNodes.put(node, storage);
+    recordJoinRequest(draft, from, now);
   }
 }
 
-/** Reports the group's members and the sender's remembered position. */
+/**
+ * Reports the group's members and the remembered position of a data folder, of
+ * which its node has said whether it belongs to a group.
+ */
 export function replyHello(
   draft: ConsensusDraft,
   to: Sender,
+  formed: boolean,
   now: TurnTime,
 ): void {
   const {node, storage} = to;
@@ -136,6 +149,7 @@
     {node, storage},
     {
       kind: 'memberHelloReply',
+      formed,
       term: draft.ballot.term,
       members: isInGroup(draft) ? listMembers(draft) : null,
       leading: isConfirmedLeader(draft, now),
@@ -211,10 +225,11 @@
     return {kind: 'oldFolder', peer: from.node, witness};
   }
   const {storage} = draft.view.board.identity;
-  // A late reply from the leader of an earlier term must not halt a member.
-  // That leader may not know that the folder was admitted since.
+  // A late reply must not halt a member: the folder may have been admitted
+  // since, and the leader of an earlier term may not know of it.
   const isReplaced =
     isInGroup(draft) &&
+    reply.formed &&
     reply.leading &&
     reply.term >= term &&
     members?.every(member => member.storage !== storage) === true;
--- a/control/controlModel/src/decision.ts
+++ b/control/controlModel/src/decision.ts
@@ -2,6 +2,7 @@
 import type {IncarnationId, NodeId} from '@gentianshunt/identifiers';
 import type {LogIndex, Member, Term} from '@gentianshunt/messages';
 
+import type {MissingCopy} from './groupWatch.js';
 import type {SnapshotOrigin} from './logActivity.js';
 import type {Role} from './role.js';
 
@@ -19,6 +20,8 @@
       readonly index: LogIndex;
       readonly members: readonly Member[];
     }
+  | LeaderDecision
+  | GroupDecision
   | ReleaseDecision
   | LogDecision
   | {
@@ -29,6 +32,74 @@
     }
   | {readonly kind: 'sessionEnded'; readonly node: NodeId};
 
+/** Whether the leader may answer entries. */
+export type LeaderDecision =
+  | {
+      /** It may not; written when it begins and at intervals. */
+      readonly kind: 'leaderUnconfirmed';
+      readonly term: Term;
+      readonly reason: 'ownEntryNotApplied' | 'leaderLeaseLapsed';
+      readonly unconfirmedMs: Milliseconds;
+      /** The first index of its term. */
+      readonly ownIndex: LogIndex;
+      readonly syncedIndex: LogIndex;
+      readonly commitIndex: LogIndex;
+      readonly appliedIndex: LogIndex;
+      readonly voters: number;
+      /** Voters that have not answered lately. */
+      readonly silent: readonly NodeId[];
+    }
+  | {
+      /** It may again, after a time that was logged. */
+      readonly kind: 'leaderConfirmed';
+      readonly term: Term;
+      readonly unconfirmedMs: Milliseconds;
+      readonly commitIndex: LogIndex;
+    };
+
+/** A node that waits to join the group. */
+export interface DelayedJoiner {
+  readonly node: NodeId;
+  readonly waitedMs: Milliseconds;
+}
+
+/** What the leader sees of the group. */
+export type GroupDecision =
+  | {
+      /** Fewer voters than there are hold what is committed and answer. */
+      readonly kind: 'copiesMissing';
+      readonly voters: number;
+      readonly copies: number;
+      readonly commitIndex: LogIndex;
+      readonly missing: readonly MissingCopy[];
+    }
+  | {
+      /** All voters do again. */
+      readonly kind: 'copiesComplete';
+      readonly voters: number;
+      readonly commitIndex: LogIndex;
+      readonly missingMs: Milliseconds;
+    }
+  | {
+      /** Nodes have asked to join for some time and are no members. */
+      readonly kind: 'joinWaiting';
+      /** All that wait, those that have waited less included. */
+      readonly waiting: number;
+      readonly nodes: readonly DelayedJoiner[];
+    }
+  | {
+      /** The same members come in force again and again. */
+      readonly kind: 'membersRepeating';
+      readonly index: LogIndex;
+      /** Membership changes within the window. */
+      readonly changes: number;
+      /** Those of them that led to the present members. */
+      readonly repetitions: number;
+      readonly windowMs: Milliseconds;
+      /** The nodes that the latest change concerns. */
+      readonly nodes: readonly NodeId[];
+    };
+
 /** A stage that a release has reached. */
 export type ReleaseDecision =
   | {
--- a/control/controlModel/src/sections.ts
+++ b/control/controlModel/src/sections.ts
@@ -34,11 +34,15 @@
 import type {TokenBucket} from '@gentianshunt/orders';
 import type {EndpointSetId, NodeId} from '@gentianshunt/identifiers';
 
+import {NO_JOINERS, NO_MEMBER_CHANGES} from './groupWatch.js';
+import type {CopyWatch, JoinWatch, MemberChanges} from './groupWatch.js';
 import type {LogBounds} from './logBounds.js';
 import type {ControlEffect, PersistBatch} from './effect.js';
 import type {ControlObservation} from './observation.js';
 import {EMPTY_LOG_USAGE, NO_SNAPSHOT_ACTIVITY} from './logActivity.js';
 import type {LogUsage, SnapshotActivity, StartProgress} from './logActivity.js';
+import {NOTHING_LOGGED} from './loggedState.js';
+import type {LeaderConfirmation, LoggedState} from './loggedState.js';
 import type {ReleaseRecord} from './releaseRecord.js';
 import type {
   Ballot,
@@ -46,6 +50,7 @@
   ElectionTimer,
   FollowerProgress,
   IncomingSnapshot,
+  JoinRequest,
   LeaderClock,
   Leadership,
   LogStatus,
@@ -137,24 +142,6 @@
   readonly lastIndex: LogIndex;
 }
 
-/** The member's state as the decision log last recorded it. */
-export interface LoggedState {
-  readonly role: Role['kind'] | null;
-  readonly term: number;
-  readonly leader: NodeId | null;
-  /** The log index of the latest membership. */
-  readonly membersIndex: LogIndex;
-  readonly sessions: ReadonlySet<NodeId>;
-}
-
-const NOTHING_LOGGED: LoggedState = {
-  role: null,
-  term: 0,
-  leader: null,
-  membersIndex: -1,
-  sessions: new Set(),
-};
-
 /** Creates the sections of a control daemon's board. */
 export function createControlSections(identity: ControlIdentity) {
   return {
@@ -198,8 +185,8 @@
     incomingSnapshot: defineCell<IncomingSnapshot | null>(null),
     /** What this member remembers of the other members' data folders. */
     rememberedPositions: defineMap<NodeId, RememberedFolderPosition>(),
-    /** Nodes that ask to join the group, with their data folders. */
-    joiningNodes: defineMap<NodeId, StorageId>(),
+    /** Requests to join the group that are neither fulfilled nor expired. */
+    joiningNodes: defineMap<NodeId, JoinRequest>(),
     /** Nodes that a member without a group sends its hello to. */
     contacts: defineCell<readonly NodeId[]>(identity.bootstrapMembers),
     /** Membership changes that the consensus controller appends. */
@@ -268,6 +255,10 @@
     startProgress: defineCell<StartProgress | null>(null),
     /** The state that the decision log recorded last. */
     loggedState: defineCell<LoggedState>(NOTHING_LOGGED),
+    copyWatch: defineCell<CopyWatch>({kind: 'following'}),
+    joinWatch: defineCell<JoinWatch>(NO_JOINERS),
+    memberChanges: defineCell<MemberChanges>(NO_MEMBER_CHANGES),
+    leaderConfirmation: defineCell<LeaderConfirmation>({kind: 'following'}),
   };
 }
 
--- a/control/controlNode/src/controlNode.ts
+++ b/control/controlNode/src/controlNode.ts
@@ -6,8 +6,12 @@
   createMemberChangeController,
 } from '@gentianshunt/consensus';
 import {
+  createConfirmationController,
+  createCopyController,
   createDecisionLogController,
+  createJoinController,
   createLogUsageController,
+  createMemberCountController,
   createReleaseController,
   createSnapshotController,
   createStartController,
@@ -64,6 +68,10 @@
     createAssignmentController(),
     createDecisionLogController(),
     createStartController(),
+    createConfirmationController(),
+    createCopyController(),
+    createJoinController(),
+    createMemberCountController(),
     createReleaseController(),
     createSnapshotController(),
     createLogUsageController(),
--- a/control/controlNode/test/openGroup.test.ts
+++ b/control/controlNode/test/openGroup.test.ts
@@ -128,6 +128,22 @@
   t.same(listLostCommands(partitioned, checker.acknowledged), []);
 });
 
+t.test('a learner removed during a partition halts, then rejoins', async t => {
+  const deployment = createLedGroup(3);
+  const learner = deployment.join('control-8');
+  deployment.run(2 * ONE_SECOND_STEPS);
+  deployment.setPartitioned(learner, true);
+  deployment.run(6 * ONE_SECOND_STEPS);
+  t.equal(listMembers(deployment.findLeader()!).length, 3);
+  deployment.setPartitioned(learner, false);
+  deployment.run(2 * ONE_SECOND_STEPS);
+  t.equal(learner.haltReason?.kind, 'folderReplaced');
+  learner.replaceFolder();
+  learner.start();
+  deployment.run(2 * ONE_SECOND_STEPS);
+  t.ok(listMembers(deployment.findLeader()!).includes('control-8 learner'));
+});
+
 t.test('acknowledged commands survive a restart of all members', async t => {
   const deployment = createLedGroup(3);
   const checker = createInvariantChecker(deployment);
@@ -142,3 +158,72 @@
   checker.check();
   t.equal(checker.acknowledged.size, 2 * COMMANDS);
 });
+
+/** Counts the changes of the members in the leader's log. */
+function countMemberChanges(deployment: TestDeployment): number {
+  const {log} = deployment.findLeader()!.loop!.view;
+  return [...log.iterateFrom()].filter(
+    ({value}) => value.payload.kind === 'membership',
+  ).length;
+}
+
+t.test(
+  'a node that joined and left for good is not admitted again',
+  async t => {
+    const deployment = createLedGroup(3);
+    const before = countMemberChanges(deployment);
+    const joined = deployment.join('control-8');
+    deployment.run(2 * ONE_SECOND_STEPS);
+    deployment.remove(joined);
+    deployment.run(10 * ONE_SECOND_STEPS);
+    t.equal(listMembers(deployment.findLeader()!).length, 3);
+    t.equal(countMemberChanges(deployment) - before, 2, 'admitted and removed');
+  },
+);
+
+t.test('a lost disk is replaced after another node left for good', async t => {
+  const deployment = createLedGroup(3);
+  const joined = deployment.join('control-8');
+  deployment.run(2 * ONE_SECOND_STEPS);
+  deployment.remove(joined);
+  deployment.run(5 * ONE_SECOND_STEPS);
+  const emptied = findFollower(deployment);
+  emptied.replaceFolder();
+  emptied.start();
+  deployment.run(4 * ONE_SECOND_STEPS);
+  const {members} = deployment.findLeader()!.loop!.view.memberships.at(-1)!;
+  const {storage} = emptied.folder;
+  t.match(
+    members.find(member => member.storage === storage),
+    {role: 'voter'},
+  );
+});
+
+t.test('a late answer to the hello of a joining node halts it not', async t => {
+  const deployment = createLedGroup(3);
+  const joined = deployment.join('control-8');
+  deployment.inFlight.splice(0).forEach(deployment.deliver);
+  const answers = deployment.inFlight.filter(
+    ({to, message}) =>
+      to === joined.node && message.kind === 'memberHelloReply',
+  );
+  t.equal(answers.length, 3);
+  deployment.run(2 * ONE_SECOND_STEPS);
+  t.ok(listMembers(joined).includes('control-8 learner'));
+  answers.forEach(deployment.deliver);
+  t.equal(joined.haltReason, undefined);
+});
+
+t.test('a node that joins is not silent before it could answer', async t => {
+  const deployment = createLedGroup(3);
+  const before = countMemberChanges(deployment);
+  const joined = deployment.join('control-8');
+  // The node is admitted, and hears nothing of it for a while.
+  deployment.run(1);
+  deployment.setPartitioned(joined, true);
+  deployment.run(2 * ONE_SECOND_STEPS);
+  deployment.setPartitioned(joined, false);
+  deployment.run(2 * ONE_SECOND_STEPS);
+  t.equal(listMembers(deployment.findLeader()!).length, 4);
+  t.equal(countMemberChanges(deployment) - before, 1, 'admitted once');
+});
--- a/fronts/metrics/test/gauges.test.ts
+++ b/fronts/metrics/test/gauges.test.ts
@@ -8,12 +8,18 @@
   DEFAULT_LOG_BOUNDS,
 } from '@gentianshunt/controlModel';
 import {createEntrySections} from '@gentianshunt/entryModel';
+import type {ControlSections} from '@gentianshunt/controlModel';
 import type {EntrySections} from '@gentianshunt/entryModel';
 import {toIdentifier} from '@gentianshunt/identifiers';
+import type {Member} from '@gentianshunt/messages';
 import {Registry} from 'prom-client';
 import t from 'tap';
 
-import {addConfigurationGauges, addControlGauges} from '../src/index.js';
+import {
+  addConfigurationGauges,
+  addControlGauges,
+  addHeartbeatCounters,
+} from '../src/index.js';
 import type {ScrapedMember} from '../src/index.js';
 
 const FOLDER_BYTES = 4_321;
@@ -28,7 +34,9 @@
   return Object.create(view, properties) as BoardView<S>;
 }
 
-function createMember(): ScrapedMember {
+function createMember(
+  values: Partial<BoardView<ControlSections>> = {},
+): ScrapedMember {
   const node = toIdentifier<never>('control-0');
   const sections = createControlSections({
     node,
@@ -46,7 +54,7 @@
     recordedBytes: 0,
   };
   return {
-    view: createView(sections, {logUsage}),
+    view: createView(sections, {logUsage, ...values}),
     measureFolder: async () => FOLDER_BYTES,
   };
 }
@@ -110,6 +118,52 @@
   }
 });
 
+t.test('a group with fewer copies than voters shows it', async t => {
+  const registry = new Registry();
+  const members = ['voter', 'voter', 'voter', 'learner'].map(
+    (role, index): Member => ({
+      node: toIdentifier(`control-${index}`),
+      storage: toIdentifier(`folder-${index}`),
+      role: role as Member['role'],
+    }),
+  );
+  const loggedAt = 0;
+  const member = createMember({
+    memberships: [{index: 1, members}],
+    role: {kind: 'leader', since: 0},
+    leaderConfirmation: {kind: 'confirmed', loggedAt},
+    copyWatch: {
+      kind: 'leading',
+      lacking: new Map(),
+      copies: 2,
+      missingSince: 0,
+      loggedAt,
+    },
+    memberChanges: {index: 9, count: 8, recent: [], loggedAt},
+  });
+  addControlGauges(registry, () => member);
+  const expected = {
+    voters: 3,
+    learners: 1,
+    copies: 2,
+    leader_confirmed: 1,
+    joiners_waiting: 0,
+    member_changes_total: 8,
+  };
+  for (const [name, value] of Object.entries(expected)) {
+    const metric = `gentianshunt_control_${name}`;
+    t.equal(await readValue(registry, metric), value, name);
+  }
+});
+
+t.test('only the leader shows copies', async t => {
+  const registry = new Registry();
+  const member = createMember();
+  addControlGauges(registry, () => member);
+  const metric = 'gentianshunt_control_copies';
+  t.equal(await readValue(registry, metric), undefined);
+});
+
 t.test('a VM without a member has no values of one', async t => {
   const registry = new Registry();
   let member: ScrapedMember | undefined = createMember();
@@ -138,6 +192,24 @@
   t.equal(await readValue(registry, 'gentianshunt_unacknowledged_changes'), 0);
 });
 
+t.test('an entry shows what came back for its heartbeats', async t => {
+  const registry = new Registry();
+  const byAnswer = {none: 3, renewed: 2, unused: 1, notLeader: 0};
+  const heartbeatTotals = {byAnswer, late: 4, counted: []};
+  addHeartbeatCounters(registry, {view: createEntryView({heartbeatTotals})});
+  const metric = registry.getSingleMetric('gentianshunt_heartbeats_total');
+  // A scrape does not add to the one before.
+  await metric?.get();
+  t.match((await metric?.get())?.values, [
+    {labels: {answer: 'none'}, value: 3},
+    {labels: {answer: 'renewed'}, value: 2},
+    {labels: {answer: 'unused'}, value: 1},
+    {labels: {answer: 'notLeader'}, value: 0},
+  ]);
+  const late = 'gentianshunt_late_heartbeat_answers_total';
+  t.equal(await readValue(registry, late), 4);
+});
+
 t.test('an entry without a configuration shows no release', async t => {
   const registry = new Registry();
   const view = createEntryView({});
