--- a/bench/soak/src/checkLeases.ts
+++ b/bench/soak/src/checkLeases.ts
@@ -1,8 +1,8 @@
+import type {ProbeHistory} from './configurationHistory.js';
 import {formatTime} from './finding.js';
 import type {Finding} from './finding.js';
 import {hasOwnFault, isCoreStable} from './inTouch.js';
-import {listEvents} from './listEvents.js';
-import type {RecordedEvent, RunTime} from './recordedEvent.js';
+import type {RunTime} from './recordedEvent.js';
 import {measureDelay} from './recorderDelay.js';
 import type {MemberVm, RunHistory} from './runHistory.js';
 
@@ -12,26 +12,20 @@
   readonly to: RunTime;
 }
 
-/** A read as it was recorded. */
-type ConfigurationRead = Extract<
-  RecordedEvent,
-  {readonly kind: 'configurationRead'}
->;
-
 /** Interval at which the state of a VM is examined. */
 const STEP_MS = 100;
-const OK_STATUS = 200;
+/** Statuses from this one on say that a call could not be handled. */
+const FIRST_FAILED_STATUS = 500;
 
-/** Reads of a VM that were refused or got no answer, one after the other. */
-interface FailedReads {
+/** Calls that a VM refused or did not answer, one after the other. */
+interface FailedCalls {
   readonly from: RunTime;
   readonly to: RunTime;
 }
 
 /**
  * Checks that a VM whose links are slow, and to which nothing else happens, has
- * a lease: it does not fail to answer reads of the configuration for longer than
- * the contact time.
+ * a lease: it does not refuse all probe calls for longer than the contact time.
  */
 export function checkLeases(history: RunHistory): readonly Finding[] {
   return history.vms.flatMap(vm =>
@@ -46,11 +40,11 @@
   vm: string,
   {from, to}: SlowStretch,
 ): readonly Finding[] {
-  const {events, bounds} = history;
-  const reads = listEvents(events, 'configurationRead').filter(
-    read => read.vm === vm && read.sentAt >= from && read.at <= to,
+  const {configuration, bounds} = history;
+  const calls = configuration.probes.filter(
+    call => call.vm === vm && call.sentAt >= from && call.endedAt <= to,
   );
-  const longest = listFailedReads(reads).reduce<FailedReads | undefined>(
+  const longest = listFailedCalls(calls).reduce<FailedCalls | undefined>(
     (a, b) => (a === undefined || measure(b) > measure(a) ? b : a),
     undefined,
   );
@@ -58,12 +52,12 @@
     return [];
   }
   const lateMs = measureDelay(history, longest.to);
-  const answered = reads.filter(({status}) => status === OK_STATUS).length;
+  const handled = calls.filter(call => !isFailed(call)).length;
   return [
     {
       check: 'leases',
       at: longest.from + bounds.contactMs,
-      detail: `${vm} answered no read for ${measure(longest)} ms from ${formatTime(longest.from)} on, while only its links were slow, from ${formatTime(from)} to ${formatTime(to)}; ${answered} of ${reads.length} reads were answered`,
+      detail: `${vm} refused all calls for ${measure(longest)} ms from ${formatTime(longest.from)} on, while only its links were slow, from ${formatTime(from)} to ${formatTime(to)}; ${handled} of ${calls.length} calls were handled`,
       excuse:
         measure(longest) <= bounds.contactMs + lateMs
           ? `the recorder was ${lateMs} ms late`
@@ -72,26 +66,31 @@
   ];
 }
 
-function listFailedReads(
-  reads: readonly ConfigurationRead[],
-): readonly FailedReads[] {
-  const series: FailedReads[] = [];
+function listFailedCalls(
+  calls: readonly ProbeHistory[],
+): readonly FailedCalls[] {
+  const series: FailedCalls[] = [];
   let isOpen = false;
-  for (const {status, sentAt, at} of reads) {
+  for (const call of calls) {
+    const {sentAt, endedAt} = call;
     const last = series[series.length - 1];
-    if (status === OK_STATUS) {
+    if (!isFailed(call)) {
       isOpen = false;
     } else if (isOpen && last !== undefined) {
-      series[series.length - 1] = {...last, to: at};
+      series[series.length - 1] = {...last, to: endedAt};
     } else {
       isOpen = true;
-      series.push({from: sentAt, to: at});
+      series.push({from: sentAt, to: endedAt});
     }
   }
   return series;
 }
 
-function measure({from, to}: FailedReads): number {
+function isFailed({status}: ProbeHistory): boolean {
+  return status === 0 || status >= FIRST_FAILED_STATUS;
+}
+
+function measure({from, to}: FailedCalls): number {
   return to - from;
 }
 
--- a/bench/soak/test/slowLinkChecks.test.ts
+++ b/bench/soak/test/slowLinkChecks.test.ts
@@ -1,15 +1,11 @@
 import {BOUNDS, RECOVER_MS} from '../src/index.js';
 import type {RecordedEvent} from '../src/index.js';
 import {checkCases} from './checkCases.js';
-import {
-  createProbeAnswer,
-  createProbeRun,
-  createRead,
-} from './configurationFixture.js';
+import {createProbeAnswer, createProbeRun} from './configurationFixture.js';
 import {CALM, createSignal, VMS} from './historyFixture.js';
 
 const SLOW_MS = 15_000;
-const READ_INTERVAL_MS = 200;
+const CALL_INTERVAL_MS = 200;
 const PROBES = 10;
 const FIXED_ROUTE = {kind: 'fixedRoute'} as const;
 
@@ -21,41 +17,44 @@
   ]);
 }
 
-/** Creates reads at one VM, which fail for a time. */
-function createReads(
-  failFrom: number,
-  failMs: number,
+/** Creates calls to one VM, which it refuses for a time. */
+function createCalls(
+  refusedFrom: number,
+  refusedMs: number,
 ): readonly RecordedEvent[] {
-  return Array.from({length: SLOW_MS / READ_INTERVAL_MS}, (_, index) => {
-    const sentAt = CALM + index * READ_INTERVAL_MS;
-    const isFailed = sentAt >= failFrom && sentAt < failFrom + failMs;
-    return createRead(sentAt, isFailed ? null : 9);
+  const times = Array.from(
+    {length: SLOW_MS / CALL_INTERVAL_MS},
+    (_, index) => CALM + index * CALL_INTERVAL_MS,
+  );
+  return times.flatMap(sentAt => {
+    const isRefused = sentAt >= refusedFrom && sentAt < refusedFrom + refusedMs;
+    return createProbeAnswer(sentAt, FIXED_ROUTE, isRefused ? 503 : 404);
   });
 }
 
-const failLong = createReads(CALM + 2_000, BOUNDS.contactMs + 400);
+const refusedLong = createCalls(CALM + 2_000, BOUNDS.contactMs + 400);
 
 checkCases('leases', [
   {
-    name: 'reads that fail no longer than the contact time',
+    name: 'calls that are refused no longer than the contact time',
     events: [
       ...createSlowLinks(),
-      ...createReads(CALM + 2_000, BOUNDS.contactMs),
+      ...createCalls(CALM + 2_000, BOUNDS.contactMs),
     ],
     violations: 0,
     excused: 0,
   },
   {
-    name: 'reads that fail for longer',
-    events: [...createSlowLinks(), ...failLong],
+    name: 'calls that are refused for longer',
+    events: [...createSlowLinks(), ...refusedLong],
     violations: 1,
     excused: 0,
   },
   {
-    name: 'reads that are recorded late',
+    name: 'calls that are recorded late',
     events: [
       ...createSlowLinks(),
-      ...failLong,
+      ...refusedLong,
       {at: CALM + 5_000, kind: 'recorderDelayed', delayMs: 500},
     ],
     violations: 0,
@@ -63,7 +62,7 @@
   },
   {
     name: 'links that are not slow',
-    events: failLong,
+    events: refusedLong,
     violations: 0,
     excused: 0,
   },
@@ -71,7 +70,7 @@
     name: 'a VM that was paused',
     events: [
       ...createSlowLinks(),
-      ...failLong,
+      ...refusedLong,
       createSignal(CALM + 1_000, 'plain-1', 'SIGSTOP'),
       createSignal(CALM + 2_500, 'plain-1', 'SIGCONT'),
     ],
@@ -82,7 +81,7 @@
     name: 'a core that was not stable',
     events: [
       ...createSlowLinks(),
-      ...failLong,
+      ...refusedLong,
       createSignal(CALM + 2_500, 'core-1', 'SIGSTOP'),
     ],
     violations: 0,
