--- a/control/messages/src/controlMessage.ts
+++ b/control/messages/src/controlMessage.ts
@@ -14,17 +14,17 @@
   RequestId,
 } from '@gentianshunt/identifiers';
 
+import type {ControlQuery, ControlQueryResult} from './controlQuery.js';
 import type {
   ClaimKey,
   ClaimOutcome,
   CommandNumber,
   ConfigurationReplacement,
-  LogIndex,
+  ConfigurationVersion,
   OperatorCommand,
   Term,
 } from './logEntry.js';
-import type {CalendarMonth, CountReport, ServiceCount} from './serviceCount.js';
-import type {RecentCount} from './recentCount.js';
+import type {CountReport} from './serviceCount.js';
 
 /** Network address of a daemon. */
 export interface NetworkAddress {
@@ -46,9 +46,6 @@
   readonly cores?: number;
 }
 
-/** Configuration version: the index of the log entry that last changed it. */
-export type ConfigurationVersion = LogIndex;
-
 /** The answer to a command of an operator. */
 export type CommandAnswer =
   | {
@@ -79,74 +76,6 @@
       readonly nextFree: CommandNumber;
     };
 
-/** Summary of a stored command in a query result. */
-export interface CommandSummary {
-  readonly number: CommandNumber;
-  readonly operator: OperatorId;
-  readonly digest: string;
-  readonly version: ConfigurationVersion;
-  readonly result: BatchResult['kind'];
-}
-
-/** How long ago a release reached each stage, as the leader knows. */
-export interface ReleaseSummary {
-  /** The operator's version. */
-  readonly release: number;
-  readonly version: ConfigurationVersion;
-  readonly bytes: number;
-  /** `null` if this leader did not propose it. */
-  readonly sinceProposedMs: number | null;
-  /** `null` while it is not committed. */
-  readonly sinceAppliedMs: number | null;
-  /** `null` while it is not known to be in force. */
-  readonly sinceInForceMs: number | null;
-  /** Entries with a session that have not confirmed it. */
-  readonly lagging: readonly NodeId[];
-}
-
-/** A query that only the leading control daemon can answer. */
-export type ControlQuery =
-  | {readonly kind: 'counts'; readonly month: CalendarMonth | null}
-  | {readonly kind: 'recentCounts'}
-  | {readonly kind: 'source'}
-  | {readonly kind: 'releases'}
-  | {readonly kind: 'commands'; readonly limit: number};
-
-/** The result of a control query. */
-export type ControlQueryResult =
-  | {readonly kind: 'counts'; readonly counts: readonly ServiceCount[]}
-  | {readonly kind: 'recentCounts'; readonly counts: readonly RecentCount[]}
-  | {
-      readonly kind: 'source';
-      /** `null` until a replacement has been applied. */
-      readonly source: ConfigurationSource | null;
-    }
-  | {
-      readonly kind: 'releases';
-      /** The latest releases, newest first. */
-      readonly releases: readonly ReleaseSummary[];
-    }
-  | {
-      readonly kind: 'commands';
-      readonly nextFree: CommandNumber;
-      /** Numbers below it are refused. */
-      readonly floor: CommandNumber;
-      /** The latest commands, highest number first. */
-      readonly commands: readonly CommandSummary[];
-    };
-
-/** The document of the latest configuration replacement. */
-export interface ConfigurationSource {
-  readonly version: number;
-  readonly document: Uint8Array;
-}
-
-/** Source of a configuration that has never been replaced. */
-export const NO_SOURCE: ConfigurationSource = {
-  version: -1,
-  document: new Uint8Array(),
-};
-
 /** Whether a configuration version is in force on every entry. */
 export interface InForceStatus {
   readonly version: ConfigurationVersion;
--- a/control/messages/src/index.ts
+++ b/control/messages/src/index.ts
@@ -1,5 +1,6 @@
 export * from './consensusMessage.js';
 export * from './controlMessage.js';
+export * from './controlQuery.js';
 export * from './logEntry.js';
 export * from './recentCount.js';
 export * from './membership.js';
--- a/control/messages/src/logEntry.ts
+++ b/control/messages/src/logEntry.ts
@@ -141,6 +141,9 @@
 /** Position in the control log; the first entry has index 1. */
 export type LogIndex = number;
 
+/** Configuration version: the index of the log entry that last changed it. */
+export type ConfigurationVersion = LogIndex;
+
 /** A position in the log and the term of the entry there. */
 export interface LogPosition {
   readonly index: LogIndex;
