show members lists the control group

Each member with its role, since when it has not answered the leader and how many committed entries it lacks, and the nodes that wait to join. An operator could see neither that a voter's disk was gone nor that a joiner waited.

--- a/control/controlDecisionLog/src/copyController.ts
+++ b/control/controlDecisionLog/src/copyController.ts
@@ -18,7 +18,7 @@
   MissingCopy,
 } from '@gentianshunt/controlModel';
 import type {NodeId} from '@gentianshunt/identifiers';
-import type {LogIndex, Member} from '@gentianshunt/messages';
+import type {LogIndex, Member, MemberSummary} from '@gentianshunt/messages';
 
 import {createDecisionWrite} from './decisionWrite.js';
 
@@ -36,6 +36,7 @@
 
 const NOTHING_KNOWN: LeadingWatch = {
   kind: 'leading',
+  members: [],
   lacking: new Map(),
   copies: 0,
   missingSince: null,
@@ -91,6 +92,9 @@
   const copies = voters.length - missing.length;
   const value: LeadingWatch = {
     kind: 'leading',
+    members: listLatestMembers(board).map(member =>
+      createSummary(board, member, now),
+    ),
     lacking,
     copies,
     missingSince: isMissing ? (before.missingSince ?? now.monotonic) : null,
@@ -154,6 +158,21 @@
     : (followerProgress.get(node)?.matchIndex ?? 0);
 }
 
+function createSummary(
+  board: CopyBoard,
+  member: Member,
+  now: TurnTime,
+): MemberSummary {
+  const {commitIndex} = board.logStatus;
+  const silentMs = measureSilence(board, member, now);
+  return {
+    ...member,
+    silentMs: silentMs === null ? null : Math.round(silentMs),
+    lagEntries: Math.max(0, commitIndex - readHeldIndex(board, member)),
+    waitedMs: null,
+  };
+}
+
 function listMissing(
   board: CopyBoard,
   voters: readonly Member[],
--- a/control/controlModel/src/groupWatch.ts
+++ b/control/controlModel/src/groupWatch.ts
@@ -1,7 +1,7 @@
 /** What a member observes of the group, for the decision log and the metrics. */
 import type {Milliseconds, MonotonicTime} from '@gentianshunt/clock';
 import type {NodeId} from '@gentianshunt/identifiers';
-import type {LogIndex, StorageId} from '@gentianshunt/messages';
+import type {LogIndex, MemberSummary, StorageId} from '@gentianshunt/messages';
 
 /** A committed entry that a voter lacks. */
 export interface LackingVoter {
@@ -21,6 +21,7 @@
   | {readonly kind: 'following'}
   | {
       readonly kind: 'leading';
+      readonly members: readonly MemberSummary[];
       readonly lacking: ReadonlyMap<NodeId, LackingVoter>;
       /** Voters that answer and hold what is committed, this one included. */
       readonly copies: number;
--- a/control/controlNode/test/copies.test.ts
+++ b/control/controlNode/test/copies.test.ts
@@ -1,4 +1,5 @@
 import type {ControlDecision} from '@gentianshunt/controlModel';
+import {toIdentifier} from '@gentianshunt/identifiers';
 import t from 'tap';
 
 import {createTestDeployment} from './deploymentFixture.js';
@@ -75,3 +76,35 @@
     {kind: 'copiesMissing', copies: 2, missing: [{node: follower.node}]},
   ]);
 });
+
+t.test('the leader lists the members with their silence and lag', async t => {
+  const deployment = createLedGroup();
+  const leader = deployment.findLeader()!;
+  const follower = findFollower(deployment);
+  follower.crash();
+  deployment.run(ONE_SECOND_STEPS);
+  deployment.command(leader, 1);
+  deployment.run(ONE_SECOND_STEPS);
+  leader.loop!.post({
+    kind: 'entryMessage',
+    from: toIdentifier('entry-0'),
+    message: {
+      kind: 'controlQueryRequest',
+      correlation: toIdentifier('q1'),
+      query: {kind: 'members'},
+    },
+  });
+  const reply = leader.replies.at(-1);
+  const members =
+    reply?.kind === 'controlQueryReply' && reply.result.kind === 'members'
+      ? reply.result.members
+      : [];
+  const lagging = members.filter(({lagEntries}) => lagEntries !== 0);
+  t.equal(members.length, 3);
+  t.match(lagging, [{node: follower.node, role: 'voter', lagEntries: 1}]);
+  t.ok(lagging[0]!.silentMs! >= 10 * ONE_SECOND_STEPS);
+  t.match(
+    members.find(({node}) => node === leader.node),
+    {silentMs: 0},
+  );
+});
--- a/control/entrySessions/src/controlQuery.ts
+++ b/control/entrySessions/src/controlQuery.ts
@@ -8,6 +8,7 @@
   CommandSummary,
   ControlQuery,
   ControlQueryResult,
+  MemberSummary,
   RecentCount,
   ServiceCount,
 } from '@gentianshunt/messages';
@@ -33,6 +34,8 @@
   | 'source'
   | 'releases'
   | 'sessionVersions'
+  | 'copyWatch'
+  | 'joinWatch'
 >;
 
 /** Answers a query from the applied state. */
@@ -53,6 +56,8 @@
       };
     case 'releases':
       return {kind: 'releases', releases: listReleaseSummaries(board, now)};
+    case 'members':
+      return {kind: 'members', members: listMembers(board, now)};
     case 'commands':
       return {
         kind: 'commands',
@@ -65,6 +70,25 @@
   }
 }
 
+/** Lists the members of the group and the nodes that wait to join it. */
+function listMembers(
+  {copyWatch, joinWatch}: QueryBoard,
+  now: TurnTime,
+): readonly MemberSummary[] {
+  const members = copyWatch.kind === 'leading' ? copyWatch.members : [];
+  const joining = [...joinWatch.waiting].map(
+    ([node, {storage, since}]): MemberSummary => ({
+      node,
+      storage,
+      role: 'joining',
+      silentMs: null,
+      lagEntries: null,
+      waitedMs: Math.round(now.monotonic - since),
+    }),
+  );
+  return [...members, ...joining];
+}
+
 function listCounts(
   board: QueryBoard,
   month: CalendarMonth | null,
--- a/control/entrySessions/src/replyController.ts
+++ b/control/entrySessions/src/replyController.ts
@@ -11,6 +11,7 @@
 import type {NodeId} from '@gentianshunt/identifiers';
 
 import {answerControlQuery} from './controlQuery.js';
+import type {QueryBoard} from './controlQuery.js';
 import {computeInForceStatus} from './inForce.js';
 import {isConfirmedLeader} from './leaderStatus.js';
 import {
@@ -23,8 +24,7 @@
 } from './pendingReplies.js';
 import type {ReplyBoard} from './pendingReplies.js';
 
-type ReplyReads =
-  keyof ReplyBoard | 'serviceCounts' | 'recentCounts' | 'releases';
+type ReplyReads = keyof ReplyBoard | keyof QueryBoard;
 type ReplyView = View<ControlSections, ReplyReads, ControlObservation>;
 type ReplyWrite = ControlWrite<'pendingReplies'>;
 
@@ -35,7 +35,14 @@
 export function createReplyController(): ControlController {
   return defineControlController<ReplyReads, 'pendingReplies'>({
     name: 'replies',
-    reads: [...REPLY_SECTIONS, 'serviceCounts', 'recentCounts', 'releases'],
+    reads: [
+      ...REPLY_SECTIONS,
+      'serviceCounts',
+      'recentCounts',
+      'releases',
+      'copyWatch',
+      'joinWatch',
+    ],
     writes: ['pendingReplies'],
     observes: ['entryMessage', 'timerDue'],
     run: (view, now) =>
--- a/control/messages/src/controlQuery.ts
+++ b/control/messages/src/controlQuery.ts
@@ -3,6 +3,7 @@
 import type {NodeId, OperatorId} from '@gentianshunt/identifiers';
 
 import type {CommandNumber, ConfigurationVersion} from './logEntry.js';
+import type {Member, StorageId} from './membership.js';
 import type {RecentCount} from './recentCount.js';
 import type {CalendarMonth, ServiceCount} from './serviceCount.js';
 
@@ -31,12 +32,26 @@
   readonly lagging: readonly NodeId[];
 }
 
+/** What the leader knows of a member, or of a node that waits to be one. */
+export interface MemberSummary {
+  readonly node: NodeId;
+  readonly storage: StorageId;
+  readonly role: Member['role'] | 'joining';
+  /** Since when it has not answered the leader; `null` if it is no member. */
+  readonly silentMs: number | null;
+  /** Committed entries that it lacks; `null` if it is no member. */
+  readonly lagEntries: number | null;
+  /** Since when it waits to be a member; `null` if it is one. */
+  readonly waitedMs: number | null;
+}
+
 /** A query that only the leading control daemon can answer. */
 export type ControlQuery =
   | {readonly kind: 'counts'; readonly month: CalendarMonth | null}
   | {readonly kind: 'recentCounts'}
   | {readonly kind: 'source'}
   | {readonly kind: 'releases'}
+  | {readonly kind: 'members'}
   | {readonly kind: 'commands'; readonly limit: number};
 
 /** The result of a control query. */
@@ -53,6 +68,11 @@
       /** The latest releases, newest first. */
       readonly releases: readonly ReleaseSummary[];
     }
+  | {
+      readonly kind: 'members';
+      /** At the latest heartbeat of the leader. */
+      readonly members: readonly MemberSummary[];
+    }
   | {
       readonly kind: 'commands';
       readonly nextFree: CommandNumber;
--- a/fronts/metrics/test/gauges.test.ts
+++ b/fronts/metrics/test/gauges.test.ts
@@ -134,6 +134,7 @@
     leaderConfirmation: {kind: 'confirmed', loggedAt},
     copyWatch: {
       kind: 'leading',
+      members: [],
       lacking: new Map(),
       copies: 2,
       missingSince: 0,
--- a/language/queries/src/tables.ts
+++ b/language/queries/src/tables.ts
@@ -8,6 +8,7 @@
   TIERS_TABLE,
 } from './configurationTables.js';
 import {COMMANDS_TABLE, COUNTS_TABLE, RECENT_TABLE} from './controlTables.js';
+import {MEMBERS_TABLE} from './memberTable.js';
 import {QUARANTINES_TABLE} from './quarantineTable.js';
 import {OBEYED_TABLE, RELEASES_TABLE} from './releaseTables.js';
 import {
@@ -34,6 +35,7 @@
   ORDERS_TABLE,
   RELEASES_TABLE,
   OBEYED_TABLE,
+  MEMBERS_TABLE,
   COMMANDS_TABLE,
   COUNTS_TABLE,
   RECENT_TABLE,
