--- a/control/controlDecisionLog/src/index.ts
+++ b/control/controlDecisionLog/src/index.ts
@@ -4,6 +4,7 @@
 export * from './joinController.js';
 export * from './memberCountController.js';
 export * from './snapshotBytes.js';
+export * from './leaderSearchController.js';
 export * from './logUsageController.js';
 export * from './releaseController.js';
 export * from './snapshotController.js';
--- a/control/controlModel/src/decision.ts
+++ b/control/controlModel/src/decision.ts
@@ -4,7 +4,7 @@
 
 import type {MissingCopy} from './groupWatch.js';
 import type {SnapshotOrigin} from './logActivity.js';
-import type {Role} from './role.js';
+import type {Role, StartCheck} from './role.js';
 
 /** A change in a control daemon's state that its decision log records. */
 export type ControlDecision =
@@ -63,7 +63,7 @@
   readonly waitedMs: Milliseconds;
 }
 
-/** What the leader sees of the group. */
+/** What a member sees of the group; most of it only the leader. */
 export type GroupDecision =
   | {
       /** Fewer voters than there are hold what is committed and answer. */
@@ -87,6 +87,22 @@
       readonly waiting: number;
       readonly nodes: readonly DelayedJoiner[];
     }
+  | {
+      /** The member knows no leader; written at intervals. */
+      readonly kind: 'leaderMissing';
+      readonly role: Role['kind'];
+      readonly term: Term;
+      /** Since the last message from a leader, or since the start. */
+      readonly missingMs: Milliseconds;
+      /** Whether its data folder may vote. */
+      readonly folder: StartCheck['kind'];
+      readonly isVoter: boolean;
+      /** The voters that it knows; none if its folder is of no group. */
+      readonly voters: readonly NodeId[];
+      /** Nodes that have granted their vote, this one included. */
+      readonly votes: readonly NodeId[];
+      readonly lastIndex: LogIndex;
+    }
   | {
       /** The same members come in force again and again. */
       readonly kind: 'membersRepeating';
--- a/control/controlModel/src/groupWatch.ts
+++ b/control/controlModel/src/groupWatch.ts
@@ -59,6 +59,15 @@
   readonly loggedAt: MonotonicTime;
 }
 
+/** A time in which the member knows no leader. */
+export interface LeaderSearch {
+  /** When it was last logged; `null` if it was not. */
+  readonly loggedAt: MonotonicTime | null;
+}
+
+/** The member knows a leader, or has known none for a short time. */
+export const NO_SEARCH: LeaderSearch = {loggedAt: null};
+
 /** No node waits. */
 export const NO_JOINERS: JoinWatch = {
   waiting: new Map(),
--- a/control/controlModel/src/sections.ts
+++ b/control/controlModel/src/sections.ts
@@ -34,8 +34,13 @@
 import type {TokenBucket} from '@gentianshunt/orders';
 import type {EndpointSetId, NodeId} from '@gentianshunt/identifiers';
 
-import {NO_JOINERS, NO_MEMBER_CHANGES} from './groupWatch.js';
-import type {CopyWatch, JoinWatch, MemberChanges} from './groupWatch.js';
+import {NO_JOINERS, NO_MEMBER_CHANGES, NO_SEARCH} from './groupWatch.js';
+import type {
+  CopyWatch,
+  JoinWatch,
+  LeaderSearch,
+  MemberChanges,
+} from './groupWatch.js';
 import type {LogBounds} from './logBounds.js';
 import type {ControlEffect, PersistBatch} from './effect.js';
 import type {ControlObservation} from './observation.js';
@@ -257,6 +262,7 @@
     copyWatch: defineCell<CopyWatch>({kind: 'following'}),
     joinWatch: defineCell<JoinWatch>(NO_JOINERS),
     memberChanges: defineCell<MemberChanges>(NO_MEMBER_CHANGES),
+    leaderSearch: defineCell<LeaderSearch>(NO_SEARCH),
     leaderConfirmation: defineCell<LeaderConfirmation>({kind: 'following'}),
   };
 }
--- a/control/controlNode/test/copies.test.ts
+++ b/control/controlNode/test/copies.test.ts
@@ -108,3 +108,19 @@
     {silentMs: 0},
   );
 });
+
+t.test('a member without a leader logs what it knows of the group', async t => {
+  const deployment = createLedGroup();
+  const [lost, emptied, rest] = deployment.members;
+  lost!.crash();
+  emptied!.replaceFolder();
+  emptied!.start();
+  deployment.run(4 * ONE_SECOND_STEPS);
+  const lines = [emptied!, rest!].map(({decisions}) =>
+    decisions.filter(({kind}) => kind === 'leaderMissing').at(-1),
+  );
+  t.match(lines, [
+    {folder: 'checking', isVoter: false, voters: [], votes: []},
+    {folder: 'ready', isVoter: true, votes: [rest!.node], lastIndex: 1},
+  ]);
+});
