--- a/control/controlModel/src/sections.ts
+++ b/control/controlModel/src/sections.ts
@@ -34,20 +34,10 @@
 import type {TokenBucket} from '@gentianshunt/orders';
 import type {EndpointSetId, NodeId} from '@gentianshunt/identifiers';
 
-import {NO_JOINERS, NO_MEMBER_CHANGES, NO_SEARCH} from './groupWatch.js';
-import type {
-  CopyWatch,
-  JoinWatch,
-  LeaderSearch,
-  MemberChanges,
-} from './groupWatch.js';
 import type {LogBounds} from './logBounds.js';
 import type {ControlEffect, PersistBatch} from './effect.js';
 import type {ControlObservation} from './observation.js';
-import {EMPTY_LOG_USAGE, NO_SNAPSHOT_ACTIVITY} from './logActivity.js';
-import type {LogUsage, SnapshotActivity, StartProgress} from './logActivity.js';
-import {NOTHING_LOGGED} from './loggedState.js';
-import type {LeaderConfirmation, LoggedState} from './loggedState.js';
+import {createRecordSections} from './recordSections.js';
 import type {ReleaseRecord} from './releaseRecord.js';
 import type {
   Ballot,
@@ -253,17 +243,7 @@
     pendingReplies: defineMap<PendingKey, PendingReply>(),
     /** The latest releases, by log index. */
     releases: defineOrdered<LogIndex, ReleaseRecord>(compareValues),
-    logUsage: defineCell<LogUsage>(EMPTY_LOG_USAGE),
-    snapshotActivity: defineCell<SnapshotActivity>(NO_SNAPSHOT_ACTIVITY),
-    /** `null` until the process has read its data folder. */
-    startProgress: defineCell<StartProgress | null>(null),
-    /** The state that the decision log recorded last. */
-    loggedState: defineCell<LoggedState>(NOTHING_LOGGED),
-    copyWatch: defineCell<CopyWatch>({kind: 'following'}),
-    joinWatch: defineCell<JoinWatch>(NO_JOINERS),
-    memberChanges: defineCell<MemberChanges>(NO_MEMBER_CHANGES),
-    leaderSearch: defineCell<LeaderSearch>(NO_SEARCH),
-    leaderConfirmation: defineCell<LeaderConfirmation>({kind: 'following'}),
+    ...createRecordSections(),
   };
 }
 
