--- a/cli/gentianshunt/src/explain.ts
+++ b/cli/gentianshunt/src/explain.ts
@@ -3,26 +3,29 @@
 import {
   countFailures,
   createExplanation,
+  createLeaseExplanation,
   createReleaseExplanation,
   formatExplanation,
   formatFailures,
+  formatLeaseExplanation,
   formatReleaseExplanation,
+  parseTime,
   readLogLines,
 } from '@gentianshunt/explain';
 import type {LogLines} from '@gentianshunt/explain';
 import {defineCommand} from 'citty';
 
-import {FAILURE_EXIT_CODE, runChecked} from './exitCodes.js';
+import {FAILURE_EXIT_CODE, runChecked, USAGE_EXIT_CODE} from './exitCodes.js';
 
 /**
- * Finds in the daemons' logs why requests were not served, or when and where a
- * release was in force.
+ * Finds in the daemons' logs why requests were not served, when and where a
+ * release was in force, or why an entry had no lease.
  */
 export const explainCommand = defineCommand({
   meta: {
     name: 'explain',
     description:
-      "Find in daemons' logs why a request was not served, or when and where a release was in force; with neither, count the causes of all requests. Exit code 1 if no log line mentions the request or the release.",
+      "Find in daemons' logs why a request was not served, when and where a release was in force, or why an entry had no lease; with none of these, count the causes of all requests. Exit code 1 if no log line mentions the request, the release or the entry's lease.",
   },
   args: {
     log: {
@@ -32,6 +35,15 @@
     },
     request: {type: 'string', description: 'Identifier of the request'},
     release: {type: 'string', description: "Operator's version of the release"},
+    lease: {
+      type: 'string',
+      description: 'Entry whose lease is looked for, at the time of --at',
+    },
+    at: {
+      type: 'string',
+      description:
+        'Time: seconds after the first line, HH:MM:SS.mmm (UTC) or ISO 8601',
+    },
     json: {type: 'boolean', description: 'Print JSON'},
   },
   run: ({args}) =>
@@ -46,6 +58,8 @@
         printExplanation(log, args.request, isJson);
       } else if (args.release !== undefined) {
         printRelease(log, args.release, isJson);
+      } else if (args.lease !== undefined) {
+        printLease(log, args.lease, args.at ?? '', isJson);
       } else {
         printFailures(log, isJson);
       }
@@ -90,3 +104,27 @@
       : formatReleaseExplanation(explanation),
   );
 }
+
+function printLease(
+  {lines}: LogLines,
+  entry: string,
+  time: string,
+  isJson: boolean,
+): void {
+  const [first] = lines;
+  const at = first && parseTime(time, first.at);
+  if (at === undefined) {
+    console.error(`--at is not a time: ${time}`);
+    process.exitCode = USAGE_EXIT_CODE;
+    return;
+  }
+  const explanation = createLeaseExplanation({lines, entry, at});
+  if (explanation === undefined) {
+    console.error(`no log line tells of a lease of ${entry}`);
+    process.exitCode = FAILURE_EXIT_CODE;
+    return;
+  }
+  console.log(
+    isJson ? JSON.stringify(explanation) : formatLeaseExplanation(explanation),
+  );
+}
--- a/reports/explain/src/createExplanation.ts
+++ b/reports/explain/src/createExplanation.ts
@@ -19,17 +19,18 @@
   'daemonStopping',
   'endpointsLearnt',
   'leaseLost',
+  'leaseMissing',
   'leaseRegained',
   'linesDropped',
   'peerLinkFailed',
   'serviceChanged',
 ]);
 
-/** A line of a timeline, and how it relates to the request. */
+/** A line of a timeline, and what it is about. */
 export interface TimelineLine {
-  /** Time since the first line of the request; negative before it. */
+  /** Time since the first line of the request, or since the time asked for. */
   readonly offsetMs: Milliseconds;
-  readonly relation: 'request' | 'entry' | 'set' | 'endpoint';
+  readonly relation: 'request' | 'entry' | 'set' | 'endpoint' | 'control';
   readonly line: LogLine;
 }
 
--- a/reports/explain/src/formatExplanation.ts
+++ b/reports/explain/src/formatExplanation.ts
@@ -11,11 +11,16 @@
   const {request, cause, timeline} = explanation;
   return [
     `request ${request}: ${describeCause(cause)}`,
-    ...timeline.map(formatLine),
+    ...timeline.map(formatTimelineLine),
   ].join('\n');
 }
 
-function formatLine({offsetMs, relation, line}: TimelineLine): string {
+/** Formats a line with its distance from the time in question. */
+export function formatTimelineLine({
+  offsetMs,
+  relation,
+  line,
+}: TimelineLine): string {
   const sign = offsetMs < 0 ? '-' : '+';
   const offset = `${sign}${Math.abs(offsetMs)} ms`.padStart(10);
   const fields = Object.entries(line.fields)
--- a/reports/explain/src/logLine.ts
+++ b/reports/explain/src/logLine.ts
@@ -70,3 +70,9 @@
   const value = line.fields[name];
   return typeof value === 'number' ? value : undefined;
 }
+
+/** Reads a list of texts; empty if the line has no such list. */
+export function readTexts(line: LogLine, name: string): readonly string[] {
+  const value = line.fields[name];
+  return Array.isArray(value) ? value.map(String) : [];
+}
--- a/reports/explain/test/releaseExplanation.test.ts
+++ b/reports/explain/test/releaseExplanation.test.ts
@@ -3,27 +3,10 @@
 import {
   createReleaseExplanation,
   formatReleaseExplanation,
-  readLogLines,
 } from '../src/index.js';
 import type {LogLine} from '../src/index.js';
-
-const START = Date.parse('2026-12-04T10:00:00.000Z');
-
-interface LineFixture {
-  readonly atMs: number;
-  readonly daemon: string;
-  readonly event: string;
-  readonly [field: string]: unknown;
-}
-
-function createLines(fixtures: readonly LineFixture[]): readonly LogLine[] {
-  const text = fixtures
-    .map(({atMs, ...fields}) =>
-      JSON.stringify({time: new Date(START + atMs).toISOString(), ...fields}),
-    )
-    .join('\n');
-  return readLogLines([text]).lines;
-}
+import {createLines} from './linesFixture.js';
+import type {LineFixture} from './linesFixture.js';
 
 function createAdoption(
   atMs: number,
