Soak: slow links have a latency and pass as many messages

The fault `delayed` of the proxy holds each chunk 400 ms while the next ones wait behind it: 2.5 reads of the socket pass a second, however small, and the queue grows without a bound. A link that is slow on the platform has a delay.

A new fault `late` delays each chunk by 400 ms and reads on meanwhile; the action slowLinks uses it, and the check `leases` counts it alone. `delayed` stays as it was, in the same places of the usual schedules (and in the probes that use it).

--- a/bench/soak/src/inTouch.ts
+++ b/bench/soak/src/inTouch.ts
@@ -88,7 +88,7 @@
 
 /**
  * Returns whether a VM was disturbed itself, or its links in another way than by
- * being slow.
+ * latency.
  */
 export function hasOwnFault(
   history: RunHistory,
@@ -102,7 +102,7 @@
     ) ||
     history.linkSpans.some(
       span =>
-        span.fault !== 'delayed' &&
+        span.fault !== 'late' &&
         (span.fault === 'stale' || span.from === vm || span.to === vm) &&
         isLinkWithin(span, window),
     )
@@ -175,6 +175,7 @@
     case 'reset':
       return core.has(from) || core.has(to);
     case 'delayed':
+    case 'late':
     case 'narrow':
     case 'silentOneWay':
     case 'cut':
@@ -196,6 +197,7 @@
       return true;
     case 'reset':
     case 'delayed':
+    case 'late':
     case 'narrow':
       return from === vm || to === vm;
     case 'silentOneWay':
--- a/bench/soak/src/index.ts
+++ b/bench/soak/src/index.ts
@@ -10,6 +10,8 @@
 export * from './draws.js';
 export * from './finding.js';
 export * from './inTouch.js';
+export * from './linkFaults.js';
+export * from './linkProxy.js';
 export * from './listEvents.js';
 export * from './operator.js';
 export * from './recordedEvent.js';
--- a/bench/soak/src/linkFaults.ts
+++ b/bench/soak/src/linkFaults.ts
@@ -21,6 +21,8 @@
   removeLink(link: ProxiedLink): void;
   addFault(fault: LinkFault): void;
   removeFault(fault: LinkFault): void;
+  /** Reads the latency of a connection, in ms; 0 without a fault. */
+  readLatency(link: ProxiedLink): number;
   /** Resolves when a chunk may pass. */
   waitToPass(
     link: ProxiedLink,
@@ -30,6 +32,7 @@
 }
 
 const DELAY_MS = 400;
+const LATENCY_MS = 400;
 const NARROW_BYTES_PER_SECOND = 20_000;
 const MS_PER_SECOND = 1_000;
 const POLL_MS = 20;
@@ -58,6 +61,10 @@
       }
     },
     removeFault: fault => faults.delete(fault),
+    readLatency: link =>
+      [...faults].some(fault => fault.kind === 'late' && isBetween(fault, link))
+        ? LATENCY_MS
+        : 0,
     waitToPass: async (link, direction, bytes) => {
       const delayMs = computeDelay(faults, link, direction, bytes);
       if (delayMs > 0) {
@@ -84,6 +91,7 @@
           return DELAY_MS;
         case 'narrow':
           return (bytes / NARROW_BYTES_PER_SECOND) * MS_PER_SECOND;
+        case 'late':
         case 'reset':
         case 'silentOneWay':
         case 'cut':
--- a/bench/soak/src/slowLinks.ts
+++ b/bench/soak/src/slowLinks.ts
@@ -10,7 +10,7 @@
 ): () => void {
   const slowed = vms
     .filter(({vm}) => vm.ip !== ip)
-    .map(({vm}): LinkFault => ({from: ip, to: vm.ip, kind: 'delayed'}));
+    .map(({vm}): LinkFault => ({from: ip, to: vm.ip, kind: 'late'}));
   for (const fault of slowed) {
     recorder.record({kind: 'linkFaulted', ...toSpan(fault)});
     faults.addFault(fault);
--- a/bench/soak/test/inTouch.test.ts
+++ b/bench/soak/test/inTouch.test.ts
@@ -111,6 +111,7 @@
     {fault: 'cut', to: 'core-1', isInTouch: false, isCoreStable: true},
     {fault: 'silentOneWay', to: 'core-1', isInTouch: false, isCoreStable: true},
     {fault: 'delayed', to: 'plain-2', isInTouch: false, isCoreStable: true},
+    {fault: 'late', to: 'plain-2', isInTouch: false, isCoreStable: true},
     {fault: 'narrow', to: 'plain-2', isInTouch: false, isCoreStable: true},
     {fault: 'reset', to: 'plain-2', isInTouch: false, isCoreStable: true},
     {fault: 'reset', to: 'core-1', isInTouch: false, isCoreStable: false},
