--- a/control/controlModel/src/groupWatch.ts
+++ b/control/controlModel/src/groupWatch.ts
@@ -1,7 +1,7 @@
 /** What a member observes of the group, for the decision log and the metrics. */
 import type {Milliseconds, MonotonicTime} from '@gentianshunt/clock';
 import type {NodeId} from '@gentianshunt/identifiers';
-import type {LogIndex} from '@gentianshunt/messages';
+import type {LogIndex, MemberSummary} from '@gentianshunt/messages';
 
 import type {JoinRequest} from './role.js';
 
@@ -23,6 +23,7 @@
   | {readonly kind: 'following'}
   | {
       readonly kind: 'leading';
+      readonly members: readonly MemberSummary[];
       readonly lacking: ReadonlyMap<NodeId, LackingVoter>;
       /** Voters that answer and hold what is committed, this one included. */
       readonly copies: number;
@@ -54,6 +55,15 @@
   readonly loggedAt: MonotonicTime;
 }
 
+/** A time in which the member knows no leader. */
+export interface LeaderSearch {
+  /** When it was last logged; `null` if it was not. */
+  readonly loggedAt: MonotonicTime | null;
+}
+
+/** The member knows a leader, or has known none for a short time. */
+export const NO_SEARCH: LeaderSearch = {loggedAt: null};
+
 /** No node waits. */
 export const NO_JOINERS: JoinWatch = {
   waiting: new Map(),
