--- a/bench/soak/src/deployment.ts
+++ b/bench/soak/src/deployment.ts
@@ -100,11 +100,12 @@
     replaceVm: place => {
       const spare = spares.shift();
       if (spare !== undefined) {
-        const others = vms.filter((_, index) => index !== place);
         const left = vms[place]!.vm.ip;
         vms = vms.map((vm, index) => (index === place ? spare : vm));
+        const seeds = vms.slice(0, SEEDS).map(({vm}) => vm.ip);
+        vms.forEach(vm => vm.setSeeds(seeds));
         recorder.record({kind: 'vmReplaced', vm: left, by: spare.vm.ip});
-        spare.join(others.slice(0, SEEDS).map(({vm}) => vm.ip));
+        spare.join();
       }
     },
     faults,
--- a/bench/soak/src/vmProcess.ts
+++ b/bench/soak/src/vmProcess.ts
@@ -30,7 +30,9 @@
   readonly isRunning: boolean;
   start(cause: StartCause): void;
   /** Starts the process of a VM that joins a running deployment. */
-  join(seeds: readonly string[]): void;
+  join(): void;
+  /** Sets the seeds that the settings name from the next start on. */
+  setSeeds(seeds: readonly string[]): void;
   /** Sends a signal to the newest process, if it runs. */
   signal(signal: VmSignal): void;
   /** Ends the newest process in order, and kills it after the grace time. */
@@ -102,11 +104,13 @@
       return state.newest !== undefined && state.running.has(state.newest);
     },
     start: cause => startProcess(state, cause),
-    join: seeds => {
-      state.seeds = seeds;
+    join: () => {
       state.isFirstStart = false;
       startProcess(state, 'joined');
     },
+    setSeeds: seeds => {
+      state.seeds = seeds;
+    },
     signal: signal => sendSignal(state, state.newest, signal),
     end: graceMs => endProcess(state, graceMs),
     awaitEnd,
