--- a/control/controlDecisionLog/src/confirmationController.ts
+++ b/control/controlDecisionLog/src/confirmationController.ts
@@ -5,7 +5,7 @@
 import {
   defineControlController,
   isSilentMember,
-  listLatestMembers,
+  listLatestVoters,
 } from '@gentianshunt/controlModel';
 import type {
   ContactBoard,
@@ -122,7 +122,7 @@
       : [createConfirmationWrite({kind: 'unconfirmed', since, loggedAt})];
   }
   const {logStatus, applied} = board;
-  const voters = listLatestMembers(board).filter(({role}) => role === 'voter');
+  const voters = listLatestVoters(board);
   return [
     createConfirmationWrite({
       kind: 'unconfirmed',
--- a/control/controlDecisionLog/src/copyController.ts
+++ b/control/controlDecisionLog/src/copyController.ts
@@ -4,6 +4,7 @@
 import {
   defineControlController,
   listLatestMembers,
+  listLatestVoters,
   measureSilence,
 } from '@gentianshunt/controlModel';
 import type {
@@ -83,7 +84,7 @@
   before: LeadingWatch,
   now: TurnTime,
 ): readonly CopyWrite[] {
-  const voters = listLatestMembers(board).filter(({role}) => role === 'voter');
+  const voters = listLatestVoters(board);
   const lacking = listLacking(board, voters, before.lacking, now);
   const missing = listMissing(board, voters, lacking, now);
   const isMissing = missing.length > 0;
--- a/control/controlDecisionLog/src/leaderSearchController.ts
+++ b/control/controlDecisionLog/src/leaderSearchController.ts
@@ -2,7 +2,7 @@
 import type {TurnTime, View} from '@gentianshunt/board';
 import {
   defineControlController,
-  listLatestMembers,
+  listLatestVoters,
   NO_SEARCH,
 } from '@gentianshunt/controlModel';
 import type {
@@ -82,9 +82,7 @@
     return [];
   }
   const {identity, role, ballot, logStatus, startCheck} = board;
-  const voters = listLatestMembers(board).filter(
-    member => member.role === 'voter',
-  );
+  const voters = listLatestVoters(board);
   return [
     {
       kind: 'set',
--- a/control/controlModel/src/memberContact.ts
+++ b/control/controlModel/src/memberContact.ts
@@ -27,6 +27,13 @@
   return memberships[memberships.length - 1]?.members ?? [];
 }
 
+/** Lists the latest members that count in a quorum. */
+export function listLatestVoters(
+  board: Pick<ContactBoard, 'memberships'>,
+): readonly Member[] {
+  return listLatestMembers(board).filter(({role}) => role === 'voter');
+}
+
 /** Measures since when a member has not answered; `null` unless this one leads. */
 export function measureSilence(
   {identity, role, followerProgress}: ContactBoard,
--- a/reports/explain/test/createExplanation.test.ts
+++ b/reports/explain/test/createExplanation.test.ts
@@ -8,33 +8,9 @@
   formatFailures,
   readLogLines,
 } from '../src/index.js';
-import type {FailureCause, LogLine} from '../src/index.js';
-
-const START = Date.parse('2026-12-04T10:00:00.000Z');
-
-interface LineFixture {
-  readonly atMs: number;
-  readonly daemon?: string;
-  readonly event: string;
-  readonly [field: string]: unknown;
-}
-
-function createText(fixtures: readonly LineFixture[]): string {
-  return fixtures
-    .map(({atMs, ...fields}) =>
-      JSON.stringify({
-        level: 'info',
-        time: new Date(START + atMs).toISOString(),
-        daemon: 'front-a',
-        ...fields,
-      }),
-    )
-    .join('\n');
-}
-
-function createLines(fixtures: readonly LineFixture[]): readonly LogLine[] {
-  return readLogLines([createText(fixtures)]).lines;
-}
+import type {FailureCause} from '../src/index.js';
+import {createLines, createText} from './linesFixture.js';
+import type {LineFixture} from './linesFixture.js';
 
 function createDispatch(atMs: number, endpoint: string): LineFixture {
   return {
