Sessions: an unconfirmed leader says why, and answers once it can

Callers saw noLease everywhere after a start, with a leader known: a leader that was not confirmed did not answer heartbeats at all ('without a reply, the entry sends its heartbeat to another daemon'), and followers sent entries back to it. It dropped reads too.

Now it answers leaderUnconfirmed with the reason, keeps the latest heartbeat of each entry (section waitingHeartbeats, dropped once a reply could renew no lease) and answers all of them in the turn in which it is confirmed. Members keep who asked them, and tell them when they learn of a leader or are elected. Reads wait as pending replies of kind 'query' (at most 64; those of the configuration 1 s).

leaderLease.test.ts expected no message at all of a leader with an expired lease. It expects exactly one now, leaderUnconfirmed, which grants nothing; as strict.

--- a/control/controlModel/src/sections.ts
+++ b/control/controlModel/src/sections.ts
@@ -67,6 +67,7 @@
   SessionVersionKey,
   SetLeaderCandidate,
   SetLeaderLoadKey,
+  WaitingHeartbeat,
 } from './sessionRecords.js';
 import {
   compareClaimExpiry,
@@ -244,6 +245,8 @@
     sessionLeases: defineOrdered<SessionLeaseKey, true>(
       compareBy('leaseUntil', 'node'),
     ),
+    /** The latest unanswered heartbeat of each entry. */
+    waitingHeartbeats: defineMap<NodeId, WaitingHeartbeat>(),
     directory: defineCell<DirectoryVersion>(NO_DIRECTORY_VERSION),
     directoryHistory: defineOrdered<number, DirectoryChange>(compareValues),
     setLeaderCandidates: defineMap<NodeId, SetLeaderCandidate>(),
--- a/control/controlModel/src/sessionRecords.ts
+++ b/control/controlModel/src/sessionRecords.ts
@@ -1,6 +1,7 @@
 import type {MonotonicTime} from '@gentianshunt/clock';
 import type {
   ConfigurationVersion,
+  ControlQuery,
   DirectoryVersion,
   EntryAddress,
   EntryToControl,
@@ -31,6 +32,18 @@
   readonly setsInUse: readonly EndpointSetId[];
 }
 
+/** The heartbeat of an entry. */
+export type EntryHeartbeat = Extract<
+  EntryToControl,
+  {readonly kind: 'entryHeartbeat'}
+>;
+
+/** A heartbeat that a daemon cannot answer yet. */
+export interface WaitingHeartbeat {
+  readonly heartbeat: EntryHeartbeat;
+  readonly receivedAt: MonotonicTime;
+}
+
 /** Sorts the sessions by the version that the entry has confirmed. */
 export interface SessionVersionKey {
   readonly version: ConfigurationVersion;
@@ -138,6 +151,12 @@
       readonly incarnation: IncarnationId;
       readonly sequence: number;
     }
+  | {
+      /** A query that is answered once this daemon is confirmed to lead. */
+      readonly kind: 'query';
+      readonly correlation: RequestId;
+      readonly query: ControlQuery;
+    }
   | {
       /** A question that is answered once the version is in force. */
       readonly kind: 'force';
--- a/control/controlNode/test/leaderLease.test.ts
+++ b/control/controlNode/test/leaderLease.test.ts
@@ -16,7 +16,14 @@
   ]);
   // The process is frozen: time passes and no timer fires.
   fixture.clock.advance(PAST_LEADER_LEASE_MS);
-  t.same(fixture.ask('e0', createHeartbeat('e0')), []);
+  t.same(fixture.ask('e0', createHeartbeat('e0')), [
+    {
+      kind: 'leaderUnconfirmed',
+      incarnation: 'e0-1',
+      sequence: 1,
+      reason: 'leaderLeaseLapsed',
+    },
+  ]);
   t.equal(fixture.node.view.role.kind, 'leader');
 });
 
--- a/control/entrySessions/src/directoryDelta.ts
+++ b/control/entrySessions/src/directoryDelta.ts
@@ -6,6 +6,7 @@
   DirectoryUpdate,
   DirectoryVersion,
 } from '@gentianshunt/messages';
+import type {NodeId} from '@gentianshunt/identifiers';
 
 /** Maximum number of directory changes kept for lagging entries. */
 export const MAX_DIRECTORY_HISTORY = 2_000;
@@ -21,8 +22,8 @@
   readonly board: DirectoryBoard;
   /** The version that the entry has. */
   readonly entryVersion: DirectoryVersion;
-  /** The change of this turn, which is not on the board yet. */
-  readonly latest: DirectoryStep | null;
+  /** The changes of this turn, which are not on the board yet. */
+  readonly latest: readonly DirectoryStep[];
   /** Whether every entry with a live lease has a session at this daemon. */
   readonly isLeaseRecoveryOver: boolean;
 }
@@ -42,7 +43,7 @@
   options: DirectoryUpdateOptions,
 ): DirectoryUpdate | null {
   const {board, entryVersion, latest, isLeaseRecoveryOver} = options;
-  const version = latest?.version ?? board.directory;
+  const version = latest.at(-1)?.version ?? board.directory;
   if (entryVersion.term === version.term) {
     if (entryVersion.number === version.number) {
       return null;
@@ -67,8 +68,9 @@
 ): readonly DirectoryChange[] | undefined {
   const {board, entryVersion, latest} = options;
   const first = entryVersion.number + 1;
+  const added = latest.filter(({version}) => version.number >= first);
   const isKept =
-    board.directoryHistory.has(first) || latest?.version.number === first;
+    board.directoryHistory.has(first) || added[0]?.version.number === first;
   if (!isKept) {
     return undefined;
   }
@@ -76,23 +78,28 @@
     board.directoryHistory.iterateFrom(first),
     ({value}) => value,
   );
-  return latest === null ? kept : [...kept, latest.change];
+  return [...kept, ...added.map(({change}) => change)];
 }
 
 function listEntries(
   options: DirectoryUpdateOptions,
 ): readonly DirectoryEntry[] {
   const {board, latest} = options;
-  const change = latest?.change;
-  const entries = Array.from(board.sessions.values(), toDirectoryEntry);
-  return change?.kind === 'put'
-    ? [
-        ...entries.filter(
-          ({address}) => address.node !== change.entry.address.node,
-        ),
-        change.entry,
-      ]
-    : entries;
+  const entries = new Map<NodeId, DirectoryEntry>(
+    Array.from(board.sessions, ([node, session]) => [
+      node,
+      toDirectoryEntry(session),
+    ]),
+  );
+  for (const {change} of latest) {
+    if (change.kind === 'put') {
+      const {node} = change.entry.address;
+      // A changed entry comes last, as in a directory that was updated.
+      entries.delete(node);
+      entries.set(node, change.entry);
+    }
+  }
+  return [...entries.values()];
 }
 
 /** Converts a session to the directory entry that other entries receive. */
--- a/control/entrySessions/src/leaderStatus.ts
+++ b/control/entrySessions/src/leaderStatus.ts
@@ -7,6 +7,9 @@
   Leadership,
   Role,
 } from '@gentianshunt/controlModel';
+import type {UnconfirmedReason} from '@gentianshunt/messages';
+
+export type {UnconfirmedReason} from '@gentianshunt/messages';
 
 /** Longest lease under which an entry uses its configuration. */
 export const MAX_ENTRY_LEASE_MS: Milliseconds = 3_000;
@@ -45,14 +48,6 @@
     : MAX_ENTRY_LEASE_MS;
 }
 
-/** Why a daemon may not answer entries. */
-export type UnconfirmedReason =
-  | 'notLeading'
-  /** The first entry of its term is not committed and applied yet. */
-  | 'ownEntryNotApplied'
-  /** No quorum has answered lately. */
-  | 'leaderLeaseLapsed';
-
 /** The sections that decide whether entries may be answered. */
 export interface LeaderBoard {
   readonly leadership: Leadership;
--- a/control/entrySessions/src/pendingReplies.ts
+++ b/control/entrySessions/src/pendingReplies.ts
@@ -45,6 +45,9 @@
   (typeof REPLY_SECTIONS)[number]
 >;
 
+/** A request whose reply depends on the log or the entries' confirmations. */
+export type LoggedRequest = Exclude<PendingRequest, {readonly kind: 'query'}>;
+
 /**
  * Converts a message whose reply may have to wait for the log or for the
  * confirmations of entries; returns `undefined` for other messages.
@@ -52,7 +55,7 @@
 export function toPendingRequest(
   from: NodeId,
   message: EntryToControl,
-): PendingRequest | undefined {
+): LoggedRequest | undefined {
   switch (message.kind) {
     case 'commandRequest': {
       const {correlation, command} = message;
@@ -99,6 +102,8 @@
       return `settle/${request.claim}/${request.message.request}` as PendingKey;
     case 'counts':
       return `counts/${request.incarnation}` as PendingKey;
+    case 'query':
+      return `query/${request.correlation}` as PendingKey;
     case 'force':
       return `force/${request.correlation}` as PendingKey;
     default:
@@ -133,7 +138,7 @@
 /** Finds the reply to a request, if it is decided already. */
 export function findReply(
   board: ReplyBoard,
-  request: PendingRequest,
+  request: LoggedRequest,
   now: TurnTime,
 ): ControlToEntry | undefined {
   switch (request.kind) {
--- a/control/entrySessions/src/replyController.ts
+++ b/control/entrySessions/src/replyController.ts
@@ -1,4 +1,5 @@
 import type {TurnTime, View} from '@gentianshunt/board';
+import type {Milliseconds} from '@gentianshunt/clock';
 import {defineControlController} from '@gentianshunt/controlModel';
 import type {
   ControlController,
@@ -6,6 +7,7 @@
   ControlSections,
   ControlWrite,
   PendingReply,
+  PendingRequest,
 } from '@gentianshunt/controlModel';
 import type {ControlToEntry, EntryToControl} from '@gentianshunt/messages';
 import type {NodeId} from '@gentianshunt/identifiers';
@@ -27,6 +29,15 @@
   keyof ReplyBoard | 'serviceCounts' | 'recentCounts' | 'releases';
 type ReplyView = View<ControlSections, ReplyReads, ControlObservation>;
 type ReplyWrite = ControlWrite<'pendingReplies'>;
+type ControlQueryRequest = Extract<
+  EntryToControl,
+  {readonly kind: 'controlQueryRequest'}
+>;
+
+/** Most queries that wait for the confirmation of this leader. */
+const MAX_WAITING_QUERIES = 64;
+/** Time after which a waiting read of the configuration is dropped. */
+const SOURCE_TIMEOUT_MS: Milliseconds = 1_000;
 
 /**
  * Creates the controller that replies to requests of entries, at once or when
@@ -82,12 +93,7 @@
   now: TurnTime,
 ): readonly ReplyWrite[] {
   if (message.kind === 'controlQueryRequest') {
-    if (!isConfirmedLeader(view.board, now)) {
-      return [];
-    }
-    const {correlation, query} = message;
-    const result = answerControlQuery(view.board, query, now);
-    return [send(from, {kind: 'controlQueryReply', correlation, result})];
+    return handleQuery(view, from, message, now);
   }
   const request = toPendingRequest(from, message);
   if (request === undefined) {
@@ -110,6 +116,42 @@
   ];
 }
 
+/** Answers a query, or keeps it until this daemon is confirmed to lead. */
+function handleQuery(
+  view: ReplyView,
+  from: NodeId,
+  {correlation, query}: ControlQueryRequest,
+  now: TurnTime,
+): readonly ReplyWrite[] {
+  const request: PendingRequest = {kind: 'query', correlation, query};
+  const reply = findPendingReply(view, request, now);
+  if (reply !== undefined) {
+    return [send(from, reply)];
+  }
+  const waiting = [...view.board.pendingReplies.values()].filter(
+    pending => pending.request.kind === 'query',
+  );
+  return waiting.length < MAX_WAITING_QUERIES
+    ? [putPending({to: from, lastAttemptAt: now.monotonic, request})]
+    : [];
+}
+
+function findPendingReply(
+  {board}: ReplyView,
+  request: PendingRequest,
+  now: TurnTime,
+): ControlToEntry | undefined {
+  if (request.kind !== 'query') {
+    return findReply(board, request, now);
+  }
+  if (!isConfirmedLeader(board, now)) {
+    return undefined;
+  }
+  const {correlation, query} = request;
+  const result = answerControlQuery(board, query, now);
+  return {kind: 'controlQueryReply', correlation, result};
+}
+
 function putPending(value: PendingReply): ReplyWrite {
   const key = formatPendingKey(value.request);
   return {kind: 'put', section: 'pendingReplies', key, value};
@@ -133,16 +175,23 @@
 function removeTimedOut(view: ReplyView, now: TurnTime): readonly ReplyWrite[] {
   const writes: ReplyWrite[] = [];
   for (const [key, pending] of view.board.pendingReplies) {
-    if (now.monotonic - pending.lastAttemptAt > PENDING_REPLY_TIMEOUT_MS) {
+    if (now.monotonic - pending.lastAttemptAt > readTimeoutMs(pending)) {
       writes.push({kind: 'delete', section: 'pendingReplies', key});
     }
   }
   return writes;
 }
 
+/** Nobody waits for the configuration as long as for other replies. */
+function readTimeoutMs({request}: PendingReply): Milliseconds {
+  return request.kind === 'query' && request.query.kind === 'source'
+    ? SOURCE_TIMEOUT_MS
+    : PENDING_REPLY_TIMEOUT_MS;
+}
+
 /**
- * Replies to pending requests that are decided now, by the applied log or by
- * the confirmations of entries.
+ * Replies to pending requests that are decided now, by the applied log, by the
+ * confirmations of entries or by the confirmation of this leader.
  */
 function replyToPending(view: ReplyView, now: TurnTime): readonly ReplyWrite[] {
   const isDue =
@@ -150,12 +199,16 @@
     view.readChanges('appliedReleases').size > 0 ||
     view.readChanges('sessionVersions').size > 0 ||
     view.observation?.kind === 'timerDue';
-  if (!isDue) {
+  const isConfirmationDue = view.readChanges('leadership').size > 0;
+  if (!isDue && !isConfirmationDue) {
     return [];
   }
   const writes: ReplyWrite[] = [];
   for (const [key, pending] of view.board.pendingReplies) {
-    const reply = findReply(view.board, pending.request, now);
+    if (!isDue && pending.request.kind !== 'query') {
+      continue;
+    }
+    const reply = findPendingReply(view, pending.request, now);
     if (reply !== undefined) {
       writes.push(send(pending.to, reply), {
         kind: 'delete',
--- a/control/entrySessions/src/sessionController.ts
+++ b/control/entrySessions/src/sessionController.ts
@@ -2,41 +2,40 @@
 import type {TurnTime} from '@gentianshunt/board';
 import type {Milliseconds} from '@gentianshunt/clock';
 import {defineControlController} from '@gentianshunt/controlModel';
-import type {ControlController, EntrySession} from '@gentianshunt/controlModel';
+import type {
+  ControlController,
+  EntryHeartbeat,
+} from '@gentianshunt/controlModel';
 import type {EntryToControl} from '@gentianshunt/messages';
 import type {NodeId} from '@gentianshunt/identifiers';
 
-import {createDelta} from './configurationDelta.js';
-import {
-  confirmVersion,
-  createConfigurationUpdate,
-  pushChanges,
-} from './configurationUpdates.js';
-import {createDirectoryUpdate, toDirectoryEntry} from './directoryDelta.js';
+import {confirmVersion, pushChanges} from './configurationUpdates.js';
 import {createDirectoryStep, writeDirectoryStep} from './directorySteps.js';
-import {
-  computeEntryLeaseMs,
-  isConfirmedLeader,
-  isLeaseRecoveryOver,
-} from './leaderStatus.js';
+import {isConfirmedLeader} from './leaderStatus.js';
 import {broadcastMembers, sendMembers} from './memberUpdates.js';
-import {removeSession, replaceSession, send} from './sessionWrites.js';
+import {renewSessions} from './sessionRenewal.js';
+import {removeSession, send} from './sessionWrites.js';
 import type {
   SessionReads,
   SessionView,
   SessionWrite,
   SessionWrites,
 } from './sessionWrites.js';
+import {
+  expireWaiting,
+  putWaiting,
+  notifyWaiting,
+  removeWaiting,
+} from './waitingHeartbeats.js';
 
 /** Time between two checks of the entries' leases. */
 export const SESSION_CHECK_INTERVAL_MS: Milliseconds = 250;
 
-type Heartbeat = Extract<EntryToControl, {readonly kind: 'entryHeartbeat'}>;
-
 const SESSION_SECTIONS = [
   'sessions',
   'sessionVersions',
   'sessionLeases',
+  'waitingHeartbeats',
   'directory',
   'directoryHistory',
 ] as const satisfies readonly SessionWrites[];
@@ -64,6 +63,7 @@
     observes: ['started', 'entryMessage', 'timerDue'],
     run: (view, now) => [
       ...handleObservation(view, now),
+      ...answerHeartbeats(view, now),
       ...pushChanges(view, now),
       ...broadcastMembers(view),
     ],
@@ -80,12 +80,12 @@
       return [createSessionTimer()];
     case 'timerDue':
       return observation.timer.kind === 'sessions'
-        ? [...expireSessions(view, now), createSessionTimer()]
+        ? [...checkSessions(view, now), createSessionTimer()]
         : [];
     case 'entryMessage':
       return view.board.role.kind === 'leader'
         ? handleLeaderMessage(view, observation.from, observation.message, now)
-        : redirectToLeader(view, observation.from, observation.message);
+        : redirectToLeader(view, observation.from, observation.message, now);
     default:
       return [];
   }
@@ -107,12 +107,15 @@
   view: SessionView,
   from: NodeId,
   message: EntryToControl,
+  now: TurnTime,
 ): readonly SessionWrite[] {
+  if (message.kind === 'entryHeartbeat') {
+    return putWaiting(view, message, now);
+  }
   const {role} = view.board;
   const leader = role.kind === 'follower' ? role.leader : null;
-  const sequence = message.kind === 'entryHeartbeat' ? message.sequence : null;
   return [
-    send(from, {kind: 'notLeader', sequence, leader}),
+    send(from, {kind: 'notLeader', sequence: null, leader}),
     ...sendMembers(view, from),
   ];
 }
@@ -125,10 +128,9 @@
 ): readonly SessionWrite[] {
   switch (message.kind) {
     case 'entryHeartbeat':
-      // Without a reply, the entry sends its heartbeat to another daemon.
       return isConfirmedLeader(view.board, now)
-        ? renewSession(view, message, now)
-        : [];
+        ? []
+        : putWaiting(view, message, now);
     case 'versionConfirmed':
       return confirmVersion(view, from, message);
     default:
@@ -136,60 +138,46 @@
   }
 }
 
-function renewSession(
+/**
+ * Answers the heartbeat that has arrived and those that wait, if this daemon is
+ * confirmed to lead; otherwise tells the entries that wait who leads.
+ */
+function answerHeartbeats(
   view: SessionView,
-  heartbeat: Heartbeat,
   now: TurnTime,
 ): readonly SessionWrite[] {
-  const {entry, incarnation, draining, version, setsInUse} = heartbeat;
-  const current = view.board.sessions.get(entry.node);
-  const session: EntrySession = {
-    entry,
-    incarnation,
-    draining,
-    confirmedVersion: version,
-    sentVersion: Math.max(version, view.board.applied.version),
-    directoryVersion: heartbeat.directoryVersion,
-    leaseUntil: now.monotonic + computeEntryLeaseMs(view.board.identity),
-    setsInUse,
-  };
-  const step = isDirectoryEntryCurrent(current, session)
-    ? null
-    : createDirectoryStep(view, view.board.directory, {
-        kind: 'put',
-        entry: toDirectoryEntry(session),
-      });
-  const directory = createDirectoryUpdate({
-    board: view.board,
-    entryVersion: heartbeat.directoryVersion,
-    latest: step,
-    isLeaseRecoveryOver: isLeaseRecoveryOver(view.board.role, now),
-  });
-  const update = createConfigurationUpdate(
-    view,
-    createDelta(view.board, version),
-    heartbeat,
-    directory,
-  );
-  return [
-    ...replaceSession(current, session),
-    ...(step === null
-      ? []
-      : writeDirectoryStep(view, view.board.directory, step)),
-    ...(current === undefined ? sendMembers(view, entry.node) : []),
-    send(entry.node, update),
-  ];
+  const {board, observation} = view;
+  if (!isConfirmedLeader(board, now)) {
+    return notifyWaiting(view, now);
+  }
+  const heartbeats = new Map<NodeId, EntryHeartbeat>();
+  for (const [node, {heartbeat}] of board.waitingHeartbeats) {
+    heartbeats.set(node, heartbeat);
+  }
+  if (
+    observation?.kind === 'entryMessage' &&
+    observation.message.kind === 'entryHeartbeat'
+  ) {
+    const {message} = observation;
+    heartbeats.set(message.entry.node, message);
+  }
+  return heartbeats.size === 0
+    ? []
+    : [
+        ...renewSessions(view, [...heartbeats.values()], now),
+        ...Array.from(board.waitingHeartbeats.keys(), removeWaiting),
+      ];
 }
 
-function isDirectoryEntryCurrent(
-  current: EntrySession | undefined,
-  session: EntrySession,
-): boolean {
-  return (
-    current !== undefined &&
-    current.draining === session.draining &&
-    current.incarnation === session.incarnation
-  );
+/** Ends what has expired, unless heartbeats that wait are answered first. */
+function checkSessions(
+  view: SessionView,
+  now: TurnTime,
+): readonly SessionWrite[] {
+  const {waitingHeartbeats} = view.board;
+  return waitingHeartbeats.size > 0 && isConfirmedLeader(view.board, now)
+    ? []
+    : [...expireWaiting(view, now), ...expireSessions(view, now)];
 }
 
 /** Ends the sessions with an expired lease; a non-leader ends all. */
--- a/control/entrySessions/src/sessionWrites.ts
+++ b/control/entrySessions/src/sessionWrites.ts
@@ -24,6 +24,7 @@
   | 'sessions'
   | 'sessionVersions'
   | 'sessionLeases'
+  | 'waitingHeartbeats'
   | 'directory'
   | 'directoryHistory';
 /** The part of the board that the session controller reads. */
--- a/control/messages/src/controlMessage.ts
+++ b/control/messages/src/controlMessage.ts
@@ -244,6 +244,14 @@
       readonly outcome: ClaimOutcome;
     };
 
+/** Why a control daemon may not answer entries. */
+export type UnconfirmedReason =
+  | 'notLeading'
+  /** The first entry of its term is not committed and applied yet. */
+  | 'ownEntryNotApplied'
+  /** No quorum has answered lately. */
+  | 'leaderLeaseLapsed';
+
 /** Messages from a control daemon to an entry. */
 export type ControlToEntry =
   | {
@@ -267,6 +275,17 @@
       /** The leader that the sender knows, if any. */
       readonly leader: NodeId | null;
     }
+  | {
+      /**
+       * The sender leads, but may not answer the heartbeat yet. It does so once
+       * it can, unless it loses the lead before.
+       */
+      readonly kind: 'leaderUnconfirmed';
+      readonly sequence: number;
+      /** The entry's process that sent the heartbeat. */
+      readonly incarnation: IncarnationId;
+      readonly reason: UnconfirmedReason;
+    }
   | {
       readonly kind: 'commandReply';
       readonly correlation: RequestId;
--- a/daemons/hosts/src/entryMessages.ts
+++ b/daemons/hosts/src/entryMessages.ts
@@ -9,6 +9,7 @@
 >([
   'configurationUpdate',
   'notLeader',
+  'leaderUnconfirmed',
   'commandReply',
   'replacementReply',
   'membersUpdate',
--- a/scheduling/controlClient/src/controlController.ts
+++ b/scheduling/controlClient/src/controlController.ts
@@ -23,6 +23,10 @@
 import {followLeader, sendHeartbeats} from './heartbeats.js';
 
 type NotLeader = Extract<ControlToEntry, {readonly kind: 'notLeader'}>;
+type LeaderUnconfirmed = Extract<
+  ControlToEntry,
+  {readonly kind: 'leaderUnconfirmed'}
+>;
 
 /**
  * Creates the controller that finds the leading control daemon, renews the
@@ -89,6 +93,8 @@
       return applyUpdate(view, from, message, now);
     case 'notLeader':
       return handleNotLeader(view, from, message, now);
+    case 'leaderUnconfirmed':
+      return awaitLeader(view, from, message, now);
     case 'membersUpdate':
       return followMembers(view, message.members, now);
     case 'commandReply':
@@ -130,3 +136,34 @@
   const value = isForgotten ? {...status, leader: null} : status;
   return [{kind: 'set', section: 'control', value}];
 }
+
+/** Follows a leader that answers the heartbeat as soon as it is confirmed. */
+function awaitLeader(
+  view: ControlView,
+  from: NodeId,
+  {incarnation, sequence, reason}: LeaderUnconfirmed,
+  now: TurnTime,
+): readonly ControlWrite[] {
+  const {control, identity} = view.board;
+  const {heartbeats} = control;
+  const sent = heartbeats.find(each => each.sequence === sequence);
+  const isWaiting =
+    incarnation === identity.incarnation &&
+    sent !== undefined &&
+    sent.answer.kind !== 'renewed' &&
+    !isAnswerOutdated(heartbeats, sequence);
+  if (!isWaiting) {
+    return [];
+  }
+  const value = {
+    ...control,
+    leader: from,
+    heartbeats: recordAnswer(
+      heartbeats,
+      sequence,
+      afterMs => ({kind: 'leaderUnconfirmed', afterMs, reason}),
+      now,
+    ),
+  };
+  return [{kind: 'set', section: 'control', value}];
+}
--- a/scheduling/controlClient/test/heartbeats.test.ts
+++ b/scheduling/controlClient/test/heartbeats.test.ts
@@ -196,3 +196,29 @@
   fixture.receive({...redirect, sequence: 2});
   t.equal(fixture.loop.view.control.leader, null);
 });
+
+t.test('an unconfirmed leader is followed until it answers', async t => {
+  const fixture = createFixture();
+  fixture.loop.post({kind: 'started'});
+  fixture.receive(
+    {
+      kind: 'leaderUnconfirmed',
+      incarnation: toIdentifier<IncarnationId>('i1'),
+      sequence: 1,
+      reason: 'ownEntryNotApplied',
+    },
+    OTHER,
+  );
+  t.match(fixture.loop.view.control, {
+    leader: OTHER,
+    lease: ENDED_LEASE,
+    heartbeats: [
+      {answer: {kind: 'leaderUnconfirmed', reason: 'ownEntryNotApplied'}},
+    ],
+  });
+  fixture.clock.advance(TICK_MS);
+  fixture.loop.post({kind: 'timerDue', timer: {kind: 'heartbeat'}});
+  t.ok(fixture.takeHeartbeats().some(({to}) => to === OTHER));
+  fixture.receive(renew({to: OTHER, sequence: 1}), OTHER);
+  t.equal(fixture.loop.view.control.lease.until, LEASE_MS);
+});
--- a/scheduling/entryModel/src/controlStatus.ts
+++ b/scheduling/entryModel/src/controlStatus.ts
@@ -5,7 +5,11 @@
   Milliseconds,
   MonotonicTime,
 } from '@gentianshunt/clock';
-import type {CountReport, EntryDirectory} from '@gentianshunt/messages';
+import type {
+  CountReport,
+  EntryDirectory,
+  UnconfirmedReason,
+} from '@gentianshunt/messages';
 import type {Identifier, NodeId} from '@gentianshunt/identifiers';
 
 /** What came back for a heartbeat. */
@@ -20,6 +24,12 @@
       readonly afterMs: Milliseconds;
       /** The leader that the daemon knows, if any. */
       readonly leader: NodeId | null;
+    }
+  | {
+      /** The daemon leads, and answers once it is confirmed. */
+      readonly kind: 'leaderUnconfirmed';
+      readonly afterMs: Milliseconds;
+      readonly reason: UnconfirmedReason;
     };
 
 /** A heartbeat of this entry, with what came back. */
