Sessions: entries that start together share one update

After a start each entry asked for the whole configuration, encoded for each of them, and again with each heartbeat until the first reply had arrived: the more entries start at once, the later the replies, which made them ask again.

Now the changes and the reply that renews the lease are two messages. The changes from a version to the latest are one message for all entries at that version (section sharedUpdates, at most 8, for 2 s without a use), so that it is encoded once. While an update is on its way to an entry, its heartbeats are answered by the changes since; it is sent again after 1 s, 2 s and every 4 s (UpdateDelivery), or at once to another process of the entry. The reply still names the latest version, so that no lease is renewed without it.

inForce.test.ts, 'an update starts from the version that the entry holds', asked for everything while the push of the same command was on its way, which is now waited for. It asks one resend time later; what it expects is unchanged.

--- a/control/controlModel/src/sections.ts
+++ b/control/controlModel/src/sections.ts
@@ -67,6 +67,7 @@
   SessionVersionKey,
   SetLeaderCandidate,
   SetLeaderLoadKey,
+  SharedUpdate,
   WaitingHeartbeat,
 } from './sessionRecords.js';
 import {
@@ -247,6 +248,10 @@
     ),
     /** The latest unanswered heartbeat of each entry. */
     waitingHeartbeats: defineMap<NodeId, WaitingHeartbeat>(),
+    /** Updates to the latest version by the version that they start from. */
+    sharedUpdates: defineOrdered<ConfigurationVersion, SharedUpdate>(
+      compareValues,
+    ),
     directory: defineCell<DirectoryVersion>(NO_DIRECTORY_VERSION),
     directoryHistory: defineOrdered<number, DirectoryChange>(compareValues),
     setLeaderCandidates: defineMap<NodeId, SetLeaderCandidate>(),
--- a/control/controlModel/src/sessionRecords.ts
+++ b/control/controlModel/src/sessionRecords.ts
@@ -2,6 +2,7 @@
 import type {
   ConfigurationVersion,
   ControlQuery,
+  ControlToEntry,
   DirectoryVersion,
   EntryAddress,
   EntryToControl,
@@ -18,6 +19,25 @@
 
 import type {ClaimId} from './stateRecords.js';
 
+/** The latest update that was sent to an entry. */
+export interface UpdateDelivery {
+  /** The configuration version that it ends at. */
+  readonly version: ConfigurationVersion;
+  /** When the part that the entry lacks was sent. */
+  readonly sentAt: MonotonicTime;
+  /** How often that part was sent. */
+  readonly attempts: number;
+}
+
+/** An update that entries at the same version share. */
+export interface SharedUpdate {
+  readonly update: Extract<
+    ControlToEntry,
+    {readonly kind: 'configurationUpdate'}
+  >;
+  readonly usedAt: MonotonicTime;
+}
+
 /** An entry's session at the leading control daemon. */
 export interface EntrySession {
   readonly entry: EntryAddress;
@@ -25,8 +45,7 @@
   readonly draining: boolean;
   /** The configuration version that the entry has confirmed. */
   readonly confirmedVersion: ConfigurationVersion;
-  /** The configuration version last sent to the entry. */
-  readonly sentVersion: ConfigurationVersion;
+  readonly delivery: UpdateDelivery;
   readonly directoryVersion: DirectoryVersion;
   readonly leaseUntil: MonotonicTime;
   readonly setsInUse: readonly EndpointSetId[];
--- a/control/controlNode/test/inForce.test.ts
+++ b/control/controlNode/test/inForce.test.ts
@@ -14,6 +14,8 @@
 } from './fixture.js';
 import type {ControlFixture} from './fixture.js';
 
+const RESEND_MS = 1_000;
+
 function readForceStatus(
   replies: readonly ControlToEntry[],
 ): InForceStatus | undefined {
@@ -129,6 +131,8 @@
 t.test('an update starts from the version that the entry holds', async t => {
   const fixture = createRecoveredFixture();
   const {version} = fixture.node.view.applied;
+  // The update of the command may have been lost by then.
+  fixture.advance(RESEND_MS);
   const cases = [
     {name: 'no version', entryVersion: 0, fromVersion: 0, changes: 1},
     {
--- a/control/entrySessions/src/configurationDelta.ts
+++ b/control/entrySessions/src/configurationDelta.ts
@@ -18,6 +18,18 @@
   readonly changes: readonly ConfigurationChange[];
 }
 
+/**
+ * Finds the version from which an entry is sent changes; 0 if its own is no
+ * longer in the history.
+ */
+export function findDeltaStart(
+  {history, applied}: ConfigurationBoard,
+  version: ConfigurationVersion,
+): ConfigurationVersion {
+  // A new leader may not have applied the entry's version yet.
+  return version >= applied.version || history.has(version) ? version : 0;
+}
+
 /**
  * Creates the changes that an entry at a version is missing. An entry whose
  * version is no longer in the history receives the whole configuration.
@@ -26,15 +38,13 @@
   board: ConfigurationBoard,
   version: ConfigurationVersion,
 ): ConfigurationDelta {
-  const {history, applied} = board;
-  // A new leader may not have applied the entry's version yet.
-  if (version >= applied.version) {
-    return {fromVersion: version, changes: []};
-  }
-  if (version === 0 || !history.has(version)) {
-    return {fromVersion: 0, changes: listAllObjects(board)};
+  const fromVersion = findDeltaStart(board, version);
+  if (fromVersion >= board.applied.version) {
+    return {fromVersion, changes: []};
   }
-  return {fromVersion: version, changes: listLatestChanges(board, version)};
+  return fromVersion === 0
+    ? {fromVersion, changes: listAllObjects(board)}
+    : {fromVersion, changes: listLatestChanges(board, fromVersion)};
 }
 
 /** Lists the latest change of each object, which replaces earlier ones. */
--- a/control/entrySessions/src/configurationUpdates.ts
+++ b/control/entrySessions/src/configurationUpdates.ts
@@ -14,13 +14,15 @@
 import {computeEntryLeaseMs} from './leaderStatus.js';
 import {replaceSession, send} from './sessionWrites.js';
 import type {SessionView, SessionWrite} from './sessionWrites.js';
+import {createDelivery} from './updateDelivery.js';
 
 type Confirmation = Extract<
   EntryToControl,
   {readonly kind: 'versionConfirmed'}
 >;
 
-type ConfigurationUpdate = Extract<
+/** A message that brings an entry to a configuration version. */
+export type ConfigurationUpdate = Extract<
   ControlToEntry,
   {readonly kind: 'configurationUpdate'}
 >;
@@ -58,6 +60,7 @@
   view: SessionView,
   from: NodeId,
   message: Confirmation,
+  now: TurnTime,
 ): readonly SessionWrite[] {
   const current = view.board.sessions.get(from);
   if (current === undefined || message.version <= current.confirmedVersion) {
@@ -70,11 +73,13 @@
     confirmedVersion: version,
     directoryVersion,
   };
-  if (version >= latest) {
+  const isContinued = current.delivery.version > version;
+  if (version >= latest || isContinued) {
     return replaceSession(current, confirmed);
   }
+  const delivery = createDelivery(latest, now);
   return [
-    ...replaceSession(current, {...confirmed, sentVersion: latest}),
+    ...replaceSession(current, {...confirmed, delivery}),
     send(from, createPush(view, version)),
   ];
 }
@@ -113,14 +118,17 @@
   for (const {key} of lagging) {
     const session = sessions.get(key.node)!;
     const isConfirmationPending =
-      session.sentVersion > session.confirmedVersion;
+      session.delivery.version > session.confirmedVersion;
     if (isConfirmationPending || session.leaseUntil <= now.monotonic) {
       continue;
     }
     const update = updates.get(key.version) ?? createPush(view, key.version);
     updates.set(key.version, update);
     writes.push(
-      ...replaceSession(session, {...session, sentVersion: applied.version}),
+      ...replaceSession(session, {
+        ...session,
+        delivery: createDelivery(applied.version, now),
+      }),
       send(key.node, update),
     );
   }
--- a/control/entrySessions/src/sessionController.ts
+++ b/control/entrySessions/src/sessionController.ts
@@ -15,6 +15,7 @@
 import {broadcastMembers, sendMembers} from './memberUpdates.js';
 import {renewSessions} from './sessionRenewal.js';
 import {removeSession, send} from './sessionWrites.js';
+import {expireUpdates} from './sharedUpdates.js';
 import type {
   SessionReads,
   SessionView,
@@ -36,6 +37,7 @@
   'sessionVersions',
   'sessionLeases',
   'waitingHeartbeats',
+  'sharedUpdates',
   'directory',
   'directoryHistory',
 ] as const satisfies readonly SessionWrites[];
@@ -132,7 +134,7 @@
         ? []
         : putWaiting(view, message, now);
     case 'versionConfirmed':
-      return confirmVersion(view, from, message);
+      return confirmVersion(view, from, message, now);
     default:
       return [];
   }
@@ -177,7 +179,11 @@
   const {waitingHeartbeats} = view.board;
   return waitingHeartbeats.size > 0 && isConfirmedLeader(view.board, now)
     ? []
-    : [...expireWaiting(view, now), ...expireSessions(view, now)];
+    : [
+        ...expireWaiting(view, now),
+        ...expireUpdates(view, now),
+        ...expireSessions(view, now),
+      ];
 }
 
 /** Ends the sessions with an expired lease; a non-leader ends all. */
--- a/control/entrySessions/src/sessionRenewal.ts
+++ b/control/entrySessions/src/sessionRenewal.ts
@@ -1,6 +1,7 @@
 // The answers to entries' heartbeats by a confirmed leader.
 import type {TurnTime} from '@gentianshunt/board';
 import type {EntryHeartbeat, EntrySession} from '@gentianshunt/controlModel';
+import type {ConfigurationVersion} from '@gentianshunt/messages';
 
 import {createDelta} from './configurationDelta.js';
 import {createConfigurationUpdate} from './configurationUpdates.js';
@@ -11,12 +12,23 @@
 import {sendMembers} from './memberUpdates.js';
 import {replaceSession, send} from './sessionWrites.js';
 import type {SessionView, SessionWrite} from './sessionWrites.js';
+import {findSharedUpdate, storeUpdates} from './sharedUpdates.js';
+import type {UpdateDraft} from './sharedUpdates.js';
+import {planDelivery} from './updateDelivery.js';
 
 /** A session that a heartbeat renews. */
 interface Renewal {
   readonly heartbeat: EntryHeartbeat;
   readonly current: EntrySession | undefined;
   readonly session: EntrySession;
+  /** The version from which the entry is sent changes. */
+  readonly from: ConfigurationVersion;
+}
+
+/** What the answers of a turn have in common. */
+interface Answers {
+  readonly steps: readonly DirectoryStep[];
+  readonly updates: UpdateDraft;
 }
 
 /**
@@ -30,6 +42,10 @@
 ): readonly SessionWrite[] {
   const renewals = heartbeats.map(each => createRenewal(view, each, now));
   const steps = createSteps(view, renewals);
+  const updates: UpdateDraft = new Map();
+  const answers = renewals.flatMap(renewal =>
+    answerHeartbeat(view, renewal, {steps, updates}, now),
+  );
   return [
     ...renewals.flatMap(({current, session}) =>
       replaceSession(current, session),
@@ -41,7 +57,8 @@
         step,
       ),
     ),
-    ...renewals.flatMap(renewal => answerHeartbeat(view, renewal, steps, now)),
+    ...storeUpdates(view, updates, now),
+    ...answers,
   ];
 }
 
@@ -51,17 +68,20 @@
   now: TurnTime,
 ): Renewal {
   const {entry, version, draining, incarnation, setsInUse} = heartbeat;
+  const current = board.sessions.get(entry.node);
+  const latest = board.applied.version;
+  const {delivery, from} = planDelivery(current, heartbeat, latest, now);
   const session: EntrySession = {
     entry,
     incarnation,
     draining,
     confirmedVersion: version,
-    sentVersion: Math.max(version, board.applied.version),
+    delivery,
     directoryVersion: heartbeat.directoryVersion,
     leaseUntil: now.monotonic + computeEntryLeaseMs(board.identity),
     setsInUse,
   };
-  return {heartbeat, current: board.sessions.get(entry.node), session};
+  return {heartbeat, current, session, from};
 }
 
 /** Creates the directory's changes, each from the version before it. */
@@ -91,27 +111,35 @@
   );
 }
 
+/**
+ * Sends the changes that an entry lacks, in a message that it may share with
+ * others, and after them the reply that renews its lease once it holds them.
+ */
 function answerHeartbeat(
   view: SessionView,
-  {heartbeat, current}: Renewal,
-  latest: readonly DirectoryStep[],
+  {heartbeat, current, from}: Renewal,
+  {steps, updates}: Answers,
   now: TurnTime,
 ): readonly SessionWrite[] {
+  const {board} = view;
   const {node} = heartbeat.entry;
+  const isBehind = from < board.applied.version;
   const directory = createDirectoryUpdate({
-    board: view.board,
+    board,
     entryVersion: heartbeat.directoryVersion,
-    latest,
-    isLeaseRecoveryOver: isLeaseRecoveryOver(view.board.role, now),
+    latest: steps,
+    isLeaseRecoveryOver: isLeaseRecoveryOver(board.role, now),
   });
-  const update = createConfigurationUpdate(
+  const held = Math.max(from, board.applied.version);
+  const reply = createConfigurationUpdate(
     view,
-    createDelta(view.board, heartbeat.version),
+    createDelta(board, held),
     heartbeat,
     directory,
   );
   return [
     ...(current === undefined ? sendMembers(view, node) : []),
-    send(node, update),
+    ...(isBehind ? [send(node, findSharedUpdate(view, updates, from))] : []),
+    send(node, reply),
   ];
 }
--- a/control/entrySessions/src/sessionWrites.ts
+++ b/control/entrySessions/src/sessionWrites.ts
@@ -25,6 +25,7 @@
   | 'sessionVersions'
   | 'sessionLeases'
   | 'waitingHeartbeats'
+  | 'sharedUpdates'
   | 'directory'
   | 'directoryHistory';
 /** The part of the board that the session controller reads. */
