--- a/scheduling/controlClient/src/commandController.ts
+++ b/scheduling/controlClient/src/commandController.ts
@@ -12,7 +12,8 @@
 import type {ControlToEntry, EntryToControl} from '@gentianshunt/messages';
 import type {NodeId, RequestId} from '@gentianshunt/identifiers';
 
-import {isSendingDue, recordDelivery, REQUEST_RESEND} from './delivery.js';
+import {isSendingDue, recordDelivery, planRequestResend} from './delivery.js';
+import type {ResendOptions} from './delivery.js';
 
 /** Time after which the entry stops tracking a command or a query. */
 export const COMMAND_TIMEOUT_MS: Milliseconds = 10_000;
@@ -92,13 +93,14 @@
   pending: PendingCommand,
   now: TurnTime,
 ): readonly CommandWrite[] {
-  const {leader} = view.board.control;
+  const {control} = view.board;
+  const {leader} = control;
   if (leader === null) {
     return [];
   }
   const {correlation, version} = pending;
   return version === null
-    ? sendCommand(pending, leader, now)
+    ? sendCommand(pending, leader, planRequestResend(control), now)
     : [sendTo(leader, {kind: 'commandStatusRequest', correlation, version})];
 }
 
@@ -106,10 +108,11 @@
 function sendCommand(
   pending: PendingCommand,
   leader: NodeId,
+  resend: ResendOptions,
   now: TurnTime,
 ): readonly CommandWrite[] {
   const {correlation, command, delivery} = pending;
-  if (!isSendingDue(delivery, leader, now, REQUEST_RESEND)) {
+  if (!isSendingDue(delivery, leader, now, resend)) {
     return [];
   }
   return [
--- a/scheduling/controlClient/src/delivery.ts
+++ b/scheduling/controlClient/src/delivery.ts
@@ -13,21 +13,29 @@
   readonly maxAttempts: number;
 }
 
-/** For requests that carry a document or a batch of commands. */
-export const REQUEST_RESEND: ResendOptions = {
-  firstResendMs: 1_000,
-  maxAttempts: Number.POSITIVE_INFINITY,
-};
+/** Shortest time to the second sending of a document or a batch of commands. */
+const MIN_REQUEST_RESEND_MS: Milliseconds = 1_000;
 /** Shortest time to the second sending of a read. */
 const MIN_READ_RESEND_MS: Milliseconds = 300;
-/** The same in round trips to the leader. */
-const READ_RESEND_ROUND_TRIPS = 2;
+/** Time to a second sending in round trips to the leader. */
+const RESEND_ROUND_TRIPS = 2;
 const MAX_READ_ATTEMPTS = 2;
 /** Age from which on nobody waits for a read of the configuration. */
 const MAX_SOURCE_AGE_MS: Milliseconds = 1_000;
 /** Factor by which the time grows with each sending. */
 const BACKOFF_FACTOR = 2;
 
+/** Plans when a document or a batch of commands is sent again. */
+export function planRequestResend({
+  roundTripMs,
+}: Pick<ControlStatus, 'roundTripMs'>): ResendOptions {
+  const usualMs = RESEND_ROUND_TRIPS * (roundTripMs ?? 0);
+  return {
+    firstResendMs: Math.max(MIN_REQUEST_RESEND_MS, usualMs),
+    maxAttempts: Number.POSITIVE_INFINITY,
+  };
+}
+
 /**
  * Plans when a read is sent again. Its operator waits for less than a second, but
  * a reply that is on its way need not be asked for again.
@@ -36,7 +44,7 @@
   {roundTripMs}: Pick<ControlStatus, 'roundTripMs'>,
   {kind}: ControlQuery,
 ): ResendOptions {
-  const usualMs = READ_RESEND_ROUND_TRIPS * (roundTripMs ?? 0);
+  const usualMs = RESEND_ROUND_TRIPS * (roundTripMs ?? 0);
   const firstResendMs = Math.max(MIN_READ_RESEND_MS, usualMs);
   const isTooLate = kind === 'source' && firstResendMs >= MAX_SOURCE_AGE_MS;
   return {firstResendMs, maxAttempts: isTooLate ? 1 : MAX_READ_ATTEMPTS};
--- a/scheduling/controlClient/src/replacementController.ts
+++ b/scheduling/controlClient/src/replacementController.ts
@@ -11,7 +11,7 @@
 } from '@gentianshunt/entryModel';
 import type {RequestId} from '@gentianshunt/identifiers';
 
-import {isSendingDue, recordDelivery, REQUEST_RESEND} from './delivery.js';
+import {isSendingDue, recordDelivery, planRequestResend} from './delivery.js';
 
 /** Time after which an operator gets the answer `unanswered`. */
 export const REPLACEMENT_TIMEOUT_MS: Milliseconds = 3_000;
@@ -83,9 +83,11 @@
   pending: PendingReplacement,
   now: TurnTime,
 ): readonly ReplacementWrite[] {
-  const {leader} = view.board.control;
+  const {control} = view.board;
+  const {leader} = control;
   const {correlation, replacement, delivery} = pending;
-  if (leader === null || !isSendingDue(delivery, leader, now, REQUEST_RESEND)) {
+  const resend = planRequestResend(control);
+  if (leader === null || !isSendingDue(delivery, leader, now, resend)) {
     return [];
   }
   const message = {
--- a/scheduling/controlClient/test/replacementController.test.ts
+++ b/scheduling/controlClient/test/replacementController.test.ts
@@ -12,6 +12,7 @@
 import type {EntryFixture} from './fixture.js';
 
 const TICK_MS = 250;
+const SLOW_ROUND_TRIP_MS = 1_250;
 
 function createFixture(): EntryFixture {
   const fixture = createEntryFixture([
@@ -62,3 +63,15 @@
   fixture.tick(TICK_MS);
   t.equal(countReplacements(fixture), 0);
 });
+
+t.test('a document on a slow link is sent again before its reply', async t => {
+  const fixture = createFixture();
+  fixture.loop.post({kind: 'started'});
+  fixture.tick(SLOW_ROUND_TRIP_MS);
+  fixture.receive(createUpdate(1, 1, [], {sequence: 1}));
+  postReplacement(fixture);
+  for (let age = 0; age < SLOW_ROUND_TRIP_MS; age += TICK_MS) {
+    fixture.tick(TICK_MS);
+  }
+  t.equal(countReplacements(fixture), 1);
+});
