--- a/control/controlModel/src/sessionRecords.ts
+++ b/control/controlModel/src/sessionRecords.ts
@@ -1,6 +1,8 @@
 import type {MonotonicTime} from '@gentianshunt/clock';
 import type {
   ConfigurationVersion,
+  ControlQuery,
+  ControlToEntry,
   DirectoryVersion,
   EntryAddress,
   EntryToControl,
@@ -17,6 +19,25 @@
 
 import type {ClaimId} from './stateRecords.js';
 
+/** The latest update that was sent to an entry. */
+export interface UpdateDelivery {
+  /** The configuration version that it ends at. */
+  readonly version: ConfigurationVersion;
+  /** When the part that the entry lacks was sent. */
+  readonly sentAt: MonotonicTime;
+  /** How often that part was sent. */
+  readonly attempts: number;
+}
+
+/** An update that entries at the same version share. */
+export interface SharedUpdate {
+  readonly update: Extract<
+    ControlToEntry,
+    {readonly kind: 'configurationUpdate'}
+  >;
+  readonly usedAt: MonotonicTime;
+}
+
 /** An entry's session at the leading control daemon. */
 export interface EntrySession {
   readonly entry: EntryAddress;
@@ -24,13 +45,24 @@
   readonly draining: boolean;
   /** The configuration version that the entry has confirmed. */
   readonly confirmedVersion: ConfigurationVersion;
-  /** The configuration version last sent to the entry. */
-  readonly sentVersion: ConfigurationVersion;
+  readonly delivery: UpdateDelivery;
   readonly directoryVersion: DirectoryVersion;
   readonly leaseUntil: MonotonicTime;
   readonly setsInUse: readonly EndpointSetId[];
 }
 
+/** The heartbeat of an entry. */
+export type EntryHeartbeat = Extract<
+  EntryToControl,
+  {readonly kind: 'entryHeartbeat'}
+>;
+
+/** A heartbeat that a daemon cannot answer yet. */
+export interface WaitingHeartbeat {
+  readonly heartbeat: EntryHeartbeat;
+  readonly receivedAt: MonotonicTime;
+}
+
 /** Sorts the sessions by the version that the entry has confirmed. */
 export interface SessionVersionKey {
   readonly version: ConfigurationVersion;
@@ -138,6 +170,12 @@
       readonly incarnation: IncarnationId;
       readonly sequence: number;
     }
+  | {
+      /** A query that is answered once this daemon is confirmed to lead. */
+      readonly kind: 'query';
+      readonly correlation: RequestId;
+      readonly query: ControlQuery;
+    }
   | {
       /** A question that is answered once the version is in force. */
       readonly kind: 'force';
--- a/control/entrySessions/src/sessionWrites.ts
+++ b/control/entrySessions/src/sessionWrites.ts
@@ -24,6 +24,8 @@
   | 'sessions'
   | 'sessionVersions'
   | 'sessionLeases'
+  | 'waitingHeartbeats'
+  | 'sharedUpdates'
   | 'directory'
   | 'directoryHistory';
 /** The part of the board that the session controller reads. */
