--- a/fronts/logging/src/formatHeartbeat.ts
+++ b/fronts/logging/src/formatHeartbeat.ts
@@ -4,7 +4,7 @@
 /**
  * Formats a heartbeat as words: the daemon that was asked, the age of the
  * heartbeat in milliseconds, the kind of answer, after how many milliseconds it
- * came and the leader that it names, such as `control-1 420 notLeader 3 control-0`.
+ * came and the leader or the reason that it names, such as `control-1 420 notLeader 3 control-0`.
  */
 export function formatHeartbeat({to, ageMs, answer}: HeartbeatSummary): string {
   return [to, Math.round(ageMs), ...listAnswerWords(answer)].join(' ');
@@ -22,6 +22,10 @@
       const named = leader === null ? [] : [leader];
       return [kind, String(Math.round(afterMs)), ...named];
     }
+    case 'leaderUnconfirmed': {
+      const {kind, afterMs, reason} = answer;
+      return [kind, String(Math.round(afterMs)), reason];
+    }
     default:
       return assertNever(answer, 'listAnswerWords');
   }
--- a/fronts/metrics/test/gauges.test.ts
+++ b/fronts/metrics/test/gauges.test.ts
@@ -195,7 +195,13 @@
 
 t.test('an entry shows what came back for its heartbeats', async t => {
   const registry = new Registry();
-  const byAnswer = {none: 3, renewed: 2, unused: 1, notLeader: 0};
+  const byAnswer = {
+    none: 3,
+    renewed: 2,
+    unused: 1,
+    notLeader: 0,
+    leaderUnconfirmed: 5,
+  };
   const heartbeatTotals = {byAnswer, late: 4, counted: []};
   addHeartbeatCounters(registry, {view: createEntryView({heartbeatTotals})});
   const metric = registry.getSingleMetric('gentianshunt_heartbeats_total');
@@ -206,6 +212,7 @@
     {labels: {answer: 'renewed'}, value: 2},
     {labels: {answer: 'unused'}, value: 1},
     {labels: {answer: 'notLeader'}, value: 0},
+    {labels: {answer: 'leaderUnconfirmed'}, value: 5},
   ]);
   const late = 'gentianshunt_late_heartbeat_answers_total';
   t.equal(await readValue(registry, late), 4);
--- a/reports/explain/src/leaseCause.ts
+++ b/reports/explain/src/leaseCause.ts
@@ -22,6 +22,8 @@
       readonly from: string;
       readonly afterMs: Milliseconds;
     }
+  /** The entry lacks the configuration that a reply names. */
+  | {readonly kind: 'versionMissing'}
   | ({readonly kind: 'leaderUnconfirmed'} & UnconfirmedLeader)
   /** A leader that daemons name does not answer, and its log says nothing. */
   | {readonly kind: 'leaderSilent'; readonly leader: string}
@@ -51,6 +53,8 @@
   switch (readText(line, 'cause')) {
     case 'notAsked':
       return {kind: 'notAsked'};
+    case 'versionMissing':
+      return {kind: 'versionMissing'};
     case 'replyLate':
       return findLateReply(logs, heartbeats);
     case 'leaderSilent':
@@ -136,6 +140,8 @@
       return `no reply from ${cause.asked.join(', ')}`;
     case 'replyLate':
       return `replies came too late to renew the lease: ${cause.from} replied after ${cause.afterMs} ms`;
+    case 'versionMissing':
+      return 'the configuration that the replies name had not arrived';
     case 'leaderUnconfirmed':
       return `leader ${cause.daemon} was not confirmed for ${cause.unconfirmedMs} ms, ${describeReason(cause)}`;
     case 'leaderSilent':
--- a/scheduling/decisionLog/src/missingLease.ts
+++ b/scheduling/decisionLog/src/missingLease.ts
@@ -39,6 +39,7 @@
   const ranked = [
     'replyLate',
     'versionMissing',
+    'leaderUnconfirmed',
     'leaderSilent',
     'noLeader',
     'noReply',
@@ -65,6 +66,8 @@
       return 'replyLate';
     case 'unused':
       return 'versionMissing';
+    case 'leaderUnconfirmed':
+      return 'leaderUnconfirmed';
     case 'notLeader':
       return answer.leader === null ? 'noLeader' : 'leaderSilent';
     default:
--- a/scheduling/entryModel/src/decision.ts
+++ b/scheduling/entryModel/src/decision.ts
@@ -26,6 +26,8 @@
   | 'replyLate'
   /** The entry does not hold the version that a reply names. */
   | 'versionMissing'
+  /** The leader replied that it is not confirmed. */
+  | 'leaderUnconfirmed'
   /** Daemons name a leader that does not reply. */
   | 'leaderSilent'
   /** The daemons that reply know no leader. */
--- a/scheduling/entryModel/src/heartbeatTotals.ts
+++ b/scheduling/entryModel/src/heartbeatTotals.ts
@@ -11,7 +11,13 @@
 
 /** Before the first heartbeat. */
 export const NO_HEARTBEATS: HeartbeatTotals = {
-  byAnswer: {none: 0, renewed: 0, unused: 0, notLeader: 0},
+  byAnswer: {
+    none: 0,
+    renewed: 0,
+    unused: 0,
+    notLeader: 0,
+    leaderUnconfirmed: 0,
+  },
   late: 0,
   counted: [],
 };
--- a/scheduling/entryNode/test/statusDecisions.test.ts
+++ b/scheduling/entryNode/test/statusDecisions.test.ts
@@ -166,6 +166,12 @@
     replyLate: answerLate,
     versionMissing: (_, sequence) => createLaterUpdate(sequence),
     noLeader: (_, sequence) => createNotLeader(sequence, null),
+    leaderUnconfirmed: (_, sequence) => ({
+      kind: 'leaderUnconfirmed',
+      sequence,
+      incarnation: toIdentifier<IncarnationId>('i1'),
+      reason: 'leaderLeaseLapsed',
+    }),
     leaderSilent: (_, sequence) => createNotLeader(sequence, 'control-9'),
   } as const satisfies Record<string, Answer>;
   for (const [cause, answer] of Object.entries(causes)) {
