Consensus: a lost disk counts as no copy and is replaced first

What callers saw: none in the record; a change could be acknowledged with one copy where two are said to hold it, if a voter lost its disk between its answer and the leader's own sync while a change of the members was under way.

Cause: the leader learns from a hello with a new folder that the old one is lost, but counted what that one had acknowledged until its replacement was in force. It ignored hellos while a change of the members was uncommitted, so a lost voter waited behind any number of new nodes.

Evidence, on the code before (lostVoter.test.ts): 'a copy on a disk that is lost does not count' failed (committed index 2 instead of 1), 'a node whose disk is lost is admitted before new nodes' failed (control-9 is not admitted at all).

Why it works: the first hello of a new folder marks the node's former one as lost, and it counts up to no index until it is replaced. Its answer to a request that was sent after the mark shows that the hello was an old one, and takes mark and request back. Requests are recorded by any leader and proposed once the latest members are committed: those of lost folders first.

--- a/control/consensus/src/consensusController.ts
+++ b/control/consensus/src/consensusController.ts
@@ -23,6 +23,7 @@
   handleVoteRequest,
 } from './election.js';
 import {handleFollowerReply} from './followerReply.js';
+import {handleHello} from './helloAnswer.js';
 import {
   advanceCommitIndex,
   appendPayloads,
@@ -36,7 +37,6 @@
 import {handleSnapshotChunk} from './snapshotReceiver.js';
 import {
   addContacts,
-  handleHello,
   handleHelloReply,
   handleHelloTimer,
   handleStarted,
--- a/control/consensus/src/election.ts
+++ b/control/consensus/src/election.ts
@@ -3,10 +3,11 @@
 
 import {becomeFollower} from './becomeFollower.js';
 import type {ConsensusDraft} from './consensusDraft.js';
+import {replyHello} from './helloAnswer.js';
 import {becomeLeader} from './leadership.js';
 import {computeQuorum, isInGroup, isVoter, listVoters} from './members.js';
 import type {Sender, VoteReply, VoteRequest} from './messageTypes.js';
-import {broadcastHello, replyHello} from './startCheck.js';
+import {broadcastHello} from './startCheck.js';
 import {
   LEADER_STICKINESS_MS,
   resetElectionDeadline,
--- a/control/consensus/src/followerReply.ts
+++ b/control/consensus/src/followerReply.ts
@@ -8,6 +8,7 @@
   confirmLeadership,
   stepDownIfRemoved,
 } from './leadership.js';
+import {confirmFolder} from './lostFolders.js';
 import {listPeers} from './members.js';
 import type {AppendReply, Sender, SnapshotChunkReply} from './messageTypes.js';
 import {handleAppendReply} from './replication.js';
@@ -32,7 +33,8 @@
   if (
     peer === undefined ||
     draft.role.kind !== 'leader' ||
-    reply.term !== draft.ballot.term
+    reply.term !== draft.ballot.term ||
+    !confirmFolder(draft, peer.node, reply.sentAt)
   ) {
     return;
   }
--- a/control/consensus/src/leadership.ts
+++ b/control/consensus/src/leadership.ts
@@ -16,6 +16,7 @@
   dropFulfilledJoinRequests,
   expireJoinRequests,
 } from './joinRequests.js';
+import {readCopiedIndex} from './lostFolders.js';
 import {startLeaderClock, toSteadyInstant} from './leaderClock.js';
 import {
   addMemberships,
@@ -64,6 +65,7 @@
     nextIndex,
     matchIndex: 0,
     since: now.monotonic,
+    lostSince: null,
     confirmedAt: Number.NEGATIVE_INFINITY,
     inFlight: [],
     inFlightAfter: nextIndex - 1,
@@ -168,7 +170,7 @@
   const candidate = findQuorumValue(draft, ({node, storage}: Member) =>
     storage === self
       ? draft.status.syncedIndex
-      : (draft.progress.get(node)?.matchIndex ?? 0),
+      : readCopiedIndex(draft.progress.get(node)),
   );
   const isOwnTerm = draft.log.readTerm(candidate) === draft.ballot.term;
   if (candidate > draft.status.commitIndex && isOwnTerm) {
--- a/control/consensus/src/memberChangeController.ts
+++ b/control/consensus/src/memberChangeController.ts
@@ -117,12 +117,17 @@
   return undefined;
 }
 
-/** Lists the nodes that ask to join by the time of their requests. */
+/**
+ * Lists the nodes that ask to join: first those of members, whose former data
+ * folders are lost but still count, and then by the time of their requests.
+ */
 function listJoining(
   {board}: MemberChangeView,
   members: readonly Member[],
   now: TurnTime,
 ): readonly JoiningNode[] {
+  const isReplacing = ({node}: JoiningNode): boolean =>
+    members.some(member => member.node === node);
   return [...board.joiningNodes]
     .filter(
       ([, request]) =>
@@ -130,7 +135,11 @@
         members.every(({storage}) => storage !== request.storage),
     )
     .map(([node, request]): JoiningNode => ({node, ...request}))
-    .sort((left, right) => left.since - right.since);
+    .sort(
+      (left, right) =>
+        Number(isReplacing(right)) - Number(isReplacing(left)) ||
+        left.since - right.since,
+    );
 }
 
 /**
--- a/control/consensus/src/startCheck.ts
+++ b/control/consensus/src/startCheck.ts
@@ -1,11 +1,9 @@
 // When a member starts, it asks the other nodes (hello) what they remember of
 // its data folder and whether they belong to a group. It takes part in the
 // group only once enough of them have answered. Nodes without a group
-// bootstrap one. The leader records nodes that are not members as joining
-// nodes, which the member change controller admits.
+// bootstrap one.
 
 import type {TurnTime} from '@gentianshunt/board';
-import {isLeaseValid} from '@gentianshunt/clock';
 import type {
   ControlObservation,
   HaltReason,
@@ -15,16 +13,13 @@
 import type {NodeId} from '@gentianshunt/identifiers';
 
 import type {ConsensusDraft} from './consensusDraft.js';
-import {recordJoinRequest} from './joinRequests.js';
 import {
   addMemberships,
   computeQuorum,
   isInGroup,
-  isMember,
-  listMembers,
   listPeers,
 } from './members.js';
-import type {MemberHello, MemberHelloReply, Sender} from './messageTypes.js';
+import type {MemberHelloReply, Sender} from './messageTypes.js';
 import {
   HELLO_INTERVAL_MS,
   recordLeaderContact,
@@ -111,72 +106,6 @@
   }
 }
 
-/**
- * Answers a starting member's hello. A leader also records a node that is not
- * a member yet as a joining node.
- */
-export function handleHello(
-  draft: ConsensusDraft,
-  from: Sender,
-  hello: MemberHello,
-  now: TurnTime,
-): void {
-  const {node, storage} = from;
-  const isLeading = isConfirmedLeader(draft, now);
-  replyHello(draft, from, hello.formed, now);
-  const {admission, bootstrapMembers} = draft.view.board.identity;
-  const isAdmissible =
-    admission.kind === 'open' || bootstrapMembers.includes(node);
-  const isNew = !hello.formed && !isMember(draft, node, storage);
-  if (isLeading && isAdmissible && isNew) {
-    recordJoinRequest(draft, from, now);
-  }
-}
-
-/**
- * Reports the group's members and the remembered position of a data folder, of
- * which its node has said whether it belongs to a group.
- */
-export function replyHello(
-  draft: ConsensusDraft,
-  to: Sender,
-  formed: boolean,
-  now: TurnTime,
-): void {
-  const {node, storage} = to;
-  const position = draft.rememberedPositions.get(node);
-  draft.sendAfterSync(
-    {node, storage},
-    {
-      kind: 'memberHelloReply',
-      formed,
-      term: draft.ballot.term,
-      members: isInGroup(draft) ? listMembers(draft) : null,
-      leading: isConfirmedLeader(draft, now),
-      witness:
-        position?.storage === storage
-          ? {term: position.term, index: position.index}
-          : null,
-    },
-  );
-}
-
-/**
- * Returns whether this member holds the leader lease and its latest membership
- * is committed.
- */
-function isConfirmedLeader(draft: ConsensusDraft, now: TurnTime): boolean {
-  const leadership = draft.read('leadership');
-  const memberships = draft.read('memberships');
-  const {commitIndex} = draft.status;
-  return (
-    leadership.kind === 'leading' &&
-    isLeaseValid(leadership.lease, now) &&
-    commitIndex >= leadership.readIndex &&
-    memberships.every(membership => membership.index <= commitIndex)
-  );
-}
-
 /** Records an answer to this member's hello; may halt the member. */
 export function handleHelloReply(
   draft: ConsensusDraft,
--- a/control/controlModel/src/role.ts
+++ b/control/controlModel/src/role.ts
@@ -50,6 +50,11 @@
   readonly matchIndex: LogIndex;
   /** When the leader began to replicate to this data folder. */
   readonly since: MonotonicTime;
+  /**
+   * When the node asked to join with another folder; `null` if it has not, or
+   * has answered a later request from this folder.
+   */
+  readonly lostSince: MonotonicTime | null;
   /** When the latest request that the follower answered was sent. */
   readonly confirmedAt: MonotonicTime;
   /** The last index of each unanswered request that carries entries. */
