Consensus: a group whose voters all start elects a leader at once

What callers saw: after all processes had ended, the first read came after 2.4 s and more, of which the members spent 0.85 s to 1.1 s in waiting for a leader that could not be.

Cause: a start counts as contact with a leader, since a leader that reached the former process may hold its lease; each member granted no vote for 800 ms.

In short, a lease needs a leader whose process did not end; every voter has answered, in the present start, that it neither leads nor was contacted by a leader.

Members of the deployment fixture get another seed at each start, as processes do.

--- a/control/consensus/src/election.ts
+++ b/control/consensus/src/election.ts
@@ -1,4 +1,5 @@
 import type {TurnTime} from '@gentianshunt/board';
+import {assertNever} from '@gentianshunt/errors';
 import type {Term} from '@gentianshunt/messages';
 
 import {becomeFollower} from './becomeFollower.js';
@@ -107,7 +108,7 @@
   if (draft.role.kind === 'leader' && !isVoter(draft, from.storage)) {
     // The sender may have been removed while it was partitioned from the
     // group; this reply reports it.
-    replyHello(draft, from, true, now);
+    replyHello(draft, from, {formed: true, start: null}, now);
   }
   if (request.preVote || hasRecentLeaderContact(draft, now)) {
     answerPreVote(draft, from, request, now);
@@ -165,14 +166,23 @@
 
 /**
  * Returns whether the member has a leader that it must not vote against. The
- * leader lease depends on this rule. A start counts as contact as well,
- * because a leader may have reached the member just before it restarted.
+ * leader lease depends on this rule. A start counts as contact as well, unless
+ * the voters have answered that no leader can hold a lease.
  */
 function hasRecentLeaderContact(draft: ConsensusDraft, now: TurnTime): boolean {
+  const {leaderContact} = draft.election;
   if (draft.role.kind === 'leader') {
     return true;
   }
-  return now.monotonic - draft.election.leaderContactAt < LEADER_STICKINESS_MS;
+  switch (leaderContact.kind) {
+    case 'none':
+      return false;
+    case 'started':
+    case 'contacted':
+      return now.monotonic - leaderContact.at < LEADER_STICKINESS_MS;
+    default:
+      return assertNever(leaderContact, 'hasRecentLeaderContact');
+  }
 }
 
 /** Counts a granted vote or pre-vote; a quorum of them starts the next step. */
--- a/control/consensus/src/helloAnswer.ts
+++ b/control/consensus/src/helloAnswer.ts
@@ -10,6 +10,12 @@
 import {isInGroup, isMember, listMembers} from './members.js';
 import type {MemberHello, Sender} from './messageTypes.js';
 
+/** What a reply returns of the hello; `null` if there was none. */
+interface AnsweredHello {
+  readonly formed: boolean;
+  readonly start: number | null;
+}
+
 /**
  * Answers a starting member's hello. A leader also records a node that is not
  * a member yet as a joining node.
@@ -21,7 +27,7 @@
   now: TurnTime,
 ): void {
   const {node, storage} = from;
-  replyHello(draft, from, hello.formed, now);
+  replyHello(draft, from, hello, now);
   const {admission, bootstrapMembers} = draft.view.board.identity;
   const isAdmissible =
     admission.kind === 'open' || bootstrapMembers.includes(node);
@@ -39,7 +45,7 @@
 export function replyHello(
   draft: ConsensusDraft,
   to: Sender,
-  formed: boolean,
+  {formed, start}: AnsweredHello,
   now: TurnTime,
 ): void {
   const {node, storage} = to;
@@ -49,6 +55,8 @@
     {
       kind: 'memberHelloReply',
       formed,
+      start,
+      leaderless: isLeaderless(draft),
       term: draft.ballot.term,
       members: isInGroup(draft) ? listMembers(draft) : null,
       leading: isConfirmedLeader(draft, now),
@@ -60,6 +68,14 @@
   );
 }
 
+/**
+ * Returns whether this member neither leads nor has had contact with a leader
+ * since it started.
+ */
+function isLeaderless({role, election}: ConsensusDraft): boolean {
+  return role.kind !== 'leader' && election.leaderContact.kind !== 'contacted';
+}
+
 /**
  * Returns whether this member holds the leader lease and its latest membership
  * is committed.
--- a/control/consensus/src/startCheck.ts
+++ b/control/consensus/src/startCheck.ts
@@ -20,11 +20,13 @@
   listPeers,
 } from './members.js';
 import type {MemberHelloReply, Sender} from './messageTypes.js';
+import {endStartWait, isAwaitingVoters, listVoterNodes} from './startWait.js';
 import {
   HELLO_INTERVAL_MS,
-  recordLeaderContact,
+  resetElectionDeadline,
   scheduleElectionTimer,
   scheduleTimer,
+  setLeaderContact,
   START_CHECK_TIMEOUT_MS,
 } from './timing.js';
 
@@ -51,21 +53,28 @@
     draft,
     entries.filter(entry => entry.index > since),
   );
-  recordLeaderContact(draft, now);
+  setLeaderContact(draft, {kind: 'started', at: now.monotonic});
+  resetElectionDeadline(draft, now);
   scheduleElectionTimer(draft, now);
   startCheck(draft, new Map(), now);
-  updateStartCheck(draft, now);
-  sendHellos(draft);
+  advanceStart(draft, now);
+  sendHellos(draft, now);
 }
 
-/** Resends the hellos until the start check is over. */
+/** Resends the hellos while their answers matter. */
 export function handleHelloTimer(draft: ConsensusDraft, now: TurnTime): void {
+  advanceStart(draft, now);
+  sendHellos(draft, now);
+}
+
+function advanceStart(draft: ConsensusDraft, now: TurnTime): void {
   updateStartCheck(draft, now);
-  sendHellos(draft);
+  endStartWait(draft, now);
 }
 
-function sendHellos(draft: ConsensusDraft): void {
-  if (draft.read('startCheck').kind !== 'checking') {
+function sendHellos(draft: ConsensusDraft, now: TurnTime): void {
+  const isChecking = draft.read('startCheck').kind === 'checking';
+  if (!isChecking && !isAwaitingVoters(draft, now)) {
     return;
   }
   broadcastHello(draft);
@@ -78,8 +87,9 @@
  */
 export function broadcastHello(draft: ConsensusDraft): void {
   const formed = isInGroup(draft);
+  const {seed: start} = draft.view.board.identity;
   for (const node of listHelloTargets(draft)) {
-    draft.send({node, storage: null}, {kind: 'memberHello', formed});
+    draft.send({node, storage: null}, {kind: 'memberHello', formed, start});
   }
 }
 
@@ -120,21 +130,26 @@
     return;
   }
   const check = draft.read('startCheck');
-  if (check.kind !== 'checking') {
+  if (check.kind === 'halted') {
     return;
   }
-  const {storage} = draft.view.board.identity;
+  const {storage, seed} = draft.view.board.identity;
   const isListed = reply.members?.some(member => member.storage === storage);
   if (!isInGroup(draft) && reply.members !== null && isListed === true) {
     storeFirstMembers(draft, reply.members);
   }
   addContacts(draft, reply.members?.map(({node}) => node) ?? []);
-  const answer = {storage: from.storage, inGroup: reply.members !== null};
+  const answer: HelloAnswer = {
+    storage: from.storage,
+    inGroup: reply.members !== null,
+    leaderless: reply.leaderless && reply.start === seed,
+    voters: listVoterNodes(reply.members ?? []),
+  };
   draft.set('startCheck', {
     ...check,
     answers: new Map([...check.answers, [from.node, answer]]),
   });
-  updateStartCheck(draft, now);
+  advanceStart(draft, now);
 }
 
 /** Finds the reason why this data folder must not be used, if any. */
@@ -182,7 +197,7 @@
     const isNew = [...answers.values()].every(answer => !answer.inGroup);
     if (isComplete && isNew && canBootstrap(draft)) {
       storeFirstMembers(draft, listBootstrapMembers(draft, answers));
-      draft.set('startCheck', {kind: 'ready'});
+      draft.set('startCheck', {kind: 'ready', answers});
     }
     return;
   }
@@ -191,7 +206,7 @@
   const isTimedOut = now.monotonic - check.since >= START_CHECK_TIMEOUT_MS;
   const answered = targets.filter(node => answers.has(node)).length;
   if (isComplete || (isTimedOut && answered >= computeQuorum(draft) - 1)) {
-    draft.set('startCheck', {kind: 'ready'});
+    draft.set('startCheck', {kind: 'ready', answers});
   }
 }
 
--- a/control/consensus/src/timing.ts
+++ b/control/consensus/src/timing.ts
@@ -1,6 +1,6 @@
 import type {TurnTime} from '@gentianshunt/board';
 import type {Milliseconds} from '@gentianshunt/clock';
-import type {ControlTimer} from '@gentianshunt/controlModel';
+import type {ControlTimer, LeaderContact} from '@gentianshunt/controlModel';
 import {uniformInt} from 'pure-rand/distribution/uniformInt';
 import {xoroshiro128plus} from 'pure-rand/generator/xoroshiro128plus';
 
@@ -14,6 +14,8 @@
 export const MIN_ELECTION_TIMEOUT_MS: Milliseconds = 850;
 /** Maximum time without a leader before a member starts an election. */
 export const MAX_ELECTION_TIMEOUT_MS: Milliseconds = 1_100;
+/** Maximum time to the election of a group whose voters all start. */
+export const MAX_FIRST_ELECTION_MS: Milliseconds = 150;
 /** Minimum time that a candidate waits for votes before it tries again. */
 export const MIN_CANDIDATE_TIMEOUT_MS: Milliseconds = 150;
 /** Maximum time that a candidate waits for votes before it tries again. */
@@ -43,11 +45,27 @@
   draft: ConsensusDraft,
   now: TurnTime,
 ): void {
-  const {election} = draft;
-  draft.set('electionTimer', {...election, leaderContactAt: now.monotonic});
+  setLeaderContact(draft, {kind: 'contacted', at: now.monotonic});
   resetElectionDeadline(draft, now);
 }
 
+/** Sets why this member may support a leader. */
+export function setLeaderContact(
+  draft: ConsensusDraft,
+  leaderContact: LeaderContact,
+): void {
+  draft.set('electionTimer', {...draft.election, leaderContact});
+}
+
+/** Lets the first election begin soon, at a time of its own at each member. */
+export function scheduleFirstElection(
+  draft: ConsensusDraft,
+  now: TurnTime,
+): void {
+  setDeadline(draft, now, 0, MAX_FIRST_ELECTION_MS);
+  scheduleElectionTimer(draft, now);
+}
+
 /** Sets the election deadline to a full election timeout from now. */
 export function resetElectionDeadline(
   draft: ConsensusDraft,
--- a/control/controlModel/src/role.ts
+++ b/control/controlModel/src/role.ts
@@ -95,10 +95,18 @@
   readonly deadline: MonotonicTime;
   /** Counts the timeouts set; seeds the jitter of the next one. */
   readonly attempts: number;
-  /** The last message from a leader, or the member's start. */
-  readonly leaderContactAt: MonotonicTime;
+  readonly leaderContact: LeaderContact;
 }
 
+/** Why a member may support a leader that holds the leader lease. */
+export type LeaderContact =
+  /** No leader can hold a lease that this member has supported. */
+  | {readonly kind: 'none'}
+  /** A leader may have reached the member just before it started. */
+  | {readonly kind: 'started'; readonly at: MonotonicTime}
+  /** A leader has reached the member since it started. */
+  | {readonly kind: 'contacted'; readonly at: MonotonicTime};
+
 /**
  * Whether this member leads, for the controllers that answer entries.
  *
@@ -133,6 +141,13 @@
   readonly storage: StorageId;
   /** Whether the node belongs to a group. */
   readonly inGroup: boolean;
+  /**
+   * Whether the node, asked in this start, neither leads nor has had contact
+   * with a leader since its own start.
+   */
+  readonly leaderless: boolean;
+  /** The nodes that are voters by what the node knows. */
+  readonly voters: readonly NodeId[];
 }
 
 /**
@@ -146,7 +161,10 @@
       readonly since: MonotonicTime;
       readonly answers: ReadonlyMap<NodeId, HelloAnswer>;
     }
-  | {readonly kind: 'ready'}
+  | {
+      readonly kind: 'ready';
+      readonly answers: ReadonlyMap<NodeId, HelloAnswer>;
+    }
   | {readonly kind: 'halted'};
 
 /** The latest term and log position seen of another data folder. */
--- a/control/controlModel/src/sections.ts
+++ b/control/controlModel/src/sections.ts
@@ -112,7 +112,10 @@
   readonly admission: AdmissionPolicy;
   /** This member's data folder. */
   readonly storage: StorageId;
-  /** Seed of the election jitter. */
+  /**
+   * Drawn at random at each start: the seed of the election jitter, which also
+   * tells the starts of a node apart.
+   */
   readonly seed: number;
   /**
    * Time after the acknowledgement of a release within which every entry must
@@ -180,7 +183,7 @@
     electionTimer: defineCell<ElectionTimer>({
       deadline: 0,
       attempts: 0,
-      leaderContactAt: 0,
+      leaderContact: {kind: 'none'},
     }),
     memberships: defineCell<readonly Membership[]>([]),
     leadership: defineCell<Leadership>({kind: 'following'}),
--- a/control/controlNode/test/deploymentFixture.ts
+++ b/control/controlNode/test/deploymentFixture.ts
@@ -9,6 +9,7 @@
 import type {TestMember, TestMessage} from './memberFixture.js';
 
 const STEP_MS = 10;
+const SEED_STEP = 1_000;
 
 /** Members in one process that exchange messages through a list. */
 export interface TestDeployment {
@@ -68,7 +69,7 @@
       admission: ownAdmission,
       logBounds,
       clock,
-      drawSeed: () => seed,
+      drawSeed: createSeeds(seed),
       send: message => inFlight.push(message),
     });
   const members = nodes.map((node, index) =>
@@ -128,6 +129,15 @@
   };
 }
 
+/** Creates a source of seeds, a different one for each start. */
+function createSeeds(first: number): () => number {
+  let next = first - SEED_STEP;
+  return () => {
+    next += SEED_STEP;
+    return next;
+  };
+}
+
 function readTerm(member: TestMember): number {
   return member.loop!.view.ballot.term;
 }
--- a/control/controlNode/test/lostVoter.test.ts
+++ b/control/controlNode/test/lostVoter.test.ts
@@ -8,7 +8,8 @@
 import type {TestMember} from './memberFixture.js';
 
 const START_STEPS = 500;
-const ANSWER_STEPS = 30;
+/** Longer than a heartbeat and a resend together. */
+const ANSWER_STEPS = 100;
 
 /** A group of three whose leader's links and disk the test operates. */
 function createGroup() {
@@ -41,6 +42,7 @@
       send(toIdentifier(node), toIdentifier(`${node}-new`), {
         kind: 'memberHello',
         formed: false,
+        start: 1,
       }),
   };
 }
--- a/control/controlNode/test/snapshotDecisions.test.ts
+++ b/control/controlNode/test/snapshotDecisions.test.ts
@@ -55,5 +55,8 @@
     chunks: sent.at(-1)!.chunks,
   });
   t.ok(sent.at(-1)!.chunks > 1);
-  t.match(listOfKind(follower, 'snapshotStored').at(-1), {origin: 'received'});
+  const installed = listOfKind(follower, 'snapshotStored').find(
+    ({index}) => index === sent.at(-1)!.index,
+  );
+  t.match(installed, {origin: 'received'});
 });
--- a/control/messages/src/consensusMessage.ts
+++ b/control/messages/src/consensusMessage.ts
@@ -18,9 +18,18 @@
       readonly kind: 'memberHello';
       /** Whether the data folder already belongs to a bootstrapped group. */
       readonly formed: boolean;
+      /** Tells the starts of the sender apart; the reply returns it. */
+      readonly start: number;
     }
   | {
       readonly kind: 'memberHelloReply';
+      /** The start that said hello; `null` in a reply to another message. */
+      readonly start: number | null;
+      /**
+       * Whether the sender neither leads nor has had contact with a leader
+       * since it started.
+       */
+      readonly leaderless: boolean;
       /** Whether the hello said that the data folder belongs to a group. */
       readonly formed: boolean;
       readonly term: Term;
