Tests: the simulation of the group splits it and leaves a leader alone

Two more disturbances: half of the nodes are cut off from the other half; the leader is cut off while the processes of all others end and start, which the group need not serve through but must not elect a second lease holder in.

--- a/control/controlNode/test/clusterFixture.ts
+++ b/control/controlNode/test/clusterFixture.ts
@@ -33,8 +33,10 @@
   join(): TestMember;
   /** Ends a member's process for good. */
   remove(member: TestMember): void;
-  /** Drops all messages from and to a member, or delivers them again. */
-  setCut(member: TestMember, isCut: boolean): void;
+  /** Drops all messages between these members and all others. */
+  cut(members: readonly TestMember[]): void;
+  /** Delivers all messages again. */
+  healLinks(): void;
   /** Lets a process stand still, or go on with what has arrived meanwhile. */
   setFrozen(member: TestMember, isFrozen: boolean): void;
 }
@@ -75,7 +77,7 @@
     member.loop!.post({kind: 'membersLearnt', members: known});
   };
   const deliver = (message: TestMessage): void => {
-    if (cut.has(message.from) || cut.has(message.to)) {
+    if (cut.has(message.from) !== cut.has(message.to)) {
       return;
     }
     members.find(({node}) => node === message.to)?.receive(message);
@@ -163,12 +165,11 @@
       syncs.delete(member);
       members.splice(members.indexOf(member), 1);
     },
-    setCut: ({node}, isCut) => {
-      if (isCut) {
-        cut.add(node);
-      } else {
-        cut.delete(node);
-      }
+    cut: separated => {
+      separated.forEach(({node}) => cut.add(node));
+    },
+    healLinks: () => {
+      cut.clear();
     },
     setFrozen: ({node}, isFrozen) => {
       if (isFrozen) {
--- a/control/controlNode/test/scenarioFixture.ts
+++ b/control/controlNode/test/scenarioFixture.ts
@@ -1,3 +1,5 @@
+import {assertNever} from '@gentianshunt/errors';
+
 import type {Random} from './randomFixture.js';
 
 /** Which member a disturbance hits. */
@@ -16,6 +18,10 @@
   | {readonly kind: 'killed'; readonly victim: Victim; readonly downMs: number}
   | {readonly kind: 'cut'; readonly victim: Victim; readonly downMs: number}
   | {readonly kind: 'frozen'; readonly victim: Victim; readonly downMs: number}
+  /** Half of the nodes and the other half do not reach each other. */
+  | {readonly kind: 'halved'; readonly downMs: number}
+  /** The leader is cut off while the processes of all others end and start. */
+  | {readonly kind: 'leaderAlone'; readonly downMs: number}
   /** All processes end at once; at most one disk is lost. */
   | {
       readonly kind: 'allEnded';
@@ -36,6 +42,8 @@
   readonly steps: readonly ScenarioStep[];
 }
 
+/** The group has a confirmed leader this long after losses that overlap. */
+export const RECOVERY_MS = 12_000;
 /** After this time a node that is back no longer counts as lost. */
 export const CATCH_UP_MS = 4_000;
 const MAX_EXTRA_PAUSE_MS = 3_000;
@@ -52,6 +60,8 @@
   'killed',
   'cut',
   'frozen',
+  'halved',
+  'leaderAlone',
   'allEnded',
 ] as const;
 
@@ -77,18 +87,28 @@
 
 function drawStep(random: Random): ScenarioStep {
   const extraMs = random.drawInteger(0, 1) * MAX_EXTRA_PAUSE_MS;
-  return {
-    disturbance: drawDisturbance(random),
-    pauseMs: CATCH_UP_MS + random.drawInteger(0, extraMs),
-  };
+  const disturbance = drawDisturbance(random);
+  const recoveryMs =
+    disturbance.kind === 'leaderAlone' ? RECOVERY_MS : CATCH_UP_MS;
+  return {disturbance, pauseMs: recoveryMs + random.drawInteger(0, extraMs)};
 }
 
 function drawDisturbance(random: Random): Disturbance {
   const kind = random.drawFrom(KINDS);
-  if (kind === 'allEnded') {
-    const downMs = random.drawInteger(1, MAX_ALL_DOWN_MS);
-    return {kind, lost: null, downMs};
+  const downMs = random.drawInteger(1, MAX_DOWN_MS);
+  switch (kind) {
+    case 'allEnded':
+      return {kind, lost: null, downMs: Math.min(downMs, MAX_ALL_DOWN_MS)};
+    case 'halved':
+    case 'leaderAlone':
+      return {kind, downMs};
+    case 'replaced':
+    case 'emptied':
+    case 'killed':
+    case 'cut':
+    case 'frozen':
+      return {kind, victim: random.drawFrom(VICTIMS), downMs};
+    default:
+      return assertNever(kind, 'drawDisturbance');
   }
-  const victim = random.drawFrom(VICTIMS);
-  return {kind, victim, downMs: random.drawInteger(1, MAX_DOWN_MS)};
 }
--- a/control/controlNode/test/scenarioRunFixture.ts
+++ b/control/controlNode/test/scenarioRunFixture.ts
@@ -9,15 +9,13 @@
 import type {TestMember} from './memberFixture.js';
 import {createRandom} from './randomFixture.js';
 import type {Random} from './randomFixture.js';
-import {drawScenario} from './scenarioFixture.js';
+import {drawScenario, RECOVERY_MS} from './scenarioFixture.js';
 import type {Disturbance, Victim} from './scenarioFixture.js';
 
 const BOOTSTRAPPED_NODES = 3;
 const START_MS = 10_000;
 const COMMAND_INTERVAL_MS = 500;
 const MAX_START_SPREAD_MS = 400;
-/** The group has a confirmed leader this long after a final fault. */
-const RECOVERY_MS = 12_000;
 /** Time for one command to be acknowledged. */
 const COMMAND_MS = 500;
 /** Most changes of the members that one disturbance may cause. */
@@ -140,6 +138,16 @@
     case 'allEnded':
       endAll(run, disturbance.lost, disturbance.downMs);
       return;
+    case 'halved': {
+      const {members} = cluster;
+      cluster.cut(members.slice(0, Math.floor(members.length / 2)));
+      advance(run, disturbance.downMs);
+      cluster.healLinks();
+      return;
+    }
+    case 'leaderAlone':
+      leaveLeaderAlone(run, disturbance.downMs);
+      return;
     case 'replaced':
       cluster.remove(findVictim(run, disturbance.victim));
       advance(run, disturbance.downMs);
@@ -171,7 +179,7 @@
       victim.crash();
       return;
     case 'cut':
-      cluster.setCut(victim, true);
+      cluster.cut([victim]);
       return;
     case 'frozen':
       cluster.setFrozen(victim, true);
@@ -188,7 +196,7 @@
       cluster.start(victim);
       return;
     case 'cut':
-      cluster.setCut(victim, false);
+      cluster.healLinks();
       return;
     case 'frozen':
       cluster.setFrozen(victim, false);
@@ -198,6 +206,18 @@
   }
 }
 
+/** Cuts the leader off while the processes of the others end and start. */
+function leaveLeaderAlone(run: Run, downMs: number): void {
+  const {cluster} = run;
+  const leader = findVictim(run, 'leader');
+  cluster.cut([leader]);
+  const others = cluster.members.filter(member => member !== leader);
+  others.forEach(member => member.crash());
+  others.forEach(cluster.start);
+  advance(run, downMs);
+  cluster.healLinks();
+}
+
 /** Ends all processes, takes a disk and starts the processes one by one. */
 function endAll(run: Run, lost: Victim | null, downMs: number): void {
   const {cluster, random} = run;
