--- a/control/consensus/src/startCheck.ts
+++ b/control/consensus/src/startCheck.ts
@@ -1,11 +1,9 @@
 // When a member starts, it asks the other nodes (hello) what they remember of
 // its data folder and whether they belong to a group. It takes part in the
 // group only once enough of them have answered. Nodes without a group
-// bootstrap one. The leader records nodes that are not members as joining
-// nodes, which the member change controller admits.
+// bootstrap one.
 
 import type {TurnTime} from '@gentianshunt/board';
-import {isLeaseValid} from '@gentianshunt/clock';
 import type {
   ControlObservation,
   HaltReason,
@@ -15,21 +13,20 @@
 import type {NodeId} from '@gentianshunt/identifiers';
 
 import type {ConsensusDraft} from './consensusDraft.js';
-import {recordJoinRequest} from './joinRequests.js';
 import {
   addMemberships,
   computeQuorum,
   isInGroup,
-  isMember,
-  listMembers,
   listPeers,
 } from './members.js';
-import type {MemberHello, MemberHelloReply, Sender} from './messageTypes.js';
+import type {MemberHelloReply, Sender} from './messageTypes.js';
+import {endStartWait, isAwaitingVoters, listVoterNodes} from './startWait.js';
 import {
   HELLO_INTERVAL_MS,
-  recordLeaderContact,
+  resetElectionDeadline,
   scheduleElectionTimer,
   scheduleTimer,
+  setLeaderContact,
   START_CHECK_TIMEOUT_MS,
 } from './timing.js';
 
@@ -56,21 +53,28 @@
     draft,
     entries.filter(entry => entry.index > since),
   );
-  recordLeaderContact(draft, now);
+  setLeaderContact(draft, {kind: 'started', at: now.monotonic});
+  resetElectionDeadline(draft, now);
   scheduleElectionTimer(draft, now);
   startCheck(draft, new Map(), now);
-  updateStartCheck(draft, now);
-  sendHellos(draft);
+  advanceStart(draft, now);
+  sendHellos(draft, now);
 }
 
-/** Resends the hellos until the start check is over. */
+/** Resends the hellos while their answers matter. */
 export function handleHelloTimer(draft: ConsensusDraft, now: TurnTime): void {
+  advanceStart(draft, now);
+  sendHellos(draft, now);
+}
+
+function advanceStart(draft: ConsensusDraft, now: TurnTime): void {
   updateStartCheck(draft, now);
-  sendHellos(draft);
+  endStartWait(draft, now);
 }
 
-function sendHellos(draft: ConsensusDraft): void {
-  if (draft.read('startCheck').kind !== 'checking') {
+function sendHellos(draft: ConsensusDraft, now: TurnTime): void {
+  const isChecking = draft.read('startCheck').kind === 'checking';
+  if (!isChecking && !isAwaitingVoters(draft, now)) {
     return;
   }
   broadcastHello(draft);
@@ -83,8 +87,9 @@
  */
 export function broadcastHello(draft: ConsensusDraft): void {
   const formed = isInGroup(draft);
+  const {seed: start} = draft.view.board.identity;
   for (const node of listHelloTargets(draft)) {
-    draft.send({node, storage: null}, {kind: 'memberHello', formed});
+    draft.send({node, storage: null}, {kind: 'memberHello', formed, start});
   }
 }
 
@@ -111,72 +116,6 @@
   }
 }
 
-/**
- * Answers a starting member's hello. A leader also records a node that is not
- * a member yet as a joining node.
- */
-export function handleHello(
-  draft: ConsensusDraft,
-  from: Sender,
-  hello: MemberHello,
-  now: TurnTime,
-): void {
-  const {node, storage} = from;
-  const isLeading = isConfirmedLeader(draft, now);
-  replyHello(draft, from, hello.formed, now);
-  const {admission, bootstrapMembers} = draft.view.board.identity;
-  const isAdmissible =
-    admission.kind === 'open' || bootstrapMembers.includes(node);
-  const isNew = !hello.formed && !isMember(draft, node, storage);
-  if (isLeading && isAdmissible && isNew) {
-    recordJoinRequest(draft, from, now);
-  }
-}
-
-/**
- * Reports the group's members and the remembered position of a data folder, of
- * which its node has said whether it belongs to a group.
- */
-export function replyHello(
-  draft: ConsensusDraft,
-  to: Sender,
-  formed: boolean,
-  now: TurnTime,
-): void {
-  const {node, storage} = to;
-  const position = draft.rememberedPositions.get(node);
-  draft.sendAfterSync(
-    {node, storage},
-    {
-      kind: 'memberHelloReply',
-      formed,
-      term: draft.ballot.term,
-      members: isInGroup(draft) ? listMembers(draft) : null,
-      leading: isConfirmedLeader(draft, now),
-      witness:
-        position?.storage === storage
-          ? {term: position.term, index: position.index}
-          : null,
-    },
-  );
-}
-
-/**
- * Returns whether this member holds the leader lease and its latest membership
- * is committed.
- */
-function isConfirmedLeader(draft: ConsensusDraft, now: TurnTime): boolean {
-  const leadership = draft.read('leadership');
-  const memberships = draft.read('memberships');
-  const {commitIndex} = draft.status;
-  return (
-    leadership.kind === 'leading' &&
-    isLeaseValid(leadership.lease, now) &&
-    commitIndex >= leadership.readIndex &&
-    memberships.every(membership => membership.index <= commitIndex)
-  );
-}
-
 /** Records an answer to this member's hello; may halt the member. */
 export function handleHelloReply(
   draft: ConsensusDraft,
@@ -191,21 +130,26 @@
     return;
   }
   const check = draft.read('startCheck');
-  if (check.kind !== 'checking') {
+  if (check.kind === 'halted') {
     return;
   }
-  const {storage} = draft.view.board.identity;
+  const {storage, seed} = draft.view.board.identity;
   const isListed = reply.members?.some(member => member.storage === storage);
   if (!isInGroup(draft) && reply.members !== null && isListed === true) {
     storeFirstMembers(draft, reply.members);
   }
   addContacts(draft, reply.members?.map(({node}) => node) ?? []);
-  const answer = {storage: from.storage, inGroup: reply.members !== null};
+  const answer: HelloAnswer = {
+    storage: from.storage,
+    inGroup: reply.members !== null,
+    leaderless: reply.leaderless && reply.start === seed,
+    voters: listVoterNodes(reply.members ?? []),
+  };
   draft.set('startCheck', {
     ...check,
     answers: new Map([...check.answers, [from.node, answer]]),
   });
-  updateStartCheck(draft, now);
+  advanceStart(draft, now);
 }
 
 /** Finds the reason why this data folder must not be used, if any. */
@@ -253,7 +197,7 @@
     const isNew = [...answers.values()].every(answer => !answer.inGroup);
     if (isComplete && isNew && canBootstrap(draft)) {
       storeFirstMembers(draft, listBootstrapMembers(draft, answers));
-      draft.set('startCheck', {kind: 'ready'});
+      draft.set('startCheck', {kind: 'ready', answers});
     }
     return;
   }
@@ -262,7 +206,7 @@
   const isTimedOut = now.monotonic - check.since >= START_CHECK_TIMEOUT_MS;
   const answered = targets.filter(node => answers.has(node)).length;
   if (isComplete || (isTimedOut && answered >= computeQuorum(draft) - 1)) {
-    draft.set('startCheck', {kind: 'ready'});
+    draft.set('startCheck', {kind: 'ready', answers});
   }
 }
 
