Claims: repeated requests follow the measured round trip

A claim was requested again every 250 ms and an outcome, with an answer of up to 64 KiB, every 500 ms, until a reply came. Late replies counted, but on a slow link the repeats (5 and 3 within one round trip of 1 s) make all replies later.

Now the second sending waits for two smoothed round trips to the leader, at least 250 and 500 ms (computeResendDelayMs, which reads, commands and documents use too).

Evidence: scheduling/entryNode/test/outcomes.test.ts, 'an outcome on a slow link is sent again before a reply' and 'a claim on a slow link is requested again before a reply', before: 3 and 5 sendings where one is expected, '158 passed, 2 failed'.

--- a/scheduling/controlClient/src/delivery.ts
+++ b/scheduling/controlClient/src/delivery.ts
@@ -1,6 +1,7 @@
 // When a request is sent to the leading control daemon again.
 import type {TurnTime} from '@gentianshunt/board';
 import type {Milliseconds} from '@gentianshunt/clock';
+import {computeResendDelayMs} from '@gentianshunt/entryModel';
 import type {ControlStatus, RequestDelivery} from '@gentianshunt/entryModel';
 import type {NodeId} from '@gentianshunt/identifiers';
 import type {ControlQuery} from '@gentianshunt/messages';
@@ -17,8 +18,6 @@
 const MIN_REQUEST_RESEND_MS: Milliseconds = 1_000;
 /** Shortest time to the second sending of a read. */
 const MIN_READ_RESEND_MS: Milliseconds = 300;
-/** Time to a second sending in round trips to the leader. */
-const RESEND_ROUND_TRIPS = 2;
 const MAX_READ_ATTEMPTS = 2;
 /** Age from which on nobody waits for a read of the configuration. */
 const MAX_SOURCE_AGE_MS: Milliseconds = 1_000;
@@ -26,12 +25,9 @@
 const BACKOFF_FACTOR = 2;
 
 /** Plans when a document or a batch of commands is sent again. */
-export function planRequestResend({
-  roundTripMs,
-}: Pick<ControlStatus, 'roundTripMs'>): ResendOptions {
-  const usualMs = RESEND_ROUND_TRIPS * (roundTripMs ?? 0);
+export function planRequestResend(control: ControlStatus): ResendOptions {
   return {
-    firstResendMs: Math.max(MIN_REQUEST_RESEND_MS, usualMs),
+    firstResendMs: computeResendDelayMs(control, MIN_REQUEST_RESEND_MS),
     maxAttempts: Number.POSITIVE_INFINITY,
   };
 }
@@ -41,11 +37,10 @@
  * a reply that is on its way need not be asked for again.
  */
 export function planReadResend(
-  {roundTripMs}: Pick<ControlStatus, 'roundTripMs'>,
+  control: ControlStatus,
   {kind}: ControlQuery,
 ): ResendOptions {
-  const usualMs = RESEND_ROUND_TRIPS * (roundTripMs ?? 0);
-  const firstResendMs = Math.max(MIN_READ_RESEND_MS, usualMs);
+  const firstResendMs = computeResendDelayMs(control, MIN_READ_RESEND_MS);
   const isTooLate = kind === 'source' && firstResendMs >= MAX_SOURCE_AGE_MS;
   return {firstResendMs, maxAttempts: isTooLate ? 1 : MAX_READ_ATTEMPTS};
 }
--- a/scheduling/entryModel/src/index.ts
+++ b/scheduling/entryModel/src/index.ts
@@ -27,6 +27,7 @@
 export * from './quota.js';
 export * from './quotaAccount.js';
 export * from './request.js';
+export * from './resendDelay.js';
 export * from './sections.js';
 export * from './setLeaderRecords.js';
 export * from './streamEnd.js';
--- a/scheduling/entryNode/test/entryFixture.ts
+++ b/scheduling/entryNode/test/entryFixture.ts
@@ -21,6 +21,7 @@
 const CONTROL = 'control-0';
 const LEASE_MS = 3_000;
 const HOUSEKEEPING_MS = 250;
+const SLOW_HEARTBEATS = 12;
 const SET_LEADER_RECOVERY_MS = 8_000;
 
 /** A single entry that leads two sets with one endpoint each. */
@@ -40,6 +41,8 @@
   answerClaim(request: string, answer: ClaimAnswer): void;
   /** Advances the clock; answers heartbeats and fires the due timers. */
   advance(durationMs: number): void;
+  /** Sends heartbeats whose replies come late, until that is usual. */
+  slowDown(roundTripMs: number): void;
 }
 
 /** Creates an entry with a lease, a configuration and endpoints. */
@@ -97,6 +100,13 @@
         answer,
       }),
     advance,
+    slowDown: roundTripMs => {
+      for (let count = 0; count < SLOW_HEARTBEATS; count += 1) {
+        node.post({kind: 'timerDue', timer: {kind: 'heartbeat'}});
+        clock.advance(roundTripMs);
+        receive(createUpdate(listSent('entryHeartbeat').at(-1)!.sequence));
+      }
+    },
   };
 }
 
--- a/scheduling/entryNode/test/outcomes.test.ts
+++ b/scheduling/entryNode/test/outcomes.test.ts
@@ -12,6 +12,8 @@
 import type {EntryFixture} from './entryFixture.js';
 
 const REQUEST = toIdentifier<RequestId>('q1');
+const SLOW_ROUND_TRIP_MS = 1_000;
+const TICK_MS = 250;
 const DISPATCH = toIdentifier<DispatchId>('q1.d');
 const STORED = {
   status: 200,
@@ -66,6 +68,35 @@
   t.equal(fixture.listSent('settleRequest').length, sentCount);
 });
 
+/** Lets an entry with slow links do what is due within a round trip. */
+function passRoundTrip(fixture: EntryFixture): void {
+  for (let ageMs = 0; ageMs < SLOW_ROUND_TRIP_MS; ageMs += TICK_MS) {
+    fixture.clock.advance(TICK_MS);
+    fixture.post({kind: 'timerDue', timer: {kind: 'housekeeping'}});
+  }
+}
+
+t.test('an outcome on a slow link is sent again before a reply', async t => {
+  const fixture = createRunning();
+  fixture.slowDown(SLOW_ROUND_TRIP_MS);
+  endStream(fixture, {kind: 'complete'});
+  passRoundTrip(fixture);
+  t.equal(fixture.listSent('settleRequest').length, 1);
+});
+
+t.test('a claim on a slow link is requested again before a reply', async t => {
+  const fixture = createEntryFixture();
+  fixture.slowDown(SLOW_ROUND_TRIP_MS);
+  fixture.advance(TICK_MS);
+  fixture.post({
+    kind: 'requestReceived',
+    attributes: createRequestAttributes('q1', true),
+  });
+  t.equal(fixture.listSent('claimRequest').length, 1);
+  passRoundTrip(fixture);
+  t.equal(fixture.listSent('claimRequest').length, 1);
+});
+
 interface ClaimCase {
   readonly name: string;
   readonly answer: ClaimAnswer;
--- a/scheduling/lifecycle/src/claimCompletions.ts
+++ b/scheduling/lifecycle/src/claimCompletions.ts
@@ -4,13 +4,14 @@
  */
 import type {TurnTime} from '@gentianshunt/board';
 import type {Milliseconds} from '@gentianshunt/clock';
+import {computeResendDelayMs} from '@gentianshunt/entryModel';
 import type {AdmittedRequest, ClaimCompletion} from '@gentianshunt/entryModel';
 import type {ClaimOutcome} from '@gentianshunt/messages';
 import type {RequestId} from '@gentianshunt/identifiers';
 
 import type {LifecycleView, RequestDraft} from './requestDraft.js';
 
-/** Time after which an unconfirmed outcome is sent again. */
+/** Shortest time after which an unconfirmed outcome is sent again. */
 export const COMPLETION_RESEND_MS: Milliseconds = 500;
 /**
  * How long a confirmed outcome is kept, so that it can be sent again if a late
@@ -99,6 +100,8 @@
   draft: RequestDraft,
   now: TurnTime,
 ): void {
+  const {control} = view.board;
+  const delayMs = computeResendDelayMs(control, COMPLETION_RESEND_MS);
   let resends = 0;
   for (const [request, completion] of view.board.claimCompletions) {
     const {confirmedAt, sentAt} = completion;
@@ -107,7 +110,7 @@
         draft.removeCompletion(request);
       }
     } else if (
-      now.monotonic - sentAt >= COMPLETION_RESEND_MS &&
+      now.monotonic - sentAt >= delayMs &&
       resends < MAX_RESENDS_PER_TURN
     ) {
       resends += 1;
--- a/scheduling/lifecycle/src/claims.ts
+++ b/scheduling/lifecycle/src/claims.ts
@@ -1,6 +1,10 @@
 import type {TurnTime} from '@gentianshunt/board';
 import type {Milliseconds} from '@gentianshunt/clock';
-import {failDispatched, refuseNotRun} from '@gentianshunt/entryModel';
+import {
+  computeResendDelayMs,
+  failDispatched,
+  refuseNotRun,
+} from '@gentianshunt/entryModel';
 import type {
   AdmittedRequest,
   OpenClaim,
@@ -20,7 +24,7 @@
   releaseLateClaim,
 } from './claimCompletions.js';
 
-/** Time after which an unanswered claim request is sent again. */
+/** Shortest time after which an unanswered claim request is sent again. */
 export const CLAIM_RESEND_MS: Milliseconds = 250;
 /** Longest time between two queries for the outcome of another run. */
 export const MAX_OUTCOME_POLL_MS: Milliseconds = 4_000;
@@ -213,7 +217,7 @@
       abandonClaim(view, draft, state, now);
     } else if (
       now.monotonic - openClaim.requestedAt >=
-        computeResendDelay(state, openClaim) &&
+        computeResendDelay(view, state, openClaim) &&
       resends < MAX_RESENDS_PER_TURN
     ) {
       resends += 1;
@@ -224,15 +228,14 @@
 
 /** Doubles the delay of each query for another run's outcome, up to a limit. */
 function computeResendDelay(
+  {board}: LifecycleView,
   state: ClaimingState,
   openClaim: OpenClaim,
 ): Milliseconds {
+  const delayMs = computeResendDelayMs(board.control, CLAIM_RESEND_MS);
   return state.kind === 'claiming'
-    ? CLAIM_RESEND_MS
-    : Math.min(
-        CLAIM_RESEND_MS * 2 ** openClaim.requestCount,
-        MAX_OUTCOME_POLL_MS,
-      );
+    ? delayMs
+    : Math.min(delayMs * 2 ** openClaim.requestCount, MAX_OUTCOME_POLL_MS);
 }
 
 /**
