--- a/control/entrySessions/src/replyController.ts
+++ b/control/entrySessions/src/replyController.ts
@@ -13,6 +13,7 @@
 import type {NodeId} from '@gentianshunt/identifiers';
 
 import {answerControlQuery} from './controlQuery.js';
+import type {QueryBoard} from './controlQuery.js';
 import {computeInForceStatus} from './inForce.js';
 import {isConfirmedLeader} from './leaderStatus.js';
 import {
@@ -25,8 +26,7 @@
 } from './pendingReplies.js';
 import type {ReplyBoard} from './pendingReplies.js';
 
-type ReplyReads =
-  keyof ReplyBoard | 'serviceCounts' | 'recentCounts' | 'releases';
+type ReplyReads = keyof ReplyBoard | keyof QueryBoard;
 type ReplyView = View<ControlSections, ReplyReads, ControlObservation>;
 type ReplyWrite = ControlWrite<'pendingReplies'>;
 type ControlQueryRequest = Extract<
@@ -46,7 +46,14 @@
 export function createReplyController(): ControlController {
   return defineControlController<ReplyReads, 'pendingReplies'>({
     name: 'replies',
-    reads: [...REPLY_SECTIONS, 'serviceCounts', 'recentCounts', 'releases'],
+    reads: [
+      ...REPLY_SECTIONS,
+      'serviceCounts',
+      'recentCounts',
+      'releases',
+      'copyWatch',
+      'joinWatch',
+    ],
     writes: ['pendingReplies'],
     observes: ['entryMessage', 'timerDue'],
     run: (view, now) =>
