--- a/control/controlDecisionLog/src/leaderSearchController.ts
+++ b/control/controlDecisionLog/src/leaderSearchController.ts
@@ -1,5 +1,6 @@
 /** Logs that a member knows no leader, and what it knows of the group. */
 import type {TurnTime, View} from '@gentianshunt/board';
+import type {MonotonicTime} from '@gentianshunt/clock';
 import {
   defineControlController,
   listLatestVoters,
@@ -10,6 +11,8 @@
   ControlObservation,
   ControlSections,
   ControlWrite,
+  LeaderContact,
+  LeaderSearch,
   Role,
 } from '@gentianshunt/controlModel';
 import {assertNever} from '@gentianshunt/errors';
@@ -49,9 +52,7 @@
     run: (view, now) => {
       const {role, leaderSearch: before} = view.board;
       if (isLeaderKnown(role)) {
-        return before === NO_SEARCH
-          ? []
-          : [{kind: 'set', section: 'leaderSearch', value: NO_SEARCH}];
+        return before === NO_SEARCH ? [] : [createSearchWrite(NO_SEARCH)];
       }
       return view.observation === undefined ? [] : recordSearch(view, now);
     },
@@ -76,24 +77,24 @@
   {board}: SearchView,
   now: TurnTime,
 ): readonly SearchWrite[] {
-  const {leaderContactAt} = board.electionTimer;
-  const loggedAt = board.leaderSearch.loggedAt ?? leaderContactAt;
+  const {leaderSearch: before, electionTimer} = board;
+  const since =
+    before.since ?? readContactTime(electionTimer.leaderContact, now);
+  const loggedAt = before.loggedAt ?? since;
   if (now.monotonic - loggedAt < GROUP_LOG_INTERVAL_MS) {
-    return [];
+    return before.since === null
+      ? [createSearchWrite({since, loggedAt: null})]
+      : [];
   }
   const {identity, role, ballot, logStatus, startCheck} = board;
   const voters = listLatestVoters(board);
   return [
-    {
-      kind: 'set',
-      section: 'leaderSearch',
-      value: {loggedAt: now.monotonic},
-    },
+    createSearchWrite({since, loggedAt: now.monotonic}),
     createDecisionWrite({
       kind: 'leaderMissing',
       role: role.kind,
       term: ballot.term,
-      missingMs: now.monotonic - leaderContactAt,
+      missingMs: now.monotonic - since,
       folder: startCheck.kind,
       isVoter: voters.some(({storage}) => storage === identity.storage),
       voters: voters.map(({node}) => node),
@@ -103,6 +104,14 @@
   ];
 }
 
+function createSearchWrite(value: LeaderSearch): SearchWrite {
+  return {kind: 'set', section: 'leaderSearch', value};
+}
+
+function readContactTime(contact: LeaderContact, now: TurnTime): MonotonicTime {
+  return contact.kind === 'none' ? now.monotonic : contact.at;
+}
+
 /** Lists the nodes that have granted this member their vote. */
 function listVotes(role: Role): readonly NodeId[] {
   return role.kind === 'preCandidate' || role.kind === 'candidate'
--- a/control/controlModel/src/groupWatch.ts
+++ b/control/controlModel/src/groupWatch.ts
@@ -57,12 +57,14 @@
 
 /** A time in which the member knows no leader. */
 export interface LeaderSearch {
+  /** Since when no leader is known; `null` while one is. */
+  readonly since: MonotonicTime | null;
   /** When it was last logged; `null` if it was not. */
   readonly loggedAt: MonotonicTime | null;
 }
 
 /** The member knows a leader, or has known none for a short time. */
-export const NO_SEARCH: LeaderSearch = {loggedAt: null};
+export const NO_SEARCH: LeaderSearch = {since: null, loggedAt: null};
 
 /** No node waits. */
 export const NO_JOINERS: JoinWatch = {
