Consensus: one of two candidates that run at the same moments wins

Cause: a candidate waits 150 ms to 400 ms before it tries again. Members that stand still for longer go on at the same moments, whatever they drew. Each granted the other's pre-vote, and then both voted for themselves.

Why it works: of two candidates with equal logs, the one whose node id sorts first refuses the other's pre-vote and gets the other's. A candidate without contact refuses nobody; one with the longer log wins as before. Two that do not reach each other need a third vote in any case, and it is free for either.

--- a/control/consensus/src/election.ts
+++ b/control/consensus/src/election.ts
@@ -143,7 +143,8 @@
     request.preVote &&
     request.term > draft.ballot.term &&
     isUpToDate(draft, request) &&
-    !hasRecentLeaderContact(draft, now);
+    !hasRecentLeaderContact(draft, now) &&
+    !isPreferredCandidate(draft, from, request);
   draft.send(
     {node: from.node, storage: null},
     {
@@ -155,6 +156,27 @@
   );
 }
 
+/**
+ * Returns whether this member is a candidate as well, and the one of the two
+ * that shall win. Members that run at the same moments, as on a VM that stands
+ * still in turns, would otherwise vote for themselves in each term.
+ */
+function isPreferredCandidate(
+  draft: ConsensusDraft,
+  from: Sender,
+  request: VoteRequest,
+): boolean {
+  const {lastIndex, lastTerm} = draft.status;
+  const isCandidate =
+    draft.role.kind === 'preCandidate' || draft.role.kind === 'candidate';
+  return (
+    isCandidate &&
+    request.lastTerm === lastTerm &&
+    request.lastIndex === lastIndex &&
+    draft.view.board.identity.node < from.node
+  );
+}
+
 /** Returns whether the candidate's log is as up to date as this member's. */
 function isUpToDate(draft: ConsensusDraft, request: VoteRequest): boolean {
   const {lastIndex, lastTerm} = draft.status;
