--- a/bench/soak/src/failedRuns.ts
+++ b/bench/soak/src/failedRuns.ts
@@ -160,4 +160,48 @@
     showed:
       'documents of 350 routes: a VM that had lost its disk was still empty 16 s later, as it refused the whole log in one frame; the final fault took a second disk, and no VM gave the configuration back; 220 MiB of 200',
   },
+  {
+    seed: 201,
+    seconds: 40,
+    vms: 5,
+    memory: 200,
+    disk: 64,
+    load: 'operators',
+    disturbances: 'replacements',
+    showed:
+      'a VM that had left was admitted and removed 11,896 times, and VMs that joined after it waited behind it; after the final fault one VM had the log, and no VM gave the configuration back',
+  },
+  {
+    seed: 203,
+    seconds: 40,
+    vms: 5,
+    memory: 200,
+    disk: 64,
+    load: 'operators',
+    disturbances: 'replacements',
+    showed:
+      'a VM was replaced, two others lost their disks, and it was replaced again; then a version was not acknowledged, and after the final fault one VM had the log and none gave the configuration back',
+  },
+  {
+    seed: 204,
+    seconds: 40,
+    vms: 5,
+    memory: 200,
+    disk: 64,
+    load: 'operators',
+    disturbances: 'replacements',
+    showed:
+      '26 of 63 leaves were not acknowledged; one VM had the log after the final fault, and no VM gave the configuration back',
+  },
+  {
+    seed: 301,
+    seconds: 30,
+    vms: 4,
+    memory: 200,
+    disk: 64,
+    load: 'largeDocuments',
+    disturbances: 'slow',
+    showed:
+      'documents of 150 KB: a VM whose links had a latency of 400 ms had no lease for 8.9 s, as the replies of the leader waited behind its updates',
+  },
 ];
