--- a/bench/soak/test/checkRun.ts
+++ b/bench/soak/test/checkRun.ts
@@ -32,6 +32,11 @@
         .map(formatFinding);
       t.same(violations, [], `soak of seed ${seed}: ${check}`);
     }
-    rmSync(folder, {recursive: true, force: true});
+    if (t.passing()) {
+      rmSync(folder, {recursive: true, force: true});
+    } else {
+      t.comment(`record in ${folder}`);
+      console.error(`seed ${seed}: record in ${folder}`);
+    }
   });
 }
