Endpoint orders: an order of an earlier leader whose endpoint has gone ends

What operators saw: none reported; an order stayed 'issued' for ever and could not be followed by another one if its set changed leaders and its endpoint left.

Cause: only the entry to which an order was issued reports that its endpoint has gone, and only in the same epoch. The next leader found no endpoint and did nothing.

Evidence: 'an order of an earlier leader whose endpoint has gone ends' failed on the code before (no report after 8 s).

Why it works: the leader of the set reports the result 'unknown' once the lease of the earlier leader has ended, its last order would have arrived and the endpoint has had that time to announce itself. The report names the fencing number, so it ends no order that was issued again.

--- a/scheduling/endpointOrders/src/endpointOrderController.ts
+++ b/scheduling/endpointOrders/src/endpointOrderController.ts
@@ -3,42 +3,36 @@
  * leads. An open order is offered to the control daemons, which issue it with
  * a fencing number; then it is sent to the endpoint, and its result reported.
  */
-import type {TurnTime, View} from '@gentianshunt/board';
+import type {TurnTime} from '@gentianshunt/board';
 import {isLeaseValid} from '@gentianshunt/clock';
 import type {Milliseconds} from '@gentianshunt/clock';
-import {formatObjectKey} from '@gentianshunt/configuration';
-import type {EndpointOrder, ObjectKey} from '@gentianshunt/configuration';
+import type {EndpointOrder} from '@gentianshunt/configuration';
 import {defineEntryController} from '@gentianshunt/entryModel';
 import type {
   EndpointRecord,
   EntryController,
-  EntryObservation,
-  EntrySections,
-  EntryWrite,
   OrderEpoch,
   OrderExecution,
 } from '@gentianshunt/entryModel';
 import type {EntryToControl} from '@gentianshunt/messages';
-import {computeEarliestSendTime} from '@gentianshunt/orders';
+import {
+  computeEarliestSendTime,
+  MAX_ORDER_DELIVERY_MS,
+} from '@gentianshunt/orders';
 import type {OrderResult} from '@gentianshunt/orders';
 import type {EndpointId, EndpointSetId} from '@gentianshunt/identifiers';
 
+import {updateOpenOrders, updateOrderEpochs} from './orderIndexes.js';
+import type {
+  OrderReads,
+  OrderSections,
+  OrderView,
+  OrderWrite,
+} from './orderView.js';
+
 /** Longest time for which an earlier leader may still act as set leader. */
 export const LEADER_LEASE_MS: Milliseconds = 3_000;
 
-const ORDER_PREFIX = formatObjectKey('endpointOrder', '');
-
-type OrderReads =
-  | 'identity'
-  | 'control'
-  | 'configuration'
-  | 'leaderships'
-  | 'endpoints'
-  | OrderSections;
-type OrderSections = 'openEndpointOrders' | 'orderExecutions' | 'orderEpochs';
-type OrderView = View<EntrySections, OrderReads, EntryObservation>;
-type OrderWrite = EntryWrite<OrderSections>;
-
 /** Creates the controller that executes orders at the led sets' endpoints. */
 export function createEndpointOrderController(): EntryController {
   return defineEntryController<OrderReads, OrderSections>({
@@ -63,50 +57,6 @@
   });
 }
 
-/** Records since when this entry leads each of its sets. */
-function updateOrderEpochs(
-  view: OrderView,
-  now: TurnTime,
-): readonly OrderWrite[] {
-  const {leaderships, orderEpochs} = view.board;
-  const writes: OrderWrite[] = [];
-  for (const changedKey of view.readChanges('leaderships')) {
-    const key = changedKey as EndpointSetId;
-    const epoch = leaderships.get(key)?.epoch;
-    if (epoch === undefined) {
-      writes.push({kind: 'delete', section: 'orderEpochs', key});
-    } else if (orderEpochs.get(key)?.epoch !== epoch) {
-      const value = {epoch, since: now.monotonic};
-      writes.push({kind: 'put', section: 'orderEpochs', key, value});
-    }
-  }
-  return writes;
-}
-
-/**
- * Updates the section of orders that have not ended. It spares the controller a
- * search of the whole configuration.
- */
-function updateOpenOrders(view: OrderView): readonly OrderWrite[] {
-  const writes: OrderWrite[] = [];
-  for (const changedKey of view.readChanges('configuration')) {
-    const objectKey = changedKey as ObjectKey;
-    if (!objectKey.startsWith(ORDER_PREFIX)) {
-      continue;
-    }
-    const key = objectKey.slice(ORDER_PREFIX.length) as EndpointId;
-    const order = view.board.configuration.get(objectKey);
-    const isOpen =
-      order?.kind === 'endpointOrder' && order.state.kind !== 'ended';
-    writes.push(
-      isOpen
-        ? {kind: 'put', section: 'openEndpointOrders', key, value: order}
-        : {kind: 'delete', section: 'openEndpointOrders', key},
-    );
-  }
-  return writes;
-}
-
 function handleObservation(
   view: OrderView,
   now: TurnTime,
@@ -144,7 +94,7 @@
   const target = findTarget(view, order.id);
   const {state} = order;
   if (target === undefined) {
-    return reportMissingEndpoint(view, order);
+    return reportMissingEndpoint(view, order, now);
   }
   if (state.kind !== 'issued' || state.epoch !== target.orderEpoch.epoch) {
     return sendControl(view, {
@@ -180,18 +130,26 @@
 }
 
 /**
- * Reports an order that was issued to this entry and whose endpoint no longer
- * exists.
+ * Reports an issued order of a set that this entry leads and whose endpoint no
+ * longer exists. One that an earlier leader was to execute is reported once its
+ * lease has ended and the endpoint has had time to announce itself here.
  */
 function reportMissingEndpoint(
   view: OrderView,
   order: EndpointOrder,
+  now: TurnTime,
 ): readonly OrderWrite[] {
   const {state} = order;
-  const isOwn =
-    state.kind === 'issued' &&
-    view.board.orderEpochs.get(state.set)?.epoch === state.epoch;
-  return isOwn
+  const orderEpoch =
+    state.kind === 'issued' ? view.board.orderEpochs.get(state.set) : undefined;
+  if (state.kind !== 'issued' || orderEpoch === undefined) {
+    return [];
+  }
+  const waitMs =
+    orderEpoch.epoch === state.epoch
+      ? 0
+      : LEADER_LEASE_MS + MAX_ORDER_DELIVERY_MS;
+  return now.monotonic - orderEpoch.since >= waitMs
     ? sendControl(view, {
         kind: 'orderReport',
         endpoint: order.id,
--- a/scheduling/endpointOrders/test/endpointOrderController.test.ts
+++ b/scheduling/endpointOrders/test/endpointOrderController.test.ts
@@ -8,6 +8,7 @@
   EntryEffect,
   EntryObservation,
   EntrySections,
+  EntryWrite,
   OrderExecution,
 } from '@gentianshunt/entryModel';
 import {MAX_ORDER_DELIVERY_MS} from '@gentianshunt/orders';
@@ -33,6 +34,8 @@
   readonly state?: OrderState;
   readonly checksFencing?: boolean;
   readonly leaseMs?: number;
+  /** Whether the endpoint has gone. */
+  readonly isGone?: boolean;
 }
 
 function createOrder(state: OrderState): EndpointOrder {
@@ -45,6 +48,31 @@
   };
 }
 
+/** Creates the write that puts the order's endpoint on the board. */
+function createEndpointWrite(options: FixtureOptions): EntryWrite<'endpoints'> {
+  return {
+    kind: 'put',
+    section: 'endpoints',
+    key: {set: toIdentifier('a'), endpoint: toIdentifier('e1')},
+    value: {
+      seenAt: 0,
+      replaced: [],
+      state: 'active',
+      announcement: {
+        endpoint: toIdentifier('e1'),
+        incarnation: toIdentifier('i1'),
+        set: toIdentifier('a'),
+        domain: toIdentifier('d'),
+        url: 'http://127.0.0.1:9',
+        concurrency: 1,
+        checksFencing: options.checksFencing ?? true,
+        load: null,
+        leaving: false,
+      },
+    },
+  };
+}
+
 /** Creates a controller that puts the fixture on the board at the start. */
 function createSource(options: FixtureOptions) {
   const order = createOrder(options.state ?? ISSUED);
@@ -84,27 +112,7 @@
         key: toIdentifier('a'),
         value: {set: toIdentifier('a'), epoch: EPOCH, grantsFrom: 0},
       },
-      {
-        kind: 'put',
-        section: 'endpoints',
-        key: {set: toIdentifier('a'), endpoint: toIdentifier('e1')},
-        value: {
-          seenAt: 0,
-          replaced: [],
-          state: 'active',
-          announcement: {
-            endpoint: toIdentifier('e1'),
-            incarnation: toIdentifier('i1'),
-            set: toIdentifier('a'),
-            domain: toIdentifier('d'),
-            url: 'http://127.0.0.1:9',
-            concurrency: 1,
-            checksFencing: options.checksFencing ?? true,
-            load: null,
-            leaving: false,
-          },
-        },
-      },
+      ...(options.isGone === true ? [] : [createEndpointWrite(options)]),
     ],
   });
 }
@@ -214,3 +222,27 @@
     result: {kind: 'unknown'},
   });
 });
+
+t.test(
+  'an order of an earlier leader whose endpoint has gone ends',
+  async t => {
+    const waitMs = LEADER_LEASE_MS + MAX_ORDER_DELIVERY_MS;
+    const cases = [
+      {epoch: EPOCH, afterMs: 1, isReported: true},
+      {epoch: EPOCH - 1, afterMs: waitMs - 1, isReported: false},
+      {epoch: EPOCH - 1, afterMs: waitMs, isReported: true},
+    ];
+    for (const {epoch, afterMs, isReported} of cases) {
+      const fixture = createFixture({state: {...ISSUED, epoch}, isGone: true});
+      const [report] = fixture.tick(afterMs);
+      t.equal(
+        report !== undefined,
+        isReported,
+        `epoch ${epoch}, ${afterMs} ms`,
+      );
+      if (isReported) {
+        t.match(report, {message: {kind: 'orderReport', fencing: 9}});
+      }
+    }
+  },
+);
