Sessions: a leader whose quorum answers slowly still answers entries

What callers saw: with processes that stand still in turns, one leader in one term, and no entry with a lease (DUTY=100,600: never in 25 s).

Cause: an entry was answered only under a valid leader lease of 640 ms, which is over before a slow quorum has answered, and the heartbeat that waited was replaced by the next one each 0.5 s.

Why it works: a heartbeat that arrived before a request that a quorum has answered may be answered without the lease, as no other leader had been elected when it was sent; the entry's lease runs from that sending, and the next leader waits out the longest lease from its election. The oldest heartbeat of an entry is kept beside its latest. Reads that wait are answered by the same rule.

--- a/control/controlModel/src/sections.ts
+++ b/control/controlModel/src/sections.ts
@@ -68,7 +68,7 @@
   SetLeaderCandidate,
   SetLeaderLoadKey,
   SharedUpdate,
-  WaitingHeartbeat,
+  WaitingHeartbeats,
 } from './sessionRecords.js';
 import {
   compareClaimExpiry,
@@ -232,7 +232,7 @@
       compareBy('leaseUntil', 'node'),
     ),
     /** The latest unanswered heartbeat of each entry. */
-    waitingHeartbeats: defineMap<NodeId, WaitingHeartbeat>(),
+    waitingHeartbeats: defineMap<NodeId, WaitingHeartbeats>(),
     /** Updates to the latest version by the version that they start from. */
     sharedUpdates: defineOrdered<ConfigurationVersion, SharedUpdate>(
       compareValues,
--- a/control/controlModel/src/sessionRecords.ts
+++ b/control/controlModel/src/sessionRecords.ts
@@ -63,6 +63,16 @@
   readonly receivedAt: MonotonicTime;
 }
 
+/**
+ * The heartbeats of one entry that wait. The oldest is kept beside the latest, as
+ * a leader whose quorum answers slowly may never be able to answer the latest.
+ */
+export interface WaitingHeartbeats {
+  readonly oldest: WaitingHeartbeat;
+  /** The oldest one itself, if no other waits. */
+  readonly latest: WaitingHeartbeat;
+}
+
 /** Sorts the sessions by the version that the entry has confirmed. */
 export interface SessionVersionKey {
   readonly version: ConfigurationVersion;
--- a/control/entrySessions/src/leaderStatus.ts
+++ b/control/entrySessions/src/leaderStatus.ts
@@ -1,6 +1,6 @@
 import type {TurnTime} from '@gentianshunt/board';
 import {isLeaseValid} from '@gentianshunt/clock';
-import type {Milliseconds} from '@gentianshunt/clock';
+import type {Milliseconds, MonotonicTime} from '@gentianshunt/clock';
 import type {
   AppliedStatus,
   ControlIdentity,
@@ -77,6 +77,25 @@
   return isLeaseValid(leadership.lease, now) ? undefined : 'leaderLeaseLapsed';
 }
 
+/**
+ * Returns whether a request that arrived at a time may be answered. Without a
+ * valid leader lease, it may once a quorum has answered a request that the
+ * leader sent after the arrival: no other daemon had been elected by then.
+ */
+export function canAnswer(
+  board: LeaderBoard,
+  receivedAt: MonotonicTime,
+  now: TurnTime,
+): boolean {
+  const {leadership} = board;
+  return (
+    isConfirmedLeader(board, now) ||
+    (hasOwnEntryApplied(board) &&
+      leadership.kind === 'leading' &&
+      leadership.confirmedSince > receivedAt)
+  );
+}
+
 /** Returns whether the leader has applied the first log entry of its term. */
 export function hasOwnEntryApplied(board: LeaderBoard): boolean {
   const {leadership, applied} = board;
--- a/control/entrySessions/src/replyController.ts
+++ b/control/entrySessions/src/replyController.ts
@@ -15,7 +15,7 @@
 import {answerControlQuery} from './controlQuery.js';
 import type {QueryBoard} from './controlQuery.js';
 import {computeInForceStatus} from './inForce.js';
-import {isConfirmedLeader} from './leaderStatus.js';
+import {canAnswer} from './leaderStatus.js';
 import {
   findReply,
   formatPendingKey,
@@ -131,27 +131,26 @@
   now: TurnTime,
 ): readonly ReplyWrite[] {
   const request: PendingRequest = {kind: 'query', correlation, query};
-  const reply = findPendingReply(view, request, now);
+  const pending = {to: from, lastAttemptAt: now.monotonic, request};
+  const reply = findPendingReply(view, pending, now);
   if (reply !== undefined) {
     return [send(from, reply)];
   }
   const waiting = [...view.board.pendingReplies.values()].filter(
-    pending => pending.request.kind === 'query',
+    each => each.request.kind === 'query',
   );
-  return waiting.length < MAX_WAITING_QUERIES
-    ? [putPending({to: from, lastAttemptAt: now.monotonic, request})]
-    : [];
+  return waiting.length < MAX_WAITING_QUERIES ? [putPending(pending)] : [];
 }
 
 function findPendingReply(
   {board}: ReplyView,
-  request: PendingRequest,
+  {request, lastAttemptAt}: PendingReply,
   now: TurnTime,
 ): ControlToEntry | undefined {
   if (request.kind !== 'query') {
     return findReply(board, request, now);
   }
-  if (!isConfirmedLeader(board, now)) {
+  if (!canAnswer(board, lastAttemptAt, now)) {
     return undefined;
   }
   const {correlation, query} = request;
@@ -215,7 +214,7 @@
     if (!isDue && pending.request.kind !== 'query') {
       continue;
     }
-    const reply = findPendingReply(view, pending.request, now);
+    const reply = findPendingReply(view, pending, now);
     if (reply !== undefined) {
       writes.push(send(pending.to, reply), {
         kind: 'delete',
--- a/control/entrySessions/src/sessionController.ts
+++ b/control/entrySessions/src/sessionController.ts
@@ -23,10 +23,11 @@
   SessionWrites,
 } from './sessionWrites.js';
 import {
+  dropWaiting,
   expireWaiting,
-  putWaiting,
+  findAnswerable,
   notifyWaiting,
-  removeWaiting,
+  putWaiting,
 } from './waitingHeartbeats.js';
 
 /** Time between two checks of the entries' leases. */
@@ -131,7 +132,7 @@
   switch (message.kind) {
     case 'entryHeartbeat':
       return isConfirmedLeader(view.board, now)
-        ? []
+        ? dropWaiting(view, message.entry.node)
         : putWaiting(view, message, now);
     case 'versionConfirmed':
       return confirmVersion(view, from, message, now);
@@ -141,34 +142,42 @@
 }
 
 /**
- * Answers the heartbeat that has arrived and those that wait, if this daemon is
- * confirmed to lead; otherwise tells the entries that wait who leads.
+ * Answers the heartbeats that may be answered now, the one that has arrived
+ * among them; otherwise tells the entries that wait who leads.
  */
 function answerHeartbeats(
   view: SessionView,
   now: TurnTime,
 ): readonly SessionWrite[] {
   const {board, observation} = view;
-  if (!isConfirmedLeader(board, now)) {
-    return notifyWaiting(view, now);
-  }
-  const heartbeats = new Map<NodeId, EntryHeartbeat>();
-  for (const [node, {heartbeat}] of board.waitingHeartbeats) {
-    heartbeats.set(node, heartbeat);
+  const arrived = readArrived(observation);
+  const answerable = [...board.waitingHeartbeats].flatMap(([node, waiting]) =>
+    // A heartbeat that arrives takes the place of those that wait.
+    node === arrived?.entry.node
+      ? []
+      : (findAnswerable(board, node, waiting, now) ?? []),
+  );
+  const isConfirmed = isConfirmedLeader(board, now);
+  const heartbeats = [
+    ...answerable.map(({heartbeat}) => heartbeat),
+    ...(isConfirmed && arrived !== undefined ? [arrived] : []),
+  ];
+  if (heartbeats.length === 0) {
+    return isConfirmed ? [] : notifyWaiting(view, now);
   }
-  if (
-    observation?.kind === 'entryMessage' &&
+  return [
+    ...renewSessions(view, heartbeats, now),
+    ...answerable.map(({rest}) => rest),
+  ];
+}
+
+function readArrived(
+  observation: SessionView['observation'],
+): EntryHeartbeat | undefined {
+  return observation?.kind === 'entryMessage' &&
     observation.message.kind === 'entryHeartbeat'
-  ) {
-    const {message} = observation;
-    heartbeats.set(message.entry.node, message);
-  }
-  return heartbeats.size === 0
-    ? []
-    : [
-        ...renewSessions(view, [...heartbeats.values()], now),
-        ...Array.from(board.waitingHeartbeats.keys(), removeWaiting),
-      ];
+    ? observation.message
+    : undefined;
 }
 
 /** Ends what has expired, unless heartbeats that wait are answered first. */
--- a/control/entrySessions/src/waitingHeartbeats.ts
+++ b/control/entrySessions/src/waitingHeartbeats.ts
@@ -1,35 +1,77 @@
 // Heartbeats that this daemon cannot answer yet, and what it tells their entries.
 import type {TurnTime} from '@gentianshunt/board';
-import type {EntryHeartbeat} from '@gentianshunt/controlModel';
+import type {
+  EntryHeartbeat,
+  WaitingHeartbeat,
+  WaitingHeartbeats,
+} from '@gentianshunt/controlModel';
 import {assertNever} from '@gentianshunt/errors';
 import type {NodeId} from '@gentianshunt/identifiers';
 
-import {computeEntryLeaseMs, findUnconfirmedReason} from './leaderStatus.js';
+import {
+  canAnswer,
+  computeEntryLeaseMs,
+  findUnconfirmedReason,
+} from './leaderStatus.js';
 import {sendMembers} from './memberUpdates.js';
 import {send} from './sessionWrites.js';
 import type {SessionView, SessionWrite} from './sessionWrites.js';
 
+/** A heartbeat that may be answered, and what then waits of its entry. */
+interface Answerable {
+  readonly heartbeat: EntryHeartbeat;
+  readonly rest: SessionWrite;
+}
+
 /**
  * Tells an entry why its heartbeat is not answered: another daemon leads, or this
- * one is not confirmed. Keeps the heartbeat, the latest one of each entry.
+ * one is not confirmed. Keeps the heartbeat, beside the entry's oldest that waits.
  */
 export function putWaiting(
   view: SessionView,
   heartbeat: EntryHeartbeat,
   now: TurnTime,
 ): readonly SessionWrite[] {
-  const {node} = heartbeat.entry;
+  const {identity, waitingHeartbeats} = view.board;
+  const {entry, incarnation} = heartbeat;
+  const latest: WaitingHeartbeat = {heartbeat, receivedAt: now.monotonic};
+  const oldest = waitingHeartbeats.get(entry.node)?.oldest;
+  const isKept =
+    oldest !== undefined &&
+    oldest.heartbeat.incarnation === incarnation &&
+    isUseful(oldest, identity, now);
   return [
-    {
-      kind: 'put',
-      section: 'waitingHeartbeats',
-      key: node,
-      value: {heartbeat, receivedAt: now.monotonic},
-    },
+    replaceWaiting(entry.node, {oldest: isKept ? oldest : latest, latest}),
     ...sendReason(view, heartbeat, now),
   ];
 }
 
+/** Drops the heartbeats of an entry that wait, as a newer one is answered. */
+export function dropWaiting(
+  {board}: SessionView,
+  node: NodeId,
+): readonly SessionWrite[] {
+  return board.waitingHeartbeats.has(node) ? [removeWaiting(node)] : [];
+}
+
+/** Finds the newest waiting heartbeat of an entry that may be answered now. */
+export function findAnswerable(
+  board: SessionView['board'],
+  node: NodeId,
+  {oldest, latest}: WaitingHeartbeats,
+  now: TurnTime,
+): Answerable | undefined {
+  if (canAnswer(board, latest.receivedAt, now)) {
+    return {heartbeat: latest.heartbeat, rest: removeWaiting(node)};
+  }
+  return canAnswer(board, oldest.receivedAt, now)
+    ? {
+        heartbeat: oldest.heartbeat,
+        rest: replaceWaiting(node, {oldest: latest, latest}),
+      }
+    : undefined;
+}
+
 /**
  * Tells the entries whose heartbeats wait who leads now, when this daemon has
  * learnt it or has been elected.
@@ -42,7 +84,9 @@
   if (view.readChanges('role').size === 0) {
     return [];
   }
-  const waiting = [...waitingHeartbeats.values()].map(each => each.heartbeat);
+  const waiting = [...waitingHeartbeats.values()].map(
+    ({latest}) => latest.heartbeat,
+  );
   switch (role.kind) {
     case 'leader':
       return waiting.flatMap(each => sendReason(view, each, now));
@@ -66,17 +110,28 @@
   {board}: SessionView,
   now: TurnTime,
 ): readonly SessionWrite[] {
-  const usefulMs = computeEntryLeaseMs(board.identity);
   return [...board.waitingHeartbeats]
-    .filter(([, {receivedAt}]) => now.monotonic - receivedAt >= usefulMs)
+    .filter(([, {latest}]) => !isUseful(latest, board.identity, now))
     .map(([node]) => removeWaiting(node));
 }
 
-/** Removes the heartbeat of an entry that waits. */
-export function removeWaiting(key: NodeId): SessionWrite {
+function isUseful(
+  {receivedAt}: WaitingHeartbeat,
+  identity: SessionView['board']['identity'],
+  now: TurnTime,
+): boolean {
+  return now.monotonic - receivedAt < computeEntryLeaseMs(identity);
+}
+
+/** Removes the heartbeats of an entry that wait. */
+function removeWaiting(key: NodeId): SessionWrite {
   return {kind: 'delete', section: 'waitingHeartbeats', key};
 }
 
+function replaceWaiting(key: NodeId, value: WaitingHeartbeats): SessionWrite {
+  return {kind: 'put', section: 'waitingHeartbeats', key, value};
+}
+
 function sendReason(
   view: SessionView,
   {entry, incarnation, sequence}: EntryHeartbeat,
