Consensus: the waits for a quorum and for votes follow how long they take

What callers saw: with processes that stand still 600 ms of 700 ms, no read in 25 s: a leader lost the lead each 0.8 s, and votes came after their election had been given up.

Cause: a leader stepped down 800 ms after the sending of the last request that a quorum had answered, and a candidate gave an election up after 150 ms to 400 ms, whatever the links and processes take. The class is that of the late heartbeat: an answer is thrown away and asked for again within a fixed time.

Why it works: the leader waits two measured round trips, 0.8 s to 3 s, and 2 s before the first; a candidate doubles its wait after two elections that nobody won. Neither is a bound of safety: the leader lease and the time in which voters support no other are as before.

--- a/control/consensus/src/election.ts
+++ b/control/consensus/src/election.ts
@@ -11,6 +11,7 @@
 import {broadcastHello} from './startCheck.js';
 import {
   LEADER_STICKINESS_MS,
+  recordElection,
   resetElectionDeadline,
   scheduleElectionTimer,
   scheduleVoteTimeout,
@@ -52,6 +53,7 @@
 function startPreVote(draft: ConsensusDraft, now: TurnTime): void {
   const self = draft.view.board.identity.node;
   draft.set('role', {kind: 'preCandidate', votes: new Set([self])});
+  recordElection(draft);
   scheduleVoteTimeout(draft, now);
   if (computeQuorum(draft) === 1) {
     startElection(draft, now);
--- a/control/consensus/src/leadership.ts
+++ b/control/consensus/src/leadership.ts
@@ -1,6 +1,6 @@
 import type {TurnTime} from '@gentianshunt/board';
 import {createLease, ENDED_LEASE} from '@gentianshunt/clock';
-import type {MonotonicTime} from '@gentianshunt/clock';
+import type {Milliseconds, MonotonicTime} from '@gentianshunt/clock';
 import type {FollowerProgress} from '@gentianshunt/controlModel';
 import type {
   LogEntry,
@@ -27,7 +27,11 @@
 import {sendAppend, sendHeartbeat} from './replication.js';
 import {
   LEADER_HEARTBEAT_MS,
+  clearFailedElections,
+  FIRST_QUORUM_TIMEOUT_MS,
   LEADER_LEASE_MS,
+  MAX_QUORUM_TIMEOUT_MS,
+  QUORUM_ROUND_TRIPS,
   QUORUM_TIMEOUT_MS,
   scheduleTimer,
 } from './timing.js';
@@ -40,12 +44,14 @@
   const readIndex = draft.status.lastIndex + 1;
   startLeaderClock(draft, now);
   draft.set('role', {kind: 'leader', since: now.monotonic});
+  clearFailedElections(draft);
   draft.set('leadership', {
     kind: 'leading',
     term: draft.ballot.term,
     readIndex,
     // Votes give no lease: voters may support another candidate next.
     confirmedSince: Number.NEGATIVE_INFINITY,
+    roundTripMs: null,
     lease: ENDED_LEASE,
   });
   for (const {node} of listPeers(draft)) {
@@ -121,7 +127,7 @@
     return;
   }
   const contact = Math.max(role.since, computeQuorumContact(draft, now));
-  if (now.monotonic - contact > QUORUM_TIMEOUT_MS) {
+  if (now.monotonic - contact > computeQuorumTimeoutMs(draft)) {
     becomeFollower(draft, draft.ballot.term, null, now);
     return;
   }
@@ -133,6 +139,22 @@
   scheduleTimer(draft, 'heartbeat', LEADER_HEARTBEAT_MS);
 }
 
+/**
+ * Computes how long a leader waits for a quorum before it steps down. A leader
+ * whose quorum answers slowly would otherwise lose the lead between two answers.
+ */
+function computeQuorumTimeoutMs(draft: ConsensusDraft): Milliseconds {
+  const leadership = draft.read('leadership');
+  const roundTripMs =
+    leadership.kind === 'leading' ? leadership.roundTripMs : null;
+  return roundTripMs === null
+    ? FIRST_QUORUM_TIMEOUT_MS
+    : Math.min(
+        MAX_QUORUM_TIMEOUT_MS,
+        Math.max(QUORUM_TIMEOUT_MS, QUORUM_ROUND_TRIPS * roundTripMs),
+      );
+}
+
 /** Computes when the latest request that a quorum has answered was sent. */
 function computeQuorumContact(
   draft: ConsensusDraft,
@@ -158,7 +180,8 @@
     return;
   }
   const lease = createLease(since, LEADER_LEASE_MS);
-  draft.set('leadership', {...leadership, confirmedSince, lease});
+  const roundTripMs = now.monotonic - confirmedSince;
+  draft.set('leadership', {...leadership, confirmedSince, roundTripMs, lease});
 }
 
 /** Commits entries that a quorum has synced, if of the leader's own term. */
--- a/control/consensus/src/timing.ts
+++ b/control/consensus/src/timing.ts
@@ -20,8 +20,18 @@
 export const MIN_CANDIDATE_TIMEOUT_MS: Milliseconds = 150;
 /** Maximum time that a candidate waits for votes before it tries again. */
 export const MAX_CANDIDATE_TIMEOUT_MS: Milliseconds = 400;
-/** A leader steps down if no quorum has answered for this long. */
+/** Elections in a row that may fail before the wait for votes is extended. */
+const USUAL_FAILED_ELECTIONS = 2;
+/** How often the wait for votes is doubled at most. */
+const MAX_VOTE_DOUBLINGS = 3;
+/** A leader waits at least this long for a quorum before it steps down. */
 export const QUORUM_TIMEOUT_MS: Milliseconds = LEADER_STICKINESS_MS;
+/** The same in round trips to the quorum. */
+export const QUORUM_ROUND_TRIPS = 2;
+/** A leader waits at most this long for a quorum. */
+export const MAX_QUORUM_TIMEOUT_MS: Milliseconds = 3_000;
+/** A leader that no quorum has answered yet waits this long. */
+export const FIRST_QUORUM_TIMEOUT_MS: Milliseconds = 2_000;
 /**
  * Length of the leader lease. It is shorter than the time in which members
  * grant no vote, to allow for clock drift.
@@ -46,6 +56,7 @@
   now: TurnTime,
 ): void {
   setLeaderContact(draft, {kind: 'contacted', at: now.monotonic});
+  clearFailedElections(draft);
   resetElectionDeadline(draft, now);
 }
 
@@ -79,10 +90,37 @@
   draft: ConsensusDraft,
   now: TurnTime,
 ): void {
-  setDeadline(draft, now, MIN_CANDIDATE_TIMEOUT_MS, MAX_CANDIDATE_TIMEOUT_MS);
+  const factor = computeVoteFactor(draft);
+  setDeadline(
+    draft,
+    now,
+    factor * MIN_CANDIDATE_TIMEOUT_MS,
+    factor * MAX_CANDIDATE_TIMEOUT_MS,
+  );
   scheduleElectionTimer(draft, now);
 }
 
+/** Counts an election that this member starts and has not won yet. */
+export function recordElection(draft: ConsensusDraft): void {
+  const {election} = draft;
+  const failedElections = election.failedElections + 1;
+  draft.set('electionTimer', {...election, failedElections});
+}
+
+/** Forgets the elections that nobody won, as there is a leader. */
+export function clearFailedElections(draft: ConsensusDraft): void {
+  draft.set('electionTimer', {...draft.election, failedElections: 0});
+}
+
+/**
+ * Computes by how much the wait for votes is extended: after elections that
+ * nobody won, votes may be on their way for longer than the usual wait.
+ */
+function computeVoteFactor({election}: ConsensusDraft): number {
+  const doublings = election.failedElections - USUAL_FAILED_ELECTIONS;
+  return 2 ** Math.min(MAX_VOTE_DOUBLINGS, Math.max(0, doublings));
+}
+
 function setDeadline(
   draft: ConsensusDraft,
   now: TurnTime,
--- a/control/controlModel/src/role.ts
+++ b/control/controlModel/src/role.ts
@@ -95,6 +95,8 @@
   readonly deadline: MonotonicTime;
   /** Counts the timeouts set; seeds the jitter of the next one. */
   readonly attempts: number;
+  /** Elections in a row that this member started and nobody won. */
+  readonly failedElections: number;
   readonly leaderContact: LeaderContact;
 }
 
@@ -124,6 +126,8 @@
       readonly readIndex: LogIndex;
       /** A quorum answered a request sent at this time or later. */
       readonly confirmedSince: MonotonicTime;
+      /** Time in which a quorum last answered; `null` before it did. */
+      readonly roundTripMs: Milliseconds | null;
       /** No other member can be elected before it ends. */
       readonly lease: Lease;
     };
--- a/control/controlModel/src/sections.ts
+++ b/control/controlModel/src/sections.ts
@@ -166,6 +166,7 @@
     electionTimer: defineCell<ElectionTimer>({
       deadline: 0,
       attempts: 0,
+      failedElections: 0,
       leaderContact: {kind: 'none'},
     }),
     memberships: defineCell<readonly Membership[]>([]),
