Heartbeats: an entry that knows no leader asks several daemons

At a start an entry asked one daemon each 500 ms. If that one was still reading its disk, the entry learnt of the leader up to 0.5 s after the election, although the members tell those that asked them: log of a run at a load of 31, 'leaseMissing ... noReply 127.171.1.2 1201 none', leader confirmed at 53.125 s, lease at 53.567 s.

'an earlier heartbeat does not shorten the lease' takes the sequences that this gives; what it checks is unchanged.

--- a/scheduling/controlClient/src/heartbeatRecord.ts
+++ b/scheduling/controlClient/src/heartbeatRecord.ts
@@ -71,17 +71,17 @@
 }
 
 /**
- * Picks the daemon to ask among several: the one whose latest heartbeat is the
- * oldest. Among daemons that were not asked, the sequence decides.
+ * Sorts daemons by their latest heartbeat, the oldest first. Among daemons that
+ * were not asked, the sequence decides.
  */
-export function pickLeastAsked(
+export function sortByLeastAsked(
   nodes: readonly NodeId[],
   heartbeats: readonly SentHeartbeat[],
   sequence: number,
-): NodeId | undefined {
+): readonly NodeId[] {
   const first = sequence % Math.max(1, nodes.length);
   const rotated = [...nodes.slice(first), ...nodes.slice(0, first)];
   const lastAsked = new Map(heartbeats.map(each => [each.to, each.sequence]));
   const readLast = (node: NodeId): number => lastAsked.get(node) ?? 0;
-  return rotated.sort((left, right) => readLast(left) - readLast(right))[0];
+  return rotated.sort((left, right) => readLast(left) - readLast(right));
 }
--- a/scheduling/controlClient/src/heartbeats.ts
+++ b/scheduling/controlClient/src/heartbeats.ts
@@ -11,7 +11,7 @@
   addHeartbeat,
   measureAge,
   measureSilence,
-  pickLeastAsked,
+  sortByLeastAsked,
 } from './heartbeatRecord.js';
 
 /** Time between two heartbeats to the leading control daemon. */
@@ -34,12 +34,15 @@
 export const MIN_HEDGE_DELAY_MS: Milliseconds = 450;
 /** Longest such silence; it leaves time to find a leader within a lease. */
 export const MAX_HEDGE_DELAY_MS: Milliseconds = 1_000;
+/** Daemons asked by the first heartbeats, and by later ones without a leader. */
+const FIRST_ASKED = 3;
+const ASKED_WITHOUT_LEADER = 2;
 /** The silence in round trips. */
 const HEDGE_ROUND_TRIPS = 2;
 
 /**
  * Sends the heartbeats that are due at the interval: one to the known leader,
- * unless a recent one is on its way, and one to another daemon if the leader has
+ * unless a recent one is on its way, and some to other daemons if the leader has
  * been silent or is unknown.
  */
 export function sendHeartbeats(
@@ -52,8 +55,10 @@
     leader !== null && isHeartbeatDue(status, leader, now)
       ? addSent(status, leader, now)
       : status;
-  const hedge = isHedgeDue(asked, now) ? pickHedge(view, asked) : undefined;
-  const value = hedge === undefined ? asked : addSent(asked, hedge, now);
+  const value = listOthersDue(view, asked, now).reduce(
+    (before, node) => addSent(before, node, now),
+    asked,
+  );
   return [
     {kind: 'set', section: 'control', value},
     ...listNew(status, value).map(each => createHeartbeat(view, each)),
@@ -142,12 +147,29 @@
   );
 }
 
-function pickHedge(
+/**
+ * Lists the daemons to ask beside the leader. Without a leader, several are asked
+ * at once, since each of them tells the entry when it learns of one.
+ */
+function listOthersDue(
   {board}: ControlView,
-  {leader, heartbeats, lastSequence}: ControlStatus,
-): NodeId | undefined {
-  const others = board.controlNodes.filter(node => node !== leader);
-  return pickLeastAsked(others, heartbeats, lastSequence + 1);
+  status: ControlStatus,
+  now: TurnTime,
+): readonly NodeId[] {
+  const {leader, heartbeats, lastSequence} = status;
+  if (!isHedgeDue(status, now)) {
+    return [];
+  }
+  const others = sortByLeastAsked(
+    board.controlNodes.filter(node => node !== leader),
+    heartbeats,
+    lastSequence + 1,
+  );
+  if (leader !== null) {
+    return others.slice(0, 1);
+  }
+  const isFirst = heartbeats.length === 0;
+  return others.slice(0, isFirst ? FIRST_ASKED : ASKED_WITHOUT_LEADER);
 }
 
 function createHeartbeat(
--- a/scheduling/controlClient/test/heartbeats.test.ts
+++ b/scheduling/controlClient/test/heartbeats.test.ts
@@ -177,7 +177,8 @@
   fixture.loop.post({kind: 'started'});
   fixture.clock.advance(TICK_MS);
   fixture.loop.post({kind: 'timerDue', timer: {kind: 'heartbeat'}});
-  fixture.receive(renew({to: LEADER, sequence: 2}));
+  // The first two were sent at the start.
+  fixture.receive(renew({to: LEADER, sequence: 3}));
   fixture.receive(renew({to: OTHER, sequence: 1}), OTHER);
   const {lease, leader} = fixture.loop.view.control;
   t.equal(lease.until, TICK_MS + LEASE_MS);
@@ -222,3 +223,14 @@
   fixture.receive(renew({to: OTHER, sequence: 1}), OTHER);
   t.equal(fixture.loop.view.control.lease.until, LEASE_MS);
 });
+
+t.test('an entry that starts waits for one daemon only', async t => {
+  const fixture = createFixture();
+  fixture.loop.post({kind: 'started'});
+  const asked = fixture.takeHeartbeats();
+  t.same(asked.map(({to}) => to).sort(), [LEADER, OTHER]);
+  t.same(
+    asked.map(({sequence}) => sequence),
+    [1, 2],
+  );
+});
