--- a/bench/soak/src/disturbances.ts
+++ b/bench/soak/src/disturbances.ts
@@ -96,11 +96,17 @@
   };
 }
 
-/** Lists the times in which links had a fault. */
+interface OpenLinkSpan {
+  readonly span: LinkSpan;
+  /** Faults of the same kind between the same VMs that are in force. */
+  readonly faults: number;
+}
+
+/** Lists the times in which links had a fault; faults of a kind may overlap. */
 export function listLinkSpans(
   events: readonly RecordedEvent[],
 ): readonly LinkSpan[] {
-  const open = new Map<string, LinkSpan>();
+  const open = new Map<string, OpenLinkSpan>();
   const spans: LinkSpan[] = [];
   for (const event of events) {
     if (event.kind !== 'linkFaulted' && event.kind !== 'linkRestored') {
@@ -108,15 +114,17 @@
     }
     const {from, to, fault, at} = event;
     const key = `${from} ${to} ${fault}`;
+    const known = open.get(key);
     if (event.kind === 'linkFaulted') {
-      open.set(key, {from, to, fault, start: at, end: Infinity});
-    } else {
-      const span = open.get(key);
+      const span = known?.span ?? {from, to, fault, start: at, end: Infinity};
+      open.set(key, {span, faults: (known?.faults ?? 0) + 1});
+    } else if (known !== undefined && known.faults > 1) {
+      open.set(key, {...known, faults: known.faults - 1});
+    } else if (known !== undefined) {
       open.delete(key);
-      if (span !== undefined) {
-        spans.push({...span, end: at});
-      }
+      spans.push({...known.span, end: at});
     }
   }
-  return [...spans, ...open.values()];
+  const still = Array.from(open.values(), ({span}) => span);
+  return [...spans, ...still];
 }
--- a/bench/soak/test/inTouch.test.ts
+++ b/bench/soak/test/inTouch.test.ts
@@ -131,6 +131,18 @@
   }
 });
 
+t.test('overlapping faults of a link last until the last one ends', async t => {
+  const link = {from: 'plain-1', to: 'core-1', fault: 'late'} as const;
+  const history = createHistory(
+    {at: CALM, kind: 'linkFaulted', ...link},
+    {at: CALM + 1_000, kind: 'linkFaulted', ...link},
+    {at: CALM + 2_000, kind: 'linkRestored', ...link},
+    {at: CALM + 10_000, kind: 'linkRestored', ...link},
+  );
+  t.equal(isInTouch(history, 'plain-1', CALM + 13_000), false);
+  t.equal(isInTouch(history, 'plain-1', CALM + 13_001), true);
+});
+
 t.test('stale connections disturb VMs once, not while they last', async t => {
   const history = createHistory({
     at: CALM,
