Leases: the wait for an election counts as no round trip

Seen by callers: after all processes ended, a document or a read that was lost at the new leader was not sent again in time; a document was refused with 'unanswered' after 3 s. Cause: the reply to a heartbeat that waited at a daemon until that one was confirmed gave a round trip of the whole wait (2.5 s and more), and with it a time to the second sending of 5 s; a read of the configuration was sent once. A heartbeat that already had an answer (leaderUnconfirmed, notLeader) is no sample of the round trip any more.

--- a/scheduling/controlClient/src/leaseRenewal.ts
+++ b/scheduling/controlClient/src/leaseRenewal.ts
@@ -55,7 +55,7 @@
   return {
     ...status,
     heartbeats,
-    roundTripMs: mixRoundTrip(status.roundTripMs, measureAge(answered, now)),
+    roundTripMs: measureRoundTrip(status.roundTripMs, answered, now),
     lease: isRenewed ? pickLonger(status.lease, granted, now) : status.lease,
   };
 }
@@ -67,10 +67,19 @@
     : right;
 }
 
-function mixRoundTrip(
+/**
+ * Measures the smoothed round trip. The reply to a heartbeat that waited at a
+ * daemon until that one was confirmed to lead says nothing of it.
+ */
+function measureRoundTrip(
   smoothed: Milliseconds | null,
-  latest: Milliseconds,
-): Milliseconds {
+  answered: SentHeartbeat,
+  now: Instant,
+): Milliseconds | null {
+  if (answered.answer.kind !== 'none') {
+    return smoothed;
+  }
+  const latest = measureAge(answered, now);
   return smoothed === null
     ? latest
     : smoothed + (latest - smoothed) * ROUND_TRIP_WEIGHT;
