--- a/scheduling/controlClient/test/resendTimes.test.ts
+++ b/scheduling/controlClient/test/resendTimes.test.ts
@@ -7,6 +7,7 @@
   createControlController,
   createQueryController,
   createReplacementController,
+  REPLACEMENT_TIMEOUT_MS,
 } from '../src/index.js';
 import {createEntryFixture, createUpdate} from './fixture.js';
 import type {EntryFixture} from './fixture.js';
@@ -15,6 +16,7 @@
 const RESEND_MS = 1_000;
 const READ_MS = 900;
 const ELECTION_MS = 2_500;
+const LEASE_MS = 3_000;
 
 function createFixture(): EntryFixture {
   const fixture = createEntryFixture([
@@ -82,3 +84,18 @@
   t.equal(countSent(fixture, 'controlQueryRequest', READ_MS), 2);
   t.end();
 });
+
+t.test('a lost document is sent again before nobody waits for it', t => {
+  const fixture = createFixture();
+  fixture.tick(LEASE_MS);
+  fixture.receive(createUpdate(0, 1, [], {sequence: 1}));
+  fixture.takeSent();
+  postReplacement(fixture);
+  const sent = countSent(
+    fixture,
+    'replacementRequest',
+    REPLACEMENT_TIMEOUT_MS - TICK_MS,
+  );
+  t.equal(sent, 2);
+  t.end();
+});
