Consensus: a removed member also asks nodes that it learnt of

Seen by callers: none yet; a node that was down while all members that it knew left for good in series kept its folder and asked on until an operator emptied it, so the group had a copy less. Cause: a member of a group said hello to the members of its own log only, of which none was left; nodes that its entry had learnt of were not asked. Hellos go to both; the start check awaits the answers of members as before.

--- a/control/consensus/src/startCheck.ts
+++ b/control/consensus/src/startCheck.ts
@@ -88,17 +88,26 @@
 export function broadcastHello(draft: ConsensusDraft): void {
   const formed = isInGroup(draft);
   const {seed: start} = draft.view.board.identity;
-  for (const node of listHelloTargets(draft)) {
+  const nodes = [...listHelloTargets(draft), ...listContacts(draft)];
+  for (const node of new Set(nodes)) {
     draft.send({node, storage: null}, {kind: 'memberHello', formed, start});
   }
 }
 
-/** Lists the nodes that a hello goes to. */
+/** Lists the nodes whose answers the start check awaits. */
 function listHelloTargets(draft: ConsensusDraft): readonly NodeId[] {
-  const {node: self} = draft.view.board.identity;
   return isInGroup(draft)
     ? listPeers(draft).map(member => member.node)
-    : draft.read('contacts').filter(node => node !== self);
+    : listContacts(draft);
+}
+
+/**
+ * Lists the other nodes that may belong to the group. All members that this one
+ * knows may have left for good.
+ */
+function listContacts(draft: ConsensusDraft): readonly NodeId[] {
+  const {node: self} = draft.view.board.identity;
+  return draft.read('contacts').filter(node => node !== self);
 }
 
 /**
--- a/control/controlNode/test/openGroup.test.ts
+++ b/control/controlNode/test/openGroup.test.ts
@@ -227,3 +227,23 @@
   t.equal(listMembers(deployment.findLeader()!).length, 4);
   t.equal(countMemberChanges(deployment) - before, 1, 'admitted once');
 });
+
+t.test('a member that knew none of the others joins them again', async t => {
+  const deployment = createLedGroup(3);
+  const [away, ...known] = deployment.members;
+  away!.crash();
+  for (const [index, former] of known.entries()) {
+    deployment.join(`control-${8 + index}`);
+    deployment.run(4 * ONE_SECOND_STEPS);
+    deployment.remove(former);
+    deployment.run(8 * ONE_SECOND_STEPS);
+  }
+  const others = deployment.members.filter(member => member !== away);
+  away!.start();
+  away!.loop!.post({
+    kind: 'membersLearnt',
+    members: others.map(({node}) => node),
+  });
+  deployment.run(4 * ONE_SECOND_STEPS);
+  t.equal(away!.haltReason?.kind, 'folderReplaced');
+});
