Sessions: an entry that is gone is awaited no longer than its lease

Seen by callers: an acknowledgement of a change waited up to 5.9 s for an entry that had gone, where its lease lasts 3 s. Cause: the reply to a heartbeat that had waited for the confirmation of a leader set the end of the session a whole lease after the reply; the entry counts from the sending of that heartbeat. Evidence: 'an entry that is gone is awaited no longer than its lease' of unconfirmedLeader.test.ts failed before: the session ended 5,901 ms after the heartbeat had arrived. The session now ends a lease after the arrival, which is later than the entry's own lease, and never earlier than an earlier reply allowed.

--- a/control/controlNode/test/unconfirmedLeader.test.ts
+++ b/control/controlNode/test/unconfirmedLeader.test.ts
@@ -12,6 +12,7 @@
 
 const PAST_LEADER_LEASE_MS = 5_000;
 const LEASE_MS = 3_000;
+const LONG_WAIT_MS = 2_900;
 const ELECTION_STEPS = 400;
 const EXCHANGE_STEPS = 5;
 
@@ -54,6 +55,17 @@
   t.same(takeKinds(fixture), []);
 });
 
+t.test('an entry that is gone is awaited no longer than its lease', async t => {
+  const fixture = createControlFixture();
+  fixture.clock.advance(PAST_LEADER_LEASE_MS);
+  const until = fixture.clock.readMonotonic() + LEASE_MS;
+  fixture.receive('e0', createHeartbeat('e0'));
+  fixture.clock.advance(LONG_WAIT_MS);
+  fixture.advance(1);
+  const session = fixture.node.view.sessions.get(toIdentifier<NodeId>('e0'));
+  t.equal(session?.leaseUntil, until);
+});
+
 t.test('a read at an unconfirmed leader is answered once it can', async t => {
   const fixture = createControlFixture();
   fixture.clock.advance(PAST_LEADER_LEASE_MS);
--- a/control/entrySessions/src/sessionController.ts
+++ b/control/entrySessions/src/sessionController.ts
@@ -4,7 +4,7 @@
 import {defineControlController} from '@gentianshunt/controlModel';
 import type {
   ControlController,
-  EntryHeartbeat,
+  WaitingHeartbeat,
 } from '@gentianshunt/controlModel';
 import type {EntryToControl} from '@gentianshunt/messages';
 import type {NodeId} from '@gentianshunt/identifiers';
@@ -152,16 +152,16 @@
   if (!isConfirmedLeader(board, now)) {
     return notifyWaiting(view, now);
   }
-  const heartbeats = new Map<NodeId, EntryHeartbeat>();
-  for (const [node, {heartbeat}] of board.waitingHeartbeats) {
-    heartbeats.set(node, heartbeat);
-  }
+  const heartbeats = new Map<NodeId, WaitingHeartbeat>(board.waitingHeartbeats);
   if (
     observation?.kind === 'entryMessage' &&
     observation.message.kind === 'entryHeartbeat'
   ) {
     const {message} = observation;
-    heartbeats.set(message.entry.node, message);
+    heartbeats.set(message.entry.node, {
+      heartbeat: message,
+      receivedAt: now.monotonic,
+    });
   }
   return heartbeats.size === 0
     ? []
--- a/control/entrySessions/src/sessionRenewal.ts
+++ b/control/entrySessions/src/sessionRenewal.ts
@@ -1,6 +1,10 @@
 // The answers to entries' heartbeats by a confirmed leader.
 import type {TurnTime} from '@gentianshunt/board';
-import type {EntryHeartbeat, EntrySession} from '@gentianshunt/controlModel';
+import type {
+  EntryHeartbeat,
+  EntrySession,
+  WaitingHeartbeat,
+} from '@gentianshunt/controlModel';
 import type {ConfigurationVersion} from '@gentianshunt/messages';
 
 import {createDelta} from './configurationDelta.js';
@@ -37,7 +41,7 @@
  */
 export function renewSessions(
   view: SessionView,
-  heartbeats: readonly EntryHeartbeat[],
+  heartbeats: readonly WaitingHeartbeat[],
   now: TurnTime,
 ): readonly SessionWrite[] {
   const renewals = heartbeats.map(each => createRenewal(view, each, now));
@@ -64,7 +68,7 @@
 
 function createRenewal(
   {board}: SessionView,
-  heartbeat: EntryHeartbeat,
+  {heartbeat, receivedAt}: WaitingHeartbeat,
   now: TurnTime,
 ): Renewal {
   const {entry, version, draining, incarnation, setsInUse} = heartbeat;
@@ -78,7 +82,11 @@
     confirmedVersion: version,
     delivery,
     directoryVersion: heartbeat.directoryVersion,
-    leaseUntil: now.monotonic + computeEntryLeaseMs(board.identity),
+    // The entry counts its lease from the sending of the heartbeat.
+    leaseUntil: Math.max(
+      current?.leaseUntil ?? Number.NEGATIVE_INFINITY,
+      receivedAt + computeEntryLeaseMs(board.identity),
+    ),
     setsInUse,
   };
   return {heartbeat, current, session, from};
