--- a/control/entrySessions/src/sessionController.ts
+++ b/control/entrySessions/src/sessionController.ts
@@ -4,7 +4,7 @@
 import {defineControlController} from '@gentianshunt/controlModel';
 import type {
   ControlController,
-  EntryHeartbeat,
+  WaitingHeartbeat,
 } from '@gentianshunt/controlModel';
 import type {EntryToControl} from '@gentianshunt/messages';
 import type {NodeId} from '@gentianshunt/identifiers';
@@ -150,16 +150,16 @@
   now: TurnTime,
 ): readonly SessionWrite[] {
   const {board, observation} = view;
-  const arrived = readArrived(observation);
+  const arrived = readArrived(observation, now);
   const answerable = [...board.waitingHeartbeats].flatMap(([node, waiting]) =>
     // A heartbeat that arrives takes the place of those that wait.
-    node === arrived?.entry.node
+    node === arrived?.heartbeat.entry.node
       ? []
       : (findAnswerable(board, node, waiting, now) ?? []),
   );
   const isConfirmed = isConfirmedLeader(board, now);
   const heartbeats = [
-    ...answerable.map(({heartbeat}) => heartbeat),
+    ...answerable.map(({waiting}) => waiting),
     ...(isConfirmed && arrived !== undefined ? [arrived] : []),
   ];
   if (heartbeats.length === 0) {
@@ -173,10 +173,11 @@
 
 function readArrived(
   observation: SessionView['observation'],
-): EntryHeartbeat | undefined {
+  now: TurnTime,
+): WaitingHeartbeat | undefined {
   return observation?.kind === 'entryMessage' &&
     observation.message.kind === 'entryHeartbeat'
-    ? observation.message
+    ? {heartbeat: observation.message, receivedAt: now.monotonic}
     : undefined;
 }
 
--- a/control/entrySessions/src/waitingHeartbeats.ts
+++ b/control/entrySessions/src/waitingHeartbeats.ts
@@ -19,7 +19,7 @@
 
 /** A heartbeat that may be answered, and what then waits of its entry. */
 interface Answerable {
-  readonly heartbeat: EntryHeartbeat;
+  readonly waiting: WaitingHeartbeat;
   readonly rest: SessionWrite;
 }
 
@@ -62,11 +62,11 @@
   now: TurnTime,
 ): Answerable | undefined {
   if (canAnswer(board, latest.receivedAt, now)) {
-    return {heartbeat: latest.heartbeat, rest: removeWaiting(node)};
+    return {waiting: latest, rest: removeWaiting(node)};
   }
   return canAnswer(board, oldest.receivedAt, now)
     ? {
-        heartbeat: oldest.heartbeat,
+        waiting: oldest,
         rest: replaceWaiting(node, {oldest: latest, latest}),
       }
     : undefined;
