Quarantine: rename what named prompt parts only

No change of behaviour: the package scheduling/quarantine and its names, ahead of a second kind of fingerprint in the same quarantine. The log line is called quarantineChanged from now on (promptQuarantineChanged before); the operators' commands and tables stay.

--- a/fronts/callRelay/src/withholdCause.ts
+++ b/fronts/callRelay/src/withholdCause.ts
@@ -4,7 +4,7 @@
   Dispatch,
   WithholdCause,
 } from '@gentianshunt/entryModel';
-import {findPromptRefusal} from '@gentianshunt/promptQuarantine';
+import {findQuarantineRefusal} from '@gentianshunt/quarantine';
 
 import type {OpenCall} from './callTable.js';
 import type {EndpointStreamOptions} from './endpointStreamOptions.js';
@@ -33,7 +33,7 @@
   const {configuration, quarantines, requests, identity} = view;
   const self = identity.address.node;
   if (
-    findPromptRefusal(
+    findQuarantineRefusal(
       {configuration, quarantines, requests, self, now},
       request,
     )
--- a/fronts/entryWire/src/entryWire.ts
+++ b/fronts/entryWire/src/entryWire.ts
@@ -29,10 +29,10 @@
 import {
   decodeBrokenRuns,
   decodeQuarantines,
-  decodeSoundParts,
+  decodeSoundUse,
   encodeBrokenRuns,
   encodeQuarantines,
-  encodeSoundParts,
+  encodeSoundUse,
 } from './quarantineWire.js';
 import {MalformedMessageError} from './wireErrors.js';
 import {createWireReader} from './wireReader.js';
@@ -59,7 +59,7 @@
   quotaUsageReport: 9,
   quotaUsageQuery: 10,
   brokenRunsReported: 11,
-  soundPartsReported: 12,
+  soundUseReported: 12,
   quarantinesReported: 13,
   quarantineTestRequested: 14,
   endpointLimitsReported: 15,
@@ -107,8 +107,8 @@
       return [kind, message.set, encodeEndpointLimits(message.limits)];
     case 'brokenRunsReported':
       return [kind, message.set, encodeBrokenRuns(message.runs)];
-    case 'soundPartsReported':
-      return [kind, encodeSoundParts(message.parts)];
+    case 'soundUseReported':
+      return [kind, encodeSoundUse(message.parts)];
     case 'quarantinesReported':
       return [
         kind,
@@ -204,10 +204,10 @@
         set: reader.readIdentifier<EndpointSetId>(),
         runs: decodeBrokenRuns(reader.readList()),
       };
-    case WIRE_KINDS.soundPartsReported:
+    case WIRE_KINDS.soundUseReported:
       return {
-        kind: 'soundPartsReported',
-        parts: decodeSoundParts(reader.readList()),
+        kind: 'soundUseReported',
+        parts: decodeSoundUse(reader.readList()),
       };
     case WIRE_KINDS.quarantinesReported:
       return {
--- a/fronts/entryWire/src/quarantineWire.ts
+++ b/fronts/entryWire/src/quarantineWire.ts
@@ -2,8 +2,8 @@
   AnswerProgress,
   ReportedBrokenRun,
   ReportedQuarantine,
-  ReportedSoundPart,
-  SuspectPart,
+  ReportedSoundUse,
+  Suspect,
 } from '@gentianshunt/entryModel';
 import {assertNever} from '@gentianshunt/errors';
 import type {
@@ -35,7 +35,7 @@
     endpoint,
     Math.round(ageMs),
     PROGRESS.indexOf(progress),
-    parts.flatMap(encodeSuspectPart),
+    parts.flatMap(encodeSuspect),
   ]);
 }
 
@@ -49,27 +49,27 @@
       endpoint: run.readIdentifier<EndpointId>(),
       ageMs: run.readCount(),
       progress: run.readReference(PROGRESS),
-      parts: readRecords(run.readList(), decodeSuspectPart),
+      parts: readRecords(run.readList(), decodeSuspect),
     };
   });
 }
 
 /** Encodes sound answers by prompt part. */
-export function encodeSoundParts(
-  parts: readonly ReportedSoundPart[],
+export function encodeSoundUse(
+  parts: readonly ReportedSoundUse[],
 ): readonly unknown[] {
   return parts.flatMap(part => [
-    ...encodeSuspectPart(part),
+    ...encodeSuspect(part),
     part.isUnderQuarantine ? 1 : 0,
   ]);
 }
 
 /** Decodes and validates sound answers by prompt part. */
-export function decodeSoundParts(
+export function decodeSoundUse(
   reader: WireReader,
-): readonly ReportedSoundPart[] {
+): readonly ReportedSoundUse[] {
   return readRecords(reader, list => ({
-    ...decodeSuspectPart(list),
+    ...decodeSuspect(list),
     isUnderQuarantine: list.readCount() === 1,
   }));
 }
@@ -141,11 +141,7 @@
   }
 }
 
-function encodeSuspectPart({
-  part,
-  lasting,
-  recent,
-}: SuspectPart): readonly unknown[] {
+function encodeSuspect({part, lasting, recent}: Suspect): readonly unknown[] {
   return [
     part,
     Math.round(lasting * COUNT_SCALE),
@@ -153,7 +149,7 @@
   ];
 }
 
-function decodeSuspectPart(reader: WireReader): SuspectPart {
+function decodeSuspect(reader: WireReader): Suspect {
   return {
     part: reader.readIdentifier<PromptPartId>(),
     lasting: reader.readCount() / COUNT_SCALE,
--- a/fronts/entryWire/test/entryWire.test.ts
+++ b/fronts/entryWire/test/entryWire.test.ts
@@ -111,7 +111,7 @@
       ],
     },
     {
-      kind: 'soundPartsReported',
+      kind: 'soundUseReported',
       parts: [{part, lasting: 0.25, recent: 0, isUnderQuarantine: true}],
     },
     {
--- a/reports/explain/src/failureCause.ts
+++ b/reports/explain/src/failureCause.ts
@@ -136,7 +136,7 @@
     case 'quotaUndecided':
       return "no owner of the organisation's token quota answered; see 'setLeaderChanged' of the quota sets";
     case 'promptQuarantined':
-      return "a part of its prompt has ended several endpoints; see 'promptQuarantineChanged' and 'answerBroken'";
+      return "a part of its prompt has ended several endpoints; see 'quarantineChanged' and 'answerBroken'";
     case 'noLease':
       return 'the entry could not take requests: no lease, no configuration, or it was stopping';
     case 'overloaded':
--- a/scheduling/entryModel/src/decision.ts
+++ b/scheduling/entryModel/src/decision.ts
@@ -9,7 +9,7 @@
   RequestId,
 } from '@gentianshunt/identifiers';
 
-import type {QuarantineState} from './promptQuarantine.js';
+import type {QuarantineState} from './quarantine.js';
 import type {EndpointRecord} from './endpointRecord.js';
 import type {AnswerProgress} from './streamEnd.js';
 import type {CatchUpCause} from './leaveRecord.js';
@@ -124,7 +124,7 @@
     }
   | {
       /** The quarantine of a prompt part was decided or learnt. */
-      readonly kind: 'promptQuarantineChanged';
+      readonly kind: 'quarantineChanged';
       readonly part: PromptPartId;
       readonly set: EndpointSetId;
       readonly state: QuarantineState['kind'];
--- a/scheduling/entryModel/src/entryMessage.ts
+++ b/scheduling/entryModel/src/entryMessage.ts
@@ -13,8 +13,8 @@
 import type {
   ReportedBrokenRun,
   ReportedQuarantine,
-  ReportedSoundPart,
-} from './promptQuarantine.js';
+  ReportedSoundUse,
+} from './quarantine.js';
 import type {QuotaDecision, QuotaRequest, QuotaUsageReport} from './quota.js';
 import type {EndpointAnnouncement} from './endpoint.js';
 import type {EndpointTarget} from './request.js';
@@ -238,8 +238,8 @@
       readonly runs: readonly ReportedBrokenRun[];
     }
   | {
-      readonly kind: 'soundPartsReported';
-      readonly parts: readonly ReportedSoundPart[];
+      readonly kind: 'soundUseReported';
+      readonly parts: readonly ReportedSoundUse[];
     }
   | {
       readonly kind: 'quarantinesReported';
--- a/scheduling/entryModel/src/index.ts
+++ b/scheduling/entryModel/src/index.ts
@@ -22,7 +22,7 @@
 export * from './observation.js';
 export * from './operatorRequests.js';
 export * from './overload.js';
-export * from './promptQuarantine.js';
+export * from './quarantine.js';
 export * from './queueRecords.js';
 export * from './quota.js';
 export * from './quotaAccount.js';
--- a/scheduling/entryModel/src/promptQuarantine.ts
+++ b/scheduling/entryModel/src/quarantine.ts
@@ -23,13 +23,13 @@
 }
 
 /** Identifies the sound answers that one entry reported. */
-export interface SoundPartKey {
+export interface SoundUseKey {
   readonly part: PromptPartId;
   readonly node: NodeId;
 }
 
 /** A prompt part, and the sound answers with it at one entry. */
-export interface SuspectPart extends SoundRuns {
+export interface Suspect extends SoundRuns {
   readonly part: PromptPartId;
 }
 
@@ -40,7 +40,7 @@
   readonly at: MonotonicTime;
   readonly progress: AnswerProgress;
   /** Empty if the answer had delivered events. */
-  readonly parts: readonly SuspectPart[];
+  readonly parts: readonly Suspect[];
 }
 
 /** A broken run in a message. */
@@ -59,7 +59,7 @@
 export interface CrashedRun {
   readonly reporter: NodeId;
   readonly progress: AnswerProgress;
-  readonly parts: readonly SuspectPart[];
+  readonly parts: readonly Suspect[];
 }
 
 /** What is decided of a prompt part that crashes endpoints. */
@@ -119,7 +119,7 @@
 }
 
 /** Sound answers that speak against the quarantine of a part. */
-export interface ReportedSoundPart extends SuspectPart {
+export interface ReportedSoundUse extends Suspect {
   /** Whether one of them was given under the quarantine. */
   readonly isUnderQuarantine: boolean;
 }
--- a/scheduling/entryModel/src/sections.ts
+++ b/scheduling/entryModel/src/sections.ts
@@ -71,9 +71,9 @@
   EndpointCrash,
   Quarantine,
   QuarantineExchange,
-  SoundPartKey,
+  SoundUseKey,
   SoundUse,
-} from './promptQuarantine.js';
+} from './quarantine.js';
 import type {
   ArrivalRate,
   AssignedAddresses,
@@ -203,7 +203,7 @@
     /** Failed endpoints that entries reported to this one, the latest last. */
     endpointCrashes: defineCell<readonly EndpointCrash[]>([]),
     /** Sound answers that entries reported to this one. */
-    reportedSoundParts: defineOrdered<SoundPartKey, SoundUse>(
+    reportedSoundUse: defineOrdered<SoundUseKey, SoundUse>(
       compareBy('part', 'node'),
     ),
     quarantines: defineMap<PromptPartId, Quarantine>(),
--- a/scheduling/entryNode/src/entryNode.ts
+++ b/scheduling/entryNode/src/entryNode.ts
@@ -29,9 +29,9 @@
 } from '@gentianshunt/learning';
 import {createLifecycleController} from '@gentianshunt/lifecycle';
 import {
-  createPromptEvidenceController,
+  createEvidenceController,
   createQuarantineController,
-} from '@gentianshunt/promptQuarantine';
+} from '@gentianshunt/quarantine';
 import {
   createQuotaOwnerController,
   createUsageReportController,
@@ -86,7 +86,7 @@
     createEndpointOrderController(),
     createGrantReplyController(),
     createPatienceController(),
-    createPromptEvidenceController(),
+    createEvidenceController(),
     createRateController(),
     createHealthController(),
     createLimitController(),
--- a/scheduling/lifecycle/src/quarantinedRequests.ts
+++ b/scheduling/lifecycle/src/quarantinedRequests.ts
@@ -6,8 +6,8 @@
   QueuedState,
   RequestAttributes,
 } from '@gentianshunt/entryModel';
-import {decaySoundUse, findPromptRefusal} from '@gentianshunt/promptQuarantine';
-import type {PromptRefusal} from '@gentianshunt/promptQuarantine';
+import {decaySoundUse, findQuarantineRefusal} from '@gentianshunt/quarantine';
+import type {QuarantineRefusal} from '@gentianshunt/quarantine';
 
 import {completeClaim} from './claimCompletions.js';
 import {endRequest} from './endRequest.js';
@@ -22,7 +22,7 @@
   {board}: LifecycleView,
   request: Pick<RequestAttributes, 'id' | 'promptParts'>,
   now: TurnTime,
-): PromptRefusal | undefined {
+): QuarantineRefusal | undefined {
   const {configuration, quarantines, requests, identity} = board;
   const query = {
     configuration,
@@ -31,7 +31,7 @@
     self: identity.address.node,
     now: now.monotonic,
   };
-  return findPromptRefusal(query, request);
+  return findQuarantineRefusal(query, request);
 }
 
 /** Refuses a queued request; one that may have run is not called unrun. */
@@ -39,7 +39,7 @@
   view: LifecycleView,
   draft: RequestDraft,
   state: QueuedState,
-  {retryAfterMs}: PromptRefusal,
+  {retryAfterMs}: QuarantineRefusal,
   now: TurnTime,
 ): void {
   const refusal =
--- a/scheduling/promptQuarantine/src/decideSuspects.ts
+++ b/scheduling/quarantine/src/decideSuspects.ts
@@ -1,8 +1,4 @@
-import type {
-  EndpointCrash,
-  SoundRuns,
-  SuspectPart,
-} from '@gentianshunt/entryModel';
+import type {EndpointCrash, SoundRuns, Suspect} from '@gentianshunt/entryModel';
 import type {NodeId, PromptPartId} from '@gentianshunt/identifiers';
 
 import {listSuspectedRuns} from './crashRecords.js';
@@ -111,9 +107,7 @@
  * Picks the parts of one run that were sound least often at its entry. They
  * explain a crash best; the parts that they came with are not blamed for it.
  */
-function pickLeastSound(
-  parts: readonly SuspectPart[],
-): readonly PromptPartId[] {
+function pickLeastSound(parts: readonly Suspect[]): readonly PromptPartId[] {
   const counts = parts.map(({lasting}) => lasting);
   const least = Math.max(NEGLIGIBLE_SOUND_RUNS, Math.min(...counts));
   return parts.filter(({lasting}) => lasting <= least).map(({part}) => part);
--- a/scheduling/promptQuarantine/src/promptEvidenceController.ts
+++ b/scheduling/quarantine/src/evidenceController.ts
@@ -10,7 +10,7 @@
   EntrySections,
   EntryWrite,
   ReportedBrokenRun,
-  ReportedSoundPart,
+  ReportedSoundUse,
   StreamEnd,
 } from '@gentianshunt/entryModel';
 import type {
@@ -51,9 +51,9 @@
  * which were at endpoints that failed, and reports both to the entries that
  * decide on quarantines.
  */
-export function createPromptEvidenceController(): EntryController {
+export function createEvidenceController(): EntryController {
   return defineEntryController<EvidenceReads, 'soundParts' | 'brokenRuns'>({
-    name: 'promptEvidence',
+    name: 'evidence',
     reads: [
       'requests',
       'dispatches',
@@ -296,11 +296,11 @@
 function sendSoundParts(
   view: EvidenceView,
   set: EndpointSetId,
-  parts: readonly ReportedSoundPart[],
+  parts: readonly ReportedSoundUse[],
 ): readonly EvidenceWrite[] {
   return parts.length === 0
     ? []
-    : sendToEvidenceNodes(view, set, {kind: 'soundPartsReported', parts});
+    : sendToEvidenceNodes(view, set, {kind: 'soundUseReported', parts});
 }
 
 function sendToEvidenceNodes(
--- a/scheduling/promptQuarantine/src/findPromptRefusal.ts
+++ b/scheduling/quarantine/src/findQuarantineRefusal.ts
@@ -24,17 +24,17 @@
 }
 
 /** Why a request must not reach an endpoint now. */
-export interface PromptRefusal {
+export interface QuarantineRefusal {
   readonly part: PromptPartId;
   /** When its caller may try again. */
   readonly retryAfterMs: Milliseconds;
 }
 
 /** Finds a prompt part by which a request must not reach an endpoint now. */
-export function findPromptRefusal(
+export function findQuarantineRefusal(
   query: QuarantineQuery,
   request: Pick<RequestAttributes, 'id' | 'promptParts'>,
-): PromptRefusal | undefined {
+): QuarantineRefusal | undefined {
   for (const part of request.promptParts ?? []) {
     const policy = findObject(query.configuration, 'promptPolicy', part);
     if (policy?.state === 'held') {
--- a/scheduling/promptQuarantine/src/quarantineController.ts
+++ b/scheduling/quarantine/src/quarantineController.ts
@@ -7,7 +7,7 @@
 import {addReportedRuns, listRecentCrashes} from './crashRecords.js';
 import {listEvidenceNodes} from './evidenceNodes.js';
 import {
-  acceptSoundPart,
+  acceptSoundUse,
   endFailedTest,
   grantTest,
   handlePolicies,
@@ -28,7 +28,7 @@
   QuarantineView,
   QuarantineWrite,
 } from './quarantineView.js';
-import {listFadedSoundParts, recordSoundParts} from './reportedSoundParts.js';
+import {listFadedSoundUse, recordReportedSoundUse} from './reportedSoundUse.js';
 
 /**
  * Creates the controller that decides which prompt parts are quarantined, if
@@ -103,20 +103,20 @@
         now.monotonic,
       );
       const parts = runs.flatMap(run => run.parts);
-      const soundParts = recordSoundParts(view, from, parts, now);
+      const soundParts = recordReportedSoundUse(view, from, parts, now);
       return [
         {kind: 'set', section: 'endpointCrashes', value: crashes},
-        ...soundParts.listWrites('reportedSoundParts' as const),
+        ...soundParts.listWrites('reportedSoundUse' as const),
         ...handleSuspects(view, draft, set, parts, crashes, soundParts, now),
       ];
     }
-    case 'soundPartsReported': {
+    case 'soundUseReported': {
       const {parts} = message;
-      const soundParts = recordSoundParts(view, from, parts, now);
+      const soundParts = recordReportedSoundUse(view, from, parts, now);
       return [
-        ...soundParts.listWrites('reportedSoundParts' as const),
+        ...soundParts.listWrites('reportedSoundUse' as const),
         ...parts.flatMap(part =>
-          acceptSoundPart(view, draft, part, soundParts, now),
+          acceptSoundUse(view, draft, part, soundParts, now),
         ),
       ];
     }
@@ -175,10 +175,10 @@
     ...(crashes.length === board.endpointCrashes.length
       ? []
       : [{kind: 'set', section: 'endpointCrashes', value: crashes} as const]),
-    ...listFadedSoundParts(board.reportedSoundParts, now).map(
+    ...listFadedSoundUse(board.reportedSoundUse, now).map(
       (key): QuarantineWrite => ({
         kind: 'delete',
-        section: 'reportedSoundParts',
+        section: 'reportedSoundUse',
         key,
       }),
     ),
--- a/scheduling/promptQuarantine/src/quarantineDecisions.ts
+++ b/scheduling/quarantine/src/quarantineDecisions.ts
@@ -5,8 +5,8 @@
   EndpointCrash,
   Quarantine,
   ReportedQuarantine,
-  ReportedSoundPart,
-  SuspectPart,
+  ReportedSoundUse,
+  Suspect,
 } from '@gentianshunt/entryModel';
 import type {
   DispatchId,
@@ -33,18 +33,18 @@
   QuarantineDraft,
   QuarantineView,
   QuarantineWrite,
-  SoundPartsDraft,
+  SoundUseDraft,
 } from './quarantineView.js';
-import {createSoundCounter} from './reportedSoundParts.js';
+import {createSoundCounter} from './reportedSoundUse.js';
 
 /** Holds the parts that the evidence speaks against. */
 export function handleSuspects(
   view: QuarantineView,
   draft: QuarantineDraft,
   set: EndpointSetId,
-  parts: readonly SuspectPart[],
+  parts: readonly Suspect[],
   crashes: readonly EndpointCrash[],
-  soundParts: SoundPartsDraft,
+  soundParts: SoundUseDraft,
   now: TurnTime,
 ): readonly QuarantineWrite[] {
   return decideSuspects(
@@ -61,11 +61,11 @@
 }
 
 /** Lifts a quarantine that sound answers contradict. */
-export function acceptSoundPart(
+export function acceptSoundUse(
   view: QuarantineView,
   draft: QuarantineDraft,
-  {part, isUnderQuarantine}: ReportedSoundPart,
-  soundParts: SoundPartsDraft,
+  {part, isUnderQuarantine}: ReportedSoundUse,
+  soundParts: SoundUseDraft,
   now: TurnTime,
 ): readonly QuarantineWrite[] {
   const known = draft.get(part);
@@ -210,7 +210,7 @@
     toEffectWrite({
       kind: 'logDecision',
       decision: {
-        kind: 'promptQuarantineChanged',
+        kind: 'quarantineChanged',
         part,
         set,
         state: state.kind,
--- a/scheduling/promptQuarantine/src/quarantineView.ts
+++ b/scheduling/quarantine/src/quarantineView.ts
@@ -5,7 +5,7 @@
   EntrySections,
   EntryWrite,
   Quarantine,
-  SoundPartKey,
+  SoundUseKey,
   SoundUse,
 } from '@gentianshunt/entryModel';
 import type {PromptPartId} from '@gentianshunt/identifiers';
@@ -13,7 +13,7 @@
 /** The board sections that the quarantine controller writes. */
 export const QUARANTINE_SECTIONS = [
   'endpointCrashes',
-  'reportedSoundParts',
+  'reportedSoundUse',
   'quarantines',
   'quarantineExchange',
 ] as const;
@@ -39,7 +39,7 @@
 >;
 export type QuarantineWrite = EntryWrite<QuarantineSections>;
 export type QuarantineDraft = MapDraft<PromptPartId, Quarantine>;
-export type SoundPartsDraft = OrderedDraft<SoundPartKey, SoundUse>;
+export type SoundUseDraft = OrderedDraft<SoundUseKey, SoundUse>;
 
 /** Requests an effect. */
 export function toEffectWrite(effect: EntryEffect): QuarantineWrite {
--- a/scheduling/promptQuarantine/src/reportedSoundParts.ts
+++ b/scheduling/quarantine/src/reportedSoundUse.ts
@@ -1,32 +1,32 @@
 /** Counts of sound answers that other entries reported to this one. */
 import {compareBy, createOrderedDraft} from '@gentianshunt/board';
 import type {TurnTime} from '@gentianshunt/board';
-import type {SoundPartKey, SuspectPart} from '@gentianshunt/entryModel';
+import type {SoundUseKey, Suspect} from '@gentianshunt/entryModel';
 import type {NodeId} from '@gentianshunt/identifiers';
 
 import type {SoundCounter} from './decideSuspects.js';
-import type {QuarantineView, SoundPartsDraft} from './quarantineView.js';
+import type {QuarantineView, SoundUseDraft} from './quarantineView.js';
 import {decaySoundUse, sumSoundRuns} from './soundUse.js';
 
 /** Most counts of sound answers that an entry keeps of others. */
-const MAX_REPORTED_SOUND_PARTS = 2_048;
+const MAX_REPORTED_SOUND_USE = 2_048;
 /** Smaller counts of sound answers are dropped. */
 const MIN_SOUND_RUNS = 0.01;
 
 /** Replaces the counts of sound answers that an entry has reported. */
-export function recordSoundParts(
+export function recordReportedSoundUse(
   {board}: QuarantineView,
   node: NodeId,
-  parts: readonly SuspectPart[],
+  parts: readonly Suspect[],
   now: TurnTime,
-): SoundPartsDraft {
+): SoundUseDraft {
   const draft = createOrderedDraft({
-    view: board.reportedSoundParts,
+    view: board.reportedSoundUse,
     compare: compareBy('part', 'node'),
   });
   for (const {part, lasting, recent} of parts) {
     const isKnown = draft.get({part, node}) !== undefined;
-    if (isKnown || draft.size < MAX_REPORTED_SOUND_PARTS) {
+    if (isKnown || draft.size < MAX_REPORTED_SOUND_USE) {
       draft.put({part, node}, {lasting, recent, at: now.monotonic});
     }
   }
@@ -36,7 +36,7 @@
 /** Counts the sound answers of this entry and those that were reported. */
 export function createSoundCounter(
   {board}: QuarantineView,
-  reported: SoundPartsDraft,
+  reported: SoundUseDraft,
   now: TurnTime,
 ): SoundCounter {
   const self = board.identity.address.node;
@@ -56,10 +56,10 @@
 }
 
 /** Lists the counts that have decayed. */
-export function listFadedSoundParts(
-  soundParts: QuarantineView['board']['reportedSoundParts'],
+export function listFadedSoundUse(
+  soundParts: QuarantineView['board']['reportedSoundUse'],
   now: TurnTime,
-): readonly SoundPartKey[] {
+): readonly SoundUseKey[] {
   return [...soundParts.iterateFrom()]
     .filter(
       ({value}) => decaySoundUse(value, now.monotonic).lasting < MIN_SOUND_RUNS,
--- a/scheduling/slotContract/test/crashingPromptPart.test.ts
+++ b/scheduling/slotContract/test/crashingPromptPart.test.ts
@@ -1,4 +1,4 @@
-import {FIRST_HOLD_MS} from '@gentianshunt/promptQuarantine';
+import {FIRST_HOLD_MS} from '@gentianshunt/quarantine';
 import t from 'tap';
 
 import {createCrashingSet, DEADLY_PART} from './crashingSet.js';
