--- a/control/configuration/src/objects.ts
+++ b/control/configuration/src/objects.ts
@@ -10,7 +10,7 @@
   Identifier,
   NodeId,
   OrganisationId,
-  PromptPartId,
+  FingerprintId,
   RegionId,
   RequestKindId,
   RouteId,
@@ -171,10 +171,10 @@
   readonly state: 'active' | 'draining';
 }
 
-/** Whether an operator holds a prompt part, or lifted its quarantine. */
+/** Whether an operator holds a fingerprint, or lifted its quarantine. */
 export interface PromptPolicy {
   readonly kind: 'promptPolicy';
-  readonly id: PromptPartId;
+  readonly id: FingerprintId;
   readonly revision: Revision;
   readonly state: 'held' | 'lifted';
 }
--- a/core/identifiers/src/identifiers.ts
+++ b/core/identifiers/src/identifiers.ts
@@ -23,6 +23,8 @@
 export type GrantId = Identifier<'grant'>;
 /** Identifies a part of prompts; requests with the same part share its text. */
 export type PromptPartId = Identifier<'promptPart'>;
+/** Identifies what may crash endpoints: a prompt part or a whole request. */
+export type FingerprintId = Identifier<'fingerprint'>;
 export type FailureDomainId = Identifier<'failureDomain'>;
 export type RegionId = Identifier<'region'>;
 export type OperatorId = Identifier<'operator'>;
--- a/fronts/callRelay/src/callRelay.ts
+++ b/fronts/callRelay/src/callRelay.ts
@@ -28,6 +28,7 @@
 import type {FastifyInstance, FastifyReply, FastifyRequest} from 'fastify';
 
 import {sendSchedulerAnswer} from './answerWriter.js';
+import {digestCall} from './callFingerprint.js';
 import type {CallHead, CallProtocol} from './callProtocol.js';
 import type {CallStep} from './callStep.js';
 import {createCallTable} from './callTable.js';
@@ -297,7 +298,11 @@
       post({kind: 'callerGone', request: id});
     }
   });
-  return {kind: 'requestReceived', attributes: resolved.attributes};
+  const requestFingerprint = digestCall({head, attributes, body});
+  return {
+    kind: 'requestReceived',
+    attributes: {...resolved.attributes, requestFingerprint},
+  };
 }
 
 /** Refuses a call that has not been admitted. */
--- a/fronts/callRelay/src/withholdCause.ts
+++ b/fronts/callRelay/src/withholdCause.ts
@@ -32,13 +32,10 @@
   }
   const {configuration, quarantines, requests, identity} = view;
   const self = identity.address.node;
-  if (
-    findQuarantineRefusal(
-      {configuration, quarantines, requests, self, now},
-      request,
-    )
-  ) {
-    return 'promptQuarantined';
+  const query = {configuration, quarantines, requests, self, now};
+  const refusal = findQuarantineRefusal(query, request);
+  if (refusal !== undefined) {
+    return refusal.reason.kind;
   }
   return dueAt <= now ? 'timeLimit' : undefined;
 }
--- a/fronts/callRelay/test/lateCalls.test.ts
+++ b/fronts/callRelay/test/lateCalls.test.ts
@@ -6,8 +6,9 @@
   createManualLoop,
   createSystemClock,
 } from '@gentianshunt/runtime';
+import {toFingerprint} from '@gentianshunt/entryModel';
 import {toIdentifier} from '@gentianshunt/identifiers';
-import type {PromptPartId} from '@gentianshunt/identifiers';
+import type {FingerprintId, PromptPartId} from '@gentianshunt/identifiers';
 import t from 'tap';
 
 import {
@@ -178,9 +179,19 @@
   },
 );
 
-t.test(
-  'a call is not sent once a part of its prompt is quarantined',
-  async t => {
+const quarantines = [
+  {
+    fingerprint: toFingerprint(toIdentifier('abc')),
+    cause: 'promptQuarantined',
+  },
+  {
+    fingerprint: toFingerprint(toIdentifier('request.abc')),
+    cause: 'requestQuarantined',
+  },
+];
+
+for (const {fingerprint, cause} of quarantines) {
+  t.test(`a call is not sent once it is withheld: ${cause}`, async t => {
     const loop = createManualLoop(100);
     const fixture = await createRelayFixture({loop});
     const endpoint = await createEndpoint();
@@ -188,10 +199,14 @@
     const answered = fixture.call('q1');
     const {attributes} = await received;
     const ended = fixture.next('streamEnded');
-    const part = toIdentifier<PromptPartId>('abc');
-    fixture.dispatch({...attributes, promptParts: [part]}, endpoint.url);
-    fixture.quarantines.set(part, {
-      part,
+    const requestFingerprint = toIdentifier<FingerprintId>('request.abc');
+    const promptParts = [toIdentifier<PromptPartId>('abc')];
+    fixture.dispatch(
+      {...attributes, promptParts, requestFingerprint},
+      endpoint.url,
+    );
+    fixture.quarantines.set(fingerprint.id, {
+      fingerprint,
       set: attributes.set,
       revision: 1,
       changedAt: 0,
@@ -201,11 +216,11 @@
       state: {kind: 'held', from: 0, until: Number.POSITIVE_INFINITY},
     });
     loop.finishReading();
-    t.equal(describeEnd((await ended).end), 'withheld promptQuarantined');
+    t.equal(describeEnd((await ended).end), `withheld ${cause}`);
     fixture.fail(attributes);
     await answered;
     t.same(endpoint.heads, []);
     endpoint.close();
     await fixture.close();
-  },
-);
+  });
+}
--- a/fronts/callerFront/src/callerFront.ts
+++ b/fronts/callerFront/src/callerFront.ts
@@ -91,7 +91,8 @@
   server.post('/v1/chat/completions', (request, reply) => {
     const body = request.body as Buffer;
     const id = options.drawRequestId();
-    const parsed = parseChatRequest({id, headers: request.headers, body});
+    const {method, url, headers} = request;
+    const parsed = parseChatRequest({id, method, url, headers, body});
     receiveRequest(options, callers, request, reply, parsed, {
       method: 'POST',
       path: '/v1/chat/completions',
@@ -106,7 +107,8 @@
     handler: (request, reply) => {
       const body = (request.body as Buffer | undefined) ?? Buffer.alloc(0);
       const id = options.drawRequestId();
-      const raw = {id, headers: request.headers, body};
+      const {method, url, headers} = request;
+      const raw = {id, method, url, headers, body};
       const parsed = parseServiceRequest(raw, request.params.set);
       receiveRequest(options, callers, request, reply, parsed, {
         method: request.method === 'GET' ? 'GET' : 'POST',
--- a/fronts/callerFront/src/problem.ts
+++ b/fronts/callerFront/src/problem.ts
@@ -110,6 +110,11 @@
         status: 503,
         title: 'A part of the prompt has ended several endpoints',
       };
+    case 'requestQuarantined':
+      return {
+        status: 503,
+        title: 'Requests like this one have ended several endpoints',
+      };
     case 'quotaUndecided':
       return {status: 503, title: 'The token quota cannot be checked now'};
     case 'timeLimit':
--- a/fronts/callerFront/src/requestParser.ts
+++ b/fronts/callerFront/src/requestParser.ts
@@ -1,9 +1,11 @@
-import {createHash} from 'node:crypto';
+import {createHash, createHmac} from 'node:crypto';
 
+import {formatRequestFingerprint} from '@gentianshunt/entryModel';
 import type {RequestAttributes} from '@gentianshunt/entryModel';
 import {isIdentifier} from '@gentianshunt/identifiers';
 import type {
   EndpointSetId,
+  FingerprintId,
   OrganisationId,
   RequestId,
   RequestKindId,
@@ -18,6 +20,8 @@
 /** Answer length assumed if the caller sets no limit, in tokens. */
 const DEFAULT_MAX_TOKENS = 1_024;
 const MAX_IDEMPOTENCY_KEY_LENGTH = 256;
+/** Length of a request's digest in hexadecimal digits. */
+const FINGERPRINT_LENGTH = 32;
 
 const chatBody = z.looseObject({
   model: z.string().refine(isIdentifier, 'must be an identifier'),
@@ -49,6 +53,9 @@
 /** A request as the caller sent it. */
 export interface RawRequest {
   readonly id: RequestId;
+  readonly method: string;
+  /** Path and query. */
+  readonly url: string;
   readonly headers: Readonly<Record<string, unknown>>;
   readonly body: Buffer;
 }
@@ -102,22 +109,37 @@
     return {kind: 'malformed', detail: describe('header', headers.error)};
   }
   const key = headers.data['idempotency-key'];
+  const organisation = headers.data['x-organisation'];
   return {
     kind: 'parsed',
     attributes: {
       ...bodyAttributes,
       id: raw.id,
-      organisation: headers.data['x-organisation'] as OrganisationId,
+      organisation: organisation as OrganisationId,
       tier: (headers.data['x-tier'] ?? null) as TierId | null,
       kind: headers.data['x-kind'] as RequestKindId,
       claim:
         key === undefined
           ? null
           : {idempotencyKey: key, digest: digest(raw.body)},
+      requestFingerprint: digestRequest(raw, organisation),
     },
   };
 }
 
+/** Digests what repeats of a request have in common. */
+function digestRequest(
+  {method, url, body}: RawRequest,
+  organisation: string,
+): FingerprintId {
+  const target = JSON.stringify([method, url]);
+  const digest = createHmac('sha256', organisation)
+    .update(target)
+    .update(createHash('sha256').update(body).digest())
+    .digest('hex');
+  return formatRequestFingerprint(digest.slice(0, FINGERPRINT_LENGTH));
+}
+
 function parseJson(body: Buffer): unknown {
   try {
     return JSON.parse(body.toString('utf8'));
--- a/fronts/entryWire/src/entryWire.ts
+++ b/fronts/entryWire/src/entryWire.ts
@@ -8,7 +8,7 @@
   EndpointSetId,
   FailureDomainId,
   IncarnationId,
-  PromptPartId,
+  FingerprintId,
 } from '@gentianshunt/identifiers';
 
 import {decodeDemandReport, encodeDemandReport} from './demandReportWire.js';
@@ -108,7 +108,7 @@
     case 'brokenRunsReported':
       return [kind, message.set, encodeBrokenRuns(message.runs)];
     case 'soundUseReported':
-      return [kind, encodeSoundUse(message.parts)];
+      return [kind, encodeSoundUse(message.uses)];
     case 'quarantinesReported':
       return [
         kind,
@@ -116,7 +116,7 @@
         encodeQuarantines(message.quarantines),
       ];
     case 'quarantineTestRequested':
-      return [kind, message.part];
+      return [kind, message.fingerprint];
     default:
       return assertNever(message, 'encodeEntryMessage');
   }
@@ -207,7 +207,7 @@
     case WIRE_KINDS.soundUseReported:
       return {
         kind: 'soundUseReported',
-        parts: decodeSoundUse(reader.readList()),
+        uses: decodeSoundUse(reader.readList()),
       };
     case WIRE_KINDS.quarantinesReported:
       return {
@@ -218,7 +218,7 @@
     case WIRE_KINDS.quarantineTestRequested:
       return {
         kind: 'quarantineTestRequested',
-        part: reader.readIdentifier<PromptPartId>(),
+        fingerprint: reader.readIdentifier<FingerprintId>(),
       };
     default:
       throw new MalformedMessageError(peer, 'unknown message kind');
--- a/fronts/entryWire/src/quarantineWire.ts
+++ b/fronts/entryWire/src/quarantineWire.ts
@@ -1,5 +1,7 @@
+import {toFingerprint} from '@gentianshunt/entryModel';
 import type {
   AnswerProgress,
+  Fingerprint,
   ReportedBrokenRun,
   ReportedQuarantine,
   ReportedSoundUse,
@@ -9,8 +11,8 @@
 import type {
   EndpointId,
   EndpointSetId,
+  FingerprintId,
   NodeId,
-  PromptPartId,
 } from '@gentianshunt/identifiers';
 
 import {readRecords} from './wireReader.js';
@@ -31,11 +33,11 @@
 export function encodeBrokenRuns(
   runs: readonly ReportedBrokenRun[],
 ): readonly unknown[] {
-  return runs.map(({endpoint, ageMs, progress, parts}) => [
+  return runs.map(({endpoint, ageMs, progress, suspects}) => [
     endpoint,
     Math.round(ageMs),
     PROGRESS.indexOf(progress),
-    parts.flatMap(encodeSuspect),
+    suspects.flatMap(encodeSuspect),
   ]);
 }
 
@@ -49,22 +51,22 @@
       endpoint: run.readIdentifier<EndpointId>(),
       ageMs: run.readCount(),
       progress: run.readReference(PROGRESS),
-      parts: readRecords(run.readList(), decodeSuspect),
+      suspects: readRecords(run.readList(), decodeSuspect),
     };
   });
 }
 
-/** Encodes sound answers by prompt part. */
+/** Encodes sound answers by fingerprint. */
 export function encodeSoundUse(
-  parts: readonly ReportedSoundUse[],
+  uses: readonly ReportedSoundUse[],
 ): readonly unknown[] {
-  return parts.flatMap(part => [
-    ...encodeSuspect(part),
-    part.isUnderQuarantine ? 1 : 0,
+  return uses.flatMap(use => [
+    ...encodeSuspect(use),
+    use.isUnderQuarantine ? 1 : 0,
   ]);
 }
 
-/** Decodes and validates sound answers by prompt part. */
+/** Decodes and validates sound answers by fingerprint. */
 export function decodeSoundUse(
   reader: WireReader,
 ): readonly ReportedSoundUse[] {
@@ -79,7 +81,7 @@
   quarantines: readonly ReportedQuarantine[],
 ): readonly unknown[] {
   return quarantines.map(({state, ...quarantine}) => [
-    quarantine.part,
+    quarantine.fingerprint.id,
     quarantine.set,
     quarantine.revision,
     Math.round(quarantine.ageMs),
@@ -114,7 +116,7 @@
   return readRecords(reader, list => {
     const quarantine = list.readList();
     return {
-      part: quarantine.readIdentifier<PromptPartId>(),
+      fingerprint: decodeFingerprint(quarantine),
       set: quarantine.readIdentifier<EndpointSetId>(),
       revision: quarantine.readCount(),
       ageMs: quarantine.readCount(),
@@ -141,17 +143,25 @@
   }
 }
 
-function encodeSuspect({part, lasting, recent}: Suspect): readonly unknown[] {
+function encodeSuspect({
+  fingerprint,
+  lasting,
+  recent,
+}: Suspect): readonly unknown[] {
   return [
-    part,
+    fingerprint.id,
     Math.round(lasting * COUNT_SCALE),
     Math.round(recent * COUNT_SCALE),
   ];
 }
 
+function decodeFingerprint(reader: WireReader): Fingerprint {
+  return toFingerprint(reader.readIdentifier<FingerprintId>());
+}
+
 function decodeSuspect(reader: WireReader): Suspect {
   return {
-    part: reader.readIdentifier<PromptPartId>(),
+    fingerprint: decodeFingerprint(reader),
     lasting: reader.readCount() / COUNT_SCALE,
     recent: reader.readCount() / COUNT_SCALE,
   };
--- a/fronts/entryWire/test/entryWire.test.ts
+++ b/fronts/entryWire/test/entryWire.test.ts
@@ -1,4 +1,4 @@
-import {formatQuotaAccount} from '@gentianshunt/entryModel';
+import {formatQuotaAccount, toFingerprint} from '@gentianshunt/entryModel';
 import type {EntryMessage} from '@gentianshunt/entryModel';
 import {toIdentifier} from '@gentianshunt/identifiers';
 import type {
@@ -6,7 +6,6 @@
   EndpointSetId,
   NodeId,
   OrganisationId,
-  PromptPartId,
   RequestId,
 } from '@gentianshunt/identifiers';
 import fc from 'fast-check';
@@ -30,9 +29,10 @@
   const account = formatQuotaAccount(organisation, 0);
   const countedSlots = {endpoint: target.endpoint, organisation, count: 3};
   const set = toIdentifier<EndpointSetId>('drafts');
-  const part = toIdentifier<PromptPartId>('5c1e07a2');
+  const part = toFingerprint(toIdentifier('5c1e07a2'));
+  const request = toFingerprint(toIdentifier('request.0b1c2d'));
   const quarantine = {
-    part,
+    fingerprint: part,
     set,
     revision: 4,
     ageMs: 30,
@@ -100,19 +100,24 @@
           endpoint: toIdentifier<EndpointId>('e1'),
           ageMs: 12,
           progress: 'awaitingFirstEvent',
-          parts: [{part, lasting: 1.5, recent: 0.5}],
+          suspects: [
+            {fingerprint: part, lasting: 1.5, recent: 0.5},
+            {fingerprint: request, lasting: 0, recent: 0},
+          ],
         },
         {
           endpoint: toIdentifier<EndpointId>('e1'),
           ageMs: 0,
           progress: 'delivering',
-          parts: [],
+          suspects: [],
         },
       ],
     },
     {
       kind: 'soundUseReported',
-      parts: [{part, lasting: 0.25, recent: 0, isUnderQuarantine: true}],
+      uses: [
+        {fingerprint: part, lasting: 0.25, recent: 0, isUnderQuarantine: true},
+      ],
     },
     {
       kind: 'quarantinesReported',
@@ -127,10 +132,14 @@
             remainingMs: 9,
           },
         },
-        {...quarantine, state: {kind: 'lifted', remainingMs: 0}},
+        {
+          ...quarantine,
+          fingerprint: request,
+          state: {kind: 'lifted', remainingMs: 0},
+        },
       ],
     },
-    {kind: 'quarantineTestRequested', part},
+    {kind: 'quarantineTestRequested', fingerprint: request.id},
     {
       kind: 'endpointLeft',
       endpoint: toIdentifier<EndpointId>('e1'),
--- a/fronts/requestBodies/src/requestBody.ts
+++ b/fronts/requestBodies/src/requestBody.ts
@@ -1,3 +1,5 @@
+import {createHash} from 'node:crypto';
+
 import {SchedulerError} from '@gentianshunt/errors';
 import {SMALL_BODY_BYTES} from '@gentianshunt/memoryAccount';
 
@@ -17,6 +19,8 @@
    * used again once it is released; sending fails from then on.
    */
   toPayload(): Buffer | Iterable<Buffer> | null;
+  /** Returns the SHA-256 digest of the body, computed as it arrived. */
+  digest(): Buffer;
   /** Gives the memory back. */
   release(): void;
 }
@@ -55,6 +59,7 @@
   const reservations: {reservation: Reservation; bytes: number}[] = [];
   const blocks: Buffer[] = [];
   const inFlight: InFlight = new Map();
+  const hash = createHash('sha256');
   let whole: Buffer | undefined;
   let isReleased = false;
   let length = 0;
@@ -98,6 +103,7 @@
       reservedBytes += bytes;
     },
     append: chunk => {
+      hash.update(chunk);
       const isWhole = length === 0 && chunk.length === reservedBytes;
       if (isWhole && chunk.length <= SMALL_BODY_BYTES) {
         whole = chunk;
@@ -108,6 +114,7 @@
     },
     build: () => {
       shrinkTo(length);
+      const digest = hash.digest();
       if (whole === undefined && length <= SMALL_BODY_BYTES) {
         whole = mergeBlocks(blocks, length);
         blocks.splice(0).forEach(releaseBlock);
@@ -129,6 +136,7 @@
           }
           return whole ?? iterateBlocks(blocks, inFlight, length);
         },
+        digest: () => digest,
         release,
       };
     },
--- a/fronts/requestBodies/test/requestBodies.test.ts
+++ b/fronts/requestBodies/test/requestBodies.test.ts
@@ -1,3 +1,4 @@
+import {createHash} from 'node:crypto';
 import {PassThrough} from 'node:stream';
 import {createServer, request} from 'node:http';
 import type {IncomingMessage} from 'node:http';
@@ -65,6 +66,7 @@
       const sent = Buffer.isBuffer(payload) ? [payload] : [...payload];
       t.ok(Buffer.concat(sent).equals(bytes));
       t.ok(body.toBuffer().equals(bytes));
+      t.ok(body.digest().equals(createHash('sha256').update(bytes).digest()));
       body.release();
       body.release();
       t.equal(gate.reservedBytes, 0);
--- a/reports/explain/src/failureCause.ts
+++ b/reports/explain/src/failureCause.ts
@@ -15,6 +15,7 @@
   | {readonly kind: 'quotaUndecided'}
   /** A part of its prompt has ended several endpoints. */
   | {readonly kind: 'promptQuarantined'}
+  | {readonly kind: 'requestQuarantined'}
   /** The entry had no lease or no configuration, or was draining. */
   | {readonly kind: 'noLease'}
   | {readonly kind: 'overloaded'}
@@ -79,6 +80,8 @@
       return {kind: 'quotaUndecided'};
     case 'promptQuarantined':
       return {kind: 'promptQuarantined'};
+    case 'requestQuarantined':
+      return {kind: 'requestQuarantined'};
     case 'noLease':
     case 'noConfiguration':
     case 'draining':
@@ -137,6 +140,8 @@
       return "no owner of the organisation's token quota answered; see 'setLeaderChanged' of the quota sets";
     case 'promptQuarantined':
       return "a part of its prompt has ended several endpoints; see 'quarantineChanged' and 'answerBroken'";
+    case 'requestQuarantined':
+      return "requests like it have ended several endpoints; see 'quarantineChanged' and 'answerBroken'";
     case 'noLease':
       return 'the entry could not take requests: no lease, no configuration, or it was stopping';
     case 'overloaded':
--- a/scheduling/entryModel/src/decision.ts
+++ b/scheduling/entryModel/src/decision.ts
@@ -2,6 +2,7 @@
 import type {
   EndpointId,
   EndpointSetId,
+  FingerprintId,
   GrantId,
   NodeId,
   OrganisationId,
@@ -9,12 +10,24 @@
   RequestId,
 } from '@gentianshunt/identifiers';
 
+import type {Fingerprint} from './fingerprint.js';
 import type {QuarantineState} from './quarantine.js';
 import type {EndpointRecord} from './endpointRecord.js';
 import type {AnswerProgress} from './streamEnd.js';
 import type {CatchUpCause} from './leaveRecord.js';
 import type {WithdrawalSource} from './withdrawal.js';
 
+/** What a broken run says of the whole request. */
+export type Suspicion =
+  /** Requests like it had sound answers of this entry. */
+  | 'soundBefore'
+  /** Its answer had delivered events. */
+  | 'delivering'
+  /** No other broken run of such a request is known to this entry. */
+  | 'firstBreak'
+  /** Requests like it broke before, and none had a sound answer. */
+  | 'brokeBefore';
+
 /** A decision or a state change of an entry, with its inputs, for the log. */
 export type EntryDecision =
   | {
@@ -83,6 +96,9 @@
       readonly progress: AnswerProgress;
       readonly sinceDispatchMs: Milliseconds;
       readonly promptParts: readonly PromptPartId[];
+      /** Of the whole request; `null` if its front computes none. */
+      readonly fingerprint: FingerprintId | null;
+      readonly suspicion: Suspicion;
     }
   | {
       /** An endpoint named a limit in an answer, another one, or none again. */
@@ -123,9 +139,10 @@
       readonly answeredBy: NodeId | null;
     }
   | {
-      /** The quarantine of a prompt part was decided or learnt. */
+      /** A quarantine was decided or learnt. */
       readonly kind: 'quarantineChanged';
-      readonly part: PromptPartId;
+      readonly fingerprint: FingerprintId;
+      readonly fingerprintKind: Fingerprint['kind'];
       readonly set: EndpointSetId;
       readonly state: QuarantineState['kind'];
       /** This entry, or the one that reported it. */
--- a/scheduling/entryModel/src/entryMessage.ts
+++ b/scheduling/entryModel/src/entryMessage.ts
@@ -3,10 +3,10 @@
 import type {
   EndpointId,
   EndpointSetId,
+  FingerprintId,
   GrantId,
   NodeId,
   OrganisationId,
-  PromptPartId,
 } from '@gentianshunt/identifiers';
 
 import type {ReportedLimit} from './endpointSignals.js';
@@ -239,7 +239,7 @@
     }
   | {
       readonly kind: 'soundUseReported';
-      readonly parts: readonly ReportedSoundUse[];
+      readonly uses: readonly ReportedSoundUse[];
     }
   | {
       readonly kind: 'quarantinesReported';
@@ -247,9 +247,9 @@
       readonly isReplyRequested: boolean;
     }
   | {
-      /** Asks for permission to run one request with a quarantined part. */
+      /** Asks for permission to run one request with a quarantined fingerprint. */
       readonly kind: 'quarantineTestRequested';
-      readonly part: PromptPartId;
+      readonly fingerprint: FingerprintId;
     };
 
 /** Slots an entry may use until their deadline. */
--- a/scheduling/entryModel/src/index.ts
+++ b/scheduling/entryModel/src/index.ts
@@ -12,6 +12,7 @@
 export * from './entryController.js';
 export * from './entryMessage.js';
 export * from './findLeftIncarnation.js';
+export * from './fingerprint.js';
 export * from './identity.js';
 export * from './iterateSet.js';
 export * from './leaveOrder.js';
--- a/scheduling/entryModel/src/quarantine.ts
+++ b/scheduling/entryModel/src/quarantine.ts
@@ -1,19 +1,21 @@
-// Prompt parts that may crash endpoints: evidence, decisions and messages.
+// Fingerprints that may crash endpoints: evidence, decisions and messages.
 import type {Milliseconds, MonotonicTime} from '@gentianshunt/clock';
 import type {
+  DispatchId,
   EndpointId,
   EndpointSetId,
+  FingerprintId,
   NodeId,
-  PromptPartId,
 } from '@gentianshunt/identifiers';
 
+import type {Fingerprint} from './fingerprint.js';
 import type {AnswerProgress} from './streamEnd.js';
 
-/** Decaying counts of sound answers to requests with a prompt part. */
+/** Decaying counts of sound answers to requests with a fingerprint. */
 export interface SoundRuns {
-  /** Decays slowly: whether the part was ever sound. */
+  /** Decays slowly: whether it was ever sound. */
   readonly lasting: number;
-  /** Decays fast: whether the part is sound now. */
+  /** Decays fast: whether it is sound now. */
   readonly recent: number;
 }
 
@@ -24,32 +26,37 @@
 
 /** Identifies the sound answers that one entry reported. */
 export interface SoundUseKey {
-  readonly part: PromptPartId;
+  readonly fingerprint: FingerprintId;
   readonly node: NodeId;
 }
 
-/** A prompt part, and the sound answers with it at one entry. */
+/** A fingerprint, and the sound answers with it at one entry. */
 export interface Suspect extends SoundRuns {
-  readonly part: PromptPartId;
+  readonly fingerprint: Fingerprint;
 }
 
 /** A request that was at an endpoint when the connection failed. */
 export interface BrokenRun {
+  readonly dispatch: DispatchId;
   readonly set: EndpointSetId;
   readonly endpoint: EndpointId;
   readonly at: MonotonicTime;
   readonly progress: AnswerProgress;
-  /** Empty if the answer had delivered events. */
-  readonly parts: readonly Suspect[];
+  /** Without prompt parts if the answer had delivered events. */
+  readonly suspects: readonly Suspect[];
 }
 
 /** A broken run in a message. */
-export interface ReportedBrokenRun extends Omit<BrokenRun, 'set' | 'at'> {
+export interface ReportedBrokenRun extends Omit<
+  BrokenRun,
+  'set' | 'at' | 'dispatch'
+> {
   readonly ageMs: Milliseconds;
 }
 
 /** An endpoint that failed while it ran requests, and these requests. */
 export interface EndpointCrash {
+  readonly set: EndpointSetId;
   readonly endpoint: EndpointId;
   readonly at: MonotonicTime;
   readonly runs: readonly CrashedRun[];
@@ -59,21 +66,21 @@
 export interface CrashedRun {
   readonly reporter: NodeId;
   readonly progress: AnswerProgress;
-  readonly parts: readonly Suspect[];
+  readonly suspects: readonly Suspect[];
 }
 
-/** What is decided of a prompt part that crashes endpoints. */
+/** What is decided of a fingerprint that crashes endpoints. */
 export type QuarantineState =
   | {
-      /** Requests with the part are refused. */
+      /** Requests with the fingerprint are refused. */
       readonly kind: 'held';
       /** Until then, entries that know sound answers may object. */
       readonly from: MonotonicTime;
-      /** When the part may be tested. */
+      /** When it may be tested. */
       readonly until: MonotonicTime;
     }
   | {
-      /** One request with the part may run, at one entry. */
+      /** One request with the fingerprint may run, at one entry. */
       readonly kind: 'testing';
       readonly tester: NodeId;
       readonly until: MonotonicTime;
@@ -81,15 +88,15 @@
   /** Remembered, so that a relapse is held for longer. */
   | {readonly kind: 'lifted'; readonly until: MonotonicTime};
 
-/** The quarantine of a prompt part. */
+/** The quarantine of a fingerprint. */
 export interface Quarantine {
-  readonly part: PromptPartId;
+  readonly fingerprint: Fingerprint;
   /** The set whose endpoints crashed. */
   readonly set: EndpointSetId;
   /** Rises with each decision; the highest one holds. */
   readonly revision: number;
   readonly changedAt: MonotonicTime;
-  /** How often the part has been held. */
+  /** How often the fingerprint has been held. */
   readonly level: number;
   /** Crashes that led to the decision. */
   readonly crashes: number;
@@ -118,7 +125,7 @@
     | {readonly kind: 'lifted'; readonly remainingMs: Milliseconds};
 }
 
-/** Sound answers that speak against the quarantine of a part. */
+/** Sound answers that speak against a quarantine. */
 export interface ReportedSoundUse extends Suspect {
   /** Whether one of them was given under the quarantine. */
   readonly isUnderQuarantine: boolean;
--- a/scheduling/entryModel/src/request.ts
+++ b/scheduling/entryModel/src/request.ts
@@ -5,6 +5,7 @@
   DispatchId,
   EndpointId,
   EndpointSetId,
+  FingerprintId,
   GrantId,
   OrganisationId,
   PromptPartId,
@@ -63,6 +64,11 @@
    * to the request itself. Absent when the caller named none.
    */
   readonly promptParts?: readonly PromptPartId[];
+  /**
+   * Equal for requests with the same caller, target and body. Absent when the
+   * front computes none.
+   */
+  readonly requestFingerprint?: FingerprintId;
   /** Absent when the request names its endpoint set instead of a route. */
   readonly routePolicy?: RoutePolicy;
 }
@@ -193,6 +199,8 @@
   | {readonly kind: 'allotmentUsed'}
   /** A part of its prompt crashes endpoints. */
   | {readonly kind: 'promptQuarantined'}
+  /** Requests like this one crash endpoints. */
+  | {readonly kind: 'requestQuarantined'}
   /** No owner of the token quota answered. */
   | {readonly kind: 'quotaUndecided'}
   | {readonly kind: 'timeLimit'}
--- a/scheduling/entryModel/src/sections.ts
+++ b/scheduling/entryModel/src/sections.ts
@@ -20,8 +20,8 @@
   DispatchId,
   EndpointId,
   EndpointSetId,
+  FingerprintId,
   NodeId,
-  PromptPartId,
   QuotaAccountId,
   RequestId,
 } from '@gentianshunt/identifiers';
@@ -197,16 +197,18 @@
     patience: defineMap<RequestClass, PatienceRecord>(),
     shedding: defineMap<EndpointSetId, boolean>(),
     /** Prompt parts with sound answers of this entry. */
-    soundParts: defineMap<PromptPartId, SoundUse>(),
+    soundParts: defineMap<FingerprintId, SoundUse>(),
+    /** Whole requests with sound answers of this entry, the latest last. */
+    soundRequests: defineMap<FingerprintId, SoundUse>(),
     /** This entry's requests that failed endpoints ended, the latest last. */
     brokenRuns: defineCell<readonly BrokenRun[]>([]),
     /** Failed endpoints that entries reported to this one, the latest last. */
     endpointCrashes: defineCell<readonly EndpointCrash[]>([]),
     /** Sound answers that entries reported to this one. */
     reportedSoundUse: defineOrdered<SoundUseKey, SoundUse>(
-      compareBy('part', 'node'),
+      compareBy('fingerprint', 'node'),
     ),
-    quarantines: defineMap<PromptPartId, Quarantine>(),
+    quarantines: defineMap<FingerprintId, Quarantine>(),
     quarantineExchange: defineCell<QuarantineExchange>({
       hasRequested: false,
       sentAt: Number.NEGATIVE_INFINITY,
--- a/scheduling/entryModel/src/streamEnd.ts
+++ b/scheduling/entryModel/src/streamEnd.ts
@@ -6,6 +6,8 @@
   | 'timeLimit'
   /** A part of the prompt was quarantined after the dispatch. */
   | 'promptQuarantined'
+  /** Requests like this one were quarantined after the dispatch. */
+  | 'requestQuarantined'
   /** The endpoint has asked this entry to send nothing for a while. */
   | 'endpointPaused'
   /** The endpoint left after the request was dispatched. */
--- a/scheduling/lifecycle/src/admitRequest.ts
+++ b/scheduling/lifecycle/src/admitRequest.ts
@@ -39,8 +39,7 @@
   }
   const found = findRequestRefusal(view, attributes, now);
   if (found !== undefined) {
-    const {retryAfterMs} = found;
-    refuse(draft, attributes, {kind: 'promptQuarantined'}, retryAfterMs);
+    refuse(draft, attributes, found.reason, found.retryAfterMs);
     return;
   }
   const checked = checkAttributes(view, attributes);
--- a/scheduling/lifecycle/src/lifecycleController.ts
+++ b/scheduling/lifecycle/src/lifecycleController.ts
@@ -48,6 +48,8 @@
       'withdrawnEndpoints',
       'quarantines',
       'soundParts',
+      'soundRequests',
+      'brokenRuns',
       'openClaims',
       'claimCompletions',
       'silenceDeadlines',
--- a/scheduling/lifecycle/src/quarantinedRequests.ts
+++ b/scheduling/lifecycle/src/quarantinedRequests.ts
@@ -1,26 +1,21 @@
-/** Keeps requests with quarantined prompt parts from endpoints. */
+/** Keeps requests with quarantined fingerprints from endpoints. */
 import type {TurnTime} from '@gentianshunt/board';
 import {failDispatched, isQueued, refuseNotRun} from '@gentianshunt/entryModel';
+import type {QueuedState} from '@gentianshunt/entryModel';
+import {findQuarantineRefusal} from '@gentianshunt/quarantine';
 import type {
-  AdmittedRequest,
-  QueuedState,
-  RequestAttributes,
-} from '@gentianshunt/entryModel';
-import {decaySoundUse, findQuarantineRefusal} from '@gentianshunt/quarantine';
-import type {QuarantineRefusal} from '@gentianshunt/quarantine';
+  FingerprintedRequest,
+  QuarantineRefusal,
+} from '@gentianshunt/quarantine';
 
 import {completeClaim} from './claimCompletions.js';
 import {endRequest} from './endRequest.js';
 import type {LifecycleView, RequestDraft} from './requestDraft.js';
 
-const REASON = {kind: 'promptQuarantined'} as const;
-/** Sound answers after which a part is not suspected of a single crash. */
-const MIN_SOUND_RUNS = 0.5;
-
-/** Finds a prompt part by which a request must not be dispatched. */
+/** Finds a quarantine by which a request must not be dispatched. */
 export function findRequestRefusal(
   {board}: LifecycleView,
-  request: Pick<RequestAttributes, 'id' | 'promptParts'>,
+  request: FingerprintedRequest,
   now: TurnTime,
 ): QuarantineRefusal | undefined {
   const {configuration, quarantines, requests, identity} = board;
@@ -39,13 +34,13 @@
   view: LifecycleView,
   draft: RequestDraft,
   state: QueuedState,
-  {retryAfterMs}: QuarantineRefusal,
+  {reason, retryAfterMs}: QuarantineRefusal,
   now: TurnTime,
 ): void {
   const refusal =
     state.kind === 'repeating'
-      ? failDispatched(state.request.id, REASON)
-      : refuseNotRun(state, REASON, retryAfterMs);
+      ? failDispatched(state.request.id, reason)
+      : refuseNotRun(state, reason, retryAfterMs);
   if (state.kind === 'waiting' && state.holdsClaim === true) {
     completeClaim(view, draft, state.request, {kind: 'notRun'}, now);
   }
@@ -53,7 +48,7 @@
   endRequest(draft, state, {kind: 'refused', refusal}, now);
 }
 
-/** Refuses the queued requests whose parts have been quarantined. */
+/** Refuses the queued requests that have been quarantined. */
 export function refuseQueuedQuarantined(
   view: LifecycleView,
   draft: RequestDraft,
@@ -67,19 +62,3 @@
     }
   }
 }
-
-/**
- * Returns whether a request may have caused the failure of its endpoint: it has
- * prompt parts that no recent sound answer of this entry had.
- */
-export function isSuspected(
-  {board}: LifecycleView,
-  {promptParts = []}: AdmittedRequest,
-  now: TurnTime,
-): boolean {
-  return promptParts.some(
-    part =>
-      decaySoundUse(board.soundParts.get(part), now.monotonic).lasting <
-      MIN_SOUND_RUNS,
-  );
-}
--- a/scheduling/lifecycle/src/requestDraft.ts
+++ b/scheduling/lifecycle/src/requestDraft.ts
@@ -54,7 +54,9 @@
   | 'acceptedReply'
   | 'withdrawnEndpoints'
   | 'quarantines'
-  | 'soundParts';
+  | 'soundParts'
+  | 'soundRequests'
+  | 'brokenRuns';
 
 /** The board as the lifecycle controller sees it. */
 export type LifecycleView = View<
--- a/scheduling/lifecycle/src/streams.ts
+++ b/scheduling/lifecycle/src/streams.ts
@@ -8,13 +8,13 @@
   StreamEnd,
 } from '@gentianshunt/entryModel';
 import {assertNever} from '@gentianshunt/errors';
+import {isSuspected} from '@gentianshunt/quarantine';
 import type {ClaimOutcome} from '@gentianshunt/messages';
 import type {DispatchId, RequestId} from '@gentianshunt/identifiers';
 
 import {TRANSIENT_RETRY_AFTER_MS} from './admitRequest.js';
 import {endRequest} from './endRequest.js';
 import {failRequest, failUnknown} from './failRequest.js';
-import {isSuspected} from './quarantinedRequests.js';
 import {canRetry, requeueForRetry, requeueIfRetryable} from './retries.js';
 import type {LifecycleView, RequestDraft} from './requestDraft.js';
 import {completeClaim} from './claimCompletions.js';
@@ -205,11 +205,11 @@
   end: Extract<StreamEnd, {readonly kind: 'cut'}>,
   now: TurnTime,
 ): void {
-  const {request} = state;
+  const {request, dispatch} = state;
   const isOpen =
     state.kind === 'dispatched' || request.routePolicy?.isResumable === true;
-  const mayBeCause =
-    end.progress !== 'delivering' && isSuspected(view, request, now);
+  const broken = {request, dispatch: dispatch.id, progress: end.progress};
+  const mayBeCause = isSuspected(view.board, broken, now.monotonic);
   const canContinue = isOpen && !mayBeCause;
   if (canContinue && requeueIfRetryable(view, draft, state, now)) {
     return;
--- a/scheduling/lifecycle/src/unsentStreams.ts
+++ b/scheduling/lifecycle/src/unsentStreams.ts
@@ -54,6 +54,7 @@
       return;
     case 'timeLimit':
     case 'promptQuarantined':
+    case 'requestQuarantined':
       refuseUnsendable(view, draft, state, end, end.cause, now);
       return;
     case 'endpointLeft':
@@ -80,7 +81,7 @@
   draft: RequestDraft,
   state: DispatchedState,
   end: WithheldEnd,
-  kind: 'timeLimit' | 'promptQuarantined',
+  kind: 'timeLimit' | 'promptQuarantined' | 'requestQuarantined',
   now: TurnTime,
 ): void {
   const reason = {kind};
--- a/scheduling/quarantine/src/crashRecords.ts
+++ b/scheduling/quarantine/src/crashRecords.ts
@@ -2,9 +2,15 @@
 import type {
   CrashedRun,
   EndpointCrash,
+  Fingerprint,
   ReportedBrokenRun,
 } from '@gentianshunt/entryModel';
-import type {NodeId} from '@gentianshunt/identifiers';
+import {assertNever} from '@gentianshunt/errors';
+import type {
+  EndpointSetId,
+  FingerprintId,
+  NodeId,
+} from '@gentianshunt/identifiers';
 
 /** How long evidence of a crash counts. */
 export const EVIDENCE_RETENTION_MS: Milliseconds = 30_000;
@@ -13,7 +19,14 @@
 /** Most crashes that an entry remembers. */
 export const MAX_CRASHES = 128;
 /** Most runs recorded of one crash. */
-export const MAX_RUNS_PER_CRASH = 16;
+export const MAX_RUNS_PER_CRASH = 64;
+
+/** Broken runs of a set, as an entry reported them. */
+export interface BrokenRunReport {
+  readonly reporter: NodeId;
+  readonly set: EndpointSetId;
+  readonly runs: readonly ReportedBrokenRun[];
+}
 
 /** Lists the crashes that still count. */
 export function listRecentCrashes(
@@ -26,46 +39,60 @@
 /** Adds reported runs to the crashes of their endpoints. */
 export function addReportedRuns(
   crashes: readonly EndpointCrash[],
-  reporter: NodeId,
-  runs: readonly ReportedBrokenRun[],
+  {reporter, set, runs}: BrokenRunReport,
   now: MonotonicTime,
 ): readonly EndpointCrash[] {
   return runs
     .filter(({ageMs}) => ageMs < EVIDENCE_RETENTION_MS)
     .reduce<readonly EndpointCrash[]>(
-      (known, run) => addReportedRun(known, reporter, run, now),
+      (known, {endpoint, ageMs, progress, suspects}) =>
+        addRun(
+          known,
+          {set, endpoint, at: now - ageMs, runs: []},
+          {reporter, progress, suspects},
+        ),
       listRecentCrashes(crashes, now),
     )
     .slice(-MAX_CRASHES);
 }
 
-function addReportedRun(
+/** Adds a run to the crash that it belongs to, or to a new one. */
+function addRun(
   crashes: readonly EndpointCrash[],
-  reporter: NodeId,
-  {endpoint, ageMs, progress, parts}: ReportedBrokenRun,
-  now: MonotonicTime,
+  crash: EndpointCrash,
+  run: CrashedRun,
 ): readonly EndpointCrash[] {
-  const at = now - ageMs;
-  // That an endpoint failed is known by its first run; others without parts
-  // show nothing more.
-  const run = {reporter, progress, parts};
-  const isEmpty = parts.length === 0;
   const known = crashes.find(
-    crash =>
-      crash.endpoint === endpoint && Math.abs(crash.at - at) < CRASH_SPAN_MS,
+    ({endpoint, at}) =>
+      endpoint === crash.endpoint && Math.abs(at - crash.at) < CRASH_SPAN_MS,
   );
   if (known === undefined) {
-    return [...crashes, {endpoint, at, runs: [run]}];
+    return [...crashes, {...crash, runs: [run]}];
   }
+  // That an endpoint failed is known by its first run; others without
+  // fingerprints show nothing more.
   if (
-    isEmpty ||
-    known.runs.length >= MAX_RUNS_PER_CRASH ||
+    run.suspects.length === 0 ||
     known.runs.some(other => isSameRun(other, run))
   ) {
     return crashes;
   }
-  const changed = {...known, runs: [...known.runs, run]};
-  return crashes.map(crash => (crash === known ? changed : crash));
+  const changed = {...known, runs: appendRun(known.runs, run)};
+  return crashes.map(other => (other === known ? changed : other));
+}
+
+/** Appends a run; if there are too many, those that had delivered go first. */
+function appendRun(
+  runs: readonly CrashedRun[],
+  run: CrashedRun,
+): readonly CrashedRun[] {
+  if (runs.length < MAX_RUNS_PER_CRASH) {
+    return [...runs, run];
+  }
+  const dropped = runs.findIndex(({progress}) => progress === 'delivering');
+  return dropped < 0 || run.progress === 'delivering'
+    ? runs
+    : [...runs.slice(0, dropped), ...runs.slice(dropped + 1), run];
 }
 
 /** Recognises a run that its entry reports again to a new set leader. */
@@ -73,24 +100,44 @@
   return (
     left.reporter === right.reporter &&
     left.progress === right.progress &&
-    left.parts.length === right.parts.length &&
-    left.parts.every(({part}, index) => part === right.parts[index]?.part)
+    left.suspects.length === right.suspects.length &&
+    left.suspects.every(
+      ({fingerprint}, index) =>
+        fingerprint.id === right.suspects[index]?.fingerprint.id,
+    )
   );
 }
 
+/** Returns whether a run has a fingerprint. */
+export function hasSuspect(run: CrashedRun, id: FingerprintId): boolean {
+  return run.suspects.some(({fingerprint}) => fingerprint.id === id);
+}
+
 /**
- * Lists the runs that may have caused a crash. A run whose head had arrived was
- * about to write its first event; while there is one, runs that still waited
- * for their head are not suspected.
+ * Lists the runs whose fingerprints of a kind may have caused a crash. A prompt
+ * part crashes an endpoint that begins to answer: a run whose head had arrived
+ * was about to write its first event, and while there is one, runs that still
+ * waited for their head are not suspected. A whole request may crash it at any
+ * time, but runs that had delivered are suspected only if all had.
  */
-export function listSuspectedRuns({
-  runs,
-}: EndpointCrash): readonly CrashedRun[] {
-  const begun = runs.filter(
-    ({progress, parts}) =>
-      progress === 'awaitingFirstEvent' && parts.length > 0,
+export function listSuspectedRuns(
+  {runs}: EndpointCrash,
+  kind: Fingerprint['kind'],
+): readonly CrashedRun[] {
+  const own = runs.filter(({suspects}) =>
+    suspects.some(({fingerprint}) => fingerprint.kind === kind),
   );
-  return begun.length > 0
-    ? begun
-    : runs.filter(({progress}) => progress !== 'delivering');
+  const undelivered = own.filter(({progress}) => progress !== 'delivering');
+  switch (kind) {
+    case 'promptPart': {
+      const begun = own.filter(
+        ({progress}) => progress === 'awaitingFirstEvent',
+      );
+      return begun.length > 0 ? begun : undelivered;
+    }
+    case 'request':
+      return undelivered.length > 0 ? undelivered : own;
+    default:
+      return assertNever(kind, 'listSuspectedRuns');
+  }
 }
--- a/scheduling/quarantine/src/decideSuspects.ts
+++ b/scheduling/quarantine/src/decideSuspects.ts
@@ -1,114 +1,235 @@
-import type {EndpointCrash, SoundRuns, Suspect} from '@gentianshunt/entryModel';
-import type {NodeId, PromptPartId} from '@gentianshunt/identifiers';
+import type {Milliseconds, MonotonicTime} from '@gentianshunt/clock';
+import type {
+  EndpointCrash,
+  Fingerprint,
+  SoundRuns,
+  Suspect,
+} from '@gentianshunt/entryModel';
+import {assertNever} from '@gentianshunt/errors';
+import type {
+  EndpointSetId,
+  FingerprintId,
+  NodeId,
+} from '@gentianshunt/identifiers';
 
 import {listSuspectedRuns} from './crashRecords.js';
+import {computeRecentWeight} from './soundUse.js';
+import {isBlamed, NEGLIGIBLE_SOUND_RUNS} from './suspicionRules.js';
+import type {CrashCounts} from './suspicionRules.js';
 
-/** Crashes after which a part without any sound answer is held. */
-const MIN_CRASHES = 2;
-/**
- * Fraction of all crashes since its first one in which such a part must be
- * involved; endpoints that fail for another reason involve many parts.
- */
-const MIN_CRASH_FRACTION = 0.75;
-/** Crashes after which a part is held that was sound before. */
-const MIN_CRASHES_OF_SOUND_PART = 3;
-const MIN_CRASH_FRACTION_OF_SOUND_PART = 0.5;
-/** Fewer sound answers than this count as none. */
-const NEGLIGIBLE_SOUND_RUNS = 0.1;
+/** Time after which all entries have reported their runs of a crash. */
+const REPORT_MS: Milliseconds = 250;
 
-/** Counts the sound answers of all entries with a prompt part. */
-export type SoundCounter = (part: PromptPartId) => SoundRuns;
+/** Counts the sound answers of all entries with a fingerprint. */
+export type SoundCounter = (fingerprint: Fingerprint) => SoundRuns;
 
-/** A prompt part that crashes endpoints, by the evidence of all entries. */
+/** A fingerprint that crashes endpoints, by the evidence of all entries. */
 export interface DecidedSuspect {
-  readonly part: PromptPartId;
+  readonly fingerprint: Fingerprint;
+  /** The set of the latest crash. */
+  readonly set: EndpointSetId;
   readonly crashes: number;
   readonly reporters: number;
 }
 
-/** What is known of one suspected part. */
-interface PartEvidence {
-  crashes: number;
+/** What is known when suspects are decided. */
+export interface SuspectQuery {
+  readonly crashes: readonly EndpointCrash[];
+  readonly countSoundRuns: SoundCounter;
+  /** Returns whether a fingerprint is quarantined already. */
+  readonly isQuarantined: (id: FingerprintId) => boolean;
+  readonly now: MonotonicTime;
+}
+
+/** What is known of one suspected fingerprint. */
+interface Evidence {
+  readonly fingerprint: Fingerprint;
   /** Index of the first crash in which it was involved. */
   readonly firstIndex: number;
   readonly reporters: Set<NodeId>;
+  set: EndpointSetId;
+  crashes: number;
+  /** Crashes in which no other run was suspected. */
+  crashesAlone: number;
+  recentCrashes: number;
+}
+
+/** Lists whole requests that were in more than one crash. */
+function listRecurringRequests(
+  crashes: readonly EndpointCrash[],
+): readonly Fingerprint[] {
+  const found = new Map<FingerprintId, EndpointCrash>();
+  const recurring = new Map<FingerprintId, Fingerprint>();
+  for (const crash of crashes) {
+    for (const {fingerprint} of crash.runs.flatMap(run => run.suspects)) {
+      if (fingerprint.kind !== 'request') {
+        continue;
+      }
+      const first = found.get(fingerprint.id);
+      found.set(fingerprint.id, first ?? crash);
+      if (first !== undefined && first !== crash) {
+        recurring.set(fingerprint.id, fingerprint);
+      }
+    }
+  }
+  return [...recurring.values()];
 }
 
 /**
  * Decides which of some prompt parts are to be held: those involved in several
  * crashes and hardly ever in a sound answer.
  */
-export function decideSuspects(
-  candidates: ReadonlySet<PromptPartId>,
-  crashes: readonly EndpointCrash[],
-  countSoundRuns: SoundCounter,
+export function decideParts(
+  candidates: readonly Fingerprint[],
+  query: SuspectQuery,
 ): readonly DecidedSuspect[] {
-  if (candidates.size === 0) {
-    return [];
+  return listBlamed('promptPart', candidates, query.crashes, query).map(
+    toDecidedSuspect,
+  );
+}
+
+/**
+ * Decides which whole requests are to be held, once all runs of a crash are
+ * known. A crash that a held fingerprint explains does not count for others, so
+ * that the requests that ran beside it are not blamed.
+ */
+export function decideRequests(query: SuspectQuery): readonly DecidedSuspect[] {
+  const {crashes, isQuarantined, now} = query;
+  const recurring = listRecurringRequests(crashes);
+  const decided: DecidedSuspect[] = [];
+  let open = crashes.filter(
+    crash =>
+      now - crash.at >= REPORT_MS && !hasFingerprint(crash, isQuarantined),
+  );
+  for (;;) {
+    const [worst] = listBlamed('request', recurring, open, query).sort(
+      compareBlame,
+    );
+    if (worst === undefined) {
+      return decided;
+    }
+    decided.push(toDecidedSuspect(worst));
+    const {id} = worst.fingerprint;
+    open = open.filter(crash => !hasFingerprint(crash, other => other === id));
   }
-  return [...collectEvidence(candidates, crashes)]
-    .filter(([part, evidence]) =>
-      isHeld(evidence, countSoundRuns(part), crashes.length),
-    )
-    .map(([part, evidence]) => ({
-      part,
-      crashes: evidence.crashes,
-      reporters: evidence.reporters.size,
-    }));
 }
 
-function isHeld(
-  {crashes, firstIndex}: PartEvidence,
-  {lasting, recent}: SoundRuns,
-  crashCount: number,
+function hasFingerprint(
+  {runs}: EndpointCrash,
+  isWanted: (id: FingerprintId) => boolean,
 ): boolean {
-  const fraction = crashes / (crashCount - firstIndex);
-  const wasNeverSound =
-    lasting < NEGLIGIBLE_SOUND_RUNS &&
-    crashes >= MIN_CRASHES &&
-    fraction >= MIN_CRASH_FRACTION;
-  const isSoundNoMore =
-    crashes > recent &&
-    crashes >= MIN_CRASHES_OF_SOUND_PART &&
-    fraction >= MIN_CRASH_FRACTION_OF_SOUND_PART;
-  return wasNeverSound || isSoundNoMore;
+  return runs.some(({suspects}) =>
+    suspects.some(({fingerprint}) => isWanted(fingerprint.id)),
+  );
+}
+
+/** Orders evidence by its strength, the strongest first. */
+function compareBlame(left: Evidence, right: Evidence): number {
+  return right.crashesAlone - left.crashesAlone || right.crashes - left.crashes;
+}
+
+function toDecidedSuspect({
+  fingerprint,
+  set,
+  crashes,
+  reporters,
+}: Evidence): DecidedSuspect {
+  return {fingerprint, set, crashes, reporters: reporters.size};
+}
+
+function toIdFilter(
+  fingerprints: readonly Fingerprint[],
+): (id: FingerprintId) => boolean {
+  const ids = new Set(fingerprints.map(({id}) => id));
+  return id => ids.has(id);
+}
+
+function listBlamed(
+  kind: Fingerprint['kind'],
+  candidates: readonly Fingerprint[],
+  crashes: readonly EndpointCrash[],
+  {countSoundRuns, now}: SuspectQuery,
+): Evidence[] {
+  const own = candidates.filter(fingerprint => fingerprint.kind === kind);
+  return own.length === 0
+    ? []
+    : collectEvidence(kind, toIdFilter(own), crashes, now).filter(evidence =>
+        isBlamed(
+          kind,
+          toCrashCounts(evidence, crashes),
+          countSoundRuns(evidence.fingerprint),
+        ),
+      );
+}
+
+function toCrashCounts(
+  {firstIndex, ...counts}: Evidence,
+  all: readonly EndpointCrash[],
+): CrashCounts {
+  return {...counts, fraction: counts.crashes / (all.length - firstIndex)};
 }
 
 function collectEvidence(
-  candidates: ReadonlySet<PromptPartId>,
+  kind: Fingerprint['kind'],
+  isCandidate: (id: FingerprintId) => boolean,
   crashes: readonly EndpointCrash[],
-): ReadonlyMap<PromptPartId, PartEvidence> {
-  const evidence = new Map<PromptPartId, PartEvidence>();
+  now: MonotonicTime,
+): Evidence[] {
+  const evidence = new Map<FingerprintId, Evidence>();
   crashes.forEach((crash, index) => {
-    const suspects = new Set<PromptPartId>();
-    for (const {reporter, parts} of listSuspectedRuns(crash)) {
-      if (!parts.some(({part}) => candidates.has(part))) {
+    const runs = listSuspectedRuns(crash, kind);
+    const involved = new Set<Evidence>();
+    for (const {reporter, suspects} of runs) {
+      if (!suspects.some(({fingerprint: {id}}) => isCandidate(id))) {
         continue;
       }
-      for (const part of pickLeastSound(parts)) {
-        const known = evidence.get(part) ?? {
-          crashes: 0,
+      for (const {fingerprint} of pickBlamed(kind, suspects)) {
+        const known = evidence.get(fingerprint.id) ?? {
+          fingerprint,
           firstIndex: index,
           reporters: new Set<NodeId>(),
+          set: crash.set,
+          crashes: 0,
+          crashesAlone: 0,
+          recentCrashes: 0,
         };
         known.reporters.add(reporter);
-        evidence.set(part, known);
-        suspects.add(part);
+        evidence.set(fingerprint.id, known);
+        involved.add(known);
       }
     }
-    for (const part of suspects) {
-      evidence.get(part)!.crashes += 1;
+    for (const known of involved) {
+      known.set = crash.set;
+      known.crashes += 1;
+      known.crashesAlone += runs.length === 1 ? 1 : 0;
+      known.recentCrashes += computeRecentWeight(now - crash.at);
     }
   });
-  return evidence;
+  return [...evidence.values()];
+}
+
+/** Picks the fingerprints of one run that may be blamed for a crash. */
+function pickBlamed(
+  kind: Fingerprint['kind'],
+  suspects: readonly Suspect[],
+): readonly Suspect[] {
+  const own = suspects.filter(({fingerprint}) => fingerprint.kind === kind);
+  switch (kind) {
+    case 'promptPart':
+      return pickLeastSound(own);
+    case 'request':
+      return own;
+    default:
+      return assertNever(kind, 'pickBlamed');
+  }
 }
 
 /**
  * Picks the parts of one run that were sound least often at its entry. They
  * explain a crash best; the parts that they came with are not blamed for it.
  */
-function pickLeastSound(parts: readonly Suspect[]): readonly PromptPartId[] {
+function pickLeastSound(parts: readonly Suspect[]): readonly Suspect[] {
   const counts = parts.map(({lasting}) => lasting);
   const least = Math.max(NEGLIGIBLE_SOUND_RUNS, Math.min(...counts));
-  return parts.filter(({lasting}) => lasting <= least).map(({part}) => part);
+  return parts.filter(({lasting}) => lasting <= least);
 }
--- a/scheduling/quarantine/src/findQuarantineRefusal.ts
+++ b/scheduling/quarantine/src/findQuarantineRefusal.ts
@@ -2,55 +2,83 @@
 import {findObject} from '@gentianshunt/configuration';
 import type {ConfigurationTable} from '@gentianshunt/configuration';
 import {assertNever} from '@gentianshunt/errors';
+import {listFingerprints} from '@gentianshunt/entryModel';
 import type {
+  Fingerprint,
   Quarantine,
+  RefusalReason,
   RequestAttributes,
   RequestState,
 } from '@gentianshunt/entryModel';
-import type {NodeId, PromptPartId, RequestId} from '@gentianshunt/identifiers';
+import type {FingerprintId, NodeId, RequestId} from '@gentianshunt/identifiers';
 
 /** Shortest time after which a refused caller may try again. */
 const MIN_RETRY_AFTER_MS: Milliseconds = 1_000;
-/** The same for a part that an operator holds. */
+/** The same for a fingerprint that an operator holds. */
 const OPERATOR_RETRY_AFTER_MS: Milliseconds = 60_000;
 
 /** The state of an entry in which quarantines are looked up. */
 export interface QuarantineQuery {
   readonly configuration: ConfigurationTable;
-  readonly quarantines: ReadonlyMap<PromptPartId, Quarantine>;
+  readonly quarantines: ReadonlyMap<FingerprintId, Quarantine>;
   readonly requests: ReadonlyMap<RequestId, RequestState>;
   readonly self: NodeId;
   readonly now: MonotonicTime;
 }
 
+/** Why a request is refused. */
+export type QuarantineReason = Extract<
+  RefusalReason,
+  {readonly kind: 'promptQuarantined' | 'requestQuarantined'}
+>;
+
+/** The attributes of a request by which quarantines are looked up. */
+export type FingerprintedRequest = Pick<
+  RequestAttributes,
+  'id' | 'promptParts' | 'requestFingerprint'
+>;
+
 /** Why a request must not reach an endpoint now. */
 export interface QuarantineRefusal {
-  readonly part: PromptPartId;
+  readonly reason: QuarantineReason;
   /** When its caller may try again. */
   readonly retryAfterMs: Milliseconds;
 }
 
-/** Finds a prompt part by which a request must not reach an endpoint now. */
+/** Finds a reason why a request must not reach an endpoint now. */
 export function findQuarantineRefusal(
   query: QuarantineQuery,
-  request: Pick<RequestAttributes, 'id' | 'promptParts'>,
+  request: FingerprintedRequest,
 ): QuarantineRefusal | undefined {
-  for (const part of request.promptParts ?? []) {
-    const policy = findObject(query.configuration, 'promptPolicy', part);
+  for (const fingerprint of listFingerprints(request)) {
+    const {id} = fingerprint;
+    const reason = toReason(fingerprint);
+    const policy = findObject(query.configuration, 'promptPolicy', id);
     if (policy?.state === 'held') {
-      return {part, retryAfterMs: OPERATOR_RETRY_AFTER_MS};
+      return {reason, retryAfterMs: OPERATOR_RETRY_AFTER_MS};
     }
-    const quarantine = query.quarantines.get(part);
+    const quarantine = query.quarantines.get(id);
     if (quarantine !== undefined && isRefused(query, quarantine, request.id)) {
-      return {part, retryAfterMs: computeRetryAfter(quarantine, query.now)};
+      return {reason, retryAfterMs: computeRetryAfter(quarantine, query.now)};
     }
   }
   return undefined;
 }
 
+function toReason({kind}: Fingerprint): QuarantineReason {
+  switch (kind) {
+    case 'promptPart':
+      return {kind: 'promptQuarantined'};
+    case 'request':
+      return {kind: 'requestQuarantined'};
+    default:
+      return assertNever(kind, 'toReason');
+  }
+}
+
 function isRefused(
   query: QuarantineQuery,
-  {part, state}: Quarantine,
+  {fingerprint, state}: Quarantine,
   request: RequestId,
 ): boolean {
   switch (state.kind) {
@@ -60,7 +88,7 @@
       return (
         state.tester !== query.self ||
         query.now >= state.until ||
-        hasOtherRequest(query, part, request)
+        hasOtherRequest(query, fingerprint, request)
       );
     case 'lifted':
       return false;
@@ -69,15 +97,16 @@
   }
 }
 
-/** Returns whether another request of this entry has the part. */
+/** Returns whether another request of this entry has the fingerprint. */
 function hasOtherRequest(
   {requests}: QuarantineQuery,
-  part: PromptPartId,
+  fingerprint: Fingerprint,
   id: RequestId,
 ): boolean {
   return [...requests.values()].some(
     ({request}) =>
-      request.id !== id && request.promptParts?.includes(part) === true,
+      request.id !== id &&
+      listFingerprints(request).some(other => other.id === fingerprint.id),
   );
 }
 
--- a/scheduling/quarantine/src/index.ts
+++ b/scheduling/quarantine/src/index.ts
@@ -1,3 +1,4 @@
+export * from './brokenRuns.js';
 export * from './crashRecords.js';
 export * from './decideSuspects.js';
 export * from './findQuarantineRefusal.js';
--- a/scheduling/quarantine/src/quarantineController.ts
+++ b/scheduling/quarantine/src/quarantineController.ts
@@ -1,8 +1,15 @@
 import {createMapDraft} from '@gentianshunt/board';
 import type {TurnTime} from '@gentianshunt/board';
-import {defineEntryController} from '@gentianshunt/entryModel';
-import type {EntryController, EntryMessage} from '@gentianshunt/entryModel';
-import type {NodeId, PromptPartId} from '@gentianshunt/identifiers';
+import {
+  defineEntryController,
+  listFingerprints,
+} from '@gentianshunt/entryModel';
+import type {
+  EntryController,
+  EntryMessage,
+  Fingerprint,
+} from '@gentianshunt/entryModel';
+import type {NodeId} from '@gentianshunt/identifiers';
 
 import {addReportedRuns, listRecentCrashes} from './crashRecords.js';
 import {listEvidenceNodes} from './evidenceNodes.js';
@@ -11,7 +18,8 @@
   endFailedTest,
   grantTest,
   handlePolicies,
-  handleSuspects,
+  handleSuspectedParts,
+  handleSuspectedRequests,
   learnQuarantine,
 } from './quarantineDecisions.js';
 import {replyToEntry, syncQuarantines} from './quarantineExchange.js';
@@ -31,7 +39,7 @@
 import {listFadedSoundUse, recordReportedSoundUse} from './reportedSoundUse.js';
 
 /**
- * Creates the controller that decides which prompt parts are quarantined, if
+ * Creates the controller that decides which fingerprints are quarantined, if
  * this entry collects the evidence of a set, and learns what others decide.
  */
 export function createQuarantineController(): EntryController {
@@ -66,10 +74,13 @@
         observation.message,
         now,
       );
-    case 'requestReceived': {
-      const parts = observation.attributes.promptParts ?? [];
-      return requestTests(view, draft, parts, now);
-    }
+    case 'requestReceived':
+      return requestTests(
+        view,
+        draft,
+        listFingerprints(observation.attributes),
+        now,
+      );
     case 'streamEnded':
       return observation.end.kind === 'cut'
         ? endFailedTest(view, draft, observation.dispatch, now)
@@ -78,6 +89,7 @@
       return observation.timer.kind === 'housekeeping'
         ? [
             ...expireQuarantines(view, draft, now),
+            ...handleSuspectedRequests(view, draft, now),
             ...syncQuarantines(view, now),
           ]
         : [];
@@ -98,26 +110,23 @@
       const {set, runs} = message;
       const crashes = addReportedRuns(
         view.board.endpointCrashes,
-        from,
-        runs,
+        {reporter: from, set, runs},
         now.monotonic,
       );
-      const parts = runs.flatMap(run => run.parts);
-      const soundParts = recordReportedSoundUse(view, from, parts, now);
+      const suspects = runs.flatMap(run => run.suspects);
+      const reported = recordReportedSoundUse(view, from, suspects, now);
       return [
         {kind: 'set', section: 'endpointCrashes', value: crashes},
-        ...soundParts.listWrites('reportedSoundUse' as const),
-        ...handleSuspects(view, draft, set, parts, crashes, soundParts, now),
+        ...reported.listWrites('reportedSoundUse' as const),
+        ...handleSuspectedParts(view, draft, suspects, crashes, reported, now),
       ];
     }
     case 'soundUseReported': {
-      const {parts} = message;
-      const soundParts = recordReportedSoundUse(view, from, parts, now);
+      const {uses} = message;
+      const reported = recordReportedSoundUse(view, from, uses, now);
       return [
-        ...soundParts.listWrites('reportedSoundUse' as const),
-        ...parts.flatMap(part =>
-          acceptSoundUse(view, draft, part, soundParts, now),
-        ),
+        ...reported.listWrites('reportedSoundUse' as const),
+        ...uses.flatMap(use => acceptSoundUse(view, draft, use, reported, now)),
       ];
     }
     case 'quarantinesReported':
@@ -128,21 +137,21 @@
         ...(message.isReplyRequested ? replyToEntry(view, from, now) : []),
       ];
     case 'quarantineTestRequested':
-      return grantTest(view, draft, from, message.part, now);
+      return grantTest(view, draft, from, message.fingerprint, now);
     default:
       return [];
   }
 }
 
-/** Asks the set leader for a test of parts whose time has come. */
+/** Asks the set leader for a test of fingerprints whose time has come. */
 function requestTests(
   {board}: QuarantineView,
   draft: QuarantineDraft,
-  parts: readonly PromptPartId[],
+  fingerprints: readonly Fingerprint[],
   now: TurnTime,
 ): readonly QuarantineWrite[] {
-  return parts.flatMap(part => {
-    const quarantine = draft.get(part);
+  return fingerprints.flatMap(({id: fingerprint}) => {
+    const quarantine = draft.get(fingerprint);
     if (quarantine === undefined || !isTestDue(quarantine, now.monotonic)) {
       return [];
     }
@@ -154,7 +163,7 @@
           kind: 'sendEntry',
           to,
           address,
-          message: {kind: 'quarantineTestRequested', part},
+          message: {kind: 'quarantineTestRequested', fingerprint},
         }),
       );
   });
@@ -167,7 +176,7 @@
 ): readonly QuarantineWrite[] {
   for (const quarantine of board.quarantines.values()) {
     if (isForgotten(quarantine, now.monotonic)) {
-      draft.delete(quarantine.part);
+      draft.delete(quarantine.fingerprint.id);
     }
   }
   const crashes = listRecentCrashes(board.endpointCrashes, now.monotonic);
--- a/scheduling/quarantine/src/quarantineDecisions.ts
+++ b/scheduling/quarantine/src/quarantineDecisions.ts
@@ -1,22 +1,25 @@
 /** Decides on quarantines and learns what other entries decided. */
 import type {TurnTime} from '@gentianshunt/board';
 import type {ObjectKey} from '@gentianshunt/configuration';
+import {listFingerprints} from '@gentianshunt/entryModel';
 import type {
   EndpointCrash,
+  Fingerprint,
   Quarantine,
   ReportedQuarantine,
   ReportedSoundUse,
   Suspect,
 } from '@gentianshunt/entryModel';
+import {assertNever} from '@gentianshunt/errors';
 import type {
   DispatchId,
-  EndpointSetId,
+  FingerprintId,
   NodeId,
-  PromptPartId,
 } from '@gentianshunt/identifiers';
 
-import {listSuspectedRuns} from './crashRecords.js';
-import {decideSuspects} from './decideSuspects.js';
+import {hasSuspect} from './crashRecords.js';
+import {decideParts, decideRequests} from './decideSuspects.js';
+import type {DecidedSuspect, SuspectQuery} from './decideSuspects.js';
 import {broadcastQuarantine} from './quarantineExchange.js';
 import {toQuarantine} from './quarantineMessages.js';
 import {
@@ -35,49 +38,114 @@
   QuarantineWrite,
   SoundUseDraft,
 } from './quarantineView.js';
-import {createSoundCounter} from './reportedSoundUse.js';
+import {
+  createSoundCounter,
+  recordReportedSoundUse,
+} from './reportedSoundUse.js';
 
-/** Holds the parts that the evidence speaks against. */
-export function handleSuspects(
+/** Holds the prompt parts that the evidence speaks against. */
+export function handleSuspectedParts(
   view: QuarantineView,
   draft: QuarantineDraft,
-  set: EndpointSetId,
-  parts: readonly Suspect[],
+  suspects: readonly Suspect[],
   crashes: readonly EndpointCrash[],
-  soundParts: SoundUseDraft,
+  reported: SoundUseDraft,
   now: TurnTime,
 ): readonly QuarantineWrite[] {
-  return decideSuspects(
-    new Set(parts.map(({part}) => part)),
-    crashes,
-    createSoundCounter(view, soundParts, now),
-  )
-    .filter(({part}) => isNewEvidence(draft.get(part), crashes))
+  const decided = decideParts(
+    suspects.map(({fingerprint}) => fingerprint),
+    createQuery(view, draft, crashes, reported, now),
+  );
+  return decideHolds(view, draft, decided, crashes, now);
+}
+
+/** Holds the whole requests that the evidence speaks against. */
+export function handleSuspectedRequests(
+  view: QuarantineView,
+  draft: QuarantineDraft,
+  now: TurnTime,
+): readonly QuarantineWrite[] {
+  const crashes = view.board.endpointCrashes;
+  if (crashes.length === 0) {
+    return [];
+  }
+  const reported = recordReportedSoundUse(view, '' as NodeId, [], now);
+  const query = createQuery(view, draft, crashes, reported, now);
+  return decideHolds(view, draft, decideRequests(query), crashes, now);
+}
+
+function decideHolds(
+  view: QuarantineView,
+  draft: QuarantineDraft,
+  decided: readonly DecidedSuspect[],
+  crashes: readonly EndpointCrash[],
+  now: TurnTime,
+): readonly QuarantineWrite[] {
+  return decided
+    .filter(({fingerprint}) =>
+      isNewEvidence(draft.get(fingerprint.id), crashes),
+    )
     .flatMap(suspect => {
-      const known = draft.get(suspect.part);
-      const hold = createHold(known, set, suspect, now.monotonic);
+      const known = draft.get(suspect.fingerprint.id);
+      const hold = createHold(known, suspect, now.monotonic);
       return decide(view, draft, hold, now);
     });
 }
 
+function createQuery(
+  view: QuarantineView,
+  draft: QuarantineDraft,
+  crashes: readonly EndpointCrash[],
+  reported: SoundUseDraft,
+  now: TurnTime,
+): SuspectQuery {
+  return {
+    crashes,
+    countSoundRuns: createSoundCounter(view, reported, now),
+    isQuarantined: id => {
+      const known = draft.get(id);
+      return known !== undefined && known.state.kind !== 'lifted';
+    },
+    now: now.monotonic,
+  };
+}
+
+/** Returns whether the evidence still speaks against a fingerprint. */
+function isStillSuspected(
+  fingerprint: Fingerprint,
+  query: SuspectQuery,
+): boolean {
+  const {id, kind} = fingerprint;
+  switch (kind) {
+    case 'promptPart':
+      return decideParts([fingerprint], query).some(
+        suspect => suspect.fingerprint.id === id,
+      );
+    case 'request':
+      return decideRequests({
+        ...query,
+        isQuarantined: other => other !== id && query.isQuarantined(other),
+      }).some(suspect => suspect.fingerprint.id === id);
+    default:
+      return assertNever(kind, 'isStillSuspected');
+  }
+}
+
 /** Lifts a quarantine that sound answers contradict. */
 export function acceptSoundUse(
   view: QuarantineView,
   draft: QuarantineDraft,
-  {part, isUnderQuarantine}: ReportedSoundUse,
-  soundParts: SoundUseDraft,
+  {fingerprint, isUnderQuarantine}: ReportedSoundUse,
+  reported: SoundUseDraft,
   now: TurnTime,
 ): readonly QuarantineWrite[] {
-  const known = draft.get(part);
+  const known = draft.get(fingerprint.id);
   if (known === undefined || known.state.kind === 'lifted') {
     return [];
   }
-  const isSuspected = decideSuspects(
-    new Set([part]),
-    view.board.endpointCrashes,
-    createSoundCounter(view, soundParts, now),
-  ).some(suspect => suspect.part === part);
-  return isUnderQuarantine || !isSuspected
+  const {endpointCrashes} = view.board;
+  const query = createQuery(view, draft, endpointCrashes, reported, now);
+  return isUnderQuarantine || !isStillSuspected(fingerprint, query)
     ? decide(
         view,
         draft,
@@ -96,27 +164,27 @@
   now: TurnTime,
 ): readonly QuarantineWrite[] {
   const learnt = toQuarantine(reported, now.monotonic);
-  const isNews = isLater(learnt, draft.get(reported.part));
+  const isNews = isLater(learnt, draft.get(reported.fingerprint.id));
   return isNews && !isForgotten(learnt, now.monotonic)
     ? putQuarantine(view, draft, learnt, from, now)
     : [];
 }
 
-/** Permits the first entry that asks to test a part whose time has come. */
+/** Permits the first entry that asks to test what may be tested now. */
 export function grantTest(
   view: QuarantineView,
   draft: QuarantineDraft,
   from: NodeId,
-  part: PromptPartId,
+  fingerprint: FingerprintId,
   now: TurnTime,
 ): readonly QuarantineWrite[] {
-  const known = draft.get(part);
+  const known = draft.get(fingerprint);
   return known !== undefined && isTestDue(known, now.monotonic)
     ? decide(view, draft, createTest(known, from, now.monotonic), now)
     : [];
 }
 
-/** Holds a part again at once when this entry's test of it broke an endpoint. */
+/** Holds a fingerprint again at once when this entry's test of it broke an endpoint. */
 export function endFailedTest(
   view: QuarantineView,
   draft: QuarantineDraft,
@@ -126,8 +194,10 @@
   const {dispatches, requests, identity} = view.board;
   const id = dispatches.get(dispatch);
   const state = id === undefined ? undefined : requests.get(id);
-  return (state?.request.promptParts ?? []).flatMap(part => {
-    const known = draft.get(part);
+  const fingerprints =
+    state === undefined ? [] : listFingerprints(state.request);
+  return fingerprints.flatMap(fingerprint => {
+    const known = draft.get(fingerprint.id);
     const isTest =
       known?.state.kind === 'testing' &&
       known.state.tester === identity.address.node;
@@ -135,8 +205,8 @@
       return [];
     }
     const {set, crashes, reporters} = known;
-    const suspect = {part, crashes: crashes + 1, reporters};
-    const hold = createHold(known, set, suspect, now.monotonic);
+    const suspect = {fingerprint, set, crashes: crashes + 1, reporters};
+    const hold = createHold(known, suspect, now.monotonic);
     return decide(view, draft, hold, now);
   });
 }
@@ -162,7 +232,7 @@
   });
 }
 
-/** Returns whether a part crashed an endpoint since its last decision. */
+/** Returns whether a fingerprint was in a crash since its last decision. */
 function isNewEvidence(
   known: Quarantine | undefined,
   crashes: readonly EndpointCrash[],
@@ -173,9 +243,7 @@
       crashes.some(
         crash =>
           crash.at > known.changedAt &&
-          listSuspectedRuns(crash).some(({parts}) =>
-            parts.some(({part}) => part === known.part),
-          ),
+          crash.runs.some(run => hasSuspect(run, known.fingerprint.id)),
       ))
   );
 }
@@ -201,17 +269,20 @@
   learntFrom: NodeId,
   now: TurnTime,
 ): readonly QuarantineWrite[] {
-  if (draft.get(quarantine.part) === undefined) {
-    listEvicted(view.board.quarantines).forEach(draft.delete);
+  const {fingerprint} = quarantine;
+  if (draft.get(fingerprint.id) === undefined) {
+    const {quarantines} = view.board;
+    listEvicted(quarantines, fingerprint.kind).forEach(draft.delete);
   }
-  draft.put(quarantine.part, quarantine);
-  const {part, set, state, crashes, reporters, level} = quarantine;
+  draft.put(fingerprint.id, quarantine);
+  const {set, state, crashes, reporters, level} = quarantine;
   return [
     toEffectWrite({
       kind: 'logDecision',
       decision: {
         kind: 'quarantineChanged',
-        part,
+        fingerprint: fingerprint.id,
+        fingerprintKind: fingerprint.kind,
         set,
         state: state.kind,
         learntFrom,
--- a/scheduling/quarantine/src/quarantineRules.ts
+++ b/scheduling/quarantine/src/quarantineRules.ts
@@ -1,32 +1,27 @@
 import type {Milliseconds, MonotonicTime} from '@gentianshunt/clock';
-import type {Quarantine} from '@gentianshunt/entryModel';
-import type {
-  EndpointSetId,
-  NodeId,
-  PromptPartId,
-} from '@gentianshunt/identifiers';
+import type {Fingerprint, Quarantine} from '@gentianshunt/entryModel';
+import type {FingerprintId, NodeId} from '@gentianshunt/identifiers';
 
 import type {DecidedSuspect} from './decideSuspects.js';
 
 /** Time in which other entries may object to a new quarantine. */
 export const OBJECTION_MS: Milliseconds = 100;
-/** How long a part is held for the first time; each relapse doubles it. */
+/** How long a fingerprint is held for the first time; each relapse doubles it. */
 export const FIRST_HOLD_MS: Milliseconds = 60_000;
 export const MAX_HOLD_MS: Milliseconds = 16 * FIRST_HOLD_MS;
-/** How long an entry may use its permission to test a part. */
+/** How long an entry may use its permission to test a fingerprint. */
 export const TEST_MS: Milliseconds = 10_000;
 /** How long a lifted quarantine counts for the length of the next one. */
 export const LIFTED_RETENTION_MS: Milliseconds = 600_000;
-/** A part that no caller uses is forgotten after this time without a test. */
+/** A fingerprint that no caller uses is forgotten after this time without a test. */
 export const UNTESTED_RETENTION_MS: Milliseconds = 3_600_000;
-/** Most quarantines that an entry knows. */
+/** Most quarantines of each kind that an entry knows. */
 export const MAX_QUARANTINES = 64;
 
-/** Holds a part, for longer each time. */
+/** Holds a fingerprint, for longer each time. */
 export function createHold(
   known: Quarantine | undefined,
-  set: EndpointSetId,
-  {part, crashes, reporters}: DecidedSuspect,
+  {fingerprint, set, crashes, reporters}: DecidedSuspect,
   now: MonotonicTime,
 ): Quarantine {
   const level = (known?.level ?? 0) + 1;
@@ -34,7 +29,7 @@
   const isFailedTest = known?.state.kind === 'testing';
   const from = isFailedTest ? now : now + OBJECTION_MS;
   return {
-    part,
+    fingerprint,
     set,
     revision: (known?.revision ?? 0) + 1,
     changedAt: now,
@@ -45,7 +40,7 @@
   };
 }
 
-/** Permits an entry to run one request with a part. */
+/** Permits an entry to run one request with a fingerprint. */
 export function createTest(
   quarantine: Quarantine,
   tester: NodeId,
@@ -60,7 +55,7 @@
 }
 
 /**
- * Lifts the quarantine of a part, because an answer under it was sound or other
+ * Lifts a quarantine, because an answer under it was sound or other
  * entries objected. One that was objected to does not prolong the next one.
  */
 export function createLift(
@@ -96,7 +91,7 @@
   );
 }
 
-/** Returns whether a part that nobody may use now may be tested. */
+/** Returns whether a fingerprint that nobody may use now may be tested. */
 export function isTestDue({state}: Quarantine, now: MonotonicTime): boolean {
   return state.kind !== 'lifted' && now >= state.until;
 }
@@ -109,15 +104,19 @@
 
 /** Lists which of the known quarantines make room for a new one. */
 export function listEvicted(
-  known: ReadonlyMap<PromptPartId, Quarantine>,
-): readonly PromptPartId[] {
-  if (known.size < MAX_QUARANTINES) {
+  known: ReadonlyMap<FingerprintId, Quarantine>,
+  kind: Fingerprint['kind'],
+): readonly FingerprintId[] {
+  const own = [...known.values()].filter(
+    ({fingerprint}) => fingerprint.kind === kind,
+  );
+  if (own.length < MAX_QUARANTINES) {
     return [];
   }
-  return [...known.values()]
+  return own
     .sort((left, right) => rankEviction(left) - rankEviction(right))
-    .slice(0, known.size - MAX_QUARANTINES + 1)
-    .map(({part}) => part);
+    .slice(0, own.length - MAX_QUARANTINES + 1)
+    .map(({fingerprint}) => fingerprint.id);
 }
 
 /** Lifted quarantines go first, then those that end first. */
--- a/scheduling/quarantine/src/quarantineView.ts
+++ b/scheduling/quarantine/src/quarantineView.ts
@@ -8,7 +8,7 @@
   SoundUseKey,
   SoundUse,
 } from '@gentianshunt/entryModel';
-import type {PromptPartId} from '@gentianshunt/identifiers';
+import type {FingerprintId} from '@gentianshunt/identifiers';
 
 /** The board sections that the quarantine controller writes. */
 export const QUARANTINE_SECTIONS = [
@@ -28,6 +28,7 @@
   'requests',
   'dispatches',
   'soundParts',
+  'soundRequests',
 ] as const;
 export type QuarantineReads = (typeof QUARANTINE_READS)[number];
 
@@ -38,7 +39,7 @@
   EntryObservation
 >;
 export type QuarantineWrite = EntryWrite<QuarantineSections>;
-export type QuarantineDraft = MapDraft<PromptPartId, Quarantine>;
+export type QuarantineDraft = MapDraft<FingerprintId, Quarantine>;
 export type SoundUseDraft = OrderedDraft<SoundUseKey, SoundUse>;
 
 /** Requests an effect. */
--- a/scheduling/quarantine/src/reportedSoundUse.ts
+++ b/scheduling/quarantine/src/reportedSoundUse.ts
@@ -6,7 +6,7 @@
 
 import type {SoundCounter} from './decideSuspects.js';
 import type {QuarantineView, SoundUseDraft} from './quarantineView.js';
-import {decaySoundUse, sumSoundRuns} from './soundUse.js';
+import {decaySoundUse, readSoundRuns, sumSoundRuns} from './soundUse.js';
 
 /** Most counts of sound answers that an entry keeps of others. */
 const MAX_REPORTED_SOUND_USE = 2_048;
@@ -17,17 +17,21 @@
 export function recordReportedSoundUse(
   {board}: QuarantineView,
   node: NodeId,
-  parts: readonly Suspect[],
+  uses: readonly Suspect[],
   now: TurnTime,
 ): SoundUseDraft {
   const draft = createOrderedDraft({
     view: board.reportedSoundUse,
-    compare: compareBy('part', 'node'),
+    compare: compareBy('fingerprint', 'node'),
   });
-  for (const {part, lasting, recent} of parts) {
-    const isKnown = draft.get({part, node}) !== undefined;
-    if (isKnown || draft.size < MAX_REPORTED_SOUND_USE) {
-      draft.put({part, node}, {lasting, recent, at: now.monotonic});
+  for (const {fingerprint, lasting, recent} of uses) {
+    const key = {fingerprint: fingerprint.id, node};
+    const isKnown = draft.get(key) !== undefined;
+    // Most whole requests are new and must not fill the table.
+    const isNew =
+      lasting >= MIN_SOUND_RUNS && draft.size < MAX_REPORTED_SOUND_USE;
+    if (isKnown || isNew) {
+      draft.put(key, {lasting, recent, at: now.monotonic});
     }
   }
   return draft;
@@ -40,11 +44,11 @@
   now: TurnTime,
 ): SoundCounter {
   const self = board.identity.address.node;
-  return part => {
-    const counts = [decaySoundUse(board.soundParts.get(part), now.monotonic)];
-    const first = {part, node: '' as NodeId};
+  return fingerprint => {
+    const counts = [readSoundRuns(board, fingerprint, now.monotonic)];
+    const first = {fingerprint: fingerprint.id, node: '' as NodeId};
     for (const {key, value} of reported.iterateFrom(first)) {
-      if (key.part !== part) {
+      if (key.fingerprint !== fingerprint.id) {
         break;
       }
       if (key.node !== self) {
@@ -57,10 +61,10 @@
 
 /** Lists the counts that have decayed. */
 export function listFadedSoundUse(
-  soundParts: QuarantineView['board']['reportedSoundUse'],
+  uses: QuarantineView['board']['reportedSoundUse'],
   now: TurnTime,
 ): readonly SoundUseKey[] {
-  return [...soundParts.iterateFrom()]
+  return [...uses.iterateFrom()]
     .filter(
       ({value}) => decaySoundUse(value, now.monotonic).lasting < MIN_SOUND_RUNS,
     )
--- /dev/null
+++ b/scheduling/quarantine/src/suspicionRules.ts
@@ -0,0 +1,81 @@
+import type {Fingerprint, SoundRuns} from '@gentianshunt/entryModel';
+import {assertNever} from '@gentianshunt/errors';
+
+/** Fewer sound answers than this count as none. */
+export const NEGLIGIBLE_SOUND_RUNS = 0.1;
+/** Crashes after which a part without any sound answer is held. */
+const MIN_CRASHES = 2;
+/**
+ * Fraction of all crashes since its first one in which such a part must be
+ * involved; endpoints that fail for another reason involve many parts.
+ */
+const MIN_CRASH_FRACTION = 0.75;
+/** Crashes after which a fingerprint is held that was sound before. */
+const MIN_CRASHES_OF_SOUND = 3;
+const MIN_CRASH_FRACTION_OF_SOUND = 0.5;
+/** Crashes after which a request is held that never ran alone in one. */
+const MIN_CRASHES_IN_COMPANY = 3;
+/** Lower than for parts: few requests recur, so few can be there by chance. */
+const MIN_CRASH_FRACTION_IN_COMPANY = 0.25;
+
+/** The crashes in which a fingerprint was involved. */
+export interface CrashCounts {
+  readonly crashes: number;
+  /** Crashes in which no other run was suspected. */
+  readonly crashesAlone: number;
+  /** Their count, decayed like that of recent sound answers. */
+  readonly recentCrashes: number;
+  /** Fraction of all crashes since its first one. */
+  readonly fraction: number;
+}
+
+/** Returns whether crashes and sound answers speak against a fingerprint. */
+export function isBlamed(
+  kind: Fingerprint['kind'],
+  counts: CrashCounts,
+  soundRuns: SoundRuns,
+): boolean {
+  const wasNeverSound =
+    soundRuns.lasting < NEGLIGIBLE_SOUND_RUNS && hasCrashedEnough(kind, counts);
+  const isSoundNoMore =
+    counts.crashes >= MIN_CRASHES_OF_SOUND &&
+    counts.fraction >= MIN_CRASH_FRACTION_OF_SOUND &&
+    hasTurned(kind, counts, soundRuns);
+  return wasNeverSound || isSoundNoMore;
+}
+
+/** Returns whether a fingerprint that was sound crashes endpoints instead. */
+function hasTurned(
+  kind: Fingerprint['kind'],
+  {crashes, recentCrashes}: CrashCounts,
+  {recent}: SoundRuns,
+): boolean {
+  switch (kind) {
+    case 'promptPart':
+      return crashes > recent;
+    case 'request':
+      // Many callers may send the same request, so that some run of it is at
+      // most endpoints, whatever ends them.
+      return recentCrashes > recent;
+    default:
+      return assertNever(kind, 'hasTurned');
+  }
+}
+
+/** Returns whether a fingerprint without sound answers is to be held. */
+function hasCrashedEnough(
+  kind: Fingerprint['kind'],
+  {crashes, crashesAlone, fraction}: CrashCounts,
+): boolean {
+  switch (kind) {
+    case 'promptPart':
+      return crashes >= MIN_CRASHES && fraction >= MIN_CRASH_FRACTION;
+    case 'request':
+      return crashesAlone > 0
+        ? crashes >= MIN_CRASHES
+        : crashes >= MIN_CRASHES_IN_COMPANY &&
+            fraction >= MIN_CRASH_FRACTION_IN_COMPANY;
+    default:
+      return assertNever(kind, 'hasCrashedEnough');
+  }
+}
--- a/scheduling/quarantine/test/soundPartTurnsDeadly.test.ts
+++ b/scheduling/quarantine/test/soundPartTurnsDeadly.test.ts
@@ -1,30 +1,36 @@
-import type {AnswerProgress, EndpointCrash} from '@gentianshunt/entryModel';
+import {toFingerprint} from '@gentianshunt/entryModel';
+import type {
+  AnswerProgress,
+  EndpointCrash,
+  Fingerprint,
+} from '@gentianshunt/entryModel';
 import {toIdentifier} from '@gentianshunt/identifiers';
-import type {NodeId, PromptPartId} from '@gentianshunt/identifiers';
+import type {NodeId} from '@gentianshunt/identifiers';
 import t from 'tap';
 
-import {decideSuspects} from '../src/index.js';
+import {decideParts} from '../src/index.js';
 
-const DEADLY = toIdentifier<PromptPartId>('a7ba');
-const BYSTANDER = toIdentifier<PromptPartId>('38b0');
+const DEADLY = toFingerprint(toIdentifier('a7ba'));
+const BYSTANDER = toFingerprint(toIdentifier('38b0'));
 /** Sound answers that the part had before it crashed an endpoint. */
 const SOUND_BEFORE = {lasting: 1, recent: 2};
 
 function createRun(
   reporter: string,
   progress: AnswerProgress,
-  part: PromptPartId,
+  fingerprint: Fingerprint,
 ) {
   return {
     reporter: toIdentifier<NodeId>(reporter),
     progress,
-    parts: [{part, lasting: 1, recent: 1}],
+    suspects: [{fingerprint, lasting: 1, recent: 1}],
   };
 }
 
 /** Crashes of one endpoint each, seen by two entries. */
 function createCrashes(count: number): readonly EndpointCrash[] {
   return Array.from({length: count}, (_, index) => ({
+    set: toIdentifier('s'),
     endpoint: toIdentifier(`e${index}`),
     at: index,
     runs: [
@@ -34,12 +40,13 @@
   }));
 }
 
-function listHeld(crashes: number): readonly PromptPartId[] {
-  return decideSuspects(
-    new Set([DEADLY, BYSTANDER]),
-    createCrashes(crashes),
-    () => SOUND_BEFORE,
-  ).map(({part}) => part);
+function listHeld(crashes: number): readonly Fingerprint[] {
+  return decideParts([DEADLY, BYSTANDER], {
+    crashes: createCrashes(crashes),
+    countSoundRuns: () => SOUND_BEFORE,
+    isQuarantined: () => false,
+    now: crashes,
+  }).map(({fingerprint}) => fingerprint);
 }
 
 // Guards against a part that stays in use as it was sound before it crashed.
--- a/scheduling/slotContract/test/crashingPromptPart.test.ts
+++ b/scheduling/slotContract/test/crashingPromptPart.test.ts
@@ -1,8 +1,8 @@
 import {FIRST_HOLD_MS} from '@gentianshunt/quarantine';
 import t from 'tap';
 
-import {createCrashingSet, DEADLY_PART} from './crashingSet.js';
-import type {ArrivedRequest, CrashingSet} from './crashingSet.js';
+import {createCrashingSet} from './crashingSet.js';
+import type {CrashingSet} from './crashingSet.js';
 
 /** Crashes after which a deadly part must be known. */
 const KNOWN_AFTER_CRASHES = 5;
@@ -17,24 +17,20 @@
   {entries: 200, endpoints: 82, concurrency: 5, requestsPerSecond: 300},
 ];
 
-function isDeadly({parts}: ArrivedRequest): boolean {
-  return parts.includes(DEADLY_PART);
-}
-
 /** Counts deadly requests at endpoints after the bound. */
 function countLate({arrived, crashedAt}: CrashingSet): number {
   const knownAt = crashedAt[KNOWN_AFTER_CRASHES - 1];
   return knownAt === undefined
     ? 0
     : arrived.filter(
-        request => isDeadly(request) && request.at > knownAt + CONTACT_MS,
+        request => request.isDeadly && request.at > knownAt + CONTACT_MS,
       ).length;
 }
 
 /** Computes how many sound requests of a time span began at once. */
 function computeBegunShare(set: CrashingSet, from: number, to: number): number {
   const sound = set.sent.filter(
-    request => !isDeadly(request) && request.at >= from && request.at < to,
+    request => !request.isDeadly && request.at >= from && request.at < to,
   );
   const begun = sound.filter(({request}) => set.begun.has(request));
   return begun.length / sound.length;
@@ -48,7 +44,7 @@
       .map(({request}) => request),
   );
   return sent.filter(
-    request => refused.has(request.request) && isDeadly(request) === deadly,
+    request => refused.has(request.request) && request.isDeadly === deadly,
   ).length;
 }
 
@@ -135,7 +131,7 @@
     t.equal(set.crashedAt.length, crashes + 1, 'the first test');
     set.isDeadly = false;
     set.runArrivals(2 * FIRST_HOLD_MS + DAY_MS);
-    const last = set.sent.filter(isDeadly).at(-1)!;
+    const last = set.sent.filter(({isDeadly}) => isDeadly).at(-1)!;
     set.runArrivals(1_000);
     t.ok(set.begun.has(last.request), 'served again after the second test');
   },
@@ -152,7 +148,7 @@
     const heldFrom = set.entries.time.clock.readMonotonic();
     set.runArrivals(WARM_UP_MS);
     const late = set.arrived.filter(
-      request => isDeadly(request) && request.at > heldFrom,
+      request => request.isDeadly && request.at > heldFrom,
     );
     t.same(late, [], 'held by the operator');
     set.setPolicy('lifted');
@@ -167,7 +163,7 @@
     set.runArrivals(1_000);
     const sent = set.sent.length;
     set.runArrivals(WARM_UP_MS);
-    const again = set.sent.slice(sent, -60).filter(isDeadly);
+    const again = set.sent.slice(sent, -60).filter(({isDeadly}) => isDeadly);
     const arrived = new Set(set.arrived.map(({request}) => request));
     const refused = again.filter(({request}) => !arrived.has(request));
     t.same(refused, [], 'lifted by the operator');
--- /dev/null
+++ b/scheduling/slotContract/test/crashingRequest.test.ts
@@ -0,0 +1,142 @@
+import t from 'tap';
+
+import {createCrashingSet, DEADLY_REQUEST} from './crashingSet.js';
+import type {CrashingSet, CrashingSetOptions} from './crashingSet.js';
+
+/** Crashes after which a deadly request must be known. */
+const KNOWN_AFTER_CRASHES = 3;
+const CONTACT_MS = 3_000;
+const MAX_LATE_REQUESTS = 3;
+const WARM_UP_MS = 4_000;
+const DAY_MS = 22_000;
+const DEADLY_SHARE = 0.03;
+
+const SMALL_SET: CrashingSetOptions = {
+  entries: 12,
+  endpoints: 9,
+  concurrency: 8,
+  requestsPerSecond: 60,
+  deadlyShare: DEADLY_SHARE,
+  deadly: 'request',
+};
+
+/** Counts deadly requests at endpoints after the bound. */
+function countLate({arrived, crashedAt}: CrashingSet): number {
+  const knownAt = crashedAt[KNOWN_AFTER_CRASHES - 1] ?? Infinity;
+  return arrived.filter(
+    ({isDeadly, at}) => isDeadly && at > knownAt + CONTACT_MS,
+  ).length;
+}
+
+/** Counts the requests that were refused for what they are. */
+function countRefused({sent, refusals}: CrashingSet, deadly: boolean): number {
+  const refused = new Set(
+    refusals
+      .filter(({reason}) => reason === 'requestQuarantined')
+      .map(({request}) => request),
+  );
+  return sent.filter(
+    ({request, isDeadly}) => refused.has(request) && isDeadly === deadly,
+  ).length;
+}
+
+/** Lets deadly requests come after a time without. */
+function runDeadlyDay(set: CrashingSet): void {
+  set.isDeadly = false;
+  set.runArrivals(WARM_UP_MS);
+  set.isDeadly = true;
+  set.runArrivals(DAY_MS);
+}
+
+function describeDay(set: CrashingSet): string {
+  return `${countLate(set)} late, ${set.crashedAt.length} crashes`;
+}
+
+const forms: readonly {
+  readonly name: string;
+  readonly options: Partial<CrashingSetOptions>;
+}[] = [
+  {name: 'repeated by the system', options: {}},
+  {name: 'not repeated', options: {isIdempotent: false}},
+  {name: 'among few different ones', options: {soundRequests: 50}},
+  {
+    name: 'in a large set',
+    options: {
+      entries: 200,
+      endpoints: 82,
+      concurrency: 5,
+      requestsPerSecond: 300,
+    },
+  },
+];
+
+for (const {name, options} of forms) {
+  t.test(
+    `a request that crashes endpoints stops reaching them: ${name}`,
+    async t => {
+      const set = createCrashingSet({...SMALL_SET, ...options});
+      // It has had no sound answer: nobody sends it before.
+      set.runArrivals(DAY_MS);
+      t.ok(countLate(set) <= MAX_LATE_REQUESTS, describeDay(set));
+      t.ok(countRefused(set, true) > 0, 'it is refused');
+      t.equal(countRefused(set, false), 0, 'no other request is');
+    },
+  );
+}
+
+t.test('a request that turns deadly stops reaching endpoints', async t => {
+  const set = createCrashingSet({...SMALL_SET, requestsPerSecond: 30});
+  runDeadlyDay(set);
+  t.ok(countLate(set) <= MAX_LATE_REQUESTS, describeDay(set));
+  t.equal(countRefused(set, false), 0, 'no other request is refused');
+});
+
+t.test('the loss of a set leader keeps what is known of a request', async t => {
+  const lost = new Set<string>();
+  const set = createCrashingSet({
+    ...SMALL_SET,
+    isLost: ({from, to}) => lost.has(from) || lost.has(to),
+  });
+  while (set.crashedAt.length < 1) {
+    set.runArrivals(100);
+  }
+  lost.add(set.nodes[0]!);
+  set.entries.find(set.nodes[0]!).freeze();
+  set.runArrivals(CONTACT_MS);
+  set.moveLeader(set.nodes[1]!);
+  set.runArrivals(DAY_MS);
+  t.ok(countLate(set) <= MAX_LATE_REQUESTS, describeDay(set));
+});
+
+t.test('endpoints that are killed hold no request', async t => {
+  for (const seed of [1, 2, 3]) {
+    const options = {...SMALL_SET, deadlyShare: 0, soundRequests: 40, seed};
+    const set = createCrashingSet(options);
+    set.runArrivals(WARM_UP_MS);
+    for (let kill = 0; kill < 24; kill += 1) {
+      set.kill(kill % SMALL_SET.endpoints);
+      set.runArrivals(kill % 4 === 0 ? 2_000 : 150);
+    }
+    t.equal(countRefused(set, false), 0, `seed ${seed}`);
+  }
+});
+
+t.test('an operator holds and lifts a whole request', async t => {
+  const set = createCrashingSet({...SMALL_SET, deadlyShare: 0.1});
+  set.isDeadly = false;
+  set.setPolicy('held');
+  set.runArrivals(1_000);
+  const heldFrom = set.entries.time.clock.readMonotonic();
+  set.runArrivals(WARM_UP_MS);
+  const late = set.arrived.filter(
+    ({isDeadly, at}) => isDeadly && at > heldFrom,
+  );
+  t.same(late, [], `${DEADLY_REQUEST} is held`);
+  set.setPolicy('lifted');
+  const liftedFrom = set.entries.time.clock.readMonotonic() + 1_000;
+  set.runArrivals(WARM_UP_MS);
+  const again = set.arrived.filter(
+    ({isDeadly, at}) => isDeadly && at > liftedFrom,
+  );
+  t.ok(again.length > 0, 'and lifted');
+});
--- a/scheduling/slotContract/test/crashingSet.ts
+++ b/scheduling/slotContract/test/crashingSet.ts
@@ -6,11 +6,14 @@
   AnswerProgress,
   Dispatch,
   EntryEffect,
+  Fingerprint,
+  RequestAttributes,
   StreamEnd,
 } from '@gentianshunt/entryModel';
+import {assertNever} from '@gentianshunt/errors';
 import {hashToFraction} from '@gentianshunt/hashing';
 import {toIdentifier} from '@gentianshunt/identifiers';
-import type {PromptPartId} from '@gentianshunt/identifiers';
+import type {FingerprintId} from '@gentianshunt/identifiers';
 import {
   createArrival,
   createConfigurationObjects,
@@ -20,6 +23,7 @@
 import type {SentMessage, VirtualEntries} from '@gentianshunt/virtualEntry';
 
 export const DEADLY_PART = 'deadly';
+export const DEADLY_REQUEST = 'request.deadly';
 const ORGANISATIONS = 16;
 const COMMON_PARTS = 4;
 const TOPICS = 200;
@@ -36,8 +40,16 @@
   readonly endpoints: number;
   readonly concurrency: number;
   readonly requestsPerSecond: number;
-  /** Fraction of the requests that have the deadly part. */
+  /** Fraction of the requests that crash endpoints. */
   readonly deadlyShare: number;
+  /** What crashes endpoints; a prompt part by default. */
+  readonly deadly?: Fingerprint['kind'];
+  /**
+   * How many sound requests differ; by default each does. Only if whole
+   * requests crash endpoints.
+   */
+  readonly soundRequests?: number;
+  readonly isIdempotent?: boolean;
   readonly seed?: number;
   /** Returns whether a message between entries is lost. */
   readonly isLost?: (sent: SentMessage) => boolean;
@@ -47,7 +59,7 @@
 export interface ArrivedRequest {
   readonly at: number;
   readonly request: string;
-  readonly parts: readonly string[];
+  readonly isDeadly: boolean;
   readonly attempt: number;
 }
 
@@ -56,7 +68,7 @@
   readonly entries: VirtualEntries;
   readonly nodes: readonly string[];
   readonly arrived: ArrivedRequest[];
-  /** Requests that were sent to an entry, with their parts. */
+  /** Requests that were sent to an entry. */
   readonly sent: ArrivedRequest[];
   /** Requests whose first event arrived at the first attempt. */
   readonly begun: Set<string>;
@@ -69,14 +81,14 @@
   }[];
   /** Number of messages between entries, by kind. */
   readonly messages: Map<string, number>;
-  /** Whether the deadly part still crashes endpoints. */
+  /** Whether the deadly requests still crash endpoints. */
   isDeadly: boolean;
   runArrivals(durationMs: number): void;
   /** Ends an endpoint from outside, whatever it runs. */
   kill(endpoint: number): void;
   /** Lets another entry lead the set. */
   moveLeader(node: string): void;
-  /** Lets an operator hold or lift the deadly part. */
+  /** Lets an operator hold or lift what crashes endpoints. */
   setPolicy(state: PromptPolicy['state']): void;
 }
 
@@ -154,7 +166,9 @@
       entries.publish(publish(), nodes);
     },
     setPolicy: state => {
-      const id = toIdentifier<PromptPartId>(DEADLY_PART);
+      const id = toIdentifier<FingerprintId>(
+        options.deadly === 'request' ? DEADLY_REQUEST : DEADLY_PART,
+      );
       policies = [{kind: 'promptPolicy', id, revision: 1, state}];
       entries.publish(publish(), nodes);
     },
@@ -166,17 +180,14 @@
 
 function sendRequest(
   {entries, nodes, sent}: CrashingSet,
-  {deadlyShare, seed = 0}: CrashingSetOptions,
+  options: CrashingSetOptions,
   index: number,
 ): void {
+  const {deadlyShare, isIdempotent = true, seed = 0} = options;
   const draw = (name: string): number =>
     hashToFraction(`${seed}/${name}/${index}`);
   const node = nodes[Math.floor(draw('node') * nodes.length)]!;
-  const topic = `topic-${Math.floor(draw('topic') * TOPICS)}`;
-  const parts = [
-    `common-${index % COMMON_PARTS}`,
-    draw('deadly') < deadlyShare ? DEADLY_PART : topic,
-  ];
+  const isDeadly = draw('deadly') < deadlyShare;
   const arrival = createArrival({index, organisation: index % ORGANISATIONS});
   if (arrival.kind !== 'requestReceived') {
     return;
@@ -185,17 +196,17 @@
   sent.push({
     at: entries.time.clock.readMonotonic(),
     request,
-    parts,
+    isDeadly,
     attempt: 0,
   });
   entries.find(node).post({
     kind: 'requestReceived',
     attributes: {
       ...arrival.attributes,
-      promptParts: parts.map(part => toIdentifier<PromptPartId>(part)),
+      ...createFingerprints(options, index, isDeadly, draw('topic')),
       routePolicy: {
         route: toIdentifier('r1'),
-        maxAttempts: 2,
+        maxAttempts: isIdempotent ? 2 : 1,
         timeLimitMs: 6_000,
         objectiveMs: 600,
         patienceMs: 3_000,
@@ -207,6 +218,36 @@
   });
 }
 
+/** Creates the attributes by which the scheduler may suspect a request. */
+function createFingerprints(
+  {
+    deadly = 'promptPart',
+    soundRequests = Number.POSITIVE_INFINITY,
+  }: CrashingSetOptions,
+  index: number,
+  isDeadly: boolean,
+  topic: number,
+): Pick<RequestAttributes, 'promptParts' | 'requestFingerprint'> {
+  switch (deadly) {
+    case 'promptPart':
+      return {
+        promptParts: [
+          `common-${index % COMMON_PARTS}`,
+          isDeadly ? DEADLY_PART : `topic-${Math.floor(topic * TOPICS)}`,
+        ].map(part => toIdentifier(part)),
+        requestFingerprint: toIdentifier(`request.${index}`),
+      };
+    case 'request':
+      return {
+        requestFingerprint: toIdentifier(
+          isDeadly ? DEADLY_REQUEST : `request.${index % soundRequests}`,
+        ),
+      };
+    default:
+      return assertNever(deadly, 'createFingerprints');
+  }
+}
+
 function handleEffect(
   set: CrashingSet,
   endpoints: readonly FakeEndpoint[],
@@ -229,11 +270,13 @@
     endStream(set, node, dispatch, {kind: 'notSent', detail: 'ECONNREFUSED'});
     return;
   }
-  const parts = request.promptParts ?? [];
+  const isDeadly =
+    request.requestFingerprint === toIdentifier(DEADLY_REQUEST) ||
+    request.promptParts?.includes(toIdentifier(DEADLY_PART)) === true;
   const attempt = (request.tried?.length ?? 0) + 1;
-  set.arrived.push({at, request: request.id, parts, attempt});
+  set.arrived.push({at, request: request.id, isDeadly, attempt});
   startAnswer(set, endpoint, {node, dispatch, progress: 'awaitingHead'}, () => {
-    if (set.isDeadly && parts.includes(toIdentifier(DEADLY_PART))) {
+    if (set.isDeadly && isDeadly) {
       crashEndpoint(set, endpoint);
     } else if (attempt === 1) {
       set.begun.add(request.id);
