--- a/scheduling/quarantine/src/brokenRuns.ts
+++ b/scheduling/quarantine/src/brokenRuns.ts
@@ -15,7 +15,7 @@
 import {assertNever} from '@gentianshunt/errors';
 import type {DispatchId} from '@gentianshunt/identifiers';
 
-import {EVIDENCE_RETENTION_MS} from './crashRecords.js';
+import {EVIDENCE_RETENTION_MS, limitSuspects} from './crashRecords.js';
 import {sendBrokenRuns} from './evidenceMessages.js';
 import {findRunning} from './evidenceView.js';
 import type {EvidenceView, EvidenceWrite} from './evidenceView.js';
@@ -24,6 +24,8 @@
 
 /** Most broken runs that an entry remembers. */
 export const MAX_BROKEN_RUNS = 64;
+/** Most fingerprints in the broken runs that an entry remembers. */
+export const MAX_BROKEN_SUSPECTS = 8_192;
 /** Sound answers after which a single crash raises no suspicion. */
 const MIN_SOUND_RUNS = 0.5;
 
@@ -56,7 +58,11 @@
   const recent = view.board.brokenRuns.filter(
     ({at}) => now.monotonic - at < EVIDENCE_RETENTION_MS,
   );
-  const value = [...recent, run].slice(-MAX_BROKEN_RUNS);
+  const value = limitSuspects(
+    [...recent, run].slice(-MAX_BROKEN_RUNS),
+    MAX_BROKEN_SUSPECTS,
+    ({suspects}) => suspects.length,
+  );
   const decision = describeBrokenAnswer(view, state, end, now);
   return [
     {kind: 'set', section: 'brokenRuns', value},
--- a/scheduling/quarantine/src/crashRecords.ts
+++ b/scheduling/quarantine/src/crashRecords.ts
@@ -20,6 +20,8 @@
 export const MAX_CRASHES = 128;
 /** Most runs recorded of one crash. */
 export const MAX_RUNS_PER_CRASH = 64;
+/** Most fingerprints in the crashes that an entry remembers. */
+export const MAX_CRASH_SUSPECTS = 32_768;
 
 /** Broken runs of a set, as an entry reported them. */
 export interface BrokenRunReport {
@@ -42,18 +44,38 @@
   {reporter, set, runs}: BrokenRunReport,
   now: MonotonicTime,
 ): readonly EndpointCrash[] {
-  return runs
+  const known = runs
     .filter(({ageMs}) => ageMs < EVIDENCE_RETENTION_MS)
     .reduce<readonly EndpointCrash[]>(
-      (known, {endpoint, ageMs, progress, suspects}) =>
+      (added, {endpoint, ageMs, progress, suspects}) =>
         addRun(
-          known,
+          added,
           {set, endpoint, at: now - ageMs, runs: []},
           {reporter, progress, suspects},
         ),
       listRecentCrashes(crashes, now),
     )
     .slice(-MAX_CRASHES);
+  return limitSuspects(known, MAX_CRASH_SUSPECTS, countSuspects);
+}
+
+/** Drops the oldest records until the rest has few enough fingerprints. */
+export function limitSuspects<Item>(
+  items: readonly Item[],
+  limit: number,
+  count: (item: Item) => number,
+): readonly Item[] {
+  let excess = items.reduce((sum, item) => sum + count(item), -limit);
+  const first = items.findIndex((item, index) => {
+    const fits = excess <= 0 || index === items.length - 1;
+    excess -= count(item);
+    return fits;
+  });
+  return first <= 0 ? items : items.slice(first);
+}
+
+function countSuspects({runs}: EndpointCrash): number {
+  return runs.reduce((sum, {suspects}) => sum + suspects.length, 0);
 }
 
 /** Adds a run to the crash that it belongs to, or to a new one. */
