Calls: an endpoint that ends after an answer that fails counts as crashed

Cause: the head of such an answer ends the request as failed; the rest is dropped, and that its connection breaks was noted by nobody.

Change: the front posts failedAnswerBroken, and the evidence controller records a broken run.

Evidence: fronts/callRelay faultyAnswers, "an endpoint that ends after an answer that fails has broken", waits for an observation that the code before does not post.

--- a/fronts/callRelay/src/callRelay.ts
+++ b/fronts/callRelay/src/callRelay.ts
@@ -21,7 +21,7 @@
   Refusal,
   RefusalReason,
 } from '@gentianshunt/entryModel';
-import {createRoutingTable, routeCall} from '@gentianshunt/routing';
+import {routeCall} from '@gentianshunt/routing';
 import type {CallAttributes, RoutingTable} from '@gentianshunt/routing';
 import {startTimer} from '@gentianshunt/runtime';
 import type {LoopMonitor} from '@gentianshunt/runtime';
@@ -35,7 +35,9 @@
 import type {CallTable} from './callTable.js';
 import {createEndpointStreams} from './endpointStream.js';
 import {guardCall} from './guardCall.js';
+import {toHead} from './rawHeaders.js';
 import {readCallTerms} from './readCallTerms.js';
+import {createRoutingTableCache} from './routingTableCache.js';
 import {decideUnreadAnswer} from './unreadCalls.js';
 import type {UnreadBody} from './unreadCalls.js';
 
@@ -123,21 +125,6 @@
   };
 }
 
-/** Rebuilds the routing table only when the configuration has changed. */
-function createRoutingTableCache(
-  view: BoardView<EntrySections>,
-): () => RoutingTable {
-  let version = -1;
-  let table = createRoutingTable(new Map());
-  return () => {
-    if (view.control.version !== version) {
-      version = view.control.version;
-      table = createRoutingTable(view.configuration);
-    }
-    return table;
-  };
-}
-
 function receiveCall(
   options: CallRelayOptions,
   calls: CallTable,
@@ -176,11 +163,6 @@
   });
 }
 
-/** Reads the request line and headers of a call. */
-function toHead({method, url, rawHeaders}: FastifyRequest['raw']): CallHead {
-  return {method: method ?? 'GET', url: url ?? '/', headers: rawHeaders};
-}
-
 /** Admits a call without a body unless memory is used up. */
 function receiveEmpty(gate: MemoryGate): ReceivedBody {
   return gate.isFull()
--- a/fronts/callRelay/src/endpointStream.ts
+++ b/fronts/callRelay/src/endpointStream.ts
@@ -1,7 +1,6 @@
 import {MAX_HEAD_BYTES} from '@gentianshunt/callerFront';
 import type {
   AdmittedRequest,
-  AnswerProgress,
   Dispatch,
   StreamEnd,
 } from '@gentianshunt/entryModel';
@@ -14,22 +13,27 @@
 import {createAnswerWriter} from './answerWriter.js';
 import type {AnswerWriter} from './answerWriter.js';
 import type {AnswerHead} from './callProtocol.js';
-import type {SentCall} from './callStep.js';
 import type {OpenCall} from './callTable.js';
 import {createConnectionPools} from './connectionPools.js';
+import {createEndpointRequest, describeCall} from './endpointRequest.js';
 import type {EndpointStreamOptions} from './endpointStreamOptions.js';
 import {createProgressTracker} from './progressTracker.js';
-import {createTokenReporter, reportSignals} from './streamReports.js';
+import {
+  createTokenReporter,
+  createUnboundedReporter,
+  reportSignals,
+} from './streamReports.js';
 import {findWithholdCause} from './withholdCause.js';
-import {createDroppedBody, UnboundedAnswerError} from './droppedBody.js';
+import {createDroppedBody} from './droppedBody.js';
 import type {DroppedBody} from './droppedBody.js';
 import {guardCall} from './guardCall.js';
 import {createAnswerPause} from './answerPause.js';
+import {readRawHeaders} from './rawHeaders.js';
+import {isBrokenFailure, isHeadOverflow, toStreamEnd} from './streamErrors.js';
 
 /** Most informational heads before the head of an answer. */
 const MAX_INFORMATIONAL_HEADS = 8;
 const TOO_MANY_HEADS = 'too many informational heads';
-const HEAD_OVERFLOW_CODE = 'UND_ERR_HEADERS_OVERFLOW';
 const FIRST_FINAL_STATUS = 200;
 const SUCCESS = 200;
 
@@ -87,50 +91,6 @@
   };
 }
 
-function createEndpointRequest(
-  {protocol, clock}: EndpointStreamOptions,
-  call: OpenCall,
-  request: AdmittedRequest,
-  dispatch: Dispatch,
-): Dispatcher.DispatchOptions {
-  const timeLeftMs = Math.max(1, call.dueAt - clock.readMonotonic());
-  const body = call.body.toPayload();
-  const headers = protocol.listEndpointHeaders({
-    call: call.head,
-    request,
-    dispatch,
-    timeLeftMs,
-    lastEventId: call.lastEventId,
-  });
-  return {
-    origin: dispatch.target.url,
-    path: call.head.url,
-    method: call.head.method as Dispatcher.HttpMethod,
-    // The client learns the length of a buffer by itself.
-    headers:
-      body === null || Buffer.isBuffer(body)
-        ? [...headers]
-        : [...headers, 'Content-Length', String(call.body.length)],
-    // Its types do not mention iterables, which it sends.
-    body: body as Buffer | null,
-  };
-}
-
-function describeCall(
-  {clock}: EndpointStreamOptions,
-  {id, receivedAt, dueAt}: OpenCall,
-  {target, at}: Dispatch,
-): SentCall {
-  const now = clock.readMonotonic();
-  return {
-    request: id,
-    endpoint: target.endpoint,
-    ageMs: now - receivedAt,
-    sinceDispatchMs: now - at,
-    timeLeftMs: dueAt - now,
-  };
-}
-
 function postEnd(
   {post}: EndpointStreamOptions,
   dispatch: Dispatch,
@@ -152,7 +112,12 @@
 type BodyHandling =
   | {readonly kind: 'awaitingHead'}
   | {readonly kind: 'pass'; readonly writer: AnswerWriter}
-  | {readonly kind: 'discard'; readonly drop: DroppedBody};
+  | {
+      readonly kind: 'discard';
+      readonly drop: DroppedBody;
+      /** How the head of the answer ended the request. */
+      readonly end: StreamEnd;
+    };
 
 /** Options of one stream. */
 interface StreamOptions {
@@ -179,13 +144,13 @@
       postEnd(options, dispatch, reason);
     }
   };
-  const reportUnbounded = (step: string, detail: string): void => {
-    const {url} = dispatch.target;
-    const error = new UnboundedAnswerError(step, url, detail);
-    options.onStep({kind: 'answerUnbounded', error});
-  };
-  const discard = (started: Dispatcher.DispatchController): BodyHandling => ({
+  const reportUnbounded = createUnboundedReporter(options, dispatch);
+  const discard = (
+    started: Dispatcher.DispatchController,
+    ending: StreamEnd,
+  ): BodyHandling => ({
     kind: 'discard',
+    end: ending,
     drop: createDroppedBody(started, detail =>
       reportUnbounded('dropBody', detail),
     ),
@@ -253,7 +218,7 @@
             abort('the answer belongs to another call');
             return;
           case 'ended':
-            handling = discard(started);
+            handling = discard(started, action.end);
             end(action.end);
             return;
         }
@@ -300,8 +265,11 @@
       onResponseError: (_controller, error) => {
         if (handling.kind === 'discard') {
           handling.drop.end();
+          if (isBrokenFailure(handling.end, error)) {
+            options.post({kind: 'failedAnswerBroken', request, dispatch});
+          }
         }
-        if (readErrorCode(error) === HEAD_OVERFLOW_CODE) {
+        if (isHeadOverflow(error)) {
           reportUnbounded('readHead', `more than ${MAX_HEAD_BYTES} bytes`);
         }
         end(toStreamEnd(error, progress.read()));
@@ -324,28 +292,3 @@
 function isResumable({routePolicy, isIdempotent}: AdmittedRequest): boolean {
   return routePolicy?.isResumable === true && isIdempotent === true;
 }
-
-/** Reads the headers as received; undici provides them as buffers. */
-function readRawHeaders(controller: Dispatcher.DispatchController): string[] {
-  const raw = controller.rawHeaders as unknown as readonly Buffer[] | null;
-  return raw?.map(part => part.toString('latin1')) ?? [];
-}
-
-/** Errors while connecting; no byte of the call has been sent by then. */
-const NOT_SENT_CODES: ReadonlySet<string> = new Set([
-  'UND_ERR_CONNECT_TIMEOUT',
-  'ECONNREFUSED',
-  'EHOSTUNREACH',
-  'ENETUNREACH',
-]);
-
-function readErrorCode(error: Error): string | undefined {
-  return (error as NodeJS.ErrnoException).code;
-}
-
-function toStreamEnd(error: Error, progress: AnswerProgress): StreamEnd {
-  const code = readErrorCode(error);
-  return code !== undefined && NOT_SENT_CODES.has(code)
-    ? {kind: 'notSent', detail: code}
-    : {kind: 'cut', detail: code ?? error.message, events: 0, progress};
-}
--- a/fronts/callRelay/src/streamReports.ts
+++ b/fronts/callRelay/src/streamReports.ts
@@ -3,6 +3,7 @@
 import type {AdmittedRequest, Dispatch} from '@gentianshunt/entryModel';
 
 import type {AnswerAttributes} from './callProtocol.js';
+import {UnboundedAnswerError} from './droppedBody.js';
 import type {EndpointStreamOptions} from './endpointStreamOptions.js';
 
 /** Shortest time between two reports of the token count of a stream. */
@@ -45,3 +46,14 @@
     post({kind: 'tokensStreamed', dispatch, answerTokens: chunks});
   };
 }
+
+/** Reports answers of an endpoint that do not end within their bounds. */
+export function createUnboundedReporter(
+  {onStep}: EndpointStreamOptions,
+  {target}: Dispatch,
+): (step: string, detail: string) => void {
+  return (step, detail) => {
+    const error = new UnboundedAnswerError(step, target.url, detail);
+    onStep({kind: 'answerUnbounded', error});
+  };
+}
--- a/fronts/callRelay/test/faultyAnswers.test.ts
+++ b/fronts/callRelay/test/faultyAnswers.test.ts
@@ -150,3 +150,29 @@
   rest.close();
   await fixture.close();
 });
+
+// Guards against a crash that nobody notices, as its answer had failed before.
+t.test(
+  'an endpoint that ends after an answer that fails has broken',
+  async t => {
+    const fixture = await createRelayFixture();
+    const endpoint = await createRawEndpoint(socket => {
+      socket.write(
+        'HTTP/1.1 200 OK\r\nx-call: q1\r\ncontent-length: 9\r\n\r\nab',
+      );
+      setImmediate(() => socket.resetAndDestroy());
+    });
+    const received = fixture.next('requestReceived');
+    const answered = fixture.call('q1');
+    const {attributes} = await received;
+    const ended = fixture.next('streamEnded');
+    const broken = fixture.next('failedAnswerBroken');
+    const {id} = fixture.dispatch(attributes, endpoint.url);
+    t.equal(describeEnd((await ended).end), 'failed 200');
+    t.equal((await broken).dispatch.id, id);
+    fixture.fail(attributes);
+    await answered;
+    endpoint.close();
+    await fixture.close();
+  },
+);
--- a/scheduling/entryModel/src/observation.ts
+++ b/scheduling/entryModel/src/observation.ts
@@ -25,6 +25,7 @@
 import type {EntryMessage} from './entryMessage.js';
 import type {
   AdmittedRequest,
+  Dispatch,
   Refusal,
   RequestAttributes,
   RequestEnd,
@@ -67,6 +68,15 @@
       /** The answer, stored to answer a resent non-idempotent request. */
       readonly stored: StoredAnswer | null;
     }
+  | {
+      /**
+       * The connection broke while the rest of an answer arrived that had ended
+       * its request as failed.
+       */
+      readonly kind: 'failedAnswerBroken';
+      readonly request: AdmittedRequest;
+      readonly dispatch: Dispatch;
+    }
   | {
       /** The head of an answer that states something, or no longer does. */
       readonly kind: 'endpointSignalled';
--- a/scheduling/quarantine/src/brokenRuns.ts
+++ b/scheduling/quarantine/src/brokenRuns.ts
@@ -6,10 +6,9 @@
   AdmittedRequest,
   AnswerProgress,
   BrokenRun,
-  DispatchedState,
+  Dispatch,
   EntryDecision,
   Fingerprint,
-  StreamEnd,
   Suspicion,
 } from '@gentianshunt/entryModel';
 import {assertNever} from '@gentianshunt/errors';
@@ -17,7 +16,6 @@
 
 import {EVIDENCE_RETENTION_MS, limitSuspects} from './crashRecords.js';
 import {sendBrokenRuns} from './evidenceMessages.js';
-import {findRunning} from './evidenceView.js';
 import type {EvidenceView, EvidenceWrite} from './evidenceView.js';
 import {readSoundRuns} from './soundUse.js';
 import type {SoundBoard} from './soundUse.js';
@@ -29,8 +27,6 @@
 /** Sound answers after which a single crash raises no suspicion. */
 const MIN_SOUND_RUNS = 0.5;
 
-type BrokenEnd = Extract<StreamEnd, {readonly kind: 'cut'}>;
-
 /** The state by which an entry suspects requests of its own. */
 export interface SuspicionBoard extends SoundBoard {
   readonly brokenRuns: readonly BrokenRun[];
@@ -43,18 +39,20 @@
   readonly progress: AnswerProgress;
 }
 
+/** A dispatch at whose endpoint the connection broke. */
+export interface EndedDispatch {
+  readonly request: AdmittedRequest;
+  readonly dispatch: Dispatch;
+  readonly progress: AnswerProgress;
+}
+
 /** Records, logs and reports a run that broke. */
 export function recordBrokenRun(
   view: EvidenceView,
-  dispatch: DispatchId,
-  end: BrokenEnd,
+  ended: EndedDispatch,
   now: TurnTime,
 ): readonly EvidenceWrite[] {
-  const state = findRunning(view, dispatch);
-  if (state === undefined) {
-    return [];
-  }
-  const run = toBrokenRun(view, state, end, now);
+  const run = toBrokenRun(view, ended, now);
   const recent = view.board.brokenRuns.filter(
     ({at}) => now.monotonic - at < EVIDENCE_RETENTION_MS,
   );
@@ -63,7 +61,7 @@
     MAX_BROKEN_SUSPECTS,
     ({suspects}) => suspects.length,
   );
-  const decision = describeBrokenAnswer(view, state, end, now);
+  const decision = describeBrokenAnswer(view, ended, now);
   return [
     {kind: 'set', section: 'brokenRuns', value},
     {kind: 'effect', effect: {kind: 'logDecision', decision}},
@@ -133,8 +131,7 @@
 
 function toBrokenRun(
   {board}: EvidenceView,
-  {request, dispatch}: DispatchedState,
-  {progress}: BrokenEnd,
+  {request, dispatch, progress}: EndedDispatch,
   now: TurnTime,
 ): BrokenRun {
   return {
@@ -179,8 +176,7 @@
 
 function describeBrokenAnswer(
   {board}: EvidenceView,
-  {request, dispatch}: DispatchedState,
-  {progress}: BrokenEnd,
+  {request, dispatch, progress}: EndedDispatch,
   now: TurnTime,
 ): EntryDecision {
   const broken = {request, dispatch: dispatch.id, progress};
--- a/scheduling/quarantine/src/evidenceController.ts
+++ b/scheduling/quarantine/src/evidenceController.ts
@@ -5,7 +5,11 @@
 
 import {recordBrokenRun} from './brokenRuns.js';
 import {sendBrokenRuns} from './evidenceMessages.js';
-import {EVIDENCE_READS, EVIDENCE_SECTIONS} from './evidenceView.js';
+import {
+  EVIDENCE_READS,
+  EVIDENCE_SECTIONS,
+  findRunning,
+} from './evidenceView.js';
 import type {
   EvidenceReads,
   EvidenceSections,
@@ -28,7 +32,12 @@
     name: 'evidence',
     reads: EVIDENCE_READS,
     writes: EVIDENCE_SECTIONS,
-    observes: ['streamEnded', 'tokensStreamed', 'entryMessage'],
+    observes: [
+      'streamEnded',
+      'failedAnswerBroken',
+      'tokensStreamed',
+      'entryMessage',
+    ],
     run: (view, now) => [
       ...handleObservation(view, now),
       ...reportToNewLeaders(view, now),
@@ -51,12 +60,22 @@
       switch (end.kind) {
         case 'complete':
           return recordWholeAnswer(view, dispatch, now);
-        case 'cut':
-          return recordBrokenRun(view, dispatch, end, now);
+        case 'cut': {
+          const state = findRunning(view, dispatch);
+          const {progress} = end;
+          return state === undefined
+            ? []
+            : recordBrokenRun(view, {...state, progress}, now);
+        }
         default:
           return [];
       }
     }
+    case 'failedAnswerBroken': {
+      const {request, dispatch} = observation;
+      const progress = 'awaitingFirstEvent';
+      return recordBrokenRun(view, {request, dispatch, progress}, now);
+    }
     case 'entryMessage':
       return observation.message.kind === 'quarantinesReported'
         ? answerQuarantines(view, observation.message, now)
