--- a/fronts/callRelay/src/headers.ts
+++ b/fronts/callRelay/src/headers.ts
@@ -27,6 +27,16 @@
   return undefined;
 }
 
+/** Lists all values of a header; `name` must be in lower case. */
+export function listHeaderValues(
+  headers: RawHeaders,
+  name: string,
+): readonly string[] {
+  return headers.filter(
+    (_, index) => index % 2 === 1 && headers[index - 1]!.toLowerCase() === name,
+  );
+}
+
 /**
  * Lists the headers to forward: all but hop-by-hop headers and those in
  * `dropped`, whose names must be in lower case.
--- a/fronts/callRelay/src/index.ts
+++ b/fronts/callRelay/src/index.ts
@@ -1,5 +1,5 @@
 export * from './callStep.js';
 export * from './callProtocol.js';
 export * from './callRelay.js';
-export {dropHeaders, findHeader} from './headers.js';
+export {dropHeaders, findHeader, listHeaderValues} from './headers.js';
 export * from './listenForCalls.js';
