Tests: repeats and tests of whole requests under quarantine

The fixture takes the number of attempts. "a request that crashes endpoints is repeated once at most" fails (not ok 1) if the lifecycle controller repeats suspected requests; "a held request is tested once, and lifted once it is sound" runs the same path as the test of parts.

--- a/scheduling/slotContract/test/crashingRequest.test.ts
+++ b/scheduling/slotContract/test/crashingRequest.test.ts
@@ -1,3 +1,4 @@
+import {FIRST_HOLD_MS} from '@gentianshunt/quarantine';
 import t from 'tap';
 
 import {createCrashingSet, DEADLY_REQUEST} from './crashingSet.js';
@@ -57,7 +58,7 @@
   readonly options: Partial<CrashingSetOptions>;
 }[] = [
   {name: 'repeated by the system', options: {}},
-  {name: 'not repeated', options: {isIdempotent: false}},
+  {name: 'not repeated', options: {maxAttempts: 1}},
   {name: 'among few different ones', options: {soundRequests: 50}},
   {
     name: 'in a large set',
@@ -84,6 +85,23 @@
   );
 }
 
+// Guards against a system that spreads a crash by its own repeats.
+t.test('a request that crashes endpoints is repeated once at most', async t => {
+  const set = createCrashingSet({
+    ...SMALL_SET,
+    entries: 1,
+    maxAttempts: 4,
+  });
+  set.runArrivals(DAY_MS);
+  const arrivals = new Map<string, number>();
+  for (const {request, isDeadly} of set.arrived) {
+    if (isDeadly) {
+      arrivals.set(request, (arrivals.get(request) ?? 0) + 1);
+    }
+  }
+  t.equal(Math.max(...arrivals.values()), 2);
+});
+
 t.test('a request that turns deadly stops reaching endpoints', async t => {
   const set = createCrashingSet({...SMALL_SET, requestsPerSecond: 30});
   runDeadlyDay(set);
@@ -135,6 +153,22 @@
   );
 }
 
+t.test(
+  'a held request is tested once, and lifted once it is sound',
+  async t => {
+    const set = createCrashingSet(SMALL_SET);
+    set.runArrivals(DAY_MS);
+    const crashes = set.crashedAt.length;
+    set.runArrivals(FIRST_HOLD_MS);
+    t.equal(set.crashedAt.length, crashes + 1, 'the first test');
+    set.isDeadly = false;
+    set.runArrivals(2 * FIRST_HOLD_MS + DAY_MS);
+    const last = set.sent.filter(({isDeadly}) => isDeadly).at(-1)!;
+    set.runArrivals(1_000);
+    t.ok(set.begun.has(last.request), 'served again after the second test');
+  },
+);
+
 t.test('an operator holds and lifts a whole request', async t => {
   const set = createCrashingSet({...SMALL_SET, deadlyShare: 0.1});
   set.isDeadly = false;
--- a/scheduling/slotContract/test/crashingSet.ts
+++ b/scheduling/slotContract/test/crashingSet.ts
@@ -49,7 +49,8 @@
    * requests crash endpoints.
    */
   readonly soundRequests?: number;
-  readonly isIdempotent?: boolean;
+  /** Most dispatches of a request; 2 by default. */
+  readonly maxAttempts?: number;
   readonly seed?: number;
   /** Returns whether a message between entries is lost. */
   readonly isLost?: (sent: SentMessage) => boolean;
@@ -183,7 +184,7 @@
   options: CrashingSetOptions,
   index: number,
 ): void {
-  const {deadlyShare, isIdempotent = true, seed = 0} = options;
+  const {deadlyShare, maxAttempts = 2, seed = 0} = options;
   const draw = (name: string): number =>
     hashToFraction(`${seed}/${name}/${index}`);
   const node = nodes[Math.floor(draw('node') * nodes.length)]!;
@@ -206,7 +207,7 @@
       ...createFingerprints(options, index, isDeadly, draw('topic')),
       routePolicy: {
         route: toIdentifier('r1'),
-        maxAttempts: isIdempotent ? 2 : 1,
+        maxAttempts,
         timeLimitMs: 6_000,
         objectiveMs: 600,
         patienceMs: 3_000,
