--- a/language/commands/src/help.ts
+++ b/language/commands/src/help.ts
@@ -59,13 +59,16 @@
   {
     name: 'hold',
     syntax: 'hold prompt-part NAME',
-    text: 'Refuses requests with a prompt part until it is lifted.',
-    examples: ['hold prompt-part 5c1e07a2'],
+    text: 'Refuses requests with a prompt part until it is lifted, or requests like one that `show quarantines` names.',
+    examples: [
+      'hold prompt-part 5c1e07a2',
+      'hold prompt-part request.0c4fd2a196e87b3555d0c4fd2a196e87',
+    ],
   },
   {
     name: 'lift',
     syntax: 'lift prompt-part NAME',
-    text: 'Lets requests with a prompt part run again, whether an operator or the entries held it. Further crashes hold it again.',
+    text: 'Lets requests with a prompt part, or requests like one, run again, whether an operator or the entries held it. Further crashes hold it again.',
     examples: ['lift prompt-part 5c1e07a2'],
   },
   {
--- a/language/commands/test/compileCommands.test.ts
+++ b/language/commands/test/compileCommands.test.ts
@@ -86,6 +86,12 @@
         {object: {kind: 'promptPolicy', id: '5c1e07a2', state: 'lifted'}},
       ],
     },
+    {
+      text: 'hold prompt-part request.0c4fd2a1',
+      commands: [
+        {object: {kind: 'promptPolicy', id: 'request.0c4fd2a1', state: 'held'}},
+      ],
+    },
     {
       text: 'load model m version 7 on endpoint e1; change role of endpoint e1 to prefill',
       commands: [
