Quarantine: endpoints that fail together hold no frequent request

A failure domain that ends takes along what runs at all of its endpoints, and so does a cut. A request that many send alike and that runs long (the same stream, ten seconds, once a second) would have been in as many crashes at once, with hardly a sound answer to set against them. Crashes within 250 ms now count once for a whole request, and runs of a stream that had delivered an event are not suspected.

--- a/scheduling/entryModel/src/quarantine.ts
+++ b/scheduling/entryModel/src/quarantine.ts
@@ -42,7 +42,7 @@
   readonly endpoint: EndpointId;
   readonly at: MonotonicTime;
   readonly progress: AnswerProgress;
-  /** Without prompt parts if the answer had delivered events. */
+  /** Empty if the answer had delivered events. */
   readonly suspects: readonly Suspect[];
 }
 
--- a/scheduling/quarantine/src/crashRecords.ts
+++ b/scheduling/quarantine/src/crashRecords.ts
@@ -95,28 +95,15 @@
   // fingerprints show nothing more.
   if (
     run.suspects.length === 0 ||
+    known.runs.length >= MAX_RUNS_PER_CRASH ||
     known.runs.some(other => isSameRun(other, run))
   ) {
     return crashes;
   }
-  const changed = {...known, runs: appendRun(known.runs, run)};
+  const changed = {...known, runs: [...known.runs, run]};
   return crashes.map(other => (other === known ? changed : other));
 }
 
-/** Appends a run; if there are too many, those that had delivered go first. */
-function appendRun(
-  runs: readonly CrashedRun[],
-  run: CrashedRun,
-): readonly CrashedRun[] {
-  if (runs.length < MAX_RUNS_PER_CRASH) {
-    return [...runs, run];
-  }
-  const dropped = runs.findIndex(({progress}) => progress === 'delivering');
-  return dropped < 0 || run.progress === 'delivering'
-    ? runs
-    : [...runs.slice(0, dropped), ...runs.slice(dropped + 1), run];
-}
-
 /** Recognises a run that its entry reports again to a new set leader. */
 function isSameRun(left: CrashedRun, right: CrashedRun): boolean {
   return (
@@ -139,26 +126,27 @@
  * Lists the runs whose fingerprints of a kind may have caused a crash. A prompt
  * part crashes an endpoint that begins to answer: a run whose head had arrived
  * was about to write its first event, and while there is one, runs that still
- * waited for their head are not suspected. A whole request may crash it at any
- * time, but runs that had delivered are suspected only if all had.
+ * waited for their head are not suspected. A whole request may crash it whether
+ * or not its head has arrived.
  */
 export function listSuspectedRuns(
   {runs}: EndpointCrash,
   kind: Fingerprint['kind'],
 ): readonly CrashedRun[] {
-  const own = runs.filter(({suspects}) =>
-    suspects.some(({fingerprint}) => fingerprint.kind === kind),
+  const undelivered = runs.filter(
+    ({progress, suspects}) =>
+      progress !== 'delivering' &&
+      suspects.some(({fingerprint}) => fingerprint.kind === kind),
   );
-  const undelivered = own.filter(({progress}) => progress !== 'delivering');
   switch (kind) {
     case 'promptPart': {
-      const begun = own.filter(
+      const begun = undelivered.filter(
         ({progress}) => progress === 'awaitingFirstEvent',
       );
       return begun.length > 0 ? begun : undelivered;
     }
     case 'request':
-      return undelivered.length > 0 ? undelivered : own;
+      return undelivered;
     default:
       return assertNever(kind, 'listSuspectedRuns');
   }
--- a/scheduling/quarantine/src/decideSuspects.ts
+++ b/scheduling/quarantine/src/decideSuspects.ts
@@ -19,6 +19,8 @@
 
 /** Time after which all entries have reported their runs of a crash. */
 const REPORT_MS: Milliseconds = 250;
+/** Endpoints that fail within this time may have a common cause. */
+const COMMON_CAUSE_MS: Milliseconds = 250;
 
 /** Counts the sound answers of all entries with a fingerprint. */
 export type SoundCounter = (fingerprint: Fingerprint) => SoundRuns;
@@ -51,7 +53,10 @@
   crashes: number;
   /** Crashes in which no other run was suspected. */
   crashesAlone: number;
-  recentCrashes: number;
+  /** Crashes that had others shortly before count once with them. */
+  moments: number;
+  recentMoments: number;
+  lastMomentAt: MonotonicTime;
 }
 
 /** Lists whole requests that were in more than one crash. */
@@ -191,7 +196,9 @@
           set: crash.set,
           crashes: 0,
           crashesAlone: 0,
-          recentCrashes: 0,
+          moments: 0,
+          recentMoments: 0,
+          lastMomentAt: Number.NEGATIVE_INFINITY,
         };
         known.reporters.add(reporter);
         evidence.set(fingerprint.id, known);
@@ -202,7 +209,11 @@
       known.set = crash.set;
       known.crashes += 1;
       known.crashesAlone += runs.length === 1 ? 1 : 0;
-      known.recentCrashes += computeRecentWeight(now - crash.at);
+      if (crash.at - known.lastMomentAt >= COMMON_CAUSE_MS) {
+        known.moments += 1;
+        known.recentMoments += computeRecentWeight(now - crash.at);
+        known.lastMomentAt = crash.at;
+      }
     }
   });
   return [...evidence.values()];
--- a/scheduling/quarantine/src/suspicionRules.ts
+++ b/scheduling/quarantine/src/suspicionRules.ts
@@ -3,7 +3,7 @@
 
 /** Fewer sound answers than this count as none. */
 export const NEGLIGIBLE_SOUND_RUNS = 0.1;
-/** Crashes after which a part without any sound answer is held. */
+/** Crashes after which what had no sound answer is held. */
 const MIN_CRASHES = 2;
 /**
  * Fraction of all crashes since its first one in which such a part must be
@@ -14,10 +14,10 @@
 const MIN_CRASHES_OF_SOUND_PART = 3;
 const MIN_CRASH_FRACTION_OF_SOUND_PART = 0.5;
 /** The same for a whole request. */
-const MIN_CRASHES_OF_SOUND_REQUEST = 4;
+const MIN_MOMENTS_OF_SOUND_REQUEST = 4;
 const MIN_CRASH_FRACTION_OF_SOUND_REQUEST = 0.75;
-/** Crashes after which a request is held that never ran alone in one. */
-const MIN_CRASHES_IN_COMPANY = 3;
+/** The same for a request without sound answers that was never alone. */
+const MIN_MOMENTS_IN_COMPANY = 3;
 /** Lower than for parts: few requests recur, so few can be there by chance. */
 const MIN_CRASH_FRACTION_IN_COMPANY = 0.25;
 
@@ -26,8 +26,10 @@
   readonly crashes: number;
   /** Crashes in which no other run was suspected. */
   readonly crashesAlone: number;
+  /** Moments at which there were crashes, as several may have one cause. */
+  readonly moments: number;
   /** Their count, decayed like that of recent sound answers. */
-  readonly recentCrashes: number;
+  readonly recentMoments: number;
   /** Fraction of all crashes since its first one. */
   readonly fraction: number;
 }
@@ -46,7 +48,7 @@
 /** Returns whether a fingerprint that was sound crashes endpoints instead. */
 function hasTurned(
   kind: Fingerprint['kind'],
-  {crashes, recentCrashes, fraction}: CrashCounts,
+  {crashes, moments, recentMoments, fraction}: CrashCounts,
   {recent}: SoundRuns,
 ): boolean {
   switch (kind) {
@@ -60,9 +62,9 @@
       // Many callers may send the same request, so that some run of it is at
       // most endpoints, whatever ends them.
       return (
-        crashes >= MIN_CRASHES_OF_SOUND_REQUEST &&
+        moments >= MIN_MOMENTS_OF_SOUND_REQUEST &&
         fraction >= MIN_CRASH_FRACTION_OF_SOUND_REQUEST &&
-        recentCrashes > recent
+        recentMoments > recent
       );
     default:
       return assertNever(kind, 'hasTurned');
@@ -72,15 +74,15 @@
 /** Returns whether a fingerprint without sound answers is to be held. */
 function hasCrashedEnough(
   kind: Fingerprint['kind'],
-  {crashes, crashesAlone, fraction}: CrashCounts,
+  {crashes, crashesAlone, moments, fraction}: CrashCounts,
 ): boolean {
   switch (kind) {
     case 'promptPart':
       return crashes >= MIN_CRASHES && fraction >= MIN_CRASH_FRACTION;
     case 'request':
       return crashesAlone > 0
-        ? crashes >= MIN_CRASHES
-        : crashes >= MIN_CRASHES_IN_COMPANY &&
+        ? moments >= MIN_CRASHES
+        : moments >= MIN_MOMENTS_IN_COMPANY &&
             fraction >= MIN_CRASH_FRACTION_IN_COMPANY;
     default:
       return assertNever(kind, 'hasCrashedEnough');
