--- a/fronts/callRelay/src/withholdCause.ts
+++ b/fronts/callRelay/src/withholdCause.ts
@@ -4,7 +4,7 @@
   Dispatch,
   WithholdCause,
 } from '@gentianshunt/entryModel';
-import {findPromptRefusal} from '@gentianshunt/promptQuarantine';
+import {findQuarantineRefusal} from '@gentianshunt/quarantine';
 
 import type {OpenCall} from './callTable.js';
 import type {EndpointStreamOptions} from './endpointStreamOptions.js';
@@ -32,13 +32,10 @@
   }
   const {configuration, quarantines, requests, identity} = view;
   const self = identity.address.node;
-  if (
-    findPromptRefusal(
-      {configuration, quarantines, requests, self, now},
-      request,
-    )
-  ) {
-    return 'promptQuarantined';
+  const query = {configuration, quarantines, requests, self, now};
+  const refusal = findQuarantineRefusal(query, request);
+  if (refusal !== undefined) {
+    return refusal.reason.kind;
   }
   return dueAt <= now ? 'timeLimit' : undefined;
 }
--- a/scheduling/entryModel/src/entryMessage.ts
+++ b/scheduling/entryModel/src/entryMessage.ts
@@ -3,18 +3,18 @@
 import type {
   EndpointId,
   EndpointSetId,
+  FingerprintId,
   GrantId,
   NodeId,
   OrganisationId,
-  PromptPartId,
 } from '@gentianshunt/identifiers';
 
 import type {ReportedLimit} from './endpointSignals.js';
 import type {
   ReportedBrokenRun,
   ReportedQuarantine,
-  ReportedSoundPart,
-} from './promptQuarantine.js';
+  ReportedSoundUse,
+} from './quarantine.js';
 import type {QuotaDecision, QuotaRequest, QuotaUsageReport} from './quota.js';
 import type {EndpointAnnouncement} from './endpoint.js';
 import type {EndpointTarget} from './request.js';
@@ -238,8 +238,8 @@
       readonly runs: readonly ReportedBrokenRun[];
     }
   | {
-      readonly kind: 'soundPartsReported';
-      readonly parts: readonly ReportedSoundPart[];
+      readonly kind: 'soundUseReported';
+      readonly uses: readonly ReportedSoundUse[];
     }
   | {
       readonly kind: 'quarantinesReported';
@@ -247,9 +247,9 @@
       readonly isReplyRequested: boolean;
     }
   | {
-      /** Asks for permission to run one request with a quarantined part. */
+      /** Asks for permission to run one request with a quarantined fingerprint. */
       readonly kind: 'quarantineTestRequested';
-      readonly part: PromptPartId;
+      readonly fingerprint: FingerprintId;
     };
 
 /** Slots an entry may use until their deadline. */
--- a/scheduling/entryNode/src/entryNode.ts
+++ b/scheduling/entryNode/src/entryNode.ts
@@ -32,9 +32,9 @@
 } from '@gentianshunt/learning';
 import {createLifecycleController} from '@gentianshunt/lifecycle';
 import {
-  createPromptEvidenceController,
+  createEvidenceController,
   createQuarantineController,
-} from '@gentianshunt/promptQuarantine';
+} from '@gentianshunt/quarantine';
 import {
   createQuotaOwnerController,
   createUsageReportController,
@@ -89,7 +89,7 @@
     createEndpointOrderController(),
     createGrantReplyController(),
     createPatienceController(),
-    createPromptEvidenceController(),
+    createEvidenceController(),
     createRateController(),
     createHealthController(),
     createLimitController(),
--- a/scheduling/promptQuarantine/src/reportedSoundParts.ts
+++ b/scheduling/quarantine/src/reportedSoundUse.ts
@@ -1,33 +1,37 @@
 /** Counts of sound answers that other entries reported to this one. */
 import {compareBy, createOrderedDraft} from '@gentianshunt/board';
 import type {TurnTime} from '@gentianshunt/board';
-import type {SoundPartKey, SuspectPart} from '@gentianshunt/entryModel';
+import type {SoundUseKey, Suspect} from '@gentianshunt/entryModel';
 import type {NodeId} from '@gentianshunt/identifiers';
 
 import type {SoundCounter} from './decideSuspects.js';
-import type {QuarantineView, SoundPartsDraft} from './quarantineView.js';
-import {decaySoundUse, sumSoundRuns} from './soundUse.js';
+import type {QuarantineView, SoundUseDraft} from './quarantineView.js';
+import {decaySoundUse, readSoundRuns, sumSoundRuns} from './soundUse.js';
 
 /** Most counts of sound answers that an entry keeps of others. */
-const MAX_REPORTED_SOUND_PARTS = 2_048;
+const MAX_REPORTED_SOUND_USE = 2_048;
 /** Smaller counts of sound answers are dropped. */
 const MIN_SOUND_RUNS = 0.01;
 
 /** Replaces the counts of sound answers that an entry has reported. */
-export function recordSoundParts(
+export function recordReportedSoundUse(
   {board}: QuarantineView,
   node: NodeId,
-  parts: readonly SuspectPart[],
+  uses: readonly Suspect[],
   now: TurnTime,
-): SoundPartsDraft {
+): SoundUseDraft {
   const draft = createOrderedDraft({
-    view: board.reportedSoundParts,
-    compare: compareBy('part', 'node'),
+    view: board.reportedSoundUse,
+    compare: compareBy('fingerprint', 'node'),
   });
-  for (const {part, lasting, recent} of parts) {
-    const isKnown = draft.get({part, node}) !== undefined;
-    if (isKnown || draft.size < MAX_REPORTED_SOUND_PARTS) {
-      draft.put({part, node}, {lasting, recent, at: now.monotonic});
+  for (const {fingerprint, lasting, recent} of uses) {
+    const key = {fingerprint: fingerprint.id, node};
+    const isKnown = draft.get(key) !== undefined;
+    // Most whole requests are new and must not fill the table.
+    const isNew =
+      lasting >= MIN_SOUND_RUNS && draft.size < MAX_REPORTED_SOUND_USE;
+    if (isKnown || isNew) {
+      draft.put(key, {lasting, recent, at: now.monotonic});
     }
   }
   return draft;
@@ -36,15 +40,15 @@
 /** Counts the sound answers of this entry and those that were reported. */
 export function createSoundCounter(
   {board}: QuarantineView,
-  reported: SoundPartsDraft,
+  reported: SoundUseDraft,
   now: TurnTime,
 ): SoundCounter {
   const self = board.identity.address.node;
-  return part => {
-    const counts = [decaySoundUse(board.soundParts.get(part), now.monotonic)];
-    const first = {part, node: '' as NodeId};
+  return fingerprint => {
+    const counts = [readSoundRuns(board, fingerprint, now.monotonic)];
+    const first = {fingerprint: fingerprint.id, node: '' as NodeId};
     for (const {key, value} of reported.iterateFrom(first)) {
-      if (key.part !== part) {
+      if (key.fingerprint !== fingerprint.id) {
         break;
       }
       if (key.node !== self) {
@@ -56,11 +60,11 @@
 }
 
 /** Lists the counts that have decayed. */
-export function listFadedSoundParts(
-  soundParts: QuarantineView['board']['reportedSoundParts'],
+export function listFadedSoundUse(
+  uses: QuarantineView['board']['reportedSoundUse'],
   now: TurnTime,
-): readonly SoundPartKey[] {
-  return [...soundParts.iterateFrom()]
+): readonly SoundUseKey[] {
+  return [...uses.iterateFrom()]
     .filter(
       ({value}) => decaySoundUse(value, now.monotonic).lasting < MIN_SOUND_RUNS,
     )
