Links: a connection accepted during a standstill is kept

What callers saw: nothing by itself; an entry or member that stood still for longer than the time limit of a connection (500 ms) closed the connection that had been accepted meanwhile, and waited for the next attempt.

Cause: after a standstill timers run before the connection is reported.

Evidence: 'a connection accepted during a standstill is kept' failed three of three times on the code before (nothing received in 20 s), and passes in 0.7 s.

Why it works: the connection is examined once more after the events that wait have been read.

--- a/transport/peerLinks/src/peerLinks.ts
+++ b/transport/peerLinks/src/peerLinks.ts
@@ -175,7 +175,12 @@
     // The kernel resends connection requests at growing intervals, which would
     // delay the connection even after a network partition has ended.
     socket.setTimeout(CONNECT_TIMEOUT_MS, () => {
-      socket.destroy(new PeerUnreachableError(node, CONNECT_TIMEOUT_MS));
+      // After a standstill, timers run before the connection is reported.
+      setImmediate(() => {
+        if (socket.connecting) {
+          socket.destroy(new PeerUnreachableError(node, CONNECT_TIMEOUT_MS));
+        }
+      });
     });
     socket.once('connect', () => {
       peer.isConnecting = false;
