Quarantine: a frequent request is not held while a whole set fails

What callers saw: none reported; found by review. A request that many callers send alike was held for 60 s and more after all endpoints of its set had failed for some seconds, as some run of it was at each endpoint that failed and its recent sound answers had faded.

Cause: a request that was sound before was held by its share of the crashes alone, which is as large for every frequent request when everything fails.

Evidence: 'a frequent request is not held while a whole set fails' failed on the code before (request.frequent was decided).

Why it works: a request that was sound before must also have been the only suspected run of a crash, which tells it from those that ran beside others.

--- a/scheduling/quarantine/src/suspicionRules.ts
+++ b/scheduling/quarantine/src/suspicionRules.ts
@@ -48,7 +48,7 @@
 /** Returns whether a fingerprint that was sound crashes endpoints instead. */
 function hasTurned(
   kind: Fingerprint['kind'],
-  {crashes, moments, recentMoments, fraction}: CrashCounts,
+  {crashes, crashesAlone, moments, recentMoments, fraction}: CrashCounts,
   {recent}: SoundRuns,
 ): boolean {
   switch (kind) {
@@ -60,8 +60,9 @@
       );
     case 'request':
       // Many callers may send the same request, so that some run of it is at
-      // most endpoints, whatever ends them.
+      // most endpoints, whatever ends them, even a whole set.
       return (
+        crashesAlone > 0 &&
         moments >= MIN_MOMENTS_OF_SOUND_REQUEST &&
         fraction >= MIN_CRASH_FRACTION_OF_SOUND_REQUEST &&
         recentMoments > recent
--- a/scheduling/quarantine/test/blamedRequests.test.ts
+++ b/scheduling/quarantine/test/blamedRequests.test.ts
@@ -3,6 +3,7 @@
   AnswerProgress,
   CrashedRun,
   EndpointCrash,
+  SoundRuns,
 } from '@gentianshunt/entryModel';
 import {toIdentifier} from '@gentianshunt/identifiers';
 import t from 'tap';
@@ -101,3 +102,20 @@
   const later = createCrashes([[], [deadly]]).slice(1);
   t.same(listBlamed([...together, ...later]), ['request.deadly']);
 });
+
+t.test('a frequent request is not held while a whole set fails', async t => {
+  const crashes = createCrashes(
+    Array.from({length: 8}, (_, index) => [
+      createRun('frequent'),
+      createRun(`other-${index}`),
+    ]),
+  );
+  const countSoundRuns = (): SoundRuns => ({lasting: 30, recent: 1});
+  t.same(listBlamed(crashes, {countSoundRuns}), []);
+  const alone = createCrashes([[createRun('frequent')]]);
+  t.same(
+    listBlamed([...alone, ...crashes.slice(1)], {countSoundRuns}),
+    ['request.frequent'],
+    'one that was alone has turned',
+  );
+});
