Quarantine: a deadly request among many runs of an endpoint is held

What callers saw: none reported; found by review. At an endpoint with more than 64 requests, a crash recorded the first 64 runs that were reported and dropped the others silently, the deadly one mostly among them.

Evidence: 'a deadly request among 200 runs of an endpoint is held' failed on the code before (nothing was decided).

Why it works: a crash holds 1,024 runs, more than an endpoint has connections; the bound of all fingerprints is as before.

--- a/scheduling/quarantine/src/crashRecords.ts
+++ b/scheduling/quarantine/src/crashRecords.ts
@@ -18,8 +18,8 @@
 export const CRASH_SPAN_MS: Milliseconds = 1_500;
 /** Most crashes that an entry remembers. */
 export const MAX_CRASHES = 128;
-/** Most runs recorded of one crash. */
-export const MAX_RUNS_PER_CRASH = 64;
+/** Most runs recorded of one crash; above the connections of an endpoint. */
+export const MAX_RUNS_PER_CRASH = 1_024;
 /** Most fingerprints in the crashes that an entry remembers. */
 export const MAX_CRASH_SUSPECTS = 32_768;
 
--- a/scheduling/quarantine/test/blamedRequests.test.ts
+++ b/scheduling/quarantine/test/blamedRequests.test.ts
@@ -8,7 +8,7 @@
 import {toIdentifier} from '@gentianshunt/identifiers';
 import t from 'tap';
 
-import {decideRequests} from '../src/index.js';
+import {addReportedRuns, decideRequests} from '../src/index.js';
 import type {SuspectQuery} from '../src/index.js';
 
 const CRASH_INTERVAL_MS = 1_000;
@@ -119,3 +119,29 @@
     'one that was alone has turned',
   );
 });
+
+t.test('a deadly request among 200 runs of an endpoint is held', async t => {
+  const runs = Array.from({length: 200}, (_, index) => index);
+  const crashes = Array.from({length: 6}, (_, crash) => crash).reduce<
+    readonly EndpointCrash[]
+  >(
+    (known, crash) =>
+      addReportedRuns(
+        known,
+        {
+          reporter: toIdentifier('entry-0'),
+          set: toIdentifier('s'),
+          runs: runs.map(run => ({
+            endpoint: toIdentifier(`e${crash}`),
+            ageMs: 0,
+            progress: 'awaitingHead',
+            suspects: createRun(run === 150 ? 'deadly' : `${crash}-${run}`)
+              .suspects,
+          })),
+        },
+        crash * CRASH_INTERVAL_MS,
+      ),
+    [],
+  );
+  t.same(listBlamed(crashes), ['request.deadly']);
+});
