Heartbeats: a list of members does not replace a leader that was named

What callers saw: entries without a lease named a leader, forgot it and named it again within milliseconds (controlLeaderChanged in the second case).

Cause: a member that is not the leader answers with the leader's name and then with the list of members; an entry without a lease followed the first of the list in place of the leader that had just been named, until the next answer.

Evidence: 'a list of members does not replace a leader that was named' failed on the code before.

Why it works: the first of the list is followed only if no leader is known.

--- a/scheduling/controlClient/src/controlMembers.ts
+++ b/scheduling/controlClient/src/controlMembers.ts
@@ -31,7 +31,7 @@
 
 /**
  * Stores the members of the control group, followed by the nodes that the
- * settings name. Without a valid lease, follows the first member as leader.
+ * settings name. Without a lease or a known leader, follows the first member.
  */
 export function followMembers(
   view: ControlView,
@@ -49,7 +49,7 @@
   const [leader] = members;
   const isFollowed =
     leader !== undefined &&
-    leader !== control.leader &&
+    control.leader === null &&
     !isLeaseValid(control.lease, now);
   return [
     {kind: 'set', section: 'controlNodes', value},
--- a/scheduling/controlClient/test/heartbeats.test.ts
+++ b/scheduling/controlClient/test/heartbeats.test.ts
@@ -234,3 +234,14 @@
     [1, 2],
   );
 });
+
+t.test('a list of members does not replace a leader that was named', t => {
+  const fixture = createFixture();
+  fixture.loop.post({kind: 'started'});
+  const [heartbeat] = fixture.takeHeartbeats();
+  fixture.receive(refuse(heartbeat!, OTHER), LEADER);
+  const members = ['c2', OTHER, LEADER].map(node => toIdentifier<NodeId>(node));
+  fixture.receive({kind: 'membersUpdate', members}, LEADER);
+  t.equal(fixture.loop.view.control.leader, toIdentifier<NodeId>(OTHER));
+  t.end();
+});
