--- a/scheduling/quarantine/src/quarantineController.ts
+++ b/scheduling/quarantine/src/quarantineController.ts
@@ -18,12 +18,12 @@
   endFailedTest,
   findDispatched,
   grantTest,
-  handlePolicies,
   handleSuspectedParts,
   handleSuspectedRequests,
   learnQuarantine,
 } from './quarantineDecisions.js';
 import {replyToEntry, syncQuarantines} from './quarantineExchange.js';
+import {handlePolicies} from './quarantinePolicies.js';
 import {isForgotten, isTestDue} from './quarantineRules.js';
 import {
   QUARANTINE_READS,
--- a/scheduling/quarantine/src/quarantineDecisions.ts
+++ b/scheduling/quarantine/src/quarantineDecisions.ts
@@ -1,6 +1,5 @@
 /** Decides on quarantines and learns what other entries decided. */
 import type {TurnTime} from '@gentianshunt/board';
-import type {ObjectKey} from '@gentianshunt/configuration';
 import {listFingerprints} from '@gentianshunt/entryModel';
 import type {
   AdmittedRequest,
@@ -218,27 +217,6 @@
   });
 }
 
-/** Lifts the quarantines that an operator has lifted. */
-export function handlePolicies(
-  view: QuarantineView,
-  draft: QuarantineDraft,
-  now: TurnTime,
-): readonly QuarantineWrite[] {
-  const self = view.board.identity.address.node;
-  return [...view.readChanges('configuration')].flatMap(key => {
-    const object = view.board.configuration.get(key as ObjectKey);
-    const known =
-      object?.kind === 'promptPolicy' && object.state === 'lifted'
-        ? draft.get(object.id)
-        : undefined;
-    if (known === undefined || known.state.kind === 'lifted') {
-      return [];
-    }
-    const lift = createLift(known, true, now.monotonic);
-    return putQuarantine(view, draft, lift, self, now);
-  });
-}
-
 /** Returns whether a fingerprint was in a crash since its last decision. */
 function isNewEvidence(
   known: Quarantine | undefined,
@@ -269,7 +247,7 @@
   ];
 }
 
-function putQuarantine(
+export function putQuarantine(
   view: QuarantineView,
   draft: QuarantineDraft,
   quarantine: Quarantine,
--- a/scheduling/slotContract/test/crashingPromptPart.test.ts
+++ b/scheduling/slotContract/test/crashingPromptPart.test.ts
@@ -2,7 +2,7 @@
 import t from 'tap';
 
 import {createCrashingSet} from './crashingSet.js';
-import type {CrashingSet} from './crashingSet.js';
+import type {CrashingSet} from './crashingSetModel.js';
 
 /** Crashes after which a deadly part must be known. */
 const KNOWN_AFTER_CRASHES = 5;
--- a/scheduling/slotContract/test/crashingRequest.test.ts
+++ b/scheduling/slotContract/test/crashingRequest.test.ts
@@ -1,8 +1,9 @@
 import {FIRST_HOLD_MS} from '@gentianshunt/quarantine';
 import t from 'tap';
 
-import {createCrashingSet, DEADLY_REQUEST} from './crashingSet.js';
-import type {CrashingSet, CrashingSetOptions} from './crashingSet.js';
+import {DEADLY_REQUEST} from './crashingEndpoints.js';
+import {createCrashingSet} from './crashingSet.js';
+import type {CrashingSet, CrashingSetOptions} from './crashingSetModel.js';
 
 /** Crashes after which a deadly request must be known. */
 const KNOWN_AFTER_CRASHES = 3;
