Connections: one request of a connection is under way at a time

Cause: the servers of the runtime begin all requests that a connection sends ahead, at some kilobytes each; a read of 64 KiB holds over a thousand. With the answers unread, memory ran out: 60 connections of 4,000 requests ended the process in 5 of 12 kinds and left it without answers in one more.

Change: fronts/connectionLimits hands bytes to the parser in pieces, serves one request of a connection at a time, stops reading the socket meanwhile, bounds what all connections hold (a quarter of the memory of connections), and closes connections whose clients take no byte of an answer for 20 s.

--- a/daemons/entryd/src/entryd.ts
+++ b/daemons/entryd/src/entryd.ts
@@ -1,5 +1,6 @@
 import {isLeaseValid, readInstant} from '@gentianshunt/clock';
 import type {Clock} from '@gentianshunt/clock';
+import {createConnectionLimiter} from '@gentianshunt/connectionLimits';
 import {findObject} from '@gentianshunt/configuration';
 import {createCallerFront} from '@gentianshunt/callerFront';
 import {
@@ -63,11 +64,16 @@
   context,
 }: EntrydOptions): Promise<RunningDaemon> {
   const clock = createSystemClock();
-  const server = fastify({forceCloseConnections: true});
   const {memoryBytes, plan, callerGate, managementGate} = createGates(
     settings,
     clock,
   );
+  const limiter = createConnectionLimiter({maxAheadBytes: plan.aheadBytes});
+  const server = fastify({
+    forceCloseConnections: true,
+    serverFactory: limiter.createServer,
+  });
+  server.server.maxConnections = plan.callerConnections;
   const openResponses = createOpenResponses(server.server);
   let adapters: EntryAdapters | undefined = undefined;
   const post = (observation: EntryObservation): void => node.post(observation);
@@ -107,7 +113,11 @@
   const metrics = createEntryMetrics({
     entry: {view: node.view, clock},
     readQueuedBytes: () => links.readQueuedBytes().total,
-    readBufferedBytes,
+    readBufferedBytes: () => ({
+      ...readBufferedBytes(),
+      aheadBytes: limiter.heldBytes,
+    }),
+    readLimitedConnections: () => limiter.closedCount,
     readObservations: counts.read,
   });
   const loop = createLoadMonitor({
--- /dev/null
+++ b/fronts/connectionLimits/src/index.ts
@@ -0,0 +1,2 @@
+export * from './connectionLimiter.js';
+export * from './limitConnection.js';
--- /dev/null
+++ b/fronts/connectionLimits/src/limitConnection.ts
@@ -0,0 +1,151 @@
+import type {IncomingMessage, ServerResponse} from 'node:http';
+import type {Socket} from 'node:net';
+
+import {assertNever} from '@gentianshunt/errors';
+import {
+  decideArrival,
+  estimateRequestBytes,
+  PAUSED_CONNECTION_BYTES,
+} from '@gentianshunt/memoryAccount';
+
+import {createRequestFeed} from './requestFeed.js';
+
+/** A request as the server of the runtime hands it over. */
+export interface ReceivedRequest {
+  readonly request: IncomingMessage;
+  readonly response: ServerResponse;
+}
+
+/** Counts what connections hold of requests that were sent ahead. */
+export interface AheadAccount {
+  readonly heldBytes: number;
+  readonly maxBytes: number;
+  add(bytes: number): void;
+}
+
+/** What the connections of a process share. */
+export interface ConnectionContext {
+  readonly account: AheadAccount;
+  readonly serve: (received: ReceivedRequest) => void;
+  /** Called when a connection is closed because of a limit. */
+  readonly onClosed: () => void;
+}
+
+/** The requests of one connection. */
+export interface LimitedConnection {
+  receive(received: ReceivedRequest): void;
+  /** Closes the connection if its client has stopped reading an answer. */
+  checkReading(): void;
+}
+
+/**
+ * Longest time in which the client of an answer may take none of its bytes, in
+ * milliseconds. The network delivers some within it on any link that works.
+ */
+const MAX_UNREAD_MS = 20_000;
+/** Bytes of the separators of a header's name or value. */
+const SEPARATOR_BYTES = 2;
+
+/**
+ * Serves the requests of a connection one after the other, as their answers are
+ * sent in this order anyway. What is sent meanwhile is not parsed, and the socket
+ * is not read further, so that TCP flow control slows the client down.
+ */
+export function limitConnection(
+  socket: Socket,
+  {account, serve, onClosed}: ConnectionContext,
+): LimitedConnection {
+  const waiting: ReceivedRequest[] = [];
+  let current: ReceivedRequest | undefined;
+  let accountedBytes = 0;
+  let isTimed = false;
+  const setAccounted = (bytes: number): void => {
+    account.add(bytes - accountedBytes);
+    accountedBytes = bytes;
+  };
+  const decide = (bytes: number) =>
+    decideArrival({
+      isServing: current !== undefined,
+      heldBytes: account.heldBytes + bytes,
+      maxBytes: account.maxBytes,
+    });
+  const feed = createRequestFeed({
+    socket,
+    isBusy: () =>
+      waiting.length > 0 || (current !== undefined && isReceived(current)),
+    onHeld: () => {
+      const isHeld = decide(PAUSED_CONNECTION_BYTES).kind !== 'close';
+      if (isHeld) {
+        setAccounted(accountedBytes + PAUSED_CONNECTION_BYTES);
+      } else {
+        onClosed();
+      }
+      return isHeld;
+    },
+  });
+  const begin = (received: ReceivedRequest): void => {
+    current = received;
+    received.response.once('close', beginNext);
+    serve(received);
+  };
+  const beginNext = (): void => {
+    current = undefined;
+    if (socket.destroyed) {
+      return;
+    }
+    setReadTimer(false);
+    const next = waiting.shift();
+    if (next !== undefined) {
+      begin(next);
+      return;
+    }
+    setAccounted(0);
+    feed.resume();
+  };
+  const setReadTimer = (isWanted: boolean): void => {
+    if (isTimed !== isWanted) {
+      isTimed = isWanted;
+      // The server destroys a socket at its timeout, which restarts with each
+      // byte that the client takes.
+      socket.setTimeout(isWanted ? MAX_UNREAD_MS : 0);
+    }
+  };
+  socket.once('close', () => setAccounted(0));
+  return {
+    receive: received => {
+      feed.recordRequest(received.request);
+      const bytes = measureRequest(received.request);
+      const decision = decide(bytes);
+      switch (decision.kind) {
+        case 'begin':
+          begin(received);
+          return;
+        case 'wait':
+          waiting.push(received);
+          setAccounted(accountedBytes + bytes);
+          return;
+        case 'close':
+          onClosed();
+          socket.destroy();
+          return;
+        default:
+          assertNever(decision, 'receive');
+      }
+    },
+    checkReading: () => setReadTimer(socket.writableLength > 0),
+  };
+}
+
+/** Returns whether a request has been received with its whole body. */
+function isReceived({request}: ReceivedRequest): boolean {
+  return request.complete;
+}
+
+/** Measures what a request takes that waits, in bytes. */
+function measureRequest({url, rawHeaders}: IncomingMessage): number {
+  const headBytes = rawHeaders.reduce(
+    (sum, text) => sum + text.length + SEPARATOR_BYTES,
+    url?.length ?? 0,
+  );
+  return estimateRequestBytes(headBytes);
+}
--- a/fronts/metrics/src/loadGauges.ts
+++ b/fronts/metrics/src/loadGauges.ts
@@ -8,6 +8,8 @@
   readonly readQueuedBytes: () => number;
   /** Reads the bytes held for others, by what they belong to. */
   readonly readBufferedBytes: () => Readonly<Record<string, number>>;
+  /** Reads how many connections were closed because of a limit so far. */
+  readonly readLimitedConnections: () => number;
   /** Reads the numbers of observations so far, by kind. */
   readonly readObservations: () => ReadonlyMap<string, number>;
 }
@@ -30,6 +32,12 @@
         bufferedBytes.set({owner}, bytes),
       ),
   });
+  const limitedConnections: Gauge = new Gauge({
+    name: 'gentianshunt_limited_connections',
+    help: 'Connections closed since the start because clients sent too much ahead.',
+    registers: [registry],
+    collect: () => limitedConnections.set(options.readLimitedConnections()),
+  });
   const observations: Gauge = new Gauge({
     name: 'gentianshunt_observations',
     help: 'Observations handled since the start, by kind.',
--- a/scheduling/memoryAccount/src/memoryPlan.ts
+++ b/scheduling/memoryAccount/src/memoryPlan.ts
@@ -27,6 +27,8 @@
 const CONNECTION_BYTES = 32 * 1_024;
 /** Fraction of the whole memory for the connections of callers. */
 const CONNECTION_FRACTION = 0.2;
+/** Part of it for requests that wait behind another one of their connection. */
+const AHEAD_FRACTION = 0.25;
 
 /** The parts of the memory of a process, in bytes. */
 export interface MemoryPlan {
@@ -42,12 +44,15 @@
   readonly managementBytes: number;
   /** Messages that wait to be sent, over all links. */
   readonly peerLinkBytes: number;
+  /** Requests that clients send before they have the answer to another. */
+  readonly aheadBytes: number;
   /** Most open connections of callers. */
   readonly callerConnections: number;
 }
 
 /** Plans the parts of the memory that a process may use. */
 export function planMemory(memoryBytes: number): MemoryPlan {
+  const connectionBytes = memoryBytes * CONNECTION_FRACTION;
   const sharedBytes = Math.max(MIN_SHARED_BYTES, memoryBytes - RUNTIME_BYTES);
   const controlBytes = Math.floor(
     Math.min(MAX_CONTROL_BYTES, sharedBytes * CONTROL_FRACTION),
@@ -56,11 +61,10 @@
     callerBytes: Math.floor(sharedBytes * CALLER_FRACTION),
     documentBytes: Math.floor(sharedBytes * DOCUMENT_FRACTION),
     managementBytes: Math.floor(sharedBytes * MANAGEMENT_FRACTION),
+    aheadBytes: Math.floor(connectionBytes * AHEAD_FRACTION),
     controlBytes,
     maxDocumentBytes: Math.floor(controlBytes / DOCUMENT_COPIES),
     peerLinkBytes: Math.floor(sharedBytes * PEER_FRACTION),
-    callerConnections: Math.floor(
-      (memoryBytes * CONNECTION_FRACTION) / CONNECTION_BYTES,
-    ),
+    callerConnections: Math.floor(connectionBytes / CONNECTION_BYTES),
   };
 }
