--- a/fronts/callRelay/test/relayFixture.ts
+++ b/fronts/callRelay/test/relayFixture.ts
@@ -53,7 +53,7 @@
     kind: Kind,
   ): Promise<Extract<EntryObservation, {readonly kind: Kind}>>;
   /** Sends a call and resolves with its answer or with the error. */
-  call(id: string): Promise<CallerAnswer | Error>;
+  call(id: string, body?: Buffer): Promise<CallerAnswer | Error>;
   /** Dispatches a received call to an endpoint. */
   dispatch(
     attributes: RequestAttributes,
@@ -218,7 +218,7 @@
     quarantines,
     next: kind =>
       new Promise(resolve => waiters.set(kind, resolve as never)) as never,
-    call: id => sendCall(port, id),
+    call: (id, body) => sendCall(port, id, body),
     dispatch: (attributes, url, options = {}) => {
       const {isRetryable, isResumable = false, attempt = 1} = options;
       const dispatch: Dispatch = {
@@ -255,10 +255,20 @@
   };
 }
 
-function sendCall(port: number, id: string): Promise<CallerAnswer | Error> {
+function sendCall(
+  port: number,
+  id: string,
+  body?: Buffer,
+): Promise<CallerAnswer | Error> {
   return new Promise(resolve => {
     const request = sendHttp(
-      {host: HOST, port, path: '/x/1?q=2', headers: {'x-call': id}},
+      {
+        host: HOST,
+        port,
+        path: '/x/1?q=2',
+        method: body === undefined ? 'GET' : 'POST',
+        headers: {'x-call': id},
+      },
       response => {
         const chunks: Buffer[] = [];
         const finish = (isWhole: boolean): void =>
@@ -274,7 +284,7 @@
       },
     );
     request.on('error', resolve);
-    request.end();
+    request.end(body);
   });
 }
 
