Relay: an answer whose status is none of HTTP is malformed

Cause: statuses from 600 up passed the parser and went to the caller with the endpoint's seal, or were taken for a failure of the endpoint. Change: such an answer ends as cut, at once; its connection is closed and what its head says is not used.

--- a/fronts/callRelay/src/answerAction.ts
+++ b/fronts/callRelay/src/answerAction.ts
@@ -12,12 +12,16 @@
 export type AnswerAction =
   | {readonly kind: 'pass'}
   | {readonly kind: 'foreign'}
+  /** Its status is none of HTTP; nothing in it can be trusted. */
+  | {readonly kind: 'malformed'; readonly detail: string}
   | {readonly kind: 'ended'; readonly end: StreamEnd};
 
 /** Statuses that promise the caller that its call has not run. */
 const NOT_RUN_STATUSES: ReadonlySet<number> = new Set([408, 421, 429, 503]);
 const FIRST_SERVER_ERROR = 500;
 const FIRST_REDIRECT = 300;
+/** First number that is no status of HTTP (RFC 9110, section 15). */
+const FIRST_INVALID = 600;
 const CONTENT_TYPE = 'content-type';
 
 /** Decides how an answer is handled. */
@@ -29,6 +33,9 @@
   head: AnswerHead,
 ): AnswerAction {
   const {status} = head;
+  if (status >= FIRST_INVALID) {
+    return {kind: 'malformed', detail: `status ${status}`};
+  }
   // An endpoint may repeat any answer to an earlier call, also a refusal.
   if (attributes.call !== null && attributes.call !== request.id) {
     return {kind: 'foreign'};
--- a/fronts/callRelay/src/endpointStream.ts
+++ b/fronts/callRelay/src/endpointStream.ts
@@ -217,6 +217,9 @@
           case 'foreign':
             abort('the answer belongs to another call');
             return;
+          case 'malformed':
+            abort(`the answer is malformed: ${action.detail}`);
+            return;
           case 'ended':
             handling = discard(started, action.end);
             end(action.end);
@@ -285,8 +288,11 @@
   head: AnswerHead,
 ): AnswerAction {
   const attributes = options.protocol.readAnswer(head);
-  reportSignals(options, request, dispatch, attributes);
-  return decideAnswerAction(attributes, call, request, dispatch, head);
+  const action = decideAnswerAction(attributes, call, request, dispatch, head);
+  if (action.kind !== 'malformed') {
+    reportSignals(options, request, dispatch, attributes);
+  }
+  return action;
 }
 
 function isResumable({routePolicy, isIdempotent}: AdmittedRequest): boolean {
