Set leaders: capacity stays in use while grants are late; one failure limits no endpoint

Cause: of the room of a set that was used up, a third to a half stood empty.

Change, for sets of model engines: an entry uses the capacity of a request that ended in order again, for the same organisation first, unless a higher tier waits anywhere (the leader says so with each reply), the endpoint fails, is limited or is not listed, or for longer than 4 to 8 s; grants left over are given back; endpoints get a little in their queues by the time of a turnaround. Waiting for a fast endpoint is bounded by a tenth of the objective. An endpoint gets probe traffic once two entries report it as failing, or one has two failures in a row. Timeouts of reports follow their usual round trip.

--- a/bench/decision/src/main.ts
+++ b/bench/decision/src/main.ts
@@ -61,6 +61,7 @@
       concurrency: CONCURRENCY,
       occupied: CONCURRENCY - FREE_CAPACITY,
       rate: 30 + (index % 3),
+      canQueue: true,
     })),
     queues: Array.from({length: queueCount}, (_, index) => ({
       node: `entry${index % ENTRIES}` as NodeId,
@@ -74,6 +75,7 @@
         score: 1 / (1 + index),
         expected: 0,
         oldestWaitMs: index,
+        objectiveMs: null,
       },
     })),
     fairShares: organisations.map(organisation => ({
--- a/fronts/entryWire/src/demandReportWire.ts
+++ b/fronts/entryWire/src/demandReportWire.ts
@@ -34,6 +34,7 @@
     Math.round(queue.score * SCORE_SCALE),
     queue.expected,
     Math.round(queue.oldestWaitMs),
+    Math.ceil(queue.objectiveMs ?? 0),
   ]);
   const running = report.running.flatMap(count => [
     endpoints.assignIndex(count.endpoint),
@@ -69,6 +70,7 @@
     report.endpointsDigest ?? 0,
     troubles,
     Math.round(report.meanRunning * MEAN_SCALE),
+    Math.round(report.roundTripMs),
   ];
 }
 
@@ -93,6 +95,7 @@
     score: list.readCount() / SCORE_SCALE,
     expected: list.readCount(),
     oldestWaitMs: list.readCount(),
+    objectiveMs: list.readCount() || null,
   }));
   const running = readRecords(reader.readList(), list => ({
     endpoint: list.readReference(endpoints),
@@ -118,9 +121,11 @@
     isUnreachable: list.readCount() === 1,
   }));
   const meanRunning = reader.readCount() / MEAN_SCALE;
+  const roundTripMs = reader.readCount();
   return {
     ...report,
     meanRunning,
+    roundTripMs,
     ...(endpointsDigest === 0 ? {} : {endpointsDigest}),
     ...(troubles.length === 0 ? {} : {troubles}),
   };
--- a/fronts/entryWire/src/grantReplyWire.ts
+++ b/fronts/entryWire/src/grantReplyWire.ts
@@ -50,6 +50,7 @@
     grants,
     shed,
     encodeOpenCapacity(reply.open),
+    reply.waitingRank === null ? [] : [reply.waitingRank],
   ];
 }
 
@@ -102,7 +103,12 @@
     retryAfterMs: list.readNumber(),
   }));
   const open = decodeOpenCapacity(reader.readList());
-  return {...head, grants, shed, open};
+  const waitingRank = decodeWaitingRank(reader.readList());
+  return {...head, grants, shed, open, waitingRank};
+}
+
+function decodeWaitingRank(list: WireReader): number | null {
+  return list.remaining === 0 ? null : list.readCount();
 }
 
 function findCommonPrefix(texts: readonly string[]): string {
--- a/scheduling/entryModel/src/demandReportingState.ts
+++ b/scheduling/entryModel/src/demandReportingState.ts
@@ -1,5 +1,5 @@
 /** What an entry records of its demand reports and the answers to them. */
-import type {MonotonicTime} from '@gentianshunt/clock';
+import type {Milliseconds, MonotonicTime} from '@gentianshunt/clock';
 import type {EndpointSetId} from '@gentianshunt/identifiers';
 
 import type {OpenCapacity} from './entryMessage.js';
@@ -30,6 +30,8 @@
   readonly items: number;
   /** Capacity that the set leader counts as occupied by this entry. */
   readonly held: number;
+  /** Time from a report to its reply, as a moving average; 0 if unknown. */
+  readonly roundTripMs: Milliseconds;
 }
 
 /** The latest grant reply that was accepted for a set. */
@@ -52,3 +54,11 @@
 export interface KnownOpenCapacity extends OpenCapacity {
   readonly until: MonotonicTime;
 }
+
+/** The demand of all entries for a set, as its leader knew it. */
+export interface SetDemand {
+  /** The highest tier of which requests wait; `null` if none do. */
+  readonly waitingRank: number | null;
+  /** When the leader sent it, or shortly before. */
+  readonly knownAt: MonotonicTime;
+}
--- a/scheduling/entryModel/src/entryMessage.ts
+++ b/scheduling/entryModel/src/entryMessage.ts
@@ -50,6 +50,10 @@
   /** Further requests expected before the next demand report. */
   readonly expected: number;
   readonly oldestWaitMs: Milliseconds;
+  /**
+   * Time to the first byte for which the next request aims; `null` without one.
+   */
+  readonly objectiveMs: Milliseconds | null;
 }
 
 /** Requests of one entry running at one endpoint. */
@@ -100,6 +104,8 @@
   readonly endpointsDigest?: number;
   /** Mean number of running requests. */
   readonly meanRunning: number;
+  /** Time from a report to its reply, as a moving average; 0 if unknown. */
+  readonly roundTripMs: Milliseconds;
 }
 
 /** The endpoints of a set that accept requests, listed by its leader. */
@@ -168,6 +174,11 @@
   readonly shed: readonly ShedInstruction[];
   /** What the entry may use without slots; `null` if the set is not open. */
   readonly open: OpenCapacity | null;
+  /**
+   * The highest tier of which requests of the set still wait, at any entry;
+   * `null` if none do.
+   */
+  readonly waitingRank: number | null;
 }
 
 /** Messages between entries. */
@@ -300,6 +311,22 @@
   readonly deadline: MonotonicTime;
 }
 
+/** What a dispatched request occupies, so that another may follow it there. */
+export interface UsedSlot {
+  readonly set: EndpointSetId;
+  readonly organisation: OrganisationId;
+  readonly target: EndpointTarget;
+  /** When the set leader granted the slot to its first request. */
+  readonly grantedAt: MonotonicTime;
+  /** When the present request was matched to it. */
+  readonly usedAt: MonotonicTime;
+  /**
+   * Whether it goes back to the leader after this request. Reports leave it out
+   * already, so that no time is lost until another request has it.
+   */
+  readonly isReturning: boolean;
+}
+
 /** The set leader's record of an entry's latest demand report. */
 export interface DemandReportRecord {
   readonly node: NodeId;
--- a/scheduling/entryModel/src/sections.ts
+++ b/scheduling/entryModel/src/sections.ts
@@ -38,6 +38,7 @@
   DemandReportingState,
   KnownOpenCapacity,
   ReplyPosition,
+  SetDemand,
   SetUse,
 } from './demandReportingState.js';
 import type {OrderEpoch, OrderExecutionState} from './endpointOrder.js';
@@ -50,6 +51,7 @@
   KnownEndpoints,
   Slot,
   SlotMatch,
+  UsedSlot,
 } from './entryMessage.js';
 import type {EntryIdentity} from './identity.js';
 import {createLeaveSections} from './leaveSections.js';
@@ -157,6 +159,10 @@
     setUse: defineMap<EndpointSetId, SetUse>(),
     openCapacities: defineMap<EndpointSetId, KnownOpenCapacity>(),
     matches: defineMap<RequestId, SlotMatch>(),
+    /** What the requests occupy that were matched to granted slots. */
+    usedSlots: defineMap<RequestId, UsedSlot>(),
+    /** What set leaders said last of the demand of all entries. */
+    setDemands: defineMap<EndpointSetId, SetDemand>(),
     demandReporting: defineMap<EndpointSetId, DemandReportingState>(),
     /** When the process started. */
     startedAt: defineCell<MonotonicTime>(Number.POSITIVE_INFINITY),
--- a/scheduling/policy/src/endpointFailures.ts
+++ b/scheduling/policy/src/endpointFailures.ts
@@ -6,8 +6,15 @@
 export const FAILURE_RATE_DECAY_MS: Milliseconds = 3_000;
 /** How long an endpoint counts as unreachable after a failed connection. */
 export const UNREACHABLE_MS: Milliseconds = 1_000;
-/** Failure rate from which an endpoint gets probe traffic only. */
+/** Failure rate from which an endpoint fails for an entry. */
 export const PROBE_FAILURE_RATE = 0.25;
+/**
+ * Entries for which an endpoint must fail before all send it probe traffic only.
+ * A single failure is above the rate for an entry that sends few requests.
+ */
+export const MIN_FAILING_ENTRIES = 2;
+/** Failure rate of one entry that suffices: two failures in a row. */
+export const CERTAIN_FAILURE_RATE = 0.5;
 /** Entries that must find an endpoint unreachable before all stop using it. */
 export const MIN_UNREACHABLE_ENTRIES = 2;
 /** Factor by which an endpoint without full traffic is rated slower. */
@@ -30,6 +37,8 @@
 export interface EndpointFailures {
   /** The highest failure rate that an entry reports. */
   readonly failureRate: number;
+  /** Number of entries that report at least `PROBE_FAILURE_RATE`. */
+  readonly failingFor: number;
   /** Number of entries that could not connect to the endpoint. */
   readonly unreachableBy: number;
 }
@@ -44,11 +53,11 @@
   if (failures === undefined) {
     return 'full';
   }
-  const {failureRate, unreachableBy} = failures;
+  const {failureRate, failingFor, unreachableBy} = failures;
   if (unreachableBy >= MIN_UNREACHABLE_ENTRIES) {
     return 'none';
   }
-  return unreachableBy > 0 || failureRate >= PROBE_FAILURE_RATE
-    ? 'probe'
-    : 'full';
+  const isFailing =
+    failingFor >= MIN_FAILING_ENTRIES || failureRate >= CERTAIN_FAILURE_RATE;
+  return unreachableBy > 0 || isFailing ? 'probe' : 'full';
 }
--- a/scheduling/policy/src/endpointRate.ts
+++ b/scheduling/policy/src/endpointRate.ts
@@ -13,6 +13,8 @@
 export const NEAR_FASTEST_FACTOR = 1.5;
 /** Wait after which a request accepts any endpoint that is not slowed. */
 export const MAX_WAIT_FOR_RATE_MS: Milliseconds = 1_000;
+/** The same, as a fraction of the time to the first byte that it aims for. */
+export const MAX_WAIT_FOR_RATE_FRACTION = 0.1;
 
 /** Updates a learned rate (an exponential moving average) with a sample. */
 export function learnRate(
@@ -50,17 +52,26 @@
 export function isRateAccepted(input: {
   readonly rank: number;
   readonly waitedMs: Milliseconds;
+  /** Time to the first byte for which the request aims; `null` without one. */
+  readonly objectiveMs: Milliseconds | null;
   readonly rate: Milliseconds;
   /** The median rate of the set. */
   readonly medianRate: Milliseconds;
   /** The lowest rate of the set. */
   readonly fastestRate: Milliseconds;
 }): boolean {
-  const {rank, waitedMs, rate, medianRate, fastestRate} = input;
+  const {rank, waitedMs, objectiveMs, rate, medianRate, fastestRate} = input;
   if (rank > 1) {
     return true;
   }
-  return waitedMs > MAX_WAIT_FOR_RATE_MS
+  const maxWaitMs =
+    objectiveMs === null
+      ? MAX_WAIT_FOR_RATE_MS
+      : Math.min(
+          MAX_WAIT_FOR_RATE_MS,
+          MAX_WAIT_FOR_RATE_FRACTION * objectiveMs,
+        );
+  return waitedMs > maxWaitMs
     ? rate <= SLOWED_FACTOR * medianRate
     : rate <=
         Math.max(
--- a/scheduling/policy/test/policy.test.ts
+++ b/scheduling/policy/test/policy.test.ts
@@ -139,6 +139,7 @@
   const slow = {
     rank: 1,
     waitedMs: 0,
+    objectiveMs: null,
     rate: 60,
     medianRate: 30,
     fastestRate: 20,
@@ -146,6 +147,13 @@
   t.equal(isRateAccepted(slow), false);
   t.equal(isRateAccepted({...slow, waitedMs: 2_000}), true);
   t.equal(isRateAccepted({...slow, rank: 2}), true);
+  const call = {...slow, objectiveMs: 500};
+  t.equal(isRateAccepted(call), false);
+  t.equal(
+    isRateAccepted({...call, waitedMs: 60}),
+    true,
+    'its objective is near',
+  );
   t.equal(isRateAccepted({...slow, rate: 20, medianRate: 20}), true);
 });
 
--- a/scheduling/setLeader/src/allocation.ts
+++ b/scheduling/setLeader/src/allocation.ts
@@ -24,6 +24,8 @@
   readonly occupied: number;
   /** Milliseconds to decode a token; raised for endpoints with failures. */
   readonly rate: number;
+  /** Whether it may get more requests than it processes at once. */
+  readonly canQueue: boolean;
 }
 
 /** A queue of requests that wait in one entry. */
@@ -206,12 +208,13 @@
   endpoint: OpenEndpoint,
   pass: AllocationPass,
 ): boolean {
-  const waitedMs = next.queues.peek()?.queue.oldestWaitMs ?? 0;
+  const queue = next.queues.peek()?.queue;
   return (
     computeLoad(endpoint) < pass.loadLimit &&
     isRateAccepted({
       rank: next.rank,
-      waitedMs,
+      waitedMs: queue?.oldestWaitMs ?? 0,
+      objectiveMs: queue?.objectiveMs ?? null,
       rate: endpoint.rate,
       medianRate: pass.medianRate,
       fastestRate: pass.fastestRate,
--- a/scheduling/setLeader/src/capacities.ts
+++ b/scheduling/setLeader/src/capacities.ts
@@ -63,6 +63,7 @@
         concurrency: limitByTrafficLevel(usable, trafficLevel),
         rate: trafficLevel === 'full' ? rate : rate * FAILING_RATE_FACTOR,
         occupied: occupied.get(endpoint) ?? 0,
+        canQueue: usable === concurrency && trafficLevel === 'full',
       };
     });
 }
--- a/scheduling/setLeader/src/grantController.ts
+++ b/scheduling/setLeader/src/grantController.ts
@@ -31,8 +31,9 @@
 import type {LeaderDecision} from './grantReply.js';
 import {limitCapacities} from './limitedCapacities.js';
 import {decideOpenCapacity} from './openCapacity.js';
-import {countUnserved, listOpenQueues} from './openDemand.js';
+import {countUnserved, findWaitingRank, listOpenQueues} from './openDemand.js';
 import {limitOrganisations} from './organisationLimits.js';
+import {addQueueAhead, measureTurnaround} from './queueAhead.js';
 
 type GrantReads =
   | 'identity'
@@ -151,7 +152,13 @@
   );
   const queues = limitQueues(openQueues, limiter.allowances);
   const fairShares = listFairShares(view, set, records);
-  const input: AllocationInput = {endpoints, queues, fairShares};
+  const input: AllocationInput = {
+    endpoints: canQueueAhead(view, set)
+      ? addQueueAhead(endpoints, queues, measureTurnaround(records))
+      : endpoints,
+    queues,
+    fairShares,
+  };
   const open = isOpenable(view, set)
     ? decideOpenCapacity({
         endpoints: capacities.unlimited,
@@ -164,8 +171,9 @@
     open === null
       ? allocateWithAdvance(input, advanceEndpoints, records, grantedByNode)
       : allocateSlots(input);
+  const unserved = countUnserved(queues, allocation.slots);
   const shedding = decideShedding({
-    waiting: countUnserved(queues, allocation.slots),
+    waiting: unserved,
     slots: endpoints.reduce((sum, {concurrency}) => sum + concurrency, 0),
     shedding: view.board.shedding.get(set) ?? false,
     lowestRank: readLowestRank(view),
@@ -174,6 +182,7 @@
     slots: mergeByNode(allocation.slots),
     shed: shedding.shed,
     open,
+    waitingRank: findWaitingRank(unserved),
   };
   return [
     recordRound(set, records.length + endpoints.length, now),
@@ -207,6 +216,18 @@
   );
 }
 
+/**
+ * Returns whether the endpoints of a set are model engines that queue the requests
+ * that they cannot run yet.
+ */
+function canQueueAhead({board}: GrantView, set: EndpointSetId): boolean {
+  const {configuration, identity} = board;
+  return (
+    identity.leaderSilence?.kind === 'useFallbackCapacity' &&
+    findObject(configuration, 'endpointSet', set)?.service.kind === 'model'
+  );
+}
+
 /** Sums up how many requests the entries run on average. */
 function sumRunning(records: readonly DemandReportRecord[]): number {
   return records.reduce((sum, {report}) => sum + report.meanRunning, 0);
--- a/scheduling/setLeader/src/grantReply.ts
+++ b/scheduling/setLeader/src/grantReply.ts
@@ -26,6 +26,8 @@
   readonly slots: ReadonlyMap<NodeId, readonly AllocatedSlot[]>;
   readonly shed: readonly WaitingCount[];
   readonly open: OpenCapacity | null;
+  /** The highest tier of which requests still wait; `null` if none do. */
+  readonly waitingRank: number | null;
 }
 
 /** Grants no slots and sheds no requests. */
@@ -33,6 +35,7 @@
   slots: new Map(),
   shed: [],
   open: null,
+  waitingRank: null,
 };
 
 /** Groups slots by the entry that they are allocated to. */
@@ -113,6 +116,7 @@
             grants,
             shed,
             open: decision.open && limitOpenTargets(decision.open, record.node),
+            waitingRank: decision.waitingRank,
           },
         },
       },
--- a/scheduling/setLeader/src/limitedCapacities.ts
+++ b/scheduling/setLeader/src/limitedCapacities.ts
@@ -80,7 +80,11 @@
   tokens: number,
 ): EndpointCapacity {
   const {concurrency, occupied} = capacity;
-  return {...capacity, concurrency: Math.min(concurrency, occupied + tokens)};
+  return {
+    ...capacity,
+    concurrency: Math.min(concurrency, occupied + tokens),
+    canQueue: false,
+  };
 }
 
 function listBucketWrites(
--- a/scheduling/setLeader/src/openDemand.ts
+++ b/scheduling/setLeader/src/openDemand.ts
@@ -9,6 +9,7 @@
   NodeId,
   OrganisationId,
 } from '@gentianshunt/identifiers';
+import {PROBE_FAILURE_RATE} from '@gentianshunt/policy';
 import type {EndpointFailures, WaitingCount} from '@gentianshunt/policy';
 
 import type {AllocatedSlot, EntryQueue} from './allocation.js';
@@ -35,6 +36,14 @@
   }));
 }
 
+/** Finds the highest tier of which requests remain; `null` if none do. */
+export function findWaitingRank(
+  unserved: readonly WaitingCount[],
+): number | null {
+  const ranks = unserved.filter(({count}) => count > 0).map(({rank}) => rank);
+  return ranks.length === 0 ? null : Math.min(...ranks);
+}
+
 /**
  * Lists the reported queues without the requests that were granted a slot or
  * shed since the report.
@@ -97,8 +106,11 @@
     for (const failure of report.troubles ?? []) {
       const known = summaries.get(failure.endpoint);
       const unreachableBy = known?.unreachableBy ?? 0;
+      const failingFor = known?.failingFor ?? 0;
+      const isFailing = failure.failureShare >= PROBE_FAILURE_RATE;
       summaries.set(failure.endpoint, {
         failureRate: Math.max(known?.failureRate ?? 0, failure.failureShare),
+        failingFor: failingFor + (isFailing ? 1 : 0),
         unreachableBy: unreachableBy + (failure.isUnreachable ? 1 : 0),
       });
     }
--- a/scheduling/setLeader/test/allocation.test.ts
+++ b/scheduling/setLeader/test/allocation.test.ts
@@ -22,6 +22,7 @@
     concurrency: 10,
     occupied: 0,
     rate: 30,
+    canQueue: false,
     ...changes,
   };
 }
@@ -37,6 +38,7 @@
     score: 1,
     expected: 0,
     oldestWaitMs: 10,
+    objectiveMs: null,
     ...changes,
   };
   return {node: 'entry1' as NodeId, queue};
--- a/scheduling/setLeader/test/openCapacity.test.ts
+++ b/scheduling/setLeader/test/openCapacity.test.ts
@@ -22,6 +22,7 @@
       concurrency,
       rate: 1,
       occupied: 0,
+      canQueue: true,
     })),
     running,
     entries,
--- a/scheduling/slotClient/src/demandReport.ts
+++ b/scheduling/slotClient/src/demandReport.ts
@@ -12,6 +12,7 @@
   EntrySections,
   QueueDemand,
   QueueKey,
+  RunningCount,
   ReportedDecodeRate,
   ReportedFailures,
   UnspentSlots,
@@ -42,7 +43,9 @@
   | 'demandReporting'
   | 'acceptedReply'
   | 'openCapacities'
-  | 'setUse';
+  | 'setUse'
+  | 'usedSlots'
+  | 'requests';
 
 /** The board as demand reporting reads it. */
 export type ReportingView = View<
@@ -65,19 +68,37 @@
     epoch,
     sequence,
     waiting: listWaitingQueues(view, set, now),
-    running: [...iterateRunning(board.running, set)].map(({key, value}) => ({
-      endpoint: key.endpoint,
-      organisation: key.organisation,
-      count: value.count,
-    })),
+    running: listRunning(view, set),
     unspent: listUnspent(view, set, now),
     rates: listRates(view.board, set, now),
     troubles: listEndpointFailures(view.board, set, now),
     endpointsDigest: board.knownEndpoints.get(set)?.digest ?? 0,
     meanRunning: computeMeanRunning(board.setUse.get(set), now),
+    roundTripMs: board.demandReporting.get(set)?.roundTripMs ?? 0,
   };
 }
 
+/** Lists what runs, without slots that are about to go back to the leader. */
+function listRunning(
+  {board}: ReportingView,
+  set: EndpointSetId,
+): readonly RunningCount[] {
+  const returning = new Map<string, number>();
+  for (const [request, slot] of board.usedSlots) {
+    if (slot.isReturning && slot.set === set) {
+      const organisation = board.requests.get(request)?.request.organisation;
+      const key = `${slot.target.endpoint}/${organisation}`;
+      returning.set(key, (returning.get(key) ?? 0) + 1);
+    }
+  }
+  return [...iterateRunning(board.running, set)]
+    .map(({key: {endpoint, organisation}, value}) => {
+      const left = returning.get(`${endpoint}/${organisation}`) ?? 0;
+      return {endpoint, organisation, count: value.count - left};
+    })
+    .filter(({count}) => count > 0);
+}
+
 function listUnspent(
   view: ReportingView,
   set: EndpointSetId,
@@ -121,6 +142,7 @@
       score: 0,
       expected: estimateExpectedArrivals(value, now),
       oldestWaitMs: 0,
+      objectiveMs: null,
     }))
     .filter(queue => queue.expected > 0);
   return [...waiting, ...expected];
@@ -203,6 +225,7 @@
     score: next?.score ?? 0,
     expected: 0,
     oldestWaitMs: computeOldestWait(board, key, now),
+    objectiveMs: next?.request.routePolicy?.objectiveMs ?? null,
   };
 }
 
--- a/scheduling/slotClient/src/demandReportingController.ts
+++ b/scheduling/slotClient/src/demandReportingController.ts
@@ -1,5 +1,6 @@
 import type {TurnTime} from '@gentianshunt/board';
 import {findObject} from '@gentianshunt/configuration';
+import type {Milliseconds} from '@gentianshunt/clock';
 import type {ObjectKey} from '@gentianshunt/configuration';
 import {
   defineEntryController,
@@ -50,6 +51,8 @@
       'acceptedReply',
       'openCapacities',
       'setUse',
+      'usedSlots',
+      'requests',
     ],
     writes: ['demandReporting'],
     observes: ['timerDue', 'entryMessage'],
@@ -215,6 +218,7 @@
       credit: spendCredit(state, now),
       items: countItems(report),
       held: countReported(report),
+      roundTripMs: state.roundTripMs,
     }),
     {
       kind: 'effect',
@@ -260,11 +264,15 @@
   }
   if (trigger.replied) {
     const held = before.held + trigger.granted;
+    const roundTripMs = before.inFlight
+      ? learnRoundTrip(before, now)
+      : before.roundTripMs;
     return {
       ...before,
       changedAt,
       urgency,
       held,
+      roundTripMs,
       inFlight: false,
       failures: 0,
     };
@@ -282,6 +290,20 @@
   return urgency === before.urgency ? before : {...before, changedAt, urgency};
 }
 
+/** Weight of a new sample in the time from a report to its reply. */
+const ROUND_TRIP_WEIGHT = 0.25;
+
+/** Adds the time to the first reply to the average. */
+function learnRoundTrip(
+  {roundTripMs, sentAt}: DemandReportingState,
+  now: TurnTime,
+): Milliseconds {
+  const sample = now.monotonic - sentAt;
+  return roundTripMs === 0
+    ? sample
+    : roundTripMs + ROUND_TRIP_WEIGHT * (sample - roundTripMs);
+}
+
 const URGENCIES: readonly DemandReportUrgency[] = ['none', 'lazy', 'urgent'];
 
 function pickUrgency(
@@ -311,6 +333,7 @@
     credit: MAX_REPORT_CREDIT,
     items: 0,
     held: 0,
+    roundTripMs: 0,
   };
 }
 
--- a/scheduling/slotClient/src/grantReplyController.ts
+++ b/scheduling/slotClient/src/grantReplyController.ts
@@ -17,7 +17,11 @@
   | 'withdrawnEndpoints'
   | 'knownEndpoints';
 type ReplyWrites =
-  'replyPositions' | 'acceptedReply' | 'openCapacities' | 'knownEndpoints';
+  | 'replyPositions'
+  | 'acceptedReply'
+  | 'openCapacities'
+  | 'setDemands'
+  | 'knownEndpoints';
 type ReplyView = View<EntrySections, ReplyReads, EntryObservation>;
 type ReplyWrite = EntryWrite<ReplyWrites>;
 
@@ -38,6 +42,7 @@
       'replyPositions',
       'acceptedReply',
       'openCapacities',
+      'setDemands',
       'knownEndpoints',
     ],
     observes: ['entryMessage'],
@@ -82,6 +87,15 @@
     {kind: 'put', section: 'replyPositions', key: reply.set, value},
     {kind: 'set', section: 'acceptedReply', value: reply},
     updateOpenCapacity(reply, state!),
+    {
+      kind: 'put',
+      section: 'setDemands',
+      key: reply.set,
+      value: {
+        waitingRank: reply.waitingRank,
+        knownAt: state!.sentAt + reply.reportAgeMs,
+      },
+    },
   ];
 }
 
--- a/scheduling/slotClient/src/reportTimes.ts
+++ b/scheduling/slotClient/src/reportTimes.ts
@@ -25,8 +25,10 @@
  * running requests or unused slots in a set.
  */
 export const MAX_REPORT_INTERVAL_MS: Milliseconds = 500;
-/** An unanswered demand report counts as lost after this time. */
+/** An unanswered demand report counts as lost after this time at least. */
 export const REPORT_TIMEOUT_MS: Milliseconds = 250;
+/** Usual times from a report to its reply after which it counts as lost. */
+const ROUND_TRIPS_UNTIL_LOST = 2;
 /** Longest time between two demand reports while the leader does not answer. */
 export const MAX_REPORT_TIMEOUT_MS: Milliseconds = 2_000;
 
@@ -93,7 +95,8 @@
 }
 
 /**
- * Computes how long to wait for a reply. The timeout doubles with every
+ * Computes how long to wait for a reply: longer where replies take long, since a
+ * reply to any but the latest report is dropped. The timeout doubles with every
  * failure. After a failure it is jittered, so that the entries do not all
  * report at the same time.
  */
@@ -101,9 +104,13 @@
   view: ReportingView,
   state: DemandReportingState,
 ): Milliseconds {
+  const timeoutMs = Math.max(
+    REPORT_TIMEOUT_MS,
+    ROUND_TRIPS_UNTIL_LOST * state.roundTripMs,
+  );
   const ceilingMs = Math.min(
     MAX_REPORT_TIMEOUT_MS,
-    REPORT_TIMEOUT_MS * 2 ** state.failures,
+    timeoutMs * 2 ** state.failures,
   );
   if (state.failures === 0) {
     return ceilingMs;
--- a/scheduling/slotClient/src/slotController.ts
+++ b/scheduling/slotClient/src/slotController.ts
@@ -33,8 +33,16 @@
 import {createOpenTargets} from './openTargets.js';
 import type {OpenTargets} from './openTargets.js';
 import {isPaused} from './pauseController.js';
+import {releaseSlots} from './reusedSlots.js';
+import {isLimited as isEndpointLimited} from './ungrantedUse.js';
 import {SLOT_READS, SLOT_WRITES, UNGRANTED_LIFETIME_MS} from './slotView.js';
-import type {SlotReads, SlotView, SlotWrite, SlotWrites} from './slotView.js';
+import type {
+  KeyedSlot,
+  SlotReads,
+  SlotView,
+  SlotWrite,
+  SlotWrites,
+} from './slotView.js';
 
 /** Creates the controller that stores slots and matches them to requests. */
 export function createSlotController(): EntryController {
@@ -42,7 +50,7 @@
     name: 'slots',
     reads: SLOT_READS,
     writes: SLOT_WRITES,
-    observes: ['timerDue'],
+    observes: ['timerDue', 'streamEnded', 'callerGone'],
     run: (view, now) => [
       ...dropUsedMatches(view),
       ...dropExpiredSlots(view, now),
@@ -116,7 +124,18 @@
     view.readChanges('acceptedReply').size > 0
       ? view.board.acceptedReply
       : null;
-  const newSlots = reply === null ? [] : toSlots(view, reply, now);
+  const released = releaseSlots(
+    view,
+    {
+      hasLimits: queue => hasLimits(view, queue),
+      isUnusable: target =>
+        isUnusable(view, target, now) ||
+        isEndpointLimited(view.board, target.endpoint, now),
+    },
+    now,
+  );
+  const granted = reply === null ? [] : toSlots(view, reply, now);
+  const newSlots = [...granted, ...released.reused];
   const draft = createSlotDraft(view, newSlots, now);
   const readOpen = createOpenReader(view, now);
   // An entry that may have missed leaves keeps new slots until it has caught up.
@@ -126,7 +145,25 @@
   const matches = queues.flatMap(queue =>
     matchQueue(view, queue, draft, readOpen(queue.set), now),
   );
-  return [...matches, ...draft.listWrites()];
+  const unstored = new Set(
+    [...released.reused, ...listUnkept(reply, granted)].map(
+      ({key}) => key.grant,
+    ),
+  );
+  return [...released.writes, ...matches, ...draft.listWrites(unstored)];
+}
+
+/**
+ * Lists the granted slots that are not kept for later requests: those for queues
+ * that have become empty, while requests at other entries wait.
+ */
+function listUnkept(
+  reply: GrantReply | null,
+  granted: readonly KeyedSlot[],
+): readonly KeyedSlot[] {
+  return reply === null || reply.waitingRank === null
+    ? []
+    : granted.filter(({key}) => key.organisation !== ANY_ORGANISATION);
 }
 
 function listChangedQueues(
@@ -175,11 +212,6 @@
   return [...queues.values()];
 }
 
-interface KeyedSlot {
-  readonly key: SlotKey;
-  readonly slot: Slot;
-}
-
 function toSlots(
   view: SlotView,
   reply: GrantReply,
@@ -233,7 +265,7 @@
     mixed === undefined
       ? []
       : [...matchContinuations(view, mixed, waiting, now)];
-  for (const {key, slot} of usable) {
+  for (const {key, slot, isReturning = false} of usable) {
     const {id: grant, target} = slot.grant;
     const {deadline, grantedAt: stateAt} = slot;
     while (draft.readRemaining(key) > 0 && deadline > now.monotonic) {
@@ -243,7 +275,18 @@
       }
       draft.spend(key);
       const value = {grant, target, stateAt, deadline};
-      writes.push({kind: 'put', section: 'matches', key: request.id, value});
+      const used = {
+        set: queue.set,
+        organisation: queue.organisation,
+        target,
+        grantedAt: stateAt,
+        usedAt: now.monotonic,
+        isReturning,
+      };
+      writes.push(
+        {kind: 'put', section: 'matches', key: request.id, value},
+        {kind: 'put', section: 'usedSlots', key: request.id, value: used},
+      );
     }
   }
   return isLimitedQueue
@@ -300,7 +343,8 @@
   listUsable(queue: QueueKey): readonly KeyedSlot[];
   readRemaining(key: SlotKey): number;
   spend(key: SlotKey): void;
-  listWrites(): readonly SlotWrite[];
+  /** Lists the changed slots, without those of some grants. */
+  listWrites(unstored: ReadonlySet<GrantId>): readonly SlotWrite[];
 }
 
 function createSlotDraft(
@@ -332,12 +376,14 @@
       const remaining = slot.remaining - 1;
       changed.set(key.grant, {key, slot: {...slot, remaining}});
     },
-    listWrites: () =>
-      [...changed.values()].map(({key, slot}) =>
-        slot.remaining === 0
-          ? {kind: 'delete', section: 'slots', key}
-          : {kind: 'put', section: 'slots', key, value: slot},
-      ),
+    listWrites: unstored =>
+      [...changed.values()]
+        .filter(({key}) => !unstored.has(key.grant))
+        .map(({key, slot}) =>
+          slot.remaining === 0
+            ? {kind: 'delete', section: 'slots', key}
+            : {kind: 'put', section: 'slots', key, value: slot},
+        ),
   };
 }
 
--- a/scheduling/slotClient/src/slotView.ts
+++ b/scheduling/slotClient/src/slotView.ts
@@ -4,6 +4,8 @@
   EntryObservation,
   EntrySections,
   EntryWrite,
+  Slot,
+  SlotKey,
 } from '@gentianshunt/entryModel';
 
 /** How long a request may use the capacity that it was matched to unasked. */
@@ -33,13 +35,28 @@
   'namedLimits',
   'ungrantedUse',
   'demandReporting',
+  'usedSlots',
+  'setDemands',
 ] as const;
 export type SlotReads = (typeof SLOT_READS)[number];
 
 /** The board sections that the slot controller writes. */
-export const SLOT_WRITES = ['slots', 'matches', 'ungrantedUse'] as const;
+export const SLOT_WRITES = [
+  'slots',
+  'matches',
+  'usedSlots',
+  'ungrantedUse',
+] as const;
 export type SlotWrites = (typeof SLOT_WRITES)[number];
 
+/** A slot with its key on the board. */
+export interface KeyedSlot {
+  readonly key: SlotKey;
+  readonly slot: Slot;
+  /** Whether it goes back to the leader after its next request. */
+  readonly isReturning?: boolean;
+}
+
 /** The board as the slot controller sees it. */
 export type SlotView = View<EntrySections, SlotReads, EntryObservation>;
 export type SlotWrite = EntryWrite<SlotWrites>;
