Calls that cannot start in time are refused at once

Answers the load of a set of model engines that is used up. An entry estimates when a call would be dispatched from the requests ahead of it, its rate of dispatches and the arrivals of higher tiers; beyond the objective it refuses, before the quota is charged, with the time at which the call could have started. The first of a tier is always admitted.

--- a/scheduling/entryModel/src/queueRecords.ts
+++ b/scheduling/entryModel/src/queueRecords.ts
@@ -33,7 +33,7 @@
   readonly counts: ReadonlyMap<NodeId, number>;
 }
 
-/** Arrival rate of a queue's requests, as a decaying average. */
+/** How often something happens, as a decaying average. */
 export interface ArrivalRate {
   readonly perSecond: number;
   readonly at: MonotonicTime;
--- a/scheduling/entryModel/src/sections.ts
+++ b/scheduling/entryModel/src/sections.ts
@@ -143,6 +143,8 @@
       compareBy('set', 'rank', 'organisation'),
     ),
     dispatches: defineMap<DispatchId, RequestId>(),
+    /** How fast this entry dispatches requests to each set. */
+    dispatchRates: defineMap<EndpointSetId, ArrivalRate>(),
     openClaims: defineMap<RequestId, OpenClaim>(),
     claimCompletions: defineMap<RequestId, ClaimCompletion>(),
     silenceDeadlines: defineOrdered<SilenceDeadlineKey, RequestId>(
--- a/scheduling/lifecycle/src/admitRequest.ts
+++ b/scheduling/lifecycle/src/admitRequest.ts
@@ -17,6 +17,8 @@
 import {awaitTest} from './awaitedTests.js';
 import {addToQueue} from './addToQueue.js';
 import {findRequestRefusal} from './quarantinedRequests.js';
+import {describeShed} from './describeShed.js';
+import {checkExpectedWait} from './expectedWait.js';
 import type {LifecycleView, RequestDraft} from './requestDraft.js';
 
 /** Retry delay for callers that are refused for a temporary reason. */
@@ -57,6 +59,13 @@
     );
     return;
   }
+  const admission = checkExpectedWait(view, request, now);
+  if (admission.kind === 'refuse') {
+    const ownNode = view.board.identity.address.node;
+    draft.addEffect(describeShed(view, request, ownNode, now));
+    refuse(draft, attributes, {kind: 'shed'}, admission.retryAfterMs);
+    return;
+  }
   if (found === undefined) {
     addToQueue(view, draft, request, now);
   } else {
--- a/scheduling/lifecycle/src/requestDraft.ts
+++ b/scheduling/lifecycle/src/requestDraft.ts
@@ -60,7 +60,10 @@
   | 'originInquiries'
   | 'soundParts'
   | 'soundRequests'
-  | 'brokenRuns';
+  | 'brokenRuns'
+  | 'setDemands'
+  | 'arrivalRates'
+  | 'dispatchRates';
 
 /** The board as the lifecycle controller sees it. */
 export type LifecycleView = View<
--- a/scheduling/policy/src/queueAhead.ts
+++ b/scheduling/policy/src/queueAhead.ts
@@ -19,8 +19,5 @@
   turnaroundMs: Milliseconds,
 ): number {
   const returning = (concurrency * turnaroundMs) / MAX_REUSE_MS;
-  return Math.min(
-    Math.floor(concurrency * MAX_FRACTION),
-    Math.round(returning),
-  );
+  return Math.min(Math.floor(concurrency * MAX_FRACTION), Math.ceil(returning));
 }
--- a/scheduling/slotClient/src/arrivalController.ts
+++ b/scheduling/slotClient/src/arrivalController.ts
@@ -13,9 +13,8 @@
   QueueKey,
   WaitingKey,
 } from '@gentianshunt/entryModel';
+import {computeRate, countEvent} from '@gentianshunt/policy';
 
-/** Time constant of the exponentially decaying arrival rate. */
-export const RATE_DECAY_MS: Milliseconds = 2_000;
 /** Time that a forecast covers: a report interval and the reply's delay. */
 export const FORECAST_HORIZON_MS: Milliseconds = 600;
 /** No advance slots are requested for fewer expected arrivals than this. */
@@ -68,9 +67,7 @@
     const queue = `${set}/${rank}`;
     const known =
       updatedRates.get(queue)?.value ?? view.board.arrivalRates.get(key);
-    const perSecond =
-      computeRate(known, now) + MILLISECONDS_PER_SECOND / RATE_DECAY_MS;
-    const value = {perSecond, at: now.monotonic};
+    const value = countEvent(known, now);
     updatedRates.set(queue, {kind: 'put', section: 'arrivalRates', key, value});
   }
   return [...updatedRates.values()];
@@ -89,14 +86,6 @@
   return writes;
 }
 
-function computeRate(rate: ArrivalRate | undefined, now: TurnTime): number {
-  if (rate === undefined) {
-    return 0;
-  }
-  const ageMs = now.monotonic - rate.at;
-  return rate.perSecond * Math.exp(-ageMs / RATE_DECAY_MS);
-}
-
 /** Estimates how many requests of a tier arrive before the next grants. */
 export function estimateExpectedArrivals(
   rate: ArrivalRate | undefined,
--- a/scheduling/slotClient/src/index.ts
+++ b/scheduling/slotClient/src/index.ts
@@ -1,4 +1,5 @@
 export * from './arrivalController.js';
+export * from './dispatchRateController.js';
 export * from './demandReportingController.js';
 export * from './dispatchOrder.js';
 export * from './fallbackCapacity.js';
--- a/scheduling/slotClient/src/reusedSlots.ts
+++ b/scheduling/slotClient/src/reusedSlots.ts
@@ -139,7 +139,7 @@
 ): ReuseDecision | undefined {
   const {board} = view;
   const {set, target, grantedAt, usedAt, isReturning} = slot;
-  if (isReturning || !runsModels(view, set) || !isListed(view, slot)) {
+  if (isReturning || !hasModels(view, set) || !isListed(view, slot)) {
     return undefined;
   }
   const demand = board.setDemands.get(set);
@@ -165,7 +165,7 @@
  * Returns whether a set has model engines, whose requests take long enough for
  * their capacity to be worth keeping.
  */
-function runsModels(
+function hasModels(
   {board: {configuration}}: SlotView,
   set: EndpointSetId,
 ): boolean {
