Set leaders: a request goes to the endpoints that keep its prompt's shared part

Answers the load of prompts that share parts, where entries have no slots in advance. A demand report names the last shared part of a queue's next request; the leader prefers the first two endpoints of that part by rendezvous hashing, unless they would delay the request twice as much as the best one. No state is kept and no message is added.

--- a/bench/decision/src/main.ts
+++ b/bench/decision/src/main.ts
@@ -76,6 +76,7 @@
         expected: 0,
         oldestWaitMs: index,
         objectiveMs: null,
+        part: null,
       },
     })),
     fairShares: organisations.map(organisation => ({
--- a/fronts/entryWire/src/demandReportWire.ts
+++ b/fronts/entryWire/src/demandReportWire.ts
@@ -3,6 +3,7 @@
   EndpointId,
   EndpointSetId,
   OrganisationId,
+  PromptPartId,
 } from '@gentianshunt/identifiers';
 
 import {readRecords} from './wireReader.js';
@@ -35,6 +36,7 @@
     queue.expected,
     Math.round(queue.oldestWaitMs),
     Math.ceil(queue.objectiveMs ?? 0),
+    queue.part ?? '',
   ]);
   const running = report.running.flatMap(count => [
     endpoints.assignIndex(count.endpoint),
@@ -96,6 +98,7 @@
     expected: list.readCount(),
     oldestWaitMs: list.readCount(),
     objectiveMs: list.readCount() || null,
+    part: (list.readText() || null) as PromptPartId | null,
   }));
   const running = readRecords(reader.readList(), list => ({
     endpoint: list.readReference(endpoints),
--- a/fronts/entryWire/test/entryWire.test.ts
+++ b/fronts/entryWire/test/entryWire.test.ts
@@ -6,6 +6,7 @@
   EndpointSetId,
   NodeId,
   OrganisationId,
+  PromptPartId,
   RequestId,
   SoftwareVersion,
 } from '@gentianshunt/identifiers';
@@ -61,6 +62,7 @@
             expected: 4,
             oldestWaitMs: 17,
             objectiveMs: 508,
+            part: toIdentifier<PromptPartId>('5c1e07a2'),
           },
         ],
         running: [countedSlots],
--- a/scheduling/entryModel/src/entryMessage.ts
+++ b/scheduling/entryModel/src/entryMessage.ts
@@ -7,6 +7,7 @@
   GrantId,
   NodeId,
   OrganisationId,
+  PromptPartId,
   RequestId,
 } from '@gentianshunt/identifiers';
 
@@ -54,6 +55,8 @@
    * Time to the first byte for which the next request aims; `null` without one.
    */
   readonly objectiveMs: Milliseconds | null;
+  /** Last shared part of the next request's prompt; `null` without one. */
+  readonly part: PromptPartId | null;
 }
 
 /** Requests of one entry running at one endpoint. */
--- a/scheduling/setLeader/src/allocation.ts
+++ b/scheduling/setLeader/src/allocation.ts
@@ -11,12 +11,12 @@
 } from '@gentianshunt/policy';
 import TinyQueue from 'tinyqueue';
 
+import {computeLoad, createEndpointPool} from './endpointPool.js';
+import type {EndpointPool, OpenEndpoint} from './endpointPool.js';
+
 /** Deferred requests go only to endpoints below this load. */
 export const DEFERRED_LOAD_LIMIT = 0.5;
 
-/** Delay of an idle endpoint, relative to the delay that full load adds. */
-const IDLE_DELAY_FACTOR = 1;
-
 /** The capacity of an endpoint, and how much of it is occupied. */
 export interface EndpointCapacity {
   readonly target: EndpointTarget;
@@ -77,13 +77,6 @@
   readonly queues: TinyQueue<OpenQueue>;
 }
 
-interface OpenEndpoint {
-  readonly target: EndpointTarget;
-  readonly concurrency: number;
-  readonly rate: number;
-  occupied: number;
-}
-
 /**
  * Allocates free capacity to waiting requests: the highest tier first, within a
  * tier the organisation that received the least service for its weight, within
@@ -101,11 +94,8 @@
     virtualTimes,
   );
   const maxVirtualTime = Math.max(0, ...virtualTimes.values());
-  const endpoints = new TinyQueue<OpenEndpoint>(
-    input.endpoints
-      .filter(({concurrency, occupied}) => occupied < concurrency)
-      .map(endpoint => ({...endpoint})),
-    (left, right) => estimateDelay(left) - estimateDelay(right),
+  const endpoints = createEndpointPool(
+    input.endpoints.map(endpoint => ({...endpoint})),
   );
   const rates = input.endpoints.map(({rate}) => rate);
   const medianRate = computeMedianRate(rates);
@@ -154,7 +144,7 @@
 
 function allocatePass(
   input: AllocationInput,
-  endpoints: TinyQueue<OpenEndpoint>,
+  endpoints: EndpointPool,
   virtualTimes: Map<OrganisationId, number>,
   pass: AllocationPass,
 ): readonly AllocatedSlot[] {
@@ -176,33 +166,49 @@
 
 function serveTier(
   organisations: TinyQueue<OrganisationQueues>,
-  endpoints: TinyQueue<OpenEndpoint>,
+  endpoints: EndpointPool,
   virtualTimes: Map<OrganisationId, number>,
   pass: AllocationPass,
 ): readonly AllocatedSlot[] {
   const slots: AllocatedSlot[] = [];
   for (;;) {
     const next = organisations.peek();
-    const endpoint = endpoints.peek();
+    const best = endpoints.findBest();
     if (
       next === undefined ||
-      endpoint === undefined ||
-      !canUseEndpoint(next, endpoint, pass)
+      best === undefined ||
+      !canUseEndpoint(next, best, pass)
     ) {
       return slots;
     }
     organisations.pop();
-    endpoints.pop();
-    slots.push(allocateSlot(next, endpoint, virtualTimes));
+    const home = findHome(next, endpoints, best, pass);
+    slots.push(allocateSlot(next, home ?? best, virtualTimes));
     if (next.queues.length > 0) {
       organisations.push(next);
     }
-    if (endpoint.occupied < endpoint.concurrency) {
-      endpoints.push(endpoint);
-    }
   }
 }
 
+/** Finds an endpoint that keeps what the next request begins with, if any. */
+function findHome(
+  next: OrganisationQueues,
+  endpoints: EndpointPool,
+  best: OpenEndpoint,
+  pass: AllocationPass,
+): OpenEndpoint | undefined {
+  const open = next.queues.peek();
+  // Only the part of the first request of a queue is known.
+  const part =
+    open !== undefined && open.remaining === pass.count(open.queue)
+      ? open.queue.part
+      : null;
+  const home = part === null ? undefined : endpoints.findHome(part, best);
+  return home !== undefined && canUseEndpoint(next, home, pass)
+    ? home
+    : undefined;
+}
+
 function canUseEndpoint(
   next: OrganisationQueues,
   endpoint: OpenEndpoint,
@@ -284,16 +290,6 @@
   );
 }
 
-/** Estimates how much an endpoint delays a request, to compare endpoints. */
-function estimateDelay(endpoint: OpenEndpoint): number {
-  const rate = Math.max(endpoint.rate, Number.MIN_VALUE);
-  return rate * (IDLE_DELAY_FACTOR + computeLoad(endpoint));
-}
-
-function computeLoad(endpoint: OpenEndpoint): number {
-  return endpoint.occupied / endpoint.concurrency;
-}
-
 /** Sums the occupied capacity of each endpoint. */
 export function countOccupied(
   counts: Iterable<{readonly endpoint: EndpointId; readonly count: number}>,
--- a/scheduling/setLeader/test/allocation.test.ts
+++ b/scheduling/setLeader/test/allocation.test.ts
@@ -39,6 +39,7 @@
     expected: 0,
     oldestWaitMs: 10,
     objectiveMs: null,
+    part: null,
     ...changes,
   };
   return {node: 'entry1' as NodeId, queue};
@@ -91,3 +92,39 @@
   const endpoints = [createEndpoint({occupied: 9})];
   t.equal(allocateSlots(createInput({endpoints})).slots.length, 1);
 });
+
+// Guards against parts of prompts that each endpoint reads again.
+t.test(
+  'requests with a part of a prompt meet at the same endpoints',
+  async t => {
+    const allocate = (part: string | null, loads: readonly number[]) => {
+      const endpoints = loads.map((occupied, index) =>
+        createEndpoint({
+          target: {
+            endpoint: `e${index}` as EndpointId,
+            url: `http://e${index}`,
+          },
+          occupied,
+        }),
+      );
+      const queue = createQueue({
+        count: 1,
+        ready: 1,
+        part: part as QueueDemand['part'],
+      });
+      const input = {endpoints, queues: [queue], fairShares: []};
+      return allocateSlots(input).slots[0]!.target.endpoint;
+    };
+    const idle = Array.from({length: 20}, () => 0);
+    const parts = Array.from({length: 30}, (_, index) => `part${index}`);
+    const homes = parts.map(part => allocate(part, idle));
+    t.ok(new Set(homes).size > 10, 'parts are spread');
+    for (const [index, part] of parts.entries()) {
+      const home = homes[index]!;
+      const loads = idle.map((_, at) => (home === `e${at}` ? 10 : 0));
+      t.not(allocate(part, loads), home, 'a full endpoint is not waited for');
+      const other = idle.map((_, at) => (home === `e${at}` ? 3 : 1));
+      t.equal(allocate(part, other), home, 'some load does not move a part');
+    }
+  },
+);
--- a/scheduling/slotClient/src/demandReport.ts
+++ b/scheduling/slotClient/src/demandReport.ts
@@ -143,6 +143,7 @@
       expected: estimateExpectedArrivals(value, now),
       oldestWaitMs: 0,
       objectiveMs: null,
+      part: null,
     }))
     .filter(queue => queue.expected > 0);
   return [...waiting, ...expected];
@@ -226,6 +227,7 @@
     expected: 0,
     oldestWaitMs: computeOldestWait(board, key, now),
     objectiveMs: next?.request.routePolicy?.objectiveMs ?? null,
+    part: next?.request.promptParts?.at(-1) ?? null,
   };
 }
 
