--- a/scheduling/setLeader/src/endpointPool.ts
+++ b/scheduling/setLeader/src/endpointPool.ts
@@ -24,7 +24,7 @@
 /** Delay of an idle endpoint, relative to the delay that full load adds. */
 const IDLE_DELAY_FACTOR = 1;
 /** Endpoints that keep a part, so that the requests with it have some choice. */
-const HOMES_PER_PART = 2;
+const HOMES_PER_PART = 6;
 /** Delay up to which such an endpoint is used, relative to the least one. */
 const MAX_HOME_DELAY_FACTOR = 2;
 
