Fallback capacity is used again at the end of a request

Cause: while a set has no leader, entries matched to fallback capacity on timers only, every 250 ms; in between it stood empty. Change: they also match when a stream of theirs ends.

--- a/scheduling/slotClient/src/matchToFallback.ts
+++ b/scheduling/slotClient/src/matchToFallback.ts
@@ -13,7 +13,8 @@
 
 /**
  * Matches requests to fallback capacity while a set leader is silent, if the
- * deployment allows it. Runs on timers only.
+ * deployment allows it. Runs on timers, and when capacity of this entry becomes
+ * free.
  */
 export function matchToFallback(
   view: SlotView,
@@ -22,7 +23,9 @@
   const {leaderSilence} = view.board.identity;
   const usesFallback = leaderSilence?.kind === 'useFallbackCapacity';
   const isCurrent = isLeaveKnowledgeCurrent(view.board, now);
-  if (view.observation?.kind !== 'timerDue' || !usesFallback || !isCurrent) {
+  const kind = view.observation?.kind;
+  const isTurn = kind === 'timerDue' || kind === 'streamEnded';
+  if (!isTurn || !usesFallback || !isCurrent) {
     return [];
   }
   const sets = new Set<EndpointSetId>();
