--- a/scheduling/slotClient/src/matchToFallback.ts
+++ b/scheduling/slotClient/src/matchToFallback.ts
@@ -13,8 +13,7 @@
 
 /**
  * Matches requests to fallback capacity while a set leader is silent, if the
- * deployment allows it. Runs on timers, and when capacity of this entry becomes
- * free.
+ * deployment allows it. Runs on timers only.
  */
 export function matchToFallback(
   view: SlotView,
@@ -23,9 +22,7 @@
   const {leaderSilence} = view.board.identity;
   const usesFallback = leaderSilence?.kind === 'useFallbackCapacity';
   const isCurrent = isLeaveKnowledgeCurrent(view.board, now);
-  const kind = view.observation?.kind;
-  const isTurn = kind === 'timerDue' || kind === 'streamEnded';
-  if (!isTurn || !usesFallback || !isCurrent) {
+  if (view.observation?.kind !== 'timerDue' || !usesFallback || !isCurrent) {
     return [];
   }
   const sets = new Set<EndpointSetId>();
