Demand reports: the organisation of a used slot is read from the slot

The slot records its organisation; looking it up in the requests made the reporting controller run at each change of any request.

--- a/scheduling/slotClient/src/demandReport.ts
+++ b/scheduling/slotClient/src/demandReport.ts
@@ -44,8 +44,7 @@
   | 'acceptedReply'
   | 'openCapacities'
   | 'setUse'
-  | 'usedSlots'
-  | 'requests';
+  | 'usedSlots';
 
 /** The board as demand reporting reads it. */
 export type ReportingView = View<
@@ -84,10 +83,9 @@
   set: EndpointSetId,
 ): readonly RunningCount[] {
   const returning = new Map<string, number>();
-  for (const [request, slot] of board.usedSlots) {
+  for (const slot of board.usedSlots.values()) {
     if (slot.isReturning && slot.set === set) {
-      const organisation = board.requests.get(request)?.request.organisation;
-      const key = `${slot.target.endpoint}/${organisation}`;
+      const key = `${slot.target.endpoint}/${slot.organisation}`;
       returning.set(key, (returning.get(key) ?? 0) + 1);
     }
   }
--- a/scheduling/slotClient/src/demandReportingController.ts
+++ b/scheduling/slotClient/src/demandReportingController.ts
@@ -52,7 +52,6 @@
       'openCapacities',
       'setUse',
       'usedSlots',
-      'requests',
     ],
     writes: ['demandReporting'],
     observes: ['timerDue', 'entryMessage'],
