Configuration: one function says whether a set has model engines

The same lookup stood in four places, three of them new: the set leader, the early refusals, slots used again and the resumption of streams.

--- a/control/configuration/src/index.ts
+++ b/control/configuration/src/index.ts
@@ -1,6 +1,7 @@
 export * from './applyBatch.js';
 export * from './changes.js';
 export * from './draftLookup.js';
+export * from './isModelSet.js';
 export * from './isOrderIssuable.js';
 export * from './lookup.js';
 export * from './objects.js';
--- a/scheduling/lifecycle/src/expectedWait.ts
+++ b/scheduling/lifecycle/src/expectedWait.ts
@@ -1,5 +1,5 @@
 import type {TurnTime} from '@gentianshunt/board';
-import {findObject} from '@gentianshunt/configuration';
+import {isModelSet} from '@gentianshunt/configuration';
 import {ANY_ORGANISATION, iterateQueues} from '@gentianshunt/entryModel';
 import type {AdmittedRequest, QueueKey} from '@gentianshunt/entryModel';
 import {
@@ -22,11 +22,10 @@
 ): AdmissionDecision {
   const {board} = view;
   const {set, rank, routePolicy, resumed} = request;
-  const service = findObject(board.configuration, 'endpointSet', set)?.service;
   if (
     routePolicy === undefined ||
     resumed !== undefined ||
-    service?.kind !== 'model'
+    !isModelSet(board.configuration, set)
   ) {
     return {kind: 'admit'};
   }
--- a/scheduling/lifecycle/src/streams.ts
+++ b/scheduling/lifecycle/src/streams.ts
@@ -1,6 +1,6 @@
 import type {TurnTime} from '@gentianshunt/board';
 import type {Milliseconds} from '@gentianshunt/clock';
-import {findObject} from '@gentianshunt/configuration';
+import {isModelSet} from '@gentianshunt/configuration';
 import {failDispatched, refuseNotExecuted} from '@gentianshunt/entryModel';
 import type {
   DispatchedState,
@@ -223,9 +223,7 @@
  * for a while; other services do not.
  */
 function canResume(view: LifecycleView, state: DispatchedState): boolean {
-  const {configuration} = view.board;
-  const set = findObject(configuration, 'endpointSet', state.request.set);
-  return set?.service.kind === 'model';
+  return isModelSet(view.board.configuration, state.request.set);
 }
 
 function toAnsweredOutcome(stored: StoredAnswer | null): ClaimOutcome {
--- a/scheduling/setLeader/src/grantController.ts
+++ b/scheduling/setLeader/src/grantController.ts
@@ -1,6 +1,6 @@
 import type {TurnTime, View} from '@gentianshunt/board';
 import {isLeaseValid} from '@gentianshunt/clock';
-import {findObject, listObjects} from '@gentianshunt/configuration';
+import {findObject, isModelSet, listObjects} from '@gentianshunt/configuration';
 import {
   defineEntryController,
   iterateSetEntries,
@@ -224,7 +224,7 @@
   const {configuration, identity} = board;
   return (
     identity.leaderSilence?.kind === 'useFallbackCapacity' &&
-    findObject(configuration, 'endpointSet', set)?.service.kind === 'model'
+    isModelSet(configuration, set)
   );
 }
 
--- a/scheduling/slotClient/src/reusedSlots.ts
+++ b/scheduling/slotClient/src/reusedSlots.ts
@@ -1,12 +1,8 @@
 import type {TurnTime} from '@gentianshunt/board';
-import {findObject} from '@gentianshunt/configuration';
+import {isModelSet} from '@gentianshunt/configuration';
 import {iterateQueues, iterateWaiting} from '@gentianshunt/entryModel';
 import type {QueueKey, UsedSlot} from '@gentianshunt/entryModel';
-import type {
-  EndpointSetId,
-  GrantId,
-  RequestId,
-} from '@gentianshunt/identifiers';
+import type {GrantId, RequestId} from '@gentianshunt/identifiers';
 import {hashToFraction} from '@gentianshunt/hashing';
 import {decideReuse} from '@gentianshunt/policy';
 import type {ReuseDecision} from '@gentianshunt/policy';
@@ -130,7 +126,10 @@
   return best;
 }
 
-/** Decides on a slot; `undefined` where none is used again. */
+/**
+ * Decides on a slot; `undefined` where none is used again: requests of plain
+ * services are too short for their capacity to be worth keeping.
+ */
 function decide(
   view: SlotView,
   slot: UsedSlot,
@@ -139,7 +138,11 @@
 ): ReuseDecision | undefined {
   const {board} = view;
   const {set, target, grantedAt, usedAt, isReturning} = slot;
-  if (isReturning || !hasModels(view, set) || !isListed(view, slot)) {
+  if (
+    isReturning ||
+    !isModelSet(board.configuration, set) ||
+    !isListed(view, slot)
+  ) {
     return undefined;
   }
   const demand = board.setDemands.get(set);
@@ -161,19 +164,6 @@
   return endpoints.some(listed => listed.target.endpoint === target.endpoint);
 }
 
-/**
- * Returns whether a set has model engines, whose requests take long enough for
- * their capacity to be worth keeping.
- */
-function hasModels(
-  {board: {configuration}}: SlotView,
-  set: EndpointSetId,
-): boolean {
-  return (
-    findObject(configuration, 'endpointSet', set)?.service.kind === 'model'
-  );
-}
-
 function toReusedSlot(
   request: RequestId,
   {set, target, grantedAt}: UsedSlot,
