--- a/scheduling/entryModel/src/queueRecords.ts
+++ b/scheduling/entryModel/src/queueRecords.ts
@@ -33,12 +33,6 @@
   readonly counts: ReadonlyMap<NodeId, number>;
 }
 
-/** How often something happens, as a decaying average. */
-export interface ArrivalRate {
-  readonly perSecond: number;
-  readonly at: MonotonicTime;
-}
-
 /** Identifies this entry's requests of an organisation at an endpoint. */
 export interface RunningKey {
   readonly set: EndpointSetId;
--- a/scheduling/entryModel/src/sections.ts
+++ b/scheduling/entryModel/src/sections.ts
@@ -15,7 +15,11 @@
 import type {RateBucket} from '@gentianshunt/limits';
 import {NO_DIRECTORY_VERSION} from '@gentianshunt/messages';
 import type {ServiceCount} from '@gentianshunt/messages';
-import type {PatienceRecord, RequestClass} from '@gentianshunt/policy';
+import type {
+  EventRate,
+  PatienceRecord,
+  RequestClass,
+} from '@gentianshunt/policy';
 import type {
   DispatchId,
   EndpointId,
@@ -79,7 +83,6 @@
   SoundUse,
 } from './quarantine.js';
 import type {
-  ArrivalRate,
   AssignedAddresses,
   QueueKey,
   QueueLength,
@@ -139,12 +142,12 @@
       since: Number.NEGATIVE_INFINITY,
       counts: new Map(),
     }),
-    arrivalRates: defineOrdered<QueueKey, ArrivalRate>(
+    arrivalRates: defineOrdered<QueueKey, EventRate>(
       compareBy('set', 'rank', 'organisation'),
     ),
     dispatches: defineMap<DispatchId, RequestId>(),
     /** How fast this entry dispatches requests to each set. */
-    dispatchRates: defineMap<EndpointSetId, ArrivalRate>(),
+    dispatchRates: defineMap<EndpointSetId, EventRate>(),
     openClaims: defineMap<RequestId, OpenClaim>(),
     claimCompletions: defineMap<RequestId, ClaimCompletion>(),
     silenceDeadlines: defineOrdered<SilenceDeadlineKey, RequestId>(
--- a/scheduling/slotClient/src/arrivalController.ts
+++ b/scheduling/slotClient/src/arrivalController.ts
@@ -5,7 +5,6 @@
   defineEntryController,
 } from '@gentianshunt/entryModel';
 import type {
-  ArrivalRate,
   EntryController,
   EntryObservation,
   EntrySections,
@@ -14,6 +13,7 @@
   WaitingKey,
 } from '@gentianshunt/entryModel';
 import {computeRate, countEvent} from '@gentianshunt/policy';
+import type {EventRate} from '@gentianshunt/policy';
 
 /** Time that a forecast covers: a report interval and the reply's delay. */
 export const FORECAST_HORIZON_MS: Milliseconds = 600;
@@ -26,7 +26,7 @@
 
 type ArrivalReads = 'waiting' | 'arrivalRates';
 type ArrivalView = View<EntrySections, ArrivalReads, EntryObservation>;
-type RateWrite = PutWrite<'arrivalRates', QueueKey, ArrivalRate>;
+type RateWrite = PutWrite<'arrivalRates', QueueKey, EventRate>;
 type ArrivalWrite = EntryWrite<'arrivalRates'>;
 
 /**
@@ -88,7 +88,7 @@
 
 /** Estimates how many requests of a tier arrive before the next grants. */
 export function estimateExpectedArrivals(
-  rate: ArrivalRate | undefined,
+  rate: EventRate | undefined,
   now: TurnTime,
 ): number {
   const mean =
