Logs: a set leader says why it grants nothing, an entry that it waits for grants

While the core of the grown deployment was cut, hundreds of calls a second were refused and no line told whether the leader of their set had no lease, no endpoints or no free capacity, nor whether it replied. grantsHeld names the cause at the leader, grantsAwaited the latest grant and reply at entries. No decision has changed.

--- a/bench/virtualEntry/src/objects.ts
+++ b/bench/virtualEntry/src/objects.ts
@@ -20,6 +20,8 @@
    * configuration, so that the control log assigns it.
    */
   readonly leader: string | null;
+  /** Epoch of the leadership; 1 by default. */
+  readonly epoch?: number;
   /** What the endpoints of the set run; a model by default. */
   readonly service?: EndpointService;
 }
@@ -52,7 +54,9 @@
       idempotent: true,
       weight: 1,
     },
-    ...(options.leader === null ? [] : [createLeadership(options.leader)]),
+    ...(options.leader === null
+      ? []
+      : [createLeadership(options.leader, options.epoch ?? 1)]),
   ];
 }
 
@@ -84,12 +88,12 @@
   };
 }
 
-function createLeadership(node: string): ConfigurationObject {
+function createLeadership(node: string, epoch: number): ConfigurationObject {
   return {
     kind: 'setLeadership',
     id: toIdentifier(ENDPOINT_SET),
     revision: 0,
     node: toIdentifier(node),
-    epoch: 1,
+    epoch,
   };
 }
--- a/scheduling/entryModel/src/decision.ts
+++ b/scheduling/entryModel/src/decision.ts
@@ -11,6 +11,7 @@
 } from '@gentianshunt/identifiers';
 
 import type {HeartbeatAnswer} from './controlStatus.js';
+import type {GrantHoldCause} from './grantHold.js';
 import type {Fingerprint} from './fingerprint.js';
 import type {QuarantineState} from './quarantine.js';
 import type {EndpointRecord} from './endpointRecord.js';
@@ -236,6 +237,45 @@
       readonly node: NodeId;
       readonly epoch: number;
     }
+  | {
+      /** The leader of a set grants nothing although requests wait. */
+      readonly kind: 'grantsHeld';
+      readonly set: EndpointSetId;
+      readonly epoch: number;
+      readonly cause: GrantHoldCause;
+      readonly heldMs: Milliseconds;
+      readonly waiting: number;
+      /** Entries whose demand it knows. */
+      readonly entries: number;
+      /** Endpoints that it knows to accept requests. */
+      readonly endpoints: number;
+      /** What these process at once, as far as it may be used now. */
+      readonly capacity: number;
+      readonly occupied: number;
+    }
+  | {
+      /** It grants again, or nothing waits any more. */
+      readonly kind: 'grantsResumed';
+      readonly set: EndpointSetId;
+      readonly epoch: number;
+      readonly cause: GrantHoldCause;
+      readonly heldMs: Milliseconds;
+    }
+  | {
+      /** Requests of this entry wait and the set leader has granted nothing. */
+      readonly kind: 'grantsAwaited';
+      readonly set: EndpointSetId;
+      readonly leader: NodeId | null;
+      readonly epoch: number | null;
+      readonly waiting: number;
+      readonly oldestWaitMs: Milliseconds;
+      /** Time since the latest grant; `null` if there was none. */
+      readonly sinceGrantMs: Milliseconds | null;
+      /** Time since the latest reply; `null` if there was none. */
+      readonly sinceReplyMs: Milliseconds | null;
+      /** Demand reports in a row that were lost or refused. */
+      readonly failures: number;
+    }
   | {
       readonly kind: 'endpointChanged';
       readonly set: EndpointSetId;
--- a/scheduling/entryModel/src/demandReportingState.ts
+++ b/scheduling/entryModel/src/demandReportingState.ts
@@ -32,6 +32,10 @@
   readonly held: number;
   /** Time from a report to its reply, as a moving average; 0 if unknown. */
   readonly roundTripMs: Milliseconds;
+  /** When the leader last replied; `null` if no leader has. */
+  readonly repliedAt: MonotonicTime | null;
+  /** When a reply last granted slots; `null` if none has. */
+  readonly grantedAt: MonotonicTime | null;
 }
 
 /** The latest grant reply that was accepted for a set. */
--- a/scheduling/entryModel/src/index.ts
+++ b/scheduling/entryModel/src/index.ts
@@ -13,6 +13,7 @@
 export * from './entryMessage.js';
 export * from './findLeftIncarnation.js';
 export * from './fingerprint.js';
+export * from './grantHold.js';
 export * from './heartbeatTotals.js';
 export * from './identity.js';
 export * from './iterateSet.js';
--- a/scheduling/entryModel/src/sections.ts
+++ b/scheduling/entryModel/src/sections.ts
@@ -58,6 +58,7 @@
   UsedSlot,
 } from './entryMessage.js';
 import type {EntryIdentity} from './identity.js';
+import type {GrantHold, LoggedGrantWait} from './grantHold.js';
 import {createLeaveSections} from './leaveSections.js';
 import {NOTHING_LOGGED} from './loggedState.js';
 import {NO_HEARTBEATS} from './heartbeatTotals.js';
@@ -195,6 +196,10 @@
       compareBy('set', 'node'),
     ),
     allocationRounds: defineMap<EndpointSetId, AllocationRound>(),
+    /** Led sets whose waiting requests are granted nothing. */
+    grantHolds: defineMap<EndpointSetId, GrantHold>(),
+    /** Sets in which requests of this entry wait long for a grant. */
+    loggedGrantWaits: defineMap<EndpointSetId, LoggedGrantWait>(),
     limitBuckets: defineOrdered<FairShareKey, RateBucket>(
       compareBy('set', 'organisation'),
     ),
--- a/scheduling/setLeader/src/grantController.ts
+++ b/scheduling/setLeader/src/grantController.ts
@@ -12,6 +12,7 @@
   EntrySections,
   EntryWrite,
   GrantsSinceReport,
+  LeadershipState,
 } from '@gentianshunt/entryModel';
 import type {EndpointSetId, NodeId} from '@gentianshunt/identifiers';
 import {limitQueues} from '@gentianshunt/limits';
@@ -27,6 +28,7 @@
 import {planRounds, recordRound} from './allocationRounds.js';
 import {listCapacities} from './capacities.js';
 import {listFairShares, putFairShare} from './fairShares.js';
+import {countWaiting, findHoldCause, recordHold} from './grantHolds.js';
 import {answerDemandReport, EMPTY_DECISION, mergeByNode} from './grantReply.js';
 import type {LeaderDecision} from './grantReply.js';
 import {limitCapacities} from './limitedCapacities.js';
@@ -43,6 +45,7 @@
   | 'endpoints'
   | 'demandReports'
   | 'allocationRounds'
+  | 'grantHolds'
   | 'grantsSinceReport'
   | 'fairShares'
   | 'limitBuckets'
@@ -51,6 +54,7 @@
   | 'shedding';
 type GrantWrites =
   | 'allocationRounds'
+  | 'grantHolds'
   | 'grantsSinceReport'
   | 'fairShares'
   | 'limitBuckets'
@@ -74,6 +78,7 @@
       'endpoints',
       'demandReports',
       'allocationRounds',
+      'grantHolds',
       'grantsSinceReport',
       'fairShares',
       'limitBuckets',
@@ -83,6 +88,7 @@
     ],
     writes: [
       'allocationRounds',
+      'grantHolds',
       'grantsSinceReport',
       'fairShares',
       'limitBuckets',
@@ -95,6 +101,7 @@
       return [
         ...plan.due.flatMap(set => grantSet(view, set, now)),
         ...plan.writes,
+        ...dropHolds(view),
       ];
     },
   });
@@ -115,12 +122,18 @@
   const grantedByNode = new Map(
     records.map(record => [record.node, readGranted(view, set, record)]),
   );
-  const mayGrant =
-    now.monotonic >= leadership.grantsFrom &&
-    isLeaseValid(view.board.control.lease, now);
-  if (!mayGrant) {
+  const openQueues = [...listOpenQueues(records, grantedByNode)].sort(
+    (left, right) => left.queue.rank - right.queue.rank,
+  );
+  const waiting = countWaiting(openQueues);
+  const obstacle = findObstacle(view, leadership, now);
+  if (obstacle !== null) {
+    const cause = waiting === 0 ? null : obstacle;
+    const entries = records.length;
+    const outcome = {cause, waiting, entries, capacities: []};
     return [
       recordRound(set, records.length, now),
+      ...recordHold(view, leadership, outcome, now),
       ...records.flatMap(record =>
         answerDemandReport(
           view,
@@ -133,11 +146,8 @@
       ),
     ];
   }
-  const capacities = limitCapacities(
-    view,
-    listCapacities(view, set, records, grantedByNode),
-    now,
-  );
+  const known = listCapacities(view, set, records, grantedByNode);
+  const capacities = limitCapacities(view, known, now);
   const {endpoints, advanceEndpoints} = capacities;
   const limiter = limitOrganisations(view, {
     set,
@@ -145,11 +155,8 @@
     grantedByNode,
     now,
   });
-  // An organisation's allowance is used up in this order, so higher tiers come
-  // first within its limits, too.
-  const openQueues = [...listOpenQueues(records, grantedByNode)].sort(
-    (left, right) => left.queue.rank - right.queue.rank,
-  );
+  // An organisation's allowance is used up in the order of the queues, so higher
+  // tiers come first within its limits, too.
   const queues = limitQueues(openQueues, limiter.allowances);
   const fairShares = listFairShares(view, set, records);
   const input: AllocationInput = {
@@ -184,8 +191,23 @@
     open,
     waitingRank: findWaitingRank(unserved),
   };
+  const outcome = {
+    cause:
+      allocation.slots.length > 0
+        ? null
+        : findHoldCause({
+            openQueues,
+            queues,
+            capacities: known,
+            limited: endpoints,
+          }),
+    waiting,
+    entries: records.length,
+    capacities: known,
+  };
   return [
     recordRound(set, records.length + endpoints.length, now),
+    ...recordHold(view, leadership, outcome, now),
     ...records.flatMap(record =>
       answerDemandReport(
         view,
@@ -203,6 +225,26 @@
   ];
 }
 
+/** Finds what keeps this entry from granting anything; `null` if nothing does. */
+function findObstacle(
+  {board}: GrantView,
+  {grantsFrom}: LeadershipState,
+  now: TurnTime,
+): 'noLease' | 'collectingReports' | null {
+  if (!isLeaseValid(board.control.lease, now)) {
+    return 'noLease';
+  }
+  return now.monotonic < grantsFrom ? 'collectingReports' : null;
+}
+
+/** Deletes what is recorded of sets that this entry leads no more. */
+function dropHolds(view: GrantView): readonly GrantWrite[] {
+  const {leaderships, grantHolds} = view.board;
+  return [...grantHolds.keys()]
+    .filter(set => !leaderships.has(set))
+    .map(key => ({kind: 'delete', section: 'grantHolds', key}));
+}
+
 /**
  * Returns whether a set may be used without slots. Which of the unlike model
  * engines serves a request matters too much for that, and endpoints that do not
--- a/scheduling/slotClient/src/demandReportingController.ts
+++ b/scheduling/slotClient/src/demandReportingController.ts
@@ -218,6 +218,8 @@
       items: countItems(report),
       held: countReported(report),
       roundTripMs: state.roundTripMs,
+      repliedAt: state.repliedAt,
+      grantedAt: state.grantedAt,
     }),
     {
       kind: 'effect',
@@ -272,6 +274,8 @@
       urgency,
       held,
       roundTripMs,
+      repliedAt: now.monotonic,
+      grantedAt: trigger.granted > 0 ? now.monotonic : before.grantedAt,
       inFlight: false,
       failures: 0,
     };
@@ -333,6 +337,8 @@
     items: 0,
     held: 0,
     roundTripMs: 0,
+    repliedAt: null,
+    grantedAt: null,
   };
 }
 
--- a/scheduling/slotClient/src/index.ts
+++ b/scheduling/slotClient/src/index.ts
@@ -4,6 +4,7 @@
 export * from './dispatchOrder.js';
 export * from './fallbackCapacity.js';
 export * from './grantReplyController.js';
+export * from './grantWaitController.js';
 export * from './openTargets.js';
 export * from './pauseController.js';
 export * from './reportTimes.js';
--- a/scheduling/slotContract/test/largeSet.ts
+++ b/scheduling/slotContract/test/largeSet.ts
@@ -1,5 +1,9 @@
 import type {EndpointService} from '@gentianshunt/configuration';
-import type {EntryEffect, LeaderSilencePolicy} from '@gentianshunt/entryModel';
+import type {
+  EntryDecision,
+  EntryEffect,
+  LeaderSilencePolicy,
+} from '@gentianshunt/entryModel';
 import {
   createArrival,
   createConfigurationObjects,
@@ -14,6 +18,7 @@
 const START_UP_MS = 2_500;
 const MILLISECONDS_PER_SECOND = 1_000;
 export const LEADER = 'entry-0';
+const NEXT_LEADER = 'entry-1';
 
 /** The size of a set and its load. */
 export interface LargeSetOptions {
@@ -31,6 +36,12 @@
   readonly delayMs?: number;
 }
 
+/** What an entry logs of grants that do not come. */
+export type GrantLog = Extract<
+  EntryDecision,
+  {readonly kind: 'grantsHeld' | 'grantsResumed' | 'grantsAwaited'}
+>;
+
 /** A started set of many entries, and what was observed of it so far. */
 export interface LargeSet {
   readonly entries: VirtualEntries;
@@ -48,8 +59,12 @@
   readonly dispatched: Map<string, number>;
   /** Time from arrival to dispatch of each request. */
   readonly waits: number[];
+  /** What the entries logged of grants that did not come. */
+  readonly grantLogs: GrantLog[];
   /** Sends requests at a constant rate, one entry after the other. */
   runArrivals(durationMs: number): void;
+  /** Publishes that another entry leads the set, and lists the others only. */
+  replaceLeader(): void;
 }
 
 /** Creates the entries, endpoints and configuration of a set. */
@@ -60,18 +75,22 @@
   );
   const repliedAt = new Set<number>();
   const waits: number[] = [];
+  const grantLogs: GrantLog[] = [];
   const dispatched = new Map<string, number>();
   const {leaderSilence = {kind: 'wait'}, service} = options;
   const running = createRunningCounts(options.concurrency);
+  const createObjects = (leader: string, epoch: number) =>
+    createConfigurationObjects({
+      organisations: ORGANISATIONS,
+      leader,
+      epoch,
+      ...(service === undefined ? {} : {service}),
+    });
   let reports = 0;
   const entries = createVirtualEntries({
     nodes,
     leaderSilence,
-    objects: createConfigurationObjects({
-      organisations: ORGANISATIONS,
-      leader: LEADER,
-      ...(service === undefined ? {} : {service}),
-    }),
+    objects: createObjects(LEADER, 1),
     deliver: ({message}) => {
       if (message.kind === 'grantReply') {
         repliedAt.add(entries.time.clock.readMonotonic());
@@ -95,6 +114,7 @@
     repliedAt,
     dispatched,
     waits,
+    grantLogs,
     get reports() {
       return reports;
     },
@@ -119,6 +139,11 @@
         entries.time.advance(intervalMs);
       }
     },
+    replaceLeader: () =>
+      entries.publish(
+        createObjects(NEXT_LEADER, 2),
+        nodes.filter(node => node !== LEADER),
+      ),
   };
   announce();
   entries.time.advance(START_UP_MS);
@@ -154,12 +179,15 @@
 
 /** Records the wait of a dispatched request and ends it later. */
 function handleEffect(
-  {entries, waits, dispatched}: LargeSet,
+  {entries, waits, dispatched, grantLogs}: LargeSet,
   {serviceMs = DEFAULT_SERVICE_MS, failureInterval}: LargeSetOptions,
   running: RunningCounts,
   node: string,
   effect: EntryEffect,
 ): void {
+  if (effect.kind === 'logDecision' && isGrantLog(effect.decision)) {
+    grantLogs.push(effect.decision);
+  }
   if (effect.kind !== 'openStream') {
     return;
   }
@@ -180,3 +208,11 @@
     });
   });
 }
+
+function isGrantLog(decision: EntryDecision): decision is GrantLog {
+  return (
+    decision.kind === 'grantsHeld' ||
+    decision.kind === 'grantsResumed' ||
+    decision.kind === 'grantsAwaited'
+  );
+}
