Set leaders: a new one begins with the endpoints that its predecessor listed

Cause: the entry that led the set was cut off from the control group and replaced; endpoints went on announcing themselves to it, and the new leader began with an empty list, which it also sent to all entries. Why the fix works: the new leader is an entry and holds the list already. What it lists counts for the time that an announcement counts, until the endpoint announces itself or leaves. While nothing differs, the list keeps its digest, so that it isn't sent to each entry with each endpoint that announces itself.

--- a/scheduling/entryModel/src/sections.ts
+++ b/scheduling/entryModel/src/sections.ts
@@ -105,6 +105,7 @@
   EndpointKey,
   FairShareKey,
   GrantsSinceReport,
+  InheritedEndpoints,
   LeadershipState,
   SetEntryKey,
 } from './setLeaderRecords.js';
@@ -173,6 +174,8 @@
     /** When the process started. */
     startedAt: defineCell<MonotonicTime>(Number.POSITIVE_INFINITY),
     leaderships: defineMap<EndpointSetId, LeadershipState>(),
+    /** Endpoints of led sets that have not announced to this entry yet. */
+    inheritedEndpoints: defineMap<EndpointSetId, InheritedEndpoints>(),
     endpoints: defineOrdered<EndpointKey, EndpointRecord>(
       compareBy('set', 'endpoint'),
     ),
--- a/scheduling/entryModel/src/setLeaderRecords.ts
+++ b/scheduling/entryModel/src/setLeaderRecords.ts
@@ -7,6 +7,8 @@
   OrganisationId,
 } from '@gentianshunt/identifiers';
 
+import type {ListedEndpoint} from './entryMessage.js';
+
 /** A set this entry leads. */
 export interface LeadershipState {
   readonly set: EndpointSetId;
@@ -18,6 +20,18 @@
   readonly grantsFrom: MonotonicTime;
 }
 
+/**
+ * The endpoints of a set as its previous leader listed them. They count for a new
+ * leader until they announce themselves to it.
+ */
+export interface InheritedEndpoints {
+  readonly endpoints: readonly ListedEndpoint[];
+  /** Digest of the list, with which entries that hold it report. */
+  readonly digest: number;
+  /** Until when they count without an announcement. */
+  readonly until: MonotonicTime;
+}
+
 /** Identifies an endpoint of a set. */
 export interface EndpointKey {
   readonly set: EndpointSetId;
--- a/scheduling/setLeader/src/capacities.ts
+++ b/scheduling/setLeader/src/capacities.ts
@@ -7,6 +7,7 @@
   EntryObservation,
   EntrySections,
   GrantsSinceReport,
+  ListedEndpoint,
 } from '@gentianshunt/entryModel';
 import {assertNever} from '@gentianshunt/errors';
 import type {
@@ -25,11 +26,12 @@
 
 import {countOccupied} from './allocation.js';
 import type {EndpointCapacity} from './allocation.js';
+import {listInherited} from './inheritedEndpoints.js';
 import {mergeEndpointFailures, mergeRates} from './openDemand.js';
 
 type CapacityView = View<
   EntrySections,
-  'configuration' | 'endpoints',
+  'configuration' | 'endpoints' | 'inheritedEndpoints' | 'withdrawnEndpoints',
   EntryObservation
 >;
 
@@ -48,24 +50,35 @@
   const rates = mergeRates(records);
   const medianRate = computeMedianRate([...rates.values()]);
   const failures = mergeEndpointFailures(records);
-  return [...iterateEndpoints(view.board.endpoints, set)]
-    .filter(
-      ({key, value}) =>
-        value.state === 'active' && !isDraining(view, key.endpoint),
-    )
-    .map(({value: {announcement}}) => {
-      const {endpoint, concurrency} = announcement;
-      const rate = rates.get(endpoint) ?? medianRate;
-      const trafficLevel = decideTrafficLevel(failures.get(endpoint));
-      const usable = limitConcurrency(concurrency, rate, medianRate);
-      return {
-        target: toEndpointTarget(announcement),
-        concurrency: limitByTrafficLevel(usable, trafficLevel),
-        rate: trafficLevel === 'full' ? rate : rate * FAILING_RATE_FACTOR,
-        occupied: occupied.get(endpoint) ?? 0,
-        canQueue: usable === concurrency && trafficLevel === 'full',
-      };
-    });
+  return listUsable(view, set).map(({target, concurrency}) => {
+    const {endpoint} = target;
+    const rate = rates.get(endpoint) ?? medianRate;
+    const trafficLevel = decideTrafficLevel(failures.get(endpoint));
+    const usable = limitConcurrency(concurrency, rate, medianRate);
+    return {
+      target,
+      concurrency: limitByTrafficLevel(usable, trafficLevel),
+      rate: trafficLevel === 'full' ? rate : rate * FAILING_RATE_FACTOR,
+      occupied: occupied.get(endpoint) ?? 0,
+      canQueue: usable === concurrency && trafficLevel === 'full',
+    };
+  });
+}
+
+/** Lists the endpoints that accept requests by all that this entry knows. */
+function listUsable(
+  view: CapacityView,
+  set: EndpointSetId,
+): readonly ListedEndpoint[] {
+  const announced = [...iterateEndpoints(view.board.endpoints, set)]
+    .filter(({value}) => value.state === 'active')
+    .map(({value: {announcement}}) => ({
+      target: toEndpointTarget(announcement),
+      concurrency: announcement.concurrency,
+    }));
+  return [...announced, ...listInherited(view.board, set)].filter(
+    ({target}) => !isDraining(view, target.endpoint),
+  );
 }
 
 /** Limits the capacity used at an endpoint to its traffic level. */
--- a/scheduling/setLeader/src/endpointListController.ts
+++ b/scheduling/setLeader/src/endpointListController.ts
@@ -17,10 +17,20 @@
   SetEntryKey,
 } from '@gentianshunt/entryModel';
 import {hashText} from '@gentianshunt/hashing';
-import type {EndpointSetId, NodeId} from '@gentianshunt/identifiers';
+import type {
+  EndpointId,
+  EndpointSetId,
+  NodeId,
+} from '@gentianshunt/identifiers';
 
 type ListReads =
-  'control' | 'leaderships' | 'endpoints' | 'demandReports' | 'endpointLists';
+  | 'control'
+  | 'leaderships'
+  | 'endpoints'
+  | 'inheritedEndpoints'
+  | 'withdrawnEndpoints'
+  | 'demandReports'
+  | 'endpointLists';
 type ListView = View<EntrySections, ListReads, EntryObservation>;
 type ListWrite = EntryWrite<'endpointLists'>;
 
@@ -36,6 +46,8 @@
       'control',
       'leaderships',
       'endpoints',
+      'inheritedEndpoints',
+      'withdrawnEndpoints',
       'demandReports',
       'endpointLists',
     ],
@@ -62,8 +74,15 @@
   for (const key of view.readChanges('endpoints')) {
     sets.add((key as {set: EndpointSetId}).set);
   }
-  for (const key of view.readChanges('leaderships')) {
-    sets.add(key as EndpointSetId);
+  for (const section of ['leaderships', 'inheritedEndpoints'] as const) {
+    for (const key of view.readChanges(section)) {
+      sets.add(key as EndpointSetId);
+    }
+  }
+  if (view.readChanges('withdrawnEndpoints').size > 0) {
+    for (const set of view.board.inheritedEndpoints.keys()) {
+      sets.add(set);
+    }
   }
   return [...sets].flatMap(set => {
     const leadership = view.board.leaderships.get(set);
@@ -77,23 +96,57 @@
   });
 }
 
+/**
+ * Creates the list of a led set. As long as it is what the previous leader listed,
+ * it has the digest of that list, so that no entry needs it again.
+ */
 function createEndpointList(
   {board}: ListView,
   {set, epoch}: LeadershipState,
 ): EndpointList {
+  const inherited = board.inheritedEndpoints.get(set);
+  const before = new Map(
+    inherited?.endpoints.map(item => [item.target.endpoint, item]),
+  );
   const endpoints: ListedEndpoint[] = [];
-  let digest = 0;
+  let digest = inherited?.digest ?? 0;
   for (const {value} of iterateEndpoints(board.endpoints, set)) {
     const {announcement, state} = value;
-    const {concurrency} = announcement;
-    if (state === 'active') {
-      endpoints.push({target: toEndpointTarget(announcement), concurrency});
-      digest ^= digestAnnouncement(announcement);
+    const {endpoint, concurrency} = announcement;
+    const known = before.get(endpoint);
+    before.delete(endpoint);
+    const item = {target: toEndpointTarget(announcement), concurrency};
+    if (state !== 'active') {
+      digest ^= known === undefined ? 0 : digestRemoval(endpoint);
+      continue;
+    }
+    endpoints.push(item);
+    digest ^= isSame(known, item) ? 0 : digestAnnouncement(announcement);
+  }
+  for (const [endpoint, item] of before) {
+    if (board.withdrawnEndpoints.has(endpoint)) {
+      digest ^= digestRemoval(endpoint);
+    } else {
+      endpoints.push(item);
     }
   }
   return {set, epoch, digest: digest >>> 0, endpoints};
 }
 
+function isSame(left: ListedEndpoint | undefined, right: ListedEndpoint) {
+  return (
+    left !== undefined &&
+    left.concurrency === right.concurrency &&
+    left.target.url === right.target.url &&
+    left.target.software === right.target.software
+  );
+}
+
+/** Digests that an endpoint of the previous leader's list is gone. */
+function digestRemoval(endpoint: EndpointId): number {
+  return hashText(`${endpoint}/removed`);
+}
+
 function digestAnnouncement(announcement: EndpointAnnouncement): number {
   const {endpoint, incarnation, url, concurrency, software} = announcement;
   return hashText(
--- a/scheduling/setLeader/src/grantController.ts
+++ b/scheduling/setLeader/src/grantController.ts
@@ -43,6 +43,8 @@
   | 'configuration'
   | 'leaderships'
   | 'endpoints'
+  | 'inheritedEndpoints'
+  | 'withdrawnEndpoints'
   | 'demandReports'
   | 'allocationRounds'
   | 'grantHolds'
@@ -76,6 +78,8 @@
       'configuration',
       'leaderships',
       'endpoints',
+      'inheritedEndpoints',
+      'withdrawnEndpoints',
       'demandReports',
       'allocationRounds',
       'grantHolds',
--- a/scheduling/setLeader/src/leadershipController.ts
+++ b/scheduling/setLeader/src/leadershipController.ts
@@ -12,6 +12,8 @@
   LeaderSilencePolicy,
 } from '@gentianshunt/entryModel';
 
+import {ENDPOINT_LEASE_MS} from './endpointRecords.js';
+
 /** How long an entry may use a slot after it was granted. */
 export const SLOT_LIFETIME_MS: Milliseconds = 2_000;
 
@@ -21,8 +23,13 @@
 const DEFAULT_LEADER_SILENCE: LeaderSilencePolicy = {kind: 'wait'};
 
 type LeadershipReads =
-  'identity' | 'configuration' | 'startedAt' | 'leaderships';
-type LeadershipWrites = 'startedAt' | 'leaderships';
+  | 'identity'
+  | 'configuration'
+  | 'startedAt'
+  | 'leaderships'
+  | 'knownEndpoints'
+  | 'inheritedEndpoints';
+type LeadershipWrites = 'startedAt' | 'leaderships' | 'inheritedEndpoints';
 type LeadershipView = View<EntrySections, LeadershipReads, EntryObservation>;
 type LeadershipWrite = EntryWrite<LeadershipWrites>;
 
@@ -30,16 +37,26 @@
 export function createLeadershipController(): EntryController {
   return defineEntryController<LeadershipReads, LeadershipWrites>({
     name: 'leadership',
-    reads: ['identity', 'configuration', 'startedAt', 'leaderships'],
-    writes: ['startedAt', 'leaderships'],
-    observes: ['started'],
+    reads: [
+      'identity',
+      'configuration',
+      'startedAt',
+      'leaderships',
+      'knownEndpoints',
+      'inheritedEndpoints',
+    ],
+    writes: ['startedAt', 'leaderships', 'inheritedEndpoints'],
+    observes: ['started', 'timerDue'],
     run: (view, now) => {
       if (view.observation?.kind === 'started') {
         return [{kind: 'set', section: 'startedAt', value: now.monotonic}];
       }
-      return [...view.readChanges('configuration')].flatMap(key =>
-        applyConfigurationChange(view, key as ObjectKey, now),
-      );
+      return [
+        ...dropInherited(view, now),
+        ...[...view.readChanges('configuration')].flatMap(key =>
+          applyConfigurationChange(view, key as ObjectKey, now),
+        ),
+      ];
     },
   });
 }
@@ -86,9 +103,48 @@
         grantsFrom: computeGrantsFrom(view, object, now),
       },
     },
+    ...takeInherited(view, object, now),
+  ];
+}
+
+/**
+ * Takes over the endpoints that the previous leader listed. They may go on
+ * announcing themselves to that one for a while, if it does not know that it was
+ * replaced.
+ */
+function takeInherited(
+  {board}: LeadershipView,
+  {id: set}: SetLeadership,
+  now: TurnTime,
+): readonly LeadershipWrite[] {
+  const known = board.knownEndpoints.get(set);
+  if (known === undefined || known.endpoints.length === 0) {
+    return [];
+  }
+  const {endpoints, digest} = known;
+  const until = now.monotonic + ENDPOINT_LEASE_MS;
+  return [
+    {
+      kind: 'put',
+      section: 'inheritedEndpoints',
+      key: set,
+      value: {endpoints, digest, until},
+    },
   ];
 }
 
+/** Drops what was inherited too long ago, or of sets that others lead now. */
+function dropInherited(
+  {board}: LeadershipView,
+  now: TurnTime,
+): readonly LeadershipWrite[] {
+  return [...board.inheritedEndpoints]
+    .filter(
+      ([set, {until}]) => until <= now.monotonic || !board.leaderships.has(set),
+    )
+    .map(([key]) => ({kind: 'delete', section: 'inheritedEndpoints', key}));
+}
+
 /**
  * Computes when a new leader may grant slots. If endpoints must never get more
  * requests than their capacity, the slots of the earlier leader must have
