Demand reports: an entry takes no reply of a leader that can grant nothing for progress

Cause: the leader without a lease answered each demand report with an empty reply, and an entry used its fallback capacity only while reports went unanswered. Class: liveness taken from an answer instead of from progress. Why the fix works: a reply names the obstacle (no lease, no endpoints, reports being collected); after 200 ms of it the leader counts as silent. It names no waiting tier then, so that calls are not refused early for want of grants.

--- a/fronts/entryWire/src/grantReplyWire.ts
+++ b/fronts/entryWire/src/grantReplyWire.ts
@@ -1,6 +1,7 @@
 import type {
   EndpointTarget,
   Grant,
+  GrantObstacle,
   GrantReply,
   OpenCapacity,
 } from '@gentianshunt/entryModel';
@@ -15,6 +16,15 @@
 import type {WireReader} from './wireReader.js';
 import {createWireTable} from './wireTable.js';
 
+/** No tier has this rank. */
+const NO_RANK = 0;
+/** The obstacles in the order of their numbers in messages. */
+const OBSTACLES: readonly GrantObstacle[] = [
+  'noLease',
+  'collectingReports',
+  'noEndpoints',
+];
+
 /**
  * Encodes a grant reply as an array. Each organisation and endpoint is listed
  * once and referred to by its index; the common prefix of the grant IDs is sent
@@ -50,7 +60,7 @@
     grants,
     shed,
     encodeOpenCapacity(reply.open),
-    reply.waitingRank === null ? [] : [reply.waitingRank],
+    encodeSetState(reply),
   ];
 }
 
@@ -103,12 +113,27 @@
     retryAfterMs: list.readNumber(),
   }));
   const open = decodeOpenCapacity(reader.readList());
-  const waitingRank = decodeWaitingRank(reader.readList());
-  return {...head, grants, shed, open, waitingRank};
+  const state = decodeSetState(reader.readList());
+  return {...head, grants, shed, open, ...state};
+}
+
+type SetState = Pick<GrantReply, 'waitingRank' | 'obstacle'>;
+
+/**
+ * Encodes the rank, `NO_RANK` without one, and the obstacle. What is not there is
+ * left out at the end: daemons of earlier versions send no obstacle.
+ */
+function encodeSetState({waitingRank, obstacle}: SetState): readonly unknown[] {
+  if (obstacle === null) {
+    return waitingRank === null ? [] : [waitingRank];
+  }
+  return [waitingRank ?? NO_RANK, OBSTACLES.indexOf(obstacle)];
 }
 
-function decodeWaitingRank(list: WireReader): number | null {
-  return list.remaining === 0 ? null : list.readCount();
+function decodeSetState(list: WireReader): SetState {
+  const rank = list.remaining === 0 ? NO_RANK : list.readCount();
+  const obstacle = list.remaining === 0 ? null : list.readReference(OBSTACLES);
+  return {waitingRank: rank === NO_RANK ? null : rank, obstacle};
 }
 
 function findCommonPrefix(texts: readonly string[]): string {
--- a/fronts/entryWire/test/entryWire.test.ts
+++ b/fronts/entryWire/test/entryWire.test.ts
@@ -282,6 +282,7 @@
         shed: [{rank: 3, organisation, count: 1, retryAfterMs: 900}],
         open: {targets: [target], limit: 2, reportIntervalMs: 400},
         waitingRank: 2,
+        obstacle: 'noEndpoints',
       },
     },
     {kind: 'notSetLeader', set, epoch: 0, sequence: 9},
@@ -335,3 +336,13 @@
   );
   t.pass();
 });
+
+t.test('a grant reply of an earlier version names no obstacle', async t => {
+  const message = createMessages().find(({kind}) => kind === 'grantReply')!;
+  const items = encodeEntryMessage(message);
+  const state = items.at(-1) as readonly unknown[];
+  const earlier = [...items.slice(0, -1), state.slice(0, 1)];
+  t.match(decodeEntryMessage(earlier, PEER), {
+    reply: {waitingRank: 2, obstacle: null},
+  });
+});
--- a/scheduling/entryModel/src/demandReportingState.ts
+++ b/scheduling/entryModel/src/demandReportingState.ts
@@ -34,6 +34,8 @@
   readonly roundTripMs: Milliseconds;
   /** When the leader last replied; `null` if no leader has. */
   readonly repliedAt: MonotonicTime | null;
+  /** Since when replies name an obstacle; `null` if the latest does not. */
+  readonly obstructedSince: MonotonicTime | null;
   /** When a reply last granted slots; `null` if none has. */
   readonly grantedAt: MonotonicTime | null;
 }
--- a/scheduling/entryModel/src/entryMessage.ts
+++ b/scheduling/entryModel/src/entryMessage.ts
@@ -12,6 +12,7 @@
 } from '@gentianshunt/identifiers';
 
 import type {ReportedLimit} from './endpointSignals.js';
+import type {GrantObstacle} from './grantHold.js';
 import type {
   ReportedBrokenRun,
   ReportedQuarantine,
@@ -182,6 +183,8 @@
    * `null` if none do.
    */
   readonly waitingRank: number | null;
+  /** Why the leader can't grant to any entry now; `null` if it can. */
+  readonly obstacle: GrantObstacle | null;
 }
 
 /** Messages between entries. */
--- a/scheduling/entryModel/src/grantHold.ts
+++ b/scheduling/entryModel/src/grantHold.ts
@@ -1,14 +1,18 @@
 /** Times in which requests wait for a set and none of them is granted a slot. */
 import type {MonotonicTime} from '@gentianshunt/clock';
 
-/** Why a set leader grants nothing to waiting requests. */
-export type GrantHoldCause =
+/** Why a set leader grants nothing to any entry, whatever they report. */
+export type GrantObstacle =
   /** Its lease has lapsed. */
   | 'noLease'
   /** It is new and collects demand reports. */
   | 'collectingReports'
   /** It knows no endpoint of the set that accepts requests. */
-  | 'noEndpoints'
+  | 'noEndpoints';
+
+/** Why a set leader grants nothing to waiting requests. */
+export type GrantHoldCause =
+  | GrantObstacle
   /** The endpoints that it knows are withheld after failures. */
   | 'endpointsFailing'
   /** Their own limits leave nothing. */
--- a/scheduling/setLeader/src/grantController.ts
+++ b/scheduling/setLeader/src/grantController.ts
@@ -11,6 +11,7 @@
   EntryObservation,
   EntrySections,
   EntryWrite,
+  GrantObstacle,
   GrantsSinceReport,
   LeadershipState,
 } from '@gentianshunt/entryModel';
@@ -29,7 +30,11 @@
 import {listCapacities} from './capacities.js';
 import {listFairShares, putFairShare} from './fairShares.js';
 import {countWaiting, findHoldCause, recordHold} from './grantHolds.js';
-import {answerDemandReport, EMPTY_DECISION, mergeByNode} from './grantReply.js';
+import {
+  answerDemandReport,
+  createEmptyDecision,
+  mergeByNode,
+} from './grantReply.js';
 import type {LeaderDecision} from './grantReply.js';
 import {limitCapacities} from './limitedCapacities.js';
 import {decideOpenCapacity} from './openCapacity.js';
@@ -144,7 +149,7 @@
           leadership,
           record,
           grantedByNode,
-          EMPTY_DECISION,
+          createEmptyDecision(obstacle),
           now,
         ),
       ),
@@ -193,7 +198,9 @@
     slots: mergeByNode(allocation.slots),
     shed: shedding.shed,
     open,
-    waitingRank: findWaitingRank(unserved),
+    // Without endpoints nothing is used up: it is not known what there is.
+    waitingRank: known.length === 0 ? null : findWaitingRank(unserved),
+    obstacle: known.length === 0 ? 'noEndpoints' : null,
   };
   const outcome = {
     cause:
@@ -234,7 +241,7 @@
   {board}: GrantView,
   {grantsFrom}: LeadershipState,
   now: TurnTime,
-): 'noLease' | 'collectingReports' | null {
+): GrantObstacle | null {
   if (!isLeaseValid(board.control.lease, now)) {
     return 'noLease';
   }
--- a/scheduling/setLeader/src/grantReply.ts
+++ b/scheduling/setLeader/src/grantReply.ts
@@ -6,6 +6,7 @@
   EntrySections,
   EntryWrite,
   Grant,
+  GrantObstacle,
   GrantsSinceReport,
   LeadershipState,
   OpenCapacity,
@@ -28,15 +29,14 @@
   readonly open: OpenCapacity | null;
   /** The highest tier of which requests still wait; `null` if none do. */
   readonly waitingRank: number | null;
+  /** Why nothing can be granted at all; `null` if something can. */
+  readonly obstacle: GrantObstacle | null;
 }
 
-/** Grants no slots and sheds no requests. */
-export const EMPTY_DECISION: LeaderDecision = {
-  slots: new Map(),
-  shed: [],
-  open: null,
-  waitingRank: null,
-};
+/** Creates the decision of a leader that can grant nothing. */
+export function createEmptyDecision(obstacle: GrantObstacle): LeaderDecision {
+  return {slots: new Map(), shed: [], open: null, waitingRank: null, obstacle};
+}
 
 /** Groups slots by the entry that they are allocated to. */
 export function mergeByNode(
@@ -117,6 +117,7 @@
             shed,
             open: decision.open && limitOpenTargets(decision.open, record.node),
             waitingRank: decision.waitingRank,
+            obstacle: decision.obstacle,
           },
         },
       },
--- a/scheduling/slotClient/src/demandReportingController.ts
+++ b/scheduling/slotClient/src/demandReportingController.ts
@@ -72,6 +72,8 @@
   readonly replied: boolean;
   /** Slots that the answer grants. */
   readonly granted: number;
+  /** Whether the answer says that the leader can grant nothing. */
+  readonly obstructed: boolean;
   /** Whether it was refused: the receiver does not lead the set and epoch. */
   readonly refused: boolean;
 }
@@ -80,6 +82,7 @@
   urgency: 'none',
   replied: false,
   granted: 0,
+  obstructed: false,
   refused: false,
 };
 
@@ -133,7 +136,11 @@
 function addReplyTriggers(view: ReportingView, addTrigger: AddTrigger): void {
   const reply = view.board.acceptedReply;
   if (reply !== null && view.readChanges('acceptedReply').size > 0) {
-    addTrigger(reply.set, {replied: true, granted: countGranted(reply)});
+    addTrigger(reply.set, {
+      replied: true,
+      granted: countGranted(reply),
+      obstructed: reply.obstacle !== null,
+    });
   }
   const {observation} = view;
   if (
@@ -219,6 +226,7 @@
       held: countReported(report),
       roundTripMs: state.roundTripMs,
       repliedAt: state.repliedAt,
+      obstructedSince: state.obstructedSince,
       grantedAt: state.grantedAt,
     }),
     {
@@ -261,6 +269,7 @@
       inFlight: false,
       failures: 0,
       urgency: 'urgent',
+      obstructedSince: null,
     };
   }
   if (trigger.replied) {
@@ -275,6 +284,9 @@
       held,
       roundTripMs,
       repliedAt: now.monotonic,
+      obstructedSince: trigger.obstructed
+        ? (before.obstructedSince ?? now.monotonic)
+        : null,
       grantedAt: trigger.granted > 0 ? now.monotonic : before.grantedAt,
       inFlight: false,
       failures: 0,
@@ -338,6 +350,7 @@
     held: 0,
     roundTripMs: 0,
     repliedAt: null,
+    obstructedSince: null,
     grantedAt: null,
   };
 }
--- a/scheduling/slotClient/src/fallbackCapacity.ts
+++ b/scheduling/slotClient/src/fallbackCapacity.ts
@@ -27,7 +27,8 @@
 
 /**
  * Returns whether the leader of a set is silent. A set without a leader to
- * report to is treated in the same way.
+ * report to, and a leader that replies that it can grant nothing, are treated in
+ * the same way.
  */
 export function isLeaderSilent(
   board: FallbackSections,
@@ -38,7 +39,13 @@
   if (state === undefined) {
     return false;
   }
-  const {inFlight, failures, urgency, sentAt} = state;
+  const {inFlight, failures, urgency, sentAt, obstructedSince} = state;
+  if (
+    obstructedSince !== null &&
+    now.monotonic - obstructedSince >= LEADER_SILENCE_MS
+  ) {
+    return true;
+  }
   const isAwaited = inFlight || failures > 0 || urgency === 'urgent';
   return isAwaited && now.monotonic - sentAt >= LEADER_SILENCE_MS;
 }
--- a/scheduling/slotClient/test/fallbackCapacity.test.ts
+++ b/scheduling/slotClient/test/fallbackCapacity.test.ts
@@ -21,6 +21,7 @@
     failures: number;
     urgency: string;
     sentAt: number;
+    obstructedSince: number;
   }>;
 }
 
@@ -42,6 +43,7 @@
     failures: 0,
     urgency: 'none',
     sentAt: 0,
+    obstructedSince: null,
     ...reporting,
   };
   return {
@@ -128,6 +130,18 @@
     atMs: 300,
     isSilent: true,
   },
+  {
+    name: 'replies that nothing can be granted, for less than the timeout',
+    reporting: {obstructedSince: 200},
+    atMs: 300,
+    isSilent: false,
+  },
+  {
+    name: 'replies that nothing can be granted, for longer than the timeout',
+    reporting: {obstructedSince: 0},
+    atMs: 300,
+    isSilent: true,
+  },
   {
     name: 'no leader to report to',
     reporting: {urgency: 'urgent'},
--- a/scheduling/slotContract/test/leaderTakeover.test.ts
+++ b/scheduling/slotContract/test/leaderTakeover.test.ts
@@ -44,3 +44,32 @@
     },
   );
 }
+
+/** Measures the use of a set some time after its leader got into trouble. */
+function measureUseAfter(
+  deployment: Deployment,
+  inject: (set: LargeSet) => void,
+): number {
+  const set = createOverload(deployment, 25);
+  inject(set);
+  set.runArrivals(CUT_MS + LEARN_MS);
+  return measureUse(set, deployment, SAMPLES);
+}
+
+// Guards against taking a reply for progress: a leader without a lease replies.
+for (const deployment of DEPLOYMENTS) {
+  const {entries} = deployment;
+  t.test(
+    `${entries} entries use no less while their leader replies without a lease than while it is silent`,
+    async t => {
+      const lapsed = measureUseAfter(deployment, set =>
+        set.entries.find(LEADER).setControlPartitioned(true),
+      );
+      const silent = measureUseAfter(deployment, set =>
+        set.entries.find(LEADER).freeze(),
+      );
+      const part = (lapsed / silent).toFixed(3);
+      t.ok(lapsed > MIN_USE * silent, `${part} of what is used without it`);
+    },
+  );
+}
