Heartbeats: a set leader that has lost its lease sends endpoints to another VM

Cause: an entry that was cut off from the control group acknowledged the heartbeats of the endpoints of its set and named itself as the address for the next ones, so that they reported to nobody else until the cut ended. Class: liveness taken from an answer: to the endpoint the acknowledgement meant that its set knew it. Why the fix works: the heartbeat is recorded, as the entry may still lead, and answered 503, upon which the endpoint calls another VM; that one forwards it to the leader it knows. Only the leader of the set refuses, so that a lost control group costs each endpoint one more call, not one at each VM. An entry without a lease names no leader.

--- a/daemons/entryd/src/entryd.ts
+++ b/daemons/entryd/src/entryd.ts
@@ -23,7 +23,11 @@
   toEntryObservation,
 } from '@gentianshunt/hosts';
 import type {EntryAdapters} from '@gentianshunt/hosts';
-import type {IncarnationId, NodeId} from '@gentianshunt/identifiers';
+import type {
+  EndpointSetId,
+  IncarnationId,
+  NodeId,
+} from '@gentianshunt/identifiers';
 import type {Logger} from '@gentianshunt/logging';
 import {addHealthRoutes, createEntryMetrics} from '@gentianshunt/metrics';
 import {createOperatorFront} from '@gentianshunt/operatorFront';
@@ -183,12 +187,7 @@
   createEndpointFront({
     server,
     post,
-    findLeader: set =>
-      findLeaderAddress({
-        configuration: node.view.configuration,
-        directory: node.view.control.directory,
-        set,
-      }),
+    findLeader: set => findLeader(node, set, clock),
   });
   addHealthRoutes({server, metrics, readReady: () => isReady(node)});
   await listenWithRetry(context, settings.http, () =>
@@ -261,3 +260,13 @@
 function findControlAddress(settings: EntrydSettings, node: NodeId) {
   return settings.control.find(member => member.node === node)?.peer;
 }
+
+function findLeader(
+  {view: {configuration, control}}: EntryNode,
+  set: EndpointSetId,
+  clock: Clock,
+): ReturnType<typeof findLeaderAddress> {
+  const {directory, lease} = control;
+  const query = {configuration, directory, lease, set};
+  return findLeaderAddress(query, readInstant(clock));
+}
