Plain sets: as many slots are granted as keep their endpoints at work

Callers saw: a plain service at a sixth of its capacity refused over half of its calls after the core had been cut, until it was quiet. Cause: a closed set has one slot for each request that its endpoints process at once; a slot of 15 to 30 ms goes round once in 70 to 115 ms, so that 30 slots passed 260 requests a second of 1,400. The set looked full by slots held and shed above 4 waiting a slot; the refused came back and kept it closed. Class: load judged by what is held instead of by what works. Why the fix works: the leader grants the concurrency times what is held over what runs, so that as many run as endpoints process; when requests wait there, more run and the factor falls.

--- a/scheduling/entryModel/src/sections.ts
+++ b/scheduling/entryModel/src/sections.ts
@@ -108,6 +108,7 @@
   InheritedEndpoints,
   LeadershipState,
   SetEntryKey,
+  SlotOccupancy,
 } from './setLeaderRecords.js';
 import type {
   OriginInquiry,
@@ -199,6 +200,7 @@
       compareBy('set', 'node'),
     ),
     allocationRounds: defineMap<EndpointSetId, AllocationRound>(),
+    slotOccupancies: defineMap<EndpointSetId, SlotOccupancy>(),
     /** Led sets whose waiting requests are granted nothing. */
     grantHolds: defineMap<EndpointSetId, GrantHold>(),
     /** Sets in which requests of this entry wait long for a grant. */
--- a/scheduling/entryModel/src/setLeaderRecords.ts
+++ b/scheduling/entryModel/src/setLeaderRecords.ts
@@ -32,6 +32,15 @@
   readonly until: MonotonicTime;
 }
 
+/** How the slots of a set are used, as its leader measures it. */
+export interface SlotOccupancy {
+  /** Slots that it counts as occupied, on average. */
+  readonly mean: number;
+  /** Slots granted for each request that endpoints process at once. */
+  readonly stretch: number;
+  readonly at: MonotonicTime;
+}
+
 /** Identifies an endpoint of a set. */
 export interface EndpointKey {
   readonly set: EndpointSetId;
--- a/scheduling/policy/src/index.ts
+++ b/scheduling/policy/src/index.ts
@@ -9,5 +9,6 @@
 export * from './requestClass.js';
 export * from './shedding.js';
 export * from './slotReuse.js';
+export * from './slotStretch.js';
 export * from './work.js';
 export * from './endpointLimit.js';
--- a/scheduling/setLeader/src/grantController.ts
+++ b/scheduling/setLeader/src/grantController.ts
@@ -41,6 +41,7 @@
 import {countUnserved, findWaitingRank, listOpenQueues} from './openDemand.js';
 import {limitOrganisations} from './organisationLimits.js';
 import {addQueueAhead, measureTurnaround} from './queueAhead.js';
+import {addTransitSlots, updateOccupancy} from './slotOccupancy.js';
 
 type GrantReads =
   | 'identity'
@@ -52,6 +53,7 @@
   | 'withdrawnEndpoints'
   | 'demandReports'
   | 'allocationRounds'
+  | 'slotOccupancies'
   | 'grantHolds'
   | 'grantsSinceReport'
   | 'fairShares'
@@ -61,6 +63,7 @@
   | 'shedding';
 type GrantWrites =
   | 'allocationRounds'
+  | 'slotOccupancies'
   | 'grantHolds'
   | 'grantsSinceReport'
   | 'fairShares'
@@ -87,6 +90,7 @@
       'withdrawnEndpoints',
       'demandReports',
       'allocationRounds',
+      'slotOccupancies',
       'grantHolds',
       'grantsSinceReport',
       'fairShares',
@@ -97,6 +101,7 @@
     ],
     writes: [
       'allocationRounds',
+      'slotOccupancies',
       'grantHolds',
       'grantsSinceReport',
       'fairShares',
@@ -168,17 +173,26 @@
   // tiers come first within its limits, too.
   const queues = limitQueues(openQueues, limiter.allowances);
   const fairShares = listFairShares(view, set, records);
+  const running = sumRunning(records);
+  const occupancy = updateOccupancy(
+    view.board.slotOccupancies.get(set),
+    {capacities: known, records, running},
+    now,
+  );
+  const usable = isOpenable(view, set)
+    ? addTransitSlots(endpoints, occupancy)
+    : endpoints;
   const input: AllocationInput = {
     endpoints: canQueueAhead(view, set)
-      ? addQueueAhead(endpoints, queues, measureTurnaround(records))
-      : endpoints,
+      ? addQueueAhead(usable, queues, measureTurnaround(records))
+      : usable,
     queues,
     fairShares,
   };
   const open = isOpenable(view, set)
     ? decideOpenCapacity({
         endpoints: capacities.unlimited,
-        running: sumRunning(records),
+        running,
         entries: records.length,
       })
     : null;
@@ -190,7 +204,7 @@
   const unserved = countUnserved(queues, allocation.slots);
   const shedding = decideShedding({
     waiting: unserved,
-    slots: endpoints.reduce((sum, {concurrency}) => sum + concurrency, 0),
+    slots: usable.reduce((sum, {concurrency}) => sum + concurrency, 0),
     shedding: view.board.shedding.get(set) ?? false,
     lowestRank: readLowestRank(view),
   });
@@ -219,6 +233,7 @@
   return [
     recordRound(set, records.length + endpoints.length, now),
     ...recordHold(view, leadership, outcome, now),
+    {kind: 'put', section: 'slotOccupancies', key: set, value: occupancy},
     ...records.flatMap(record =>
       answerDemandReport(
         view,
--- a/scheduling/slotContract/test/largeSet.ts
+++ b/scheduling/slotContract/test/largeSet.ts
@@ -3,6 +3,7 @@
   EntryDecision,
   EntryEffect,
   LeaderSilencePolicy,
+  Refusal,
 } from '@gentianshunt/entryModel';
 import {
   createArrival,
@@ -34,6 +35,8 @@
   readonly service?: EndpointService;
   /** Delay of each message between entries; 1 ms by default. */
   readonly delayMs?: number;
+  /** Whether a refused caller comes back once, when it is told to. */
+  readonly comesBack?: boolean;
 }
 
 /** What an entry logs of grants that do not come. */
@@ -59,10 +62,12 @@
   readonly dispatched: Map<string, number>;
   /** Time from arrival to dispatch of each request. */
   readonly waits: number[];
+  /** Number of requests that entries refused. */
+  readonly refused: number;
   /** What the entries logged of grants that did not come. */
   readonly grantLogs: GrantLog[];
   /** Sends requests at a constant rate, one entry after the other. */
-  runArrivals(durationMs: number): void;
+  runArrivals(durationMs: number, requestsPerSecond?: number): void;
   /** Publishes that another entry leads the set, and lists the others only. */
   replaceLeader(): void;
 }
@@ -87,6 +92,7 @@
       ...(service === undefined ? {} : {service}),
     });
   let reports = 0;
+  let refused = 0;
   const entries = createVirtualEntries({
     nodes,
     leaderSilence,
@@ -98,8 +104,12 @@
       reports += message.kind === 'demandReport' ? 1 : 0;
       return [options.delayMs ?? 1];
     },
-    onEffect: (node, effect) =>
-      handleEffect(set, options, running, node, effect),
+    onEffect: (node, effect) => {
+      if (effect.kind === 'refuseCaller') {
+        handleRefusal(effect.refusal);
+      }
+      handleEffect(set, options, running, node, effect);
+    },
   });
   const announce = (): void => {
     for (let index = 0; index < options.endpoints; index += 1) {
@@ -109,12 +119,32 @@
     entries.time.schedule(ANNOUNCE_MS, announce);
   };
   let arrivals = 0;
+  const addArrival = (): void => {
+    const index = arrivals;
+    arrivals += 1;
+    const organisation = index % ORGANISATIONS;
+    entries
+      .find(nodes[index % nodes.length]!)
+      .post(createArrival({index, organisation}));
+  };
+  const returning = new Set<string>();
+  const handleRefusal = ({request, retryAfterMs}: Refusal): void => {
+    refused += 1;
+    if (options.comesBack !== true || returning.delete(request)) {
+      return;
+    }
+    returning.add(`request-${arrivals}`);
+    entries.time.schedule(retryAfterMs ?? 0, addArrival);
+  };
   const set: LargeSet = {
     entries,
     repliedAt,
     dispatched,
     waits,
     grantLogs,
+    get refused() {
+      return refused;
+    },
     get reports() {
       return reports;
     },
@@ -127,15 +157,13 @@
     get queued() {
       return running.readQueued();
     },
-    runArrivals: durationMs => {
-      const intervalMs = MILLISECONDS_PER_SECOND / options.requestsPerSecond;
+    runArrivals: (
+      durationMs,
+      requestsPerSecond = options.requestsPerSecond,
+    ) => {
+      const intervalMs = MILLISECONDS_PER_SECOND / requestsPerSecond;
       for (let elapsed = 0; elapsed < durationMs; elapsed += intervalMs) {
-        const index = arrivals;
-        arrivals += 1;
-        const organisation = index % ORGANISATIONS;
-        entries
-          .find(nodes[index % nodes.length]!)
-          .post(createArrival({index, organisation}));
+        addArrival();
         entries.time.advance(intervalMs);
       }
     },
