Listeners: the queue of connections is bounded by the time that they wait

Callers saw (the users' report): a front that said it was ready took none of 65 new connections in 6.1 s. Suspected cause: the runtime accepts one connection a turn; with turns of 31 ms and more, a queue of 32 holds connections until their clients have left, and the loop accepts only those. Readiness has a queue of its own and is answered. Class: a queue bounded in number instead of in time. Why the fix works: the daemon connects to itself twice a second and so measures the wait; above 250 ms it opens its listener again with a queue that fits, which resets those in the queue at once, and lengthens it after 5 s of short waits. The wait is logged (acceptDelayed) and a metric.

--- a/daemons/entryd/src/entryd.ts
+++ b/daemons/entryd/src/entryd.ts
@@ -1,3 +1,4 @@
+import {listenForCalls} from '@gentianshunt/callRelay';
 import {isLeaseValid, readInstant} from '@gentianshunt/clock';
 import type {Clock} from '@gentianshunt/clock';
 import {createConnectionLimiter} from '@gentianshunt/connectionLimits';
@@ -191,8 +192,11 @@
   });
   addHealthRoutes({server, metrics, readReady: () => isReady(node)});
   await listenWithRetry(context, settings.http, () =>
-    // Fastify modifies the options object, so it gets a copy.
-    server.listen({...settings.http}),
+    listenForCalls(server, settings.http, {
+      clock,
+      onSample: metrics.recordAcceptWait,
+      onDelayed: delay => logger.write({kind: 'acceptDelayed', ...delay}),
+    }),
   );
   post({kind: 'started'});
   logger.write({
--- a/fronts/callRelay/test/listenForCalls.test.ts
+++ b/fronts/callRelay/test/listenForCalls.test.ts
@@ -5,10 +5,13 @@
 import {fastify} from 'fastify';
 import t from 'tap';
 
-import {listenForCalls, MAX_PENDING_CONNECTIONS} from '../src/index.js';
+import {createManualClock} from '@gentianshunt/clock';
+import {MAX_ACCEPT_QUEUE} from '@gentianshunt/policy';
+
+import {listenForCalls} from '../src/index.js';
 
 const HOST = '127.0.0.1';
-const CALLERS = 4 * MAX_PENDING_CONNECTIONS;
+const CALLERS = 4 * MAX_ACCEPT_QUEUE;
 const CONNECT_TIME_MS = 400;
 
 /** Callers in another thread, which count how many of them are connected. */
@@ -37,7 +40,15 @@
   async t => {
     const server = fastify({forceCloseConnections: true});
     const port = await findPort();
-    await listenForCalls(server, {host: HOST, port});
+    await listenForCalls(
+      server,
+      {host: HOST, port},
+      {
+        clock: createManualClock(),
+        onSample: () => undefined,
+        onDelayed: () => undefined,
+      },
+    );
     const result = new Int32Array(new SharedArrayBuffer(8));
     const workerData = {
       port,
@@ -50,7 +61,7 @@
     Atomics.wait(result, 0, 0);
     const connected = Atomics.load(result, 1);
     t.ok(connected > 0, `${connected} connected`);
-    t.ok(connected <= MAX_PENDING_CONNECTIONS + 1, `${connected} connected`);
+    t.ok(connected <= MAX_ACCEPT_QUEUE + 1, `${connected} connected`);
     await callers.terminate();
     await server.close();
   },
--- a/fronts/logging/src/logClass.ts
+++ b/fronts/logging/src/logClass.ts
@@ -57,6 +57,7 @@
     case 'settingsRefused':
     case 'folderRead':
     case 'controlDecided':
+    case 'acceptDelayed':
     case 'loopDelayed':
     case 'memoryHigh':
     case 'linesDropped':
--- a/fronts/logging/src/logEvent.ts
+++ b/fronts/logging/src/logEvent.ts
@@ -74,6 +74,8 @@
   | {readonly kind: 'controlDecided'; readonly decision: ControlDecision}
   /** The event loop was late; written once per report interval at most. */
   | {readonly kind: 'loopDelayed'; readonly load: DaemonLoad}
+  /** Callers' connections wait long to be accepted; at most twice a second. */
+  | ({readonly kind: 'acceptDelayed'} & DelayedAcceptance)
   /** Resident memory is near its limit; written at intervals while it is. */
   | {readonly kind: 'memoryHigh'; readonly use: MemoryUse}
   /** The first byte of a call leaves for an endpoint. */
@@ -103,6 +105,14 @@
   readonly observations: readonly string[];
 }
 
+/** How long connections wait to be accepted, and how many may. */
+export interface DelayedAcceptance {
+  readonly waitMs: number;
+  /** The length of their queue before and now. */
+  readonly lengthBefore: number;
+  readonly length: number;
+}
+
 /** Bytes that a daemon holds for others, by what they belong to. */
 export interface BufferedBytes {
   /** Bodies of callers' requests that are received or kept for retries. */
--- a/fronts/logging/src/logRecord.ts
+++ b/fronts/logging/src/logRecord.ts
@@ -84,6 +84,7 @@
       return {event: event.kind, ...toWholeNumbers({...event.load})};
     case 'memoryHigh':
       return {event: event.kind, ...event.use};
+    case 'acceptDelayed':
     case 'changeReceived':
     case 'changeEnded':
     case 'folderRead':
--- a/fronts/metrics/src/entryMetrics.ts
+++ b/fronts/metrics/src/entryMetrics.ts
@@ -14,6 +14,8 @@
 
 /** Bucket bounds of the lag of the event loop, in seconds. */
 const LOOP_LAG_BUCKETS_S = [0.005, 0.02, 0.1, 0.25, 0.5, 1, 2.5, 5];
+/** Bucket bounds of the wait until a connection is accepted, in seconds. */
+const ACCEPT_WAIT_BUCKETS_S = [0.001, 0.01, 0.05, 0.1, 0.25, 0.5, 1, 2];
 /** Bucket bounds of the age of a call when it is sent, in seconds. */
 const CALL_AGE_BUCKETS_S = [0.01, 0.05, 0.1, 0.25, 0.5, 1, 2.5, 5, 10];
 
@@ -27,6 +29,8 @@
 /** Metrics of an entry. */
 export interface EntryMetrics extends MetricsFormatter {
   recordLoopLag(lagMs: number): void;
+  /** Records how long a connection waited to be accepted. */
+  recordAcceptWait(waitMs: number): void;
   /** Records the age of a call whose first byte leaves for an endpoint. */
   recordSentCall(ageMs: number): void;
   /** Counts a decision, if there is a metric of its kind. */
@@ -46,6 +50,12 @@
     buckets: LOOP_LAG_BUCKETS_S,
     registers: [registry],
   });
+  const acceptWait = new Histogram({
+    name: 'gentianshunt_accept_wait_seconds',
+    help: "How long callers' connections wait to be accepted, by samples.",
+    buckets: ACCEPT_WAIT_BUCKETS_S,
+    registers: [registry],
+  });
   const sentAge = new Histogram({
     name: 'gentianshunt_sent_call_age_seconds',
     help: 'Age of a call when its first byte leaves for an endpoint.',
@@ -66,6 +76,7 @@
   }
   return {
     recordLoopLag: lagMs => loopLag.observe(lagMs / 1_000),
+    recordAcceptWait: waitMs => acceptWait.observe(waitMs / 1_000),
     recordSentCall: ageMs => sentAge.observe(ageMs / 1_000),
     recordDecision: decision => {
       if (decision.kind === 'endpointLeaveLearnt') {
--- a/scheduling/policy/src/index.ts
+++ b/scheduling/policy/src/index.ts
@@ -1,3 +1,4 @@
+export * from './acceptQueue.js';
 export * from './admission.js';
 export * from './dispatchOrder.js';
 export * from './endpointRate.js';
