Set leaders: a few failures among many requests limit no endpoint

Callers saw: over half of the calls to a plain service refused while its endpoints answered 97 in 100 and were mostly free. Cause: an endpoint got one request at a time as soon as two entries of any number reported it as failing, and one failure makes an entry report it for half a second. At 170 requests a second over 83 entries a fault of 2.5 in 100 keeps all endpoints there. Class: a bound in absolute numbers that the size of the deployment outgrows. Why the fix works: the number of failing entries is held against the requests in the time for which a failure is remembered, estimated from what runs at all entries and how long the leader's own requests run, at half of the entries at the most. Where an endpoint gets few requests, or this isn't known, two suffice as before.

--- a/scheduling/policy/src/endpointFailures.ts
+++ b/scheduling/policy/src/endpointFailures.ts
@@ -46,9 +46,44 @@
 /** How much traffic an endpoint gets; `probe` is a few requests. */
 export type TrafficLevel = 'full' | 'probe' | 'none';
 
+/** How an endpoint is used, as far as it is known. */
+export interface EndpointUse {
+  /** Requests that it gets from all entries; 0 if unknown. */
+  readonly requestsPerSecond: number;
+  /** Entries that use its set. */
+  readonly entries: number;
+}
+
+/** Nothing is known of the use of an endpoint. */
+export const UNKNOWN_USE: EndpointUse = {requestsPerSecond: 0, entries: 0};
+
+/** Part of the entries for which an endpoint must fail at most. */
+const MAX_FAILING_FRACTION = 0.5;
+const MILLISECONDS_PER_SECOND = 1_000;
+/** How long one failure keeps an entry above `PROBE_FAILURE_RATE`. */
+const REMEMBERED_FAILURE_MS: Milliseconds =
+  FAILURE_RATE_DECAY_MS * Math.log(SAMPLE_WEIGHT / PROBE_FAILURE_RATE);
+
+/**
+ * Computes for how many entries an endpoint must fail. Of many requests a few fail
+ * at any time, each for another entry.
+ */
+function computeFailingEntries(use: EndpointUse): number {
+  const remembered =
+    (use.requestsPerSecond * REMEMBERED_FAILURE_MS) / MILLISECONDS_PER_SECOND;
+  return Math.max(
+    MIN_FAILING_ENTRIES,
+    Math.min(
+      PROBE_FAILURE_RATE * remembered,
+      MAX_FAILING_FRACTION * use.entries,
+    ),
+  );
+}
+
 /** Decides how much traffic an endpoint gets after its failures. */
 export function decideTrafficLevel(
   failures: EndpointFailures | undefined,
+  use: EndpointUse = UNKNOWN_USE,
 ): TrafficLevel {
   if (failures === undefined) {
     return 'full';
@@ -58,6 +93,7 @@
     return 'none';
   }
   const isFailing =
-    failingFor >= MIN_FAILING_ENTRIES || failureRate >= CERTAIN_FAILURE_RATE;
+    failingFor >= computeFailingEntries(use) ||
+    failureRate >= CERTAIN_FAILURE_RATE;
   return unreachableBy > 0 || isFailing ? 'probe' : 'full';
 }
--- a/scheduling/policy/test/endpointFailures.test.ts
+++ b/scheduling/policy/test/endpointFailures.test.ts
@@ -78,3 +78,18 @@
     );
   },
 );
+
+t.test('of many requests a few failing entries mean little', async t => {
+  const failures = {failureRate: 0.3, failingFor: 5, unreachableBy: 0};
+  const use = {requestsPerSecond: 170, entries: 83};
+  t.equal(decideTrafficLevel(failures, use), 'full');
+  t.equal(decideTrafficLevel({...failures, failingFor: 24}, use), 'probe');
+  t.equal(
+    decideTrafficLevel({...failures, failingFor: 6}, {...use, entries: 12}),
+    'probe',
+  );
+  t.equal(
+    decideTrafficLevel(failures, {...use, requestsPerSecond: 7}),
+    'probe',
+  );
+});
--- a/scheduling/setLeader/src/capacities.ts
+++ b/scheduling/setLeader/src/capacities.ts
@@ -1,5 +1,5 @@
 /** Computes how much capacity of each endpoint of a set can be allocated. */
-import type {View} from '@gentianshunt/board';
+import type {TurnTime, View} from '@gentianshunt/board';
 import {findObject} from '@gentianshunt/configuration';
 import {iterateEndpoints, toEndpointTarget} from '@gentianshunt/entryModel';
 import type {
@@ -17,6 +17,7 @@
 } from '@gentianshunt/identifiers';
 import {
   computeMedianRate,
+  computeRate,
   decideTrafficLevel,
   FAILING_RATE_FACTOR,
   limitConcurrency,
@@ -29,9 +30,17 @@
 import {listInherited} from './inheritedEndpoints.js';
 import {mergeEndpointFailures, mergeRates} from './openDemand.js';
 
+/** Fewest requests of this entry from which their duration is known. */
+const MIN_KNOWN_PER_SECOND = 0.5;
+
 type CapacityView = View<
   EntrySections,
-  'configuration' | 'endpoints' | 'inheritedEndpoints' | 'withdrawnEndpoints',
+  | 'identity'
+  | 'configuration'
+  | 'endpoints'
+  | 'inheritedEndpoints'
+  | 'withdrawnEndpoints'
+  | 'dispatchRates',
   EntryObservation
 >;
 
@@ -41,6 +50,7 @@
   set: EndpointSetId,
   records: readonly DemandReportRecord[],
   grantedByNode: ReadonlyMap<NodeId, GrantsSinceReport>,
+  now: TurnTime,
 ): readonly EndpointCapacity[] {
   const occupied = countOccupied([
     ...records.flatMap(record => record.report.running),
@@ -50,21 +60,52 @@
   const rates = mergeRates(records);
   const medianRate = computeMedianRate([...rates.values()]);
   const failures = mergeEndpointFailures(records);
-  return listUsable(view, set).map(({target, concurrency}) => {
+  const usable = listUsable(view, set);
+  const total = usable.reduce((sum, {concurrency}) => sum + concurrency, 0);
+  const setPerSecond = estimateRequests(view, set, records, now);
+  return usable.map(({target, concurrency}) => {
     const {endpoint} = target;
+    const requestsPerSecond = (setPerSecond * concurrency) / total;
     const rate = rates.get(endpoint) ?? medianRate;
-    const trafficLevel = decideTrafficLevel(failures.get(endpoint));
-    const usable = limitConcurrency(concurrency, rate, medianRate);
+    const trafficLevel = decideTrafficLevel(failures.get(endpoint), {
+      requestsPerSecond,
+      entries: records.length,
+    });
+    const allowed = limitConcurrency(concurrency, rate, medianRate);
     return {
       target,
-      concurrency: limitByTrafficLevel(usable, trafficLevel),
+      concurrency: limitByTrafficLevel(allowed, trafficLevel),
       rate: trafficLevel === 'full' ? rate : rate * FAILING_RATE_FACTOR,
       occupied: occupied.get(endpoint) ?? 0,
-      canQueue: usable === concurrency && trafficLevel === 'full',
+      canQueue: allowed === concurrency && trafficLevel === 'full',
     };
   });
 }
 
+/**
+ * Estimates how many requests a second the endpoints of a set get: from what runs
+ * at all entries, and from how long the requests of this entry run. Returns 0 if
+ * this entry has sent too few.
+ */
+function estimateRequests(
+  {board}: CapacityView,
+  set: EndpointSetId,
+  records: readonly DemandReportRecord[],
+  now: TurnTime,
+): number {
+  const own = records.find(({node}) => node === board.identity.address.node);
+  const ownPerSecond = computeRate(board.dispatchRates.get(set), now);
+  const ownRunning = own?.report.meanRunning ?? 0;
+  if (ownPerSecond < MIN_KNOWN_PER_SECOND || ownRunning <= 0) {
+    return 0;
+  }
+  const running = records.reduce(
+    (sum, {report}) => sum + report.meanRunning,
+    0,
+  );
+  return (running * ownPerSecond) / ownRunning;
+}
+
 /** Lists the endpoints that accept requests by all that this entry knows. */
 function listUsable(
   view: CapacityView,
--- a/scheduling/setLeader/src/grantController.ts
+++ b/scheduling/setLeader/src/grantController.ts
@@ -51,6 +51,7 @@
   | 'endpoints'
   | 'inheritedEndpoints'
   | 'withdrawnEndpoints'
+  | 'dispatchRates'
   | 'demandReports'
   | 'allocationRounds'
   | 'slotOccupancies'
@@ -88,6 +89,7 @@
       'endpoints',
       'inheritedEndpoints',
       'withdrawnEndpoints',
+      'dispatchRates',
       'demandReports',
       'allocationRounds',
       'slotOccupancies',
@@ -160,7 +162,7 @@
       ),
     ];
   }
-  const known = listCapacities(view, set, records, grantedByNode);
+  const known = listCapacities(view, set, records, grantedByNode, now);
   const capacities = limitCapacities(view, known, now);
   const {endpoints, advanceEndpoints} = capacities;
   const limiter = limitOrganisations(view, {
