Connections: uploads in small chunks get a share of a turn, not all of it

Cause: pieces of a chunked body were bounded in bytes, but all of a read were parsed in one turn, for each connection; and the runtime stops reading a body at 16 KB that nobody has taken, which as chunks of one byte are 16,000 objects. Class: what bounds a body counts bytes, not work.

--- a/daemons/entryd/src/entryd.ts
+++ b/daemons/entryd/src/entryd.ts
@@ -73,7 +73,10 @@
     settings,
     clock,
   );
-  const limiter = createConnectionLimiter({maxAheadBytes: plan.aheadBytes});
+  const limiter = createConnectionLimiter({
+    maxAheadBytes: plan.aheadBytes,
+    clock,
+  });
   const server = fastify({
     forceCloseConnections: true,
     serverFactory: limiter.createServer,
--- a/fronts/callRelay/src/unreadCalls.ts
+++ b/fronts/callRelay/src/unreadCalls.ts
@@ -37,6 +37,11 @@
         kind: 'answered',
         answer: {status: 408, headers: CLOSED, body: 'the body is late'},
       };
+    case 'tooFragmented':
+      return {
+        kind: 'answered',
+        answer: {status: 400, headers: CLOSED, body: 'too many small chunks'},
+      };
     default:
       return assertNever(unread, 'decideUnreadAnswer');
   }
--- a/fronts/connectionLimits/src/connectionLimiter.ts
+++ b/fronts/connectionLimits/src/connectionLimiter.ts
@@ -3,13 +3,17 @@
 import type {RequestListener, Server} from 'node:http';
 import type {Socket} from 'node:net';
 
+import type {Clock} from '@gentianshunt/clock';
+
 import {limitConnection} from './limitConnection.js';
 import type {ConnectionContext, LimitedConnection} from './limitConnection.js';
+import {createTurnQueue} from './turnQueue.js';
 
 /** Options of the limiter of a process. */
 export interface ConnectionLimiterOptions {
   /** Most bytes of requests that were sent ahead, over all connections. */
   readonly maxAheadBytes: number;
+  readonly clock: Clock;
 }
 
 /** Limits the connections of all servers of a process together. */
@@ -30,11 +34,14 @@
   maxAheadBytes,
 }: ConnectionLimiterOptions): ConnectionLimiter {
   const connections = new Map<Socket, LimitedConnection>();
+  clock,
   let heldBytes = 0;
   let closedCount = 0;
   const shared: Omit<ConnectionContext, 'serve'> = {
     account: {
       maxBytes: maxAheadBytes,
+    clock,
+    turns: createTurnQueue(),
       get heldBytes() {
         return heldBytes;
       },
--- a/fronts/connectionLimits/src/limitConnection.ts
+++ b/fronts/connectionLimits/src/limitConnection.ts
@@ -1,6 +1,7 @@
 import type {IncomingMessage, ServerResponse} from 'node:http';
 import type {Socket} from 'node:net';
 
+import type {Clock, MonotonicTime} from '@gentianshunt/clock';
 import {assertNever} from '@gentianshunt/errors';
 import {
   decideArrival,
@@ -9,6 +10,7 @@
 } from '@gentianshunt/memoryAccount';
 
 import {createRequestFeed} from './requestFeed.js';
+import type {TurnQueue} from './turnQueue.js';
 
 /** A request as the server of the runtime hands it over. */
 export interface ReceivedRequest {
@@ -26,6 +28,8 @@
 /** What the connections of a process share. */
 export interface ConnectionContext {
   readonly account: AheadAccount;
+  readonly clock: Clock;
+  readonly turns: TurnQueue;
   readonly serve: (received: ReceivedRequest) => void;
   /** Called when a connection is closed because of a limit. */
   readonly onClosed: () => void;
@@ -53,7 +57,7 @@
  */
 export function limitConnection(
   socket: Socket,
-  {account, serve, onClosed}: ConnectionContext,
+  {account, clock, turns, serve, onClosed}: ConnectionContext,
 ): LimitedConnection {
   const waiting: ReceivedRequest[] = [];
   let current: ReceivedRequest | undefined;
@@ -80,6 +84,8 @@
     isBusy: () =>
       waiting.length > 0 || (current !== undefined && isReceived(current)),
     onHeld: () => {
+    clock,
+    turns,
       // The connection may hold them already, from an earlier pause.
       const added = PAUSED_CONNECTION_BYTES - unparsedBytes;
       const isHeld = decide(added).kind !== 'close';
--- a/fronts/connectionLimits/test/limiterFixture.ts
+++ b/fronts/connectionLimits/test/limiterFixture.ts
@@ -5,6 +5,8 @@
 
 import type {Test} from 'tap';
 
+import {createSystemClock} from '@gentianshunt/runtime';
+
 import {createConnectionLimiter} from '../src/index.js';
 import type {ConnectionLimiter} from '../src/index.js';
 
@@ -21,7 +23,10 @@
   maxAheadBytes: number,
   listener: RequestListener,
 ): Promise<LimitedServer> {
-  const limiter = createConnectionLimiter({maxAheadBytes});
+  const limiter = createConnectionLimiter({
+    maxAheadBytes,
+    clock: createSystemClock(),
+  });
   const server = limiter.createServer(listener);
   server.listen(0, '127.0.0.1');
   await once(server, 'listening');
--- a/fronts/requestBodies/src/addBodyParser.ts
+++ b/fronts/requestBodies/src/addBodyParser.ts
@@ -92,6 +92,8 @@
       return 413;
     case 'tooSlow':
       return 408;
+    case 'tooFragmented':
+      return 400;
     default:
       return assertNever(reason, 'pickStatus');
   }
--- a/fronts/requestBodies/src/readRequestBody.ts
+++ b/fronts/requestBodies/src/readRequestBody.ts
@@ -40,7 +40,11 @@
     }
   | {readonly kind: 'memoryFull'}
   | {readonly kind: 'tooLarge'}
-  | {readonly kind: 'tooSlow'};
+  | {readonly kind: 'tooSlow'}
+  /** It comes in far more chunks than its bytes need. */
+  | {readonly kind: 'tooFragmented'};
+
+type FailureKind = Exclude<ReceivedBody['kind'], 'received'>;
 
 /** Longest time that an unread request waits for memory. */
 const MAX_WAIT_MS: Milliseconds = 500;
@@ -58,6 +62,10 @@
  * wait. Checks are counted, as a process that was stopped has read nothing.
  */
 const MAX_SILENT_CHECKS = 4;
+/** Bytes that frame a chunk of fewer than 16 bytes. */
+const CHUNK_FRAMING_BYTES = 5;
+/** Bytes of framing that a body may have beyond its own bytes. */
+const MAX_EXCESS_FRAMING_BYTES = 64 * 1_024;
 /** Longest time for which the rest of a refused body is read. */
 const MAX_DROP_MS: Milliseconds = 5_000;
 
@@ -85,6 +93,7 @@
   let isComplete = false;
   let ownBytes = 0;
   let silentChecks = 0;
+  let chunks = 0;
   const stop = (): void => {
     clearInterval(checks);
     clearTimeout(limit);
@@ -104,7 +113,7 @@
       abandon();
     }
   };
-  const fail = (kind: 'memoryFull' | 'tooLarge' | 'tooSlow'): void => {
+  const fail = (kind: FailureKind): void => {
     abandon();
     dropRest(raw, maxDroppedBytes);
     onRead({kind});
@@ -169,8 +178,11 @@
   const receive = (chunk: Buffer): void => {
     silentChecks = 0;
     recordReadBytes(chunk.length);
+    chunks += 1;
     if (builder.length + chunk.length > maxBytes) {
       fail('tooLarge');
+    } else if (declared === undefined && isFragmented(builder.length, chunks)) {
+      fail('tooFragmented');
     } else {
       add(chunk);
     }
@@ -201,6 +213,10 @@
   };
 }
 
+function isFragmented(bytes: number, chunks: number): boolean {
+  return chunks * CHUNK_FRAMING_BYTES > bytes + MAX_EXCESS_FRAMING_BYTES;
+}
+
 function parseLength({headers}: IncomingMessage): number | undefined {
   const text = headers['content-length'];
   return text === undefined ? undefined : Number(text);
--- a/fronts/requestBodies/test/requestBodies.test.ts
+++ b/fronts/requestBodies/test/requestBodies.test.ts
@@ -242,3 +242,24 @@
   const late = sleep(350, 'late', {ref: false});
   t.same(await Promise.race([sender.received, late]), {kind: 'tooSlow'});
 });
+
+async function sendBytesSingly(length: number): Promise<ReceivedBody> {
+  const sender = createSender(createMemoryGate(BUDGET, createManualClock()));
+  for (let sent = 0; sent < length; sent += 1) {
+    sender.stream.write('x');
+  }
+  sender.stream.end();
+  return sender.received;
+}
+
+t.test('a body in chunks of one byte is received', async t => {
+  t.match(await sendBytesSingly(4_000), {
+    kind: 'received',
+    body: {length: 4_000},
+  });
+});
+
+// Guards against bodies that cost far more work and memory than their bytes.
+t.test('a body that is mostly framing is refused', async t => {
+  t.same(await sendBytesSingly(20_000), {kind: 'tooFragmented'});
+});
