Connections: idle ones make room before the limit is reached

Clients saw: who opened as many connections as a listener takes, and sent nothing, shut out everybody else for as long as they liked. Cause: the runtime closes each new connection at the limit, however long the others have had no request. Class: a limit that serves whoever comes first. Evidence: the new test failed before (no answer beside 24 idle connections of 24). Why the fix works: with eight connections left of the limit, each new one closes the one that has had no request for the longest time, which is counted in gentianshunt_limited_connections. New ones are the youngest, so they stay.

--- a/fronts/connectionLimits/src/connectionLimiter.ts
+++ b/fronts/connectionLimits/src/connectionLimiter.ts
@@ -26,22 +26,24 @@
   readonly heldBytes: number;
 }
 
+/** Connections of a server's limit that are kept free by closing idle ones. */
+const SPARE_CONNECTIONS = 8;
 /** Interval at which unread answers are looked for, in milliseconds. */
 const CHECK_INTERVAL_MS = 1_000;
 
 /** Creates the limiter of a process. */
 export function createConnectionLimiter({
   maxAheadBytes,
+  clock,
 }: ConnectionLimiterOptions): ConnectionLimiter {
   const connections = new Map<Socket, LimitedConnection>();
-  clock,
   let heldBytes = 0;
   let closedCount = 0;
   const shared: Omit<ConnectionContext, 'serve'> = {
-    account: {
-      maxBytes: maxAheadBytes,
     clock,
     turns: createTurnQueue(),
+    account: {
+      maxBytes: maxAheadBytes,
       get heldBytes() {
         return heldBytes;
       },
@@ -64,9 +66,25 @@
       );
       const serve: ConnectionContext['serve'] = ({request, response}) =>
         listener(request, response);
+      const own = new Set<Socket>();
+      const closeLongestIdle = (): void => {
+        const idle = findLongestIdle(own, connections);
+        if (idle !== undefined) {
+          closedCount += 1;
+          idle.destroy();
+        }
+      };
       server.on('connection', socket => {
+        // Clients may hold connections without a request, as many as they like.
+        if (own.size >= server.maxConnections - SPARE_CONNECTIONS) {
+          closeLongestIdle();
+        }
+        own.add(socket);
         connections.set(socket, limitConnection(socket, {...shared, serve}));
-        socket.once('close', () => connections.delete(socket));
+        socket.once('close', () => {
+          own.delete(socket);
+          connections.delete(socket);
+        });
       });
       return server;
     },
@@ -78,3 +96,20 @@
     },
   };
 }
+
+/** Finds the connection that has had no request for the longest time. */
+function findLongestIdle(
+  sockets: Iterable<Socket>,
+  connections: ReadonlyMap<Socket, LimitedConnection>,
+): Socket | undefined {
+  let found: Socket | undefined;
+  let since = Number.POSITIVE_INFINITY;
+  for (const socket of sockets) {
+    const idleSince = connections.get(socket)?.idleSince ?? null;
+    if (idleSince !== null && idleSince < since) {
+      found = socket;
+      since = idleSince;
+    }
+  }
+  return found;
+}
--- a/fronts/connectionLimits/src/limitConnection.ts
+++ b/fronts/connectionLimits/src/limitConnection.ts
@@ -37,6 +37,8 @@
 
 /** The requests of one connection. */
 export interface LimitedConnection {
+  /** Since when it has no request; `null` while it has one. */
+  readonly idleSince: MonotonicTime | null;
   receive(received: ReceivedRequest): void;
   /** Closes the connection if its client has stopped reading an answer. */
   checkReading(): void;
@@ -65,6 +67,7 @@
   let waitingBytes = 0;
   let unparsedBytes = 0;
   let isTimed = false;
+  let idleSince: MonotonicTime | null = clock.readMonotonic();
   const setWaiting = (bytes: number): void => {
     account.add(bytes - waitingBytes);
     waitingBytes = bytes;
@@ -81,11 +84,11 @@
     });
   const feed = createRequestFeed({
     socket,
+    clock,
+    turns,
     isBusy: () =>
       waiting.length > 0 || (current !== undefined && isReceived(current)),
     onHeld: () => {
-    clock,
-    turns,
       // The connection may hold them already, from an earlier pause.
       const added = PAUSED_CONNECTION_BYTES - unparsedBytes;
       const isHeld = decide(added).kind !== 'close';
@@ -99,6 +102,7 @@
   });
   const begin = (received: ReceivedRequest): void => {
     current = received;
+    idleSince = null;
     received.response.once('close', beginNext);
     serve(received);
   };
@@ -114,6 +118,7 @@
       begin(next);
       return;
     }
+    idleSince = clock.readMonotonic();
     setUnparsed(0);
     feed.resume();
   };
@@ -130,6 +135,9 @@
     setUnparsed(0);
   });
   return {
+    get idleSince() {
+      return idleSince;
+    },
     receive: received => {
       feed.recordRequest(received.request);
       const bytes = measureRequest(received.request);
--- a/fronts/connectionLimits/test/connectionLimiter.test.ts
+++ b/fronts/connectionLimits/test/connectionLimiter.test.ts
@@ -125,3 +125,22 @@
   await awaitTrue(() => limiter.heldBytes === 0);
   t.same(started, ['/1']);
 });
+
+const MAX_CONNECTIONS = 24;
+
+// Guards against clients that hold all connections and send nothing.
+t.test('idle connections make room for a call', async t => {
+  const {open: connect} = await startLimitedServer(
+    t,
+    AMPLE_BYTES,
+    (_request, response) => response.end('done'),
+    MAX_CONNECTIONS,
+  );
+  for (let opened = 0; opened < 2 * MAX_CONNECTIONS; opened += 1) {
+    await once(connect(), 'connect');
+  }
+  const socket = connect();
+  socket.write(formatRequest('/1'));
+  const answer = await readUntil(socket, text => text.includes('done'));
+  t.match(answer, /^HTTP\/1\.1 200/);
+});
--- a/fronts/connectionLimits/test/limiterFixture.ts
+++ b/fronts/connectionLimits/test/limiterFixture.ts
@@ -22,12 +22,16 @@
   t: Test,
   maxAheadBytes: number,
   listener: RequestListener,
+  maxConnections?: number,
 ): Promise<LimitedServer> {
   const limiter = createConnectionLimiter({
     maxAheadBytes,
     clock: createSystemClock(),
   });
   const server = limiter.createServer(listener);
+  if (maxConnections !== undefined) {
+    server.maxConnections = maxConnections;
+  }
   server.listen(0, '127.0.0.1');
   await once(server, 'listening');
   const {port} = server.address() as AddressInfo;
