Streams: an entry that nobody answers vouches for no software version

Callers saw (a report of other operators): while endpoints of a new version joined, an entry was out of step for some seconds; streams that had begun at them through other entries were taken up there and went on at the other version. Cause: without a record, an entry that had seen one version only took that one when the keepers of the origin had not answered within 300 ms, and vouched by itself that nothing had escaped it. Cut off or standing still, it had missed the new version. Class: knowledge taken for current because nothing contradicts it. Why the fix works: what an entry saw counts once any other entry has answered in this inquiry.

--- a/scheduling/entryModel/src/streamOrigin.ts
+++ b/scheduling/entryModel/src/streamOrigin.ts
@@ -51,10 +51,11 @@
   /** The attempt that brought the first event; `null` if not named. */
   readonly attempt: RequestId | null;
   readonly set: EndpointSetId;
-  /** When it ends without the answers that are missing. */
-  readonly until: MonotonicTime;
+  readonly startedAt: MonotonicTime;
   /** The entries that have not answered. */
   readonly unanswered: readonly NodeId[];
+  /** Whether one has, so that this entry is in touch with others. */
+  readonly isAnswered: boolean;
   /** The software of the set that the entries saw while streams live. */
   readonly seen: readonly NamedSoftware[];
   /** Whether nothing escaped one of these entries. */
--- a/scheduling/entryNode/test/streamVersions.test.ts
+++ b/scheduling/entryNode/test/streamVersions.test.ts
@@ -150,3 +150,28 @@
   t.same(fixture.listSoftware('unnamed'), []);
   t.same(fixture.listRefusals('unnamed'), ['streamOriginUnknown notRun']);
 });
+
+// Guards against an entry that guesses from what it knew before it was out of step.
+t.test(
+  'an entry that was cut off joins no streams of two versions',
+  async t => {
+    const fixture = createMixed([OLD, OTHER_OLD], 12);
+    fixture.send(9, 'w');
+    fixture.advance(500);
+    fixture.startAnswer('w');
+    fixture.endAnswer('w');
+    fixture.advance(60_000);
+    fixture.loseMessages(9, 8_000);
+    fixture.setEndpoints(MIXED);
+    fixture.advance(SETTLE_MS);
+    const names = listNames('q');
+    const began = startStreams(fixture, names);
+    t.equal(new Set(began).size, 2, 'both versions serve');
+    const attempts = takeUp(fixture, names, 9);
+    fixture.advance(2_500);
+    const joined = attempts.filter((attempt, index) =>
+      fixture.listSoftware(attempt).some(next => next !== began[index]),
+    );
+    t.same(joined, []);
+  },
+);
--- a/scheduling/streamOrigins/src/originInquiries.ts
+++ b/scheduling/streamOrigins/src/originInquiries.ts
@@ -5,12 +5,14 @@
 import type {EntryMessage, OriginInquiry} from '@gentianshunt/entryModel';
 import type {NodeId, RequestId} from '@gentianshunt/identifiers';
 
-import {listKeepers} from './originKeepers.js';
+import {listKeepers, listWitnesses} from './originKeepers.js';
 import type {OriginDraft, OriginView} from './originView.js';
 import {isComplete, listSeen} from './seenSoftware.js';
 
-/** Longest wait for the entries that are asked. */
+/** Longest wait for the entries that are asked, once one has answered. */
 const INQUIRY_TIMEOUT_MS: Milliseconds = 300;
+/** Longest wait for the first answer; callers of streams wait longer. */
+const FIRST_ANSWER_TIMEOUT_MS: Milliseconds = 2_000;
 
 type OriginRequest = Extract<
   EntryMessage,
@@ -58,8 +60,9 @@
   const inquiry: OriginInquiry = {
     attempt,
     set,
-    until: now.monotonic + INQUIRY_TIMEOUT_MS,
+    startedAt: now.monotonic,
     unanswered: keepers.map(({node}) => node),
+    isAnswered: false,
     seen: listSeen(seen, draft.memoryMs, now),
     isVouched: isComplete(seen, draft.memoryMs, now),
     outcome: {kind: 'open'},
@@ -93,11 +96,16 @@
 
 /**
  * Ends an inquiry that has all answers, or waits no longer. Without a record, a
- * stream began at the only software of its set, if an entry vouches for that.
+ * stream began at the only software of its set, if an entry vouches for that. One
+ * that nobody answers may be out of step, and vouches for nothing.
  */
 function resolveInquiry(inquiry: OriginInquiry, now: TurnTime): OriginInquiry {
-  const {unanswered, until, seen, isVouched, outcome} = inquiry;
-  const isWaiting = unanswered.length > 0 && now.monotonic < until;
+  const {unanswered, startedAt, seen, isAnswered, outcome} = inquiry;
+  const timeoutMs = isAnswered ? INQUIRY_TIMEOUT_MS : FIRST_ANSWER_TIMEOUT_MS;
+  const isWaiting =
+    unanswered.length > 0 && now.monotonic - startedAt < timeoutMs;
+  const isInStep = isAnswered || unanswered.length === 0;
+  const isVouched = inquiry.isVouched && isInStep;
   if (outcome.kind !== 'open' || isWaiting) {
     return inquiry;
   }
@@ -149,6 +157,7 @@
   const next: OriginInquiry = {
     ...inquiry,
     unanswered: inquiry.unanswered.filter(node => node !== from),
+    isAnswered: true,
     seen: [...new Set([...inquiry.seen, ...seen])],
     isVouched: inquiry.isVouched || isVouched,
     outcome: origin === null ? inquiry.outcome : {kind: 'found', origin},
@@ -167,7 +176,7 @@
 ): boolean {
   let hasOpen = false;
   for (const [request, inquiry] of view.board.originInquiries) {
-    const next = resolveInquiry(inquiry, now);
+    const next = resolveInquiry(addWitnesses(view, request, inquiry, now), now);
     if (next !== inquiry) {
       draft.inquiries.put(request, next);
     }
@@ -178,3 +187,23 @@
   }
   return hasOpen;
 }
+
+/** Asks further entries if none has answered for a while. */
+function addWitnesses(
+  view: OriginView,
+  request: RequestId,
+  inquiry: OriginInquiry,
+  now: TurnTime,
+): OriginInquiry {
+  const {attempt, startedAt, isAnswered, unanswered} = inquiry;
+  const isLate = now.monotonic - startedAt >= INQUIRY_TIMEOUT_MS;
+  if (isAnswered || !isLate || inquiry.outcome.kind !== 'open') {
+    return inquiry;
+  }
+  const witnesses = listWitnesses(view, attempt ?? request);
+  const nodes = witnesses.map(({node}) => node);
+  const isAdded = nodes.every(node => unanswered.includes(node));
+  return isAdded
+    ? inquiry
+    : {...inquiry, unanswered: [...new Set([...unanswered, ...nodes])]};
+}
--- a/scheduling/streamOrigins/src/originKeepers.ts
+++ b/scheduling/streamOrigins/src/originKeepers.ts
@@ -13,6 +13,20 @@
   {board}: OriginView,
   attempt: RequestId,
 ): readonly EntryAddress[] {
-  const others = listOtherEntries(board);
-  return sortByRendezvous(attempt, others, ({node}) => node).slice(0, KEEPERS);
+  return sortOthers(board, attempt).slice(0, KEEPERS);
+}
+
+/** Lists as many entries that keep no origin, and know what their sets run. */
+export function listWitnesses(
+  {board}: OriginView,
+  attempt: RequestId,
+): readonly EntryAddress[] {
+  return sortOthers(board, attempt).slice(KEEPERS, 2 * KEEPERS);
+}
+
+function sortOthers(
+  board: OriginView['board'],
+  attempt: RequestId,
+): readonly EntryAddress[] {
+  return sortByRendezvous(attempt, listOtherEntries(board), ({node}) => node);
 }
