--- a/scheduling/setLeader/src/grantController.ts
+++ b/scheduling/setLeader/src/grantController.ts
@@ -138,10 +138,23 @@
   const grantedByNode = new Map(
     records.map(record => [record.node, readGranted(view, set, record)]),
   );
+  // An organisation's allowance is used up in this order, so higher tiers come
+  // first within its limits, too.
   const openQueues = [...listOpenQueues(records, grantedByNode)].sort(
     (left, right) => left.queue.rank - right.queue.rank,
   );
   const waiting = countWaiting(openQueues);
+  const answerAll = (decision: LeaderDecision): readonly GrantWrite[] =>
+    records.flatMap(record =>
+      answerDemandReport(
+        view,
+        leadership,
+        record,
+        grantedByNode,
+        decision,
+        now,
+      ),
+    );
   const obstacle = findObstacle(view, leadership, now);
   if (obstacle !== null) {
     const cause = waiting === 0 ? null : obstacle;
@@ -150,16 +163,7 @@
     return [
       recordRound(set, records.length, now),
       ...recordHold(view, leadership, outcome, now),
-      ...records.flatMap(record =>
-        answerDemandReport(
-          view,
-          leadership,
-          record,
-          grantedByNode,
-          createEmptyDecision(obstacle),
-          now,
-        ),
-      ),
+      ...answerAll(createEmptyDecision(obstacle)),
     ];
   }
   const known = listCapacities(view, set, records, grantedByNode, now);
@@ -171,8 +175,6 @@
     grantedByNode,
     now,
   });
-  // An organisation's allowance is used up in the order of the queues, so higher
-  // tiers come first within its limits, too.
   const queues = limitQueues(openQueues, limiter.allowances);
   const fairShares = listFairShares(view, set, records);
   const running = sumRunning(records);
@@ -236,16 +238,7 @@
     recordRound(set, records.length + endpoints.length, now),
     ...recordHold(view, leadership, outcome, now),
     {kind: 'put', section: 'slotOccupancies', key: set, value: occupancy},
-    ...records.flatMap(record =>
-      answerDemandReport(
-        view,
-        leadership,
-        record,
-        grantedByNode,
-        decision,
-        now,
-      ),
-    ),
+    ...answerAll(decision),
     ...allocation.fairShares.map(fairShare => putFairShare(set, fairShare)),
     ...limiter.listBucketWrites(allocation.slots),
     ...capacities.listBucketWrites(allocation.slots),
--- a/scheduling/slotClient/src/slotController.ts
+++ b/scheduling/slotClient/src/slotController.ts
@@ -1,42 +1,30 @@
 import type {TurnTime} from '@gentianshunt/board';
-import {findObject} from '@gentianshunt/configuration';
 import {
   ANY_ORGANISATION,
   defineEntryController,
   isLeaveKnowledgeCurrent,
   isQueued,
-  isSameQueue,
   iterateQueues,
-  iterateQueueSlots,
   pickQueueKey,
 } from '@gentianshunt/entryModel';
 import type {
-  AdmittedRequest,
-  EndpointTarget,
   EntryController,
   GrantReply,
   QueueKey,
-  Slot,
-  SlotKey,
 } from '@gentianshunt/entryModel';
-import type {
-  EndpointSetId,
-  GrantId,
-  RequestId,
-} from '@gentianshunt/identifiers';
-import {isLimited} from '@gentianshunt/limits';
+import type {EndpointSetId, RequestId} from '@gentianshunt/identifiers';
 
 import {createCandidatePicker} from './candidatePicker.js';
 import {findMixedList, matchContinuations} from './continuations.js';
 import {listCandidates} from './dispatchOrder.js';
 import {matchToFallback} from './matchToFallback.js';
-import {createOpenTargets} from './openTargets.js';
+import {createOpenReader, matchToOpen} from './matchToOpen.js';
 import type {OpenTargets} from './openTargets.js';
-import {isPaused} from './pauseController.js';
-import {createSlotPicker} from './slotPicker.js';
 import {releaseSlots} from './reusedSlots.js';
-import {isLimited as isEndpointLimited} from './ungrantedUse.js';
-import {SLOT_READS, SLOT_WRITES, UNGRANTED_LIFETIME_MS} from './slotView.js';
+import {createSlotDraft, hasLimits, isUnusable} from './slotDraft.js';
+import type {SlotDraft} from './slotDraft.js';
+import {createSlotPicker} from './slotPicker.js';
+import {SLOT_READS, SLOT_WRITES} from './slotView.js';
 import type {
   KeyedSlot,
   SlotReads,
@@ -44,6 +32,7 @@
   SlotWrite,
   SlotWrites,
 } from './slotView.js';
+import {isLimited as isEndpointLimited} from './ungrantedUse.js';
 
 /** Creates the controller that stores slots and matches them to requests. */
 export function createSlotController(): EntryController {
@@ -109,16 +98,6 @@
     .map(({key}) => ({kind: 'delete', section: 'slots', key}));
 }
 
-function isUnusable(
-  {board}: SlotView,
-  {endpoint}: EndpointTarget,
-  now: TurnTime,
-): boolean {
-  return (
-    board.withdrawnEndpoints.has(endpoint) || isPaused(board, endpoint, now)
-  );
-}
-
 /** Matches requests in the queues that gained requests or capacity. */
 function matchGrants(view: SlotView, now: TurnTime): readonly SlotWrite[] {
   const reply =
@@ -295,111 +274,3 @@
     ? writes
     : [...writes, ...matchToOpen(queue.set, waiting.listRest(), open, now)];
 }
-
-/** Matches requests for which there is no slot to open capacity. */
-function matchToOpen(
-  set: EndpointSetId,
-  waiting: readonly AdmittedRequest[],
-  open: OpenTargets,
-  now: TurnTime,
-): readonly SlotWrite[] {
-  const writes: SlotWrite[] = [];
-  for (const request of waiting) {
-    const target = open.take(request);
-    if (target === undefined) {
-      continue;
-    }
-    const value = {
-      grant: `${set}.open` as GrantId,
-      target,
-      stateAt: now.monotonic,
-      deadline: now.monotonic + UNGRANTED_LIFETIME_MS,
-    };
-    writes.push({kind: 'put', section: 'matches', key: request.id, value});
-  }
-  return writes;
-}
-
-/** Creates a reader of open capacity that queues of a set share in a turn. */
-function createOpenReader(
-  view: SlotView,
-  now: TurnTime,
-): (set: EndpointSetId) => OpenTargets {
-  const known = new Map<EndpointSetId, OpenTargets>();
-  return set => {
-    const open = known.get(set) ?? createOpenTargets(view.board, set, now);
-    known.set(set, open);
-    return open;
-  };
-}
-
-/**
- * The slots during one run of the controller, less those matched so far. The
- * queues of a tier share the slots that any organisation may use.
- */
-interface SlotDraft {
-  /**
-   * Lists the slots that a queue may use: its own first, then those for any
-   * organisation.
-   */
-  listUsable(queue: QueueKey): readonly KeyedSlot[];
-  readRemaining(key: SlotKey): number;
-  spend(key: SlotKey): void;
-  /** Lists the changed slots, without those of some grants. */
-  listWrites(unstored: ReadonlySet<GrantId>): readonly SlotWrite[];
-}
-
-function createSlotDraft(
-  view: SlotView,
-  newSlots: readonly KeyedSlot[],
-  now: TurnTime,
-): SlotDraft {
-  const changed = new Map<GrantId, KeyedSlot>();
-  newSlots.forEach(added => changed.set(added.key.grant, added));
-  const read = (key: SlotKey): Slot | undefined =>
-    changed.get(key.grant)?.slot ?? view.board.slots.get(key);
-  const listQueueSlots = (queue: QueueKey): readonly KeyedSlot[] => [
-    ...[...iterateQueueSlots(view.board.slots, queue)]
-      .filter(({value}) => !isUnusable(view, value.grant.target, now))
-      .map(({key, value}): KeyedSlot => ({key, slot: value})),
-    ...newSlots.filter(({key}) => isSameQueue(key, queue)),
-  ];
-  return {
-    listUsable: queue =>
-      hasLimits(view, queue)
-        ? listQueueSlots(queue)
-        : [
-            ...listQueueSlots(queue),
-            ...listQueueSlots({...queue, organisation: ANY_ORGANISATION}),
-          ],
-    readRemaining: key => read(key)?.remaining ?? 0,
-    spend: key => {
-      const slot = read(key)!;
-      const remaining = slot.remaining - 1;
-      changed.set(key.grant, {key, slot: {...slot, remaining}});
-    },
-    listWrites: unstored =>
-      [...changed.values()]
-        .filter(({key}) => !unstored.has(key.grant))
-        .map(({key, slot}) =>
-          slot.remaining === 0
-            ? {kind: 'delete', section: 'slots', key}
-            : {kind: 'put', section: 'slots', key, value: slot},
-        ),
-  };
-}
-
-/**
- * Returns whether the organisation of a queue has limits. Its requests use no
- * slots for any organisation, because the leader enforces the limits by
- * counting the grants to this organisation.
- */
-function hasLimits(view: SlotView, queue: QueueKey): boolean {
-  const {configuration} = view.board;
-  const organisation = findObject(
-    configuration,
-    'organisation',
-    queue.organisation,
-  );
-  return organisation !== undefined && isLimited(organisation.limits);
-}
