--- a/scheduling/setLeader/src/grantController.ts
+++ b/scheduling/setLeader/src/grantController.ts
@@ -1,4 +1,4 @@
-import type {TurnTime, View} from '@gentianshunt/board';
+import type {TurnTime} from '@gentianshunt/board';
 import {isLeaseValid} from '@gentianshunt/clock';
 import {findObject, isModelSet, listObjects} from '@gentianshunt/configuration';
 import {
@@ -8,9 +8,6 @@
 import type {
   DemandReportRecord,
   EntryController,
-  EntryObservation,
-  EntrySections,
-  EntryWrite,
   GrantObstacle,
   GrantsSinceReport,
   LeadershipState,
@@ -36,6 +33,13 @@
   mergeByNode,
 } from './grantReply.js';
 import type {LeaderDecision} from './grantReply.js';
+import {GRANT_READS, GRANT_WRITES} from './grantView.js';
+import type {
+  GrantReads,
+  GrantView,
+  GrantWrite,
+  GrantWrites,
+} from './grantView.js';
 import {limitCapacities} from './limitedCapacities.js';
 import {decideOpenCapacity} from './openCapacity.js';
 import {countUnserved, findWaitingRank, listOpenQueues} from './openDemand.js';
@@ -43,37 +47,6 @@
 import {addQueueAhead, measureTurnaround} from './queueAhead.js';
 import {addTransitSlots, updateOccupancy} from './slotOccupancy.js';
 
-type GrantReads =
-  | 'identity'
-  | 'control'
-  | 'configuration'
-  | 'leaderships'
-  | 'endpoints'
-  | 'inheritedEndpoints'
-  | 'withdrawnEndpoints'
-  | 'dispatchRates'
-  | 'demandReports'
-  | 'allocationRounds'
-  | 'slotOccupancies'
-  | 'grantHolds'
-  | 'grantsSinceReport'
-  | 'fairShares'
-  | 'limitBuckets'
-  | 'knownLimits'
-  | 'endpointBuckets'
-  | 'shedding';
-type GrantWrites =
-  | 'allocationRounds'
-  | 'slotOccupancies'
-  | 'grantHolds'
-  | 'grantsSinceReport'
-  | 'fairShares'
-  | 'limitBuckets'
-  | 'endpointBuckets'
-  | 'shedding';
-type GrantView = View<EntrySections, GrantReads, EntryObservation>;
-type GrantWrite = EntryWrite<GrantWrites>;
-
 /**
  * Creates the controller that allocates the capacity of the led sets to the
  * reported demand and answers the demand reports.
@@ -81,36 +54,8 @@
 export function createGrantController(): EntryController {
   return defineEntryController<GrantReads, GrantWrites>({
     name: 'grants',
-    reads: [
-      'identity',
-      'control',
-      'configuration',
-      'leaderships',
-      'endpoints',
-      'inheritedEndpoints',
-      'withdrawnEndpoints',
-      'dispatchRates',
-      'demandReports',
-      'allocationRounds',
-      'slotOccupancies',
-      'grantHolds',
-      'grantsSinceReport',
-      'fairShares',
-      'limitBuckets',
-      'knownLimits',
-      'endpointBuckets',
-      'shedding',
-    ],
-    writes: [
-      'allocationRounds',
-      'slotOccupancies',
-      'grantHolds',
-      'grantsSinceReport',
-      'fairShares',
-      'limitBuckets',
-      'endpointBuckets',
-      'shedding',
-    ],
+    reads: GRANT_READS,
+    writes: GRANT_WRITES,
     observes: ['timerDue'],
     run: (view, now) => {
       const plan = planRounds(view, now);
