Listeners: one long wait alone does not shorten the queue of connections

A process that stood still measures one long wait when it goes on, though its queue is short; the queue then held two connections for five seconds and more. Found by reading. Two waits in a row are needed now, and a second of short waits lengthens it again; a listener that was closed is not opened again.

--- a/fronts/connectionLimits/src/acceptQueue.ts
+++ b/fronts/connectionLimits/src/acceptQueue.ts
@@ -38,6 +38,7 @@
   const {server, address, clock, onSample, onDelayed} = options;
   let length = MAX_ACCEPT_QUEUE;
   let shortSince: MonotonicTime = clock.readMonotonic();
+  let previousMs: Milliseconds = 0;
   let isReopening = false;
   const reopen = (): void => {
     isReopening = true;
@@ -60,12 +61,20 @@
     clock,
     onSample: waitMs => {
       onSample(waitMs);
+      if (!server.listening) {
+        return;
+      }
       const now = clock.readMonotonic();
       const isShort = isShortAcceptWait(waitMs);
       shortSince = isShort ? shortSince : now;
       const lengthBefore = length;
       const shortForMs = now - shortSince;
-      length = decideAcceptQueue({length, waitMs, shortForMs});
+      length = decideAcceptQueue({
+        length,
+        waitMs: Math.min(waitMs, previousMs),
+        shortForMs,
+      });
+      previousMs = waitMs;
       if (length !== lengthBefore) {
         shortSince = now;
         reopen();
--- a/scheduling/policy/src/acceptQueue.ts
+++ b/scheduling/policy/src/acceptQueue.ts
@@ -14,12 +14,12 @@
 /** A shorter wait allows a longer queue again. */
 const SHORT_ACCEPT_WAIT_MS: Milliseconds = 25;
 /** How long waits must be short before. */
-export const LENGTHEN_AFTER_MS: Milliseconds = 5_000;
+export const LENGTHEN_AFTER_MS: Milliseconds = 1_000;
 
 /** What is known of a queue of connections. */
 export interface AcceptQueue {
   readonly length: number;
-  /** The latest wait that was measured. */
+  /** The shorter of the latest two waits: one alone may show a pause. */
   readonly waitMs: Milliseconds;
   /** How long all waits have been short. */
   readonly shortForMs: Milliseconds;
