Set leaders: the sums over a set stand once; slot occupancy of plain sets only

The occupancy of slots was measured in each round of every led set, and is used for plain sets only. What no other file uses isn't exported. No behaviour changes.

--- a/fronts/connectionLimits/src/acceptMonitor.ts
+++ b/fronts/connectionLimits/src/acceptMonitor.ts
@@ -5,7 +5,7 @@
 import type {Clock, Milliseconds, MonotonicTime} from '@gentianshunt/clock';
 
 /** Time between two measurements. */
-export const ACCEPT_SAMPLE_INTERVAL_MS: Milliseconds = 500;
+const ACCEPT_SAMPLE_INTERVAL_MS: Milliseconds = 500;
 /** After this time a connection that was not accepted is given up. */
 const MAX_SAMPLE_MS: Milliseconds = 2_000;
 
--- a/fronts/connectionLimits/src/index.ts
+++ b/fronts/connectionLimits/src/index.ts
@@ -1,4 +1,3 @@
 export * from './acceptQueue.js';
-export * from './acceptMonitor.js';
 export * from './connectionLimiter.js';
 export * from './limitConnection.js';
--- a/scheduling/setLeader/src/capacities.ts
+++ b/scheduling/setLeader/src/capacities.ts
@@ -29,6 +29,7 @@
 import type {EndpointCapacity} from './allocation.js';
 import {listInherited} from './inheritedEndpoints.js';
 import {mergeEndpointFailures, mergeRates} from './openDemand.js';
+import {sumConcurrency, sumRunning} from './setSums.js';
 
 /** Fewest requests of this entry from which their duration is known. */
 const MIN_KNOWN_PER_SECOND = 0.5;
@@ -61,7 +62,7 @@
   const medianRate = computeMedianRate([...rates.values()]);
   const failures = mergeEndpointFailures(records);
   const usable = listUsable(view, set);
-  const total = usable.reduce((sum, {concurrency}) => sum + concurrency, 0);
+  const total = sumConcurrency(usable);
   const setPerSecond = estimateRequests(view, set, records, now);
   return usable.map(({target, concurrency}) => {
     const {endpoint} = target;
@@ -99,11 +100,7 @@
   if (ownPerSecond < MIN_KNOWN_PER_SECOND || ownRunning <= 0) {
     return 0;
   }
-  const running = records.reduce(
-    (sum, {report}) => sum + report.meanRunning,
-    0,
-  );
-  return (running * ownPerSecond) / ownRunning;
+  return (sumRunning(records) * ownPerSecond) / ownRunning;
 }
 
 /** Lists the endpoints that accept requests by all that this entry knows. */
--- a/scheduling/setLeader/src/grantController.ts
+++ b/scheduling/setLeader/src/grantController.ts
@@ -11,6 +11,7 @@
   GrantObstacle,
   GrantsSinceReport,
   LeadershipState,
+  SlotOccupancy,
 } from '@gentianshunt/entryModel';
 import type {EndpointSetId, NodeId} from '@gentianshunt/identifiers';
 import {limitQueues} from '@gentianshunt/limits';
@@ -26,7 +27,7 @@
 import {planRounds, recordRound} from './allocationRounds.js';
 import {listCapacities} from './capacities.js';
 import {listFairShares, putFairShare} from './fairShares.js';
-import {countWaiting, findHoldCause, recordHold} from './grantHolds.js';
+import {findHoldCause, recordHold} from './grantHolds.js';
 import {
   answerDemandReport,
   createEmptyDecision,
@@ -45,6 +46,7 @@
 import {countUnserved, findWaitingRank, listOpenQueues} from './openDemand.js';
 import {limitOrganisations} from './organisationLimits.js';
 import {addQueueAhead, measureTurnaround} from './queueAhead.js';
+import {countWaiting, sumConcurrency, sumRunning} from './setSums.js';
 import {addTransitSlots, updateOccupancy} from './slotOccupancy.js';
 
 /**
@@ -123,14 +125,16 @@
   const queues = limitQueues(openQueues, limiter.allowances);
   const fairShares = listFairShares(view, set, records);
   const running = sumRunning(records);
-  const occupancy = updateOccupancy(
-    view.board.slotOccupancies.get(set),
-    {capacities: known, records, running},
-    now,
-  );
-  const usable = isOpenable(view, set)
-    ? addTransitSlots(endpoints, occupancy)
-    : endpoints;
+  const canOpen = isOpenable(view, set);
+  const occupancy = canOpen
+    ? updateOccupancy(
+        view.board.slotOccupancies.get(set),
+        {capacities: known, records, running},
+        now,
+      )
+    : undefined;
+  const usable =
+    occupancy === undefined ? endpoints : addTransitSlots(endpoints, occupancy);
   const input: AllocationInput = {
     endpoints: canQueueAhead(view, set)
       ? addQueueAhead(usable, queues, measureTurnaround(records))
@@ -138,7 +142,7 @@
     queues,
     fairShares,
   };
-  const open = isOpenable(view, set)
+  const open = canOpen
     ? decideOpenCapacity({
         endpoints: capacities.unlimited,
         running,
@@ -153,7 +157,7 @@
   const unserved = countUnserved(queues, allocation.slots);
   const shedding = decideShedding({
     waiting: unserved,
-    slots: usable.reduce((sum, {concurrency}) => sum + concurrency, 0),
+    slots: sumConcurrency(usable),
     shedding: view.board.shedding.get(set) ?? false,
     lowestRank: readLowestRank(view),
   });
@@ -182,7 +186,7 @@
   return [
     recordRound(set, records.length + endpoints.length, now),
     ...recordHold(view, leadership, outcome, now),
-    {kind: 'put', section: 'slotOccupancies', key: set, value: occupancy},
+    ...(occupancy === undefined ? [] : [putOccupancy(set, occupancy)]),
     ...answerAll(decision),
     ...allocation.fairShares.map(fairShare => putFairShare(set, fairShare)),
     ...limiter.listBucketWrites(allocation.slots),
@@ -236,9 +240,8 @@
   );
 }
 
-/** Sums up how many requests the entries run on average. */
-function sumRunning(records: readonly DemandReportRecord[]): number {
-  return records.reduce((sum, {report}) => sum + report.meanRunning, 0);
+function putOccupancy(key: EndpointSetId, value: SlotOccupancy): GrantWrite {
+  return {kind: 'put', section: 'slotOccupancies', key, value};
 }
 
 function readLowestRank(view: GrantView): number {
@@ -257,8 +260,7 @@
   grantedByNode: ReadonlyMap<NodeId, GrantsSinceReport>,
 ): AllocationResult {
   const result = allocateSlots(input);
-  const waiting = input.queues.reduce((sum, {queue}) => sum + queue.count, 0);
-  if (result.slots.length < waiting) {
+  if (result.slots.length < countWaiting(input.queues)) {
     return result;
   }
   const advanceSlots = allocateAdvanceSlots({
--- a/scheduling/setLeader/src/grantHolds.ts
+++ b/scheduling/setLeader/src/grantHolds.ts
@@ -12,9 +12,10 @@
 } from '@gentianshunt/entryModel';
 
 import type {EndpointCapacity, EntryQueue} from './allocation.js';
+import {countWaiting, sumConcurrency, sumFree, sumOccupied} from './setSums.js';
 
 /** A shorter time without grants is usual where capacity is short. */
-export const REPORTED_HOLD_MS: Milliseconds = 300;
+const REPORTED_HOLD_MS: Milliseconds = 300;
 /** Time between two log lines about the same set. */
 const HOLD_LOG_INTERVAL_MS: Milliseconds = 1_000;
 
@@ -53,7 +54,7 @@
   if (capacities.length === 0) {
     return 'noEndpoints';
   }
-  if (sumCapacity(capacities) === 0) {
+  if (sumConcurrency(capacities) === 0) {
     return 'endpointsFailing';
   }
   if (sumFree(capacities) === 0) {
@@ -62,26 +63,6 @@
   return sumFree(limited) === 0 ? 'endpointsLimited' : 'requestsDeferred';
 }
 
-/** Counts the requests that wait in queues. */
-export function countWaiting(queues: readonly EntryQueue[]): number {
-  return queues.reduce((sum, {queue}) => sum + queue.count, 0);
-}
-
-function sumCapacity(capacities: readonly EndpointCapacity[]): number {
-  return capacities.reduce((sum, {concurrency}) => sum + concurrency, 0);
-}
-
-function sumOccupied(capacities: readonly EndpointCapacity[]): number {
-  return capacities.reduce((sum, {occupied}) => sum + occupied, 0);
-}
-
-function sumFree(capacities: readonly EndpointCapacity[]): number {
-  return capacities.reduce(
-    (sum, {concurrency, occupied}) => sum + Math.max(0, concurrency - occupied),
-    0,
-  );
-}
-
 /** Records the outcome of a round; logs a time without grants at intervals. */
 export function recordHold(
   {board}: HoldView,
@@ -137,7 +118,7 @@
     waiting,
     entries,
     endpoints: capacities.length,
-    capacity: sumCapacity(capacities),
+    capacity: sumConcurrency(capacities),
     occupied: sumOccupied(capacities),
   });
   return [put, log];
--- a/scheduling/setLeader/src/openCapacity.ts
+++ b/scheduling/setLeader/src/openCapacity.ts
@@ -10,6 +10,7 @@
 import type {NodeId} from '@gentianshunt/identifiers';
 
 import type {EndpointCapacity} from './allocation.js';
+import {sumConcurrency} from './setSums.js';
 
 /** Highest fraction of the capacity in use at which a set is open. */
 export const OPEN_MAX_LOAD = 0.5;
@@ -35,7 +36,7 @@
 /** Decides what each entry may use without asking; `null` if nothing. */
 export function decideOpenCapacity(load: SetLoad): OpenCapacity | null {
   const {endpoints, running, entries} = load;
-  const total = endpoints.reduce((sum, {concurrency}) => sum + concurrency, 0);
+  const total = sumConcurrency(endpoints);
   const free = OPEN_MAX_LOAD * total - running;
   // What runs at one endpoint now is not known: the reports are too old.
   const usable = endpoints.filter(({concurrency}) => concurrency > 0);
--- a/scheduling/setLeader/src/queueAhead.ts
+++ b/scheduling/setLeader/src/queueAhead.ts
@@ -3,6 +3,7 @@
 import {computeQueueAhead} from '@gentianshunt/policy';
 
 import type {EndpointCapacity, EntryQueue} from './allocation.js';
+import {countWaiting, sumFree} from './setSums.js';
 
 /**
  * Adds room in the queues of the endpoints if more requests wait than there is
@@ -13,12 +14,7 @@
   queues: readonly EntryQueue[],
   turnaroundMs: Milliseconds,
 ): readonly EndpointCapacity[] {
-  const waiting = queues.reduce((sum, {queue}) => sum + queue.count, 0);
-  const free = endpoints.reduce(
-    (sum, {concurrency, occupied}) => sum + Math.max(0, concurrency - occupied),
-    0,
-  );
-  return waiting <= free
+  return countWaiting(queues) <= sumFree(endpoints)
     ? endpoints
     : endpoints.map(endpoint => addRoom(endpoint, turnaroundMs));
 }
--- a/scheduling/setLeader/src/slotOccupancy.ts
+++ b/scheduling/setLeader/src/slotOccupancy.ts
@@ -5,6 +5,7 @@
 import {computeSlotStretch} from '@gentianshunt/policy';
 
 import type {EndpointCapacity} from './allocation.js';
+import {sumOccupied} from './setSums.js';
 
 /** Time constant of the mean, that of the requests which entries report to run. */
 const OCCUPANCY_DECAY_MS: Milliseconds = 1_000;
@@ -26,11 +27,10 @@
   {capacities, records, running}: SetUse,
   now: TurnTime,
 ): SlotOccupancy {
-  const counted = capacities.reduce((sum, item) => sum + item.occupied, 0);
   const kept = records
     .flatMap(({report}) => report.unspent)
     .reduce((sum, {count}) => sum + count, 0);
-  const occupied = Math.max(0, counted - kept);
+  const occupied = Math.max(0, sumOccupied(capacities) - kept);
   const at = now.monotonic;
   const before = known ?? {mean: occupied, stretch: 1, at};
   const elapsedMs = Math.max(0, at - before.at);
--- a/scheduling/slotClient/src/grantWaitController.ts
+++ b/scheduling/slotClient/src/grantWaitController.ts
@@ -16,7 +16,7 @@
 import type {EndpointSetId} from '@gentianshunt/identifiers';
 
 /** A shorter wait for a grant is usual where capacity is short. */
-export const REPORTED_WAIT_MS: Milliseconds = 500;
+const REPORTED_WAIT_MS: Milliseconds = 500;
 /** Time between two log lines about the same set. */
 const WAIT_LOG_INTERVAL_MS: Milliseconds = 1_000;
 
