Review: stand-ins of workers listen at an address of their own

So that no other connection holds the port of a worker that starts again. An error outside of a case ends it with 2 and ends its processes.

--- a/review/lib-2/deployment.mjs
+++ b/review/lib-2/deployment.mjs
@@ -224,6 +224,8 @@
   return {
     nodes,
     ports,
+    /** Where stand-ins of workers listen; nothing else uses this address. */
+    workerHost: `127.${net2}.${net3}.200`,
     folder,
     start,
     signal,
--- a/review/lib-2/runCase.mjs
+++ b/review/lib-2/runCase.mjs
@@ -42,6 +42,7 @@
   };
   process.on('SIGTERM', () => stopped('stopped by SIGTERM'));
   process.on('SIGINT', () => stopped('stopped by SIGINT'));
+  process.on('uncaughtException', error => stopped(`failed: ${error.message}`));
   setTimeout(() => stopped('the case took too long'), LIMIT_MS);
   let code = 2;
   try {
--- a/review/lib-2/streams.mjs
+++ b/review/lib-2/streams.mjs
@@ -11,7 +11,7 @@
   id,
   version,
   service = 'llm',
-  host = '127.0.0.1',
+  host = deployment.workerHost,
   slots = 16,
   eventMs = 100,
   events = 40,
--- a/review/lib-2/worker.mjs
+++ b/review/lib-2/worker.mjs
@@ -13,7 +13,7 @@
   record,
   id,
   service,
-  host = '127.0.0.1',
+  host = deployment.workerHost,
   slots = 8,
   version = 'v1',
   answer,
