--- a/review/lib-2/streams.mjs
+++ b/review/lib-2/streams.mjs
@@ -2,7 +2,8 @@
 // its boot, and clients that take a broken stream up again.
 import http from 'node:http';
 
-import {call, delay, drawId} from './deployment.mjs';
+import {delay, drawId} from './deployment.mjs';
+import {createHeartbeats} from './heartbeats.mjs';
 
 /** Starts a worker of streams. It works at the pace of `eventMs`. */
 export async function startStreamWorker({
@@ -79,41 +80,20 @@
     worker.port = server.address().port;
   };
   await listen(0);
-  let target = 0;
-  const beat = async () => {
+  const sendHeartbeat = createHeartbeats(deployment, id);
+  const beat = () => {
     worker.sequence += 1;
-    const body = JSON.stringify({
+    const {port, version: software, sequence, born} = worker;
+    const address = `${host}:${port}`;
+    return sendHeartbeat({
       service,
-      address: `${host}:${worker.port}`,
-      zone: 'zone-1',
-      version: worker.version,
+      address,
+      version: software,
       slots,
       state: 'ready',
-      cold_left_ms: 0,
-      stage: 'both',
-      models: [{name: 'm', version: 1, adapters: []}],
-      sequence: worker.sequence,
-      born: worker.born,
+      sequence,
+      born,
     });
-    for (let tries = 0; tries < deployment.nodes.length; tries += 1) {
-      const node = deployment.nodes[target % deployment.nodes.length];
-      const {status} = await call({
-        host: node.host,
-        port: deployment.ports.control,
-        method: 'PUT',
-        path: `/v1/instances/${id}`,
-        headers: {
-          'content-type': 'application/json',
-          'content-length': Buffer.byteLength(body),
-        },
-        body,
-        timeoutMs: 1_000,
-      });
-      if (status >= 200 && status < 300) {
-        return;
-      }
-      target += 1;
-    }
   };
   const beats = (async () => {
     let dueAt = 0;
--- a/review/lib-2/worker.mjs
+++ b/review/lib-2/worker.mjs
@@ -2,7 +2,7 @@
 import http from 'node:http';
 import {setTimeout as delay} from 'node:timers/promises';
 
-import {call} from './deployment.mjs';
+import {createHeartbeats} from './heartbeats.mjs';
 
 /**
  * Starts a worker on a port of its own. `answer` gets a request whose body is
@@ -65,42 +65,18 @@
   let sequence = 0;
   let state = 'ready';
   let isStopped = false;
-  let target = 0;
-  const beat = async () => {
+  const sendHeartbeat = createHeartbeats(deployment, id);
+  const beat = () => {
     sequence += 1;
-    const body = JSON.stringify({
+    return sendHeartbeat({
       service,
       address,
-      zone: 'zone-1',
       version,
       slots,
       state,
-      cold_left_ms: 0,
-      stage: 'both',
-      models: [{name: 'm', version: 1, adapters: []}],
       sequence,
       born,
     });
-    for (let tries = 0; tries < deployment.nodes.length; tries += 1) {
-      const node = deployment.nodes[target % deployment.nodes.length];
-      const {status} = await call({
-        host: node.host,
-        port: deployment.ports.control,
-        method: 'PUT',
-        path: `/v1/instances/${id}`,
-        headers: {
-          'content-type': 'application/json',
-          'content-length': Buffer.byteLength(body),
-        },
-        body,
-        timeoutMs: 1_000,
-      });
-      if (status >= 200 && status < 300) {
-        return true;
-      }
-      target += 1;
-    }
-    return false;
   };
   const loop = (async () => {
     while (!isStopped) {
