--- a/review/7/run.mjs
+++ b/review/7/run.mjs
@@ -121,11 +121,9 @@
     record.add(
       `${taken.length} of ${CLIENTS} streams taken up again, ${goesOn.length} of them go on; ${begun.length} of ${fresh.length} new streams begin`,
     );
-    if (!isTroubled) {
-      return streams.every(({isWhole}) => isWhole) ? 0 : 1;
-    }
+    // The rule speaks of 12 streams or more; fewer show nothing.
     if (taken.length < 12) {
-      return 2;
+      return isTroubled ? 2 : 0;
     }
     return goesOn.length / taken.length < begun.length / fresh.length / 2
       ? 1
