Routing: a key that nobody has runs nothing, also on routes open to everybody

Cause: routeCall took the anonymous organisation whenever it found no owner of the key. No key, a key that nobody has, and a configuration in which callers have no keys were one case. Which of them it is, is now decided once (`checkKey`: ignored, missing, unknown, valid), and `findCaller` is an exhaustive switch over it; the release says whether keys are checked (`callerKeys`). Releases stored before do not say; there an organisation with keys does.

Evidence: on the same connections and in the same second the closed route answers 401, so the configuration is in force and nothing is remembered of the connection; the request runs without the tenant's name, which it had before.

Why it works: an unknown key has no way to an organisation on any route. Calls without a key, with another scheme, and all calls where there are no tenants are served as before; an entry without a lease answers 503, as it did on closed routes.

--- a/control/configuration/src/objects.ts
+++ b/control/configuration/src/objects.ts
@@ -158,8 +158,19 @@
   /** The operator's version; only a higher one replaces it. */
   readonly version: number;
   readonly callerLimits: CallerLimits | null;
+  /**
+   * Whether the keys of callers are checked. Absent in releases that an earlier
+   * version stored: they are if an organisation has keys.
+   */
+  readonly callerKeys?: CallerKeyPolicy;
 }
 
+/**
+ * Whether callers are identified by keys: a checked key belongs to an organisation
+ * or is refused; where keys are ignored, all callers are anonymous.
+ */
+export type CallerKeyPolicy = 'checked' | 'ignored';
+
 /** Identifier of the only release object. */
 export const RELEASE_ID = 'default';
 
--- a/fronts/callRelay/test/relayFixture.ts
+++ b/fronts/callRelay/test/relayFixture.ts
@@ -1,12 +1,20 @@
 import {request as sendHttp} from 'node:http';
-import type {IncomingHttpHeaders} from 'node:http';
+import type {IncomingHttpHeaders, OutgoingHttpHeaders} from 'node:http';
 import {createServer} from 'node:net';
 import type {AddressInfo, Socket} from 'node:net';
 
-import {createLease, createManualClock, readInstant} from '@gentianshunt/clock';
+import {
+  createLease,
+  createManualClock,
+  ENDED_LEASE,
+  readInstant,
+} from '@gentianshunt/clock';
 import type {Clock} from '@gentianshunt/clock';
 import {formatObjectKey} from '@gentianshunt/configuration';
-import type {ConfigurationObject} from '@gentianshunt/configuration';
+import type {
+  ConfigurationObject,
+  ConfigurationTable,
+} from '@gentianshunt/configuration';
 import {failDispatched, NO_SIGNALS} from '@gentianshunt/entryModel';
 import type {
   Dispatch,
@@ -53,7 +61,15 @@
     kind: Kind,
   ): Promise<Extract<EntryObservation, {readonly kind: Kind}>>;
   /** Sends a call and resolves with its answer or with the error. */
-  call(id: string, body?: Buffer): Promise<CallerAnswer | Error>;
+  call(
+    id: string,
+    body?: Buffer,
+    headers?: OutgoingHttpHeaders,
+  ): Promise<CallerAnswer | Error>;
+  /** Puts a newer configuration in force. */
+  replaceConfiguration(objects: readonly ConfigurationObject[]): void;
+  /** Lets the lease of the entry end, or grants one. */
+  setLease(isValid: boolean): void;
   /** Dispatches a received call to an endpoint. */
   dispatch(
     attributes: RequestAttributes,
@@ -84,7 +100,7 @@
             id: toIdentifier(id),
             host: 'a.example',
             path: url,
-            key: null,
+            key: findHeader(headers, 'x-key') ?? null,
             timeLeftMs: null,
             size: null,
             prefix: null,
@@ -111,7 +127,8 @@
   formatMalformed: detail => ({status: 400, headers: [], body: detail}),
 };
 
-function listObjects(timeoutMs: number): readonly ConfigurationObject[] {
+/** Lists the objects of a configuration with one route. */
+export function listObjects(timeoutMs: number): readonly ConfigurationObject[] {
   return [
     {
       kind: 'route',
@@ -168,33 +185,27 @@
   const observations: EntryObservation[] = [];
   const steps: CallStep[] = [];
   const waiters = new Map<string, (observation: EntryObservation) => void>();
-  const configuration = new Map(
-    listObjects(timeoutMs).map(object => [
-      formatObjectKey(object.kind, object.id),
-      object,
-    ]),
-  );
   const withdrawnEndpoints = new Map<string, number>();
   const quarantines = new Map<string, Quarantine>();
-  const control = {
-    version: 1,
-    lease: createLease(readInstant(clock), LEASE_MS),
+  const view = {
+    configuration: toTable(listObjects(timeoutMs)),
+    control: {
+      version: 1,
+      lease: createLease(readInstant(clock), LEASE_MS),
+    },
+    withdrawnEndpoints,
+    leaveCatchUp: {kind: 'current'},
+    processActivity: null,
+    quarantines,
+    namedLimits: new Map(),
+    pausedEndpoints: new Map(),
+    requests: new Map(),
+    identity: {address: {node: 'entry-0'}},
   };
   const relay = createCallRelay({
     server,
     protocol: {...protocol, ...changed},
-    view: {
-      configuration,
-      control,
-      withdrawnEndpoints,
-      leaveCatchUp: {kind: 'current'},
-      processActivity: null,
-      quarantines,
-      namedLimits: new Map(),
-      pausedEndpoints: new Map(),
-      requests: new Map(),
-      identity: {address: {node: 'entry-0'}},
-    } as never,
+    view: view as never,
     clock,
     loop,
     gate: createMemoryGate(MEMORY_BYTES, clock),
@@ -218,7 +229,16 @@
     quarantines,
     next: kind =>
       new Promise(resolve => waiters.set(kind, resolve as never)) as never,
-    call: (id, body) => sendCall(port, id, body),
+    call: (id, body, headers) => sendCall(port, id, body, headers),
+    replaceConfiguration: objects => {
+      view.configuration = toTable(objects);
+      view.control.version += 1;
+    },
+    setLease: isValid => {
+      view.control.lease = isValid
+        ? createLease(readInstant(clock), LEASE_MS)
+        : ENDED_LEASE;
+    },
     dispatch: (attributes, url, options = {}) => {
       const {isRetryable, isResumable = false, attempt = 1} = options;
       const dispatch: Dispatch = {
@@ -255,10 +275,17 @@
   };
 }
 
+function toTable(objects: readonly ConfigurationObject[]): ConfigurationTable {
+  return new Map(
+    objects.map(object => [formatObjectKey(object.kind, object.id), object]),
+  );
+}
+
 function sendCall(
   port: number,
   id: string,
   body?: Buffer,
+  headers: OutgoingHttpHeaders = {},
 ): Promise<CallerAnswer | Error> {
   return new Promise(resolve => {
     const request = sendHttp(
@@ -267,7 +294,7 @@
         port,
         path: '/x/1?q=2',
         method: body === undefined ? 'GET' : 'POST',
-        headers: {'x-call': id},
+        headers: {...headers, 'x-call': id},
       },
       response => {
         const chunks: Buffer[] = [];
--- a/scheduling/routing/src/routeCall.ts
+++ b/scheduling/routing/src/routeCall.ts
@@ -10,6 +10,7 @@
   RequestAttributes,
   ResumedStream,
 } from '@gentianshunt/entryModel';
+import {assertNever} from '@gentianshunt/errors';
 import {hashToFraction} from '@gentianshunt/hashing';
 import type {
   EndpointSetId,
@@ -18,7 +19,7 @@
   RequestId,
 } from '@gentianshunt/identifiers';
 
-import type {RoutingTable} from './routingTable.js';
+import type {Credential, RoutingTable} from './routingTable.js';
 
 /** Organisation of calls without a key, on routes that allow them. */
 export const ANONYMOUS = 'anonymous' as OrganisationId;
@@ -76,10 +77,8 @@
   if (route === undefined) {
     return {kind: 'refused', reason: {kind: 'unknownRoute'}};
   }
-  const keyOwner =
-    call.key === null ? undefined : table.findOrganisation(call.key);
-  const id = keyOwner?.id ?? (route.isAnonymous ? ANONYMOUS : undefined);
-  const organisation = id && findObject(configuration, 'organisation', id);
+  const credential = table.checkKey(call.key);
+  const organisation = findCaller(configuration, route, credential);
   if (organisation === undefined) {
     return {kind: 'refused', reason: {kind: 'unknownKey'}};
   }
@@ -90,6 +89,30 @@
   };
 }
 
+/**
+ * Finds the organisation of a caller. A route that accepts calls without a key does
+ * not accept keys that nobody has: one that was revoked must not work anywhere.
+ */
+function findCaller(
+  configuration: ConfigurationTable,
+  route: Route,
+  credential: Credential,
+): Organisation | undefined {
+  switch (credential.kind) {
+    case 'ignored':
+    case 'missing':
+      return route.isAnonymous
+        ? findObject(configuration, 'organisation', ANONYMOUS)
+        : undefined;
+    case 'unknown':
+      return undefined;
+    case 'valid':
+      return credential.organisation;
+    default:
+      return assertNever(credential, 'findCaller');
+  }
+}
+
 function toRequestAttributes(
   route: Route,
   organisation: Organisation,
--- a/scheduling/routing/test/routeCall.test.ts
+++ b/scheduling/routing/test/routeCall.test.ts
@@ -130,6 +130,29 @@
   t.match(routed, {attributes: {organisation: ANONYMOUS}});
 });
 
+// Guards against review/9: the caller was served as if it had sent no key.
+t.test('an anonymous route refuses a key that nobody has', async t => {
+  const routed = run([createRoute({isAnonymous: true})], {key: 'key-2'});
+  t.match(routed, {kind: 'refused', reason: {kind: 'unknownKey'}});
+});
+
+t.test('a configuration without keys ignores those of callers', async t => {
+  const configuration = new Map(
+    [...createConfiguration([createRoute({isAnonymous: true})])].map(
+      ([key, object]) => [
+        key,
+        object.kind === 'release'
+          ? {...object, callerKeys: 'ignored' as const}
+          : object,
+      ],
+    ),
+  );
+  const table = createRoutingTable(configuration);
+  t.match(routeCall(table, configuration, createCall({key: 'key-2'})), {
+    attributes: {organisation: ANONYMOUS},
+  });
+});
+
 t.test('the shorter of the time limits applies', async t => {
   t.match(run([createRoute({})]), {
     attributes: {routePolicy: {timeLimitMs: 800}},
