--- a/scheduling/entryModel/src/decision.ts
+++ b/scheduling/entryModel/src/decision.ts
@@ -276,6 +276,23 @@
       /** Demand reports in a row that were lost or refused. */
       readonly failures: number;
     }
+  | {
+      /** A request is refused: nobody knows what began the stream it takes up. */
+      readonly kind: 'originNotFound';
+      readonly request: RequestId;
+      /** The attempt that brought the first event; `null` if not named. */
+      readonly attempt: RequestId | null;
+      readonly set: EndpointSetId;
+      /** The software that the entries saw while such streams live. */
+      readonly seen: readonly string[];
+      /** Whether one of them knows what streams without a record began at. */
+      readonly isVouched: boolean;
+      /** Entries that were asked and have not answered. */
+      readonly unanswered: number;
+      /** For how long this entry has seen the software of the set. */
+      readonly seenForMs: Milliseconds | null;
+      readonly waitedMs: Milliseconds;
+    }
   | {
       readonly kind: 'endpointChanged';
       readonly set: EndpointSetId;
--- a/scheduling/streamOrigins/src/originInquiries.ts
+++ b/scheduling/streamOrigins/src/originInquiries.ts
@@ -2,7 +2,11 @@
 import type {TurnTime} from '@gentianshunt/board';
 import type {Milliseconds} from '@gentianshunt/clock';
 import {findEntryAddress} from '@gentianshunt/entryModel';
-import type {EntryMessage, OriginInquiry} from '@gentianshunt/entryModel';
+import type {
+  EntryDecision,
+  EntryMessage,
+  OriginInquiry,
+} from '@gentianshunt/entryModel';
 import type {NodeId, RequestId} from '@gentianshunt/identifiers';
 
 import {listKeepers, listWitnesses} from './originKeepers.js';
@@ -67,13 +71,25 @@
     isVouched: isComplete(seen, draft.memoryMs, now),
     outcome: {kind: 'open'},
   };
-  draft.inquiries.put(id, resolveInquiry(inquiry, now));
+  putInquiry(draft, id, resolveInquiry(inquiry, now), now);
   if (keepers.length > 0) {
     queryKeepers(view, draft, id, inquiry);
     draft.startTimer();
   }
 }
 
+function putInquiry(
+  draft: OriginDraft,
+  request: RequestId,
+  inquiry: OriginInquiry,
+  now: TurnTime,
+): void {
+  draft.inquiries.put(request, inquiry);
+  if (inquiry.outcome.kind === 'unknown') {
+    draft.log(describeUnknown(draft, request, inquiry, now));
+  }
+}
+
 /** Asks the entries that have not answered. */
 function queryKeepers(
   {board}: OriginView,
@@ -120,6 +136,27 @@
   };
 }
 
+/** Logs why an inquiry ended without an origin. */
+function describeUnknown(
+  draft: OriginDraft,
+  request: RequestId,
+  {attempt, set, seen, isVouched, unanswered, startedAt}: OriginInquiry,
+  now: TurnTime,
+): EntryDecision {
+  const since = draft.seen.get(set)?.since;
+  return {
+    kind: 'originNotFound',
+    request,
+    attempt,
+    set,
+    seen: seen.map(software => software ?? ''),
+    isVouched,
+    unanswered: unanswered.length,
+    seenForMs: since === undefined ? null : now.monotonic - since,
+    waitedMs: now.monotonic - startedAt,
+  };
+}
+
 /** Tells another entry what this one knows of a stream. */
 export function answerInquiry(
   view: OriginView,
@@ -162,7 +199,7 @@
     isVouched: inquiry.isVouched || isVouched,
     outcome: origin === null ? inquiry.outcome : {kind: 'found', origin},
   };
-  draft.inquiries.put(request, resolveInquiry(next, now));
+  putInquiry(draft, request, resolveInquiry(next, now), now);
 }
 
 /**
@@ -178,7 +215,7 @@
   for (const [request, inquiry] of view.board.originInquiries) {
     const next = resolveInquiry(addWitnesses(view, request, inquiry, now), now);
     if (next !== inquiry) {
-      draft.inquiries.put(request, next);
+      putInquiry(draft, request, next, now);
     }
     if (next.outcome.kind === 'open') {
       hasOpen = true;
--- a/scheduling/streamOrigins/src/originView.ts
+++ b/scheduling/streamOrigins/src/originView.ts
@@ -2,6 +2,7 @@
 import type {MapDraft, View} from '@gentianshunt/board';
 import type {Milliseconds} from '@gentianshunt/clock';
 import type {
+  EntryDecision,
   EntryMessage,
   EntryObservation,
   EntrySections,
@@ -52,6 +53,7 @@
   /** How long a stream may be taken up after its first event. */
   readonly memoryMs: Milliseconds;
   send(to: NodeId, address: NetworkAddress, message: EntryMessage): void;
+  log(decision: EntryDecision): void;
   /** Starts the timer for reports and inquiries, unless it runs. */
   startTimer(): void;
   /** Records that the timer is due, so that it can be started again. */
@@ -78,6 +80,8 @@
         kind: 'effect',
         effect: {kind: 'sendEntry', to, address, message},
       }),
+    log: decision =>
+      effects.push({kind: 'effect', effect: {kind: 'logDecision', decision}}),
     startTimer: () => {
       if (!isTimerSet) {
         isTimerSet = true;
