--- a/scheduling/entryNode/test/entriesConfiguration.ts
+++ b/scheduling/entryNode/test/entriesConfiguration.ts
@@ -98,7 +98,11 @@
   entries: number,
   version: number,
   objects: readonly ConfigurationObject[],
+  absent: ReadonlySet<number> = new Set(),
 ): ControlToEntry {
+  const listed = Array.from({length: entries}, (_, index) => index).filter(
+    index => !absent.has(index),
+  );
   return {
     kind: 'configurationUpdate',
     sequence: view.control.lastSequence,
@@ -110,7 +114,7 @@
       kind: 'replace',
       directory: {
         version: {term: 1, number: 1, digest: 1},
-        entries: Array.from({length: entries}, (_, index) => ({
+        entries: listed.map(index => ({
           address: createAddress(index),
           draining: false,
         })),
--- a/scheduling/entryNode/test/streamVersionsFixture.ts
+++ b/scheduling/entryNode/test/streamVersionsFixture.ts
@@ -32,7 +32,8 @@
 const HEARTBEAT_MS: Milliseconds = 500;
 const ENDPOINT_CONCURRENCY = 8;
 const CONTROL = toIdentifier<NodeId>('control-0');
-const OBJECTS = listObjects({count: 1, tokens: null}, 0, 1);
+/** An entry leaves the directory so long after the end of its process. */
+const DIRECTORY_MS: Milliseconds = 3_000;
 
 /** Bounds that let every broken stream go on. */
 const UNBOUNDED: SharedBounds = {
@@ -58,6 +59,10 @@
   send(entry: number, id: string, resumed?: ResumedStream): void;
   /** The first event of the latest dispatch of a request arrives. */
   startAnswer(id: string): void;
+  /** Whether the caller has received an event of a request's answer. */
+  hasBegun(id: string): boolean;
+  /** The caller of a request disconnects. */
+  leave(id: string): void;
   /** The connection to the endpoint breaks. */
   breakAnswer(id: string): void;
   /** The last event of the latest dispatch of a request arrives. */
@@ -70,11 +75,20 @@
   restart(entries: readonly number[]): void;
   /** Loses the messages from and to an entry for a time. */
   loseMessages(entry: number, durationMs: Milliseconds): void;
-  /** Ends the process of an entry for good. */
+  /** An entry stands still for a time, then handles what came meanwhile. */
+  freeze(entry: number, durationMs: Milliseconds): void;
+  /** Ends the process of an entry, until it is started again. */
   kill(entry: number): void;
+  /** Starts a new process of an entry that was killed. */
+  start(entry: number): void;
+  /** An entry is asked to end when its streams have. */
+  stop(entry: number): void;
+  /** Assigns the set to another leader. */
+  moveLeader(entry: number): void;
 }
 
 interface Delivery {
+  readonly at: Milliseconds;
   readonly from: number;
   readonly to: number;
   readonly message: EntryMessage;
@@ -83,17 +97,23 @@
 /** Creates entries with a lease and a configuration, led by the first one. */
 export function createStreamVersionsFixture(
   count: number,
+  latencyMs: Milliseconds = 0,
 ): StreamVersionsFixture {
   const clock = createManualClock();
   const opened: OpenStream[] = [];
   const refusals: {readonly id: string; readonly text: string}[] = [];
   const owners = new Map<string, number>();
+  const ownerProcesses = new Map<string, number>();
+  const begun = new Set<string>();
   const timers = new Map<string, Milliseconds>();
-  const killed = new Set<number>();
+  const killedAt = new Map<number, Milliseconds>();
   let deliveries: Delivery[] = [];
   let endpoints: readonly FixtureEndpoint[] = [];
   let processes = 0;
   let lost = {entry: -1, until: 0};
+  let frozen = {entry: -1, until: 0};
+  let leader = 0;
+  let epoch = 1;
   const now = (): Milliseconds => clock.readMonotonic();
   const perform = (entry: number, process: number, effect: EntryEffect) => {
     if (processOf[entry] !== process) {
@@ -102,7 +122,8 @@
     switch (effect.kind) {
       case 'sendEntry': {
         const to = readEntry(effect.to);
-        deliveries.push({from: entry, to, message: effect.message});
+        const at = now() + (to === entry ? 0 : latencyMs);
+        deliveries.push({at, from: entry, to, message: effect.message});
         return;
       }
       case 'setTimer': {
@@ -140,15 +161,29 @@
     });
   };
   const nodes = Array.from({length: count}, (_, entry) => createNode(entry));
-  const listLive = (): readonly number[] =>
-    nodes.map((_, entry) => entry).filter(entry => !killed.has(entry));
+  const isRunning = (entry: number): boolean =>
+    !killedAt.has(entry) && !(entry === frozen.entry && now() < frozen.until);
+  const listRunning = (): readonly number[] =>
+    nodes.map((_, entry) => entry).filter(isRunning);
+  const listAbsent = (): ReadonlySet<number> =>
+    new Set(
+      [...killedAt]
+        .filter(([, at]) => now() - at >= DIRECTORY_MS)
+        .map(([entry]) => entry),
+    );
   const runHeartbeat = (entry: number): void => {
     const node = nodes[entry]!;
     node.post({kind: 'timerDue', timer: {kind: 'heartbeat'}});
     node.post({
       kind: 'controlMessage',
       from: CONTROL,
-      message: createUpdate(node, count, 1, OBJECTS),
+      message: createUpdate(
+        node,
+        count,
+        epoch,
+        listObjects({count: 1, tokens: null}, leader, epoch),
+        listAbsent(),
+      ),
     });
     endpoints.forEach(endpoint => {
       node.post({
@@ -159,15 +194,20 @@
     node.post({kind: 'timerDue', timer: {kind: 'housekeeping'}});
   };
   const deliver = (): void => {
-    while (deliveries.length > 0) {
-      const due = deliveries;
-      deliveries = [];
+    for (;;) {
+      const due = deliveries.filter(
+        ({at, to}) => at <= now() && (isRunning(to) || killedAt.has(to)),
+      );
+      if (due.length === 0) {
+        return;
+      }
+      deliveries = deliveries.filter(delivery => !due.includes(delivery));
       for (const {from, to, message} of due) {
         const isLost =
           now() < lost.until &&
           from !== to &&
           (from === lost.entry || to === lost.entry);
-        if (!killed.has(to) && !isLost) {
+        if (!killedAt.has(to) && !isLost) {
           const sender = formatNode(from);
           nodes[to]!.post({kind: 'entryMessage', from: sender, message});
         }
@@ -176,15 +216,24 @@
   };
   const runTimers = (): void => {
     for (const [name, at] of [...timers]) {
-      if (at <= now()) {
+      const [entry, timer] = JSON.parse(name) as [number, never];
+      if (at <= now() && (isRunning(entry) || killedAt.has(entry))) {
         timers.delete(name);
-        const [entry, timer] = JSON.parse(name) as [number, never];
-        if (!killed.has(entry)) {
+        if (!killedAt.has(entry)) {
           nodes[entry]!.post({kind: 'timerDue', timer});
         }
       }
     }
   };
+  /** Returns whether the process that received a request runs. */
+  const isServed = (id: string): boolean => {
+    const entry = owners.get(id);
+    return (
+      entry !== undefined &&
+      isRunning(entry) &&
+      processOf[entry] === ownerProcesses.get(id)
+    );
+  };
   const findLatest = (id: string): OpenStream | undefined =>
     opened.filter(({request}) => request.id === id).at(-1);
   const postStep = (
@@ -192,7 +241,7 @@
     create: (dispatch: DispatchId) => EntryObservation,
   ): void => {
     const latest = findLatest(id);
-    if (latest !== undefined) {
+    if (latest !== undefined && isServed(id)) {
       nodes[owners.get(id)!]!.post(create(latest.dispatch.id));
     }
   };
@@ -200,7 +249,14 @@
     nodes[entry]!.post({kind: 'started'});
     runHeartbeat(entry);
   };
-  listLive().forEach(start);
+  const replace = (entry: number): void => {
+    killedAt.delete(entry);
+    [...timers.keys()]
+      .filter(name => (JSON.parse(name) as [number])[0] === entry)
+      .forEach(name => timers.delete(name));
+    nodes[entry] = createNode(entry);
+  };
+  listRunning().forEach(start);
   let nextHeartbeatAt = now() + HEARTBEAT_MS;
   return {
     setEndpoints: next => {
@@ -214,13 +270,17 @@
         runTimers();
         if (now() >= nextHeartbeatAt) {
           nextHeartbeatAt += HEARTBEAT_MS;
-          listLive().forEach(runHeartbeat);
+          listRunning().forEach(runHeartbeat);
         }
         deliver();
       }
     },
     send: (entry, id, resumed) => {
+      if (!isRunning(entry)) {
+        return;
+      }
       owners.set(id, entry);
+      ownerProcesses.set(id, processOf[entry]!);
       nodes[entry]!.post({
         kind: 'requestReceived',
         attributes: {
@@ -240,8 +300,21 @@
       });
       deliver();
     },
-    startAnswer: id =>
-      postStep(id, dispatch => ({kind: 'streamStarted', dispatch})),
+    startAnswer: id => {
+      postStep(id, dispatch => ({kind: 'streamStarted', dispatch}));
+      if (findLatest(id) !== undefined && isServed(id)) {
+        begun.add(id);
+      }
+    },
+    hasBegun: id => begun.has(id),
+    leave: id => {
+      if (isServed(id)) {
+        nodes[owners.get(id)!]!.post({
+          kind: 'callerGone',
+          request: toIdentifier(id),
+        });
+      }
+    },
     breakAnswer: id =>
       postStep(id, dispatch => ({
         kind: 'streamEnded',
@@ -263,15 +336,27 @@
     listRefusals: id =>
       refusals.filter(refusal => refusal.id === id).map(({text}) => text),
     restart: entries => {
-      entries.forEach(entry => {
-        nodes[entry] = createNode(entry);
-      });
+      entries.forEach(replace);
       entries.forEach(start);
     },
     loseMessages: (entry, durationMs) => {
       lost = {entry, until: now() + durationMs};
     },
-    kill: entry => killed.add(entry),
+    freeze: (entry, durationMs) => {
+      frozen = {entry, until: now() + durationMs};
+    },
+    kill: entry => {
+      killedAt.set(entry, now());
+    },
+    start: entry => {
+      replace(entry);
+      start(entry);
+    },
+    stop: entry => nodes[entry]!.post({kind: 'shutdownRequested'}),
+    moveLeader: entry => {
+      leader = entry;
+      epoch += 1;
+    },
   };
 }
 
