Streams: an entry that starts takes over what others have seen of a set

Cause: that a set had one version in all that time was known only to entries that had run for twice the longest time limit. An entry that started asked nobody, and one that stopped told nobody, so a restart of all within that time forgot what was known throughout.

Evidence: originNotFound in all 48 refusals has seen [v1] and isVouched false, with unanswered 0 in 32 of them: no second version was seen, others answered, nobody vouched.

Why it works: an entry asks four others once it has a first list itself. Their histories reach to the time of their answers, its own observation begins before that, so nothing is between them. A draining entry reports its streams. Grants and reports no longer stand for a list.

--- a/fronts/entryWire/src/entryWire.ts
+++ b/fronts/entryWire/src/entryWire.ts
@@ -35,9 +35,11 @@
   encodeSoundUse,
 } from './quarantineWire.js';
 import {
+  decodeHistory,
   decodeOriginAnswer,
   decodeOriginRequest,
   decodeOrigins,
+  encodeHistory,
   encodeOriginAnswer,
   encodeOriginRequest,
   encodeOrigins,
@@ -78,6 +80,8 @@
   streamOriginsReported: 19,
   streamOriginRequested: 20,
   streamOriginAnswered: 21,
+  softwareHistoryRequested: 22,
+  softwareHistoryReported: 23,
 } as const satisfies Readonly<Record<EntryMessage['kind'], number>>;
 
 /** Encodes a message between entries as nested arrays. */
@@ -135,6 +139,10 @@
       return [kind, ...encodeOriginRequest(message)];
     case 'streamOriginAnswered':
       return [kind, ...encodeOriginAnswer(message)];
+    case 'softwareHistoryRequested':
+      return [kind, message.set];
+    case 'softwareHistoryReported':
+      return [kind, message.set, encodeHistory(message.history)];
     default:
       return assertNever(message, 'encodeEntryMessage');
   }
@@ -247,6 +255,17 @@
       return decodeOriginRequest(reader);
     case WIRE_KINDS.streamOriginAnswered:
       return decodeOriginAnswer(reader);
+    case WIRE_KINDS.softwareHistoryRequested:
+      return {
+        kind: 'softwareHistoryRequested',
+        set: reader.readIdentifier<EndpointSetId>(),
+      };
+    case WIRE_KINDS.softwareHistoryReported:
+      return {
+        kind: 'softwareHistoryReported',
+        set: reader.readIdentifier<EndpointSetId>(),
+        history: decodeHistory(reader.readList()),
+      };
     default:
       throw new MalformedMessageError(peer, 'unknown message kind');
   }
--- a/fronts/entryWire/src/originWire.ts
+++ b/fronts/entryWire/src/originWire.ts
@@ -1,4 +1,8 @@
-import type {EntryMessage, ReportedOrigin} from '@gentianshunt/entryModel';
+import type {
+  EntryMessage,
+  ReportedHistory,
+  ReportedOrigin,
+} from '@gentianshunt/entryModel';
 import type {EndpointSetId, RequestId} from '@gentianshunt/identifiers';
 
 import {decodeSoftware, encodeSoftware} from './targetWire.js';
@@ -86,3 +90,31 @@
     isVouched: reader.readCount() === 1,
   };
 }
+
+/** Encodes what an entry has seen of the software of a set. */
+export function encodeHistory(
+  history: ReportedHistory | null,
+): readonly unknown[] {
+  return history === null
+    ? []
+    : [
+        Math.round(history.ageMs),
+        ...history.software.flatMap(({software, ageMs}) => [
+          encodeSoftware(software),
+          Math.round(ageMs),
+        ]),
+      ];
+}
+
+/** Decodes and validates what an entry has seen of the software of a set. */
+export function decodeHistory(reader: WireReader): ReportedHistory | null {
+  return reader.remaining === 0
+    ? null
+    : {
+        ageMs: reader.readCount(),
+        software: readRecords(reader, list => ({
+          software: decodeSoftware(list),
+          ageMs: list.readCount(),
+        })),
+      };
+}
--- a/fronts/entryWire/test/entryWire.test.ts
+++ b/fronts/entryWire/test/entryWire.test.ts
@@ -187,6 +187,23 @@
       seen: [],
       isVouched: false,
     },
+    {kind: 'softwareHistoryRequested', set: toIdentifier('drafts')},
+    {
+      kind: 'softwareHistoryReported',
+      set: toIdentifier('drafts'),
+      history: null,
+    },
+    {
+      kind: 'softwareHistoryReported',
+      set: toIdentifier('drafts'),
+      history: {
+        ageMs: 40_000,
+        software: [
+          {software: toIdentifier<SoftwareVersion>('v2'), ageMs: 0},
+          {software: null, ageMs: 300},
+        ],
+      },
+    },
     {
       kind: 'endpointLeft',
       endpoint: toIdentifier<EndpointId>('e1'),
--- a/scheduling/entryModel/src/entryMessage.ts
+++ b/scheduling/entryModel/src/entryMessage.ts
@@ -24,6 +24,7 @@
 import type {LeaveLogPosition, ReportedLeave} from './leaveRecord.js';
 import type {
   NamedSoftware,
+  ReportedHistory,
   ReportedOrigin,
   StreamOrigin,
 } from './streamOrigin.js';
@@ -295,6 +296,17 @@
       readonly seen: readonly NamedSoftware[];
       /** Whether nothing escaped the sender. */
       readonly isVouched: boolean;
+    }
+  | {
+      /** Asks an entry what it has seen of the software of a set. */
+      readonly kind: 'softwareHistoryRequested';
+      readonly set: EndpointSetId;
+    }
+  | {
+      readonly kind: 'softwareHistoryReported';
+      readonly set: EndpointSetId;
+      /** `null` if something may have escaped the sender. */
+      readonly history: ReportedHistory | null;
     };
 
 /** Slots an entry may use until their deadline. */
--- a/scheduling/entryModel/src/streamOrigin.ts
+++ b/scheduling/entryModel/src/streamOrigin.ts
@@ -1,4 +1,4 @@
-import type {MonotonicTime} from '@gentianshunt/clock';
+import type {Milliseconds, MonotonicTime} from '@gentianshunt/clock';
 import type {
   EndpointSetId,
   NodeId,
@@ -32,12 +32,47 @@
 
 /** What an entry has seen of the software of a set. */
 export interface SeenSoftware {
-  /** Since when nothing has escaped it. */
-  readonly since: MonotonicTime;
+  /** Since when nothing has escaped it; `null` before the first list. */
+  readonly since: MonotonicTime | null;
   /** What the endpoints run that the leader of the set listed last. */
   readonly listed: readonly NamedSoftware[];
   /** When other software was seen last. */
   readonly past: ReadonlyMap<NamedSoftware, MonotonicTime>;
+  /** What other entries have seen, which this one has asked. */
+  readonly handover: HistoryHandover;
+}
+
+/** The question of an entry that has started, and the answers to it. */
+export interface HistoryHandover {
+  /** When the other entries were asked last; `null` before that. */
+  readonly askedAt: MonotonicTime | null;
+  /** How often they were asked. */
+  readonly rounds: number;
+  /** By the entry that answered; `null` if that has not seen enough itself. */
+  readonly answers: ReadonlyMap<NodeId, SoftwareHistory | null>;
+}
+
+/** The software of a set that an entry has seen while streams live. */
+export interface SoftwareHistory {
+  /** Since when nothing has escaped the entry. */
+  readonly since: MonotonicTime;
+  readonly software: readonly PastSoftware[];
+}
+
+/** Software of a set, and when it was seen last. */
+export interface PastSoftware {
+  readonly software: NamedSoftware;
+  readonly seenAt: MonotonicTime;
+}
+
+/** A history as entries tell each other; clocks of two VMs differ. */
+export interface ReportedHistory {
+  readonly ageMs: Milliseconds;
+  readonly software: readonly {
+    readonly software: NamedSoftware;
+    /** Time since it was seen last. */
+    readonly ageMs: Milliseconds;
+  }[];
 }
 
 /** What an entry has found out of the origin of a stream. */
--- /dev/null
+++ b/scheduling/entryNode/test/streamLoss.test.ts
@@ -0,0 +1,104 @@
+import t from 'tap';
+
+import {listJoined, listLost, playPlan} from './streamPlan.js';
+import type {Disturbance, PlannedStream} from './streamPlan.js';
+
+/** Long enough for all entries to know that there was one version only. */
+const STEADY_MS = 16_000;
+const STREAMS = 16;
+/** Time between two streams of the usual traffic. */
+const TRAFFIC_MS = 800;
+
+function createStreams(
+  count: number,
+  create: (index: number) => PlannedStream,
+): readonly PlannedStream[] {
+  return Array.from({length: count}, (_, index) => create(index));
+}
+
+/** Some traffic at all entries, so that they know the endpoints of the set. */
+function createTraffic(
+  entries: number,
+  endMs: number,
+): readonly PlannedStream[] {
+  return createStreams(Math.floor(endMs / TRAFFIC_MS), index => ({
+    at: 1_000 + TRAFFIC_MS * index,
+    entry: index % entries,
+    takenUpAt: 1_700 + TRAFFIC_MS * index,
+    takenUpBy: (index + 1) % entries,
+  }));
+}
+
+/** Streams that begin at the last entry and are taken up at the others. */
+function createLastStreams(
+  entries: number,
+  at: number,
+): readonly PlannedStream[] {
+  return createStreams(STREAMS, index => ({
+    at: at + 20 * index,
+    entry: entries - 1,
+    takenUpAt: at + 4_000 + 20 * index,
+    takenUpBy: index % (entries - 1),
+  }));
+}
+
+function play(
+  entries: number,
+  disturbances: readonly Disturbance[],
+  at: number,
+  secondAt?: number,
+) {
+  const last = createLastStreams(entries, at);
+  const takeUps = playPlan({
+    entries,
+    endMs: at + 9_000,
+    versions: [
+      {at: 0, versions: ['v1']},
+      ...(secondAt === undefined
+        ? []
+        : [{at: secondAt, versions: ['v1', 'v2']}]),
+    ],
+    disturbances,
+    streams: [...createTraffic(entries, at), ...last],
+  });
+  return {
+    joined: listJoined(takeUps),
+    taken: takeUps.filter(({stream}) => last.includes(stream)),
+    lost: listLost(takeUps).filter(({stream}) => last.includes(stream)),
+  };
+}
+
+/** Stops entries one after the other, each once the one before is back. */
+function createRestarts(
+  entries: readonly number[],
+  at: number,
+): readonly Disturbance[] {
+  return entries.map((entry, index) => ({
+    kind: 'stop',
+    at: at + 1_200 * index,
+    entry,
+    forMs: 600,
+  }));
+}
+
+// Guards against review/7: the entries that were restarted before knew nothing of the
+// streams of the last one, and refused all of them.
+for (const kind of ['stop', 'kill'] as const) {
+  t.test(
+    `streams go on after a rolling restart, the last by ${kind}`,
+    async t => {
+      const at = STEADY_MS + 4_000;
+      const {joined, taken, lost} = play(
+        4,
+        [
+          ...createRestarts([0, 1, 2], STEADY_MS),
+          {kind, at: at + 1_500, entry: 3, forMs: 3_000},
+        ],
+        at,
+      );
+      t.equal(taken.length, STREAMS);
+      t.same(lost, []);
+      t.same(joined, []);
+    },
+  );
+}
--- a/scheduling/entryNode/test/streamPlan.ts
+++ b/scheduling/entryNode/test/streamPlan.ts
@@ -19,6 +19,8 @@
 /** Time from the loss of a set leader to its replacement. */
 const LEADER_MS: Milliseconds = 1_000;
 
+const ENDPOINTS_PER_VERSION = 4;
+
 /** What happens to an entry; it is over after `forMs`. */
 export interface Disturbance {
   readonly kind: 'kill' | 'stop' | 'freeze' | 'cut';
@@ -159,12 +161,15 @@
   ];
 }
 
-/** Creates two endpoints of each version. */
+/** Creates the endpoints of each version. */
 function createEndpoints(
   versions: readonly string[],
 ): readonly FixtureEndpoint[] {
   return versions.flatMap(software =>
-    [0, 1].map(index => ({id: `${software}-${index}`, software})),
+    Array.from({length: ENDPOINTS_PER_VERSION}, (_, index) => ({
+      id: `${software}-${index}`,
+      software,
+    })),
   );
 }
 
--- a/scheduling/streamOrigins/src/originController.ts
+++ b/scheduling/streamOrigins/src/originController.ts
@@ -27,6 +27,11 @@
   OriginView,
 } from './originView.js';
 import {recordSeenSoftware} from './seenSoftware.js';
+import {
+  answerHistory,
+  receiveHistory,
+  requestHistories,
+} from './softwareHistories.js';
 
 /**
  * Creates the controller that remembers which software began the streams that
@@ -41,7 +46,14 @@
     run: (view, now) => {
       const draft = createOriginDraft(view);
       recordSeenSoftware(view, draft, now);
+      if (view.readChanges('knownEndpoints').size > 0) {
+        requestHistories(view, draft, now);
+      }
       recordOrigins(view, draft, now);
+      if (view.readChanges('service').size > 0) {
+        // A draining entry reports what no other will be able to ask it.
+        reportOrigins(view, draft, now);
+      }
       startInquiries(view, draft, now);
       handleObservation(view, draft, now);
       return draft.listWrites();
@@ -65,6 +77,7 @@
       }
       if (observation.timer.kind === 'housekeeping') {
         expireOrigins(view, draft, now);
+        requestHistories(view, draft, now);
       }
       return;
     default:
@@ -101,6 +114,12 @@
     case 'streamOriginAnswered':
       receiveAnswer(draft, from, message, now);
       return;
+    case 'softwareHistoryRequested':
+      answerHistory(view, draft, from, message.set, now);
+      return;
+    case 'softwareHistoryReported':
+      receiveHistory(view, draft, from, message.set, message.history, now);
+      return;
     default:
       return;
   }
--- a/scheduling/streamOrigins/src/originInquiries.ts
+++ b/scheduling/streamOrigins/src/originInquiries.ts
@@ -143,7 +143,7 @@
   {attempt, set, seen, isVouched, unanswered, startedAt}: OriginInquiry,
   now: TurnTime,
 ): EntryDecision {
-  const since = draft.seen.get(set)?.since;
+  const since = draft.seen.get(set)?.since ?? null;
   return {
     kind: 'originNotFound',
     request,
@@ -152,7 +152,7 @@
     seen: seen.map(software => software ?? ''),
     isVouched,
     unanswered: unanswered.length,
-    seenForMs: since === undefined ? null : now.monotonic - since,
+    seenForMs: since === null ? null : now.monotonic - since,
     waitedMs: now.monotonic - startedAt,
   };
 }
--- a/scheduling/streamOrigins/src/originRecords.ts
+++ b/scheduling/streamOrigins/src/originRecords.ts
@@ -36,13 +36,21 @@
       recordedAt: now.monotonic,
       isReported: false,
     });
-    if (!isSoleSoftware(draft, set, now)) {
+    if (isLeaving(view) || !isSoleSoftware(draft, set, now)) {
       draft.startTimer();
     }
   }
 }
 
-/** Reports the origins in the sets of several versions to their keepers. */
+/** Returns whether this entry will not be there when streams are taken up. */
+function isLeaving({board}: OriginView): boolean {
+  return board.service.kind === 'draining';
+}
+
+/**
+ * Reports the origins in the sets of several versions to their keepers; those of
+ * all sets if this entry is about to end.
+ */
 export function reportOrigins(
   view: OriginView,
   draft: OriginDraft,
@@ -57,11 +65,15 @@
     }
     const isSole = sole.get(set) ?? isSoleSoftware(draft, set, now);
     sole.set(set, isSole);
-    if (isSole) {
+    if (isSole && !isLeaving(view)) {
+      continue;
+    }
+    const keepers = listKeepers(view, attempt);
+    if (keepers.length === 0) {
       continue;
     }
     draft.origins.put(attempt, {...origin, isReported: true});
-    for (const to of listKeepers(view, attempt)) {
+    for (const to of keepers) {
       const report = reports.get(to.node) ?? {to, origins: []};
       reports.set(to.node, report);
       report.origins.push({attempt, set, software});
--- a/scheduling/streamOrigins/src/originView.ts
+++ b/scheduling/streamOrigins/src/originView.ts
@@ -36,6 +36,7 @@
   'control',
   'configuration',
   'requests',
+  'service',
   'knownEndpoints',
   'acceptedReply',
 ] as const;
--- a/scheduling/streamOrigins/src/seenSoftware.ts
+++ b/scheduling/streamOrigins/src/seenSoftware.ts
@@ -2,7 +2,11 @@
 import type {TurnTime} from '@gentianshunt/board';
 import type {Milliseconds} from '@gentianshunt/clock';
 import {readSoftware} from '@gentianshunt/entryModel';
-import type {NamedSoftware, SeenSoftware} from '@gentianshunt/entryModel';
+import type {
+  HistoryHandover,
+  NamedSoftware,
+  SeenSoftware,
+} from '@gentianshunt/entryModel';
 import type {EndpointSetId} from '@gentianshunt/identifiers';
 
 import type {OriginDraft, OriginView} from './originView.js';
@@ -10,6 +14,13 @@
 /** Shortest time between two records of software that is not listed. */
 const RECORD_INTERVAL_MS: Milliseconds = 1_000;
 
+/** An entry that has asked no other what that has seen. */
+const NO_HANDOVER: HistoryHandover = {
+  askedAt: null,
+  rounds: 0,
+  answers: new Map(),
+};
+
 /** Records the software in new endpoint lists and grants. */
 export function recordSeenSoftware(
   view: OriginView,
@@ -45,12 +56,14 @@
   const known = draft.seen.get(set);
   const dropped = known?.listed.filter(item => !listed.includes(item)) ?? [];
   const added = listed.filter(item => known?.listed.includes(item) !== true);
-  if (known !== undefined && dropped.length + added.length === 0) {
+  const isFirst = (known?.since ?? null) === null;
+  if (!isFirst && dropped.length + added.length === 0) {
     return;
   }
   draft.seen.put(set, {
     since: known?.since ?? now.monotonic,
     listed,
+    handover: known?.handover ?? NO_HANDOVER,
     past: new Map([
       ...(known?.past ?? []),
       ...dropped.map(item => [item, now.monotonic] as const),
@@ -75,8 +88,9 @@
     return;
   }
   draft.seen.put(set, {
-    since: known?.since ?? now.monotonic,
+    since: known?.since ?? null,
     listed: known?.listed ?? [],
+    handover: known?.handover ?? NO_HANDOVER,
     past: new Map([...(known?.past ?? []), [software, now.monotonic]]),
   });
   reportIfMixed(draft, set, now);
@@ -111,7 +125,8 @@
   memoryMs: Milliseconds,
   now: TurnTime,
 ): boolean {
-  return seen !== undefined && now.monotonic - seen.since >= memoryMs;
+  const since = seen?.since ?? null;
+  return since !== null && now.monotonic - since >= memoryMs;
 }
 
 /** Returns whether all streams of a set surely began at the same software. */
