Streams: one without a record is one of the version before, and that is a fact

What callers saw: a machine lost power; a first worker of a newer version registered before its callers gave their streams up.

Cause: an origin was reported once its entry saw a second version, up to 100 ms after the first event. An entry that is lost before never reports, and a missing record proved nothing, so refusing was right.

Evidence: originNotFound in all 48 refusals has seen [v1, v2] and isVouched true, unanswered 0 in 38: the entries answered and were complete, they just had no record.

Why it works: as long as others may take an unreported stream for one of the version before, a stream of a new version is reported, and the relay holds its answer (releaseAnswer) until all keepers but one keep it. With the serving entry, all but one of the four holders have it then. An inquiry ends with the version before only if all but one of them say that they would have a record and have none; both can't be true of the same stream. An entry that restarted since is no keeper, and asks for the reports it lost; one without a lease votes for nothing and doubts what it saw; one that knows that all streams were reported contradicts.

Tests of ORDER came first. With the hold left out the first of streamOrder fails, with any vote sufficing its random plans do; they also found an entry that stood still and claimed the old version when it woke.

--- a/bench/matrix/src/entryHost.ts
+++ b/bench/matrix/src/entryHost.ts
@@ -182,6 +182,7 @@
     case 'answerAddresses':
       state.addresses = effect.addresses.map(address => address.node);
       return;
+    case 'releaseAnswer':
     case 'sendEndpointOrder':
     case 'settleLeave':
     case 'storeLeaves':
--- a/bench/policyBench/src/entryCluster.ts
+++ b/bench/policyBench/src/entryCluster.ts
@@ -209,6 +209,7 @@
 ): void {
   switch (effect.kind) {
     case 'resumeStream':
+    case 'releaseAnswer':
     case 'redirectEntry':
     case 'logDecision':
     case 'sendEndpointOrder':
--- a/bench/virtualEntry/src/virtualEntries.ts
+++ b/bench/virtualEntry/src/virtualEntries.ts
@@ -257,6 +257,7 @@
     case 'openStream':
     case 'resumeStream':
     case 'cancelStream':
+    case 'releaseAnswer':
     case 'refuseCaller':
     case 'repeatAnswer':
     case 'answerAddresses':
--- a/daemons/hosts/src/entryHost.ts
+++ b/daemons/hosts/src/entryHost.ts
@@ -166,6 +166,7 @@
     case 'openStream':
     case 'resumeStream':
     case 'cancelStream':
+    case 'releaseAnswer':
     case 'repeatAnswer':
     case 'answerAddresses':
       adapters.performCallerEffect(effect);
--- a/fronts/callRelay/src/callRelay.ts
+++ b/fronts/callRelay/src/callRelay.ts
@@ -20,6 +20,7 @@
   EntrySections,
   Refusal,
   RefusalReason,
+  RequestAttributes,
 } from '@gentianshunt/entryModel';
 import {routeCall} from '@gentianshunt/routing';
 import type {CallAttributes, RoutingTable} from '@gentianshunt/routing';
@@ -27,6 +28,7 @@
 import type {LoopMonitor} from '@gentianshunt/runtime';
 import type {FastifyInstance, FastifyReply, FastifyRequest} from 'fastify';
 
+import {createAnswerHold} from './answerHold.js';
 import {sendSchedulerAnswer} from './answerWriter.js';
 import {digestCall} from './callFingerprint.js';
 import type {CallHead, CallProtocol} from './callProtocol.js';
@@ -44,7 +46,10 @@
 /** The effects that the relay executes. */
 export type RelayEffect = Extract<
   EntryEffect,
-  {readonly kind: 'openStream' | 'cancelStream' | 'refuseCaller'}
+  {
+    readonly kind:
+      'openStream' | 'cancelStream' | 'releaseAnswer' | 'refuseCaller';
+  }
 >;
 
 /** Options of the relay. */
@@ -116,6 +121,9 @@
         case 'cancelStream':
           streams.cancel(effect.dispatch);
           return;
+        case 'releaseAnswer':
+          calls.find(effect.request)?.hold.release();
+          return;
         case 'refuseCaller':
           refuse(effect.refusal);
           return;
@@ -269,6 +277,7 @@
     receivedAt,
     dueAt: receivedAt + limitMs,
     timer,
+    hold: createAnswerHold(isResumableStream(resolved.attributes)),
     lastEventId: null,
     sentHead: null,
     sentCount: 0,
@@ -287,6 +296,14 @@
   };
 }
 
+/**
+ * Returns whether callers may take the stream of a call up at other entries. The
+ * entry decides when they may have its first event.
+ */
+function isResumableStream({routePolicy}: RequestAttributes): boolean {
+  return routePolicy?.isStream === true && routePolicy.isResumable;
+}
+
 /** Refuses a call that has not been admitted. */
 function refuseCall(
   {protocol, onRefused}: CallRelayOptions,
--- a/fronts/callRelay/src/callTable.ts
+++ b/fronts/callRelay/src/callTable.ts
@@ -4,6 +4,7 @@
 import type {RequestId} from '@gentianshunt/identifiers';
 import type {RequestBody} from '@gentianshunt/requestBodies';
 
+import type {AnswerHold} from './answerHold.js';
 import type {AnswerHead, CallHead} from './callProtocol.js';
 
 /** A call whose caller awaits the answer. */
@@ -16,6 +17,7 @@
   /** Deadline of the final answer, in monotonic milliseconds. */
   readonly dueAt: MonotonicTime;
   readonly timer: NodeJS.Timeout;
+  readonly hold: AnswerHold;
   /** How often it was sent to an endpoint. */
   sentCount: number;
   /** ID of the last complete event sent to the caller. */
--- a/fronts/callRelay/src/endpointStream.ts
+++ b/fronts/callRelay/src/endpointStream.ts
@@ -27,7 +27,7 @@
 import {createDroppedBody} from './droppedBody.js';
 import type {DroppedBody} from './droppedBody.js';
 import {guardCall} from './guardCall.js';
-import {createAnswerPause} from './answerPause.js';
+import {createAnswerDelivery} from './answerDelivery.js';
 import {readRawHeaders} from './rawHeaders.js';
 import {isBrokenFailure, isHeadOverflow, toStreamEnd} from './streamErrors.js';
 
@@ -159,7 +159,18 @@
     end({kind: 'cut', detail, events: 0, progress: progress.read()});
     controller?.abort(new Error(detail));
   };
-  const pause = createAnswerPause(options.gate, call.response);
+  const delivery = createAnswerDelivery({
+    gate: options.gate,
+    call,
+    isEnded: () => isEnded,
+    onComplete: () => {
+      options.calls.remove(call.id);
+      end({kind: 'complete'});
+    },
+    onCut: detail =>
+      end({kind: 'cut', detail, events: 0, progress: progress.read()}),
+    onFailed: error => abort(error.message),
+  });
   const canSend = (): boolean => {
     const cause = findWithholdCause(options, call, request, dispatch);
     if (cause === undefined || isEnded) {
@@ -236,33 +247,17 @@
         if (handling.kind !== 'pass' || isEnded || chunk.length === 0) {
           return;
         }
+        const {writer} = handling;
         progress.recordChunk(chunk);
         reportTokens();
-        try {
-          if (!handling.writer.write(chunk)) {
-            pause(started);
-          }
-        } catch (error) {
-          abort((error as Error).message);
-        }
+        delivery.write(started, writer, chunk);
       },
       onResponseEnd: () => {
         if (handling.kind === 'discard') {
           handling.drop.end();
         }
-        if (handling.kind !== 'pass' || isEnded) {
-          return;
-        }
-        if (handling.writer.end()) {
-          options.calls.remove(call.id);
-          end({kind: 'complete'});
-        } else {
-          end({
-            kind: 'cut',
-            detail: 'the last event is not whole',
-            events: 0,
-            progress: progress.read(),
-          });
+        if (handling.kind === 'pass') {
+          delivery.end(handling.writer);
         }
       },
       onResponseError: (_controller, error) => {
--- a/fronts/callRelay/test/relayFixture.ts
+++ b/fronts/callRelay/test/relayFixture.ts
@@ -24,7 +24,7 @@
   StreamEnd,
 } from '@gentianshunt/entryModel';
 import {toIdentifier} from '@gentianshunt/identifiers';
-import type {RequestId} from '@gentianshunt/identifiers';
+import type {DispatchId, RequestId} from '@gentianshunt/identifiers';
 import {createMemoryGate} from '@gentianshunt/requestBodies';
 import {ANONYMOUS} from '@gentianshunt/routing';
 import {createManualLoop} from '@gentianshunt/runtime';
@@ -172,6 +172,8 @@
   readonly loop?: LoopMonitor;
   /** Time limit of the calls, in milliseconds. */
   readonly timeoutMs?: number;
+  /** Whether the test releases answers itself. */
+  readonly holdsAnswers?: boolean;
 }
 
 /** Starts a relay. */
@@ -180,6 +182,7 @@
   loop = createManualLoop(),
   protocol: changed = {},
   timeoutMs = 5_000,
+  holdsAnswers = false,
 }: RelayFixtureOptions = {}): Promise<RelayFixture> {
   const server = fastify({forceCloseConnections: true});
   const observations: EntryObservation[] = [];
@@ -212,6 +215,10 @@
     maxBodyBytes: MEMORY_BYTES,
     post: observation => {
       observations.push(observation);
+      if (observation.kind === 'streamStarted' && !holdsAnswers) {
+        const request = readRequest(observation.dispatch);
+        relay.perform({kind: 'releaseAnswer', request});
+      }
       waiters.get(observation.kind)?.(observation);
       waiters.delete(observation.kind);
     },
@@ -242,7 +249,7 @@
     dispatch: (attributes, url, options = {}) => {
       const {isRetryable, isResumable = false, attempt = 1} = options;
       const dispatch: Dispatch = {
-        id: toIdentifier(`${attributes.id}.d${attempt}`),
+        id: formatDispatch(attributes.id, attempt),
         grant: toIdentifier('g'),
         target: {endpoint: toIdentifier('e1'), url},
         at: 0,
@@ -275,6 +282,14 @@
   };
 }
 
+function formatDispatch(request: RequestId, attempt: number): DispatchId {
+  return toIdentifier(`${request}.d${attempt}`);
+}
+
+function readRequest(dispatch: DispatchId): RequestId {
+  return toIdentifier(dispatch.slice(0, dispatch.lastIndexOf('.d')));
+}
+
 function toTable(objects: readonly ConfigurationObject[]): ConfigurationTable {
   return new Map(
     objects.map(object => [formatObjectKey(object.kind, object.id), object]),
--- a/fronts/callerFront/src/callerFront.ts
+++ b/fronts/callerFront/src/callerFront.ts
@@ -65,6 +65,9 @@
         case 'cancelStream':
           streams.cancel(effect.dispatch);
           return;
+        case 'releaseAnswer':
+          // Only answers of routes are held, which this front does not have.
+          return;
         case 'refuseCaller': {
           const caller = callers.find(effect.refusal.request);
           callers.remove(effect.refusal.request);
--- a/fronts/entryWire/src/entryWire.ts
+++ b/fronts/entryWire/src/entryWire.ts
@@ -9,6 +9,7 @@
   FailureDomainId,
   IncarnationId,
   FingerprintId,
+  RequestId,
 } from '@gentianshunt/identifiers';
 
 import {decodeDemandReport, encodeDemandReport} from './demandReportWire.js';
@@ -46,7 +47,7 @@
 } from './originWire.js';
 import {decodeOwnSoftware, encodeSoftware} from './targetWire.js';
 import {MalformedMessageError} from './wireErrors.js';
-import {createWireReader} from './wireReader.js';
+import {createWireReader, readRecords} from './wireReader.js';
 import type {WireReader} from './wireReader.js';
 import {
   decodeLeavesReport,
@@ -82,6 +83,8 @@
   streamOriginAnswered: 21,
   softwareHistoryRequested: 22,
   softwareHistoryReported: 23,
+  streamOriginsKept: 24,
+  streamOriginsRequested: 25,
 } as const satisfies Readonly<Record<EntryMessage['kind'], number>>;
 
 /** Encodes a message between entries as nested arrays. */
@@ -134,7 +137,11 @@
     case 'quarantineTestRequested':
       return [kind, message.fingerprint];
     case 'streamOriginsReported':
-      return [kind, encodeOrigins(message.origins)];
+      return [kind, encodeOrigins(message.origins), message.isAwaited ? 1 : 0];
+    case 'streamOriginsKept':
+      return [kind, message.attempts];
+    case 'streamOriginsRequested':
+      return [kind, message.set];
     case 'streamOriginRequested':
       return [kind, ...encodeOriginRequest(message)];
     case 'streamOriginAnswered':
@@ -250,6 +257,20 @@
       return {
         kind: 'streamOriginsReported',
         origins: decodeOrigins(reader.readList()),
+        isAwaited: reader.readCount() === 1,
+      };
+    case WIRE_KINDS.streamOriginsKept:
+      return {
+        kind: 'streamOriginsKept',
+        attempts: readRecords(
+          reader.readList(),
+          list => list.readText() as RequestId,
+        ),
+      };
+    case WIRE_KINDS.streamOriginsRequested:
+      return {
+        kind: 'streamOriginsRequested',
+        set: reader.readIdentifier<EndpointSetId>(),
       };
     case WIRE_KINDS.streamOriginRequested:
       return decodeOriginRequest(reader);
--- a/fronts/entryWire/src/originWire.ts
+++ b/fronts/entryWire/src/originWire.ts
@@ -2,7 +2,11 @@
   EntryMessage,
   ReportedHistory,
   ReportedOrigin,
+  ReportedSoftware,
+  StreamOrigin,
+  UnreportedStreams,
 } from '@gentianshunt/entryModel';
+import {assertNever} from '@gentianshunt/errors';
 import type {EndpointSetId, RequestId} from '@gentianshunt/identifiers';
 
 import {decodeSoftware, encodeSoftware} from './targetWire.js';
@@ -20,6 +24,7 @@
 
 /** Stands for an attempt that is not named. */
 const UNNAMED = '';
+const UNREPORTED_KINDS = {unsure: 0, none: 1, begun: 2} as const;
 
 /** Encodes the origins of streams as consecutive items. */
 export function encodeOrigins(
@@ -67,27 +72,61 @@
 export function encodeOriginAnswer({
   request,
   origin,
-  seen,
-  isVouched,
+  vote: {seen, unreported, isKeeper},
 }: OriginAnswer): readonly unknown[] {
   return [
     request,
-    origin === null ? [] : [encodeSoftware(origin.software)],
+    encodeOrigin(origin),
     seen.map(encodeSoftware),
-    isVouched ? 1 : 0,
+    encodeUnreported(unreported),
+    isKeeper ? 1 : 0,
   ];
 }
 
+function encodeOrigin(origin: StreamOrigin | null): readonly unknown[] {
+  return origin === null ? [] : [encodeSoftware(origin.software)];
+}
+
+function encodeUnreported(unreported: UnreportedStreams): readonly unknown[] {
+  switch (unreported.kind) {
+    case 'unsure':
+      return [UNREPORTED_KINDS.unsure];
+    case 'none':
+      return [UNREPORTED_KINDS.none];
+    case 'begun':
+      return [UNREPORTED_KINDS.begun, encodeSoftware(unreported.software)];
+    default:
+      return assertNever(unreported, 'encodeUnreported');
+  }
+}
+
+function decodeUnreported(reader: WireReader): UnreportedStreams {
+  switch (reader.readCount()) {
+    case UNREPORTED_KINDS.begun:
+      return {kind: 'begun', software: decodeSoftware(reader)};
+    case UNREPORTED_KINDS.none:
+      return {kind: 'none'};
+    default:
+      return {kind: 'unsure'};
+  }
+}
+
+function decodeOrigin(reader: WireReader): StreamOrigin | null {
+  return reader.remaining === 0 ? null : {software: decodeSoftware(reader)};
+}
+
 /** Decodes and validates the answer to a question about an origin. */
 export function decodeOriginAnswer(reader: WireReader): OriginAnswer {
   const request = reader.readText() as RequestId;
-  const origin = reader.readList();
   return {
     kind: 'streamOriginAnswered',
     request,
-    origin: origin.remaining === 0 ? null : {software: decodeSoftware(origin)},
-    seen: readRecords(reader.readList(), decodeSoftware),
-    isVouched: reader.readCount() === 1,
+    origin: decodeOrigin(reader.readList()),
+    vote: {
+      seen: readRecords(reader.readList(), decodeSoftware),
+      unreported: decodeUnreported(reader.readList()),
+      isKeeper: reader.readCount() === 1,
+    },
   };
 }
 
@@ -99,10 +138,9 @@
     ? []
     : [
         Math.round(history.ageMs),
-        ...history.software.flatMap(({software, ageMs}) => [
-          encodeSoftware(software),
-          Math.round(ageMs),
-        ]),
+        history.isDoubted ? 1 : 0,
+        history.sole === null ? [] : encodeReportedSoftware(history.sole),
+        ...history.software.flatMap(encodeReportedSoftware),
       ];
 }
 
@@ -112,9 +150,23 @@
     ? null
     : {
         ageMs: reader.readCount(),
-        software: readRecords(reader, list => ({
-          software: decodeSoftware(list),
-          ageMs: list.readCount(),
-        })),
+        isDoubted: reader.readCount() === 1,
+        sole: decodeSole(reader.readList()),
+        software: readRecords(reader, decodeReportedSoftware),
       };
 }
+
+function encodeReportedSoftware({
+  software,
+  ageMs,
+}: ReportedSoftware): readonly unknown[] {
+  return [encodeSoftware(software), Math.round(ageMs)];
+}
+
+function decodeReportedSoftware(reader: WireReader): ReportedSoftware {
+  return {software: decodeSoftware(reader), ageMs: reader.readCount()};
+}
+
+function decodeSole(reader: WireReader): ReportedSoftware | null {
+  return reader.remaining === 0 ? null : decodeReportedSoftware(reader);
+}
--- a/fronts/entryWire/test/entryWire.test.ts
+++ b/fronts/entryWire/test/entryWire.test.ts
@@ -160,7 +160,14 @@
           software: null,
         },
       ],
+      isAwaited: true,
     },
+    {kind: 'streamOriginsReported', origins: [], isAwaited: false},
+    {
+      kind: 'streamOriginsKept',
+      attempts: [toIdentifier('a b/c'), toIdentifier('a2')],
+    },
+    {kind: 'streamOriginsRequested', set: toIdentifier('drafts')},
     {
       kind: 'streamOriginRequested',
       request: toIdentifier('a3'),
@@ -177,15 +184,23 @@
       kind: 'streamOriginAnswered',
       request: toIdentifier('a3'),
       origin: {software: null},
-      seen: [null, toIdentifier<SoftwareVersion>('v2')],
-      isVouched: true,
+      vote: {
+        seen: [null, toIdentifier<SoftwareVersion>('v2')],
+        unreported: {kind: 'begun', software: null},
+        isKeeper: true,
+      },
+    },
+    {
+      kind: 'streamOriginAnswered',
+      request: toIdentifier('a3'),
+      origin: null,
+      vote: {seen: [], unreported: {kind: 'none'}, isKeeper: false},
     },
     {
       kind: 'streamOriginAnswered',
       request: toIdentifier('a3'),
       origin: null,
-      seen: [],
-      isVouched: false,
+      vote: {seen: [], unreported: {kind: 'unsure'}, isKeeper: false},
     },
     {kind: 'softwareHistoryRequested', set: toIdentifier('drafts')},
     {
@@ -198,6 +213,8 @@
       set: toIdentifier('drafts'),
       history: {
         ageMs: 40_000,
+        isDoubted: true,
+        sole: {software: toIdentifier<SoftwareVersion>('v2'), ageMs: 7},
         software: [
           {software: toIdentifier<SoftwareVersion>('v2'), ageMs: 0},
           {software: null, ageMs: 300},
--- a/fronts/logging/src/logClass.ts
+++ b/fronts/logging/src/logClass.ts
@@ -40,6 +40,7 @@
       return event.decision.kind === 'requestDispatched' ||
         event.decision.kind === 'allotmentRefused' ||
         event.decision.kind === 'answerBroken' ||
+        event.decision.kind === 'answerHeld' ||
         event.decision.kind === 'originNotFound' ||
         event.decision.kind === 'requestShed' ||
         event.decision.kind === 'requestRequeued'
--- a/scheduling/entryModel/src/decision.ts
+++ b/scheduling/entryModel/src/decision.ts
@@ -276,6 +276,14 @@
       /** Demand reports in a row that were lost or refused. */
       readonly failures: number;
     }
+  | {
+      /** The first event of a stream waited long until others kept its origin. */
+      readonly kind: 'answerHeld';
+      readonly request: RequestId;
+      readonly set: EndpointSetId;
+      readonly heldMs: Milliseconds;
+      readonly keptBy: readonly NodeId[];
+    }
   | {
       /** A request is refused: nobody knows what began the stream it takes up. */
       readonly kind: 'originNotFound';
@@ -285,8 +293,11 @@
       readonly set: EndpointSetId;
       /** The software that the entries saw while such streams live. */
       readonly seen: readonly string[];
-      /** Whether one of them knows what streams without a record began at. */
-      readonly isVouched: boolean;
+      /** What they say that streams which were not reported began at. */
+      readonly unreported: readonly string[];
+      /** How many of them would have a record of the stream, of how many. */
+      readonly keepers: number;
+      readonly holders: number;
       /** Entries that were asked and have not answered. */
       readonly unanswered: number;
       /** For how long this entry has seen the software of the set. */
--- a/scheduling/entryModel/src/effect.ts
+++ b/scheduling/entryModel/src/effect.ts
@@ -35,6 +35,8 @@
       readonly fromEvent: number;
     }
   | {readonly kind: 'cancelStream'; readonly dispatch: Dispatch}
+  /** Lets the caller have the events of an answer that was held. */
+  | {readonly kind: 'releaseAnswer'; readonly request: RequestId}
   | {readonly kind: 'refuseCaller'; readonly refusal: Refusal}
   | {
       /** Answers a caller with the stored outcome of an earlier request. */
@@ -113,6 +115,7 @@
       | 'openStream'
       | 'resumeStream'
       | 'cancelStream'
+      | 'releaseAnswer'
       | 'refuseCaller'
       | 'repeatAnswer'
       | 'answerAddresses';
--- a/scheduling/entryModel/src/entryMessage.ts
+++ b/scheduling/entryModel/src/entryMessage.ts
@@ -23,7 +23,7 @@
 import type {EndpointTarget} from './request.js';
 import type {LeaveLogPosition, ReportedLeave} from './leaveRecord.js';
 import type {
-  NamedSoftware,
+  OriginVote,
   ReportedHistory,
   ReportedOrigin,
   StreamOrigin,
@@ -279,6 +279,18 @@
       /** Origins of streams that the receiver keeps for the other entries. */
       readonly kind: 'streamOriginsReported';
       readonly origins: readonly ReportedOrigin[];
+      /** Whether callers wait until the receiver says that it keeps them. */
+      readonly isAwaited: boolean;
+    }
+  | {
+      /** The sender keeps the origins of the receiver's streams. */
+      readonly kind: 'streamOriginsKept';
+      readonly attempts: readonly RequestId[];
+    }
+  | {
+      /** The sender has lost what it was told of the streams of a set. */
+      readonly kind: 'streamOriginsRequested';
+      readonly set: EndpointSetId;
     }
   | {
       readonly kind: 'streamOriginRequested';
@@ -292,10 +304,7 @@
       readonly request: RequestId;
       /** `null` if the sender does not know it. */
       readonly origin: StreamOrigin | null;
-      /** The software of the set that the sender saw while streams live. */
-      readonly seen: readonly NamedSoftware[];
-      /** Whether nothing escaped the sender. */
-      readonly isVouched: boolean;
+      readonly vote: OriginVote;
     }
   | {
       /** Asks an entry what it has seen of the software of a set. */
--- a/scheduling/entryModel/src/sections.ts
+++ b/scheduling/entryModel/src/sections.ts
@@ -111,6 +111,7 @@
   SlotOccupancy,
 } from './setLeaderRecords.js';
 import type {
+  OriginHolders,
   OriginInquiry,
   RecordedOrigin,
   SeenSoftware,
@@ -253,6 +254,8 @@
     seenSoftware: defineMap<EndpointSetId, SeenSoftware>(),
     /** By the request that takes a stream up. */
     originInquiries: defineMap<RequestId, OriginInquiry>(),
+    /** `null` before the first directory. */
+    originHolders: defineCell<OriginHolders | null>(null),
     /** How long origins are kept; `null` before the first one is. */
     originMemoryMs: defineCell<Milliseconds | null>(null),
     /** Whether the timer for reports and inquiries runs. */
--- a/scheduling/entryNode/test/streamLoss.test.ts
+++ b/scheduling/entryNode/test/streamLoss.test.ts
@@ -102,3 +102,51 @@
     },
   );
 }
+
+// Guards against review/8: a version that registered while the serving entry had no
+// power made the others refuse all streams that had begun before.
+for (const entries of [3, 7, 12]) {
+  t.test(
+    `${entries} entries, and a version registers after a loss`,
+    async t => {
+      const at = STEADY_MS;
+      const {joined, taken, lost} = play(
+        entries,
+        [{kind: 'kill', at: at + 1_500, entry: entries - 1, forMs: 3_500}],
+        at,
+        at + 2_200,
+      );
+      t.equal(taken.length, STREAMS);
+      t.same(lost, []);
+      t.same(joined, []);
+    },
+  );
+}
+
+// Guards against records that are lost with the entries that kept them.
+t.test(
+  'streams go on after a restart of all while a version joins',
+  async t => {
+    const at = STEADY_MS;
+    const entries = 7;
+    const streams = createStreams(48, index => ({
+      at: at + 200 * index,
+      entry: index % entries,
+      takenUpAt: at + 200 * index + 2_000 + 90 * index,
+      takenUpBy: (index + 3) % entries,
+    }));
+    const takeUps = playPlan({
+      entries,
+      endMs: at + 24_000,
+      versions: [
+        {at: 0, versions: ['v1']},
+        {at: at + 500, versions: ['v1', 'v2']},
+      ],
+      disturbances: createRestarts([0, 1, 2, 3, 4, 5, 6], at),
+      streams: [...createTraffic(entries, at), ...streams],
+    });
+    t.same(listJoined(takeUps), []);
+    t.same(listLost(takeUps), []);
+    t.equal(new Set(takeUps.map(({began}) => began)).size, 2, 'both serve');
+  },
+);
--- a/scheduling/entryNode/test/streamOrder.test.ts
+++ b/scheduling/entryNode/test/streamOrder.test.ts
@@ -47,7 +47,7 @@
       {at: STEADY_MS, versions: ['v1', 'v2']},
     ],
     disturbances: [
-      {kind: 'kill', at: STEADY_MS + 3_151, entry: 6, forMs: 9_000},
+      {kind: 'kill', at: STEADY_MS + 3_150, entry: 6, forMs: 9_000},
     ],
     streams: [
       ...createWarmUp(entries),
@@ -59,6 +59,7 @@
       })),
     ],
   });
+  t.equal(takeUps.filter(({stream}) => stream.entry === 6).length > 0, true);
   t.same(listJoined(takeUps), []);
 });
 
@@ -94,23 +95,73 @@
   t.same(listJoined(takeUps), []);
 });
 
+// Guards against entries that have started again and take what they were told in
+// vain for nothing: the serving entry is away, and those that kept its records.
+t.test('the entries that kept the records restart as well', async t => {
+  const entries = 5;
+  const at = STEADY_MS;
+  const takeUps = run({
+    entries,
+    versions: [
+      {at: 0, versions: ['v1']},
+      {at, versions: ['v1', 'v2']},
+    ],
+    disturbances: [
+      {kind: 'kill', at: at + 3_500, entry: 4, forMs: 9_000},
+      ...[0, 1, 2, 3].map(entry => ({
+        kind: 'kill' as const,
+        at: at + 3_600 + 800 * entry,
+        entry,
+        forMs: 500,
+      })),
+    ],
+    streams: [
+      ...createWarmUp(entries),
+      ...createStreams(24, index => ({
+        at: at + 3_000 + 2 * index,
+        entry: 4,
+        takenUpAt: at + 8_500 + 20 * index,
+        takenUpBy: index % 4,
+      })),
+    ],
+  });
+  t.ok(
+    takeUps.some(({began}) => began === 'v2'),
+    'the new version serves',
+  );
+  t.same(listJoined(takeUps), []);
+});
+
+/** A disturbance and the streams that begin at its entry shortly before. */
+interface DrawnDisturbance {
+  readonly disturbance: Disturbance;
+  readonly streams: readonly PlannedStream[];
+}
+
 /** Draws disturbances of one entry at a time, which do not overlap. */
 function drawDisturbances(
   entries: number,
-): fc.Arbitrary<readonly Disturbance[]> {
-  const kind = fc.constantFrom('kill', 'stop', 'freeze', 'cut');
+): fc.Arbitrary<readonly DrawnDisturbance[]> {
   const draw = fc.record({
-    kind,
+    kind: fc.constantFrom('kill', 'stop', 'freeze', 'cut'),
     entry: fc.nat({max: entries - 1}),
     forMs: fc.integer({min: 300, max: 6_000}),
     gapMs: fc.integer({min: 500, max: 5_000}),
+    burst: fc.nat({max: 12}),
+    leadMs: fc.integer({min: 50, max: 400}),
   });
   return fc.array(draw, {minLength: 1, maxLength: 9}).map(drawn => {
     let at = STEADY_MS - 6_000;
-    return drawn.map(({kind: drawnKind, entry, forMs, gapMs}) => {
-      const disturbance = {kind: drawnKind, at, entry, forMs} as const;
+    return drawn.map(({kind, entry, forMs, gapMs, burst, leadMs}) => {
+      const disturbance = {kind, at, entry, forMs} as const;
+      const streams = createStreams(burst, index => ({
+        at: disturbance.at - leadMs,
+        entry,
+        takenUpAt: disturbance.at + 300 + 250 * index,
+        takenUpBy: (entry + 1 + (index % (entries - 1))) % entries,
+      }));
       at += forMs + gapMs;
-      return disturbance;
+      return {disturbance, streams};
     });
   });
 }
@@ -154,15 +205,18 @@
 
 function drawPlan(): fc.Arbitrary<Omit<StreamPlan, 'endMs'>> {
   return fc.integer({min: 3, max: 12}).chain(entries =>
-    fc.record({
-      entries: fc.constant(entries),
-      versions: drawVersions(),
-      disturbances: drawDisturbances(entries),
-      streams: drawStreams(entries).map(streams => [
-        ...createWarmUp(entries),
-        ...streams,
-      ]),
-    }),
+    fc
+      .tuple(drawVersions(), drawDisturbances(entries), drawStreams(entries))
+      .map(([versions, drawn, streams]) => ({
+        entries,
+        versions,
+        disturbances: drawn.map(({disturbance}) => disturbance),
+        streams: [
+          ...createWarmUp(entries),
+          ...drawn.flatMap(each => each.streams),
+          ...streams,
+        ],
+      })),
   );
 }
 
--- a/scheduling/entryNode/test/streamVersionsFixture.ts
+++ b/scheduling/entryNode/test/streamVersionsFixture.ts
@@ -134,6 +134,11 @@
       case 'openStream':
         opened.push(effect);
         return;
+      case 'releaseAnswer':
+        if (ownerProcesses.get(effect.request) === process) {
+          begun.add(effect.request);
+        }
+        return;
       case 'refuseCaller': {
         const {request, reason, notRun} = effect.refusal;
         const text = `${reason.kind} ${notRun ? 'notRun' : 'mayHaveRun'}`;
@@ -300,12 +305,8 @@
       });
       deliver();
     },
-    startAnswer: id => {
-      postStep(id, dispatch => ({kind: 'streamStarted', dispatch}));
-      if (findLatest(id) !== undefined && isServed(id)) {
-        begun.add(id);
-      }
-    },
+    startAnswer: id =>
+      postStep(id, dispatch => ({kind: 'streamStarted', dispatch})),
     hasBegun: id => begun.has(id),
     leave: id => {
       if (isServed(id)) {
--- a/scheduling/streamOrigins/src/originController.ts
+++ b/scheduling/streamOrigins/src/originController.ts
@@ -9,10 +9,11 @@
   receiveAnswer,
   startInquiries,
 } from './originInquiries.js';
+import {expireOrigins, receiveOrigins} from './keptOrigins.js';
 import {
-  expireOrigins,
-  receiveOrigins,
+  confirmOrigins,
   recordOrigins,
+  resendReports,
   reportOrigins,
 } from './originRecords.js';
 import {
@@ -26,7 +27,7 @@
   OriginSections,
   OriginView,
 } from './originView.js';
-import {recordSeenSoftware} from './seenSoftware.js';
+import {recordDoubts, recordSeenSoftware} from './seenSoftware.js';
 import {
   answerHistory,
   receiveHistory,
@@ -44,7 +45,12 @@
     writes: ORIGIN_SECTIONS,
     observes: ['entryMessage', 'timerDue'],
     run: (view, now) => {
-      const draft = createOriginDraft(view);
+      const draft = createOriginDraft(view, now);
+      if (draft.holders.directory !== view.board.originHolders?.directory) {
+        // Origins may wait for an entry to report them to.
+        draft.startTimer();
+      }
+      recordDoubts(view, draft, now);
       recordSeenSoftware(view, draft, now);
       if (view.readChanges('knownEndpoints').size > 0) {
         requestHistories(view, draft, now);
@@ -106,7 +112,13 @@
 ): void {
   switch (message.kind) {
     case 'streamOriginsReported':
-      receiveOrigins(draft, message.origins, now);
+      receiveOrigins(view, draft, from, message, now);
+      return;
+    case 'streamOriginsKept':
+      confirmOrigins(view, draft, from, message.attempts, now);
+      return;
+    case 'streamOriginsRequested':
+      resendReports(view, draft, from, message.set);
       return;
     case 'streamOriginRequested':
       answerInquiry(view, draft, from, message, now);
--- a/scheduling/streamOrigins/src/originInquiries.ts
+++ b/scheduling/streamOrigins/src/originInquiries.ts
@@ -6,15 +6,23 @@
   EntryDecision,
   EntryMessage,
   OriginInquiry,
+  OriginOutcome,
 } from '@gentianshunt/entryModel';
+import {assertNever} from '@gentianshunt/errors';
 import type {NodeId, RequestId} from '@gentianshunt/identifiers';
 
-import {listKeepers, listWitnesses} from './originKeepers.js';
+import {
+  listHolders,
+  listPossibleHolders,
+  listWitnesses,
+} from './originKeepers.js';
 import type {OriginDraft, OriginView} from './originView.js';
-import {isComplete, listSeen} from './seenSoftware.js';
+import {createVote, decideVerdict, listClaims} from './originVotes.js';
 
 /** Longest wait for the entries that are asked, once one has answered. */
 const INQUIRY_TIMEOUT_MS: Milliseconds = 300;
+/** Longest wait for answers that suffice, once one has come. */
+const QUORUM_TIMEOUT_MS: Milliseconds = 1_000;
 /** Longest wait for the first answer; callers of streams wait longer. */
 const FIRST_ANSWER_TIMEOUT_MS: Milliseconds = 2_000;
 
@@ -59,21 +67,20 @@
   now: TurnTime,
 ): void {
   const attempt = resumed?.attempt ?? null;
-  const keepers = listKeepers(view, attempt ?? id);
-  const seen = draft.seen.get(set);
+  const asked = listHolders(view, attempt ?? id);
+  const own = view.board.identity.address.node;
   const inquiry: OriginInquiry = {
     attempt,
     set,
     startedAt: now.monotonic,
-    unanswered: keepers.map(({node}) => node),
-    isAnswered: false,
-    seen: listSeen(seen, draft.memoryMs, now),
-    isVouched: isComplete(seen, draft.memoryMs, now),
+    unanswered: asked.map(({node}) => node),
+    votes: new Map([[own, createVote(view, draft, attempt, set, now)]]),
+    holders: listPossibleHolders(view, draft, attempt ?? id, now).length,
     outcome: {kind: 'open'},
   };
   putInquiry(draft, id, resolveInquiry(inquiry, now), now);
-  if (keepers.length > 0) {
-    queryKeepers(view, draft, id, inquiry);
+  if (asked.length > 0) {
+    queryHolders(view, draft, id, inquiry);
     draft.startTimer();
   }
 }
@@ -91,7 +98,7 @@
 }
 
 /** Asks the entries that have not answered. */
-function queryKeepers(
+function queryHolders(
   {board}: OriginView,
   draft: OriginDraft,
   request: RequestId,
@@ -111,46 +118,71 @@
 }
 
 /**
- * Ends an inquiry that has all answers, or waits no longer. Without a record, a
- * stream began at the only software of its set, if an entry vouches for that. One
- * that nobody answers may be out of step, and vouches for nothing.
+ * Ends an inquiry whose answers suffice, or that waits no longer. An entry that
+ * nobody answers may be out of step, and knows nothing.
  */
 function resolveInquiry(inquiry: OriginInquiry, now: TurnTime): OriginInquiry {
-  const {unanswered, startedAt, seen, isAnswered, outcome} = inquiry;
-  const timeoutMs = isAnswered ? INQUIRY_TIMEOUT_MS : FIRST_ANSWER_TIMEOUT_MS;
-  const isWaiting =
-    unanswered.length > 0 && now.monotonic - startedAt < timeoutMs;
-  const isInStep = isAnswered || unanswered.length === 0;
-  const isVouched = inquiry.isVouched && isInStep;
-  if (outcome.kind !== 'open' || isWaiting) {
-    return inquiry;
+  return inquiry.outcome.kind === 'open'
+    ? {...inquiry, outcome: decideOutcome(inquiry, now)}
+    : inquiry;
+}
+
+function decideOutcome(inquiry: OriginInquiry, now: TurnTime): OriginOutcome {
+  const {unanswered, startedAt} = inquiry;
+  const isAnswered = hasAnswer(inquiry);
+  const waitedMs = now.monotonic - startedAt;
+  const verdict = decideVerdict(inquiry);
+  switch (verdict.kind) {
+    case 'unreported': {
+      const {software} = verdict;
+      if (isAnswered || unanswered.length === 0) {
+        return {kind: 'found', origin: {software}};
+      }
+      break;
+    }
+    case 'only': {
+      const {software} = verdict;
+      const isSettled = isAnswered && waitedMs >= INQUIRY_TIMEOUT_MS;
+      if (unanswered.length === 0 || isSettled) {
+        return {kind: 'found', origin: {software}};
+      }
+      break;
+    }
+    case 'unknown':
+      break;
+    default:
+      assertNever(verdict, 'decideOutcome');
   }
-  const [software, ...others] = seen;
-  const isSole = software !== undefined && others.length === 0;
-  return {
-    ...inquiry,
-    outcome:
-      isSole && isVouched
-        ? {kind: 'found', origin: {software}}
-        : {kind: 'unknown'},
-  };
+  const timeoutMs = isAnswered ? QUORUM_TIMEOUT_MS : FIRST_ANSWER_TIMEOUT_MS;
+  return unanswered.length === 0 || waitedMs >= timeoutMs
+    ? {kind: 'unknown'}
+    : {kind: 'open'};
+}
+
+/** Returns whether another entry has answered: this one is in touch with others. */
+function hasAnswer({votes}: OriginInquiry): boolean {
+  return votes.size > 1;
 }
 
 /** Logs why an inquiry ended without an origin. */
 function describeUnknown(
   draft: OriginDraft,
   request: RequestId,
-  {attempt, set, seen, isVouched, unanswered, startedAt}: OriginInquiry,
+  {attempt, set, votes, holders, unanswered, startedAt}: OriginInquiry,
   now: TurnTime,
 ): EntryDecision {
   const since = draft.seen.get(set)?.since ?? null;
+  const all = [...votes.values()];
+  const seen = all.flatMap(vote => vote.seen);
   return {
     kind: 'originNotFound',
     request,
     attempt,
     set,
-    seen: seen.map(software => software ?? ''),
-    isVouched,
+    seen: [...new Set(seen)].map(software => software ?? ''),
+    unreported: [...new Set(listClaims(all))].map(name => name ?? ''),
+    keepers: all.filter(({isKeeper}) => isKeeper).length,
+    holders,
     unanswered: unanswered.length,
     seenForMs: since === null ? null : now.monotonic - since,
     waitedMs: now.monotonic - startedAt,
@@ -170,13 +202,11 @@
     return;
   }
   const known = attempt === null ? undefined : draft.origins.get(attempt);
-  const seen = draft.seen.get(set);
   draft.send(from, address, {
     kind: 'streamOriginAnswered',
     request,
     origin: known?.set === set ? {software: known.software} : null,
-    seen: listSeen(seen, draft.memoryMs, now),
-    isVouched: isComplete(seen, draft.memoryMs, now),
+    vote: createVote(view, draft, attempt, set, now),
   });
 }
 
@@ -184,7 +214,7 @@
 export function receiveAnswer(
   draft: OriginDraft,
   from: NodeId,
-  {request, origin, seen, isVouched}: OriginAnswer,
+  {request, origin, vote}: OriginAnswer,
   now: TurnTime,
 ): void {
   const inquiry = draft.inquiries.get(request);
@@ -194,9 +224,7 @@
   const next: OriginInquiry = {
     ...inquiry,
     unanswered: inquiry.unanswered.filter(node => node !== from),
-    isAnswered: true,
-    seen: [...new Set([...inquiry.seen, ...seen])],
-    isVouched: inquiry.isVouched || isVouched,
+    votes: new Map([...inquiry.votes, [from, vote]]),
     outcome: origin === null ? inquiry.outcome : {kind: 'found', origin},
   };
   putInquiry(draft, request, resolveInquiry(next, now), now);
@@ -213,13 +241,14 @@
 ): boolean {
   let hasOpen = false;
   for (const [request, inquiry] of view.board.originInquiries) {
-    const next = resolveInquiry(addWitnesses(view, request, inquiry, now), now);
-    if (next !== inquiry) {
-      putInquiry(draft, request, next, now);
+    if (inquiry.outcome.kind !== 'open') {
+      continue;
     }
+    const next = resolveInquiry(addWitnesses(view, request, inquiry, now), now);
+    putInquiry(draft, request, next, now);
     if (next.outcome.kind === 'open') {
       hasOpen = true;
-      queryKeepers(view, draft, request, next);
+      queryHolders(view, draft, request, next);
     }
   }
   return hasOpen;
@@ -232,9 +261,9 @@
   inquiry: OriginInquiry,
   now: TurnTime,
 ): OriginInquiry {
-  const {attempt, startedAt, isAnswered, unanswered} = inquiry;
+  const {attempt, startedAt, unanswered} = inquiry;
   const isLate = now.monotonic - startedAt >= INQUIRY_TIMEOUT_MS;
-  if (isAnswered || !isLate || inquiry.outcome.kind !== 'open') {
+  if (hasAnswer(inquiry) || !isLate) {
     return inquiry;
   }
   const witnesses = listWitnesses(view, attempt ?? request);
--- a/scheduling/streamOrigins/src/originView.ts
+++ b/scheduling/streamOrigins/src/originView.ts
@@ -1,5 +1,5 @@
 import {createMapDraft} from '@gentianshunt/board';
-import type {MapDraft, View} from '@gentianshunt/board';
+import type {MapDraft, TurnTime, View} from '@gentianshunt/board';
 import type {Milliseconds} from '@gentianshunt/clock';
 import type {
   EntryDecision,
@@ -7,6 +7,7 @@
   EntryObservation,
   EntrySections,
   EntryWrite,
+  OriginHolders,
   OriginInquiry,
   RecordedOrigin,
   SeenSoftware,
@@ -14,6 +15,7 @@
 import type {EndpointSetId, NodeId, RequestId} from '@gentianshunt/identifiers';
 import type {NetworkAddress} from '@gentianshunt/messages';
 
+import {updateHolders} from './originHolders.js';
 import {computeMemoryMs} from './originMemory.js';
 
 /** Time for which origins are collected before they are reported. */
@@ -24,6 +26,7 @@
   'streamOrigins',
   'seenSoftware',
   'originInquiries',
+  'originHolders',
   'originMemoryMs',
   'isOriginTimerSet',
 ] as const;
@@ -53,6 +56,12 @@
   readonly inquiries: MapDraft<RequestId, OriginInquiry>;
   /** How long a stream may be taken up after its first event. */
   readonly memoryMs: Milliseconds;
+  /** Which entries may keep origins, by the present directory. */
+  readonly holders: OriginHolders;
+  /** Records that reports from before now may be missing. */
+  forgetReports(now: TurnTime): void;
+  /** Lets the caller of a request have the events of its answer. */
+  releaseAnswer(request: RequestId): void;
   send(to: NodeId, address: NetworkAddress, message: EntryMessage): void;
   log(decision: EntryDecision): void;
   /** Starts the timer for reports and inquiries, unless it runs. */
@@ -63,19 +72,32 @@
 }
 
 /** Creates a draft over a view of the board. */
-export function createOriginDraft(view: OriginView): OriginDraft {
+export function createOriginDraft(
+  view: OriginView,
+  now: TurnTime,
+): OriginDraft {
   const {board} = view;
   const effects: OriginWrite[] = [];
   const origins = createMapDraft(board.streamOrigins);
   const seen = createMapDraft(board.seenSoftware);
   const inquiries = createMapDraft(board.originInquiries);
   const memoryMs = readMemoryMs(view);
+  const {directory} = board.control;
+  let holders = updateHolders(directory, board.originHolders, memoryMs, now);
   let isTimerSet = board.isOriginTimerSet;
   return {
     origins,
     seen,
     inquiries,
     memoryMs,
+    get holders() {
+      return holders;
+    },
+    forgetReports: ({monotonic}) => {
+      holders = {...holders, keptSince: monotonic};
+    },
+    releaseAnswer: request =>
+      effects.push({kind: 'effect', effect: {kind: 'releaseAnswer', request}}),
     send: (to, address, message) =>
       effects.push({
         kind: 'effect',
@@ -112,6 +134,9 @@
               value: memoryMs,
             } as const,
           ]),
+      ...(holders === board.originHolders
+        ? []
+        : [{kind: 'set', section: 'originHolders', value: holders} as const]),
       ...(isTimerSet === board.isOriginTimerSet
         ? []
         : [
--- a/scheduling/streamOrigins/src/seenSoftware.ts
+++ b/scheduling/streamOrigins/src/seenSoftware.ts
@@ -1,10 +1,12 @@
 /** Records which software the endpoints of a set run, and ran a while ago. */
 import type {TurnTime} from '@gentianshunt/board';
+import {isLeaseValid} from '@gentianshunt/clock';
 import type {Milliseconds} from '@gentianshunt/clock';
 import {readSoftware} from '@gentianshunt/entryModel';
 import type {
   HistoryHandover,
   NamedSoftware,
+  PastSoftware,
   SeenSoftware,
 } from '@gentianshunt/entryModel';
 import type {EndpointSetId} from '@gentianshunt/identifiers';
@@ -62,7 +64,9 @@
   }
   draft.seen.put(set, {
     since: known?.since ?? now.monotonic,
+    doubtedAt: known?.doubtedAt ?? null,
     listed,
+    sole: findLastSole(known, draft.memoryMs, now),
     handover: known?.handover ?? NO_HANDOVER,
     past: new Map([
       ...(known?.past ?? []),
@@ -89,7 +93,9 @@
   }
   draft.seen.put(set, {
     since: known?.since ?? null,
+    doubtedAt: known?.doubtedAt ?? null,
     listed: known?.listed ?? [],
+    sole: findLastSole(known, draft.memoryMs, now),
     handover: known?.handover ?? NO_HANDOVER,
     past: new Map([...(known?.past ?? []), [software, now.monotonic]]),
   });
@@ -124,20 +130,91 @@
   seen: SeenSoftware | undefined,
   memoryMs: Milliseconds,
   now: TurnTime,
+): boolean {
+  const doubtedAt = seen?.doubtedAt ?? Number.NEGATIVE_INFINITY;
+  return (
+    hasSeenLong(seen, memoryMs, now) && now.monotonic - doubtedAt >= memoryMs
+  );
+}
+
+/** Returns whether this entry has watched a set for long enough, but for doubts. */
+export function hasSeenLong(
+  seen: SeenSoftware | undefined,
+  memoryMs: Milliseconds,
+  now: TurnTime,
 ): boolean {
   const since = seen?.since ?? null;
   return since !== null && now.monotonic - since >= memoryMs;
 }
 
+/**
+ * Doubts what this entry has seen as long as it has no lease: it may have been out
+ * of step, and other versions may have come and gone.
+ */
+export function recordDoubts(
+  {board}: OriginView,
+  draft: OriginDraft,
+  now: TurnTime,
+): void {
+  if (isLeaseValid(board.control.lease, now)) {
+    return;
+  }
+  for (const [set, seen] of board.seenSoftware) {
+    const doubtedAt = seen.doubtedAt ?? Number.NEGATIVE_INFINITY;
+    if (now.monotonic - doubtedAt >= RECORD_INTERVAL_MS) {
+      draft.seen.put(set, {
+        ...seen,
+        doubtedAt: now.monotonic,
+        handover: NO_HANDOVER,
+      });
+    }
+  }
+}
+
 /** Returns whether all streams of a set surely began at the same software. */
 export function isSoleSoftware(
   {seen, memoryMs}: OriginDraft,
   set: EndpointSetId,
   now: TurnTime,
 ): boolean {
-  const known = seen.get(set);
-  return (
-    isComplete(known, memoryMs, now) &&
-    listSeen(known, memoryMs, now).length === 1
-  );
+  return findSole(seen.get(set), memoryMs, now) !== undefined;
+}
+
+/** Finds the software at which all streams of a set surely began, if there is one. */
+function findSole(
+  seen: SeenSoftware | undefined,
+  memoryMs: Milliseconds,
+  now: TurnTime,
+): PastSoftware | undefined {
+  const [software, ...others] = listSeen(seen, memoryMs, now);
+  return isComplete(seen, memoryMs, now) &&
+    software !== undefined &&
+    others.length === 0
+    ? {software, seenAt: now.monotonic}
+    : undefined;
+}
+
+/** Finds what was surely the only software last, until now or before. */
+export function findLastSole(
+  seen: SeenSoftware | undefined,
+  memoryMs: Milliseconds,
+  now: TurnTime,
+): PastSoftware | null {
+  return findSole(seen, memoryMs, now) ?? seen?.sole ?? null;
+}
+
+/**
+ * Finds the software at which the streams began that were not reported: what was
+ * the only software of the set while they may have begun. `undefined` if there was
+ * none: streams were reported all the time then.
+ */
+export function findUnreported(
+  seen: SeenSoftware | undefined,
+  memoryMs: Milliseconds,
+  now: TurnTime,
+): PastSoftware | undefined {
+  const sole = findLastSole(seen, memoryMs, now);
+  return sole !== null && now.monotonic - sole.seenAt <= memoryMs
+    ? sole
+    : undefined;
 }
--- a/scheduling/streamOrigins/src/softwareHistories.ts
+++ b/scheduling/streamOrigins/src/softwareHistories.ts
@@ -3,7 +3,9 @@
 import type {Milliseconds} from '@gentianshunt/clock';
 import {findEntryAddress, listOtherEntries} from '@gentianshunt/entryModel';
 import type {
+  PastSoftware,
   ReportedHistory,
+  ReportedSoftware,
   SeenSoftware,
   SoftwareHistory,
 } from '@gentianshunt/entryModel';
@@ -11,7 +13,13 @@
 import type {EndpointSetId, NodeId} from '@gentianshunt/identifiers';
 
 import type {OriginDraft, OriginView} from './originView.js';
-import {isComplete, listSeen} from './seenSoftware.js';
+import {
+  findUnreported,
+  hasSeenLong,
+  isComplete,
+  isSoleSoftware,
+  listSeen,
+} from './seenSoftware.js';
 
 /** Entries that are asked for their history; at first the answers of all count. */
 const SOURCES = 4;
@@ -36,6 +44,19 @@
   }
 }
 
+/**
+ * Returns whether the entries that this one has asked know no more than it does, so
+ * that nobody takes streams without a record for those of a certain software.
+ */
+export function hasOnlyNewSources(
+  {board}: OriginView,
+  seen: SeenSoftware | undefined,
+): boolean {
+  const answers = [...(seen?.handover.answers.values() ?? [])];
+  const enough = Math.min(MIN_ANSWERS, listOtherEntries(board).length);
+  return answers.length >= enough && answers.every(answer => answer === null);
+}
+
 function requestHistory(
   {board}: OriginView,
   draft: OriginDraft,
@@ -85,11 +106,17 @@
   if (known === undefined || since === null) {
     return null;
   }
-  if (!isComplete(known, memoryMs, now)) {
+  if (!hasSeenLong(known, memoryMs, now)) {
     return null;
   }
+  const sole = findUnreported(known, memoryMs, now);
   return {
     ageMs: now.monotonic - since,
+    isDoubted: !isComplete(known, memoryMs, now),
+    sole:
+      sole === undefined
+        ? null
+        : {software: sole.software, ageMs: now.monotonic - sole.seenAt},
     software: listSeen(known, memoryMs, now).map(software => ({
       software,
       ageMs: known.listed.includes(software)
@@ -123,27 +150,64 @@
   const answers = new Map(seen.handover.answers);
   answers.set(from, history && toOwnTime(history, now));
   const handover = {...seen.handover, answers};
-  const known = [...answers.values()].filter(answer => answer !== null);
+  const known = pickHistories(seen, [...answers.values()], draft, now);
   const wanted = handover.rounds > 1 ? MIN_ANSWERS : SOURCES;
   const enough = Math.min(wanted, listOtherEntries(board).length);
-  draft.seen.put(
-    set,
-    answers.size >= enough && known.length > 0
-      ? addHistories({...seen, handover}, known)
-      : {...seen, handover},
-  );
+  if (answers.size < enough || known.length === 0) {
+    draft.seen.put(set, {...seen, handover});
+    return;
+  }
+  draft.seen.put(set, addHistories({...seen, handover}, known));
+  if (!isSoleSoftware(draft, set, now)) {
+    requestOrigins(board, draft, set);
+  }
+}
+
+/** Asks for the reports that the process before this one was sent. */
+function requestOrigins(
+  board: OriginView['board'],
+  draft: OriginDraft,
+  set: EndpointSetId,
+): void {
+  for (const {node, peer} of listOtherEntries(board)) {
+    draft.send(node, peer, {kind: 'streamOriginsRequested', set});
+  }
+}
+
+/**
+ * Picks the histories that count: those of entries that were in step. If none was,
+ * as after an outage of the control daemons, entries that have watched for long
+ * enough unite all that they have seen.
+ */
+function pickHistories(
+  seen: SeenSoftware,
+  answers: readonly (SoftwareHistory | null)[],
+  {memoryMs}: OriginDraft,
+  now: TurnTime,
+): readonly SoftwareHistory[] {
+  const known = answers.filter(answer => answer !== null);
+  const firm = known.filter(({isDoubted}) => !isDoubted);
+  if (firm.length > 0 || !hasSeenLong(seen, memoryMs, now)) {
+    return firm;
+  }
+  const {since, sole} = seen;
+  const own = {since: since!, software: [], sole, isDoubted: true};
+  return known.length === 0 ? [] : [own, ...known];
 }
 
 function toOwnTime(
-  {ageMs, software}: ReportedHistory,
+  {ageMs, software, sole, isDoubted}: ReportedHistory,
   {monotonic}: TurnTime,
 ): SoftwareHistory {
+  const toPast = (item: ReportedSoftware): PastSoftware => ({
+    software: item.software,
+    seenAt: monotonic - item.ageMs,
+  });
   return {
     since: monotonic - ageMs,
-    software: software.map(item => ({
-      software: item.software,
-      seenAt: monotonic - item.ageMs,
-    })),
+    software: software.map(toPast),
+    sole: sole && toPast(sole),
+    isDoubted,
   };
 }
 
@@ -160,5 +224,17 @@
     }
   }
   const since = Math.max(...histories.map(history => history.since));
-  return {...seen, since, past};
+  const sole = mergeSole(histories);
+  return {...seen, since, past, sole, doubtedAt: null};
+}
+
+/** Returns the latest time of a single software, if all agree which it was. */
+function mergeSole(histories: readonly SoftwareHistory[]): PastSoftware | null {
+  const soles = histories.map(({sole}) => sole);
+  const [first] = soles;
+  if (!first || soles.some(sole => sole?.software !== first.software)) {
+    return null;
+  }
+  const times = soles.flatMap(sole => (sole === null ? [] : [sole.seenAt]));
+  return {software: first.software, seenAt: Math.max(...times)};
 }
