Streams: an answer that broke while it was held stays held

Found by reading: the keepers of an origin are asked again each 100 ms, and an origin whose request no longer answers was released. A request whose held answer broke waits for another endpoint then, and the events of the next answer passed before enough entries kept the origin, so after a loss of power its stream could be taken for one of the old version. Only the end of the request ends the wait now. The test in streamOrder fails before (the caller has an event 1.4 s before any keeper was told).

--- a/scheduling/entryNode/test/streamOrder.test.ts
+++ b/scheduling/entryNode/test/streamOrder.test.ts
@@ -8,6 +8,7 @@
   StreamPlan,
   VersionPhase,
 } from './streamPlan.js';
+import {createStreamVersionsFixture} from './streamVersionsFixture.js';
 
 /** Long enough for all entries to know that there was one version only. */
 const STEADY_MS = 16_000;
@@ -132,6 +133,32 @@
   t.same(listJoined(takeUps), []);
 });
 
+// Guards against an answer that passes since the one before it broke while it was held.
+t.test('an answer that broke while it was held stays held', async t => {
+  const fixture = createStreamVersionsFixture(5);
+  fixture.setEndpoints([{id: 'old-0', software: 'v1'}]);
+  fixture.advance(1_000);
+  fixture.send(4, 'w');
+  fixture.advance(STEADY_MS);
+  fixture.setEndpoints([
+    {id: 'new-0', software: 'v2'},
+    {id: 'new-1', software: 'v2'},
+  ]);
+  fixture.advance(8_000);
+  fixture.loseMessages(4, 2_000);
+  fixture.send(4, 'q');
+  fixture.advance(500);
+  fixture.startAnswer('q');
+  fixture.breakAnswer('q');
+  fixture.advance(500);
+  fixture.startAnswer('q');
+  fixture.advance(100);
+  t.same(fixture.listSoftware('q'), ['v2', 'v2']);
+  t.notOk(fixture.hasBegun('q'));
+  fixture.advance(1_500);
+  t.ok(fixture.hasBegun('q'), 'once it is kept');
+});
+
 /** A disturbance and the streams that begin at its entry shortly before. */
 interface DrawnDisturbance {
   readonly disturbance: Disturbance;
--- a/scheduling/streamOrigins/src/originRecords.ts
+++ b/scheduling/streamOrigins/src/originRecords.ts
@@ -178,7 +178,7 @@
   const {set, software, report} = origin;
   const {request, keptBy} = report;
   const keepers = listKeepers(view, attempt);
-  const isOpen = view.board.requests.get(request)?.kind === 'answering';
+  const isOpen = view.board.requests.get(request) !== undefined;
   if (!isOpen || keptBy.length >= countNeeded(keepers.length)) {
     releaseKept(draft, attempt, origin, keepers, now);
     return;
