--- a/scheduling/entryNode/test/streamLoss.test.ts
+++ b/scheduling/entryNode/test/streamLoss.test.ts
@@ -1,21 +1,18 @@
 import t from 'tap';
 
-import {listJoined, listLost, playPlan} from './streamPlan.js';
+import {
+  createStreams,
+  listJoined,
+  listLost,
+  runPlan,
+  STEADY_MS,
+} from './streamPlan.js';
 import type {Disturbance, PlannedStream} from './streamPlan.js';
 
-/** Long enough for all entries to know that there was one version only. */
-const STEADY_MS = 16_000;
 const STREAMS = 16;
 /** Time between two streams of the usual traffic. */
 const TRAFFIC_MS = 800;
 
-function createStreams(
-  count: number,
-  create: (index: number) => PlannedStream,
-): readonly PlannedStream[] {
-  return Array.from({length: count}, (_, index) => create(index));
-}
-
 /** Some traffic at all entries, so that they know the endpoints of the set. */
 function createTraffic(
   entries: number,
@@ -49,9 +46,8 @@
   secondAt?: number,
 ) {
   const last = createLastStreams(entries, at);
-  const takeUps = playPlan({
+  const takeUps = runPlan({
     entries,
-    endMs: at + 9_000,
     versions: [
       {at: 0, versions: ['v1']},
       ...(secondAt === undefined
@@ -135,9 +131,8 @@
       takenUpAt: at + 200 * index + 2_000 + 90 * index,
       takenUpBy: (index + 3) % entries,
     }));
-    const takeUps = playPlan({
+    const takeUps = runPlan({
       entries,
-      endMs: at + 24_000,
       versions: [
         {at: 0, versions: ['v1']},
         {at: at + 500, versions: ['v1', 'v2']},
--- a/scheduling/entryNode/test/streamPlan.ts
+++ b/scheduling/entryNode/test/streamPlan.ts
@@ -10,6 +10,8 @@
   StreamVersionsFixture,
 } from './streamVersionsFixture.js';
 
+/** Long enough for all entries to know that there was one version only. */
+export const STEADY_MS: Milliseconds = 16_000;
 const STEP_MS: Milliseconds = 50;
 const LATENCY_MS: Milliseconds = 2;
 /** Time from the dispatch of a request to the first event of its answer. */
@@ -62,7 +64,7 @@
 }
 
 /** Plays a plan and returns what became of the streams that had begun. */
-export function playPlan(plan: StreamPlan): readonly TakeUp[] {
+function playPlan(plan: StreamPlan): readonly TakeUp[] {
   const fixture = createStreamVersionsFixture(plan.entries, LATENCY_MS);
   const actions = listActions(plan, fixture);
   const takeUps: TakeUp[] = [];
@@ -110,6 +112,30 @@
   return takeUps;
 }
 
+/** Plays a plan until the last stream has gone on or not. */
+export function runPlan(plan: Omit<StreamPlan, 'endMs'>): readonly TakeUp[] {
+  const last = Math.max(...plan.streams.map(({takenUpAt}) => takenUpAt));
+  return playPlan({...plan, endMs: last + OUTCOME_MS + STEP_MS});
+}
+
+/** Creates a number of streams. */
+export function createStreams(
+  count: number,
+  create: (index: number) => PlannedStream,
+): readonly PlannedStream[] {
+  return Array.from({length: count}, (_, index) => create(index));
+}
+
+/** Some traffic at all entries, so that they know the endpoints of the set. */
+export function createWarmUp(entries: number): readonly PlannedStream[] {
+  return createStreams(2 * entries, index => ({
+    at: 1_000 + 40 * index,
+    entry: index % entries,
+    takenUpAt: 3_000 + 40 * index,
+    takenUpBy: (index + 1) % entries,
+  }));
+}
+
 interface Action {
   readonly at: Milliseconds;
   readonly run: () => void;
