--- a/fronts/entryWire/src/entryWire.ts
+++ b/fronts/entryWire/src/entryWire.ts
@@ -9,7 +9,6 @@
   FailureDomainId,
   IncarnationId,
   FingerprintId,
-  RequestId,
 } from '@gentianshunt/identifiers';
 
 import {decodeDemandReport, encodeDemandReport} from './demandReportWire.js';
@@ -36,18 +35,16 @@
   encodeSoundUse,
 } from './quarantineWire.js';
 import {
-  decodeHistory,
+  decodeHistoryReported,
   decodeOriginAnswer,
   decodeOriginRequest,
-  decodeOrigins,
-  encodeHistory,
-  encodeOriginAnswer,
-  encodeOriginRequest,
-  encodeOrigins,
+  decodeOriginsKept,
+  decodeOriginsReported,
+  encodeOriginMessage,
 } from './originWire.js';
 import {decodeOwnSoftware, encodeSoftware} from './targetWire.js';
 import {MalformedMessageError} from './wireErrors.js';
-import {createWireReader, readRecords} from './wireReader.js';
+import {createWireReader} from './wireReader.js';
 import type {WireReader} from './wireReader.js';
 import {
   decodeLeavesReport,
@@ -137,19 +134,13 @@
     case 'quarantineTestRequested':
       return [kind, message.fingerprint];
     case 'streamOriginsReported':
-      return [kind, encodeOrigins(message.origins), message.isAwaited ? 1 : 0];
     case 'streamOriginsKept':
-      return [kind, message.attempts];
     case 'streamOriginsRequested':
-      return [kind, message.set];
     case 'streamOriginRequested':
-      return [kind, ...encodeOriginRequest(message)];
     case 'streamOriginAnswered':
-      return [kind, ...encodeOriginAnswer(message)];
     case 'softwareHistoryRequested':
-      return [kind, message.set];
     case 'softwareHistoryReported':
-      return [kind, message.set, encodeHistory(message.history)];
+      return [kind, ...encodeOriginMessage(message)];
     default:
       return assertNever(message, 'encodeEntryMessage');
   }
@@ -254,39 +245,19 @@
         fingerprint: reader.readIdentifier<FingerprintId>(),
       };
     case WIRE_KINDS.streamOriginsReported:
-      return {
-        kind: 'streamOriginsReported',
-        origins: decodeOrigins(reader.readList()),
-        isAwaited: reader.readCount() === 1,
-      };
+      return decodeOriginsReported(reader);
     case WIRE_KINDS.streamOriginsKept:
-      return {
-        kind: 'streamOriginsKept',
-        attempts: readRecords(
-          reader.readList(),
-          list => list.readText() as RequestId,
-        ),
-      };
+      return decodeOriginsKept(reader);
     case WIRE_KINDS.streamOriginsRequested:
-      return {
-        kind: 'streamOriginsRequested',
-        set: reader.readIdentifier<EndpointSetId>(),
-      };
+      return {kind: 'streamOriginsRequested', set: reader.readIdentifier()};
     case WIRE_KINDS.streamOriginRequested:
       return decodeOriginRequest(reader);
     case WIRE_KINDS.streamOriginAnswered:
       return decodeOriginAnswer(reader);
     case WIRE_KINDS.softwareHistoryRequested:
-      return {
-        kind: 'softwareHistoryRequested',
-        set: reader.readIdentifier<EndpointSetId>(),
-      };
+      return {kind: 'softwareHistoryRequested', set: reader.readIdentifier()};
     case WIRE_KINDS.softwareHistoryReported:
-      return {
-        kind: 'softwareHistoryReported',
-        set: reader.readIdentifier<EndpointSetId>(),
-        history: decodeHistory(reader.readList()),
-      };
+      return decodeHistoryReported(reader);
     default:
       throw new MalformedMessageError(peer, 'unknown message kind');
   }
--- a/fronts/entryWire/src/originWire.ts
+++ b/fronts/entryWire/src/originWire.ts
@@ -1,5 +1,5 @@
 import type {
-  EntryMessage,
+  OriginMessage,
   ReportedHistory,
   ReportedOrigin,
   ReportedSoftware,
@@ -14,11 +14,11 @@
 import type {WireReader} from './wireReader.js';
 
 type OriginRequest = Extract<
-  EntryMessage,
+  OriginMessage,
   {readonly kind: 'streamOriginRequested'}
 >;
 type OriginAnswer = Extract<
-  EntryMessage,
+  OriginMessage,
   {readonly kind: 'streamOriginAnswered'}
 >;
 
@@ -26,10 +26,30 @@
 const UNNAMED = '';
 const UNREPORTED_KINDS = {unsure: 0, none: 1, begun: 2} as const;
 
-/** Encodes the origins of streams as consecutive items. */
-export function encodeOrigins(
-  origins: readonly ReportedOrigin[],
+/** Encodes a message about what began streams as consecutive items. */
+export function encodeOriginMessage(
+  message: OriginMessage,
 ): readonly unknown[] {
+  switch (message.kind) {
+    case 'streamOriginsReported':
+      return [encodeOrigins(message.origins), message.isAwaited ? 1 : 0];
+    case 'streamOriginsKept':
+      return [message.attempts];
+    case 'streamOriginsRequested':
+    case 'softwareHistoryRequested':
+      return [message.set];
+    case 'streamOriginRequested':
+      return encodeOriginRequest(message);
+    case 'streamOriginAnswered':
+      return encodeOriginAnswer(message);
+    case 'softwareHistoryReported':
+      return [message.set, encodeHistory(message.history)];
+    default:
+      return assertNever(message, 'encodeOriginMessage');
+  }
+}
+
+function encodeOrigins(origins: readonly ReportedOrigin[]): readonly unknown[] {
   return origins.flatMap(({attempt, set, software}) => [
     attempt,
     set,
@@ -37,8 +57,27 @@
   ]);
 }
 
-/** Decodes and validates the origins of streams. */
-export function decodeOrigins(reader: WireReader): readonly ReportedOrigin[] {
+/** Decodes and validates the origins that an entry reports. */
+export function decodeOriginsReported(reader: WireReader): OriginMessage {
+  return {
+    kind: 'streamOriginsReported',
+    origins: decodeOrigins(reader.readList()),
+    isAwaited: reader.readCount() === 1,
+  };
+}
+
+/** Decodes and validates the attempts whose origins an entry keeps. */
+export function decodeOriginsKept(reader: WireReader): OriginMessage {
+  return {
+    kind: 'streamOriginsKept',
+    attempts: readRecords(
+      reader.readList(),
+      list => list.readText() as RequestId,
+    ),
+  };
+}
+
+function decodeOrigins(reader: WireReader): readonly ReportedOrigin[] {
   return readRecords(reader, list => ({
     attempt: list.readText() as RequestId,
     set: list.readIdentifier<EndpointSetId>(),
@@ -46,8 +85,7 @@
   }));
 }
 
-/** Encodes a question about the origin of a stream. */
-export function encodeOriginRequest({
+function encodeOriginRequest({
   request,
   set,
   attempt,
@@ -68,8 +106,7 @@
   };
 }
 
-/** Encodes the answer to a question about the origin of a stream. */
-export function encodeOriginAnswer({
+function encodeOriginAnswer({
   request,
   origin,
   vote: {seen, unreported, isKeeper},
@@ -130,10 +167,7 @@
   };
 }
 
-/** Encodes what an entry has seen of the software of a set. */
-export function encodeHistory(
-  history: ReportedHistory | null,
-): readonly unknown[] {
+function encodeHistory(history: ReportedHistory | null): readonly unknown[] {
   return history === null
     ? []
     : [
@@ -145,7 +179,15 @@
 }
 
 /** Decodes and validates what an entry has seen of the software of a set. */
-export function decodeHistory(reader: WireReader): ReportedHistory | null {
+export function decodeHistoryReported(reader: WireReader): OriginMessage {
+  return {
+    kind: 'softwareHistoryReported',
+    set: reader.readIdentifier<EndpointSetId>(),
+    history: decodeHistory(reader.readList()),
+  };
+}
+
+function decodeHistory(reader: WireReader): ReportedHistory | null {
   return reader.remaining === 0
     ? null
     : {
--- a/scheduling/entryModel/src/entryMessage.ts
+++ b/scheduling/entryModel/src/entryMessage.ts
@@ -8,7 +8,6 @@
   NodeId,
   OrganisationId,
   PromptPartId,
-  RequestId,
 } from '@gentianshunt/identifiers';
 
 import type {ReportedLimit} from './endpointSignals.js';
@@ -22,12 +21,7 @@
 import type {EndpointAnnouncement} from './endpoint.js';
 import type {EndpointTarget} from './request.js';
 import type {LeaveLogPosition, ReportedLeave} from './leaveRecord.js';
-import type {
-  OriginVote,
-  ReportedHistory,
-  ReportedOrigin,
-  StreamOrigin,
-} from './streamOrigin.js';
+import type {OriginMessage} from './originMessage.js';
 import type {LeftIncarnation} from './withdrawal.js';
 
 /**
@@ -275,48 +269,7 @@
       readonly kind: 'quarantineTestRequested';
       readonly fingerprint: FingerprintId;
     }
-  | {
-      /** Origins of streams that the receiver keeps for the other entries. */
-      readonly kind: 'streamOriginsReported';
-      readonly origins: readonly ReportedOrigin[];
-      /** Whether callers wait until the receiver says that it keeps them. */
-      readonly isAwaited: boolean;
-    }
-  | {
-      /** The sender keeps the origins of the receiver's streams. */
-      readonly kind: 'streamOriginsKept';
-      readonly attempts: readonly RequestId[];
-    }
-  | {
-      /** The sender has lost what it was told of the streams of a set. */
-      readonly kind: 'streamOriginsRequested';
-      readonly set: EndpointSetId;
-    }
-  | {
-      readonly kind: 'streamOriginRequested';
-      /** The request that takes the stream up. */
-      readonly request: RequestId;
-      readonly attempt: RequestId | null;
-      readonly set: EndpointSetId;
-    }
-  | {
-      readonly kind: 'streamOriginAnswered';
-      readonly request: RequestId;
-      /** `null` if the sender does not know it. */
-      readonly origin: StreamOrigin | null;
-      readonly vote: OriginVote;
-    }
-  | {
-      /** Asks an entry what it has seen of the software of a set. */
-      readonly kind: 'softwareHistoryRequested';
-      readonly set: EndpointSetId;
-    }
-  | {
-      readonly kind: 'softwareHistoryReported';
-      readonly set: EndpointSetId;
-      /** `null` if something may have escaped the sender. */
-      readonly history: ReportedHistory | null;
-    };
+  | OriginMessage;
 
 /** Slots an entry may use until their deadline. */
 export interface Slot {
--- a/scheduling/entryModel/src/index.ts
+++ b/scheduling/entryModel/src/index.ts
@@ -24,6 +24,7 @@
 export * from './measurementRecords.js';
 export * from './observation.js';
 export * from './operatorRequests.js';
+export * from './originMessage.js';
 export * from './overload.js';
 export * from './quarantine.js';
 export * from './queueRecords.js';
--- a/scheduling/streamOrigins/src/keptOrigins.ts
+++ b/scheduling/streamOrigins/src/keptOrigins.ts
@@ -1,7 +1,7 @@
 /** Keeps the origins that other entries report, while streams may be taken up. */
 import type {TurnTime} from '@gentianshunt/board';
 import {findEntryAddress} from '@gentianshunt/entryModel';
-import type {EntryMessage, RecordedOrigin} from '@gentianshunt/entryModel';
+import type {OriginMessage, RecordedOrigin} from '@gentianshunt/entryModel';
 import type {NodeId} from '@gentianshunt/identifiers';
 
 import type {OriginDraft, OriginView} from './originView.js';
@@ -11,7 +11,7 @@
 const MAX_ORIGINS = 20_000;
 
 type OriginsReported = Extract<
-  EntryMessage,
+  OriginMessage,
   {readonly kind: 'streamOriginsReported'}
 >;
 
--- a/scheduling/streamOrigins/src/originInquiries.ts
+++ b/scheduling/streamOrigins/src/originInquiries.ts
@@ -4,8 +4,8 @@
 import {findEntryAddress} from '@gentianshunt/entryModel';
 import type {
   EntryDecision,
-  EntryMessage,
   OriginInquiry,
+  OriginMessage,
   OriginOutcome,
 } from '@gentianshunt/entryModel';
 import {assertNever} from '@gentianshunt/errors';
@@ -27,11 +27,11 @@
 const FIRST_ANSWER_TIMEOUT_MS: Milliseconds = 2_000;
 
 type OriginRequest = Extract<
-  EntryMessage,
+  OriginMessage,
   {readonly kind: 'streamOriginRequested'}
 >;
 type OriginAnswer = Extract<
-  EntryMessage,
+  OriginMessage,
   {readonly kind: 'streamOriginAnswered'}
 >;
 
