Streams: an entry takes over what others know before it serves a set itself

Every entry asks at its start for each set of streams of the configuration, at most ten times, and takes over what was the only version until the answers came. Only complete entries let a set count as one with a single version.

--- a/fronts/entryWire/src/originWire.ts
+++ b/fronts/entryWire/src/originWire.ts
@@ -109,7 +109,7 @@
 function encodeOriginAnswer({
   request,
   origin,
-  vote: {seen, unreported, isKeeper},
+  vote: {seen, unreported, isKeeper, isComplete},
 }: OriginAnswer): readonly unknown[] {
   return [
     request,
@@ -117,6 +117,7 @@
     seen.map(encodeSoftware),
     encodeUnreported(unreported),
     isKeeper ? 1 : 0,
+    isComplete ? 1 : 0,
   ];
 }
 
@@ -163,6 +164,7 @@
       seen: readRecords(reader.readList(), decodeSoftware),
       unreported: decodeUnreported(reader.readList()),
       isKeeper: reader.readCount() === 1,
+      isComplete: reader.readCount() === 1,
     },
   };
 }
--- a/fronts/entryWire/test/entryWire.test.ts
+++ b/fronts/entryWire/test/entryWire.test.ts
@@ -188,19 +188,30 @@
         seen: [null, toIdentifier<SoftwareVersion>('v2')],
         unreported: {kind: 'begun', software: null},
         isKeeper: true,
+        isComplete: false,
       },
     },
     {
       kind: 'streamOriginAnswered',
       request: toIdentifier('a3'),
       origin: null,
-      vote: {seen: [], unreported: {kind: 'none'}, isKeeper: false},
+      vote: {
+        seen: [],
+        unreported: {kind: 'none'},
+        isKeeper: false,
+        isComplete: true,
+      },
     },
     {
       kind: 'streamOriginAnswered',
       request: toIdentifier('a3'),
       origin: null,
-      vote: {seen: [], unreported: {kind: 'unsure'}, isKeeper: false},
+      vote: {
+        seen: [],
+        unreported: {kind: 'unsure'},
+        isKeeper: false,
+        isComplete: true,
+      },
     },
     {kind: 'softwareHistoryRequested', set: toIdentifier('drafts')},
     {
--- a/scheduling/entryModel/src/streamOrigin.ts
+++ b/scheduling/entryModel/src/streamOrigin.ts
@@ -117,6 +117,8 @@
   readonly unreported: UnreportedStreams;
   /** Whether it would have a record if the stream had been reported. */
   readonly isKeeper: boolean;
+  /** Whether nothing has escaped it while such streams live. */
+  readonly isComplete: boolean;
 }
 
 /** Which entries may keep the origins of streams. */
--- a/scheduling/entryNode/test/streamLoss.test.ts
+++ b/scheduling/entryNode/test/streamLoss.test.ts
@@ -2,6 +2,7 @@
 
 import {
   createStreams,
+  createWarmUp,
   listJoined,
   listLost,
   runPlan,
@@ -99,6 +100,25 @@
   );
 }
 
+// Guards against entries that know nothing of a set before they serve it.
+t.test('entries without requests since their restart know as well', async t => {
+  const at = STEADY_MS + 4_000;
+  const streams = createLastStreams(4, at);
+  const takeUps = runPlan({
+    entries: 4,
+    versions: [{at: 0, versions: ['v1']}],
+    disturbances: [
+      ...createRestarts([0, 1, 2], STEADY_MS),
+      {kind: 'kill', at: at + 1_500, entry: 3, forMs: 3_000},
+    ],
+    streams: [...createWarmUp(4), ...streams],
+  });
+  const last = takeUps.filter(({stream}) => streams.includes(stream));
+  t.equal(last.length, STREAMS);
+  t.same(listLost(last), []);
+  t.same(listJoined(last), []);
+});
+
 // Guards against review/8: a version that registered while the serving entry had no
 // power made the others refuse all streams that had begun before.
 for (const entries of [3, 7, 12]) {
--- a/scheduling/streamOrigins/src/originVotes.ts
+++ b/scheduling/streamOrigins/src/originVotes.ts
@@ -20,6 +20,14 @@
   listSeen,
 } from './seenSoftware.js';
 
+/** The vote of an entry that may be out of step. */
+const NO_VOTE: OriginVote = {
+  seen: [],
+  unreported: {kind: 'unsure'},
+  isKeeper: false,
+  isComplete: false,
+};
+
 /** Creates what this entry knows of a stream of which it has no record. */
 export function createVote(
   view: OriginView,
@@ -30,9 +38,8 @@
 ): OriginVote {
   const {identity, control} = view.board;
   const seen = draft.seen.get(set);
-  // Without a lease, this entry may be out of step.
   if (!isLeaseValid(control.lease, now)) {
-    return {seen: [], unreported: {kind: 'unsure'}, isKeeper: false};
+    return NO_VOTE;
   }
   const own = identity.address.node;
   return {
@@ -42,21 +49,25 @@
       attempt !== null &&
       hasAllReports(draft, set, seen, now) &&
       listPossibleHolders(view, draft, attempt, now).includes(own),
+    isComplete: isComplete(seen, draft.memoryMs, now),
   };
 }
 
+/**
+ * Reads what unreported streams began at. What was the only software at a time is
+ * that for the memory after it, whatever has escaped this entry since: others must
+ * have missed it for that long before they report no streams of another one.
+ */
 function readUnreported(
   seen: SeenSoftware | undefined,
   memoryMs: Milliseconds,
   now: TurnTime,
 ): UnreportedStreams {
-  if (!isComplete(seen, memoryMs, now)) {
-    return {kind: 'unsure'};
-  }
   const found = findUnreported(seen, memoryMs, now);
-  return found === undefined
-    ? {kind: 'none'}
-    : {kind: 'begun', software: found.software};
+  if (found !== undefined) {
+    return {kind: 'begun', software: found.software};
+  }
+  return {kind: isComplete(seen, memoryMs, now) ? 'none' : 'unsure'};
 }
 
 /**
@@ -110,7 +121,8 @@
     return {kind: 'unreported', software};
   }
   const seen = new Set(all.flatMap(vote => vote.seen));
-  return seen.size === 1 && seen.has(software)
+  const isWatched = all.some(vote => vote.isComplete);
+  return isWatched && seen.size === 1 && seen.has(software)
     ? {kind: 'only', software}
     : {kind: 'unknown'};
 }
--- a/scheduling/streamOrigins/src/seenSoftware.ts
+++ b/scheduling/streamOrigins/src/seenSoftware.ts
@@ -23,6 +23,16 @@
   answers: new Map(),
 };
 
+/** A set of which an entry has seen nothing. */
+export const UNSEEN: SeenSoftware = {
+  since: null,
+  doubtedAt: null,
+  listed: [],
+  past: new Map(),
+  sole: null,
+  handover: NO_HANDOVER,
+};
+
 /** Records the software in new endpoint lists and grants. */
 export function recordSeenSoftware(
   view: OriginView,
@@ -55,21 +65,22 @@
   now: TurnTime,
 ): void {
   const listed = [...new Set(software)];
-  const known = draft.seen.get(set);
-  const dropped = known?.listed.filter(item => !listed.includes(item)) ?? [];
-  const added = listed.filter(item => known?.listed.includes(item) !== true);
-  const isFirst = (known?.since ?? null) === null;
+  const known = draft.seen.get(set) ?? UNSEEN;
+  const dropped = known.listed.filter(item => !listed.includes(item));
+  const added = listed.filter(item => !known.listed.includes(item));
+  const isFirst = known.since === null;
   if (!isFirst && dropped.length + added.length === 0) {
     return;
   }
   draft.seen.put(set, {
-    since: known?.since ?? now.monotonic,
-    doubtedAt: known?.doubtedAt ?? null,
+    ...known,
+    since: known.since ?? now.monotonic,
     listed,
     sole: findLastSole(known, draft.memoryMs, now),
-    handover: known?.handover ?? NO_HANDOVER,
+    // Its own list begins here, so what others know is needed once more.
+    handover: isFirst ? NO_HANDOVER : known.handover,
     past: new Map([
-      ...(known?.past ?? []),
+      ...known.past,
       ...dropped.map(item => [item, now.monotonic] as const),
     ]),
   });
@@ -83,21 +94,18 @@
   software: NamedSoftware,
   now: TurnTime,
 ): void {
-  const known = draft.seen.get(set);
-  const usedAt = known?.past.get(software) ?? Number.NEGATIVE_INFINITY;
+  const known = draft.seen.get(set) ?? UNSEEN;
+  const usedAt = known.past.get(software) ?? Number.NEGATIVE_INFINITY;
   const isKnown =
-    known?.listed.includes(software) === true ||
+    known.listed.includes(software) ||
     now.monotonic - usedAt < RECORD_INTERVAL_MS;
   if (isKnown) {
     return;
   }
   draft.seen.put(set, {
-    since: known?.since ?? null,
-    doubtedAt: known?.doubtedAt ?? null,
-    listed: known?.listed ?? [],
+    ...known,
     sole: findLastSole(known, draft.memoryMs, now),
-    handover: known?.handover ?? NO_HANDOVER,
-    past: new Map([...(known?.past ?? []), [software, now.monotonic]]),
+    past: new Map([...known.past, [software, now.monotonic]]),
   });
   reportIfMixed(draft, set, now);
 }
--- a/scheduling/streamOrigins/src/softwareHistories.ts
+++ b/scheduling/streamOrigins/src/softwareHistories.ts
@@ -12,13 +12,14 @@
 import {sortByRendezvous} from '@gentianshunt/hashing';
 import type {EndpointSetId, NodeId} from '@gentianshunt/identifiers';
 
+import {listStreamSets} from './originMemory.js';
 import type {OriginDraft, OriginView} from './originView.js';
 import {
   findUnreported,
   hasSeenLong,
   isComplete,
-  isSoleSoftware,
   listSeen,
+  UNSEEN,
 } from './seenSoftware.js';
 
 /** Entries that are asked for their history; at first the answers of all count. */
@@ -27,23 +28,39 @@
 const MIN_ANSWERS = 2;
 /** Time after which the entries are asked again. */
 const REQUEST_INTERVAL_MS: Milliseconds = 1_000;
+/** How often they are asked for a set of which this entry has no list. */
+const MAX_ROUNDS_UNSEEN = 10;
 
-/** Asks other entries for the history of the sets that this one sees too briefly. */
+/**
+ * Asks other entries for the history of the sets of streams that this one sees too
+ * briefly, or not at all yet: what they know may be gone once it sees them.
+ */
 export function requestHistories(
   view: OriginView,
   draft: OriginDraft,
   now: TurnTime,
 ): void {
-  for (const set of view.board.knownEndpoints.keys()) {
-    const seen = draft.seen.get(set);
-    const askedAt = seen?.handover.askedAt ?? Number.NEGATIVE_INFINITY;
+  for (const set of listStreamSets(view.board.configuration)) {
+    const seen = draft.seen.get(set) ?? UNSEEN;
+    const askedAt = seen.handover.askedAt ?? Number.NEGATIVE_INFINITY;
     const isDue = now.monotonic - askedAt >= REQUEST_INTERVAL_MS;
-    if (seen !== undefined && isDue && !isComplete(seen, draft.memoryMs, now)) {
+    if (isDue && isHistoryWanted(seen, draft, now)) {
       requestHistory(view, draft, set, seen, now);
     }
   }
 }
 
+function isHistoryWanted(
+  seen: SeenSoftware,
+  {memoryMs}: OriginDraft,
+  now: TurnTime,
+): boolean {
+  const {since, sole, handover} = seen;
+  return since === null
+    ? sole === null && handover.rounds < MAX_ROUNDS_UNSEEN
+    : !isComplete(seen, memoryMs, now);
+}
+
 /**
  * Returns whether the entries that this one has asked know no more than it does, so
  * that nobody takes streams without a record for those of a certain software.
@@ -140,11 +157,7 @@
   now: TurnTime,
 ): void {
   const seen = draft.seen.get(set);
-  const isWanted =
-    seen !== undefined &&
-    seen.since !== null &&
-    !isComplete(seen, draft.memoryMs, now);
-  if (!isWanted) {
+  if (seen === undefined || !isHistoryWanted(seen, draft, now)) {
     return;
   }
   const answers = new Map(seen.handover.answers);
@@ -158,7 +171,7 @@
     return;
   }
   draft.seen.put(set, addHistories({...seen, handover}, known));
-  if (!isSoleSoftware(draft, set, now)) {
+  if (listSeen(draft.seen.get(set), draft.memoryMs, now).length > 1) {
     requestOrigins(board, draft, set);
   }
 }
@@ -223,8 +236,12 @@
       past.set(software, Math.max(seenAt, past.get(software) ?? seenAt));
     }
   }
-  const since = Math.max(...histories.map(history => history.since));
   const sole = mergeSole(histories);
+  // Without a list of its own, an entry knows nothing of the time since then.
+  const since =
+    seen.since === null
+      ? null
+      : Math.max(...histories.map(history => history.since));
   return {...seen, since, past, sole, doubtedAt: null};
 }
 
