Logs: to whom a change was sent, and what its acknowledgement waited for

Three explanations of a late acknowledgement looked the same in the logs: a wait for the lease of a silent entry, a change that was lost or deferred, and an entry that knows no leader. The entry now logs each sending, the leader why an applied release is not acknowledged yet, when it defers one, and when it acknowledges one that had to wait.

--- a/control/controlDecisionLog/src/confirmationController.ts
+++ b/control/controlDecisionLog/src/confirmationController.ts
@@ -3,6 +3,7 @@
 import {measureLeaseOverrun} from '@gentianshunt/clock';
 import type {Milliseconds, MonotonicTime} from '@gentianshunt/clock';
 import {
+  createDecisionWrite,
   defineControlController,
   isSilentMember,
   listLatestVoters,
@@ -20,8 +21,6 @@
 import type {LeaderBoard, UnconfirmedReason} from '@gentianshunt/entrySessions';
 import {assertNever} from '@gentianshunt/errors';
 
-import {createDecisionWrite} from './decisionWrite.js';
-
 /** Time between two log lines about a leader that is not confirmed. */
 export const UNCONFIRMED_INTERVAL_MS: Milliseconds = 1_000;
 
--- a/control/controlDecisionLog/src/copyController.ts
+++ b/control/controlDecisionLog/src/copyController.ts
@@ -2,6 +2,7 @@
 import type {TurnTime, View} from '@gentianshunt/board';
 import type {Milliseconds} from '@gentianshunt/clock';
 import {
+  createDecisionWrite,
   defineControlController,
   listLatestMembers,
   listLatestVoters,
@@ -21,8 +22,6 @@
 import type {NodeId} from '@gentianshunt/identifiers';
 import type {LogIndex, Member, MemberSummary} from '@gentianshunt/messages';
 
-import {createDecisionWrite} from './decisionWrite.js';
-
 /** A voter that lacks an entry or is silent for this long is no copy. */
 export const COPY_TIMEOUT_MS: Milliseconds = 1_000;
 /** Time between two log lines about the same state of the group. */
--- a/control/controlDecisionLog/src/decisionLogController.ts
+++ b/control/controlDecisionLog/src/decisionLogController.ts
@@ -1,5 +1,8 @@
 import type {View} from '@gentianshunt/board';
-import {defineControlController} from '@gentianshunt/controlModel';
+import {
+  createDecisionWrite,
+  defineControlController,
+} from '@gentianshunt/controlModel';
 import type {
   ControlController,
   ControlDecision,
@@ -9,8 +12,6 @@
 } from '@gentianshunt/controlModel';
 import type {NodeId} from '@gentianshunt/identifiers';
 
-import {createDecisionWrite} from './decisionWrite.js';
-
 type DecisionLogReads =
   'role' | 'ballot' | 'logStatus' | 'memberships' | 'sessions' | 'loggedState';
 type DecisionLogView = View<
--- a/control/controlDecisionLog/src/joinController.ts
+++ b/control/controlDecisionLog/src/joinController.ts
@@ -2,6 +2,7 @@
 import type {TurnTime, View} from '@gentianshunt/board';
 import type {Milliseconds} from '@gentianshunt/clock';
 import {
+  createDecisionWrite,
   defineControlController,
   listLatestMembers,
   NO_JOINERS,
@@ -15,7 +16,6 @@
 } from '@gentianshunt/controlModel';
 
 import {GROUP_LOG_INTERVAL_MS} from './copyController.js';
-import {createDecisionWrite} from './decisionWrite.js';
 
 /** A node that has waited for this long is logged. */
 export const JOIN_LOG_DELAY_MS: Milliseconds = 1_000;
--- a/control/controlDecisionLog/src/leaderSearchController.ts
+++ b/control/controlDecisionLog/src/leaderSearchController.ts
@@ -2,6 +2,7 @@
 import type {TurnTime, View} from '@gentianshunt/board';
 import type {MonotonicTime} from '@gentianshunt/clock';
 import {
+  createDecisionWrite,
   defineControlController,
   listLatestVoters,
   NO_SEARCH,
@@ -19,7 +20,6 @@
 import type {NodeId} from '@gentianshunt/identifiers';
 
 import {GROUP_LOG_INTERVAL_MS} from './copyController.js';
-import {createDecisionWrite} from './decisionWrite.js';
 
 type SearchReads =
   | 'identity'
--- a/control/controlDecisionLog/src/logUsageController.ts
+++ b/control/controlDecisionLog/src/logUsageController.ts
@@ -1,11 +1,13 @@
-import {defineControlController, measureLog} from '@gentianshunt/controlModel';
+import {
+  createDecisionWrite,
+  defineControlController,
+  measureLog,
+} from '@gentianshunt/controlModel';
 import type {
   ControlController,
   LogBytesBoard,
 } from '@gentianshunt/controlModel';
 
-import {createDecisionWrite} from './decisionWrite.js';
-
 /** Growth of the log in memory that the decision log records, in bytes. */
 export const LOG_GROWTH_STEP_BYTES = 8 * 1024 * 1024;
 
--- a/control/controlDecisionLog/src/memberCountController.ts
+++ b/control/controlDecisionLog/src/memberCountController.ts
@@ -1,7 +1,10 @@
 /** Logs when the same membership comes in force again and again. */
 import type {TurnTime, View} from '@gentianshunt/board';
 import type {Milliseconds} from '@gentianshunt/clock';
-import {defineControlController} from '@gentianshunt/controlModel';
+import {
+  createDecisionWrite,
+  defineControlController,
+} from '@gentianshunt/controlModel';
 import type {
   ControlController,
   ControlObservation,
@@ -15,7 +18,6 @@
 import type {Member} from '@gentianshunt/messages';
 
 import {GROUP_LOG_INTERVAL_MS} from './copyController.js';
-import {createDecisionWrite} from './decisionWrite.js';
 
 /** Equal memberships within this time count as repetitions. */
 export const REPETITION_WINDOW_MS: Milliseconds = 10_000;
--- a/control/controlDecisionLog/src/releaseController.ts
+++ b/control/controlDecisionLog/src/releaseController.ts
@@ -1,6 +1,9 @@
 import type {TurnTime, View} from '@gentianshunt/board';
 import type {Milliseconds} from '@gentianshunt/clock';
-import {defineControlController} from '@gentianshunt/controlModel';
+import {
+  createDecisionWrite,
+  defineControlController,
+} from '@gentianshunt/controlModel';
 import type {
   ControlController,
   ControlDecision,
@@ -10,7 +13,6 @@
 } from '@gentianshunt/controlModel';
 import type {LogIndex} from '@gentianshunt/messages';
 
-import {createDecisionWrite} from './decisionWrite.js';
 import {createReleaseDraft} from './releaseDraft.js';
 import type {ReleaseDraft} from './releaseDraft.js';
 import {findInForce, listLagging} from './releaseForce.js';
--- a/control/controlDecisionLog/src/snapshotController.ts
+++ b/control/controlDecisionLog/src/snapshotController.ts
@@ -1,5 +1,8 @@
 import type {TurnTime, View} from '@gentianshunt/board';
-import {defineControlController} from '@gentianshunt/controlModel';
+import {
+  createDecisionWrite,
+  defineControlController,
+} from '@gentianshunt/controlModel';
 import type {
   ControlController,
   ControlDecision,
@@ -11,7 +14,6 @@
 } from '@gentianshunt/controlModel';
 import type {StateSnapshot} from '@gentianshunt/messages';
 
-import {createDecisionWrite} from './decisionWrite.js';
 import {measureSnapshotBytes} from './snapshotBytes.js';
 import {followSending} from './snapshotSending.js';
 
--- a/control/controlDecisionLog/src/startController.ts
+++ b/control/controlDecisionLog/src/startController.ts
@@ -1,5 +1,9 @@
 import type {TurnTime, View} from '@gentianshunt/board';
-import {defineControlController, measureLog} from '@gentianshunt/controlModel';
+import {
+  createDecisionWrite,
+  defineControlController,
+  measureLog,
+} from '@gentianshunt/controlModel';
 import type {
   ControlController,
   ControlObservation,
@@ -10,7 +14,6 @@
 } from '@gentianshunt/controlModel';
 import {isConfirmedLeader} from '@gentianshunt/entrySessions';
 
-import {createDecisionWrite} from './decisionWrite.js';
 import {measureSnapshotBytes} from './snapshotBytes.js';
 
 type StartReads = keyof LogBytesBoard | 'role' | 'ballot' | 'leadership';
--- a/control/controlModel/src/decision.ts
+++ b/control/controlModel/src/decision.ts
@@ -167,6 +167,32 @@
       readonly lagging: number;
       /** The first of the lagging entries. */
       readonly nodes: readonly NodeId[];
+    }
+  | {
+      /** The release is not proposed before earlier bytes are stored. */
+      readonly kind: 'releaseDeferred';
+      readonly release: number;
+      readonly uncommittedBytes: number;
+      readonly unsyncedBytes: number;
+    }
+  | {
+      /** The release is applied and may not be acknowledged yet. */
+      readonly kind: 'acknowledgementDelayed';
+      readonly release: number;
+      /** The entry that waits for the acknowledgement. */
+      readonly to: NodeId;
+      readonly cause: 'ownEntryNotApplied' | 'leaseRecovery' | 'entryLease';
+      /** The entry whose lease has to end; `null` for another cause. */
+      readonly leaseOf: NodeId | null;
+      /** `null` if it is not known when the cause ends. */
+      readonly remainingMs: Milliseconds | null;
+    }
+  | {
+      readonly kind: 'releaseAcknowledged';
+      readonly release: number;
+      readonly to: NodeId;
+      /** Time since the leader got the entry's request. */
+      readonly waitedMs: Milliseconds;
     };
 
 /** What happened to the size of a member's log, or to its snapshots. */
--- a/control/controlDecisionLog/src/decisionWrite.ts
+++ b/control/controlModel/src/decisionWrite.ts
@@ -1,4 +1,5 @@
-import type {ControlDecision, ControlWrite} from '@gentianshunt/controlModel';
+import type {ControlDecision} from './decision.js';
+import type {ControlWrite} from './sections.js';
 
 /** Creates the write that records a decision in the decision log. */
 export function createDecisionWrite(
--- a/control/controlModel/src/index.ts
+++ b/control/controlModel/src/index.ts
@@ -1,6 +1,7 @@
 export * from './claimId.js';
 export * from './commandNumbers.js';
 export * from './decision.js';
+export * from './decisionWrite.js';
 export * from './effect.js';
 export * from './groupWatch.js';
 export * from './logActivity.js';
--- a/control/entrySessions/src/inForce.ts
+++ b/control/entrySessions/src/inForce.ts
@@ -1,6 +1,6 @@
 import {iterateWhile} from '@gentianshunt/board';
 import type {BoardView, TurnTime} from '@gentianshunt/board';
-import type {MonotonicTime} from '@gentianshunt/clock';
+import type {Milliseconds} from '@gentianshunt/clock';
 import type {
   ControlSections,
   EntrySession,
@@ -51,45 +51,82 @@
   };
 }
 
+/** Why a release is not acknowledged yet, and for how long at most. */
+export type AcknowledgementDelay =
+  | {readonly kind: 'notApplied'}
+  /** The first entry of the leader's term is not applied yet. */
+  | {readonly kind: 'ownEntryNotApplied'}
+  /** Leases of an earlier leader may last beyond the bound. */
+  | {readonly kind: 'leaseRecovery'; readonly remainingMs: Milliseconds}
+  /** The lease of an entry that has not confirmed it does. */
+  | {
+      readonly kind: 'entryLease';
+      readonly node: NodeId;
+      readonly remainingMs: Milliseconds;
+    };
+
 /**
- * Returns whether a release may be acknowledged: no entry will use an older one
- * later than `releaseApplyMs` from now. Leases of earlier leaders, and those of
- * entries that have not confirmed the release, end in time by themselves.
+ * Finds why a release must not be acknowledged yet; `undefined` if it may be. It
+ * may once no entry will use an older one later than `releaseApplyMs` from now.
+ * Leases of earlier leaders, and those of entries that have not confirmed the
+ * release, end in time by themselves.
  */
-export function canAcknowledgeRelease(
+export function findAcknowledgementDelay(
   board: ReleaseBoard,
   release: number,
   now: TurnTime,
-): boolean {
+): AcknowledgementDelay | undefined {
   const [applied] = board.appliedReleases.iterateFrom(release);
+  if (applied === undefined) {
+    return {kind: 'notApplied'};
+  }
+  if (!hasOwnEntryApplied(board)) {
+    return {kind: 'ownEntryNotApplied'};
+  }
   const {releaseApplyMs} = board.identity;
-  return (
-    applied !== undefined &&
-    hasOwnEntryApplied(board) &&
-    computeLeaseRecoveryMs(board.role, now) <= releaseApplyMs &&
-    !hasOlderLeaseAt(board, applied.value, now.monotonic + releaseApplyMs)
-  );
+  const recoveryMs = computeLeaseRecoveryMs(board.role, now) - releaseApplyMs;
+  return recoveryMs > 0
+    ? {kind: 'leaseRecovery', remainingMs: recoveryMs}
+    : findLeaseDelay(board, applied.value, now);
+}
+
+/** Returns whether a release may be acknowledged. */
+export function canAcknowledgeRelease(
+  board: ReleaseBoard,
+  release: number,
+  now: TurnTime,
+): boolean {
+  return findAcknowledgementDelay(board, release, now) === undefined;
 }
 
 /**
- * Returns whether a lease of this leader may be valid at a time without its
- * entry having confirmed a release. A lease that was renewed after the release
- * was applied includes it.
+ * Finds the entry that has not confirmed a release and whose lease lasts longest
+ * beyond the bound. A lease that was renewed after the release was applied
+ * includes it.
  */
-function hasOlderLeaseAt(
+function findLeaseDelay(
   board: ReleaseBoard,
   {version, appliedAt}: AppliedRelease,
-  at: MonotonicTime,
-): boolean {
-  if (appliedAt + computeEntryLeaseMs(board.identity) <= at) {
-    return false;
+  now: TurnTime,
+): AcknowledgementDelay | undefined {
+  const {identity} = board;
+  const harmlessUntil = now.monotonic + identity.releaseApplyMs;
+  const latestEnd = appliedAt + computeEntryLeaseMs(identity);
+  if (latestEnd <= harmlessUntil) {
+    return undefined;
   }
-  for (const {leaseUntil} of iterateLagging(board, version)) {
-    if (leaseUntil > at) {
-      return true;
+  let longest: EntrySession | undefined;
+  for (const session of iterateLagging(board, version)) {
+    if (longest === undefined || session.leaseUntil > longest.leaseUntil) {
+      longest = session;
     }
   }
-  return false;
+  if (longest === undefined || longest.leaseUntil <= harmlessUntil) {
+    return undefined;
+  }
+  const end = Math.min(latestEnd, longest.leaseUntil);
+  const {node} = longest.entry;
+  return {kind: 'entryLease', node, remainingMs: end - harmlessUntil};
 }
 
 /** Iterates over the sessions of entries that have not confirmed a version. */
--- a/control/entrySessions/src/proposalController.ts
+++ b/control/entrySessions/src/proposalController.ts
@@ -1,12 +1,20 @@
 import type {TurnTime, View} from '@gentianshunt/board';
-import {defineControlController} from '@gentianshunt/controlModel';
+import {
+  createDecisionWrite,
+  defineControlController,
+} from '@gentianshunt/controlModel';
 import type {
   ClaimId,
   ControlController,
   ControlObservation,
   ControlSections,
+  ControlWrite,
 } from '@gentianshunt/controlModel';
-import type {EntryToControl, LogPayload} from '@gentianshunt/messages';
+import type {
+  ConfigurationReplacement,
+  EntryToControl,
+  LogPayload,
+} from '@gentianshunt/messages';
 import type {
   EndpointSetId,
   IncarnationId,
@@ -24,7 +32,7 @@
   toPendingRequest,
 } from './pendingReplies.js';
 import type {ReplyBoard} from './pendingReplies.js';
-import {proposeReplacement} from './replacementProposals.js';
+import {decideReplacement} from './replacementProposals.js';
 import type {ReplacementBoard} from './replacementProposals.js';
 
 type ProposalReads =
@@ -67,9 +75,12 @@
         ...proposeForObservation(view, now),
         ...proposeAssignments(view),
       ];
-      return value.length === 0
-        ? []
-        : [{kind: 'set', section: 'proposals', value}];
+      return [
+        ...(value.length === 0
+          ? []
+          : [{kind: 'set', section: 'proposals', value} as const]),
+        ...logDeferred(view),
+      ];
     },
   });
 }
@@ -150,7 +161,7 @@
       return [{kind: 'command', command: message.command, setsInUse}];
     }
     case 'replacementRequest':
-      return proposeReplacement(view.board, message.replacement);
+      return proposeReplacement(view, message.replacement);
     case 'claimRequest': {
       const session = view.board.sessions.get(from);
       if (session === undefined) {
@@ -174,6 +185,43 @@
   }
 }
 
+function proposeReplacement(
+  {board}: ProposalView,
+  replacement: ConfigurationReplacement,
+): readonly LogPayload[] {
+  const {kind} = decideReplacement(board, replacement.version);
+  return kind === 'propose'
+    ? [{kind: 'replaceConfiguration', replacement}]
+    : [];
+}
+
+/** Records that a release has to wait until earlier bytes are stored. */
+function logDeferred({
+  board,
+  observation,
+}: ProposalView): readonly ControlWrite<never>[] {
+  if (
+    observation?.kind !== 'entryMessage' ||
+    observation.message.kind !== 'replacementRequest'
+  ) {
+    return [];
+  }
+  const {version: release} = observation.message.replacement;
+  const decision = decideReplacement(board, release);
+  if (decision.kind !== 'defer' || board.source.version >= release) {
+    return [];
+  }
+  const {uncommittedBytes, unsyncedBytes} = decision;
+  return [
+    createDecisionWrite({
+      kind: 'releaseDeferred',
+      release,
+      uncommittedBytes,
+      unsyncedBytes,
+    }),
+  ];
+}
+
 function listSetsInUse(view: ProposalView): readonly EndpointSetId[] {
   const sets = new Set<EndpointSetId>();
   for (const session of view.board.sessions.values()) {
--- a/control/entrySessions/src/replyController.ts
+++ b/control/entrySessions/src/replyController.ts
@@ -1,6 +1,9 @@
 import type {TurnTime, View} from '@gentianshunt/board';
 import type {Milliseconds} from '@gentianshunt/clock';
-import {defineControlController} from '@gentianshunt/controlModel';
+import {
+  createDecisionWrite,
+  defineControlController,
+} from '@gentianshunt/controlModel';
 import type {
   ControlController,
   ControlObservation,
@@ -14,7 +17,7 @@
 
 import {answerControlQuery} from './controlQuery.js';
 import type {QueryBoard} from './controlQuery.js';
-import {computeInForceStatus} from './inForce.js';
+import {computeInForceStatus, findAcknowledgementDelay} from './inForce.js';
 import {canAnswer} from './leaderStatus.js';
 import {
   findReply,
@@ -215,13 +218,61 @@
       continue;
     }
     const reply = findPendingReply(view, pending, now);
-    if (reply !== undefined) {
-      writes.push(send(pending.to, reply), {
-        kind: 'delete',
-        section: 'pendingReplies',
-        key,
-      });
+    if (reply === undefined) {
+      writes.push(...logDelay(view, pending, now));
+    } else {
+      writes.push(
+        send(pending.to, reply),
+        {kind: 'delete', section: 'pendingReplies', key},
+        ...logAcknowledgement(pending, now),
+      );
     }
   }
   return writes;
 }
+
+/** Records why a release that was just applied is not acknowledged yet. */
+function logDelay(
+  view: ReplyView,
+  {to, request}: PendingReply,
+  now: TurnTime,
+): readonly ReplyWrite[] {
+  if (
+    request.kind !== 'replacement' ||
+    view.readChanges('appliedReleases').size === 0
+  ) {
+    return [];
+  }
+  const {version: release} = request;
+  const delay = findAcknowledgementDelay(view.board, release, now);
+  if (delay === undefined || delay.kind === 'notApplied') {
+    return [];
+  }
+  return [
+    createDecisionWrite({
+      kind: 'acknowledgementDelayed',
+      release,
+      to,
+      cause: delay.kind,
+      leaseOf: delay.kind === 'entryLease' ? delay.node : null,
+      remainingMs: 'remainingMs' in delay ? delay.remainingMs : null,
+    }),
+  ];
+}
+
+/** Records that a release that had to wait is acknowledged. */
+function logAcknowledgement(
+  {to, request, lastAttemptAt}: PendingReply,
+  now: TurnTime,
+): readonly ReplyWrite[] {
+  return request.kind === 'replacement'
+    ? [
+        createDecisionWrite({
+          kind: 'releaseAcknowledged',
+          release: request.version,
+          to,
+          waitedMs: now.monotonic - lastAttemptAt,
+        }),
+      ]
+    : [];
+}
--- a/fronts/logging/src/logClass.ts
+++ b/fronts/logging/src/logClass.ts
@@ -33,7 +33,8 @@
     case 'entryDecided':
       if (
         event.decision.kind === 'endpointLeaveLearnt' ||
-        event.decision.kind === 'leaveUnconfirmed'
+        event.decision.kind === 'leaveUnconfirmed' ||
+        event.decision.kind === 'changeForwarded'
       ) {
         return 'outcome';
       }
--- a/scheduling/controlClient/src/replacementController.ts
+++ b/scheduling/controlClient/src/replacementController.ts
@@ -104,9 +104,18 @@
     correlation,
     replacement,
   } as const;
+  const sent = recordDelivery(delivery, leader, now);
+  const decision = {
+    kind: 'changeForwarded',
+    release: replacement.version,
+    to: leader,
+    attempt: sent.attempts,
+    waitedMs: now.monotonic - pending.receivedAt,
+  } as const;
   return [
-    putPending({...pending, delivery: recordDelivery(delivery, leader, now)}),
+    putPending({...pending, delivery: sent}),
     {kind: 'effect', effect: {kind: 'sendControl', to: leader, message}},
+    {kind: 'effect', effect: {kind: 'logDecision', decision}},
   ];
 }
 
--- a/scheduling/entryModel/src/decision.ts
+++ b/scheduling/entryModel/src/decision.ts
@@ -215,6 +215,16 @@
       /** Heartbeats sent while the entry had no lease. */
       readonly heartbeatsSent: number;
     }
+  | {
+      /** The entry sent an operator's change to the leading control daemon. */
+      readonly kind: 'changeForwarded';
+      readonly release: number;
+      readonly to: NodeId;
+      /** How often this entry has sent it to that daemon. */
+      readonly attempt: number;
+      /** Time since the operator's call was read. */
+      readonly waitedMs: Milliseconds;
+    }
   | {
       readonly kind: 'controlLeaderChanged';
       readonly from: NodeId | null;
