Releases: the wait for a silent entry fits into one try of an operator

Callers saw: one entry that stands still, is cut off or has ended, with an undisturbed control group, and the next change was acknowledged after 1.0 to 1.2 s. Operators leave after 1 s, back off and try other VMs; with paused ones among these the acknowledgement came after 4 s and more.

Cause: a release waits until each older lease ends within the bound. The lease was the bound and 1 s, as long as an operator's try, and the leader looked for its end each 250 ms.

Fix: the lease is the bound and 0.5 s, still at least 2.5 s, and a timer ends the wait. With 2 s that is the shortest lease which outlasts an election, with 2.5 s and more nothing changes.

--- a/control/consensus/src/consensusController.ts
+++ b/control/consensus/src/consensusController.ts
@@ -173,6 +173,7 @@
       handleHelloTimer(draft, now);
       return;
     case 'sessions':
+    case 'acknowledgements':
       return;
     default:
       assertNever(timer, 'handleTimer');
--- a/control/controlModel/src/observation.ts
+++ b/control/controlModel/src/observation.ts
@@ -15,7 +15,9 @@
   | {readonly kind: 'election'}
   | {readonly kind: 'heartbeat'}
   | {readonly kind: 'hello'}
-  | {readonly kind: 'sessions'};
+  | {readonly kind: 'sessions'}
+  /** A release may be acknowledged now. */
+  | {readonly kind: 'acknowledgements'};
 
 /** An event that a control daemon's adapters post to its board. */
 export type ControlObservation =
--- a/control/entrySessions/src/leaderStatus.ts
+++ b/control/entrySessions/src/leaderStatus.ts
@@ -17,9 +17,9 @@
 export const MIN_ENTRY_LEASE_MS: Milliseconds = 2_500;
 /**
  * Longest wait of an acknowledgement for the lease of a silent entry, as far as
- * the bounds of the lease permit.
+ * the bounds of the lease permit. An operator leaves after a second.
  */
-const MAX_ACKNOWLEDGEMENT_WAIT_MS: Milliseconds = 1_000;
+const MAX_ACKNOWLEDGEMENT_WAIT_MS: Milliseconds = 500;
 
 /**
  * Computes the lifetime of the leases that this daemon grants. A lease that is
--- a/control/entrySessions/src/proposalController.ts
+++ b/control/entrySessions/src/proposalController.ts
@@ -79,7 +79,7 @@
         ...(value.length === 0
           ? []
           : [{kind: 'set', section: 'proposals', value} as const]),
-        ...logDeferred(view),
+        ...recordDeferred(view),
       ];
     },
   });
@@ -196,7 +196,7 @@
 }
 
 /** Records that a release has to wait until earlier bytes are stored. */
-function logDeferred({
+function recordDeferred({
   board,
   observation,
 }: ProposalView): readonly ControlWrite<never>[] {
--- a/control/entrySessions/src/replyController.ts
+++ b/control/entrySessions/src/replyController.ts
@@ -61,7 +61,11 @@
     observes: ['entryMessage', 'timerDue'],
     run: (view, now) =>
       view.board.role.kind === 'leader'
-        ? [...handleObservation(view, now), ...replyToPending(view, now)]
+        ? [
+            ...handleObservation(view, now),
+            ...replyToPending(view, now),
+            ...scheduleAcknowledgement(view, now),
+          ]
         : removeAllPending(view),
   });
 }
@@ -219,20 +223,48 @@
     }
     const reply = findPendingReply(view, pending, now);
     if (reply === undefined) {
-      writes.push(...logDelay(view, pending, now));
+      writes.push(...recordDelay(view, pending, now));
     } else {
       writes.push(
         send(pending.to, reply),
         {kind: 'delete', section: 'pendingReplies', key},
-        ...logAcknowledgement(pending, now),
+        ...recordAcknowledgement(pending, now),
       );
     }
   }
   return writes;
 }
 
+/** Sets the timer for the time at which the next release may be acknowledged. */
+function scheduleAcknowledgement(
+  view: ReplyView,
+  now: TurnTime,
+): readonly ReplyWrite[] {
+  const waits = [...view.board.pendingReplies.values()].flatMap(({request}) => {
+    const delay =
+      request.kind === 'replacement'
+        ? findAcknowledgementDelay(view.board, request.version, now)
+        : undefined;
+    return delay !== undefined && 'remainingMs' in delay
+      ? [delay.remainingMs]
+      : [];
+  });
+  return waits.length === 0
+    ? []
+    : [
+        {
+          kind: 'effect',
+          effect: {
+            kind: 'setTimer',
+            timer: {kind: 'acknowledgements'},
+            delayMs: Math.min(...waits),
+          },
+        },
+      ];
+}
+
 /** Records why a release that was just applied is not acknowledged yet. */
-function logDelay(
+function recordDelay(
   view: ReplyView,
   {to, request}: PendingReply,
   now: TurnTime,
@@ -261,7 +293,7 @@
 }
 
 /** Records that a release that had to wait is acknowledged. */
-function logAcknowledgement(
+function recordAcknowledgement(
   {to, request, lastAttemptAt}: PendingReply,
   now: TurnTime,
 ): readonly ReplyWrite[] {
