Operators: what waits for a leader goes to it at once, and again in time

Callers saw: a try at a VM that runs and has just resumed or learnt of a new leader ended without a response after 1 s; the same change, sent again, took 8 ms.

Cause: a change, command or read that waited for a leader left with the next tick, up to 250 ms after the leader was known, and a change that was lost or deferred was sent again after 1 s, when its operator has left.

Fix: requests that the leader has not got are sent when the entry learns who leads; a document is sent again after 0.5 s and its own time. Commands keep 1 s, as their operators wait for 10 s. Before, 'a waiting document is not sent again every tick' allowed one resend within 3 s; it now names the times (500 and 1,500 ms). Two of the new checks failed before: the lost first sending (1,000 ms) and the read (nothing sent).

--- a/scheduling/controlClient/src/commandController.ts
+++ b/scheduling/controlClient/src/commandController.ts
@@ -12,7 +12,13 @@
 import type {ControlToEntry, EntryToControl} from '@gentianshunt/messages';
 import type {NodeId, RequestId} from '@gentianshunt/identifiers';
 
-import {isSendingDue, recordDelivery, planRequestResend} from './delivery.js';
+import {
+  isSendingDue,
+  isTick,
+  listUnsent,
+  planCommandResend,
+  recordDelivery,
+} from './delivery.js';
 import type {ResendOptions} from './delivery.js';
 
 /** Time after which the entry stops tracking a command or a query. */
@@ -32,7 +38,12 @@
     reads: ['control', 'commands'],
     writes: ['commands'],
     observes: ['commandReceived', 'controlMessage', 'timerDue'],
-    run: (view, now) => handleObservation(view, now),
+    run: (view, now) => [
+      ...handleObservation(view, now),
+      ...listUnsent(view, view.board.commands.values()).flatMap(pending =>
+        sendPending(view, pending, now),
+      ),
+    ],
   });
 }
 
@@ -56,9 +67,7 @@
     case 'controlMessage':
       return handleReply(view, observation.message, now);
     case 'timerDue':
-      return observation.timer.kind === 'housekeeping'
-        ? resendPending(view, now)
-        : [];
+      return isTick(view) ? resendPending(view, now) : [];
     default:
       return [];
   }
@@ -100,7 +109,7 @@
   }
   const {correlation, version} = pending;
   return version === null
-    ? sendCommand(pending, leader, planRequestResend(control), now)
+    ? sendCommand(pending, leader, planCommandResend(control), now)
     : [sendTo(leader, {kind: 'commandStatusRequest', correlation, version})];
 }
 
--- a/scheduling/controlClient/src/queryController.ts
+++ b/scheduling/controlClient/src/queryController.ts
@@ -10,7 +10,13 @@
 import type {RequestId} from '@gentianshunt/identifiers';
 
 import {COMMAND_TIMEOUT_MS} from './commandController.js';
-import {isSendingDue, planReadResend, recordDelivery} from './delivery.js';
+import {
+  isSendingDue,
+  isTick,
+  listUnsent,
+  planReadResend,
+  recordDelivery,
+} from './delivery.js';
 
 type QueryReads = 'control' | 'queries';
 type QueryView = View<EntrySections, QueryReads, EntryObservation>;
@@ -26,7 +32,12 @@
     reads: ['control', 'queries'],
     writes: ['queries'],
     observes: ['queryReceived', 'controlMessage', 'timerDue'],
-    run: (view, now) => handleObservation(view, now),
+    run: (view, now) => [
+      ...handleObservation(view, now),
+      ...listUnsent(view, view.board.queries.values()).flatMap(pending =>
+        sendQuery(view, pending, now),
+      ),
+    ],
   });
 }
 
@@ -64,9 +75,7 @@
         : [];
     }
     case 'timerDue':
-      return observation.timer.kind === 'housekeeping'
-        ? resendQueries(view, now)
-        : [];
+      return isTick(view) ? resendQueries(view, now) : [];
     default:
       return [];
   }
--- a/scheduling/controlClient/src/replacementController.ts
+++ b/scheduling/controlClient/src/replacementController.ts
@@ -14,7 +14,13 @@
 } from '@gentianshunt/entryModel';
 import type {RequestId} from '@gentianshunt/identifiers';
 
-import {isSendingDue, recordDelivery, planRequestResend} from './delivery.js';
+import {
+  isSendingDue,
+  isTick,
+  listUnsent,
+  planDocumentResend,
+  recordDelivery,
+} from './delivery.js';
 
 /**
  * Time after which an operator gets the answer `unanswered`, without the time that
@@ -36,7 +42,12 @@
     reads: ['control', 'replacements'],
     writes: ['replacements'],
     observes: ['replacementReceived', 'controlMessage', 'timerDue'],
-    run: (view, now) => handleObservation(view, now),
+    run: (view, now) => [
+      ...handleObservation(view, now),
+      ...listUnsent(view, view.board.replacements.values()).flatMap(pending =>
+        sendPending(view, pending, now),
+      ),
+    ],
   });
 }
 
@@ -67,9 +78,7 @@
         : [];
     }
     case 'timerDue':
-      return observation.timer.kind === 'housekeeping'
-        ? resendPending(view, now)
-        : [];
+      return isTick(view) ? resendPending(view, now) : [];
     default:
       return [];
   }
@@ -92,10 +101,7 @@
   const {control} = view.board;
   const {leader} = control;
   const {correlation, replacement, delivery} = pending;
-  const resend = planRequestResend(
-    control,
-    estimateTransferMs(pending.replacement.source),
-  );
+  const resend = planDocumentResend(control, replacement.source);
   if (leader === null || !isSendingDue(delivery, leader, now, resend)) {
     return [];
   }
--- a/scheduling/controlClient/test/queryController.test.ts
+++ b/scheduling/controlClient/test/queryController.test.ts
@@ -1,4 +1,5 @@
 import {toIdentifier} from '@gentianshunt/identifiers';
+import type {NodeId} from '@gentianshunt/identifiers';
 import t from 'tap';
 
 import {createControlController, createQueryController} from '../src/index.js';
@@ -75,3 +76,28 @@
     ['controlQueryRequest'],
   );
 });
+
+t.test(
+  'a read waits for a tick after the entry has learnt which daemon leads',
+  async t => {
+    const fixture = createEntryFixture([
+      createControlController(),
+      createQueryController(),
+    ]);
+    fixture.loop.post({
+      kind: 'queryReceived',
+      correlation: toIdentifier('r1'),
+      query: {kind: 'source'},
+    });
+    fixture.takeSent();
+    fixture.receive({
+      kind: 'notLeader',
+      sequence: null,
+      leader: toIdentifier<NodeId>('c1'),
+    });
+    const sent = fixture
+      .takeSent()
+      .filter(({kind}) => kind === 'controlQueryRequest');
+    t.equal(sent.length, 1);
+  },
+);
--- a/scheduling/controlClient/test/replacementController.test.ts
+++ b/scheduling/controlClient/test/replacementController.test.ts
@@ -12,6 +12,8 @@
 import type {EntryFixture} from './fixture.js';
 
 const TICK_MS = 250;
+/** How long an operator waits for a response. */
+const OPERATOR_TRY_MS = 1_000;
 const SLOW_ROUND_TRIP_MS = 1_250;
 const LARGE_BYTES = 4_000_000;
 const LARGE_TRANSFER_MS = 4_000;
@@ -47,14 +49,31 @@
   const fixture = createFixture();
   postReplacement(fixture);
   t.equal(countReplacements(fixture), 1);
-  let resent = 0;
+  const resentAt: number[] = [];
   for (let age = TICK_MS; age < REPLACEMENT_TIMEOUT_MS; age += TICK_MS) {
     fixture.tick(TICK_MS);
-    resent += countReplacements(fixture);
+    if (countReplacements(fixture) > 0) {
+      resentAt.push(age);
+    }
   }
-  t.equal(resent, 1, 'sent again after a backoff');
+  t.same(resentAt, [500, 1_500], 'sent again after a backoff');
 });
 
+t.test(
+  'a change whose first sending was lost is not sent again only after its operator has left',
+  async t => {
+    const fixture = createFixture();
+    postReplacement(fixture);
+    t.equal(countReplacements(fixture), 1);
+    let age = 0;
+    while (countReplacements(fixture) === 0) {
+      fixture.tick(TICK_MS);
+      age += TICK_MS;
+    }
+    t.ok(age <= OPERATOR_TRY_MS / 2, `${age} ms`);
+  },
+);
+
 t.test('a waiting document is sent to a new leader at once', async t => {
   const fixture = createFixture();
   postReplacement(fixture);
@@ -64,7 +83,6 @@
     sequence: null,
     leader: toIdentifier<NodeId>('c1'),
   });
-  fixture.tick(TICK_MS);
   t.equal(countReplacements(fixture), 1);
   fixture.tick(TICK_MS);
   t.equal(countReplacements(fixture), 0);
