Routing: entries that reach no endpoint don't switch sound ones off for all

Cause: what an entry reports of an endpoint was taken for a property of the endpoint. Two entries that can't connect stop all use of it, so a few cut-off entries stopped all.

Fix: an entry that fails at half of the endpoints of a set or more does not count while another one uses the set without such failures. If nobody does, all count as before: then it is the endpoints.

--- a/scheduling/setLeader/src/capacities.ts
+++ b/scheduling/setLeader/src/capacities.ts
@@ -60,8 +60,8 @@
   ]);
   const rates = mergeRates(records);
   const medianRate = computeMedianRate([...rates.values()]);
-  const failures = mergeEndpointFailures(records);
   const usable = listUsable(view, set);
+  const failures = mergeEndpointFailures(records, usable.length);
   const total = sumConcurrency(usable);
   const setPerSecond = estimateRequests(view, set, records, now);
   return usable.map(({target, concurrency}) => {
--- a/scheduling/setLeader/src/openDemand.ts
+++ b/scheduling/setLeader/src/openDemand.ts
@@ -3,6 +3,7 @@
   DemandReportRecord,
   GrantsSinceReport,
   ReportedDecodeRate,
+  ReportedFailures,
 } from '@gentianshunt/entryModel';
 import type {
   EndpointId,
@@ -14,6 +15,9 @@
 
 import type {AllocatedSlot, EntryQueue} from './allocation.js';
 
+/** Endpoints at which an entry has to fail at least to be taken for cut off. */
+const MIN_DOUBTFUL_FAILURES = 2;
+
 /** Counts the requests that remain waiting once the slots are used. */
 export function countUnserved(
   queues: readonly EntryQueue[],
@@ -96,13 +100,16 @@
 
 /**
  * Merges the endpoint failures that the entries report: the highest failure
- * rate, and the number of entries that cannot reach the endpoint.
+ * rate, and the number of entries that cannot reach the endpoint. An entry that
+ * fails at most endpoints of the set is taken for cut off itself, and does not
+ * count while another one uses the set without such failures.
  */
 export function mergeEndpointFailures(
   records: readonly DemandReportRecord[],
+  endpointCount: number,
 ): ReadonlyMap<EndpointId, EndpointFailures> {
   const summaries = new Map<EndpointId, EndpointFailures>();
-  for (const {report} of records) {
+  for (const {report} of listCredible(records, endpointCount)) {
     for (const failure of report.troubles ?? []) {
       const known = summaries.get(failure.endpoint);
       const unreachableBy = known?.unreachableBy ?? 0;
@@ -118,6 +125,23 @@
   return summaries;
 }
 
+/** Lists the reports of entries that are not taken for cut off. */
+function listCredible(
+  records: readonly DemandReportRecord[],
+  endpointCount: number,
+): readonly DemandReportRecord[] {
+  const limit = Math.max(MIN_DOUBTFUL_FAILURES, endpointCount / 2);
+  const credible = records.filter(
+    ({report}) => (report.troubles ?? []).filter(isFailing).length < limit,
+  );
+  const hasWitness = credible.some(({report}) => report.running.length > 0);
+  return hasWitness ? credible : records;
+}
+
+function isFailing({failureShare, isUnreachable}: ReportedFailures): boolean {
+  return isUnreachable || failureShare >= PROBE_FAILURE_RATE;
+}
+
 /** Lists the organisations that have waiting requests. */
 export function listWaitingOrganisations(
   records: readonly DemandReportRecord[],
