Routing: an entry that reaches no endpoint passes its callers' requests on

Callers saw: entries that are cut off from all endpoints, while clients and other entries reach them, went on taking requests for as long as the cut lasted. They stayed in the address lookup, kept slots that they could not use, and refused or held what came.

Cause: an entry had no notion of being cut off itself. Each failure was a fact about an endpoint; a connection that hangs said nothing at all until its caller left.

Fix, in the order in which it takes effect: - When two endpoints fail, or nothing was heard from any for 0.7 s while requests wait, the entry opens connections to three others. If none is reached it is isolated; two that are reached later end that. One endpoint that is silent or dead never suffices. - It says so in its heartbeat at once; the directory and the lookup leave it out while there are others. It stays ready, as it serves what comes. - It gives its slots back, and neither it nor one that is still checking reports failures. - What still comes, waits, or is silent at endpoints and may run again is passed on as it is, to the second internal port of an entry of the same domain, region or any. That one handles it like its own, and never passes it on again. What was not sent goes to another entry; what may have run goes to one only if it is idempotent, out of the retry budget.

Known red: dead endpoints get 10 instead of 5 in 100 sendings while others are cut off.

--- a/bench/matrix/src/entryHost.ts
+++ b/bench/matrix/src/entryHost.ts
@@ -183,13 +183,16 @@
       state.addresses = effect.addresses.map(address => address.node);
       return;
     case 'releaseAnswer':
+    case 'relayCall':
+    case 'cancelRelay':
+    case 'probeEndpoint':
     case 'sendEndpointOrder':
     case 'settleLeave':
     case 'storeLeaves':
     case 'redirectEntry':
     case 'logDecision':
       // No cell sends endpoint orders, asks for the members of the control
-      // log, or reads the entry's log.
+      // log, passes requests on, or reads the entry's log.
       return;
     case 'exit':
       exit(options, state);
--- a/bench/policyBench/src/entryCluster.ts
+++ b/bench/policyBench/src/entryCluster.ts
@@ -212,6 +212,9 @@
     case 'releaseAnswer':
     case 'redirectEntry':
     case 'logDecision':
+    case 'relayCall':
+    case 'cancelRelay':
+    case 'probeEndpoint':
     case 'sendEndpointOrder':
     case 'settleLeave':
     case 'storeLeaves':
--- a/bench/virtualEntry/src/fakeControl.ts
+++ b/bench/virtualEntry/src/fakeControl.ts
@@ -33,6 +33,15 @@
   let version = 0;
   let objects: readonly ConfigurationObject[] = [];
   let entries: readonly DirectoryEntry[] = [];
+  const updateIsolated = ({entry, isIsolated = false}: Heartbeat): void => {
+    const known = entries.find(({address}) => address.node === entry.node);
+    if (known !== undefined && isIsolated !== (known.isIsolated ?? false)) {
+      const {address, draining} = known;
+      const changed = {address, draining, ...(isIsolated ? {isIsolated} : {})};
+      entries = entries.map(each => (each === known ? changed : each));
+      version += 1;
+    }
+  };
   return {
     publish: (newObjects, newEntries) => {
       version += 1;
@@ -40,6 +49,7 @@
       entries = newEntries;
     },
     answerHeartbeat: heartbeat => {
+      updateIsolated(heartbeat);
       const isCurrent = heartbeat.version === version;
       return {
         kind: 'controlMessage',
@@ -83,6 +93,7 @@
       domain: toIdentifier(domain),
       peer: address,
       http: address,
+      relay: address,
     },
     draining,
   };
--- a/bench/virtualEntry/src/virtualEntries.ts
+++ b/bench/virtualEntry/src/virtualEntries.ts
@@ -257,6 +257,9 @@
     case 'openStream':
     case 'resumeStream':
     case 'cancelStream':
+    case 'relayCall':
+    case 'cancelRelay':
+    case 'probeEndpoint':
     case 'releaseAnswer':
     case 'refuseCaller':
     case 'repeatAnswer':
--- a/control/controlModel/src/sessionRecords.ts
+++ b/control/controlModel/src/sessionRecords.ts
@@ -43,6 +43,8 @@
   readonly entry: EntryAddress;
   readonly incarnation: IncarnationId;
   readonly draining: boolean;
+  /** Whether the entry reaches no endpoint. */
+  readonly isIsolated: boolean;
   /** The configuration version that the entry has confirmed. */
   readonly confirmedVersion: ConfigurationVersion;
   readonly delivery: UpdateDelivery;
--- a/control/entrySessions/src/directoryDelta.ts
+++ b/control/entrySessions/src/directoryDelta.ts
@@ -103,6 +103,10 @@
 }
 
 /** Converts a session to the directory entry that other entries receive. */
-export function toDirectoryEntry(session: EntrySession): DirectoryEntry {
-  return {address: session.entry, draining: session.draining};
+export function toDirectoryEntry({
+  entry: address,
+  draining,
+  isIsolated,
+}: EntrySession): DirectoryEntry {
+  return isIsolated ? {address, draining, isIsolated} : {address, draining};
 }
--- a/control/entrySessions/src/directoryDigest.ts
+++ b/control/entrySessions/src/directoryDigest.ts
@@ -13,7 +13,11 @@
   return (digest ^ hashText(describeEntry(entry))) >>> 0;
 }
 
-function describeEntry({address, draining}: DirectoryEntry): string {
+function describeEntry({
+  address,
+  draining,
+  isIsolated,
+}: DirectoryEntry): string {
   const {node, region, domain, peer, http} = address;
   return [
     node,
@@ -24,5 +28,6 @@
     http.host,
     http.port,
     draining,
+    ...(isIsolated === true ? ['isolated'] : []),
   ].join(' ');
 }
--- a/control/entrySessions/src/sessionRenewal.ts
+++ b/control/entrySessions/src/sessionRenewal.ts
@@ -72,6 +72,7 @@
   now: TurnTime,
 ): Renewal {
   const {entry, version, draining, incarnation, setsInUse} = heartbeat;
+  const {isIsolated = false} = heartbeat;
   const current = board.sessions.get(entry.node);
   const latest = board.applied.version;
   const {delivery, from} = planDelivery(current, heartbeat, latest, now);
@@ -79,6 +80,7 @@
     entry,
     incarnation,
     draining,
+    isIsolated,
     confirmedVersion: version,
     delivery,
     directoryVersion: heartbeat.directoryVersion,
@@ -115,6 +117,7 @@
   return (
     current !== undefined &&
     current.draining === session.draining &&
+    current.isIsolated === session.isIsolated &&
     current.incarnation === session.incarnation
   );
 }
--- a/control/messages/src/controlMessage.ts
+++ b/control/messages/src/controlMessage.ts
@@ -42,6 +42,8 @@
   readonly peer: NetworkAddress;
   /** Address for callers. */
   readonly http: NetworkAddress;
+  /** Address for requests that other entries pass on; absent without one. */
+  readonly relay?: NetworkAddress;
   /** Processor share of the VM in cores; counts as one if absent. */
   readonly cores?: number;
 }
@@ -112,6 +114,8 @@
       /** Directory version that the entry uses. */
       readonly directoryVersion: DirectoryVersion;
       readonly draining: boolean;
+      /** Whether the entry reaches no endpoint; absent in older versions. */
+      readonly isIsolated?: boolean;
       /** Sets that the entry leads and that have endpoints. */
       readonly setsInUse: readonly EndpointSetId[];
     }
@@ -262,6 +266,8 @@
 export interface DirectoryEntry {
   readonly address: EntryAddress;
   readonly draining: boolean;
+  /** Whether it reaches no endpoint, and passes requests on; absent if not. */
+  readonly isIsolated?: true;
 }
 
 /** Version of a directory; that of a later term replaces earlier ones. */
--- a/core/identifiers/src/identifiers.ts
+++ b/core/identifiers/src/identifiers.ts
@@ -23,6 +23,8 @@
 /** Identifies one dispatch of one request to one endpoint. */
 export type DispatchId = Identifier<'dispatch'>;
 export type GrantId = Identifier<'grant'>;
+/** One handover of a request to another entry. */
+export type RelayId = Identifier<'relay'>;
 /** Identifies a part of prompts; requests with the same part share its text. */
 export type PromptPartId = Identifier<'promptPart'>;
 /** Identifies what may crash endpoints: a prompt part or a whole request. */
--- a/daemons/hosts/src/entryHost.ts
+++ b/daemons/hosts/src/entryHost.ts
@@ -166,6 +166,9 @@
     case 'openStream':
     case 'resumeStream':
     case 'cancelStream':
+    case 'relayCall':
+    case 'cancelRelay':
+    case 'probeEndpoint':
     case 'releaseAnswer':
     case 'repeatAnswer':
     case 'answerAddresses':
--- a/fronts/callRelay/src/callProtocol.ts
+++ b/fronts/callRelay/src/callProtocol.ts
@@ -63,6 +63,8 @@
   readCall(head: CallHead): ParsedCall;
   /** Lists the headers with which a call is sent to an endpoint. */
   listEndpointHeaders(options: EndpointHeadOptions): RawHeaders;
+  /** Lists the headers with which a call is passed on to another entry. */
+  listRelayHeaders(head: CallHead, timeLeftMs: Milliseconds): RawHeaders;
   readAnswer(head: AnswerHead): AnswerAttributes;
   formatRefusal(refusal: Refusal): SchedulerAnswer;
   formatMalformed(detail: string): SchedulerAnswer;
--- a/fronts/callRelay/src/callRelay.ts
+++ b/fronts/callRelay/src/callRelay.ts
@@ -1,5 +1,5 @@
 import type {BoardView} from '@gentianshunt/board';
-import {hasDisconnected} from '@gentianshunt/callerFront';
+import {hasDisconnected, checkConnection} from '@gentianshunt/callerFront';
 import {isLeaseValid, readInstant} from '@gentianshunt/clock';
 import type {Clock, Milliseconds} from '@gentianshunt/clock';
 import {assertNever} from '@gentianshunt/errors';
@@ -15,6 +15,7 @@
 } from '@gentianshunt/requestBodies';
 import {refuseIfOverloaded, refuseUnadmitted} from '@gentianshunt/entryModel';
 import type {
+  EndpointTarget,
   EntryEffect,
   EntryObservation,
   EntrySections,
@@ -35,10 +36,12 @@
 import type {CallStep} from './callStep.js';
 import {createCallTable} from './callTable.js';
 import type {CallTable} from './callTable.js';
+import {CONNECT_TIMEOUT_MS} from './connectionPools.js';
 import {createEndpointStreams} from './endpointStream.js';
 import {guardCall} from './guardCall.js';
 import {toHead} from './rawHeaders.js';
 import {readCallTerms} from './readCallTerms.js';
+import {createRelayedCalls} from './relayedCalls.js';
 import {createRoutingTableCache} from './routingTableCache.js';
 import {decideUnreadAnswer} from './unreadCalls.js';
 import type {UnreadBody} from './unreadCalls.js';
@@ -48,7 +51,13 @@
   EntryEffect,
   {
     readonly kind:
-      'openStream' | 'cancelStream' | 'releaseAnswer' | 'refuseCaller';
+      | 'openStream'
+      | 'cancelStream'
+      | 'relayCall'
+      | 'cancelRelay'
+      | 'probeEndpoint'
+      | 'releaseAnswer'
+      | 'refuseCaller';
   }
 >;
 
@@ -64,6 +73,8 @@
   /** Largest body of a call, in bytes. */
   readonly maxBodyBytes: number;
   readonly post: (observation: EntryObservation) => void;
+  /** The port at which other entries pass calls on; `null` without one. */
+  readonly relayPort: number | null;
   /** Called with the refusals that the relay decides on by itself. */
   readonly onRefused: (refusal: Refusal) => void;
   /** Called with what happens to calls at their connections. */
@@ -92,6 +103,7 @@
   const {server, protocol} = options;
   const calls = createCallTable();
   const streams = createEndpointStreams({...options, calls});
+  const relayed = createRelayedCalls({...options, calls});
   const readRoutingTable = createRoutingTableCache(options.view);
   addBodyParser(server, ({raw}) => ({
     gate: options.gate,
@@ -121,6 +133,15 @@
         case 'cancelStream':
           streams.cancel(effect.dispatch);
           return;
+        case 'relayCall':
+          relayed.open(effect.request.id, effect.relay);
+          return;
+        case 'cancelRelay':
+          relayed.cancel(effect.relay);
+          return;
+        case 'probeEndpoint':
+          checkEndpoint(options, effect.target);
+          return;
         case 'releaseAnswer':
           calls.find(effect.request)?.hold.release();
           return;
@@ -129,10 +150,21 @@
           return;
       }
     },
-    close: () => streams.close(),
+    close: async () => {
+      await Promise.all([streams.close(), relayed.close()]);
+    },
   };
 }
 
+function checkEndpoint(
+  {post}: CallRelayOptions,
+  {endpoint, url}: EndpointTarget,
+): void {
+  void checkConnection(url, CONNECT_TIMEOUT_MS).then(isReached =>
+    post({kind: 'endpointProbed', endpoint, isReached}),
+  );
+}
+
 function receiveCall(
   options: CallRelayOptions,
   calls: CallTable,
@@ -163,7 +195,13 @@
       return;
     }
     const observation = guardCall(guard, () =>
-      parseCall(options, calls, readTable(), {head, body, ageMs, response}),
+      parseCall(options, calls, readTable(), {
+        head,
+        body,
+        ageMs,
+        response,
+        isRelayed: raw.socket.localPort === options.relayPort,
+      }),
     );
     if (observation !== undefined) {
       options.post(observation);
@@ -203,7 +241,7 @@
   options: CallRelayOptions,
   calls: CallTable,
   table: RoutingTable,
-  {head, body, ageMs, response}: Omit<IncomingCall, 'attributes'>,
+  {head, body, ageMs, response, isRelayed}: Omit<IncomingCall, 'attributes'>,
 ): EntryObservation | undefined {
   const parsed = options.protocol.readCall(head);
   if (
@@ -221,6 +259,7 @@
     body,
     ageMs,
     response,
+    isRelayed,
   });
 }
 
@@ -232,13 +271,15 @@
   /** Time since its head was read. */
   readonly ageMs: Milliseconds;
   readonly response: FastifyReply['raw'];
+  /** Whether another entry passed it on. */
+  readonly isRelayed: boolean;
 }
 
 function openCall(
   options: CallRelayOptions,
   calls: CallTable,
   table: RoutingTable,
-  {head, attributes, body, ageMs, response}: IncomingCall,
+  {head, attributes, body, ageMs, response, isRelayed}: IncomingCall,
 ): EntryObservation {
   const {clock, loop, post, view} = options;
   const now = readInstant(clock);
@@ -292,7 +333,11 @@
   const requestFingerprint = digestCall({head, attributes, body});
   return {
     kind: 'requestReceived',
-    attributes: {...resolved.attributes, requestFingerprint},
+    attributes: {
+      ...resolved.attributes,
+      requestFingerprint,
+      ...(isRelayed ? {isRelayed} : {}),
+    },
   };
 }
 
--- a/fronts/callRelay/src/streamErrors.ts
+++ b/fronts/callRelay/src/streamErrors.ts
@@ -28,10 +28,16 @@
   return (error as NodeJS.ErrnoException).code;
 }
 
+/** Returns whether an error occurred before a byte of the call was sent. */
+export function isNotSent(error: Error): boolean {
+  const code = readErrorCode(error);
+  return code !== undefined && NOT_SENT_CODES.has(code);
+}
+
 /** Describes how an error ended a stream. */
 export function toStreamEnd(error: Error, progress: AnswerProgress): StreamEnd {
   const code = readErrorCode(error);
-  return code !== undefined && NOT_SENT_CODES.has(code)
-    ? {kind: 'notSent', detail: code}
+  return isNotSent(error)
+    ? {kind: 'notSent', detail: code ?? error.message}
     : {kind: 'cut', detail: code ?? error.message, events: 0, progress};
 }
--- a/fronts/callRelay/test/relayFixture.ts
+++ b/fronts/callRelay/test/relayFixture.ts
@@ -90,6 +90,7 @@
 
 /** The protocol of the tests. */
 const protocol: CallProtocol = {
+  listRelayHeaders: ({headers}) => [...headers],
   readCall: ({headers, url}) => {
     const id = findHeader(headers, 'x-call');
     return id === undefined
@@ -213,6 +214,7 @@
     loop,
     gate: createMemoryGate(MEMORY_BYTES, clock),
     maxBodyBytes: MEMORY_BYTES,
+    relayPort: null,
     post: observation => {
       observations.push(observation);
       if (observation.kind === 'streamStarted' && !holdsAnswers) {
--- a/fronts/callerFront/src/callerFront.ts
+++ b/fronts/callerFront/src/callerFront.ts
@@ -18,6 +18,7 @@
 import type {CallerBodiesOptions} from './callerBodies.js';
 import {createCallerTable, sendProblem} from './callerTable.js';
 import type {CallerTable, ForwardedRequest} from './callerTable.js';
+import {checkConnection} from './endpointProbe.js';
 import {hasDisconnected} from './hasDisconnected.js';
 import {createLookupRoute} from './lookupRoute.js';
 import {createBadRequestProblem, toProblem} from './problem.js';
@@ -25,7 +26,7 @@
 import {addProblemHandlers} from './problemHandlers.js';
 import {parseChatRequest, parseServiceRequest} from './requestParser.js';
 import type {ParsedRequest} from './requestParser.js';
-import {createStreamClient} from './streamClient.js';
+import {CONNECT_TIMEOUT_MS, createStreamClient} from './streamClient.js';
 
 /** Options of the HTTP interface for callers. */
 export interface CallerFrontOptions extends CallerBodiesOptions {
@@ -65,6 +66,17 @@
         case 'cancelStream':
           streams.cancel(effect.dispatch);
           return;
+        case 'probeEndpoint': {
+          const {endpoint, url} = effect.target;
+          void checkConnection(url, CONNECT_TIMEOUT_MS).then(isReached =>
+            post({kind: 'endpointProbed', endpoint, isReached}),
+          );
+          return;
+        }
+        case 'relayCall':
+        case 'cancelRelay':
+          // Callers of this front are referred to other entries instead.
+          return;
         case 'releaseAnswer':
           // Only answers of routes are held, which this front does not have.
           return;
--- a/fronts/logging/src/logClass.ts
+++ b/fronts/logging/src/logClass.ts
@@ -43,6 +43,7 @@
         event.decision.kind === 'answerBroken' ||
         event.decision.kind === 'answerHeld' ||
         event.decision.kind === 'originNotFound' ||
+        event.decision.kind === 'requestRelayed' ||
         event.decision.kind === 'requestShed' ||
         event.decision.kind === 'requestRequeued'
         ? 'detail'
--- a/scheduling/addressLookup/src/pickAddresses.ts
+++ b/scheduling/addressLookup/src/pickAddresses.ts
@@ -32,7 +32,7 @@
  */
 export function pickAddresses(query: AddressQuery): readonly DirectoryEntry[] {
   const {set, organisation, assignedCounts} = query;
-  const serving = query.entries.filter(entry => !entry.draining);
+  const serving = listServing(query.entries);
   const near = rankEntries(serving, set).slice(0, MAX_ENTRIES_PER_SET);
   const ranked = rankEntries(near, `${set}/${organisation}`);
   const limit = computeLimit(ranked, assignedCounts);
@@ -57,7 +57,7 @@
 /** Selects the entries of a caller's failure domain, its region, or all. */
 export function pickNearEntries(query: NearQuery): readonly DirectoryEntry[] {
   const {entries, region, domain} = query;
-  const serving = entries.filter(entry => !entry.draining);
+  const serving = listServing(entries);
   const inRegion = serving.filter(({address}) => address.region === region);
   const inDomain = inRegion.filter(({address}) => address.domain === domain);
   const scopes = [inDomain, inRegion, serving];
@@ -70,10 +70,22 @@
   entries: readonly DirectoryEntry[],
   key: string,
 ): readonly DirectoryEntry[] {
-  const serving = entries.filter(entry => !entry.draining);
+  const serving = listServing(entries);
   return rankEntries(serving, key).slice(0, MAX_ADDRESSES);
 }
 
+/**
+ * Lists the entries for callers. Those that reach no endpoint are left out, unless
+ * there are no others.
+ */
+function listServing(
+  entries: readonly DirectoryEntry[],
+): readonly DirectoryEntry[] {
+  const active = entries.filter(entry => !entry.draining);
+  const reaching = active.filter(({isIsolated}) => isIsolated !== true);
+  return reaching.length > 0 ? reaching : active;
+}
+
 function rankEntries(
   entries: readonly DirectoryEntry[],
   key: string,
--- a/scheduling/controlClient/src/controlController.ts
+++ b/scheduling/controlClient/src/controlController.ts
@@ -20,7 +20,11 @@
   ControlWrites,
 } from './controlSections.js';
 import {isAnswerOutdated, recordAnswer} from './heartbeatRecord.js';
-import {followLeader, sendHeartbeats} from './heartbeats.js';
+import {
+  followLeader,
+  sendEarlyHeartbeat,
+  sendHeartbeats,
+} from './heartbeats.js';
 
 type NotLeader = Extract<ControlToEntry, {readonly kind: 'notLeader'}>;
 type LeaderUnconfirmed = Extract<
@@ -43,6 +47,7 @@
       'configuration',
       'leaderships',
       'endpoints',
+      'reach',
     ],
     writes: ['control', 'controlNodes', 'configuration'],
     observes: [
@@ -52,7 +57,13 @@
       'misdirectedControlMessage',
       'controlNodesLearned',
     ],
-    run: (view, now) => handleObservation(view, now),
+    run: (view, now) => {
+      const writes = handleObservation(view, now);
+      const isNews = view.readChanges('reach').size > 0;
+      return writes.length === 0 && isNews
+        ? sendEarlyHeartbeat(view, now)
+        : writes;
+    },
   });
 }
 
--- a/scheduling/controlClient/src/controlSections.ts
+++ b/scheduling/controlClient/src/controlSections.ts
@@ -14,7 +14,8 @@
   | 'controlNodes'
   | 'configuration'
   | 'leaderships'
-  | 'endpoints';
+  | 'endpoints'
+  | 'reach';
 /** The sections that the control controller writes. */
 export type ControlWrites = 'control' | 'controlNodes' | 'configuration';
 /** The part of the board that the control controller reads. */
--- a/scheduling/controlClient/src/heartbeats.ts
+++ b/scheduling/controlClient/src/heartbeats.ts
@@ -1,7 +1,7 @@
 // When an entry sends heartbeats, and to which control daemons.
 import type {TurnTime} from '@gentianshunt/board';
 import type {Milliseconds} from '@gentianshunt/clock';
-import {iterateEndpoints} from '@gentianshunt/entryModel';
+import {isIsolated, iterateEndpoints} from '@gentianshunt/entryModel';
 import type {ControlStatus} from '@gentianshunt/entryModel';
 import type {EndpointSetId, NodeId} from '@gentianshunt/identifiers';
 import type {EntryToControl} from '@gentianshunt/messages';
@@ -93,6 +93,16 @@
   ];
 }
 
+/** Sends the leader a heartbeat at once, unless too many were sent lately. */
+export function sendEarlyHeartbeat(
+  view: ControlView,
+  now: TurnTime,
+): readonly ControlWrite[] {
+  const {control} = view.board;
+  const {leader} = control;
+  return leader === null ? [] : followLeader(view, control, leader, now);
+}
+
 function addSent(
   status: ControlStatus,
   to: NodeId,
@@ -176,7 +186,7 @@
   view: ControlView,
   {to, sequence}: ControlStatus['heartbeats'][number],
 ): ControlWrite {
-  const {identity, service, control} = view.board;
+  const {identity, service, control, reach} = view.board;
   const message: EntryToControl = {
     kind: 'entryHeartbeat',
     entry: identity.address,
@@ -185,6 +195,7 @@
     version: control.version,
     directoryVersion: control.directory.version,
     draining: service.kind === 'draining',
+    isIsolated: isIsolated(reach),
     setsInUse: listSetsInUse(view),
   };
   return {kind: 'effect', effect: {kind: 'sendControl', to, message}};
--- a/scheduling/decisionLog/src/decisionLog.ts
+++ b/scheduling/decisionLog/src/decisionLog.ts
@@ -146,6 +146,7 @@
     case 'claiming':
     case 'awaitingOutcome':
     case 'answering':
+    case 'relayed':
       return [];
   }
 }
--- a/scheduling/entryModel/src/decision.ts
+++ b/scheduling/entryModel/src/decision.ts
@@ -17,6 +17,7 @@
 import type {EndpointRecord} from './endpointRecord.js';
 import type {AnswerProgress} from './streamEnd.js';
 import type {CatchUpCause} from './leaveRecord.js';
+import type {Reach} from './reach.js';
 import type {WithdrawalSource} from './withdrawal.js';
 
 /** Why the latest heartbeats brought no lease. */
@@ -215,6 +216,27 @@
       /** Heartbeats sent while the entry had no lease. */
       readonly heartbeatsSent: number;
     }
+  | {
+      /** The entry learnt whether it reaches endpoints. */
+      readonly kind: 'reachChanged';
+      readonly reach: Reach['kind'];
+      readonly before: Reach['kind'];
+      /** How long it was so before; `null` if it always was. */
+      readonly lastedMs: Milliseconds | null;
+      /** Endpoints to which connections failed lately. */
+      readonly failed: number;
+      /** Time since a byte of any endpoint arrived; `null` if none did. */
+      readonly silentMs: Milliseconds | null;
+    }
+  | {
+      /** The entry passes a request on to another one. */
+      readonly kind: 'requestRelayed';
+      readonly request: RequestId;
+      readonly set: EndpointSetId;
+      readonly to: NodeId;
+      readonly attempt: number;
+      readonly waitedMs: Milliseconds;
+    }
   | {
       /** The entry sent an operator's change to the leading control daemon. */
       readonly kind: 'changeForwarded';
--- a/scheduling/entryModel/src/effect.ts
+++ b/scheduling/entryModel/src/effect.ts
@@ -12,9 +12,11 @@
 import type {EntryMessage} from './entryMessage.js';
 import type {ReportedLeave} from './leaveRecord.js';
 import type {CommandProgress, EntryTimer} from './observation.js';
+import type {Relay} from './relay.js';
 import type {
   AdmittedRequest,
   Dispatch,
+  EndpointTarget,
   Refusal,
   RequestEnd,
 } from './request.js';
@@ -35,6 +37,18 @@
       readonly fromEvent: number;
     }
   | {readonly kind: 'cancelStream'; readonly dispatch: Dispatch}
+  | {
+      /** Passes a request on to another entry, and its answer to the caller. */
+      readonly kind: 'relayCall';
+      readonly request: AdmittedRequest;
+      readonly relay: Relay;
+    }
+  | {readonly kind: 'cancelRelay'; readonly relay: Relay}
+  | {
+      /** Opens a connection to an endpoint and closes it again. */
+      readonly kind: 'probeEndpoint';
+      readonly target: EndpointTarget;
+    }
   /** Lets the caller have the events of an answer that was held. */
   | {readonly kind: 'releaseAnswer'; readonly request: RequestId}
   | {readonly kind: 'refuseCaller'; readonly refusal: Refusal}
@@ -115,6 +129,9 @@
       | 'openStream'
       | 'resumeStream'
       | 'cancelStream'
+      | 'relayCall'
+      | 'cancelRelay'
+      | 'probeEndpoint'
       | 'releaseAnswer'
       | 'refuseCaller'
       | 'repeatAnswer'
--- a/scheduling/entryModel/src/index.ts
+++ b/scheduling/entryModel/src/index.ts
@@ -30,6 +30,8 @@
 export * from './queueRecords.js';
 export * from './quota.js';
 export * from './quotaAccount.js';
+export * from './reach.js';
+export * from './relay.js';
 export * from './request.js';
 export * from './resendDelay.js';
 export * from './sections.js';
--- a/scheduling/entryModel/src/observation.ts
+++ b/scheduling/entryModel/src/observation.ts
@@ -16,6 +16,7 @@
   NodeId,
   OperatorId,
   OrganisationId,
+  RelayId,
   RequestId,
 } from '@gentianshunt/identifiers';
 
@@ -24,6 +25,7 @@
 import type {OrderExecution} from './endpointOrder.js';
 import type {EntryMessage} from './entryMessage.js';
 import type {ReportedLeave} from './leaveRecord.js';
+import type {RelayEnd} from './relay.js';
 import type {
   AdmittedRequest,
   Dispatch,
@@ -150,6 +152,19 @@
       readonly end: RequestEnd;
       readonly firstTokenMs: Milliseconds | null;
     }
+  | {
+      /** A connection to an endpoint was opened to see whether it can be. */
+      readonly kind: 'endpointProbed';
+      readonly endpoint: EndpointId;
+      readonly isReached: boolean;
+    }
+  | {
+      /** The answer of another entry to a request that was passed on ended. */
+      readonly kind: 'relayEnded';
+      readonly request: RequestId;
+      readonly relay: RelayId;
+      readonly end: RelayEnd;
+    }
   | {
       /** An endpoint answered an order, or could not be reached. */
       readonly kind: 'endpointOrderEnded';
--- a/scheduling/entryModel/src/request.ts
+++ b/scheduling/entryModel/src/request.ts
@@ -7,6 +7,7 @@
   EndpointSetId,
   FingerprintId,
   GrantId,
+  NodeId,
   OrganisationId,
   PromptPartId,
   RequestId,
@@ -16,6 +17,7 @@
   TierId,
 } from '@gentianshunt/identifiers';
 
+import type {Relay, RelayEnd} from './relay.js';
 import type {StreamEnd} from './streamEnd.js';
 import type {StreamOrigin} from './streamOrigin.js';
 
@@ -81,6 +83,8 @@
   readonly resumed?: ResumedStream;
   /** Absent when the request names its endpoint set instead of a route. */
   readonly routePolicy?: RoutePolicy;
+  /** Whether another entry passed the request on to this one. */
+  readonly isRelayed?: boolean;
 }
 
 /** A request's attributes, completed from the configuration on admission. */
@@ -186,6 +190,17 @@
       readonly firstTokenAt: MonotonicTime;
     });
 
+/** A request that this entry has passed on to another one. */
+export interface RelayedState {
+  readonly kind: 'relayed';
+  readonly request: AdmittedRequest;
+  readonly relay: Relay;
+  /** Entries that did not take it before. */
+  readonly tried: readonly NodeId[];
+  /** Whether it may have run before it was passed on. */
+  readonly mayHaveRun: boolean;
+}
+
 /** The states in which a request is in its queue. */
 export type QueuedState =
   Extract<UndispatchedState, {readonly kind: 'waiting'}> | RetryingState;
@@ -196,7 +211,8 @@
 }
 
 /** The states of a live request; an ended request leaves the board. */
-export type RequestState = UndispatchedState | RetryingState | DispatchedState;
+export type RequestState =
+  UndispatchedState | RetryingState | DispatchedState | RelayedState;
 
 /** Why the entry refused a request. */
 export type RefusalReason =
@@ -299,6 +315,16 @@
   return createNotRunRefusal(state.request.id, reason, retryAfterMs);
 }
 
+/** Refuses a request of which no byte reached the entries it was passed on to. */
+export function refuseUnrelayed(
+  state: RelayedState & {readonly mayHaveRun: false},
+  end: Extract<RelayEnd, {readonly kind: 'notSent'}>,
+  retryAfterMs: number | null,
+): NotRunRefusal {
+  const reason = {kind: 'endpointFailed', detail: end.detail} as const;
+  return createNotRunRefusal(state.request.id, reason, retryAfterMs);
+}
+
 /** Refuses a dispatched request that the front did not send. */
 export function refuseWithheld(
   state: Extract<DispatchedState, {readonly kind: 'dispatched'}>,
--- a/scheduling/entryModel/src/sections.ts
+++ b/scheduling/entryModel/src/sections.ts
@@ -100,6 +100,8 @@
   QuotaUsageState,
   ReportedEntry,
 } from './quota.js';
+import {NO_REACH_EVIDENCE} from './reach.js';
+import type {Reach, ReachEvidence} from './reach.js';
 import type {AdmittedRequest, RequestState} from './request.js';
 import type {
   EndpointKey,
@@ -215,6 +217,9 @@
     streamProgress: defineMap<DispatchId, StreamProgress>(),
     decodeRates: defineMap<EndpointId, ObservedDecodeRate>(),
     endpointHealth: defineMap<EndpointId, EndpointHealth>(),
+    /** Whether this entry can connect to endpoints. */
+    reach: defineCell<Reach>({kind: 'reaching'}),
+    reachEvidence: defineCell<ReachEvidence>(NO_REACH_EVIDENCE),
     /** Limits that endpoints named in answers to this entry. */
     namedLimits: defineMap<EndpointId, NamedLimit>(),
     /** What this entry may send to such endpoints without a grant. */
--- a/scheduling/entryNode/src/entryNode.ts
+++ b/scheduling/entryNode/src/entryNode.ts
@@ -29,6 +29,7 @@
   createLimitController,
   createPatienceController,
   createRateController,
+  createReachController,
 } from '@gentianshunt/learning';
 import {createLifecycleController} from '@gentianshunt/lifecycle';
 import {
@@ -94,6 +95,7 @@
     createPatienceController(),
     createEvidenceController(),
     createRateController(),
+    createReachController(),
     createHealthController(),
     createLimitController(),
     createQuarantineController(),
--- a/scheduling/learning/src/healthController.ts
+++ b/scheduling/learning/src/healthController.ts
@@ -1,6 +1,6 @@
 import type {TurnTime, View} from '@gentianshunt/board';
 import type {Milliseconds} from '@gentianshunt/clock';
-import {defineEntryController} from '@gentianshunt/entryModel';
+import {defineEntryController, isIsolated} from '@gentianshunt/entryModel';
 import type {
   EndpointHealth,
   EntryController,
@@ -19,7 +19,7 @@
  */
 export const UNRESPONSIVE_MS: Milliseconds = 1_500;
 
-type HealthReads = 'requests' | 'dispatches' | 'endpointHealth';
+type HealthReads = 'requests' | 'dispatches' | 'endpointHealth' | 'reach';
 type HealthView = View<EntrySections, HealthReads, EntryObservation>;
 type HealthWrite = EntryWrite<'endpointHealth'>;
 
@@ -33,11 +33,14 @@
 export function createHealthController(): EntryController {
   return defineEntryController<HealthReads, 'endpointHealth'>({
     name: 'health',
-    reads: ['requests', 'dispatches', 'endpointHealth'],
+    reads: ['requests', 'dispatches', 'endpointHealth', 'reach'],
     writes: ['endpointHealth'],
     observes: ['streamEnded', 'callerGone', 'timeLimitReached'],
     run: (view, now) => {
       const {observation, board} = view;
+      if (isIsolated(board.reach)) {
+        return dropAll(view);
+      }
       switch (observation?.kind) {
         case 'streamEnded': {
           const id = board.dispatches.get(observation.dispatch);
@@ -66,6 +69,15 @@
   });
 }
 
+/** What an isolated entry has seen fail was its own connection. */
+function dropAll({board}: HealthView): readonly HealthWrite[] {
+  return [...board.endpointHealth.keys()].map(key => ({
+    kind: 'delete',
+    section: 'endpointHealth',
+    key,
+  }));
+}
+
 function readEndEvidence(end: StreamEnd): Evidence {
   switch (end.kind) {
     case 'complete':
--- a/scheduling/lifecycle/src/admitRequest.ts
+++ b/scheduling/lifecycle/src/admitRequest.ts
@@ -6,7 +6,7 @@
   RequestKind,
   Tier,
 } from '@gentianshunt/configuration';
-import {refuseUnadmitted} from '@gentianshunt/entryModel';
+import {isIsolated, refuseUnadmitted} from '@gentianshunt/entryModel';
 import type {
   AdmittedRequest,
   RefusalReason,
@@ -19,10 +19,9 @@
 import {findRequestRefusal} from './quarantinedRequests.js';
 import {describeShed} from './describeShed.js';
 import {checkExpectedWait} from './expectedWait.js';
+import {forwardRequest} from './relays.js';
 import type {LifecycleView, RequestDraft} from './requestDraft.js';
-
-/** Retry delay for callers that are refused for a temporary reason. */
-export const TRANSIENT_RETRY_AFTER_MS = 1_000;
+import {TRANSIENT_RETRY_AFTER_MS} from './retryDelays.js';
 
 /**
  * Checks a new request. Admits it, if need be once it may test a fingerprint that
@@ -39,6 +38,12 @@
     refuse(draft, attributes, reason, TRANSIENT_RETRY_AFTER_MS);
     return;
   }
+  if (attributes.isRelayed === true && isIsolated(view.board.reach)) {
+    const detail = 'no endpoint is reached';
+    const unreached = {kind: 'endpointFailed', detail} as const;
+    refuse(draft, attributes, unreached, TRANSIENT_RETRY_AFTER_MS);
+    return;
+  }
   const found = findRequestRefusal(view, attributes, now);
   if (found?.mayTest === false) {
     refuse(draft, attributes, found.reason, found.retryAfterMs);
@@ -50,6 +55,11 @@
     return;
   }
   const request = toAdmittedRequest(attributes, checked, now);
+  if (
+    forwardRequest(view, draft, {request, tried: [], mayHaveRun: false}, now)
+  ) {
+    return;
+  }
   if (isOverWaitingLimit(view, request, checked.organisation)) {
     refuse(
       draft,
--- a/scheduling/lifecycle/src/awaitedOrigins.ts
+++ b/scheduling/lifecycle/src/awaitedOrigins.ts
@@ -5,7 +5,7 @@
 import type {RequestId} from '@gentianshunt/identifiers';
 
 import {addWithOrigin} from './addToQueue.js';
-import {TRANSIENT_RETRY_AFTER_MS} from './admitRequest.js';
+import {TRANSIENT_RETRY_AFTER_MS} from './retryDelays.js';
 import {endRequest} from './endRequest.js';
 import type {LifecycleView, RequestDraft} from './requestDraft.js';
 
--- a/scheduling/lifecycle/src/claims.ts
+++ b/scheduling/lifecycle/src/claims.ts
@@ -15,7 +15,7 @@
 import type {ClaimAnswer, ClaimOutcome} from '@gentianshunt/messages';
 import type {RequestId} from '@gentianshunt/identifiers';
 
-import {TRANSIENT_RETRY_AFTER_MS} from './admitRequest.js';
+import {TRANSIENT_RETRY_AFTER_MS} from './retryDelays.js';
 import {endRequest, startDispatch} from './endRequest.js';
 import type {LifecycleView, RequestDraft} from './requestDraft.js';
 import {
--- a/scheduling/lifecycle/src/failRequest.ts
+++ b/scheduling/lifecycle/src/failRequest.ts
@@ -5,6 +5,7 @@
   DispatchedState,
   Refusal,
   RefusalReason,
+  RelayedState,
 } from '@gentianshunt/entryModel';
 import type {ClaimOutcome} from '@gentianshunt/messages';
 
@@ -26,6 +27,17 @@
   endRequest(draft, state, {kind: 'refused', refusal}, now);
 }
 
+/** Fails a request that was passed on to another entry. */
+export function failRelayed(
+  draft: RequestDraft,
+  state: RelayedState,
+  refusal: Refusal,
+  now: TurnTime,
+): void {
+  draft.addEffect({kind: 'refuseCaller', refusal});
+  endRequest(draft, state, {kind: 'refused', refusal}, now);
+}
+
 /** Fails a request of which nobody knows whether it ran. */
 export function failUnknown(
   view: LifecycleView,
--- a/scheduling/lifecycle/src/lifecycleController.ts
+++ b/scheduling/lifecycle/src/lifecycleController.ts
@@ -9,6 +9,7 @@
 import {handleMatches, handleShedInstructions} from './matches.js';
 import {checkWaitingTimes} from './waitingTimes.js';
 import {refuseQueuedQuarantined} from './quarantinedRequests.js';
+import {handleRelayEnded, forwardOpenRequests} from './relays.js';
 import {createRequestDraft} from './requestDraft.js';
 import type {
   LifecycleReads,
@@ -54,6 +55,7 @@
       'soundParts',
       'soundRequests',
       'brokenRuns',
+      'reach',
       'setDemands',
       'arrivalRates',
       'dispatchRates',
@@ -88,6 +90,7 @@
       'streamStarted',
       'streamProgress',
       'streamEnded',
+      'relayEnded',
       'controlMessage',
       'entryMessage',
       'timerDue',
@@ -99,6 +102,9 @@
       if (reply !== null && view.readChanges('acceptedReply').size > 0) {
         handleShedInstructions(view, draft, reply, now);
       }
+      if (view.readChanges('reach').size > 0) {
+        forwardOpenRequests(view, draft, now);
+      }
       if (view.readChanges('quarantines').size > 0) {
         handleAwaitedTests(view, draft, now);
       }
@@ -139,6 +145,9 @@
         now,
       );
       return;
+    case 'relayEnded':
+      handleRelayEnded(view, draft, observation, now);
+      return;
     case 'controlMessage':
       handleControlMessage(view, draft, observation.message, now);
       return;
@@ -158,6 +167,7 @@
         refuseQueuedQuarantined(view, draft, now);
         handleAwaitedTests(view, draft, now);
         checkWaitingTimes(view, draft, now);
+        forwardOpenRequests(view, draft, now);
       }
       return;
     default:
--- a/scheduling/lifecycle/src/requestDraft.ts
+++ b/scheduling/lifecycle/src/requestDraft.ts
@@ -61,6 +61,7 @@
   | 'soundParts'
   | 'soundRequests'
   | 'brokenRuns'
+  | 'reach'
   | 'setDemands'
   | 'arrivalRates'
   | 'dispatchRates';
@@ -286,6 +287,7 @@
     case 'awaitingOutcome':
     case 'dispatched':
     case 'answering':
+    case 'relayed':
       return [];
     default:
       return assertNever(before, 'listWaitRemovals');
--- a/scheduling/lifecycle/src/retries.ts
+++ b/scheduling/lifecycle/src/retries.ts
@@ -76,6 +76,24 @@
   return true;
 }
 
+/**
+ * Spends retry budget for a request whose entry failed after it was passed on.
+ * Returns whether there was any.
+ */
+export function spendRelayRetry(
+  {board}: LifecycleView,
+  draft: RequestDraft,
+  {set}: AdmittedRequest,
+  now: TurnTime,
+): boolean {
+  const budget = readSetBudget(board, draft, set, now);
+  if (budget.tokens < 1) {
+    return false;
+  }
+  draft.putRetryBudget(set, {...budget, tokens: budget.tokens - 1});
+  return true;
+}
+
 /** Returns whether a request may be retried after a dispatch sent no byte. */
 export function canRetryUnsent({
   routePolicy,
--- a/scheduling/lifecycle/src/streams.ts
+++ b/scheduling/lifecycle/src/streams.ts
@@ -12,7 +12,7 @@
 import type {ClaimOutcome} from '@gentianshunt/messages';
 import type {DispatchId, RequestId} from '@gentianshunt/identifiers';
 
-import {TRANSIENT_RETRY_AFTER_MS} from './admitRequest.js';
+import {TRANSIENT_RETRY_AFTER_MS} from './retryDelays.js';
 import {endRequest} from './endRequest.js';
 import {failRequest, failUnknown} from './failRequest.js';
 import {canRetry, requeueForRetry, requeueIfRetryable} from './retries.js';
@@ -297,6 +297,15 @@
     case 'answering':
       abandonRunningRequest(draft, state, now);
       return;
+    case 'relayed':
+      draft.addEffect({kind: 'cancelRelay', relay: state.relay});
+      endRequest(
+        draft,
+        state,
+        {kind: 'abandonedRunning', prefilled: false},
+        now,
+      );
+      return;
     default:
       assertNever(state, 'handleCallerDisconnected');
   }
--- a/scheduling/lifecycle/src/timeLimit.ts
+++ b/scheduling/lifecycle/src/timeLimit.ts
@@ -4,7 +4,7 @@
 import {assertNever} from '@gentianshunt/errors';
 import type {RequestId} from '@gentianshunt/identifiers';
 
-import {TRANSIENT_RETRY_AFTER_MS} from './admitRequest.js';
+import {TRANSIENT_RETRY_AFTER_MS} from './retryDelays.js';
 import {endRequest} from './endRequest.js';
 import type {LifecycleView, RequestDraft} from './requestDraft.js';
 import {completeClaim} from './claimCompletions.js';
@@ -24,6 +24,9 @@
   if (state.kind === 'dispatched' || state.kind === 'answering') {
     draft.addEffect({kind: 'cancelStream', dispatch: state.dispatch});
   }
+  if (state.kind === 'relayed') {
+    draft.addEffect({kind: 'cancelRelay', relay: state.relay});
+  }
   const outcome = {kind: refusal.notRun ? 'notRun' : 'unknown'} as const;
   completeClaim(view, draft, state.request, outcome, now);
   draft.addEffect({kind: 'refuseCaller', refusal});
@@ -43,6 +46,7 @@
     case 'repeating':
     case 'dispatched':
     case 'answering':
+    case 'relayed':
       return failDispatched(state.request.id, reason);
     default:
       return assertNever(state, 'createRefusal');
--- a/scheduling/lifecycle/src/unsentStreams.ts
+++ b/scheduling/lifecycle/src/unsentStreams.ts
@@ -4,7 +4,7 @@
 import type {DispatchedState, StreamEnd} from '@gentianshunt/entryModel';
 import {assertNever} from '@gentianshunt/errors';
 
-import {TRANSIENT_RETRY_AFTER_MS} from './admitRequest.js';
+import {TRANSIENT_RETRY_AFTER_MS} from './retryDelays.js';
 import {completeClaim} from './claimCompletions.js';
 import {endRequest} from './endRequest.js';
 import {failRequest, failUnknown} from './failRequest.js';
--- a/scheduling/policy/src/index.ts
+++ b/scheduling/policy/src/index.ts
@@ -7,6 +7,7 @@
 export * from './fairShare.js';
 export * from './patience.js';
 export * from './queueAhead.js';
+export * from './reachability.js';
 export * from './requestClass.js';
 export * from './shedding.js';
 export * from './slotReuse.js';
--- a/scheduling/slotClient/src/demandReport.ts
+++ b/scheduling/slotClient/src/demandReport.ts
@@ -39,6 +39,7 @@
   | 'patience'
   | 'decodeRates'
   | 'endpointHealth'
+  | 'reach'
   | 'knownEndpoints'
   | 'demandReporting'
   | 'acceptedReply'
@@ -70,7 +71,11 @@
     running: listRunning(view, set),
     unspent: listUnspent(view, set, now),
     rates: listRates(view.board, set, now),
-    troubles: listEndpointFailures(view.board, set, now),
+    // While an entry does not know who is cut off, it says nothing of endpoints.
+    troubles:
+      board.reach.kind === 'reaching'
+        ? listEndpointFailures(board, set, now)
+        : [],
     endpointsDigest: board.knownEndpoints.get(set)?.digest ?? 0,
     meanRunning: computeMeanRunning(board.setUse.get(set), now),
     roundTripMs: board.demandReporting.get(set)?.roundTripMs ?? 0,
--- a/scheduling/slotClient/src/demandReportingController.ts
+++ b/scheduling/slotClient/src/demandReportingController.ts
@@ -48,6 +48,7 @@
       'patience',
       'decodeRates',
       'endpointHealth',
+      'reach',
       'knownEndpoints',
       'demandReporting',
       'acceptedReply',
@@ -80,6 +81,7 @@
   addDemandTriggers(view, addTrigger);
   addReplyTriggers(view, addTrigger);
   addLeadershipTriggers(view, addTrigger);
+  addReachTriggers(view, addTrigger);
   const {observation} = view;
   const isTimerDue =
     observation?.kind === 'timerDue' &&
@@ -152,6 +154,15 @@
   }
 }
 
+/** Adds all sets when this entry has found out whether it reaches endpoints. */
+function addReachTriggers(view: ReportingView, addTrigger: AddTrigger): void {
+  if (view.readChanges('reach').size > 0) {
+    for (const set of view.board.demandReporting.keys()) {
+      addTrigger(set, {urgency: 'urgent'});
+    }
+  }
+}
+
 function updateReporting(
   view: ReportingView,
   set: EndpointSetId,
--- a/scheduling/slotClient/src/slotController.ts
+++ b/scheduling/slotClient/src/slotController.ts
@@ -89,7 +89,8 @@
 ): readonly SlotWrite[] {
   const isChanged =
     view.readChanges('withdrawnEndpoints').size > 0 ||
-    view.readChanges('pausedEndpoints').size > 0;
+    view.readChanges('pausedEndpoints').size > 0 ||
+    view.readChanges('reach').size > 0;
   if (!isChanged) {
     return [];
   }
--- a/scheduling/slotClient/src/slotDraft.ts
+++ b/scheduling/slotClient/src/slotDraft.ts
@@ -3,6 +3,7 @@
 import {findObject} from '@gentianshunt/configuration';
 import {
   ANY_ORGANISATION,
+  isIsolated,
   isSameQueue,
   iterateQueueSlots,
 } from '@gentianshunt/entryModel';
@@ -90,13 +91,15 @@
   return organisation !== undefined && isLimited(organisation.limits);
 }
 
-/** Returns whether an endpoint left or wants nothing now. */
+/** Returns whether an endpoint left, wants nothing now, or can't be reached. */
 export function isUnusable(
   {board}: SlotView,
   {endpoint}: EndpointTarget,
   now: TurnTime,
 ): boolean {
   return (
-    board.withdrawnEndpoints.has(endpoint) || isPaused(board, endpoint, now)
+    board.withdrawnEndpoints.has(endpoint) ||
+    isPaused(board, endpoint, now) ||
+    isIsolated(board.reach)
   );
 }
--- a/scheduling/slotClient/src/slotView.ts
+++ b/scheduling/slotClient/src/slotView.ts
@@ -24,6 +24,7 @@
   'acceptedReply',
   'openCapacities',
   'endpointHealth',
+  'reach',
   'identity',
   'control',
   'knownEndpoints',
