Limits: brittle endpoints get no more than they run

Callers would see: endpoints that say Server-Brittle fall over when they turn more than so many requests away in a second, and all that they run is lost. Nothing read the header.

Cause: same as with named rates: room to wait was used by each entry on its own account. A model engine gets requests ahead, a plain set is used without slots while it is open, slots in transit are added, and each entry tries a full endpoint again at once.

Fix: the signal goes the way of named rates to the set leader. A brittle endpoint gets its slots and nothing that would have to wait there; it is not open, and without a leader each entry has a part of the slots. After a rejection an entry leaves it alone for as long as keeps all entries together within what it bears (entries / N seconds, at most 5 s).

--- a/fronts/callRelay/src/streamReports.ts
+++ b/fronts/callRelay/src/streamReports.ts
@@ -1,5 +1,5 @@
 /** Posts what an endpoint's answer shows while it arrives. */
-import {hasSignals} from '@gentianshunt/entryModel';
+import {hasSignals, isBrittle} from '@gentianshunt/entryModel';
 import type {AdmittedRequest, Dispatch} from '@gentianshunt/entryModel';
 
 import type {AnswerAttributes} from './callProtocol.js';
@@ -17,7 +17,8 @@
   {call, signals}: AnswerAttributes,
 ): void {
   const known = view.namedLimits.get(endpoint);
-  const isNews = hasSignals(signals) || (known?.perSecond ?? null) !== null;
+  const hasLimit = (known?.perSecond ?? null) !== null || isBrittle(known);
+  const isNews = hasSignals(signals) || hasLimit;
   if (call === request.id && isNews) {
     const {set} = request;
     post({kind: 'endpointSignalled', set, endpoint, signals});
--- a/fronts/entryWire/test/entryWire.test.ts
+++ b/fronts/entryWire/test/entryWire.test.ts
@@ -94,8 +94,18 @@
       kind: 'endpointLimitsReported',
       set,
       limits: [
-        {endpoint: toIdentifier<EndpointId>('e1'), perSecond: 2.8, ageMs: 4},
-        {endpoint: toIdentifier<EndpointId>('e2'), perSecond: null, ageMs: 0},
+        {
+          endpoint: toIdentifier<EndpointId>('e1'),
+          perSecond: 2.8,
+          rejectionsPerSecond: null,
+          ageMs: 4,
+        },
+        {
+          endpoint: toIdentifier<EndpointId>('e2'),
+          perSecond: null,
+          rejectionsPerSecond: null,
+          ageMs: 0,
+        },
       ],
     },
     {
--- a/fronts/logging/test/logEvent.test.ts
+++ b/fronts/logging/test/logEvent.test.ts
@@ -174,6 +174,7 @@
       endpoint: toIdentifier('e1'),
       perSecond: 2.8,
       before: null,
+      rejectionsPerSecond: null,
     },
   });
   t.match(record, {event: 'endpointLimitNamed', perSecond: 2.8, before: null});
--- a/scheduling/entryModel/src/decision.ts
+++ b/scheduling/entryModel/src/decision.ts
@@ -135,6 +135,8 @@
       readonly endpoint: EndpointId;
       readonly perSecond: number | null;
       readonly before: number | null;
+      /** Rejections a second that it bears; `null` if it is not brittle. */
+      readonly rejectionsPerSecond: number | null;
     }
   | {
       /** The entry learnt that an endpoint left. */
--- a/scheduling/learning/src/limitController.ts
+++ b/scheduling/learning/src/limitController.ts
@@ -67,18 +67,22 @@
   now: TurnTime,
 ): readonly LimitWrite[] {
   const {board} = view;
-  const {limitPerSecond: perSecond} = signals;
+  const {limitPerSecond: perSecond, rejectionsPerSecond} = signals;
   const known = board.namedLimits.get(endpoint);
   const before = known?.perSecond ?? null;
-  if (perSecond === null && before === null) {
+  const rejectionsBefore = known?.rejectionsPerSecond ?? null;
+  const isNamed = perSecond !== null || rejectionsPerSecond !== null;
+  if (!isNamed && before === null && rejectionsBefore === null) {
     return [];
   }
+  const isChanged =
+    perSecond !== before || rejectionsPerSecond !== rejectionsBefore;
   const lastReportAt = known?.reportedAt ?? Number.NEGATIVE_INFINITY;
-  const isDue =
-    perSecond !== before || now.monotonic - lastReportAt >= REPORT_INTERVAL_MS;
+  const isDue = isChanged || now.monotonic - lastReportAt >= REPORT_INTERVAL_MS;
   const value: NamedLimit = {
     set,
     perSecond,
+    rejectionsPerSecond,
     namedAt: now.monotonic,
     reportedAt: isDue ? now.monotonic : lastReportAt,
   };
@@ -88,13 +92,14 @@
     endpoint,
     perSecond,
     before,
+    rejectionsPerSecond,
   };
   return [
     {kind: 'put', section: 'namedLimits', key: endpoint, value},
     ...(isDue ? sendLimits(view, set, [[endpoint, value]], now) : []),
-    ...(perSecond === before
-      ? []
-      : [{kind: 'effect', effect: {kind: 'logDecision', decision}} as const]),
+    ...(isChanged
+      ? [{kind: 'effect', effect: {kind: 'logDecision', decision}} as const]
+      : []),
   ];
 }
 
@@ -123,10 +128,11 @@
   if (leader === undefined || address === undefined || named.length === 0) {
     return [];
   }
-  const limits = named.map(([endpoint, {perSecond, namedAt}]) => ({
+  const limits = named.map(([endpoint, limit]) => ({
     endpoint,
-    perSecond,
-    ageMs: now.monotonic - namedAt,
+    perSecond: limit.perSecond,
+    rejectionsPerSecond: limit.rejectionsPerSecond,
+    ageMs: now.monotonic - limit.namedAt,
   }));
   const message = {kind: 'endpointLimitsReported', set, limits} as const;
   return [
--- a/scheduling/policy/src/endpointLimit.ts
+++ b/scheduling/policy/src/endpointLimit.ts
@@ -60,3 +60,36 @@
     ? {perSecond: perSecond / (entries * fraction), capacity: 1}
     : {perSecond: 0, capacity: 0};
 }
+
+/**
+ * Computes how many requests one of many entries may run without a grant at an
+ * endpoint that must not get more than it runs at once. `position` is a number from
+ * 0 to 1 that differs by entry and endpoint.
+ */
+export function computeUngrantedShare(
+  concurrency: number,
+  entries: number,
+  position: number,
+): number {
+  const share = concurrency / Math.max(1, entries);
+  const whole = Math.floor(share);
+  return whole + (position < share - whole ? 1 : 0);
+}
+
+/** Longest time for which an entry leaves a brittle endpoint alone. */
+const MAX_REJECTION_PAUSE_MS: Milliseconds = 5_000;
+const MILLISECONDS_PER_SECOND = 1_000;
+
+/**
+ * Computes how long an entry leaves a brittle endpoint alone that has turned a
+ * request away, so that all entries together cause no more rejections than it bears.
+ */
+export function computeRejectionPause(
+  rejectionsPerSecond: number,
+  entries: number,
+): Milliseconds {
+  const pauseMs =
+    (MILLISECONDS_PER_SECOND * Math.max(1, entries)) /
+    Math.max(1, rejectionsPerSecond);
+  return Math.min(MAX_REJECTION_PAUSE_MS, pauseMs);
+}
--- a/scheduling/setLeader/src/knownLimitController.ts
+++ b/scheduling/setLeader/src/knownLimitController.ts
@@ -49,7 +49,7 @@
 function recordLimit(
   {board: {knownLimits}}: LimitView,
   set: EndpointSetId,
-  {endpoint, perSecond, ageMs}: ReportedLimit,
+  {endpoint, perSecond, rejectionsPerSecond, ageMs}: ReportedLimit,
   now: TurnTime,
 ): readonly LimitWrite[] {
   const known = knownLimits.get(endpoint);
@@ -58,7 +58,7 @@
     known === undefined
       ? knownLimits.size < MAX_KNOWN_LIMITS
       : namedAt >= known.namedAt;
-  const value = {set, perSecond, namedAt};
+  const value = {set, perSecond, rejectionsPerSecond, namedAt};
   return isNews
     ? [{kind: 'put', section: 'knownLimits', key: endpoint, value}]
     : [];
--- a/scheduling/setLeader/src/limitedCapacities.ts
+++ b/scheduling/setLeader/src/limitedCapacities.ts
@@ -1,5 +1,6 @@
 /** Keeps the slots of a set within the rates that its endpoints named. */
 import type {TurnTime, View} from '@gentianshunt/board';
+import {isBrittle} from '@gentianshunt/entryModel';
 import type {
   EntryObservation,
   EntrySections,
@@ -47,14 +48,20 @@
       buckets.set(endpoint, refillLimit(known, perSecond, now));
     }
   }
-  const isLimited = ({target}: EndpointCapacity): boolean =>
-    buckets.has(target.endpoint);
+  const isBrittleTarget = ({target}: EndpointCapacity): boolean =>
+    isBrittle(board.knownLimits.get(target.endpoint));
+  const isLimited = (capacity: EndpointCapacity): boolean =>
+    buckets.has(capacity.target.endpoint) || isBrittleTarget(capacity);
   return {
     endpoints: capacities.map(capacity => {
       const bucket = buckets.get(capacity.target.endpoint);
-      return bucket === undefined
-        ? capacity
-        : limitToTokens(capacity, Math.floor(bucket.tokens));
+      if (bucket !== undefined) {
+        return limitToTokens(capacity, Math.floor(bucket.tokens));
+      }
+      // What a brittle endpoint can't run at once it might have to turn away.
+      return isBrittleTarget(capacity)
+        ? {...capacity, canQueue: false}
+        : capacity;
     }),
     advanceEndpoints: capacities.map(capacity =>
       isLimited(capacity) ? limitToTokens(capacity, 0) : capacity,
--- a/scheduling/slotClient/src/fallbackCapacity.ts
+++ b/scheduling/slotClient/src/fallbackCapacity.ts
@@ -1,9 +1,12 @@
 import type {BoardView, TurnTime} from '@gentianshunt/board';
 import type {Milliseconds} from '@gentianshunt/clock';
 import type {EntrySections, ListedEndpoint} from '@gentianshunt/entryModel';
+import {isBrittle} from '@gentianshunt/entryModel';
 import {hashToFraction} from '@gentianshunt/hashing';
 import type {EndpointId, EndpointSetId} from '@gentianshunt/identifiers';
 
+import {computeUngrantedShare} from '@gentianshunt/policy';
+
 import {countRunning} from './openTargets.js';
 import {isPaused} from './pauseController.js';
 import {refillUngrantedUse} from './ungrantedUse.js';
@@ -129,12 +132,27 @@
   const {endpoint} = listed.target;
   const bucket = refillUngrantedUse(board, endpoint, now);
   if (bucket === undefined) {
-    return listed;
+    return isBrittle(board.namedLimits.get(endpoint))
+      ? limitToShare(board, listed)
+      : listed;
   }
   const most = (running.get(endpoint) ?? 0) + Math.floor(bucket.tokens);
   return {...listed, concurrency: Math.min(listed.concurrency, most)};
 }
 
+/** Limits a brittle endpoint to a share that all entries may use at once. */
+function limitToShare(
+  {identity, control}: FallbackSections,
+  {target, concurrency}: ListedEndpoint,
+): ListedEndpoint {
+  const entries = Math.max(1, control.directory.entries.length);
+  const position = hashToFraction(
+    `${target.endpoint}/${identity.address.node}`,
+  );
+  const share = computeUngrantedShare(concurrency, entries, position);
+  return {target, concurrency: share};
+}
+
 function pickLeastLoaded(
   endpoints: readonly ListedEndpoint[],
   loads: ReadonlyMap<EndpointId, number>,
--- a/scheduling/slotClient/src/pauseController.ts
+++ b/scheduling/slotClient/src/pauseController.ts
@@ -1,14 +1,18 @@
 import type {BoardView, TurnTime, View} from '@gentianshunt/board';
+import type {Milliseconds} from '@gentianshunt/clock';
 import {defineEntryController} from '@gentianshunt/entryModel';
 import type {
+  EndpointSignals,
   EntryController,
   EntryObservation,
   EntrySections,
   EntryWrite,
 } from '@gentianshunt/entryModel';
 import type {EndpointId} from '@gentianshunt/identifiers';
+import {computeRejectionPause} from '@gentianshunt/policy';
 
-type PauseView = View<EntrySections, 'pausedEndpoints', EntryObservation>;
+type PauseReads = 'pausedEndpoints' | 'control';
+type PauseView = View<EntrySections, PauseReads, EntryObservation>;
 type PauseWrite = EntryWrite<'pausedEndpoints'>;
 
 /**
@@ -16,9 +20,9 @@
  * entry away and for how long they want nothing from it.
  */
 export function createPauseController(): EntryController {
-  return defineEntryController<'pausedEndpoints', 'pausedEndpoints'>({
+  return defineEntryController<PauseReads, 'pausedEndpoints'>({
     name: 'pauses',
-    reads: ['pausedEndpoints'],
+    reads: ['pausedEndpoints', 'control'],
     writes: ['pausedEndpoints'],
     observes: ['endpointSignalled', 'timerDue'],
     run: (view, now) => {
@@ -26,7 +30,7 @@
       switch (observation?.kind) {
         case 'endpointSignalled': {
           const {endpoint, signals} = observation;
-          return putPause(view, endpoint, signals.retryAfterMs ?? 0, now);
+          return putPause(view, endpoint, readPause(view, signals), now);
         }
         case 'timerDue':
           return observation.timer.kind === 'housekeeping'
@@ -39,6 +43,18 @@
   });
 }
 
+/** Reads how long an endpoint wants nothing, or bears no further rejection. */
+function readPause(
+  {board}: PauseView,
+  {retryAfterMs, rejectionsPerSecond, isRejection}: EndpointSignals,
+): Milliseconds {
+  const wantedMs = retryAfterMs ?? 0;
+  const entries = board.control.directory.entries.length;
+  return isRejection && rejectionsPerSecond !== null
+    ? Math.max(wantedMs, computeRejectionPause(rejectionsPerSecond, entries))
+    : wantedMs;
+}
+
 /** Returns whether an endpoint wants nothing from this entry now. */
 export function isPaused(
   {pausedEndpoints}: Pick<BoardView<EntrySections>, 'pausedEndpoints'>,
@@ -53,7 +69,7 @@
 function putPause(
   {board}: PauseView,
   key: EndpointId,
-  durationMs: number,
+  durationMs: Milliseconds,
   now: TurnTime,
 ): readonly PauseWrite[] {
   const known = board.pausedEndpoints.get(key) ?? 0;
--- a/scheduling/slotClient/src/ungrantedUse.ts
+++ b/scheduling/slotClient/src/ungrantedUse.ts
@@ -1,5 +1,6 @@
 /** Limits what an entry sends to limited endpoints without a grant. */
 import type {BoardView, TurnTime} from '@gentianshunt/board';
+import {isBrittle} from '@gentianshunt/entryModel';
 import type {EntrySections} from '@gentianshunt/entryModel';
 import {hashToFraction} from '@gentianshunt/hashing';
 import type {EndpointId} from '@gentianshunt/identifiers';
@@ -13,14 +14,16 @@
   'identity' | 'control' | 'namedLimits' | 'ungrantedUse'
 >;
 
-/** Returns whether an endpoint named a limit to this entry. */
+/** Returns whether an endpoint named a limit to this entry, or is brittle. */
 export function isLimited(
   {namedLimits}: Pick<UngrantedSections, 'namedLimits'>,
   endpoint: EndpointId,
   now: TurnTime,
 ): boolean {
   const limit = namedLimits.get(endpoint);
-  return computeEndpointRate(limit, now.monotonic) !== undefined;
+  return (
+    isBrittle(limit) || computeEndpointRate(limit, now.monotonic) !== undefined
+  );
 }
 
 /**
--- a/scheduling/slotContract/test/limitedSet.ts
+++ b/scheduling/slotContract/test/limitedSet.ts
@@ -1,4 +1,4 @@
-import {hasSignals} from '@gentianshunt/entryModel';
+import {NO_SIGNALS, hasSignals} from '@gentianshunt/entryModel';
 import type {
   EndpointSignals,
   EntryEffect,
@@ -134,6 +134,7 @@
   const entry = set.entries.find(node);
   time.schedule(Math.min(FIRST_EVENT_MS, serviceMs), () => {
     const signals: EndpointSignals = {
+      ...NO_SIGNALS,
       limitPerSecond: set.limits.get(endpoint) ?? null,
       isLeaving: set.leaving.has(endpoint),
       retryAfterMs: set.pauses.get(endpoint) ?? null,
