--- a/scheduling/addressLookup/test/pickAddresses.test.ts
+++ b/scheduling/addressLookup/test/pickAddresses.test.ts
@@ -1,9 +1,14 @@
 import {toIdentifier} from '@gentianshunt/identifiers';
-import type {NodeId} from '@gentianshunt/identifiers';
+import type {NodeId, RegionId} from '@gentianshunt/identifiers';
 import type {DirectoryEntry} from '@gentianshunt/messages';
 import t from 'tap';
 
-import {LOAD_BOUND, MAX_ENTRIES_PER_SET, pickAddresses} from '../src/index.js';
+import {
+  LOAD_BOUND,
+  MAX_ENTRIES_PER_SET,
+  pickAddresses,
+  pickNearEntries,
+} from '../src/index.js';
 
 const DOMAINS = ['a', 'b', 'c'];
 const LOOKUPS = 3_000;
@@ -89,3 +94,41 @@
     t.ok(assignedCounts.size <= MAX_ENTRIES_PER_SET);
   });
 }
+
+/** Marks entries as cut off from all endpoints. */
+function isolate(
+  entries: readonly DirectoryEntry[],
+  isCutOff: (entry: DirectoryEntry) => boolean,
+): readonly DirectoryEntry[] {
+  return entries.map(entry =>
+    isCutOff(entry) ? {...entry, isIsolated: true} : entry,
+  );
+}
+
+function pickNear(
+  entries: readonly DirectoryEntry[],
+  domain: string,
+): readonly string[] {
+  const region = toIdentifier<RegionId>('r');
+  const near = pickNearEntries({entries, region, domain: toIdentifier(domain)});
+  return near.map(({address}) => address.node);
+}
+
+t.test('callers are given entries that reach no endpoint', async t => {
+  const entries = isolate(createEntries(12), ({address}) =>
+    ['entry-0', 'entry-3'].includes(address.node),
+  );
+  t.same(pickNear(entries, 'a'), ['entry-6', 'entry-9']);
+  const zone = isolate(
+    createEntries(12),
+    ({address: {domain}}) => domain === 'a',
+  );
+  t.equal(pickNear(zone, 'a').length, 8, 'callers of a zone get other zones');
+  t.equal(select(zone, 'o1').length, 3);
+});
+
+t.test('lookups are empty because no entry reaches an endpoint', async t => {
+  const entries = isolate(createEntries(12), () => true);
+  t.equal(pickNear(entries, 'a').length, 4);
+  t.equal(select(entries, 'o1').length, 3);
+});
