--- a/fronts/callRelay/src/callRelay.ts
+++ b/fronts/callRelay/src/callRelay.ts
@@ -13,7 +13,11 @@
   ReceivedBody,
   RequestBody,
 } from '@gentianshunt/requestBodies';
-import {refuseIfOverloaded, refuseUnadmitted} from '@gentianshunt/entryModel';
+import {
+  isResumableStream,
+  refuseIfOverloaded,
+  refuseUnadmitted,
+} from '@gentianshunt/entryModel';
 import type {
   EndpointTarget,
   EntryEffect,
@@ -21,7 +25,6 @@
   EntrySections,
   Refusal,
   RefusalReason,
-  RequestAttributes,
 } from '@gentianshunt/entryModel';
 import {routeCall} from '@gentianshunt/routing';
 import type {CallAttributes, RoutingTable} from '@gentianshunt/routing';
@@ -318,7 +321,7 @@
     receivedAt,
     dueAt: receivedAt + limitMs,
     timer,
-    hold: createAnswerHold(isResumableStream(resolved.attributes)),
+    hold: createAnswerHold(isResumableStream(resolved.attributes.routePolicy)),
     lastEventId: null,
     sentHead: null,
     sentCount: 0,
@@ -341,14 +344,6 @@
   };
 }
 
-/**
- * Returns whether callers may take the stream of a call up at other entries. The
- * entry decides when they may have its first event.
- */
-function isResumableStream({routePolicy}: RequestAttributes): boolean {
-  return routePolicy?.isStream === true && routePolicy.isResumable;
-}
-
 /** Refuses a call that has not been admitted. */
 function refuseCall(
   {protocol, onRefused}: CallRelayOptions,
--- a/fronts/callRelay/src/endpointRequest.ts
+++ b/fronts/callRelay/src/endpointRequest.ts
@@ -1,8 +1,10 @@
 /** What is sent to an endpoint, and how logs describe it. */
+import type {Clock, Milliseconds} from '@gentianshunt/clock';
 import {readSoftware} from '@gentianshunt/entryModel';
 import type {AdmittedRequest, Dispatch} from '@gentianshunt/entryModel';
 import type {Dispatcher} from 'undici';
 
+import type {RawHeaders} from './callProtocol.js';
 import type {SentCall} from './callStep.js';
 import type {OpenCall} from './callTable.js';
 import type {EndpointStreamOptions} from './endpointStreamOptions.js';
@@ -14,8 +16,7 @@
   request: AdmittedRequest,
   dispatch: Dispatch,
 ): Dispatcher.DispatchOptions {
-  const timeLeftMs = Math.max(1, call.dueAt - clock.readMonotonic());
-  const body = call.body.toPayload();
+  const timeLeftMs = readTimeLeft(clock, call);
   const headers = protocol.listEndpointHeaders({
     call: call.head,
     request,
@@ -23,15 +24,39 @@
     timeLeftMs,
     lastEventId: call.lastEventId,
   });
+  return createCallRequest(call, dispatch.target.url, headers);
+}
+
+/** Creates the HTTP request by which a call is passed on to another entry. */
+export function createRelayRequest(
+  {protocol, clock}: EndpointStreamOptions,
+  call: OpenCall,
+  origin: string,
+): Dispatcher.DispatchOptions {
+  const timeLeftMs = readTimeLeft(clock, call);
+  const headers = protocol.listRelayHeaders(call.head, timeLeftMs);
+  return createCallRequest(call, origin, headers);
+}
+
+function readTimeLeft(clock: Clock, {dueAt}: OpenCall): Milliseconds {
+  return Math.max(1, dueAt - clock.readMonotonic());
+}
+
+function createCallRequest(
+  {head, body: {toPayload, length}}: OpenCall,
+  origin: string,
+  headers: RawHeaders,
+): Dispatcher.DispatchOptions {
+  const body = toPayload();
   return {
-    origin: dispatch.target.url,
-    path: call.head.url,
-    method: call.head.method as Dispatcher.HttpMethod,
+    origin,
+    path: head.url,
+    method: head.method as Dispatcher.HttpMethod,
     // The client learns the length of a buffer by itself.
     headers:
       body === null || Buffer.isBuffer(body)
         ? [...headers]
-        : [...headers, 'Content-Length', String(call.body.length)],
+        : [...headers, 'Content-Length', String(length)],
     // Its types do not mention iterables, which it sends.
     body: body as Buffer | null,
   };
--- a/fronts/callRelay/src/relayedCalls.ts
+++ b/fronts/callRelay/src/relayedCalls.ts
@@ -9,6 +9,7 @@
 import type {AnswerWriter} from './answerWriter.js';
 import type {OpenCall} from './callTable.js';
 import {createConnectionPools} from './connectionPools.js';
+import {createRelayRequest} from './endpointRequest.js';
 import type {EndpointStreamOptions} from './endpointStreamOptions.js';
 import {guardCall} from './guardCall.js';
 import {readRawHeaders} from './rawHeaders.js';
@@ -74,27 +75,6 @@
   };
 }
 
-/** Creates the HTTP request by which a call is passed on unchanged. */
-function createRelayRequest(
-  {protocol, clock}: EndpointStreamOptions,
-  call: OpenCall,
-  origin: string,
-): Dispatcher.DispatchOptions {
-  const timeLeftMs = Math.max(1, call.dueAt - clock.readMonotonic());
-  const body = call.body.toPayload();
-  const headers = protocol.listRelayHeaders(call.head, timeLeftMs);
-  return {
-    origin,
-    path: call.head.url,
-    method: call.head.method as Dispatcher.HttpMethod,
-    headers:
-      body === null || Buffer.isBuffer(body)
-        ? [...headers]
-        : [...headers, 'Content-Length', String(call.body.length)],
-    body: body as Buffer | null,
-  };
-}
-
 interface RelayedCall {
   readonly handler: Dispatcher.DispatchHandler;
   fail(error: Error): void;
--- a/scheduling/entryModel/src/request.ts
+++ b/scheduling/entryModel/src/request.ts
@@ -47,6 +47,14 @@
   readonly organisationName?: string;
 }
 
+/**
+ * Returns whether callers may take the stream of a call up at other entries, so that
+ * an entry decides when they may have its first event.
+ */
+export function isResumableStream(policy: RoutePolicy | undefined): boolean {
+  return policy?.isStream === true && policy.isResumable;
+}
+
 /** A stream that a caller takes up again after its connection broke. */
 export interface ResumedStream {
   /** The attempt that brought its first event; `null` if not named. */
--- a/scheduling/slotContract/test/cutOffEntries.test.ts
+++ b/scheduling/slotContract/test/cutOffEntries.test.ts
@@ -15,6 +15,8 @@
 /** Time after a cut within which all conclusions are drawn (`contact_ms`). */
 const CONTACT_MS = 3_000;
 const MEASURED_MS = 4_000;
+/** The requests that were sent before end within this time. */
+const SETTLING_MS = 1_000;
 /** A cut-off entry serves at least this much of what the others do. */
 const MIN_RELATIVE_SERVICE = 2 / 3;
 const MIN_SERVICE = 0.95;
@@ -43,8 +45,10 @@
   set.run(BEFORE_MS);
   cutAt = set.readNow();
   set.run(CONTACT_MS);
+  set.settle(SETTLING_MS);
   set.clear();
   set.run(MEASURED_MS);
+  set.settle(SETTLING_MS);
   return set;
 }
 
--- a/scheduling/streamOrigins/src/originRecords.ts
+++ b/scheduling/streamOrigins/src/originRecords.ts
@@ -1,7 +1,11 @@
 /** Records what began the streams of this entry, and tells the entries that keep it. */
 import type {TurnTime} from '@gentianshunt/board';
 import type {Milliseconds} from '@gentianshunt/clock';
-import {listOtherEntries, toStreamOrigin} from '@gentianshunt/entryModel';
+import {
+  isResumableStream,
+  listOtherEntries,
+  toStreamOrigin,
+} from '@gentianshunt/entryModel';
 import type {
   NamedSoftware,
   RecordedOrigin,
@@ -35,9 +39,7 @@
     }
     const {id, set, resumed, routePolicy} = state.request;
     const attempt = resumed?.attempt ?? id;
-    const mayBeTakenUp =
-      routePolicy?.isStream === true && routePolicy.isResumable;
-    if (!mayBeTakenUp) {
+    if (!isResumableStream(routePolicy)) {
       continue;
     }
     const known = draft.origins.get(attempt);
@@ -67,8 +69,10 @@
   now: TurnTime,
 ): void {
   const recordedAt = now.monotonic;
-  const keepers = listKeepers(view, attempt);
-  if (keepers.length > 0 && hasToBeKept(view, draft, set, software, now)) {
+  const keepers = hasToBeKept(view, draft, set, software, now)
+    ? listKeepers(view, attempt)
+    : [];
+  if (keepers.length > 0) {
     const report = {kind: 'awaited', request: id, keptBy: []} as const;
     draft.origins.put(attempt, {software, set, recordedAt, report});
     reports.add(keepers, {attempt, set, software});
