Routing: an entry in doubt goes on reporting what fails

Cause: an entry that checks its connections, as each does that fails at two endpoints, sent a report at once, and left its failures out until the check was over. The leader took dead endpoints for sound.

--- a/scheduling/controlClient/src/heartbeats.ts
+++ b/scheduling/controlClient/src/heartbeats.ts
@@ -93,14 +93,23 @@
   ];
 }
 
-/** Sends the leader a heartbeat at once, unless too many were sent lately. */
+/**
+ * Tells the leader at once that this entry is isolated, or no longer, unless too many
+ * heartbeats were sent lately.
+ */
 export function sendEarlyHeartbeat(
   view: ControlView,
   now: TurnTime,
 ): readonly ControlWrite[] {
-  const {control} = view.board;
-  const {leader} = control;
-  return leader === null ? [] : followLeader(view, control, leader, now);
+  const {control, identity, reach} = view.board;
+  const {leader, directory} = control;
+  const listed = directory.entries.find(
+    ({address}) => address.node === identity.address.node,
+  );
+  const isKnown = (listed?.isIsolated ?? false) === isIsolated(reach);
+  return leader === null || isKnown
+    ? []
+    : followLeader(view, control, leader, now);
 }
 
 function addSent(
--- a/scheduling/lifecycle/src/relays.ts
+++ b/scheduling/lifecycle/src/relays.ts
@@ -19,12 +19,13 @@
 import {hashText} from '@gentianshunt/hashing';
 import type {NodeId, RelayId, RequestId} from '@gentianshunt/identifiers';
 import type {DirectoryEntry, EntryAddress} from '@gentianshunt/messages';
+import {SILENCE_MS} from '@gentianshunt/policy';
 
-import {TRANSIENT_RETRY_AFTER_MS} from './retryDelays.js';
 import {endRequest} from './endRequest.js';
 import {failRelayed} from './failRequest.js';
 import type {LifecycleView, RequestDraft} from './requestDraft.js';
 import {requeueIfRetryable, spendRelayRetry} from './retries.js';
+import {TRANSIENT_RETRY_AFTER_MS} from './retryDelays.js';
 
 /** Most entries to which a request is passed on, one after the other. */
 export const MAX_RELAYS = 3;
@@ -117,6 +118,7 @@
     const state = draft.read(request);
     if (
       state?.kind === 'dispatched' &&
+      now.monotonic - state.dispatch.at >= SILENCE_MS &&
       requeueIfRetryable(view, draft, state, now)
     ) {
       draft.addEffect({kind: 'cancelStream', dispatch: state.dispatch});
--- a/scheduling/slotClient/src/demandReport.ts
+++ b/scheduling/slotClient/src/demandReport.ts
@@ -1,6 +1,7 @@
 import type {BoardView, TurnTime, View} from '@gentianshunt/board';
 import type {Milliseconds} from '@gentianshunt/clock';
 import {
+  isIsolated,
   iterateQueues,
   iterateRunning,
   iterateSlots,
@@ -71,11 +72,9 @@
     running: listRunning(view, set),
     unspent: listUnspent(view, set, now),
     rates: listRates(view.board, set, now),
-    // While an entry does not know who is cut off, it says nothing of endpoints.
     troubles:
-      board.reach.kind === 'reaching'
-        ? listEndpointFailures(board, set, now)
-        : [],
+      // What fails for an isolated entry says nothing of the endpoints.
+      isIsolated(board.reach) ? [] : listEndpointFailures(board, set, now),
     endpointsDigest: board.knownEndpoints.get(set)?.digest ?? 0,
     meanRunning: computeMeanRunning(board.setUse.get(set), now),
     roundTripMs: board.demandReporting.get(set)?.roundTripMs ?? 0,
--- a/scheduling/slotClient/src/demandReportingController.ts
+++ b/scheduling/slotClient/src/demandReportingController.ts
@@ -4,6 +4,7 @@
 import {
   defineEntryController,
   findEntryAddress,
+  isIsolated,
   iterateQueues,
 } from '@gentianshunt/entryModel';
 import type {
@@ -154,9 +155,9 @@
   }
 }
 
-/** Adds all sets when this entry has found out whether it reaches endpoints. */
+/** Adds all sets when this entry has become isolated: it gives its slots back. */
 function addReachTriggers(view: ReportingView, addTrigger: AddTrigger): void {
-  if (view.readChanges('reach').size > 0) {
+  if (view.readChanges('reach').size > 0 && isIsolated(view.board.reach)) {
     for (const set of view.board.demandReporting.keys()) {
       addTrigger(set, {urgency: 'urgent'});
     }
