Routing: an answer that has begun is not passed on

Callers would have seen (by reading): a stream that broke after its first events at an entry which is being cut off waits to go on at another endpoint; passed on, the other entry would have run it from its start behind the events that were delivered.

Fix: a request whose stream has begun, or that takes one up and waits already, stays; the front refuses to pass on a call whose answer has begun. The test fails without that: the other entry was asked.

--- a/fronts/callRelay/src/relayedCalls.ts
+++ b/fronts/callRelay/src/relayedCalls.ts
@@ -47,6 +47,11 @@
         report(request, relay, {kind: 'notSent', detail: 'callerGone'});
         return;
       }
+      if (call.response.headersSent) {
+        const detail = 'the answer has begun';
+        report(request, relay, {kind: 'cut', detail, hasBegun: true});
+        return;
+      }
       // The other entry decides when the caller may have the first event.
       call.hold.release();
       const relayed = createRelayedCall(options, call, end =>
--- a/fronts/callRelay/test/relayedCalls.test.ts
+++ b/fronts/callRelay/test/relayedCalls.test.ts
@@ -12,6 +12,12 @@
 
 const HOST = '127.0.0.1';
 const BODY = Buffer.from('{"a":1}');
+const ADMITTED = {
+  tier: toIdentifier<never>('gold'),
+  rank: 1,
+  value: 1,
+  arrivedAt: 0,
+};
 
 /** Starts another entry that answers as a test says. */
 async function startEntry(t: Test, listener: RequestListener) {
@@ -46,13 +52,7 @@
   const {attributes} = await fixture.next('requestReceived');
   const relay = createRelay('c1', port);
   const ended = fixture.next('relayEnded');
-  const request = {
-    ...attributes,
-    tier: toIdentifier<never>('gold'),
-    rank: 1,
-    value: 1,
-    arrivedAt: 0,
-  };
+  const request = {...attributes, ...ADMITTED};
   fixture.relay.perform({kind: 'relayCall', request, relay});
   return {answer, ended, relay};
 }
@@ -125,6 +125,37 @@
   t.ok(result instanceof Error || !result.isWhole);
 });
 
+t.test(
+  'an answer that has begun is continued by the other entry from its start',
+  async t => {
+    const fixture = await createRelayFixture();
+    t.teardown(fixture.close);
+    let isAsked = false;
+    const port = await startEntry(t, (_request, response) => {
+      isAsked = true;
+      response.end('second');
+    });
+    const endpoint = await startEntry(t, (_request, response) => {
+      response.writeHead(200, {'x-call': 'c1', 'x-proof': 's'});
+      response.write('first');
+    });
+    const answer = fixture.call('c1', BODY);
+    const {attributes} = await fixture.next('requestReceived');
+    const started = fixture.next('streamStarted');
+    fixture.dispatch(attributes, `http://${HOST}:${endpoint}`);
+    await started;
+    const ended = fixture.next('relayEnded');
+    const relay = createRelay('c1', port);
+    const request = {...attributes, ...ADMITTED};
+    fixture.relay.perform({kind: 'relayCall', request, relay});
+    t.match(await ended, {end: {kind: 'cut', hasBegun: true}});
+    t.notOk(isAsked);
+    fixture.fail(attributes);
+    const result = await answer;
+    t.ok(result instanceof Error || !result.isWhole);
+  },
+);
+
 t.test(
   'a caller that leaves does not end the call at the other entry',
   async t => {
--- a/scheduling/lifecycle/src/relays.ts
+++ b/scheduling/lifecycle/src/relays.ts
@@ -118,6 +118,7 @@
     const state = draft.read(request);
     if (
       state?.kind === 'dispatched' &&
+      !hasBegun(state.request) &&
       now.monotonic - state.dispatch.at >= SILENCE_MS &&
       requeueIfRetryable(view, draft, state, now)
     ) {
@@ -126,7 +127,7 @@
   }
   for (const request of [...view.board.requests.keys()]) {
     const state = draft.read(request);
-    if (state !== undefined && isQueued(state)) {
+    if (state !== undefined && isQueued(state) && !hasBegun(state.request)) {
       const mayHaveRun = state.kind === 'repeating';
       forwardRequest(
         view,
@@ -138,6 +139,14 @@
   }
 }
 
+/**
+ * Returns whether the caller may have a part of the stream. Another entry does not
+ * know where to go on.
+ */
+function hasBegun({origin}: AdmittedRequest): boolean {
+  return origin !== undefined;
+}
+
 /** Ends a request that was passed on, or passes it on to another entry. */
 export function handleRelayEnded(
   view: LifecycleView,
