Releases: the timer of an acknowledgement is set when replies are due only

Each run of the reply controller, also for a heartbeat, went over all pending replies and, for a release that waits, over all lagging sessions. It now does so when something changed on which replies depend, or when an entry asks. Behaviour stays: what the delay depends on is among these, and a timer that is set fires.

--- a/control/entrySessions/src/replyController.ts
+++ b/control/entrySessions/src/replyController.ts
@@ -207,11 +207,7 @@
  * confirmations of entries or by the confirmation of this leader.
  */
 function replyToPending(view: ReplyView, now: TurnTime): readonly ReplyWrite[] {
-  const isDue =
-    view.readChanges('applied').size > 0 ||
-    view.readChanges('appliedReleases').size > 0 ||
-    view.readChanges('sessionVersions').size > 0 ||
-    view.observation?.kind === 'timerDue';
+  const isDue = isReplyDue(view);
   const isConfirmationDue = view.readChanges('leadership').size > 0;
   if (!isDue && !isConfirmationDue) {
     return [];
@@ -235,11 +231,32 @@
   return writes;
 }
 
+/** Returns whether something changed on which replies to requests depend. */
+function isReplyDue(view: ReplyView): boolean {
+  return (
+    view.readChanges('applied').size > 0 ||
+    view.readChanges('appliedReleases').size > 0 ||
+    view.readChanges('sessionVersions').size > 0 ||
+    view.observation?.kind === 'timerDue'
+  );
+}
+
+/** Returns whether an entry asks for a reply that may have to wait for leases. */
+function isReplacementRequested({observation}: ReplyView): boolean {
+  return (
+    observation?.kind === 'entryMessage' &&
+    observation.message.kind === 'replacementRequest'
+  );
+}
+
 /** Sets the timer for the time at which the next release may be acknowledged. */
 function scheduleAcknowledgement(
   view: ReplyView,
   now: TurnTime,
 ): readonly ReplyWrite[] {
+  if (!isReplyDue(view) && !isReplacementRequested(view)) {
+    return [];
+  }
   const waits = [...view.board.pendingReplies.values()].flatMap(({request}) => {
     const delay =
       request.kind === 'replacement'
