Clean-up: one decision gives a replacement's payload and its log line

proposalController decided twice about a replacement, once to propose it and once to log that it is deferred, by different conditions. Now it is decided once. No behaviour changes, but for the line releaseDeferred, which is no longer written for a release that the log holds.

--- a/control/entrySessions/src/proposalController.ts
+++ b/control/entrySessions/src/proposalController.ts
@@ -33,7 +33,10 @@
 } from './pendingReplies.js';
 import type {ReplyBoard} from './pendingReplies.js';
 import {decideReplacement} from './replacementProposals.js';
-import type {ReplacementBoard} from './replacementProposals.js';
+import type {
+  ReplacementBoard,
+  ReplacementDecision,
+} from './replacementProposals.js';
 
 type ProposalReads =
   | keyof ReplyBoard
@@ -71,15 +74,17 @@
       if (view.board.role.kind !== 'leader') {
         return [];
       }
+      const replacement = decideRequestedReplacement(view, now);
       const value = [
         ...proposeForObservation(view, now),
+        ...proposeReplacement(replacement),
         ...proposeAssignments(view),
       ];
       return [
         ...(value.length === 0
           ? []
           : [{kind: 'set', section: 'proposals', value} as const]),
-        ...recordDeferred(view),
+        ...recordDeferred(replacement),
       ];
     },
   });
@@ -138,14 +143,26 @@
   if (message.kind === 'orderOffer' || message.kind === 'orderReport') {
     return proposeOrder(view.board, from, message, now);
   }
+  return isHandled(view, from, message, now)
+    ? []
+    : toPayloads(view, from, message, now);
+}
+
+/** Returns whether a message asks for nothing that could be proposed. */
+function isHandled(
+  {board}: ProposalView,
+  from: NodeId,
+  message: EntryToControl,
+  now: TurnTime,
+): boolean {
   const request = toPendingRequest(from, message);
-  const isHandled =
+  return (
     request === undefined ||
-    isStored(view.board, request) ||
+    isStored(board, request) ||
     (request.kind !== 'replacement' &&
-      isRecentlyProposed(view.board, request, now)) ||
-    findReply(view.board, request, now) !== undefined;
-  return isHandled ? [] : toPayloads(view, from, message, now);
+      isRecentlyProposed(board, request, now)) ||
+    findReply(board, request, now) !== undefined
+  );
 }
 
 function toPayloads(
@@ -160,8 +177,6 @@
       const setsInUse = listSetsInUse(view);
       return [{kind: 'command', command: message.command, setsInUse}];
     }
-    case 'replacementRequest':
-      return proposeReplacement(view, message.replacement);
     case 'claimRequest': {
       const session = view.board.sessions.get(from);
       if (session === undefined) {
@@ -185,37 +200,54 @@
   }
 }
 
-function proposeReplacement(
-  {board}: ProposalView,
-  replacement: ConfigurationReplacement,
-): readonly LogPayload[] {
-  const {kind} = decideReplacement(board, replacement.version);
-  return kind === 'propose'
-    ? [{kind: 'replaceConfiguration', replacement}]
-    : [];
+/** A replacement that an entry asks for, and what is done with it. */
+interface RequestedReplacement {
+  readonly replacement: ConfigurationReplacement;
+  readonly decision: ReplacementDecision;
 }
 
-/** Records that a release has to wait until earlier bytes are stored. */
-function recordDeferred({
-  board,
-  observation,
-}: ProposalView): readonly ControlWrite<never>[] {
+function decideRequestedReplacement(
+  view: ProposalView,
+  now: TurnTime,
+): RequestedReplacement | undefined {
+  const {board, observation} = view;
   if (
     observation?.kind !== 'entryMessage' ||
-    observation.message.kind !== 'replacementRequest'
+    observation.message.kind !== 'replacementRequest' ||
+    isHandled(view, observation.from, observation.message, now)
   ) {
-    return [];
+    return undefined;
   }
-  const {version: release} = observation.message.replacement;
-  const decision = decideReplacement(board, release);
-  if (decision.kind !== 'defer' || board.source.version >= release) {
+  const {replacement} = observation.message;
+  const decision = decideReplacement(board, replacement.version);
+  return {replacement, decision};
+}
+
+function proposeReplacement(
+  requested: RequestedReplacement | undefined,
+): readonly LogPayload[] {
+  return requested?.decision.kind === 'propose'
+    ? [
+        {
+          kind: 'replaceConfiguration',
+          replacement: requested.replacement,
+        },
+      ]
+    : [];
+}
+
+/** Records that a release has to wait until earlier bytes are stored. */
+function recordDeferred(
+  requested: RequestedReplacement | undefined,
+): readonly ControlWrite<never>[] {
+  if (requested?.decision.kind !== 'defer') {
     return [];
   }
-  const {uncommittedBytes, unsyncedBytes} = decision;
+  const {uncommittedBytes, unsyncedBytes} = requested.decision;
   return [
     createDecisionWrite({
       kind: 'releaseDeferred',
-      release,
+      release: requested.replacement.version,
       uncommittedBytes,
       unsyncedBytes,
     }),
--- a/fronts/callRelay/src/callRelay.ts
+++ b/fronts/callRelay/src/callRelay.ts
@@ -1,5 +1,5 @@
 import type {BoardView} from '@gentianshunt/board';
-import {hasDisconnected, checkConnection} from '@gentianshunt/callerFront';
+import {checkEndpoint, hasDisconnected} from '@gentianshunt/callerFront';
 import {isLeaseValid, readInstant} from '@gentianshunt/clock';
 import type {Clock, Milliseconds} from '@gentianshunt/clock';
 import {assertNever} from '@gentianshunt/errors';
@@ -19,7 +19,6 @@
   refuseUnadmitted,
 } from '@gentianshunt/entryModel';
 import type {
-  EndpointTarget,
   EntryEffect,
   EntryObservation,
   EntrySections,
@@ -143,7 +142,7 @@
           relayed.cancel(effect.relay);
           return;
         case 'probeEndpoint':
-          checkEndpoint(options, effect.target);
+          checkEndpoint(effect.target, CONNECT_TIMEOUT_MS, options.post);
           return;
         case 'releaseAnswer':
           calls.find(effect.request)?.hold.release();
@@ -159,15 +158,6 @@
   };
 }
 
-function checkEndpoint(
-  {post}: CallRelayOptions,
-  {endpoint, url}: EndpointTarget,
-): void {
-  void checkConnection(url, CONNECT_TIMEOUT_MS).then(isReached =>
-    post({kind: 'endpointProbed', endpoint, isReached}),
-  );
-}
-
 function receiveCall(
   options: CallRelayOptions,
   calls: CallTable,
--- a/fronts/callerFront/src/callerFront.ts
+++ b/fronts/callerFront/src/callerFront.ts
@@ -18,7 +18,7 @@
 import type {CallerBodiesOptions} from './callerBodies.js';
 import {createCallerTable, sendProblem} from './callerTable.js';
 import type {CallerTable, ForwardedRequest} from './callerTable.js';
-import {checkConnection} from './endpointProbe.js';
+import {checkEndpoint} from './endpointProbe.js';
 import {hasDisconnected} from './hasDisconnected.js';
 import {createLookupRoute} from './lookupRoute.js';
 import {createBadRequestProblem, toProblem} from './problem.js';
@@ -66,13 +66,9 @@
         case 'cancelStream':
           streams.cancel(effect.dispatch);
           return;
-        case 'probeEndpoint': {
-          const {endpoint, url} = effect.target;
-          void checkConnection(url, CONNECT_TIMEOUT_MS).then(isReached =>
-            post({kind: 'endpointProbed', endpoint, isReached}),
-          );
+        case 'probeEndpoint':
+          checkEndpoint(effect.target, CONNECT_TIMEOUT_MS, post);
           return;
-        }
         case 'relayCall':
         case 'cancelRelay':
           // Callers of this front are referred to other entries instead.
