Clean-up: a requested replacement is checked once

Since the controller checked each replacement request twice, once among the other requests, where it led to nothing, and once for its own decision. It now has one path; that of the other requests loses its special cases, and isStored, which only replacements used, is gone. Its condition stands where the replacement is decided. Behaviour is as before.

--- a/control/entrySessions/src/pendingReplies.ts
+++ b/control/entrySessions/src/pendingReplies.ts
@@ -124,17 +124,6 @@
   );
 }
 
-/**
- * Returns whether the log needs no proposal for a request, although its reply
- * may have to wait for the confirmations of entries.
- */
-export function isStored(
-  {source}: Pick<ReplyBoard, 'source'>,
-  request: PendingRequest,
-): boolean {
-  return request.kind === 'replacement' && source.version >= request.version;
-}
-
 /** Finds the reply to a request, if it is decided already. */
 export function findReply(
   board: ReplyBoard,
--- a/control/entrySessions/src/proposalController.ts
+++ b/control/entrySessions/src/proposalController.ts
@@ -27,7 +27,6 @@
 import {
   findReply,
   isRecentlyProposed,
-  isStored,
   REPLY_SECTIONS,
   toPendingRequest,
 } from './pendingReplies.js';
@@ -74,7 +73,7 @@
       if (view.board.role.kind !== 'leader') {
         return [];
       }
-      const replacement = decideRequestedReplacement(view, now);
+      const replacement = decideRequestedReplacement(view);
       const value = [
         ...proposeForObservation(view, now),
         ...proposeReplacement(replacement),
@@ -143,26 +142,16 @@
   if (message.kind === 'orderOffer' || message.kind === 'orderReport') {
     return proposeOrder(view.board, from, message, now);
   }
-  return isHandled(view, from, message, now)
-    ? []
-    : toPayloads(view, from, message, now);
-}
-
-/** Returns whether a message asks for nothing that could be proposed. */
-function isHandled(
-  {board}: ProposalView,
-  from: NodeId,
-  message: EntryToControl,
-  now: TurnTime,
-): boolean {
+  if (message.kind === 'replacementRequest') {
+    // `decideRequestedReplacement` decides for the payload and the log line.
+    return [];
+  }
   const request = toPendingRequest(from, message);
-  return (
+  const isHandled =
     request === undefined ||
-    isStored(board, request) ||
-    (request.kind !== 'replacement' &&
-      isRecentlyProposed(board, request, now)) ||
-    findReply(board, request, now) !== undefined
-  );
+    isRecentlyProposed(view.board, request, now) ||
+    findReply(view.board, request, now) !== undefined;
+  return isHandled ? [] : toPayloads(view, from, message, now);
 }
 
 function toPayloads(
@@ -206,21 +195,27 @@
   readonly decision: ReplacementDecision;
 }
 
-function decideRequestedReplacement(
-  view: ProposalView,
-  now: TurnTime,
-): RequestedReplacement | undefined {
-  const {board, observation} = view;
+/**
+ * Decides about a requested replacement. One that is applied needs no proposal,
+ * although its reply may have to wait for the confirmations of entries.
+ */
+function decideRequestedReplacement({
+  board,
+  observation,
+}: ProposalView): RequestedReplacement | undefined {
   if (
     observation?.kind !== 'entryMessage' ||
-    observation.message.kind !== 'replacementRequest' ||
-    isHandled(view, observation.from, observation.message, now)
+    observation.message.kind !== 'replacementRequest'
   ) {
     return undefined;
   }
   const {replacement} = observation.message;
-  const decision = decideReplacement(board, replacement.version);
-  return {replacement, decision};
+  return board.source.version >= replacement.version
+    ? undefined
+    : {
+        replacement,
+        decision: decideReplacement(board, replacement.version),
+      };
 }
 
 function proposeReplacement(
