Tests: the copies that the split of the slow files made are one again

The time limit of a file, the large size of the rate limits, and the check of random plans stood in two to ten files. Names, bounds, seeds and assertions are as before.

--- a/scheduling/entryNode/test/drawPlan.ts
+++ b/scheduling/entryNode/test/drawPlan.ts
@@ -1,9 +1,11 @@
 /** Random plans of disturbances, versions and streams. */
 import fc from 'fast-check';
+import type {Test} from 'tap';
 
 import {createStreams, createWarmUp, STEADY_MS} from './streamPlan.js';
 import type {
   Disturbance,
+  DrawnPlan,
   PlannedStream,
   StreamPlan,
   VersionPhase,
@@ -12,8 +14,8 @@
 /** An entry is in touch so long after a disturbance, and before the next one. */
 const IN_TOUCH_MS = 3_000;
 /** Plans of other seeds and numbers are drawn by hand. */
-export const SEED = Number(process.env.STREAM_SEED ?? 58);
-export const RUNS = Number(process.env.STREAM_RUNS ?? 20);
+const SEED = Number(process.env.STREAM_SEED ?? 58);
+const RUNS = Number(process.env.STREAM_RUNS ?? 20);
 
 /** A disturbance and the streams that begin at its entry shortly before. */
 interface DrawnDisturbance {
@@ -86,7 +88,7 @@
   );
 }
 
-export function drawPlan(): fc.Arbitrary<Omit<StreamPlan, 'endMs'>> {
+export function drawPlan(): fc.Arbitrary<DrawnPlan> {
   return fc.integer({min: 3, max: 12}).chain(entries =>
     fc
       .tuple(drawVersions(), drawDisturbances(entries), drawStreams(entries))
@@ -115,3 +117,17 @@
       takenUpAt < at - IN_TOUCH_MS,
   );
 }
+
+/** Checks that something holds of all plans of the seed. */
+export function checkPlans(
+  t: Test,
+  plans: fc.Arbitrary<DrawnPlan>,
+  holds: (plan: DrawnPlan) => boolean,
+): void {
+  fc.assert(fc.property(plans, holds), {
+    seed: SEED,
+    numRuns: RUNS,
+    endOnFailure: true,
+  });
+  t.pass(`${RUNS} plans of seed ${SEED}`);
+}
--- a/scheduling/entryNode/test/streamPlan.ts
+++ b/scheduling/entryNode/test/streamPlan.ts
@@ -54,6 +54,9 @@
   readonly streams: readonly PlannedStream[];
 }
 
+/** A plan that ends with the last stream that is taken up. */
+export type DrawnPlan = Omit<StreamPlan, 'endMs'>;
+
 /** How a caller that took a stream up fared, beside one that began a new one. */
 export interface TakeUp {
   readonly stream: PlannedStream;
@@ -113,7 +116,7 @@
 }
 
 /** Plays a plan until the last stream has gone on or not. */
-export function runPlan(plan: Omit<StreamPlan, 'endMs'>): readonly TakeUp[] {
+export function runPlan(plan: DrawnPlan): readonly TakeUp[] {
   const last = Math.max(...plan.streams.map(({takenUpAt}) => takenUpAt));
   return playPlan({...plan, endMs: last + OUTCOME_MS + STEP_MS});
 }
--- a/scheduling/slotContract/test/brittleEndpoints.test.ts
+++ b/scheduling/slotContract/test/brittleEndpoints.test.ts
@@ -2,6 +2,7 @@
 import t from 'tap';
 
 import {createBrittleSet, LEADER} from './brittleSet.js';
+import {TEST_TIMEOUT_MS} from './testTimeout.js';
 
 const ENDPOINTS = 6;
 /** Falls that are allowed: 2 and a tenth of the endpoints. */
@@ -10,7 +11,6 @@
 /** How long endpoints say so before they let fewer wait (`contact_ms`). */
 const CONTACT_MS = 3_000;
 const BRITTLE_MS = 4_000;
-const TEST_TIMEOUT_MS = 120_000;
 
 t.setTimeout(TEST_TIMEOUT_MS);
 
--- a/scheduling/slotContract/test/checkRateLimits.ts
+++ b/scheduling/slotContract/test/checkRateLimits.ts
@@ -11,6 +11,14 @@
   readonly requestsPerSecond: number;
 }
 
+/** A deployment with many entries. */
+export const LARGE_SIZE: RateLimitSize = {
+  entries: 200,
+  endpoints: 41,
+  concurrency: 5,
+  requestsPerSecond: 200,
+};
+
 export const CONTACT_MS = 3_000;
 export const WINDOW_MS = 4_000;
 /** Time after which an entry must act on a limit that it received. */
--- a/scheduling/slotContract/test/closedPlainSet.test.ts
+++ b/scheduling/slotContract/test/closedPlainSet.test.ts
@@ -1,8 +1,7 @@
 import t from 'tap';
 
 import {checkAfterBurst} from './burstSet.js';
-
-const TEST_TIMEOUT_MS = 120_000;
+import {TEST_TIMEOUT_MS} from './testTimeout.js';
 
 t.setTimeout(TEST_TIMEOUT_MS);
 checkAfterBurst(25);
--- a/scheduling/slotContract/test/endpointRateLimitLarge.test.ts
+++ b/scheduling/slotContract/test/endpointRateLimitLarge.test.ts
@@ -1,8 +1,3 @@
-import {checkRateLimits} from './checkRateLimits.js';
+import {checkRateLimits, LARGE_SIZE} from './checkRateLimits.js';
 
-checkRateLimits({
-  entries: 200,
-  endpoints: 41,
-  concurrency: 5,
-  requestsPerSecond: 200,
-});
+checkRateLimits(LARGE_SIZE);
--- a/scheduling/slotContract/test/overloadedPlainSet.test.ts
+++ b/scheduling/slotContract/test/overloadedPlainSet.test.ts
@@ -1,8 +1,8 @@
 import t from 'tap';
 
 import {BURST_LOAD, createAfterBurst} from './burstSet.js';
+import {TEST_TIMEOUT_MS} from './testTimeout.js';
 
-const TEST_TIMEOUT_MS = 120_000;
 /** Requests that an endpoint of this size runs and queues. */
 const ENDPOINT_ROOM = 30;
 
--- a/scheduling/slotContract/test/roomInUse.test.ts
+++ b/scheduling/slotContract/test/roomInUse.test.ts
@@ -6,8 +6,8 @@
   measureUse,
   MIN_USE,
 } from './overloadedSet.js';
+import {TEST_TIMEOUT_MS} from './testTimeout.js';
 
-const TEST_TIMEOUT_MS = 120_000;
 const SAMPLES = 150;
 
 t.setTimeout(TEST_TIMEOUT_MS);
--- a/scheduling/slotContract/test/roomWithoutLeader.test.ts
+++ b/scheduling/slotContract/test/roomWithoutLeader.test.ts
@@ -8,8 +8,7 @@
   measureUse,
   MIN_USE,
 } from './overloadedSet.js';
-
-const TEST_TIMEOUT_MS = 120_000;
+import {TEST_TIMEOUT_MS} from './testTimeout.js';
 
 t.setTimeout(TEST_TIMEOUT_MS);
 /** What happens to the set leader, and for how long its effect is measured. */
--- a/scheduling/slotContract/test/ungrantedRateLimitLarge.test.ts
+++ b/scheduling/slotContract/test/ungrantedRateLimitLarge.test.ts
@@ -1,8 +1,3 @@
-import {checkUngrantedLimits} from './checkRateLimits.js';
+import {checkUngrantedLimits, LARGE_SIZE} from './checkRateLimits.js';
 
-checkUngrantedLimits({
-  entries: 200,
-  endpoints: 41,
-  concurrency: 5,
-  requestsPerSecond: 200,
-});
+checkUngrantedLimits(LARGE_SIZE);
